--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,165 @@
+//! Names and numbers that identify things, each a type of its own.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// Result of reading an id.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// An id that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    #[error("`{0}` is not a task id; use the form t<partition>-<number>, as printed at submission")]
+    TaskId(String),
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as given.
+            pub fn new(name: &str) -> Self {
+                Self(Arc::from(name))
+            }
+
+            /// The name's text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident($int:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $int);
+
+        impl $name {
+            /// The number after this one.
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+name!(/// A worker or runner VM, as the platform's list names it.
+    VmId);
+name!(/// A failure domain.
+    DomainId);
+name!(/// A rack of workers.
+    RackId);
+name!(/// One run of a daemon: its settings' name and its start, so that a restart is another id.
+    DaemonId);
+name!(/// A service, such as the shop.
+    ServiceName);
+name!(/// A class of requests or of batch tasks.
+    ClassName);
+name!(/// A VM pool.
+    PoolName);
+name!(/// A team with a quota.
+    TeamName);
+name!(/// A caller's idempotency key.
+    IdempotencyKey);
+name!(/// A checkpoint that a worker can resume from.
+    CheckpointId);
+name!(/// A request, in the callers' and endpoints' header.
+    RequestId);
+
+number!(/// Revision of the configuration; only ever rises.
+    Revision(u64));
+number!(/// Attempt to run a task; rises with each binding to a VM.
+    Attempt(u32));
+number!(/// Fencing token of a VM's control lease; rises with each grant on that VM.
+    Token(u64));
+number!(/// Incarnation of a VM; differs after a restart.
+    BootId(u64));
+number!(/// Partition of the task log.
+    PartitionId(u16));
+number!(/// Pairs an action of the core with its later answer.
+    Ticket(u64));
+
+/// A task: the partition that records it, and its number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub partition: PartitionId,
+    pub number: u64,
+}
+
+impl TaskId {
+    /// Task `number` of `partition`.
+    pub fn new(partition: PartitionId, number: u64) -> Self {
+        Self { partition, number }
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "t{}-{}", self.partition, self.number)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let refuse = || Error::TaskId(text.to_owned());
+        let (partition, number) =
+            text.strip_prefix('t').and_then(|rest| rest.split_once('-')).ok_or_else(refuse)?;
+        Ok(Self {
+            partition: PartitionId(partition.parse().map_err(|_| refuse())?),
+            number: number.parse().map_err(|_| refuse())?,
+        })
+    }
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> std::result::Result<S::Ok, S::Error> {
+        if s.is_human_readable() {
+            s.collect_str(self)
+        } else {
+            (self.partition, self.number).serialize(s)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> std::result::Result<Self, D::Error> {
+        if d.is_human_readable() {
+            String::deserialize(d)?.parse().map_err(serde::de::Error::custom)
+        } else {
+            let (partition, number) = Deserialize::deserialize(d)?;
+            Ok(Self { partition, number })
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! A scheduler for latency-critical services and batch work colocated on the same VMs.
+//!
+//! Two facts decide everything: what was accepted, kept by the platform's key-value service
+//! ([`store`]), and what runs on a VM, kept by that VM's own lease table ([`worker`]). A daemon
+//! caches these two and keeps nothing else that matters, so that any daemon can be replaced at
+//! any time. The decisions are made in [`core`], which does no I/O.
+
+pub mod clock;
+pub mod core;
+pub mod ids;
+pub mod model;
+pub mod peer;
+pub mod store;
+pub mod task;
+pub mod units;
+pub mod worker;
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, over real HTTP, with switches for faults.
