--- a/src/ids.rs
+++ b/src/ids.rs
@@ -95,6 +95,10 @@
     CheckpointId);
 name!(/// A request, in the callers' and endpoints' header.
     RequestId);
+name!(/// An operator, as the audit trail names them.
+    OperatorName);
+name!(/// One change of the configuration, named by the one who asks for it.
+    ChangeId);
 
 number!(/// Revision of the configuration; only ever rises.
     Revision(u64));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 //! caches these two and keeps nothing else that matters, so that any daemon can be replaced at
 //! any time. The decisions are made in [`core`], which does no I/O.
 
+pub mod audit;
 pub mod clock;
+pub mod config;
 pub mod core;
 pub mod ids;
 pub mod model;
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,6 +4,9 @@
 //! may lose an answer after the write took effect; so a failed write is one of three things, and
 //! [`Error`] keeps them apart: refused, surely without effect, or unknown.
 
+pub mod http;
+pub mod memory;
+
 use bytes::Bytes;
 use std::future::Future;
 use std::time::Duration;
--- /dev/null
+++ b/tests/store_http.rs
@@ -0,0 +1,72 @@
+//! The client against the stand-in over real HTTP, where the fake in memory has no counterpart.
+
+use bytes::Bytes;
+use std::time::Duration;
+use waxwingstall::store::http::HttpStore;
+use waxwingstall::store::memory::Outage;
+use waxwingstall::store::{Error, Expect, Store};
+use waxwingstall_standin::kv::{Kv, Pace};
+
+const KEY: &str = "config/head";
+
+/// The service takes the write and never answers. Giving up after a bounded time, the caller must
+/// be told that the write may have taken effect.
+#[actix_rt::test]
+async fn a_silent_service_leaves_a_write_unknown_and_a_read_unavailable() {
+    let kv = Kv::start();
+    let store = HttpStore::new(&kv.url()).with_timeout(Duration::from_millis(50));
+    kv.faults().set_pace(Pace::Silent);
+    let written = store.put(KEY, Bytes::from_static(b"a"), Expect::Any).await;
+    assert!(matches!(written, Err(Error::Unknown { .. })), "{written:?}");
+    let read = store.get(KEY).await;
+    assert!(matches!(read, Err(Error::Unavailable { .. })), "{read:?}");
+}
+
+/// Nothing listens on the port. No byte of the write has left, so that it surely had no effect.
+#[actix_rt::test]
+async fn a_refused_connection_proves_that_nothing_was_written() {
+    let url = Kv::start().url();
+    let store = HttpStore::new(&url);
+    let written = store.put(KEY, Bytes::from_static(b"a"), Expect::Any).await;
+    assert!(matches!(written, Err(Error::Unavailable { .. })), "{written:?}");
+}
+
+/// The answer breaks off after the write took effect; the client must not send it again by itself.
+#[actix_rt::test]
+async fn a_cut_answer_leaves_a_write_unknown_and_is_not_repeated() {
+    let kv = Kv::start();
+    let store = HttpStore::new(&kv.url());
+    kv.faults().lose_answers(1);
+    let written = store.put(KEY, Bytes::from_static(b"a"), Expect::Absent).await;
+    assert!(matches!(written, Err(Error::Unknown { .. })), "{written:?}");
+    assert_eq!(kv.calls(), 1);
+    let entry = store.get(KEY).await.expect("an answer").expect("the write took effect");
+    assert_eq!(entry.value, Bytes::from_static(b"a"));
+}
+
+#[actix_rt::test]
+async fn data_survives_an_outage() {
+    let kv = Kv::start();
+    let store = HttpStore::new(&kv.url());
+    let version = store.put(KEY, Bytes::from_static(b"a"), Expect::Absent).await.expect("written");
+    kv.faults().set_outage(Outage::Down);
+    assert!(matches!(store.get(KEY).await, Err(Error::Unavailable { .. })));
+    kv.faults().set_outage(Outage::Up);
+    let entry = store.get(KEY).await.expect("an answer").expect("an entry");
+    assert_eq!(entry.version, version);
+}
+
+/// A key of any characters must reach the service whole, and not as a query or another path.
+#[actix_rt::test]
+async fn keys_with_any_characters_are_kept_apart() {
+    let kv = Kv::start();
+    let store = HttpStore::new(&kv.url());
+    for key in ["a?b=c", "a b", "a%2Fb", "a/b", "ș/ț", "a#b", "a&b"] {
+        let value = Bytes::copy_from_slice(key.as_bytes());
+        store.put(key, value, Expect::Absent).await.expect("written");
+    }
+    let listed = store.list("a").await.expect("a list");
+    assert_eq!(listed.len(), 6);
+    assert!(listed.iter().all(|entry| entry.key.as_bytes() == entry.value));
+    assert_eq!(store.list("a&").await.expect("a list").len(), 1);
+}
