--- a/src/audit.rs
+++ b/src/audit.rs
@@ -18,6 +18,9 @@
 /// Entries on a page.
 pub const PAGE_ENTRIES: u64 = 16;
 
+/// Entries that a search looks at together.
+const SEARCHED_ENTRIES: usize = 16;
+
 /// Pages that are kept.
 pub const MAX_PAGES: u64 = 4096;
 
@@ -201,3 +204,59 @@
     postcard::from_bytes(&entry.value)
         .map_err(|e| head::Error::Unreadable { key, reason: e.to_string() })
 }
+
+/// Finds the entry of a change among those from number `first` on.
+pub async fn find(
+    store: &impl Store,
+    head: &Head,
+    change: &ChangeId,
+    first: u64,
+) -> Result<Option<Entry>> {
+    search(store, head, |entry| entry.change == *change, |entry| entry.number < first).await
+}
+
+/// The last change of a file after revision `base`.
+pub async fn last_change(
+    store: &impl Store,
+    head: &Head,
+    file: &str,
+    base: Revision,
+) -> Result<Option<Entry>> {
+    let wanted = |entry: &Entry| {
+        entry.outcome != Outcome::Abandoned && entry.file == file && entry.revision > base
+    };
+    search(store, head, wanted, |entry| entry.revision <= base).await
+}
+
+/// Looks at entries from the newest on, until one is wanted or too old.
+async fn search(
+    store: &impl Store,
+    head: &Head,
+    wanted: impl Fn(&Entry) -> bool,
+    too_old: impl Fn(&Entry) -> bool,
+) -> Result<Option<Entry>> {
+    let mut before = None;
+    loop {
+        let page = page_from(store, head, before, SEARCHED_ENTRIES).await;
+        for entry in page.entries {
+            if too_old(&entry) {
+                return Ok(None);
+            }
+            if wanted(&entry) {
+                return Ok(Some(entry));
+            }
+        }
+        match page.missing {
+            Some(Missing::Forgotten { .. }) => return Ok(None),
+            Some(Missing::All { reason } | Missing::Before { reason, .. }) => {
+                let key = "audit trail".to_owned();
+                return Err(head::Error::Unreadable { key, reason });
+            }
+            None => {}
+        }
+        match page.next {
+            Some(next) => before = Some(next),
+            None => return Ok(None),
+        }
+    }
+}
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -2,26 +2,19 @@
 //!
 //! A daemon learns of revisions from the store's head and from its peers. Either may lag: the
 //! store can answer from the past, and a peer may be cut off. So a [`Follower`] takes up only what
-//! is at least as new as everything it has heard of. A daemon that just started has forgotten
-//! what its former run had in force; [`start`] therefore asks its peers before it believes the
-//! store, and asks the store in a way that an old replica can't answer.
+//! is at least as new as everything it has heard of. It does no I/O; [`fetch`] asks the store and
+//! the peers on its behalf.
 
-use crate::config::check;
-use crate::config::head::{self, FileRef, HEAD_KEY, Manifest, Versioned};
+pub mod fetch;
+
+use crate::config::head::{FileRef, Manifest};
 use crate::config::snapshot::Snapshot;
-use crate::config::{ConfigFile, Fault};
-use crate::ids::{DaemonId, Revision};
+use crate::config::{Fault, check};
+use crate::ids::Revision;
 use crate::model::Config;
-use crate::store::{self, Expect, Store};
-use bytes::Bytes;
 use indexmap::IndexMap;
-use std::future::Future;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Reads of the head before a starting daemon gives the store up.
-const MAX_READS: usize = 4;
 
 /// What a daemon has in force.
 #[derive(Debug, Default)]
@@ -53,6 +46,15 @@
     Invalid(Vec<Fault>),
 }
 
+/// What a daemon tells its peers about the configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Newest revision that it heard of.
+    pub known: Revision,
+    /// Revision in force there; zero if there is none.
+    pub in_force: Revision,
+}
+
 /// Where a daemon stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -64,12 +66,6 @@
     Behind { revision: Revision, known: Revision },
 }
 
-/// A peer that can be asked for its configuration.
-pub trait Peer {
-    /// The peer's snapshot, with the texts newer than `since`; `None` if it doesn't answer.
-    fn snapshot(&self, since: Revision) -> impl Future<Output = Option<Snapshot>>;
-}
-
 impl Follower {
     /// A follower that has nothing in force.
     pub fn new() -> Self {
@@ -81,6 +77,11 @@
         self.known = self.known.max(revision);
     }
 
+    /// What this daemon knows of, for its peers.
+    pub fn known(&self) -> Known {
+        Known { known: self.known, in_force: self.revision() }
+    }
+
     /// Where this daemon stands.
     pub fn standing(&self) -> Standing {
         let known = self.known;
@@ -128,6 +129,9 @@
         if revision < self.known {
             return Outcome::Older { known: self.known };
         }
+        if digest != snapshot.digest {
+            return Outcome::Incomplete { missing: Vec::new() };
+        }
         self.heard(revision);
         if let Some(held) = self.held.as_ref().filter(|held| held.snapshot.revision() == revision) {
             return if held.snapshot.digest == digest { Outcome::Same } else { Outcome::Forked };
@@ -162,8 +166,7 @@
     }
 
     fn take_up(&mut self, snapshot: Snapshot) -> Outcome {
-        let files: Vec<ConfigFile> = snapshot.files();
-        match check(&files) {
+        match check(&snapshot.files()) {
             Ok(mut config) => {
                 config.revision = snapshot.revision();
                 let config = Arc::new(config);
@@ -174,85 +177,3 @@
         }
     }
 }
-
-/// Fetches the texts that a head names and the follower lacks.
-pub async fn fetch(
-    store: &impl Store,
-    follower: &Follower,
-    at: &Versioned,
-) -> head::Result<Snapshot> {
-    let mut texts = IndexMap::new();
-    for (name, file) in follower.wants(&at.head.manifest) {
-        texts.insert(name, head::read_text(store, &file).await?);
-    }
-    Ok(Snapshot::new(at.head.manifest.clone(), texts))
-}
-
-/// Waits for a change of the head after `version`, then reads the head all the same: a watch may
-/// have missed the change.
-pub async fn next_head(
-    store: &impl Store,
-    version: u64,
-    wait: Duration,
-) -> head::Result<Versioned> {
-    if let Some(entry) = store.watch(HEAD_KEY, version, wait).await?
-        && entry.version > version
-    {
-        return Versioned::decode(&entry);
-    }
-    head::read(store).await
-}
-
-/// Reads the head as of now.
-///
-/// A replica of the store that lags answers reads from the past. A write can't be answered so:
-/// one that asks for the head to be absent is refused, without effect, with the version at
-/// present, which shows whether the head that was read is the present one.
-pub async fn read_present(store: &impl Store) -> head::Result<Versioned> {
-    let mut at = head::read(store).await?;
-    for _ in 0..MAX_READS {
-        if at.version == 0 {
-            return Ok(at);
-        }
-        match store.put(HEAD_KEY, Bytes::new(), Expect::Absent).await {
-            Err(store::Error::Conflict { current, .. }) if current <= at.version => return Ok(at),
-            Err(store::Error::Conflict { .. }) => at = head::read(store).await?,
-            Err(e) => return Err(e.into()),
-            // There was a head, and heads are never deleted.
-            Ok(_) => break,
-        }
-    }
-    let reason = "the service answers from the past".to_owned();
-    Err(store::Error::Unavailable { reason }.into())
-}
-
-/// Asks the peers and the store, and takes up the newest that they have.
-///
-/// Returns the head's version in the store, or zero if the store didn't answer.
-pub async fn start<P: Peer>(follower: &mut Follower, store: &impl Store, peers: &[P]) -> u64 {
-    let asked = peers.iter().map(|peer| peer.snapshot(Revision(0)));
-    let answers: Vec<Snapshot> =
-        futures::future::join_all(asked).await.into_iter().flatten().collect();
-    for answer in &answers {
-        follower.heard(answer.revision());
-    }
-    let at = read_present(store).await;
-    if let Ok(at) = &at {
-        follower.heard(at.head.manifest.revision);
-        if let Ok(snapshot) = fetch(store, follower, at).await {
-            follower.offer(&snapshot);
-        }
-    }
-    for answer in &answers {
-        follower.offer(answer);
-    }
-    at.map_or(0, |at| at.version)
-}
-
-/// Whether this daemon is one of the `count` of its failure domain that watch the store; the
-/// others hear from them.
-pub fn watches(me: &DaemonId, members: &[DaemonId], count: usize) -> bool {
-    let score = |id: &DaemonId| (xxh3_64(id.as_str().as_bytes()), id.clone());
-    let mine = score(me);
-    members.iter().filter(|id| *id != me && score(id) < mine).count() < count
-}
--- a/standin/src/kv.rs
+++ b/standin/src/kv.rs
@@ -71,6 +71,11 @@
         *self.pace.lock().unwrap_or_else(PoisonError::into_inner) = pace;
     }
 
+    /// What was asked so far.
+    pub fn usage(&self) -> Usage {
+        self.store.usage()
+    }
+
     async fn delay(&self) {
         let pace = *self.pace.lock().unwrap_or_else(PoisonError::into_inner);
         match pace {
@@ -114,7 +119,7 @@
 
     /// Calls and bytes so far.
     pub fn usage(&self) -> Usage {
-        self.faults.store.usage()
+        self.faults.usage()
     }
 
     /// Calls so far.
