--- a/src/config/apply/change.rs
+++ b/src/config/apply/change.rs
@@ -49,7 +49,11 @@
 
     /// Tries once, on top of what is in force now.
     pub(super) async fn round(&mut self) -> Result<Round> {
-        let at = head::read(self.store).await?;
+        let at = match self.base {
+            Some(_) => head::read(self.store).await?,
+            // An old answer would make the change seem to be based on an old revision.
+            None => head::read_present(self.store).await?,
+        };
         self.discard_garbage(&at.head.manifest).await;
         let first = *self.first.get_or_insert(at.head.trail.first_recent());
         if let Some(entry) = audit::find(self.store, &at.head, &self.req.change, first).await? {
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -2,31 +2,35 @@
 //!
 //! A daemon learns of revisions from the store's head and from its peers. Either may lag: the
 //! store can answer from the past, and a peer may be cut off. So a [`Follower`] takes up only what
-//! is at least as new as everything it has heard of. It does no I/O; [`fetch`] asks the store and
-//! the peers on its behalf.
+//! is at least as new as everything it has heard of. A [`Newcomer`] has forgotten what its former
+//! run had in force, so that it has nothing to compare with; it becomes a follower only by
+//! [`fetch::start`], which asks all who may know. Neither does I/O.
 
 pub mod fetch;
 
-use crate::config::head::{FileRef, Manifest};
+use crate::config::head::Manifest;
 use crate::config::snapshot::Snapshot;
 use crate::config::{Fault, check};
 use crate::ids::Revision;
 use crate::model::Config;
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// What a daemon has in force.
-#[derive(Debug, Default)]
-pub struct Follower {
-    held: Option<Held>,
+/// Result of loading a snapshot.
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// A daemon that has nothing in force yet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Newcomer {
     known: Revision,
 }
 
-#[derive(Debug)]
-struct Held {
+/// A daemon that has a configuration in force.
+#[derive(Clone, Debug)]
+pub struct Follower {
     snapshot: Snapshot,
     config: Arc<Config>,
+    known: Revision,
 }
 
 /// What became of an offered snapshot.
@@ -36,14 +40,21 @@
     InForce(Arc<Config>),
     /// It is in force already.
     Same,
-    /// It is older than what is in force, or than what was heard of.
-    Older { known: Revision },
-    /// Texts are missing or damaged.
+    /// What was in force stays so.
+    Refused(Refusal),
+}
+
+/// Why a snapshot is not taken up.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    #[error("revision {offered} is older than {known}, which is known of; fetch that one")]
+    Older { offered: Revision, known: Revision },
+    #[error("texts of {} files are missing or damaged; fetch the whole snapshot", missing.len())]
     Incomplete { missing: Vec<String> },
-    /// It has the revision in force and other files. Only a damaged store can cause this.
-    Forked,
-    /// This program can't read the files.
-    Invalid(Vec<Fault>),
+    #[error("revision {revision} has other files than in force here; compare the store's backups")]
+    Forked { revision: Revision },
+    #[error("this program finds {} faults in revision {revision}; upgrade it", faults.len())]
+    Invalid { revision: Revision, faults: Vec<Fault> },
 }
 
 /// What a daemon tells its peers about the configuration.
@@ -51,23 +62,21 @@
 pub struct Known {
     /// Newest revision that it heard of.
     pub known: Revision,
-    /// Revision in force there; zero if there is none.
-    pub in_force: Revision,
+    /// Revision in force there, if it has one.
+    pub in_force: Option<Revision>,
 }
 
 /// Where a daemon stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// Nothing is in force yet.
-    Empty { known: Revision },
     /// The newest revision that was heard of is in force.
     Current { revision: Revision },
     /// A newer one was heard of and could not be had yet.
     Behind { revision: Revision, known: Revision },
 }
 
-impl Follower {
-    /// A follower that has nothing in force.
+impl Newcomer {
+    /// A daemon that just started.
     pub fn new() -> Self {
         Self::default()
     }
@@ -79,101 +88,88 @@
 
     /// What this daemon knows of, for its peers.
     pub fn known(&self) -> Known {
-        Known { known: self.known, in_force: self.revision() }
+        Known { known: self.known, in_force: None }
+    }
+
+    /// Puts a first snapshot in force, if it is as new as all that is known of.
+    fn begin(&self, snapshot: &Snapshot) -> Result<Follower> {
+        load(snapshot, self.known, &Snapshot::default())
+    }
+}
+
+impl Follower {
+    /// Learns that a revision is in force somewhere.
+    pub fn heard(&mut self, revision: Revision) {
+        self.known = self.known.max(revision);
+    }
+
+    /// What this daemon knows of, for its peers.
+    pub fn known(&self) -> Known {
+        Known { known: self.known, in_force: Some(self.revision()) }
     }
 
     /// Where this daemon stands.
     pub fn standing(&self) -> Standing {
-        let known = self.known;
-        match &self.held {
-            None => Standing::Empty { known },
-            Some(held) if held.snapshot.revision() < known => {
-                Standing::Behind { revision: held.snapshot.revision(), known }
-            }
-            Some(held) => Standing::Current { revision: held.snapshot.revision() },
+        let (revision, known) = (self.revision(), self.known);
+        if revision < known {
+            Standing::Behind { revision, known }
+        } else {
+            Standing::Current { revision }
         }
     }
 
     /// The configuration in force.
-    pub fn in_force(&self) -> Option<&Arc<Config>> {
-        self.held.as_ref().map(|held| &held.config)
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
     }
 
-    /// Revision in force; zero if there is none.
+    /// Revision in force.
     pub fn revision(&self) -> Revision {
-        self.held.as_ref().map_or(Revision(0), |held| held.snapshot.revision())
+        self.snapshot.revision()
     }
 
-    /// What this daemon tells a peer at `since`; the texts that the peer lacks are in it.
-    pub fn snapshot(&self, since: Revision) -> Option<Snapshot> {
-        self.held.as_ref().map(|held| held.snapshot.since(since))
+    /// The files in force; [`Snapshot::since`] tells what a peer lacks of them.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
     }
 
-    /// The texts of a manifest that are not here, unless it is too old to be of use.
-    pub fn wants(&self, manifest: &Manifest) -> Vec<(String, FileRef)> {
-        if manifest.revision < self.known || manifest.revision <= self.revision() {
-            return Vec::new();
-        }
-        let lacks = |name: &str, file: &FileRef| self.held_text(name, file.digest).is_none();
-        let files = manifest.files.iter();
-        files
-            .filter(|(name, file)| lacks(name, file))
-            .map(|(name, file)| (name.clone(), file.clone()))
-            .collect()
+    /// Whether a head or a peer has something newer than what is in force and known of.
+    pub fn wants(&self, manifest: &Manifest) -> bool {
+        manifest.revision > self.revision() && manifest.revision >= self.known
     }
 
-    /// Takes a snapshot up if it is newer than all that is known.
+    /// Takes a snapshot up if it is newer than what is in force and known of.
     pub fn offer(&mut self, snapshot: &Snapshot) -> Outcome {
         let revision = snapshot.revision();
-        let digest = snapshot.manifest.digest();
-        if revision < self.known {
-            return Outcome::Older { known: self.known };
+        if revision == self.revision() {
+            return if snapshot.digest == self.snapshot.digest {
+                Outcome::Same
+            } else {
+                Outcome::Refused(Refusal::Forked { revision })
+            };
         }
-        if digest != snapshot.digest {
-            return Outcome::Incomplete { missing: Vec::new() };
-        }
-        self.heard(revision);
-        if let Some(held) = self.held.as_ref().filter(|held| held.snapshot.revision() == revision) {
-            return if held.snapshot.digest == digest { Outcome::Same } else { Outcome::Forked };
-        }
-        match self.complete(snapshot) {
-            Ok(whole) => self.take_up(whole),
-            Err(missing) => Outcome::Incomplete { missing },
-        }
-    }
-
-    fn held_text(&self, name: &str, digest: u64) -> Option<&Arc<str>> {
-        self.held.as_ref().and_then(|held| held.snapshot.text(name, digest))
-    }
-
-    fn complete(&self, snapshot: &Snapshot) -> Result<Snapshot, Vec<String>> {
-        let mut texts = IndexMap::new();
-        let mut missing = Vec::new();
-        for (name, file) in &snapshot.manifest.files {
-            let text = snapshot.text(name, file.digest);
-            match text.or_else(|| self.held_text(name, file.digest)) {
-                Some(text) => {
-                    texts.insert(name.clone(), Arc::clone(text));
-                }
-                None => missing.push(name.clone()),
+        match load(snapshot, self.known, &self.snapshot) {
+            Ok(next) => {
+                *self = next;
+                Outcome::InForce(Arc::clone(&self.config))
+            }
+            Err(refusal) => {
+                self.heard(revision);
+                Outcome::Refused(refusal)
             }
-        }
-        if missing.is_empty() {
-            Ok(Snapshot::new(snapshot.manifest.clone(), texts))
-        } else {
-            Err(missing)
         }
     }
+}
 
-    fn take_up(&mut self, snapshot: Snapshot) -> Outcome {
-        match check(&snapshot.files()) {
-            Ok(mut config) => {
-                config.revision = snapshot.revision();
-                let config = Arc::new(config);
-                self.held = Some(Held { snapshot, config: Arc::clone(&config) });
-                Outcome::InForce(config)
-            }
-            Err(faults) => Outcome::Invalid(faults),
-        }
+/// Checks a snapshot, with the texts that it lacks taken from `held`.
+fn load(snapshot: &Snapshot, known: Revision, held: &Snapshot) -> Result<Follower> {
+    let revision = snapshot.revision();
+    if revision < known {
+        return Err(Refusal::Older { offered: revision, known });
     }
+    let whole = snapshot.complete(held).map_err(|missing| Refusal::Incomplete { missing })?;
+    let mut config =
+        check(&whole.files()).map_err(|faults| Refusal::Invalid { revision, faults })?;
+    config.revision = revision;
+    Ok(Follower { snapshot: whole, config: Arc::new(config), known: revision })
 }
--- a/src/config/follow/fetch.rs
+++ b/src/config/follow/fetch.rs
@@ -2,28 +2,25 @@
 //!
 //! A daemon that just started has forgotten what its former run had in force. Two things keep it
 //! from going back. It asks the store in a way that a lagging replica can't answer
-//! ([`read_present`]). And a revision that was read from the store is told to the peers before it
+//! ([`head::read_present`]). And a revision that was read from the store is told to the peers before it
 //! is taken up ([`take_up`]), so that, while the store is out of reach, those who are asked by a
 //! restarted daemon know of it, even if they have not got it themselves.
 
-use crate::config::follow::{Follower, Known, Outcome};
-use crate::config::head::{self, HEAD_KEY, Versioned};
+use crate::config::follow::{Follower, Known, Newcomer, Outcome, Refusal};
+use crate::config::head::{self, HEAD_KEY, Manifest, Versioned};
 use crate::config::snapshot::Snapshot;
 use crate::ids::{DaemonId, Revision};
-use crate::store::{self, Expect, Store};
-use bytes::Bytes;
+use crate::store::Store;
 use futures::future::join_all;
 use indexmap::IndexMap;
+use std::convert::Infallible;
 use std::future::Future;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Reads of the head before the store is given up.
+/// Heads whose texts are asked for before the store is given up.
 const MAX_READS: usize = 4;
 
-/// Expected by a write that must not take effect.
-const NO_VERSION: Expect = Expect::Version(u64::MAX);
-
 /// Another daemon; its calls end within a bounded time.
 pub trait Peer {
     /// Tells the peer of a revision, and learns what it knows; `None` if it doesn't answer.
@@ -33,26 +30,43 @@
     fn snapshot(&self, since: Revision) -> impl Future<Output = Option<Snapshot>>;
 }
 
+/// For a daemon or a tool without peers.
+impl Peer for Infallible {
+    async fn exchange(&self, _: Revision) -> Option<Known> {
+        match *self {}
+    }
+
+    async fn snapshot(&self, _: Revision) -> Option<Snapshot> {
+        match *self {}
+    }
+}
+
 /// How a start went.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Started {
-    /// Version of the head, to watch from; zero if the store didn't answer.
-    pub version: u64,
-    /// Peers that answered.
-    pub peers: usize,
+#[derive(Debug)]
+pub enum Started {
+    /// The daemon has a configuration in force.
+    Following {
+        follower: Follower,
+        /// Version of the head, to watch from; zero if the store didn't answer.
+        version: u64,
+    },
+    /// Nobody who answered has the newest revision that is known of; start again.
+    Waiting { newcomer: Newcomer, reason: String },
 }
 
-/// Fetches the texts that a head names and the follower lacks.
+/// Fetches the texts of a manifest that `held` lacks.
 pub async fn fetch(
     store: &impl Store,
-    follower: &Follower,
-    at: &Versioned,
+    manifest: &Manifest,
+    held: &Snapshot,
 ) -> head::Result<Snapshot> {
     let mut texts = IndexMap::new();
-    for (name, file) in follower.wants(&at.head.manifest) {
-        texts.insert(name, head::read_text(store, &file).await?);
+    for (name, file) in &manifest.files {
+        if held.text(name, file.digest).is_none() {
+            texts.insert(name.clone(), head::read_text(store, file).await?);
+        }
     }
-    Ok(Snapshot::new(at.head.manifest.clone(), texts))
+    Ok(Snapshot::new(manifest.clone(), texts))
 }
 
 /// Takes up a head that was read from the store, after telling the peers of it.
@@ -65,13 +79,13 @@
     at: &Versioned,
     peers: &[P],
 ) -> head::Result<Outcome> {
-    let revision = at.head.manifest.revision;
-    let snapshot = fetch(store, follower, at).await?;
-    if revision > follower.revision() {
-        let told = join_all(peers.iter().map(|peer| peer.exchange(revision))).await;
-        for known in told.into_iter().flatten() {
-            follower.heard(known.known);
-        }
+    let manifest = &at.head.manifest;
+    if !follower.wants(manifest) {
+        return Ok(Outcome::Same);
+    }
+    let snapshot = fetch(store, manifest, follower.snapshot()).await?;
+    for known in tell(manifest.revision, peers).await.into_iter().flatten() {
+        follower.heard(known.known);
     }
     Ok(follower.offer(&snapshot))
 }
@@ -82,6 +96,11 @@
     Some(follower.offer(&snapshot))
 }
 
+/// Tells all peers of a revision, and returns what each of them knows.
+async fn tell<P: Peer>(revision: Revision, peers: &[P]) -> Vec<Option<Known>> {
+    join_all(peers.iter().map(|peer| peer.exchange(revision))).await
+}
+
 /// Waits for a change of the head after `version`, then reads the head all the same: a watch may
 /// have missed the change.
 pub async fn next_head(
@@ -97,57 +116,63 @@
     head::read(store).await
 }
 
-/// Reads the head as of now.
+/// Asks all peers and the store, and takes up the newest revision that is known of.
 ///
-/// A replica of the store that lags answers reads from the past. A write can't be answered so:
-/// one that asks for a version that no value has is refused, without effect, with the version at
-/// present, which shows whether the head that was read is the present one.
-pub async fn read_present(store: &impl Store) -> head::Result<Versioned> {
-    for _ in 0..MAX_READS {
-        let at = head::read(store).await?;
-        match store.put(HEAD_KEY, Bytes::new(), NO_VERSION).await {
-            Err(store::Error::Conflict { current, .. }) if current <= at.version => return Ok(at),
-            Err(store::Error::Conflict { .. }) => {}
-            Err(e) => return Err(e.into()),
-            Ok(_) => break,
-        }
-    }
-    let reason = "the service answers from the past".to_owned();
-    Err(store::Error::Unavailable { reason }.into())
-}
-
-/// Asks all peers and the store, and takes up the newest that is known of.
-pub async fn start<P: Peer>(follower: &mut Follower, store: &impl Store, peers: &[P]) -> Started {
-    let asked = join_all(peers.iter().map(|peer| peer.exchange(Revision(0)))).await;
+/// The store's word is taken where it answers, and that of the peers where it does not. If neither
+/// answers, the daemon has nothing in force: whatever it took up could be older than what its
+/// former run had.
+pub async fn start<P: Peer>(mut newcomer: Newcomer, store: &impl Store, peers: &[P]) -> Started {
+    let asked = tell(newcomer.known, peers).await;
     for known in asked.iter().flatten() {
-        follower.heard(known.known);
+        newcomer.heard(known.known);
     }
-    let version = start_from_store(follower, store, peers).await.unwrap_or(0);
-    for (peer, known) in peers.iter().zip(&asked) {
-        let in_force = known.map_or(Revision(0), |known| known.in_force);
-        if in_force >= follower.known().known && in_force > follower.revision() {
-            pull(follower, peer).await;
+    let mut reason = match start_from_store(&mut newcomer, store, peers).await {
+        Ok(started) => return started,
+        Err(e) => e.to_string(),
+    };
+    for (peer, known) in peers.iter().zip(asked) {
+        if known.and_then(|known| known.in_force) < Some(newcomer.known) {
+            continue;
+        }
+        let Some(snapshot) = peer.snapshot(Revision(0)).await else { continue };
+        match newcomer.begin(&snapshot) {
+            Ok(follower) => return Started::Following { follower, version: 0 },
+            Err(refusal) => reason = refusal.to_string(),
         }
     }
-    Started { version, peers: asked.iter().flatten().count() }
+    Started::Waiting { newcomer, reason }
 }
 
 async fn start_from_store<P: Peer>(
-    follower: &mut Follower,
+    newcomer: &mut Newcomer,
     store: &impl Store,
     peers: &[P],
-) -> head::Result<u64> {
+) -> std::result::Result<Started, StartError> {
     for _ in 0..MAX_READS {
-        let at = read_present(store).await?;
-        follower.heard(at.head.manifest.revision);
-        match take_up(follower, store, &at, peers).await {
-            Ok(_) => return Ok(at.version),
+        let Versioned { head, version } = head::read_present(store).await?;
+        newcomer.heard(head.manifest.revision);
+        let snapshot = match fetch(store, &head.manifest, &Snapshot::default()).await {
+            Ok(snapshot) => snapshot,
             // A change came between reading the head and its texts.
-            Err(head::Error::Gone { .. }) => {}
-            Err(e) => return Err(e),
-        }
+            Err(head::Error::Gone { .. }) => continue,
+            Err(e) => return Err(e.into()),
+        };
+        tell(head.manifest.revision, peers).await;
+        let follower = newcomer.begin(&snapshot)?;
+        return Ok(Started::Following { follower, version });
     }
-    Ok(0)
+    Err(StartError::Restless)
+}
+
+/// Why the store's configuration was not taken up.
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error(transparent)]
+    Store(#[from] head::Error),
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+    #[error("the configuration changed at each read; start again")]
+    Restless,
 }
 
 /// Whether this daemon is one of the `count` of its failure domain that watch the store; the
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -7,7 +7,7 @@
 
 use crate::audit::Trail;
 use crate::ids::{ChangeId, Revision};
-use crate::store::{self, Store};
+use crate::store::{self, Expect, Store};
 use bytes::Bytes;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,12 @@
 /// Prefix of the keys of texts.
 pub const TEXT_PREFIX: &str = "config/text/";
 
+/// Reads of the head before the store is given up.
+const MAX_READS: usize = 4;
+
+/// Expected by a write that must not take effect.
+const NO_VERSION: Expect = Expect::Version(u64::MAX);
+
 /// First byte of a head, for a later change of its layout.
 const LAYOUT: u8 = 1;
 
@@ -154,6 +160,25 @@
     }
 }
 
+/// Reads the head as of now.
+///
+/// A replica of the store that lags answers reads from the past. A write can't be answered so:
+/// one that asks for a version that no value has is refused, without effect, with the version at
+/// present, which shows whether the head that was read is the present one.
+pub async fn read_present(store: &impl Store) -> Result<Versioned> {
+    for _ in 0..MAX_READS {
+        let at = read(store).await?;
+        match store.put(HEAD_KEY, Bytes::new(), NO_VERSION).await {
+            Err(store::Error::Conflict { current, .. }) if current <= at.version => return Ok(at),
+            Err(store::Error::Conflict { .. }) => {}
+            Err(e) => return Err(e.into()),
+            Ok(_) => break,
+        }
+    }
+    let reason = "the service answers from the past".to_owned();
+    Err(store::Error::Unavailable { reason }.into())
+}
+
 /// Reads a text and compares its digest.
 pub async fn read_text(store: &impl Store, file: &FileRef) -> Result<Arc<str>> {
     let key = file.text_key();
--- a/src/config/snapshot.rs
+++ b/src/config/snapshot.rs
@@ -42,7 +42,25 @@
         }
     }
 
-    /// The texts that are here and whole, of those that the manifest names.
+    /// Adds the texts that `held` has; or returns the names of those that neither has whole.
+    pub fn complete(&self, held: &Self) -> Result<Self, Vec<String>> {
+        let mut texts = IndexMap::new();
+        let mut missing = Vec::new();
+        for (name, file) in &self.manifest.files {
+            match self.text(name, file.digest).or_else(|| held.text(name, file.digest)) {
+                Some(text) => {
+                    texts.insert(name.clone(), Arc::clone(text));
+                }
+                None => missing.push(name.clone()),
+            }
+        }
+        if self.digest != self.manifest.digest() || !missing.is_empty() {
+            return Err(missing);
+        }
+        Ok(Self::new(self.manifest.clone(), texts))
+    }
+
+    /// A file's text, if it is here and whole.
     pub fn text(&self, name: &str, digest: u64) -> Option<&Arc<str>> {
         self.texts.get(name).filter(|text| text_digest(text) == digest)
     }
--- a/tests/config_examples.rs
+++ b/tests/config_examples.rs
@@ -1,12 +1,13 @@
 //! The example configurations are whole, and can be put in force file by file.
 
 use futures::executor::block_on;
+use std::convert::Infallible;
 use std::path::Path;
 use waxwingstall::clock::ManualClock;
 use waxwingstall::config::apply::{Action, ChangeRequest, Confirmation, apply, confirm};
-use waxwingstall::config::follow::fetch::fetch;
-use waxwingstall::config::follow::{Follower, Outcome};
-use waxwingstall::config::{ConfigFile, check, head};
+use waxwingstall::config::follow::Newcomer;
+use waxwingstall::config::follow::fetch::{Started, start};
+use waxwingstall::config::{ConfigFile, check};
 use waxwingstall::ids::{ChangeId, OperatorName, Revision};
 use waxwingstall::model::Config;
 use waxwingstall::store::memory::MemoryStore;
@@ -56,11 +57,9 @@
         let applied = block_on(apply(&store, &clock, &req)).expect("applied");
         assert_eq!(applied.revision, Revision(i as u64 + 1));
     }
-    let mut follower = Follower::new();
-    let at = block_on(head::read(&store)).expect("a head");
-    let snapshot = block_on(fetch(&store, &follower, &at)).expect("all texts");
-    let Outcome::InForce(cfg) = follower.offer(&snapshot) else { panic!("not in force") };
-    assert_eq!(*cfg, Config { revision: Revision(4), ..checked("inkuru") });
+    let started = block_on(start(Newcomer::new(), &store, &[] as &[Infallible]));
+    let Started::Following { follower, .. } = started else { panic!("{started:?}") };
+    assert_eq!(**follower.config(), Config { revision: Revision(4), ..checked("inkuru") });
     let settled = block_on(confirm(&store, &clock, &ChangeId::new("c2"), &operator));
     assert!(matches!(settled, Ok(Confirmation::Applied(applied)) if applied.revision.0 == 3));
 }
