--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -55,7 +55,7 @@
     changed: watch::Sender<u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
     entries: BTreeMap<String, Vec<Entry>>,
     version: u64,
@@ -94,6 +94,12 @@
         Self { state: Arc::default(), changed: watch::Sender::new(0) }
     }
 
+    /// A store of its own with the same data, history and faults.
+    pub fn fork(&self) -> Self {
+        let state = self.state().clone();
+        Self { changed: watch::Sender::new(state.version), state: Arc::new(Mutex::new(state)) }
+    }
+
     /// Adds a fault that strikes call number `call`, counted from one.
     pub fn with_fault(self, call: u64, fault: Fault) -> Self {
         self.state().scheduled.insert(call, fault);
--- a/tests/config_apply.rs
+++ b/tests/config_apply.rs
@@ -23,7 +23,6 @@
 };
 use waxwingstall::ids::{OperatorName, Revision};
 use waxwingstall::store::memory::{MemoryStore, Outage};
-use waxwingstall::store::{Expect, Store};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,15 +94,6 @@
     store
 }
 
-/// A store of its own with the same values.
-fn copy(store: &MemoryStore) -> MemoryStore {
-    let copied = MemoryStore::new();
-    for entry in now(store.list("")).expect("all entries") {
-        now(copied.put(&entry.key, entry.value, Expect::Absent)).expect("a copy");
-    }
-    copied
-}
-
 struct Trial<'a> {
     case: &'a Case,
     earlier: MemoryStore,
@@ -114,7 +104,7 @@
 impl Trial<'_> {
     /// Runs the change with the strikes; `false` if it ends before the last of them.
     fn run(&self, strikes: &[Strike]) -> bool {
-        let store = copy(&self.earlier);
+        let store = self.earlier.fork();
         let troubled = Troubled::new(&store, &self.rival, strikes);
         let result = apply(&troubled, &ManualClock::new(), &self.req).now_or_never();
         store.set_outage(Outage::Up);
