--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Newcomer {
     known: Revision,
+    /// Starts in a row at which the store didn't answer.
+    store_failures: u32,
 }
 
 /// A daemon that has a configuration in force.
--- a/src/config/follow/fetch.rs
+++ b/src/config/follow/fetch.rs
@@ -21,6 +21,9 @@
 /// Heads whose texts are asked for before the store is given up.
 const MAX_READS: usize = 4;
 
+/// Starts at which the store must fail to answer before the peers are believed instead.
+pub const STORE_TRIES: u32 = 3;
+
 /// Another daemon; its calls end within a bounded time.
 pub trait Peer {
     /// Tells the peer of a revision, and learns what it knows; `None` if it doesn't answer.
@@ -50,7 +53,7 @@
         /// Version of the head, to watch from; zero if the store didn't answer.
         version: u64,
     },
-    /// Nobody who answered has the newest revision that is known of; start again.
+    /// Nothing that could be had is sure to be new enough; start again in a moment.
     Waiting { newcomer: Newcomer, reason: String },
 }
 
@@ -118,9 +121,10 @@
 
 /// Asks all peers and the store, and takes up the newest revision that is known of.
 ///
-/// The store's word is taken where it answers, and that of the peers where it does not. If neither
-/// answers, the daemon has nothing in force: whatever it took up could be older than what its
-/// former run had.
+/// The store's word is taken where it answers, and that of the peers once it has failed to at
+/// [`STORE_TRIES`] starts: after a single failed call, a peer that lags could be believed although
+/// the store, a moment later, would have told better. If neither answers, the daemon has nothing in
+/// force: whatever it took up could be older than what its former run had.
 pub async fn start<P: Peer>(mut newcomer: Newcomer, store: &impl Store, peers: &[P]) -> Started {
     let asked = tell(newcomer.known, peers).await;
     for known in asked.iter().flatten() {
@@ -130,6 +134,10 @@
         Ok(started) => return started,
         Err(e) => e.to_string(),
     };
+    newcomer.store_failures += 1;
+    if newcomer.store_failures < STORE_TRIES {
+        return Started::Waiting { newcomer, reason };
+    }
     for (peer, known) in peers.iter().zip(asked) {
         if known.and_then(|known| known.in_force) < Some(newcomer.known) {
             continue;
