--- a/src/audit.rs
+++ b/src/audit.rs
@@ -212,7 +212,7 @@
     change: &ChangeId,
     first: u64,
 ) -> Result<Option<Entry>> {
-    search(store, head, |entry| entry.change == *change, |entry| entry.number < first).await
+    search(store, head, first, |entry| entry.change == *change, |_| false).await
 }
 
 /// The last change of a file after revision `base`.
@@ -225,19 +225,25 @@
     let wanted = |entry: &Entry| {
         entry.outcome != Outcome::Abandoned && entry.file == file && entry.revision > base
     };
-    search(store, head, wanted, |entry| entry.revision <= base).await
+    search(store, head, 0, wanted, |entry| entry.revision <= base).await
 }
 
-/// Looks at entries from the newest on, until one is wanted or too old.
+/// Looks at entries from the newest on to number `first`, until one is wanted or too old.
 async fn search(
     store: &impl Store,
     head: &Head,
+    first: u64,
     wanted: impl Fn(&Entry) -> bool,
     too_old: impl Fn(&Entry) -> bool,
 ) -> Result<Option<Entry>> {
     let mut before = None;
     loop {
-        let page = page_from(store, head, before, SEARCHED_ENTRIES).await;
+        let left = before.unwrap_or(head.trail.next).saturating_sub(first);
+        let limit = SEARCHED_ENTRIES.min(usize::try_from(left).unwrap_or(usize::MAX));
+        if limit == 0 {
+            return Ok(None);
+        }
+        let page = page_from(store, head, before, limit).await;
         for entry in page.entries {
             if too_old(&entry) {
                 return Ok(None);
