--- a/src/audit.rs
+++ b/src/audit.rs
@@ -253,7 +253,7 @@
             }
         }
         match page.missing {
-            Some(Missing::Forgotten { .. }) => return Ok(None),
+            Some(Missing::Forgotten { number }) => return Err(head::Error::Forgotten { number }),
             Some(Missing::All { reason } | Missing::Before { reason, .. }) => {
                 let key = "audit trail".to_owned();
                 return Err(head::Error::Unreadable { key, reason });
--- a/src/config/apply/change.rs
+++ b/src/config/apply/change.rs
@@ -101,6 +101,9 @@
     /// An operator who edited an older text would undo another's change without knowing of it.
     async fn refuse_overwrite(&self, at: &Versioned, base: Revision, winner: &str) -> Result<()> {
         let file = &self.req.file;
+        if at.head.manifest.files.get(file).is_some_and(|named| named.revision <= base) {
+            return Ok(());
+        }
         let entry = audit::last_change(self.store, &at.head, file, base).await?;
         let Some(entry) = entry else { return Ok(()) };
         let differences = Diff::new(winner, self.new_text());
--- a/src/config/apply/confirm.rs
+++ b/src/config/apply/confirm.rs
@@ -24,8 +24,9 @@
     for _ in 0..MAX_ROUNDS {
         let at = head::read(store).await.map_err(|e| unknown(e.to_string()))?;
         let since = at.head.trail.first_page * audit::PAGE_ENTRIES;
-        let found =
-            audit::find(store, &at.head, change, 0).await.map_err(|e| unknown(e.to_string()))?;
+        let found = audit::find(store, &at.head, change, since)
+            .await
+            .map_err(|e| unknown(e.to_string()))?;
         if let Some(entry) = found {
             return Ok(confirmation(&entry, since));
         }
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -42,6 +42,8 @@
     /// The text was replaced since the head was read.
     #[error("`{key}` is gone; read the head again")]
     Gone { key: String },
+    #[error("audit entries before {number} are not kept; apply again on top of what is in force")]
+    Forgotten { number: u64 },
 }
 
 /// The files in force, by name.
--- a/tests/config_audit.rs
+++ b/tests/config_audit.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use waxwingstall::audit::{self, Missing, Outcome, PAGE_ENTRIES, Page, Trail, page, page_from};
 use waxwingstall::clock::{Clock, ManualClock};
-use waxwingstall::config::apply::{Action, apply, confirm};
+use waxwingstall::config::apply::{Action, ChangeRequest, Error, apply, confirm};
 use waxwingstall::config::head::{self, Head};
 use waxwingstall::ids::{ChangeId, OperatorName, Revision};
 use waxwingstall::store::memory::{Fault, MemoryStore, Outage};
@@ -149,3 +149,22 @@
     assert_eq!((newest.change, newest.operator), (change, operator));
     assert_eq!((newest.outcome, newest.revision), (Outcome::Abandoned, Revision(CHANGES)));
 }
+
+/// An operator edited a text long ago, and the trail no longer reaches back to that revision. It
+/// can't be told who changed the file since; the change is refused, never taken for the first one.
+#[test]
+fn a_base_older_than_the_trail_is_refused() {
+    let store = store_with_changes();
+    let at = now(head::read(&store)).expect("a head");
+    let mut manifest = at.head.manifest.clone();
+    manifest.files.clear();
+    let head = Head { trail: Trail { first_page: 5, ..at.head.trail }, manifest };
+    let value = head.encode().expect("a head");
+    now(store.put(head::HEAD_KEY, value, Expect::Version(at.version))).expect("written");
+    let action = Action::Replace { text: weights(7) };
+    let req = request("uwase", "ancient", "weights.toml", action);
+    let req = ChangeRequest { base: Some(Revision(3)), ..req };
+    let refused = now(apply(&store, &ManualClock::new(), &req));
+    let Err(Error::Unavailable { reason }) = refused else { panic!("{refused:?}") };
+    assert!(reason.contains("entries before 80 are not kept"), "{reason}");
+}
