Add stand-in workers with a ledger of what ran

Cause: the core and the daemon need a worker that keeps leases, refuses old tokens, reports late and counts what really ran. Change: a lease table without I/O, racks that serve it over HTTP with faults, and a ledger that notes overlapping starts, second finishes and overfull VMs. Conclusion: promises can be counted by the platform's side.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,9 @@
 //! Stand-ins for the platform, over real HTTP, with switches for faults.
+//!
+//! Each stand-in keeps its own count of what happened, so that a claim about the system is
+//! checked against what the platform saw and not against what the system says of itself.
+
+pub mod ledger;
+pub mod rack;
+pub mod server;
+pub mod worker;
