Add the worker client and the platform's list

Cause: the daemon needs to reach workers and to learn which VMs exist. Change: a worker client over HTTP that keeps refusals and lost answers apart; the list's port and its stand-in with a lag and outages.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod core;
 pub mod ids;
+pub mod listing;
 pub mod model;
 pub mod peer;
 pub mod store;
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -4,6 +4,8 @@
 //! it is the only one that may start tasks there. Every call that has an effect carries the
 //! lease's token, and the worker refuses an older one.
 
+pub mod http;
+
 use crate::ids::{
     Attempt, BootId, CheckpointId, ClassName, DaemonId, DomainId, RackId, TaskId, Token, VmId,
 };
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! checked against what the platform saw and not against what the system says of itself.
 
 pub mod ledger;
+pub mod list;
 pub mod rack;
 pub mod server;
 pub mod worker;
