--- a/src/clock.rs
+++ b/src/clock.rs
@@ -59,3 +59,13 @@
         SystemTime::UNIX_EPOCH + self.now()
     }
 }
+
+impl<C: Clock + ?Sized> Clock for std::sync::Arc<C> {
+    fn now(&self) -> Duration {
+        (**self).now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        (**self).wall()
+    }
+}
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,183 @@
+//! The duty that answers callers, operators and the platform's balancer over HTTP.
+//!
+//! Callers' requests go through the dispatcher. Operators' calls are answered from the other
+//! duties, or passed on to the daemon that knows.
+
+mod config;
+mod explain;
+mod forward;
+mod status;
+mod tasks;
+pub mod view;
+
+use crate::api::ApiError;
+use crate::clock::Clock;
+use crate::control::Control;
+use crate::ids::{DaemonId, DomainId, PartitionId};
+use crate::peers::Peers;
+use crate::request::{Dispatcher, DispatcherSettings};
+use crate::storage::Storage;
+use actix::Addr;
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use view::{FrontView, Stage};
+
+/// Result of serving.
+pub type Result<T> = std::result::Result<T, io::Error>;
+
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// Largest body of an operator's call, in bytes.
+const MAX_CALL_BYTES: usize = 2 << 20;
+/// Callers' connections waiting to be accepted.
+const BACKLOG: u32 = 1024;
+/// Callers' connections open at a time.
+const MAX_CONNECTIONS: usize = 12_000;
+
+/// What the front needs of the rest of the daemon.
+#[derive(Clone)]
+pub struct Links {
+    pub me: DaemonId,
+    pub domain: DomainId,
+    pub partitions: Arc<[PartitionId]>,
+    pub control: Addr<Control>,
+    pub storage: Addr<Storage>,
+    pub peers: Addr<Peers>,
+    pub clock: Arc<dyn Clock>,
+    pub view: watch::Receiver<FrontView>,
+    /// Callers' requests in flight, for the drain to wait on.
+    pub in_flight: Arc<AtomicUsize>,
+}
+
+/// A front that listens.
+pub struct Front {
+    pub addr: SocketAddr,
+    pub handle: ServerHandle,
+}
+
+/// State of the front's thread.
+struct State {
+    links: Links,
+    dispatcher: Dispatcher,
+}
+
+/// Listens on `addr` and serves until stopped; runs on the present actix system.
+pub fn serve(addr: &str, links: Links, settings: DispatcherSettings) -> Result<Front> {
+    let listener = TcpListener::bind(addr)?;
+    let addr = listener.local_addr()?;
+    let server = HttpServer::new(move || {
+        let dispatcher = Dispatcher::new(settings.clone(), links.clock.clone());
+        follow_view(&links, &dispatcher);
+        let state = State { links: links.clone(), dispatcher: dispatcher.clone() };
+        App::new()
+            .app_data(web::Data::new(state))
+            .app_data(web::JsonConfig::default().limit(MAX_CALL_BYTES).error_handler(refuse_json))
+            .configure(move |app| dispatcher.configure_app(app))
+            .configure(mount)
+    })
+    .workers(1)
+    .backlog(BACKLOG)
+    .max_connections(MAX_CONNECTIONS)
+    .keep_alive(KEEP_ALIVE)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    let handle = server.handle();
+    actix::spawn(async move {
+        if let Err(e) = server.await {
+            log::error!(event = "front-ended", reason:% = e; "");
+        }
+    });
+    Ok(Front { addr, handle })
+}
+
+fn mount(app: &mut web::ServiceConfig) {
+    app.route("/health", web::get().to(health))
+        .route("/ready", web::get().to(ready))
+        .service(
+            web::scope("/v1")
+                .configure(tasks::mount)
+                .configure(config::mount)
+                .configure(explain::mount)
+                .configure(status::mount),
+        );
+}
+
+/// Keeps a thread's dispatcher up to date.
+fn follow_view(links: &Links, dispatcher: &Dispatcher) {
+    let mut view = links.view.clone();
+    let dispatcher = dispatcher.clone();
+    let in_flight = links.in_flight.clone();
+    let me = links.me.clone();
+    actix::spawn(async move {
+        loop {
+            let seen = view.borrow_and_update().clone();
+            dispatcher.configure(seen.config.clone());
+            dispatcher.endpoints(&seen.endpoints);
+            let peers: Vec<_> = seen.peers.iter().filter(|p| p.id != me).cloned().collect();
+            dispatcher.peers(&peers);
+            if seen.stage == Stage::Draining {
+                dispatcher.drain();
+                report_in_flight(&dispatcher, &in_flight).await;
+            }
+            if view.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+async fn report_in_flight(dispatcher: &Dispatcher, in_flight: &AtomicUsize) {
+    const LOOK: Duration = Duration::from_millis(20);
+    loop {
+        in_flight.store(dispatcher.in_flight(), Ordering::SeqCst);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready(state: web::Data<State>) -> HttpResponse {
+    match state.links.view.borrow().stage {
+        Stage::Serving => HttpResponse::Ok().body("ready\n"),
+        Stage::Starting => HttpResponse::ServiceUnavailable().body("starting\n"),
+        Stage::Draining => HttpResponse::ServiceUnavailable().body("draining\n"),
+    }
+}
+
+fn refuse_json(
+    e: actix_web::error::JsonPayloadError,
+    _: &actix_web::HttpRequest,
+) -> actix_web::Error {
+    let error = ApiError::new(
+        crate::api::ErrorKind::Usage,
+        format!("the body can't be read: {e}"),
+        "send the JSON that docs/OPERATIONS.md describes",
+    );
+    actix_web::error::InternalError::from_response(e, answer_error(&error)).into()
+}
+
+/// An HTTP answer for the result of an operator's call.
+fn answer<T: serde::Serialize>(result: crate::api::Result<T>) -> HttpResponse {
+    match result {
+        Ok(body) => HttpResponse::Ok().json(body),
+        Err(e) => answer_error(&e),
+    }
+}
+
+fn answer_error(e: &ApiError) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(e.kind.http_status())
+        .unwrap_or(actix_web::http::StatusCode::INTERNAL_SERVER_ERROR);
+    let mut resp = HttpResponse::build(status);
+    if status == actix_web::http::StatusCode::SERVICE_UNAVAILABLE {
+        resp.insert_header(("retry-after", "2"));
+    }
+    resp.json(e)
+}
--- /dev/null
+++ b/src/front/explain.rs
@@ -0,0 +1,113 @@
+//! Answers to "why?".
+
+use super::forward::{ask_daemon, ask_writer, refusal};
+use super::tasks::read_id;
+use super::{Links, State, answer};
+use crate::api::{ApiError, ErrorKind, Explanation, Result};
+use crate::control::{Ask, Control, Inspect};
+use crate::core::policy::Subject;
+use crate::ids::{RequestId, VmId};
+use crate::peers::{Call, Reply};
+use crate::request::Explained;
+use actix_web::{HttpResponse, web};
+
+pub fn mount(scope: &mut web::ServiceConfig) {
+    scope
+        .route("/explain/task/{id}", web::get().to(task))
+        .route("/explain/vm/{id}", web::get().to(vm))
+        .route("/explain/request/{id}", web::get().to(request));
+}
+
+async fn task(state: web::Data<State>, path: web::Path<String>) -> HttpResponse {
+    answer(explain_task(&state.links, &path).await)
+}
+
+async fn explain_task(links: &Links, id: &str) -> Result<Explanation> {
+    let task = read_id(id)?;
+    let shown = match ask_writer(links, task.partition, Call::Show { task }).await {
+        Reply::Task(shown) => shown,
+        reply => return Err(refusal(reply)),
+    };
+    let mut explanation = everyone(links, Subject::Task(task)).await;
+    if let Some(waiting_for) = shown.waiting_for {
+        explanation.missing =
+            Some(join(explanation.missing.take(), format!("now waiting for {waiting_for}")));
+    }
+    Ok(explanation)
+}
+
+async fn vm(state: web::Data<State>, path: web::Path<String>) -> HttpResponse {
+    let subject = Subject::Vm(VmId::new(&path));
+    answer(Ok(everyone(&state.links, subject).await))
+}
+
+/// Gathers what every daemon that answers still knows: a task's placements are known to the
+/// writers it had, its throttles and evictions to the holders of its VMs.
+async fn everyone(links: &Links, subject: Subject) -> Explanation {
+    let members: Vec<_> = links.view.borrow().serving().cloned().collect();
+    let mut explanation = Explanation { complete: true, ..Explanation::default() };
+    for member in members {
+        let call = Call::Explain { subject: subject.clone() };
+        let reply = if member == links.me {
+            let own = links.control.send(Ask(call)).await;
+            own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
+        } else {
+            ask_daemon(links, member.clone(), call).await
+        };
+        match reply {
+            Reply::Records { records, forgotten: false } => explanation.records.extend(records),
+            Reply::Records { records, forgotten: true } => {
+                explanation.records.extend(records);
+                lack(&mut explanation, format!("{member} has forgotten its oldest decisions"));
+            }
+            _ => lack(&mut explanation, format!("{member} did not answer")),
+        }
+    }
+    explanation.records.sort_by_key(|record| record.at);
+    if explanation.records.is_empty() {
+        lack(
+            &mut explanation,
+            "no decision about it is remembered by the daemons that answer".to_owned(),
+        );
+    }
+    explanation
+}
+
+fn lack(explanation: &mut Explanation, what: String) {
+    explanation.complete = false;
+    explanation.missing = Some(join(explanation.missing.take(), what));
+}
+
+fn join(before: Option<String>, what: String) -> String {
+    before.map_or(what.clone(), |before| format!("{before}; {what}"))
+}
+
+async fn request(state: web::Data<State>, path: web::Path<String>) -> HttpResponse {
+    let id = RequestId::new(&path);
+    answer(explain_request(&state, &id))
+}
+
+fn explain_request(state: &State, id: &RequestId) -> Result<Explanation> {
+    match state.dispatcher.explain(id) {
+        Explained::Known(known) => Ok(Explanation {
+            request: serde_json::to_value(&known).ok(),
+            complete: true,
+            ..Explanation::default()
+        }),
+        other => Err(ApiError::new(
+            ErrorKind::NotFound,
+            format!("{}: {other}", state.links.me),
+            "ask the daemon that answered the request; each remembers its own latest requests",
+        )),
+    }
+}
+
+/// Reads something of the core.
+pub async fn inspect<T: Send + 'static>(
+    links: &Links,
+    read: impl FnOnce(&Control) -> T + Send + 'static,
+) -> Result<T> {
+    links.control.send(Inspect(read)).await.map_err(|e| {
+        ApiError::new(ErrorKind::Unreachable, e.to_string(), "ask another daemon")
+    })
+}
--- /dev/null
+++ b/src/front/forward.rs
@@ -0,0 +1,65 @@
+//! Finds the daemon that can answer a call about a task.
+
+use super::Links;
+use crate::api::{ApiError, CallOutcome, ErrorKind};
+use crate::control::{Ask, Inspect};
+use crate::core::event::Answer;
+use crate::ids::{DaemonId, PartitionId};
+use crate::peers::{Call, Forward, Reply};
+
+/// Asks the writer of a partition: this daemon, or another by one hop.
+pub async fn ask_writer(links: &Links, partition: PartitionId, call: Call) -> Reply {
+    let own = links.control.send(Ask(call.clone())).await;
+    match own {
+        Ok(Reply::NotWriter) => {}
+        Ok(reply) => return reply,
+        Err(e) => return Reply::NotSent { reason: e.to_string() },
+    }
+    let writer = links
+        .control
+        .send(Inspect(move |control: &crate::control::Control| control.core().writer_of(partition)))
+        .await
+        .ok()
+        .flatten();
+    match writer {
+        Some(writer) if writer != links.me => ask_daemon(links, writer, call).await,
+        _ => Reply::NotSent { reason: format!("partition {partition} has no writer yet") },
+    }
+}
+
+/// Asks one other daemon.
+pub async fn ask_daemon(links: &Links, to: DaemonId, call: Call) -> Reply {
+    let reply = links.peers.send(Forward { to, call }).await;
+    reply.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
+}
+
+/// The error of a reply that is not what was asked for.
+pub fn refusal(reply: Reply) -> ApiError {
+    match reply {
+        Reply::Answer(Answer::NotRun { reason }) => {
+            ApiError::new(ErrorKind::Refused, reason, "change the task or try again later")
+        }
+        Reply::Answer(Answer::NotFound) => {
+            ApiError::new(ErrorKind::NotFound, "there is no such task", "check the id")
+        }
+        Reply::NotSent { reason } => ApiError::new(
+            ErrorKind::Unreachable,
+            reason,
+            "repeat the call; nothing was recorded",
+        ),
+        Reply::NotWriter => ApiError::new(
+            ErrorKind::Unreachable,
+            "the partition is changing its writer",
+            "repeat the call in a moment; nothing was recorded",
+        ),
+        Reply::NoAnswer { reason } => ApiError::new(
+            ErrorKind::Unknown,
+            reason,
+            "repeat the call with the same key, which never makes a second task",
+        ),
+        Reply::Answer(_) | Reply::Task(_) | Reply::Tasks(_) | Reply::Records { .. } => {
+            ApiError::new(ErrorKind::Unknown, "the answer is of another kind", "report this")
+                .with_outcome(CallOutcome::Unknown)
+        }
+    }
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -165,6 +165,16 @@
         std::iter::once(self.me.clone()).chain(others).collect()
     }
 
+    /// Peer addresses that are probed.
+    pub fn addrs(&self) -> Vec<String> {
+        self.peers.keys().cloned().collect()
+    }
+
+    /// Whether a daemon at this peer address is listed or answers.
+    pub fn knows(&self, addr: &str) -> bool {
+        self.peers.contains_key(addr)
+    }
+
     fn suspect(&mut self, now: Duration) -> Option<BarrierId> {
         let timeout = self.settings.timeout;
         let barrier = BarrierId(self.last_barrier + 1);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -1,16 +1,37 @@
 //! The duty that talks to the other daemons, over `tarpc`.
 //!
 //! It probes the listed daemons, carries the messages between the cores, and hands the accepted
-//! configuration to a daemon that cannot reach the key-value service.
+//! configuration to a daemon that cannot reach the key-value service. Messages to a daemon are
+//! batched and sent one batch at a time; a batch that is lost is repeated by the cores.
 
+pub mod link;
+pub mod server;
+
+use crate::clock::Clock;
+use crate::control::Told;
+use crate::core::Event;
 use crate::core::event::Answer;
+use crate::core::policy::{DecisionRecord, Subject};
 use crate::ids::{DaemonId, IdempotencyKey, PartitionId, Revision, TaskId};
-use crate::peer::{Member, PeerMsg};
+use crate::listing::DaemonEntry;
+use crate::membership::{Membership, MembershipSettings};
+use crate::peer::{Member, MemberState, PeerMsg};
+use crate::ring::{RING_CAPACITY, Ring};
+use crate::front::view::FrontView;
+use crate::storage::{Know, OfferSnapshot, Storage};
 use crate::task::{TaskSpec, TaskState};
+use actix::prelude::*;
+use indexmap::IndexMap;
+use link::Link;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
 
 /// Largest message between daemons, in bytes.
-const MAX_FRAME_BYTES: usize = 4 << 20;
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+const ROUND_CHECK: Duration = Duration::from_millis(200);
 
 /// What daemons ask of each other.
 #[tarpc::service]
@@ -24,16 +45,18 @@
     /// The configuration in force, if newer than `than`; a snapshot as JSON.
     async fn snapshot(than: Revision) -> Option<Vec<u8>>;
 
-    /// Passes an operator's or caller's call to the daemon that writes the task's partition.
+    /// Passes a call on to the daemon that can answer it.
     async fn forward(call: Call) -> Reply;
 }
 
-/// A call about a task, made to the writer of its partition.
+/// A call about a task or a decision, made to the daemon that knows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
     Submit { partition: PartitionId, key: IdempotencyKey, spec: TaskSpec },
     Cancel { task: TaskId },
     Show { task: TaskId },
+    List,
+    Explain { subject: Subject },
 }
 
 /// The answer to a [`Call`].
@@ -41,8 +64,21 @@
 pub enum Reply {
     Answer(Answer),
     Task(Box<Shown>),
+    Tasks(Vec<Shown>),
+    Records {
+        records: Vec<DecisionRecord>,
+        forgotten: bool,
+    },
     /// The daemon asked does not write the partition.
-    NotWriter { writer: Option<DaemonId> },
+    NotWriter,
+    /// The call reached nobody; it surely had no effect.
+    NotSent {
+        reason: String,
+    },
+    /// The call may have had an effect.
+    NoAnswer {
+        reason: String,
+    },
 }
 
 /// A task with what it waits for.
@@ -51,3 +87,263 @@
     pub task: TaskState,
     pub waiting_for: Option<String>,
 }
+
+/// The peers' duty.
+pub struct Peers {
+    membership: Membership,
+    links: IndexMap<String, Link>,
+    control: Ring<Told>,
+    storage: Addr<Storage>,
+    front: watch::Sender<FrontView>,
+    clock: Arc<dyn Clock>,
+    told: Vec<Member>,
+    fetching: bool,
+}
+
+impl Peers {
+    /// A duty that knows no other daemon yet.
+    pub fn new(
+        me: Member,
+        settings: MembershipSettings,
+        control: Ring<Told>,
+        storage: Addr<Storage>,
+        front: watch::Sender<FrontView>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            membership: Membership::new(me, settings),
+            links: IndexMap::new(),
+            control,
+            storage,
+            front,
+            clock,
+            told: Vec::new(),
+            fetching: false,
+        }
+    }
+
+    fn round(&mut self, cx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let round = self.membership.round(now);
+        for addr in &round.probes {
+            self.probe(addr, cx);
+        }
+        if let Some(barrier) = round.barrier {
+            self.send_barrier(barrier, cx);
+        }
+        self.tell_members();
+    }
+
+    fn probe(&mut self, addr: &str, cx: &mut Context<Self>) {
+        let me = self.membership.me().clone();
+        let link = self.link(addr).clone();
+        cx.spawn(async move { link.exchange(me).await }.into_actor(self).map(
+            |answer, this, cx| {
+                if let Ok(member) = answer {
+                    this.heard(&member, cx);
+                }
+            },
+        ));
+    }
+
+    // The barrier goes through this daemon's own peer port. Sockets that were readable before it
+    // was sent are read by the same reactor on the way, so that its return means that every
+    // answer which had arrived by then has been counted.
+    fn send_barrier(&mut self, barrier: crate::membership::BarrierId, cx: &mut Context<Self>) {
+        let me = self.membership.me().clone();
+        let link = self.link(&me.peer_addr).clone();
+        cx.spawn(async move { link.exchange(me).await }.into_actor(self).map(
+            move |answer, this, _| {
+                if answer.is_ok() {
+                    for dead in this.membership.passed(barrier) {
+                        log::warn!(event = "member-dead", daemon = dead.as_str(); "");
+                    }
+                    this.tell_members();
+                }
+            },
+        ));
+    }
+
+    fn heard(&mut self, member: &Member, cx: &mut Context<Self>) {
+        self.membership.heard(self.clock.now(), member);
+        self.tell_members();
+        if member.revision > self.membership.me().revision && !self.fetching {
+            self.fetch_snapshot(&member.peer_addr, cx);
+        }
+    }
+
+    fn fetch_snapshot(&mut self, addr: &str, cx: &mut Context<Self>) {
+        self.fetching = true;
+        let than = self.membership.me().revision;
+        let link = self.link(addr).clone();
+        cx.spawn(async move { link.snapshot(than).await }.into_actor(self).map(
+            |answer, this, _| {
+                this.fetching = false;
+                if let Ok(Some(json)) = answer {
+                    this.storage.do_send(OfferSnapshot { json });
+                }
+            },
+        ));
+    }
+
+    fn tell_members(&mut self) {
+        let members = self.membership.members();
+        if members == self.told {
+            return;
+        }
+        self.told.clone_from(&members);
+        self.front.send_modify(|view| view.members(&members));
+        let domain = &self.membership.me().domain;
+        let near = members.iter().filter(|m| m.domain == *domain).map(|m| m.id.clone()).collect();
+        self.storage.do_send(Know::Watchers(near));
+        // A full ring gets the members again with the next change or round.
+        if self.control.push(Told(Event::Members(members))).is_err() {
+            self.told.clear();
+        }
+    }
+
+    fn link(&mut self, addr: &str) -> &Link {
+        self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr))
+    }
+
+    fn addr_of(&self, id: &DaemonId) -> Option<String> {
+        self.membership.members().into_iter().find(|m| m.id == *id).map(|m| m.peer_addr)
+    }
+}
+
+impl Actor for Peers {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.set_mailbox_capacity(RING_CAPACITY);
+        cx.run_interval(ROUND_CHECK, Self::round);
+        self.tell_members();
+    }
+}
+
+/// The list's daemons.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ListedDaemons(pub Vec<DaemonEntry>);
+
+impl Handler<ListedDaemons> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, msg: ListedDaemons, _: &mut Self::Context) {
+        self.membership.listed(&msg.0);
+        let membership = &self.membership;
+        let known = |addr: &str| {
+            addr == membership.me().peer_addr
+                || membership.knows(addr)
+        };
+        self.links.retain(|addr, _| known(addr));
+    }
+}
+
+/// A change in what this daemon says of itself.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub enum Announce {
+    Revision(Revision),
+    State(MemberState),
+}
+
+impl Handler<Announce> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, msg: Announce, cx: &mut Self::Context) {
+        self.membership.update_me(|me| match msg {
+            Announce::Revision(revision) => me.revision = revision,
+            Announce::State(state) => me.state = state,
+        });
+        self.tell_members();
+        // The others learn of a stop or a new revision at once instead of with the next probe.
+        for addr in self.membership.addrs() {
+            self.probe(&addr, cx);
+        }
+    }
+}
+
+/// Messages from this daemon's core to another's.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Outgoing {
+    pub to: DaemonId,
+    pub msg: PeerMsg,
+}
+
+impl Handler<Outgoing> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, out: Outgoing, cx: &mut Self::Context) {
+        let Some(addr) = self.addr_of(&out.to) else {
+            return;
+        };
+        let link = self.link(&addr).clone();
+        if link.queue(out.msg) {
+            self.flush(link, cx);
+        }
+    }
+}
+
+impl Peers {
+    fn flush(&mut self, link: Link, cx: &mut Context<Self>) {
+        let me = self.membership.me().clone();
+        let again = link.clone();
+        cx.spawn(async move { link.deliver(me).await }.into_actor(self).map(
+            move |answer, this, cx| {
+                if let Ok(member) = answer {
+                    this.heard(&member, cx);
+                }
+                if again.finish_batch() {
+                    this.flush(again, cx);
+                }
+            },
+        ));
+    }
+}
+
+/// A message that came from another daemon.
+#[derive(Message)]
+#[rtype(result = "Member")]
+pub struct Incoming {
+    pub from: Member,
+    pub msgs: Vec<PeerMsg>,
+}
+
+impl Handler<Incoming> for Peers {
+    type Result = MessageResult<Incoming>;
+
+    fn handle(&mut self, msg: Incoming, cx: &mut Self::Context) {
+        self.heard(&msg.from, cx);
+        for peer_msg in msg.msgs {
+            let event = Event::Peer { from: msg.from.id.clone(), msg: peer_msg };
+            // A full ring loses the message; its sender's core repeats it.
+            if self.control.push(Told(event)).is_err() {
+                log::warn!(event = "peer-message-lost", daemon = msg.from.id.as_str(); "");
+            }
+        }
+        MessageResult(self.membership.me().clone())
+    }
+}
+
+/// A call to pass on to a daemon.
+#[derive(Message)]
+#[rtype(result = "Reply")]
+pub struct Forward {
+    pub to: DaemonId,
+    pub call: Call,
+}
+
+impl Handler<Forward> for Peers {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, msg: Forward, _: &mut Self::Context) -> Self::Result {
+        let Some(addr) = self.addr_of(&msg.to) else {
+            let reason = format!("{} does not answer", msg.to);
+            return Box::pin(std::future::ready(Reply::NotSent { reason }));
+        };
+        let link = self.link(&addr).clone();
+        Box::pin(async move { link.forward(msg.call).await })
+    }
+}
--- /dev/null
+++ b/src/storage/partition.rs
@@ -0,0 +1,136 @@
+//! The loop that writes one partition of the task log.
+
+use super::SharedStore;
+use crate::control::Told;
+use crate::core::Event;
+use crate::core::event::CommitResult;
+use crate::ids::{DaemonId, PartitionId, Ticket};
+use crate::ring::Ring;
+use crate::task::Record;
+use crate::tasklog::{Error, Partition};
+use rand::Rng;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Long enough that all writers together stay far below the service's rate when it comes back.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+
+/// What the loop is asked for.
+pub enum Job {
+    Recover,
+    Commit { ticket: Ticket, records: Vec<Record> },
+}
+
+/// One partition's loop.
+pub struct Writer {
+    pub id: PartitionId,
+    pub me: DaemonId,
+    pub store: SharedStore,
+    pub control: Rc<RefCell<Ring<Told>>>,
+}
+
+impl Writer {
+    /// Does jobs one after another until the senders are gone.
+    pub async fn run(self, mut rx: mpsc::Receiver<Job>) {
+        let mut partition = None;
+        while let Some(job) = rx.recv().await {
+            match job {
+                Job::Recover => partition = Some(self.recover().await),
+                Job::Commit { ticket, records } => {
+                    partition = self.commit(partition, ticket, &records).await;
+                }
+            }
+        }
+    }
+
+    async fn recover(&self) -> Partition {
+        let mut backoff = Backoff::new();
+        loop {
+            match Partition::load(&self.store, self.id, &self.me).await {
+                Ok(loaded) => {
+                    let (partition, tasks) = (self.id, loaded.tasks);
+                    let next_number = loaded.next_number;
+                    log::info!(event = "partition-loaded", partition = partition.0, tasks = tasks.len(); "");
+                    self.tell(Event::Recovered { partition, tasks, next_number });
+                    return loaded.partition;
+                }
+                Err(e) => log::warn!(event = "partition-unread", partition = self.id.0, reason:% = e; ""),
+            }
+            backoff.wait().await;
+        }
+    }
+
+    async fn commit(
+        &self,
+        partition: Option<Partition>,
+        ticket: Ticket,
+        records: &[Record],
+    ) -> Option<Partition> {
+        let Some(mut partition) = partition else {
+            let reason = "the partition is not loaded here".to_owned();
+            self.committed(ticket, CommitResult::NotWritten { reason });
+            return None;
+        };
+        let mut result = partition.commit(&self.store, records).await;
+        let mut backoff = Backoff::new();
+        // The answer was lost and the write may have taken effect. Saying "not written" now could
+        // make the caller submit the task a second time; so nothing is said until it is known.
+        while let Err(Error::Unsettled { .. }) = result {
+            backoff.wait().await;
+            result = partition.settle(&self.store).await;
+        }
+        match result {
+            Ok(()) => self.committed(ticket, CommitResult::Durable),
+            Err(e) => {
+                let superseded = matches!(e, Error::Superseded { .. });
+                log::warn!(event = "commit-failed", partition = self.id.0, reason:% = e; "");
+                self.committed(ticket, CommitResult::NotWritten { reason: e.to_string() });
+                if superseded {
+                    self.tell(Event::Superseded { partition: self.id });
+                    return None;
+                }
+            }
+        }
+        self.tidy(&mut partition).await;
+        Some(partition)
+    }
+
+    async fn tidy(&self, partition: &mut Partition) {
+        if partition.compact_due()
+            && let Err(e) = partition.compact(&self.store).await
+        {
+            log::warn!(event = "compaction-failed", partition = self.id.0, reason:% = e; "");
+        }
+        partition.sweep(&self.store).await;
+    }
+
+    fn committed(&self, ticket: Ticket, result: CommitResult) {
+        self.tell(Event::Committed { ticket, result });
+    }
+
+    fn tell(&self, event: Event) {
+        if self.control.borrow_mut().push(Told(event)).is_err() {
+            log::error!(event = "answer-lost"; "");
+        }
+    }
+}
+
+/// A growing wait with jitter, so that writers do not come back all at once.
+struct Backoff {
+    next: Duration,
+}
+
+impl Backoff {
+    fn new() -> Self {
+        Self { next: FIRST_BACKOFF }
+    }
+
+    async fn wait(&mut self) {
+        let share = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.next.mul_f64(share)).await;
+        self.next = (self.next * 2).min(LONGEST_BACKOFF);
+    }
+}
--- /dev/null
+++ b/src/storage/reach.rs
@@ -0,0 +1,80 @@
+//! The key-value service with a note of whether it answers.
+
+use crate::clock::Clock;
+use crate::store::http::HttpStore;
+use crate::store::{Entry, Error, Expect, Result, Store};
+use bytes::Bytes;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Whether the service answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reachability {
+    pub answers: Answers,
+    /// When it became so, on the daemon's clock.
+    pub since: Duration,
+}
+
+/// How the last call went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answers {
+    Reached,
+    NotReached,
+}
+
+/// The service as all loops of a daemon share it.
+#[derive(Clone)]
+pub struct SharedStore {
+    store: HttpStore,
+    clock: Arc<dyn Clock>,
+    reach: Rc<Cell<Reachability>>,
+}
+
+impl SharedStore {
+    /// The service at the base URL, not reached yet.
+    pub fn new(url: &str, clock: Arc<dyn Clock>) -> Self {
+        let reach = Reachability { answers: Answers::NotReached, since: clock.now() };
+        Self { store: HttpStore::new(url), clock, reach: Rc::new(Cell::new(reach)) }
+    }
+
+    /// Whether the service answers, as of the last call.
+    pub fn reach(&self) -> Reachability {
+        self.reach.get()
+    }
+
+    fn note<T>(&self, result: Result<T>) -> Result<T> {
+        let answers = match &result {
+            Ok(_) | Err(Error::Conflict { .. } | Error::TooLarge { .. }) => Answers::Reached,
+            Err(Error::Unavailable { .. } | Error::Unknown { .. }) => Answers::NotReached,
+        };
+        if self.reach.get().answers != answers {
+            self.reach.set(Reachability { answers, since: self.clock.now() });
+            log::warn!(event = "store-reach", answers:? = answers; "");
+        }
+        result
+    }
+}
+
+impl Store for SharedStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        self.note(self.store.get(key).await)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
+        self.note(self.store.list(prefix).await)
+    }
+
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64> {
+        self.note(self.store.put(key, value, expect).await)
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<()> {
+        self.note(self.store.delete(key, expect).await)
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>> {
+        self.note(self.store.watch(key, after, wait).await)
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in keeps its own count of what happened, so that a claim about the system is
 //! checked against what the platform saw and not against what the system says of itself.
 
+pub mod balancer;
 pub mod ledger;
 pub mod list;
 pub mod rack;
