--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod rack;
 pub mod server;
 pub mod worker;
+
+pub mod kv;
