Add the durable task log

A partition is a head, pages and segments; a commit is one compare-and-swap of the head. A claim precedes reading, so that a writer before it can commit nothing more. A write whose answer was lost is repeated under the same version and commit number: reading back once would miss a write that is still on its way. The head remembers the last commit of the latest claims, so a writer learns the fate of its last commit even after a take-over.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod peer;
 pub mod store;
 pub mod task;
+pub mod tasklog;
 pub mod units;
 pub mod worker;
--- /dev/null
+++ b/src/tasklog.rs
@@ -0,0 +1,268 @@
+//! The durable log of tasks, one partition a writer.
+//!
+//! A partition is a head and the values that it names: pages, which hold tasks as of the last
+//! compaction, and segments, which hold the records since. A commit is one compare-and-swap of
+//! the head. Small commits travel in the head itself; larger ones are put as a segment first, and
+//! a segment that no head names never happened.
+//!
+//! Nobody needs a lease to write. A daemon claims the partition by a compare-and-swap that adds
+//! its claim, and from then on each commit of the writer before it fails. That holds for a writer
+//! that was paused or cut off for any time, since the head's version has moved.
+//!
+//! A write whose answer was lost is repeated with the same expected version and the same commit
+//! number, so it takes effect at most once whether the first one lands never, early or late.
+//! Reading the head back once would not do: a write that is still on its way is not seen.
+
+mod codec;
+mod compact;
+mod head;
+mod load;
+mod settle;
+
+pub use self::load::Loaded;
+
+use self::codec::{Dictionary, Segment, encode};
+use self::compact::digest;
+use self::head::{Claim, Head, Run, ValueId, head_key};
+use self::settle::{Pending, PendingChange};
+use crate::ids::{DaemonId, IdempotencyKey, PartitionId, TaskId};
+use crate::store::{self, Store};
+use crate::task::{Change, Record, TaskState};
+use indexmap::IndexMap;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Result of an operation on a partition.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// An operation on a partition that failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No record took effect, and none will.
+    #[error("the records of partition {partition} were not written ({reason}); submit them again")]
+    NotWritten { partition: PartitionId, reason: String },
+    /// Another daemon claimed the partition; no record took effect, and none will.
+    #[error("partition {partition} is written by {by} now; send its tasks there")]
+    Superseded { partition: PartitionId, by: DaemonId },
+    /// The records may have taken effect; nothing can be committed until that is known.
+    #[error(
+        "partition {partition} can't tell whether its last commit took effect ({reason}); call \
+         settle until it can, or load the partition again"
+    )]
+    Unsettled { partition: PartitionId, reason: String },
+    #[error("a record of {task} was given to partition {partition}; give it to its own")]
+    Foreign { partition: PartitionId, task: TaskId },
+    #[error("the store can't be read ({reason}); load partition {partition} again later")]
+    Unreadable { partition: PartitionId, reason: String },
+    #[error("`{key}` can't be read: {source}")]
+    Corrupt { key: String, source: codec::Error },
+    #[error(
+        "`{key}` is named by the head of its partition and missing; restore it from a copy of the \
+         store before its tasks can go on"
+    )]
+    Missing { key: String },
+}
+
+/// Bounds on a partition's size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest tail of records kept in the head, in bytes.
+    pub tail_bytes: usize,
+    /// Bytes of records after which a compaction is due.
+    pub log_bytes: usize,
+    /// Largest page, in bytes.
+    pub page_bytes: usize,
+    /// Ended tasks kept whole, the latest.
+    pub ended_tasks: usize,
+    /// Idempotency keys kept of ended tasks that were dropped, the latest; at least so many.
+    pub dropped_keys: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            tail_bytes: 1 << 10,
+            log_bytes: 512 << 10,
+            page_bytes: 256 << 10,
+            ended_tasks: 1024,
+            dropped_keys: 32 << 10,
+        }
+    }
+}
+
+/// What a partition has cost its writer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Calls to the store.
+    pub calls: u64,
+    /// Bytes written, keys not counted.
+    pub bytes_written: u64,
+    pub commits: u64,
+    pub compactions: u64,
+}
+
+/// A partition that this daemon writes.
+#[derive(Debug)]
+pub struct Partition {
+    id: PartitionId,
+    limits: Limits,
+    head: Head,
+    version: u64,
+    dictionary: Dictionary,
+    tasks: BTreeMap<u64, TaskState>,
+    /// Ended tasks, in the order in which they ended.
+    ended: VecDeque<u64>,
+    /// Digests of the keys of dropped tasks, oldest first.
+    dropped: IndexMap<[u8; 16], u64>,
+    /// Keys of the tasks above.
+    keys: IndexMap<IdempotencyKey, u64>,
+    next_value: u64,
+    /// Bytes of records since the last compaction.
+    log_bytes: usize,
+    pending: Option<Pending>,
+    superseded: Option<DaemonId>,
+    garbage: Vec<ValueId>,
+    stats: Stats,
+}
+
+impl Partition {
+    /// The partition's number.
+    pub fn id(&self) -> PartitionId {
+        self.id
+    }
+
+    /// Every task the log still holds, ended ones included.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskState> {
+        self.tasks.values()
+    }
+
+    /// The task submitted with the key, as long as the key is remembered.
+    pub fn find_key(&self, key: &IdempotencyKey) -> Option<TaskId> {
+        let number = self.keys.get(key).or_else(|| self.dropped.get(&digest(key.as_str())))?;
+        Some(TaskId::new(self.id, *number))
+    }
+
+    /// Number for the next task.
+    pub fn next_number(&self) -> u64 {
+        self.head.next_number
+    }
+
+    /// What the partition has cost since it was loaded.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Whether the outcome of the last write is not known.
+    pub fn unsettled(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// The same with other bounds.
+    pub fn with_limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Makes the records durable, all or none, in order.
+    pub async fn commit<S: Store>(&mut self, store: &S, records: &[Record]) -> Result<()> {
+        self.check_writable()?;
+        self.check_own(records)?;
+        if records.is_empty() {
+            return Ok(());
+        }
+        let mark = self.dictionary.mark();
+        let segment = self.dictionary.segment(records);
+        let bytes = encode(&segment).len();
+        let next = match self.next_head(store, segment, records).await {
+            Ok(next) => next,
+            Err(error) => {
+                self.dictionary.rewind(mark);
+                return Err(error);
+            }
+        };
+        let change = PendingChange::Records { records: records.to_vec(), bytes };
+        let result = self.write_head(store, Pending::new(next, change)).await;
+        if matches!(result, Err(Error::NotWritten { .. })) {
+            self.dictionary.rewind(mark);
+        }
+        result
+    }
+
+    /// Learns whether the last write took effect; `Ok` if it did or if nothing was open.
+    pub async fn settle<S: Store>(&mut self, store: &S) -> Result<()> {
+        match self.pending.take() {
+            Some(pending) => self.write_head(store, pending).await,
+            None => Ok(()),
+        }
+    }
+
+    fn check_writable(&self) -> Result<()> {
+        if let Some(by) = &self.superseded {
+            return Err(Error::Superseded { partition: self.id, by: by.clone() });
+        }
+        if self.pending.is_some() {
+            let reason = "an earlier write is open".to_owned();
+            return Err(Error::Unsettled { partition: self.id, reason });
+        }
+        Ok(())
+    }
+
+    fn check_own(&self, records: &[Record]) -> Result<()> {
+        match records.iter().find(|record| record.task.partition != self.id) {
+            Some(record) => Err(Error::Foreign { partition: self.id, task: record.task }),
+            None => Ok(()),
+        }
+    }
+
+    async fn next_head<S: Store>(
+        &mut self,
+        store: &S,
+        segment: Segment,
+        records: &[Record],
+    ) -> Result<Head> {
+        let mut next = self.head.clone();
+        next.last_claim_mut().commit += 1;
+        let last = records.iter().map(|record| record.task.number).max().unwrap_or(0);
+        next.next_number = next.next_number.max(last + 1);
+        next.tail.append(segment);
+        let tail = encode(&next.tail);
+        if tail.len() > self.limits.tail_bytes {
+            let id = self.put_value(store, tail).await?;
+            Run::push(&mut next.segments, id);
+            next.tail = Segment::default();
+        }
+        Ok(next)
+    }
+
+    fn apply(&mut self, record: &Record) {
+        let number = record.task.number;
+        if let Change::Accepted { key, spec } = &record.change {
+            self.keys.insert(key.clone(), number);
+            self.tasks
+                .entry(number)
+                .or_insert_with(|| TaskState::new(record.task, key.clone(), spec.clone()));
+            return;
+        }
+        let Some(task) = self.tasks.get_mut(&number) else { return };
+        let was_ended = task.ended();
+        task.apply(&record.change);
+        if task.ended() && !was_ended {
+            self.ended.push_back(number);
+        }
+    }
+
+    fn claim(&self) -> &Claim {
+        self.head.last_claim()
+    }
+
+    fn head_key(&self) -> String {
+        head_key(self.id)
+    }
+
+    fn not_written(&self, reason: &dyn std::fmt::Display) -> Error {
+        Error::NotWritten { partition: self.id, reason: reason.to_string() }
+    }
+
+    fn unsettled_error(&self, error: &store::Error) -> Error {
+        Error::Unsettled { partition: self.id, reason: error.to_string() }
+    }
+}
--- /dev/null
+++ b/src/tasklog/codec.rs
@@ -0,0 +1,314 @@
+//! How records and tasks are written: postcard, with names and specs written once.
+//!
+//! Tasks of one class share everything but their payload, and the same VMs return in each batch,
+//! so records refer to a dictionary that grows along the log. A segment carries only what it adds
+//! to the dictionary; the log is therefore read from its first page on, in order.
+
+use crate::ids::{
+    Attempt, CheckpointId, ClassName, IdempotencyKey, PartitionId, PoolName, TaskId, TeamName, VmId,
+};
+use crate::model::{Idempotency, Resumption, Urgency};
+use crate::task::{Change, Outcome, Phase, Record, TaskSpec, TaskState};
+use crate::units::Resources;
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Result of reading or writing the log's values.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A value that can't be written or read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    #[error("the value is not a {kind} of the task log; restore it or start an empty partition")]
+    Format { kind: &'static str },
+    #[error("name {0} is not in the dictionary; a segment before this one is missing")]
+    Name(u32),
+    #[error("spec {0} is not in the dictionary; a segment before this one is missing")]
+    Spec(u32),
+}
+
+/// Names and specs seen so far in the log.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Dictionary {
+    names: IndexSet<Arc<str>>,
+    specs: IndexSet<SpecEntry>,
+}
+
+/// A point in the dictionary's growth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Mark {
+    names: usize,
+    specs: usize,
+}
+
+/// A spec without its payload.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct SpecEntry {
+    class: u32,
+    team: u32,
+    pool: u32,
+    resources: Resources,
+    expected: Duration,
+    idempotency: Idempotency,
+    resumption: Resumption,
+    urgency: Urgency,
+    max_failures: u32,
+}
+
+/// Consecutive records with what they add to the dictionary.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Segment {
+    names: Vec<Arc<str>>,
+    specs: Vec<SpecEntry>,
+    entries: Vec<Entry>,
+}
+
+/// Part of a compacted log: tasks as their records left them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Page {
+    names: Vec<Arc<str>>,
+    specs: Vec<SpecEntry>,
+    tasks: Vec<TaskEntry>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Entry {
+    number: u64,
+    step: Step,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Step {
+    Accepted { key: IdempotencyKey, spec: u32, payload: String },
+    Bound { vm: u32, attempt: Attempt },
+    Released { attempt: Attempt, checkpoint: Option<CheckpointId>, failed: bool },
+    Ended { attempt: Attempt, outcome: Outcome },
+    CancelAsked,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct TaskEntry {
+    number: u64,
+    key: IdempotencyKey,
+    spec: u32,
+    payload: String,
+    phase: PhaseEntry,
+    attempt: Attempt,
+    checkpoint: Option<CheckpointId>,
+    failures: u32,
+    cancel_asked: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum PhaseEntry {
+    Waiting,
+    Bound { vm: u32 },
+    Ended { outcome: Outcome },
+}
+
+impl Dictionary {
+    /// Where the dictionary stands.
+    pub(crate) fn mark(&self) -> Mark {
+        Mark { names: self.names.len(), specs: self.specs.len() }
+    }
+
+    /// Forgets what was added since, such as by a segment that was not written.
+    pub(crate) fn rewind(&mut self, mark: Mark) {
+        self.names.truncate(mark.names);
+        self.specs.truncate(mark.specs);
+    }
+
+    /// Writes records as a segment that follows all earlier ones.
+    pub(crate) fn segment(&mut self, records: &[Record]) -> Segment {
+        let mark = self.mark();
+        let entries = records.iter().map(|record| self.entry(record)).collect();
+        Segment { names: self.names_since(mark), specs: self.specs_since(mark), entries }
+    }
+
+    /// Writes tasks as a page that follows all earlier ones.
+    pub(crate) fn page(&mut self, tasks: &[&TaskState]) -> Page {
+        let mark = self.mark();
+        let tasks = tasks.iter().map(|task| self.task_entry(task)).collect();
+        Page { names: self.names_since(mark), specs: self.specs_since(mark), tasks }
+    }
+
+    /// Reads a segment's records.
+    pub(crate) fn records(
+        &mut self,
+        partition: PartitionId,
+        segment: &Segment,
+    ) -> Result<Vec<Record>> {
+        self.extend(&segment.names, &segment.specs);
+        segment
+            .entries
+            .iter()
+            .map(|entry| {
+                let task = TaskId::new(partition, entry.number);
+                Ok(Record { task, change: self.change(&entry.step)? })
+            })
+            .collect()
+    }
+
+    /// Reads a page's tasks.
+    pub(crate) fn tasks(&mut self, partition: PartitionId, page: &Page) -> Result<Vec<TaskState>> {
+        self.extend(&page.names, &page.specs);
+        page.tasks.iter().map(|entry| self.task(partition, entry)).collect()
+    }
+
+    fn names_since(&self, mark: Mark) -> Vec<Arc<str>> {
+        self.names.iter().skip(mark.names).cloned().collect()
+    }
+
+    fn specs_since(&self, mark: Mark) -> Vec<SpecEntry> {
+        self.specs.iter().skip(mark.specs).cloned().collect()
+    }
+
+    fn extend(&mut self, names: &[Arc<str>], specs: &[SpecEntry]) {
+        self.names.extend(names.iter().cloned());
+        self.specs.extend(specs.iter().cloned());
+    }
+
+    fn intern(&mut self, name: &str) -> u32 {
+        let index = match self.names.get_index_of(name) {
+            Some(index) => index,
+            None => self.names.insert_full(Arc::from(name)).0,
+        };
+        u32::try_from(index).unwrap_or(u32::MAX)
+    }
+
+    fn intern_spec(&mut self, spec: &TaskSpec) -> u32 {
+        let entry = SpecEntry {
+            class: self.intern(spec.class.as_str()),
+            team: self.intern(spec.team.as_str()),
+            pool: self.intern(spec.pool.as_str()),
+            resources: spec.resources,
+            expected: spec.expected,
+            idempotency: spec.idempotency,
+            resumption: spec.resumption,
+            urgency: spec.urgency,
+            max_failures: spec.max_failures,
+        };
+        u32::try_from(self.specs.insert_full(entry).0).unwrap_or(u32::MAX)
+    }
+
+    fn name(&self, index: u32) -> Result<&str> {
+        self.names.get_index(index as usize).map(AsRef::as_ref).ok_or(Error::Name(index))
+    }
+
+    fn spec(&self, index: u32, payload: &str) -> Result<TaskSpec> {
+        let entry = self.specs.get_index(index as usize).ok_or(Error::Spec(index))?;
+        Ok(TaskSpec {
+            class: ClassName::new(self.name(entry.class)?),
+            team: TeamName::new(self.name(entry.team)?),
+            pool: PoolName::new(self.name(entry.pool)?),
+            resources: entry.resources,
+            expected: entry.expected,
+            idempotency: entry.idempotency,
+            resumption: entry.resumption,
+            urgency: entry.urgency,
+            max_failures: entry.max_failures,
+            payload: payload.to_owned(),
+        })
+    }
+
+    fn entry(&mut self, record: &Record) -> Entry {
+        let step = match &record.change {
+            Change::Accepted { key, spec } => Step::Accepted {
+                key: key.clone(),
+                spec: self.intern_spec(spec),
+                payload: spec.payload.clone(),
+            },
+            Change::Bound { vm, attempt } => {
+                Step::Bound { vm: self.intern(vm.as_str()), attempt: *attempt }
+            }
+            Change::Released { attempt, checkpoint, failed } => Step::Released {
+                attempt: *attempt,
+                checkpoint: checkpoint.clone(),
+                failed: *failed,
+            },
+            Change::Ended { attempt, outcome } => {
+                Step::Ended { attempt: *attempt, outcome: outcome.clone() }
+            }
+            Change::CancelAsked => Step::CancelAsked,
+        };
+        Entry { number: record.task.number, step }
+    }
+
+    fn change(&self, step: &Step) -> Result<Change> {
+        Ok(match step {
+            Step::Accepted { key, spec, payload } => {
+                Change::Accepted { key: key.clone(), spec: self.spec(*spec, payload)? }
+            }
+            Step::Bound { vm, attempt } => {
+                Change::Bound { vm: VmId::new(self.name(*vm)?), attempt: *attempt }
+            }
+            Step::Released { attempt, checkpoint, failed } => Change::Released {
+                attempt: *attempt,
+                checkpoint: checkpoint.clone(),
+                failed: *failed,
+            },
+            Step::Ended { attempt, outcome } => {
+                Change::Ended { attempt: *attempt, outcome: outcome.clone() }
+            }
+            Step::CancelAsked => Change::CancelAsked,
+        })
+    }
+
+    fn task_entry(&mut self, task: &TaskState) -> TaskEntry {
+        let phase = match &task.phase {
+            Phase::Waiting => PhaseEntry::Waiting,
+            Phase::Bound { vm } => PhaseEntry::Bound { vm: self.intern(vm.as_str()) },
+            Phase::Ended { outcome } => PhaseEntry::Ended { outcome: outcome.clone() },
+        };
+        TaskEntry {
+            number: task.id.number,
+            key: task.key.clone(),
+            spec: self.intern_spec(&task.spec),
+            payload: task.spec.payload.clone(),
+            phase,
+            attempt: task.attempt,
+            checkpoint: task.checkpoint.clone(),
+            failures: task.failures,
+            cancel_asked: task.cancel_asked,
+        }
+    }
+
+    fn task(&self, partition: PartitionId, entry: &TaskEntry) -> Result<TaskState> {
+        let phase = match &entry.phase {
+            PhaseEntry::Waiting => Phase::Waiting,
+            PhaseEntry::Bound { vm } => Phase::Bound { vm: VmId::new(self.name(*vm)?) },
+            PhaseEntry::Ended { outcome } => Phase::Ended { outcome: outcome.clone() },
+        };
+        Ok(TaskState {
+            id: TaskId::new(partition, entry.number),
+            key: entry.key.clone(),
+            spec: self.spec(entry.spec, &entry.payload)?,
+            phase,
+            attempt: entry.attempt,
+            checkpoint: entry.checkpoint.clone(),
+            failures: entry.failures,
+            cancel_asked: entry.cancel_asked,
+        })
+    }
+}
+
+impl Segment {
+    /// Adds the records of the segment that follows this one.
+    pub(crate) fn append(&mut self, next: Self) {
+        self.names.extend(next.names);
+        self.specs.extend(next.specs);
+        self.entries.extend(next.entries);
+    }
+}
+
+/// Writes a value.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_allocvec(value).expect("values in memory can be written")
+}
+
+/// Reads a value.
+pub(crate) fn decode<T: for<'de> Deserialize<'de>>(kind: &'static str, buf: &[u8]) -> Result<T> {
+    postcard::from_bytes(buf).map_err(|_| Error::Format { kind })
+}
