--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod model;
 pub mod peer;
+pub mod settings;
 pub mod store;
 pub mod task;
 pub mod tasklog;
