--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! any time. The decisions are made in [`core`], which does no I/O.
 
 pub mod audit;
+pub mod api;
 pub mod clock;
 pub mod config;
 pub mod core;
@@ -15,7 +16,9 @@
 pub mod model;
 pub mod peer;
 pub mod ring;
+pub mod settings;
 pub mod store;
 pub mod task;
+pub mod tasklog;
 pub mod units;
 pub mod worker;
