Add the thin request path: route, whole answers, outcomes, drain

Cause: callers' requests need a way to endpoints that never passes on another's or a cut answer. No queue, retries or health yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ids;
 pub mod model;
 pub mod peer;
+pub mod request;
 pub mod store;
 pub mod task;
 pub mod units;
--- /dev/null
+++ b/src/request/body.rs
@@ -0,0 +1,70 @@
+//! Bodies: a caller's is read whole before anything is sent, an endpoint's is passed on as it
+//! comes, and each is checked for being whole.
+
+use crate::request::outcome::{Reason, Refusal};
+use crate::request::settings::Limits;
+use actix_web::web::Payload;
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Bytes of callers' bodies held by this daemon.
+#[derive(Debug, Default)]
+pub(super) struct HeldBytes(Cell<usize>);
+
+impl HeldBytes {
+    /// Bytes held now.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// A caller's body; its bytes count as held until it is dropped.
+#[derive(Debug)]
+pub(super) struct HeldBody {
+    pub bytes: Bytes,
+    held: Rc<HeldBytes>,
+    counted: usize,
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.held.0.set(self.held.0.get() - self.counted);
+    }
+}
+
+/// Reads a caller's body whole. It holds no slot meanwhile, so that a caller who sends a byte at a
+/// time takes nothing from others.
+pub(super) async fn read_whole(
+    payload: Payload,
+    held: &Rc<HeldBytes>,
+    limits: &Limits,
+) -> Result<HeldBody, Refusal> {
+    actix_web::rt::time::timeout(limits.body_time, read_limited(payload, held, limits))
+        .await
+        .unwrap_or(Err(Refusal::not_run(Reason::BodyTooSlow)))
+}
+
+async fn read_limited(
+    mut payload: Payload,
+    held: &Rc<HeldBytes>,
+    limits: &Limits,
+) -> Result<HeldBody, Refusal> {
+    let mut body = HeldBody { bytes: Bytes::new(), held: Rc::clone(held), counted: 0 };
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| Refusal::not_run(Reason::BodyBroken))?;
+        if buf.len() + chunk.len() > limits.body_bytes {
+            return Err(Refusal::not_run(Reason::BodyTooLarge));
+        }
+        if held.0.get() + chunk.len() > limits.held_bytes {
+            return Err(Refusal::not_run(Reason::QueueFull));
+        }
+        held.0.set(held.0.get() + chunk.len());
+        body.counted += chunk.len();
+        buf.extend_from_slice(&chunk);
+    }
+    body.bytes = buf.freeze();
+    Ok(body)
+}
--- /dev/null
+++ b/src/request/outcome.rs
@@ -0,0 +1,211 @@
+//! What became of a request, as every answer says it.
+//!
+//! `not-run` is a promise: it is said only if no byte of the request left for an endpoint, or if
+//! the endpoint itself said that it did not run it. Whatever is in doubt is `unknown`.
+
+use crate::ids::RequestId;
+use crate::request::headers;
+use actix_web::http::StatusCode;
+use actix_web::http::header;
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::time::Duration;
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// An endpoint answered it, be it with an error.
+    Ran,
+    /// No endpoint ran it, and none will.
+    NotRun,
+    /// It may have run, or may still.
+    Unknown,
+}
+
+/// Why a request ended as it did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    Answered,
+    UnknownClass,
+    BadRequestId,
+    BadDeadline,
+    BadTeam,
+    BodyTooLarge,
+    BodyTooSlow,
+    BodyBroken,
+    Draining,
+    NoConfig,
+    NoEndpoint,
+    NoSlot,
+    QueueFull,
+    DeadlineTooShort,
+    DeadlinePassed,
+    EndpointsRefused,
+    ConnectFailed,
+    ConnectionSilent,
+    ConnectionLost,
+    AnswerCut,
+    AnswerMismatch,
+    AnswerUnbounded,
+    PeerFailed,
+}
+
+/// A final answer that no endpoint gave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub outcome: Outcome,
+    pub reason: Reason,
+    /// When the caller should come back, if that may help.
+    pub retry_after: Option<Duration>,
+}
+
+impl Outcome {
+    /// The word in the `waxwing-outcome` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Reason {
+    /// The word in the `waxwing-reason` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::UnknownClass => "unknown-class",
+            Self::BadRequestId => "bad-request-id",
+            Self::BadDeadline => "bad-deadline",
+            Self::BadTeam => "bad-team",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyTooSlow => "body-too-slow",
+            Self::BodyBroken => "body-broken",
+            Self::Draining => "draining",
+            Self::NoConfig => "no-config",
+            Self::NoEndpoint => "no-endpoint",
+            Self::NoSlot => "no-slot",
+            Self::QueueFull => "queue-full",
+            Self::DeadlineTooShort => "deadline-too-short",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::EndpointsRefused => "endpoints-refused",
+            Self::ConnectFailed => "connect-failed",
+            Self::ConnectionSilent => "connection-silent",
+            Self::ConnectionLost => "connection-lost",
+            Self::AnswerCut => "answer-cut",
+            Self::AnswerMismatch => "answer-mismatch",
+            Self::AnswerUnbounded => "answer-unbounded",
+            Self::PeerFailed => "peer-failed",
+        }
+    }
+
+    /// What the caller may do, in a sentence for people.
+    fn remedy(self) -> &'static str {
+        match self {
+            Self::Answered => "the endpoint's answer follows",
+            Self::UnknownClass => "use a class that the configuration declares",
+            Self::BadRequestId => "use 1 to 128 visible ASCII characters, or leave the id out",
+            Self::BadDeadline => "give the deadline in whole milliseconds above zero",
+            Self::BadTeam => "use 1 to 128 visible ASCII characters, or leave the team out",
+            Self::BodyTooLarge => "send a smaller body",
+            Self::BodyTooSlow => "send the body faster",
+            Self::BodyBroken => "send the whole body as declared",
+            Self::Draining | Self::NoConfig => "send it again; another daemon will take it",
+            Self::NoEndpoint => "send it again later; no endpoint serves this class now",
+            Self::NoSlot | Self::QueueFull => "send it again after the time in retry-after",
+            Self::DeadlineTooShort => "send it again later, or with a longer deadline",
+            Self::DeadlinePassed => "send it again with a longer deadline if the outcome allows",
+            Self::EndpointsRefused | Self::ConnectFailed => "send it again after a short while",
+            Self::ConnectionSilent
+            | Self::ConnectionLost
+            | Self::AnswerCut
+            | Self::AnswerMismatch
+            | Self::AnswerUnbounded
+            | Self::PeerFailed => {
+                "send it again if running it twice is harmless; else look at its effect first"
+            }
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Answered => StatusCode::OK,
+            Self::UnknownClass => StatusCode::NOT_FOUND,
+            Self::BadRequestId | Self::BadDeadline | Self::BadTeam | Self::BodyBroken => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::Draining
+            | Self::NoConfig
+            | Self::NoEndpoint
+            | Self::NoSlot
+            | Self::QueueFull
+            | Self::DeadlineTooShort
+            | Self::EndpointsRefused
+            | Self::ConnectFailed => StatusCode::SERVICE_UNAVAILABLE,
+            Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Self::ConnectionSilent
+            | Self::ConnectionLost
+            | Self::AnswerCut
+            | Self::AnswerMismatch
+            | Self::AnswerUnbounded
+            | Self::PeerFailed => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl Refusal {
+    /// The request did not run and won't.
+    pub fn not_run(reason: Reason) -> Self {
+        Self { outcome: Outcome::NotRun, reason, retry_after: None }
+    }
+
+    /// The request may have run.
+    pub fn unknown(reason: Reason) -> Self {
+        Self { outcome: Outcome::Unknown, reason, retry_after: None }
+    }
+
+    /// This refusal, with the time after which to come back.
+    pub fn with_retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// The answer to the caller.
+    pub fn answer(&self, id: &RequestId) -> HttpResponse {
+        let mut resp = HttpResponseBuilder::new(self.reason.status());
+        mark(&mut resp, id, self.outcome, self.reason);
+        if let Some(after) = self.retry_after {
+            resp.insert_header((header::RETRY_AFTER, whole_seconds(after).to_string()));
+        }
+        resp.content_type("text/plain");
+        resp.body(format!("{}: {}\n", self.reason, self.reason.remedy()))
+    }
+}
+
+/// Puts the outcome's headers on an answer.
+pub(super) fn mark(
+    resp: &mut HttpResponseBuilder,
+    id: &RequestId,
+    outcome: Outcome,
+    reason: Reason,
+) {
+    resp.insert_header((headers::REQUEST_ID, id.as_str()));
+    resp.insert_header((headers::OUTCOME, outcome.as_str()));
+    resp.insert_header((headers::REASON, reason.as_str()));
+}
+
+fn whole_seconds(after: Duration) -> u64 {
+    after.as_secs() + u64::from(after.subsec_nanos() > 0)
+}
--- /dev/null
+++ b/src/request/tests.rs
@@ -0,0 +1,1 @@
+mod journal;
--- /dev/null
+++ b/tests/request_faults.rs
@@ -0,0 +1,83 @@
+//! What a caller is told when an endpoint misbehaves, from the tables in `tests/tables/request`.
+
+mod request_support;
+
+use request_support::{Front, call, config, listed};
+use serde::Deserialize;
+use std::path::Path;
+use waxwingstall_standin::endpoint::{Endpoint, EndpointSettings, Fault, answer_body};
+
+/// One table: a story, and the cases that it tells of.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Table {
+    /// What the caller sees, the order of events, and why.
+    story: String,
+    case: Vec<Case>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    name: String,
+    class: String,
+    #[serde(default)]
+    query: String,
+    /// Answers got before the faults are switched on, so that there are idle connections.
+    #[serde(default)]
+    warm_up: usize,
+    /// Faults of the next requests, in order.
+    #[serde(default)]
+    faults: Vec<Fault>,
+    /// Faults of the next connections, in order.
+    #[serde(default)]
+    connection_faults: Vec<Fault>,
+    outcome: String,
+    reason: String,
+    /// How often the request may have run at the endpoint.
+    runs: Vec<usize>,
+}
+
+fn run_table(path: &Path) -> datatest_stable::Result<()> {
+    let table: Table = toml::from_str(&std::fs::read_to_string(path)?)?;
+    assert!(!table.story.trim().is_empty());
+    for case in &table.case {
+        run_case(case);
+    }
+    Ok(())
+}
+
+fn run_case(case: &Case) {
+    let endpoint = Endpoint::start(EndpointSettings::default());
+    let front = Front::start(config(8), &[listed("vm-1", &endpoint)]);
+    for at in 0..case.warm_up {
+        let got = call(front.addr, "preview", "page", &format!("warm-{at}"));
+        assert_eq!(got.outcome(), "ran", "{case:?}: {got:?}");
+    }
+    case.faults.iter().for_each(|fault| endpoint.faults().next(*fault));
+    case.connection_faults.iter().for_each(|fault| endpoint.faults().next_connection(*fault));
+
+    let got = call(front.addr, &case.class, &format!("page?{}", case.query), "request-1");
+    let name = &case.name;
+    if case.reason == "cut-in-transit" {
+        assert!(!got.whole, "{name}: a cut answer passed for whole: {got:?}");
+    } else {
+        assert_eq!(got.outcome(), case.outcome, "{name}: {got:?}");
+        assert_eq!(got.reason(), case.reason, "{name}: {got:?}");
+        assert_eq!(got.header("waxwing-request-id"), "request-1", "{name}");
+        assert!(got.whole, "{name}: the answer was cut: {got:?}");
+    }
+    if got.outcome() == "ran" && got.whole && got.status == 200 {
+        assert_eq!(got.body, answer_body("request-1", got.body.len()), "{name}: not its own");
+    }
+    let runs = endpoint.runs_of("request-1");
+    assert!(case.runs.contains(&runs), "{name}: ran {runs} times, not {:?}", case.runs);
+
+    let next = call(front.addr, "preview", "page", "request-2");
+    assert_eq!(next.outcome(), "ran", "{name}: the next request: {next:?}");
+    assert_eq!(next.body, answer_body("request-2", 64), "{name}: the next request's answer");
+}
+
+datatest_stable::harness! {
+    { test = run_table, root = "tests/tables/request", pattern = r"^.*\.toml$" },
+}
