--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peer;
 pub mod ring;
 pub mod settings;
+pub mod request;
 pub mod store;
 pub mod task;
 pub mod tasklog;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod worker;
 
 pub mod kv;
+
+pub mod endpoint;
