Choose VMs by an index of free room, predicted slowdown and quotas

Cause: the policy took the first VM with room and knew no pool, quota or neighbour. Change: VMs are kept in buckets of like free room for each failure domain; a choice samples at most about 32 of those that fit and scores them by the operators' weights. Tasks that no VM or allowance could ever hold are refused with the nearest size. Quotas are split into one allowance for each failure domain. Slowdown of pairs is learned from reports. Each record holds what the choice rests on and can be decided again from it. Units gain saturating sums.

--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -1,21 +1,61 @@
 //! Where a task goes, what it disturbs, and what is done about it.
+//!
+//! A placement is gathered into whole numbers and then decided by a pure function of them, so that
+//! its record is enough to decide it again ([`explain::replay`]). What is learned (slowdown of
+//! pairs, blame for failures) comes only from reports and ends that are passed in.
 
-use crate::ids::{Attempt, ClassName, DomainId, RackId, Revision, TaskId, VmId};
+mod decide;
+pub mod explain;
+mod fit;
+mod index;
+pub mod interference;
+mod place;
+pub mod quota;
+mod reports;
+mod score;
+#[cfg(test)]
+mod tests;
+
+use crate::ids::{Attempt, ClassName, DomainId, RackId, Revision, TaskId, TeamName, VmId};
 use crate::model::{Config, Weights};
 use crate::peer::{VmHealth, VmView};
 use crate::task::{Outcome, TaskSpec};
 use crate::units::Resources;
 use crate::worker::UsageReport;
+use fit::Sizes;
+use index::Fleet;
 use indexmap::IndexMap;
+use interference::Interference;
+use quota::{Allowances, Quotas};
+use reports::Reports;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time after the first call in which no task is refused for its size: the views of other daemons'
+/// VMs are still arriving, and the one large VM may be among them.
+const SETTLE: Duration = Duration::from_secs(5);
+
 /// Chooses VMs for tasks, and learns from what happens there.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Policy {
     config: Arc<Config>,
-    views: IndexMap<VmId, VmView>,
+    fleet: Fleet,
+    sizes: Sizes,
+    quotas: Quotas,
+    model: Interference,
+    reports: IndexMap<VmId, Reports>,
+    /// Processors in use for each committed one, smoothed over all reports.
+    use_ratio: f64,
+    settle: Duration,
+    first_call: Option<Duration>,
+    now: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self::new(Arc::default())
+    }
 }
 
 /// A task looking for a VM.
@@ -109,22 +149,72 @@
 impl Policy {
     /// A policy that knows no VM yet.
     pub fn new(config: Arc<Config>) -> Self {
-        Self { config, views: IndexMap::new() }
+        let mut quotas = Quotas::default();
+        quotas.configure(&config);
+        Self {
+            config,
+            fleet: Fleet::default(),
+            sizes: Sizes::default(),
+            quotas,
+            model: Interference::new(),
+            reports: IndexMap::new(),
+            use_ratio: 1.0,
+            settle: SETTLE,
+            first_call: None,
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Sets the time after the first call in which no task is refused for its size.
+    pub fn with_settle(mut self, settle: Duration) -> Self {
+        self.settle = settle;
+        self
+    }
+
+    /// Starts from effects learned elsewhere.
+    pub fn with_interference(mut self, model: Interference) -> Self {
+        self.model = model;
+        self
     }
 
     /// Puts a configuration in force.
     pub fn configure(&mut self, config: Arc<Config>) {
         self.config = config;
+        self.quotas.configure(&self.config);
+        self.quotas.reset_usage();
+        for vm in self.fleet.iter() {
+            count_usage(&mut self.quotas, &self.config, &vm.view, Quotas::commit);
+        }
+    }
+
+    /// Puts a team's allowances in force that were moved between failure domains.
+    pub fn set_allowances(&mut self, team: &TeamName, allowances: Allowances) {
+        self.quotas.replace(team, allowances);
+    }
+
+    /// A team's allowances, if it has a quota.
+    pub fn allowances(&self, team: &TeamName) -> Option<&Allowances> {
+        self.quotas.of(team)
     }
 
-    /// Learns of a VM, or of a change to it.
+    /// Learns of a VM, or of a change to it. The classes of the view include service instances.
     pub fn upsert_vm(&mut self, view: VmView) {
-        self.views.insert(view.vm.clone(), view);
+        self.quotas.learn_domain(&view.domain, &self.config);
+        count_usage(&mut self.quotas, &self.config, &view, Quotas::commit);
+        self.sizes.add(&view, self.now);
+        if let Some(old) = self.fleet.upsert(view) {
+            self.sizes.remove(&old, self.now);
+            count_usage(&mut self.quotas, &self.config, &old, Quotas::release);
+        }
     }
 
     /// Forgets a VM.
     pub fn remove_vm(&mut self, vm: &VmId) {
-        self.views.shift_remove(vm);
+        if let Some(old) = self.fleet.remove(vm) {
+            self.sizes.remove(&old, self.now);
+            count_usage(&mut self.quotas, &self.config, &old, Quotas::release);
+        }
+        self.reports.swap_remove(vm);
     }
 
     /// Whether a task could ever run, and whether its team's quota allows it.
@@ -134,37 +224,22 @@
 
     /// Chooses a VM for a task. The caller reports the effect by [`Policy::upsert_vm`].
     pub fn choose(&mut self, candidate: &Candidate, now: Duration) -> Decided<Choice> {
-        let mut passed_over = IndexMap::new();
-        let mut chosen = None;
-        for view in self.views.values() {
-            if view.health != VmHealth::Open {
-                *passed_over.entry("not open".to_owned()).or_insert(0) += 1;
-            } else if !candidate.spec.resources.fits_in(&view.free) {
-                *passed_over.entry("no room".to_owned()).or_insert(0) += 1;
-            } else {
-                chosen = Some(view.vm.clone());
-                break;
-            }
-        }
-        let choice = match chosen {
-            Some(vm) => Choice::Place { vm },
-            None => Choice::Wait { reason: "no VM has room".to_owned() },
-        };
-        let record = DecisionRecord {
-            at: now,
-            subject: Subject::Task(candidate.task),
-            revision: self.config.revision,
-            weights: self.config.weights,
-            verdict: format!("{choice:?}"),
-            considered: u32::try_from(self.views.len()).unwrap_or(u32::MAX),
-            passed_over,
-            inputs: IndexMap::new(),
-        };
+        self.tick(now);
+        let inputs = self.gather(candidate, now);
+        let choice = inputs.decide();
+        let record = explain::placement(candidate, &inputs, &choice, &self.config);
         Decided { choice, record }
     }
 
     /// Learns from a usage report of a VM held by this daemon.
-    pub fn observe(&mut self, _vm: &VmId, _report: &UsageReport, _now: Duration) {}
+    pub fn observe(&mut self, vm: &VmId, report: &UsageReport, now: Duration) {
+        self.tick(now);
+        let reports = self.reports.entry(vm.clone()).or_default();
+        if reports.take(report, now).is_err() {
+            return;
+        }
+        self.learn(vm);
+    }
 
     /// Learns how an attempt ended on a VM.
     pub fn ended(&mut self, _vm: &VmId, _class: &ClassName, _outcome: &Outcome, _now: Duration) {}
@@ -191,6 +266,35 @@
 
     /// Where the VMs are that the policy knows.
     pub fn places(&self) -> impl Iterator<Item = (&VmId, &DomainId, &RackId)> {
-        self.views.values().map(|view| (&view.vm, &view.domain, &view.rack))
+        self.fleet.iter().map(|vm| (&vm.view.vm, &vm.view.domain, &vm.view.rack))
+    }
+
+    /// What is known of the slowdown of pairs.
+    pub fn interference(&self) -> &Interference {
+        &self.model
+    }
+
+    /// What is known of the slowdown of pairs, to be changed from elsewhere.
+    pub fn interference_mut(&mut self) -> &mut Interference {
+        &mut self.model
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        self.first_call.get_or_insert(now);
+    }
+
+    fn settled(&self, now: Duration) -> bool {
+        self.first_call.is_some_and(|first| now >= first + self.settle)
+    }
+}
+
+type CountUsage = fn(&mut Quotas, &TeamName, &DomainId, &Resources);
+
+fn count_usage(quotas: &mut Quotas, config: &Config, view: &VmView, count: CountUsage) {
+    for entry in &view.classes {
+        let Some(class) = config.batch.get(&entry.class) else { continue };
+        let amount = class.resources.saturating_mul(entry.count);
+        count(quotas, &class.team, &view.domain, &amount);
     }
 }
--- /dev/null
+++ b/src/core/policy/reports.rs
@@ -0,0 +1,101 @@
+//! Reports as they arrive: late, lost, repeated and out of order.
+//!
+//! A report is taken only if it is newer, by boot and sequence, than the last one taken. Without
+//! that a repeated report would count its error twice, and one from before a restart would speak of
+//! tasks that are gone.
+
+use crate::ids::{BootId, ClassName};
+use crate::worker::UsageReport;
+use indexmap::IndexMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A report measured longer ago teaches nothing about now.
+pub const MAX_AGE: Duration = Duration::from_secs(180);
+
+/// Boots remembered, to refuse late reports from before a restart.
+const PAST_BOOTS: usize = 4;
+
+/// Why a report was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stale {
+    Repeated,
+    OutOfOrder,
+    PastBoot,
+    TooOld,
+}
+
+/// One class in a report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ClassUse {
+    pub count: u32,
+    /// Mean slowdown of the class's tasks.
+    pub slowdown: f64,
+}
+
+/// Reports of one VM.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    boot: Option<BootId>,
+    past: VecDeque<BootId>,
+    seq: u64,
+    /// Time of the last measurement.
+    pub measured_at: Duration,
+    /// Smoothed age on arrival.
+    pub lag: Duration,
+    pub load: f64,
+    pub classes: IndexMap<ClassName, ClassUse>,
+}
+
+impl Reports {
+    /// Takes a report, or says why not.
+    pub fn take(&mut self, report: &UsageReport, now: Duration) -> Result<(), Stale> {
+        self.check(report)?;
+        if self.boot != Some(report.boot) {
+            self.past.extend(self.boot);
+            if self.past.len() > PAST_BOOTS {
+                self.past.pop_front();
+            }
+            self.boot = Some(report.boot);
+        }
+        self.seq = report.seq;
+        if report.age > MAX_AGE {
+            return Err(Stale::TooOld);
+        }
+        self.measured_at = now.saturating_sub(report.age);
+        self.lag = if self.lag.is_zero() { report.age } else { (self.lag * 7 + report.age) / 8 };
+        self.load = report.load.clamp(0.0, 1.0);
+        self.classes = group(report);
+        Ok(())
+    }
+
+    /// Largest excess slowdown among the classes that `is_service` accepts.
+    pub fn suffering(&self, is_service: impl Fn(&ClassName) -> bool) -> Option<f64> {
+        let services = self.classes.iter().filter(|(class, _)| is_service(class));
+        services.map(|(_, used)| (used.slowdown - 1.0).max(0.0)).reduce(f64::max)
+    }
+
+    fn check(&self, report: &UsageReport) -> Result<(), Stale> {
+        if self.past.contains(&report.boot) {
+            return Err(Stale::PastBoot);
+        }
+        if self.boot != Some(report.boot) {
+            return Ok(());
+        }
+        match report.seq.cmp(&self.seq) {
+            std::cmp::Ordering::Less => Err(Stale::OutOfOrder),
+            std::cmp::Ordering::Equal => Err(Stale::Repeated),
+            std::cmp::Ordering::Greater => Ok(()),
+        }
+    }
+}
+
+fn group(report: &UsageReport) -> IndexMap<ClassName, ClassUse> {
+    let mut classes: IndexMap<ClassName, ClassUse> = IndexMap::new();
+    for tenant in report.tenants.iter().filter(|tenant| tenant.slowdown.is_finite()) {
+        let class = classes.entry(tenant.class.clone()).or_default();
+        class.count += 1;
+        class.slowdown += (tenant.slowdown - class.slowdown) / f64::from(class.count);
+    }
+    classes
+}
--- /dev/null
+++ b/src/core/policy/tests.rs
@@ -0,0 +1,104 @@
+//! Tests of the decisions, on views and reports made by hand.
+
+mod placement;
+mod quotas;
+
+use super::*;
+use crate::ids::{DaemonId, PartitionId, PoolName};
+use crate::model::{BatchClass, Idempotency, Pool, Resumption, Service, Team, Urgency};
+use crate::peer::ClassCount;
+
+pub fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+pub fn vm(index: usize) -> VmId {
+    VmId::new(&format!("vm-{index:05}"))
+}
+
+pub fn class(name: &str, cores: u32) -> BatchClass {
+    BatchClass {
+        pool: PoolName::from("all"),
+        team: TeamName::from(if name == "wash" { "cellar" } else { "audio" }),
+        resources: Resources::new(cores * 1000, cores * 2048, 0),
+        expected: secs(600),
+        idempotency: Idempotency::Idempotent,
+        resumption: Resumption::Checkpoint,
+        urgency: Urgency::Normal,
+        max_failures: 3,
+    }
+}
+
+pub fn config() -> Config {
+    let mut config = Config::default();
+    config.pools.insert("all".into(), Pool::default());
+    config.batch.insert("narration".into(), class("narration", 4));
+    config.batch.insert("build".into(), class("build", 8));
+    config.batch.insert("wash".into(), class("wash", 2));
+    let shop = Service { slots: 8, connections: 64, resources: Resources::new(4000, 8192, 0) };
+    config.services.insert("shop".into(), shop);
+    config
+}
+
+pub fn with_quota(mut config: Config, team: &str, cores: u32) -> Config {
+    let quota = Resources::new(cores * 1000, cores * 4096, 0);
+    config.teams.insert(team.into(), Team { quota });
+    config
+}
+
+pub fn view(index: usize) -> VmView {
+    let size = Resources::new(32_000, 125_000, 0);
+    VmView {
+        vm: vm(index),
+        holder: DaemonId::from("daemon-1"),
+        domain: DomainId::from("kacyiru"),
+        rack: RackId::new(&format!("rack-{}", index / 8)),
+        size,
+        free: size,
+        classes: Vec::new(),
+        health: VmHealth::Open,
+    }
+}
+
+pub fn beside(mut view: VmView, class: &str, count: u32) -> VmView {
+    let cores = if class == "build" { 8 } else { 4 };
+    let taken = Resources::new(cores * 1000, cores * 2048, 0).saturating_mul(count);
+    view.free = view.free.saturating_sub(&taken);
+    view.classes.push(ClassCount { class: class.into(), count });
+    view
+}
+
+pub fn spec(config: &Config, class: &str) -> TaskSpec {
+    let batch = &config.batch[&ClassName::from(class)];
+    TaskSpec {
+        class: class.into(),
+        team: batch.team.clone(),
+        pool: batch.pool.clone(),
+        resources: batch.resources,
+        expected: batch.expected,
+        idempotency: batch.idempotency,
+        resumption: batch.resumption,
+        urgency: batch.urgency,
+        max_failures: batch.max_failures,
+        payload: String::new(),
+    }
+}
+
+pub fn candidate(config: &Config, class: &str, number: u64) -> Candidate {
+    Candidate {
+        task: TaskId::new(PartitionId(1), number),
+        attempt: Attempt(1),
+        spec: spec(config, class),
+        waited: Duration::ZERO,
+        avoid: Vec::new(),
+    }
+}
+
+/// A policy that knows `views`, and for long enough to refuse what can't fit.
+pub fn policy(config: Config, views: impl IntoIterator<Item = VmView>) -> Policy {
+    let mut policy = Policy::new(Arc::new(config)).with_settle(Duration::ZERO);
+    for view in views {
+        policy.upsert_vm(view);
+    }
+    policy
+}
--- /dev/null
+++ b/src/core/policy/tests/placement.rs
@@ -0,0 +1,115 @@
+//! Where a task goes, waits or is refused.
+
+use super::*;
+
+#[test]
+fn a_task_is_never_placed_where_it_has_no_room() {
+    let config = config();
+    let full = (0..20).map(|index| beside(view(index), "build", 4));
+    let one_left = beside(view(20), "build", 3);
+    let mut policy = policy(config.clone(), full.chain([one_left]));
+    let decided = policy.choose(&candidate(&config, "build", 1), secs(1));
+    assert_eq!(decided.choice, Choice::Place { vm: vm(20) });
+    policy.upsert_vm(beside(view(20), "build", 4));
+    let decided = policy.choose(&candidate(&config, "build", 2), secs(2));
+    let Choice::Wait { reason } = &decided.choice else { panic!("{decided:?}") };
+    assert!(reason.contains("no room (21 VMs)"), "{reason}");
+}
+
+#[test]
+fn a_task_larger_than_every_vm_is_refused_with_the_nearest_size() {
+    let config = config();
+    let mut policy = policy(config.clone(), (0..8).map(view));
+    let mut huge = candidate(&config, "build", 1);
+    huge.spec.resources = Resources::new(48_000, 20_000, 0);
+    let Choice::Never { nearest, reason } = policy.admit(&huge, secs(1)).choice else {
+        panic!("not refused")
+    };
+    assert_eq!(nearest, Some(Resources::new(32_000, 20_000, 0)));
+    assert!(reason.contains("32000m"), "{reason}");
+}
+
+#[test]
+fn a_waiting_task_is_told_when_a_new_configuration_makes_it_impossible() {
+    let config = config();
+    let mut policy = policy(config.clone(), (0..2).map(|index| beside(view(index), "build", 4)));
+    let candidate = candidate(&config, "build", 1);
+    let before = policy.choose(&candidate, secs(1)).choice;
+    assert!(matches!(before, Choice::Wait { .. }), "{before:?}");
+    let mut narrower = config;
+    let pool = Pool { domains: vec!["remera".into()], min_size: Resources::ZERO };
+    narrower.pools.insert("all".into(), pool);
+    policy.configure(Arc::new(narrower));
+    let after = policy.choose(&candidate, secs(2)).choice;
+    assert!(matches!(after, Choice::Never { nearest: None, .. }), "{after:?}");
+}
+
+/// A daemon has just started and knows one small VM; the views of the others' VMs arrive a second
+/// later. A task for a large VM that was refused in between would have been accepted everywhere
+/// else, and its caller told that it can never run.
+#[test]
+fn nothing_is_refused_for_its_size_before_the_other_daemons_views_arrived() {
+    let config = config();
+    let mut policy = Policy::new(Arc::new(config.clone()));
+    let mut small = view(0);
+    small.size = Resources::new(4000, 8000, 0);
+    small.free = small.size;
+    policy.upsert_vm(small);
+    let candidate = candidate(&config, "build", 1);
+    let early = policy.admit(&candidate, secs(100)).choice;
+    assert!(matches!(early, Choice::Wait { .. }), "{early:?}");
+    let late = policy.admit(&candidate, secs(106)).choice;
+    assert!(matches!(late, Choice::Never { .. }), "{late:?}");
+}
+
+#[test]
+fn choices_do_not_depend_on_the_order_in_which_vms_became_known() {
+    let config = config();
+    let mut forward = policy(config.clone(), (0..300).map(view));
+    let mut backward = policy(config.clone(), (0..300).rev().map(view));
+    for number in 0..50 {
+        let candidate = candidate(&config, "narration", number);
+        assert_eq!(forward.choose(&candidate, secs(1)), backward.choose(&candidate, secs(1)));
+    }
+}
+
+#[test]
+fn writers_that_choose_at_once_from_the_same_views_choose_different_vms() {
+    let config = config();
+    let mut policy = policy(config.clone(), (0..1000).map(view));
+    let mut chosen = std::collections::BTreeSet::new();
+    for number in 0..56 {
+        if let Choice::Place { vm } =
+            policy.choose(&candidate(&config, "build", number), secs(1)).choice
+        {
+            chosen.insert(vm);
+        }
+    }
+    assert!(chosen.len() > 40, "{} VMs for 56 tasks", chosen.len());
+}
+
+#[test]
+fn every_explanation_is_enough_to_decide_again() {
+    let config = with_quota(config(), "audio", 200);
+    let views = (0..40).map(|index| beside(view(index), "narration", (index % 9) as u32));
+    let mut policy = policy(config.clone(), views);
+    for number in 0..60 {
+        let mut candidate = candidate(&config, "build", number);
+        candidate.spec.resources.milli_cores.0 = 1000 * number as u32;
+        let decided = policy.choose(&candidate, secs(1));
+        let text = serde_json::to_string(&decided.record).expect("a record can be written");
+        let record = serde_json::from_str(&text).expect("a record can be read");
+        assert_eq!(explain::replay(&record).expect("it can be replayed"), decided.choice);
+    }
+}
+
+#[test]
+fn a_team_at_its_quota_waits_while_others_are_placed() {
+    let config = with_quota(config(), "audio", 8);
+    let mut policy = policy(config.clone(), [beside(view(0), "build", 1), view(1)]);
+    let audio = policy.choose(&candidate(&config, "narration", 1), secs(1)).choice;
+    let Choice::Wait { reason } = audio else { panic!("{audio:?}") };
+    assert!(reason.contains("allowance"), "{reason}");
+    let cellar = policy.choose(&candidate(&config, "wash", 2), secs(1)).choice;
+    assert!(matches!(cellar, Choice::Place { .. }), "{cellar:?}");
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -82,6 +82,24 @@
         )
     }
 
+    /// The sum, with each amount at most the largest number.
+    pub fn saturating_add(&self, other: &Self) -> Self {
+        Self::new(
+            self.milli_cores.0.saturating_add(other.milli_cores.0),
+            self.memory_mib.0.saturating_add(other.memory_mib.0),
+            self.accelerators.0.saturating_add(other.accelerators.0),
+        )
+    }
+
+    /// The amounts of `count` such, with each at most the largest number.
+    pub fn saturating_mul(&self, count: u32) -> Self {
+        Self::new(
+            self.milli_cores.0.saturating_mul(count),
+            self.memory_mib.0.saturating_mul(count),
+            self.accelerators.0.saturating_mul(count),
+        )
+    }
+
     fn combine(&self, other: &Self, op: fn(u32, u32) -> Option<u32>) -> Option<Self> {
         Some(Self::new(
             op(self.milli_cores.0, other.milli_cores.0)?,
