--- /dev/null
+++ b/src/core/holder/relief.rs
@@ -0,0 +1,166 @@
+//! Steps against suffering: throttling, avoiding a VM, and moving tasks off.
+//!
+//! A task is checkpointed before it is closed, and only tasks that may run again are moved; a
+//! non-idempotent one that has started could only be ended as unknown.
+
+use super::table::{Slot, Stage};
+use super::{Holder, VmStep};
+use crate::core::context::Context;
+use crate::core::event::Action;
+use crate::core::policy::{Decided, Relief, Resident, Subject};
+use crate::ids::{CheckpointId, TaskId, VmId};
+use crate::model::{Idempotency, Resumption, Urgency};
+use crate::peer::CloseReason;
+use crate::task::TaskSpec;
+use crate::worker::{self, AttemptReq, TaskAttempt, TenantKind, ThrottleReq, UsageReport};
+use std::time::Duration;
+
+impl Holder {
+    /// Learns from a usage report, and takes the steps that are due.
+    pub(super) fn learn(&mut self, cx: &mut Context, vm_id: &VmId, report: Option<&UsageReport>) {
+        if let Some(report) = report {
+            self.note_progress(vm_id, report);
+            cx.policy.observe(vm_id, report, cx.now);
+        }
+        let residents = self.residents(cx, vm_id);
+        for decided in cx.policy.relieve(vm_id, &residents, cx.now) {
+            self.relieve(cx, decided);
+        }
+    }
+
+    /// Carries out a step that the policy decided.
+    pub fn relieve(&mut self, cx: &mut Context, decided: Decided<Relief>) {
+        cx.act(Action::Explain(decided.record));
+        match decided.choice {
+            Relief::Throttle { vm, task, share } => self.throttle(cx, &vm, task, share),
+            Relief::Health { vm, health } => {
+                if let Some(held) = self.vms.get_mut(&vm) {
+                    held.health = health;
+                    self.views_changed = true;
+                }
+            }
+            Relief::Evict { vm, task, attempt } => {
+                self.evict(cx, &vm, TaskAttempt { task, attempt }, CloseReason::Evicted);
+            }
+        }
+    }
+
+    fn throttle(&mut self, cx: &mut Context, vm_id: &VmId, task: TaskId, share: f64) {
+        let Some(grip) = self.vms.get(vm_id).and_then(|vm| vm.grip(cx.now)) else { return };
+        let req = ThrottleReq { token: grip.token, task, share };
+        cx.act(Action::Throttle { vm: vm_id.clone(), req, valid_until: grip.valid_until });
+    }
+
+    /// Checkpoints an attempt, then closes it.
+    pub(super) fn evict(
+        &mut self,
+        cx: &mut Context,
+        vm_id: &VmId,
+        attempt: TaskAttempt,
+        why: CloseReason,
+    ) {
+        let now = cx.now;
+        let Some(grip) = self.vms.get(vm_id).and_then(|vm| vm.grip(now)) else { return };
+        let Some(slot) = self.slot(vm_id, &attempt).filter(|slot| slot.stage == Stage::Running)
+        else {
+            cx.counters.stale += 1;
+            return;
+        };
+        let movable = slot.spec.as_ref().is_some_and(may_move);
+        if !movable {
+            return cx.explain(Subject::Task(attempt.task), "not moved: it can't run again");
+        }
+        cx.counters.evictions += 1;
+        if slot.spec.as_ref().is_some_and(|spec| spec.resumption != Resumption::Checkpoint) {
+            return self.close(cx, vm_id, attempt, why);
+        }
+        slot.enter(Stage::Checkpointing { why }, now);
+        let req = AttemptReq { token: grip.token, task: attempt.task, attempt: attempt.attempt };
+        cx.act(Action::Checkpoint { vm: vm_id.clone(), req, valid_until: grip.valid_until });
+    }
+
+    /// Takes note of an answer to a checkpoint.
+    pub fn checkpoint_answered(
+        &mut self,
+        cx: &mut Context,
+        vm_id: &VmId,
+        attempt: TaskAttempt,
+        result: worker::Result<CheckpointId>,
+    ) {
+        let now = cx.now;
+        let Some(slot) = self.slot(vm_id, &attempt) else { return };
+        let Stage::Checkpointing { why } = slot.stage else {
+            cx.counters.stale += 1;
+            return;
+        };
+        match result {
+            Ok(_) => {
+                slot.checkpoint_at = Some(now);
+                self.close(cx, vm_id, attempt, why);
+            }
+            // A VM that leaves takes the task down anyway; elsewhere the work done is worth more.
+            Err(_) if why == CloseReason::Leaving => self.close(cx, vm_id, attempt, why),
+            Err(e) => {
+                slot.enter(Stage::Running, now);
+                cx.explain(Subject::Task(attempt.task), format!("not moved: no checkpoint ({e})"));
+            }
+        }
+    }
+
+    fn note_progress(&mut self, vm_id: &VmId, report: &UsageReport) {
+        let Some(table) = self.vms.get_mut(vm_id).and_then(|vm| vm.table.as_mut()) else { return };
+        for usage in &report.tenants {
+            for (_, slot) in table.iter_mut().filter(|(id, _)| id.task == usage.task) {
+                slot.progress = usage.progress;
+            }
+        }
+    }
+
+    /// Batch tasks that run on a held VM.
+    pub fn residents(&self, cx: &Context, vm_id: &VmId) -> Vec<Resident> {
+        let table = self.vms.get(vm_id).filter(|vm| vm.step == VmStep::Held);
+        let Some(table) = table.and_then(|vm| vm.table.as_ref()) else { return Vec::new() };
+        table
+            .iter()
+            .filter(|(_, slot)| slot.kind == TenantKind::Batch && slot.stage == Stage::Running)
+            .map(|(id, slot)| resident(cx, id, slot))
+            .collect()
+    }
+
+    /// VMs that are held now.
+    pub fn held(&self) -> impl Iterator<Item = &VmId> {
+        self.vms.iter().filter(|(_, vm)| vm.step == VmStep::Held).map(|(id, _)| id)
+    }
+}
+
+fn may_move(spec: &TaskSpec) -> bool {
+    spec.idempotency == Idempotency::Idempotent && spec.resumption != Resumption::Never
+}
+
+fn resident(cx: &Context, id: &TaskAttempt, slot: &Slot) -> Resident {
+    Resident {
+        task: id.task,
+        attempt: id.attempt,
+        spec: slot.spec.clone().unwrap_or_else(|| guessed_spec(cx, slot)),
+        since: slot.started,
+        checkpoint_at: slot.checkpoint_at,
+        progress: slot.progress,
+    }
+}
+
+/// Until its writer speaks of it, an attempt found on a VM counts as one that can't be moved.
+fn guessed_spec(cx: &Context, slot: &Slot) -> TaskSpec {
+    let class = cx.config.batch.get(&slot.class);
+    TaskSpec {
+        class: slot.class.clone(),
+        team: class.map_or_else(|| "".into(), |class| class.team.clone()),
+        pool: class.map_or_else(|| "".into(), |class| class.pool.clone()),
+        resources: slot.resources,
+        expected: class.map_or(Duration::ZERO, |class| class.expected),
+        idempotency: Idempotency::NonIdempotent,
+        resumption: Resumption::Never,
+        urgency: class.map_or(Urgency::Normal, |class| class.urgency),
+        max_failures: 0,
+        payload: String::new(),
+    }
+}
--- /dev/null
+++ b/src/core/query.rs
@@ -0,0 +1,87 @@
+//! What the core can be asked; asking changes nothing.
+
+use crate::core::Core;
+use crate::core::context::Counters;
+use crate::core::holder::VmSummary;
+use crate::core::life::task::{Step, Task};
+use crate::ids::{ClassName, PartitionId, TaskId};
+use crate::task::TaskState;
+use indexmap::IndexMap;
+
+/// A partition that this daemon writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartitionSummary {
+    pub id: PartitionId,
+    /// Tasks kept, ended ones included.
+    pub tasks: usize,
+    /// Tasks that wait for a VM.
+    pub waiting: usize,
+    /// Records that wait for a commit.
+    pub unwritten: usize,
+}
+
+impl Core {
+    /// A task of a partition written here.
+    pub fn task(&self, id: TaskId) -> Option<&TaskState> {
+        Some(&self.find(id)?.state)
+    }
+
+    /// Every task of the partitions written here.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskState> {
+        self.writer.partitions().flat_map(|partition| partition.states())
+    }
+
+    /// What a task waits for, in words; `None` if it ended, runs, or isn't known here.
+    pub fn waiting_for(&self, id: TaskId) -> Option<String> {
+        let task = self.find(id)?;
+        let vm = task.vm.as_ref().map_or("a VM", |vm| vm.as_str());
+        let held = task.vm.as_ref().and_then(|vm| self.writer.fleet().holder(vm)).is_some();
+        let attempt = task.state.attempt;
+        Some(match task.step {
+            Step::Submitting | Step::Binding | Step::Releasing | Step::Ending => {
+                "for the key-value service to record the last step".to_owned()
+            }
+            Step::Queued => {
+                let reason = self.writer.partition(id.partition)?.waiting_reason(&task.state.spec);
+                format!("for a VM: {}", reason.unwrap_or("its turn has not come yet"))
+            }
+            Step::Reserving => format!("for the daemon that controls {vm} to keep room"),
+            Step::Starting | Step::Closing if !held => {
+                format!("for a daemon to take control of {vm}, or for proof that {vm} is gone")
+            }
+            Step::Starting => format!("for {vm} to confirm that attempt {attempt} runs"),
+            Step::Closing => format!("for proof that attempt {attempt} does not run on {vm}"),
+            Step::Running | Step::Ended | Step::Refused => return None,
+        })
+    }
+
+    /// The VMs that this daemon holds.
+    pub fn vms(&self) -> Vec<VmSummary> {
+        self.holder.summaries(self.cx.now)
+    }
+
+    /// The partitions that this daemon writes.
+    pub fn partitions(&self) -> Vec<PartitionSummary> {
+        self.writer.partitions().map(|partition| partition.summary()).collect()
+    }
+
+    /// Tasks that wait for a VM, by class.
+    pub fn queues(&self) -> IndexMap<ClassName, usize> {
+        let mut queues = IndexMap::new();
+        for partition in self.writer.partitions() {
+            for (class, count) in partition.queues() {
+                *queues.entry(class.clone()).or_insert(0) += count;
+            }
+        }
+        queues
+    }
+
+    /// What happened so far, counted.
+    pub fn counters(&self) -> Counters {
+        self.cx.counters
+    }
+
+    fn find(&self, id: TaskId) -> Option<&Task> {
+        self.writer.partition(id.partition)?.get(id.number)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! caches these two and keeps nothing else that matters, so that any daemon can be replaced at
 //! any time. The decisions are made in [`core`], which does no I/O.
 
+pub mod chart;
 pub mod clock;
 pub mod core;
 pub mod ids;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,7 +5,7 @@
 //! what was not answered, and handles a repeated message as the first.
 
 use crate::ids::{
-    Attempt, CheckpointId, ClassName, DaemonId, DomainId, RackId, Revision, TaskId, VmId,
+    Attempt, BootId, CheckpointId, ClassName, DaemonId, DomainId, RackId, Revision, TaskId, VmId,
 };
 use crate::task::{Outcome, TaskSpec};
 use crate::units::Resources;
@@ -82,6 +82,8 @@
     },
     Reserved {
         vm: VmId,
+        /// Incarnation that has the room.
+        boot: BootId,
         task: TaskId,
         attempt: Attempt,
     },
@@ -91,9 +93,10 @@
         attempt: Attempt,
         reason: Decline,
     },
-    /// The binding is durable; the attempt may start on that VM.
+    /// The binding is durable; the attempt may start on that incarnation of that VM.
     Start {
         vm: VmId,
+        boot: BootId,
         task: TaskId,
         attempt: Attempt,
         spec: TaskSpec,
@@ -108,6 +111,8 @@
     /// Asks for the attempt's end and for proof of it.
     Close {
         vm: VmId,
+        /// Incarnation that the attempt is bound to.
+        boot: BootId,
         task: TaskId,
         attempt: Attempt,
         why: CloseReason,
@@ -129,7 +134,7 @@
         attempt: Attempt,
         outcome: Outcome,
     },
-    /// The end is durable.
+    /// The end or the release of the attempt is durable.
     EndedAck {
         vm: VmId,
         task: TaskId,
--- a/src/task.rs
+++ b/src/task.rs
@@ -1,7 +1,7 @@
 //! Batch tasks and service instances, and the durable records of their life.
 
 use crate::ids::{
-    Attempt, CheckpointId, ClassName, IdempotencyKey, PoolName, TaskId, TeamName, VmId,
+    Attempt, BootId, CheckpointId, ClassName, IdempotencyKey, PoolName, TaskId, TeamName, VmId,
 };
 use crate::model::{Idempotency, Resumption, Urgency};
 use crate::units::Resources;
@@ -55,9 +55,11 @@
         key: IdempotencyKey,
         spec: TaskSpec,
     },
-    /// Intent to run this attempt on this VM and nowhere else; written before any start.
+    /// Intent to run this attempt on this incarnation of this VM and nowhere else; written before
+    /// any start.
     Bound {
         vm: VmId,
+        boot: BootId,
         attempt: Attempt,
     },
     /// Proof that the attempt runs nowhere, with the checkpoint to resume from.
@@ -84,6 +86,8 @@
     pub phase: Phase,
     /// Last attempt that was bound; zero before the first.
     pub attempt: Attempt,
+    /// Incarnation of the VM that the last attempt is bound to.
+    pub boot: BootId,
     pub checkpoint: Option<CheckpointId>,
     pub failures: u32,
     pub cancel_asked: bool,
@@ -107,6 +111,7 @@
             spec,
             phase: Phase::Waiting,
             attempt: Attempt(0),
+            boot: BootId(0),
             checkpoint: None,
             failures: 0,
             cancel_asked: false,
@@ -117,8 +122,9 @@
     pub fn apply(&mut self, change: &Change) {
         match change {
             Change::Accepted { .. } => {}
-            Change::Bound { vm, attempt } if *attempt > self.attempt && !self.ended() => {
+            Change::Bound { vm, boot, attempt } if *attempt > self.attempt && !self.ended() => {
                 self.attempt = *attempt;
+                self.boot = *boot;
                 self.phase = Phase::Bound { vm: vm.clone() };
             }
             Change::Released { attempt, checkpoint, failed }
