--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod audit;
 pub mod api;
+pub mod chart;
 pub mod clock;
 pub mod config;
 pub mod core;
