--- a/src/api.rs
+++ b/src/api.rs
@@ -3,14 +3,16 @@
 //! A call that fails answers with [`ApiError`], which says whether the change took effect. Without
 //! that an operator whose answer was lost could only guess whether to repeat it.
 
+use crate::config::apply::Effect;
 use crate::core::policy::DecisionRecord;
 use crate::ids::{
-    Attempt, ClassName, DaemonId, DomainId, IdempotencyKey, PartitionId, RackId, Revision, TaskId,
-    TeamName, Token, VmId,
+    ClassName, DaemonId, DomainId, IdempotencyKey, PartitionId, RackId, Revision, TaskId, TeamName,
+    Token, VmId,
 };
 use crate::peer::{ClassCount, MemberState, VmHealth};
 use crate::task::TaskState;
 use crate::units::Resources;
+use crate::worker::TaskAttempt;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -71,8 +73,8 @@
 pub struct PartitionStatus {
     pub partition: PartitionId,
     pub writer: Option<DaemonId>,
-    /// Tasks without an outcome; known to the writer alone.
-    pub open_tasks: Option<u32>,
+    /// Tasks kept, ended ones included; known to the writer alone.
+    pub tasks: Option<u32>,
     /// Tasks that wait for a VM; known to the writer alone.
     pub waiting_tasks: Option<u32>,
 }
@@ -84,8 +86,6 @@
     pub domain: DomainId,
     pub state: MemberState,
     pub revision: Revision,
-    /// Time since it was last heard, in milliseconds.
-    pub heard_ms: u64,
 }
 
 /// `GET /vms`: the VMs that a daemon holds or hears of.
@@ -111,16 +111,7 @@
     pub token: Option<Token>,
     /// Time until the control lease lapses, in milliseconds.
     pub lease_left_ms: Option<u64>,
-    pub tasks: Vec<VmTask>,
-}
-
-/// A task on a VM.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmTask {
-    pub task: TaskId,
-    pub attempt: Attempt,
-    pub class: ClassName,
-    pub resources: Resources,
+    pub tasks: Vec<TaskAttempt>,
 }
 
 /// Query of `GET /tasks`.
@@ -234,16 +225,15 @@
 pub struct ApplyReply {
     pub change_id: String,
     pub revision: Revision,
-    /// Revision before the change.
-    pub from: Revision,
-    /// What changed, a line each.
-    pub changes: Vec<String>,
+    pub effect: Effect,
 }
 
 /// Body of `POST /config/confirm`: asks how a change ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfirmReq {
+    /// Who asks; recorded where the change is given up.
+    pub operator: String,
     pub change_id: String,
 }
 
@@ -266,9 +256,9 @@
 /// Query of `GET /audit`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AuditQuery {
-    /// Only entries of earlier revisions.
+    /// Only entries with a lower number.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub before: Option<Revision>,
+    pub before: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub limit: Option<u32>,
 }
@@ -281,7 +271,7 @@
     /// What is missing and why.
     pub missing: Option<String>,
     /// Where the next page begins, if there is one.
-    pub next_before: Option<Revision>,
+    pub next_before: Option<u64>,
 }
 
 /// One change of the configuration.
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -175,17 +175,17 @@
     }
 }
 
-/// Fetches the texts that a head names and the follower lacks.
+/// Reads the texts that a follower wants of a manifest.
 pub async fn fetch(
     store: &impl Store,
-    follower: &Follower,
-    at: &Versioned,
+    wants: Vec<(String, FileRef)>,
+    manifest: Manifest,
 ) -> head::Result<Snapshot> {
     let mut texts = IndexMap::new();
-    for (name, file) in follower.wants(&at.head.manifest) {
+    for (name, file) in wants {
         texts.insert(name, head::read_text(store, &file).await?);
     }
-    Ok(Snapshot::new(at.head.manifest.clone(), texts))
+    Ok(Snapshot::new(manifest, texts))
 }
 
 /// Waits for a change of the head after `version`, then reads the head all the same: a watch may
@@ -239,7 +239,9 @@
     let at = read_present(store).await;
     if let Ok(at) = &at {
         follower.heard(at.head.manifest.revision);
-        if let Ok(snapshot) = fetch(store, follower, at).await {
+        let manifest = at.head.manifest.clone();
+        let wants = follower.wants(&manifest);
+        if let Ok(snapshot) = fetch(store, wants, manifest).await {
             follower.offer(&snapshot);
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 
 pub mod journal;
 
+use crate::api::{VmDetail, VmSummary};
 use crate::clock::Clock;
 use crate::core::event::Answer;
 use crate::core::{Action, Core, Event};
@@ -133,6 +134,26 @@
         (self.last_ticket, rx)
     }
 
+    fn detail(&self, vm: &crate::core::VmSummary) -> VmDetail {
+        let summary = VmSummary {
+            vm: vm.vm.clone(),
+            domain: vm.domain.clone(),
+            rack: vm.rack.clone(),
+            holder: Some(self.me.clone()),
+            size: vm.size,
+            free: vm.size.saturating_sub(&vm.committed),
+            health: vm.health,
+            tasks: u32::try_from(vm.attempts.len()).unwrap_or(u32::MAX),
+        };
+        VmDetail {
+            summary,
+            classes: vm.classes.clone(),
+            token: Some(vm.token),
+            lease_left_ms: u64::try_from(vm.valid_for.as_millis()).ok(),
+            tasks: vm.attempts.clone(),
+        }
+    }
+
     fn show(&self, task: crate::ids::TaskId) -> Option<Shown> {
         let state = self.core.task(task)?.clone();
         Some(Shown { task: state, waiting_for: self.core.waiting_for(task) })
@@ -191,7 +212,8 @@
 
     fn handle(&mut self, msg: Ask, _: &mut Self::Context) -> Self::Result {
         let reply = match msg.0 {
-            Call::Submit { partition, .. } | Call::Cancel { task: crate::ids::TaskId { partition, .. } }
+            Call::Submit { partition, .. }
+            | Call::Cancel { task: crate::ids::TaskId { partition, .. } }
                 if !self.core.writes(partition) =>
             {
                 Reply::NotWriter
@@ -211,9 +233,10 @@
                 Some(shown) => Reply::Task(Box::new(shown)),
                 None => Reply::Answer(Answer::NotFound),
             },
-            Call::List => Reply::Tasks(
-                self.core.tasks().filter_map(|task| self.show(task.id)).collect(),
-            ),
+            Call::List => {
+                Reply::Tasks(self.core.tasks().filter_map(|task| self.show(task.id)).collect())
+            }
+            Call::Vms => Reply::Vms(self.core.vms().iter().map(|vm| self.detail(vm)).collect()),
             Call::Explain { subject } => {
                 let kept = self.journal.of(&subject);
                 Reply::Records { records: kept.records, forgotten: kept.forgotten }
--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -42,8 +42,7 @@
     pub fn keep(&mut self, record: DecisionRecord) {
         let subject = record.subject.clone();
         let mut kept = self.subjects.shift_remove(&subject).unwrap_or_default();
-        let repeated =
-            kept.records.back().is_some_and(|last| last.verdict == record.verdict);
+        let repeated = kept.records.back().is_some_and(|last| last.verdict == record.verdict);
         if repeated {
             // A task that waits is decided about many times a second; the last word is enough.
             kept.records.pop_back();
@@ -63,9 +62,10 @@
     /// What is known of a subject, and whether something was forgotten.
     pub fn of(&self, subject: &Subject) -> Recalled {
         match self.subjects.get(subject) {
-            Some(kept) => {
-                Recalled { records: kept.records.iter().cloned().collect(), forgotten: kept.dropped }
-            }
+            Some(kept) => Recalled {
+                records: kept.records.iter().cloned().collect(),
+                forgotten: kept.dropped,
+            },
             None => Recalled { records: Vec::new(), forgotten: self.forgotten > 0 },
         }
     }
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -8,6 +8,7 @@
 use crate::peer::{Member, PeerMsg};
 use crate::task::{Record, TaskSpec, TaskState};
 use crate::worker;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -112,7 +113,8 @@
 }
 
 /// The answer to a submission or a cancellation.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Answer {
     /// The task is durable; `repeated` if the key was known already.
     Accepted { task: TaskId, repeated: bool },
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -15,8 +15,8 @@
 use crate::core::event::{Action, ListedState, ListedVm};
 use crate::core::lease::ControlLease;
 use crate::core::policy::Subject;
-use crate::ids::{DaemonId, DomainId, Token, VmId};
-use crate::peer::{PeerMsg, VmHealth, VmView};
+use crate::ids::{DaemonId, DomainId, RackId, Token, VmId};
+use crate::peer::{ClassCount, PeerMsg, VmHealth, VmView};
 use crate::units::Resources;
 use crate::worker::{self, Granted, SyncResp, TaskAttempt};
 use indexmap::IndexMap;
@@ -99,12 +99,16 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct VmSummary {
     pub vm: VmId,
+    pub domain: DomainId,
+    pub rack: RackId,
     pub token: Token,
     /// Time for which the control lease is surely held.
     pub valid_for: Duration,
     pub size: Resources,
     pub committed: Resources,
     pub health: VmHealth,
+    /// Committed tasks of each class.
+    pub classes: Vec<ClassCount>,
     /// Attempts that take room, service instances included.
     pub attempts: Vec<TaskAttempt>,
 }
@@ -153,11 +157,14 @@
         let live = table.iter().filter(|(_, slot)| slot.stage.takes_room());
         Some(VmSummary {
             vm: vm.clone(),
+            domain: self.domain.clone(),
+            rack: table.rack.clone(),
             token: grip.token,
             valid_for: grip.valid_until.saturating_sub(now),
             size: table.size,
             committed: table.committed().unwrap_or(table.size),
             health: self.health(),
+            classes: table.classes(),
             attempts: live.map(|(id, _)| *id).collect(),
         })
     }
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -119,7 +119,7 @@
 }
 
 /// What a decision was about.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Subject {
     Task(TaskId),
--- a/src/core/query.rs
+++ b/src/core/query.rs
@@ -4,7 +4,7 @@
 use crate::core::context::Counters;
 use crate::core::holder::VmSummary;
 use crate::core::life::task::{Step, Task};
-use crate::ids::{ClassName, PartitionId, TaskId};
+use crate::ids::{ClassName, DaemonId, PartitionId, TaskId};
 use crate::task::TaskState;
 use indexmap::IndexMap;
 
@@ -55,6 +55,16 @@
         })
     }
 
+    /// Whether this daemon writes the partition.
+    pub fn writes(&self, partition: PartitionId) -> bool {
+        self.writer.partition(partition).is_some()
+    }
+
+    /// The daemon that is proposed to write the partition.
+    pub fn writer_of(&self, partition: PartitionId) -> Option<DaemonId> {
+        self.cx.members.writer_of(partition).cloned()
+    }
+
     /// The VMs that this daemon holds.
     pub fn vms(&self) -> Vec<VmSummary> {
         self.holder.summaries(self.cx.now)
--- a/src/front.rs
+++ b/src/front.rs
@@ -67,7 +67,7 @@
 }
 
 /// Listens on `addr` and serves until stopped; runs on the present actix system.
-pub fn serve(addr: &str, links: Links, settings: DispatcherSettings) -> Result<Front> {
+pub fn serve(addr: SocketAddr, links: Links, settings: DispatcherSettings) -> Result<Front> {
     let listener = TcpListener::bind(addr)?;
     let addr = listener.local_addr()?;
     let server = HttpServer::new(move || {
@@ -97,15 +97,13 @@
 }
 
 fn mount(app: &mut web::ServiceConfig) {
-    app.route("/health", web::get().to(health))
-        .route("/ready", web::get().to(ready))
-        .service(
-            web::scope("/v1")
-                .configure(tasks::mount)
-                .configure(config::mount)
-                .configure(explain::mount)
-                .configure(status::mount),
-        );
+    app.route("/health", web::get().to(health)).route("/ready", web::get().to(ready)).service(
+        web::scope("/v1")
+            .configure(tasks::mount)
+            .configure(config::mount)
+            .configure(explain::mount)
+            .configure(status::mount),
+    );
 }
 
 /// Keeps a thread's dispatcher up to date.
@@ -148,7 +146,7 @@
     match state.links.view.borrow().stage {
         Stage::Serving => HttpResponse::Ok().body("ready\n"),
         Stage::Starting => HttpResponse::ServiceUnavailable().body("starting\n"),
-        Stage::Draining => HttpResponse::ServiceUnavailable().body("draining\n"),
+        Stage::Unready | Stage::Draining => HttpResponse::ServiceUnavailable().body("draining\n"),
     }
 }
 
--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -5,7 +5,7 @@
     ApiError, ApplyReply, ApplyReq, AuditPage, AuditQuery, AuditView, CallOutcome, ConfigView,
     ConfirmReq, DEFAULT_PAGE, ErrorKind, FileView, MAX_PAGE, Result,
 };
-use crate::audit::Entry;
+use crate::audit::{Entry, Missing};
 use crate::config::apply::{Action, Applied, ChangeRequest, Confirmation, Error};
 use crate::ids::{ChangeId, OperatorName, Revision};
 use crate::storage::{Apply, Confirm, GetStanding, ReadAudit};
@@ -41,11 +41,13 @@
 }
 
 async fn confirm(state: web::Data<State>, req: web::Json<ConfirmReq>) -> HttpResponse {
-    answer(confirm_change(&state.links, &req.change_id).await)
+    answer(confirm_change(&state.links, &req).await)
 }
 
-async fn confirm_change(links: &Links, change: &str) -> Result<ApplyReply> {
-    let confirm = Confirm(ChangeId::new(change));
+async fn confirm_change(links: &Links, req: &ConfirmReq) -> Result<ApplyReply> {
+    let change = &req.change_id;
+    let confirm =
+        Confirm { change: ChangeId::new(change), operator: OperatorName::new(&req.operator) };
     let confirmed = links.storage.send(confirm).await.map_err(|e| gone(&e))?;
     match confirmed.map_err(refuse)? {
         Confirmation::Applied(applied) => Ok(reply(applied)),
@@ -114,15 +116,10 @@
 
 async fn read_audit(links: &Links, query: &AuditQuery) -> Result<AuditPage> {
     let limit = query.limit.unwrap_or(DEFAULT_PAGE).min(MAX_PAGE);
-    let read = ReadAudit {
-        before: query.before,
-        limit: usize::try_from(limit).unwrap_or(usize::MAX),
-    };
+    let read =
+        ReadAudit { before: query.before, limit: usize::try_from(limit).unwrap_or(usize::MAX) };
     let page = links.storage.send(read).await.map_err(|e| gone(&e))?;
-    let page = page.map_err(|e| {
-        ApiError::new(ErrorKind::Unreachable, e.to_string(), "read the trail again later")
-    })?;
-    let missing = page.missing.as_ref().map(ToString::to_string);
+    let missing = page.missing.as_ref().map(lack);
     Ok(AuditPage {
         entries: page.entries.iter().map(view).collect(),
         complete: missing.is_none(),
@@ -131,6 +128,16 @@
     })
 }
 
+fn lack(missing: &Missing) -> String {
+    match missing {
+        Missing::All { reason } => format!("every entry, since the head can't be read: {reason}"),
+        Missing::Before { number, reason } => {
+            format!("entries before {number} can't be read now: {reason}")
+        }
+        Missing::Forgotten { number } => format!("entries before {number} are no longer kept"),
+    }
+}
+
 fn view(entry: &Entry) -> AuditView {
     let since_epoch = entry.at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     AuditView {
--- a/src/front/explain.rs
+++ b/src/front/explain.rs
@@ -4,7 +4,7 @@
 use super::tasks::read_id;
 use super::{Links, State, answer};
 use crate::api::{ApiError, ErrorKind, Explanation, Result};
-use crate::control::{Ask, Control, Inspect};
+use crate::control::Ask;
 use crate::core::policy::Subject;
 use crate::ids::{RequestId, VmId};
 use crate::peers::{Call, Reply};
@@ -94,20 +94,14 @@
             complete: true,
             ..Explanation::default()
         }),
-        other => Err(ApiError::new(
+        Explained::Forgotten { since } => Err(ApiError::new(
             ErrorKind::NotFound,
-            format!("{}: {other}", state.links.me),
+            format!(
+                "{} never had request `{id}`, or has forgotten it; it remembers the last {} s",
+                state.links.me,
+                state.links.clock.now().saturating_sub(since).as_secs()
+            ),
             "ask the daemon that answered the request; each remembers its own latest requests",
         )),
     }
 }
-
-/// Reads something of the core.
-pub async fn inspect<T: Send + 'static>(
-    links: &Links,
-    read: impl FnOnce(&Control) -> T + Send + 'static,
-) -> Result<T> {
-    links.control.send(Inspect(read)).await.map_err(|e| {
-        ApiError::new(ErrorKind::Unreachable, e.to_string(), "ask another daemon")
-    })
-}
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -42,11 +42,9 @@
         Reply::Answer(Answer::NotFound) => {
             ApiError::new(ErrorKind::NotFound, "there is no such task", "check the id")
         }
-        Reply::NotSent { reason } => ApiError::new(
-            ErrorKind::Unreachable,
-            reason,
-            "repeat the call; nothing was recorded",
-        ),
+        Reply::NotSent { reason } => {
+            ApiError::new(ErrorKind::Unreachable, reason, "repeat the call; nothing was recorded")
+        }
         Reply::NotWriter => ApiError::new(
             ErrorKind::Unreachable,
             "the partition is changing its writer",
@@ -57,7 +55,11 @@
             reason,
             "repeat the call with the same key, which never makes a second task",
         ),
-        Reply::Answer(_) | Reply::Task(_) | Reply::Tasks(_) | Reply::Records { .. } => {
+        Reply::Answer(_)
+        | Reply::Task(_)
+        | Reply::Tasks(_)
+        | Reply::Vms(_)
+        | Reply::Records { .. } => {
             ApiError::new(ErrorKind::Unknown, "the answer is of another kind", "report this")
                 .with_outcome(CallOutcome::Unknown)
         }
--- /dev/null
+++ b/src/front/status.rs
@@ -0,0 +1,149 @@
+//! How the daemon is doing, and the VMs it knows of.
+
+use super::forward::ask_daemon;
+use super::view::Stage;
+use super::{Links, State, answer};
+use crate::api::{
+    ApiError, DaemonState, ErrorKind, MemberStatus, PartitionStatus, Result, Status, StoreStatus,
+    VmDetail, VmSummary,
+};
+use crate::control::{Ask, Control, Inspect};
+use crate::ids::{ClassName, VmId};
+use crate::peers::{Call, Reply};
+use crate::request::RequestStatus;
+use crate::storage::{Answers, GetStanding};
+use actix_web::{HttpResponse, web};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// A lease with less than this left is near its end.
+const NEAR_LAPSE: Duration = Duration::from_secs(3);
+
+pub fn mount(scope: &mut web::ServiceConfig) {
+    scope
+        .route("/status", web::get().to(status))
+        .route("/vms", web::get().to(list))
+        .route("/vms/{id}", web::get().to(show));
+}
+
+/// What the status needs of the core.
+struct Core {
+    vms_held: u32,
+    leases_near_lapse: u32,
+    queued: IndexMap<ClassName, u32>,
+    refusals: IndexMap<String, u64>,
+    partitions: Vec<PartitionStatus>,
+}
+
+async fn status(state: web::Data<State>) -> HttpResponse {
+    answer(read_status(&state.links, state.dispatcher.status()).await)
+}
+
+async fn read_status(links: &Links, requests: RequestStatus) -> Result<Status> {
+    let partitions = links.partitions.clone();
+    let core =
+        links.control.send(Inspect(move |control: &Control| read_core(control, &partitions)));
+    let mut core = core.await.map_err(|e| stopping(&e))?;
+    let reach = links.storage.send(GetStanding).await.map_err(|e| stopping(&e))?.reach;
+    let since = links.clock.now().saturating_sub(reach.since);
+    for (class, count) in requests.queued {
+        core.queued.insert(class, u32::try_from(count).unwrap_or(u32::MAX));
+    }
+    for (reason, count) in requests.refusals {
+        core.refusals.insert(reason.as_str().to_owned(), count);
+    }
+    let view = links.view.borrow();
+    Ok(Status {
+        daemon: links.me.clone(),
+        domain: links.domain.clone(),
+        state: match view.stage {
+            Stage::Starting => DaemonState::Starting,
+            Stage::Serving => DaemonState::Serving,
+            Stage::Unready | Stage::Draining => DaemonState::Draining,
+        },
+        revision: view.config.revision,
+        store: StoreStatus {
+            reachable: reach.answers == Answers::Reached,
+            since_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+        },
+        vms_held: core.vms_held,
+        leases_near_lapse: core.leases_near_lapse,
+        queued: core.queued,
+        refusals: core.refusals,
+        partitions: core.partitions,
+        members: view
+            .members()
+            .iter()
+            .map(|member| MemberStatus {
+                daemon: member.id.clone(),
+                domain: member.domain.clone(),
+                state: member.state,
+                revision: member.revision,
+            })
+            .collect(),
+    })
+}
+
+fn read_core(control: &Control, partitions: &[crate::ids::PartitionId]) -> Core {
+    let core = control.core();
+    let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+    let vms = core.vms();
+    let own = core.partitions();
+    let partitions = partitions.iter().map(|id| {
+        let summary = own.iter().find(|summary| summary.id == *id);
+        PartitionStatus {
+            partition: *id,
+            writer: core.writer_of(*id),
+            tasks: summary.map(|summary| count(summary.tasks)),
+            waiting_tasks: summary.map(|summary| count(summary.waiting)),
+        }
+    });
+    Core {
+        vms_held: count(vms.len()),
+        leases_near_lapse: count(vms.iter().filter(|vm| vm.valid_for < NEAR_LAPSE).count()),
+        queued: core.queues().into_iter().map(|(class, n)| (class, count(n))).collect(),
+        refusals: control.refusals().clone(),
+        partitions: partitions.collect(),
+    }
+}
+
+fn stopping(e: &actix::MailboxError) -> ApiError {
+    ApiError::new(ErrorKind::Unreachable, format!("the daemon stops ({e})"), "ask another daemon")
+}
+
+async fn list(state: web::Data<State>) -> HttpResponse {
+    let vms = all_vms(&state.links).await;
+    let summaries: Vec<VmSummary> = vms.into_iter().map(|vm| vm.summary).collect();
+    answer(Ok(summaries))
+}
+
+async fn show(state: web::Data<State>, path: web::Path<String>) -> HttpResponse {
+    let vm = VmId::new(&path);
+    let found = all_vms(&state.links).await.into_iter().find(|detail| detail.summary.vm == vm);
+    answer(found.ok_or_else(|| {
+        ApiError::new(
+            ErrorKind::NotFound,
+            format!("no daemon that answers holds `{vm}`"),
+            "check the name; a VM that changes hands is held again within seconds",
+        )
+    }))
+}
+
+/// The VMs held by every daemon that answers, by name.
+async fn all_vms(links: &Links) -> Vec<VmDetail> {
+    let members: Vec<_> = links.view.borrow().serving().cloned().collect();
+    let mut vms = Vec::new();
+    for member in members {
+        let reply = if member == links.me {
+            let own = links.control.send(Ask(Call::Vms)).await;
+            own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
+        } else {
+            ask_daemon(links, member, Call::Vms).await
+        };
+        if let Reply::Vms(held) = reply {
+            vms.extend(held);
+        }
+    }
+    vms.sort_by(|a, b| a.summary.vm.cmp(&b.summary.vm));
+    vms
+}
--- a/src/front/tasks.rs
+++ b/src/front/tasks.rs
@@ -148,7 +148,8 @@
     tasks.dedup_by_key(|view| view.task.id);
     let complete = missing.is_empty() && tasks.len() <= limit;
     if tasks.len() > limit {
-        missing.push(format!("{} more tasks; raise the limit or name a class", tasks.len() - limit));
+        missing
+            .push(format!("{} more tasks; raise the limit or name a class", tasks.len() - limit));
         tasks.truncate(limit);
     }
     let missing = (!missing.is_empty()).then(|| missing.join("; "));
--- a/src/front/view.rs
+++ b/src/front/view.rs
@@ -14,6 +14,9 @@
     #[default]
     Starting,
     Serving,
+    /// Out of the balancer's choice soon; still serves.
+    Unready,
+    /// Takes nothing new.
     Draining,
 }
 
@@ -76,7 +79,7 @@
     }
 
     /// Takes over the daemons that answer.
-    pub fn members(&mut self, members: &[Member]) {
+    pub fn set_members(&mut self, members: &[Member]) {
         self.members = members.to_vec();
         self.join_peers();
     }
@@ -86,10 +89,14 @@
         self.members.iter().filter(|m| m.state == MemberState::Serving).map(|m| &m.id)
     }
 
+    /// The daemons that answer.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
     fn join_peers(&mut self) {
-        let front_of = |member: &Member| {
-            self.fronts.iter().find(|front| front.peer_addr == member.peer_addr)
-        };
+        let front_of =
+            |member: &Member| self.fronts.iter().find(|front| front.peer_addr == member.peer_addr);
         self.peers = self
             .members
             .iter()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,22 +5,28 @@
 //! caches these two and keeps nothing else that matters, so that any daemon can be replaced at
 //! any time. The decisions are made in [`core`], which does no I/O.
 
-pub mod audit;
 pub mod api;
+pub mod audit;
 pub mod chart;
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod core;
+pub mod daemon;
+pub mod front;
 pub mod ids;
 pub mod listing;
 pub mod membership;
 pub mod model;
 pub mod peer;
+pub mod peers;
+pub mod request;
 pub mod ring;
 pub mod settings;
-pub mod request;
+pub mod storage;
 pub mod store;
 pub mod task;
 pub mod tasklog;
 pub mod units;
 pub mod worker;
+pub mod workers;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -7,17 +7,18 @@
 pub mod link;
 pub mod server;
 
+use crate::api::VmDetail;
 use crate::clock::Clock;
 use crate::control::Told;
 use crate::core::Event;
 use crate::core::event::Answer;
 use crate::core::policy::{DecisionRecord, Subject};
+use crate::front::view::FrontView;
 use crate::ids::{DaemonId, IdempotencyKey, PartitionId, Revision, TaskId};
 use crate::listing::DaemonEntry;
 use crate::membership::{Membership, MembershipSettings};
 use crate::peer::{Member, MemberState, PeerMsg};
 use crate::ring::{RING_CAPACITY, Ring};
-use crate::front::view::FrontView;
 use crate::storage::{Know, OfferSnapshot, Storage};
 use crate::task::{TaskSpec, TaskState};
 use actix::prelude::*;
@@ -52,11 +53,23 @@
 /// A call about a task or a decision, made to the daemon that knows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
-    Submit { partition: PartitionId, key: IdempotencyKey, spec: TaskSpec },
-    Cancel { task: TaskId },
-    Show { task: TaskId },
+    Submit {
+        partition: PartitionId,
+        key: IdempotencyKey,
+        spec: TaskSpec,
+    },
+    Cancel {
+        task: TaskId,
+    },
+    Show {
+        task: TaskId,
+    },
     List,
-    Explain { subject: Subject },
+    Explain {
+        subject: Subject,
+    },
+    /// The VMs held by the daemon asked.
+    Vms,
 }
 
 /// The answer to a [`Call`].
@@ -65,6 +78,7 @@
     Answer(Answer),
     Task(Box<Shown>),
     Tasks(Vec<Shown>),
+    Vms(Vec<VmDetail>),
     Records {
         records: Vec<DecisionRecord>,
         forgotten: bool,
@@ -192,7 +206,7 @@
             return;
         }
         self.told.clone_from(&members);
-        self.front.send_modify(|view| view.members(&members));
+        self.front.send_modify(|view| view.set_members(&members));
         let domain = &self.membership.me().domain;
         let near = members.iter().filter(|m| m.domain == *domain).map(|m| m.id.clone()).collect();
         self.storage.do_send(Know::Watchers(near));
@@ -232,10 +246,7 @@
     fn handle(&mut self, msg: ListedDaemons, _: &mut Self::Context) {
         self.membership.listed(&msg.0);
         let membership = &self.membership;
-        let known = |addr: &str| {
-            addr == membership.me().peer_addr
-                || membership.knows(addr)
-        };
+        let known = |addr: &str| addr == membership.me().peer_addr || membership.knows(addr);
         self.links.retain(|addr, _| known(addr));
     }
 }
@@ -314,7 +325,7 @@
 impl Handler<Incoming> for Peers {
     type Result = MessageResult<Incoming>;
 
-    fn handle(&mut self, msg: Incoming, cx: &mut Self::Context) {
+    fn handle(&mut self, msg: Incoming, cx: &mut Self::Context) -> Self::Result {
         self.heard(&msg.from, cx);
         for peer_msg in msg.msgs {
             let event = Event::Peer { from: msg.from.id.clone(), msg: peer_msg };
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -134,8 +134,7 @@
         if let Some(client) = self.inner.client.borrow().clone() {
             return Ok(client);
         }
-        let not_sent =
-            |reason: String| Error::NotSent { addr: self.inner.addr.clone(), reason };
+        let not_sent = |reason: String| Error::NotSent { addr: self.inner.addr.clone(), reason };
         let mut connect = tarpc::serde_transport::tcp::connect(&self.inner.addr, Bincode::default);
         connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect)
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -1,7 +1,7 @@
 //! The peer port: answers the other daemons' calls.
 
 use super::{Call, Incoming, MAX_FRAME_BYTES, PeerRpc, Peers, Reply};
-use crate::control::{Control, Ask};
+use crate::control::{Ask, Control};
 use crate::ids::Revision;
 use crate::peer::{Member, PeerMsg};
 use crate::storage::{GetSnapshot, Storage};
@@ -26,7 +26,7 @@
 
 /// Listens on `addr` and answers on the present thread until it ends; returns the bound address.
 pub async fn serve(
-    addr: &str,
+    addr: SocketAddr,
     me: impl FnOnce(SocketAddr) -> Member,
     peers: impl FnOnce(Member) -> Addr<Peers>,
     control: Addr<Control>,
@@ -40,8 +40,7 @@
     actix::spawn(async move {
         while let Some(incoming) = listener.next().await {
             let Ok(transport) = incoming else { continue };
-            let requests =
-                BaseChannel::with_defaults(transport).execute(server.clone().serve());
+            let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
             actix::spawn(requests.for_each(|answer| async {
                 actix::spawn(answer);
             }));
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -7,18 +7,17 @@
 mod partition;
 mod reach;
 
-pub use reach::{Reachability, SharedStore};
+pub use reach::{Answers, Reachability, SharedStore};
 
 use crate::audit;
 use crate::clock::Clock;
 use crate::config::apply::{self, Applied, ChangeRequest, Confirmation};
 use crate::config::follow::{Follower, Outcome};
-use crate::config::head;
 use crate::config::snapshot::Snapshot;
 use crate::control::Told;
 use crate::core::{Action, Event};
 use crate::front::view::FrontView;
-use crate::ids::{ChangeId, DaemonId, PartitionId, Revision};
+use crate::ids::{ChangeId, DaemonId, OperatorName, PartitionId, Revision};
 use crate::peers::{Announce, Peers};
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
 use actix::prelude::*;
@@ -27,7 +26,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
 /// Jobs that wait for one partition.
@@ -116,7 +114,7 @@
             }
             Outcome::Same | Outcome::Older { .. } => {}
             Outcome::Incomplete { missing } => {
-                log::warn!(event = "config-incomplete", missing = missing.join(","); "");
+                log::warn!(event = "config-incomplete", missing:% = missing.join(","); "");
             }
             Outcome::Forked => log::error!(event = "config-forked"; ""),
             Outcome::Invalid(faults) => {
@@ -228,20 +226,23 @@
 /// Asks how an operator's change ended.
 #[derive(Message)]
 #[rtype(result = "apply::Result<Confirmation>")]
-pub struct Confirm(pub ChangeId);
+pub struct Confirm {
+    pub change: ChangeId,
+    pub operator: OperatorName,
+}
 
 impl Handler<Confirm> for Storage {
     type Result = ResponseFuture<apply::Result<Confirmation>>;
 
     fn handle(&mut self, msg: Confirm, _: &mut Self::Context) -> Self::Result {
         let (store, clock) = (self.store.clone(), self.clock.clone());
-        Box::pin(async move { apply::confirm(&store, &clock, &msg.0).await })
+        Box::pin(async move { apply::confirm(&store, &clock, &msg.change, &msg.operator).await })
     }
 }
 
 /// Reads a page of the audit trail.
 #[derive(Message)]
-#[rtype(result = "audit::Result<audit::Page>")]
+#[rtype(result = "audit::Page")]
 pub struct ReadAudit {
     /// Number of the entry that the page ends before.
     pub before: Option<u64>,
@@ -249,7 +250,7 @@
 }
 
 impl Handler<ReadAudit> for Storage {
-    type Result = ResponseFuture<audit::Result<audit::Page>>;
+    type Result = ResponseFuture<audit::Page>;
 
     fn handle(&mut self, msg: ReadAudit, _: &mut Self::Context) -> Self::Result {
         let store = self.store.clone();
--- a/src/storage/follow.rs
+++ b/src/storage/follow.rs
@@ -8,8 +8,6 @@
 use crate::config::follow::{fetch, next_head, read_present, watches};
 use crate::config::head;
 use crate::config::head::Versioned;
-use crate::ids::Revision;
-use crate::peers::Announce;
 use actix::prelude::*;
 use rand::Rng;
 use std::time::Duration;
--- a/src/storage/partition.rs
+++ b/src/storage/partition.rs
@@ -57,7 +57,9 @@
                     self.tell(Event::Recovered { partition, tasks, next_number });
                     return loaded.partition;
                 }
-                Err(e) => log::warn!(event = "partition-unread", partition = self.id.0, reason:% = e; ""),
+                Err(e) => {
+                    log::warn!(event = "partition-unread", partition = self.id.0, reason:% = e; "")
+                }
             }
             backoff.wait().await;
         }
--- a/src/tasklog/codec.rs
+++ b/src/tasklog/codec.rs
@@ -5,7 +5,8 @@
 //! to the dictionary; the log is therefore read from its first page on, in order.
 
 use crate::ids::{
-    Attempt, CheckpointId, ClassName, IdempotencyKey, PartitionId, PoolName, TaskId, TeamName, VmId,
+    Attempt, BootId, CheckpointId, ClassName, IdempotencyKey, PartitionId, PoolName, TaskId,
+    TeamName, VmId,
 };
 use crate::model::{Idempotency, Resumption, Urgency};
 use crate::task::{Change, Outcome, Phase, Record, TaskSpec, TaskState};
@@ -82,7 +83,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 enum Step {
     Accepted { key: IdempotencyKey, spec: u32, payload: String },
-    Bound { vm: u32, attempt: Attempt },
+    Bound { vm: u32, boot: BootId, attempt: Attempt },
     Released { attempt: Attempt, checkpoint: Option<CheckpointId>, failed: bool },
     Ended { attempt: Attempt, outcome: Outcome },
     CancelAsked,
@@ -96,6 +97,7 @@
     payload: String,
     phase: PhaseEntry,
     attempt: Attempt,
+    boot: BootId,
     checkpoint: Option<CheckpointId>,
     failures: u32,
     cancel_asked: bool,
@@ -220,8 +222,8 @@
                 spec: self.intern_spec(spec),
                 payload: spec.payload.clone(),
             },
-            Change::Bound { vm, attempt } => {
-                Step::Bound { vm: self.intern(vm.as_str()), attempt: *attempt }
+            Change::Bound { vm, boot, attempt } => {
+                Step::Bound { vm: self.intern(vm.as_str()), boot: *boot, attempt: *attempt }
             }
             Change::Released { attempt, checkpoint, failed } => Step::Released {
                 attempt: *attempt,
@@ -241,8 +243,8 @@
             Step::Accepted { key, spec, payload } => {
                 Change::Accepted { key: key.clone(), spec: self.spec(*spec, payload)? }
             }
-            Step::Bound { vm, attempt } => {
-                Change::Bound { vm: VmId::new(self.name(*vm)?), attempt: *attempt }
+            Step::Bound { vm, boot, attempt } => {
+                Change::Bound { vm: VmId::new(self.name(*vm)?), boot: *boot, attempt: *attempt }
             }
             Step::Released { attempt, checkpoint, failed } => Change::Released {
                 attempt: *attempt,
@@ -269,6 +271,7 @@
             payload: task.spec.payload.clone(),
             phase,
             attempt: task.attempt,
+            boot: task.boot,
             checkpoint: task.checkpoint.clone(),
             failures: task.failures,
             cancel_asked: task.cancel_asked,
@@ -287,6 +290,7 @@
             spec: self.spec(entry.spec, &entry.payload)?,
             phase,
             attempt: entry.attempt,
+            boot: entry.boot,
             checkpoint: entry.checkpoint.clone(),
             failures: entry.failures,
             cancel_asked: entry.cancel_asked,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -63,9 +63,8 @@
     fn read_list(&mut self, cx: &mut Context<Self>) {
         let client = self.client.clone();
         let settings = self.settings.clone();
-        let fetch = async move {
-            listing::fetch(&client, &settings.list_url, settings.call_timeout).await
-        };
+        let fetch =
+            async move { listing::fetch(&client, &settings.list_url, settings.call_timeout).await };
         cx.spawn(fetch.into_actor(self).map(|listing, this, _| match listing {
             Ok(listing) => this.listed(&listing),
             Err(e) => log::warn!(event = "list-unread", reason:% = e; ""),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,12 +4,10 @@
 //! checked against what the platform saw and not against what the system says of itself.
 
 pub mod balancer;
+pub mod endpoint;
+pub mod kv;
 pub mod ledger;
 pub mod list;
 pub mod rack;
 pub mod server;
 pub mod worker;
-
-pub mod kv;
-
-pub mod endpoint;
--- a/tests/config_examples.rs
+++ b/tests/config_examples.rs
@@ -57,7 +57,9 @@
     }
     let mut follower = Follower::new();
     let at = block_on(head::read(&store)).expect("a head");
-    let snapshot = block_on(fetch(&store, &follower, &at)).expect("all texts");
+    let manifest = at.head.manifest;
+    let wants = follower.wants(&manifest);
+    let snapshot = block_on(fetch(&store, wants, manifest)).expect("all texts");
     let Outcome::InForce(cfg) = follower.offer(&snapshot) else { panic!("not in force") };
     assert_eq!(*cfg, Config { revision: Revision(4), ..checked("inkuru") });
     let settled = block_on(confirm(&store, &clock, &ChangeId::new("c2"), &operator));
