--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod clock;
 pub mod core;
 pub mod ids;
+pub mod logs;
+pub mod metrics;
 pub mod model;
 pub mod peer;
 pub mod settings;
