Add the operators' client

It tries the given daemons in turn. awc reports a connection that closed before the answer as a failure to connect; taken at its word, a change whose answer was lost would have been sent to a second daemon, or reported as not run. It is reported as unknown.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! any time. The decisions are made in [`core`], which does no I/O.
 
 pub mod api;
+pub mod client;
 pub mod clock;
 pub mod core;
 pub mod ids;
