--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod api;
 pub mod audit;
 pub mod chart;
+pub mod client;
 pub mod clock;
 pub mod config;
 pub mod control;
@@ -17,6 +18,8 @@
 pub mod ids;
 pub mod listing;
 pub mod membership;
+pub mod logs;
+pub mod metrics;
 pub mod model;
 pub mod peer;
 pub mod peers;
