--- a/src/core/holder/relief.rs
+++ b/src/core/holder/relief.rs
@@ -22,6 +22,9 @@
             self.note_progress(vm_id, report);
             cx.policy.observe(vm_id, report, cx.now);
         }
+        if self.vms.get(vm_id).is_some_and(|vm| vm.leaving) {
+            return self.move_off(cx, vm_id);
+        }
         let residents = self.residents(cx, vm_id);
         for decided in cx.policy.relieve(vm_id, &residents, cx.now) {
             self.relieve(cx, decided);
@@ -45,6 +48,16 @@
         }
     }
 
+    /// Moves what can be resumed off a VM that is leaving; the rest runs on while it can.
+    fn move_off(&mut self, cx: &mut Context, vm_id: &VmId) {
+        for resident in self.residents(cx, vm_id) {
+            if resident.spec.resumption == Resumption::Checkpoint && may_move(&resident.spec) {
+                let id = TaskAttempt { task: resident.task, attempt: resident.attempt };
+                self.evict(cx, vm_id, id, CloseReason::Leaving);
+            }
+        }
+    }
+
     fn throttle(&mut self, cx: &mut Context, vm_id: &VmId, task: TaskId, share: f64) {
         let Some(grip) = self.vms.get(vm_id).and_then(|vm| vm.grip(cx.now)) else { return };
         let req = ThrottleReq { token: grip.token, task, share };
--- a/src/core/life/steps.rs
+++ b/src/core/life/steps.rs
@@ -229,7 +229,7 @@
         }
         cx.explain(Subject::Task(about.task), format!("ended on {}: {outcome:?}", about.vm));
         let change = Change::Ended { attempt: about.attempt, outcome };
-        self.settle(cx, about, change);
+        self.settle(about, change);
     }
 
     fn release(
@@ -248,10 +248,10 @@
         );
         let failed = failure == Failure::Yes;
         let change = Change::Released { attempt: about.attempt, checkpoint, failed };
-        self.settle(cx, about, change);
+        self.settle(about, change);
     }
 
-    fn settle(&mut self, cx: &mut Context, about: &About, change: Change) {
+    fn settle(&mut self, about: &About, change: Change) {
         self.set_deadline(about.task.number, None);
         let ack = Ack { to: about.from.clone(), vm: about.vm.clone(), attempt: about.attempt };
         let record = Record { task: about.task, change };
