--- a/src/control.rs
+++ b/src/control.rs
@@ -37,6 +37,8 @@
     core: Core,
     clock: Arc<dyn Clock>,
     rings: Option<Rings>,
+    /// Events that came before the rings were connected.
+    early: VecDeque<Event>,
     callers: IndexMap<Ticket, oneshot::Sender<Answer>>,
     last_ticket: Ticket,
     journal: Journal,
@@ -51,6 +53,7 @@
             core,
             clock,
             rings: None,
+            early: VecDeque::new(),
             callers: IndexMap::new(),
             last_ticket: Ticket(0),
             journal: Journal::new(),
@@ -79,6 +82,11 @@
     }
 
     fn step(&mut self, event: Event) {
+        if self.rings.is_none() {
+            // Its actions would have nowhere to go, and the core would wait for their answers.
+            self.early.push_back(event);
+            return;
+        }
         let now = self.clock.now();
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
@@ -113,7 +121,7 @@
             action => rings.workers.push(WorkerCall(action)).is_err(),
         };
         if lost {
-            log::error!(event = "action-lost"; "");
+            log::error!("action-lost");
         }
     }
 
@@ -171,7 +179,9 @@
                 rings.workers.flush();
                 rings.peers.flush();
             }
-            this.step(Event::Tick);
+            if this.rings.is_some() {
+                this.step(Event::Tick);
+            }
         });
     }
 }
@@ -186,6 +196,9 @@
 
     fn handle(&mut self, msg: Connect, _: &mut Self::Context) {
         self.rings = Some(msg.0);
+        for event in std::mem::take(&mut self.early) {
+            self.step(event);
+        }
     }
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -101,7 +101,7 @@
             });
         });
         let Started { front_addr, peer_addr } = rx.recv().map_err(|_| Error::Ended)??;
-        log::info!(event = "daemon-started", daemon = id.as_str(), front:% = front_addr; "");
+        log::info!(daemon = id.as_str(), front:% = front_addr; "daemon-started");
         let thread = Some(thread);
         Ok(Self { id, front_addr, peer_addr, stop, thread, stage: PhantomData })
     }
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -44,7 +44,7 @@
 }
 
 async fn drain(duties: &Duties) {
-    log::info!(event = "drain-begun"; "");
+    log::info!("drain-begun");
     duties.set_stage(Stage::Unready);
     duties.peers.do_send(Announce::State(MemberState::Draining));
     duties.tell_core(Event::Drain);
@@ -53,9 +53,9 @@
     duties.set_stage(Stage::Draining);
     let finished = tokio::time::timeout(duties.drain, finish(duties)).await;
     match finished {
-        Ok(()) => log::info!(event = "drain-ended"; ""),
+        Ok(()) => log::info!("drain-ended"),
         Err(_) => {
-            log::warn!(event = "drain-cut", in_flight = duties.in_flight.load(Ordering::SeqCst); "")
+            log::warn!(in_flight = duties.in_flight.load(Ordering::SeqCst); "drain-cut")
         }
     }
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -90,7 +90,7 @@
     let handle = server.handle();
     actix::spawn(async move {
         if let Err(e) = server.await {
-            log::error!(event = "front-ended", reason:% = e; "");
+            log::error!(reason:% = e; "front-ended");
         }
     });
     Ok(Front { addr, handle })
--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -37,7 +37,7 @@
         base: req.base,
     };
     let applied = links.storage.send(Apply(change)).await.map_err(|e| gone(&e))?;
-    applied.map(reply).map_err(refuse)
+    applied.map(|applied| reply(&applied)).map_err(refuse)
 }
 
 async fn confirm(state: web::Data<State>, req: web::Json<ConfirmReq>) -> HttpResponse {
@@ -50,7 +50,7 @@
         Confirm { change: ChangeId::new(change), operator: OperatorName::new(&req.operator) };
     let confirmed = links.storage.send(confirm).await.map_err(|e| gone(&e))?;
     match confirmed.map_err(refuse)? {
-        Confirmation::Applied(applied) => Ok(reply(applied)),
+        Confirmation::Applied(applied) => Ok(reply(&applied)),
         Confirmation::NotApplied { since } => Err(ApiError::new(
             ErrorKind::NotFound,
             format!("change `{change}` had no effect and never will (audit read from {since} on)"),
@@ -59,7 +59,7 @@
     }
 }
 
-fn reply(applied: Applied) -> ApplyReply {
+fn reply(applied: &Applied) -> ApplyReply {
     ApplyReply {
         change_id: applied.change.as_str().to_owned(),
         revision: applied.revision,
--- a/src/front/explain.rs
+++ b/src/front/explain.rs
@@ -31,7 +31,7 @@
     let mut explanation = everyone(links, Subject::Task(task)).await;
     if let Some(waiting_for) = shown.waiting_for {
         explanation.missing =
-            Some(join(explanation.missing.take(), format!("now waiting for {waiting_for}")));
+            Some(join(explanation.missing.take(), &format!("now waiting {waiting_for}")));
     }
     Ok(explanation)
 }
@@ -75,11 +75,11 @@
 
 fn lack(explanation: &mut Explanation, what: String) {
     explanation.complete = false;
-    explanation.missing = Some(join(explanation.missing.take(), what));
+    explanation.missing = Some(join(explanation.missing.take(), &what));
 }
 
-fn join(before: Option<String>, what: String) -> String {
-    before.map_or(what.clone(), |before| format!("{before}; {what}"))
+fn join(before: Option<String>, what: &str) -> String {
+    before.map_or_else(|| what.to_owned(), |before| format!("{before}; {what}"))
 }
 
 async fn request(state: web::Data<State>, path: web::Path<String>) -> HttpResponse {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -32,6 +32,8 @@
 /// Largest message between daemons, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Time after which a daemon that has no list goes on without.
+const SETTLE_LIMIT: Duration = Duration::from_secs(3);
 const ROUND_CHECK: Duration = Duration::from_millis(200);
 
 /// What daemons ask of each other.
@@ -102,6 +104,17 @@
     pub waiting_for: Option<String>,
 }
 
+/// Whether the daemons that were there before this one have been asked.
+///
+/// A daemon that tells its core of itself alone, because it has not heard of the others yet, would
+/// claim every partition and ask for every VM, and give them up again a moment later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Settling {
+    Unlisted,
+    Asking { open: usize },
+    Settled,
+}
+
 /// The peers' duty.
 pub struct Peers {
     membership: Membership,
@@ -112,6 +125,7 @@
     clock: Arc<dyn Clock>,
     told: Vec<Member>,
     fetching: bool,
+    settling: Settling,
 }
 
 impl Peers {
@@ -133,6 +147,7 @@
             clock,
             told: Vec::new(),
             fetching: false,
+            settling: Settling::Unlisted,
         }
     }
 
@@ -156,10 +171,26 @@
                 if let Ok(member) = answer {
                     this.heard(&member, cx);
                 }
+                this.asked();
             },
         ));
     }
 
+    /// Counts an answered or failed probe of the first list.
+    fn asked(&mut self) {
+        if let Settling::Asking { open } = &mut self.settling {
+            *open = open.saturating_sub(1);
+            if *open == 0 {
+                self.settle();
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        self.settling = Settling::Settled;
+        self.tell_members();
+    }
+
     // The barrier goes through this daemon's own peer port. Sockets that were readable before it
     // was sent are read by the same reactor on the way, so that its return means that every
     // answer which had arrived by then has been counted.
@@ -170,7 +201,7 @@
             move |answer, this, _| {
                 if answer.is_ok() {
                     for dead in this.membership.passed(barrier) {
-                        log::warn!(event = "member-dead", daemon = dead.as_str(); "");
+                        log::warn!(daemon = dead.as_str(); "member-dead");
                     }
                     this.tell_members();
                 }
@@ -201,6 +232,9 @@
     }
 
     fn tell_members(&mut self) {
+        if self.settling != Settling::Settled {
+            return;
+        }
         let members = self.membership.members();
         if members == self.told {
             return;
@@ -231,7 +265,7 @@
     fn started(&mut self, cx: &mut Self::Context) {
         cx.set_mailbox_capacity(RING_CAPACITY);
         cx.run_interval(ROUND_CHECK, Self::round);
-        self.tell_members();
+        cx.run_later(SETTLE_LIMIT, |this, _| this.settle());
     }
 }
 
@@ -243,11 +277,19 @@
 impl Handler<ListedDaemons> for Peers {
     type Result = ();
 
-    fn handle(&mut self, msg: ListedDaemons, _: &mut Self::Context) {
+    fn handle(&mut self, msg: ListedDaemons, cx: &mut Self::Context) {
         self.membership.listed(&msg.0);
         let membership = &self.membership;
         let known = |addr: &str| addr == membership.me().peer_addr || membership.knows(addr);
         self.links.retain(|addr, _| known(addr));
+        if self.settling == Settling::Unlisted && !msg.0.is_empty() {
+            let addrs = self.membership.addrs();
+            self.settling = Settling::Asking { open: addrs.len() };
+            addrs.iter().for_each(|addr| self.probe(addr, cx));
+            if addrs.is_empty() {
+                self.settle();
+            }
+        }
     }
 }
 
@@ -331,7 +373,7 @@
             let event = Event::Peer { from: msg.from.id.clone(), msg: peer_msg };
             // A full ring loses the message; its sender's core repeats it.
             if self.control.push(Told(event)).is_err() {
-                log::warn!(event = "peer-message-lost", daemon = msg.from.id.as_str(); "");
+                log::warn!(daemon = msg.from.id.as_str(); "peer-message-lost");
             }
         }
         MessageResult(self.membership.me().clone())
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -83,21 +83,21 @@
             tx
         });
         if let Err(e) = sender.try_send(job) {
-            self.refuse(e.into_inner());
+            self.refuse(&e.into_inner());
         }
     }
 
-    fn refuse(&self, job: Job) {
+    fn refuse(&self, job: &Job) {
         if let Job::Commit { ticket, .. } = job {
             let reason = "too many commits wait for the key-value service".to_owned();
             let result = crate::core::event::CommitResult::NotWritten { reason };
-            self.tell(Event::Committed { ticket, result });
+            self.tell(Event::Committed { ticket: *ticket, result });
         }
     }
 
     fn tell(&self, event: Event) {
         if self.control.borrow_mut().push(Told(event)).is_err() {
-            log::error!(event = "answer-lost"; "");
+            log::error!("answer-lost");
         }
     }
 
@@ -105,7 +105,7 @@
     fn offer(&mut self, snapshot: &Snapshot) {
         match self.follower.offer(snapshot) {
             Outcome::InForce(config) => {
-                log::info!(event = "config-in-force", revision = config.revision.0; "");
+                log::info!(revision = config.revision.0; "config-in-force");
                 self.tell(Event::Configured(config.clone()));
                 self.front.send_modify(|view| view.configured(config.clone()));
                 if let Some(peers) = &self.peers {
@@ -114,11 +114,11 @@
             }
             Outcome::Same | Outcome::Older { .. } => {}
             Outcome::Incomplete { missing } => {
-                log::warn!(event = "config-incomplete", missing:% = missing.join(","); "");
+                log::warn!(missing:% = missing.join(","); "config-incomplete");
             }
-            Outcome::Forked => log::error!(event = "config-forked"; ""),
+            Outcome::Forked => log::error!("config-forked"),
             Outcome::Invalid(faults) => {
-                log::error!(event = "config-invalid", faults = faults.len(); "");
+                log::error!(faults = faults.len(); "config-invalid");
             }
         }
     }
@@ -184,7 +184,7 @@
     fn handle(&mut self, msg: OfferSnapshot, _: &mut Self::Context) {
         match serde_json::from_slice(&msg.json) {
             Ok(snapshot) => self.offer(&snapshot),
-            Err(e) => log::warn!(event = "snapshot-unread", reason:% = e; ""),
+            Err(e) => log::warn!(reason:% = e; "snapshot-unread"),
         }
     }
 }
--- a/src/storage/follow.rs
+++ b/src/storage/follow.rs
@@ -5,7 +5,7 @@
 //! the service's rate would bound the number of daemons.
 
 use super::Storage;
-use crate::config::follow::{fetch, next_head, read_present, watches};
+use crate::config::follow::fetch::{fetch, next_head, read_present, watches};
 use crate::config::head;
 use crate::config::head::Versioned;
 use actix::prelude::*;
@@ -55,7 +55,7 @@
         cx.spawn(read.into_actor(self).map(move |at, this, cx| match at {
             Ok(at) => this.fetch(at, cx),
             Err(e) => {
-                log::warn!(event = "head-unread", reason:% = e; "");
+                log::warn!(reason:% = e; "head-unread");
                 cx.run_later(jittered(RETRY), move |this, cx| this.look(look, cx));
             }
         }));
@@ -79,7 +79,7 @@
         cx.spawn(read.into_actor(self).map(move |snapshot, this, cx| {
             match snapshot {
                 Ok(snapshot) => this.offer(&snapshot),
-                Err(e) => log::warn!(event = "config-unread", reason:% = e; ""),
+                Err(e) => log::warn!(reason:% = e; "config-unread"),
             }
             let behind = this.follower.revision() < revision;
             let look = if behind { Look::Read { wait: RETRY } } else { this.next_look(version) };
--- a/src/storage/partition.rs
+++ b/src/storage/partition.rs
@@ -53,12 +53,12 @@
                 Ok(loaded) => {
                     let (partition, tasks) = (self.id, loaded.tasks);
                     let next_number = loaded.next_number;
-                    log::info!(event = "partition-loaded", partition = partition.0, tasks = tasks.len(); "");
+                    log::info!(partition = partition.0, tasks = tasks.len(); "partition-loaded");
                     self.tell(Event::Recovered { partition, tasks, next_number });
                     return loaded.partition;
                 }
                 Err(e) => {
-                    log::warn!(event = "partition-unread", partition = self.id.0, reason:% = e; "")
+                    log::warn!(partition = self.id.0, reason:% = e; "partition-unread")
                 }
             }
             backoff.wait().await;
@@ -88,7 +88,7 @@
             Ok(()) => self.committed(ticket, CommitResult::Durable),
             Err(e) => {
                 let superseded = matches!(e, Error::Superseded { .. });
-                log::warn!(event = "commit-failed", partition = self.id.0, reason:% = e; "");
+                log::warn!(partition = self.id.0, reason:% = e; "commit-failed");
                 self.committed(ticket, CommitResult::NotWritten { reason: e.to_string() });
                 if superseded {
                     self.tell(Event::Superseded { partition: self.id });
@@ -104,7 +104,7 @@
         if partition.compact_due()
             && let Err(e) = partition.compact(&self.store).await
         {
-            log::warn!(event = "compaction-failed", partition = self.id.0, reason:% = e; "");
+            log::warn!(partition = self.id.0, reason:% = e; "compaction-failed");
         }
         partition.sweep(&self.store).await;
     }
@@ -115,7 +115,7 @@
 
     fn tell(&self, event: Event) {
         if self.control.borrow_mut().push(Told(event)).is_err() {
-            log::error!(event = "answer-lost"; "");
+            log::error!("answer-lost");
         }
     }
 }
--- a/src/storage/reach.rs
+++ b/src/storage/reach.rs
@@ -51,7 +51,7 @@
         };
         if self.reach.get().answers != answers {
             self.reach.set(Reachability { answers, since: self.clock.now() });
-            log::warn!(event = "store-reach", answers:? = answers; "");
+            log::warn!(answers:? = answers; "store-reach");
         }
         result
     }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -67,7 +67,7 @@
             async move { listing::fetch(&client, &settings.list_url, settings.call_timeout).await };
         cx.spawn(fetch.into_actor(self).map(|listing, this, _| match listing {
             Ok(listing) => this.listed(&listing),
-            Err(e) => log::warn!(event = "list-unread", reason:% = e; ""),
+            Err(e) => log::warn!(reason:% = e; "list-unread"),
         }));
     }
 
@@ -88,7 +88,7 @@
 
     fn tell(&mut self, event: Event) {
         if self.control.push(Told(event)).is_err() {
-            log::error!(event = "answer-lost"; "");
+            log::error!("answer-lost");
         }
     }
 
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -174,16 +174,16 @@
     pub fn submit(&mut self, key: &str, spec: TaskSpec) -> Ticket {
         let ticket = self.ticket();
         let key = IdempotencyKey::new(key);
-        self.to_writer(ticket, Event::Submit { ticket, partition: PARTITION, key, spec })
+        self.step_writer(ticket, Event::Submit { ticket, partition: PARTITION, key, spec })
     }
 
     /// Asks the writer for a task's end.
     pub fn cancel(&mut self, task: TaskId) -> Ticket {
         let ticket = self.ticket();
-        self.to_writer(ticket, Event::Cancel { ticket, task })
+        self.step_writer(ticket, Event::Cancel { ticket, task })
     }
 
-    fn to_writer(&mut self, ticket: Ticket, event: Event) -> Ticket {
+    fn step_writer(&mut self, ticket: Ticket, event: Event) -> Ticket {
         match self.writer() {
             Some(writer) => self.tell(&writer, event),
             None => {
