--- a/src/front/explain.rs
+++ b/src/front/explain.rs
@@ -58,24 +58,21 @@
             Reply::Records { records, forgotten: false } => explanation.records.extend(records),
             Reply::Records { records, forgotten: true } => {
                 explanation.records.extend(records);
-                lack(&mut explanation, format!("{member} has forgotten its oldest decisions"));
+                lack(&mut explanation, &format!("{member} has forgotten its oldest decisions"));
             }
-            _ => lack(&mut explanation, format!("{member} did not answer")),
+            _ => lack(&mut explanation, &format!("{member} did not answer")),
         }
     }
     explanation.records.sort_by_key(|record| record.at);
     if explanation.records.is_empty() {
-        lack(
-            &mut explanation,
-            "no decision about it is remembered by the daemons that answer".to_owned(),
-        );
+        lack(&mut explanation, "no decision about it is remembered by the daemons that answer");
     }
     explanation
 }
 
-fn lack(explanation: &mut Explanation, what: String) {
+fn lack(explanation: &mut Explanation, what: &str) {
     explanation.complete = false;
-    explanation.missing = Some(join(explanation.missing.take(), &what));
+    explanation.missing = Some(join(explanation.missing.take(), what));
 }
 
 fn join(before: Option<String>, what: &str) -> String {
