--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -4,11 +4,9 @@
 //! What is printed as a result is counted by the stand-ins, not by the daemons.
 
 mod callers;
-mod platform;
 mod report;
 
 use eyre::{Result, ensure, eyre};
-use platform::Platform;
 use report::Summary;
 use std::path::Path;
 use std::process::ExitCode;
@@ -20,6 +18,7 @@
 use waxwingstall::daemon::{Daemon, Serving};
 use waxwingstall::ids::{Revision, TaskId, VmId};
 use waxwingstall::task::{Outcome, Phase};
+use waxwingstall_standin::platform::{Platform, PlatformSettings};
 
 const READY_LIMIT: Duration = Duration::from_secs(10);
 const FINISH_LIMIT: Duration = Duration::from_secs(18);
@@ -32,7 +31,7 @@
     let clock = SystemClock;
     let begun = clock.now();
     step("starting the platform's stand-ins and four daemons");
-    let platform = Platform::start();
+    let platform = Platform::start(PlatformSettings::default());
     let daemons = start_daemons(&platform)?;
     wait_ready(&platform, daemons.len()).await?;
     let client = Client::new(vec![platform.balancer.addr().to_string()]);
--- a/examples/quickstart/report.rs
+++ b/examples/quickstart/report.rs
@@ -1,13 +1,13 @@
 //! The summary, from what the stand-ins counted.
 
 use crate::callers::Previews;
-use crate::platform::Platform;
 use std::process::ExitCode;
 use std::time::Duration;
 use waxwingstall::api::{Explanation, TaskView};
 use waxwingstall::ids::TaskId;
 use waxwingstall::task::{Outcome, Phase};
 use waxwingstall_standin::ledger::Book;
+use waxwingstall_standin::platform::Platform;
 
 /// Everything that was counted.
 pub struct Summary<'a> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,7 +7,7 @@
 use crate::core::{Core, CoreSettings, PartitionHome};
 use crate::front::view::{FrontView, Stage};
 use crate::front::{self, Front, Links};
-use crate::ids::{DaemonId, PartitionId, Revision};
+use crate::ids::{DaemonId, DomainId, PartitionId, Revision};
 use crate::membership::MembershipSettings;
 use crate::peer::{Member, MemberState};
 use crate::peers::{self, Peers};
@@ -54,6 +54,7 @@
 /// A daemon in one stage of its life. Dropping it stops it at once, as a crash would.
 pub struct Daemon<S> {
     id: DaemonId,
+    domain: DomainId,
     front_addr: SocketAddr,
     peer_addr: SocketAddr,
     stop: mpsc::UnboundedSender<Stop>,
@@ -86,6 +87,7 @@
         let (stop, stops) = mpsc::unbounded_channel();
         let (tx, rx) = std::sync::mpsc::channel();
         let me = id.clone();
+        let domain = settings.domain.clone();
         let thread = std::thread::spawn(move || {
             System::new().block_on(async move {
                 match start_duties(&settings, me, clock).await {
@@ -103,7 +105,7 @@
         let Started { front_addr, peer_addr } = rx.recv().map_err(|_| Error::Ended)??;
         log::info!(daemon = id.as_str(), front:% = front_addr; "daemon-started");
         let thread = Some(thread);
-        Ok(Self { id, front_addr, peer_addr, stop, thread, stage: PhantomData })
+        Ok(Self { id, domain, front_addr, peer_addr, stop, thread, stage: PhantomData })
     }
 
     /// Begins a planned stop: takes nothing new, finishes what is in flight, gives the VMs back.
@@ -112,6 +114,7 @@
         let _ = self.stop.send(Stop::Drain);
         Daemon {
             id: self.id.clone(),
+            domain: self.domain.clone(),
             front_addr: self.front_addr,
             peer_addr: self.peer_addr,
             stop: self.stop.clone(),
@@ -137,6 +140,11 @@
         &self.id
     }
 
+    /// Its failure domain.
+    pub fn domain(&self) -> &DomainId {
+        &self.domain
+    }
+
     /// Where callers and operators connect.
     pub fn front_addr(&self) -> SocketAddr {
         self.front_addr
