--- /dev/null
+++ b/tests/tasklog_faults.rs
@@ -0,0 +1,177 @@
+//! Tables of faults of the key-value service, one for each operation on a partition.
+//!
+//! Each case names the faults of the operation's calls, counted from its first one, and how the
+//! operation ends. Whatever that is, the log must afterwards hold the records if and only if the
+//! operation said so, also once every write that was on its way has landed.
+
+#[allow(dead_code, reason = "each file of tests uses a part of it")]
+#[path = "common/fault_store.rs"]
+mod fault_store;
+#[allow(dead_code, reason = "each file of tests uses a part of it")]
+#[path = "common/tasks.rs"]
+mod tasks;
+
+use fault_store::{Fault, FaultStore};
+use futures::executor::block_on;
+use serde::Deserialize;
+use std::path::Path;
+use tasks::{accepted, bound, ended, load, state};
+use waxwingstall::ids::{DaemonId, PartitionId};
+use waxwingstall::task::Record;
+use waxwingstall::tasklog::{Error, Limits, Partition, Result};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Table {
+    operation: Operation,
+    case: Vec<Case>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Operation {
+    /// Records that fit into the head.
+    CommitSmall,
+    /// Records that are put as a segment first.
+    CommitLarge,
+    Compact,
+    Load,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    name: String,
+    /// Fault of each call; `none` where it works.
+    faults: Vec<String>,
+    /// The same fault of all later calls.
+    #[serde(default)]
+    then: Option<String>,
+    result: End,
+    /// How it ends once the service is back, where the result leaves it open.
+    #[serde(default)]
+    settled: Option<End>,
+    calls: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum End {
+    Durable,
+    NotWritten,
+    Superseded,
+    Unsettled,
+    Unreadable,
+}
+
+/// Calls that the last fault of a case is repeated for.
+const FOR_GOOD: usize = 64;
+
+fn fault(name: &str) -> Option<Fault> {
+    match name {
+        "none" => None,
+        "refused" => Some(Fault::Refused),
+        "answer-lost" => Some(Fault::AnswerLost),
+        "call-lost" => Some(Fault::CallLost),
+        "stale" => Some(Fault::Stale),
+        late => late.strip_prefix("late-").map(|n| Fault::Late(n.parse().expect("calls"))),
+    }
+}
+
+fn end(result: &Result<()>) -> End {
+    match result {
+        Ok(()) => End::Durable,
+        Err(Error::NotWritten { .. }) => End::NotWritten,
+        Err(Error::Superseded { .. }) => End::Superseded,
+        Err(Error::Unsettled { .. }) => End::Unsettled,
+        Err(Error::Unreadable { .. }) => End::Unreadable,
+        Err(error) => panic!("{error}"),
+    }
+}
+
+fn inject(store: &FaultStore, case: &Case) {
+    let first = store.calls();
+    for (n, name) in case.faults.iter().enumerate() {
+        fault(name).into_iter().for_each(|fault| store.fail(first + n, fault));
+    }
+    if let Some(fault) = case.then.as_deref().and_then(fault) {
+        let rest = first + case.faults.len()..first + FOR_GOOD;
+        rest.for_each(|call| store.fail(call, fault));
+    }
+}
+
+/// A partition with a page, a segment and a tail.
+fn prepared(store: &FaultStore) -> (Partition, Vec<Record>) {
+    let limits = Limits { tail_bytes: 128, ended_tasks: 0, ..Limits::default() };
+    let mut partition = load(store, "a").partition.with_limits(limits);
+    let mut records: Vec<Record> = (1..=9).map(accepted).collect();
+    block_on(partition.commit(store, &records)).expect("up");
+    block_on(partition.compact(store)).expect("up");
+    store.remember_past();
+    let segment: Vec<Record> = (1..=20).map(|n| bound(n, 1)).collect();
+    for batch in [segment, vec![accepted(10)]] {
+        block_on(partition.commit(store, &batch)).expect("up");
+        records.extend(batch);
+    }
+    while block_on(partition.sweep(store)) > 0 {}
+    (partition, records)
+}
+
+fn run_case(operation: Operation, case: &Case) {
+    let store = FaultStore::new();
+    let (mut partition, mut records) = prepared(&store);
+    let batch: Vec<Record> = match operation {
+        Operation::CommitSmall => vec![accepted(11)],
+        Operation::CommitLarge => (11..40).map(accepted).collect(),
+        Operation::Compact | Operation::Load => Vec::new(),
+    };
+    inject(&store, case);
+    let first = store.calls();
+    let result = match operation {
+        Operation::CommitSmall | Operation::CommitLarge => {
+            block_on(partition.commit(&store, &batch))
+        }
+        Operation::Compact => block_on(partition.compact(&store)),
+        Operation::Load => block_on(Partition::load(&store, PartitionId(3), &DaemonId::new("b")))
+            .map(|loaded| partition = loaded.partition),
+    };
+    let name = &case.name;
+    assert_eq!(end(&result), case.result, "{name}: {result:?}");
+    assert_eq!(store.calls() - first, case.calls, "calls, {name}");
+
+    store.heal();
+    let mut settled = end(&result);
+    if settled == End::Unsettled {
+        settled = end(&block_on(partition.settle(&store)));
+    }
+    assert_eq!(settled, case.settled.unwrap_or(case.result), "{name}");
+    if settled == End::Durable {
+        records.extend(batch);
+    }
+    assert_eq!(load(&store, "c").tasks, state(records.iter()), "{name}");
+    check_goes_on(&store, &records);
+}
+
+/// The next writer commits, compacts and leaves nothing that no head names.
+fn check_goes_on(store: &FaultStore, records: &[Record]) {
+    let mut next = load(store, "d").partition;
+    let more = [accepted(90), bound(90, 1), ended(90, 1)];
+    block_on(next.commit(store, &more)).expect("up");
+    block_on(next.compact(store)).expect("up");
+    while block_on(next.sweep(store)) > 0 {}
+    assert_eq!(store.keys().len(), 2, "a head and a page: {:?}", store.keys());
+    assert_eq!(load(store, "e").tasks, state(records.iter().chain(&more)));
+}
+
+fn run_table(path: &Path) -> datatest_stable::Result<()> {
+    let table: Table = toml::from_str(&std::fs::read_to_string(path)?)?;
+    for case in &table.case {
+        run_case(table.operation, case);
+    }
+    println!("{} cases of {}", table.case.len(), path.display());
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run_table, root = "tests/tables/tasklog", pattern = r".*\.toml$" },
+}
--- a/tests/tasklog_log.rs
+++ b/tests/tasklog_log.rs
@@ -1,7 +1,9 @@
 //! A partition of the task log when nothing fails, and when one writer follows another.
 
+#[allow(dead_code, reason = "each file of tests uses a part of it")]
 #[path = "common/fault_store.rs"]
 mod fault_store;
+#[allow(dead_code, reason = "each file of tests uses a part of it")]
 #[path = "common/tasks.rs"]
 mod tasks;
 
