--- a/src/tasklog.rs
+++ b/src/tasklog.rs
@@ -80,7 +80,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            tail_bytes: 1 << 10,
+            tail_bytes: 2 << 10,
             log_bytes: 512 << 10,
             page_bytes: 256 << 10,
             ended_tasks: 1024,
@@ -96,6 +96,8 @@
     pub calls: u64,
     /// Bytes written, keys not counted.
     pub bytes_written: u64,
+    /// Of these, bytes of new records, each counted once.
+    pub record_bytes: u64,
     pub commits: u64,
     pub compactions: u64,
 }
--- a/src/tasklog/settle.rs
+++ b/src/tasklog/settle.rs
@@ -195,6 +195,7 @@
         match pending.change {
             PendingChange::Records { records, bytes } => {
                 self.stats.commits += 1;
+                self.stats.record_bytes += bytes as u64;
                 self.log_bytes += bytes;
                 for record in &records {
                     self.apply(record);
--- a/tests/common/fault_store.rs
+++ b/tests/common/fault_store.rs
@@ -108,6 +108,11 @@
         self.state.borrow().values.keys().cloned().collect()
     }
 
+    /// Bytes of all values.
+    pub fn value_bytes(&self) -> usize {
+        self.state.borrow().values.values().map(|value| value.1.len()).sum()
+    }
+
     /// Removes a value behind its writer's back.
     pub fn lose(&self, key: &str) {
         self.state.borrow_mut().values.remove(key);
