--- a/src/request.rs
+++ b/src/request.rs
@@ -20,16 +20,27 @@
 //!   that tells a silent connection from a slow request.
 //! * One request at a time on a connection, at most as many at once as the service has slots.
 
+pub mod admission;
+mod answer;
 mod arrival;
 mod attempt;
 mod body;
 mod conn;
+mod deliver;
 pub mod dispatch;
 mod endpoint;
+mod fleet;
 pub mod headers;
+pub mod health;
+mod hop;
 pub mod journal;
 pub mod outcome;
+pub mod retry;
+pub mod route;
 mod settings;
+pub mod share;
+mod silence;
+mod slot;
 pub mod status;
 
 #[cfg(test)]
@@ -37,7 +48,9 @@
 
 pub use dispatch::Dispatcher;
 pub use endpoint::{EndpointInfo, EndpointState};
+pub use fleet::Shares;
+pub use hop::PeerFront;
 pub use journal::{Explained, RequestExplanation};
 pub use outcome::{Outcome, Reason};
-pub use settings::{DispatcherSettings, PeerFront};
+pub use settings::{DispatcherSettings, Limits};
 pub use status::RequestStatus;
--- a/src/request/arrival.rs
+++ b/src/request/arrival.rs
@@ -21,6 +21,8 @@
     pub service: ServiceName,
     pub idempotency: Idempotency,
     pub team: Option<TeamName>,
+    /// Whether another daemon forwarded it here.
+    pub forwarded: bool,
     /// When the whole answer is due.
     pub due: Duration,
     pub method: Method,
@@ -68,10 +70,11 @@
             service: class.service.clone(),
             idempotency: class.idempotency,
             team,
+            forwarded: req.headers().contains_key(headers::FORWARDED_BY),
             due: now + time_allowed(req.headers(), class)?,
             method: req.method().clone(),
             path: endpoint_path(req),
-            headers: passed_on(req.headers()),
+            headers: headers::passed_on(req.headers()),
         })
     }
 
@@ -100,14 +103,6 @@
     }
 }
 
-fn passed_on(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
-    headers
-        .iter()
-        .filter(|(name, _)| headers::is_passed_on(name))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
-
 fn name(value: &HeaderValue) -> Option<&str> {
     let text = value.to_str().ok()?;
     let fits = (1..=LONGEST_NAME).contains(&text.len());
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -1,19 +1,28 @@
 //! One try of a request at one endpoint, up to an answer that is known to be its own.
 
 use crate::model::Idempotency;
+use crate::request::answer::{Answer, AnswerBody, AnswerStream, Cut, Framing};
 use crate::request::arrival::Arrival;
-use crate::request::conn::{Conn, Outgoing, SendError};
-use crate::request::endpoint::Slot;
+use crate::request::conn::{Conn, Outgoing, SendError, Stage};
+use crate::request::endpoint::Endpoint;
+use crate::request::fleet::Fleet;
 use crate::request::headers;
 use crate::request::outcome::Reason;
-use actix_web::http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use actix_web::http::{Method, StatusCode};
+use crate::request::silence::{Part, Quiet, Watch};
+use crate::request::slot::{Slot, Verdict};
+use actix_web::http::StatusCode;
+use actix_web::http::header::{HeaderName, HeaderValue};
 use awc::ClientResponse;
-use awc::error::PayloadError;
-use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
+use bytes::Bytes;
+use std::rc::Rc;
 use std::time::Duration;
 
+/// An idle connection that showed no life for this long is probed before it is used.
+const PROVE_AFTER: Duration = Duration::from_secs(1);
+
+/// New connections tried before a non-idempotent request is given up as not sent.
+const NEW_CONNS: u32 = 2;
+
 /// How a try went.
 pub(super) enum Tried {
     Answered(Answer),
@@ -26,154 +35,162 @@
 /// Why an endpoint surely did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NotRun {
-    NotSent,
+    /// No connection could be opened.
+    Unreachable,
+    /// No connection was proved alive.
+    Unproved,
     Leaving,
     Full,
 }
 
-/// An answer that is this request's own.
-pub(super) struct Answer {
-    pub status: StatusCode,
-    pub headers: Vec<(HeaderName, HeaderValue)>,
-    pub body: AnswerBody,
-}
-
-/// The body of an answer.
-pub(super) enum AnswerBody {
-    Whole(Bytes),
-    Stream(Box<AnswerStream>),
-}
-
-/// A body still to be read, with the slot and the connection that it comes over.
-pub(super) struct AnswerStream {
-    resp: ClientResponse,
-    conn: Conn,
-    slot: Slot,
-    /// Bytes still to come, where the head said how many.
-    left: Option<u64>,
+/// What a try needs.
+pub(super) struct Attempt<'a> {
+    pub fleet: &'a Rc<Fleet>,
+    pub arrival: &'a Arrival,
+    pub body: &'a Bytes,
+    /// Longest answer that is held back until it is whole.
+    pub whole_bytes: usize,
 }
 
-/// A body that ended early; the caller's connection is cut, so that it can't pass for whole.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
-#[error("the endpoint's answer was cut ({0}); send the request again if that is harmless")]
-pub(super) struct Cut(pub Reason);
-
-/// Sends a request on a slot and reads the answer's head, and its body if it is short.
-pub(super) async fn attempt(
-    arrival: &Arrival,
-    body: &Bytes,
-    slot: Slot,
-    mut conn: Conn,
-    whole_bytes: usize,
-    now: Duration,
-) -> Tried {
-    // A connection may have gone silent while idle. Here that costs a probe; found out after the
-    // request was sent, nobody could say whether it ran.
-    if arrival.idempotency == Idempotency::NonIdempotent && conn.probe().await.is_err() {
-        return Tried::NotRun(NotRun::NotSent);
-    }
-    let out = outgoing(arrival, body, now);
-    let resp = match conn.send(out).await {
-        Ok(resp) => resp,
-        Err(SendError::NotSent) => return Tried::NotRun(NotRun::NotSent),
-        Err(SendError::Lost) => return Tried::Unknown(Reason::ConnectionLost),
-    };
-    if resp.headers().get(headers::REQUEST_ID).map(HeaderValue::as_bytes)
-        != Some(arrival.id.as_str().as_bytes())
-    {
-        return Tried::Unknown(Reason::AnswerMismatch);
-    }
-    if let Some(why) = said_not_run(&resp) {
-        return Tried::NotRun(why);
+impl Attempt<'_> {
+    /// Sends the request on a slot and reads the answer's head, and its body if it is short.
+    pub async fn run(&self, slot: Slot, endpoint: &Rc<Endpoint>) -> Tried {
+        let at = self.fleet.now();
+        let (resp, conn) = match self.head(&slot, endpoint).await {
+            Ok(got) => got,
+            Err(tried) => return tried,
+        };
+        if resp.headers().get(headers::REQUEST_ID).map(HeaderValue::as_bytes)
+            != Some(self.arrival.id.as_str().as_bytes())
+        {
+            slot.judge(Verdict::Bad);
+            return Tried::Unknown(Reason::AnswerMismatch);
+        }
+        if let Some(why) = said_not_run(&resp) {
+            slot.settled();
+            return Tried::NotRun(why);
+        }
+        self.answer(resp, slot, conn, at).await
     }
-    read_answer(arrival, resp, slot, conn, whole_bytes, now).await
-}
 
-async fn read_answer(
-    arrival: &Arrival,
-    resp: ClientResponse,
-    slot: Slot,
-    conn: Conn,
-    whole_bytes: usize,
-    now: Duration,
-) -> Tried {
-    let status = resp.status();
-    let headers = answer_headers(resp.headers());
-    let left = match framing(&arrival.method, &resp) {
-        Framing::Length(length) => Some(length),
-        Framing::Chunked => None,
-        Framing::UntilClose => return Tried::Unknown(Reason::AnswerUnbounded),
-    };
-    let stream = AnswerStream { resp, conn, slot, left };
-    let body = match left {
-        Some(length) if length <= whole_bytes as u64 => match stream.read_whole(now).await {
-            Ok(bytes) => AnswerBody::Whole(bytes),
-            Err(Cut(reason)) => return Tried::Unknown(reason),
-        },
-        _ => AnswerBody::Stream(Box::new(stream)),
-    };
-    Tried::Answered(Answer { status, headers, body })
-}
-
-impl AnswerStream {
-    /// Bytes to come, where the head said how many.
-    pub fn length(&self) -> Option<u64> {
-        self.left
+    async fn head(
+        &self,
+        slot: &Slot,
+        endpoint: &Rc<Endpoint>,
+    ) -> Result<(ClientResponse, Conn), Tried> {
+        let mut conn = self.ready_conn(endpoint).await.map_err(Tried::NotRun)?;
+        loop {
+            let reused = conn.stage() == Stage::Opened;
+            slot.sending(&self.arrival.id);
+            let watch = self.watch(endpoint, Part::Head);
+            match watch.wait(conn.send(self.outgoing())).await {
+                Ok(Ok(resp)) => return Ok((resp, conn)),
+                Ok(Err(SendError::NotSent)) => {
+                    slot.settled();
+                    if !reused {
+                        return Err(Tried::NotRun(NotRun::Unreachable));
+                    }
+                    // The idle connection was closed meanwhile, which says nothing about the
+                    // endpoint.
+                    conn = endpoint.new_conn(self.fleet.now());
+                }
+                Ok(Err(SendError::Lost)) => {
+                    slot.judge(Verdict::Bad);
+                    return Err(Tried::Unknown(Reason::ConnectionLost));
+                }
+                Err(quiet) => return Err(Tried::Unknown(judge_quiet(quiet, slot, endpoint))),
+            }
+        }
     }
 
-    async fn read_whole(mut self, now: Duration) -> Result<Bytes, Cut> {
-        let mut buf = BytesMut::new();
-        while let Some(chunk) = self.next().await {
-            buf.extend_from_slice(&chunk?);
+    /// A connection to send over. One that has been idle, or that a non-idempotent request is to
+    /// go over, is proved alive first: found silent now, it costs a probe; found silent after the
+    /// request was sent, nobody could say whether the request ran.
+    async fn ready_conn(&self, endpoint: &Rc<Endpoint>) -> Result<Conn, NotRun> {
+        let careful = self.arrival.idempotency == Idempotency::NonIdempotent;
+        let now = self.fleet.now();
+        if let Some(mut conn) = endpoint.idle_conn(now) {
+            let fresh = now.saturating_sub(conn.proved) < PROVE_AFTER;
+            if (fresh && !careful) || conn.probe(None).await.is_ok() {
+                return Ok(conn);
+            }
+            endpoint.close_idle();
         }
-        self.finish(now).await?;
-        Ok(buf.freeze())
+        if !careful {
+            return Ok(endpoint.new_conn(now));
+        }
+        let mut failed = NotRun::Unproved;
+        for _ in 0..NEW_CONNS {
+            let mut conn = endpoint.new_conn(self.fleet.now());
+            match conn.probe(None).await {
+                Ok(_) => return Ok(conn),
+                Err(SendError::NotSent) => failed = NotRun::Unreachable,
+                Err(SendError::Lost) => failed = NotRun::Unproved,
+            }
+        }
+        Err(failed)
     }
 
-    /// The next piece, or none at the end, which [`AnswerStream::finish`] then checks.
-    pub async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
-        let chunk = self.resp.next().await?;
-        Some(chunk.map_err(|_: PayloadError| Cut(Reason::AnswerCut)).and_then(|chunk| {
-            if let Some(left) = &mut self.left {
-                *left = left.checked_sub(chunk.len() as u64).ok_or(Cut(Reason::AnswerMismatch))?;
+    async fn answer(&self, resp: ClientResponse, slot: Slot, conn: Conn, at: Duration) -> Tried {
+        let status = resp.status();
+        let headers = headers::passed_on(resp.headers());
+        let left = match Framing::of(&self.arrival.method, &resp) {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked => None,
+            Framing::UntilClose => {
+                slot.judge(Verdict::Bad);
+                return Tried::Unknown(Reason::AnswerUnbounded);
+            }
+        };
+        let short = left.is_some_and(|length| length <= self.whole_bytes as u64);
+        let took = self.fleet.now().saturating_sub(at);
+        let stream =
+            AnswerStream::new(self.fleet, self.arrival, resp, Some(slot), conn, left, took);
+        let body = if short {
+            match stream.read_whole().await {
+                Ok(bytes) => AnswerBody::Whole(bytes),
+                Err(Cut(reason)) => return Tried::Unknown(reason),
             }
-            Ok(chunk)
-        }))
+        } else {
+            AnswerBody::Stream(Box::new(stream))
+        };
+        Tried::Answered(Answer { status, headers, body })
     }
 
-    /// Checks that the body was whole, and keeps the connection.
-    ///
-    /// The client library ends a chunked body in the same way when its last chunk came and when
-    /// the connection was closed before that, so that a cut answer would pass for whole. Only in
-    /// the first case is the connection still there, and a probe over it succeeds.
-    pub async fn finish(self, now: Duration) -> Result<(), Cut> {
-        let Self { resp, mut conn, slot, left } = self;
-        drop(resp);
-        match left {
-            Some(0) => {}
-            Some(_) => return Err(Cut(Reason::AnswerCut)),
-            None => {
-                conn.probe().await.map_err(|_| Cut(Reason::AnswerCut))?;
-            }
+    fn watch<'w>(&'w self, endpoint: &'w Endpoint, part: Part) -> Watch<'w> {
+        let tail = self.fleet.tail(&self.arrival.service, &self.arrival.class);
+        Watch { fleet: self.fleet, endpoint, id: &self.arrival.id, part, tail }
+    }
+
+    fn outgoing(&self) -> Outgoing {
+        let arrival = self.arrival;
+        let mut headers = arrival.headers.clone();
+        let millis = arrival.left(self.fleet.now()).as_millis().to_string();
+        push(&mut headers, headers::REQUEST_ID, arrival.id.as_str());
+        push(&mut headers, headers::DEADLINE_MS, &millis);
+        if let Some(team) = &arrival.team {
+            push(&mut headers, headers::TEAM, team.as_str());
+        }
+        Outgoing {
+            method: arrival.method.clone(),
+            path: arrival.path.clone(),
+            headers,
+            body: self.body.clone(),
         }
-        slot.endpoint.keep_conn(conn, now);
-        Ok(())
     }
 }
 
-fn outgoing(arrival: &Arrival, body: &Bytes, now: Duration) -> Outgoing {
-    let mut headers = arrival.headers.clone();
-    let millis = arrival.left(now).as_millis().to_string();
-    push(&mut headers, headers::REQUEST_ID, arrival.id.as_str());
-    push(&mut headers, headers::DEADLINE_MS, &millis);
-    if let Some(team) = &arrival.team {
-        push(&mut headers, headers::TEAM, team.as_str());
-    }
-    Outgoing {
-        method: arrival.method.clone(),
-        path: arrival.path.clone(),
-        headers,
-        body: body.clone(),
+/// What a quiet connection means for the request, the endpoint and its other connections.
+pub(super) fn judge_quiet(quiet: Quiet, slot: &Slot, endpoint: &Endpoint) -> Reason {
+    match quiet {
+        Quiet::Connection => {
+            endpoint.close_idle();
+            Reason::ConnectionSilent
+        }
+        Quiet::Endpoint => {
+            slot.judge(Verdict::Bad);
+            Reason::ConnectionLost
+        }
     }
 }
 
@@ -193,34 +210,3 @@
         _ => None,
     }
 }
-
-enum Framing {
-    Length(u64),
-    Chunked,
-    UntilClose,
-}
-
-fn framing(method: &Method, resp: &ClientResponse) -> Framing {
-    let bodiless = method == Method::HEAD
-        || resp.status() == StatusCode::NO_CONTENT
-        || resp.status() == StatusCode::NOT_MODIFIED;
-    if bodiless {
-        return Framing::Length(0);
-    }
-    let text = |name| resp.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
-    if text(header::TRANSFER_ENCODING).is_some_and(|coding| coding.contains("chunked")) {
-        return Framing::Chunked;
-    }
-    match text(header::CONTENT_LENGTH).and_then(|length| length.trim().parse().ok()) {
-        Some(length) => Framing::Length(length),
-        None => Framing::UntilClose,
-    }
-}
-
-fn answer_headers(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
-    headers
-        .iter()
-        .filter(|(name, _)| headers::is_passed_on(name))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
--- a/src/request/conn.rs
+++ b/src/request/conn.rs
@@ -5,21 +5,27 @@
 //! connection be gone, the next request fails before a byte of it has left, rather than going
 //! over a new connection that nobody asked for.
 
-use actix_web::http::Method;
+use crate::ids::RequestId;
+use crate::request::headers;
 use actix_web::http::header::{HeaderName, HeaderValue};
+use actix_web::http::{Method, StatusCode};
+use actix_web::rt::time::timeout;
 use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector};
 use bytes::Bytes;
 use futures::StreamExt;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// Nothing listens on port 0.
-const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Path of health probes; they take no slot.
 const HEALTH_PATH: &str = "/health";
 
+/// Time for a probe's answer. An endpoint that computes still answers probes.
+const PROBE_TIME: Duration = Duration::from_millis(250);
+
 /// Far longer than any connection is kept: connections are aged by their owner.
 const FOREVER: Duration = Duration::from_secs(86_400 * 365);
 
@@ -29,13 +35,13 @@
     addr: SocketAddr,
     stage: Stage,
     /// When the far end last showed that it is there.
-    pub proved: Option<Duration>,
+    pub proved: Duration,
     pub opened: Duration,
 }
 
 /// Whether the connection has been opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
+pub(super) enum Stage {
     Unopened,
     Opened,
 }
@@ -58,6 +64,24 @@
     pub body: Bytes,
 }
 
+/// What a probe brought back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Probed {
+    pub word: Word,
+    /// Whether the endpoint takes requests.
+    pub open: bool,
+}
+
+/// What the endpoint says of the request that a probe named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Word {
+    Running,
+    /// Answered, or never seen: nothing of it runs there.
+    NotRunning,
+    /// The endpoint doesn't say.
+    Unsaid,
+}
+
 impl Conn {
     /// A connection to be opened by its first request.
     pub fn new(addr: SocketAddr, connect_time: Duration, now: Duration) -> Self {
@@ -73,7 +97,12 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Self { client, addr, stage: Stage::Unopened, proved: None, opened: now }
+        Self { client, addr, stage: Stage::Unopened, proved: now, opened: now }
+    }
+
+    /// Whether a request went over it before.
+    pub fn stage(&self) -> Stage {
+        self.stage
     }
 
     /// Sends a request and waits for the answer's head.
@@ -85,26 +114,38 @@
         };
         self.stage = Stage::Opened;
         let mut req = self.client.request(out.method, uri).address(dial);
-        for (name, value) in out.headers {
-            req = req.append_header((name, value));
+        for header in out.headers {
+            req = req.append_header(header);
         }
         req.send_body(out.body).await.map_err(|e| SendError::from(&e))
     }
 
-    /// Asks for the endpoint's health over this very connection.
-    pub async fn probe(&mut self) -> Result<(), SendError> {
+    /// Asks for the endpoint's health over this very connection, and after a request.
+    pub async fn probe(&mut self, id: Option<&RequestId>) -> Result<Probed, SendError> {
+        let named = id.and_then(|id| HeaderValue::from_str(id.as_str()).ok());
         let out = Outgoing {
             method: Method::GET,
             path: HEALTH_PATH.to_owned(),
-            headers: Vec::new(),
+            headers: named.into_iter().map(|value| (headers::REQUEST_ID, value)).collect(),
             body: Bytes::new(),
         };
+        timeout(PROBE_TIME, self.exchange_probe(out)).await.unwrap_or(Err(SendError::Lost))
+    }
+
+    async fn exchange_probe(&mut self, out: Outgoing) -> Result<Probed, SendError> {
         let mut resp = self.send(out).await?;
+        let state = resp.headers().get(headers::REQUEST_STATE).map(HeaderValue::as_bytes);
+        let word = match state {
+            Some(b"running") => Word::Running,
+            Some(b"answered" | b"unseen") => Word::NotRunning,
+            _ => Word::Unsaid,
+        };
+        let open = resp.status() == StatusCode::OK;
         // The connection can be used again only once the answer was read to its end.
         while let Some(chunk) = resp.next().await {
             chunk.map_err(|_| SendError::Lost)?;
         }
-        Ok(())
+        Ok(Probed { word, open })
     }
 }
 
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -1,16 +1,21 @@
 //! From a caller's request to its answer.
 
 use crate::clock::Clock;
-use crate::ids::{RequestId, VmId};
-use crate::model::Config;
+use crate::ids::RequestId;
+use crate::model::{Config, Idempotency};
+use crate::request::admission::Refused;
+use crate::request::answer::{Answer, AnswerBody, AnswerStream, Cut};
 use crate::request::arrival::{self, Arrival};
-use crate::request::attempt::{self, Answer, AnswerBody, AnswerStream, NotRun, Tried};
 use crate::request::body::{self, HeldBytes};
-use crate::request::endpoint::{Endpoint, EndpointInfo, EndpointState, Slot};
-use crate::request::journal::{Explained, Journal, Try};
+use crate::request::endpoint::EndpointInfo;
+use crate::request::fleet::{Fleet, Shares};
+use crate::request::hop::{Peer, PeerFront};
+use crate::request::journal::{Explained, Journal};
 use crate::request::outcome::{self, Outcome, Reason, Refusal};
-use crate::request::settings::{DispatcherSettings, PeerFront};
-use crate::request::status::{EndpointStatus, RequestStatus};
+use crate::request::retry::Budget;
+use crate::request::settings::DispatcherSettings;
+use crate::request::share::{ShareAsk, ShareGrant};
+use crate::request::status::RequestStatus;
 use actix_web::body::SizedStream;
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
@@ -18,26 +23,33 @@
 use futures::stream;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after which a caller should come back when there is nothing better to say.
+/// Time after which a caller should come back to a daemon that takes nothing now.
 const COME_BACK: Duration = Duration::from_secs(1);
 
+/// Time between looks at who waited too long and which probes are due.
+const TICK: Duration = Duration::from_millis(20);
+
 /// Takes callers' requests and brings back their answers; lives on one thread.
+///
+/// The server that it is mounted in must not allow half-closed connections
+/// (`HttpServer::h1_allow_half_closed(false)`): only then does a caller that goes away end its
+/// request, rather than have it run for nobody.
 #[derive(Clone)]
 pub struct Dispatcher(Rc<Inner>);
 
-struct Inner {
-    settings: DispatcherSettings,
-    clock: Arc<dyn Clock>,
-    cfg: RefCell<Option<Arc<Config>>>,
-    endpoints: RefCell<IndexMap<VmId, Rc<Endpoint>>>,
-    peers: RefCell<Vec<PeerFront>>,
-    journal: RefCell<Journal>,
+/// The dispatcher's state.
+pub(super) struct Inner {
+    pub settings: DispatcherSettings,
+    pub fleet: Rc<Fleet>,
+    pub peers: RefCell<Vec<Peer>>,
+    pub journal: RefCell<Journal>,
+    pub budget: RefCell<Budget>,
+    pub draining: Cell<bool>,
     held: Rc<HeldBytes>,
-    draining: Cell<bool>,
     in_flight: Cell<usize>,
     refusals: RefCell<IndexMap<Reason, u64>>,
 }
@@ -59,51 +71,73 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher that has neither configuration nor endpoints yet.
+    /// A dispatcher that has neither configuration nor endpoints yet, and no other daemon to
+    /// share with.
     pub fn new(settings: DispatcherSettings, clock: Arc<dyn Clock>) -> Self {
         let journal = Journal::new(settings.limits.explained);
+        let fleet = Rc::new(Fleet::new(settings.clone(), clock));
         Self(Rc::new(Inner {
             settings,
-            clock,
-            cfg: RefCell::default(),
-            endpoints: RefCell::default(),
+            fleet,
             peers: RefCell::default(),
             journal: RefCell::new(journal),
-            held: Rc::default(),
+            budget: RefCell::default(),
             draining: Cell::new(false),
+            held: Rc::default(),
             in_flight: Cell::new(0),
             refusals: RefCell::default(),
         }))
     }
 
+    /// This dispatcher, with its slots found in another way.
+    pub fn with_shares(self, shares: Shares) -> Self {
+        self.set_shares(shares);
+        self
+    }
+
+    /// Changes how this daemon's slots are found, as when another daemon joins an even split.
+    pub fn set_shares(&self, shares: Shares) {
+        self.0.fleet.set_shares(shares);
+    }
+
+    /// The asks to send to the holders of the endpoints' control leases, about twice a second.
+    /// Has a meaning with [`Shares::Granted`] only.
+    pub fn share_asks(&self) -> Vec<ShareAsk> {
+        self.0.fleet.share_asks()
+    }
+
+    /// Takes the answer to an ask that was sent at `sent`, on this dispatcher's clock.
+    pub fn share_granted(&self, grant: &ShareGrant, sent: Duration) {
+        self.0.fleet.share_granted(grant, sent);
+    }
+
     /// Puts a configuration in force.
     pub fn configure(&self, cfg: Arc<Config>) {
-        *self.0.cfg.borrow_mut() = Some(cfg);
+        self.0.fleet.configure(cfg);
     }
 
-    /// Takes the platform's list of endpoints. Those that are no longer on it finish what they
-    /// have and get nothing new.
+    /// Takes the platform's list of endpoints. Those that are no longer on it, or are leaving,
+    /// finish what they have and get nothing new.
     pub fn endpoints(&self, listed: &[EndpointInfo]) {
-        let mut endpoints = self.0.endpoints.borrow_mut();
-        let mut known = std::mem::take(&mut *endpoints);
-        for info in listed {
-            let kept = known.swap_remove(&info.vm).filter(|old| old.is_still(info));
-            let Some(endpoint) = kept.or_else(|| Endpoint::new(info).map(Rc::new)) else {
-                log::warn!(vm = info.vm.as_str(), addr = info.addr.as_str(); "endpoint-unreadable");
-                continue;
-            };
-            endpoint.listed.set(info.state);
-            endpoints.insert(info.vm.clone(), endpoint);
-        }
+        self.0.fleet.list(listed);
     }
 
     /// Takes the other daemons that a request may be forwarded to.
-    pub fn peers(&self, peers: &[PeerFront]) {
-        *self.0.peers.borrow_mut() = peers.to_vec();
+    pub fn peers(&self, fronts: &[PeerFront]) {
+        let mut peers = self.0.peers.borrow_mut();
+        let known = std::mem::take(&mut *peers);
+        let shunned = |front: &PeerFront| {
+            let same = known.iter().find(|peer| peer.front == *front);
+            same.map_or(Duration::ZERO, |peer| peer.shunned_until)
+        };
+        peers.extend(
+            fronts.iter().map(|front| Peer { front: front.clone(), shunned_until: shunned(front) }),
+        );
     }
 
-    /// Mounts the callers' routes.
+    /// Mounts the callers' routes, and starts this dispatcher's timer on the same thread.
     pub fn configure_app(&self, app: &mut web::ServiceConfig) {
+        actix_web::rt::spawn(tick(Rc::downgrade(&self.0)));
         let dispatcher = self.clone();
         let serve = move |req: HttpRequest, payload: Payload| {
             let dispatcher = dispatcher.clone();
@@ -113,23 +147,22 @@
         app.route("/v1/requests/{class}", web::route().to(serve));
     }
 
-    /// Refuses new requests as not run; those in flight are finished.
+    /// Refuses new requests and those that still wait as not run; those sent are finished.
     pub fn drain(&self) {
         self.0.draining.set(true);
+        let refused = Refused { reason: Reason::Draining, retry_after: COME_BACK };
+        self.0.fleet.refuse_waiting(refused);
     }
 
-    /// Requests between arrival and the end of their answer.
+    /// Requests between arrival and the end of their answer. When draining, zero means that the
+    /// daemon may stop without cutting anything.
     pub fn in_flight(&self) -> usize {
         self.0.in_flight.get()
     }
 
     /// What became of a recent request.
     pub fn explain(&self, id: &RequestId) -> Explained {
-        let journal = self.0.journal.borrow();
-        match journal.get(id) {
-            Some(entry) => Explained::Known(Box::new(entry.clone())),
-            None => Explained::Forgotten { since: journal.forgotten_until().unwrap_or_default() },
-        }
+        self.0.journal.borrow().explain(id)
     }
 
     /// What the request path is doing.
@@ -139,14 +172,9 @@
             draining: inner.draining.get(),
             in_flight: inner.in_flight.get(),
             held_bytes: inner.held.get(),
-            queued: IndexMap::new(),
+            queued: inner.fleet.waiting(),
             refusals: inner.refusals.borrow().clone(),
-            endpoints: inner
-                .endpoints
-                .borrow()
-                .values()
-                .map(|e| inner.endpoint_status(e))
-                .collect(),
+            endpoints: inner.fleet.endpoint_status(),
         }
     }
 
@@ -159,15 +187,26 @@
             Err(refusal) => return inner.refuse(&arrival::new_id(), refusal),
         };
         match inner.run(&req, payload, &id).await {
-            Ok(answer) => pass_on(answer, &id, in_flight),
+            Ok(answer) => inner.pass_on(answer, &id, in_flight),
             Err(refusal) => inner.refuse(&id, refusal),
         }
     }
 }
 
+/// Looks after the fleet until the dispatcher is gone.
+async fn tick(inner: Weak<Inner>) {
+    loop {
+        actix_web::rt::time::sleep(TICK).await;
+        match inner.upgrade() {
+            Some(inner) => inner.fleet.tick(),
+            None => return,
+        }
+    }
+}
+
 impl Inner {
     async fn run(
-        &self,
+        self: &Rc<Self>,
         req: &HttpRequest,
         payload: Payload,
         id: &RequestId,
@@ -175,126 +214,80 @@
         if self.draining.get() {
             return Err(Refusal::not_run(Reason::Draining).with_retry_after(COME_BACK));
         }
-        let cfg = self.cfg.borrow().clone();
+        let cfg = self.fleet.cfg();
         let cfg = cfg.ok_or(Refusal::not_run(Reason::NoConfig).with_retry_after(COME_BACK))?;
-        let arrival = Arrival::read(req, id.clone(), &cfg, self.clock.now())?;
-        self.journal.borrow_mut().open(id, &arrival.class, self.clock.now());
+        let now = self.fleet.now();
+        let arrival = Arrival::read(req, id.clone(), &cfg, now)?;
+        self.journal.borrow_mut().open(id, &arrival.class, now);
         let body = body::read_whole(payload, &self.held, &self.settings.limits).await?;
-        let slots = cfg.services.get(&arrival.service).map_or(0, |service| service.slots);
-        self.send(&arrival, &body.bytes, slots).await
-    }
-
-    async fn send(&self, arrival: &Arrival, body: &Bytes, slots: u32) -> Result<Answer, Refusal> {
-        let slot = self.take_slot(arrival, slots)?;
-        let vm = slot.endpoint.vm.clone();
-        let at = self.clock.now();
-        let limits = &self.settings.limits;
-        let conn = slot.endpoint.take_conn(limits.connect_time, at);
-        let tried = attempt::attempt(arrival, body, slot, conn, limits.whole_answer_bytes, at);
-        let tried = actix_web::rt::time::timeout(arrival.left(at), tried)
-            .await
-            .unwrap_or(Tried::Unknown(Reason::DeadlinePassed));
-        let result = match &tried {
-            Tried::Answered(answer) => format!("answered {}", answer.status.as_u16()),
-            Tried::NotRun(why) => format!("not run: {why:?}"),
-            Tried::Unknown(reason) => format!("unknown: {reason}"),
-        };
-        let now = self.clock.now();
-        let took = now.saturating_sub(at);
-        self.journal.borrow_mut().tried(&arrival.id, Try { vm, at, took, result });
-        let (result, outcome, reason) = match tried {
-            Tried::Answered(answer) => (Ok(answer), Outcome::Ran, Reason::Answered),
-            Tried::NotRun(why) => {
-                let reason = match why {
-                    NotRun::NotSent => Reason::ConnectFailed,
-                    NotRun::Leaving | NotRun::Full => Reason::EndpointsRefused,
-                };
-                let refusal = Refusal::not_run(reason).with_retry_after(COME_BACK);
-                (Err(refusal), Outcome::NotRun, reason)
+        if self.draining.get() {
+            return Err(Refusal::not_run(Reason::Draining).with_retry_after(COME_BACK));
+        }
+        match arrival.idempotency {
+            Idempotency::Idempotent => self.deliver(&arrival, &body.bytes).await,
+            // A caller that goes away must not cut a run that can't be repeated.
+            Idempotency::NonIdempotent => {
+                let inner = Rc::clone(self);
+                let in_flight = InFlight::new(self);
+                let run = actix_web::rt::spawn(async move {
+                    let _in_flight = in_flight;
+                    inner.deliver(&arrival, &body.bytes).await
+                });
+                run.await.unwrap_or(Err(Refusal::unknown(Reason::ConnectionLost)))
             }
-            Tried::Unknown(reason) => (Err(Refusal::unknown(reason)), Outcome::Unknown, reason),
-        };
-        self.journal.borrow_mut().close(&arrival.id, outcome, reason, now);
-        result
-    }
-
-    fn take_slot(&self, arrival: &Arrival, slots: u32) -> Result<Slot, Refusal> {
-        let endpoints = self.endpoints.borrow();
-        let mut serving = endpoints
-            .values()
-            .filter(|e| e.service == arrival.service && e.domain == self.settings.domain)
-            .filter(|e| e.listed.get() == EndpointState::Live)
-            .peekable();
-        if serving.peek().is_none() {
-            return Err(Refusal::not_run(Reason::NoEndpoint).with_retry_after(COME_BACK));
         }
-        let chosen = serving
-            .filter(|e| e.in_flight.get() < slots)
-            .min_by_key(|e| e.in_flight.get())
-            .ok_or(Refusal::not_run(Reason::NoSlot).with_retry_after(COME_BACK))?;
-        self.journal.borrow_mut().route(
-            &arrival.id,
-            Duration::ZERO,
-            format!("{}: least in flight", chosen.vm),
-        );
-        Ok(Slot::take(chosen))
     }
 
     fn refuse(&self, id: &RequestId, refusal: Refusal) -> HttpResponse {
         *self.refusals.borrow_mut().entry(refusal.reason).or_insert(0) += 1;
-        let now = self.clock.now();
+        let now = self.fleet.now();
         self.journal.borrow_mut().close(id, refusal.outcome, refusal.reason, now);
         refusal.answer(id)
     }
 
-    fn endpoint_status(&self, endpoint: &Endpoint) -> EndpointStatus {
-        let cfg = self.cfg.borrow();
-        let service = cfg.as_ref().and_then(|cfg| cfg.services.get(&endpoint.service));
-        EndpointStatus {
-            vm: endpoint.vm.clone(),
-            service: endpoint.service.clone(),
-            domain: endpoint.domain.clone(),
-            listed: endpoint.listed.get(),
-            share: service.map_or(0, |service| service.slots),
-            in_flight: endpoint.in_flight.get(),
+    fn pass_on(&self, answer: Answer, id: &RequestId, in_flight: InFlight) -> HttpResponse {
+        let now = self.fleet.now();
+        self.journal.borrow_mut().close(id, Outcome::Ran, Reason::Answered, now);
+        let mut resp = HttpResponseBuilder::new(answer.status);
+        for header in answer.headers {
+            resp.append_header(header);
+        }
+        outcome::mark(&mut resp, id, Outcome::Ran, Reason::Answered);
+        match answer.body {
+            AnswerBody::Whole(bytes) => resp.body(bytes),
+            AnswerBody::Stream(stream) => {
+                let length = stream.length();
+                let pieces = pieces(stream, id.clone(), in_flight);
+                match length {
+                    Some(length) => resp.body(SizedStream::new(length, pieces)),
+                    None => resp.streaming(pieces),
+                }
+            }
         }
     }
-}
 
-fn pass_on(answer: Answer, id: &RequestId, in_flight: InFlight) -> HttpResponse {
-    let mut resp = HttpResponseBuilder::new(answer.status);
-    for header in answer.headers {
-        resp.append_header(header);
-    }
-    outcome::mark(&mut resp, id, Outcome::Ran, Reason::Answered);
-    match answer.body {
-        AnswerBody::Whole(bytes) => resp.body(bytes),
-        AnswerBody::Stream(stream) => match stream.length() {
-            Some(length) => resp.body(SizedStream::new(length, pieces(stream, in_flight))),
-            None => resp.streaming(pieces(stream, in_flight)),
-        },
+    fn note_cut(&self, id: &RequestId, cut: Cut) -> actix_web::Error {
+        let now = self.fleet.now();
+        self.journal.borrow_mut().close(id, Outcome::Ran, cut.0, now);
+        actix_web::error::ErrorBadGateway(cut)
     }
 }
 
 /// The pieces of an answer, read only as fast as the caller takes them.
 fn pieces(
     stream: Box<AnswerStream>,
+    id: RequestId,
     in_flight: InFlight,
 ) -> impl stream::Stream<Item = Result<Bytes, actix_web::Error>> + 'static {
-    stream::unfold(Some((stream, in_flight)), |state| async move {
-        let (mut stream, in_flight) = state?;
+    stream::unfold(Some((stream, id, in_flight)), |state| async move {
+        let (mut stream, id, in_flight) = state?;
         match stream.next().await {
-            Some(Ok(chunk)) => Some((Ok(chunk), Some((stream, in_flight)))),
-            Some(Err(cut)) => Some((Err(cut_error(cut)), None)),
+            Some(Ok(chunk)) => Some((Ok(chunk), Some((stream, id, in_flight)))),
+            Some(Err(cut)) => Some((Err(in_flight.0.note_cut(&id, cut)), None)),
             None => {
-                let now = in_flight.0.clock.now();
-                let cut = stream.finish(now).await.err()?;
-                Some((Err(cut_error(cut)), None))
+                let cut = stream.finish().await.err()?;
+                Some((Err(in_flight.0.note_cut(&id, cut)), None))
             }
         }
     })
 }
-
-fn cut_error(cut: attempt::Cut) -> actix_web::Error {
-    actix_web::error::ErrorBadGateway(cut)
-}
--- a/src/request/endpoint.rs
+++ b/src/request/endpoint.rs
@@ -1,11 +1,12 @@
-//! An endpoint: its address, its slots in use and its idle connections.
+//! An endpoint: its address, its slots in use, its health and its idle connections.
 
-use crate::ids::{DomainId, ServiceName, VmId};
-use crate::request::conn::Conn;
+use crate::ids::{DomainId, RequestId, ServiceName, VmId};
+use crate::request::conn::{Conn, Probed};
+use crate::request::health::Health;
+use crate::request::route::{Candidate, Pace};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// An idle connection is closed rather than used when it has been idle for longer.
@@ -25,7 +26,7 @@
     pub state: EndpointState,
 }
 
-/// Whether an endpoint takes new requests.
+/// Whether the platform's list has an endpoint as live.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EndpointState {
@@ -39,27 +40,45 @@
     pub service: ServiceName,
     pub domain: DomainId,
     pub addr: SocketAddr,
+    pub connect_time: Duration,
     pub listed: Cell<EndpointState>,
-    pub in_flight: Cell<u32>,
+    pub health: RefCell<Health>,
+    pub pace: RefCell<Pace>,
+    pub probing: Cell<Probing>,
+    started: RefCell<Vec<Started>>,
     idle: RefCell<Vec<Conn>>,
 }
 
-/// The right to have one request at an endpoint; given back when dropped.
-pub(super) struct Slot {
-    pub endpoint: Rc<Endpoint>,
+/// Whether a probe of an endpoint that is out is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Probing {
+    No,
+    Yes,
+}
+
+/// A request under way.
+#[derive(Clone, Copy, Debug)]
+struct Started {
+    number: u64,
+    at: Duration,
+    usual: Duration,
 }
 
 impl Endpoint {
     /// An endpoint as listed, or none if its address can't be read.
-    pub fn new(info: &EndpointInfo) -> Option<Self> {
+    pub fn new(info: &EndpointInfo, connect_time: Duration) -> Option<Self> {
         Some(Self {
             vm: info.vm.clone(),
             service: info.service.clone(),
             domain: info.domain.clone(),
             addr: info.addr.parse().ok()?,
+            connect_time,
             listed: Cell::new(info.state),
-            in_flight: Cell::new(0),
-            idle: RefCell::new(Vec::new()),
+            health: RefCell::default(),
+            pace: RefCell::default(),
+            probing: Cell::new(Probing::No),
+            started: RefCell::default(),
+            idle: RefCell::default(),
         })
     }
 
@@ -70,38 +89,78 @@
             && info.domain == self.domain
     }
 
-    /// An idle connection that is young enough, or a new one.
-    pub fn take_conn(&self, connect_time: Duration, now: Duration) -> Conn {
+    /// Requests that are, or may still be, at the endpoint.
+    pub fn in_flight(&self) -> u32 {
+        u32::try_from(self.started.borrow().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Of `share` slots, those that requests may be started on.
+    pub fn usable(&self, share: u32, now: Duration) -> u32 {
+        match self.listed.get() {
+            EndpointState::Live => self.health.borrow().usable(share, now),
+            EndpointState::Leaving => 0,
+        }
+    }
+
+    /// The endpoint as the choice sees it.
+    pub fn candidate(&self, usable: u32, now: Duration) -> Candidate {
+        let started = self.started.borrow();
+        let overdue = started.iter().map(|started| {
+            now.saturating_sub(started.at).as_secs_f64() / started.usual.as_secs_f64().max(1e-6)
+        });
+        Candidate {
+            in_flight: self.in_flight(),
+            usable,
+            slowness: self.pace.borrow().slowness(now, overdue.fold(0.0, f64::max)),
+            failed_share: self.health.borrow().failed_share(),
+        }
+    }
+
+    /// Notes that a request starts.
+    pub fn start(&self, number: u64, at: Duration, usual: Duration) {
+        self.started.borrow_mut().push(Started { number, at, usual });
+    }
+
+    /// Notes that a request is surely no longer there.
+    pub fn end(&self, number: u64) {
+        self.started.borrow_mut().retain(|started| started.number != number);
+    }
+
+    /// An idle connection that is young enough.
+    pub fn idle_conn(&self, now: Duration) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         while let Some(conn) = idle.pop() {
-            let proved = conn.proved.unwrap_or(conn.opened);
-            if now.saturating_sub(proved) < IDLE_LIMIT
-                && now.saturating_sub(conn.opened) < AGE_LIMIT
-            {
-                return conn;
+            let young = now.saturating_sub(conn.opened) < AGE_LIMIT;
+            if young && now.saturating_sub(conn.proved) < IDLE_LIMIT {
+                return Some(conn);
             }
         }
-        Conn::new(self.addr, connect_time, now)
+        None
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn keep_conn(&self, mut conn: Conn, now: Duration) {
-        conn.proved = Some(now);
-        self.idle.borrow_mut().push(conn);
+    /// A connection to be opened.
+    pub fn new_conn(&self, now: Duration) -> Conn {
+        Conn::new(self.addr, self.connect_time, now)
     }
-}
 
-impl Slot {
-    /// Takes a slot. The caller has checked that there is one.
-    pub fn take(endpoint: &Rc<Endpoint>) -> Self {
-        endpoint.in_flight.set(endpoint.in_flight.get() + 1);
-        Self { endpoint: Rc::clone(endpoint) }
+    /// Keeps a connection whose answer was read to its end, one for each slot at most.
+    pub fn keep_conn(&self, mut conn: Conn, most: u32, now: Duration) {
+        conn.proved = now;
+        let mut idle = self.idle.borrow_mut();
+        idle.push(conn);
+        if idle.len() > most.max(1) as usize {
+            idle.remove(0);
+        }
+    }
+
+    /// Closes the idle connections: one was found silent, so the others are in doubt.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
     }
-}
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let in_flight = &self.endpoint.in_flight;
-        in_flight.set(in_flight.get().saturating_sub(1));
+    /// Asks for health, and after a request, over a connection of its own.
+    pub async fn probe(&self, id: Option<&RequestId>, now: Duration) -> Option<Probed> {
+        let mut conn = self.new_conn(now);
+        conn.probe(id).await.ok()
     }
 }
--- /dev/null
+++ b/src/request/fleet.rs
@@ -0,0 +1,399 @@
+//! The endpoints of all services, and who waits for their slots.
+
+use crate::clock::Clock;
+use crate::ids::{ClassName, DaemonId, ServiceName, TeamName, VmId};
+use crate::model::Config;
+use crate::request::admission::{Admission, Refused, Waiting};
+use crate::request::endpoint::{Endpoint, EndpointInfo, EndpointState, Probing};
+use crate::request::health;
+use crate::request::outcome::Reason;
+use crate::request::route::{self, Candidate, Choosing, Usual};
+use crate::request::settings::DispatcherSettings;
+use crate::request::share::{ShareAsk, ShareGrant, Taker, even_split};
+use crate::request::slot::{Slot, Verdict};
+use crate::request::status::EndpointStatus;
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time after which to come back when no endpoint serves.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// How this daemon's part of an endpoint's slots is found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Shares {
+    /// An even split among these daemons, which are all that route to the endpoints.
+    Even(Vec<DaemonId>),
+    /// As granted by the holder of each VM's control lease.
+    Granted,
+}
+
+/// Whoever waits for a slot.
+struct Waiter {
+    tx: oneshot::Sender<Result<Slot, Refused>>,
+    /// Endpoints that failed the request already.
+    avoid: Vec<VmId>,
+}
+
+/// Endpoints, their slots and the queues for them.
+pub(super) struct Fleet {
+    settings: DispatcherSettings,
+    clock: Arc<dyn Clock>,
+    cfg: RefCell<Option<Arc<Config>>>,
+    shares: RefCell<Shares>,
+    takers: RefCell<IndexMap<VmId, Taker>>,
+    endpoints: RefCell<IndexMap<VmId, Rc<Endpoint>>>,
+    queues: RefCell<IndexMap<ServiceName, Admission<Waiter>>>,
+    rng: RefCell<SmallRng>,
+    last_slot: Cell<u64>,
+}
+
+/// A place in the queue; given up when dropped.
+struct Place<'a> {
+    fleet: &'a Fleet,
+    service: &'a ServiceName,
+    class: &'a ClassName,
+    ticket: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(queue) = self.fleet.queues.borrow_mut().get_mut(self.service) {
+            queue.cancel(self.class, self.ticket);
+        }
+    }
+}
+
+/// What a slot is wanted for.
+pub(super) struct Wanted<'a> {
+    pub service: &'a ServiceName,
+    pub class: &'a ClassName,
+    pub team: Option<&'a TeamName>,
+    pub due: Duration,
+    pub avoid: &'a [VmId],
+}
+
+impl Fleet {
+    /// No endpoints yet; this daemon has all slots to itself until told otherwise.
+    pub fn new(settings: DispatcherSettings, clock: Arc<dyn Clock>) -> Self {
+        let shares = Shares::Even(vec![settings.me.clone()]);
+        let seed = xxhash_rust::xxh3::xxh3_64(settings.me.as_str().as_bytes());
+        Self {
+            settings,
+            clock,
+            cfg: RefCell::default(),
+            shares: RefCell::new(shares),
+            takers: RefCell::default(),
+            endpoints: RefCell::default(),
+            queues: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            last_slot: Cell::new(0),
+        }
+    }
+
+    /// Time on this daemon's clock.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub fn cfg(&self) -> Option<Arc<Config>> {
+        self.cfg.borrow().clone()
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(self: &Rc<Self>, cfg: Arc<Config>) {
+        let mut queues = self.queues.borrow_mut();
+        for (name, class) in &cfg.requests {
+            queues.entry(class.service.clone()).or_default().configure(name, class);
+        }
+        drop(queues);
+        *self.cfg.borrow_mut() = Some(cfg);
+        self.pump_all();
+    }
+
+    /// Changes how this daemon's slots are found.
+    pub fn set_shares(self: &Rc<Self>, shares: Shares) {
+        *self.shares.borrow_mut() = shares;
+        self.pump_all();
+    }
+
+    /// Takes the platform's list. Endpoints that are no longer on it finish what they have.
+    pub fn list(self: &Rc<Self>, listed: &[EndpointInfo]) {
+        let mut known = std::mem::take(&mut *self.endpoints.borrow_mut());
+        let mut endpoints = IndexMap::with_capacity(listed.len());
+        for info in listed {
+            let kept = known.swap_remove(&info.vm).filter(|old| old.is_still(info));
+            let connect_time = self.settings.limits.connect_time;
+            let made = || Endpoint::new(info, connect_time).map(Rc::new);
+            let Some(endpoint) = kept.or_else(made) else {
+                log::warn!(vm = info.vm.as_str(), addr = info.addr.as_str(); "endpoint-unreadable");
+                continue;
+            };
+            endpoint.listed.set(info.state);
+            endpoints.insert(info.vm.clone(), endpoint);
+        }
+        self.takers.borrow_mut().retain(|vm, _| endpoints.contains_key(vm));
+        *self.endpoints.borrow_mut() = endpoints;
+        self.pump_all();
+    }
+
+    /// A slot for a request, as soon as it is its turn.
+    pub async fn acquire(self: &Rc<Self>, wanted: &Wanted<'_>) -> Result<Slot, Refused> {
+        let slots = self.slots(wanted.service);
+        if slots == 0 {
+            return Err(Refused { reason: Reason::NoEndpoint, retry_after: COME_BACK });
+        }
+        let (tx, rx) = oneshot::channel();
+        let ticket = self.offer(wanted, tx, slots)?;
+        let place = Place { fleet: self, service: wanted.service, class: wanted.class, ticket };
+        self.pump(wanted.service);
+        let left = wanted.due.saturating_sub(self.now());
+        let late = Refused { reason: Reason::DeadlinePassed, retry_after: COME_BACK };
+        let got = actix_web::rt::time::timeout(left, rx).await;
+        drop(place);
+        match got {
+            Ok(Ok(got)) => got,
+            Ok(Err(_)) | Err(_) => Err(late),
+        }
+    }
+
+    /// Refuses everyone who waits.
+    pub fn refuse_waiting(&self, refused: Refused) {
+        let waiting: Vec<_> =
+            self.queues.borrow_mut().values_mut().flat_map(Admission::clear).collect();
+        for waiting in waiting {
+            let _ = waiting.item.tx.send(Err(refused));
+        }
+    }
+
+    /// Refuses those who waited too long, hands out free slots and starts probes that are due.
+    pub fn tick(self: &Rc<Self>) {
+        let now = self.now();
+        let late: Vec<(Waiting<Waiter>, Refused)> =
+            self.queues.borrow_mut().values_mut().flat_map(|queue| queue.give_up(now)).collect();
+        for (waiting, refused) in late {
+            let _ = waiting.item.tx.send(Err(refused));
+        }
+        self.pump_all();
+        let endpoints: Vec<_> = self.endpoints.borrow().values().cloned().collect();
+        for endpoint in endpoints {
+            self.probe_if_due(endpoint, now);
+        }
+    }
+
+    /// A request ended at an endpoint.
+    pub fn ended(self: &Rc<Self>, endpoint: &Endpoint, class: &ClassName, verdict: Verdict) {
+        let now = self.now();
+        let took = match verdict {
+            Verdict::Good { took } => Some(took),
+            Verdict::Bad | Verdict::Nothing => None,
+        };
+        if let Some(queue) = self.queues.borrow_mut().get_mut(&endpoint.service) {
+            if let (Some(took), Some(usual)) = (took, queue.usual(class)) {
+                endpoint.pace.borrow_mut().learn(usual.ratio(took), now);
+            }
+            queue.ended(class, took);
+        }
+        match verdict {
+            Verdict::Good { .. } => endpoint.health.borrow_mut().succeeded(now),
+            Verdict::Bad => self.blame(endpoint, now),
+            Verdict::Nothing => {}
+        }
+        self.pump(&endpoint.service);
+    }
+
+    /// The usual service time of a class.
+    pub fn usual(&self, service: &ServiceName, class: &ClassName) -> Option<Usual> {
+        self.queues.borrow().get(service).and_then(|queue| queue.usual(class).copied())
+    }
+
+    /// Time that few requests of a class exceed.
+    pub fn tail(&self, service: &ServiceName, class: &ClassName) -> Duration {
+        self.usual(service, class).map_or(Duration::ZERO, |usual| usual.tail())
+    }
+
+    /// Requests that wait, by class.
+    pub fn waiting(&self) -> IndexMap<ClassName, usize> {
+        let queues = self.queues.borrow();
+        let counts = queues.values().flat_map(Admission::waiting);
+        counts.map(|(class, count)| (class.clone(), count)).collect()
+    }
+
+    /// The endpoints as this daemon sees them.
+    pub fn endpoint_status(&self) -> Vec<EndpointStatus> {
+        let now = self.now();
+        let endpoints = self.endpoints.borrow();
+        let status = endpoints.values().map(|endpoint| EndpointStatus {
+            vm: endpoint.vm.clone(),
+            service: endpoint.service.clone(),
+            domain: endpoint.domain.clone(),
+            listed: endpoint.listed.get(),
+            standing: endpoint.health.borrow().standing(),
+            failed_share: endpoint.health.borrow().failed_share(),
+            slowness: endpoint.pace.borrow().slowness(now, 0.0),
+            share: self.share_of(endpoint, now),
+            in_flight: endpoint.in_flight(),
+        });
+        status.collect()
+    }
+
+    /// The asks to send to the givers of this domain's endpoints.
+    pub fn share_asks(&self) -> Vec<ShareAsk> {
+        let now = self.now();
+        let endpoints = self.endpoints.borrow();
+        let mut takers = self.takers.borrow_mut();
+        let home = endpoints.values().filter(|endpoint| self.is_home(endpoint));
+        let asks = home.map(|endpoint| {
+            let waiting = self.waiting_at(&endpoint.service);
+            let taker = takers
+                .entry(endpoint.vm.clone())
+                .or_insert_with(|| Taker::new(self.settings.me.clone(), endpoint.vm.clone()));
+            let in_flight = endpoint.in_flight();
+            taker.demand(in_flight + waiting);
+            taker.ask(in_flight, now)
+        });
+        asks.collect()
+    }
+
+    /// Takes a giver's grant, whose ask was sent at `sent`.
+    pub fn share_granted(self: &Rc<Self>, grant: &ShareGrant, sent: Duration) {
+        if let Some(taker) = self.takers.borrow_mut().get_mut(&grant.vm) {
+            taker.granted(grant, sent);
+        }
+        self.pump_all();
+    }
+
+    fn waiting_at(&self, service: &ServiceName) -> u32 {
+        let queues = self.queues.borrow();
+        let waiting = queues.get(service).map_or(0, |queue| queue.waiting().map(|(_, n)| n).sum());
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+
+    fn offer(
+        &self,
+        wanted: &Wanted<'_>,
+        tx: oneshot::Sender<Result<Slot, Refused>>,
+        slots: u32,
+    ) -> Result<u64, Refused> {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(wanted.service.clone()).or_default();
+        let waiter = Waiter { tx, avoid: wanted.avoid.to_vec() };
+        queue.offer(wanted.class, wanted.team.cloned(), wanted.due, waiter, slots, self.now())
+    }
+
+    fn pump_all(self: &Rc<Self>) {
+        let services: Vec<_> = self.queues.borrow().keys().cloned().collect();
+        for service in &services {
+            self.pump(service);
+        }
+    }
+
+    /// Hands out free slots of a service to whoever is next.
+    fn pump(self: &Rc<Self>, service: &ServiceName) {
+        loop {
+            let now = self.now();
+            let slots = self.slots(service);
+            let rooms = self.rooms(service, now);
+            if rooms.is_empty() {
+                return;
+            }
+            let next = match self.queues.borrow_mut().get_mut(service) {
+                Some(queue) => queue.next(slots, now),
+                None => None,
+            };
+            let Some((class, waiting)) = next else { return };
+            let Some(endpoint) = self.choose(&rooms, &waiting.item.avoid) else { return };
+            let Some(usual) = self.usual(service, &class) else { return };
+            self.last_slot.set(self.last_slot.get() + 1);
+            let slot = Slot::take(self, &endpoint, &class, usual, self.last_slot.get());
+            if let Err(unwanted) = waiting.item.tx.send(Ok(slot)) {
+                // Its caller is gone. Dropping the slot comes back here, for the next in turn.
+                drop(unwanted);
+                return;
+            }
+        }
+    }
+
+    fn rooms(&self, service: &ServiceName, now: Duration) -> Vec<(Rc<Endpoint>, Candidate)> {
+        let endpoints = self.endpoints.borrow();
+        let home = endpoints.values().filter(|e| e.service == *service && self.is_home(e));
+        let rooms = home.filter_map(|endpoint| {
+            let usable = endpoint.usable(self.share_of(endpoint, now), now);
+            let room = endpoint.in_flight() < usable;
+            room.then(|| (Rc::clone(endpoint), endpoint.candidate(usable, now)))
+        });
+        rooms.collect()
+    }
+
+    /// An endpoint with room, rather one that has not failed the request before.
+    fn choose(&self, rooms: &[(Rc<Endpoint>, Candidate)], avoid: &[VmId]) -> Option<Rc<Endpoint>> {
+        let mut others: Vec<_> = rooms.iter().filter(|(e, _)| !avoid.contains(&e.vm)).collect();
+        if others.is_empty() {
+            others = rooms.iter().collect();
+        }
+        let candidates: Vec<Candidate> = others.iter().map(|(_, candidate)| *candidate).collect();
+        let mut rng = self.rng.borrow_mut();
+        let at = route::choose(Choosing::default(), &candidates, &mut *rng)?;
+        Some(Rc::clone(&others[at].0))
+    }
+
+    /// Slots of a service that this daemon may use.
+    fn slots(&self, service: &ServiceName) -> u32 {
+        let now = self.now();
+        let endpoints = self.endpoints.borrow();
+        let home = endpoints.values().filter(|e| e.service == *service && self.is_home(e));
+        home.map(|endpoint| endpoint.usable(self.share_of(endpoint, now), now)).sum()
+    }
+
+    fn share_of(&self, endpoint: &Endpoint, now: Duration) -> u32 {
+        match &*self.shares.borrow() {
+            Shares::Granted => {
+                self.takers.borrow().get(&endpoint.vm).map_or(0, |taker| taker.usable(now))
+            }
+            Shares::Even(daemons) => {
+                let cfg = self.cfg.borrow();
+                let service = cfg.as_ref().and_then(|cfg| cfg.services.get(&endpoint.service));
+                let slots = service.map_or(0, |service| service.slots);
+                even_split(&endpoint.vm, slots, &self.settings.me, daemons)
+            }
+        }
+    }
+
+    fn is_home(&self, endpoint: &Endpoint) -> bool {
+        endpoint.domain == self.settings.domain
+    }
+
+    fn blame(&self, endpoint: &Endpoint, now: Duration) {
+        let endpoints = self.endpoints.borrow();
+        let peers: Vec<_> = endpoints
+            .values()
+            .filter(|e| e.service == endpoint.service && e.domain == endpoint.domain)
+            .filter(|e| e.listed.get() == EndpointState::Live)
+            .collect();
+        let out = peers.iter().filter(|e| e.health.borrow().is_out()).count();
+        let may_eject = health::may_eject(out, peers.len());
+        endpoint.health.borrow_mut().failed(now, may_eject);
+    }
+
+    fn probe_if_due(self: &Rc<Self>, endpoint: Rc<Endpoint>, now: Duration) {
+        let due = endpoint.health.borrow().wants_probe(now);
+        if !due || endpoint.probing.get() == Probing::Yes {
+            return;
+        }
+        endpoint.probing.set(Probing::Yes);
+        let fleet = Rc::clone(self);
+        actix_web::rt::spawn(async move {
+            let probed = endpoint.probe(None, now).await;
+            endpoint.probing.set(Probing::No);
+            let open = probed.is_some_and(|probed| probed.open);
+            endpoint.health.borrow_mut().probed(open, fleet.now());
+            fleet.pump(&endpoint.service);
+        });
+    }
+}
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -1,6 +1,6 @@
 //! Names of the headers shared with callers, endpoints and other daemons.
 
-use actix_web::http::header::HeaderName;
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 
 /// Id of a request; made here where the caller gives none.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("waxwing-request-id");
@@ -39,3 +39,12 @@
 pub fn is_passed_on(name: &HeaderName) -> bool {
     !name.as_str().starts_with("waxwing-") && !PER_CONNECTION.contains(&name.as_str())
 }
+
+/// Those headers that are passed on.
+pub(super) fn passed_on(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
+    headers
+        .iter()
+        .filter(|(name, _)| is_passed_on(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- a/src/request/journal.rs
+++ b/src/request/journal.rs
@@ -52,9 +52,10 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Explained {
     Known(Box<RequestExplanation>),
-    /// Was seen since `since`, or never here; requests before that are forgotten.
+    /// Nothing is known here. Requests that arrived up to `until` are forgotten; if it is absent
+    /// none are, and the request never came here.
     Forgotten {
-        since: Duration,
+        until: Option<Duration>,
     },
 }
 
@@ -123,14 +124,12 @@
         }
     }
 
-    /// The entry of a request.
-    pub fn get(&self, id: &RequestId) -> Option<&RequestExplanation> {
-        self.entries.get(id)
-    }
-
-    /// Arrival of the latest request that was forgotten, if one was.
-    pub fn forgotten_until(&self) -> Option<Duration> {
-        self.forgotten_until
+    /// What is known of a request.
+    pub fn explain(&self, id: &RequestId) -> Explained {
+        match self.entries.get(id) {
+            Some(entry) => Explained::Known(Box::new(entry.clone())),
+            None => Explained::Forgotten { until: self.forgotten_until },
+        }
     }
 
     fn forget_oldest(&mut self) {
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -39,7 +39,6 @@
     Draining,
     NoConfig,
     NoEndpoint,
-    NoSlot,
     QueueFull,
     DeadlineTooShort,
     DeadlinePassed,
@@ -73,7 +72,45 @@
     }
 }
 
+impl Outcome {
+    /// The outcome that a header's word means.
+    pub fn read(word: &str) -> Option<Self> {
+        [Self::Ran, Self::NotRun, Self::Unknown].into_iter().find(|known| known.as_str() == word)
+    }
+}
+
 impl Reason {
+    /// Every reason.
+    pub const ALL: [Self; 22] = [
+        Self::Answered,
+        Self::UnknownClass,
+        Self::BadRequestId,
+        Self::BadDeadline,
+        Self::BadTeam,
+        Self::BodyTooLarge,
+        Self::BodyTooSlow,
+        Self::BodyBroken,
+        Self::Draining,
+        Self::NoConfig,
+        Self::NoEndpoint,
+        Self::QueueFull,
+        Self::DeadlineTooShort,
+        Self::DeadlinePassed,
+        Self::EndpointsRefused,
+        Self::ConnectFailed,
+        Self::ConnectionSilent,
+        Self::ConnectionLost,
+        Self::AnswerCut,
+        Self::AnswerMismatch,
+        Self::AnswerUnbounded,
+        Self::PeerFailed,
+    ];
+
+    /// The reason that a header's word means.
+    pub fn read(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|known| known.as_str() == word)
+    }
+
     /// The word in the `waxwing-reason` header.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -88,7 +125,6 @@
             Self::Draining => "draining",
             Self::NoConfig => "no-config",
             Self::NoEndpoint => "no-endpoint",
-            Self::NoSlot => "no-slot",
             Self::QueueFull => "queue-full",
             Self::DeadlineTooShort => "deadline-too-short",
             Self::DeadlinePassed => "deadline-passed",
@@ -116,7 +152,7 @@
             Self::BodyBroken => "send the whole body as declared",
             Self::Draining | Self::NoConfig => "send it again; another daemon will take it",
             Self::NoEndpoint => "send it again later; no endpoint serves this class now",
-            Self::NoSlot | Self::QueueFull => "send it again after the time in retry-after",
+            Self::QueueFull => "send it again after the time in retry-after",
             Self::DeadlineTooShort => "send it again later, or with a longer deadline",
             Self::DeadlinePassed => "send it again with a longer deadline if the outcome allows",
             Self::EndpointsRefused | Self::ConnectFailed => "send it again after a short while",
@@ -143,7 +179,6 @@
             Self::Draining
             | Self::NoConfig
             | Self::NoEndpoint
-            | Self::NoSlot
             | Self::QueueFull
             | Self::DeadlineTooShort
             | Self::EndpointsRefused
--- a/src/request/settings.rs
+++ b/src/request/settings.rs
@@ -44,15 +44,6 @@
     }
 }
 
-/// Another daemon that takes callers' requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerFront {
-    pub id: DaemonId,
-    pub domain: DomainId,
-    /// Address that callers use, `ip:port`.
-    pub addr: String,
-}
-
 impl DispatcherSettings {
     /// The usual limits, for daemon `me` in `domain`.
     pub fn new(me: DaemonId, domain: DomainId) -> Self {
--- a/src/request/status.rs
+++ b/src/request/status.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{ClassName, DomainId, ServiceName, VmId};
 use crate::request::endpoint::EndpointState;
+use crate::request::health::Standing;
 use crate::request::outcome::Reason;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,11 @@
     pub service: ServiceName,
     pub domain: DomainId,
     pub listed: EndpointState,
+    pub standing: Standing,
+    /// Share of recent answers that were failures.
+    pub failed_share: f64,
+    /// Times the usual that requests took there lately.
+    pub slowness: f64,
     /// Slots that this daemon may use.
     pub share: u32,
     pub in_flight: u32,
--- a/src/request/tests/journal.rs
+++ b/src/request/tests/journal.rs
@@ -1,5 +1,5 @@
 use crate::ids::{ClassName, RequestId};
-use crate::request::journal::Journal;
+use crate::request::journal::{Explained, Journal};
 use crate::request::outcome::{Outcome, Reason};
 use std::time::Duration;
 
@@ -11,10 +11,10 @@
         journal.open(&id, &ClassName::new("preview"), Duration::from_secs(second));
         journal.close(&id, Outcome::Ran, Reason::Answered, Duration::from_secs(second));
     }
-    assert!(journal.get(&RequestId::new("1")).is_none());
-    assert!(journal.get(&RequestId::new("2")).is_some());
-    assert!(journal.get(&RequestId::new("3")).is_some());
-    assert_eq!(journal.forgotten_until(), Some(Duration::from_secs(1)));
+    let forgotten = Explained::Forgotten { until: Some(Duration::from_secs(1)) };
+    assert_eq!(journal.explain(&RequestId::new("1")), forgotten);
+    assert!(matches!(journal.explain(&RequestId::new("2")), Explained::Known(_)));
+    assert!(matches!(journal.explain(&RequestId::new("3")), Explained::Known(_)));
 }
 
 #[test]
@@ -24,6 +24,8 @@
     for second in 1..=5 {
         journal.open(&id, &ClassName::new("preview"), Duration::from_secs(second));
     }
-    assert_eq!(journal.get(&id).map(|entry| entry.arrived), Some(Duration::from_secs(5)));
-    assert_eq!(journal.forgotten_until(), None);
+    let Explained::Known(entry) = journal.explain(&id) else { panic!("forgotten") };
+    assert_eq!(entry.arrived, Duration::from_secs(5));
+    let never = Explained::Forgotten { until: None };
+    assert_eq!(journal.explain(&RequestId::new("another")), never);
 }
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -26,6 +26,12 @@
     /// Answers got before the faults are switched on, so that there are idle connections.
     #[serde(default)]
     warm_up: usize,
+    /// Faults of the requests before.
+    #[serde(default)]
+    warm_up_faults: Vec<Fault>,
+    /// Whether probes are told what became of the request.
+    #[serde(default)]
+    states: States,
     /// Faults of the next requests, in order.
     #[serde(default)]
     faults: Vec<Fault>,
@@ -38,18 +44,32 @@
     runs: Vec<usize>,
 }
 
+/// Whether the endpoint answers probes that ask after a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum States {
+    #[default]
+    Told,
+    Hidden,
+}
+
 fn run_table(path: &Path) -> datatest_stable::Result<()> {
     let table: Table = toml::from_str(&std::fs::read_to_string(path)?)?;
     assert!(!table.story.trim().is_empty());
-    for case in &table.case {
-        run_case(case);
-    }
+    // Cases wait on silent connections most of the time, so they run side by side.
+    std::thread::scope(|scope| {
+        for case in &table.case {
+            scope.spawn(|| run_case(case));
+        }
+    });
     Ok(())
 }
 
 fn run_case(case: &Case) {
     let endpoint = Endpoint::start(EndpointSettings::default());
     let front = Front::start(config(8), &[listed("vm-1", &endpoint)]);
+    endpoint.faults().states_hidden(case.states == States::Hidden);
+    case.warm_up_faults.iter().for_each(|fault| endpoint.faults().next(*fault));
     for at in 0..case.warm_up {
         let got = call(front.addr, "preview", "page", &format!("warm-{at}"));
         assert_eq!(got.outcome(), "ran", "{case:?}: {got:?}");
