Test the request path over sockets: drain, gone callers, leaving, hop, shares

Cause: found while testing: a slot of an abandoned request was held up to a second after it ended, so that 600 quick failures in a row filled the queue; an entry of a detached run had no end.

--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -186,7 +186,9 @@
             Ok(id) => id,
             Err(refusal) => return inner.refuse(&arrival::new_id(), refusal),
         };
-        match inner.run(&req, payload, &id).await {
+        let result = inner.run(&req, payload, &id).await;
+        inner.note_end(&id, &result);
+        match result {
             Ok(answer) => inner.pass_on(answer, &id, in_flight),
             Err(refusal) => inner.refuse(&id, refusal),
         }
@@ -227,11 +229,12 @@
             Idempotency::Idempotent => self.deliver(&arrival, &body.bytes).await,
             // A caller that goes away must not cut a run that can't be repeated.
             Idempotency::NonIdempotent => {
-                let inner = Rc::clone(self);
                 let in_flight = InFlight::new(self);
                 let run = actix_web::rt::spawn(async move {
-                    let _in_flight = in_flight;
-                    inner.deliver(&arrival, &body.bytes).await
+                    let inner = &in_flight.0;
+                    let result = inner.deliver(&arrival, &body.bytes).await;
+                    inner.note_end(&arrival.id, &result);
+                    result
                 });
                 run.await.unwrap_or(Err(Refusal::unknown(Reason::ConnectionLost)))
             }
@@ -240,14 +243,18 @@
 
     fn refuse(&self, id: &RequestId, refusal: Refusal) -> HttpResponse {
         *self.refusals.borrow_mut().entry(refusal.reason).or_insert(0) += 1;
-        let now = self.fleet.now();
-        self.journal.borrow_mut().close(id, refusal.outcome, refusal.reason, now);
         refusal.answer(id)
     }
 
+    fn note_end(&self, id: &RequestId, result: &Result<Answer, Refusal>) {
+        let (outcome, reason) = match result {
+            Ok(_) => (Outcome::Ran, Reason::Answered),
+            Err(refusal) => (refusal.outcome, refusal.reason),
+        };
+        self.journal.borrow_mut().close(id, outcome, reason, self.fleet.now());
+    }
+
     fn pass_on(&self, answer: Answer, id: &RequestId, in_flight: InFlight) -> HttpResponse {
-        let now = self.fleet.now();
-        self.journal.borrow_mut().close(id, Outcome::Ran, Reason::Answered, now);
         let mut resp = HttpResponseBuilder::new(answer.status);
         for header in answer.headers {
             resp.append_header(header);
--- a/src/request/slot.rs
+++ b/src/request/slot.rs
@@ -15,10 +15,10 @@
 use std::time::Duration;
 
 /// First pause before asking whether an abandoned request still runs.
-const FIRST_ASK: Duration = Duration::from_millis(20);
+const FIRST_ASK: Duration = Duration::from_millis(2);
 
 /// Longest pause before asking again.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
 /// Answers in a row that say nothing runs. One alone may be overtaken by the request itself.
 const SURE: u32 = 2;
@@ -140,7 +140,10 @@
         let held = now.saturating_sub(lease.at);
         match lease.endpoint.probe(Some(&id), now).await.map(|probed| probed.word) {
             Some(Word::Running) => (not_running, unanswered) = (0, 0),
-            Some(Word::NotRunning) => not_running += 1,
+            Some(Word::NotRunning) => {
+                not_running += 1;
+                pause = FIRST_ASK;
+            }
             // Without the endpoint's word, the time that few requests exceed must do.
             Some(Word::Unsaid) if held > lease.tail => return,
             Some(Word::Unsaid) => {}
--- a/standin/src/endpoint.rs
+++ b/standin/src/endpoint.rs
@@ -22,11 +22,20 @@
     /// Requests at a time; more is counted as a violation.
     pub slots: usize,
     pub service_time: Duration,
+    pub on_close: OnClose,
+}
+
+/// What becomes of a request whose connection is closed while it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OnClose {
+    #[default]
+    Stops,
+    RunsOn,
 }
 
 impl Default for EndpointSettings {
     fn default() -> Self {
-        Self { slots: 8, service_time: Duration::ZERO }
+        Self { slots: 8, service_time: Duration::ZERO, on_close: OnClose::default() }
     }
 }
 
@@ -80,6 +89,21 @@
         state.runs.iter().filter(|(_, runs)| **runs > 1).map(|(id, _)| id.clone()).collect()
     }
 
+    /// Requests that arrived, run or not.
+    pub fn requests(&self) -> usize {
+        self.shared.state().requests
+    }
+
+    /// Requests that ran to their end.
+    pub fn completed(&self) -> usize {
+        self.shared.state().completed
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> usize {
+        self.shared.state().running
+    }
+
     /// Most requests that ever ran at once.
     pub fn max_concurrent(&self) -> usize {
         self.shared.state().max_concurrent
--- a/standin/src/endpoint/exchange.rs
+++ b/standin/src/endpoint/exchange.rs
@@ -1,8 +1,8 @@
 //! One connection of an endpoint: requests in, answers or faults out.
 
-use super::answer_body;
 use super::faults::{Fault, NotRun, RequestState, Shared};
 use super::http::{Framing, Req, Resp, read_request, write};
+use super::{OnClose, answer_body};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -118,6 +118,7 @@
 async fn request(stream: &mut TcpStream, shared: &Shared, req: &Req) -> Option<Step> {
     let (fault, leaving) = {
         let mut state = shared.state();
+        state.requests += 1;
         (state.take_fault(), state.leaving)
     };
     let id = req.id.clone().unwrap_or_default();
@@ -134,11 +135,35 @@
         _ => {}
     }
     let running = Running::start(shared, &id);
-    tokio::time::sleep(service_time(shared, req, fault)).await;
+    work(stream, shared, service_time(shared, req, fault)).await?;
+    shared.state().completed += 1;
     let resp = usual(req, &id);
     answer(stream, req, &resp, fault, running).await
 }
 
+/// Takes its time; none when the connection was closed meanwhile and the work stops.
+async fn work(stream: &TcpStream, shared: &Shared, time: Duration) -> Option<()> {
+    let done = tokio::time::sleep(time);
+    match shared.settings.on_close {
+        OnClose::RunsOn => {
+            done.await;
+            Some(())
+        }
+        OnClose::Stops => tokio::select! {
+            () = done => Some(()),
+            () = closed(stream) => None,
+        },
+    }
+}
+
+async fn closed(stream: &TcpStream) {
+    let mut buf = [0; 1];
+    // A byte of a next request doesn't end this one.
+    if !matches!(stream.peek(&mut buf).await, Ok(0) | Err(_)) {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn not_run(stream: &mut TcpStream, id: &str, why: NotRun) -> Option<Step> {
     let word = match why {
         NotRun::Leaving => "leaving",
--- /dev/null
+++ b/tests/request_path.rs
@@ -0,0 +1,393 @@
+//! Requests through a daemon's front, over real sockets, where more than one request matters.
+
+mod request_support;
+
+use request_support::{Front, Got, call, config, listed, listed_in, read_answer, send, until};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use waxwingstall::ids::{ClassName, DaemonId};
+use waxwingstall::request::{
+    DispatcherSettings, EndpointState, Explained, Limits, Outcome, PeerFront, Reason, Shares,
+};
+use waxwingstall_standin::endpoint::{Endpoint, EndpointSettings, Fault, OnClose, answer_body};
+
+fn one_slot(on_close: OnClose) -> Endpoint {
+    Endpoint::start(EndpointSettings { slots: 1, on_close, ..EndpointSettings::default() })
+}
+
+/// Sends a request without reading its answer.
+fn start(addr: SocketAddr, class: &str, tail: &str, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    let head = format!(
+        "POST /v1/requests/{class}/{tail} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         waxwing-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+fn queued(front: &Front) -> usize {
+    front.with(|dispatcher| dispatcher.status().queued.values().sum())
+}
+
+fn assert_ran(got: &Got, id: &str) {
+    assert_eq!(got.outcome(), "ran", "{id}: {got:?}");
+    assert!(got.whole, "{id} was cut");
+    assert_eq!(got.body, answer_body(id, got.body.len()), "{id} got another's answer");
+}
+
+/// A daemon is told to stop while one request runs, one waits and one more arrives.
+/// The running one is answered whole, the waiting one is told that it did not run, and so is the
+/// new one. Nothing is cut, and nothing that was refused ever runs.
+#[test]
+fn a_drain_finishes_what_runs_and_refuses_the_rest_as_not_run() {
+    let endpoint = one_slot(OnClose::Stops);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let mut running = start(front.addr, "plan", "x?ms=700&bytes=300000", "running");
+    until("the first runs", || endpoint.running() == 1);
+    let mut waiting = start(front.addr, "plan", "x", "waiting");
+    until("the second waits", || queued(&front) == 1);
+    front.with(|dispatcher| dispatcher.drain());
+    let waiting = read_answer(&mut waiting);
+    let new = call(front.addr, "plan", "x", "new");
+    for got in [&waiting, &new] {
+        assert_eq!((got.outcome(), got.reason()), ("not-run", "draining"), "{got:?}");
+        assert_eq!(got.header("retry-after"), "1");
+    }
+    assert_ran(&read_answer(&mut running), "running");
+    until("nothing is in flight", || front.with(|dispatcher| dispatcher.in_flight()) == 0);
+    assert_eq!((endpoint.runs_of("waiting"), endpoint.runs_of("new")), (0, 0));
+}
+
+/// A daemon is told to stop in the middle of a streamed answer; the caller gets the rest of it,
+/// and only then is nothing in flight.
+#[test]
+fn a_drain_waits_for_streams() {
+    let endpoint = one_slot(OnClose::Stops);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let mut stream = start(front.addr, "plan", "x?bytes=400000&chunked=1&gap_ms=60", "stream");
+    until("the stream runs", || endpoint.running() == 1);
+    front.with(|dispatcher| dispatcher.drain());
+    assert_eq!(front.with(|dispatcher| dispatcher.in_flight()), 1);
+    let got = read_answer(&mut stream);
+    assert_ran(&got, "stream");
+    assert_eq!(got.body.len(), 400_000);
+    until("nothing is in flight", || front.with(|dispatcher| dispatcher.in_flight()) == 0);
+}
+
+/// A caller goes away while its request runs on the only slot. The connection to the endpoint is
+/// closed, the endpoint stops, and the next caller gets the slot long before the first would have
+/// ended.
+#[test]
+fn a_caller_that_goes_away_frees_its_slot() {
+    let endpoint = one_slot(OnClose::Stops);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let gone = start(front.addr, "plan", "x?ms=1000000", "gone");
+    until("the first runs", || endpoint.running() == 1);
+    drop(gone);
+    assert_ran(&call(front.addr, "plan", "x", "next"), "next");
+    assert_eq!(endpoint.slot_violations(), 0);
+}
+
+/// The same at an endpoint that does not notice closed connections: the next request waits until
+/// the first has really ended, or there would be two on one slot.
+#[test]
+fn a_slot_is_not_given_away_while_its_request_still_runs() {
+    let endpoint = one_slot(OnClose::RunsOn);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let gone = start(front.addr, "plan", "x?ms=800", "gone");
+    until("the first runs", || endpoint.running() == 1);
+    drop(gone);
+    assert_ran(&call(front.addr, "plan", "x", "next"), "next");
+    assert_eq!((endpoint.max_concurrent(), endpoint.slot_violations()), (1, 0));
+}
+
+/// A request's deadline passes while it runs at such an endpoint. Its caller is told at once that
+/// the outcome is unknown; the next request still waits for the slot.
+#[test]
+fn a_passed_deadline_is_told_at_once_and_gives_no_slot_away() {
+    let endpoint = one_slot(OnClose::RunsOn);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let soon = "waxwing-request-id: late\r\nwaxwing-deadline-ms: 300\r\n";
+    let late = send(front.addr, "POST", "/v1/requests/plan/x?ms=1500", soon, b"");
+    assert_eq!((late.status, late.outcome()), (504, "unknown"), "{late:?}");
+    assert_eq!(late.reason(), "deadline-passed");
+    assert_eq!(endpoint.running(), 1, "the answer came while the request still ran");
+    assert_ran(&call(front.addr, "plan", "x", "next"), "next");
+    assert_eq!((endpoint.max_concurrent(), endpoint.slot_violations()), (1, 0));
+}
+
+/// The caller of a print build goes away while it runs. Cutting it off in the middle could leave
+/// half of it done, so it runs on, and its end can be asked for.
+#[test]
+fn a_run_that_cannot_be_repeated_is_not_cut_when_its_caller_goes_away() {
+    let endpoint = one_slot(OnClose::Stops);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let gone = start(front.addr, "build", "x?ms=400", "build-1");
+    until("the build runs", || endpoint.running() == 1);
+    drop(gone);
+    until("the build ends", || match front.explain("build-1") {
+        Explained::Known(entry) => entry.end.is_some_and(|end| end.outcome == Outcome::Ran),
+        Explained::Forgotten { .. } => false,
+    });
+    assert_eq!((endpoint.completed(), endpoint.runs_of("build-1")), (1, 1));
+}
+
+/// Callers send a byte and then nothing. They hold no slot: others are answered meanwhile. When
+/// their time is over they are told that nothing ran.
+#[test]
+fn slow_senders_hold_no_slot_and_are_told_so() {
+    let endpoint = one_slot(OnClose::Stops);
+    let limits = Limits { body_time: Duration::from_millis(1500), ..Limits::default() };
+    let settings = DispatcherSettings::new("d1".into(), "home".into()).with_limits(limits);
+    let front = Front::start_with(settings, config(1), &[listed("vm-1", &endpoint)]);
+    let mut slow: Vec<TcpStream> = (0..20)
+        .map(|_| {
+            let mut stream = TcpStream::connect(front.addr).unwrap();
+            let head = "POST /v1/requests/plan/x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                        content-length: 10\r\n\r\n1";
+            stream.write_all(head.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    until("they have arrived", || front.with(|dispatcher| dispatcher.in_flight()) == 20);
+    assert_ran(&call(front.addr, "plan", "x", "quick"), "quick");
+    for stream in &mut slow {
+        let got = read_answer(stream);
+        assert_eq!((got.status, got.outcome()), (408, "not-run"), "{got:?}");
+        assert_eq!(got.reason(), "body-too-slow");
+    }
+    assert_eq!(endpoint.runs(), 1);
+}
+
+/// What a caller sent can't be taken; it is told why, and that nothing ran.
+#[test]
+fn malformed_input_is_refused_with_the_reason() {
+    let endpoint = one_slot(OnClose::Stops);
+    let limits = Limits { body_bytes: 1000, ..Limits::default() };
+    let settings = DispatcherSettings::new("d1".into(), "home".into()).with_limits(limits);
+    let front = Front::start_with(settings, config(1), &[listed("vm-1", &endpoint)]);
+    let long = format!("waxwing-request-id: {}\r\n", "x".repeat(129));
+    let cases: [(&str, &str, usize, u16, &str); 8] = [
+        ("/v1/requests/nothing/x", "", 0, 404, "unknown-class"),
+        ("/v1/requests/plan/x", "waxwing-request-id: a b\r\n", 0, 400, "bad-request-id"),
+        ("/v1/requests/plan/x", long.as_str(), 0, 400, "bad-request-id"),
+        ("/v1/requests/plan/x", "waxwing-deadline-ms: soon\r\n", 0, 400, "bad-deadline"),
+        ("/v1/requests/plan/x", "waxwing-deadline-ms: 0\r\n", 0, 400, "bad-deadline"),
+        ("/v1/requests/plan/x", "waxwing-deadline-ms: -5\r\n", 0, 400, "bad-deadline"),
+        ("/v1/requests/plan/x", "waxwing-team: \u{1}\r\n", 0, 400, "bad-team"),
+        ("/v1/requests/plan/x", "", 1001, 413, "body-too-large"),
+    ];
+    for (path, headers, length, status, reason) in cases {
+        let got = send(front.addr, "POST", path, headers, &vec![b'x'; length]);
+        if reason == "bad-team" && got.outcome().is_empty() {
+            // The server refuses control characters before the request gets here.
+            assert_eq!(got.status, 400, "{got:?}");
+            continue;
+        }
+        assert_eq!((got.status, got.reason()), (status, reason), "{path} {headers}");
+        assert_eq!(got.outcome(), "not-run", "{path} {headers}");
+    }
+    assert_eq!(endpoint.runs(), 0);
+}
+
+/// An endpoint says that it leaves, refuses connections, or the list says that it leaves. Callers
+/// notice nothing, and the endpoint gets nothing new but probes.
+#[test]
+fn a_leaving_endpoint_gets_no_new_work() {
+    type Leave = fn(&Front, &Endpoint, &Endpoint);
+    let by_word: Leave = |_, going, _| going.faults().leaving(true);
+    let by_refusal: Leave = |_, going, _| going.faults().refuse_connections(true);
+    let by_list: Leave = |front, going, staying| {
+        let mut info = listed("going", going);
+        info.state = EndpointState::Leaving;
+        let endpoints = [info, listed("staying", staying)];
+        front.with(move |dispatcher| dispatcher.endpoints(&endpoints));
+    };
+    for (name, leave) in [("word", by_word), ("refusal", by_refusal), ("list", by_list)] {
+        let going = Endpoint::start(EndpointSettings::default());
+        let staying = Endpoint::start(EndpointSettings::default());
+        let endpoints = [listed("going", &going), listed("staying", &staying)];
+        let front = Front::start(config(8), &endpoints);
+        for at in 0..20 {
+            assert_eq!(call(front.addr, "build", "x", &format!("before-{at}")).outcome(), "ran");
+        }
+        leave(&front, &going, &staying);
+        let before = going.runs();
+        for at in 0..60 {
+            let got = call(front.addr, "build", "x", &format!("after-{at}"));
+            assert_eq!(got.outcome(), "ran", "{name}: {got:?}");
+        }
+        assert_eq!(going.runs(), before, "{name}: new work after it left");
+        let state = front.with(|dispatcher| dispatcher.status().endpoints);
+        assert_eq!(state.len(), 2);
+    }
+}
+
+/// An endpoint that left by its own word and is well again gets work again, after a probe.
+#[test]
+fn an_endpoint_that_is_well_again_returns() {
+    let endpoint = Endpoint::start(EndpointSettings::default());
+    let front = Front::start(config(8), &[listed("vm-1", &endpoint)]);
+    endpoint.faults().leaving(true);
+    let refused = call(front.addr, "build", "x", "refused");
+    assert_eq!(refused.outcome(), "not-run", "{refused:?}");
+    endpoint.faults().leaving(false);
+    until("it is back", || call(front.addr, "build", "x", "again").outcome() == "ran");
+    assert_eq!(endpoint.runs_of("refused"), 0);
+}
+
+/// One of four endpoints answers every request with an error at once. Being quick must not make it
+/// look good: nearly all requests go to the others, and the callers see no error.
+#[test]
+fn an_endpoint_that_fails_quickly_attracts_nothing() {
+    let endpoints: Vec<Endpoint> =
+        (0..4).map(|_| Endpoint::start(EndpointSettings::default())).collect();
+    endpoints[0].faults().always(Fault::ErrorFast(500));
+    let infos: Vec<_> =
+        endpoints.iter().enumerate().map(|(at, e)| listed(&format!("vm-{at}"), e)).collect();
+    let front = Front::start(config(8), &infos);
+    let mut errors = 0;
+    for at in 0..300 {
+        let got = call(front.addr, "preview", "x?ms=1", &format!("r{at}"));
+        errors += usize::from(got.status != 200);
+    }
+    let ran: usize = endpoints[1..].iter().map(Endpoint::runs).sum();
+    assert_eq!(errors, 0);
+    assert_eq!(ran, 300);
+    let tries = endpoints[0].requests() + ran;
+    assert!(tries <= 330, "{tries} tries of 300 requests");
+}
+
+/// Every endpoint fails every request. Retries must not multiply the load on them.
+#[test]
+fn when_everything_fails_there_are_few_retries() {
+    let endpoints: Vec<Endpoint> =
+        (0..4).map(|_| Endpoint::start(EndpointSettings::default())).collect();
+    endpoints.iter().for_each(|e| e.faults().always(Fault::CloseBeforeHead));
+    let infos: Vec<_> =
+        endpoints.iter().enumerate().map(|(at, e)| listed(&format!("vm-{at}"), e)).collect();
+    let front = Front::start(config(8), &infos);
+    for at in 0..600 {
+        let got = call(front.addr, "preview", "x", &format!("r{at}"));
+        assert_eq!(got.outcome(), "unknown", "{got:?}");
+    }
+    let tries: usize = endpoints.iter().map(Endpoint::runs).sum();
+    assert!(tries <= 660, "{tries} tries of 600 requests");
+}
+
+fn front_of(id: &str, domain: &str) -> Front {
+    let settings = DispatcherSettings::new(id.into(), domain.into());
+    Front::start_with(settings, config(8), &[])
+}
+
+fn peer(id: &str, domain: &str, front: &Front) -> PeerFront {
+    PeerFront { id: id.into(), domain: domain.into(), addr: front.addr.to_string() }
+}
+
+/// There is no endpoint at home. The request is answered by another domain's, over one hop, and
+/// streams and cut answers pass over the hop as they are.
+#[test]
+fn another_domain_is_asked_when_there_is_no_endpoint_at_home() {
+    let (home, away) = (front_of("d1", "home"), front_of("d2", "away"));
+    let endpoint = Endpoint::start(EndpointSettings::default());
+    let info = listed_in("away", "vm-1", &endpoint);
+    let infos = [info.clone()];
+    away.with(move |dispatcher| dispatcher.endpoints(&infos));
+    home.with(move |dispatcher| dispatcher.endpoints(&[info]));
+    let fronts = [peer("d2", "away", &away)];
+    home.with(move |dispatcher| dispatcher.peers(&fronts));
+    for (id, tail) in [("a", "x"), ("b", "x?bytes=500000"), ("c", "x?bytes=500000&chunked=1")] {
+        assert_ran(&call(home.addr, "build", tail, id), id);
+    }
+    endpoint.faults().next(Fault::CutBody);
+    let cut = call(home.addr, "build", "x?bytes=500000&chunked=1", "cut");
+    assert!(!cut.whole, "a cut answer passed for whole over the hop");
+    assert_eq!(endpoint.repeated(), Vec::<String>::new());
+}
+
+/// Two domains without endpoints each know the other. A request goes over once and comes back as
+/// not run; it must not go round.
+#[test]
+fn a_request_is_forwarded_once_at_most() {
+    let (one, other) = (front_of("d1", "home"), front_of("d2", "away"));
+    let to_other = [peer("d2", "away", &other)];
+    let to_one = [peer("d1", "home", &one)];
+    one.with(move |dispatcher| dispatcher.peers(&to_other));
+    other.with(move |dispatcher| dispatcher.peers(&to_one));
+    let got = call(one.addr, "build", "x", "lost");
+    assert_eq!((got.outcome(), got.reason()), ("not-run", "no-endpoint"), "{got:?}");
+    let Explained::Known(entry) = one.explain("lost") else { panic!("forgotten") };
+    assert_eq!(entry.tries.len(), 1, "{entry:?}");
+}
+
+/// The only other domain can't be reached: the refusal at home stands.
+#[test]
+fn an_unreachable_domain_changes_nothing() {
+    let home = front_of("d1", "home");
+    let nowhere =
+        [PeerFront { id: "d2".into(), domain: "away".into(), addr: "127.0.0.1:1".to_owned() }];
+    home.with(move |dispatcher| dispatcher.peers(&nowhere));
+    let got = call(home.addr, "build", "x", "r");
+    assert_eq!((got.outcome(), got.reason()), ("not-run", "no-endpoint"), "{got:?}");
+}
+
+/// Three daemons share an endpoint's eight slots, each with more callers than slots, some of whom
+/// go away. The endpoint never has more requests than slots.
+#[test]
+fn daemons_that_share_an_endpoint_never_overfill_it() {
+    let settings = EndpointSettings {
+        slots: 8,
+        service_time: Duration::from_millis(15),
+        on_close: OnClose::RunsOn,
+    };
+    let endpoint = Endpoint::start(settings);
+    let ids: Vec<DaemonId> = (0..3).map(|at| DaemonId::new(&format!("d{at}"))).collect();
+    let fronts: Vec<Front> = ids
+        .iter()
+        .map(|id| {
+            let settings = DispatcherSettings::new(id.clone(), "home".into());
+            let front = Front::start_with(settings, config(8), &[listed("vm-1", &endpoint)]);
+            let shares = Shares::Even(ids.clone());
+            front.with(move |dispatcher| dispatcher.set_shares(shares));
+            front
+        })
+        .collect();
+    std::thread::scope(|scope| {
+        for (at, front) in fronts.iter().enumerate() {
+            for caller in 0..6 {
+                scope.spawn(move || {
+                    for turn in 0..30 {
+                        let id = format!("{at}-{caller}-{turn}");
+                        if turn % 5 == 4 {
+                            drop(start(front.addr, "plan", "x", &id));
+                        } else {
+                            assert_ran(&call(front.addr, "plan", "x", &id), &id);
+                        }
+                    }
+                });
+            }
+        }
+    });
+    assert_eq!(endpoint.slot_violations(), 0);
+    assert!(endpoint.max_concurrent() >= 6, "the slots were used");
+    assert_eq!(endpoint.repeated(), Vec::<String>::new());
+}
+
+/// What was done with a request can be asked; one that never came is not made up.
+#[test]
+fn a_request_can_be_explained() {
+    let endpoint = Endpoint::start(EndpointSettings::default());
+    let front = Front::start(config(8), &[listed("vm-1", &endpoint)]);
+    endpoint.faults().next(Fault::CloseBeforeHead);
+    assert_ran(&call(front.addr, "preview", "x", "told"), "told");
+    let Explained::Known(entry) = front.explain("told") else { panic!("forgotten") };
+    assert_eq!(entry.class, ClassName::new("preview"));
+    let results: Vec<&str> = entry.tries.iter().map(|tried| tried.result.as_str()).collect();
+    assert_eq!(results, ["unknown: connection-lost", "answered 200"]);
+    let end = entry.end.expect("it has ended");
+    assert_eq!((end.outcome, end.reason), (Outcome::Ran, Reason::Answered));
+    assert_eq!(front.explain("never"), Explained::Forgotten { until: None });
+}
--- a/tests/request_support/mod.rs
+++ b/tests/request_support/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 use waxwingstall::clock::SystemClock;
-use waxwingstall::ids::{ClassName, DaemonId, DomainId, RequestId, Revision, ServiceName, VmId};
+use waxwingstall::ids::{ClassName, DomainId, RequestId, Revision, ServiceName, VmId};
 use waxwingstall::model::{Config, Idempotency, RequestClass, Service};
 use waxwingstall::request::{
     Dispatcher, DispatcherSettings, EndpointInfo, EndpointState, Explained,
@@ -105,22 +105,31 @@
 
 /// An endpoint as the platform's list has it.
 pub fn listed(vm: &str, endpoint: &Endpoint) -> EndpointInfo {
+    listed_in("home", vm, endpoint)
+}
+
+/// An endpoint of a domain as the platform's list has it.
+pub fn listed_in(domain: &str, vm: &str, endpoint: &Endpoint) -> EndpointInfo {
     EndpointInfo {
         vm: VmId::new(vm),
         service: ServiceName::new("shop"),
-        domain: DomainId::new("home"),
+        domain: DomainId::new(domain),
         addr: endpoint.addr().to_string(),
         state: EndpointState::Live,
     }
 }
 
-/// The classes `preview` (idempotent) and `build` (not) of the service `shop`.
+/// The classes `preview` (idempotent), `build` (not) and `plan` (idempotent, with patience) of the
+/// service `shop`.
 pub fn config(slots: u32) -> Config {
     let mut cfg = Config { revision: Revision(1), ..Config::default() };
     let service = Service { slots, connections: 64, resources: Resources::ZERO };
     cfg.services.insert(ServiceName::new("shop"), service);
     cfg.requests.insert(ClassName::new("preview"), class(Idempotency::Idempotent, 4));
     cfg.requests.insert(ClassName::new("build"), class(Idempotency::NonIdempotent, 1));
+    let plan =
+        RequestClass { target_p99: Duration::from_secs(60), ..class(Idempotency::Idempotent, 1) };
+    cfg.requests.insert(ClassName::new("plan"), plan);
     cfg
 }
 
@@ -180,6 +189,17 @@
     read_answer(&mut stream)
 }
 
+/// Waits until something is seen; a hang is a failure.
+pub fn until(what: &str, mut seen: impl FnMut() -> bool) {
+    for _ in 0..HANG.as_millis() {
+        if seen() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("never seen: {what}");
+}
+
 /// Reads an answer up to the connection's end.
 pub fn read_answer(stream: &mut TcpStream) -> Got {
     let mut raw = Vec::new();
@@ -233,8 +253,3 @@
         raw = &raw[at + 4 + length..];
     }
 }
-
-/// Id of this daemon's run in tests.
-pub fn me() -> DaemonId {
-    DaemonId::new("d1")
-}
