--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,9 +8,12 @@
 pub mod clock;
 pub mod core;
 pub mod ids;
+pub mod listing;
+pub mod membership;
 pub mod model;
 pub mod peer;
 pub mod request;
+pub mod ring;
 pub mod store;
 pub mod task;
 pub mod units;
