Interleave two daemons, three VMs and a log at random

Cause: the fault tables meet one fault at a time.

A VM that is off the list is now looked for once a second, not only when the list changes: a partition recovered after the change would have waited for ever.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -474,6 +474,7 @@
         Ok(next) => vm.step = next,
         Err(e) => {
             cx.counters.undeclared += 1;
+            eprintln!("DBG vm {e}");
             log::warn!(error:% = e; "undeclared transition");
         }
     }
--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -19,7 +19,7 @@
 use crate::task::{Change, TaskSpec, TaskState};
 use crate::worker::TaskAttempt;
 use fleet::Fleet;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use log::Pending;
 use partition::{Known, Partition};
 use std::sync::Arc;
@@ -30,6 +30,9 @@
 /// Least time between two rounds in which every waiting task is looked at again.
 const UNBLOCK_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time between two looks for VMs that are off the list.
+const LIST_CHECK_PERIOD: Duration = Duration::from_secs(1);
+
 /// The partitions that this daemon writes or may come to write.
 #[derive(Debug)]
 pub struct Writer {
@@ -40,7 +43,10 @@
     orphans: IndexMap<Ticket, Vec<Orphan>>,
     room_changed: bool,
     next_unblock: Duration,
+    listed: IndexSet<VmId>,
+    /// VMs with bound attempts that are off the list, and since when.
     unlisted: IndexMap<VmId, Duration>,
+    next_list_check: Duration,
 }
 
 /// What this daemon is to a partition.
@@ -76,7 +82,9 @@
             orphans: IndexMap::new(),
             room_changed: false,
             next_unblock: Duration::ZERO,
+            listed: IndexSet::new(),
             unlisted: IndexMap::new(),
+            next_list_check: Duration::ZERO,
         })
     }
 
@@ -287,18 +295,20 @@
     }
 
     /// Takes over the platform's list, to learn which VMs are gone for good.
-    pub fn listed(&mut self, cx: &mut Context, listed: &[ListedVm]) {
-        // A list that names no VM at all says more about the list than about the VMs.
-        if listed.is_empty() {
-            return;
+    ///
+    /// A list that names no VM at all says more about the list than about the VMs.
+    pub fn listed(&mut self, listed: &[ListedVm]) {
+        if !listed.is_empty() {
+            self.listed = listed.iter().map(|listed| listed.vm.clone()).collect();
         }
+    }
+
+    fn note_unlisted(&mut self, cx: &Context) {
         let mut unlisted = IndexMap::new();
-        for partition in self.partitions() {
-            for vm in partition.bound_vms() {
-                if !listed.iter().any(|listed| listed.vm == *vm) {
-                    let since = self.unlisted.get(vm).copied().unwrap_or(cx.now);
-                    unlisted.insert(vm.clone(), since);
-                }
+        for vm in self.partitions().flat_map(Partition::bound_vms) {
+            if !self.listed.contains(vm) {
+                let since = self.unlisted.get(vm).copied().unwrap_or(cx.now);
+                unlisted.insert(vm.clone(), since);
             }
         }
         self.unlisted = unlisted;
@@ -309,6 +319,11 @@
     /// A VM that is off the platform's list for `gone_after`, which covers the list's lag and the
     /// task leases' time to live, and that no daemon holds, runs nothing any more.
     fn close_gone(&mut self, cx: &mut Context) {
+        if self.listed.is_empty() || cx.now < self.next_list_check {
+            return;
+        }
+        self.next_list_check = cx.now + LIST_CHECK_PERIOD;
+        self.note_unlisted(cx);
         let gone_after = cx.cfg.limits.gone_after;
         let gone: Vec<VmId> = self
             .unlisted
@@ -318,7 +333,6 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in gone {
-            self.unlisted.swap_remove(&vm);
             cx.explain(Subject::Vm(vm.clone()), "gone: off the platform's list, held by nobody");
             self.close_all(cx, &vm);
         }
--- a/src/core/life/task.rs
+++ b/src/core/life/task.rs
@@ -142,6 +142,7 @@
             }
             Err(e) => {
                 cx.counters.undeclared += 1;
+                eprintln!("DBG {} {} {e}", self.state.id, self.state.attempt);
                 log::warn!(task:% = self.state.id, error:% = e; "undeclared transition");
                 Fired::Undeclared
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -71,7 +71,7 @@
                 self.writer.room_may_have_changed();
             }
             Event::Listed(listed) => {
-                self.writer.listed(cx, &listed);
+                self.writer.listed(&listed);
                 self.holder.list(cx, listed);
             }
             Event::Members(members) => {
--- a/tests/common/log.rs
+++ b/tests/common/log.rs
@@ -1,13 +1,15 @@
-//! The partition log in memory: one writer by compare-and-swap, records applied in order.
+//! The partition log in memory: records applied in order, by whoever recovered it last.
+//!
+//! An append names the recovery that it builds on, as a compare-and-swap names the version that
+//! it read; one that builds on an earlier recovery has no effect, however late it comes.
 
 use std::collections::BTreeMap;
-use waxwingstall::ids::DaemonId;
 use waxwingstall::task::{Change, Record, TaskState};
 
 /// A partition's log.
 #[derive(Debug, Default)]
 pub struct Log {
-    writer: Option<DaemonId>,
+    recovery: u64,
     tasks: BTreeMap<u64, TaskState>,
     next_number: u64,
     /// Set where a record contradicts those before it.
@@ -15,22 +17,21 @@
 }
 
 impl Log {
-    /// The daemon becomes the writer.
-    pub fn recover(&mut self, daemon: &DaemonId) -> (Vec<TaskState>, u64) {
-        self.writer = Some(daemon.clone());
-        (self.tasks.values().cloned().collect(), self.next_number)
+    /// Gives what is kept to a new writer, with the recovery that its appends are to name.
+    pub fn recover(&mut self) -> (u64, Vec<TaskState>, u64) {
+        self.recovery += 1;
+        (self.recovery, self.tasks.values().cloned().collect(), self.next_number)
     }
 
-    /// Whether the daemon may append.
-    pub fn is_writer(&self, daemon: &DaemonId) -> bool {
-        self.writer.as_ref() == Some(daemon)
-    }
-
-    /// Appends records of the present writer.
-    pub fn append(&mut self, records: &[Record]) {
+    /// Appends records, if no other recovery came between.
+    pub fn append(&mut self, recovery: u64, records: &[Record]) -> Appended {
+        if recovery != self.recovery {
+            return Appended::No;
+        }
         for record in records {
             self.apply(record);
         }
+        Appended::Yes
     }
 
     fn apply(&mut self, record: &Record) {
@@ -59,3 +60,10 @@
         self.tasks.values()
     }
 }
+
+/// Whether records were taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Appended {
+    Yes,
+    No,
+}
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -11,13 +11,25 @@
     /// An event for a daemon.
     ToDaemon { to: DaemonId, event: Event },
     /// A call of a daemon to a VM or to the log.
-    Call { from: DaemonId, sent: Duration, action: Action, answer: AnswerFate },
+    Call(Call),
     /// A daemon's clock ticks.
     Tick { to: DaemonId },
     /// A daemon that was paused goes on, with the actions it had in hand.
     Resume { daemon: DaemonId, in_hand: Vec<Action> },
 }
 
+/// A call on its way.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub from: DaemonId,
+    /// Time read before it was sent.
+    pub sent: Duration,
+    /// Recovery of the log that a commit builds on.
+    pub recovery: u64,
+    pub action: Action,
+    pub answer: AnswerFate,
+}
+
 /// What becomes of the answer to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFate {
--- a/tests/common/promises.rs
+++ b/tests/common/promises.rs
@@ -65,7 +65,7 @@
         Phase::Ended { outcome: Outcome::Succeeded } if finishes == 1 => None,
         Phase::Ended { outcome: Outcome::Succeeded } if world.is_untold(task.id) => None,
         Phase::Ended { outcome: Outcome::Unknown { .. } } if once => None,
-        Phase::Ended { outcome: Outcome::Cancelled } if task.cancel_asked => None,
+        Phase::Ended { outcome: Outcome::Cancelled } if world.cancelled.contains(&task.id) => None,
         phase => {
             let waits = world.writer().and_then(|writer| world.core(&writer).waiting_for(task.id));
             Some(format!("{} is {phase:?} with {finishes} finishes; waits {waits:?}", task.id))
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -1,7 +1,7 @@
 //! The daemons, the VMs and the log together.
 
-use super::log::Log;
-use super::net::{AnswerFate, Delivery, Net};
+use super::log::{Appended, Log};
+use super::net::{AnswerFate, Call, Delivery, Net};
 use super::{DOMAIN, PARTITION, daemon, ms, worker};
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
@@ -64,6 +64,8 @@
     core: Core,
     state: MemberState,
     paused_until: Option<Duration>,
+    /// Last recovery of the log that was asked for here.
+    recovery: u64,
 }
 
 /// Daemons, VMs and the log.
@@ -83,6 +85,8 @@
     told: IndexMap<TaskAttempt, DaemonId>,
     /// Ends that no daemon had heard of when their VM restarted: nobody can know of them.
     untold: IndexSet<TaskId>,
+    /// Tasks whose end a caller asked for.
+    pub cancelled: IndexSet<TaskId>,
     tickets: u64,
     born: u32,
 }
@@ -103,6 +107,7 @@
             unlisted: Vec::new(),
             told: IndexMap::new(),
             untold: IndexSet::new(),
+            cancelled: IndexSet::new(),
             tickets: 0,
             born: 0,
         };
@@ -122,7 +127,7 @@
         let cfg = CoreSettings::new(id.clone(), DomainId::new(DOMAIN)).with_partitions(vec![home]);
         let core = Core::new(cfg).expect("the charts load");
         let state = MemberState::Serving;
-        self.nodes.insert(id.clone(), Node { core, state, paused_until: None });
+        self.nodes.insert(id.clone(), Node { core, state, paused_until: None, recovery: 0 });
         self.tell_members();
         self.tell_list();
         self.net.deliver(self.now + TICK, Delivery::Tick { to: id });
@@ -170,7 +175,8 @@
 
     /// Makes another daemon the writer, as after a change of membership that only it has seen.
     pub fn replace_writer(&mut self) {
-        let other = self.nodes.keys().find(|id| !self.log.is_writer(id)).cloned();
+        let writer = self.writer();
+        let other = self.nodes.keys().find(|id| Some(*id) != writer.as_ref()).cloned();
         if let Some(other) = other {
             self.recover(&other);
         }
@@ -210,6 +216,7 @@
 
     /// Asks the writer for a task's end.
     pub fn cancel(&mut self, task: TaskId) -> Ticket {
+        self.cancelled.insert(task);
         let ticket = self.ticket();
         self.ask_writer(ticket, Event::Cancel { ticket, task })
     }
@@ -274,7 +281,7 @@
                     self.step(&to, Event::Tick);
                 }
             }
-            Delivery::Call { from, sent, action, answer } => self.call(from, sent, action, answer),
+            Delivery::Call(call) => self.call(call),
             Delivery::Resume { daemon, in_hand } => {
                 if let Some(node) = self.nodes.get_mut(&daemon) {
                     node.paused_until = None;
@@ -372,8 +379,9 @@
             Action::Explain(_) => {}
             action => {
                 let sent = self.now;
-                let from = from.clone();
-                self.net.deliver(arrival, Delivery::Call { from, sent, action, answer });
+                let recovery = self.nodes.get(from).map_or(0, |node| node.recovery);
+                let call = Call { from: from.clone(), sent, recovery, action, answer };
+                self.net.deliver(arrival, Delivery::Call(call));
             }
         }
     }
@@ -414,12 +422,13 @@
         self.net.deliver(at, Delivery::ToDaemon { to: from.clone(), event });
     }
 
-    fn call(&mut self, from: DaemonId, sent: Duration, action: Action, answer: AnswerFate) {
-        let mut event = match &action {
-            Action::Commit { .. } => self.commit(&from, &action),
-            Action::Recover { .. } => return self.recover(&from),
-            _ => self.call_vm(&from, sent, &action),
+    fn call(&mut self, call: Call) {
+        let mut event = match &call.action {
+            Action::Commit { .. } => self.commit(call.recovery, &call.action),
+            Action::Recover { .. } => return self.recover(&call.from),
+            _ => self.call_vm(&call.from, call.sent, &call.action),
         };
+        let Call { from, action, answer, .. } = call;
         if answer == AnswerFate::Lost {
             match action {
                 // The log is read back until it tells what became of the write.
@@ -437,15 +446,14 @@
         }
     }
 
-    fn commit(&mut self, from: &DaemonId, action: &Action) -> Vec<Event> {
+    fn commit(&mut self, recovery: u64, action: &Action) -> Vec<Event> {
         let Action::Commit { ticket, partition, records } = action else { return Vec::new() };
         if self.now < self.store_down_until {
             return vec![not_written(*ticket)];
         }
-        if !self.log.is_writer(from) {
+        if self.log.append(recovery, records) == Appended::No {
             return vec![not_written(*ticket), Event::Superseded { partition: *partition }];
         }
-        self.log.append(records);
         vec![Event::Committed { ticket: *ticket, result: CommitResult::Durable }]
     }
 
@@ -453,7 +461,9 @@
         if self.now < self.store_down_until {
             return;
         }
-        let (tasks, next_number) = self.log.recover(daemon);
+        let Some(node) = self.nodes.get_mut(daemon) else { return };
+        let (recovery, tasks, next_number) = self.log.recover();
+        node.recovery = recovery;
         let event = Event::Recovered { partition: PARTITION, tasks, next_number };
         self.tell(daemon, event);
     }
