Ask for a partition's log once at a time; acknowledge only what is durable

Cause, all found by random interleaving (tests/core_properties.rs): - a second load of the log overtook a commit, and a state without its records was taken for the log's: the same task could be bound twice. A load is now asked for only when none is under way. - a daemon that had lost the partition unawares acknowledged the end of another daemon's task, since it had itself given out that number in vain; the VM forgot the end and the task ran again. Numbers count as settled only below a durable mark. - such a daemon, with nothing to commit, never learned that it had lost: ends were sent to it for ever. It now loads the log again when a holder knows more than it does. - a held VM off the list fired an undeclared transition at each change of the list.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -215,7 +215,7 @@
         let chart = &self.chart;
         let listed = &self.listed;
         self.vms.retain(|id, vm| {
-            if !listed.contains_key(id) {
+            if vm.step == VmStep::Known && !listed.contains_key(id) {
                 step(chart, vm, VmEvent::Delisted, cx);
             }
             vm.step != VmStep::Gone && (vm.step != VmStep::Known || vm.other_since.is_none())
--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -56,9 +56,12 @@
     Other {
         since: Option<Duration>,
     },
-    Recovering {
-        since: Duration,
-    },
+    /// Its log is being loaded.
+    ///
+    /// Another load isn't asked for until this one is answered, even if another daemon is proposed
+    /// meanwhile: a second answer could overtake a commit, and a state without that commit's
+    /// records would be taken for what the log holds.
+    Recovering,
     Writing {
         partition: Box<Partition>,
         other_since: Option<Duration>,
@@ -97,9 +100,12 @@
             match role {
                 Role::Other { since } if mine => *since = since.or(Some(cx.now)),
                 Role::Other { since } => *since = None,
-                Role::Recovering { .. } if !mine => *role = Role::Other { since: None },
-                Role::Recovering { .. } => {}
-                Role::Writing { other_since, .. } if mine => *other_since = None,
+                Role::Recovering => {}
+                Role::Writing { partition, other_since } if mine => {
+                    if other_since.take().is_some() {
+                        partition.doubt();
+                    }
+                }
                 Role::Writing { other_since, .. } => *other_since = other_since.or(Some(cx.now)),
             }
         }
@@ -123,11 +129,15 @@
                 Role::Other { since: Some(since) }
                     if cx.now >= *since + limits.recover_after && cx.draining == Draining::No =>
                 {
-                    *role = Role::Recovering { since: cx.now };
+                    *role = Role::Recovering;
                     cx.act(Action::Recover { partition: *id });
                 }
-                Role::Recovering { since } if cx.now >= *since + limits.store_backoff_max * 2 => {
-                    *since = cx.now;
+                // Another daemon seems to have written meanwhile. With nothing to commit this one
+                // would never learn of it, and would leave that daemon's tasks without a writer.
+                Role::Writing { partition, .. }
+                    if partition.is_doubted(cx.now, limits.store_backoff_max) =>
+                {
+                    *role = Role::Recovering;
                     cx.act(Action::Recover { partition: *id });
                 }
                 Role::Writing { partition, other_since: Some(since) }
@@ -148,7 +158,10 @@
         tasks: Vec<TaskState>,
         next_number: u64,
     ) {
-        self.superseded(cx, id);
+        if !matches!(self.roles.get(&id), Some(Role::Recovering)) {
+            cx.counters.stale += 1;
+            return;
+        }
         let partition = Partition::recovered(cx, id, self.chart.clone(), tasks, next_number);
         let mine = cx.members.writer_of(id) == Some(&cx.cfg.me);
         let other_since = if mine { None } else { Some(cx.now) };
@@ -158,6 +171,9 @@
 
     /// Another daemon writes the partition.
     pub fn superseded(&mut self, cx: &mut Context, id: PartitionId) {
+        if !matches!(self.roles.get(&id), Some(Role::Writing { .. })) {
+            return;
+        }
         let mine = cx.members.writer_of(id) == Some(&cx.cfg.me);
         let role = Role::Other { since: mine.then_some(cx.now) };
         let Some(Role::Writing { partition, .. }) = self.roles.insert(id, role) else { return };
--- a/src/core/life/partition.rs
+++ b/src/core/life/partition.rs
@@ -30,10 +30,21 @@
     pub(super) log: Log,
     pub(super) waiting: Waiting,
     keys: IndexMap<IdempotencyKey, u64>,
-    pub(super) next_number: u64,
+    next_number: u64,
+    /// Every number below belongs to a task that was accepted durably, or to none ever.
+    pub(super) durable_below: u64,
     deadlines: BTreeSet<Deadline>,
     bound_on: IndexMap<VmId, BTreeSet<u64>>,
     ended: VecDeque<u64>,
+    recovered_at: Duration,
+    standing: Standing,
+}
+
+/// Whether this daemon has reason to think that another one writes the partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Sure,
+    Doubted,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,9 +70,12 @@
             waiting: Waiting::default(),
             keys: IndexMap::new(),
             next_number,
+            durable_below: next_number,
             deadlines: BTreeSet::new(),
             bound_on: IndexMap::new(),
             ended: VecDeque::new(),
+            recovered_at: cx.now,
+            standing: Standing::Sure,
         };
         for state in tasks {
             partition.adopt(cx, state);
@@ -73,6 +87,7 @@
         let number = state.id.number;
         self.keys.insert(state.key.clone(), number);
         self.next_number = self.next_number.max(number + 1);
+        self.durable_below = self.durable_below.max(number + 1);
         let task = Task::recovered(state, cx.now);
         let (step, vm) = (task.step, task.vm.clone());
         self.tasks.insert(number, task);
@@ -93,6 +108,18 @@
         cx.cfg.limits.commit_interval * u32::try_from(turn).unwrap_or(u32::MAX)
     }
 
+    /// Another daemon may have written the partition since it was loaded.
+    pub fn doubt(&mut self) {
+        self.standing = Standing::Doubted;
+    }
+
+    /// Whether the log is to be loaded again, which is done when nothing is under way, and not
+    /// more often than every `period`.
+    pub fn is_doubted(&self, now: Duration, period: Duration) -> bool {
+        let due = now >= self.recovered_at + period;
+        due && self.standing == Standing::Doubted && self.log.is_idle()
+    }
+
     /// A caller submits a task.
     pub fn submit(
         &mut self,
@@ -251,6 +278,7 @@
         let Some(task) = self.fire(cx, number, TaskEvent::Durable) else { return };
         let id = task.state.id;
         let repeats = std::mem::take(&mut task.repeats);
+        self.durable_below = self.durable_below.max(number + 1);
         answer_all(cx, tickets, &Answer::Accepted { task: id, repeated: false });
         answer_all(cx, &repeats, &Answer::Accepted { task: id, repeated: true });
         self.queue(cx, number);
--- a/src/core/life/steps.rs
+++ b/src/core/life/steps.rs
@@ -47,8 +47,10 @@
     Present,
     /// Settled by a durable record.
     Settled,
-    /// Being settled, or not known yet.
+    /// Being settled here.
     Open,
+    /// Further on than anything that is durable here: another daemon has written it.
+    Ahead,
 }
 
 impl About {
@@ -173,6 +175,7 @@
             Standing::Present => self.settle_end(cx, about, outcome, None),
             Standing::Settled => acknowledge(cx, about),
             Standing::Open => cx.counters.stale += 1,
+            Standing::Ahead => self.doubt(),
         }
     }
 
@@ -182,6 +185,7 @@
             Standing::Present => self.settle_close(cx, about, proof),
             Standing::Settled => acknowledge(cx, about),
             Standing::Open => cx.counters.stale += 1,
+            Standing::Ahead => self.doubt(),
         }
     }
 
@@ -260,16 +264,18 @@
 
     fn standing(&self, about: &About) -> Standing {
         let Some(task) = self.tasks.get(&about.task.number) else {
-            // Numbers that were given out and are gone belong to tasks that ended long ago.
-            let given_out = about.task.number < self.next_number;
-            return if given_out { Standing::Settled } else { Standing::Open };
+            // A task below that is unknown ended long ago. Above it, a number may be one that
+            // this daemon gave out in vain while another daemon's task has it: acknowledging that
+            // one's end would make its VM forget it unrecorded, and the task would run again.
+            let ended = about.task.number < self.durable_below;
+            return if ended { Standing::Settled } else { Standing::Ahead };
         };
         let state = &task.state;
         if about.attempt < state.attempt || state.ended() {
             return Standing::Settled;
         }
         if about.attempt > state.attempt {
-            return Standing::Open;
+            return Standing::Ahead;
         }
         match (&state.phase, task.step) {
             (Phase::Waiting, _) => Standing::Settled,
--- a/tests/core_faults.rs
+++ b/tests/core_faults.rs
@@ -200,6 +200,7 @@
     world.run_for(ms(4_000));
     world.drain(&DaemonId::new("b"));
     world.run_for(ms(20_000));
+    // Also ends a view of the members that differs from the others'.
     world.add_daemon("c");
     for _ in 0..8 {
         world.run_for(ms(5_000));
