Learn slowdown, climb a ladder, hold VMs, make room and quarantine

Cause: the policy placed tasks but did nothing about what they disturb or about failures. Change: a service that suffers is helped in steps (throttle, avoid, evict) that wait for measurements taken after the last step, within a budget of evictions. Urgent tasks evict the cheapest resumable ones by a plan that is remembered. A large task that waited for long gets one VM held. Failures are blamed on the class or on the VM; a quarantined VM gets single probes. Every record can be decided again from itself.

--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -5,30 +5,45 @@
 //! pairs, blame for failures) comes only from reports and ends that are passed in.
 
 mod decide;
+mod eviction;
 pub mod explain;
 mod fit;
+mod health;
+mod hold;
 mod index;
 pub mod interference;
+mod ladder;
 mod place;
+mod quarantine;
 pub mod quota;
+mod relieve;
 mod reports;
+mod room;
 mod score;
 #[cfg(test)]
 mod tests;
 
 use crate::ids::{Attempt, ClassName, DomainId, RackId, Revision, TaskId, TeamName, VmId};
-use crate::model::{Config, Weights};
+use crate::model::{Config, Urgency, Weights};
 use crate::peer::{VmHealth, VmView};
 use crate::task::{Outcome, TaskSpec};
 use crate::units::Resources;
 use crate::worker::UsageReport;
+use eviction::Budget;
 use fit::Sizes;
+use hold::Holds;
 use index::Fleet;
 use indexmap::IndexMap;
 use interference::Interference;
+use ladder::Ladder;
+use quarantine::Blame;
 use quota::{Allowances, Quotas};
+use relieve::Asked;
 use reports::Reports;
+use room::Plans;
+use score::is_service;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +51,9 @@
 /// VMs are still arriving, and the one large VM may be among them.
 const SETTLE: Duration = Duration::from_secs(5);
 
+/// Steps that the used part of a quota is ranked by.
+const RANK_STEPS: f64 = 8.0;
+
 /// Chooses VMs for tasks, and learns from what happens there.
 #[derive(Debug)]
 pub struct Policy {
@@ -45,6 +63,12 @@
     quotas: Quotas,
     model: Interference,
     reports: IndexMap<VmId, Reports>,
+    ladders: IndexMap<VmId, Ladder>,
+    blame: Blame,
+    budget: Budget,
+    holds: Holds,
+    plans: Plans,
+    asked: IndexMap<VmId, Asked>,
     /// Processors in use for each committed one, smoothed over all reports.
     use_ratio: f64,
     settle: Duration,
@@ -146,6 +170,16 @@
     pub progress: f64,
 }
 
+/// Place of a waiting task in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    urgency: Reverse<Urgency>,
+    /// Part of its quota that the team uses, in steps.
+    used: u32,
+    waited: Reverse<Duration>,
+    task: TaskId,
+}
+
 impl Policy {
     /// A policy that knows no VM yet.
     pub fn new(config: Arc<Config>) -> Self {
@@ -158,6 +192,12 @@
             quotas,
             model: Interference::new(),
             reports: IndexMap::new(),
+            ladders: IndexMap::new(),
+            blame: Blame::default(),
+            budget: Budget::default(),
+            holds: Holds::default(),
+            plans: Plans::default(),
+            asked: IndexMap::new(),
             use_ratio: 1.0,
             settle: SETTLE,
             first_call: None,
@@ -215,6 +255,8 @@
             count_usage(&mut self.quotas, &self.config, &old, Quotas::release);
         }
         self.reports.swap_remove(vm);
+        self.ladders.swap_remove(vm);
+        self.asked.swap_remove(vm);
     }
 
     /// Whether a task could ever run, and whether its team's quota allows it.
@@ -227,41 +269,76 @@
         self.tick(now);
         let inputs = self.gather(candidate, now);
         let choice = inputs.decide();
-        let record = explain::placement(candidate, &inputs, &choice, &self.config);
+        self.note_choice(candidate, &inputs, &choice, now);
+        let record = explain::placement(candidate, inputs, &choice, &self.config);
         Decided { choice, record }
     }
 
     /// Learns from a usage report of a VM held by this daemon.
     pub fn observe(&mut self, vm: &VmId, report: &UsageReport, now: Duration) {
         self.tick(now);
+        let ladder = self.ladders.entry(vm.clone()).or_default();
         let reports = self.reports.entry(vm.clone()).or_default();
-        if reports.take(report, now).is_err() {
+        if reports.take(report, |task| ladder.share(task), now).is_err() {
             return;
         }
-        self.learn(vm);
+        let config = &self.config;
+        let suffering = reports.suffering(|class| is_service(config, class));
+        let measured_at = reports.measured_at;
+        if ladder.unchanged_since(measured_at) {
+            self.learn(vm);
+        }
+        let trigger = self.trigger();
+        if let (Some(excess), Some(ladder)) = (suffering, self.ladders.get_mut(vm)) {
+            ladder.measured(excess, trigger, measured_at);
+        }
     }
 
     /// Learns how an attempt ended on a VM.
-    pub fn ended(&mut self, _vm: &VmId, _class: &ClassName, _outcome: &Outcome, _now: Duration) {}
+    pub fn ended(&mut self, vm: &VmId, class: &ClassName, outcome: &Outcome, now: Duration) {
+        self.tick(now);
+        self.blame.ended(vm, class, outcome, now);
+    }
 
     /// Steps due on a VM held by this daemon, given the batch tasks there.
     pub fn relieve(
         &mut self,
-        _vm: &VmId,
-        _residents: &[Resident],
-        _now: Duration,
+        vm: &VmId,
+        residents: &[Resident],
+        now: Duration,
     ) -> Vec<Decided<Relief>> {
-        Vec::new()
+        self.tick(now);
+        self.steps(vm, residents, now)
     }
 
     /// Whom to evict for an urgent task that waits, if anyone; among this daemon's own VMs.
     pub fn make_room(
         &mut self,
-        _candidate: &Candidate,
-        _residents: &IndexMap<VmId, Vec<Resident>>,
-        _now: Duration,
+        candidate: &Candidate,
+        residents: &IndexMap<VmId, Vec<Resident>>,
+        now: Duration,
     ) -> Option<Decided<Relief>> {
-        None
+        self.tick(now);
+        self.eviction_for(candidate, residents, now)
+    }
+
+    /// Whether the holder of a quarantined VM should accept one task as a probe.
+    pub fn accepts_probe(&self, vm: &VmId, now: Duration) -> bool {
+        self.blame.probe_due(vm, now)
+    }
+
+    /// Place of a waiting task in the queue; the least goes first.
+    ///
+    /// Tasks of equal urgency go by the part of its quota that their team uses, in steps, and then
+    /// by how long they waited: a team that submits a thousand at once waits behind its own.
+    pub fn rank(&self, candidate: &Candidate) -> Rank {
+        let used = self.quotas.dominant_share(&candidate.spec.team);
+        Rank {
+            urgency: Reverse(candidate.spec.urgency),
+            used: (used.clamp(0.0, 1.0) * RANK_STEPS) as u32,
+            waited: Reverse(candidate.waited),
+            task: candidate.task,
+        }
     }
 
     /// Where the VMs are that the policy knows.
@@ -279,6 +356,29 @@
         &mut self.model
     }
 
+    fn note_choice(
+        &mut self,
+        candidate: &Candidate,
+        inputs: &decide::Inputs,
+        choice: &Choice,
+        now: Duration,
+    ) {
+        match choice {
+            Choice::Place { vm } => {
+                self.holds.release(candidate.task);
+                self.plans.forget(candidate.task);
+                if inputs.offers.iter().any(|offer| offer.vm == *vm && offer.probe) {
+                    self.blame.probed(vm, now);
+                }
+                if inputs.class != decide::ClassState::Sound {
+                    self.blame.retried(&candidate.spec.class, now);
+                }
+            }
+            Choice::Never { .. } => self.holds.release(candidate.task),
+            Choice::Wait { .. } => {}
+        }
+    }
+
     fn tick(&mut self, now: Duration) {
         self.now = self.now.max(now);
         self.first_call.get_or_insert(now);
--- a/src/core/policy/index.rs
+++ b/src/core/policy/index.rs
@@ -204,6 +204,15 @@
         self.vms.values()
     }
 
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Quarantined VMs, in the order of their ids in each domain.
+    pub fn quarantined(&self) -> impl Iterator<Item = &Vm> {
+        self.domains.values().flat_map(|domain| &domain.quarantined).filter_map(|vm| self.get(vm))
+    }
+
     /// Failure domains that have a VM.
     pub fn domains(&self) -> impl Iterator<Item = &DomainId> {
         self.domains.keys()
--- a/src/core/policy/place.rs
+++ b/src/core/policy/place.rs
@@ -2,12 +2,13 @@
 
 use super::decide::{ClassState, Feasibility, Inputs, Offer, PassedOver, RECORDED_OFFERS, Shares};
 use super::fit::Verdict;
-use super::index::{Found, Search, Vm};
+use super::index::{Found, Search, Vm, allowed};
 use super::interference::{Band, Neighbours};
 use super::score::{Known, Scorer, is_service, without_self};
 use super::{Candidate, Policy};
 use crate::ids::{DomainId, VmId};
-use crate::model::Pool;
+use crate::model::{Idempotency, Pool, Urgency};
+use crate::peer::VmHealth;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -21,33 +22,46 @@
 /// A measurement is of use in placing for this long.
 const FRESH: Duration = Duration::from_secs(60);
 
+/// What makes a due probe come before every other VM, in parts.
+const PROBE_BONUS: i64 = 1_000_000_000;
+
 /// Share of a new report in the smoothed ratio of used to committed processors.
 const USE_GAIN: f64 = 0.02;
 
 impl Policy {
-    pub(super) fn gather(&self, candidate: &Candidate, now: Duration) -> Inputs {
+    pub(super) fn gather(&mut self, candidate: &Candidate, now: Duration) -> Inputs {
+        self.holds.refresh(candidate.task, &self.fleet, now);
+        let held_back = self.holds.for_others(candidate.task);
+        let config = self.config.clone();
         let spec = &candidate.spec;
-        let pool = self.config.pools.get(&spec.pool);
+        let pool = config.pools.get(&spec.pool);
         let over_quota = self.domains_over_quota(candidate);
         let found = self.fleet.search(&Search {
             need: &spec.resources,
             pool,
             avoid: &candidate.avoid,
-            held_back: &[],
+            held_back: &held_back,
             over_quota: &over_quota,
             seed: seed(candidate),
         });
         let mut offers = self.offers(candidate, &found, now);
+        offers.extend(self.held_offer(candidate, &offers, now));
+        offers.extend(self.probe_offer(candidate, pool, &over_quota, now));
         let mut passed_over = passed_over(&found);
+        let nowhere = offers.is_empty();
         keep_best(&mut offers, &self.shares(), &mut passed_over);
+        let feasibility = self.feasibility(candidate, pool, now);
+        if nowhere && feasibility == Feasibility::Possible {
+            self.holds.hold_if_starved(candidate, &self.fleet, pool, &over_quota, now);
+        }
         Inputs {
             at: now,
             need: spec.resources,
             urgency: spec.urgency,
             waited: candidate.waited,
             shares: self.shares(),
-            feasibility: self.feasibility(candidate, pool, now),
-            class: ClassState::Sound,
+            feasibility,
+            class: self.blame.class_state(&spec.class, now),
             passed_over,
             offers,
         }
@@ -90,7 +104,7 @@
         }
     }
 
-    fn domains_over_quota(&self, candidate: &Candidate) -> Vec<DomainId> {
+    pub(super) fn domains_over_quota(&self, candidate: &Candidate) -> Vec<DomainId> {
         let spec = &candidate.spec;
         let full = |domain: &&DomainId| {
             let room = self.quotas.room(&spec.team, domain);
@@ -100,7 +114,13 @@
     }
 
     fn offers(&self, candidate: &Candidate, found: &Found<'_>, now: Duration) -> Vec<Offer> {
-        let scorer = Scorer {
+        let scorer = self.scorer(candidate);
+        let offer = |vm: &&Vm| scorer.offer(vm, self.known(&vm.view.vm, now));
+        found.sample.iter().map(offer).collect()
+    }
+
+    fn scorer<'a>(&'a self, candidate: &'a Candidate) -> Scorer<'a> {
+        Scorer {
             config: &self.config,
             fleet: &self.fleet,
             model: &self.model,
@@ -108,18 +128,57 @@
             use_ratio: self.use_ratio,
             trigger: self.trigger(),
             seed: seed(candidate),
+        }
+    }
+
+    /// The offer of the VM that is held for the task, which the sample may have left out.
+    fn held_offer(&self, candidate: &Candidate, offers: &[Offer], now: Duration) -> Option<Offer> {
+        let held = self.holds.of(candidate.task)?;
+        let vm = self.fleet.get(held)?;
+        let view = &vm.view;
+        let fits = view.health == VmHealth::Open && candidate.spec.resources.fits_in(&view.free);
+        let missing = fits && offers.iter().all(|offer| offer.vm != *held);
+        missing.then(|| self.scorer(candidate).offer(vm, self.known(held, now)))
+    }
+
+    /// The offer of a quarantined VM whose probe is due, for a task that bears a failure.
+    fn probe_offer(
+        &self,
+        candidate: &Candidate,
+        pool: Option<&Pool>,
+        over_quota: &[DomainId],
+        now: Duration,
+    ) -> Option<Offer> {
+        let spec = &candidate.spec;
+        let bears_failure = spec.idempotency == Idempotency::Idempotent
+            && spec.urgency <= Urgency::Normal
+            && spec.max_failures > 1
+            && candidate.avoid.is_empty()
+            && self.blame.class_state(&spec.class, now) == ClassState::Sound;
+        if !bears_failure {
+            return None;
+        }
+        let due = |vm: &&Vm| {
+            let view = &vm.view;
+            allowed(pool, &view.domain)
+                && !over_quota.contains(&view.domain)
+                && pool.is_none_or(|pool| pool.min_size.fits_in(&view.size))
+                && spec.resources.fits_in(&view.free)
+                && self.blame.probe_due(&view.vm, now)
         };
-        let offer = |vm: &&Vm| scorer.offer(vm, self.known(&vm.view.vm, now));
-        found.sample.iter().map(offer).collect()
+        let vm = self.fleet.quarantined().find(due)?;
+        let offer = self.scorer(candidate).offer(vm, self.known(&vm.view.vm, now));
+        Some(Offer { probe: true, penalty: -PROBE_BONUS, ..offer })
     }
 
     fn known(&self, vm: &VmId, now: Duration) -> Known {
+        let blame = self.blame.of(vm);
         let reports = self.reports.get(vm).filter(|reports| reports.measured_at + FRESH > now);
-        let Some(reports) = reports else { return Known::default() };
+        let Some(reports) = reports else { return Known { blame, ..Known::default() } };
         Known {
             load: Some(reports.load),
             suffering: reports.suffering(|class| is_service(&self.config, class)),
-            blame: 0.0,
+            blame,
         }
     }
 
@@ -136,11 +195,12 @@
         let neighbours: Vec<_> = reports
             .classes
             .iter()
-            .map(|(class, used)| Neighbours { class, weight: f64::from(used.count) })
+            .map(|(class, used)| Neighbours { class, weight: used.weight })
             .collect();
         for (index, (class, used)) in reports.classes.iter().enumerate() {
+            let Some(slowdown) = used.measured() else { continue };
             let others = without_self(&neighbours, index);
-            self.model.learn(class, &others, band, used.slowdown);
+            self.model.learn(class, &others, band, slowdown);
         }
     }
 }
--- /dev/null
+++ b/src/core/policy/relieve.rs
@@ -0,0 +1,202 @@
+//! Gathers what a step on one VM is decided from, and notes what was decided.
+
+use super::explain::{self, Recorded};
+use super::index::allowed;
+use super::interference::Band;
+use super::ladder::{self, Culprit, Ladder, Rung, dwell, to_parts};
+use super::room::{self, Plan, Progress};
+use super::score::is_service;
+use super::{Candidate, Decided, Policy, Relief, Resident, eviction, health};
+use crate::ids::{ClassName, VmId};
+use crate::model::Urgency;
+use crate::peer::VmHealth;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// A change of health that was not taken over is asked for again after this.
+const REPEAT_HEALTH: Duration = Duration::from_secs(5);
+
+/// A VM without batch tasks is opened again after this much calm, since none of them is to blame.
+const CALM_WHEN_EMPTY: Duration = Duration::from_secs(10);
+
+/// Health that was asked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asked {
+    health: VmHealth,
+    at: Duration,
+}
+
+impl Policy {
+    pub(super) fn steps(
+        &mut self,
+        vm: &VmId,
+        residents: &[Resident],
+        now: Duration,
+    ) -> Vec<Decided<Relief>> {
+        self.blame.end_if_overdue(vm, now);
+        let mut steps = Vec::new();
+        if let Some(inputs) = self.ladder_inputs(vm, residents, now)
+            && let Some(relief) = inputs.decide()
+        {
+            self.note_step(vm, &relief, &inputs, now);
+            if !matches!(relief, Relief::Health { .. }) {
+                steps.push(self.decided(relief, &Recorded::Ladder(inputs), now));
+            }
+        }
+        steps.extend(self.health_step(vm, now));
+        steps
+    }
+
+    fn decided(&self, relief: Relief, recorded: &Recorded, now: Duration) -> Decided<Relief> {
+        let record = explain::relief(&relief, recorded, &self.config, now);
+        Decided { choice: relief, record }
+    }
+
+    fn note_step(&mut self, vm: &VmId, relief: &Relief, inputs: &ladder::Inputs, now: Duration) {
+        if let Some(ladder) = self.ladders.get_mut(vm) {
+            ladder.stepped(relief, inputs, now);
+        }
+        if let Relief::Evict { .. } = relief {
+            self.budget.spend();
+        }
+    }
+
+    fn ladder_inputs(
+        &mut self,
+        vm: &VmId,
+        residents: &[Resident],
+        now: Duration,
+    ) -> Option<ladder::Inputs> {
+        let (shares, trigger) = (self.shares(), self.trigger());
+        let lag = self.reports.get(vm)?.lag;
+        let budget = self.budget.available(&shares, now);
+        let ladder = self.ladders.get_mut(vm)?;
+        ladder.retain(|task| residents.iter().any(|resident| resident.task == *task));
+        let mut inputs = ladder.inputs(vm, shares, trigger, now);
+        inputs.dwell = dwell(lag);
+        if residents.is_empty() {
+            inputs.calm_needed = inputs.calm_needed.min(CALM_WHEN_EMPTY);
+        }
+        inputs.budget = budget;
+        inputs.culprits = self.culprits(vm, residents, now);
+        Some(inputs)
+    }
+
+    fn culprits(&self, vm: &VmId, residents: &[Resident], now: Duration) -> Vec<Culprit> {
+        let Some(reports) = self.reports.get(vm) else { return Vec::new() };
+        let Some(ladder) = self.ladders.get(vm) else { return Vec::new() };
+        let band = Band::of(reports.load);
+        let culprit = |resident: &Resident| self.culprit(vm, resident, ladder, band, now);
+        let mut culprits: Vec<_> = residents.iter().map(culprit).collect();
+        culprits.sort_by_key(|culprit| culprit.task);
+        culprits
+    }
+
+    fn culprit(
+        &self,
+        vm: &VmId,
+        resident: &Resident,
+        ladder: &Ladder,
+        band: Band,
+        now: Duration,
+    ) -> Culprit {
+        let share = ladder.share(&resident.task);
+        let harm = self.harm(vm, &resident.spec.class, band) * share;
+        let evictable = !eviction::nearly_done(resident, now);
+        Culprit {
+            task: resident.task,
+            attempt: resident.attempt,
+            harm: to_parts(harm),
+            share: to_parts(share),
+            loss: eviction::cost(resident, now).filter(|_| evictable),
+        }
+    }
+
+    /// Slowdown that one task of the class causes to the service there that it slows most.
+    fn harm(&self, vm: &VmId, class: &ClassName, band: Band) -> f64 {
+        let Some(reports) = self.reports.get(vm) else { return 0.0 };
+        let services = reports.classes.keys().filter(|name| is_service(&self.config, name));
+        services.map(|service| self.model.effect(service, class, band)).fold(0.0, f64::max)
+    }
+
+    fn health_step(&mut self, vm: &VmId, now: Duration) -> Option<Decided<Relief>> {
+        let inputs = self.health_inputs(vm, now)?;
+        let Some(relief) = inputs.decide() else {
+            self.asked.swap_remove(vm);
+            return None;
+        };
+        let Relief::Health { health, .. } = relief else { return None };
+        let asked = self.asked.get(vm);
+        if asked.is_some_and(|asked| asked.health == health && now < asked.at + REPEAT_HEALTH) {
+            return None;
+        }
+        self.asked.insert(vm.clone(), Asked { health, at: now });
+        Some(self.decided(relief, &Recorded::Health(inputs), now))
+    }
+
+    fn health_inputs(&self, vm: &VmId, now: Duration) -> Option<health::Inputs> {
+        let ladder = self.ladders.get(vm);
+        let quarantine = self.blame.quarantine(vm);
+        Some(health::Inputs {
+            at: now,
+            vm: vm.clone(),
+            present: self.fleet.get(vm)?.view.health,
+            blame: to_parts(self.blame.of(vm)),
+            quarantined_for: quarantine.map(|quarantine| now.saturating_sub(quarantine.since)),
+            rung: ladder.map_or(Rung::Calm, |ladder| ladder.rung),
+            ladder: ladder.and_then(Ladder::reason).cloned(),
+        })
+    }
+
+    pub(super) fn eviction_for(
+        &mut self,
+        candidate: &Candidate,
+        residents: &IndexMap<VmId, Vec<Resident>>,
+        now: Duration,
+    ) -> Option<Decided<Relief>> {
+        if candidate.spec.urgency != Urgency::Urgent {
+            return None;
+        }
+        let plans = match self.plans.progress(candidate.task, now) {
+            Progress::Waiting => return None,
+            Progress::Next(rest) => vec![rest],
+            Progress::None => self.room_plans(candidate, residents, now),
+        };
+        let need = candidate.spec.resources;
+        let mut inputs = room::Inputs { at: now, task: candidate.task, need, plans };
+        inputs.shorten();
+        let relief = inputs.decide()?;
+        let best = inputs.best()?.clone();
+        self.plans.carried_out(candidate.task, &best, now);
+        self.holds.hold(candidate.task, &best.vm, now);
+        Some(self.decided(relief, &Recorded::Room(inputs), now))
+    }
+
+    fn room_plans(
+        &self,
+        candidate: &Candidate,
+        residents: &IndexMap<VmId, Vec<Resident>>,
+        now: Duration,
+    ) -> Vec<Plan> {
+        let need = &candidate.spec.resources;
+        let over_quota = self.domains_over_quota(candidate);
+        let pool = self.config.pools.get(&candidate.spec.pool);
+        let mut plans = Vec::new();
+        for (id, residents) in residents {
+            let Some(vm) = self.fleet.get(id) else { continue };
+            let view = &vm.view;
+            let usable = view.health == VmHealth::Open
+                && allowed(pool, &view.domain)
+                && pool.is_none_or(|pool| pool.min_size.fits_in(&view.size))
+                && need.fits_in(&view.size)
+                && !over_quota.contains(&view.domain)
+                && !candidate.avoid.contains(id)
+                && !self.plans.concerns(id);
+            if usable {
+                plans.extend(room::plan(id, &view.free, need, residents, now));
+            }
+        }
+        plans.retain(|plan| !plan.victims.is_empty());
+        plans
+    }
+}
--- a/src/core/policy/reports.rs
+++ b/src/core/policy/reports.rs
@@ -4,7 +4,7 @@
 //! that a repeated report would count its error twice, and one from before a restart would speak of
 //! tasks that are gone.
 
-use crate::ids::{BootId, ClassName};
+use crate::ids::{BootId, ClassName, TaskId};
 use crate::worker::UsageReport;
 use indexmap::IndexMap;
 use std::collections::VecDeque;
@@ -28,9 +28,18 @@
 /// One class in a report.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ClassUse {
-    pub count: u32,
-    /// Mean slowdown of the class's tasks.
+    /// Tasks; a throttled one counts by its share.
+    pub weight: f64,
+    /// Mean slowdown of the class's tasks that are not throttled.
     pub slowdown: f64,
+    measured: u32,
+}
+
+impl ClassUse {
+    /// Mean slowdown, if it was measured on a task that is not throttled.
+    pub fn measured(&self) -> Option<f64> {
+        (self.measured > 0).then_some(self.slowdown)
+    }
 }
 
 /// Reports of one VM.
@@ -49,7 +58,12 @@
 
 impl Reports {
     /// Takes a report, or says why not.
-    pub fn take(&mut self, report: &UsageReport, now: Duration) -> Result<(), Stale> {
+    pub fn take(
+        &mut self,
+        report: &UsageReport,
+        share: impl Fn(&TaskId) -> f64,
+        now: Duration,
+    ) -> Result<(), Stale> {
         self.check(report)?;
         if self.boot != Some(report.boot) {
             self.past.extend(self.boot);
@@ -65,14 +79,17 @@
         self.measured_at = now.saturating_sub(report.age);
         self.lag = if self.lag.is_zero() { report.age } else { (self.lag * 7 + report.age) / 8 };
         self.load = report.load.clamp(0.0, 1.0);
-        self.classes = group(report);
+        self.classes = group(report, share);
         Ok(())
     }
 
     /// Largest excess slowdown among the classes that `is_service` accepts.
     pub fn suffering(&self, is_service: impl Fn(&ClassName) -> bool) -> Option<f64> {
         let services = self.classes.iter().filter(|(class, _)| is_service(class));
-        services.map(|(_, used)| (used.slowdown - 1.0).max(0.0)).reduce(f64::max)
+        services
+            .filter_map(|(_, used)| used.measured())
+            .map(|slowdown| (slowdown - 1.0).max(0.0))
+            .reduce(f64::max)
     }
 
     fn check(&self, report: &UsageReport) -> Result<(), Stale> {
@@ -90,12 +107,16 @@
     }
 }
 
-fn group(report: &UsageReport) -> IndexMap<ClassName, ClassUse> {
+fn group(report: &UsageReport, share: impl Fn(&TaskId) -> f64) -> IndexMap<ClassName, ClassUse> {
     let mut classes: IndexMap<ClassName, ClassUse> = IndexMap::new();
     for tenant in report.tenants.iter().filter(|tenant| tenant.slowdown.is_finite()) {
+        let share = share(&tenant.task);
         let class = classes.entry(tenant.class.clone()).or_default();
-        class.count += 1;
-        class.slowdown += (tenant.slowdown - class.slowdown) / f64::from(class.count);
+        class.weight += share;
+        if share >= 1.0 {
+            class.measured += 1;
+            class.slowdown += (tenant.slowdown - class.slowdown) / f64::from(class.measured);
+        }
     }
     classes
 }
--- a/src/core/policy/tests.rs
+++ b/src/core/policy/tests.rs
@@ -1,12 +1,19 @@
 //! Tests of the decisions, on views and reports made by hand.
 
+mod failures;
+mod learning;
 mod placement;
 mod quotas;
+mod relief;
+mod waiting;
 
 use super::*;
-use crate::ids::{DaemonId, PartitionId, PoolName};
+use crate::ids::{BootId, DaemonId, PartitionId, PoolName};
 use crate::model::{BatchClass, Idempotency, Pool, Resumption, Service, Team, Urgency};
 use crate::peer::ClassCount;
+use crate::worker::TenantUsage;
+
+pub const HOUR: Duration = Duration::from_secs(3600);
 
 pub fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -102,3 +109,49 @@
     }
     policy
 }
+
+/// A report of one measurement, `age` ago.
+pub fn report(seq: u64, age: Duration, load: f64, tenants: Vec<TenantUsage>) -> UsageReport {
+    UsageReport { boot: BootId(1), seq, age, load, tenants }
+}
+
+pub fn tenant(class: &str, number: u64, slowdown: f64) -> TenantUsage {
+    TenantUsage {
+        task: TaskId::new(PartitionId(1), number),
+        class: class.into(),
+        milli_cores: 4000,
+        memory_mib: 8192,
+        slowdown,
+        progress: 0.0,
+    }
+}
+
+/// A batch task that started at `since` and has no checkpoint.
+pub fn resident(config: &Config, class: &str, number: u64, since: Duration) -> Resident {
+    Resident {
+        task: TaskId::new(PartitionId(1), number),
+        attempt: Attempt(1),
+        spec: spec(config, class),
+        since,
+        checkpoint_at: None,
+        progress: 0.2,
+    }
+}
+
+/// Applies what a core would: a change of health goes into the view.
+pub fn apply_health(policy: &mut Policy, steps: &[Decided<Relief>]) {
+    for step in steps {
+        if let Relief::Health { vm, health } = &step.choice {
+            let mut view = policy.fleet.get(vm).expect("the VM is known").view.clone();
+            view.health = *health;
+            policy.upsert_vm(view);
+        }
+    }
+}
+
+pub fn assert_replays(decided: &Decided<Relief>) {
+    let text = serde_json::to_string(&decided.record).expect("a record can be written");
+    let record = serde_json::from_str(&text).expect("a record can be read");
+    let replayed = explain::replay(&record).expect("it can be replayed");
+    assert_eq!(replayed, explain::Replayed::Relief(Some(decided.choice.clone())));
+}
--- a/src/core/policy/tests/placement.rs
+++ b/src/core/policy/tests/placement.rs
@@ -99,7 +99,8 @@
         let decided = policy.choose(&candidate, secs(1));
         let text = serde_json::to_string(&decided.record).expect("a record can be written");
         let record = serde_json::from_str(&text).expect("a record can be read");
-        assert_eq!(explain::replay(&record).expect("it can be replayed"), decided.choice);
+        let replayed = explain::replay(&record).expect("it can be replayed");
+        assert_eq!(replayed, explain::Replayed::Choice(decided.choice));
     }
 }
 
--- /dev/null
+++ b/src/core/policy/tests/relief.rs
@@ -0,0 +1,169 @@
+//! The ladder, its hysteresis, and evictions for urgent tasks.
+
+use super::*;
+
+/// Runs a VM with a suffering shop until `until`; returns the steps with their times.
+fn run(
+    policy: &mut Policy,
+    residents: &mut Vec<Resident>,
+    slowdown: impl Fn(&Policy, Duration) -> f64,
+    until: u64,
+) -> Vec<(u64, Relief)> {
+    let lag = secs(6);
+    let mut steps = Vec::new();
+    for now in 1..=until {
+        let measured = slowdown(policy, secs(now).saturating_sub(lag));
+        let mut tenants = vec![tenant("shop", 1000, measured)];
+        for resident in residents.iter() {
+            tenants.push(tenant(resident.spec.class.as_str(), resident.task.number, 1.0));
+        }
+        if now % 2 == 0 {
+            policy.observe(&vm(0), &report(now, lag, 0.7, tenants), secs(now));
+        }
+        let decided = policy.relieve(&vm(0), residents, secs(now));
+        apply_health(policy, &decided);
+        for step in decided {
+            assert_replays(&step);
+            if let Relief::Evict { task, .. } = &step.choice {
+                residents.retain(|resident| resident.task != *task);
+            }
+            steps.push((now, step.choice));
+        }
+    }
+    steps
+}
+
+fn weighing(tail: f64, evictions: f64) -> Config {
+    let mut config = config();
+    config.weights = Weights { tail, evictions, throughput: 1.0 };
+    config
+}
+
+#[test]
+fn the_ladder_throttles_then_avoids_then_evicts() {
+    let config = weighing(4.0, 1.0);
+    let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
+    let mut residents = vec![resident(&config, "build", 1, secs(0))];
+    let steps = run(&mut policy, &mut residents, |_, _| 2.0, 120);
+    let kinds: Vec<_> = steps
+        .iter()
+        .map(|(_, step)| match step {
+            Relief::Throttle { .. } => "throttle",
+            Relief::Health { health: VmHealth::Avoided, .. } => "avoid",
+            Relief::Health { .. } => "open",
+            Relief::Evict { .. } => "evict",
+        })
+        .collect();
+    assert_eq!(kinds[..4], ["throttle", "avoid", "throttle", "evict"], "{steps:?}");
+}
+
+/// Each report tells of six seconds ago. A ladder that reads the first late report again after each
+/// step climbs to the top within seconds, and evicts a task that its throttle had already tamed.
+#[test]
+fn steps_are_apart_by_more_than_the_lag_of_reports() {
+    let config = weighing(4.0, 1.0);
+    let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
+    let mut residents = vec![resident(&config, "build", 1, secs(0))];
+    let steps = run(&mut policy, &mut residents, |_, _| 2.0, 120);
+    for pair in steps.windows(2) {
+        assert!(pair[1].0 >= pair[0].0 + 8, "{steps:?}");
+    }
+}
+
+#[test]
+fn a_throttle_that_helps_is_the_last_step_and_is_lifted_after_a_long_calm() {
+    let config = weighing(1.0, 1.0);
+    let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
+    let mut residents = vec![resident(&config, "build", 1, secs(0))];
+    let steps =
+        run(&mut policy, &mut residents, |_, at| if at < secs(5) { 1.6 } else { 1.05 }, 400);
+    assert_eq!(steps.len(), 2, "{steps:?}");
+    let (throttled, restored) = (&steps[0], &steps[1]);
+    assert!(matches!(throttled.1, Relief::Throttle { share, .. } if share == 0.5));
+    assert!(matches!(restored.1, Relief::Throttle { share, .. } if share == 1.0));
+    assert!(restored.0 > throttled.0 + 30, "{steps:?}");
+}
+
+#[test]
+fn evictions_are_limited_by_the_budget() {
+    let config = weighing(4.0, 1.0);
+    let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
+    let mut residents: Vec<_> =
+        (1..=7).map(|number| resident(&config, "build", number, secs(0))).collect();
+    let steps = run(&mut policy, &mut residents, |_, _| 3.0, 600);
+    let evictions: Vec<_> = steps
+        .iter()
+        .filter(|(_, step)| matches!(step, Relief::Evict { .. }))
+        .map(|(at, _)| *at)
+        .collect();
+    assert!(!evictions.is_empty(), "{steps:?}");
+    let early = evictions.iter().filter(|at| **at < 240).count();
+    assert!(early <= 7, "{evictions:?}");
+}
+
+#[test]
+fn a_task_that_must_not_be_resumed_is_never_evicted() {
+    let config = weighing(10.0, 0.1);
+    let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
+    let mut watcher = resident(&config, "build", 1, secs(0));
+    watcher.spec.resumption = Resumption::Never;
+    let mut residents = vec![watcher.clone()];
+    let steps = run(&mut policy, &mut residents, |_, _| 4.0, 300);
+    assert!(!steps.iter().any(|(_, step)| matches!(step, Relief::Evict { .. })), "{steps:?}");
+    let mut urgent = candidate(&config, "build", 9);
+    urgent.spec.urgency = Urgency::Urgent;
+    urgent.spec.resources = Resources::new(32_000, 60_000, 0);
+    let residents = IndexMap::from([(vm(0), vec![watcher])]);
+    assert_eq!(policy.make_room(&urgent, &residents, secs(301)), None);
+}
+
+#[test]
+fn operators_who_weigh_evictions_see_fewer_on_the_same_trace() {
+    let count = |config: Config| {
+        let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
+        let mut residents: Vec<_> =
+            (1..=4).map(|number| resident(&config, "build", number, secs(0))).collect();
+        let steps = run(&mut policy, &mut residents, |_, _| 2.0, 600);
+        steps.iter().filter(|(_, step)| matches!(step, Relief::Evict { .. })).count()
+    };
+    let (inkuru, pivnita) = (count(weighing(5.0, 1.0)), count(weighing(1.0, 5.0)));
+    assert!(inkuru > pivnita, "inkuru {inkuru}, pivnita {pivnita}");
+}
+
+#[test]
+fn an_urgent_task_evicts_the_cheapest_resumable_one_and_no_more_than_needed() {
+    let config = config();
+    let full = |index| beside(view(index), "build", 4);
+    let mut policy = policy(config.clone(), [full(0), full(1)]);
+    let mut fresh = resident(&config, "build", 4, secs(900));
+    fresh.checkpoint_at = Some(secs(1));
+    let old = |number| resident(&config, "build", number, secs(0));
+    let residents = IndexMap::from([
+        (vm(0), vec![old(1), old(2), old(3), fresh]),
+        (vm(1), vec![old(5), old(6), old(7), old(8)]),
+    ]);
+    let mut urgent = candidate(&config, "narration", 9);
+    urgent.spec.urgency = Urgency::Urgent;
+    let decided = policy.make_room(&urgent, &residents, secs(1000)).expect("room can be made");
+    assert_replays(&decided);
+    let Relief::Evict { vm: from, task, .. } = &decided.choice else { panic!("{decided:?}") };
+    assert_eq!((from, task.number), (&vm(0), 4));
+    assert_eq!(policy.make_room(&urgent, &residents, secs(1001)), None);
+}
+
+/// An urgent task's victim was closed, and the room that it left is offered to whoever asks first.
+/// Without a hold a small task takes it, and the urgent one evicts again.
+#[test]
+fn the_room_made_for_an_urgent_task_goes_to_no_other() {
+    let config = config();
+    let mut policy = policy(config.clone(), [beside(view(0), "build", 4)]);
+    let residents = IndexMap::from([(vm(0), vec![resident(&config, "build", 1, secs(0))])]);
+    let mut urgent = candidate(&config, "build", 9);
+    urgent.spec.urgency = Urgency::Urgent;
+    assert!(policy.make_room(&urgent, &residents, secs(100)).is_some());
+    policy.upsert_vm(beside(view(0), "build", 3));
+    let small = policy.choose(&candidate(&config, "wash", 10), secs(101)).choice;
+    assert!(matches!(small, Choice::Wait { .. }), "{small:?}");
+    let placed = policy.choose(&urgent, secs(102)).choice;
+    assert_eq!(placed, Choice::Place { vm: vm(0) });
+}
--- /dev/null
+++ b/src/core/policy/tests/waiting.rs
@@ -0,0 +1,80 @@
+//! Waits are bounded and fair.
+
+use super::*;
+
+/// Small tasks come and go and take each processor that becomes free; a task for half a VM never
+/// finds the room at once. After a while one VM is held for it and drains.
+#[test]
+fn a_large_task_is_not_starved_by_small_ones() {
+    let config = config();
+    let mut counts = [8_u32; 4];
+    let filled = |index: usize, count: u32| beside(view(index), "narration", count);
+    let mut policy = policy(config.clone(), (0..4).map(|index| filled(index, 8)));
+    let mut large = candidate(&config, "build", 1);
+    large.spec.resources = Resources::new(20_000, 40_000, 0);
+    let mut number = 100;
+    for second in 0..600 {
+        let now = secs(second);
+        let done = (second % 4) as usize;
+        counts[done] = counts[done].saturating_sub(1);
+        policy.upsert_vm(filled(done, counts[done]));
+        large.waited = now;
+        if let Choice::Place { .. } = policy.choose(&large, now).choice {
+            assert!(second < 120, "placed after {second} s");
+            return;
+        }
+        number += 1;
+        let small = candidate(&config, "narration", number);
+        if let Choice::Place { vm: to } = policy.choose(&small, now).choice {
+            let index = (0..4).find(|index| vm(*index) == to).expect("a known VM");
+            counts[index] += 1;
+            policy.upsert_vm(filled(index, counts[index]));
+        }
+    }
+    panic!("the large task was starved");
+}
+
+#[test]
+fn few_vms_are_held_however_many_large_tasks_wait() {
+    let config = config();
+    let mut policy = policy(config.clone(), (0..64).map(|index| beside(view(index), "build", 3)));
+    for number in 0..100 {
+        let mut large = candidate(&config, "build", number);
+        large.spec.resources = Resources::new(30_000, 40_000, 0);
+        large.waited = secs(100);
+        policy.choose(&large, secs(100));
+    }
+    let decided = policy.choose(&candidate(&config, "wash", 1000), secs(101));
+    let held = decided.record.passed_over.get("held for a task that waited longer");
+    assert!(held.copied().unwrap_or(0) <= 2, "{:?}", decided.record.passed_over);
+    assert!(matches!(decided.choice, Choice::Place { .. }));
+}
+
+#[test]
+fn a_wait_to_spare_a_service_ends() {
+    let config = config();
+    let mut policy = policy(config.clone(), [beside(view(0), "shop", 4)]);
+    for seq in 1..=100 {
+        let tenants = vec![tenant("shop", 1, 3.5), tenant("build", 2, 1.0)];
+        policy.observe(&vm(0), &report(seq, secs(1), 0.7, tenants), secs(seq));
+    }
+    let mut build = candidate(&config, "build", 1);
+    let first = policy.choose(&build, secs(101)).choice;
+    let Choice::Wait { reason } = first else { panic!("{first:?}") };
+    assert!(reason.contains("would suffer"), "{reason}");
+    build.waited = secs(60);
+    let last = policy.choose(&build, secs(161)).choice;
+    assert_eq!(last, Choice::Place { vm: vm(0) });
+}
+
+#[test]
+fn a_burst_of_one_team_waits_behind_another_teams_tasks() {
+    let config = with_quota(with_quota(config(), "audio", 320), "cellar", 320);
+    let policy = policy(config.clone(), (0..8).map(|index| beside(view(index), "build", 4)));
+    let mut burst = candidate(&config, "build", 1);
+    burst.waited = secs(500);
+    let other = candidate(&config, "wash", 2);
+    assert!(policy.rank(&other) < policy.rank(&burst));
+    burst.spec.urgency = Urgency::Urgent;
+    assert!(policy.rank(&burst) < policy.rank(&other));
+}
