--- a/src/bin/waxwingd/app.rs
+++ b/src/bin/waxwingd/app.rs
@@ -1,7 +1,7 @@
 //! Reads the settings, starts the daemon and stops it as planned on SIGTERM.
 
 use clap::ArgMatches;
-use eyre::{Context, Result};
+use eyre::{Context, OptionExt, Result};
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,7 +15,7 @@
 
 /// Runs the daemon until it is told to stop.
 pub fn run(args: &ArgMatches) -> Result<ExitCode> {
-    let file = args.get_one::<String>("settings").map_or("waxwingd.toml", String::as_str);
+    let file = args.get_one::<String>("settings").ok_or_eyre("name a file with --settings")?;
     let text = std::fs::read_to_string(file)
         .wrap_err_with(|| format!("can't read {file}; name a readable file with --settings"))?;
     let settings = match Settings::parse(file, &text) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::request::DispatcherSettings;
 use crate::ring::{Ring, WhenFull};
 use crate::settings::Settings;
-use crate::storage::{Know, Storage};
+use crate::storage::{Begin, Storage};
 use crate::workers::{Workers, WorkersSettings};
 use actix::prelude::*;
 use std::marker::PhantomData;
@@ -178,7 +178,7 @@
     let (member, peers) =
         start_peers(&arbiters[2], settings, &me, &control, &storage, &view, &clock).await?;
     let workers = start_workers(&arbiters[3], settings, &me, &control, &peers, &view, &clock);
-    storage.do_send(Know::Peers(peers.clone()));
+    storage.do_send(Begin { me: member.clone(), peers: peers.clone() });
     control.do_send(Connect(Rings {
         storage: Ring::new(storage.clone(), WhenFull::Wait { limit: WAITING_ACTIONS }),
         workers: Ring::new(workers, WhenFull::Wait { limit: WAITING_ACTIONS }),
--- a/src/front/explain.rs
+++ b/src/front/explain.rs
@@ -91,13 +91,17 @@
             complete: true,
             ..Explanation::default()
         }),
-        Explained::Forgotten { since } => Err(ApiError::new(
+        Explained::Forgotten { until } => Err(ApiError::new(
             ErrorKind::NotFound,
-            format!(
-                "{} never had request `{id}`, or has forgotten it; it remembers the last {} s",
-                state.links.me,
-                state.links.clock.now().saturating_sub(since).as_secs()
-            ),
+            match until {
+                None => format!("request `{id}` never came to {}", state.links.me),
+                Some(until) => format!(
+                    "{} does not know request `{id}`; it has forgotten those that came more than \
+                     {} s ago",
+                    state.links.me,
+                    state.links.clock.now().saturating_sub(until).as_secs()
+                ),
+            },
             "ask the daemon that answered the request; each remembers its own latest requests",
         )),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,8 +27,6 @@
 pub mod ring;
 pub mod settings;
 pub mod storage;
-pub mod request;
-pub mod ring;
 pub mod store;
 pub mod task;
 pub mod tasklog;
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -12,15 +12,17 @@
 use crate::audit;
 use crate::clock::Clock;
 use crate::config::apply::{self, Applied, ChangeRequest, Confirmation};
-use crate::config::follow::{Follower, Outcome};
+use crate::config::follow::Known;
 use crate::config::snapshot::Snapshot;
 use crate::control::Told;
 use crate::core::{Action, Event};
 use crate::front::view::FrontView;
 use crate::ids::{ChangeId, DaemonId, OperatorName, PartitionId, Revision};
-use crate::peers::{Announce, Peers};
+use crate::peer::Member;
+use crate::peers::Peers;
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
 use actix::prelude::*;
+use follow::{Following, News, Shown};
 use indexmap::IndexMap;
 use partition::{Job, Writer};
 use std::cell::RefCell;
@@ -41,11 +43,9 @@
     clock: Arc<dyn Clock>,
     control: Rc<RefCell<Ring<Told>>>,
     front: watch::Sender<FrontView>,
-    peers: Option<Addr<Peers>>,
     partitions: IndexMap<PartitionId, mpsc::Sender<Job>>,
-    follower: Follower,
-    /// Daemons of the failure domain that could watch the head, this one included.
-    watchers: Vec<DaemonId>,
+    shown: Rc<RefCell<Shown>>,
+    news: Option<mpsc::UnboundedSender<News>>,
 }
 
 impl Storage {
@@ -58,15 +58,14 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         Self {
-            watchers: vec![me.clone()],
             me,
             store: SharedStore::new(store_url, clock.clone()),
             clock,
             control: Rc::new(RefCell::new(control)),
             front,
-            peers: None,
             partitions: IndexMap::new(),
-            follower: Follower::new(),
+            shown: Rc::default(),
+            news: None,
         }
     }
 
@@ -101,25 +100,10 @@
         }
     }
 
-    /// Offers a snapshot to the follower, and puts in force what it takes up.
-    fn offer(&mut self, snapshot: &Snapshot) {
-        match self.follower.offer(snapshot) {
-            Outcome::InForce(config) => {
-                log::info!(revision = config.revision.0; "config-in-force");
-                self.tell(Event::Configured(config.clone()));
-                self.front.send_modify(|view| view.configured(config.clone()));
-                if let Some(peers) = &self.peers {
-                    peers.do_send(Announce::Revision(config.revision));
-                }
-            }
-            Outcome::Same | Outcome::Older { .. } => {}
-            Outcome::Incomplete { missing } => {
-                log::warn!(missing:% = missing.join(","); "config-incomplete");
-            }
-            Outcome::Forked => log::error!("config-forked"),
-            Outcome::Invalid(faults) => {
-                log::error!(faults = faults.len(); "config-invalid");
-            }
+    fn tell_follower(&self, news: News) {
+        if let Some(tx) = &self.news {
+            // The loop ends only with the duty.
+            let _ = tx.send(news);
         }
     }
 }
@@ -129,7 +113,6 @@
 
     fn started(&mut self, cx: &mut Self::Context) {
         cx.set_mailbox_capacity(RING_CAPACITY);
-        self.follow(cx);
     }
 }
 
@@ -152,40 +135,62 @@
     }
 }
 
-/// Where revisions are announced, and who else could watch the head.
+/// The peers are there; the configuration can be followed.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub enum Know {
-    Peers(Addr<Peers>),
-    Watchers(Vec<DaemonId>),
+pub struct Begin {
+    pub me: Member,
+    pub peers: Addr<Peers>,
 }
 
-impl Handler<Know> for Storage {
+impl Handler<Begin> for Storage {
     type Result = ();
 
-    fn handle(&mut self, msg: Know, _: &mut Self::Context) {
-        match msg {
-            Know::Peers(peers) => self.peers = Some(peers),
-            Know::Watchers(watchers) => self.watchers = watchers,
-        }
+    fn handle(&mut self, msg: Begin, _: &mut Self::Context) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.news = Some(tx);
+        let following = Following::new(msg.me, self.store.clone(), msg.peers, self, rx);
+        actix::spawn(following.run());
     }
 }
 
-/// A peer's snapshot, as JSON.
+/// The daemons that answer.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct OfferSnapshot {
-    pub json: Vec<u8>,
-}
+pub struct KnowMembers(pub Vec<Member>);
 
-impl Handler<OfferSnapshot> for Storage {
+impl Handler<KnowMembers> for Storage {
     type Result = ();
 
-    fn handle(&mut self, msg: OfferSnapshot, _: &mut Self::Context) {
-        match serde_json::from_slice(&msg.json) {
-            Ok(snapshot) => self.offer(&snapshot),
-            Err(e) => log::warn!(reason:% = e; "snapshot-unread"),
-        }
+    fn handle(&mut self, msg: KnowMembers, _: &mut Self::Context) {
+        self.tell_follower(News::Members(msg.0));
+    }
+}
+
+/// A revision that a peer knows of; answered with what is known here.
+#[derive(Message)]
+#[rtype(result = "TellKnown")]
+pub struct HearRevision {
+    pub revision: Revision,
+    /// Peer that has it in force, `ip:port`.
+    pub from: Option<String>,
+}
+
+/// What is known here.
+#[derive(Clone, Copy, Debug, MessageResponse)]
+pub struct TellKnown(pub Known);
+
+impl Handler<HearRevision> for Storage {
+    type Result = TellKnown;
+
+    fn handle(&mut self, msg: HearRevision, _: &mut Self::Context) -> Self::Result {
+        let known = {
+            let known = &mut self.shown.borrow_mut().known;
+            known.known = known.known.max(msg.revision);
+            *known
+        };
+        self.tell_follower(News::Heard { revision: msg.revision, from: msg.from });
+        TellKnown(known)
     }
 }
 
@@ -200,11 +205,12 @@
     type Result = Option<Vec<u8>>;
 
     fn handle(&mut self, msg: GetSnapshot, _: &mut Self::Context) -> Self::Result {
-        let snapshot = self.follower.snapshot(msg.than)?;
+        let shown = self.shown.borrow();
+        let snapshot = shown.snapshot.as_ref()?;
         if snapshot.revision() <= msg.than {
             return None;
         }
-        serde_json::to_vec(&snapshot).ok()
+        serde_json::to_vec(&snapshot.since(msg.than)).ok()
     }
 }
 
@@ -217,7 +223,7 @@
     type Result = ResponseFuture<apply::Result<Applied>>;
 
     fn handle(&mut self, msg: Apply, _: &mut Self::Context) -> Self::Result {
-        let known = self.follower.snapshot(Revision(0));
+        let known = self.shown.borrow().snapshot.clone();
         let (store, clock) = (self.store.clone(), self.clock.clone());
         Box::pin(async move { apply::apply_with(&store, &clock, &msg.0, known.as_ref()).await })
     }
@@ -274,6 +280,6 @@
     type Result = Standing;
 
     fn handle(&mut self, _: GetStanding, _: &mut Self::Context) -> Self::Result {
-        Standing { snapshot: self.follower.snapshot(Revision(0)), reach: self.store.reach() }
+        Standing { snapshot: self.shown.borrow().snapshot.clone(), reach: self.store.reach() }
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod balancer;
 pub mod endpoint;
 pub mod kv;
-pub mod endpoint;
 pub mod ledger;
 pub mod list;
 pub mod platform;
