--- a/src/bin/waxwing/clap_app.rs
+++ b/src/bin/waxwing/clap_app.rs
@@ -16,7 +16,7 @@
 
 Examples:
   waxwing status --daemon 10.20.0.11:8080
-  waxwing apply shop.toml batch.toml
+  waxwing check shop.toml batch.toml && waxwing apply shop.toml batch.toml
   waxwing submit --class narration --key order-1187 --payload 'title=Umwana'
   waxwing explain task t3-1187
   WAXWING_DAEMONS=10.20.0.11:8080,10.20.0.12:8080 waxwing task list --state waiting";
@@ -52,6 +52,8 @@
                 .global(true),
         )
         .subcommand(status())
+        .subcommand(check())
+        .subcommand(diff())
         .subcommand(apply())
         .subcommand(show())
         .subcommand(audit())
@@ -68,6 +70,20 @@
         .after_help("Example:\n  waxwing status")
 }
 
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks files against themselves and each other, without a daemon")
+        .arg(files("Configuration files, all that belong together"))
+        .after_help("Example:\n  waxwing check shop.toml batch.toml pools.toml")
+}
+
+fn diff() -> Command {
+    Command::new("diff")
+        .about("Shows how files differ from those in force")
+        .arg(files("Configuration files"))
+        .after_help("Example:\n  waxwing diff shop.toml")
+}
+
 fn apply() -> Command {
     Command::new("apply")
         .about("Puts files in force, each as a whole or not at all")
@@ -121,8 +137,8 @@
         .arg(
             Arg::new("before")
                 .long("before")
-                .value_name("REV")
-                .help("Only changes before this revision")
+                .value_name("N")
+                .help("Only entries before this one, as the last page said")
                 .value_parser(value_parser!(u64)),
         )
         .arg(limit())
--- a/src/bin/waxwing/output.rs
+++ b/src/bin/waxwing/output.rs
@@ -10,6 +10,7 @@
     ApiError, ApplyReply, AuditPage, CancelReply, ConfigView, ErrorKind, Explanation, SubmitReply,
     TaskList, TaskView, VmDetail, VmSummary,
 };
+use waxwingstall::config::apply::Effect;
 use waxwingstall::core::policy::{DecisionRecord, Subject};
 use waxwingstall::logs::utc;
 use waxwingstall::task::{Outcome, Phase, TaskState};
@@ -53,9 +54,10 @@
 
 impl Text for ApplyReply {
     fn text(&self) -> Vec<String> {
-        let head = format!("revision {} is in force, from {}", self.revision, self.from);
-        let changes = self.changes.iter().map(|change| format!("  {change}"));
-        std::iter::once(head).chain(changes).collect()
+        vec![match self.effect {
+            Effect::Changed => format!("in force since revision {}", self.revision),
+            Effect::Unchanged => format!("no difference to revision {}", self.revision),
+        }]
     }
 }
 
@@ -161,14 +163,9 @@
         });
         let classes = self.classes.iter().map(|class| format!("  {} {}", class.count, class.class));
         lines.extend(classes);
-        let mut table = Table::new(&["TASK", "ATTEMPT", "CLASS", "SIZE"]);
+        let mut table = Table::new(&["TASK", "ATTEMPT"]);
         for task in &self.tasks {
-            table.push([
-                task.task.to_string(),
-                task.attempt.to_string(),
-                task.class.to_string(),
-                amounts(&task.resources),
-            ]);
+            table.push([task.task.to_string(), task.attempt.to_string()]);
         }
         lines.extend(table.lines());
         lines
--- a/src/tasklog/compact.rs
+++ b/src/tasklog/compact.rs
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 /// Values deleted in one round, so that a round does not hold up commits.
-const DELETES_A_ROUND: usize = 64;
+const DELETES_A_ROUND: usize = 8;
 
 /// Written size of a task apart from its texts, at most.
 const TASK_BYTES: usize = 96;
--- a/tests/common/tasks.rs
+++ b/tests/common/tasks.rs
@@ -3,7 +3,7 @@
 use futures::executor::block_on;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use waxwingstall::ids::{Attempt, DaemonId, IdempotencyKey, PartitionId, TaskId, VmId};
+use waxwingstall::ids::{Attempt, BootId, DaemonId, IdempotencyKey, PartitionId, TaskId, VmId};
 use waxwingstall::model::{Idempotency, Resumption, Urgency};
 use waxwingstall::store::Store;
 use waxwingstall::task::{Change, Outcome, Record, TaskSpec, TaskState};
@@ -44,7 +44,7 @@
 
 pub fn bound(n: u64, attempt: u32) -> Record {
     let vm = VmId::new(&format!("worker-{}", n % 7));
-    record(n, Change::Bound { vm, attempt: Attempt(attempt) })
+    record(n, Change::Bound { vm, boot: BootId(1), attempt: Attempt(attempt) })
 }
 
 pub fn ended(n: u64, attempt: u32) -> Record {
