--- a/src/bin/waxwing/commands.rs
+++ b/src/bin/waxwing/commands.rs
@@ -1,6 +1,7 @@
 //! What each command does.
 
 mod apply;
+mod local;
 
 use crate::app::{Context, Format};
 use crate::clap_app::build_app;
@@ -12,13 +13,15 @@
 use serde::Serialize;
 use waxwingstall::api::{AuditQuery, SubmitPriority, SubmitReq, TaskPhase, TaskQuery};
 use waxwingstall::client::ExplainSubject;
-use waxwingstall::ids::{ClassName, IdempotencyKey, RequestId, Revision, TaskId, TeamName, VmId};
+use waxwingstall::ids::{ClassName, IdempotencyKey, RequestId, TaskId, TeamName, VmId};
 
 /// Carries out the command that the command line names.
 pub async fn run(cx: &mut Context<'_, '_>, matches: &ArgMatches) -> Result<()> {
     let (name, args) = subcommand(matches)?;
     match name {
         "status" => status(cx).await,
+        "check" => local::check(cx, args),
+        "diff" => local::diff(cx, args).await,
         "apply" => apply::run(cx, args).await,
         "show" => show(cx, args).await,
         "audit" => audit(cx, args).await,
@@ -54,8 +57,10 @@
 }
 
 async fn audit(cx: &mut Context<'_, '_>, args: &ArgMatches) -> Result<()> {
-    let before = args.get_one::<u64>("before").copied().map(Revision);
-    let query = AuditQuery { before, limit: args.get_one("limit").copied() };
+    let query = AuditQuery {
+        before: args.get_one("before").copied(),
+        limit: args.get_one("limit").copied(),
+    };
     let page = cx.client()?.audit(&query).await?;
     let text = page.text();
     print(cx, &page, text)
--- a/src/bin/waxwing/commands/apply.rs
+++ b/src/bin/waxwing/commands/apply.rs
@@ -21,7 +21,8 @@
 /// Applies the files, or confirms a change.
 pub async fn run(cx: &mut Context<'_, '_>, args: &ArgMatches) -> Result<()> {
     if let Some(id) = args.get_one::<String>("confirm") {
-        let reply = cx.client()?.confirm(&ConfirmReq { change_id: id.clone() }).await?;
+        let req = ConfirmReq { operator: operator(cx, args)?, change_id: id.clone() };
+        let reply = cx.client()?.confirm(&req).await?;
         let text = reply.text();
         return print(cx, &reply, text);
     }
--- a/src/bin/waxwing/status_page.rs
+++ b/src/bin/waxwing/status_page.rs
@@ -4,9 +4,6 @@
 use waxwingstall::api::{DaemonState, Status};
 use waxwingstall::peer::MemberState;
 
-/// Members not heard for so long are shown as a fault.
-const SILENT_MS: u64 = 5_000;
-
 /// The status as text.
 pub fn lines(status: &Status) -> Vec<String> {
     let mut lines = vec![format!(
@@ -57,10 +54,6 @@
         faults.push(format!("partition {id} has no known writer; its waiting tasks stand still"));
     }
     for member in &status.members {
-        if member.heard_ms > SILENT_MS {
-            let silent = age(member.heard_ms);
-            faults.push(format!("{} was not heard for {silent}", member.daemon));
-        }
         if member.revision < status.revision {
             let (daemon, revision) = (&member.daemon, member.revision);
             faults.push(format!("{daemon} is at configuration {revision}, behind this daemon"));
@@ -92,7 +85,7 @@
 }
 
 fn partitions(status: &Status) -> Table {
-    let mut table = Table::new(&["PARTITION", "WRITER", "OPEN", "WAITING"]);
+    let mut table = Table::new(&["PARTITION", "WRITER", "TASKS", "WAITING"]);
     let count = |n: Option<u32>| n.map_or_else(|| "-".to_owned(), |n| n.to_string());
     for partition in &status.partitions {
         let writer =
@@ -100,7 +93,7 @@
         table.push([
             partition.partition.to_string(),
             writer,
-            count(partition.open_tasks),
+            count(partition.tasks),
             count(partition.waiting_tasks),
         ]);
     }
@@ -108,7 +101,7 @@
 }
 
 fn members(status: &Status) -> Table {
-    let mut table = Table::new(&["DAEMON", "DOMAIN", "STATE", "CONFIGURATION", "HEARD"]);
+    let mut table = Table::new(&["DAEMON", "DOMAIN", "STATE", "CONFIGURATION"]);
     for member in &status.members {
         let state = match member.state {
             MemberState::Serving => "serving",
@@ -119,7 +112,6 @@
             member.domain.to_string(),
             state.to_owned(),
             member.revision.to_string(),
-            format!("{} ago", age(member.heard_ms)),
         ]);
     }
     table
--- a/src/bin/waxwingd/main.rs
+++ b/src/bin/waxwingd/main.rs
@@ -4,5 +4,5 @@
 mod clap_app;
 
 fn main() -> eyre::Result<std::process::ExitCode> {
-    app::run(&clap_app::build_app().get_matches())
+    app::run(&clap_app::build().get_matches())
 }
