--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -77,6 +77,7 @@
                 let endpoint = Endpoint::start(EndpointSettings {
                     slots: 8,
                     service_time: Duration::from_millis(20),
+                    ..EndpointSettings::default()
                 });
                 list.update(|listing| listing.endpoints.push(runner(domain, i, &endpoint)));
                 endpoints.push(endpoint);
