--- a/src/peers.rs
+++ b/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::ring::{RING_CAPACITY, Ring};
 use crate::storage::{HearRevision, KnowMembers, Storage};
 use crate::task::{TaskSpec, TaskState};
+use crate::usage::Usage;
 use actix::prelude::*;
 use indexmap::IndexMap;
 use link::Link;
@@ -127,6 +128,7 @@
     storage: Addr<Storage>,
     front: watch::Sender<FrontView>,
     clock: Arc<dyn Clock>,
+    usage: Arc<Usage>,
     told: Vec<Member>,
     settling: Settling,
 }
@@ -140,6 +142,7 @@
         storage: Addr<Storage>,
         front: watch::Sender<FrontView>,
         clock: Arc<dyn Clock>,
+        usage: Arc<Usage>,
     ) -> Self {
         Self {
             membership: Membership::new(me, settings),
@@ -148,6 +151,7 @@
             storage,
             front,
             clock,
+            usage,
             told: Vec::new(),
             settling: Settling::Unlisted,
         }
@@ -236,7 +240,8 @@
     }
 
     fn link(&mut self, addr: &str) -> &Link {
-        self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr))
+        let usage = &self.usage;
+        self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr, usage.clone()))
     }
 
     fn addr_of(&self, id: &DaemonId) -> Option<String> {
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -4,9 +4,11 @@
 use crate::config::follow::Known;
 use crate::ids::Revision;
 use crate::peer::{Member, PeerMsg};
+use crate::usage::{Counting, Usage};
 use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -40,6 +42,7 @@
 
 struct Inner {
     addr: String,
+    usage: Arc<Usage>,
     client: RefCell<Option<PeerRpcClient>>,
     queue: RefCell<Queue>,
 }
@@ -52,9 +55,10 @@
 
 impl Link {
     /// A link to `ip:port`, not connected yet.
-    pub fn new(addr: &str) -> Self {
+    pub fn new(addr: &str, usage: Arc<Usage>) -> Self {
         let inner = Inner {
             addr: addr.to_owned(),
+            usage,
             client: RefCell::new(None),
             queue: RefCell::new(Queue::default()),
         };
@@ -141,7 +145,9 @@
             return Ok(client);
         }
         let not_sent = |reason: String| Error::NotSent { addr: self.inner.addr.clone(), reason };
-        let mut connect = tarpc::serde_transport::tcp::connect(&self.inner.addr, Bincode::default);
+        let usage = self.inner.usage.clone();
+        let codec = move || Counting::new(Bincode::default(), usage.clone());
+        let mut connect = tarpc::serde_transport::tcp::connect(&self.inner.addr, codec);
         connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect)
             .await
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -6,10 +6,12 @@
 use crate::ids::Revision;
 use crate::peer::{Member, PeerMsg};
 use crate::storage::{GetSnapshot, HearRevision, Storage};
+use crate::usage::{Counting, Usage};
 use actix::Addr;
 use futures::StreamExt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -32,8 +34,10 @@
     peers: impl FnOnce(Member) -> Addr<Peers>,
     control: Addr<Control>,
     storage: Addr<Storage>,
+    usage: Arc<Usage>,
 ) -> Result<(Member, Addr<Peers>)> {
-    let mut listener = tarpc::serde_transport::tcp::listen(addr, Bincode::default).await?;
+    let codec = move || Counting::new(Bincode::default(), usage.clone());
+    let mut listener = tarpc::serde_transport::tcp::listen(addr, codec).await?;
     listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
     let me = me(listener.local_addr());
     let peers = peers(me.clone());
