--- a/tests/config_audit.rs
+++ b/tests/config_audit.rs
@@ -150,19 +150,18 @@
     assert_eq!((newest.outcome, newest.revision), (Outcome::Abandoned, Revision(CHANGES)));
 }
 
-/// An operator edited a text long ago, and the trail no longer reaches back to that revision. It
-/// can't be told who changed the file since; the change is refused, never taken for the first one.
+/// An operator looked at the files long ago, when there was a file that is gone now, and the trail
+/// no longer reaches back to then. Who removed it can't be told; the change is refused, and not
+/// taken for that of a new file.
 #[test]
 fn a_base_older_than_the_trail_is_refused() {
     let store = store_with_changes();
     let at = now(head::read(&store)).expect("a head");
-    let mut manifest = at.head.manifest.clone();
-    manifest.files.clear();
-    let head = Head { trail: Trail { first_page: 5, ..at.head.trail }, manifest };
+    let head = Head { trail: Trail { first_page: 5, ..at.head.trail }, ..at.head };
     let value = head.encode().expect("a head");
     now(store.put(head::HEAD_KEY, value, Expect::Version(at.version))).expect("written");
-    let action = Action::Replace { text: weights(7) };
-    let req = request("uwase", "ancient", "weights.toml", action);
+    let text = "[[pool]]\nname = \"press\"\n".to_owned();
+    let req = request("uwase", "ancient", "pools.toml", Action::Replace { text });
     let req = ChangeRequest { base: Some(Revision(3)), ..req };
     let refused = now(apply(&store, &ManualClock::new(), &req));
     let Err(Error::Unavailable { reason }) = refused else { panic!("{refused:?}") };
