--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -30,8 +30,8 @@
 /// Least time between two rounds in which every waiting task is looked at again.
 const UNBLOCK_PERIOD: Duration = Duration::from_millis(200);
 
-/// Time between two looks for VMs that are off the list.
-const LIST_CHECK_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two looks for holders that fell silent and VMs that are off the list.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
 
 /// The partitions that this daemon writes or may come to write.
 #[derive(Debug)]
@@ -46,7 +46,7 @@
     listed: IndexSet<VmId>,
     /// VMs with bound attempts that are off the list, and since when.
     unlisted: IndexMap<VmId, Duration>,
-    next_list_check: Duration,
+    next_look: Duration,
 }
 
 /// What this daemon is to a partition.
@@ -87,13 +87,13 @@
             next_unblock: Duration::ZERO,
             listed: IndexSet::new(),
             unlisted: IndexMap::new(),
-            next_list_check: Duration::ZERO,
+            next_look: Duration::ZERO,
         })
     }
 
     /// The members changed.
     pub fn members_changed(&mut self, cx: &mut Context) {
-        self.fleet.keep_members(cx);
+        self.fleet.expire(cx);
         for home in &cx.cfg.partitions {
             let mine = cx.members.writer_of(home.id) == Some(&cx.cfg.me);
             let role = self.roles.entry(home.id).or_insert(Role::Other { since: None });
@@ -119,7 +119,11 @@
                 partition.tick(cx, &self.fleet);
             }
         }
-        self.close_gone(cx);
+        if cx.now >= self.next_look {
+            self.next_look = cx.now + LOOK_PERIOD;
+            self.fleet.expire(cx);
+            self.close_gone(cx);
+        }
     }
 
     fn own(&mut self, cx: &mut Context) {
@@ -335,10 +339,9 @@
     /// A VM that is off the platform's list for `gone_after`, which covers the list's lag and the
     /// task leases' time to live, and that no daemon holds, runs nothing any more.
     fn close_gone(&mut self, cx: &mut Context) {
-        if self.listed.is_empty() || cx.now < self.next_list_check {
+        if self.listed.is_empty() {
             return;
         }
-        self.next_list_check = cx.now + LIST_CHECK_PERIOD;
         self.note_unlisted(cx);
         let gone_after = cx.cfg.limits.gone_after;
         let gone: Vec<VmId> = self
--- a/src/core/life/fleet.rs
+++ b/src/core/life/fleet.rs
@@ -19,6 +19,8 @@
 struct KnownVm {
     holder: Option<DaemonId>,
     view: VmView,
+    /// Time of the last word of its holder.
+    seen: Duration,
     /// Room asked for by this daemon and not answered yet.
     asked: IndexMap<TaskAttempt, Asked>,
 }
@@ -51,7 +53,7 @@
                 moved.push(id.clone());
             }
             let asked = self.vms.swap_remove(&id).map(|vm| vm.asked).unwrap_or_default();
-            let mut known = KnownVm { holder: Some(from.clone()), view, asked };
+            let mut known = KnownVm { holder: Some(from.clone()), view, seen: cx.now, asked };
             known.asked.retain(|_, asked| asked.until > cx.now);
             cx.policy.upsert_vm(known.reduced());
             self.vms.insert(id, known);
@@ -83,10 +85,14 @@
         }
     }
 
-    /// Forgets what departed daemons told.
-    pub fn keep_members(&mut self, cx: &mut Context) {
+    /// Forgets what daemons told that departed, or that fell silent for a lease's time.
+    ///
+    /// A view that was on its way when its sender died would otherwise name a holder for ever
+    /// that answers nothing.
+    pub fn expire(&mut self, cx: &mut Context) {
         for (id, vm) in &mut self.vms {
-            if vm.holder.as_ref().is_some_and(|holder| !cx.members.contains(holder)) {
+            let silent = cx.now >= vm.seen + cx.cfg.lease_ttl;
+            if vm.holder.as_ref().is_some_and(|holder| silent || !cx.members.contains(holder)) {
                 vm.holder = None;
                 cx.policy.remove_vm(id);
             }
