--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -1,21 +1,85 @@
 //! Where a task goes, what it disturbs, and what is done about it.
+//!
+//! A placement is gathered into whole numbers and then decided by a pure function of them, so that
+//! its record is enough to decide it again ([`explain::replay`]). What is learned (slowdown of
+//! pairs, blame for failures) comes only from reports and ends that are passed in.
 
-use crate::ids::{Attempt, ClassName, DomainId, RackId, Revision, TaskId, VmId};
-use crate::model::{Config, Weights};
+mod decide;
+mod eviction;
+pub mod explain;
+mod fit;
+mod health;
+mod hold;
+mod index;
+pub mod interference;
+mod ladder;
+mod place;
+mod quarantine;
+pub mod quota;
+mod relieve;
+mod reports;
+mod room;
+mod score;
+#[cfg(test)]
+mod tests;
+
+use crate::ids::{Attempt, ClassName, DomainId, RackId, Revision, TaskId, TeamName, VmId};
+use crate::model::{Config, Urgency, Weights};
 use crate::peer::{VmHealth, VmView};
 use crate::task::{Outcome, TaskSpec};
 use crate::units::Resources;
 use crate::worker::UsageReport;
+use eviction::Budget;
+use fit::Sizes;
+use hold::Holds;
+use index::Fleet;
 use indexmap::IndexMap;
+use interference::Interference;
+use ladder::Ladder;
+use quarantine::Blame;
+use quota::{Allowances, Quotas};
+use relieve::Asked;
+use reports::Reports;
+use room::Plans;
+use score::is_service;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time after the first call in which no task is refused for its size: the views of other daemons'
+/// VMs are still arriving, and the one large VM may be among them.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Steps that the used part of a quota is ranked by.
+const RANK_STEPS: f64 = 8.0;
+
 /// Chooses VMs for tasks, and learns from what happens there.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Policy {
     config: Arc<Config>,
-    views: IndexMap<VmId, VmView>,
+    fleet: Fleet,
+    sizes: Sizes,
+    quotas: Quotas,
+    model: Interference,
+    reports: IndexMap<VmId, Reports>,
+    ladders: IndexMap<VmId, Ladder>,
+    blame: Blame,
+    budget: Budget,
+    holds: Holds,
+    plans: Plans,
+    asked: IndexMap<VmId, Asked>,
+    /// Processors in use for each committed one, smoothed over all reports.
+    use_ratio: f64,
+    settle: Duration,
+    first_call: Option<Duration>,
+    now: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self::new(Arc::default())
+    }
 }
 
 /// A task looking for a VM.
@@ -79,7 +143,7 @@
 }
 
 /// What a decision was about.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Subject {
     Task(TaskId),
@@ -106,25 +170,93 @@
     pub progress: f64,
 }
 
+/// Place of a waiting task in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    urgency: Reverse<Urgency>,
+    /// Part of its quota that the team uses, in steps.
+    used: u32,
+    waited: Reverse<Duration>,
+    task: TaskId,
+}
+
 impl Policy {
     /// A policy that knows no VM yet.
     pub fn new(config: Arc<Config>) -> Self {
-        Self { config, views: IndexMap::new() }
+        let mut quotas = Quotas::default();
+        quotas.configure(&config);
+        Self {
+            config,
+            fleet: Fleet::default(),
+            sizes: Sizes::default(),
+            quotas,
+            model: Interference::new(),
+            reports: IndexMap::new(),
+            ladders: IndexMap::new(),
+            blame: Blame::default(),
+            budget: Budget::default(),
+            holds: Holds::default(),
+            plans: Plans::default(),
+            asked: IndexMap::new(),
+            use_ratio: 1.0,
+            settle: SETTLE,
+            first_call: None,
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Sets the time after the first call in which no task is refused for its size.
+    pub fn with_settle(mut self, settle: Duration) -> Self {
+        self.settle = settle;
+        self
+    }
+
+    /// Starts from effects learned elsewhere.
+    pub fn with_interference(mut self, model: Interference) -> Self {
+        self.model = model;
+        self
     }
 
     /// Puts a configuration in force.
     pub fn configure(&mut self, config: Arc<Config>) {
         self.config = config;
+        self.quotas.configure(&self.config);
+        self.quotas.reset_usage();
+        for vm in self.fleet.iter() {
+            count_usage(&mut self.quotas, &self.config, &vm.view, Quotas::commit);
+        }
+    }
+
+    /// Puts a team's allowances in force that were moved between failure domains.
+    pub fn set_allowances(&mut self, team: &TeamName, allowances: Allowances) {
+        self.quotas.replace(team, allowances);
     }
 
-    /// Learns of a VM, or of a change to it.
+    /// A team's allowances, if it has a quota.
+    pub fn allowances(&self, team: &TeamName) -> Option<&Allowances> {
+        self.quotas.of(team)
+    }
+
+    /// Learns of a VM, or of a change to it. The classes of the view include service instances.
     pub fn upsert_vm(&mut self, view: VmView) {
-        self.views.insert(view.vm.clone(), view);
+        self.quotas.learn_domain(&view.domain, &self.config);
+        count_usage(&mut self.quotas, &self.config, &view, Quotas::commit);
+        self.sizes.add(&view, self.now);
+        if let Some(old) = self.fleet.upsert(view) {
+            self.sizes.remove(&old, self.now);
+            count_usage(&mut self.quotas, &self.config, &old, Quotas::release);
+        }
     }
 
     /// Forgets a VM.
     pub fn remove_vm(&mut self, vm: &VmId) {
-        self.views.shift_remove(vm);
+        if let Some(old) = self.fleet.remove(vm) {
+            self.sizes.remove(&old, self.now);
+            count_usage(&mut self.quotas, &self.config, &old, Quotas::release);
+        }
+        self.reports.swap_remove(vm);
+        self.ladders.swap_remove(vm);
+        self.asked.swap_remove(vm);
     }
 
     /// Whether a task could ever run, and whether its team's quota allows it.
@@ -134,63 +266,135 @@
 
     /// Chooses a VM for a task. The caller reports the effect by [`Policy::upsert_vm`].
     pub fn choose(&mut self, candidate: &Candidate, now: Duration) -> Decided<Choice> {
-        let mut passed_over = IndexMap::new();
-        let mut chosen = None;
-        for view in self.views.values() {
-            if view.health != VmHealth::Open {
-                *passed_over.entry("not open".to_owned()).or_insert(0) += 1;
-            } else if !candidate.spec.resources.fits_in(&view.free) {
-                *passed_over.entry("no room".to_owned()).or_insert(0) += 1;
-            } else {
-                chosen = Some(view.vm.clone());
-                break;
-            }
-        }
-        let choice = match chosen {
-            Some(vm) => Choice::Place { vm },
-            None => Choice::Wait { reason: "no VM has room".to_owned() },
-        };
-        let record = DecisionRecord {
-            at: now,
-            subject: Subject::Task(candidate.task),
-            revision: self.config.revision,
-            weights: self.config.weights,
-            verdict: format!("{choice:?}"),
-            considered: u32::try_from(self.views.len()).unwrap_or(u32::MAX),
-            passed_over,
-            inputs: IndexMap::new(),
-        };
+        self.tick(now);
+        let inputs = self.gather(candidate, now);
+        let choice = inputs.decide();
+        self.note_choice(candidate, &inputs, &choice, now);
+        let record = explain::placement(candidate, inputs, &choice, &self.config);
         Decided { choice, record }
     }
 
     /// Learns from a usage report of a VM held by this daemon.
-    pub fn observe(&mut self, _vm: &VmId, _report: &UsageReport, _now: Duration) {}
+    pub fn observe(&mut self, vm: &VmId, report: &UsageReport, now: Duration) {
+        self.tick(now);
+        let ladder = self.ladders.entry(vm.clone()).or_default();
+        let reports = self.reports.entry(vm.clone()).or_default();
+        if reports.take(report, |task| ladder.share(task), now).is_err() {
+            return;
+        }
+        let config = &self.config;
+        let suffering = reports.suffering(|class| is_service(config, class));
+        let measured_at = reports.measured_at;
+        if ladder.unchanged_since(measured_at) {
+            self.learn(vm);
+        }
+        let trigger = self.trigger();
+        if let (Some(excess), Some(ladder)) = (suffering, self.ladders.get_mut(vm)) {
+            ladder.measured(excess, trigger, measured_at);
+        }
+    }
 
     /// Learns how an attempt ended on a VM.
-    pub fn ended(&mut self, _vm: &VmId, _class: &ClassName, _outcome: &Outcome, _now: Duration) {}
+    pub fn ended(&mut self, vm: &VmId, class: &ClassName, outcome: &Outcome, now: Duration) {
+        self.tick(now);
+        self.blame.ended(vm, class, outcome, now);
+    }
 
     /// Steps due on a VM held by this daemon, given the batch tasks there.
     pub fn relieve(
         &mut self,
-        _vm: &VmId,
-        _residents: &[Resident],
-        _now: Duration,
+        vm: &VmId,
+        residents: &[Resident],
+        now: Duration,
     ) -> Vec<Decided<Relief>> {
-        Vec::new()
+        self.tick(now);
+        self.steps(vm, residents, now)
     }
 
     /// Whom to evict for an urgent task that waits, if anyone; among this daemon's own VMs.
     pub fn make_room(
         &mut self,
-        _candidate: &Candidate,
-        _residents: &IndexMap<VmId, Vec<Resident>>,
-        _now: Duration,
+        candidate: &Candidate,
+        residents: &IndexMap<VmId, Vec<Resident>>,
+        now: Duration,
     ) -> Option<Decided<Relief>> {
-        None
+        self.tick(now);
+        self.eviction_for(candidate, residents, now)
+    }
+
+    /// Whether the holder of a quarantined VM should accept one task as a probe.
+    pub fn accepts_probe(&self, vm: &VmId, now: Duration) -> bool {
+        self.blame.probe_due(vm, now)
+    }
+
+    /// Place of a waiting task in the queue; the least goes first.
+    ///
+    /// Tasks of equal urgency go by the part of its quota that their team uses, in steps, and then
+    /// by how long they waited: a team that submits a thousand at once waits behind its own.
+    pub fn rank(&self, candidate: &Candidate) -> Rank {
+        let used = self.quotas.dominant_share(&candidate.spec.team);
+        Rank {
+            urgency: Reverse(candidate.spec.urgency),
+            used: (used.clamp(0.0, 1.0) * RANK_STEPS) as u32,
+            waited: Reverse(candidate.waited),
+            task: candidate.task,
+        }
     }
 
     /// Where the VMs are that the policy knows.
     pub fn places(&self) -> impl Iterator<Item = (&VmId, &DomainId, &RackId)> {
-        self.views.values().map(|view| (&view.vm, &view.domain, &view.rack))
+        self.fleet.iter().map(|vm| (&vm.view.vm, &vm.view.domain, &vm.view.rack))
+    }
+
+    /// What is known of the slowdown of pairs.
+    pub fn interference(&self) -> &Interference {
+        &self.model
+    }
+
+    /// What is known of the slowdown of pairs, to be changed from elsewhere.
+    pub fn interference_mut(&mut self) -> &mut Interference {
+        &mut self.model
+    }
+
+    fn note_choice(
+        &mut self,
+        candidate: &Candidate,
+        inputs: &decide::Inputs,
+        choice: &Choice,
+        now: Duration,
+    ) {
+        match choice {
+            Choice::Place { vm } => {
+                self.holds.release(candidate.task);
+                self.plans.forget(candidate.task);
+                if inputs.offers.iter().any(|offer| offer.vm == *vm && offer.probe) {
+                    self.blame.probed(vm, now);
+                }
+                if inputs.class != decide::ClassState::Sound {
+                    self.blame.retried(&candidate.spec.class, now);
+                }
+            }
+            Choice::Never { .. } => self.holds.release(candidate.task),
+            Choice::Wait { .. } => {}
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+        self.first_call.get_or_insert(now);
+    }
+
+    fn settled(&self, now: Duration) -> bool {
+        self.first_call.is_some_and(|first| now >= first + self.settle)
+    }
+}
+
+type CountUsage = fn(&mut Quotas, &TeamName, &DomainId, &Resources);
+
+fn count_usage(quotas: &mut Quotas, config: &Config, view: &VmView, count: CountUsage) {
+    for entry in &view.classes {
+        let Some(class) = config.batch.get(&entry.class) else { continue };
+        let amount = class.resources.saturating_mul(entry.count);
+        count(quotas, &class.team, &view.domain, &amount);
     }
 }
