Keep a task off a VM for a while only

Change: a VM is avoided for five seconds; a task that waits because of what it avoids leaves its line for a second instead of blocking it. The fault tables let a VM leave that has a task to move.

--- a/src/core/life/partition.rs
+++ b/src/core/life/partition.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Takes a waiting task out of its line for a while.
+    pub(super) fn hold(&mut self, number: u64, until: Duration) {
+        let Some(task) = self.tasks.get(&number) else { return };
+        let spec = task.state.spec.clone();
+        self.waiting.remove(&spec, number);
+        self.set_deadline(number, Some(until));
+    }
+
     /// Ends a cancelled task that no VM was bound to.
     fn end_unbound(&mut self, cx: &mut Context, number: u64, ticket: Option<Ticket>) {
         let Some(task) = self.fire(cx, number, TaskEvent::Cancelled) else { return };
@@ -395,6 +403,7 @@
     fn overdue(&mut self, cx: &mut Context, fleet: &Fleet, number: u64) {
         let Some(task) = self.tasks.get(&number) else { return };
         match task.step {
+            Step::Queued => self.queue(cx, number),
             Step::Reserving => self.give_up_reserving(cx, number),
             Step::Starting if task.state.cancel_asked => {
                 self.start_close(cx, fleet, number, CloseReason::Cancelled);
@@ -407,9 +416,10 @@
 
     /// The room was declined or not answered for: another VM is chosen.
     pub(super) fn give_up_reserving(&mut self, cx: &mut Context, number: u64) {
+        let now = cx.now;
         let Some(task) = self.fire(cx, number, TaskEvent::Declined) else { return };
         if let Some(vm) = task.vm.take() {
-            task.avoid(vm);
+            task.avoid(vm, now);
         }
         self.set_deadline(number, None);
         self.queue(cx, number);
--- a/src/core/life/steps.rs
+++ b/src/core/life/steps.rs
@@ -79,7 +79,7 @@
                 }
                 *budget -= 1;
                 if let Placed::No(candidate) = self.place_one(cx, fleet, number, &shape) {
-                    stuck.extend(candidate.filter(|c| c.spec.urgency == Urgency::Urgent));
+                    stuck.extend(Some(candidate).filter(|c| c.spec.urgency == Urgency::Urgent));
                     break;
                 }
             }
@@ -94,20 +94,25 @@
         number: u64,
         shape: &Shape,
     ) -> Placed {
-        let Some(task) = self.tasks.get(&number) else { return Placed::No(None) };
+        let Some(task) = self.tasks.get(&number) else { return Placed::Passed };
         let wanted = candidate(task, cx.now);
         let decided = cx.policy.choose(&wanted, cx.now);
         match decided.choice {
             Choice::Place { vm } => {
                 cx.act(Action::Explain(decided.record));
                 self.ask_for_room(cx, fleet, number, vm);
-                Placed::Asked
+                Placed::Passed
+            }
+            // Another task of the shape may go where this one doesn't want to.
+            Choice::Wait { .. } if !wanted.avoid.is_empty() => {
+                self.hold(number, cx.now + ASK_AGAIN);
+                Placed::Passed
             }
             Choice::Wait { reason } | Choice::Never { reason, .. } => {
                 if self.waiting.block(shape, cx.now + ASK_AGAIN, &reason) {
                     cx.act(Action::Explain(decided.record));
                 }
-                Placed::No(Some(wanted))
+                Placed::No(wanted)
             }
         }
     }
@@ -164,9 +169,7 @@
             return;
         }
         self.set_deadline(about.task.number, None);
-        if let Some(task) = self.fire(cx, about.task.number, TaskEvent::Started) {
-            task.avoid.clear();
-        }
+        self.fire(cx, about.task.number, TaskEvent::Started);
     }
 
     /// The attempt ended by itself.
@@ -245,7 +248,7 @@
         why: CloseReason,
     ) {
         let Some(task) = self.fire(cx, about.task.number, TaskEvent::Closed) else { return };
-        task.avoid(about.vm.clone());
+        task.avoid(about.vm.clone(), cx.now);
         cx.explain(
             Subject::Task(about.task),
             format!("released from {} ({why:?}), to run again elsewhere", about.vm),
@@ -291,8 +294,9 @@
 
 /// How a placement went.
 enum Placed {
-    Asked,
-    No(Option<Candidate>),
+    /// The task no longer stands first in its line.
+    Passed,
+    No(Candidate),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -322,6 +326,6 @@
         attempt: task.state.attempt.next(),
         spec: task.state.spec.clone(),
         waited: now.saturating_sub(task.known),
-        avoid: task.avoid.clone(),
+        avoid: task.avoided(now),
     }
 }
--- a/src/core/life/task.rs
+++ b/src/core/life/task.rs
@@ -7,8 +7,9 @@
 use crate::task::{Phase, TaskState};
 use std::time::Duration;
 
-/// VMs that a task remembers to avoid.
+/// VMs that a task keeps off at a time, and for how long.
 const AVOID_MAX: usize = 3;
+const AVOID_TIME: Duration = Duration::from_secs(5);
 
 /// Step of a task's life; the transitions are in `charts/task.toml`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +81,13 @@
     Machine::new(&Chart::parse(include_str!("../../../charts/task.toml"))?)
 }
 
+/// A VM that an attempt failed on, or that declined.
+#[derive(Clone, Debug)]
+struct Avoided {
+    vm: VmId,
+    until: Duration,
+}
+
 /// A task of a partition written here.
 #[derive(Debug)]
 pub struct Task {
@@ -96,7 +104,7 @@
     pub holder: Option<DaemonId>,
     /// Time at which to repeat what is unanswered.
     pub deadline: Option<Duration>,
-    pub avoid: Vec<VmId>,
+    avoid: Vec<Avoided>,
     pub why: CloseReason,
     /// Whether a caller asked for the end, durable or not yet.
     pub cancel_asked: bool,
@@ -162,15 +170,22 @@
         self.state.boot
     }
 
-    /// Prefers other VMs at the next choice.
-    pub fn avoid(&mut self, vm: VmId) {
-        if !self.avoid.contains(&vm) {
-            self.avoid.push(vm);
-        }
+    /// Keeps off a VM for a while.
+    ///
+    /// Not for good: the VM that declined may be the only one that the task can run on.
+    pub fn avoid(&mut self, vm: VmId, now: Duration) {
+        self.avoid.retain(|avoided| avoided.vm != vm);
+        self.avoid.push(Avoided { vm, until: now + AVOID_TIME });
         if self.avoid.len() > AVOID_MAX {
             self.avoid.remove(0);
         }
     }
+
+    /// VMs to keep off now.
+    pub fn avoided(&self, now: Duration) -> Vec<VmId> {
+        let still = self.avoid.iter().filter(|avoided| avoided.until > now);
+        still.map(|avoided| avoided.vm.clone()).collect()
+    }
 }
 
 /// Whether an event moved a task.
--- a/src/core/query.rs
+++ b/src/core/query.rs
@@ -41,6 +41,9 @@
             Step::Submitting | Step::Binding | Step::Releasing | Step::Ending => {
                 "for the key-value service to record the last step".to_owned()
             }
+            Step::Queued if task.deadline.is_some() => {
+                "for a VM other than those that it failed on or that declined it".to_owned()
+            }
             Step::Queued => {
                 let reason = self.writer.partition(id.partition)?.waiting_reason(&task.state.spec);
                 format!("for a VM: {}", reason.unwrap_or("its turn has not come yet"))
--- a/tests/core_faults.rs
+++ b/tests/core_faults.rs
@@ -18,8 +18,9 @@
 use std::time::Duration;
 use waxwingstall::core::Action;
 use waxwingstall::ids::{DaemonId, VmId};
+use waxwingstall::model::Resumption;
 use waxwingstall::peer::PeerMsg;
-use waxwingstall::task::Change;
+use waxwingstall::task::{Change, Phase, TaskState};
 use waxwingstall_standin::worker::TableSettings;
 
 /// Longer than a control lease and its hand-over.
@@ -189,6 +190,15 @@
     submissions.iter().map(again).collect()
 }
 
+/// A VM from which a task will be moved when it leaves.
+fn vm_with_a_narration(world: &World<Once>) -> VmId {
+    let bound = |task: &TaskState| match &task.phase {
+        Phase::Bound { vm } if task.spec.resumption == Resumption::Checkpoint => Some(vm.clone()),
+        _ => None,
+    };
+    world.tasks().iter().find_map(bound).unwrap_or_else(|| VmId::new("w0"))
+}
+
 /// Runs one case; returns what was broken and what it came to.
 fn run(step: Step, fault: Fault, occurrence: u32) -> Result<Summary, Vec<String>> {
     let faults = Once { step, fault, left: occurrence };
@@ -196,7 +206,8 @@
     world.run_for(ms(5_000));
     let mut submissions = submit_all(&mut world);
     world.run_for(ms(3_000));
-    world.vms[&VmId::new("w0")].leave();
+    let leaving = vm_with_a_narration(&world);
+    world.vms[&leaving].leave();
     world.run_for(ms(4_000));
     world.drain(&DaemonId::new("b"));
     world.run_for(ms(20_000));
