Measure routing and overload; take slots back from callers that don't read

Change: the reserve is the mean use of the last seconds. A caller that stops reading its answer loses the slot when the answer is due.

--- /dev/null
+++ b/benches/requests/main.rs
@@ -0,0 +1,24 @@
+//! The request path, measured: routing and overload in virtual time on one arrival trace, and the
+//! cost of the real thing on loopback. Run with `cargo bench --bench requests [part]`, where the
+//! part is `routing`, `overload` or `loopback`.
+
+mod loopback;
+mod overload;
+mod routing;
+#[path = "../../tests/request_support/mod.rs"]
+mod support;
+mod virtual_time;
+
+fn main() {
+    let part = std::env::args().skip(1).find(|arg| !arg.starts_with('-'));
+    let wanted = |name: &str| part.as_deref().is_none_or(|part| part == name);
+    if wanted("routing") {
+        routing::run();
+    }
+    if wanted("overload") {
+        overload::run();
+    }
+    if wanted("loopback") {
+        loopback::run();
+    }
+}
--- /dev/null
+++ b/benches/requests/routing.rs
@@ -0,0 +1,192 @@
+//! Ways to choose an endpoint, on the same arrivals: daemons that see only their own requests,
+//! endpoints whose service times differ, and noise that moves from one set of them to another.
+
+use crate::virtual_time::{Agenda, exponential, histogram, log_normal, millis, record};
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+use std::time::Duration;
+use waxwingstall::ids::{DaemonId, VmId};
+use waxwingstall::request::route::{Candidate, Choosing, Pace, Usual, choose};
+use waxwingstall::request::share::even_split;
+
+const SEED: u64 = 11;
+const DAEMONS: usize = 4;
+const ENDPOINTS: usize = 50;
+const SLOTS: u32 = 8;
+const SERVICE: Duration = Duration::from_millis(50);
+const RUN: Duration = Duration::from_secs(120);
+const WAVE: Duration = Duration::from_secs(7);
+/// Slowness of an endpoint that is hit by a wave, and the share of those.
+const NOISE: f64 = 4.0;
+const NOISY: f64 = 0.2;
+const LOADS: [f64; 2] = [0.25, 0.4];
+
+enum Event {
+    Arrival { daemon: usize, base: Duration },
+    End { daemon: usize, endpoint: usize, started: Duration, arrived: Duration },
+    Wave,
+}
+
+/// Whether daemons hold parts of the slots, or each believes that all are its own.
+#[derive(Clone, Copy, PartialEq)]
+enum Split {
+    Even,
+    None,
+}
+
+struct Endpoint {
+    factor: f64,
+    noise: f64,
+    running: u32,
+}
+
+struct Daemon {
+    in_flight: Vec<Vec<Duration>>,
+    paces: Vec<Pace>,
+    usual: Usual,
+    shares: Vec<u32>,
+    waiting: VecDeque<(Duration, Duration)>,
+}
+
+struct World {
+    rng: SmallRng,
+    endpoints: Vec<Endpoint>,
+    daemons: Vec<Daemon>,
+    agenda: Agenda<Event>,
+    choosing: Choosing,
+    times: Histogram<u64>,
+    violations: u64,
+}
+
+pub fn run() {
+    println!("routing: {DAEMONS} daemons, {ENDPOINTS} endpoints of {SLOTS} slots, mean service");
+    println!("time {SERVICE:?}, every {WAVE:?} another {NOISY} of them {NOISE} times as slow");
+    println!("load  way                      p50 ms   p99 ms  p99.9 ms  slot violations");
+    for load in LOADS {
+        let ways = [
+            (Choosing::Random, Split::Even, "random"),
+            (Choosing::TwoChoices, Split::Even, "two choices"),
+            (Choosing::LeastInFlight, Split::Even, "least in flight"),
+            (Choosing::LeastPredictedFinish, Split::Even, "least predicted finish"),
+            (Choosing::LeastPredictedFinish, Split::None, "the same without shares"),
+        ];
+        for (choosing, split, name) in ways {
+            let world = World::new(choosing, split, load).run();
+            println!(
+                "{load:<5} {name:<23} {:>7.1} {:>8.1} {:>9.1} {:>10}",
+                millis(&world.times, 0.5),
+                millis(&world.times, 0.99),
+                millis(&world.times, 0.999),
+                world.violations,
+            );
+        }
+    }
+}
+
+impl World {
+    fn new(choosing: Choosing, split: Split, load: f64) -> Self {
+        let mut trace = SmallRng::seed_from_u64(SEED);
+        let endpoints = (0..ENDPOINTS)
+            .map(|_| Endpoint { factor: trace.random_range(0.7..1.5), noise: 1.0, running: 0 })
+            .collect();
+        let ids: Vec<DaemonId> = (0..DAEMONS).map(|at| DaemonId::new(&format!("d{at}"))).collect();
+        let share = |vm: usize, me: &DaemonId| match split {
+            Split::Even => even_split(&VmId::new(&format!("vm-{vm}")), SLOTS, me, &ids),
+            Split::None => SLOTS,
+        };
+        let daemons = ids
+            .iter()
+            .map(|me| Daemon {
+                in_flight: vec![Vec::new(); ENDPOINTS],
+                paces: vec![Pace::default(); ENDPOINTS],
+                usual: Usual::new(SERVICE),
+                shares: (0..ENDPOINTS).map(|vm| share(vm, me)).collect(),
+                waiting: VecDeque::new(),
+            })
+            .collect();
+        let mut agenda = Agenda::new();
+        let gap = SERVICE.div_f64(load * (ENDPOINTS as u32 * SLOTS) as f64);
+        let mut at = Duration::ZERO;
+        while at < RUN {
+            at += exponential(&mut trace, gap);
+            let base = log_normal(&mut trace, SERVICE, 0.5);
+            agenda.add(at, Event::Arrival { daemon: trace.random_range(0..DAEMONS), base });
+        }
+        let waves = (RUN.as_secs() / WAVE.as_secs()) as u32;
+        (0..waves).for_each(|wave| agenda.add(WAVE * wave, Event::Wave));
+        let rng = SmallRng::seed_from_u64(SEED + 1);
+        let times = histogram();
+        Self { rng, endpoints, daemons, agenda, choosing, times, violations: 0 }
+    }
+
+    fn run(mut self) -> Self {
+        // The noise is drawn apart from the choices, so that every way meets the same.
+        let mut noise = SmallRng::seed_from_u64(SEED + 2);
+        while let Some((now, event)) = self.agenda.next() {
+            match event {
+                Event::Wave => {
+                    for endpoint in &mut self.endpoints {
+                        endpoint.noise = if noise.random_bool(NOISY) { NOISE } else { 1.0 };
+                    }
+                }
+                Event::Arrival { daemon, base } => {
+                    self.daemons[daemon].waiting.push_back((now, base));
+                    self.start_next(daemon, now);
+                }
+                Event::End { daemon, endpoint, started, arrived } => {
+                    self.end(daemon, endpoint, started, now);
+                    record(&mut self.times, now - arrived);
+                    self.start_next(daemon, now);
+                }
+            }
+        }
+        self
+    }
+
+    fn start_next(&mut self, at: usize, now: Duration) {
+        let daemon = &mut self.daemons[at];
+        if daemon.waiting.is_empty() {
+            return;
+        }
+        let rooms: Vec<usize> = (0..ENDPOINTS)
+            .filter(|vm| (daemon.in_flight[*vm].len() as u32) < daemon.shares[*vm])
+            .collect();
+        let candidates: Vec<Candidate> = rooms.iter().map(|vm| daemon.see(*vm, now)).collect();
+        let Some(chosen) = choose(self.choosing, &candidates, &mut self.rng) else { return };
+        let vm = rooms[chosen];
+        let Some((arrived, base)) = daemon.waiting.pop_front() else { return };
+        daemon.in_flight[vm].push(now);
+        let endpoint = &mut self.endpoints[vm];
+        endpoint.running += 1;
+        self.violations += u64::from(endpoint.running > SLOTS);
+        let crowding = 1.0 + 0.5 * f64::from(endpoint.running) / f64::from(SLOTS);
+        let took = base.mul_f64(endpoint.factor * endpoint.noise * crowding);
+        let end = Event::End { daemon: at, endpoint: vm, started: now, arrived };
+        self.agenda.add(now + took, end);
+    }
+
+    fn end(&mut self, at: usize, vm: usize, started: Duration, now: Duration) {
+        self.endpoints[vm].running -= 1;
+        let daemon = &mut self.daemons[at];
+        let position = daemon.in_flight[vm].iter().position(|start| *start == started);
+        daemon.in_flight[vm].swap_remove(position.expect("it was started"));
+        let ratio = daemon.usual.ratio(now - started);
+        daemon.paces[vm].learn(ratio, now);
+        daemon.usual.learn(now - started);
+    }
+}
+
+impl Daemon {
+    fn see(&self, vm: usize, now: Duration) -> Candidate {
+        let oldest = self.in_flight[vm].iter().min();
+        let overdue = oldest.map_or(0.0, |start| self.usual.ratio(now - *start));
+        Candidate {
+            in_flight: self.in_flight[vm].len() as u32,
+            usable: self.shares[vm],
+            slowness: self.paces[vm].slowness(now, overdue),
+            failed_share: 0.0,
+        }
+    }
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -35,6 +35,7 @@
 mod hop;
 pub mod journal;
 pub mod outcome;
+mod pieces;
 pub mod retry;
 pub mod route;
 mod settings;
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -29,11 +29,9 @@
 /// Part of its share by weight that is kept free for a class of short requests in any case.
 const LEAST_RESERVE: f64 = 0.25;
 
-/// Slots kept free for a class, as a multiple of what it used lately.
-const RESERVE_MARGIN: f64 = 1.25;
-
-/// Time after which half of the memory of what a class used is gone.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Time in which half of the way to another use is learned. Learning rises faster than falls
+/// would take chance for demand, and keep slots idle.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// Shortest patience: less can't be told from the noise of timers.
 const LEAST_PATIENCE: Duration = Duration::from_millis(2);
@@ -70,9 +68,11 @@
     running: u32,
     teams: IndexMap<Option<TeamName>, VecDeque<Waiting<T>>>,
     fair: Fair<Option<TeamName>>,
-    /// Most used or waiting lately, and when that was noted.
+    /// Mean of what was used or waited for lately, and when that was noted.
     demand: f64,
     demand_at: Duration,
+    /// What is used or waited for since then.
+    current: f64,
 }
 
 impl<T> Default for Admission<T> {
@@ -184,9 +184,10 @@
     }
 
     /// A started request gave its slot back; `took` if it was answered well.
-    pub fn ended(&mut self, name: &ClassName, took: Option<Duration>) {
+    pub fn ended(&mut self, name: &ClassName, took: Option<Duration>, now: Duration) {
         let Some(class) = self.classes.get_mut(name) else { return };
         class.running = class.running.saturating_sub(1);
+        class.note_demand(now);
         if let Some(took) = took {
             class.usual.learn(took);
         }
@@ -226,6 +227,7 @@
             fair: Fair::default(),
             demand: 0.0,
             demand_at: Duration::ZERO,
+            current: 0.0,
         }
     }
 
@@ -278,18 +280,19 @@
 
     fn lately(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.demand_at).as_secs_f64();
-        self.demand * 0.5_f64.powf(age / DEMAND_HALF_LIFE.as_secs_f64())
+        let kept = 0.5_f64.powf(age / DEMAND_HALF_LIFE.as_secs_f64());
+        self.current + (self.demand - self.current) * kept
     }
 
     fn note_demand(&mut self, now: Duration) {
-        let current = f64::from(self.running) + self.len() as f64;
-        self.demand = self.lately(now).max(current);
+        self.demand = self.lately(now);
         self.demand_at = now;
+        self.current = f64::from(self.running) + self.len() as f64;
     }
 
     fn unused_reserve(&self, slots: u32, weights: u32, now: Duration) -> u32 {
         let share = f64::from(slots) * f64::from(self.weight) / f64::from(weights.max(1));
-        let used = self.lately(now) * RESERVE_MARGIN;
+        let used = self.lately(now);
         let reserve = used.max(share * LEAST_RESERVE).min(share).ceil() as u32;
         reserve.saturating_sub(self.running)
     }
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -90,6 +90,11 @@
         self.left
     }
 
+    /// Time until the whole answer is due.
+    pub fn time_left(&self) -> Duration {
+        self.due.saturating_sub(self.fleet.now())
+    }
+
     /// Reads the body to its end.
     pub async fn read_whole(mut self) -> Result<Bytes, Cut> {
         let mut buf = BytesMut::new();
@@ -103,8 +108,7 @@
     /// The next piece, or none at the end, which [`AnswerStream::finish`] then checks.
     pub async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         let asked = self.fleet.now();
-        let left = self.due.saturating_sub(asked);
-        let got = timeout(left, self.watched_next())
+        let got = timeout(self.time_left(), self.watched_next())
             .await
             .unwrap_or(Some(Err(Cut(Reason::DeadlinePassed))));
         self.took += self.fleet.now().saturating_sub(asked);
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -43,6 +43,16 @@
     Full,
 }
 
+impl NotRun {
+    /// The reason that the caller is told.
+    pub fn reason(self) -> Reason {
+        match self {
+            Self::Unreachable | Self::Unproved => Reason::ConnectFailed,
+            Self::Leaving | Self::Full => Reason::EndpointsRefused,
+        }
+    }
+}
+
 /// What a try needs.
 pub(super) struct Attempt<'a> {
     pub fleet: &'a Rc<Fleet>,
@@ -78,7 +88,14 @@
         slot: &Slot,
         endpoint: &Rc<Endpoint>,
     ) -> Result<(ClientResponse, Conn), Tried> {
-        let mut conn = self.ready_conn(endpoint).await.map_err(Tried::NotRun)?;
+        let mut conn = match self.ready_conn(endpoint).await {
+            Ok(conn) => conn,
+            Err(why) => {
+                // One silent connection is not the endpoint's fault; several new ones are.
+                slot.judge(Verdict::Bad);
+                return Err(Tried::NotRun(why));
+            }
+        };
         loop {
             let reused = conn.stage() == Stage::Opened;
             slot.sending(&self.arrival.id);
--- a/src/request/deliver.rs
+++ b/src/request/deliver.rs
@@ -33,6 +33,8 @@
     avoid: Vec<VmId>,
     /// Why an earlier try may have run it.
     doubt: Option<Reason>,
+    /// Why the last try did not run it.
+    not_run: Option<Reason>,
     /// Whether a retry was made that the budget does not count.
     spared: bool,
     /// An endpoint's own error, passed on if no retry does better.
@@ -64,7 +66,7 @@
                 Err(refused) => return self.without_slot(arrival, body, sofar, refused).await,
             };
             let Some(endpoint) = slot.endpoint().map(Rc::clone) else {
-                return Err(sofar.refusal(Reason::NoEndpoint));
+                return Err(sofar.refusal());
             };
             sofar.tries += 1;
             let tried = self.attempt(arrival, body, slot, &endpoint).await;
@@ -146,14 +148,8 @@
             }
             Tried::Answered(answer) => Weighed::Final(Ok(answer)),
             Tried::NotRun(why) => {
-                let now = self.fleet.now();
-                match why {
-                    NotRun::Leaving | NotRun::Unreachable => {
-                        endpoint.health.borrow_mut().leaves(now);
-                        Weighed::Again(Cost::Spared)
-                    }
-                    NotRun::Unproved | NotRun::Full => Weighed::Again(Cost::Budget),
-                }
+                sofar.not_run = Some(why.reason());
+                Weighed::Again(self.weigh_not_run(why, endpoint))
             }
             Tried::Unknown(reason) if !idempotent => Weighed::Final(Err(Refusal::unknown(reason))),
             Tried::Unknown(reason) => {
@@ -166,6 +162,16 @@
         }
     }
 
+    fn weigh_not_run(&self, why: NotRun, endpoint: &Endpoint) -> Cost {
+        match why {
+            NotRun::Leaving | NotRun::Unreachable => {
+                endpoint.health.borrow_mut().leaves(self.fleet.now());
+                Cost::Spared
+            }
+            NotRun::Unproved | NotRun::Full => Cost::Budget,
+        }
+    }
+
     fn may_retry(&self, arrival: &Arrival, sofar: &mut Sofar, cost: &Cost) -> bool {
         if sofar.tries >= MOST_TRIES || arrival.left(self.fleet.now()).is_zero() {
             return false;
@@ -209,15 +215,15 @@
     fn give_up(mut self) -> Result<Answer, Refusal> {
         match self.error.take() {
             Some(answer) => Ok(answer),
-            None => Err(self.refusal(Reason::EndpointsRefused)),
+            None => Err(self.refusal()),
         }
     }
 
-    /// `not_run` unless an earlier try may have run it.
-    fn refusal(&self, not_run: Reason) -> Refusal {
+    /// Not run, unless a try may have run it.
+    fn refusal(&self) -> Refusal {
         match self.doubt {
             Some(reason) => Refusal::unknown(reason),
-            None => Refusal::not_run(not_run),
+            None => Refusal::not_run(self.not_run.unwrap_or(Reason::NoEndpoint)),
         }
         .with_retry_after(COME_BACK)
     }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::ids::RequestId;
 use crate::model::{Config, Idempotency};
 use crate::request::admission::Refused;
-use crate::request::answer::{Answer, AnswerBody, AnswerStream, Cut};
+use crate::request::answer::{Answer, AnswerBody, Cut};
 use crate::request::arrival::{self, Arrival};
 use crate::request::body::{self, HeldBytes};
 use crate::request::endpoint::EndpointInfo;
@@ -12,6 +12,7 @@
 use crate::request::hop::{Peer, PeerFront};
 use crate::request::journal::{Explained, Journal};
 use crate::request::outcome::{self, Outcome, Reason, Refusal};
+use crate::request::pieces;
 use crate::request::retry::Budget;
 use crate::request::settings::DispatcherSettings;
 use crate::request::share::{ShareAsk, ShareGrant};
@@ -19,8 +20,6 @@
 use actix_web::body::SizedStream;
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
-use bytes::Bytes;
-use futures::stream;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
@@ -55,7 +54,7 @@
 }
 
 /// Counts a request as in flight until its answer has ended.
-struct InFlight(Rc<Inner>);
+pub(super) struct InFlight(Rc<Inner>);
 
 impl InFlight {
     fn new(inner: &Rc<Inner>) -> Self {
@@ -64,6 +63,14 @@
     }
 }
 
+impl InFlight {
+    /// Notes that an answer that was passed on in part was cut.
+    pub fn note_cut(&self, id: &RequestId, cut: Cut) {
+        let now = self.0.fleet.now();
+        self.0.journal.borrow_mut().close(id, Outcome::Ran, cut.0, now);
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.in_flight.set(self.0.in_flight.get() - 1);
@@ -264,7 +271,7 @@
             AnswerBody::Whole(bytes) => resp.body(bytes),
             AnswerBody::Stream(stream) => {
                 let length = stream.length();
-                let pieces = pieces(stream, id.clone(), in_flight);
+                let pieces = pieces::new(stream, id.clone(), in_flight);
                 match length {
                     Some(length) => resp.body(SizedStream::new(length, pieces)),
                     None => resp.streaming(pieces),
@@ -272,29 +279,4 @@
             }
         }
     }
-
-    fn note_cut(&self, id: &RequestId, cut: Cut) -> actix_web::Error {
-        let now = self.fleet.now();
-        self.journal.borrow_mut().close(id, Outcome::Ran, cut.0, now);
-        actix_web::error::ErrorBadGateway(cut)
-    }
-}
-
-/// The pieces of an answer, read only as fast as the caller takes them.
-fn pieces(
-    stream: Box<AnswerStream>,
-    id: RequestId,
-    in_flight: InFlight,
-) -> impl stream::Stream<Item = Result<Bytes, actix_web::Error>> + 'static {
-    stream::unfold(Some((stream, id, in_flight)), |state| async move {
-        let (mut stream, id, in_flight) = state?;
-        match stream.next().await {
-            Some(Ok(chunk)) => Some((Ok(chunk), Some((stream, id, in_flight)))),
-            Some(Err(cut)) => Some((Err(in_flight.0.note_cut(&id, cut)), None)),
-            None => {
-                let cut = stream.finish().await.err()?;
-                Some((Err(in_flight.0.note_cut(&id, cut)), None))
-            }
-        }
-    })
 }
--- a/src/request/fleet.rs
+++ b/src/request/fleet.rs
@@ -198,7 +198,7 @@
             if let (Some(took), Some(usual)) = (took, queue.usual(class)) {
                 endpoint.pace.borrow_mut().learn(usual.ratio(took), now);
             }
-            queue.ended(class, took);
+            queue.ended(class, took, now);
         }
         match verdict {
             Verdict::Good { .. } => endpoint.health.borrow_mut().succeeded(now),
--- a/standin/src/endpoint.rs
+++ b/standin/src/endpoint.rs
@@ -94,6 +94,11 @@
         self.shared.state().requests
     }
 
+    /// Bytes of answers' bodies handed to the network.
+    pub fn body_bytes_sent(&self) -> usize {
+        self.shared.state().body_bytes_sent
+    }
+
     /// Requests that ran to their end.
     pub fn completed(&self) -> usize {
         self.shared.state().completed
@@ -136,7 +141,10 @@
 
 /// The body that belongs to a request: its id, over and over, up to `length` bytes.
 pub fn answer_body(id: &str, length: usize) -> Vec<u8> {
-    id.bytes().chain(*b"\n").cycle().take(length).collect()
+    let line = format!("{id}\n").into_bytes();
+    let mut body = line.repeat(length.div_ceil(line.len()));
+    body.truncate(length);
+    body
 }
 
 fn run(
--- a/standin/src/endpoint/exchange.rs
+++ b/standin/src/endpoint/exchange.rs
@@ -268,6 +268,7 @@
     while sent + piece < length {
         write(stream, &resp.part(sent, sent + piece)).await?;
         sent += piece;
+        running.shared.state().body_bytes_sent += piece;
         if let Some(gap) = gap {
             tokio::time::sleep(gap).await;
         }
--- a/standin/src/endpoint/faults.rs
+++ b/standin/src/endpoint/faults.rs
@@ -81,6 +81,7 @@
     pub runs: IndexMap<String, usize>,
     pub request_states: IndexMap<String, RequestState>,
     pub requests: usize,
+    pub body_bytes_sent: usize,
     pub running: usize,
     pub completed: usize,
     pub max_concurrent: usize,
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -287,6 +287,27 @@
     PeerFront { id: id.into(), domain: domain.into(), addr: front.addr.to_string() }
 }
 
+/// An answer of 200 MB, and a caller that reads nothing. The endpoint can send only what fits into
+/// the sockets' buffers between; what is held here stays small. At the deadline its slot is taken
+/// back, so that the next caller is served, and the answer ends cut.
+#[test]
+fn a_caller_that_does_not_read_holds_little_memory_and_its_slot_only_until_the_deadline() {
+    const LENGTH: usize = 200_000_000;
+    let endpoint = one_slot(OnClose::Stops);
+    let front = Front::start(config(1), &[listed("vm-1", &endpoint)]);
+    let mut lazy = TcpStream::connect(front.addr).unwrap();
+    let head = format!(
+        "POST /v1/requests/plan/x?bytes={LENGTH} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         waxwing-deadline-ms: 2000\r\ncontent-length: 0\r\n\r\n"
+    );
+    lazy.write_all(head.as_bytes()).unwrap();
+    until("it runs", || endpoint.running() == 1);
+    assert_ran(&call(front.addr, "plan", "x", "next"), "next");
+    assert!(endpoint.body_bytes_sent() < LENGTH / 2, "{} bytes", endpoint.body_bytes_sent());
+    let got = read_answer(&mut lazy);
+    assert_eq!((got.status, got.whole), (200, false));
+}
+
 /// There is no endpoint at home. The request is answered by another domain's, over one hop, and
 /// streams and cut answers pass over the hop as they are.
 #[test]
