--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,16 +5,33 @@
 //! caches these two and keeps nothing else that matters, so that any daemon can be replaced at
 //! any time. The decisions are made in [`core`], which does no I/O.
 
+pub mod api;
+pub mod audit;
+pub mod chart;
+pub mod client;
 pub mod clock;
+pub mod config;
+pub mod control;
 pub mod core;
+pub mod daemon;
+pub mod front;
 pub mod ids;
 pub mod listing;
+pub mod logs;
 pub mod membership;
+pub mod metrics;
 pub mod model;
 pub mod peer;
+pub mod peers;
+pub mod report;
 pub mod request;
 pub mod ring;
+pub mod settings;
+pub mod storage;
 pub mod store;
 pub mod task;
+pub mod tasklog;
 pub mod units;
+pub mod usage;
 pub mod worker;
+pub mod workers;
