--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -102,7 +102,7 @@
         self
     }
 
-    /// Changes how this daemon's slots are found, as when another daemon joins an even split.
+    /// Changes how this daemon's slots are found.
     pub fn set_shares(&self, shares: Shares) {
         self.0.fleet.set_shares(shares);
     }
@@ -129,8 +129,11 @@
         self.0.fleet.list(listed);
     }
 
-    /// Takes the other daemons that a request may be forwarded to.
+    /// Takes the other daemons: those of this domain share its endpoints' slots, and those of
+    /// others may be forwarded to.
     pub fn peers(&self, fronts: &[PeerFront]) {
+        let home = fronts.iter().filter(|front| front.domain == self.0.settings.domain);
+        self.0.fleet.set_home_daemons(home.map(|front| front.id.clone()).collect());
         let mut peers = self.0.peers.borrow_mut();
         let known = std::mem::take(&mut *peers);
         let shunned = |front: &PeerFront| {
--- a/src/request/fleet.rs
+++ b/src/request/fleet.rs
@@ -25,10 +25,12 @@
 const COME_BACK: Duration = Duration::from_secs(1);
 
 /// How this daemon's part of an endpoint's slots is found.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Shares {
-    /// An even split among these daemons, which are all that route to the endpoints.
-    Even(Vec<DaemonId>),
+    /// An even split among the daemons of the domain that this one knows of. While two daemons
+    /// know of different ones their parts may sum to more than there is.
+    #[default]
+    Even,
     /// As granted by the holder of each VM's control lease.
     Granted,
 }
@@ -45,7 +47,9 @@
     settings: DispatcherSettings,
     clock: Arc<dyn Clock>,
     cfg: RefCell<Option<Arc<Config>>>,
-    shares: RefCell<Shares>,
+    shares: Cell<Shares>,
+    /// The daemons of this domain, this one included.
+    home_daemons: RefCell<Vec<DaemonId>>,
     takers: RefCell<IndexMap<VmId, Taker>>,
     endpoints: RefCell<IndexMap<VmId, Rc<Endpoint>>>,
     queues: RefCell<IndexMap<ServiceName, Admission<Waiter>>>,
@@ -81,13 +85,14 @@
 impl Fleet {
     /// No endpoints yet; this daemon has all slots to itself until told otherwise.
     pub fn new(settings: DispatcherSettings, clock: Arc<dyn Clock>) -> Self {
-        let shares = Shares::Even(vec![settings.me.clone()]);
+        let me = settings.me.clone();
         let seed = xxhash_rust::xxh3::xxh3_64(settings.me.as_str().as_bytes());
         Self {
             settings,
             clock,
             cfg: RefCell::default(),
-            shares: RefCell::new(shares),
+            shares: Cell::default(),
+            home_daemons: RefCell::new(vec![me]),
             takers: RefCell::default(),
             endpoints: RefCell::default(),
             queues: RefCell::default(),
@@ -119,7 +124,17 @@
 
     /// Changes how this daemon's slots are found.
     pub fn set_shares(self: &Rc<Self>, shares: Shares) {
-        *self.shares.borrow_mut() = shares;
+        self.shares.set(shares);
+        self.pump_all();
+    }
+
+    /// Takes the other daemons of this domain.
+    pub fn set_home_daemons(self: &Rc<Self>, others: Vec<DaemonId>) {
+        let mut daemons = others;
+        daemons.push(self.settings.me.clone());
+        daemons.sort();
+        daemons.dedup();
+        *self.home_daemons.borrow_mut() = daemons;
         self.pump_all();
     }
 
@@ -352,15 +367,15 @@
     }
 
     fn share_of(&self, endpoint: &Endpoint, now: Duration) -> u32 {
-        match &*self.shares.borrow() {
+        match self.shares.get() {
             Shares::Granted => {
                 self.takers.borrow().get(&endpoint.vm).map_or(0, |taker| taker.usable(now))
             }
-            Shares::Even(daemons) => {
+            Shares::Even => {
                 let cfg = self.cfg.borrow();
                 let service = cfg.as_ref().and_then(|cfg| cfg.services.get(&endpoint.service));
                 let slots = service.map_or(0, |service| service.slots);
-                even_split(&endpoint.vm, slots, &self.settings.me, daemons)
+                even_split(&endpoint.vm, slots, &self.settings.me, &self.home_daemons.borrow())
             }
         }
     }
--- a/src/request/share.rs
+++ b/src/request/share.rs
@@ -8,9 +8,11 @@
 //! A new giver does not know what the last one gave. Until every such grant has surely run out it
 //! gives an asker only what that asker holds already.
 
+mod givers;
 mod keeper;
 mod taker;
 
+pub use givers::Givers;
 pub use keeper::{Keeper, KeeperSettings};
 pub use taker::Taker;
 
