Compare the policy with simpler ones on hidden effects

Cause: nothing measured what the policy buys. Change: a bench with fake workers, hidden effects of pairs, late and noisy reports, both users' sizes, and a table for each scenario.

--- /dev/null
+++ b/benches/policy/cost.rs
@@ -0,0 +1,132 @@
+//! The cost of one decision, from 50 VMs to 14,000.
+
+use crate::site::{Site, inkuru};
+use crate::world::cpu_time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+use std::time::Duration;
+use waxwingstall::core::policy::{Candidate, Choice, Policy};
+use waxwingstall::ids::{Attempt, ClassName, DaemonId, DomainId, PartitionId, RackId, TaskId};
+use waxwingstall::model::{Config, Idempotency, Urgency};
+use waxwingstall::peer::{ClassCount, VmHealth, VmView};
+use waxwingstall::task::TaskSpec;
+use waxwingstall::units::Resources;
+
+/// VMs known to one policy.
+const FLEETS: [usize; 5] = [50, 200, 1_000, 4_000, 14_000];
+
+/// Failure domains for each fleet.
+const VMS_FOR_EACH_DOMAIN: usize = 1000;
+
+const DECISIONS: usize = 3000;
+
+/// Starts a second at the two-year size, and the log writers that share them.
+const STARTS: f64 = 910.0;
+const WRITERS: f64 = 56.0;
+
+/// Prints the cost of decisions for each size of fleet.
+pub fn table() {
+    println!("\n## cost of one decision by VMs known (processor time)");
+    println!(
+        "{:>8}{:>12}{:>12}{:>14}{:>16}{:>22}",
+        "VMs", "choose µs", "wait µs", "upsert µs", "of 50 VMs' cost", "% of a core a writer"
+    );
+    let mut first = None;
+    for vms in FLEETS {
+        let (place, wait, upsert) = measure(vms);
+        let base = *first.get_or_insert(place);
+        let view_changes = 2.0 * STARTS * (vms.min(VMS_FOR_EACH_DOMAIN) as f64 / 14_000.0);
+        let core = (STARTS / WRITERS * place + view_changes * upsert) / 1e6 * 100.0;
+        println!(
+            "{vms:>8}{place:>12.1}{wait:>12.1}{upsert:>14.2}{:>15.2}x{core:>21.2}%",
+            place / base
+        );
+    }
+}
+
+fn measure(vms: usize) -> (f64, f64, f64) {
+    let site = inkuru();
+    let config = Arc::new(site.config());
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut policy = Policy::new(config.clone()).with_settle(Duration::ZERO);
+    let mut views: Vec<_> = (0..vms).map(|index| view(&site, index, &mut rng)).collect();
+    for view in &views {
+        policy.upsert_vm(view.clone());
+    }
+    let upsert = time(|| {
+        for step in 0..DECISIONS {
+            let view = &mut views[step % vms];
+            view.free.milli_cores.0 = 1000 * rng.random_range(0..16);
+            policy.upsert_vm(view.clone());
+        }
+    });
+    let place = time(|| choose_all(&mut policy, &config, 4));
+    for view in &mut views {
+        view.free.milli_cores.0 = view.free.milli_cores.0.min(3000);
+        policy.upsert_vm(view.clone());
+    }
+    let wait = time(|| choose_all(&mut policy, &config, 4));
+    (place, wait, upsert)
+}
+
+/// Microseconds of each of [`DECISIONS`] steps.
+fn time(work: impl FnOnce()) -> f64 {
+    let before = cpu_time();
+    work();
+    (cpu_time() - before).as_secs_f64() * 1e6 / DECISIONS as f64
+}
+
+fn choose_all(policy: &mut Policy, config: &Config, cores: u32) {
+    let mut placed = 0;
+    for number in 0..DECISIONS {
+        let candidate = candidate(config, number as u64, cores);
+        let decided = policy.choose(&candidate, Duration::from_secs(10));
+        placed += usize::from(matches!(decided.choice, Choice::Place { .. }));
+    }
+    std::hint::black_box(placed);
+}
+
+fn candidate(config: &Config, number: u64, cores: u32) -> Candidate {
+    let (class, batch) = config.batch.get_index(0).expect("a batch class");
+    Candidate {
+        task: TaskId::new(PartitionId(1), number),
+        attempt: Attempt(1),
+        spec: TaskSpec {
+            class: class.clone(),
+            team: batch.team.clone(),
+            pool: batch.pool.clone(),
+            resources: Resources::new(cores * 1000, 4096, 0),
+            expected: batch.expected,
+            idempotency: Idempotency::Idempotent,
+            resumption: batch.resumption,
+            urgency: Urgency::Normal,
+            max_failures: 3,
+            payload: String::new(),
+        },
+        waited: Duration::ZERO,
+        avoid: Vec::new(),
+    }
+}
+
+/// A VM with a random mix of tasks, and free room that fits some.
+fn view(site: &Site, index: usize, rng: &mut SmallRng) -> VmView {
+    let mut classes = vec![ClassCount { class: ClassName::new(site.services[0]), count: 2 }];
+    for class in &site.batch {
+        let count = rng.random_range(0..3);
+        if count > 0 {
+            classes.push(ClassCount { class: ClassName::new(class.name), count });
+        }
+    }
+    let free = Resources::new(1000 * rng.random_range(0..16), 1024 * rng.random_range(0..60), 0);
+    VmView {
+        vm: site.vm(index),
+        holder: DaemonId::from("daemon-1"),
+        domain: DomainId::new(&format!("domain-{}", index / VMS_FOR_EACH_DOMAIN)),
+        rack: RackId::new(&format!("rack-{}", index / 8)),
+        size: site.size,
+        free,
+        classes,
+        health: VmHealth::Open,
+    }
+}
--- /dev/null
+++ b/benches/policy/rows.rs
@@ -0,0 +1,235 @@
+//! The policies that are compared.
+
+use crate::truth::{BAND_LOADS, Truth};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use std::sync::Arc;
+use std::time::Duration;
+use waxwingstall::core::policy::interference::{Band, Interference, Learning};
+use waxwingstall::core::policy::{Candidate, Choice, Policy, Rank, Relief, Resident};
+use waxwingstall::ids::{ClassName, VmId};
+use waxwingstall::model::Config;
+use waxwingstall::peer::{VmHealth, VmView};
+use waxwingstall::task::Outcome;
+use waxwingstall::worker::UsageReport;
+
+/// A policy under test, as the fake core uses it.
+pub trait Row {
+    fn upsert(&mut self, view: VmView);
+    fn remove(&mut self, vm: &VmId);
+    fn choose(&mut self, candidate: &Candidate, now: Duration) -> Choice;
+
+    fn rank(&self, _candidate: &Candidate) -> Option<Rank> {
+        None
+    }
+
+    fn observe(&mut self, _vm: &VmId, _report: &UsageReport, _now: Duration) {}
+
+    fn ended(&mut self, _vm: &VmId, _class: &ClassName, _outcome: &Outcome, _now: Duration) {}
+
+    fn relieve(&mut self, _vm: &VmId, _residents: &[Resident], _now: Duration) -> Vec<Relief> {
+        Vec::new()
+    }
+
+    fn make_room(
+        &mut self,
+        _candidate: &Candidate,
+        _residents: &IndexMap<VmId, Vec<Resident>>,
+        _now: Duration,
+    ) -> Option<Relief> {
+        None
+    }
+
+    /// The hidden effects changed; only the oracle listens.
+    fn shifted(&mut self, _truth: &Truth) {}
+
+    /// Excess slowdown that the row predicts, where it predicts one.
+    fn predict(&self, _victim: &ClassName, _aggressor: &ClassName, _load: f64) -> Option<f64> {
+        None
+    }
+}
+
+/// Where a policy without a model puts a task.
+#[derive(Clone, Debug)]
+pub enum Simple {
+    FirstFit,
+    Random(SmallRng),
+    /// The first VM without a service.
+    NeverBesideServices(Vec<ClassName>),
+}
+
+/// A policy that looks at room alone.
+#[derive(Debug)]
+pub struct SimpleRow {
+    how: Simple,
+    views: IndexMap<VmId, VmView>,
+}
+
+impl SimpleRow {
+    pub fn first_fit() -> Self {
+        Self { how: Simple::FirstFit, views: IndexMap::new() }
+    }
+
+    pub fn random(seed: u64) -> Self {
+        Self { how: Simple::Random(SmallRng::seed_from_u64(seed)), views: IndexMap::new() }
+    }
+
+    pub fn never_beside_services(config: &Config) -> Self {
+        let services = config.services.keys().map(|name| ClassName::new(name.as_str())).collect();
+        Self { how: Simple::NeverBesideServices(services), views: IndexMap::new() }
+    }
+}
+
+impl Row for SimpleRow {
+    fn upsert(&mut self, view: VmView) {
+        self.views.insert(view.vm.clone(), view);
+    }
+
+    fn remove(&mut self, vm: &VmId) {
+        self.views.shift_remove(vm);
+    }
+
+    fn choose(&mut self, candidate: &Candidate, _now: Duration) -> Choice {
+        let fits = |view: &&VmView| {
+            view.health == VmHealth::Open && candidate.spec.resources.fits_in(&view.free)
+        };
+        let mut fitting = self.views.values().filter(fits);
+        let chosen = match &mut self.how {
+            Simple::FirstFit => fitting.next(),
+            Simple::Random(rng) => fitting.collect::<Vec<_>>().choose(rng).copied(),
+            Simple::NeverBesideServices(services) => fitting.find(|view| {
+                view.classes
+                    .iter()
+                    .all(|entry| entry.count == 0 || !services.contains(&entry.class))
+            }),
+        };
+        match chosen {
+            Some(view) => Choice::Place { vm: view.vm.clone() },
+            None => Choice::Wait { reason: "no room".to_owned() },
+        }
+    }
+}
+
+/// What of the project's policy is left out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Without {
+    #[default]
+    Nothing,
+    Model,
+    Relief,
+    Blame,
+}
+
+/// The project's policy, with the VMs shared out over some daemons.
+#[derive(Debug)]
+pub struct ProjectRow {
+    daemons: Vec<Policy>,
+    without: Without,
+    oracle: bool,
+}
+
+impl ProjectRow {
+    pub fn new(config: &Arc<Config>, daemons: usize) -> Self {
+        let policy = || Policy::new(config.clone()).with_settle(Duration::ZERO);
+        let daemons = (0..daemons).map(|_| policy()).collect();
+        Self { daemons, without: Without::Nothing, oracle: false }
+    }
+
+    pub fn without(config: &Arc<Config>, without: Without) -> Self {
+        let mut row = Self::new(config, 1);
+        row.without = without;
+        if without == Without::Model {
+            *row.daemons[0].interference_mut() = Interference::new().with_learning(Learning::Off);
+        }
+        row
+    }
+
+    pub fn oracle(config: &Arc<Config>) -> Self {
+        let mut row = Self::new(config, 1);
+        row.oracle = true;
+        row
+    }
+
+    fn holder(&mut self, vm: &VmId) -> &mut Policy {
+        let number: usize = vm.as_str().trim_start_matches("vm-").parse().unwrap_or(0);
+        let count = self.daemons.len();
+        &mut self.daemons[number % count]
+    }
+
+    fn writer(&mut self, candidate: &Candidate) -> &mut Policy {
+        let count = self.daemons.len();
+        &mut self.daemons[candidate.task.number as usize % count]
+    }
+}
+
+impl Row for ProjectRow {
+    fn upsert(&mut self, view: VmView) {
+        for daemon in &mut self.daemons {
+            daemon.upsert_vm(view.clone());
+        }
+    }
+
+    fn remove(&mut self, vm: &VmId) {
+        for daemon in &mut self.daemons {
+            daemon.remove_vm(vm);
+        }
+    }
+
+    fn choose(&mut self, candidate: &Candidate, now: Duration) -> Choice {
+        self.writer(candidate).choose(candidate, now).choice
+    }
+
+    fn rank(&self, candidate: &Candidate) -> Option<Rank> {
+        Some(self.daemons[0].rank(candidate))
+    }
+
+    fn observe(&mut self, vm: &VmId, report: &UsageReport, now: Duration) {
+        self.holder(vm).observe(vm, report, now);
+    }
+
+    fn ended(&mut self, vm: &VmId, class: &ClassName, outcome: &Outcome, now: Duration) {
+        if self.without != Without::Blame {
+            self.holder(vm).ended(vm, class, outcome, now);
+        }
+    }
+
+    fn relieve(&mut self, vm: &VmId, residents: &[Resident], now: Duration) -> Vec<Relief> {
+        if self.without == Without::Relief {
+            return Vec::new();
+        }
+        let steps = self.holder(vm).relieve(vm, residents, now);
+        steps.into_iter().map(|step| step.choice).collect()
+    }
+
+    fn make_room(
+        &mut self,
+        candidate: &Candidate,
+        residents: &IndexMap<VmId, Vec<Resident>>,
+        now: Duration,
+    ) -> Option<Relief> {
+        let decided = self.writer(candidate).make_room(candidate, residents, now);
+        decided.map(|decided| decided.choice)
+    }
+
+    fn shifted(&mut self, truth: &Truth) {
+        if !self.oracle {
+            return;
+        }
+        let mut model = Interference::new().with_learning(Learning::Off);
+        for (v, victim) in truth.classes().iter().enumerate() {
+            for (a, aggressor) in truth.classes().iter().enumerate() {
+                for load in BAND_LOADS {
+                    model.set(victim, aggressor, Band::of(load), truth.effect(v, a, load));
+                }
+            }
+        }
+        *self.daemons[0].interference_mut() = model;
+    }
+
+    fn predict(&self, victim: &ClassName, aggressor: &ClassName, load: f64) -> Option<f64> {
+        let model = self.daemons[0].interference();
+        Some(model.effect(victim, aggressor, Band::of(load)))
+    }
+}
--- /dev/null
+++ b/benches/policy/scenarios.rs
@@ -0,0 +1,193 @@
+//! The scenarios, each printed as one table for each user.
+
+use crate::rows::{ProjectRow, Row, SimpleRow, Without};
+use crate::site::{NOISY, Site};
+use crate::trace::{BAD_WIRE, Load, Scenario};
+use crate::world::{Outcomes, run};
+use std::sync::Arc;
+use waxwingstall::ids::ClassName;
+use waxwingstall::model::{Config, Weights};
+
+/// Seeds of each scenario; a row sums over them.
+const SEEDS: [u64; 2] = [11, 12];
+
+/// A row's name and how to make it.
+type MakeRow = (&'static str, fn(&Arc<Config>, u64) -> Box<dyn Row>);
+
+const ROWS: [MakeRow; 6] = [
+    ("first fit", |_, _| Box::new(SimpleRow::first_fit())),
+    ("random", |_, seed| Box::new(SimpleRow::random(seed))),
+    ("never colocated", |config, _| Box::new(SimpleRow::never_beside_services(config))),
+    ("no model", |config, _| Box::new(ProjectRow::without(config, Without::Model))),
+    ("today's", |config, _| Box::new(ProjectRow::new(config, 1))),
+    ("oracle", |config, _| Box::new(ProjectRow::oracle(config))),
+];
+
+const NO_RELIEF: MakeRow =
+    ("without ladder", |config, _| Box::new(ProjectRow::without(config, Without::Relief)));
+const NO_BLAME: MakeRow =
+    ("without blame", |config, _| Box::new(ProjectRow::without(config, Without::Blame)));
+const EIGHT: MakeRow = ("today's, 8 daemons", |config, _| Box::new(ProjectRow::new(config, 8)));
+
+/// Every scenario, with the rows that it has beside the usual ones.
+pub fn all() -> Vec<(Scenario, Vec<MakeRow>)> {
+    let steady = Scenario::steady;
+    vec![
+        (steady("steady load"), vec![EIGHT]),
+        (
+            Scenario {
+                load: Load::Steps,
+                shift_at: Some(1500),
+                ..steady("load in steps, hidden effects shift")
+            },
+            vec![NO_RELIEF, EIGHT],
+        ),
+        (Scenario { waves: true, ..steady("waves of noisy tasks") }, vec![NO_RELIEF]),
+        (Scenario { misdeclared: true, ..steady("declared sizes far off") }, vec![NO_RELIEF]),
+        (Scenario { wire: BAD_WIRE, ..steady("reports late, lost, repeated") }, vec![NO_RELIEF]),
+        (Scenario { broken: 3, ..steady("three VMs fail everything") }, vec![NO_BLAME]),
+        (Scenario { bad_class: Some(3), ..steady("one class fails everywhere") }, vec![NO_BLAME]),
+        (Scenario { rack_fails_at: Some(1500), ..steady("a rack fails and returns") }, vec![]),
+        (Scenario { cancellations: 10_000, ..steady("10,000 cancellations amid starts") }, vec![]),
+        (
+            Scenario {
+                impossible: 0.02,
+                urgent: 0.03,
+                large: 0.02,
+                demand: 1.0,
+                ..steady("urgent, large and impossible tasks, demand above room")
+            },
+            vec![],
+        ),
+    ]
+}
+
+/// Runs one scenario for one user under each row and prints the table.
+pub fn table(site: &Site, scenario: &Scenario, more: &[MakeRow]) {
+    println!("\n## {}: {}", site.name, scenario.name);
+    header();
+    let config = Arc::new(configuration(site));
+    for (name, make) in ROWS.iter().chain(more) {
+        print_row(name, &run_seeds(site, scenario, &config, *make));
+    }
+}
+
+/// Runs both users' weights on the same trace of one user.
+pub fn weights_table(site: &Site, other: &Site) {
+    let scenario = Scenario {
+        load: Load::Steps,
+        waves: true,
+        ..Scenario::steady("the two users' weights on the same trace")
+    };
+    println!("\n## {}: {}", site.name, scenario.name);
+    header();
+    for (name, weights) in
+        [(site.name, site.weights), (other.name, other.weights), ("equal", Weights::default())]
+    {
+        let config = Config { weights, ..configuration(site) };
+        let today: fn(&Arc<Config>, u64) -> Box<dyn Row> = ROWS[4].1;
+        let outcomes = run_seeds(site, &scenario, &Arc::new(config), today);
+        print_row(&format!("weights: {name}"), &outcomes);
+    }
+}
+
+fn configuration(site: &Site) -> Config {
+    let mut config = site.config();
+    let mut noisy = config.batch[&ClassName::new(site.batch[0].name)].clone();
+    noisy.resources = config.batch[&ClassName::new(site.batch[0].name)].resources;
+    config.batch.insert(ClassName::new(NOISY), noisy);
+    config
+}
+
+fn run_seeds(
+    site: &Site,
+    scenario: &Scenario,
+    config: &Arc<Config>,
+    make: fn(&Arc<Config>, u64) -> Box<dyn Row>,
+) -> Outcomes {
+    let mut sum: Option<Outcomes> = None;
+    for seed in SEEDS {
+        let mut row = make(config, seed);
+        let outcomes = run(site, scenario, row.as_mut(), seed);
+        match &mut sum {
+            None => sum = Some(outcomes),
+            Some(sum) => add(sum, &outcomes),
+        }
+    }
+    sum.expect("at least one seed")
+}
+
+fn add(sum: &mut Outcomes, other: &Outcomes) {
+    let same = "histograms of the same bounds";
+    sum.services.add(&other.services).expect(same);
+    sum.waits.add(&other.waits).expect(same);
+    sum.urgent_waits.add(&other.urgent_waits).expect(same);
+    sum.large_waits.add(&other.large_waits).expect(same);
+    sum.throughput = (sum.throughput + other.throughput) / 2.0;
+    sum.predictions += other.predictions;
+    sum.prediction_error += other.prediction_error;
+    sum.real_excess += other.real_excess;
+    sum.evictions += other.evictions;
+    sum.throttles += other.throttles;
+    sum.refused += other.refused;
+    sum.failed_starts += other.failed_starts;
+    sum.failed_tasks += other.failed_tasks;
+    sum.broken_promises += other.broken_promises;
+    sum.still_waiting += other.still_waiting;
+    sum.decisions += other.decisions;
+    sum.decision_time += other.decision_time;
+}
+
+fn header() {
+    println!(
+        "{:<20}{:>8}{:>8}{:>9}{:>7}{:>9}{:>8}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>9}{:>8}",
+        "policy",
+        "p99 svc",
+        "p50 svc",
+        "batch/h",
+        "evict",
+        "throttle",
+        "refused",
+        "broken",
+        "fails",
+        "failed",
+        "wait99",
+        "urg99",
+        "lrg99",
+        "queue",
+        "µs/choice",
+        "pr.err"
+    );
+}
+
+fn print_row(name: &str, out: &Outcomes) {
+    let slowdown = |percentile| out.services.value_at_percentile(percentile) as f64 / 1000.0;
+    let each = out.decision_time.as_secs_f64() * 1e6 / out.decisions.max(1) as f64;
+    println!(
+        "{:<20}{:>8.2}{:>8.2}{:>9.1}{:>7}{:>9}{:>8}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>9.1}{:>8}",
+        name,
+        slowdown(99.0),
+        slowdown(50.0),
+        out.throughput,
+        out.evictions,
+        out.throttles,
+        out.refused,
+        out.broken_promises,
+        out.failed_starts,
+        out.failed_tasks,
+        out.waits.value_at_percentile(99.0),
+        out.urgent_waits.value_at_percentile(99.0),
+        out.large_waits.value_at_percentile(99.0),
+        out.still_waiting,
+        each,
+        prediction(out)
+    );
+}
+
+/// Mean error of the predicted slowdown of a class on a VM, over its mean real slowdown.
+fn prediction(out: &Outcomes) -> String {
+    if out.predictions == 0.0 {
+        return "-".to_owned();
+    }
+    format!("{:.2}", out.prediction_error / out.real_excess)
+}
--- /dev/null
+++ b/benches/policy/truth.rs
@@ -0,0 +1,77 @@
+//! The hidden effects: how much classes really slow each other. No policy sees them, but the oracle.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use waxwingstall::ids::ClassName;
+
+/// Loads at which the oracle is told the effect of each band.
+pub const BAND_LOADS: [f64; 4] = [0.25, 0.5, 0.7, 0.9];
+
+/// Part of the pairs that a shift changes.
+const SHIFTED: f64 = 0.5;
+
+/// Hidden effects of one neighbour on one task, at full load.
+#[derive(Clone, Debug)]
+pub struct Truth {
+    classes: Vec<ClassName>,
+    /// By victim, then by aggressor.
+    effects: Vec<Vec<f64>>,
+    rng: SmallRng,
+}
+
+impl Truth {
+    pub fn new(classes: Vec<ClassName>, noisy: &str, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let strengths: Vec<f64> = classes
+            .iter()
+            .map(|class| if class.as_str() == noisy { 0.5 } else { strength(&mut rng) })
+            .collect();
+        let mut effects = Vec::new();
+        for _ in &classes {
+            let sensitivity = rng.random_range(0.5..1.5);
+            let on_class = |strength: &f64| {
+                let of_pair = (gauss(&mut rng) * 0.7).exp();
+                (sensitivity * strength * of_pair).min(1.5)
+            };
+            effects.push(strengths.iter().map(on_class).collect());
+        }
+        Self { classes, effects, rng }
+    }
+
+    /// Number of a class in these effects.
+    pub fn number(&self, class: &ClassName) -> usize {
+        self.classes.iter().position(|known| known == class).expect("a known class")
+    }
+
+    /// Excess slowdown that one task of `aggressor` causes to one of `victim`.
+    pub fn effect(&self, victim: usize, aggressor: usize, load: f64) -> f64 {
+        self.effects[victim][aggressor] * (0.3 + 0.9 * load * load)
+    }
+
+    /// Changes the effects of some pairs, as when a new version of a class comes.
+    pub fn shift(&mut self) {
+        let strengths: Vec<f64> = self.classes.iter().map(|_| strength(&mut self.rng)).collect();
+        for on_victim in &mut self.effects {
+            for (effect, strength) in on_victim.iter_mut().zip(&strengths) {
+                let of_pair = (gauss(&mut self.rng) * 0.7).exp();
+                if self.rng.random_bool(SHIFTED) {
+                    *effect = (strength * of_pair).min(1.5);
+                }
+            }
+        }
+    }
+
+    pub fn classes(&self) -> &[ClassName] {
+        &self.classes
+    }
+}
+
+/// Most classes are quiet, some are not.
+fn strength(rng: &mut SmallRng) -> f64 {
+    if rng.random_bool(0.3) { rng.random_range(0.2..0.5) } else { rng.random_range(0.01..0.06) }
+}
+
+/// A normal deviate, by the sum of twelve uniform ones.
+pub fn gauss(rng: &mut SmallRng) -> f64 {
+    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+}
--- /dev/null
+++ b/benches/policy/world.rs
@@ -0,0 +1,770 @@
+//! Fake workers with hidden effects, and a fake core that carries out what a policy says.
+
+use crate::rows::Row;
+use crate::site::{NOISY, RACK, Site};
+use crate::trace::{Job, LENGTH, Scenario, WARM_UP};
+use crate::truth::{Truth, gauss};
+use hdrhistogram::Histogram;
+use indexmap::{IndexMap, IndexSet};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use waxwingstall::core::policy::{Candidate, Choice, Relief, Resident};
+use waxwingstall::ids::{Attempt, BootId, ClassName, DaemonId, PartitionId, TaskId, VmId};
+use waxwingstall::model::{Resumption, Urgency};
+use waxwingstall::peer::{ClassCount, VmHealth, VmView};
+use waxwingstall::task::Outcome;
+use waxwingstall::units::Resources;
+use waxwingstall::worker::{TenantUsage, UsageReport};
+
+/// Time between binding and running, and to checkpoint and stop.
+const START_TIME: u64 = 1;
+const STOP_TIME: u64 = 3;
+
+/// Work lost by starting from a checkpoint, and the time between checkpoints, in seconds.
+const RESUME_COST: f64 = 8.0;
+const CHECKPOINT_EVERY: u64 = 60;
+
+/// Time between reports of a VM, and between looks at its ladder.
+const REPORT_EVERY: u64 = 5;
+const RELIEVE_EVERY: u64 = 2;
+
+/// Slowdown for each core in use above a VM's size.
+const OVERLOAD: f64 = 3.0;
+
+/// Time between checks of what a row predicts.
+const PREDICT_EVERY: u64 = 30;
+
+/// A failing task fails this soon.
+const FAILS_AFTER: f64 = 1.0;
+
+/// Time a failed rack is away.
+const RACK_AWAY: u64 = 600;
+
+/// What a run shows.
+#[derive(Debug)]
+pub struct Outcomes {
+    /// Slowdown of services in thousandths, weighted by requests.
+    pub services: Histogram<u64>,
+    /// Waits of tasks that started, in seconds.
+    pub waits: Histogram<u64>,
+    pub urgent_waits: Histogram<u64>,
+    pub large_waits: Histogram<u64>,
+    /// Useful work done, in core-hours for each hour.
+    pub throughput: f64,
+    pub evictions: u64,
+    pub throttles: u64,
+    pub refused: u64,
+    /// Starts that failed, and tasks that ended as failed.
+    pub failed_starts: u64,
+    pub failed_tasks: u64,
+    pub broken_promises: u64,
+    pub still_waiting: u64,
+    pub decisions: u64,
+    pub decision_time: Duration,
+    /// Sums over predictions of a class's excess slowdown on a VM.
+    pub predictions: f64,
+    pub prediction_error: f64,
+    pub real_excess: f64,
+}
+
+impl Outcomes {
+    fn new() -> Self {
+        let histogram = |high| Histogram::new_with_bounds(1, high, 3).expect("sound bounds");
+        Self {
+            services: histogram(1_000_000),
+            waits: histogram(100_000),
+            urgent_waits: histogram(100_000),
+            large_waits: histogram(100_000),
+            throughput: 0.0,
+            evictions: 0,
+            throttles: 0,
+            refused: 0,
+            failed_starts: 0,
+            failed_tasks: 0,
+            broken_promises: 0,
+            still_waiting: 0,
+            decisions: 0,
+            decision_time: Duration::ZERO,
+            predictions: 0.0,
+            prediction_error: 0.0,
+            real_excess: 0.0,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    job: usize,
+    class: usize,
+    attempt: Attempt,
+    runs_from: u64,
+    /// Seconds of work done.
+    done: f64,
+    saved: f64,
+    saved_at: u64,
+    share: f64,
+    slowdown: f64,
+    closing: Option<Closing>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Closing {
+    at: u64,
+    why: Why,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Why {
+    Evicted,
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+struct Vm {
+    id: VmId,
+    up: bool,
+    health: VmHealth,
+    broken: bool,
+    boot: u64,
+    seq: u64,
+    services: Vec<ClassName>,
+    service_numbers: Vec<usize>,
+    service_slowdown: Vec<f64>,
+    tasks: Vec<Running>,
+    load: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    job: usize,
+    candidate: Candidate,
+    done: f64,
+    since: u64,
+}
+
+/// One run of a scenario under one policy.
+pub struct World<'a> {
+    site: &'a Site,
+    scenario: &'a Scenario,
+    row: &'a mut dyn Row,
+    truth: Truth,
+    jobs: Vec<Job>,
+    next_job: usize,
+    vms: Vec<Vm>,
+    index: IndexMap<VmId, usize>,
+    queue: Vec<Waiting>,
+    failures: BTreeMap<usize, (u32, Vec<VmId>)>,
+    resumed: IndexSet<(TaskId, Attempt)>,
+    reports: BTreeMap<(u64, u64), (usize, u64, UsageReport)>,
+    report_number: u64,
+    rng: SmallRng,
+    out: Outcomes,
+    useful: f64,
+}
+
+/// Runs a scenario under a policy.
+pub fn run(site: &Site, scenario: &Scenario, row: &mut dyn Row, seed: u64) -> Outcomes {
+    let mut classes: Vec<ClassName> =
+        site.batch.iter().map(|class| ClassName::new(class.name)).collect();
+    classes.extend(site.services.iter().map(|name| ClassName::new(name)));
+    classes.push(ClassName::new(NOISY));
+    let truth = Truth::new(classes, NOISY, seed);
+    let vms: Vec<Vm> = (0..site.vms).map(|index| new_vm(site, scenario, &truth, index)).collect();
+    let instances: usize = vms.iter().map(|vm| vm.services.len()).sum();
+    let total = f64::from(site.size.milli_cores.0) / 1000.0 * site.vms as f64;
+    let batch_cores = total - (instances * site.service_cores as usize) as f64;
+    let index = vms.iter().enumerate().map(|(index, vm)| (vm.id.clone(), index)).collect();
+    let mut world = World {
+        site,
+        scenario,
+        row,
+        truth,
+        jobs: scenario.jobs(site, batch_cores, seed),
+        next_job: 0,
+        vms,
+        index,
+        queue: Vec::new(),
+        failures: BTreeMap::new(),
+        resumed: IndexSet::new(),
+        reports: BTreeMap::new(),
+        report_number: 0,
+        rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
+        out: Outcomes::new(),
+        useful: 0.0,
+    };
+    world.simulate();
+    world.out
+}
+
+fn new_vm(site: &Site, scenario: &Scenario, truth: &Truth, index: usize) -> Vm {
+    let services: Vec<_> = match index % 4 {
+        3 => Vec::new(),
+        _ => site.services.iter().map(|name| ClassName::new(name)).collect(),
+    };
+    Vm {
+        id: site.vm(index),
+        up: true,
+        health: VmHealth::Open,
+        broken: index % 11 == 5 && index / 11 < scenario.broken,
+        boot: 1,
+        seq: 0,
+        service_slowdown: vec![1.0; services.len()],
+        service_numbers: services.iter().map(|class| truth.number(class)).collect(),
+        services,
+        tasks: Vec::new(),
+        load: 0.0,
+    }
+}
+
+impl World<'_> {
+    fn simulate(&mut self) {
+        self.row.shifted(&self.truth);
+        for index in 0..self.vms.len() {
+            self.tell(index);
+        }
+        for now in 0..LENGTH {
+            self.faults(now);
+            self.arrive(now);
+            self.place_all(now);
+            self.work(now);
+            self.measure(now);
+            self.deliver(now);
+            self.relieve(now);
+            self.check();
+            self.check_prediction(now);
+        }
+        self.finish();
+    }
+
+    fn finish(&mut self) {
+        self.out.throughput = self.useful / 3600.0 / ((LENGTH - WARM_UP) as f64 / 3600.0);
+        self.out.still_waiting = self.queue.len() as u64;
+    }
+
+    fn faults(&mut self, now: u64) {
+        if self.scenario.shift_at == Some(now) {
+            self.truth.shift();
+            self.row.shifted(&self.truth);
+        }
+        if self.scenario.rack_fails_at == Some(now) {
+            for index in 0..RACK.min(self.vms.len()) {
+                self.fail_vm(index, now);
+            }
+        }
+        if self.scenario.rack_fails_at.is_some_and(|at| at + RACK_AWAY == now) {
+            for index in 0..RACK.min(self.vms.len()) {
+                let vm = &mut self.vms[index];
+                vm.up = true;
+                vm.boot += 1;
+                vm.seq = 0;
+                self.tell(index);
+            }
+        }
+        self.cancel(now);
+    }
+
+    fn fail_vm(&mut self, index: usize, now: u64) {
+        self.vms[index].up = false;
+        let id = self.vms[index].id.clone();
+        self.row.remove(&id);
+        for task in std::mem::take(&mut self.vms[index].tasks) {
+            self.useful -= self.lost(&task, now);
+            self.requeue(&task, task.saved, now);
+        }
+    }
+
+    fn lost(&self, task: &Running, now: u64) -> f64 {
+        if now < WARM_UP {
+            return 0.0;
+        }
+        (task.done - task.saved).max(0.0) * self.cores(task.job)
+    }
+
+    fn cores(&self, job: usize) -> f64 {
+        f64::from(self.jobs[job].spec.resources.milli_cores.0) / 1000.0
+    }
+
+    fn cancel(&mut self, now: u64) {
+        if self.scenario.cancellations == 0 {
+            return;
+        }
+        let jobs = &self.jobs;
+        self.queue.retain(|waiting| jobs[waiting.job].cancel_at != Some(now));
+        for vm in &mut self.vms {
+            for task in &mut vm.tasks {
+                if jobs[task.job].cancel_at == Some(now) {
+                    task.closing = Some(Closing { at: now + STOP_TIME, why: Why::Cancelled });
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        while self.jobs.get(self.next_job).is_some_and(|job| job.arrives <= now) {
+            self.wait(self.next_job, Attempt(1), 0.0, Vec::new(), now);
+            self.next_job += 1;
+        }
+    }
+
+    fn wait(&mut self, job: usize, attempt: Attempt, done: f64, avoid: Vec<VmId>, now: u64) {
+        let (task, spec) = (self.jobs[job].id, self.jobs[job].spec.clone());
+        let candidate = Candidate { task, attempt, spec, waited: Duration::ZERO, avoid };
+        self.queue.push(Waiting { job, candidate, done, since: now });
+    }
+
+    /// Asks for each waiting task, but for those that are like one that was just told to wait.
+    fn place_all(&mut self, now: u64) {
+        let mut ranked = std::mem::take(&mut self.queue);
+        for waiting in &mut ranked {
+            waiting.candidate.waited = Duration::from_secs(now - waiting.since);
+        }
+        ranked.sort_by_cached_key(|waiting| self.row.rank(&waiting.candidate));
+        let mut full: IndexSet<(ClassName, Resources, Urgency)> = IndexSet::new();
+        for waiting in ranked {
+            let candidate = &waiting.candidate;
+            let spec = &candidate.spec;
+            let like = (spec.class.clone(), spec.resources, spec.urgency);
+            let last_try_is_due = candidate.waited.as_secs() == 30;
+            if full.contains(&like) && !last_try_is_due {
+                self.queue.push(waiting);
+                continue;
+            }
+            match self.choose(candidate, now) {
+                Choice::Place { vm } => self.start(&waiting, &vm, now),
+                Choice::Never { .. } => self.out.refused += 1,
+                Choice::Wait { .. } => {
+                    full.insert(like);
+                    self.make_room(candidate, now);
+                    self.queue.push(waiting);
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self, candidate: &Candidate, now: u64) -> Choice {
+        let before = cpu_time();
+        let choice = self.row.choose(candidate, Duration::from_secs(now));
+        self.out.decision_time += cpu_time() - before;
+        self.out.decisions += 1;
+        choice
+    }
+
+    fn make_room(&mut self, candidate: &Candidate, now: u64) {
+        if candidate.spec.urgency != Urgency::Urgent {
+            return;
+        }
+        let residents = (0..self.vms.len())
+            .map(|index| (self.vms[index].id.clone(), self.residents(index, now)))
+            .collect();
+        let relief = self.row.make_room(candidate, &residents, Duration::from_secs(now));
+        if let Some(relief) = relief {
+            self.apply(&relief, now);
+        }
+    }
+
+    fn start(&mut self, waiting: &Waiting, vm: &VmId, now: u64) {
+        let candidate = &waiting.candidate;
+        let index = self.index[vm];
+        self.out.broken_promises += u64::from(self.runs_somewhere(waiting.job));
+        if !self.resumed.insert((candidate.task, candidate.attempt)) {
+            self.out.broken_promises += 1;
+        }
+        let wait = (now - waiting.since).max(1);
+        if now >= WARM_UP {
+            self.out.waits.saturating_record(wait);
+            if candidate.spec.urgency == Urgency::Urgent {
+                self.out.urgent_waits.saturating_record(wait);
+            }
+            if candidate.spec.resources.milli_cores.0 * 2 > self.site.size.milli_cores.0 {
+                self.out.large_waits.saturating_record(wait);
+            }
+        }
+        let class = self.truth.number(&candidate.spec.class);
+        self.vms[index].tasks.push(Running {
+            job: waiting.job,
+            class,
+            attempt: candidate.attempt,
+            runs_from: now + START_TIME,
+            done: waiting.done,
+            saved: waiting.done,
+            saved_at: now,
+            share: 1.0,
+            slowdown: 1.0,
+            closing: None,
+        });
+        self.tell(index);
+    }
+
+    fn runs_somewhere(&self, job: usize) -> bool {
+        self.vms.iter().any(|vm| vm.tasks.iter().any(|task| task.job == job))
+    }
+
+    fn requeue(&mut self, task: &Running, done: f64, now: u64) {
+        let (_, avoid) = self.failures.get(&task.job).cloned().unwrap_or_default();
+        self.wait(task.job, task.attempt.next(), done, avoid, now);
+    }
+
+    fn free(&self, index: usize) -> Option<Resources> {
+        let vm = &self.vms[index];
+        let mut free = self.site.size;
+        for _ in &vm.services {
+            free = free.checked_sub(&self.site.service_size()).ok()?;
+        }
+        for task in &vm.tasks {
+            free = free.checked_sub(&self.jobs[task.job].spec.resources).ok()?;
+        }
+        Some(free)
+    }
+
+    fn tell(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        if !vm.up {
+            return;
+        }
+        let mut classes: IndexMap<ClassName, u32> = IndexMap::new();
+        for service in &vm.services {
+            *classes.entry(service.clone()).or_default() += 1;
+        }
+        for task in &vm.tasks {
+            *classes.entry(self.jobs[task.job].spec.class.clone()).or_default() += 1;
+        }
+        self.row.upsert(VmView {
+            vm: vm.id.clone(),
+            holder: DaemonId::from("daemon-1"),
+            domain: self.site.domain(index),
+            rack: self.site.rack(index),
+            size: self.site.size,
+            free: self.free(index).unwrap_or(Resources::ZERO),
+            classes: classes
+                .into_iter()
+                .map(|(class, count)| ClassCount { class, count })
+                .collect(),
+            health: vm.health,
+        });
+    }
+
+    /// One second of work on every VM.
+    fn work(&mut self, now: u64) {
+        let activity = self.scenario.activity(now);
+        for index in 0..self.vms.len() {
+            if self.vms[index].up {
+                self.slow_down(index, activity);
+                self.record_services(index, activity, now);
+                self.progress(index, now);
+            }
+        }
+    }
+
+    fn slow_down(&mut self, index: usize, activity: f64) {
+        let vm = &self.vms[index];
+        let size = f64::from(self.site.size.milli_cores.0) / 1000.0;
+        let service_use = vm.services.len() as f64 * f64::from(self.site.service_cores) * activity;
+        let batch_use: f64 = vm
+            .tasks
+            .iter()
+            .map(|task| self.cores(task.job) * self.jobs[task.job].use_ratio * task.share)
+            .sum();
+        let load = (service_use + batch_use) / size;
+        let overload = (load - 1.0).max(0.0) * OVERLOAD;
+        let present = self.present(index);
+        let slowdown =
+            |class: usize, own: f64| 1.0 + overload + self.excess(&present, class, own, load);
+        let services: Vec<f64> =
+            vm.service_numbers.iter().map(|class| slowdown(*class, 1.0)).collect();
+        let tasks: Vec<f64> =
+            vm.tasks.iter().map(|task| slowdown(task.class, task.share)).collect();
+        let vm = &mut self.vms[index];
+        vm.load = load.min(1.0);
+        vm.service_slowdown = services;
+        for (task, slowdown) in vm.tasks.iter_mut().zip(tasks) {
+            task.slowdown = slowdown;
+        }
+    }
+
+    /// Tasks of each class on a VM; throttled ones count by their share.
+    fn present(&self, index: usize) -> Vec<f64> {
+        let mut present = vec![0.0; self.truth.classes().len()];
+        for class in &self.vms[index].service_numbers {
+            present[*class] += 1.0;
+        }
+        for task in &self.vms[index].tasks {
+            present[task.class] += task.share;
+        }
+        present
+    }
+
+    fn excess(&self, present: &[f64], class: usize, own: f64, load: f64) -> f64 {
+        let beside = |other: usize| present[other] - if other == class { own } else { 0.0 };
+        (0..present.len())
+            .map(|other| beside(other).max(0.0) * self.truth.effect(class, other, load.min(1.2)))
+            .sum()
+    }
+
+    /// Compares the slowdown that the row predicts for what runs now with the hidden one.
+    fn check_prediction(&mut self, now: u64) {
+        if now < WARM_UP || !now.is_multiple_of(PREDICT_EVERY) {
+            return;
+        }
+        for index in 0..self.vms.len() {
+            let load = self.vms[index].load;
+            let present = self.present(index);
+            for class in (0..present.len()).filter(|class| present[*class] > 0.0) {
+                let real = self.excess(&present, class, 1.0, load);
+                let Some(predicted) = self.predicted(&present, class, load) else { return };
+                self.out.predictions += 1.0;
+                self.out.prediction_error += (real - predicted).abs();
+                self.out.real_excess += real;
+            }
+        }
+    }
+
+    fn predicted(&self, present: &[f64], class: usize, load: f64) -> Option<f64> {
+        let names = self.truth.classes();
+        let mut sum = 0.0;
+        for (other, count) in present.iter().enumerate() {
+            let beside = (count - if other == class { 1.0 } else { 0.0 }).max(0.0);
+            sum += beside * self.row.predict(&names[class], &names[other], load)?;
+        }
+        Some(sum)
+    }
+
+    fn record_services(&mut self, index: usize, activity: f64, now: u64) {
+        if now < WARM_UP {
+            return;
+        }
+        for slowdown in &self.vms[index].service_slowdown {
+            let requests = (activity * 10.0).round() as u64;
+            let _ = self.out.services.record_n((slowdown * 1000.0) as u64, requests);
+        }
+    }
+
+    fn progress(&mut self, index: usize, now: u64) {
+        let mut changed = false;
+        let mut position = 0;
+        while position < self.vms[index].tasks.len() {
+            let end = self.step_task(index, position, now);
+            match end {
+                None => position += 1,
+                Some(end) => {
+                    changed = true;
+                    let task = self.vms[index].tasks.remove(position);
+                    self.end_task(index, &task, end, now);
+                }
+            }
+        }
+        if changed {
+            self.tell(index);
+        }
+    }
+
+    fn step_task(&mut self, index: usize, position: usize, now: u64) -> Option<End> {
+        let broken = self.vms[index].broken;
+        let task = &mut self.vms[index].tasks[position];
+        let job = &self.jobs[task.job];
+        if let Some(closing) = task.closing {
+            let cancelled = closing.why == Why::Cancelled;
+            return (now >= closing.at).then_some(if cancelled {
+                End::Cancelled
+            } else {
+                End::Evicted
+            });
+        }
+        if now < task.runs_from {
+            return None;
+        }
+        let fails = broken || self.scenario.fails(self.site, &job.spec.class);
+        let gained = task.share / task.slowdown;
+        task.done += gained;
+        if now >= WARM_UP && !fails {
+            self.useful += gained * f64::from(job.spec.resources.milli_cores.0) / 1000.0;
+        }
+        if Scenario::resumable(job) && now >= task.saved_at + CHECKPOINT_EVERY {
+            task.saved = task.done;
+            task.saved_at = now;
+        }
+        if fails && now as f64 >= task.runs_from as f64 + FAILS_AFTER {
+            return Some(End::Failed);
+        }
+        (task.done >= job.work).then_some(End::Done)
+    }
+
+    fn end_task(&mut self, index: usize, task: &Running, end: End, now: u64) {
+        let vm = self.vms[index].id.clone();
+        let class = self.jobs[task.job].spec.class.clone();
+        let time = Duration::from_secs(now);
+        match end {
+            End::Done => self.row.ended(&vm, &class, &Outcome::Succeeded, time),
+            End::Cancelled => self.row.ended(&vm, &class, &Outcome::Cancelled, time),
+            End::Evicted => {
+                let job = &self.jobs[task.job];
+                let kept = if Scenario::resumable(job) { task.done - RESUME_COST } else { 0.0 };
+                if now >= WARM_UP {
+                    self.useful -= (task.done - kept) * self.cores(task.job);
+                }
+                self.requeue(task, kept, now);
+            }
+            End::Failed => {
+                self.out.failed_starts += 1;
+                let outcome = Outcome::Failed { reason: "exit 1".to_owned() };
+                self.row.ended(&vm, &class, &outcome, time);
+                let entry = self.failures.entry(task.job).or_default();
+                entry.0 += 1;
+                entry.1 = vec![vm];
+                if entry.0 >= self.jobs[task.job].spec.max_failures {
+                    self.out.failed_tasks += 1;
+                } else {
+                    self.requeue(task, task.saved, now);
+                }
+            }
+        }
+    }
+
+    /// Sends reports on their way.
+    fn measure(&mut self, now: u64) {
+        let wire = self.scenario.wire;
+        for index in 0..self.vms.len() {
+            if !self.vms[index].up || !(now + index as u64).is_multiple_of(REPORT_EVERY) {
+                continue;
+            }
+            let report = self.report(index);
+            if self.rng.random_bool(wire.lost) {
+                continue;
+            }
+            let copies = 1 + usize::from(self.rng.random_bool(wire.repeated));
+            for _ in 0..copies {
+                let arrives = now + wire.lag + self.rng.random_range(0..=wire.jitter);
+                self.report_number += 1;
+                self.reports.insert((arrives, self.report_number), (index, now, report.clone()));
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize) -> UsageReport {
+        let noise = self.scenario.wire.noise;
+        self.vms[index].seq += 1;
+        let vm = &self.vms[index];
+        let mut tenants = Vec::new();
+        for (instance, (class, slowdown)) in
+            vm.services.iter().zip(&vm.service_slowdown).enumerate()
+        {
+            let number = 1_000_000_000 + (index * 10 + instance) as u64;
+            let task = TaskId::new(PartitionId(9), number);
+            tenants.push(usage(task, class, slowdown * (1.0 + noise * gauss(&mut self.rng)), 0.0));
+        }
+        for running in &vm.tasks {
+            let job = &self.jobs[running.job];
+            let slowdown = running.slowdown / running.share * (1.0 + noise * gauss(&mut self.rng));
+            let progress = (running.done / job.work).clamp(0.0, 1.0);
+            tenants.push(usage(job.id, &job.spec.class, slowdown, progress));
+        }
+        UsageReport {
+            boot: BootId(vm.boot),
+            seq: vm.seq,
+            age: Duration::ZERO,
+            load: vm.load,
+            tenants,
+        }
+    }
+
+    fn deliver(&mut self, now: u64) {
+        while let Some(entry) = self.reports.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let (index, measured, mut report) = entry.remove();
+            report.age = Duration::from_secs(now - measured);
+            let vm = self.vms[index].id.clone();
+            self.row.observe(&vm, &report, Duration::from_secs(now));
+        }
+    }
+
+    fn residents(&self, index: usize, now: u64) -> Vec<Resident> {
+        let running = self.vms[index].tasks.iter().filter(|task| task.closing.is_none());
+        running
+            .map(|task| {
+                let job = &self.jobs[task.job];
+                let resumable = Scenario::resumable(job);
+                let age = Duration::from_secs(now.saturating_sub(task.saved_at));
+                Resident {
+                    task: job.id,
+                    attempt: task.attempt,
+                    spec: job.spec.clone(),
+                    since: Duration::from_secs(task.runs_from),
+                    checkpoint_at: resumable.then_some(age),
+                    progress: (task.done / job.work).clamp(0.0, 1.0),
+                }
+            })
+            .collect()
+    }
+
+    fn relieve(&mut self, now: u64) {
+        for index in 0..self.vms.len() {
+            if !self.vms[index].up || !(now + index as u64).is_multiple_of(RELIEVE_EVERY) {
+                continue;
+            }
+            let residents = self.residents(index, now);
+            let vm = self.vms[index].id.clone();
+            for relief in self.row.relieve(&vm, &residents, Duration::from_secs(now)) {
+                self.apply(&relief, now);
+            }
+        }
+    }
+
+    fn apply(&mut self, relief: &Relief, now: u64) {
+        match relief {
+            Relief::Throttle { vm, task, share } => {
+                self.out.throttles += u64::from(*share < 1.0);
+                if let Some(running) = self.task_mut(vm, task) {
+                    running.share = *share;
+                }
+            }
+            Relief::Health { vm, health } => {
+                let index = self.index[vm];
+                self.vms[index].health = *health;
+                self.tell(index);
+            }
+            Relief::Evict { vm, task, .. } => {
+                self.out.evictions += 1;
+                let never = self.jobs[task.number as usize].spec.resumption == Resumption::Never;
+                self.out.broken_promises += u64::from(never);
+                if let Some(running) = self.task_mut(vm, task) {
+                    running.closing = Some(Closing { at: now + STOP_TIME, why: Why::Evicted });
+                }
+            }
+        }
+    }
+
+    fn task_mut(&mut self, vm: &VmId, task: &TaskId) -> Option<&mut Running> {
+        let index = self.index[vm];
+        let jobs = &self.jobs;
+        self.vms[index].tasks.iter_mut().find(|running| jobs[running.job].id == *task)
+    }
+
+    /// Counts VMs with more committed than they have.
+    fn check(&mut self) {
+        for index in 0..self.vms.len() {
+            self.out.broken_promises += u64::from(self.free(index).is_none());
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Done,
+    Evicted,
+    Cancelled,
+    Failed,
+}
+
+fn usage(task: TaskId, class: &ClassName, slowdown: f64, progress: f64) -> TenantUsage {
+    let class = class.clone();
+    TenantUsage { task, class, milli_cores: 0, memory_mib: 0, slowdown, progress }
+}
+
+/// Processor time of this process; unlike wall time it does not count what else the machine does.
+pub fn cpu_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    Duration::new(time.tv_sec.unsigned_abs(), u32::try_from(time.tv_nsec).unwrap_or(0))
+}
