Place a task only where services stay below the trigger

Cause: a batch task was held back for at most 60 s and each addition was judged alone, so that under a queue every VM was filled and the ladder threw tasks out again. Change: the predicted slowdown after the placement must stay below the trigger; an overdue task may push a VM over it that is calm.

--- a/src/core/policy/decide.rs
+++ b/src/core/policy/decide.rs
@@ -18,11 +18,17 @@
 /// Parts in one, for figures kept as whole numbers.
 pub const PARTS: f64 = 1_000_000.0;
 
-/// Harm to services, in parts, that a batch task waits to avoid; the more the tail weighs the less.
-const HARM_GATE: i64 = 500_000;
+/// A placement that raises a service's excess slowdown by less than this, in parts, is harmless.
+const HARMLESS: i64 = 20_000;
 
-/// Longest wait for a VM where services would suffer less.
-const HARM_PATIENCE: Duration = Duration::from_secs(60);
+/// Part of the trigger, in thousandths, that a new task may fill, and that one may which waited for
+/// [`PATIENCE`].
+const FIRST_LIMIT: i64 = 700;
+const LAST_LIMIT: i64 = 1000;
+const PATIENCE: Duration = Duration::from_secs(300);
+
+/// Wait after which a task may push one VM over the trigger, with equal weights.
+const OVERDUE: Duration = Duration::from_secs(600);
 
 /// Operators' weights as thousandths of their sum.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +64,9 @@
     pub tail: i64,
     /// Chance that the task, or one beside it, is evicted for it.
     pub risk: i64,
+    /// Predicted excess slowdown, before and after, of the service there that suffers most.
+    pub before: i64,
+    pub after: i64,
     /// Slowdown of the task itself.
     pub own: i64,
     /// Slowdown of the batch tasks there.
@@ -124,13 +133,15 @@
     pub held_back: u32,
     pub tried_before: u32,
     pub not_sampled: u32,
+    /// Scored, and services there would suffer too much.
+    pub harmful: u32,
     /// Scored, and worse than the offers that were kept.
     pub worse: u32,
 }
 
 impl PassedOver {
     /// Each reason in words, with its count.
-    pub fn reasons(&self) -> [(&'static str, u32); 11] {
+    pub fn reasons(&self) -> [(&'static str, u32); 12] {
         [
             ("outside the pool", self.outside_pool),
             ("team's allowance in the failure domain is used up", self.over_quota),
@@ -142,6 +153,7 @@
             ("held for a task that waited longer", self.held_back),
             ("an earlier attempt failed or was declined there", self.tried_before),
             ("not sampled", self.not_sampled),
+            ("services there would suffer too much", self.harmful),
             ("scored, and worse", self.worse),
         ]
     }
@@ -171,6 +183,8 @@
     pub urgency: Urgency,
     pub waited: Duration,
     pub shares: Shares,
+    /// Excess slowdown at which a service is helped, in parts.
+    pub trigger: i64,
     pub feasibility: Feasibility,
     pub class: ClassState,
     pub passed_over: PassedOver,
@@ -193,21 +207,38 @@
             ));
         }
         match self.best() {
-            None => wait(self.why_nowhere()),
-            Some(best) if self.too_harmful(best) => wait(format!(
-                "services on the best VM, {}, would suffer too much; placed there at the latest \
-                 {} s after acceptance",
-                best.vm,
-                HARM_PATIENCE.as_secs()
-            )),
             Some(best) => Choice::Place { vm: best.vm.clone() },
+            None if self.offers.is_empty() => wait(self.why_nowhere()),
+            None => wait(format!(
+                "services on every VM with room would suffer too much; a calm VM takes it at the \
+                 latest {} s after acceptance",
+                self.overdue().as_secs()
+            )),
+        }
+    }
+
+    /// Keeps the best offers and counts the others.
+    pub fn shorten(&mut self) {
+        let mut offers = std::mem::take(&mut self.offers);
+        offers.sort_by(|l, r| {
+            let harmful = |offer: &Offer| !self.bearable(offer);
+            harmful(l).cmp(&harmful(r)).then_with(|| l.compare(r, &self.shares))
+        });
+        for offer in offers.split_off(offers.len().min(RECORDED_OFFERS)) {
+            let reason = match self.bearable(&offer) {
+                true => &mut self.passed_over.worse,
+                false => &mut self.passed_over.harmful,
+            };
+            *reason += 1;
         }
+        self.offers = offers;
     }
 
-    /// The offer with the least score; of equal ones that of the least order, then of the name
-    /// that sorts first.
+    /// The offer with the least score of those that services bear; of equal ones that of the least
+    /// order, then of the name that sorts first.
     pub fn best(&self) -> Option<&Offer> {
-        self.offers.iter().min_by(|l, r| l.compare(r, &self.shares))
+        let bearable = self.offers.iter().filter(|offer| self.bearable(offer));
+        bearable.min_by(|l, r| l.compare(r, &self.shares))
     }
 
     fn never(&self) -> Option<Choice> {
@@ -230,9 +261,29 @@
         Some(Choice::Never { reason, nearest })
     }
 
-    fn too_harmful(&self, best: &Offer) -> bool {
-        let gate = HARM_GATE * 1000 / (3 * self.shares.tail).max(1);
-        self.urgency < Urgency::High && self.waited < HARM_PATIENCE && best.tail > gate
+    /// Whether the services on the VM stay below the trigger. Placing more would only call for a
+    /// throttle or an eviction. A task that is overdue may push one over it that is calm now: so
+    /// waits end, and a queue of overdue tasks doesn't end up on the same VM.
+    pub fn bearable(&self, offer: &Offer) -> bool {
+        let calm = offer.before <= self.trigger;
+        let overdue = self.urgency >= Urgency::High || self.waited >= self.overdue();
+        offer.after <= self.limit()
+            || offer.after - offer.before < HARMLESS
+            || offer.probe
+            || (overdue && calm)
+    }
+
+    /// Predicted excess slowdown that the task may bring a service to, in parts.
+    fn limit(&self) -> i64 {
+        let waited = self.waited.min(PATIENCE).as_millis() as i64;
+        let grown = (LAST_LIMIT - FIRST_LIMIT) * waited / PATIENCE.as_millis() as i64;
+        self.trigger * (FIRST_LIMIT + grown) / 1000
+    }
+
+    /// The more the tail weighs, the later.
+    fn overdue(&self) -> Duration {
+        let tail = u32::try_from(self.shares.tail).unwrap_or(0).max(100);
+        OVERDUE * tail / 333
     }
 
     fn why_nowhere(&self) -> String {
--- a/src/core/policy/place.rs
+++ b/src/core/policy/place.rs
@@ -1,9 +1,10 @@
 //! Gathers what a placement is decided from, and learns from reports.
 
-use super::decide::{ClassState, Feasibility, Inputs, Offer, PassedOver, RECORDED_OFFERS, Shares};
+use super::decide::{ClassState, Feasibility, Inputs, Offer, PassedOver, Shares};
 use super::fit::Verdict;
 use super::index::{Found, Search, Vm, allowed};
 use super::interference::{Band, Neighbours};
+use super::ladder::to_parts;
 use super::score::{Known, Scorer, is_service, without_self};
 use super::{Candidate, Policy};
 use crate::ids::{DomainId, VmId};
@@ -47,24 +48,26 @@
         let mut offers = self.offers(candidate, &found, now);
         offers.extend(self.held_offer(candidate, &offers, now));
         offers.extend(self.probe_offer(candidate, pool, &over_quota, now));
-        let mut passed_over = passed_over(&found);
         let nowhere = offers.is_empty();
-        keep_best(&mut offers, &self.shares(), &mut passed_over);
         let feasibility = self.feasibility(candidate, pool, now);
         if nowhere && feasibility == Feasibility::Possible {
             self.holds.hold_if_starved(candidate, &self.fleet, pool, &over_quota, now);
         }
-        Inputs {
+        let passed_over = passed_over(&found);
+        let mut inputs = Inputs {
             at: now,
             need: spec.resources,
             urgency: spec.urgency,
             waited: candidate.waited,
             shares: self.shares(),
+            trigger: to_parts(self.trigger()),
             feasibility,
             class: self.blame.class_state(&spec.class, now),
             passed_over,
             offers,
-        }
+        };
+        inputs.shorten();
+        inputs
     }
 
     pub(super) fn shares(&self) -> Shares {
@@ -214,13 +217,6 @@
     xxh3_64(&bytes)
 }
 
-fn keep_best(offers: &mut Vec<Offer>, shares: &Shares, passed_over: &mut PassedOver) {
-    offers.sort_by(|l, r| l.compare(r, shares));
-    let worse = offers.len().saturating_sub(RECORDED_OFFERS);
-    passed_over.worse = u32::try_from(worse).unwrap_or(u32::MAX);
-    offers.truncate(RECORDED_OFFERS);
-}
-
 fn passed_over(found: &Found<'_>) -> PassedOver {
     PassedOver {
         outside_pool: found.outside,
@@ -233,6 +229,7 @@
         held_back: found.held_back,
         tried_before: found.tried_before,
         not_sampled: found.not_sampled,
+        harmful: 0,
         worse: 0,
     }
 }
--- a/src/core/policy/score.rs
+++ b/src/core/policy/score.rs
@@ -64,6 +64,8 @@
             vm: vm.view.vm.clone(),
             tail: parts(cost.tail),
             risk: parts(cost.risk * self.eviction_loss()),
+            before: parts(cost.before),
+            after: parts(cost.after),
             own: parts(cost.own),
             others: parts(cost.others),
             left: parts(self.left_over(vm)),
@@ -96,6 +98,8 @@
             let rise = (excess_after - excess_before).max(0.0);
             let from = excess_before.max(floor);
             cost.tail += count * (suffering(from + rise) - suffering(from));
+            cost.before = cost.before.max(from);
+            cost.after = cost.after.max(from + rise);
             cost.risk = cost.risk.max(self.eviction_chance(from + rise));
         }
     }
@@ -151,6 +155,8 @@
 struct Cost {
     tail: f64,
     risk: f64,
+    before: f64,
+    after: f64,
     own: f64,
     others: f64,
 }
