Count only what batch causes against batch

Cause: the slowdown that services cause each other kept batch away: on a VM with many instances a task would have waited for ever, and the ladder would have avoided the VM for ever. Change: the limit of a placement counts the slowdown by batch tasks; the ladder takes no step where batch causes less than a fifth of the slowdown.

--- a/src/core/policy/decide.rs
+++ b/src/core/policy/decide.rs
@@ -64,7 +64,8 @@
     pub tail: i64,
     /// Chance that the task, or one beside it, is evicted for it.
     pub risk: i64,
-    /// Predicted excess slowdown, before and after, of the service there that suffers most.
+    /// Predicted excess slowdown by batch tasks, before and after, of the service there that
+    /// suffers most.
     pub before: i64,
     pub after: i64,
     /// Slowdown of the task itself.
--- a/src/core/policy/ladder.rs
+++ b/src/core/policy/ladder.rs
@@ -48,6 +48,10 @@
 /// A task that causes less than this part of the slowdown is no culprit.
 const CULPRIT_DIVISOR: i64 = 10;
 
+/// If all batch tasks together cause less than this part of the slowdown, no step helps: the
+/// services slow each other, and a VM would be avoided for ever.
+const BATCH_DIVISOR: i64 = 5;
+
 /// How much the relief of a service counts against the loss of an eviction.
 const RELIEF_FACTOR: i64 = 4;
 
@@ -118,6 +122,10 @@
     }
 
     fn step_up(&self) -> Option<Relief> {
+        let harm: i64 = self.culprits.iter().map(|culprit| culprit.harm).sum();
+        if harm < self.excess / BATCH_DIVISOR {
+            return None;
+        }
         match self.rung {
             Rung::Calm => self.throttle().or_else(|| self.avoid()),
             Rung::Throttled => self.avoid(),
@@ -136,9 +144,6 @@
     }
 
     fn avoid(&self) -> Option<Relief> {
-        if self.culprits.is_empty() {
-            return None;
-        }
         Some(Relief::Health { vm: self.vm.clone(), health: VmHealth::Avoided })
     }
 
--- a/src/core/policy/score.rs
+++ b/src/core/policy/score.rs
@@ -98,12 +98,21 @@
             let rise = (excess_after - excess_before).max(0.0);
             let from = excess_before.max(floor);
             cost.tail += count * (suffering(from + rise) - suffering(from));
-            cost.before = cost.before.max(from);
-            cost.after = cost.after.max(from + rise);
+            let by_batch = self.by_batch(&entry.class, &neighbours, before);
+            let caused = by_batch.max(floor * by_batch / excess_before.max(f64::MIN_POSITIVE));
+            cost.before = cost.before.max(caused);
+            cost.after = cost.after.max(caused + rise);
             cost.risk = cost.risk.max(self.eviction_chance(from + rise));
         }
     }
 
+    /// Excess slowdown of a service by batch tasks alone. What services do to each other is no
+    /// reason to keep batch waiting: without this a VM whose services are many would never take any.
+    fn by_batch(&self, service: &ClassName, neighbours: &[Neighbours<'_>], band: Band) -> f64 {
+        let batch = neighbours.iter().filter(|n| !is_service(self.config, n.class));
+        batch.map(|n| n.weight * self.model.effect(service, n.class, band)).sum()
+    }
+
     fn bands(&self, vm: &Vm, known: Known) -> (Band, Band) {
         let size = f64::from(vm.view.size.milli_cores.0.max(1));
         let added = f64::from(self.spec.resources.milli_cores.0) / size * self.use_ratio;
