Keep VMs without services for the classes that disturb most

Cause: quiet tasks filled the VMs without services, and those that disturb had nowhere else to go. Change: a task that disturbs services less than the mean class pays for taking such a VM.

--- a/src/core/policy/score.rs
+++ b/src/core/policy/score.rs
@@ -16,11 +16,18 @@
 /// Cost of putting a task without need for accelerators on a VM with free ones.
 const STRANDED_ACCELERATOR: f64 = 0.15;
 
+/// Cost of giving a VM without services to a task that would disturb them less than others do, for
+/// each part of slowdown that it disturbs less.
+const SPARED_VM: f64 = 2.0;
+
 /// Cost of all instances of a service being in one failure domain, rack or VM.
 const SAME_DOMAIN: f64 = 0.6;
 const SAME_RACK: f64 = 0.6;
 const SAME_VM: f64 = 0.6;
 
+/// Load at which classes are compared.
+const TYPICAL_LOAD: f64 = 0.7;
+
 /// Cost of one failure that is blamed on the VM.
 const BLAMED_FAILURE: f64 = 0.3;
 
@@ -68,7 +75,7 @@
             after: parts(cost.after),
             own: parts(cost.own),
             others: parts(cost.others),
-            left: parts(self.left_over(vm)),
+            left: parts(self.left_over(vm) + self.spared(vm)),
             penalty: parts(penalty),
             order: vm.order_from(self.seed),
             probe: false,
@@ -144,6 +151,24 @@
         LEFT_OVER * cores + UNLIKE_LEFT_OVER * (cores - memory).abs() + stranded
     }
 
+    /// VMs without services are best kept for the classes that disturb services most.
+    fn spared(&self, vm: &Vm) -> f64 {
+        if vm.view.classes.iter().any(|entry| is_service(self.config, &entry.class)) {
+            return 0.0;
+        }
+        let harm = |class: &ClassName| self.harm_anywhere(class);
+        let classes = self.config.batch.keys().map(harm);
+        let mean = classes.sum::<f64>() / self.config.batch.len().max(1) as f64;
+        SPARED_VM * (mean - harm(&self.spec.class)).max(0.0)
+    }
+
+    /// Slowdown that one task of the class causes to the service that it disturbs most.
+    fn harm_anywhere(&self, class: &ClassName) -> f64 {
+        let band = Band::of(TYPICAL_LOAD);
+        let services = self.config.services.keys().map(|name| ClassName::new(name.as_str()));
+        services.map(|service| self.model.effect(&service, class, band)).fold(0.0, f64::max)
+    }
+
     fn spread(&self, vm: &Vm) -> f64 {
         let class = &self.spec.class;
         if !is_service(self.config, class) {
