Allow for the noise of reports on the ladder

Cause: the greatest of several noisy measurements is above the mean by the noise; near a low trigger noise alone called for throttles and evictions, and VMs were avoided that were well. Change: each service is smoothed by itself and more slowly; a step up needs the slowdown to be over the trigger by a standard error.

--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -282,15 +282,14 @@
         if reports.take(report, |task| ladder.share(task), now).is_err() {
             return;
         }
-        let config = &self.config;
-        let suffering = reports.suffering(|class| is_service(config, class));
         let measured_at = reports.measured_at;
         if ladder.unchanged_since(measured_at) {
             self.learn(vm);
         }
         let trigger = self.trigger();
-        if let (Some(excess), Some(ladder)) = (suffering, self.ladders.get_mut(vm)) {
-            ladder.measured(excess, trigger, measured_at);
+        if let (Some(reports), Some(ladder)) = (self.reports.get(vm), self.ladders.get_mut(vm)) {
+            let services = reports.services(|class| is_service(&self.config, class));
+            ladder.measured(services, trigger, measured_at);
         }
     }
 
--- a/src/core/policy/ladder.rs
+++ b/src/core/policy/ladder.rs
@@ -6,7 +6,7 @@
 
 use super::Relief;
 use super::decide::{PARTS, Shares};
-use crate::ids::{Attempt, TaskId, VmId};
+use crate::ids::{Attempt, ClassName, TaskId, VmId};
 use crate::peer::VmHealth;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -36,8 +36,16 @@
 /// A step back must not be expected to bring slowdown above this part of the trigger.
 const RESTORE_PART: f64 = 0.85;
 
-/// Share of a new report in the smoothed slowdown.
-const GAIN: f64 = 0.5;
+/// Least share of a new report in the smoothed slowdown, and in its smoothed variance.
+const GAIN: f64 = 0.3;
+const VARIANCE_GAIN: f64 = 0.1;
+
+/// Variance of one report before any was taken.
+const FIRST_VARIANCE: f64 = 0.01;
+
+/// A service suffers when its smoothed slowdown is over the trigger by so many standard errors:
+/// else the noise of reports alone calls for steps on one VM or another all the time.
+const ERRORS: f64 = 1.0;
 
 /// Each throttling leaves this part of a task's processors.
 const THROTTLE_STEP: f64 = 0.5;
@@ -89,6 +97,8 @@
     pub trigger: i64,
     /// Smoothed excess slowdown of the service that suffers most, in parts.
     pub excess: i64,
+    /// The same less a margin for the noise of reports.
+    pub surely: i64,
     /// Measurements since the last step, and the age of the newest.
     pub reports: u32,
     pub age: Duration,
@@ -112,7 +122,7 @@
         if self.since_step < self.dwell || self.reports < REPORTS_FOR_STEP || self.age > OLD {
             return None;
         }
-        if self.excess > self.trigger {
+        if self.surely > self.trigger {
             return self.step_up();
         }
         if self.calm >= self.calm_needed {
@@ -188,6 +198,45 @@
     (amount.clamp(-1e6, 1e6) * PARTS).round() as i64
 }
 
+/// Smoothed slowdown of one service.
+#[derive(Clone, Copy, Debug)]
+struct Smoothed {
+    mean: f64,
+    variance: f64,
+    /// Reports since the last step.
+    count: u32,
+}
+
+impl Default for Smoothed {
+    fn default() -> Self {
+        Self { mean: 0.0, variance: FIRST_VARIANCE, count: 0 }
+    }
+}
+
+impl Smoothed {
+    fn take(&mut self, excess: f64) {
+        self.count += 1;
+        let gain = (1.0 / f64::from(self.count)).max(GAIN);
+        let deviation = excess - self.mean;
+        if self.count > 1 {
+            self.variance += (deviation * deviation - self.variance) * VARIANCE_GAIN;
+        }
+        self.mean += deviation * gain;
+    }
+
+    /// Standard error of the mean.
+    fn error(&self) -> f64 {
+        let steady = GAIN / (2.0 - GAIN);
+        let share = (1.0 / f64::from(self.count.max(1))).max(steady);
+        (self.variance * share).sqrt()
+    }
+
+    /// Excess slowdown that is surely there.
+    fn surely(&self) -> f64 {
+        (self.mean - ERRORS * self.error()).max(0.0)
+    }
+}
+
 /// Where one VM is on the ladder.
 #[derive(Clone, Debug, Default)]
 pub struct Ladder {
@@ -196,7 +245,7 @@
     pub throttled: IndexMap<TaskId, f64>,
     stepped_at: Option<Duration>,
     reports: u32,
-    excess: f64,
+    services: IndexMap<ClassName, Smoothed>,
     measured_at: Duration,
     calm_since: Option<Duration>,
     calm_needed: Duration,
@@ -205,22 +254,37 @@
 }
 
 impl Ladder {
-    /// Takes the slowdown of the service that suffers most, as measured at `at`.
-    pub fn measured(&mut self, excess: f64, trigger: f64, at: Duration) {
+    /// Takes the excess slowdowns of the services there, as measured at `at`.
+    pub fn measured<'a>(
+        &mut self,
+        services: impl Iterator<Item = (&'a ClassName, f64)>,
+        trigger: f64,
+        at: Duration,
+    ) {
         if !self.unchanged_since(at) {
             return;
         }
-        let gain = if self.reports == 0 { 1.0 } else { GAIN };
-        self.excess += (excess - self.excess) * gain;
+        for (class, excess) in services {
+            self.services.entry(class.clone()).or_default().take(excess);
+        }
         self.reports += 1;
         self.measured_at = at;
-        if self.excess >= trigger * CALM_PART {
+        if self.suffering() >= trigger * CALM_PART {
             self.calm_since = None;
         } else {
             self.calm_since.get_or_insert(at);
         }
     }
 
+    /// Smoothed excess slowdown of the service that suffers most.
+    pub fn suffering(&self) -> f64 {
+        self.services.values().map(|service| service.mean).fold(0.0, f64::max)
+    }
+
+    fn surely(&self) -> f64 {
+        self.services.values().map(Smoothed::surely).fold(0.0, f64::max)
+    }
+
     /// Forgets throttles of tasks that left.
     pub fn retain(&mut self, present: impl Fn(&TaskId) -> bool) {
         self.throttled.retain(|task, _| present(task));
@@ -240,7 +304,8 @@
             rung: self.rung,
             shares,
             trigger: to_parts(trigger),
-            excess: to_parts(self.excess),
+            excess: to_parts(self.suffering()),
+            surely: to_parts(self.surely()),
             reports: self.reports,
             age: now.saturating_sub(self.measured_at),
             since_step: self.stepped_at.map_or(Duration::MAX, |at| now.saturating_sub(at)),
@@ -285,6 +350,9 @@
         self.pace(back, now);
         self.stepped_at = Some(now);
         self.reports = 0;
+        for service in self.services.values_mut() {
+            service.count = 0;
+        }
         self.calm_since = None;
     }
 
--- a/src/core/policy/place.rs
+++ b/src/core/policy/place.rs
@@ -4,8 +4,8 @@
 use super::fit::Verdict;
 use super::index::{Found, Search, Vm, allowed};
 use super::interference::{Band, Neighbours};
-use super::ladder::to_parts;
-use super::score::{Known, Scorer, is_service, without_self};
+use super::ladder::{Ladder, to_parts};
+use super::score::{Known, Scorer, without_self};
 use super::{Candidate, Policy};
 use crate::ids::{DomainId, VmId};
 use crate::model::{Idempotency, Pool, Urgency};
@@ -180,7 +180,7 @@
         let Some(reports) = reports else { return Known { blame, ..Known::default() } };
         Known {
             load: Some(reports.load),
-            suffering: reports.suffering(|class| is_service(&self.config, class)),
+            suffering: self.ladders.get(vm).map(Ladder::suffering),
             blame,
         }
     }
--- a/src/core/policy/reports.rs
+++ b/src/core/policy/reports.rs
@@ -83,13 +83,13 @@
         Ok(())
     }
 
-    /// Largest excess slowdown among the classes that `is_service` accepts.
-    pub fn suffering(&self, is_service: impl Fn(&ClassName) -> bool) -> Option<f64> {
-        let services = self.classes.iter().filter(|(class, _)| is_service(class));
-        services
-            .filter_map(|(_, used)| used.measured())
-            .map(|slowdown| (slowdown - 1.0).max(0.0))
-            .reduce(f64::max)
+    /// Excess slowdowns of the classes that `is_service` accepts.
+    pub fn services(
+        &self,
+        is_service: impl Fn(&ClassName) -> bool,
+    ) -> impl Iterator<Item = (&ClassName, f64)> {
+        let services = self.classes.iter().filter(move |(class, _)| is_service(class));
+        services.filter_map(|(class, used)| Some((class, used.measured()? - 1.0)))
     }
 
     fn check(&self, report: &UsageReport) -> Result<(), Stale> {
