Count what services cause each other alike in placing and on the ladder

Cause: placements counted the slowdown by batch alone and the ladder all of it, so that tasks were placed that the ladder then threw out. Change: both leave to batch what the services leave of the trigger, at least two fifths of it.

--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -286,7 +286,7 @@
         if ladder.unchanged_since(measured_at) {
             self.learn(vm);
         }
-        let trigger = self.trigger();
+        let trigger = self.trigger_on(vm);
         if let (Some(reports), Some(ladder)) = (self.reports.get(vm), self.ladders.get_mut(vm)) {
             let services = reports.services(|class| is_service(&self.config, class));
             ladder.measured(services, trigger, measured_at);
--- a/src/core/policy/decide.rs
+++ b/src/core/policy/decide.rs
@@ -27,6 +27,9 @@
 const LAST_LIMIT: i64 = 1000;
 const PATIENCE: Duration = Duration::from_secs(300);
 
+/// Part of the trigger, in thousandths, that is batch's however much services slow each other.
+const BATCH_PART: i64 = 400;
+
 /// Wait after which a task may push one VM over the trigger, with equal weights.
 const OVERDUE: Duration = Duration::from_secs(600);
 
@@ -68,6 +71,8 @@
     /// suffers most.
     pub before: i64,
     pub after: i64,
+    /// Predicted excess slowdown that services there cause each other.
+    pub by_services: i64,
     /// Slowdown of the task itself.
     pub own: i64,
     /// Slowdown of the batch tasks there.
@@ -266,19 +271,20 @@
     /// throttle or an eviction. A task that is overdue may push one over it that is calm now: so
     /// waits end, and a queue of overdue tasks doesn't end up on the same VM.
     pub fn bearable(&self, offer: &Offer) -> bool {
-        let calm = offer.before <= self.trigger;
+        let trigger = batch_trigger(self.trigger, offer.by_services);
+        let calm = offer.before <= trigger;
         let overdue = self.urgency >= Urgency::High || self.waited >= self.overdue();
-        offer.after <= self.limit()
+        offer.after <= self.limit(trigger)
             || offer.after - offer.before < HARMLESS
             || offer.probe
             || (overdue && calm)
     }
 
     /// Predicted excess slowdown that the task may bring a service to, in parts.
-    fn limit(&self) -> i64 {
+    fn limit(&self, trigger: i64) -> i64 {
         let waited = self.waited.min(PATIENCE).as_millis() as i64;
         let grown = (LAST_LIMIT - FIRST_LIMIT) * waited / PATIENCE.as_millis() as i64;
-        self.trigger * (FIRST_LIMIT + grown) / 1000
+        trigger * (FIRST_LIMIT + grown) / 1000
     }
 
     /// The more the tail weighs, the later.
@@ -300,6 +306,12 @@
     }
 }
 
+/// Slowdown that batch may cause where services cause each other some already, in parts: what is
+/// left of the trigger, but never so little that batch is kept away for ever.
+pub fn batch_trigger(trigger: i64, by_services: i64) -> i64 {
+    (trigger - by_services).max(trigger * BATCH_PART / 1000)
+}
+
 fn wait(reason: String) -> Choice {
     Choice::Wait { reason }
 }
--- a/src/core/policy/relieve.rs
+++ b/src/core/policy/relieve.rs
@@ -1,11 +1,12 @@
 //! Gathers what a step on one VM is decided from, and notes what was decided.
 
+use super::decide::{PARTS, batch_trigger};
 use super::explain::{self, Recorded};
 use super::index::allowed;
-use super::interference::Band;
+use super::interference::{Band, Neighbours};
 use super::ladder::{self, Culprit, Ladder, Rung, dwell, to_parts};
 use super::room::{self, Plan, Progress};
-use super::score::is_service;
+use super::score::{is_service, without_self};
 use super::{Candidate, Decided, Policy, Relief, Resident, eviction, health};
 use crate::ids::{ClassName, VmId};
 use crate::model::Urgency;
@@ -67,7 +68,8 @@
         residents: &[Resident],
         now: Duration,
     ) -> Option<ladder::Inputs> {
-        let (shares, trigger) = (self.shares(), self.trigger());
+        let shares = self.shares();
+        let trigger = self.trigger_on(vm);
         let lag = self.reports.get(vm)?.lag;
         let budget = self.budget.available(&shares, now);
         let ladder = self.ladders.get_mut(vm)?;
@@ -82,6 +84,26 @@
         Some(inputs)
     }
 
+    /// Excess slowdown at which the services on a VM are helped: what services there cause each
+    /// other is no fault of batch.
+    pub(super) fn trigger_on(&self, vm: &VmId) -> f64 {
+        let trigger = self.trigger();
+        let Some(reports) = self.reports.get(vm) else { return trigger };
+        let band = Band::of(reports.load);
+        let services: Vec<_> = reports
+            .classes
+            .iter()
+            .filter(|(class, _)| is_service(&self.config, class))
+            .map(|(class, used)| Neighbours { class, weight: used.weight })
+            .collect();
+        let excess = |(index, service): (usize, &Neighbours<'_>)| {
+            self.model.excess(service.class, &without_self(&services, index), band)
+        };
+        let by_services = to_parts(services.iter().enumerate().map(excess).fold(0.0, f64::max));
+        let for_batch = batch_trigger(to_parts(trigger), by_services);
+        (for_batch + by_services) as f64 / PARTS
+    }
+
     fn culprits(&self, vm: &VmId, residents: &[Resident], now: Duration) -> Vec<Culprit> {
         let Some(reports) = self.reports.get(vm) else { return Vec::new() };
         let Some(ladder) = self.ladders.get(vm) else { return Vec::new() };
--- a/src/core/policy/score.rs
+++ b/src/core/policy/score.rs
@@ -73,6 +73,7 @@
             risk: parts(cost.risk * self.eviction_loss()),
             before: parts(cost.before),
             after: parts(cost.after),
+            by_services: parts(cost.services),
             own: parts(cost.own),
             others: parts(cost.others),
             left: parts(self.left_over(vm) + self.spared(vm)),
@@ -109,6 +110,7 @@
             let caused = by_batch.max(floor * by_batch / excess_before.max(f64::MIN_POSITIVE));
             cost.before = cost.before.max(caused);
             cost.after = cost.after.max(caused + rise);
+            cost.services = cost.services.max(excess_before - by_batch);
             cost.risk = cost.risk.max(self.eviction_chance(from + rise));
         }
     }
@@ -191,6 +193,7 @@
     risk: f64,
     before: f64,
     after: f64,
+    services: f64,
     own: f64,
     others: f64,
 }
