--- a/src/config.rs
+++ b/src/config.rs
@@ -8,7 +8,7 @@
 pub mod apply;
 mod check;
 pub mod diff;
-mod fields;
+pub(crate) mod fields;
 pub mod follow;
 pub mod head;
 mod sections;
--- a/src/config/fields.rs
+++ b/src/config/fields.rs
@@ -11,41 +11,41 @@
 use toml::de::{DeTable, DeValue};
 
 /// Lines of the keys that were read, by key.
-pub(super) type KeyLines = IndexMap<&'static str, usize>;
+pub(crate) type KeyLines = IndexMap<&'static str, usize>;
 
 /// Faults of one file as they are found.
-pub(super) struct Sink<'a> {
+pub(crate) struct Sink<'a> {
     file: &'a str,
     text: &'a str,
     found: Vec<Fault>,
 }
 
 impl<'a> Sink<'a> {
-    pub(super) fn new(file: &'a str, text: &'a str) -> Self {
+    pub(crate) fn new(file: &'a str, text: &'a str) -> Self {
         Self { file, text, found: Vec::new() }
     }
 
-    pub(super) fn file(&self) -> &'a str {
+    pub(crate) fn file(&self) -> &'a str {
         self.file
     }
 
     /// Line of a byte offset, counted from one.
-    pub(super) fn line(&self, offset: usize) -> usize {
+    pub(crate) fn line(&self, offset: usize) -> usize {
         let before = self.text.get(..offset).unwrap_or(self.text);
         1 + before.bytes().filter(|byte| *byte == b'\n').count()
     }
 
-    pub(super) fn push(&mut self, line: usize, message: String, remedy: String) {
+    pub(crate) fn push(&mut self, line: usize, message: String, remedy: String) {
         self.found.push(Fault { file: self.file.to_owned(), line, message, remedy });
     }
 
-    pub(super) fn into_faults(self) -> Vec<Fault> {
+    pub(crate) fn into_faults(self) -> Vec<Fault> {
         self.found
     }
 }
 
 /// A value that a key can have.
-pub(super) trait Value: Sized {
+pub(crate) trait Value: Sized {
     /// What is expected, in words.
     const EXPECTED: &'static str;
 
@@ -112,10 +112,10 @@
 }
 
 /// One of the names that a small enum has in files.
-pub(super) struct Choice<T>(pub(super) T);
+pub(crate) struct Choice<T>(pub(crate) T);
 
 /// An enum with its names in words.
-pub(super) trait Choices: for<'de> Deserialize<'de> {
+pub(crate) trait Choices: for<'de> Deserialize<'de> {
     const NAMES: &'static str;
 }
 
@@ -145,7 +145,7 @@
 }
 
 /// A table being read; each key is asked for once, and what is left over is unknown.
-pub(super) struct Fields<'a, 'i> {
+pub(crate) struct Fields<'a, 'i> {
     table: &'a DeTable<'i>,
     title: &'static str,
     line: usize,
@@ -154,12 +154,12 @@
 }
 
 impl<'a, 'i> Fields<'a, 'i> {
-    pub(super) fn new(table: &'a DeTable<'i>, title: &'static str, line: usize) -> Self {
+    pub(crate) fn new(table: &'a DeTable<'i>, title: &'static str, line: usize) -> Self {
         Self { table, title, line, known: Vec::new(), lines: KeyLines::new() }
     }
 
     /// Reads a key that must be there.
-    pub(super) fn required<T: Value>(
+    pub(crate) fn required<T: Value>(
         &mut self,
         key: &'static str,
         sink: &mut Sink<'_>,
@@ -174,7 +174,7 @@
     }
 
     /// Reads a key that may be left out; `None` if it is there with a wrong value.
-    pub(super) fn optional<T: Value>(
+    pub(crate) fn optional<T: Value>(
         &mut self,
         key: &'static str,
         default: T,
@@ -187,7 +187,7 @@
     }
 
     /// Reads amounts that must be there.
-    pub(super) fn resources(
+    pub(crate) fn resources(
         &mut self,
         key: &'static str,
         sink: &mut Sink<'_>,
@@ -210,7 +210,7 @@
     }
 
     /// Reads amounts that may be left out.
-    pub(super) fn optional_resources(
+    pub(crate) fn optional_resources(
         &mut self,
         key: &'static str,
         sink: &mut Sink<'_>,
@@ -223,7 +223,7 @@
     }
 
     /// Notes every key that was not asked for; returns the lines of the others.
-    pub(super) fn finish(self, sink: &mut Sink<'_>) -> KeyLines {
+    pub(crate) fn finish(self, sink: &mut Sink<'_>) -> KeyLines {
         for key in self.table.keys() {
             if !self.known.contains(&key.get_ref().as_ref()) {
                 let line = sink.line(key.span().start);
@@ -235,14 +235,23 @@
         self.lines
     }
 
-    fn find(&mut self, key: &'static str, sink: &Sink<'_>) -> Option<(&'a DeValue<'i>, usize)> {
+    /// The value of a key that the caller reads, such as a table of its own.
+    pub(crate) fn value(
+        &mut self,
+        key: &'static str,
+        sink: &Sink<'_>,
+    ) -> Option<&'a Spanned<DeValue<'i>>> {
         if !self.known.contains(&key) {
             self.known.push(key);
         }
         let (name, value) = self.table.iter().find(|(name, _)| name.get_ref() == key)?;
-        let line = sink.line(name.span().start);
-        self.lines.insert(key, line);
-        Some((value.get_ref(), line))
+        self.lines.insert(key, sink.line(name.span().start));
+        Some(value)
+    }
+
+    fn find(&mut self, key: &'static str, sink: &Sink<'_>) -> Option<(&'a DeValue<'i>, usize)> {
+        let value = self.value(key, sink)?;
+        Some((value.get_ref(), self.lines[key]))
     }
 
     fn typed<T: Value>(
@@ -271,7 +280,7 @@
 }
 
 /// Each table of an array of tables, with its line.
-pub(super) fn tables<'a, 'i>(
+pub(crate) fn tables<'a, 'i>(
     key: &str,
     value: &'a Spanned<DeValue<'i>>,
     sink: &mut Sink<'_>,
