--- a/src/config/apply/change.rs
+++ b/src/config/apply/change.rs
@@ -49,7 +49,11 @@
 
     /// Tries once, on top of what is in force now.
     pub(super) async fn round(&mut self) -> Result<Round> {
-        let at = head::read(self.store).await?;
+        let at = match self.base {
+            Some(_) => head::read(self.store).await?,
+            // An old answer would make the change seem to be based on an old revision.
+            None => head::read_present(self.store).await?,
+        };
         self.discard_garbage(&at.head.manifest).await;
         let first = *self.first.get_or_insert(at.head.trail.first_recent());
         if let Some(entry) = audit::find(self.store, &at.head, &self.req.change, first).await? {
@@ -97,6 +101,9 @@
     /// An operator who edited an older text would undo another's change without knowing of it.
     async fn refuse_overwrite(&self, at: &Versioned, base: Revision, winner: &str) -> Result<()> {
         let file = &self.req.file;
+        if at.head.manifest.files.get(file).is_some_and(|named| named.revision <= base) {
+            return Ok(());
+        }
         let entry = audit::last_change(self.store, &at.head, file, base).await?;
         let Some(entry) = entry else { return Ok(()) };
         let differences = Diff::new(winner, self.new_text());
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -9,6 +9,7 @@
 
 use crate::api::VmDetail;
 use crate::clock::Clock;
+use crate::config::follow::Known;
 use crate::control::Told;
 use crate::core::Event;
 use crate::core::event::Answer;
@@ -19,7 +20,7 @@
 use crate::membership::{Membership, MembershipSettings};
 use crate::peer::{Member, MemberState, PeerMsg};
 use crate::ring::{RING_CAPACITY, Ring};
-use crate::storage::{Know, OfferSnapshot, Storage};
+use crate::storage::{HearRevision, KnowMembers, Storage};
 use crate::task::{TaskSpec, TaskState};
 use actix::prelude::*;
 use indexmap::IndexMap;
@@ -45,6 +46,9 @@
     /// Hands messages to the core.
     async fn deliver(from: Member, msgs: Vec<PeerMsg>) -> Member;
 
+    /// Tells of a revision, and learns what is known there.
+    async fn known(revision: Revision) -> Known;
+
     /// The configuration in force, if newer than `than`; a snapshot as JSON.
     async fn snapshot(than: Revision) -> Option<Vec<u8>>;
 
@@ -124,7 +128,6 @@
     front: watch::Sender<FrontView>,
     clock: Arc<dyn Clock>,
     told: Vec<Member>,
-    fetching: bool,
     settling: Settling,
 }
 
@@ -146,7 +149,6 @@
             front,
             clock,
             told: Vec::new(),
-            fetching: false,
             settling: Settling::Unlisted,
         }
     }
@@ -166,14 +168,12 @@
     fn probe(&mut self, addr: &str, cx: &mut Context<Self>) {
         let me = self.membership.me().clone();
         let link = self.link(addr).clone();
-        cx.spawn(async move { link.exchange(me).await }.into_actor(self).map(
-            |answer, this, cx| {
-                if let Ok(member) = answer {
-                    this.heard(&member, cx);
-                }
-                this.asked();
-            },
-        ));
+        cx.spawn(async move { link.exchange(me).await }.into_actor(self).map(|answer, this, _| {
+            if let Ok(member) = answer {
+                this.heard(&member);
+            }
+            this.asked();
+        }));
     }
 
     /// Counts an answered or failed probe of the first list.
@@ -209,28 +209,15 @@
         ));
     }
 
-    fn heard(&mut self, member: &Member, cx: &mut Context<Self>) {
+    fn heard(&mut self, member: &Member) {
         self.membership.heard(self.clock.now(), member);
         self.tell_members();
-        if member.revision > self.membership.me().revision && !self.fetching {
-            self.fetch_snapshot(&member.peer_addr, cx);
+        if member.revision > self.membership.me().revision {
+            let from = Some(member.peer_addr.clone());
+            self.storage.do_send(HearRevision { revision: member.revision, from });
         }
     }
 
-    fn fetch_snapshot(&mut self, addr: &str, cx: &mut Context<Self>) {
-        self.fetching = true;
-        let than = self.membership.me().revision;
-        let link = self.link(addr).clone();
-        cx.spawn(async move { link.snapshot(than).await }.into_actor(self).map(
-            |answer, this, _| {
-                this.fetching = false;
-                if let Ok(Some(json)) = answer {
-                    this.storage.do_send(OfferSnapshot { json });
-                }
-            },
-        ));
-    }
-
     fn tell_members(&mut self) {
         if self.settling != Settling::Settled {
             return;
@@ -241,9 +228,7 @@
         }
         self.told.clone_from(&members);
         self.front.send_modify(|view| view.set_members(&members));
-        let domain = &self.membership.me().domain;
-        let near = members.iter().filter(|m| m.domain == *domain).map(|m| m.id.clone()).collect();
-        self.storage.do_send(Know::Watchers(near));
+        self.storage.do_send(KnowMembers(members.clone()));
         // A full ring gets the members again with the next change or round.
         if self.control.push(Told(Event::Members(members))).is_err() {
             self.told.clear();
@@ -346,7 +331,7 @@
         cx.spawn(async move { link.deliver(me).await }.into_actor(self).map(
             move |answer, this, cx| {
                 if let Ok(member) = answer {
-                    this.heard(&member, cx);
+                    this.heard(&member);
                 }
                 if again.finish_batch() {
                     this.flush(again, cx);
@@ -367,8 +352,8 @@
 impl Handler<Incoming> for Peers {
     type Result = MessageResult<Incoming>;
 
-    fn handle(&mut self, msg: Incoming, cx: &mut Self::Context) -> Self::Result {
-        self.heard(&msg.from, cx);
+    fn handle(&mut self, msg: Incoming, _: &mut Self::Context) -> Self::Result {
+        self.heard(&msg.from);
         for peer_msg in msg.msgs {
             let event = Event::Peer { from: msg.from.id.clone(), msg: peer_msg };
             // A full ring loses the message; its sender's core repeats it.
@@ -400,3 +385,37 @@
         Box::pin(async move { link.forward(msg.call).await })
     }
 }
+
+/// Tells a daemon of a revision and asks what it knows.
+#[derive(Message)]
+#[rtype(result = "Option<Known>")]
+pub struct AskKnown {
+    pub addr: String,
+    pub known: Revision,
+}
+
+impl Handler<AskKnown> for Peers {
+    type Result = ResponseFuture<Option<Known>>;
+
+    fn handle(&mut self, msg: AskKnown, _: &mut Self::Context) -> Self::Result {
+        let link = self.link(&msg.addr).clone();
+        Box::pin(async move { link.known(msg.known).await.ok() })
+    }
+}
+
+/// Asks a daemon for its configuration if newer than `since`; as JSON.
+#[derive(Message)]
+#[rtype(result = "Option<Vec<u8>>")]
+pub struct AskSnapshot {
+    pub addr: String,
+    pub since: Revision,
+}
+
+impl Handler<AskSnapshot> for Peers {
+    type Result = ResponseFuture<Option<Vec<u8>>>;
+
+    fn handle(&mut self, msg: AskSnapshot, _: &mut Self::Context) -> Self::Result {
+        let link = self.link(&msg.addr).clone();
+        Box::pin(async move { link.snapshot(msg.since).await.ok().flatten() })
+    }
+}
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -1,6 +1,7 @@
 //! The connection to one daemon, made again when it breaks.
 
 use super::{Call, MAX_FRAME_BYTES, PeerRpcClient, Reply};
+use crate::config::follow::Known;
 use crate::ids::Revision;
 use crate::peer::{Member, PeerMsg};
 use std::cell::RefCell;
@@ -93,6 +94,11 @@
         self.call(CALL_TIMEOUT, |client, cx| async move { client.exchange(cx, me).await }).await
     }
 
+    /// Tells of a revision, and learns what is known there.
+    pub async fn known(&self, revision: Revision) -> Result<Known> {
+        self.call(CALL_TIMEOUT, |client, cx| async move { client.known(cx, revision).await }).await
+    }
+
     /// The daemon's configuration if newer than `than`.
     pub async fn snapshot(&self, than: Revision) -> Result<Option<Vec<u8>>> {
         self.call(CALL_TIMEOUT, |client, cx| async move { client.snapshot(cx, than).await }).await
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -1,10 +1,11 @@
 //! The peer port: answers the other daemons' calls.
 
 use super::{Call, Incoming, MAX_FRAME_BYTES, PeerRpc, Peers, Reply};
+use crate::config::follow::Known;
 use crate::control::{Ask, Control};
 use crate::ids::Revision;
 use crate::peer::{Member, PeerMsg};
-use crate::storage::{GetSnapshot, Storage};
+use crate::storage::{GetSnapshot, HearRevision, Storage};
 use actix::Addr;
 use futures::StreamExt;
 use std::io;
@@ -58,6 +59,11 @@
         self.deliver_to_core(from, msgs).await
     }
 
+    async fn known(self, _: Context, revision: Revision) -> Known {
+        let hear = HearRevision { revision, from: None };
+        self.storage.send(hear).await.map(|told| told.0).unwrap_or_default()
+    }
+
     async fn snapshot(self, _: Context, than: Revision) -> Option<Vec<u8>> {
         self.storage.send(GetSnapshot { than }).await.ok().flatten()
     }
