Give endpoints' slots by the holder of the VM's control lease

Cause: an even split by each daemon's own view of the members sums above an endpoint's slots while two daemons know of different ones, as when a third joins. Change: daemons ask the holder of the control lease of the endpoint's VM, twice a second in one call for each holder; the platform's list names the VM that an endpoint runs on. A grant that is the first since the VM's boot gives at once; later holders wait out what the holder before may have given.

--- a/src/control.rs
+++ b/src/control.rs
@@ -3,12 +3,13 @@
 //! It never waits. An action that finds its ring full waits here, in order, and is counted.
 
 pub mod journal;
+mod slots;
 
 use crate::api::{VmDetail, VmSummary};
 use crate::clock::Clock;
 use crate::core::event::Answer;
 use crate::core::{Action, Core, Event};
-use crate::ids::{DaemonId, Ticket};
+use crate::ids::{DaemonId, ServiceName, Ticket, VmId};
 use crate::peers::{Call, Outgoing, Reply, Shown};
 use crate::ring::{RING_CAPACITY, Ring};
 use crate::storage::Write;
@@ -17,6 +18,7 @@
 use futures::FutureExt;
 use indexmap::IndexMap;
 use journal::Journal;
+use slots::Slots;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +45,7 @@
     last_ticket: Ticket,
     journal: Journal,
     refusals: IndexMap<String, u64>,
+    slots: Slots,
 }
 
 impl Control {
@@ -58,6 +61,7 @@
             last_ticket: Ticket(0),
             journal: Journal::new(),
             refusals: IndexMap::new(),
+            slots: Slots::new(),
         }
     }
 
@@ -87,6 +91,7 @@
             self.early.push_back(event);
             return;
         }
+        self.note_slots(&event);
         let now = self.clock.now();
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
@@ -98,6 +103,17 @@
         }
     }
 
+    /// What the events say of the endpoints that this daemon shares out.
+    fn note_slots(&mut self, event: &Event) {
+        match event {
+            Event::Configured(config) => self.slots.configure(config.clone()),
+            Event::Acquired { vm, result: Ok(granted), .. } => {
+                self.slots.granted(vm, granted.token, granted.earlier);
+            }
+            _ => {}
+        }
+    }
+
     /// Carries an action out; one that is a message to this daemon itself comes back as an event.
     fn perform(&mut self, action: Action) -> Option<Event> {
         match action {
@@ -215,6 +231,19 @@
     }
 }
 
+/// Which service each VM has an endpoint of.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct KnowEndpoints(pub IndexMap<VmId, ServiceName>);
+
+impl Handler<KnowEndpoints> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: KnowEndpoints, _: &mut Self::Context) {
+        self.slots.listed(msg.0);
+    }
+}
+
 /// A call about tasks or decisions, answered here if this daemon can.
 #[derive(Message)]
 #[rtype(result = "Reply")]
@@ -250,6 +279,10 @@
                 Reply::Tasks(self.core.tasks().filter_map(|task| self.show(task.id)).collect())
             }
             Call::Vms => Reply::Vms(self.core.vms().iter().map(|vm| self.detail(vm)).collect()),
+            Call::Slots { asks } => {
+                let (held, now) = (self.core.vms(), self.clock.now());
+                Reply::Slots(self.slots.ask(&held, &asks, now))
+            }
             Call::Explain { subject } => {
                 let kept = self.journal.of(&subject);
                 Reply::Records { records: kept.records, forgotten: kept.forgotten }
--- a/src/core/query.rs
+++ b/src/core/query.rs
@@ -4,7 +4,7 @@
 use crate::core::context::Counters;
 use crate::core::holder::VmSummary;
 use crate::core::life::task::{Step, Task};
-use crate::ids::{ClassName, DaemonId, PartitionId, TaskId};
+use crate::ids::{ClassName, DaemonId, DomainId, PartitionId, TaskId, VmId};
 use crate::task::TaskState;
 use indexmap::IndexMap;
 
@@ -68,6 +68,11 @@
         self.cx.members.writer_of(partition).cloned()
     }
 
+    /// The daemon that is proposed to hold a VM of a failure domain.
+    pub fn holder_of(&self, vm: &VmId, domain: &DomainId) -> Option<DaemonId> {
+        self.cx.members.holder_of(vm, domain).cloned()
+    }
+
     /// The VMs that this daemon holds.
     pub fn vms(&self) -> Vec<VmSummary> {
         self.holder.summaries(self.cx.now)
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -180,7 +180,7 @@
             list_period: self.settings.timing.list_interval,
             call_timeout: self.settings.timing.worker_timeout,
         };
-        let (me, control) = (self.me.clone(), Storage::answers(control.clone()));
+        let (me, control) = (self.me.clone(), control.clone());
         let (peers, view, clock) = (peers.clone(), view.clone(), self.clock.clone());
         Workers::start_in_arbiter(&arbiter.handle(), move |_| {
             Workers::new(me, calls, control, peers, view, clock)
--- a/src/front.rs
+++ b/src/front.rs
@@ -6,6 +6,7 @@
 mod config;
 mod explain;
 mod forward;
+mod shares;
 mod status;
 mod tasks;
 pub mod view;
@@ -15,7 +16,7 @@
 use crate::control::Control;
 use crate::ids::{DaemonId, DomainId, PartitionId};
 use crate::peers::Peers;
-use crate::request::{Dispatcher, DispatcherSettings};
+use crate::request::{Dispatcher, DispatcherSettings, Shares};
 use crate::storage::Storage;
 use actix::Addr;
 use actix_web::dev::ServerHandle;
@@ -72,7 +73,9 @@
     let addr = listener.local_addr()?;
     let server = HttpServer::new(move || {
         let dispatcher = Dispatcher::new(settings.clone(), links.clock.clone());
+        let dispatcher = dispatcher.with_shares(Shares::Granted);
         follow_view(&links, &dispatcher);
+        shares::follow(&links, &dispatcher);
         let state = State { links: links.clone(), dispatcher: dispatcher.clone() };
         App::new()
             .app_data(web::Data::new(state))
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -59,6 +59,7 @@
         | Reply::Task(_)
         | Reply::Tasks(_)
         | Reply::Vms(_)
+        | Reply::Slots(_)
         | Reply::Records { .. } => {
             ApiError::new(ErrorKind::Unknown, "the answer is of another kind", "report this")
                 .with_outcome(CallOutcome::Unknown)
--- /dev/null
+++ b/src/front/shares.rs
@@ -0,0 +1,58 @@
+//! Asking the holders of the endpoints' VMs for slots.
+
+use super::Links;
+use super::forward::ask_daemon;
+use crate::clock::Clock;
+use crate::control::{Ask, Control, Inspect};
+use crate::ids::{DaemonId, VmId};
+use crate::peers::{Call, Reply};
+use crate::request::Dispatcher;
+use crate::request::share::ShareAsk;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Asks for slots, twice a second, until the front ends.
+pub fn follow(links: &Links, dispatcher: &Dispatcher) {
+    let (links, dispatcher) = (links.clone(), dispatcher.clone());
+    actix::spawn(async move {
+        loop {
+            ask_all(&links, &dispatcher).await;
+            tokio::time::sleep(PERIOD).await;
+        }
+    });
+}
+
+async fn ask_all(links: &Links, dispatcher: &Dispatcher) {
+    let asks = dispatcher.share_asks();
+    let vms: Vec<VmId> = asks.iter().map(|ask| ask.vm.clone()).collect();
+    let domain = links.domain.clone();
+    let holders = links.control.send(Inspect(move |control: &Control| {
+        let core = control.core();
+        vms.iter().map(|vm| core.holder_of(vm, &domain)).collect::<Vec<_>>()
+    }));
+    let Ok(holders) = holders.await else { return };
+    let mut batches: IndexMap<DaemonId, Vec<ShareAsk>> = IndexMap::new();
+    for (ask, holder) in asks.into_iter().zip(holders) {
+        if let Some(holder) = holder {
+            batches.entry(holder).or_default().push(ask);
+        }
+    }
+    let sent = links.clock.now();
+    let batches = batches.into_iter().map(|(holder, asks)| ask_holder(links, holder, asks));
+    for reply in futures::future::join_all(batches).await {
+        if let Reply::Slots(grants) = reply {
+            grants.iter().for_each(|grant| dispatcher.share_granted(grant, sent));
+        }
+    }
+}
+
+async fn ask_holder(links: &Links, holder: DaemonId, asks: Vec<ShareAsk>) -> Reply {
+    let call = Call::Slots { asks };
+    if holder != links.me {
+        return ask_daemon(links, holder, call).await;
+    }
+    let own = links.control.send(Ask(call)).await;
+    own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
+}
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -40,7 +40,7 @@
     pub state: EntryState,
 }
 
-/// A runner VM, an endpoint of a service.
+/// An endpoint of a service, on the worker VM that its instance runs on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     pub vm: VmId,
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,6 +19,7 @@
 use crate::listing::DaemonEntry;
 use crate::membership::{Membership, MembershipSettings};
 use crate::peer::{Member, MemberState, PeerMsg};
+use crate::request::share::{ShareAsk, ShareGrant};
 use crate::ring::{RING_CAPACITY, Ring};
 use crate::storage::{HearRevision, KnowMembers, Storage};
 use crate::task::{TaskSpec, TaskState};
@@ -77,6 +78,10 @@
     },
     /// The VMs held by the daemon asked.
     Vms,
+    /// Slots of endpoints on VMs held by the daemon asked.
+    Slots {
+        asks: Vec<ShareAsk>,
+    },
 }
 
 /// The answer to a [`Call`].
@@ -86,6 +91,7 @@
     Task(Box<Shown>),
     Tasks(Vec<Shown>),
     Vms(Vec<VmDetail>),
+    Slots(Vec<ShareGrant>),
     Records {
         records: Vec<DecisionRecord>,
         forgotten: bool,
--- a/src/request/share.rs
+++ b/src/request/share.rs
@@ -12,7 +12,7 @@
 mod keeper;
 mod taker;
 
-pub use givers::Givers;
+pub use givers::{Before, Givers};
 pub use keeper::{Keeper, KeeperSettings};
 pub use taker::Taker;
 
--- a/src/request/share/givers.rs
+++ b/src/request/share/givers.rs
@@ -5,6 +5,15 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
+/// What is known of the grants of a giver before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Before {
+    /// There was none since the endpoint's VM booted.
+    Nothing,
+    /// Grants may still be in force.
+    Unknown,
+}
+
 /// A giver for each VM whose control lease this daemon holds.
 #[derive(Clone, Debug, Default)]
 pub struct Givers {
@@ -32,6 +41,7 @@
         token: Token,
         valid_until: Duration,
         settings: KeeperSettings,
+        before: Before,
         now: Duration,
     ) {
         if let Some(held) = self.held.get_mut(vm)
@@ -40,7 +50,10 @@
             held.valid_until = valid_until;
             return;
         }
-        let keeper = Keeper::new(vm.clone(), token, settings, now);
+        let mut keeper = Keeper::new(vm.clone(), token, settings, now);
+        if before == Before::Nothing {
+            keeper = keeper.with_nothing_before();
+        }
         self.held.insert(vm.clone(), Held { token, valid_until, keeper });
     }
 
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -75,9 +75,18 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Granted {
     pub token: Token,
+    pub earlier: Earlier,
     pub status: VmStatus,
 }
 
+/// Whether the control lease was granted before, since the VM's boot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Earlier {
+    None,
+    Some,
+}
+
 /// Renews the control lease and all task leases, and fetches news, in one call for each VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SyncReq {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -1,7 +1,7 @@
 //! The duty that calls the workers and reads the platform's list.
 
 use crate::clock::Clock;
-use crate::control::Told;
+use crate::control::{Control, KnowEndpoints, Told};
 use crate::core::event::ListedVm;
 use crate::core::{Action, Event};
 use crate::front::view::FrontView;
@@ -9,6 +9,7 @@
 use crate::listing::{self, Listing};
 use crate::peers::{ListedDaemons, Peers};
 use crate::ring::{RING_CAPACITY, Ring};
+use crate::storage::Storage;
 use crate::worker::http::HttpWorker;
 use crate::worker::{AcquireReq, Error, Result, SyncReq, Worker};
 use actix::prelude::*;
@@ -33,6 +34,7 @@
     client: Client,
     workers: IndexMap<VmId, HttpWorker>,
     control: Ring<Told>,
+    core: Addr<Control>,
     peers: Addr<Peers>,
     front: watch::Sender<FrontView>,
     clock: Arc<dyn Clock>,
@@ -43,7 +45,7 @@
     pub fn new(
         me: DaemonId,
         settings: WorkersSettings,
-        control: Ring<Told>,
+        core: Addr<Control>,
         peers: Addr<Peers>,
         front: watch::Sender<FrontView>,
         clock: Arc<dyn Clock>,
@@ -53,7 +55,8 @@
             settings,
             client: Client::default(),
             workers: IndexMap::new(),
-            control,
+            control: Storage::answers(core.clone()),
+            core,
             peers,
             front,
             clock,
@@ -82,6 +85,8 @@
             .collect();
         let vms = listing.workers.iter().map(ListedVm::from).collect();
         self.tell(Event::Listed(vms));
+        let services = listing.endpoints.iter().map(|e| (e.vm.clone(), e.service.clone()));
+        self.core.do_send(KnowEndpoints(services.collect()));
         self.peers.do_send(ListedDaemons(listing.daemons.clone()));
         self.front.send_if_modified(|view| view.listed(listing));
     }
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -190,7 +190,7 @@
 
 fn runner(domain: &DomainId, i: usize, endpoint: &Endpoint) -> EndpointEntry {
     EndpointEntry {
-        vm: VmId::new(&format!("{domain}-runner{i}")),
+        vm: VmId::new(&format!("{domain}-w{i}")),
         service: ServiceName::new("shop"),
         domain: domain.clone(),
         addr: endpoint.addr().to_string(),
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -13,8 +13,9 @@
 use waxwingstall::task::Outcome;
 use waxwingstall::units::Resources;
 use waxwingstall::worker::{
-    AcquireReq, AttemptReq, Closed, EndedAttempt, Error, Granted, Result, StartReq, SyncReq,
-    SyncResp, TaskAttempt, Tenant, TenantKind, TenantUsage, ThrottleReq, UsageReport, VmStatus,
+    AcquireReq, AttemptReq, Closed, Earlier, EndedAttempt, Error, Granted, Result, StartReq,
+    SyncReq, SyncResp, TaskAttempt, Tenant, TenantKind, TenantUsage, ThrottleReq, UsageReport,
+    VmStatus,
 };
 
 const DEFAULT_WORK: Duration = Duration::from_secs(2);
@@ -200,7 +201,8 @@
         self.control =
             Some(Control { holder: req.holder.clone(), token, until: now.saturating_add(req.ttl) });
         self.renew_tasks(now);
-        Ok(Granted { token, status: self.status() })
+        let earlier = if self.grants == 1 { Earlier::None } else { Earlier::Some };
+        Ok(Granted { token, earlier, status: self.status() })
     }
 
     /// Renews all leases and tells the news.
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use waxwingstall::clock::{Clock, SystemClock};
 use waxwingstall::ids::{ClassName, DaemonId, Token};
-use waxwingstall::request::share::{Givers, KeeperSettings};
+use waxwingstall::request::share::{Before, Givers, KeeperSettings};
 use waxwingstall::request::{
     DispatcherSettings, EndpointState, Explained, Limits, Outcome, PeerFront, Reason, Shares,
 };
@@ -433,7 +433,7 @@
     let mut token = 1;
     let round = |givers: &mut Givers, token: u64| {
         let now = SystemClock.now();
-        givers.hold(&"vm-1".into(), Token(token), now + keeping.ttl, keeping, now);
+        givers.hold(&"vm-1".into(), Token(token), now + keeping.ttl, keeping, Before::Unknown, now);
         for front in &fronts {
             let sent = SystemClock.now();
             for ask in front.with(|dispatcher| dispatcher.share_asks()) {
