--- a/src/front.rs
+++ b/src/front.rs
@@ -21,8 +21,10 @@
 use actix::Addr;
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -65,6 +67,17 @@
 struct State {
     links: Links,
     dispatcher: Dispatcher,
+    slots: Rc<Cell<Slots>>,
+}
+
+/// Whether this daemon has slots of endpoints, or need not wait for any.
+///
+/// A daemon that is chosen by the balancer before it has slots answers its callers "not run",
+/// although the daemons beside it could serve them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Slots {
+    Awaited,
+    Asked,
 }
 
 /// Listens on `addr` and serves until stopped; runs on the present actix system.
@@ -75,8 +88,9 @@
         let dispatcher = Dispatcher::new(settings.clone(), links.clock.clone());
         let dispatcher = dispatcher.with_shares(Shares::Granted);
         follow_view(&links, &dispatcher);
-        shares::follow(&links, &dispatcher);
-        let state = State { links: links.clone(), dispatcher: dispatcher.clone() };
+        let slots = Rc::new(Cell::new(Slots::Awaited));
+        shares::follow(&links, &dispatcher, &slots);
+        let state = State { links: links.clone(), dispatcher: dispatcher.clone(), slots };
         App::new()
             .app_data(web::Data::new(state))
             .app_data(web::JsonConfig::default().limit(MAX_CALL_BYTES).error_handler(refuse_json))
@@ -147,6 +161,9 @@
 
 async fn ready(state: web::Data<State>) -> HttpResponse {
     match state.links.view.borrow().stage {
+        Stage::Serving if state.slots.get() == Slots::Awaited => {
+            HttpResponse::ServiceUnavailable().body("waiting for slots\n")
+        }
         Stage::Serving => HttpResponse::Ok().body("ready\n"),
         Stage::Starting => HttpResponse::ServiceUnavailable().body("starting\n"),
         Stage::Unready | Stage::Draining => HttpResponse::ServiceUnavailable().body("draining\n"),
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -145,6 +145,22 @@
         }
     }
 
+    /// Every worker.
+    pub fn vms(&self) -> Vec<VmId> {
+        let domains = self.settings.domains.iter();
+        let name = |domain: &DomainId, i: usize| VmId::new(&format!("{domain}-w{i}"));
+        domains.flat_map(|d| (0..self.settings.workers).map(move |i| name(d, i))).collect()
+    }
+
+    /// Batch tasks that a worker runs now.
+    pub fn batch_tasks(&self, vm: &VmId) -> usize {
+        let count = |status: VmStatus| {
+            status.tasks.iter().filter(|tenant| tenant.kind == TenantKind::Batch).count()
+        };
+        let racks = self.racks.iter();
+        racks.filter_map(|rack| rack.with_table(vm, |table| count(table.status()))).sum()
+    }
+
     /// Lets time pass for workers that nobody calls.
     pub fn advance(&self) {
         self.racks.iter().for_each(Rack::advance);
