Ask for the head's version before reading it again after a silent watch

Cause: each silent watch was followed by a read of the whole head, 9.4 KB, which was most of what a watcher received.

Change: the refused write that shows the present version comes first; it costs no bytes where nothing changed, and a lagging replica can't answer it.

--- a/benches/configuration.rs
+++ b/benches/configuration.rs
@@ -186,7 +186,7 @@
 
 async fn look(store: &HttpStore, watching: bool, version: u64) -> Option<Versioned> {
     if watching {
-        next_head(store, version, WATCH_WAIT).await.ok()
+        next_head(store, version, WATCH_WAIT).await.ok().flatten()
     } else {
         std::future::pending().await
     }
--- a/src/config/follow/fetch.rs
+++ b/src/config/follow/fetch.rs
@@ -104,19 +104,19 @@
     join_all(peers.iter().map(|peer| peer.exchange(revision))).await
 }
 
-/// Waits for a change of the head after `version`, then reads the head all the same: a watch may
+/// Waits for a change of the head after `version`, then asks for one all the same: a watch may
 /// have missed the change.
 pub async fn next_head(
     store: &impl Store,
     version: u64,
     wait: Duration,
-) -> head::Result<Versioned> {
+) -> head::Result<Option<Versioned>> {
     if let Some(entry) = store.watch(HEAD_KEY, version, wait).await?
         && entry.version > version
     {
-        return Versioned::decode(&entry);
+        return Versioned::decode(&entry).map(Some);
     }
-    head::read(store).await
+    head::read_newer(store, version).await
 }
 
 /// Asks all peers and the store, and takes up the newest revision that is known of.
--- a/src/config/head.rs
+++ b/src/config/head.rs
@@ -162,25 +162,39 @@
     }
 }
 
-/// Reads the head as of now.
+/// Version of the head as of now; zero where there is none.
 ///
 /// A replica of the store that lags answers reads from the past. A write can't be answered so:
 /// one that asks for a version that no value has is refused, without effect, with the version at
-/// present, which shows whether the head that was read is the present one.
+/// present. It also costs no bytes where nothing changed.
+pub async fn present_version(store: &impl Store) -> Result<u64> {
+    match store.put(HEAD_KEY, Bytes::new(), NO_VERSION).await {
+        Err(store::Error::Conflict { current, .. }) => Ok(current),
+        Err(e) => Err(e.into()),
+        Ok(_) => Err(unreadable(HEAD_KEY, &"the service wrote what it had to refuse")),
+    }
+}
+
+/// Reads the head as of now.
 pub async fn read_present(store: &impl Store) -> Result<Versioned> {
     for _ in 0..MAX_READS {
         let at = read(store).await?;
-        match store.put(HEAD_KEY, Bytes::new(), NO_VERSION).await {
-            Err(store::Error::Conflict { current, .. }) if current <= at.version => return Ok(at),
-            Err(store::Error::Conflict { .. }) => {}
-            Err(e) => return Err(e.into()),
-            Ok(_) => break,
+        if present_version(store).await? <= at.version {
+            return Ok(at);
         }
     }
     let reason = "the service answers from the past".to_owned();
     Err(store::Error::Unavailable { reason }.into())
 }
 
+/// Reads the head if its version is above `version`.
+pub async fn read_newer(store: &impl Store, version: u64) -> Result<Option<Versioned>> {
+    if present_version(store).await? <= version {
+        return Ok(None);
+    }
+    Ok(Some(read(store).await?).filter(|at| at.version > version))
+}
+
 /// Reads a text and compares its digest.
 pub async fn read_text(store: &impl Store, file: &FileRef) -> Result<Arc<str>> {
     let key = file.text_key();
--- a/src/storage/follow.rs
+++ b/src/storage/follow.rs
@@ -79,7 +79,7 @@
 
 /// What ended a wait.
 enum Woken {
-    Head(head::Result<Versioned>),
+    Head(head::Result<Option<Versioned>>),
     News(Option<News>),
 }
 
@@ -116,7 +116,8 @@
         self.in_force(&follower);
         loop {
             match self.wait(version).await {
-                Woken::Head(Ok(at)) => {
+                Woken::Head(Ok(None)) => {}
+                Woken::Head(Ok(Some(at))) => {
                     version = at.version;
                     self.take_up(&mut follower, &at).await;
                 }
@@ -159,7 +160,7 @@
                 return next_head(&store, version, WATCH_WAIT).await;
             }
             tokio::time::sleep(jittered(READ_PERIOD)).await;
-            head::read(&store).await
+            head::read_newer(&store, version).await
         };
         tokio::select! {
             at = head => Woken::Head(at),
--- a/tests/config_never_back.rs
+++ b/tests/config_never_back.rs
@@ -177,7 +177,7 @@
             },
             Run::Following { mut follower, version } => {
                 let mut seen = version;
-                if let Ok(at) = now(next_head(store, version, Duration::ZERO)) {
+                if let Ok(Some(at)) = now(next_head(store, version, Duration::ZERO)) {
                     seen = at.version;
                     now(take_up(&mut follower, store, &at, &peers)).ok();
                 }
