Halve the audit entries that the head carries

Cause: most of the head, which each watcher receives at each change, was audit entries.

Change: pages of 8 entries instead of 16, twice as many pages kept.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -16,13 +16,13 @@
 pub type Result<T> = std::result::Result<T, head::Error>;
 
 /// Entries on a page.
-pub const PAGE_ENTRIES: u64 = 16;
+pub const PAGE_ENTRIES: u64 = 8;
 
 /// Entries that a search looks at together.
 const SEARCHED_ENTRIES: usize = 16;
 
 /// Pages that are kept.
-pub const MAX_PAGES: u64 = 4096;
+pub const MAX_PAGES: u64 = 8192;
 
 /// Longest summary of a change, in bytes.
 pub const MAX_SUMMARY: usize = 240;
--- a/tests/config_audit.rs
+++ b/tests/config_audit.rs
@@ -157,7 +157,7 @@
 fn a_base_older_than_the_trail_is_refused() {
     let store = store_with_changes();
     let at = now(head::read(&store)).expect("a head");
-    let head = Head { trail: Trail { first_page: 5, ..at.head.trail }, ..at.head };
+    let head = Head { trail: Trail { first_page: 10, ..at.head.trail }, ..at.head };
     let value = head.encode().expect("a head");
     now(store.put(head::HEAD_KEY, value, Expect::Version(at.version))).expect("written");
     let text = "[[pool]]\nname = \"press\"\n".to_owned();
