--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -14,6 +14,8 @@
     Call(Call),
     /// A daemon's clock ticks.
     Tick { to: DaemonId },
+    /// A paused daemon has been silent for long.
+    Suspect { daemon: DaemonId },
     /// A daemon that was paused goes on, with the actions it had in hand.
     Resume { daemon: DaemonId, in_hand: Vec<Action> },
 }
