Look classes up once for each VM in a choice

Cause: a choice cost 132 us at 50 VMs, most of it in looking up names. Change: class names are resolved once for each VM; what depends on the task alone is computed once.

--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -33,7 +33,7 @@
 use fit::Sizes;
 use hold::Holds;
 use index::Fleet;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use interference::Interference;
 use ladder::Ladder;
 use quarantine::Blame;
@@ -41,7 +41,6 @@
 use relieve::Asked;
 use reports::Reports;
 use room::Plans;
-use score::is_service;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -58,6 +57,8 @@
 #[derive(Debug)]
 pub struct Policy {
     config: Arc<Config>,
+    /// Classes whose tasks are instances of a service.
+    services: IndexSet<ClassName>,
     fleet: Fleet,
     sizes: Sizes,
     quotas: Quotas,
@@ -186,6 +187,7 @@
         let mut quotas = Quotas::default();
         quotas.configure(&config);
         Self {
+            services: score::services(&config),
             config,
             fleet: Fleet::default(),
             sizes: Sizes::default(),
@@ -220,6 +222,7 @@
     /// Puts a configuration in force.
     pub fn configure(&mut self, config: Arc<Config>) {
         self.config = config;
+        self.services = score::services(&self.config);
         self.quotas.configure(&self.config);
         self.quotas.reset_usage();
         for vm in self.fleet.iter() {
@@ -288,7 +291,7 @@
         }
         let trigger = self.trigger_on(vm);
         if let (Some(reports), Some(ladder)) = (self.reports.get(vm), self.ladders.get_mut(vm)) {
-            let services = reports.services(|class| is_service(&self.config, class));
+            let services = reports.services(|class| self.services.contains(class));
             ladder.measured(services, trigger, measured_at);
         }
     }
--- a/src/core/policy/interference.rs
+++ b/src/core/policy/interference.rs
@@ -89,6 +89,10 @@
     Off,
 }
 
+/// A class as the model knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known(Option<u32>);
+
 /// Tasks of one class beside each other.
 #[derive(Clone, Copy, Debug)]
 pub struct Neighbours<'a> {
@@ -129,11 +133,19 @@
         pair.cells[band.0].value = rest;
     }
 
+    /// Looks a class up, once for many effects.
+    pub fn known(&self, class: &ClassName) -> Known {
+        Known(self.classes.get_index_of(class).and_then(index))
+    }
+
     /// Excess slowdown that one task of `aggressor` causes to one of `victim`.
     pub fn effect(&self, victim: &ClassName, aggressor: &ClassName, band: Band) -> f64 {
-        let v = self.classes.get_index_of(victim);
-        let a = self.classes.get_index_of(aggressor);
-        let raw = match (v.and_then(index), a.and_then(index)) {
+        self.effect_of(self.known(victim), self.known(aggressor), band)
+    }
+
+    /// The same of classes that were looked up.
+    pub fn effect_of(&self, victim: Known, aggressor: Known, band: Band) -> f64 {
+        let raw = match (victim.0, aggressor.0) {
             (Some(v), Some(a)) => self.raw(v, a, band),
             (Some(v), None) => self.general.value + self.victim_term(v),
             (None, Some(a)) => self.general.value + self.aggressor_term(a),
@@ -149,8 +161,7 @@
 
     /// Times that a pair was measured, in any band.
     pub fn seen(&self, victim: &ClassName, aggressor: &ClassName) -> f64 {
-        let v = self.classes.get_index_of(victim).and_then(index);
-        let a = self.classes.get_index_of(aggressor).and_then(index);
+        let (v, a) = (self.known(victim).0, self.known(aggressor).0);
         let pair = v.zip(a).and_then(|key| self.pairs.get(&key));
         pair.map_or(0.0, |pair| pair.all.seen)
     }
--- a/src/core/policy/place.rs
+++ b/src/core/policy/place.rs
@@ -123,15 +123,12 @@
     }
 
     fn scorer<'a>(&'a self, candidate: &'a Candidate) -> Scorer<'a> {
-        Scorer {
-            config: &self.config,
-            fleet: &self.fleet,
-            model: &self.model,
-            spec: &candidate.spec,
-            use_ratio: self.use_ratio,
-            trigger: self.trigger(),
-            seed: seed(candidate),
-        }
+        let mut scorer = Scorer::new(&self.fleet, &self.services, &self.model, &candidate.spec)
+            .with_classes(&self.config);
+        scorer.use_ratio = self.use_ratio;
+        scorer.trigger = self.trigger();
+        scorer.seed = seed(candidate);
+        scorer
     }
 
     /// The offer of the VM that is held for the task, which the sample may have left out.
--- a/src/core/policy/relieve.rs
+++ b/src/core/policy/relieve.rs
@@ -6,7 +6,7 @@
 use super::interference::{Band, Neighbours};
 use super::ladder::{self, Culprit, Ladder, Rung, dwell, to_parts};
 use super::room::{self, Plan, Progress};
-use super::score::{is_service, without_self};
+use super::score::without_self;
 use super::{Candidate, Decided, Policy, Relief, Resident, eviction, health};
 use crate::ids::{ClassName, VmId};
 use crate::model::Urgency;
@@ -93,7 +93,7 @@
         let services: Vec<_> = reports
             .classes
             .iter()
-            .filter(|(class, _)| is_service(&self.config, class))
+            .filter(|(class, _)| self.services.contains(*class))
             .map(|(class, used)| Neighbours { class, weight: used.weight })
             .collect();
         let excess = |(index, service): (usize, &Neighbours<'_>)| {
@@ -137,7 +137,7 @@
     /// Slowdown that one task of the class causes to the service there that it slows most.
     fn harm(&self, vm: &VmId, class: &ClassName, band: Band) -> f64 {
         let Some(reports) = self.reports.get(vm) else { return 0.0 };
-        let services = reports.classes.keys().filter(|name| is_service(&self.config, name));
+        let services = reports.classes.keys().filter(|name| self.services.contains(*name));
         services.map(|service| self.model.effect(service, class, band)).fold(0.0, f64::max)
     }
 
--- a/src/core/policy/score.rs
+++ b/src/core/policy/score.rs
@@ -2,10 +2,12 @@
 
 use super::decide::{Offer, PARTS};
 use super::index::{Fleet, Vm};
-use super::interference::{Band, Interference, Neighbours};
+use super::interference::{self as model, Band, Interference, Neighbours};
 use crate::ids::ClassName;
 use crate::model::{Config, Resumption};
+use crate::peer::ClassCount;
 use crate::task::TaskSpec;
+use indexmap::IndexSet;
 
 /// Cost of room left over, at most; small, so that it only decides between like VMs.
 const LEFT_OVER: f64 = 0.04;
@@ -49,8 +51,8 @@
 /// Scores VMs for one task.
 #[derive(Clone, Copy, Debug)]
 pub struct Scorer<'a> {
-    pub config: &'a Config,
     pub fleet: &'a Fleet,
+    pub services: &'a IndexSet<ClassName>,
     pub model: &'a Interference,
     pub spec: &'a TaskSpec,
     /// Processors in use for each committed one, fleet-wide.
@@ -59,9 +61,39 @@
     pub trigger: f64,
     /// Differs from task to task.
     pub seed: u64,
+    class: model::Known,
+    /// Cost of taking a VM without services.
+    spared: f64,
 }
 
-impl Scorer<'_> {
+impl<'a> Scorer<'a> {
+    /// A scorer for one task, by what was learned so far.
+    pub fn new(
+        fleet: &'a Fleet,
+        services: &'a IndexSet<ClassName>,
+        model: &'a Interference,
+        spec: &'a TaskSpec,
+    ) -> Self {
+        let class = model.known(&spec.class);
+        let (use_ratio, trigger, seed, spared) = (1.0, 1.0, 0, 0.0);
+        Self { fleet, services, model, spec, use_ratio, trigger, seed, class, spared }
+    }
+
+    /// Compares the task with what the mean class does to services.
+    pub fn with_classes(mut self, config: &Config) -> Self {
+        let harms = config.batch.keys().map(|class| self.harm(self.model.known(class)));
+        let mean = harms.sum::<f64>() / config.batch.len().max(1) as f64;
+        self.spared = SPARED_VM * (mean - self.harm(self.class)).max(0.0);
+        self
+    }
+
+    /// Slowdown that one task of the class causes to the service that it disturbs most.
+    fn harm(&self, class: model::Known) -> f64 {
+        let band = Band::of(TYPICAL_LOAD);
+        let services = self.services.iter().map(|service| self.model.known(service));
+        services.map(|service| self.model.effect_of(service, class, band)).fold(0.0, f64::max)
+    }
+
     /// The cost of placing the task on a VM that has room for it.
     pub fn offer(&self, vm: &Vm, known: Known) -> Offer {
         let mut cost = Cost::default();
@@ -85,41 +117,55 @@
 
     fn add_slowdowns(&self, vm: &Vm, known: Known, cost: &mut Cost) {
         let (before, after) = self.bands(vm, known);
-        let class = &self.spec.class;
-        let classes = &vm.view.classes;
-        let neighbours: Vec<_> = classes
-            .iter()
-            .map(|entry| Neighbours { class: &entry.class, weight: f64::from(entry.count) })
-            .collect();
-        cost.own = self.model.excess(class, &neighbours, after);
-        for (index, entry) in classes.iter().enumerate() {
-            let count = f64::from(entry.count);
-            let added = self.model.effect(&entry.class, class, after);
-            if !is_service(self.config, &entry.class) {
-                cost.others += count * added;
+        let tenants: Vec<_> = vm.view.classes.iter().map(|entry| self.tenant(entry)).collect();
+        for (index, tenant) in tenants.iter().enumerate() {
+            cost.own += tenant.count * self.model.effect_of(self.class, tenant.class, after);
+            let added = self.model.effect_of(tenant.class, self.class, after);
+            if !tenant.service {
+                cost.others += tenant.count * added;
                 continue;
             }
-            let others = without_self(&neighbours, index);
-            let excess_before = self.model.excess(&entry.class, &others, before);
-            let excess_after = self.model.excess(&entry.class, &others, after) + added;
-            let floor = known.suffering.unwrap_or(0.0);
-            let rise = (excess_after - excess_before).max(0.0);
-            let from = excess_before.max(floor);
-            cost.tail += count * (suffering(from + rise) - suffering(from));
-            let by_batch = self.by_batch(&entry.class, &neighbours, before);
-            let caused = by_batch.max(floor * by_batch / excess_before.max(f64::MIN_POSITIVE));
+            let old = self.suffered(index, &tenants, before);
+            let new = match before == after {
+                true => old,
+                false => self.suffered(index, &tenants, after),
+            };
+            let measured = known.suffering.unwrap_or(0.0);
+            let rise = (new.all() + added - old.all()).max(0.0);
+            let from = old.all().max(measured);
+            cost.tail += tenant.count * (suffering(from + rise) - suffering(from));
+            cost.risk = cost.risk.max(self.eviction_chance(from + rise));
+            let caused =
+                old.by_batch.max(measured * old.by_batch / old.all().max(f64::MIN_POSITIVE));
             cost.before = cost.before.max(caused);
             cost.after = cost.after.max(caused + rise);
-            cost.services = cost.services.max(excess_before - by_batch);
-            cost.risk = cost.risk.max(self.eviction_chance(from + rise));
+            cost.services = cost.services.max(old.by_services);
+        }
+    }
+
+    fn tenant(&self, entry: &ClassCount) -> Tenant {
+        Tenant {
+            class: self.model.known(&entry.class),
+            count: f64::from(entry.count),
+            service: self.services.contains(&entry.class),
         }
     }
 
-    /// Excess slowdown of a service by batch tasks alone. What services do to each other is no
-    /// reason to keep batch waiting: without this a VM whose services are many would never take any.
-    fn by_batch(&self, service: &ClassName, neighbours: &[Neighbours<'_>], band: Band) -> f64 {
-        let batch = neighbours.iter().filter(|n| !is_service(self.config, n.class));
-        batch.map(|n| n.weight * self.model.effect(service, n.class, band)).sum()
+    /// Predicted excess slowdown of one instance of the service at `index`. What services do to each other is
+    /// kept apart: it is no reason to keep batch waiting, and a VM whose services are many would
+    /// never take any.
+    fn suffered(&self, index: usize, tenants: &[Tenant], band: Band) -> Suffered {
+        let mut suffered = Suffered::default();
+        for (other, tenant) in tenants.iter().enumerate() {
+            let itself = if other == index { 1.0 } else { 0.0 };
+            let beside = (tenant.count - itself).max(0.0);
+            let excess = beside * self.model.effect_of(tenants[index].class, tenant.class, band);
+            match tenant.service {
+                true => suffered.by_services += excess,
+                false => suffered.by_batch += excess,
+            }
+        }
+        suffered
     }
 
     fn bands(&self, vm: &Vm, known: Known) -> (Band, Band) {
@@ -155,25 +201,13 @@
 
     /// VMs without services are best kept for the classes that disturb services most.
     fn spared(&self, vm: &Vm) -> f64 {
-        if vm.view.classes.iter().any(|entry| is_service(self.config, &entry.class)) {
-            return 0.0;
-        }
-        let harm = |class: &ClassName| self.harm_anywhere(class);
-        let classes = self.config.batch.keys().map(harm);
-        let mean = classes.sum::<f64>() / self.config.batch.len().max(1) as f64;
-        SPARED_VM * (mean - harm(&self.spec.class)).max(0.0)
-    }
-
-    /// Slowdown that one task of the class causes to the service that it disturbs most.
-    fn harm_anywhere(&self, class: &ClassName) -> f64 {
-        let band = Band::of(TYPICAL_LOAD);
-        let services = self.config.services.keys().map(|name| ClassName::new(name.as_str()));
-        services.map(|service| self.model.effect(&service, class, band)).fold(0.0, f64::max)
+        let service = vm.view.classes.iter().any(|entry| self.services.contains(&entry.class));
+        if service { 0.0 } else { self.spared }
     }
 
     fn spread(&self, vm: &Vm) -> f64 {
         let class = &self.spec.class;
-        if !is_service(self.config, class) {
+        if !self.services.contains(class) {
             return 0.0;
         }
         let Some(spread) = self.fleet.spread(class) else { return 0.0 };
@@ -187,6 +221,27 @@
     }
 }
 
+/// The tasks of one class on a VM.
+#[derive(Clone, Copy, Debug)]
+struct Tenant {
+    class: model::Known,
+    count: f64,
+    service: bool,
+}
+
+/// Predicted excess slowdown of a service, by its cause.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suffered {
+    by_batch: f64,
+    by_services: f64,
+}
+
+impl Suffered {
+    fn all(&self) -> f64 {
+        self.by_batch + self.by_services
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
     tail: f64,
@@ -198,13 +253,11 @@
     others: f64,
 }
 
-/// Whether tasks of the class are instances of a service.
-pub fn is_service(config: &Config, class: &ClassName) -> bool {
-    if config.batch.contains_key(class) {
-        return false;
-    }
-    config.services.keys().any(|service| service.as_str() == class.as_str())
-        || config.requests.contains_key(class)
+/// Classes whose tasks are instances of a service.
+pub fn services(config: &Config) -> IndexSet<ClassName> {
+    let names = config.services.keys().map(|name| ClassName::new(name.as_str()));
+    let all = names.chain(config.requests.keys().cloned());
+    all.filter(|class| !config.batch.contains_key(class)).collect()
 }
 
 /// The neighbours of one task of the class at `index`.
