--- a/benches/tasklog.rs
+++ b/benches/tasklog.rs
@@ -277,6 +277,24 @@
     println!();
 }
 
+fn pace() {
+    println!("## How often to commit, at the peak\n");
+    println!("| commits/s | tail in the head | KB/s a writer | writers' puts+deletes/s |");
+    println!("| --- | --- | --- | --- |");
+    for commits in [1, 2, 5, 10] {
+        for tail_bytes in [0, 512, 1 << 10, 2 << 10] {
+            let limits = Limits { tail_bytes, ..Limits::default() };
+            let cost = run(Load { commits, seconds: 600, ..Load::PEAK }, limits);
+            println!(
+                "| {commits} | {tail_bytes} B | {:.2} | {:.0} |",
+                cost.bytes / 1000.0,
+                (cost.puts + cost.deletes) * WRITERS
+            );
+        }
+    }
+    println!();
+}
+
 fn slopes() {
     println!("## Slopes: one writer, 1 commit a second\n");
     println!(
@@ -366,6 +384,7 @@
 fn main() {
     forms_of_records();
     ways_to_commit();
+    pace();
     slopes();
     recovery();
 }
