--- a/src/bin/waxwing/clap_app.rs
+++ b/src/bin/waxwing/clap_app.rs
@@ -88,7 +88,8 @@
     Command::new("apply")
         .about("Puts files in force, each as a whole or not at all")
         .long_about(
-            "Puts files in force, each as a whole or not at all, in the order given; the first \
+            "Puts files in force, each as a whole or not at all. A file that needs another one of \
+             the same run goes after it; otherwise the order is the one given, and the first \
              failure ends the run. A file is known by its name without the folder.",
         )
         .arg(files("Configuration files").required(false))
--- a/src/bin/waxwing/commands.rs
+++ b/src/bin/waxwing/commands.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod local;
+mod order;
 
 use crate::app::{Context, Format};
 use crate::clap_app::build_app;
--- a/src/bin/waxwing/commands/apply.rs
+++ b/src/bin/waxwing/commands/apply.rs
@@ -1,5 +1,6 @@
 //! Putting files in force, and learning how a change ended.
 
+use super::order::order;
 use super::print;
 use crate::app::Context;
 use crate::output::Text;
@@ -13,9 +14,10 @@
 use waxwingstall::ids::Revision;
 
 /// A file on the command line.
-struct Change {
-    name: String,
-    text: Option<String>,
+pub(super) struct Change {
+    pub(super) name: String,
+    /// Its new text; `None` takes it out of force.
+    pub(super) text: Option<String>,
 }
 
 /// Applies the files, or confirms a change.
@@ -29,8 +31,11 @@
     let operator = operator(cx, args)?;
     // All files are read before the first is sent: a name with a typing error must not leave
     // half of a run in force.
-    let changes = changes(args)?;
+    let mut changes = changes(args)?;
     let client = cx.client()?;
+    if changes.len() > 1 {
+        changes = order(changes, &client.config().await?.files);
+    }
     let base = args.get_one::<u64>("base").copied().map(Revision);
     let replies = apply_all(cx, &client, &operator, &changes, base).await?;
     let text = replies.iter().flat_map(Text::text).collect();
--- a/src/bin/waxwing/tests.rs
+++ b/src/bin/waxwing/tests.rs
@@ -155,6 +155,7 @@
 #[actix_web::test]
 async fn files_are_applied_in_order_each_on_top_of_the_last() {
     let daemon = FakeDaemon::start();
+    daemon.will_answer("/v1/config", &NOTHING_IN_FORCE);
     let files = Files::new("in-order");
     let pools = files.write("pools.toml", "[[pool]]");
     let batch = files.write("batch.toml", "[[batch]]");
@@ -164,7 +165,7 @@
     assert_eq!(ran.exit, Exit::Ok, "{}", ran.err);
     assert!(ran.out.contains("in force since revision 9"), "{}", ran.out);
     let sent: Vec<ApplyReq> =
-        daemon.sent().iter().map(|body| serde_json::from_str(body).expect("JSON")).collect();
+        daemon.sent()[1..].iter().map(|body| serde_json::from_str(body).expect("JSON")).collect();
     let bases: Vec<_> = sent.iter().map(|req| req.base).collect();
     assert_eq!(bases, [Some(Revision(7)), Some(Revision(8))]);
     assert_eq!(sent[0].file, "pools.toml");
@@ -181,17 +182,18 @@
     let daemon = FakeDaemon::start();
     let files = Files::new("breaks-off");
     let paths = ["a.toml", "b.toml", "c.toml"].map(|name| files.write(name, ""));
+    daemon.will_answer("/v1/config", &NOTHING_IN_FORCE);
     daemon.will_answer("/v1/config/apply", &reply(8));
     daemon.will_refuse("/v1/config/apply", &ApiError::new(ErrorKind::Unknown, "lost", "confirm"));
     let ran = run(&daemon.addr, &["apply", &paths[0], &paths[1], &paths[2]]).await;
     assert_eq!(ran.exit, Exit::Unknown);
-    let second: ApplyReq = serde_json::from_str(&daemon.sent()[1]).expect("JSON");
+    let second: ApplyReq = serde_json::from_str(&daemon.sent()[2]).expect("JSON");
     let remedy = format!("remedy: run `waxwing apply --confirm {}`", second.change_id);
     for part in ["b.toml: lost", "a.toml is in force", "c.toml was not sent", &remedy] {
         assert!(ran.err.contains(part), "{part} is not in {}", ran.err);
     }
     assert!(ran.err.contains("outcome: unknown"));
-    assert_eq!(daemon.sent().len(), 2);
+    assert_eq!(daemon.sent().len(), 3);
 }
 
 #[actix_web::test]
@@ -239,6 +241,28 @@
     assert!(ran.out.contains("incomplete: partition 2 has no writer"), "{}", ran.out);
 }
 
+const NOTHING_IN_FORCE: ConfigView = ConfigView { revision: Revision(0), files: Vec::new() };
+
+// What the operator sees: files given as a shell sorts them are all put in force. The one that
+// comes first names pools and teams that the later ones declare, and would be refused.
+#[actix_web::test]
+async fn a_file_goes_after_those_that_it_needs() {
+    let daemon = FakeDaemon::start();
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/inkuru/");
+    let names = ["batch.toml", "pools.toml", "services.toml", "teams.toml"];
+    let paths = names.map(|name| format!("{examples}{name}"));
+    daemon.will_answer("/v1/config", &NOTHING_IN_FORCE);
+    (1..=4).for_each(|revision| daemon.will_answer("/v1/config/apply", &reply(revision)));
+    let ran = run(&daemon.addr, &["apply", &paths[0], &paths[1], &paths[2], &paths[3]]).await;
+    assert_eq!(ran.exit, Exit::Ok, "{}", ran.err);
+    let file = |body: &String| serde_json::from_str::<ApplyReq>(body).expect("JSON").file;
+    let sent: Vec<_> = daemon.sent()[1..].iter().map(file).collect();
+    let place = |name| sent.iter().position(|sent| sent == name).expect("sent");
+    assert!(place("batch.toml") > place("pools.toml"), "{sent:?}");
+    assert!(place("batch.toml") > place("teams.toml"), "{sent:?}");
+    assert_eq!(sent.len(), 4);
+}
+
 const POOL: &str = "[[pool]]\nname = \"batch\"\n";
 
 #[actix_web::test]
