Mend what a run against live daemons showed

Of libraries only warnings are logged: tarpc logged each call as info, and a daemon's own events were one line in twenty. Where a daemon answered that it can't, the tool says so instead of "no daemon answered". Values for programs are cut on the text page of explain; empty queues are left out of the status page.

--- a/src/bin/waxwing/output.rs
+++ b/src/bin/waxwing/output.rs
@@ -16,6 +16,9 @@
 use waxwingstall::task::{Outcome, Phase, TaskState};
 use waxwingstall::units::Resources;
 
+/// Longest value shown as text, in characters.
+const MAX_SHOWN: usize = 160;
+
 /// A value that can be printed as lines of text.
 pub trait Text {
     fn text(&self) -> Vec<String>;
@@ -204,10 +207,18 @@
     ];
     let passed_over = record.passed_over.iter();
     lines.extend(passed_over.map(|(reason, n)| format!("  passed over {n}: {reason}")));
-    lines.extend(record.inputs.iter().map(|(name, value)| format!("  {name} = {value}")));
+    lines.extend(record.inputs.iter().map(|(name, value)| format!("  {name} = {}", short(value))));
     lines
 }
 
+/// A value on one line of a screen; what programs read is shown by the other form of output.
+fn short(value: &str) -> String {
+    match value.char_indices().nth(MAX_SHOWN) {
+        Some((end, _)) => format!("{}… (whole with --output json)", &value[..end]),
+        None => value.to_owned(),
+    }
+}
+
 fn incomplete(complete: bool, missing: Option<&str>) -> Option<String> {
     (!complete).then(|| format!("incomplete: {}", missing.unwrap_or("some of it was forgotten")))
 }
--- a/src/bin/waxwing/status_page.rs
+++ b/src/bin/waxwing/status_page.rs
@@ -75,8 +75,10 @@
     K: ToString + 'a,
     N: ToString + 'a,
 {
-    let counts: Vec<_> =
-        counts.map(|(name, n)| format!("{} {}", n.to_string(), name.to_string())).collect();
+    let counts: Vec<_> = counts
+        .filter(|(_, n)| n.to_string() != "0")
+        .map(|(name, n)| format!("{} {}", n.to_string(), name.to_string()))
+        .collect();
     if counts.is_empty() {
         format!("{title}: none")
     } else {
--- a/src/bin/waxwing/tests.rs
+++ b/src/bin/waxwing/tests.rs
@@ -311,7 +311,7 @@
     "daemon": "entry-1", "domain": "kacyiru", "state": "serving", "revision": 41,
     "store": {"reachable": false, "since_ms": 2520000},
     "vms_held": 7, "leases_near_lapse": 0,
-    "queued": {"page-preview": 12}, "refusals": {"deadline": 3},
+    "queued": {"page-preview": 12, "cover": 0}, "refusals": {"deadline": 3},
     "partitions": [
         {"partition": 1, "writer": "entry-1", "tasks": 90, "waiting_tasks": 4},
         {"partition": 2, "writer": null, "tasks": null, "waiting_tasks": null}
--- a/src/client.rs
+++ b/src/client.rs
@@ -151,35 +151,69 @@
 
     async fn ask<T: DeserializeOwned>(&self, call: Call) -> Result<T> {
         let mut failures = Vec::new();
+        let mut answered = None;
         for daemon in &self.daemons {
             match self.ask_one(daemon, &call).await {
                 Ok(answer) => return Ok(answer),
-                Err(error) if call.may_move_on(&error) => {
+                Err(Failed { error, by }) if call.may_move_on(&error) => {
                     failures.push(format!("{daemon}: {error}"));
+                    if by == FailedBy::Daemon {
+                        answered.get_or_insert(error);
+                    }
                 }
-                Err(error) => return Err(error),
+                Err(Failed { error, .. }) => return Err(error),
             }
         }
-        let message = "no daemon answered";
-        let remedy = "check the addresses given with --daemon, or wait until one is back";
-        Err(ApiError::new(ErrorKind::Unreachable, message, remedy).with_details(failures))
+        // What a daemon said tells more than that others could not be reached.
+        let error = answered.unwrap_or_else(|| {
+            let remedy = "check the addresses given with --daemon, or wait until one is back";
+            ApiError::new(ErrorKind::Unreachable, "no daemon answered", remedy)
+        });
+        Err(error.with_details(failures))
     }
 
-    async fn ask_one<T: DeserializeOwned>(&self, daemon: &str, call: &Call) -> Result<T> {
+    async fn ask_one<T: DeserializeOwned>(
+        &self,
+        daemon: &str,
+        call: &Call,
+    ) -> std::result::Result<T, Failed> {
         let url = format!("http://{daemon}{PREFIX}{}", call.path);
         let req = self.http.request(call.method.clone(), url);
         let req = req.insert_header(("content-type", "application/json"));
         let mut resp = match req.send_body(call.body.clone()).await {
             Ok(resp) => resp,
-            Err(error) => return Err(call.failed(&error)),
+            Err(error) => return Err(Failed::on_the_way(call.failed(&error))),
         };
         let status = resp.status();
         let body = resp.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|error| call.cut(&error.to_string()))?;
+        let cut = |reason: String| Failed::on_the_way(call.cut(&reason));
+        let body = body.map_err(|error| cut(error.to_string()))?;
         if status.is_success() {
-            return serde_json::from_slice(&body).map_err(|error| call.cut(&error.to_string()));
+            return serde_json::from_slice(&body).map_err(|error| cut(error.to_string()));
         }
-        Err(serde_json::from_slice(&body).unwrap_or_else(|_| call.foreign(status)))
+        match serde_json::from_slice(&body) {
+            Ok(error) => Err(Failed { error, by: FailedBy::Daemon }),
+            Err(_) => Err(Failed::on_the_way(call.foreign(status))),
+        }
+    }
+}
+
+/// A call that failed, and who says so.
+struct Failed {
+    error: ApiError,
+    by: FailedBy,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum FailedBy {
+    Daemon,
+    /// No whole answer of a daemon came.
+    Network,
+}
+
+impl Failed {
+    fn on_the_way(error: ApiError) -> Self {
+        Self { error, by: FailedBy::Network }
     }
 }
 
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -108,6 +108,18 @@
     }
 }
 
+#[test]
+fn what_a_daemon_says_goes_before_those_that_can_not_be_reached() {
+    let said = ApiError::new(ErrorKind::Unreachable, "no writer yet", "repeat the call");
+    let body = serde_json::to_string(&said).expect("an error can be written");
+    let daemon = answers(http("503 Service Unavailable", &body));
+    let daemons = vec![closed(), daemon.addr.clone(), closed()];
+    let error = block_on(async { Client::new(daemons).submit(&submit()).await });
+    let error = error.expect_err("no daemon can");
+    assert_eq!((error.message.as_str(), error.details.len()), ("no writer yet", 3));
+    daemon.thread.join().expect("served");
+}
+
 #[test]
 fn an_answer_of_something_else_is_not_taken_for_a_daemons() {
     let daemon = answers(http("404 Not Found", "<html>"));
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -29,6 +29,9 @@
     AlreadyInitialised,
 }
 
+/// Head of the targets of this project's own modules.
+const OWN_TARGETS: &str = "waxwing";
+
 static BRIDGE: OnceLock<Bridge> = OnceLock::new();
 
 /// Sends everything logged in this process to the target in the settings.
@@ -89,6 +92,9 @@
 
 impl log::Log for Bridge {
     fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        if !wanted(metadata) {
+            return false;
+        }
         let criteria = FilterCriteria::builder();
         let criteria = criteria.level(severity(metadata.level())).target(metadata.target());
         self.logger.enabled(&criteria.build())
@@ -107,6 +113,11 @@
     }
 }
 
+/// Libraries log each of their calls as `info`; only what they warn of is an event here.
+fn wanted(metadata: &log::Metadata<'_>) -> bool {
+    metadata.target().starts_with(OWN_TARGETS) || metadata.level() <= log::Level::Warn
+}
+
 struct Pairs<'a> {
     buf: &'a mut String,
 }
--- a/src/logs/tests.rs
+++ b/src/logs/tests.rs
@@ -1,5 +1,5 @@
-use super::{line, utc};
-use log::{Level, Record};
+use super::{line, utc, wanted};
+use log::{Level, Metadata, Record};
 use std::time::{Duration, SystemTime};
 
 fn written(event: &str, pairs: &[(&str, &str)]) -> String {
@@ -61,3 +61,18 @@
         assert_eq!(utc(Duration::from_secs(seconds)), expected);
     }
 }
+
+#[test]
+fn of_libraries_only_warnings_are_logged() {
+    let cases = [
+        ("waxwingstall::control", Level::Debug, true),
+        ("waxwingd", Level::Info, true),
+        ("tarpc::server", Level::Info, false),
+        ("tarpc::server", Level::Warn, true),
+        ("actix_server", Level::Error, true),
+    ];
+    for (target, level, expected) in cases {
+        let metadata = Metadata::builder().target(target).level(level).build();
+        assert_eq!(wanted(&metadata), expected, "{target} {level}");
+    }
+}
