Keep only settings that have an effect

seeds, limits, tick and store_timeout were read and used by nothing, and of several store URLs only the first was; an operator would have counted on them. A second URL is now a fault.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,15 +25,12 @@
     pub domain: DomainId,
     pub listen: Listen,
     pub platform: Platform,
-    /// Peer addresses of daemons to ask for the others.
-    pub seeds: Vec<SocketAddr>,
     /// Every partition of the task log, the same on each daemon.
     pub partitions: Vec<PartitionSettings>,
     pub logs: LogSettings,
     pub metrics: MetricSettings,
     pub leases: LeaseSettings,
     pub timing: TimingSettings,
-    pub limits: LimitSettings,
 }
 
 /// Addresses to listen on; also the ones that others are told.
@@ -48,7 +45,7 @@
 /// The platform's addresses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Platform {
-    /// URLs of the key-value service, tried in turn.
+    /// URL of the key-value service; one for now.
     pub store: Vec<String>,
     /// URL of the list of live and leaving VMs.
     pub list: String,
@@ -113,31 +110,14 @@
 /// Intervals and time limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TimingSettings {
-    /// Between two ticks of the core.
-    pub tick: Duration,
     /// Between two reads of the platform's list.
     pub list_interval: Duration,
-    /// For one call to the key-value service.
-    pub store_timeout: Duration,
     /// For one call to a worker.
     pub worker_timeout: Duration,
     /// For requests in flight at a planned stop.
     pub drain: Duration,
 }
 
-/// Bounds on what one daemon takes on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LimitSettings {
-    /// Requests waiting for a slot, over all classes.
-    pub queued_requests: u32,
-    /// Bytes of one request.
-    pub request_bytes: u32,
-    /// Open tasks of one partition.
-    pub open_tasks: u32,
-    /// Decision records kept in memory.
-    pub decisions: u32,
-}
-
 impl Default for LogSettings {
     fn default() -> Self {
         Self { level: LogLevel::Info, target: LogTarget::Stderr }
@@ -163,21 +143,13 @@
 impl Default for TimingSettings {
     fn default() -> Self {
         Self {
-            tick: Duration::from_millis(100),
             list_interval: Duration::from_secs(1),
-            store_timeout: Duration::from_secs(2),
             worker_timeout: Duration::from_secs(2),
             drain: Duration::from_secs(30),
         }
     }
 }
 
-impl Default for LimitSettings {
-    fn default() -> Self {
-        Self { queued_requests: 1024, request_bytes: 1 << 20, open_tasks: 8192, decisions: 4096 }
-    }
-}
-
 impl Settings {
     /// Reads the text of a settings file.
     pub fn parse(file_name: &str, text: &str) -> Result<Self> {
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -1,7 +1,7 @@
 //! Reading settings: each key by itself, then what has to agree between keys.
 
 use super::{
-    Fault, LeaseSettings, LimitSettings, Listen, LogLevel, LogSettings, LogTarget, MetricSettings,
+    Fault, LeaseSettings, Listen, LogLevel, LogSettings, LogTarget, MetricSettings,
     PartitionSettings, Platform, Result, Settings, TimingSettings,
 };
 use crate::config::fields::{Choice, Choices, Fields, KeyLines, Sink, Value, tables};
@@ -40,14 +40,6 @@
     }
 }
 
-impl Value for Vec<SocketAddr> {
-    const EXPECTED: &'static str = "a list of addresses such as [\"10.20.0.12:8090\"]";
-
-    fn read(value: &DeValue<'_>) -> Option<Self> {
-        Vec::<String>::read(value)?.iter().map(|addr| addr.parse().ok()).collect()
-    }
-}
-
 impl Value for PartitionId {
     const EXPECTED: &'static str = "a whole number from 0 to 65535";
 
@@ -76,7 +68,6 @@
     let mut top = Fields::new(document, "the settings", 1);
     let name = top.required::<String>("name", sink);
     let domain = top.required::<String>("domain", sink);
-    let seeds = top.optional("seeds", Vec::new(), sink);
     let listen = section(&mut top, "listen", "[listen]", sink, listen);
     let platform = section(&mut top, "platform", "[platform]", sink, platform);
     let partitions = partitions(&mut top, sink);
@@ -86,7 +77,6 @@
     let calls = timing.as_ref().map(|timing| timing.worker_timeout);
     let leases =
         section(&mut top, "leases", "[leases]", sink, |fields, sink| leases(fields, calls, sink));
-    let limits = section(&mut top, "limits", "[limits]", sink, limits);
     let lines = top.finish(sink);
     for (key, value) in [("name", &name), ("domain", &domain)] {
         if let Some(value) = value {
@@ -98,13 +88,11 @@
         domain: DomainId::new(&domain?),
         listen: listen?,
         platform: platform?,
-        seeds: seeds?,
         partitions: partitions?,
         logs: logs?,
         metrics: metrics?,
         leases: leases?,
         timing: timing?,
-        limits: limits?,
     })
 }
 
@@ -159,9 +147,10 @@
     if let Some(url) = &list {
         check_url("list", url, line(&lines, "list"), sink);
     }
-    if store.as_ref().is_some_and(Vec::is_empty) {
-        let message = "`store` in [platform] is empty".to_owned();
-        let remedy = "name at least one URL of the key-value service".to_owned();
+    // A second URL would not be used, and an operator would count on it.
+    if let Some(store) = store.as_ref().filter(|store| store.len() != 1) {
+        let message = format!("`store` in [platform] has {} URLs", store.len());
+        let remedy = "name the one URL of the key-value service".to_owned();
         sink.push(line(&lines, "store"), message, remedy);
     }
     Some(Platform { store: store?, list: list? })
@@ -247,44 +236,20 @@
 
 fn timing(mut fields: Fields<'_, '_>, sink: &mut Sink<'_>) -> Option<TimingSettings> {
     let default = TimingSettings::default();
-    let tick = fields.optional("tick", default.tick, sink);
     let list_interval = fields.optional("list_interval", default.list_interval, sink);
-    let store_timeout = fields.optional("store_timeout", default.store_timeout, sink);
     let worker_timeout = fields.optional("worker_timeout", default.worker_timeout, sink);
     let drain = fields.optional("drain", default.drain, sink);
     let lines = fields.finish(sink);
-    for (key, time) in [
-        ("tick", tick),
-        ("list_interval", list_interval),
-        ("store_timeout", store_timeout),
-        ("worker_timeout", worker_timeout),
-    ] {
+    for (key, time) in [("list_interval", list_interval), ("worker_timeout", worker_timeout)] {
         check_positive("[timing]", key, time.unwrap_or(Duration::MAX), &lines, sink);
     }
     Some(TimingSettings {
-        tick: tick?,
         list_interval: list_interval?,
-        store_timeout: store_timeout?,
         worker_timeout: worker_timeout?,
         drain: drain?,
     })
 }
 
-fn limits(mut fields: Fields<'_, '_>, sink: &mut Sink<'_>) -> Option<LimitSettings> {
-    let default = LimitSettings::default();
-    let queued_requests = fields.optional("queued_requests", default.queued_requests, sink);
-    let request_bytes = fields.optional("request_bytes", default.request_bytes, sink);
-    let open_tasks = fields.optional("open_tasks", default.open_tasks, sink);
-    let decisions = fields.optional("decisions", default.decisions, sink);
-    fields.finish(sink);
-    Some(LimitSettings {
-        queued_requests: queued_requests?,
-        request_bytes: request_bytes?,
-        open_tasks: open_tasks?,
-        decisions: decisions?,
-    })
-}
-
 fn check_positive(
     title: &str,
     key: &'static str,
