Refuse a repeated key whose task was dropped from the log

A writer hands the next one only the latest ended tasks; a submission repeated after that would have been numbered as a new task and run a second time. The log still knows the key's digest and now refuses the commit, naming the task.

--- a/src/tasklog.rs
+++ b/src/tasklog.rs
@@ -51,6 +51,9 @@
     Unsettled { partition: PartitionId, reason: String },
     #[error("a record of {task} was given to partition {partition}; give it to its own")]
     Foreign { partition: PartitionId, task: TaskId },
+    /// No record took effect, and none will.
+    #[error("the key `{key}` names {task} already; show that task, or submit with another key")]
+    Repeated { key: IdempotencyKey, task: TaskId },
     #[error("the store can't be read ({reason}); load partition {partition} again later")]
     Unreadable { partition: PartitionId, reason: String },
     #[error("`{key}` can't be read: {source}")]
@@ -168,6 +171,7 @@
     pub async fn commit<S: Store>(&mut self, store: &S, records: &[Record]) -> Result<()> {
         self.check_writable()?;
         self.check_own(records)?;
+        self.check_keys(records)?;
         if records.is_empty() {
             return Ok(());
         }
@@ -215,6 +219,19 @@
         }
     }
 
+    /// The writer's own memory of keys ends with it, and the next writer is given only the latest
+    /// ended tasks. Without this check a caller that repeats an older submission would have its
+    /// task run a second time.
+    fn check_keys(&self, records: &[Record]) -> Result<()> {
+        for record in records {
+            let Change::Accepted { key, .. } = &record.change else { continue };
+            if let Some(task) = self.find_key(key).filter(|task| *task != record.task) {
+                return Err(Error::Repeated { key: key.clone(), task });
+            }
+        }
+        Ok(())
+    }
+
     async fn next_head<S: Store>(
         &mut self,
         store: &S,
--- a/tests/tasklog_log.rs
+++ b/tests/tasklog_log.rs
@@ -105,6 +105,29 @@
     assert_eq!(loaded.next_number, 6, "numbers of dropped tasks are not given again");
 }
 
+// What the caller sees: its repeated submission is refused, and names the task that ran. The task
+// ended long ago and was dropped, the writer that knew its key died, and the next one numbers the
+// repeated submission as a new task.
+#[test]
+fn a_repeated_key_makes_no_second_task_after_the_first_was_dropped() {
+    let store = FaultStore::new();
+    let mut partition = load(&store, "a").partition.with_limits(SMALL);
+    for n in 1..=4 {
+        commit(&mut partition, &store, &[accepted(n), bound(n, 1), ended(n, 1)]);
+    }
+    block_on(partition.compact(&store)).expect("the store works");
+
+    let mut next = load(&store, "b").partition;
+    assert!(next.tasks().all(|task| task.key != tasks::key(1)), "the first task is dropped");
+    let mut again = accepted(5);
+    let Change::Accepted { key, .. } = &mut again.change else { unreachable!() };
+    *key = tasks::key(1);
+    let task = TaskId::new(PartitionId(3), 1);
+    let repeated = Error::Repeated { key: tasks::key(1), task };
+    assert_eq!(block_on(next.commit(&store, &[accepted(6), again])), Err(repeated));
+    assert_eq!(load(&store, "c").next_number, 5, "nothing of the batch was written");
+}
+
 #[test]
 fn keys_of_dropped_tasks_are_forgotten_oldest_first() {
     let store = FaultStore::new();
