--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -32,6 +32,9 @@
 /// Significant digits of a measured time.
 const TIMER_DIGITS: u8 = 2;
 
+/// A gauge that was never set, and is not sent: a zero would pass for a measurement.
+const UNSET: u64 = u64::MAX;
+
 /// Longest time told apart, in microseconds.
 const TIMER_MAX_MICROS: u64 = 3_600_000_000;
 
@@ -100,7 +103,7 @@
 }
 
 metrics! {
-    /// What goes up and down; sent as it is.
+    /// What goes up and down; sent as it is, once it was set.
     Gauge {
         RequestsQueued => "requests.queued",
         RequestsInFlight => "requests.in-flight",
@@ -162,10 +165,9 @@
     where
         S: MetricSink + Sync + Send + RefUnwindSafe + 'static,
     {
-        let zeros = |n: usize| (0..n).map(|_| AtomicU64::new(0)).collect();
         Self {
-            counters: zeros(Counter::ALL.len()),
-            gauges: zeros(Gauge::ALL.len()),
+            counters: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            gauges: Gauge::ALL.iter().map(|_| AtomicU64::new(UNSET)).collect(),
             timers: Timer::ALL.iter().map(|_| Mutex::new(histogram())).collect(),
             client: Some(StatsdClient::from_sink(prefix, sink)),
         }
@@ -200,7 +202,9 @@
         }
         for gauge in Gauge::ALL {
             let value = self.gauges[*gauge as usize].load(Ordering::Relaxed);
-            let _ = client.gauge(gauge.name(), value);
+            if value != UNSET {
+                let _ = client.gauge(gauge.name(), value);
+            }
         }
         for timer in Timer::ALL {
             self.flush_timer(client, *timer);
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 #[test]
-fn a_flush_sends_each_rise_once_and_each_gauge_always() {
+fn a_flush_sends_each_rise_once_and_each_gauge_that_was_set() {
     let (rx, sink) = SpyMetricSink::new();
     let metrics = Metrics::with_sink("waxwing", sink);
     let sent =
@@ -17,6 +17,7 @@
     let first = sent();
     assert!(first.contains(&"waxwing.tasks.started:5|c".to_owned()), "{first:?}");
     assert!(first.contains(&"waxwing.vms.held:7|g".to_owned()), "{first:?}");
+    assert_eq!(first.len(), 2, "nothing is sent of what was never measured: {first:?}");
     metrics.flush();
     let second = sent();
     assert!(!second.iter().any(|line| line.ends_with("|c")), "{second:?}");
