Tell a revision to the domain's daemons only, and by those that have it from the store

Cause: each daemon told all others of each revision, the square of their number in messages; a watcher that missed a change asked again after 20 s, twice the time in which it must be in force.

Change: who has a revision from the store tells its domain; the others hear by probes. A restarted daemon asks the same ones that were told before. Watches last 5 s.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -250,6 +250,19 @@
         self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr, usage.clone()))
     }
 
+    fn told_at_once(&self, tell: Tell) -> Vec<String> {
+        match tell {
+            Tell::Nobody => Vec::new(),
+            Tell::Everyone => self.membership.addrs(),
+            Tell::Domain => {
+                let me = self.membership.me();
+                let mut near = self.membership.members();
+                near.retain(|member| member.domain == me.domain && member.id != me.id);
+                near.into_iter().map(|member| member.peer_addr).collect()
+            }
+        }
+    }
+
     fn addr_of(&self, id: &DaemonId) -> Option<String> {
         self.membership.members().into_iter().find(|m| m.id == *id).map(|m| m.peer_addr)
     }
@@ -293,21 +306,39 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub enum Announce {
-    Revision(Revision),
+    /// A revision is in force here.
+    Revision {
+        revision: Revision,
+        tell: Tell,
+    },
     State(MemberState),
 }
 
+/// Who is told at once, and doesn't have to wait for the next probe.
+///
+/// A daemon that has a revision from the store tells its domain. Were those who have it from a peer
+/// to tell others too, each change would cost the square of the number of daemons in messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tell {
+    Domain,
+    Everyone,
+    Nobody,
+}
+
 impl Handler<Announce> for Peers {
     type Result = ();
 
     fn handle(&mut self, msg: Announce, cx: &mut Self::Context) {
+        let tell = match msg {
+            Announce::Revision { tell, .. } => tell,
+            Announce::State(_) => Tell::Everyone,
+        };
         self.membership.update_me(|me| match msg {
-            Announce::Revision(revision) => me.revision = revision,
+            Announce::Revision { revision, .. } => me.revision = revision,
             Announce::State(state) => me.state = state,
         });
         self.tell_members();
-        // The others learn of a stop or a new revision at once instead of with the next probe.
-        for addr in self.membership.addrs() {
+        for addr in self.told_at_once(tell) {
             self.probe(&addr, cx);
         }
     }
--- a/src/storage/follow.rs
+++ b/src/storage/follow.rs
@@ -14,7 +14,7 @@
 use crate::front::view::FrontView;
 use crate::ids::{DaemonId, Revision};
 use crate::peer::Member;
-use crate::peers::{Announce, AskKnown, AskSnapshot, Peers};
+use crate::peers::{Announce, AskKnown, AskSnapshot, Peers, Tell};
 use crate::ring::Ring;
 use actix::prelude::*;
 use rand::Rng;
@@ -26,10 +26,14 @@
 /// Daemons of a failure domain that watch the head.
 pub const WATCHERS: usize = 2;
 
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// A daemon that does not watch still reads the head now and then, in case that it is cut off from
 /// all that do.
 const READ_PERIOD: Duration = Duration::from_secs(30);
+/// Daemons that are told of a revision before it is taken up.
+const MAX_TOLD: usize = 8;
+/// Daemons that a starting one asks.
+const MAX_ASKED: usize = 16;
 const RETRY: Duration = Duration::from_secs(1);
 
 /// What the loop shares with the duty.
@@ -113,7 +117,7 @@
             }
         }
         let (mut follower, mut version) = self.begin().await;
-        self.in_force(&follower);
+        self.in_force(&follower, Tell::Domain);
         loop {
             match self.wait(version).await {
                 Woken::Head(Ok(None)) => {}
@@ -135,7 +139,7 @@
         let mut newcomer = Newcomer::new();
         loop {
             newcomer.heard(self.shown.borrow().known.known);
-            match start(newcomer, &self.store, &self.links()).await {
+            match start(newcomer, &self.store, &self.links(MAX_ASKED)).await {
                 Started::Following { follower, version } => return (follower, version),
                 Started::Waiting { newcomer: same, reason } => {
                     log::warn!(reason = reason.as_str(); "config-waiting");
@@ -170,8 +174,8 @@
 
     async fn take_up(&self, follower: &mut Follower, at: &Versioned) {
         follower.heard(self.shown.borrow().known.known);
-        match take_up(follower, &self.store, at, &self.links()).await {
-            Ok(outcome) => self.taken(follower, &outcome),
+        match take_up(follower, &self.store, at, &self.links(MAX_TOLD)).await {
+            Ok(outcome) => self.taken(follower, &outcome, Tell::Domain),
             Err(e) => log::warn!(reason:% = e; "config-unread"),
         }
     }
@@ -186,20 +190,20 @@
         let Some(addr) = from.clone() else { return };
         let link = PeerLink { addr, peers: self.peers.clone() };
         if let Some(outcome) = pull(follower, &link).await {
-            self.taken(follower, &outcome);
+            self.taken(follower, &outcome, Tell::Nobody);
         }
     }
 
-    fn taken(&self, follower: &Follower, outcome: &Outcome) {
+    fn taken(&self, follower: &Follower, outcome: &Outcome, tell: Tell) {
         match outcome {
-            Outcome::InForce(_) => self.in_force(follower),
+            Outcome::InForce(_) => self.in_force(follower, tell),
             Outcome::Same => {}
             Outcome::Refused(refusal) => log::warn!(reason:% = refusal; "config-refused"),
         }
         self.note_known(follower.known());
     }
 
-    fn in_force(&self, follower: &Follower) {
+    fn in_force(&self, follower: &Follower, tell: Tell) {
         let config = follower.config().clone();
         log::info!(revision = config.revision.0; "config-in-force");
         {
@@ -207,7 +211,7 @@
             shown.snapshot = Some(follower.snapshot().clone());
         }
         self.note_known(follower.known());
-        self.peers.do_send(Announce::Revision(config.revision));
+        self.peers.do_send(Announce::Revision { revision: config.revision, tell });
         if self.control.borrow_mut().push(Told(Event::Configured(config.clone()))).is_err() {
             log::error!("answer-lost");
         }
@@ -233,10 +237,14 @@
         self.members.iter().filter(|member| member.domain == self.me.domain)
     }
 
-    fn links(&self) -> Vec<PeerLink> {
-        self.members
-            .iter()
-            .filter(|member| member.id != self.me.id)
+    /// Some of the other daemons, those of this failure domain first. The same are chosen after a
+    /// restart, so that those who are asked then are those who were told before.
+    fn links(&self, count: usize) -> Vec<PeerLink> {
+        let mut others: Vec<&Member> =
+            self.members.iter().filter(|member| member.id != self.me.id).collect();
+        others.sort_by_key(|member| (member.domain != self.me.domain, member.id.clone()));
+        let links = others.into_iter().take(count);
+        links
             .map(|member| PeerLink { addr: member.peer_addr.clone(), peers: self.peers.clone() })
             .collect()
     }
