--- a/src/audit.rs
+++ b/src/audit.rs
@@ -94,6 +94,8 @@
     Before { number: u64, reason: String },
     /// Entries before this number are no longer kept.
     Forgotten { number: u64 },
+    /// Only entries from `first` to before `next` are known here; the head can't be read.
+    Outside { first: u64, next: u64, reason: String },
 }
 
 impl Trail {
@@ -159,7 +161,25 @@
     }
 }
 
-/// Reads at most `limit` entries, starting from a head that was read earlier.
+/// Reads at most `limit` entries, from a head that was read earlier where it can't be read now.
+pub async fn page_or_cached(
+    store: &impl Store,
+    cached: Option<&Head>,
+    before: Option<u64>,
+    limit: usize,
+) -> Page {
+    let page = page(store, before, limit).await;
+    let (Some(Missing::All { reason }), Some(Head { trail, .. })) = (&page.missing, cached) else {
+        return page;
+    };
+    let older = |entry: &&Entry| before.is_none_or(|before| entry.number < before);
+    let entries = trail.recent.iter().rev().filter(older).take(limit).cloned().collect();
+    let (first, next) = (trail.first_recent(), trail.next);
+    let missing = Missing::Outside { first, next, reason: reason.clone() };
+    Page { entries, next: None, missing: Some(missing) }
+}
+
+/// Reads at most `limit` entries, starting from a head that was read just now.
 pub async fn page_from(store: &impl Store, head: &Head, before: Option<u64>, limit: usize) -> Page {
     let trail = &head.trail;
     let mut page = Page::default();
@@ -254,7 +274,11 @@
         }
         match page.missing {
             Some(Missing::Forgotten { number }) => return Err(head::Error::Forgotten { number }),
-            Some(Missing::All { reason } | Missing::Before { reason, .. }) => {
+            Some(
+                Missing::All { reason }
+                | Missing::Before { reason, .. }
+                | Missing::Outside { reason, .. },
+            ) => {
                 let key = "audit trail".to_owned();
                 return Err(head::Error::Unreadable { key, reason });
             }
--- a/src/config/apply.rs
+++ b/src/config/apply.rs
@@ -9,8 +9,10 @@
 mod change;
 mod confirm;
 mod swap;
+mod sweep;
 
 pub use confirm::confirm;
+pub use sweep::sweep;
 
 use crate::clock::Clock;
 use crate::config::apply::change::{Change, Round};
--- a/src/config/apply/change.rs
+++ b/src/config/apply/change.rs
@@ -3,6 +3,7 @@
 use crate::audit::{self, Entry, Outcome};
 use crate::clock::Clock;
 use crate::config::apply::swap::{SwapError, swap};
+use crate::config::apply::sweep::{is_due, sweep};
 use crate::config::apply::{
     Action, Applied, ChangeRequest, Conflict, Effect, Error, MAX_FILES, MAX_ROUNDS, Result,
     request_fault,
@@ -177,6 +178,9 @@
             Ok(()) => {
                 self.written.extend(at.head.manifest.files.get(&req.file).cloned());
                 self.discard_garbage(&manifest).await;
+                if is_due(revision) {
+                    sweep(self.store, &manifest).await.ok();
+                }
                 let change = req.change.clone();
                 Ok(Round::Done(Applied { change, revision, effect: Effect::Changed }))
             }
@@ -207,7 +211,7 @@
     }
 
     /// Deletes texts that are not in force and never will be. Where that fails, they take up room
-    /// until [`sweep`], and have no other effect.
+    /// until the next [`sweep`], and have no other effect.
     async fn discard_garbage(&mut self, manifest: &Manifest) {
         let written = std::mem::take(&mut self.written);
         let (garbage, kept) = written.into_iter().partition(|file| manifest.is_garbage(file));
--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -134,6 +134,9 @@
         Missing::Before { number, reason } => {
             format!("entries before {number} can't be read now: {reason}")
         }
+        Missing::Outside { first, next, reason } => {
+            format!("entries before {first} and from {next} on can't be read now: {reason}")
+        }
         Missing::Forgotten { number } => format!("entries before {number} are no longer kept"),
     }
 }
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -259,8 +259,10 @@
     type Result = ResponseFuture<audit::Page>;
 
     fn handle(&mut self, msg: ReadAudit, _: &mut Self::Context) -> Self::Result {
-        let store = self.store.clone();
-        Box::pin(async move { audit::page(&store, msg.before, msg.limit).await })
+        let (store, head) = (self.store.clone(), self.shown.borrow().head.clone());
+        Box::pin(async move {
+            audit::page_or_cached(&store, head.as_ref(), msg.before, msg.limit).await
+        })
     }
 }
 
--- a/src/storage/follow.rs
+++ b/src/storage/follow.rs
@@ -7,7 +7,7 @@
 use super::{SharedStore, Storage};
 use crate::config::follow::fetch::{Peer, Started, next_head, pull, start, take_up, watches};
 use crate::config::follow::{Follower, Known, Newcomer, Outcome};
-use crate::config::head::{self, Versioned};
+use crate::config::head::{self, Head, Versioned};
 use crate::config::snapshot::Snapshot;
 use crate::control::Told;
 use crate::core::Event;
@@ -41,6 +41,8 @@
 pub struct Shown {
     pub known: Known,
     pub snapshot: Option<Snapshot>,
+    /// The head as last read, for the audit trail while the service can't be reached.
+    pub head: Option<Head>,
 }
 
 /// What the loop is told.
@@ -174,6 +176,7 @@
 
     async fn take_up(&self, follower: &mut Follower, at: &Versioned) {
         follower.heard(self.shown.borrow().known.known);
+        self.shown.borrow_mut().head = Some(at.head.clone());
         match take_up(follower, &self.store, at, &self.links(MAX_TOLD)).await {
             Ok(outcome) => self.taken(follower, &outcome, Tell::Domain),
             Err(e) => log::warn!(reason:% = e; "config-unread"),
--- a/tests/config_audit.rs
+++ b/tests/config_audit.rs
@@ -5,7 +5,9 @@
 
 use changes::{now, request, weights};
 use std::time::Duration;
-use waxwingstall::audit::{self, Missing, Outcome, PAGE_ENTRIES, Page, Trail, page, page_from};
+use waxwingstall::audit::{
+    self, Missing, Outcome, PAGE_ENTRIES, Page, Trail, page, page_from, page_or_cached,
+};
 use waxwingstall::clock::{Clock, ManualClock};
 use waxwingstall::config::apply::{Action, ChangeRequest, Error, apply, confirm};
 use waxwingstall::config::head::{self, Head};
@@ -78,18 +80,29 @@
 }
 
 /// The store is down. A daemon still has the head that it read last, and shows its entries; the
-/// reader must be told that older ones exist and can't be had.
+/// reader must be told that there are older ones, and may be newer ones, that can't be had.
 #[test]
 fn with_the_store_down_the_cached_entries_are_shown_and_the_others_said_to_be_missing() {
     let store = store_with_changes();
     let cached = now(head::read(&store)).expect("a head").head;
     store.set_outage(Outage::Down);
-    let shown = now(page_from(&store, &cached, None, 1000));
-    let first = cached.trail.first_recent();
-    assert_eq!(numbers(&shown), (first..CHANGES).rev().collect::<Vec<_>>());
+    let shown = now(page_or_cached(&store, Some(&cached), None, 1000));
+    let oldest = cached.trail.first_recent();
+    assert_eq!(numbers(&shown), (oldest..CHANGES).rev().collect::<Vec<_>>());
+    let Some(Missing::Outside { first, next, .. }) = shown.missing else { panic!("{shown:?}") };
+    assert_eq!((first, next, shown.next), (oldest, CHANGES, None));
+}
+
+/// The store goes down between two pages.
+#[test]
+fn a_page_that_can_not_be_read_is_said_to_be_missing() {
+    let store = store_with_changes();
+    let head = now(head::read(&store)).expect("a head").head;
+    store.set_outage(Outage::Down);
+    let shown = now(page_from(&store, &head, None, 1000));
+    let first = head.trail.first_recent();
     let missing = matches!(shown.missing, Some(Missing::Before { number, .. }) if number == first);
     assert!(missing, "{:?}", shown.missing);
-    assert_eq!(shown.next, None);
 }
 
 #[test]
--- a/tests/config_race.rs
+++ b/tests/config_race.rs
@@ -7,17 +7,19 @@
 #[path = "config_support/interleaved.rs"]
 mod interleaved;
 
+use bytes::Bytes;
 use changes::{now, request, weights};
 use effects::effects;
 use futures::FutureExt;
 use interleaved::Yielding;
 use waxwingstall::clock::ManualClock;
 use waxwingstall::config::apply::{
-    Action, Applied, ChangeRequest, Confirmation, Error, Result, apply, confirm,
+    Action, Applied, ChangeRequest, Confirmation, Error, Result, apply, confirm, sweep,
 };
-use waxwingstall::config::head;
-use waxwingstall::ids::{OperatorName, Revision};
+use waxwingstall::config::head::{self, FileRef, TEXT_PREFIX};
+use waxwingstall::ids::{ChangeId, OperatorName, Revision};
 use waxwingstall::store::memory::MemoryStore;
+use waxwingstall::store::{Expect, Store};
 
 const SEEDS: u64 = 300;
 
@@ -149,3 +151,28 @@
         assert_eq!(effects(&store, &req.change), 1, "seed {seed}");
     }
 }
+
+/// Texts are swept while a change is on its way. Its text, which no head names yet, must stay.
+#[test]
+fn a_sweep_deletes_what_is_left_behind_and_nothing_else() {
+    for seed in 0..SEEDS {
+        let store = start();
+        let left = FileRef { revision: Revision(1), change: ChangeId::new("dead"), digest: 7 };
+        now(store.put(&left.text_key(), Bytes::new(), Expect::Absent)).expect("written");
+        let clock = ManualClock::new();
+        let shared = Yielding(store.clone());
+        let req = request("us", "us", "weights.toml", replace(weights(100)));
+        let applying = async {
+            apply(&shared, &clock, &req).await.expect("applied");
+            0
+        };
+        let sweeping = async {
+            let head = head::read(&shared).await.expect("a head").head;
+            sweep(&shared, &head.manifest).await.expect("swept")
+        };
+        let done = interleaved::run(seed, vec![applying.boxed_local(), sweeping.boxed_local()]);
+        assert!(done[1] >= 1, "seed {seed}");
+        assert_eq!(effects(&store, &req.change), 1, "seed {seed}");
+        assert_eq!(now(store.list(TEXT_PREFIX)).expect("a list").len(), 1, "seed {seed}");
+    }
+}
--- a/tests/store_http.rs
+++ b/tests/store_http.rs
@@ -1,6 +1,8 @@
 //! The client against the stand-in over real HTTP, where the fake in memory has no counterpart.
 
 use bytes::Bytes;
+use std::io::Read;
+use std::net::TcpListener;
 use std::time::Duration;
 use waxwingstall::store::http::HttpStore;
 use waxwingstall::store::memory::Outage;
@@ -70,3 +72,19 @@
     assert!(listed.iter().all(|entry| entry.key.as_bytes() == entry.value));
     assert_eq!(store.list("a&").await.expect("a list").len(), 1);
 }
+
+/// The service reads the write and closes the connection without a word. The client's library
+/// reports that like a failed connection; but the write has left, and may have taken effect.
+#[actix_rt::test]
+async fn a_connection_closed_without_an_answer_leaves_a_write_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let url = format!("http://{}", listener.local_addr().expect("an address"));
+    let closing = std::thread::spawn(move || {
+        let (mut socket, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 1024];
+        socket.read(&mut buf).expect("a request")
+    });
+    let written = HttpStore::new(&url).put(KEY, Bytes::from_static(b"a"), Expect::Any).await;
+    assert!(matches!(written, Err(Error::Unknown { .. })), "{written:?}");
+    assert!(closing.join().expect("the request was read") > 0);
+}
