Test three troubles in a row, twins with an old read, and telling before taking up

Cause: three lines could be broken by hand without a test turning red: the refusal of an old read-back, the age of a text before it is deleted, and telling the peers first.

Change: a test for each.

--- a/tests/config_never_back.rs
+++ b/tests/config_never_back.rs
@@ -18,6 +18,7 @@
     Peer, STORE_TRIES, Started, next_head, pull, start, take_up,
 };
 use waxwingstall::config::follow::{Follower, Known, Newcomer, Standing};
+use waxwingstall::config::head;
 use waxwingstall::config::snapshot::Snapshot;
 use waxwingstall::ids::Revision;
 use waxwingstall::store::memory::{Fault, MemoryStore, Outage};
@@ -361,6 +362,41 @@
     }
 }
 
+/// A peer that is told and remembers, and can't reach the store itself.
+struct Told(RefCell<Follower>);
+
+impl Peer for Told {
+    async fn exchange(&self, revision: Revision) -> Option<Known> {
+        self.0.borrow_mut().heard(revision);
+        Some(self.0.borrow().known())
+    }
+
+    async fn snapshot(&self, since: Revision) -> Option<Snapshot> {
+        Some(self.0.borrow().snapshot().since(since))
+    }
+}
+
+/// A daemon takes the second revision up from the store and dies at once; then the store goes down.
+/// Its peer, which has the first one, was told before, so that the next run waits.
+#[test]
+fn a_revision_is_told_to_the_peers_before_it_is_in_force() {
+    let mut world = World::new(0);
+    world.apply();
+    let none = &[] as &[Told];
+    let mut follower = begun(now(start(Newcomer::new(), &world.store, none)));
+    let peers = [Told(RefCell::new(follower.clone()))];
+    world.apply();
+    let at = now(head::read(&world.store)).expect("a head");
+    now(take_up(&mut follower, &world.store, &at, &peers)).expect("taken up");
+    assert_eq!(follower.revision(), Revision(2));
+    let mut newcomer = Newcomer::new();
+    for _ in 0..2 * STORE_TRIES {
+        let started = now(start(newcomer, &world.unreachable, &peers));
+        let Started::Waiting { newcomer: next, .. } = started else { panic!("{started:?}") };
+        newcomer = next;
+    }
+}
+
 #[test]
 fn what_is_in_force_at_a_daemon_never_goes_back() {
     let (mut adoptions, mut forgotten) = (0, 0);
--- a/tests/config_race.rs
+++ b/tests/config_race.rs
@@ -18,7 +18,7 @@
 };
 use waxwingstall::config::head::{self, FileRef, TEXT_PREFIX};
 use waxwingstall::ids::{ChangeId, OperatorName, Revision};
-use waxwingstall::store::memory::MemoryStore;
+use waxwingstall::store::memory::{Fault, MemoryStore};
 use waxwingstall::store::{Expect, Store};
 
 const SEEDS: u64 = 300;
@@ -140,18 +140,38 @@
     assert!(told.iter().all(|count| *count > 0), "one answer was never tried: {told:?}");
 }
 
-/// The same change is sent by two processes, say by an operator who was tired of waiting.
+/// The same change is sent by two processes, say by an operator who was tired of waiting. A read
+/// from the past makes the one that lost believe that nothing was put in force yet; it must not
+/// delete the text, which the head names by then.
 #[test]
 fn a_change_that_is_sent_twice_takes_effect_once() {
     for seed in 0..SEEDS {
         let store = start();
         let req = request("us", "us", "weights.toml", replace(weights(100)));
+        let stale = store.usage().calls + 1 + seed % 20;
+        let store = store.with_fault(stale, Fault::StaleRead);
         let results = race(seed, &store, &[req.clone(), req.clone()]);
         assert!(results.iter().all(Result::is_ok), "seed {seed}: {results:?}");
         assert_eq!(effects(&store, &req.change), 1, "seed {seed}");
     }
 }
 
+/// The head is written and its answer is lost. Written again, it conflicts; read back, the store
+/// answers from the past; and then it fails once. The change is in force, and must not be reported
+/// as refused.
+#[test]
+fn a_change_is_settled_through_a_lost_answer_an_old_read_and_an_error() {
+    let store = start();
+    let before = store.usage().calls;
+    let store = store
+        .with_fault(before + 5, Fault::ErrorAfterEffect)
+        .with_fault(before + 7, Fault::StaleRead)
+        .with_fault(before + 8, Fault::ErrorBefore);
+    let req = request("us", "us", "weights.toml", replace(weights(100)));
+    let applied = now(apply(&store, &ManualClock::new(), &req)).expect("applied");
+    assert_eq!(applied.revision, Revision(2));
+}
+
 /// Texts are swept while a change is on its way. Its text, which no head names yet, must stay.
 #[test]
 fn a_sweep_deletes_what_is_left_behind_and_nothing_else() {
