--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod log;
 pub mod net;
 pub mod promises;
+pub mod solo;
 pub mod world;
 
 use std::time::Duration;
--- a/tests/core_path.rs
+++ b/tests/core_path.rs
@@ -6,7 +6,8 @@
 use common::world::{Sound, World};
 use common::{Kind, ms, spec};
 use waxwingstall::core::event::Answer;
-use waxwingstall::task::{Outcome, Phase};
+use waxwingstall::model::Resumption;
+use waxwingstall::task::{Outcome, Phase, TaskSpec};
 use waxwingstall_standin::worker::TableSettings;
 
 fn world() -> World<Sound> {
@@ -60,3 +61,54 @@
     assert_eq!(world.book().stopped, 0);
     assert_eq!(world.violations(), Vec::<String>::new());
 }
+
+/// A VM leaves while narrations and a print build run on it. The narrations are checkpointed,
+/// closed and resumed once each elsewhere; the print build may run only once, so it stays.
+#[test]
+fn what_can_resume_leaves_a_leaving_vm_once_and_the_rest_stays() {
+    let mut world = world();
+    for key in 0..6 {
+        let kind = if key % 3 == 2 { Kind::PrintBuild } else { Kind::Narration };
+        world.submit(&key.to_string(), spec(kind, ms(12_000)));
+    }
+    world.run_for(ms(4_000));
+    let vm = world.tasks().iter().find_map(|task| match &task.phase {
+        Phase::Bound { vm } if task.spec.resumption == Resumption::Checkpoint => Some(vm.clone()),
+        _ => None,
+    });
+    let vm = vm.expect("a narration runs");
+    world.vms[&vm].leave();
+    world.run_for(ms(40_000));
+    let book = world.book();
+    let moved: Vec<_> = book.tasks().values().filter(|count| count.resumes > 0).collect();
+    assert!(!moved.is_empty());
+    for count in moved {
+        assert_eq!((count.starts, count.resumes, count.finishes), (2, 1, 1));
+        assert_eq!(count.vms[0], vm);
+    }
+    let builds = world.tasks().into_iter().filter(|task| task.spec.resumption == Resumption::Never);
+    for build in builds {
+        assert_eq!(book.tasks()[&build.id].starts, 1);
+        assert_eq!(build.phase, Phase::Ended { outcome: Outcome::Succeeded });
+    }
+    assert_eq!(world.violations(), Vec::<String>::new());
+}
+
+/// Both tasks fail each time they run. The narration may be tried again, three times in all; a
+/// second try of the print build could print a book twice.
+#[test]
+fn a_failed_print_build_is_not_run_again() {
+    let mut world = world();
+    for (key, kind) in [("narration", Kind::Narration), ("build", Kind::PrintBuild)] {
+        let payload = r#"{"work_ms": 500, "fail": true}"#.to_owned();
+        world.submit(key, TaskSpec { payload, ..spec(kind, ms(500)) });
+        world.run_for(ms(200));
+    }
+    world.run_for(ms(60_000));
+    let book = world.book();
+    let starts: Vec<u32> = world.tasks().iter().map(|task| book.tasks()[&task.id].starts).collect();
+    assert_eq!(starts, [3, 1]);
+    for task in world.tasks() {
+        assert!(matches!(task.phase, Phase::Ended { outcome: Outcome::Failed { .. } }));
+    }
+}
--- /dev/null
+++ b/tests/core_steps.rs
@@ -0,0 +1,375 @@
+//! Single steps of one core, in orders that matter.
+
+#[allow(dead_code)] // each test program uses a part of it
+mod common;
+
+use common::solo::{ME, Solo, listed, member, tenant};
+use common::{Kind, PARTITION, daemon, ms, spec};
+use waxwingstall::core::event::{Answer, CommitResult};
+use waxwingstall::core::{Action, Event};
+use waxwingstall::ids::{Attempt, BootId, TaskId, VmId};
+use waxwingstall::peer::{CloseReason, Decline, Member, MemberState, PeerMsg};
+use waxwingstall::task::{Change, Outcome, TaskSpec};
+use waxwingstall::units::Resources;
+use waxwingstall::worker::{self, EndedAttempt};
+
+const OTHER: &str = "other";
+
+fn task(number: u64) -> TaskId {
+    TaskId::new(PARTITION, number)
+}
+
+fn reserve(number: u64, spec: &TaskSpec) -> PeerMsg {
+    let (vm, attempt) = (VmId::new("w0"), Attempt(1));
+    PeerMsg::Reserve { vm, task: task(number), attempt, spec: spec.clone() }
+}
+
+fn start(number: u64, spec: &TaskSpec) -> PeerMsg {
+    PeerMsg::Start {
+        vm: VmId::new("w0"),
+        boot: BootId(1),
+        task: task(number),
+        attempt: Attempt(1),
+        spec: spec.clone(),
+        resume: None,
+    }
+}
+
+/// A spec that fills a VM.
+fn whole_vm() -> TaskSpec {
+    TaskSpec { resources: Resources::new(4_000, 8_192, 0), ..spec(Kind::Narration, ms(60_000)) }
+}
+
+fn declined(solo: &Solo, reason: Decline) -> bool {
+    let is = |msg: &&PeerMsg| matches!(msg, PeerMsg::Declined { reason: r, .. } if *r == reason);
+    solo.sent_to(OTHER).iter().any(is)
+}
+
+fn starts(solo: &Solo) -> usize {
+    solo.actions.iter().filter(|action| matches!(action, Action::Start { .. })).count()
+}
+
+fn closes(solo: &Solo) -> usize {
+    solo.actions.iter().filter(|action| matches!(action, Action::Close { .. })).count()
+}
+
+/// A core that holds w0, on which another daemon's task 0 runs.
+fn with_a_running_task(spec: &TaskSpec) -> Solo {
+    let mut solo = Solo::at_work(&["w0"]);
+    solo.hear(OTHER, reserve(0, spec));
+    solo.hear(OTHER, start(0, spec));
+    solo.started("w0", task(0), 1);
+    solo.take();
+    solo
+}
+
+/// A caller's task waits for the whole VM. The VM was asked to close the task that fills it, and
+/// has not answered: that task may still run. Given the room now, two tasks would fill the VM
+/// twice over. Room is free only with the proof.
+#[test]
+fn room_stays_taken_until_the_vm_proves_the_close() {
+    let mut solo = with_a_running_task(&whole_vm());
+    let (vm, boot, attempt) = (VmId::new("w0"), BootId(1), Attempt(1));
+    let why = CloseReason::Cancelled;
+    solo.hear(OTHER, PeerMsg::Close { vm, boot, task: task(0), attempt, why });
+    assert_eq!(closes(&solo), 1);
+    solo.hear(OTHER, reserve(1, &whole_vm()));
+    assert!(declined(&solo, Decline::NoRoom));
+    solo.take();
+    solo.closed("w0", task(0), 1);
+    solo.hear(OTHER, reserve(1, &whole_vm()));
+    assert!(!declined(&solo, Decline::NoRoom));
+}
+
+/// A renewal is under way when a start is sent; its answer, read before the start took effect,
+/// arrives after the start was confirmed. Taken at its word, it would have the running task closed
+/// as lost.
+#[test]
+fn a_table_read_before_a_start_does_not_report_the_task_lost() {
+    let spec = spec(Kind::PrintBuild, ms(60_000));
+    let mut solo = Solo::at_work(&["w0"]);
+    let sent = solo.now;
+    solo.now += ms(10);
+    solo.hear(OTHER, reserve(0, &spec));
+    solo.hear(OTHER, start(0, &spec));
+    solo.started("w0", task(0), 1);
+    solo.now += ms(10);
+    solo.synced("w0", sent, Vec::new(), Vec::new());
+    assert_eq!(closes(&solo), 0);
+    let later = solo.now;
+    solo.now += ms(10);
+    solo.synced("w0", later, Vec::new(), Vec::new());
+    assert_eq!(closes(&solo), 1);
+}
+
+/// The grant's answer took four seconds. The VM counts from when it granted, which may be just
+/// after the request was sent; counting from the answer would outlive the lease by four seconds,
+/// in which another daemon may hold the VM.
+#[test]
+fn a_lease_is_counted_from_before_its_request_was_sent() {
+    let mut solo = Solo::new(&["w0"]);
+    let sent = solo.now;
+    solo.wait(ms(10));
+    solo.now = sent + ms(4_000);
+    let status = common::worker("w0");
+    let result = Ok(worker::Granted { token: waxwingstall::ids::Token(1), status });
+    solo.tell(Event::Acquired { vm: VmId::new("w0"), sent, result });
+    assert_eq!(solo.core.vms()[0].valid_for, ms(10_000 - 500 - 4_000));
+}
+
+/// The daemon stands still past its lease, another takes the VM. What the first finds in its queue
+/// when it wakes must not act on the VM, nor promise room on it.
+#[test]
+fn after_a_pause_past_the_lease_nothing_is_sent() {
+    let spec = spec(Kind::Narration, ms(1_000));
+    let mut solo = Solo::at_work(&["w0"]);
+    solo.hear(OTHER, reserve(0, &spec));
+    solo.take();
+    solo.now += ms(9_600);
+    solo.hear(OTHER, start(0, &spec));
+    solo.hear(OTHER, reserve(1, &spec));
+    assert_eq!(starts(&solo), 0);
+    assert!(declined(&solo, Decline::NotHeld));
+    assert!(solo.core.vms().is_empty());
+}
+
+/// A daemon comes and goes every few seconds. Each time it would be proposed for some VMs. Handing
+/// them over and back would interrupt placement on them; they stay until the change has lasted.
+#[test]
+fn vms_stay_while_a_daemon_flaps_and_move_once_it_stays() {
+    let vms: Vec<String> = (0..40).map(|number| format!("w{number}")).collect();
+    let names: Vec<&str> = vms.iter().map(String::as_str).collect();
+    let mut solo = Solo::at_work(&names);
+    let renew = |solo: &mut Solo| {
+        let sent = solo.now;
+        names.iter().for_each(|vm| solo.synced(vm, sent, Vec::new(), Vec::new()));
+    };
+    for _ in 0..6 {
+        solo.tell(Event::Members(vec![member(ME), member(OTHER)]));
+        solo.wait(ms(4_000));
+        renew(&mut solo);
+        solo.tell(Event::Members(vec![member(ME)]));
+        solo.wait(ms(1_000));
+        renew(&mut solo);
+    }
+    assert_eq!(solo.core.vms().len(), 40);
+    solo.tell(Event::Members(vec![member(ME), member(OTHER)]));
+    for _ in 0..4 {
+        solo.wait(ms(4_000));
+        renew(&mut solo);
+    }
+    let kept = solo.core.vms().len();
+    let released =
+        solo.actions.iter().filter(|action| matches!(action, Action::Release { .. })).count();
+    assert_eq!(kept + released, 40);
+    assert!((10..=30).contains(&kept), "{kept} of 40 kept");
+}
+
+#[test]
+fn ten_thousand_cancellations_take_a_few_commits_and_no_decision() {
+    let mut solo = Solo::new(&[]);
+    solo.wait(ms(600));
+    solo.recover(Vec::new());
+    for number in 0..10_000 {
+        solo.submit(number, spec(Kind::Narration, ms(1_000)));
+    }
+    solo.settle();
+    solo.take();
+    for number in 0..10_000 {
+        let ticket = waxwingstall::ids::Ticket(20_000 + number);
+        solo.tell(Event::Cancel { ticket, task: task(number) });
+    }
+    let before = solo.core.counters().commits;
+    solo.settle();
+    let commits = solo.core.counters().commits - before;
+    assert!(commits <= 6, "{commits} commits");
+    let cancelled = solo
+        .actions
+        .iter()
+        .filter(|action| matches!(action, Action::Reply { answer: Answer::Cancelling { .. }, .. }));
+    assert_eq!(cancelled.count(), 10_000);
+    let decisions = solo.actions.iter().filter(|action| matches!(action, Action::Explain(_)));
+    assert_eq!(decisions.count(), 0);
+}
+
+/// The store is slow. The first submission is in a commit that may take effect at any time, so its
+/// caller must wait for the truth. The second has not been sent; it surely isn't recorded, and its
+/// caller is told so at once.
+#[test]
+fn a_submission_in_a_slow_commit_waits_and_one_behind_it_is_given_back() {
+    let mut solo = Solo::at_work(&["w0"]);
+    let first = solo.submit(1, spec(Kind::PrintBuild, ms(1_000)));
+    solo.wait(ms(200));
+    let second = solo.submit(2, spec(Kind::PrintBuild, ms(1_000)));
+    let (ticket, records) = {
+        let commits = solo.commits();
+        (commits[0].0, commits[0].1.len())
+    };
+    assert_eq!(records, 1);
+    solo.wait(ms(3_500));
+    let third = solo.submit(3, spec(Kind::PrintBuild, ms(1_000)));
+    assert_eq!(solo.answer(first), None);
+    assert!(matches!(solo.answer(second), Some(Answer::NotRun { .. })));
+    assert!(matches!(solo.answer(third), Some(Answer::NotRun { .. })));
+    solo.tell(Event::Committed { ticket, result: CommitResult::Durable });
+    assert!(matches!(solo.answer(first), Some(Answer::Accepted { repeated: false, .. })));
+}
+
+/// Two daemons took themselves for the writer. A commit of the one that lost is in flight when it
+/// learns so; what became of it is still told to the caller as it was.
+#[test]
+fn a_commit_in_flight_at_the_loss_of_a_partition_is_answered_truly() {
+    for (result, accepted) in [
+        (CommitResult::Durable, true),
+        (CommitResult::NotWritten { reason: "superseded".to_owned() }, false),
+    ] {
+        let mut solo = Solo::at_work(&["w0"]);
+        let caller = solo.submit(1, spec(Kind::PrintBuild, ms(1_000)));
+        solo.wait(ms(200));
+        let ticket = solo.commits()[0].0;
+        solo.tell(Event::Superseded { partition: PARTITION });
+        assert_eq!(solo.answer(caller), None);
+        solo.tell(Event::Committed { ticket, result });
+        let told = matches!(solo.answer(caller), Some(Answer::Accepted { .. }));
+        assert_eq!(told, accepted);
+    }
+}
+
+/// The VM told the end of a task, then the daemon lost it. Before the writer had the end on record
+/// the VM restarted and forgot it. The daemon still knows, and goes on telling the writer.
+#[test]
+fn an_end_is_told_on_after_its_vm_is_lost() {
+    let spec = spec(Kind::Narration, ms(1_000));
+    let mut solo = with_a_running_task(&spec);
+    let members = vec![member(ME), member(OTHER)];
+    solo.tell(Event::Members(members));
+    let sent = solo.now;
+    solo.now += ms(10);
+    let end = EndedAttempt { task: task(0), attempt: Attempt(1), outcome: Outcome::Succeeded };
+    solo.synced("w0", sent, Vec::new(), vec![end]);
+    solo.wait(ms(11_000));
+    assert!(solo.core.vms().is_empty());
+    solo.take();
+    solo.wait(ms(2_500));
+    let is_end = |msg: &&PeerMsg| matches!(msg, PeerMsg::Ended { .. });
+    let told = [ME, OTHER].iter().flat_map(|to| solo.sent_to(to)).filter(is_end).count();
+    assert_eq!(told, 1);
+    let (vm, attempt) = (VmId::new("w0"), Attempt(1));
+    solo.hear(OTHER, PeerMsg::EndedAck { vm, task: task(0), attempt });
+    solo.take();
+    solo.wait(ms(2_500));
+    assert!(![ME, OTHER].iter().flat_map(|to| solo.sent_to(to)).any(|msg| is_end(&msg)));
+}
+
+/// The VM of a bound task vanished from the platform's list. For a while that may be the list's
+/// lag, or a list that came back empty; the task may still run, so it isn't placed elsewhere.
+#[test]
+fn a_task_on_a_vanished_vm_is_released_only_after_the_wait() {
+    let mut solo = Solo::at_work(&["w0"]);
+    solo.submit(1, spec(Kind::Narration, ms(60_000)));
+    solo.settle();
+    solo.started("w0", task(0), 1);
+    solo.settle();
+    solo.take();
+    solo.tell(Event::Listed(Vec::new()));
+    solo.wait(ms(100_000));
+    solo.settle();
+    let released = |solo: &Solo| {
+        let records = solo.core.task(task(0)).map(|task| task.phase.clone());
+        records == Some(waxwingstall::task::Phase::Waiting)
+    };
+    assert!(!released(&solo));
+    assert!(solo.core.waiting_for(task(0)).is_none_or(|text| text.contains("w0")));
+    solo.tell(Event::Listed(vec![listed("w9")]));
+    solo.wait(ms(2_000));
+    solo.wait(ms(50_000));
+    solo.settle();
+    assert!(!released(&solo));
+    solo.wait(ms(15_000));
+    solo.settle();
+    assert!(released(&solo));
+}
+
+/// The daemon is to stop. It takes nothing new, gives its VMs back, and the tasks on them run on.
+#[test]
+fn a_draining_daemon_refuses_and_gives_its_vms_back() {
+    let mut solo = with_a_running_task(&spec(Kind::Narration, ms(60_000)));
+    solo.tell(Event::Drain);
+    let draining = Member { state: MemberState::Draining, ..member(ME) };
+    solo.tell(Event::Members(vec![draining, member(OTHER)]));
+    let caller = solo.submit(1, spec(Kind::Narration, ms(1_000)));
+    solo.hear(OTHER, reserve(1, &spec(Kind::Narration, ms(1_000))));
+    assert!(matches!(solo.answer(caller), Some(Answer::NotRun { .. })));
+    assert!(declined(&solo, Decline::NotHeld));
+    assert!(solo.actions.iter().any(|action| matches!(action, Action::Release { .. })));
+    assert_eq!(closes(&solo), 0);
+}
+
+/// Ends come in while the store is down. They are kept in order and written when it is back, and
+/// the VM is told to forget them only then.
+#[test]
+fn ends_are_kept_through_an_outage_and_written_in_order() {
+    let mut solo = Solo::at_work(&["w0"]);
+    for number in 0..3 {
+        solo.submit(number, spec(Kind::Narration, ms(1_000)));
+    }
+    solo.settle();
+    for number in 0..3 {
+        solo.started("w0", task(number), 1);
+    }
+    solo.settle();
+    solo.take();
+    let sent = solo.now;
+    solo.now += ms(10);
+    let ended = (0..3).map(|number| EndedAttempt {
+        task: task(number),
+        attempt: Attempt(1),
+        outcome: Outcome::Succeeded,
+    });
+    solo.synced("w0", sent, Vec::new(), ended.collect());
+    let told: Vec<PeerMsg> = solo.sent_to(ME).into_iter().cloned().collect();
+    told.into_iter().for_each(|msg| solo.hear(ME, msg));
+    let mut tries = 0;
+    for _ in 0..3_600 {
+        solo.wait(ms(1_000));
+        let open = solo.commits().first().map(|(ticket, _)| *ticket);
+        solo.take();
+        if let Some(ticket) = open {
+            tries += 1;
+            let result = CommitResult::NotWritten { reason: "down".to_owned() };
+            solo.tell(Event::Committed { ticket, result });
+        }
+    }
+    assert!((600..=1_500).contains(&tries), "{tries} tries in an hour");
+    solo.wait(ms(10_000));
+    let ends: Vec<TaskId> = solo.commits()[0].1.iter().map(|record| record.task).collect();
+    assert_eq!(ends, [task(0), task(1), task(2)]);
+    assert!(solo.commits()[0].1.iter().all(|r| matches!(r.change, Change::Ended { .. })));
+    assert!(solo.sent_to(ME).iter().all(|msg| !matches!(msg, PeerMsg::EndedAck { .. })));
+    solo.settle();
+    assert_eq!(solo.core.task(task(2)).map(|task| task.ended()), Some(true));
+}
+
+#[test]
+fn a_daemon_that_holds_a_vm_again_closes_what_it_no_longer_finds() {
+    let spec = spec(Kind::Narration, ms(60_000));
+    let mut solo = with_a_running_task(&spec);
+    solo.wait(ms(11_000));
+    assert!(solo.core.vms().is_empty());
+    solo.take();
+    solo.grant("w0", 2, Vec::new());
+    assert_eq!(closes(&solo), 1);
+    let mut solo = with_a_running_task(&spec);
+    solo.wait(ms(11_000));
+    solo.take();
+    solo.grant("w0", 2, vec![tenant(task(0), 1, &spec)]);
+    assert_eq!(closes(&solo), 0);
+    assert_eq!(solo.core.vms()[0].attempts.len(), 1);
+}
+
+#[test]
+fn a_daemon_names_itself_in_its_views() {
+    let solo = Solo::at_work(&["w0"]);
+    assert_eq!(solo.core.vms().len(), 1);
+    assert_eq!(solo.core.writer_of(PARTITION), Some(daemon(ME)));
+}
