--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,9 +19,11 @@
 use crate::listing::DaemonEntry;
 use crate::membership::{Membership, MembershipSettings};
 use crate::peer::{Member, MemberState, PeerMsg};
+use crate::request::share::{ShareAsk, ShareGrant};
 use crate::ring::{RING_CAPACITY, Ring};
 use crate::storage::{HearRevision, KnowMembers, Storage};
 use crate::task::{TaskSpec, TaskState};
+use crate::usage::Usage;
 use actix::prelude::*;
 use indexmap::IndexMap;
 use link::Link;
@@ -76,6 +78,10 @@
     },
     /// The VMs held by the daemon asked.
     Vms,
+    /// Slots of endpoints on VMs held by the daemon asked.
+    Slots {
+        asks: Vec<ShareAsk>,
+    },
 }
 
 /// The answer to a [`Call`].
@@ -85,6 +91,7 @@
     Task(Box<Shown>),
     Tasks(Vec<Shown>),
     Vms(Vec<VmDetail>),
+    Slots(Vec<ShareGrant>),
     Records {
         records: Vec<DecisionRecord>,
         forgotten: bool,
@@ -127,6 +134,7 @@
     storage: Addr<Storage>,
     front: watch::Sender<FrontView>,
     clock: Arc<dyn Clock>,
+    usage: Arc<Usage>,
     told: Vec<Member>,
     settling: Settling,
 }
@@ -140,6 +148,7 @@
         storage: Addr<Storage>,
         front: watch::Sender<FrontView>,
         clock: Arc<dyn Clock>,
+        usage: Arc<Usage>,
     ) -> Self {
         Self {
             membership: Membership::new(me, settings),
@@ -148,6 +157,7 @@
             storage,
             front,
             clock,
+            usage,
             told: Vec::new(),
             settling: Settling::Unlisted,
         }
@@ -236,7 +246,8 @@
     }
 
     fn link(&mut self, addr: &str) -> &Link {
-        self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr))
+        let usage = &self.usage;
+        self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr, usage.clone()))
     }
 
     fn addr_of(&self, id: &DaemonId) -> Option<String> {
--- a/tests/config_audit.rs
+++ b/tests/config_audit.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use waxwingstall::audit::{self, Missing, Outcome, PAGE_ENTRIES, Page, Trail, page, page_from};
 use waxwingstall::clock::{Clock, ManualClock};
-use waxwingstall::config::apply::{Action, apply, confirm};
+use waxwingstall::config::apply::{Action, ChangeRequest, Error, apply, confirm};
 use waxwingstall::config::head::{self, Head};
 use waxwingstall::ids::{ChangeId, OperatorName, Revision};
 use waxwingstall::store::memory::{Fault, MemoryStore, Outage};
@@ -149,3 +149,21 @@
     assert_eq!((newest.change, newest.operator), (change, operator));
     assert_eq!((newest.outcome, newest.revision), (Outcome::Abandoned, Revision(CHANGES)));
 }
+
+/// An operator looked at the files long ago, when there was a file that is gone now, and the trail
+/// no longer reaches back to then. Who removed it can't be told; the change is refused, and not
+/// taken for that of a new file.
+#[test]
+fn a_base_older_than_the_trail_is_refused() {
+    let store = store_with_changes();
+    let at = now(head::read(&store)).expect("a head");
+    let head = Head { trail: Trail { first_page: 10, ..at.head.trail }, ..at.head };
+    let value = head.encode().expect("a head");
+    now(store.put(head::HEAD_KEY, value, Expect::Version(at.version))).expect("written");
+    let text = "[[pool]]\nname = \"press\"\n".to_owned();
+    let req = request("uwase", "ancient", "pools.toml", Action::Replace { text });
+    let req = ChangeRequest { base: Some(Revision(3)), ..req };
+    let refused = now(apply(&store, &ManualClock::new(), &req));
+    let Err(Error::Unavailable { reason }) = refused else { panic!("{refused:?}") };
+    assert!(reason.contains("entries before 80 are not kept"), "{reason}");
+}
