--- a/tests/common/solo.rs
+++ b/tests/common/solo.rs
@@ -9,7 +9,9 @@
 };
 use waxwingstall::peer::{Member, MemberState, PeerMsg};
 use waxwingstall::task::{Record, TaskSpec, TaskState};
-use waxwingstall::worker::{self, EndedAttempt, Granted, SyncResp, Tenant, TenantKind, VmStatus};
+use waxwingstall::worker::{
+    self, Earlier, EndedAttempt, Granted, SyncResp, Tenant, TenantKind, VmStatus,
+};
 
 /// The daemon under test.
 pub const ME: &str = "me";
@@ -101,7 +103,7 @@
     /// Grants a VM's control lease to a request sent now.
     pub fn grant(&mut self, vm: &str, token: u64, tasks: Vec<Tenant>) {
         let status = VmStatus { tasks, ..worker(vm) };
-        let result = Ok(Granted { token: Token(token), status });
+        let result = Ok(Granted { token: Token(token), earlier: Earlier::Some, status });
         self.tell(Event::Acquired { vm: VmId::new(vm), sent: self.now, result });
     }
 
--- a/tests/core_steps.rs
+++ b/tests/core_steps.rs
@@ -7,11 +7,11 @@
 use common::{Kind, PARTITION, daemon, ms, spec};
 use waxwingstall::core::event::{Answer, CommitResult};
 use waxwingstall::core::{Action, Event};
-use waxwingstall::ids::{Attempt, BootId, TaskId, VmId};
+use waxwingstall::ids::{Attempt, BootId, TaskId, Ticket, Token, VmId};
 use waxwingstall::peer::{CloseReason, Decline, Member, MemberState, PeerMsg};
 use waxwingstall::task::{Change, Outcome, TaskSpec};
 use waxwingstall::units::Resources;
-use waxwingstall::worker::{self, EndedAttempt};
+use waxwingstall::worker::{self, Earlier, EndedAttempt};
 
 const OTHER: &str = "other";
 
@@ -112,7 +112,7 @@
     solo.wait(ms(10));
     solo.now = sent + ms(4_000);
     let status = common::worker("w0");
-    let result = Ok(worker::Granted { token: waxwingstall::ids::Token(1), status });
+    let result = Ok(worker::Granted { token: Token(1), earlier: Earlier::None, status });
     solo.tell(Event::Acquired { vm: VmId::new("w0"), sent, result });
     assert_eq!(solo.core.vms()[0].valid_for, ms(10_000 - 500 - 4_000));
 }
@@ -176,7 +176,7 @@
     solo.settle();
     solo.take();
     for number in 0..10_000 {
-        let ticket = waxwingstall::ids::Ticket(20_000 + number);
+        let ticket = Ticket(20_000 + number);
         solo.tell(Event::Cancel { ticket, task: task(number) });
     }
     let before = solo.core.counters().commits;
