--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -267,7 +267,7 @@
                 let reason = if now + mean > first.due {
                     Reason::DeadlinePassed
                 } else if now > first.arrived + patience {
-                    Reason::QueueFull
+                    Reason::NoSlot
                 } else {
                     break;
                 };
--- a/src/request/conn.rs
+++ b/src/request/conn.rs
@@ -24,7 +24,7 @@
 const HEALTH_PATH: &str = "/health";
 
 /// Time for a probe's answer. An endpoint that computes still answers probes.
-const PROBE_TIME: Duration = Duration::from_millis(250);
+const PROBE_TIME: Duration = Duration::from_millis(500);
 
 /// Far longer than any connection is kept: connections are aged by their owner.
 const FOREVER: Duration = Duration::from_secs(86_400 * 365);
--- a/src/request/hop.rs
+++ b/src/request/hop.rs
@@ -48,7 +48,7 @@
     ) -> Option<Result<Answer, Refusal>> {
         let may_help = matches!(
             refused.reason,
-            Reason::NoEndpoint | Reason::QueueFull | Reason::DeadlineTooShort
+            Reason::NoEndpoint | Reason::QueueFull | Reason::NoSlot | Reason::DeadlineTooShort
         );
         if arrival.forwarded || !may_help || self.draining.get() {
             return None;
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -40,6 +40,7 @@
     NoConfig,
     NoEndpoint,
     QueueFull,
+    NoSlot,
     DeadlineTooShort,
     DeadlinePassed,
     EndpointsRefused,
@@ -81,7 +82,7 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Answered,
         Self::UnknownClass,
         Self::BadRequestId,
@@ -94,6 +95,7 @@
         Self::NoConfig,
         Self::NoEndpoint,
         Self::QueueFull,
+        Self::NoSlot,
         Self::DeadlineTooShort,
         Self::DeadlinePassed,
         Self::EndpointsRefused,
@@ -126,6 +128,7 @@
             Self::NoConfig => "no-config",
             Self::NoEndpoint => "no-endpoint",
             Self::QueueFull => "queue-full",
+            Self::NoSlot => "no-slot",
             Self::DeadlineTooShort => "deadline-too-short",
             Self::DeadlinePassed => "deadline-passed",
             Self::EndpointsRefused => "endpoints-refused",
@@ -152,7 +155,7 @@
             Self::BodyBroken => "send the whole body as declared",
             Self::Draining | Self::NoConfig => "send it again; another daemon will take it",
             Self::NoEndpoint => "send it again later; no endpoint serves this class now",
-            Self::QueueFull => "send it again after the time in retry-after",
+            Self::QueueFull | Self::NoSlot => "send it again after the time in retry-after",
             Self::DeadlineTooShort => "send it again later, or with a longer deadline",
             Self::DeadlinePassed => "send it again with a longer deadline if the outcome allows",
             Self::EndpointsRefused | Self::ConnectFailed => "send it again after a short while",
@@ -180,6 +183,7 @@
             | Self::NoConfig
             | Self::NoEndpoint
             | Self::QueueFull
+            | Self::NoSlot
             | Self::DeadlineTooShort
             | Self::EndpointsRefused
             | Self::ConnectFailed => StatusCode::SERVICE_UNAVAILABLE,
