--- a/benches/requests/main.rs
+++ b/benches/requests/main.rs
@@ -1,7 +1,8 @@
 //! The request path, measured: routing and overload in virtual time on one arrival trace, and the
 //! cost of the real thing on loopback. Run with `cargo bench --bench requests [part]`, where the
-//! part is `routing`, `overload` or `loopback`.
+//! part is `routing`, `overload`, `live` or `loopback`.
 
+mod live;
 mod loopback;
 mod overload;
 mod routing;
@@ -18,6 +19,9 @@
     if wanted("overload") {
         overload::run();
     }
+    if wanted("live") {
+        live::run();
+    }
     if wanted("loopback") {
         loopback::run();
     }
--- a/src/request/fleet.rs
+++ b/src/request/fleet.rs
@@ -153,6 +153,7 @@
             endpoint.listed.set(info.state);
             endpoints.insert(info.vm.clone(), endpoint);
         }
+        known.values().for_each(|endpoint| endpoint.health.borrow_mut().delisted());
         self.takers.borrow_mut().retain(|vm, _| endpoints.contains_key(vm));
         *self.endpoints.borrow_mut() = endpoints;
         self.pump_all();
--- a/src/request/health.rs
+++ b/src/request/health.rs
@@ -4,6 +4,9 @@
 //! slowly once a probe succeeds. At most half of a service's endpoints in a domain are ejected:
 //! when more fail, the fault is likely not theirs, and the rest could not carry the load.
 
+pub mod life;
+
+use life::{Event, State};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -47,16 +50,20 @@
     Returning {
         since: Duration,
     },
-    /// Refuses connections or says that it leaves; gets probes only.
+    /// Refuses connections or says that it leaves; gets nothing until `until`, and then a probe.
     Leaving {
         until: Duration,
     },
+    /// Is no longer listed.
+    Gone,
 }
 
 /// The health of one endpoint.
 #[derive(Clone, Debug)]
 pub struct Health {
-    standing: Standing,
+    state: State,
+    /// When the state began, or when a probe is due in one that gets nothing.
+    at: Duration,
     in_a_row: u32,
     answers: u32,
     failed_share: f64,
@@ -67,7 +74,8 @@
 impl Default for Health {
     fn default() -> Self {
         Self {
-            standing: Standing::Open,
+            state: State::Open,
+            at: Duration::ZERO,
             in_a_row: 0,
             answers: 0,
             failed_share: 0.0,
@@ -85,7 +93,13 @@
 
     /// Where it is now.
     pub fn standing(&self) -> Standing {
-        self.standing
+        match self.state {
+            State::Open => Standing::Open,
+            State::Ejected => Standing::Ejected { until: self.at },
+            State::Returning => Standing::Returning { since: self.at },
+            State::Leaving => Standing::Leaving { until: self.at },
+            State::Gone => Standing::Gone,
+        }
     }
 
     /// Share of recent answers that were failures.
@@ -95,24 +109,21 @@
 
     /// Whether it counts as out of service.
     pub fn is_out(&self) -> bool {
-        matches!(self.standing, Standing::Ejected { .. } | Standing::Leaving { .. })
+        matches!(self.state, State::Ejected | State::Leaving | State::Gone)
     }
 
     /// Whether a probe is due.
     pub fn wants_probe(&self, now: Duration) -> bool {
-        match self.standing {
-            Standing::Ejected { until } | Standing::Leaving { until } => now >= until,
-            Standing::Open | Standing::Returning { .. } => false,
-        }
+        matches!(self.state, State::Ejected | State::Leaving) && now >= self.at
     }
 
     /// The slots that may be used, of those that are its own.
     pub fn usable(&self, slots: u32, now: Duration) -> u32 {
-        match self.standing {
-            Standing::Open => slots,
-            Standing::Ejected { .. } | Standing::Leaving { .. } => 0,
-            Standing::Returning { since } => {
-                let share = now.saturating_sub(since).as_secs_f64() / RETURN_TIME.as_secs_f64();
+        match self.state {
+            State::Open => slots,
+            State::Ejected | State::Leaving | State::Gone => 0,
+            State::Returning => {
+                let share = now.saturating_sub(self.at).as_secs_f64() / RETURN_TIME.as_secs_f64();
                 let ramped = (f64::from(slots) * share.clamp(0.0, 1.0)).floor();
                 (ramped as u32).clamp(slots.min(1), slots)
             }
@@ -123,10 +134,8 @@
     pub fn succeeded(&mut self, now: Duration) {
         self.in_a_row = 0;
         self.note(0.0);
-        if let Standing::Returning { since } = self.standing
-            && now.saturating_sub(since) >= RETURN_TIME
-        {
-            self.standing = Standing::Open;
+        if now.saturating_sub(self.at) >= RETURN_TIME {
+            self.state = life::step(self.state, Event::Returned);
         }
         if self.ejections > 0 && now.saturating_sub(self.last_ejected) >= FORGIVEN {
             self.ejections = 0;
@@ -140,16 +149,23 @@
         self.note(1.0);
         let bad = self.in_a_row >= IN_A_ROW
             || (self.answers >= ENOUGH && self.failed_share >= FAILED_SHARE)
-            || matches!(self.standing, Standing::Returning { .. });
+            || self.state == State::Returning;
         if bad && may_eject && !self.is_out() {
-            self.eject(now);
+            self.state = life::step(self.state, Event::Failing);
+            self.count_ejection(now);
         }
     }
 
     /// It refused a connection or said that it leaves. This needs no other evidence: whatever was
     /// sent there would come back as not run.
     pub fn leaves(&mut self, now: Duration) {
-        self.standing = Standing::Leaving { until: now + FIRST_OUT };
+        self.state = life::step(self.state, Event::Leaves);
+        self.at = now + FIRST_OUT;
+    }
+
+    /// It is no longer on the platform's list.
+    pub fn delisted(&mut self) {
+        self.state = life::step(self.state, Event::Delisted);
     }
 
     /// A probe came back.
@@ -157,24 +173,27 @@
         if !self.is_out() {
             return;
         }
-        if ok {
-            self.standing = Standing::Returning { since: now };
-            self.in_a_row = 0;
-            self.answers = 0;
-            self.failed_share = 0.0;
-            return;
-        }
-        match self.standing {
-            Standing::Leaving { .. } => self.leaves(now),
-            _ => self.eject(now),
+        self.state = life::step(self.state, if ok { Event::ProbeGood } else { Event::ProbeBad });
+        match self.state {
+            State::Ejected => self.count_ejection(now),
+            State::Leaving => self.at = now + FIRST_OUT,
+            State::Open | State::Returning | State::Gone => self.begin(now),
         }
     }
 
-    fn eject(&mut self, now: Duration) {
+    /// Forgets the evidence against it.
+    fn begin(&mut self, now: Duration) {
+        self.at = now;
+        self.in_a_row = 0;
+        self.answers = 0;
+        self.failed_share = 0.0;
+    }
+
+    fn count_ejection(&mut self, now: Duration) {
         let doubled = FIRST_OUT.saturating_mul(1 << self.ejections.min(10));
         self.ejections += 1;
         self.last_ejected = now;
-        self.standing = Standing::Ejected { until: now + doubled.min(LONGEST_OUT) };
+        self.at = now + doubled.min(LONGEST_OUT);
     }
 
     fn note(&mut self, failure: f64) {
--- a/src/request/tests/health.rs
+++ b/src/request/tests/health.rs
@@ -1,4 +1,4 @@
-use crate::request::health::{Health, Standing, may_eject};
+use crate::request::health::{Health, Standing, life, may_eject};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -73,3 +73,17 @@
     health.probed(true, SECOND * 200);
     assert_eq!(health.usable(8, SECOND * 200), 1);
 }
+
+#[test]
+fn the_chart_and_the_code_name_the_same_states_and_events() {
+    life::load().unwrap();
+}
+
+#[test]
+fn a_delisted_endpoint_gets_nothing_and_no_probe_brings_it_back() {
+    let mut health = Health::new();
+    health.delisted();
+    health.probed(true, SECOND);
+    assert_eq!(health.standing(), Standing::Gone);
+    assert_eq!((health.usable(8, SECOND * 100), health.wants_probe(SECOND * 100)), (0, false));
+}
