--- a/benches/requests/loopback.rs
+++ b/benches/requests/loopback.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use waxwingstall::clock::{Clock, SystemClock};
 use waxwingstall::request::{DispatcherSettings, Limits};
-use waxwingstall_standin::endpoint::{Endpoint, EndpointSettings};
+use waxwingstall_standin::endpoint::{Endpoint, EndpointSettings, Fault};
 
 const REQUESTS: usize = 4000;
 const CALLERS: usize = 64;
@@ -33,6 +33,7 @@
     let front = Front::start_with(settings, config(8), &infos);
     overhead(endpoints[0].addr(), front.addr);
     throughput(&front);
+    silence();
     memory(&front);
     let violations: usize = endpoints.iter().map(Endpoint::slot_violations).sum();
     println!("slot violations in all of this: {violations}");
@@ -103,6 +104,31 @@
     );
 }
 
+/// Time until a request gets its answer although its connection went silent, with a deadline of
+/// 20 s.
+fn silence() {
+    const ROUNDS: usize = 8;
+    let endpoint = Endpoint::start(EndpointSettings::default());
+    let front = Front::start(config(8), &[listed("vm-1", &endpoint)]);
+    let url = format!("http://{}/v1/requests/preview/x", front.addr);
+    let mut times = histogram();
+    actix_web::rt::System::new().block_on(async {
+        let client = Client::builder().timeout(Duration::from_secs(30)).finish();
+        for round in 0..ROUNDS {
+            endpoint.faults().next(Fault::SilentBeforeHead);
+            let start = SystemClock.now();
+            let status = call(&client, &url, &format!("silent-{round}")).await;
+            assert_eq!(status, 200, "the second try was answered");
+            record(&mut times, SystemClock.now() - start);
+        }
+    });
+    println!(
+        "connection silent before the head, {ROUNDS} previews: answered after {:.0} to {:.0} ms",
+        millis(&times, 0.0),
+        millis(&times, 1.0)
+    );
+}
+
 /// Processor time of the thread that this is called on.
 fn cpu_time() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
--- a/src/request/fleet.rs
+++ b/src/request/fleet.rs
@@ -1,5 +1,9 @@
 //! The endpoints of all services, and who waits for their slots.
 
+mod shares;
+
+pub use shares::Shares;
+
 use crate::clock::Clock;
 use crate::ids::{ClassName, DaemonId, ServiceName, TeamName, VmId};
 use crate::model::Config;
@@ -9,7 +13,7 @@
 use crate::request::outcome::Reason;
 use crate::request::route::{self, Candidate, Choosing, Usual};
 use crate::request::settings::DispatcherSettings;
-use crate::request::share::{ShareAsk, ShareGrant, Taker, even_split};
+use crate::request::share::Taker;
 use crate::request::slot::{Slot, Verdict};
 use crate::request::status::EndpointStatus;
 use indexmap::IndexMap;
@@ -24,17 +28,6 @@
 /// Time after which to come back when no endpoint serves.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// How this daemon's part of an endpoint's slots is found.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Shares {
-    /// An even split among the daemons of the domain that this one knows of. While two daemons
-    /// know of different ones their parts may sum to more than there is.
-    #[default]
-    Even,
-    /// As granted by the holder of each VM's control lease.
-    Granted,
-}
-
 /// Whoever waits for a slot.
 struct Waiter {
     tx: oneshot::Sender<Result<Slot, Refused>>,
@@ -122,22 +115,6 @@
         self.pump_all();
     }
 
-    /// Changes how this daemon's slots are found.
-    pub fn set_shares(self: &Rc<Self>, shares: Shares) {
-        self.shares.set(shares);
-        self.pump_all();
-    }
-
-    /// Takes the other daemons of this domain.
-    pub fn set_home_daemons(self: &Rc<Self>, others: Vec<DaemonId>) {
-        let mut daemons = others;
-        daemons.push(self.settings.me.clone());
-        daemons.sort();
-        daemons.dedup();
-        *self.home_daemons.borrow_mut() = daemons;
-        self.pump_all();
-    }
-
     /// Takes the platform's list. Endpoints that are no longer on it finish what they have.
     pub fn list(self: &Rc<Self>, listed: &[EndpointInfo]) {
         let mut known = std::mem::take(&mut *self.endpoints.borrow_mut());
@@ -259,38 +236,6 @@
         status.collect()
     }
 
-    /// The asks to send to the givers of this domain's endpoints.
-    pub fn share_asks(&self) -> Vec<ShareAsk> {
-        let now = self.now();
-        let endpoints = self.endpoints.borrow();
-        let mut takers = self.takers.borrow_mut();
-        let home = endpoints.values().filter(|endpoint| self.is_home(endpoint));
-        let asks = home.map(|endpoint| {
-            let waiting = self.waiting_at(&endpoint.service);
-            let taker = takers
-                .entry(endpoint.vm.clone())
-                .or_insert_with(|| Taker::new(self.settings.me.clone(), endpoint.vm.clone()));
-            let in_flight = endpoint.in_flight();
-            taker.demand(in_flight + waiting);
-            taker.ask(in_flight, now)
-        });
-        asks.collect()
-    }
-
-    /// Takes a giver's grant, whose ask was sent at `sent`.
-    pub fn share_granted(self: &Rc<Self>, grant: &ShareGrant, sent: Duration) {
-        if let Some(taker) = self.takers.borrow_mut().get_mut(&grant.vm) {
-            taker.granted(grant, sent);
-        }
-        self.pump_all();
-    }
-
-    fn waiting_at(&self, service: &ServiceName) -> u32 {
-        let queues = self.queues.borrow();
-        let waiting = queues.get(service).map_or(0, |queue| queue.waiting().map(|(_, n)| n).sum());
-        u32::try_from(waiting).unwrap_or(u32::MAX)
-    }
-
     fn offer(
         &self,
         wanted: &Wanted<'_>,
@@ -367,20 +312,6 @@
         home.map(|endpoint| endpoint.usable(self.share_of(endpoint, now), now)).sum()
     }
 
-    fn share_of(&self, endpoint: &Endpoint, now: Duration) -> u32 {
-        match self.shares.get() {
-            Shares::Granted => {
-                self.takers.borrow().get(&endpoint.vm).map_or(0, |taker| taker.usable(now))
-            }
-            Shares::Even => {
-                let cfg = self.cfg.borrow();
-                let service = cfg.as_ref().and_then(|cfg| cfg.services.get(&endpoint.service));
-                let slots = service.map_or(0, |service| service.slots);
-                even_split(&endpoint.vm, slots, &self.settings.me, &self.home_daemons.borrow())
-            }
-        }
-    }
-
     fn is_home(&self, endpoint: &Endpoint) -> bool {
         endpoint.domain == self.settings.domain
     }
--- a/src/request/share/keeper.rs
+++ b/src/request/share/keeper.rs
@@ -13,10 +13,12 @@
 pub struct KeeperSettings {
     /// Slots of the endpoint.
     pub slots: u32,
-    /// Validity of a grant.
+    /// Validity of a grant. Longer than it takes another daemon to get the control lease, so that
+    /// askers still hold something for a new giver to confirm.
     pub ttl: Duration,
-    /// How long a request may still be at the endpoint after its daemon's grant ran out: the
-    /// longest deadline of the service's classes.
+    /// How long a request may still be at the endpoint after its daemon's grant ran out. The
+    /// longest deadline of the service's classes is sure; a shorter time lets slots move sooner
+    /// after a daemon vanished, and leaves the rest to the endpoint's own refusals.
     pub longest_run: Duration,
 }
 
