--- a/src/core/policy/interference.rs
+++ b/src/core/policy/interference.rs
@@ -39,9 +39,9 @@
 }
 
 const GENERAL: Gain = Gain { first: 0.10, floor: 0.002 };
-const CLASS: Gain = Gain { first: 0.20, floor: 0.02 };
-const PAIR: Gain = Gain { first: 0.30, floor: 0.06 };
-const CELL: Gain = Gain { first: 0.20, floor: 0.04 };
+const CLASS: Gain = Gain { first: 0.20, floor: 0.01 };
+const PAIR: Gain = Gain { first: 0.30, floor: 0.03 };
+const CELL: Gain = Gain { first: 0.20, floor: 0.02 };
 
 /// A band of load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
