--- a/src/core/policy/ladder.rs
+++ b/src/core/policy/ladder.rs
@@ -183,7 +183,9 @@
         };
         let least = throttled.min_by_key(|culprit| (rise(culprit), culprit.task));
         if let Some(least) = least {
-            let safe = self.excess + rise(least) < limit || self.calm >= self.calm_needed * 4;
+            let silent = self.age > SILENT;
+            let long_calm = self.calm >= self.calm_needed * 4;
+            let safe = silent || long_calm || self.excess + rise(least) < limit;
             let share = (least.share as f64 / PARTS / THROTTLE_STEP).min(1.0);
             let task = least.task;
             return safe.then(|| Relief::Throttle { vm: self.vm.clone(), task, share });
