--- a/benches/policy/scenarios.rs
+++ b/benches/policy/scenarios.rs
@@ -105,19 +105,15 @@
     config: &Arc<Config>,
     make: fn(&Arc<Config>, u64) -> Box<dyn Row>,
 ) -> Outcomes {
-    let mut sum: Option<Outcomes> = None;
-    for seed in SEEDS {
-        let mut row = make(config, seed);
-        let outcomes = run(site, scenario, row.as_mut(), seed);
-        match &mut sum {
-            None => sum = Some(outcomes),
-            Some(sum) => add(sum, &outcomes),
-        }
-    }
-    sum.expect("at least one seed")
+    let one = |seed: u64| run(site, scenario, make(config, seed).as_mut(), seed);
+    std::thread::scope(|scope| {
+        let seeds: Vec<_> = SEEDS.into_iter().map(|seed| scope.spawn(move || one(seed))).collect();
+        let outcomes = seeds.into_iter().map(|seed| seed.join().expect("a run"));
+        outcomes.reduce(|sum, other| add(sum, &other)).expect("at least one seed")
+    })
 }
 
-fn add(sum: &mut Outcomes, other: &Outcomes) {
+fn add(mut sum: Outcomes, other: &Outcomes) -> Outcomes {
     let same = "histograms of the same bounds";
     sum.services.add(&other.services).expect(same);
     sum.waits.add(&other.waits).expect(same);
@@ -136,6 +132,7 @@
     sum.still_waiting += other.still_waiting;
     sum.decisions += other.decisions;
     sum.decision_time += other.decision_time;
+    sum
 }
 
 fn header(site: &Site, scenario: &Scenario) -> String {
