--- a/benches/tasklog.rs
+++ b/benches/tasklog.rs
@@ -381,7 +381,39 @@
     println!("\n{:.2} µs of processor a task (least squares)", slope(&points));
 }
 
+/// Bytes of memory that this process has in use.
+fn resident() -> f64 {
+    const PAGE_BYTES: f64 = 4096.0;
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("the process's figures");
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<f64>().ok());
+    pages.expect("a number of pages") * PAGE_BYTES
+}
+
+fn memory() {
+    println!("## Memory of a writer's partition\n");
+    println!("| tasks running | KB resident for a partition (mean of 8) |");
+    println!("| --- | --- |");
+    let mut points = Vec::new();
+    for running in [2_300, 9_200, 36_800] {
+        let store = FaultStore::new();
+        let mut partition = loaded(&store, Limits::default());
+        let mut workload = Workload::new();
+        for _ in 0..running / 100 {
+            let records = workload.batch(100, running);
+            block_on(partition.commit(&store, &records)).expect("the store works");
+        }
+        block_on(partition.compact(&store)).expect("the store works");
+        let before = resident();
+        let partitions: Vec<_> = (0..8).map(|_| loaded(&store, Limits::default())).collect();
+        let bytes = (resident() - before) / partitions.len() as f64;
+        println!("| {running} | {:.0} |", bytes / 1000.0);
+        points.push(Point { x: running as f64, y: bytes });
+    }
+    println!("\n{:.0} bytes a task (least squares)\n", slope(&points));
+}
+
 fn main() {
+    memory();
     forms_of_records();
     ways_to_commit();
     pace();
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -40,6 +40,12 @@
             }
         }
 
+        impl From<Arc<str>> for $name {
+            fn from(name: Arc<str>) -> Self {
+                Self(name)
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
--- a/src/tasklog/codec.rs
+++ b/src/tasklog/codec.rs
@@ -195,16 +195,17 @@
         u32::try_from(self.specs.insert_full(entry).0).unwrap_or(u32::MAX)
     }
 
-    fn name(&self, index: u32) -> Result<&str> {
-        self.names.get_index(index as usize).map(AsRef::as_ref).ok_or(Error::Name(index))
+    /// A name, sharing the dictionary's memory: tasks have few names between them.
+    fn name(&self, index: u32) -> Result<Arc<str>> {
+        self.names.get_index(index as usize).cloned().ok_or(Error::Name(index))
     }
 
     fn spec(&self, index: u32, payload: &str) -> Result<TaskSpec> {
         let entry = self.specs.get_index(index as usize).ok_or(Error::Spec(index))?;
         Ok(TaskSpec {
-            class: ClassName::new(self.name(entry.class)?),
-            team: TeamName::new(self.name(entry.team)?),
-            pool: PoolName::new(self.name(entry.pool)?),
+            class: ClassName::from(self.name(entry.class)?),
+            team: TeamName::from(self.name(entry.team)?),
+            pool: PoolName::from(self.name(entry.pool)?),
             resources: entry.resources,
             expected: entry.expected,
             idempotency: entry.idempotency,
@@ -244,7 +245,7 @@
                 Change::Accepted { key: key.clone(), spec: self.spec(*spec, payload)? }
             }
             Step::Bound { vm, boot, attempt } => {
-                Change::Bound { vm: VmId::new(self.name(*vm)?), boot: *boot, attempt: *attempt }
+                Change::Bound { vm: VmId::from(self.name(*vm)?), boot: *boot, attempt: *attempt }
             }
             Step::Released { attempt, checkpoint, failed } => Change::Released {
                 attempt: *attempt,
@@ -281,7 +282,7 @@
     fn task(&self, partition: PartitionId, entry: &TaskEntry) -> Result<TaskState> {
         let phase = match &entry.phase {
             PhaseEntry::Waiting => Phase::Waiting,
-            PhaseEntry::Bound { vm } => Phase::Bound { vm: VmId::new(self.name(*vm)?) },
+            PhaseEntry::Bound { vm } => Phase::Bound { vm: VmId::from(self.name(*vm)?) },
             PhaseEntry::Ended { outcome } => Phase::Ended { outcome: outcome.clone() },
         };
         Ok(TaskState {
