--- a/src/bin/waxwing/app.rs
+++ b/src/bin/waxwing/app.rs
@@ -78,6 +78,8 @@
     let mut cx = Context { env, io, format, daemons };
     match commands::run(&mut cx, &matches).await {
         Ok(()) => Exit::Ok,
+        // The reader, such as `head`, has seen enough.
+        Err(report) if is_broken_pipe(&report) => Exit::Ok,
         Err(report) => report_failure(&report, cx.io, format),
     }
 }
@@ -103,6 +105,11 @@
     }
 }
 
+fn is_broken_pipe(report: &eyre::Report) -> bool {
+    let error = report.downcast_ref::<std::io::Error>();
+    error.is_some_and(|error| error.kind() == std::io::ErrorKind::BrokenPipe)
+}
+
 fn report_failure(report: &eyre::Report, io: &mut Io<'_>, format: Format) -> Exit {
     let error = match report.downcast_ref::<ApiError>() {
         Some(error) => error.clone(),
--- a/src/bin/waxwing/tests.rs
+++ b/src/bin/waxwing/tests.rs
@@ -127,6 +127,29 @@
     }
 }
 
+/// A reader that has gone, as `head` does once it has its lines.
+struct Gone;
+
+impl std::io::Write for Gone {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        Err(std::io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[actix_web::test]
+async fn a_reader_that_has_seen_enough_is_no_failure() {
+    let env = Env { daemons: None, user: None, clock: Arc::new(ManualClock::new()) };
+    let mut err = Vec::new();
+    let mut io = Io { out: &mut Gone, err: &mut err };
+    let args = ["waxwing", "completions", "bash"].map(Into::into).into();
+    assert_eq!(app::run(args, &env, &mut io).await, Exit::Ok);
+    assert!(err.is_empty());
+}
+
 #[actix_web::test]
 async fn completions_are_printed_for_each_shell() {
     for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
