Claim a fought-over partition ever less often; find repeated keys in the log; keep fewer ended tasks

Cause: two daemons that reach the store and not each other would take a partition from each other twice a second, each time reading the whole log; a key repeated after its ended task was dropped made the whole commit be refused; 20,000 ended tasks at about 1 KB each would alone take two thirds of 32 MB. Change: the wait before a claim doubles with each loss that follows another within five minutes, up to two minutes; a submission asks the log for its key first; 4,096 ended tasks are kept in the core.

--- a/benches/cost/core.rs
+++ b/benches/cost/core.rs
@@ -3,8 +3,11 @@
 use crate::fit::{self, Point};
 use indexmap::IndexMap;
 use std::collections::VecDeque;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
 use waxwingstall::core::event::{CommitResult, ListedState, ListedVm};
 use waxwingstall::core::{Action, Core, CoreSettings, Event, PartitionHome};
 use waxwingstall::ids::{
@@ -12,7 +15,7 @@
     TeamName, Ticket, VmId,
 };
 use waxwingstall::model::{BatchClass, Config, Idempotency, Pool, Resumption, Team, Urgency};
-use waxwingstall::peer::{Member, MemberState};
+use waxwingstall::peer::{ClassCount, Member, MemberState, PeerMsg, VmHealth, VmView};
 use waxwingstall::task::TaskSpec;
 use waxwingstall::units::Resources;
 use waxwingstall::usage::thread_time;
@@ -73,6 +76,32 @@
     fit::print("resident, open tasks of a partition", "KiB", "task", &points);
 }
 
+/// Bytes of what a holder tells a writer of its VMs.
+pub fn views() {
+    let bytes = |vms: u32| {
+        let views = (0..vms).map(view).collect();
+        let msg = PeerMsg::Views { views };
+        let mut codec = Bincode::<PeerMsg, PeerMsg>::default();
+        Pin::new(&mut codec).serialize(&msg).expect("an encoded message").len() as f64
+    };
+    let points = [1, 7, 28].map(|vms| Point { size: f64::from(vms), cost: bytes(vms) });
+    fit::print("frame of views, five classes a VM", "B", "VM", &points);
+}
+
+fn view(i: u32) -> VmView {
+    let class = |n: u32| ClassCount { class: ClassName::new(&format!("class-{n:04}")), count: 2 };
+    VmView {
+        vm: vm(i),
+        holder: DaemonId::new("entry-0001@1796242946124"),
+        domain: DomainId::new(DOMAIN),
+        rack: RackId::new("r0001"),
+        size: VM_SIZE,
+        free: TASK_SIZE,
+        classes: (0..5).map(class).collect(),
+        health: VmHealth::Open,
+    }
+}
+
 /// Resident memory of this process.
 pub fn resident_kib() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/benches/cost/main.rs
+++ b/benches/cost/main.rs
@@ -15,11 +15,12 @@
     run: fn(),
 }
 
-const SECTIONS: [Section; 9] = [
+const SECTIONS: [Section; 10] = [
     Section { name: "core-vms", run: core::per_vm },
     Section { name: "core-tasks", run: core::per_task },
     Section { name: "core-starts", run: core::per_start },
     Section { name: "core-memory", run: core::memory },
+    Section { name: "views", run: core::views },
     Section { name: "vms", run: live::per_vm },
     Section { name: "peers", run: live::per_peer },
     Section { name: "tasks", run: live::per_task },
--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -6,6 +6,7 @@
 
 pub mod fleet;
 pub mod log;
+mod losses;
 pub mod partition;
 pub mod steps;
 pub mod task;
@@ -21,6 +22,7 @@
 use fleet::Fleet;
 use indexmap::{IndexMap, IndexSet};
 use log::Pending;
+use losses::Losses;
 use partition::{Known, Partition};
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +40,7 @@
 pub struct Writer {
     chart: Arc<TaskChart>,
     roles: IndexMap<PartitionId, Role>,
+    losses: IndexMap<PartitionId, Losses>,
     fleet: Fleet,
     /// Commits in flight of partitions that were dropped.
     orphans: IndexMap<Ticket, Vec<Orphan>>,
@@ -81,6 +84,7 @@
         Ok(Self {
             chart: Arc::new(task::load_chart()?),
             roles: IndexMap::new(),
+            losses: IndexMap::new(),
             fleet: Fleet::default(),
             orphans: IndexMap::new(),
             room_changed: false,
@@ -179,7 +183,9 @@
             return;
         }
         let mine = cx.members.writer_of(id) == Some(&cx.cfg.me);
-        let role = Role::Other { since: mine.then_some(cx.now) };
+        let least = cx.cfg.limits.recover_after;
+        let wait = self.losses.entry(id).or_default().note(cx.now, least);
+        let role = Role::Other { since: mine.then_some(cx.now + wait) };
         let Some(Role::Writing { partition, .. }) = self.roles.insert(id, role) else { return };
         let tasks = partition.tasks;
         let (queued, in_flight) = partition.log.into_parts();
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -77,7 +77,7 @@
             store_backoff: Duration::from_millis(500),
             store_backoff_max: Duration::from_secs(5),
             waiting_max: 50_000,
-            ended_kept: 20_000,
+            ended_kept: 4_096,
             handover_after: Duration::from_secs(10),
             gone_after: Duration::from_secs(60),
             places_per_step: 128,
--- a/src/front.rs
+++ b/src/front.rs
@@ -5,7 +5,7 @@
 
 mod config;
 mod explain;
-mod forward;
+pub mod forward;
 mod shares;
 mod status;
 mod tasks;
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -2,22 +2,22 @@
 
 use super::Links;
 use crate::api::{ApiError, CallOutcome, ErrorKind};
-use crate::control::{Ask, Inspect};
+use crate::control::{Ask, Control, Inspect};
 use crate::core::event::Answer;
 use crate::ids::{DaemonId, PartitionId};
 use crate::peers::{Call, Forward, Reply};
+use crate::storage::{FindKey, Storage};
+use actix::Addr;
 
 /// Asks the writer of a partition: this daemon, or another by one hop.
 pub async fn ask_writer(links: &Links, partition: PartitionId, call: Call) -> Reply {
-    let own = links.control.send(Ask(call.clone())).await;
-    match own {
-        Ok(Reply::NotWriter) => {}
-        Ok(reply) => return reply,
-        Err(e) => return Reply::NotSent { reason: e.to_string() },
+    match ask_here(&links.control, &links.storage, call.clone()).await {
+        Reply::NotWriter => {}
+        reply => return reply,
     }
     let writer = links
         .control
-        .send(Inspect(move |control: &crate::control::Control| control.core().writer_of(partition)))
+        .send(Inspect(move |control: &Control| control.core().writer_of(partition)))
         .await
         .ok()
         .flatten();
@@ -27,6 +27,18 @@
     }
 }
 
+/// Asks this daemon, as the writer of the partition.
+pub async fn ask_here(control: &Addr<Control>, storage: &Addr<Storage>, call: Call) -> Reply {
+    if let Call::Submit { partition, key, .. } = &call {
+        let find = FindKey { partition: *partition, key: key.clone() };
+        if let Ok(Some(task)) = storage.send(find).await {
+            return Reply::Answer(Answer::Accepted { task, repeated: true });
+        }
+    }
+    let reply = control.send(Ask(call)).await;
+    reply.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
+}
+
 /// Asks one other daemon.
 pub async fn ask_daemon(links: &Links, to: DaemonId, call: Call) -> Reply {
     let reply = links.peers.send(Forward { to, call }).await;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -2,7 +2,8 @@
 
 use super::{Call, Incoming, MAX_FRAME_BYTES, PeerRpc, Peers, Reply};
 use crate::config::follow::Known;
-use crate::control::{Ask, Control};
+use crate::control::Control;
+use crate::front::forward::ask_here;
 use crate::ids::Revision;
 use crate::peer::{Member, PeerMsg};
 use crate::storage::{GetSnapshot, HearRevision, Storage};
@@ -73,8 +74,7 @@
     }
 
     async fn forward(self, _: Context, call: Call) -> Reply {
-        let answer = self.control.send(Ask(call)).await;
-        answer.unwrap_or_else(|e| Reply::NoAnswer { reason: e.to_string() })
+        ask_here(&self.control, &self.storage, call).await
     }
 }
 
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -17,7 +17,7 @@
 use crate::control::Told;
 use crate::core::{Action, Event};
 use crate::front::view::FrontView;
-use crate::ids::{ChangeId, DaemonId, OperatorName, PartitionId, Revision};
+use crate::ids::{ChangeId, DaemonId, IdempotencyKey, OperatorName, PartitionId, Revision, TaskId};
 use crate::peer::Member;
 use crate::peers::Peers;
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
@@ -28,11 +28,14 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::{mpsc, watch};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Jobs that wait for one partition.
 const PARTITION_RING: usize = 1024;
 
+const FIND_KEY_WAIT: Duration = Duration::from_millis(500);
+
 /// Answers that wait for control.
 const WAITING_ANSWERS: usize = 100_000;
 
@@ -135,6 +138,34 @@
     }
 }
 
+/// Asks for the task of an idempotency key.
+///
+/// The core forgets tasks that ended long ago; the log remembers their keys for longer. Without
+/// asking it, a key that is repeated after that would be refused with the commit it travels in.
+#[derive(Message)]
+#[rtype(result = "Option<TaskId>")]
+pub struct FindKey {
+    pub partition: PartitionId,
+    pub key: IdempotencyKey,
+}
+
+impl Handler<FindKey> for Storage {
+    type Result = ResponseFuture<Option<TaskId>>;
+
+    fn handle(&mut self, msg: FindKey, _: &mut Self::Context) -> Self::Result {
+        let (tx, rx) = oneshot::channel();
+        if let Some(loop_tx) = self.partitions.get(&msg.partition) {
+            // A full ring drops the question, and with it the sender that the answer waits for.
+            let _ = loop_tx.try_send(Job::FindKey { key: msg.key, tx });
+        }
+        Box::pin(async move {
+            // A loop that waits for the service would hold the caller up; the core then answers
+            // that the service does not.
+            tokio::time::timeout(FIND_KEY_WAIT, rx).await.ok()?.ok()?
+        })
+    }
+}
+
 /// The peers are there; the configuration can be followed.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/src/storage/partition.rs
+++ b/src/storage/partition.rs
@@ -4,7 +4,7 @@
 use crate::control::Told;
 use crate::core::Event;
 use crate::core::event::CommitResult;
-use crate::ids::{DaemonId, PartitionId, Ticket};
+use crate::ids::{DaemonId, IdempotencyKey, PartitionId, TaskId, Ticket};
 use crate::ring::Ring;
 use crate::task::Record;
 use crate::tasklog::{Error, Partition};
@@ -12,7 +12,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Long enough that all writers together stay far below the service's rate when it comes back.
@@ -21,7 +21,15 @@
 /// What the loop is asked for.
 pub enum Job {
     Recover,
-    Commit { ticket: Ticket, records: Vec<Record> },
+    Commit {
+        ticket: Ticket,
+        records: Vec<Record>,
+    },
+    /// Asks for the task of a key, also if the core no longer knows it.
+    FindKey {
+        key: IdempotencyKey,
+        tx: oneshot::Sender<Option<TaskId>>,
+    },
 }
 
 /// One partition's loop.
@@ -39,6 +47,11 @@
         while let Some(job) = rx.recv().await {
             match job {
                 Job::Recover => partition = Some(self.recover().await),
+                Job::FindKey { key, tx } => {
+                    let found = partition.as_ref().and_then(|p: &Partition| p.find_key(&key));
+                    // A caller that no longer waits is not told.
+                    let _ = tx.send(found);
+                }
                 Job::Commit { ticket, records } => {
                     partition = self.commit(partition, ticket, &records).await;
                 }
