--- a/tests/config_race.rs
+++ b/tests/config_race.rs
@@ -152,6 +152,9 @@
         let store = store.with_fault(stale, Fault::StaleRead);
         let results = race(seed, &store, &[req.clone(), req.clone()]);
         assert!(results.iter().all(Result::is_ok), "seed {seed}: {results:?}");
+        while store.usage().calls < stale {
+            now(store.get("not-struck-yet")).expect("an answer");
+        }
         assert_eq!(effects(&store, &req.change), 1, "seed {seed}");
     }
 }
