--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -33,7 +33,7 @@
 use fit::Sizes;
 use hold::Holds;
 use index::Fleet;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use interference::Interference;
 use ladder::Ladder;
 use quarantine::Blame;
@@ -41,7 +41,6 @@
 use relieve::Asked;
 use reports::Reports;
 use room::Plans;
-use score::is_service;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -51,6 +50,9 @@
 /// VMs are still arriving, and the one large VM may be among them.
 const SETTLE: Duration = Duration::from_secs(5);
 
+/// Ladders remembered of VMs that left.
+const MAX_LADDERS: usize = 1024;
+
 /// Steps that the used part of a quota is ranked by.
 const RANK_STEPS: f64 = 8.0;
 
@@ -58,6 +60,8 @@
 #[derive(Debug)]
 pub struct Policy {
     config: Arc<Config>,
+    /// Classes whose tasks are instances of a service.
+    services: IndexSet<ClassName>,
     fleet: Fleet,
     sizes: Sizes,
     quotas: Quotas,
@@ -165,7 +169,7 @@
     pub spec: TaskSpec,
     /// When it started, on this daemon's clock.
     pub since: Duration,
-    /// Age of its last checkpoint, if it has one.
+    /// When its last checkpoint was taken, on this daemon's clock, if it has one.
     pub checkpoint_at: Option<Duration>,
     pub progress: f64,
 }
@@ -186,6 +190,7 @@
         let mut quotas = Quotas::default();
         quotas.configure(&config);
         Self {
+            services: score::services(&config),
             config,
             fleet: Fleet::default(),
             sizes: Sizes::default(),
@@ -220,6 +225,7 @@
     /// Puts a configuration in force.
     pub fn configure(&mut self, config: Arc<Config>) {
         self.config = config;
+        self.services = score::services(&self.config);
         self.quotas.configure(&self.config);
         self.quotas.reset_usage();
         for vm in self.fleet.iter() {
@@ -255,7 +261,7 @@
             count_usage(&mut self.quotas, &self.config, &old, Quotas::release);
         }
         self.reports.swap_remove(vm);
-        self.ladders.swap_remove(vm);
+        self.forget_ladder(vm);
         self.asked.swap_remove(vm);
     }
 
@@ -288,7 +294,7 @@
         }
         let trigger = self.trigger_on(vm);
         if let (Some(reports), Some(ladder)) = (self.reports.get(vm), self.ladders.get_mut(vm)) {
-            let services = reports.services(|class| is_service(&self.config, class));
+            let services = reports.services(|class| self.services.contains(class));
             ladder.measured(services, trigger, measured_at);
         }
     }
@@ -378,6 +384,15 @@
         }
     }
 
+    /// Forgets where a VM is on the ladder, unless tasks are throttled there: a lease that lapses
+    /// for a moment removes the VM and brings it back, and nothing would ever lift their throttles.
+    fn forget_ladder(&mut self, vm: &VmId) {
+        let throttled = self.ladders.get(vm).is_some_and(|ladder| !ladder.throttled.is_empty());
+        if !throttled || self.ladders.len() > MAX_LADDERS {
+            self.ladders.swap_remove(vm);
+        }
+    }
+
     fn tick(&mut self, now: Duration) {
         self.now = self.now.max(now);
         self.first_call.get_or_insert(now);
