Make room for urgent tasks on other daemons' VMs too

Cause: an urgent task could evict only on VMs that its own writer holds; and of a plan of several evictions one was carried out a second.

Change: a writer whose urgent task finds no room asks one other holder a second for room, and a holder without room for an urgent task evicts by the policy's plan, all of it at once. Tasks that may not run twice are shown to the policy as never to be moved. Waiting lines take their turn by the policy's rank; a quarantined VM takes probes only.

--- a/src/core/holder/attempts.rs
+++ b/src/core/holder/attempts.rs
@@ -30,13 +30,15 @@
         vm_id: &VmId,
         wanted: TaskAttempt,
         spec: &TaskSpec,
-    ) {
+    ) -> Result<BootId, Decline> {
         let (task, attempt) = (wanted.task, wanted.attempt);
-        let answer = match self.keep_room(cx, vm_id, wanted, spec) {
+        let kept = self.keep_room(cx, vm_id, wanted, spec);
+        let answer = match kept {
             Ok(boot) => PeerMsg::Reserved { vm: vm_id.clone(), boot, task, attempt },
             Err(reason) => PeerMsg::Declined { vm: vm_id.clone(), task, attempt, reason },
         };
         cx.send(from, answer);
+        kept
     }
 
     fn keep_room(
@@ -50,7 +52,9 @@
         let health = vm.health();
         let table = vm.open_table(cx.now).ok_or(Decline::NotHeld)?;
         match health {
-            VmHealth::Open | VmHealth::Quarantined => {}
+            VmHealth::Open => {}
+            VmHealth::Quarantined if cx.policy.accepts_probe(vm_id, cx.now) => {}
+            VmHealth::Quarantined => return Err(Decline::Quarantined),
             VmHealth::Avoided => return Err(Decline::Avoided),
             VmHealth::Leaving => return Err(Decline::Leaving),
         }
--- a/src/core/holder/relief.rs
+++ b/src/core/holder/relief.rs
@@ -151,10 +151,14 @@
 }
 
 fn resident(cx: &Context, id: &TaskAttempt, slot: &Slot) -> Resident {
+    let mut spec = slot.spec.clone().unwrap_or_else(|| guessed_spec(cx, slot));
+    if !may_move(&spec) {
+        spec.resumption = Resumption::Never;
+    }
     Resident {
         task: id.task,
         attempt: id.attempt,
-        spec: slot.spec.clone().unwrap_or_else(|| guessed_spec(cx, slot)),
+        spec,
         since: slot.started,
         checkpoint_at: slot.checkpoint_at,
         progress: slot.progress,
--- a/src/core/life.rs
+++ b/src/core/life.rs
@@ -47,6 +47,8 @@
     /// VMs with bound attempts that are off the list, and since when.
     unlisted: IndexMap<VmId, Duration>,
     next_look: Duration,
+    /// Counts requests for room that isn't there.
+    turn: usize,
 }
 
 /// What this daemon is to a partition.
@@ -88,6 +90,7 @@
             listed: IndexSet::new(),
             unlisted: IndexMap::new(),
             next_look: Duration::ZERO,
+            turn: 0,
         })
     }
 
@@ -314,6 +317,20 @@
         stuck
     }
 
+    /// Asks a holder for room that it doesn't have, so that it makes some for an urgent task.
+    ///
+    /// The task goes on waiting meanwhile: whatever VM first has room takes it.
+    pub fn ask_others(&mut self, cx: &mut Context, candidate: &Candidate) {
+        self.turn = self.turn.wrapping_add(1);
+        let room = &candidate.spec.resources;
+        let Some(vm) = self.fleet.large_enough(room, &cx.cfg.me, self.turn).cloned() else {
+            return;
+        };
+        let Some(to) = self.fleet.holder(&vm).cloned() else { return };
+        let (task, attempt) = (candidate.task, candidate.attempt);
+        cx.send(&to, PeerMsg::Reserve { vm, task, attempt, spec: candidate.spec.clone() });
+    }
+
     /// Takes over the platform's list, to learn which VMs are gone for good.
     ///
     /// A list that names no VM at all says more about the list than about the VMs.
--- a/src/core/life/fleet.rs
+++ b/src/core/life/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::core::context::Context;
 use crate::ids::{DaemonId, VmId};
-use crate::peer::VmView;
+use crate::peer::{VmHealth, VmView};
 use crate::units::Resources;
 use crate::worker::TaskAttempt;
 use indexmap::IndexMap;
@@ -37,6 +37,17 @@
         self.vms.get(vm)?.holder.as_ref()
     }
 
+    /// A VM held by another daemon that is large enough; a different one each `turn`.
+    pub fn large_enough(&self, room: &Resources, me: &DaemonId, turn: usize) -> Option<&VmId> {
+        let fits = |vm: &KnownVm| {
+            let other = vm.holder.as_ref().is_some_and(|holder| holder != me);
+            other && vm.view.health == VmHealth::Open && room.fits_in(&vm.view.size)
+        };
+        let count = self.vms.values().filter(|vm| fits(vm)).count();
+        let mut found = self.vms.iter().filter(|(_, vm)| fits(vm));
+        found.nth(turn.checked_rem(count)?).map(|(id, _)| id)
+    }
+
     /// Takes over all that a holder tells; returns the VMs that changed hands.
     pub fn told(&mut self, cx: &mut Context, from: &DaemonId, views: Vec<VmView>) -> Vec<VmId> {
         for (id, vm) in &mut self.vms {
--- a/src/core/life/steps.rs
+++ b/src/core/life/steps.rs
@@ -72,7 +72,7 @@
         if cx.draining == Draining::Yes || self.log.trouble(cx).is_some() {
             return stuck;
         }
-        for shape in self.waiting.askable(cx.now) {
+        for shape in self.in_turn(cx) {
             while let Some(number) = self.waiting.first(&shape) {
                 if *budget == 0 {
                     return stuck;
@@ -87,6 +87,16 @@
         stuck
     }
 
+    /// Shapes to ask the policy about, by the rank of their first tasks.
+    fn in_turn(&self, cx: &Context) -> Vec<Shape> {
+        let mut shapes = self.waiting.askable(cx.now);
+        shapes.sort_by_cached_key(|shape| {
+            let first = self.waiting.first(shape).and_then(|number| self.tasks.get(&number));
+            first.map(|task| cx.policy.rank(&candidate(task, cx.now)))
+        });
+        shapes
+    }
+
     fn place_one(
         &mut self,
         cx: &mut Context,
--- a/src/core/life/waiting.rs
+++ b/src/core/life/waiting.rs
@@ -80,12 +80,10 @@
         self.shapes.iter().map(|(shape, line)| (&shape.class, line.tasks.len()))
     }
 
-    /// Shapes to ask the policy about, the most urgent first.
+    /// Shapes to ask the policy about.
     pub fn askable(&self, now: Duration) -> Vec<Shape> {
         let open = self.shapes.iter().filter(|(_, line)| line.blocked_until <= now);
-        let mut shapes: Vec<Shape> = open.map(|(shape, _)| shape.clone()).collect();
-        shapes.sort_by_key(|shape| std::cmp::Reverse(shape.urgency));
-        shapes
+        open.map(|(shape, _)| shape.clone()).collect()
     }
 
     /// First task of a shape.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,7 +25,8 @@
 pub use settings::{CoreSettings, Limits, PartitionHome};
 
 use crate::ids::{DaemonId, VmId};
-use crate::peer::PeerMsg;
+use crate::model::Urgency;
+use crate::peer::{Decline, PeerMsg};
 use crate::worker::TaskAttempt;
 use context::{Context, Draining};
 use holder::{Holder, StartAsked};
@@ -34,6 +35,16 @@
 use policy::{Candidate, Resident};
 use std::time::Duration;
 
+/// Most tasks evicted for an urgent one in a step.
+const EVICTIONS_MAX: u32 = 8;
+
+/// Whether room is being made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evicting {
+    Yes,
+    No,
+}
+
 /// The core of one daemon.
 #[derive(Debug)]
 pub struct Core {
@@ -53,7 +64,9 @@
         self.cx.now = self.cx.now.max(now);
         self.handle(event);
         for candidate in self.writer.advance(&mut self.cx) {
-            self.make_room(&candidate);
+            if self.make_room(&candidate) == Evicting::No {
+                self.writer.ask_others(&mut self.cx, &candidate);
+            }
         }
         self.cx.take_actions()
     }
@@ -114,7 +127,12 @@
         match msg {
             PeerMsg::Views { views } => self.writer.views(cx, from, views),
             PeerMsg::Reserve { vm, task, attempt, spec } => {
-                self.holder.reserve(cx, from, &vm, TaskAttempt { task, attempt }, &spec);
+                let wanted = TaskAttempt { task, attempt };
+                let kept = self.holder.reserve(cx, from, &vm, wanted, &spec);
+                if kept == Err(Decline::NoRoom) && spec.urgency == Urgency::Urgent {
+                    let (waited, avoid) = (Duration::ZERO, Vec::new());
+                    self.make_room(&Candidate { task, attempt, spec, waited, avoid });
+                }
             }
             PeerMsg::Start { vm, boot, task, attempt, spec, resume } => {
                 let asked = StartAsked { vm, boot, task, attempt, spec, resume };
@@ -131,14 +149,18 @@
         }
     }
 
-    /// Looks for a task to evict for an urgent one, on the VMs held here.
-    fn make_room(&mut self, candidate: &Candidate) {
+    /// Looks for tasks to evict for an urgent one, on the VMs held here.
+    fn make_room(&mut self, candidate: &Candidate) -> Evicting {
         let cx = &mut self.cx;
         let held: Vec<VmId> = self.holder.held().cloned().collect();
         let residents: IndexMap<VmId, Vec<Resident>> =
             held.into_iter().map(|vm| (vm.clone(), self.holder.residents(cx, &vm))).collect();
-        if let Some(decided) = cx.policy.make_room(candidate, &residents, cx.now) {
+        let mut evicting = Evicting::No;
+        for _ in 0..EVICTIONS_MAX {
+            let Some(decided) = cx.policy.make_room(candidate, &residents, cx.now) else { break };
             self.holder.relieve(cx, decided);
+            evicting = Evicting::Yes;
         }
+        evicting
     }
 }
--- a/tests/core_steps.rs
+++ b/tests/core_steps.rs
@@ -7,8 +7,9 @@
 use common::{Kind, PARTITION, daemon, ms, spec};
 use waxwingstall::core::event::{Answer, CommitResult};
 use waxwingstall::core::{Action, Event};
-use waxwingstall::ids::{Attempt, BootId, TaskId, Ticket, Token, VmId};
-use waxwingstall::peer::{CloseReason, Decline, Member, MemberState, PeerMsg};
+use waxwingstall::ids::{Attempt, BootId, DomainId, RackId, TaskId, Ticket, Token, VmId};
+use waxwingstall::model::{Idempotency, Resumption, Urgency};
+use waxwingstall::peer::{CloseReason, Decline, Member, MemberState, PeerMsg, VmHealth, VmView};
 use waxwingstall::task::{Change, Outcome, TaskSpec};
 use waxwingstall::units::Resources;
 use waxwingstall::worker::{self, Earlier, EndedAttempt};
@@ -373,3 +374,52 @@
     assert_eq!(solo.core.vms().len(), 1);
     assert_eq!(solo.core.writer_of(PARTITION), Some(daemon(ME)));
 }
+
+/// An urgent task of another writer finds the VM full of a narration that can resume elsewhere.
+/// Its writer can't see who could give way there; the holder can, and makes room.
+#[test]
+fn a_holder_without_room_evicts_for_an_urgent_task() {
+    let mut solo = with_a_running_task(&whole_vm());
+    solo.wait(ms(100));
+    let urgent = TaskSpec { urgency: Urgency::Urgent, ..whole_vm() };
+    solo.hear(OTHER, reserve(1, &urgent));
+    assert!(declined(&solo, Decline::NoRoom));
+    let checkpoints =
+        solo.actions.iter().filter(|action| matches!(action, Action::Checkpoint { .. })).count();
+    assert_eq!(checkpoints, 1);
+    let mut solo = with_a_running_task(&TaskSpec {
+        idempotency: Idempotency::NonIdempotent,
+        resumption: Resumption::FromStart,
+        ..whole_vm()
+    });
+    solo.wait(ms(100));
+    solo.hear(OTHER, reserve(1, &urgent));
+    assert_eq!(closes(&solo), 0);
+}
+
+/// The only VM is held by another daemon and full. The writer of an urgent task asks there for
+/// room all the same, so that the holder makes some; the task goes on waiting for whatever comes.
+#[test]
+fn an_urgent_task_without_room_is_asked_for_at_another_holder() {
+    let mut solo = Solo::at_work(&[]);
+    solo.tell(Event::Members(vec![member(ME), member(OTHER)]));
+    let full = VmView {
+        vm: VmId::new("w5"),
+        holder: daemon(OTHER),
+        domain: DomainId::new(common::DOMAIN),
+        rack: RackId::new("r1"),
+        size: Resources::new(4_000, 8_192, 0),
+        free: Resources::ZERO,
+        classes: Vec::new(),
+        health: VmHealth::Open,
+    };
+    solo.hear(OTHER, PeerMsg::Views { views: vec![full] });
+    let urgent = TaskSpec { urgency: Urgency::Urgent, ..whole_vm() };
+    solo.submit(1, urgent);
+    solo.settle();
+    solo.wait(ms(1_500));
+    let asked = |msg: &&PeerMsg| matches!(msg, PeerMsg::Reserve { .. });
+    assert!(solo.sent_to(OTHER).iter().any(asked));
+    let waits = solo.core.waiting_for(task(0));
+    assert!(waits.as_deref().is_some_and(|text| text.starts_with("for a VM")), "{waits:?}");
+}
