--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! What happened is counted by the VMs' ledger; the cores are never asked to vouch for themselves.
 
+pub mod calls;
 pub mod log;
 pub mod net;
 pub mod promises;
