--- a/tests/config_race.rs
+++ b/tests/config_race.rs
@@ -7,17 +7,19 @@
 #[path = "config_support/interleaved.rs"]
 mod interleaved;
 
+use bytes::Bytes;
 use changes::{now, request, weights};
 use effects::effects;
 use futures::FutureExt;
 use interleaved::Yielding;
 use waxwingstall::clock::ManualClock;
 use waxwingstall::config::apply::{
-    Action, Applied, ChangeRequest, Confirmation, Error, Result, apply, confirm,
+    Action, Applied, ChangeRequest, Confirmation, Error, Result, apply, confirm, sweep,
 };
-use waxwingstall::config::head;
-use waxwingstall::ids::{OperatorName, Revision};
-use waxwingstall::store::memory::MemoryStore;
+use waxwingstall::config::head::{self, FileRef, TEXT_PREFIX};
+use waxwingstall::ids::{ChangeId, OperatorName, Revision};
+use waxwingstall::store::memory::{Fault, MemoryStore};
+use waxwingstall::store::{Expect, Store};
 
 const SEEDS: u64 = 300;
 
@@ -138,14 +140,59 @@
     assert!(told.iter().all(|count| *count > 0), "one answer was never tried: {told:?}");
 }
 
-/// The same change is sent by two processes, say by an operator who was tired of waiting.
+/// The same change is sent by two processes, say by an operator who was tired of waiting. A read
+/// from the past makes the one that lost believe that nothing was put in force yet; it must not
+/// delete the text, which the head names by then.
 #[test]
 fn a_change_that_is_sent_twice_takes_effect_once() {
     for seed in 0..SEEDS {
         let store = start();
         let req = request("us", "us", "weights.toml", replace(weights(100)));
+        let stale = store.usage().calls + 1 + seed % 20;
+        let store = store.with_fault(stale, Fault::StaleRead);
         let results = race(seed, &store, &[req.clone(), req.clone()]);
         assert!(results.iter().all(Result::is_ok), "seed {seed}: {results:?}");
         assert_eq!(effects(&store, &req.change), 1, "seed {seed}");
     }
 }
+
+/// The head is written and its answer is lost. Written again, it conflicts; read back, the store
+/// answers from the past; and then it fails once. The change is in force, and must not be reported
+/// as refused.
+#[test]
+fn a_change_is_settled_through_a_lost_answer_an_old_read_and_an_error() {
+    let store = start();
+    let before = store.usage().calls;
+    let store = store
+        .with_fault(before + 5, Fault::ErrorAfterEffect)
+        .with_fault(before + 7, Fault::StaleRead)
+        .with_fault(before + 8, Fault::ErrorBefore);
+    let req = request("us", "us", "weights.toml", replace(weights(100)));
+    let applied = now(apply(&store, &ManualClock::new(), &req)).expect("applied");
+    assert_eq!(applied.revision, Revision(2));
+}
+
+/// Texts are swept while a change is on its way. Its text, which no head names yet, must stay.
+#[test]
+fn a_sweep_deletes_what_is_left_behind_and_nothing_else() {
+    for seed in 0..SEEDS {
+        let store = start();
+        let left = FileRef { revision: Revision(1), change: ChangeId::new("dead"), digest: 7 };
+        now(store.put(&left.text_key(), Bytes::new(), Expect::Absent)).expect("written");
+        let clock = ManualClock::new();
+        let shared = Yielding(store.clone());
+        let req = request("us", "us", "weights.toml", replace(weights(100)));
+        let applying = async {
+            apply(&shared, &clock, &req).await.expect("applied");
+            0
+        };
+        let sweeping = async {
+            let head = head::read(&shared).await.expect("a head").head;
+            sweep(&shared, &head.manifest).await.expect("swept")
+        };
+        let done = interleaved::run(seed, vec![applying.boxed_local(), sweeping.boxed_local()]);
+        assert!(done[1] >= 1, "seed {seed}");
+        assert_eq!(effects(&store, &req.change), 1, "seed {seed}");
+        assert_eq!(now(store.list(TEXT_PREFIX)).expect("a list").len(), 1, "seed {seed}");
+    }
+}
