Keep even shares instead of hashing daemons' names at each request

Cause: each choice hashed every daemon's name for each endpoint, several times a request; with 50 endpoints and 9 daemons that is thousands of hashes. Change: an endpoint keeps its even share until the daemons or the configuration change. Conclusion: kept for its cost at 50 endpoints, which is counted and not measured.

--- a/src/request/endpoint.rs
+++ b/src/request/endpoint.rs
@@ -45,6 +45,8 @@
     pub health: RefCell<Health>,
     pub pace: RefCell<Pace>,
     pub probing: Cell<Probing>,
+    /// Slots of an even split, until the daemons or the configuration change.
+    pub even_share: Cell<Option<u32>>,
     started: RefCell<Vec<Started>>,
     idle: RefCell<Vec<Conn>>,
 }
@@ -77,6 +79,7 @@
             health: RefCell::default(),
             pace: RefCell::default(),
             probing: Cell::new(Probing::No),
+            even_share: Cell::default(),
             started: RefCell::default(),
             idle: RefCell::default(),
         })
--- a/src/request/fleet.rs
+++ b/src/request/fleet.rs
@@ -112,6 +112,7 @@
         }
         drop(queues);
         *self.cfg.borrow_mut() = Some(cfg);
+        self.forget_even_shares();
         self.pump_all();
     }
 
--- a/src/request/fleet/shares.rs
+++ b/src/request/fleet/shares.rs
@@ -32,6 +32,7 @@
         daemons.sort();
         daemons.dedup();
         *self.home_daemons.borrow_mut() = daemons;
+        self.forget_even_shares();
         self.pump_all();
     }
 
@@ -73,12 +74,27 @@
             Shares::Granted => {
                 self.takers.borrow().get(&endpoint.vm).map_or(0, |taker| taker.usable(now))
             }
-            Shares::Even => {
-                let cfg = self.cfg.borrow();
-                let service = cfg.as_ref().and_then(|cfg| cfg.services.get(&endpoint.service));
-                let slots = service.map_or(0, |service| service.slots);
-                even_split(&endpoint.vm, slots, &self.settings.me, &self.home_daemons.borrow())
-            }
+            Shares::Even => match endpoint.even_share.get() {
+                Some(share) => share,
+                None => self.split_evenly(endpoint),
+            },
         }
     }
+
+    /// Works an even share out and keeps it: hashing every daemon's name for each endpoint at each
+    /// request would cost more than the rest of the choice.
+    fn split_evenly(&self, endpoint: &Endpoint) -> u32 {
+        let cfg = self.cfg.borrow();
+        let service = cfg.as_ref().and_then(|cfg| cfg.services.get(&endpoint.service));
+        let slots = service.map_or(0, |service| service.slots);
+        let daemons = self.home_daemons.borrow();
+        let share = even_split(&endpoint.vm, slots, &self.settings.me, &daemons);
+        endpoint.even_share.set(Some(share));
+        share
+    }
+
+    /// Has even shares worked out anew.
+    pub(super) fn forget_even_shares(&self) {
+        self.endpoints.borrow().values().for_each(|endpoint| endpoint.even_share.set(None));
+    }
 }
--- a/tests/request_path.rs
+++ b/tests/request_path.rs
@@ -380,11 +380,13 @@
         .map(|id| {
             let settings = DispatcherSettings::new(id.clone(), "home".into());
             let front = Front::start_with(settings, config(8), &[listed("vm-1", &endpoint)]);
+            assert_eq!(share(&front), 8, "alone it has them all");
             let others: Vec<PeerFront> = ids.iter().map(|id| unreached(id.as_str())).collect();
             front.with(move |dispatcher| dispatcher.peers(&others));
             front
         })
         .collect();
+    assert_eq!(fronts.iter().map(share).sum::<u32>(), 8);
     std::thread::scope(|scope| {
         for (at, front) in fronts.iter().enumerate() {
             for caller in 0..6 {
