--- a/src/core/policy/tests/placement.rs
+++ b/src/core/policy/tests/placement.rs
@@ -114,3 +114,50 @@
     let cellar = policy.choose(&candidate(&config, "wash", 2), secs(1)).choice;
     assert!(matches!(cellar, Choice::Place { .. }), "{cellar:?}");
 }
+
+#[test]
+fn room_that_is_short_by_the_least_amount_is_no_room() {
+    let config = config();
+    let size = Resources::new(32_000, 125_000, 4);
+    for (cores, memory, accelerators) in [(7999, 16_384, 1), (8000, 16_383, 1), (8000, 16_384, 0)] {
+        let mut short = view(0);
+        short.size = size;
+        short.free = Resources::new(cores, memory, accelerators);
+        let mut policy = policy(config.clone(), [short.clone()]);
+        let mut build = candidate(&config, "build", 1);
+        build.spec.resources = Resources::new(8000, 16_384, 1);
+        let choice = policy.choose(&build, secs(1)).choice;
+        assert!(matches!(choice, Choice::Wait { .. }), "{:?}: {choice:?}", short.free);
+        short.free = build.spec.resources;
+        policy.upsert_vm(short);
+        let choice = policy.choose(&build, secs(2)).choice;
+        assert_eq!(choice, Choice::Place { vm: vm(0) });
+    }
+}
+
+#[test]
+fn explanations_that_weigh_services_are_enough_too() {
+    let config = config();
+    let views = (0..12).map(|index| beside(view(index), "shop", (index % 4) as u32));
+    let mut policy = policy(config.clone(), views);
+    for seq in 1..=60 {
+        let tenants = vec![tenant("shop", 1, 1.25), tenant("build", 2, 1.1)];
+        policy.observe(&vm(1), &report(seq, secs(1), 0.7, tenants), secs(seq));
+    }
+    let mut kinds = std::collections::BTreeSet::new();
+    for number in 0..80 {
+        let mut build = candidate(&config, "build", number);
+        build.waited = secs(number * 10);
+        let decided = policy.choose(&build, secs(100));
+        kinds.insert(decided.record.verdict.split(&[' ', ':'][..]).next().map(str::to_owned));
+        let text = serde_json::to_string(&decided.record).expect("a record can be written");
+        let record = serde_json::from_str(&text).expect("a record can be read");
+        let replayed = explain::replay(&record).expect("it can be replayed");
+        assert_eq!(replayed, explain::Replayed::Choice(decided.choice.clone()));
+        if let Choice::Place { vm: to } = decided.choice {
+            let known = policy.fleet.get(&to).expect("a known VM").view.clone();
+            policy.upsert_vm(beside(known, "build", 1));
+        }
+    }
+    assert_eq!(kinds.len(), 2, "both placements and waits: {kinds:?}");
+}
--- a/src/core/policy/tests/relief.rs
+++ b/src/core/policy/tests/relief.rs
@@ -86,19 +86,14 @@
 
 #[test]
 fn evictions_are_limited_by_the_budget() {
-    let config = weighing(4.0, 1.0);
+    let config = weighing(1.0, 1.0);
     let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
     let mut residents: Vec<_> =
-        (1..=7).map(|number| resident(&config, "build", number, secs(0))).collect();
-    let steps = run(&mut policy, &mut residents, |_, _| 3.0, 600);
-    let evictions: Vec<_> = steps
-        .iter()
-        .filter(|(_, step)| matches!(step, Relief::Evict { .. }))
-        .map(|(at, _)| *at)
-        .collect();
-    assert!(!evictions.is_empty(), "{steps:?}");
-    let early = evictions.iter().filter(|at| **at < 240).count();
-    assert!(early <= 7, "{evictions:?}");
+        (1..=40).map(|number| resident(&config, "build", number, secs(0))).collect();
+    let steps = run(&mut policy, &mut residents, |_, _| 4.0, 600);
+    let evictions = steps.iter().filter(|(_, step)| matches!(step, Relief::Evict { .. })).count();
+    // Three at once, and one a minute with equal weights.
+    assert!((4..=13).contains(&evictions), "{evictions}: {steps:?}");
 }
 
 #[test]
