--- a/benches/core_step.rs
+++ b/benches/core_step.rs
@@ -123,7 +123,13 @@
             }
         }
     }
+    while solo.core.partitions().iter().any(|p| p.unwritten + p.waiting > 0) {
+        solo.wait(ms(100));
+        steps += answer_all(&mut solo) + 1;
+    }
     let whole = micros(clock.now() - begin, CYCLES);
+    let ended = solo.core.tasks().filter(|task| task.ended()).count() as u64;
+    assert_eq!(ended, CYCLES, "tasks that were seen through");
     [tick, whole, micros(clock.now() - begin, steps + CYCLES)]
 }
 
--- a/tests/common/solo.rs
+++ b/tests/common/solo.rs
@@ -59,7 +59,8 @@
         self.tell(Event::Tick);
     }
 
-    /// Tells messages that the core sent to itself, and commits, until there are none.
+    /// Tells messages that the core sent to itself, and commits, until there are none and nothing
+    /// is left to write.
     pub fn settle(&mut self) {
         loop {
             self.wait(ms(100));
@@ -71,7 +72,8 @@
             self.actions = kept;
             let is_view =
                 |action: &Action| matches!(action, Action::Send { msg: PeerMsg::Views { .. }, .. });
-            let last = own.iter().all(is_view);
+            let written = self.core.partitions().iter().all(|partition| partition.unwritten == 0);
+            let last = written && own.iter().all(is_view);
             own.into_iter().for_each(|action| self.carry_out(action));
             if last {
                 return;
