Make the budget's test depend on the budget alone

Cause: with the spending of the budget broken by hand the test stayed green, since the loss of each eviction grew and ended them before the budget did. Change: the tasks have fresh checkpoints; with the spending broken the test is red.

--- a/src/core/policy/tests/relief.rs
+++ b/src/core/policy/tests/relief.rs
@@ -90,6 +90,9 @@
     let mut policy = policy(config.clone(), [beside(view(0), "shop", 2)]);
     let mut residents: Vec<_> =
         (1..=40).map(|number| resident(&config, "build", number, secs(0))).collect();
+    for resident in &mut residents {
+        resident.checkpoint_at = Some(secs(600));
+    }
     let steps = run(&mut policy, &mut residents, |_, _| 4.0, 600);
     let evictions = steps.iter().filter(|(_, step)| matches!(step, Relief::Evict { .. })).count();
     // Three at once, and one a minute with equal weights.
