Say the nearest size once, and refuse nothing before any VM is known

Cause: the core adds the nearest size to the reason of a refusal, which named it already. A daemon that never saw a VM, as one that is cut off from the start, refused every task as never fitting. Change: the reason leaves the nearest size to its field, the record's text names it; the test reads it there. Without any VM known a task waits.

--- a/src/core/policy/decide.rs
+++ b/src/core/policy/decide.rs
@@ -260,10 +260,6 @@
             Feasibility::EmptyPool => ("the pool has no VM of its least size".to_owned(), None),
             Feasibility::UnknownPool => ("the configuration names no such pool".to_owned(), None),
         };
-        let reason = match nearest {
-            Some(nearest) => format!("{reason}; the nearest size that fits is {nearest}"),
-            None => reason,
-        };
         Some(Choice::Never { reason, nearest })
     }
 
--- a/src/core/policy/explain.rs
+++ b/src/core/policy/explain.rs
@@ -197,7 +197,10 @@
             format!("placed on {vm}: {}", why.unwrap_or_default())
         }
         Choice::Wait { reason } => format!("waits: {reason}"),
-        Choice::Never { reason, .. } => format!("refused: {reason}"),
+        Choice::Never { reason, nearest: Some(nearest) } => {
+            format!("refused: {reason}; the nearest size that fits is {nearest}")
+        }
+        Choice::Never { reason, nearest: None } => format!("refused: {reason}"),
     }
 }
 
--- a/src/core/policy/fit.rs
+++ b/src/core/policy/fit.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Whether no VM was ever known.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
     /// Sizes in the pool that are there, or were lately.
     fn in_pool<'a>(
         &'a self,
--- a/src/core/policy/place.rs
+++ b/src/core/policy/place.rs
@@ -94,7 +94,9 @@
         let need = &candidate.spec.resources;
         let allowances = self.quotas.of(&candidate.spec.team);
         let verdict = self.sizes.verdict(need, pool, allowances, now);
-        if verdict != Verdict::Fits && !self.settled(now) {
+        // A daemon that is cut off from all VMs knows nothing of what could run.
+        let known = self.settled(now) && !self.sizes.is_empty();
+        if verdict != Verdict::Fits && !known {
             return Feasibility::NotYetKnown;
         }
         match verdict {
--- a/src/core/policy/tests/placement.rs
+++ b/src/core/policy/tests/placement.rs
@@ -22,11 +22,11 @@
     let mut policy = policy(config.clone(), (0..8).map(view));
     let mut huge = candidate(&config, "build", 1);
     huge.spec.resources = Resources::new(48_000, 20_000, 0);
-    let Choice::Never { nearest, reason } = policy.admit(&huge, secs(1)).choice else {
-        panic!("not refused")
-    };
+    let decided = policy.admit(&huge, secs(1));
+    let Choice::Never { nearest, .. } = decided.choice else { panic!("{decided:?}") };
     assert_eq!(nearest, Some(Resources::new(32_000, 20_000, 0)));
-    assert!(reason.contains("32000m"), "{reason}");
+    let verdict = decided.record.verdict;
+    assert!(verdict.contains("nearest size that fits is 32000m"), "{verdict}");
 }
 
 #[test]
--- a/tests/policy_faults.rs
+++ b/tests/policy_faults.rs
@@ -314,7 +314,7 @@
         match decided.choice {
             Choice::Place { vm } => format!("place {vm}"),
             Choice::Wait { reason } => format!("wait: {reason}"),
-            Choice::Never { reason, .. } => format!("never: {reason}"),
+            Choice::Never { .. } => decided.record.verdict.replacen("refused", "never", 1),
         }
     }
 }
