--- a/src/front/status.rs
+++ b/src/front/status.rs
@@ -38,8 +38,9 @@
 
 async fn read_status(links: &Links, requests: RequestStatus) -> Result<Status> {
     let partitions = links.partitions.clone();
-    let core =
-        links.control.send(Inspect(move |control: &Control| read_core(control, &partitions)));
+    let near = links.lease_ttl / 3;
+    let read = move |control: &Control| read_core(control, &partitions, near);
+    let core = links.control.send(Inspect(read));
     let mut core = core.await.map_err(|e| stopping(&e))?;
     let reach = links.storage.send(GetStanding).await.map_err(|e| stopping(&e))?.reach;
     let since = links.clock.now().saturating_sub(reach.since);
