Don't take a daemon for served before its configuration and the list are read

A daemon is ready once it has slots or nothing could have any; it looked before it had read its configuration and the platform's list, so that it always found nothing, and was ready without slots. Ruled out: slots that stay with daemons that are gone. Change: before both are read nothing is concluded; two tests of whole daemons.

--- a/src/front/shares.rs
+++ b/src/front/shares.rs
@@ -1,6 +1,7 @@
 //! Asking the holders of the endpoints' VMs for slots.
 
 use super::forward::ask_daemon;
+use super::view::{ListRead, Stage};
 use super::{Links, Slots};
 use crate::clock::Clock;
 use crate::control::{Ask, Control, Inspect};
@@ -41,8 +42,14 @@
 fn is_served(links: &Links, dispatcher: &Dispatcher, begun: Duration) -> bool {
     let waited = links.clock.now().saturating_sub(begun);
     let endpoints = dispatcher.status().endpoints;
+    let known = {
+        let view = links.view.borrow();
+        view.stage != Stage::Starting && view.list == ListRead::Read
+    };
     let unserved = links.view.borrow().config.services.is_empty() || endpoints.is_empty();
-    unserved || waited >= LONGEST_WAIT || endpoints.iter().any(|endpoint| endpoint.share > 0)
+    (known && unserved)
+        || waited >= LONGEST_WAIT
+        || endpoints.iter().any(|endpoint| endpoint.share > 0)
 }
 
 async fn ask_all(links: &Links, dispatcher: &Dispatcher) {
--- a/src/front/view.rs
+++ b/src/front/view.rs
@@ -20,12 +20,21 @@
     Draining,
 }
 
+/// Whether the platform's list was ever read; before that, having no endpoints means nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListRead {
+    #[default]
+    NotYet,
+    Read,
+}
+
 /// The front's view of the rest.
 #[derive(Clone, Debug, Default)]
 pub struct FrontView {
     pub stage: Stage,
     pub config: Arc<Config>,
     pub endpoints: Vec<EndpointInfo>,
+    pub list: ListRead,
     /// Callers' ports of the daemons that answer.
     pub peers: Vec<PeerFront>,
     fronts: Vec<Front>,
@@ -71,7 +80,9 @@
                 front_addr: entry.front_addr.clone(),
             })
             .collect();
-        let changed = endpoints != self.endpoints || fronts != self.fronts;
+        let changed =
+            endpoints != self.endpoints || fronts != self.fronts || self.list == ListRead::NotYet;
+        self.list = ListRead::Read;
         self.endpoints = endpoints;
         self.fronts = fronts;
         self.join_peers();
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -5,7 +5,7 @@
 use crate::kv::Kv;
 use crate::ledger::Ledger;
 use crate::list::List;
-use crate::rack::Rack;
+use crate::rack::{Rack, Reach};
 use crate::worker::TableSettings;
 use std::time::Duration;
 use waxwingstall::daemon::{Daemon, Serving};
@@ -166,6 +166,15 @@
         self.racks.iter().for_each(Rack::advance);
     }
 
+    /// Lets no call reach any worker.
+    pub fn cut_off_workers(&self) {
+        for vm in self.vms() {
+            for rack in &self.racks {
+                rack.set_reach(&vm, Reach::CutOff);
+            }
+        }
+    }
+
     /// Restarts a worker: everything that ran there is gone.
     pub fn restart(&self, vm: &VmId) {
         for rack in &self.racks {
--- a/tests/daemons/harness.rs
+++ b/tests/daemons/harness.rs
@@ -61,6 +61,33 @@
         cluster
     }
 
+    /// Starts a further daemon with the settings of the `i`th, and waits until it is ready.
+    pub fn start_daemon(&mut self, i: usize) {
+        let settings = self.platform.settings().swap_remove(i);
+        let daemon = Daemon::start(settings, Arc::new(SystemClock)).expect("a daemon");
+        let before = self.platform.balancer.ready();
+        self.platform.add_daemon(&daemon);
+        self.daemons.push(Some(daemon));
+        self.wait_until("the new daemon is ready", |c| c.platform.balancer.ready() > before);
+    }
+
+    /// Starts a further daemon, which need not become ready.
+    pub fn start_unready(&mut self, i: usize) {
+        let settings = self.platform.settings().swap_remove(i);
+        let daemon = Daemon::start(settings, Arc::new(SystemClock)).expect("a daemon");
+        self.daemons.push(Some(daemon));
+    }
+
+    /// What the first daemon answers the balancer.
+    pub fn ready_status(&self) -> u16 {
+        let daemon = self.daemons.iter().flatten().next().expect("a daemon");
+        let url = format!("http://{}/ready", daemon.front_addr());
+        block_on(async {
+            let resp = awc::Client::default().get(url).send().await;
+            resp.expect("an answer").status().as_u16()
+        })
+    }
+
     pub fn kill_daemon(&mut self, i: usize) {
         drop(self.daemons[i].take());
     }
--- a/tests/daemons/main.rs
+++ b/tests/daemons/main.rs
@@ -35,6 +35,36 @@
     assert_eq!(cluster.over_slots(), 0);
 }
 
+/// All daemons are replaced one after another while callers send previews. Order: a new daemon
+/// starts and the balancer finds it ready; an old one is stopped as planned. A new daemon that was
+/// ready before it had slots would refuse callers whom the others could have served.
+#[test]
+fn replacing_every_daemon_refuses_no_request() {
+    let mut cluster = Cluster::start();
+    let callers = cluster.send_previews(4, 400);
+    for i in 0..4 {
+        cluster.start_daemon(i);
+        cluster.drain_daemon(i);
+    }
+    let seen = callers.join().expect("callers that don't panic");
+    assert_eq!(seen.wrong, Vec::<String>::new());
+    assert_eq!(seen.whole, 1600);
+    assert_eq!(cluster.over_slots(), 0);
+}
+
+/// A daemon starts while no worker can be reached, so that nobody can give it slots. The balancer
+/// must not choose it: it would answer every caller "not run".
+#[test]
+fn a_daemon_without_slots_is_not_ready() {
+    let mut cluster = Cluster::start();
+    let revision = cluster.revision();
+    (0..4).for_each(|i| cluster.kill_daemon(i));
+    cluster.platform.cut_off_workers();
+    cluster.start_unready(0);
+    cluster.wait_in_force(revision);
+    assert_eq!(cluster.ready_status(), 503);
+}
+
 /// The key-value service is down. Order: tasks run; it goes down; callers' previews are answered,
 /// a submission is refused as "not run" at once, and what runs goes on and ends; it comes back, and
 /// the ends are recorded. Taking the submission would promise what no daemon could keep.
