--- a/src/control.rs
+++ b/src/control.rs
@@ -8,8 +8,8 @@
 use crate::api::{VmDetail, VmSummary};
 use crate::clock::Clock;
 use crate::core::event::Answer;
-use crate::core::{Action, Core, Event};
-use crate::ids::{DaemonId, ServiceName, Ticket, VmId};
+use crate::core::{Action, Core, Event, VmSummary as HeldVm};
+use crate::ids::{DaemonId, ServiceName, TaskId, Ticket, VmId};
 use crate::peers::{Call, Outgoing, Reply, Shown};
 use crate::ring::{RING_CAPACITY, Ring};
 use crate::storage::Write;
@@ -158,7 +158,7 @@
         (self.last_ticket, rx)
     }
 
-    fn detail(&self, vm: &crate::core::VmSummary) -> VmDetail {
+    fn detail(&self, vm: &HeldVm) -> VmDetail {
         let summary = VmSummary {
             vm: vm.vm.clone(),
             domain: vm.domain.clone(),
@@ -178,7 +178,7 @@
         }
     }
 
-    fn show(&self, task: crate::ids::TaskId) -> Option<Shown> {
+    fn show(&self, task: TaskId) -> Option<Shown> {
         let state = self.core.task(task)?.clone();
         Some(Shown { task: state, waiting_for: self.core.waiting_for(task) })
     }
@@ -254,8 +254,7 @@
 
     fn handle(&mut self, msg: Ask, _: &mut Self::Context) -> Self::Result {
         let reply = match msg.0 {
-            Call::Submit { partition, .. }
-            | Call::Cancel { task: crate::ids::TaskId { partition, .. } }
+            Call::Submit { partition, .. } | Call::Cancel { task: TaskId { partition, .. } }
                 if !self.core.writes(partition) =>
             {
                 Reply::NotWriter
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Clock;
 use crate::control::{Control, Told};
+use crate::core::Event;
 use crate::front::Front;
 use crate::front::view::{FrontView, Stage};
 use crate::ids::{DaemonId, DomainId};
@@ -174,7 +175,7 @@
         self.view.send_modify(|view| view.stage = stage);
     }
 
-    fn tell_core(&self, event: crate::core::Event) {
+    fn tell_core(&self, event: Event) {
         self.control.do_send(Told(event));
     }
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -14,7 +14,7 @@
 use crate::report::Report;
 use crate::request::DispatcherSettings;
 use crate::ring::{Ring, WhenFull};
-use crate::settings::Settings;
+use crate::settings::{PartitionSettings, Settings};
 use crate::storage::{Begin, Storage};
 use crate::usage::{Duty, Usage};
 use crate::workers::{Workers, WorkersSettings};
@@ -104,10 +104,7 @@
     }
 
     fn control(&self, arbiter: &Arbiter) -> Result<Addr<Control>> {
-        let home = |p: &crate::settings::PartitionSettings| PartitionHome {
-            id: p.id,
-            domain: p.domain.clone(),
-        };
+        let home = |p: &PartitionSettings| PartitionHome { id: p.id, domain: p.domain.clone() };
         let leases = self.settings.leases;
         let core = CoreSettings {
             lease_ttl: leases.ttl,
--- a/src/front.rs
+++ b/src/front.rs
@@ -11,7 +11,7 @@
 mod tasks;
 pub mod view;
 
-use crate::api::ApiError;
+use crate::api::{ApiError, ErrorKind};
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::ids::{DaemonId, DomainId, PartitionId};
@@ -20,7 +20,9 @@
 use crate::storage::Storage;
 use actix::Addr;
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::error::{InternalError, JsonPayloadError};
+use actix_web::http::StatusCode;
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -174,16 +176,13 @@
     }
 }
 
-fn refuse_json(
-    e: actix_web::error::JsonPayloadError,
-    _: &actix_web::HttpRequest,
-) -> actix_web::Error {
+fn refuse_json(e: JsonPayloadError, _: &HttpRequest) -> actix_web::Error {
     let error = ApiError::new(
-        crate::api::ErrorKind::Usage,
+        ErrorKind::Usage,
         format!("the body can't be read: {e}"),
         "send the JSON that docs/OPERATIONS.md describes",
     );
-    actix_web::error::InternalError::from_response(e, answer_error(&error)).into()
+    InternalError::from_response(e, answer_error(&error)).into()
 }
 
 /// An HTTP answer for the result of an operator's call.
@@ -195,10 +194,10 @@
 }
 
 fn answer_error(e: &ApiError) -> HttpResponse {
-    let status = actix_web::http::StatusCode::from_u16(e.kind.http_status())
-        .unwrap_or(actix_web::http::StatusCode::INTERNAL_SERVER_ERROR);
+    let status =
+        StatusCode::from_u16(e.kind.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut resp = HttpResponse::build(status);
-    if status == actix_web::http::StatusCode::SERVICE_UNAVAILABLE {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
         resp.insert_header(("retry-after", "2"));
     }
     resp.json(e)
--- a/src/front/status.rs
+++ b/src/front/status.rs
@@ -8,7 +8,7 @@
     VmDetail, VmSummary,
 };
 use crate::control::{Ask, Control, Inspect};
-use crate::ids::{ClassName, VmId};
+use crate::ids::{ClassName, PartitionId, VmId};
 use crate::peers::{Call, Reply};
 use crate::request::RequestStatus;
 use crate::storage::{Answers, GetStanding};
@@ -83,7 +83,7 @@
 }
 
 /// `near` is the time left below which a lease is near its end.
-fn read_core(control: &Control, partitions: &[crate::ids::PartitionId], near: Duration) -> Core {
+fn read_core(control: &Control, partitions: &[PartitionId], near: Duration) -> Core {
     let core = control.core();
     let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
     let vms = core.vms();
--- a/src/front/tasks.rs
+++ b/src/front/tasks.rs
@@ -6,6 +6,7 @@
     ApiError, CancelReply, DEFAULT_PAGE, ErrorKind, MAX_PAGE, Result, SubmitPriority, SubmitReply,
     SubmitReq, TaskList, TaskPhase, TaskQuery, TaskView,
 };
+use crate::control::Ask;
 use crate::core::event::Answer;
 use crate::ids::{ClassName, IdempotencyKey, PartitionId, TaskId};
 use crate::model::{Config, Urgency};
@@ -132,7 +133,7 @@
     let mut missing = Vec::new();
     for member in members {
         let reply = if member == links.me {
-            let own = links.control.send(crate::control::Ask(Call::List)).await;
+            let own = links.control.send(Ask(Call::List)).await;
             own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
         } else {
             ask_daemon(links, member.clone(), Call::List).await
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::front::view::FrontView;
 use crate::ids::{DaemonId, IdempotencyKey, PartitionId, Revision, TaskId};
 use crate::listing::DaemonEntry;
-use crate::membership::{Membership, MembershipSettings};
+use crate::membership::{BarrierId, Membership, MembershipSettings};
 use crate::peer::{Member, MemberState, PeerMsg};
 use crate::request::share::{ShareAsk, ShareGrant};
 use crate::ring::{RING_CAPACITY, Ring};
@@ -204,7 +204,7 @@
     // The barrier goes through this daemon's own peer port. Sockets that were readable before it
     // was sent are read by the same reactor on the way, so that its return means that every
     // answer which had arrived by then has been counted.
-    fn send_barrier(&mut self, barrier: crate::membership::BarrierId, cx: &mut Context<Self>) {
+    fn send_barrier(&mut self, barrier: BarrierId, cx: &mut Context<Self>) {
         let me = self.membership.me().clone();
         let link = self.link(&me.peer_addr).clone();
         cx.spawn(async move { link.exchange(me).await }.into_actor(self).map(
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -14,7 +14,8 @@
 use crate::config::apply::{self, Applied, ChangeRequest, Confirmation};
 use crate::config::follow::Known;
 use crate::config::snapshot::Snapshot;
-use crate::control::Told;
+use crate::control::{Control, Told};
+use crate::core::event::CommitResult;
 use crate::core::{Action, Event};
 use crate::front::view::FrontView;
 use crate::ids::{ChangeId, DaemonId, IdempotencyKey, OperatorName, PartitionId, Revision, TaskId};
@@ -73,7 +74,7 @@
     }
 
     /// The ring of answers to control.
-    pub fn answers(control: Addr<crate::control::Control>) -> Ring<Told> {
+    pub fn answers(control: Addr<Control>) -> Ring<Told> {
         Ring::new(control, WhenFull::Wait { limit: WAITING_ANSWERS })
     }
 
@@ -92,7 +93,7 @@
     fn refuse(&self, job: &Job) {
         if let Job::Commit { ticket, .. } = job {
             let reason = "too many commits wait for the key-value service".to_owned();
-            let result = crate::core::event::CommitResult::NotWritten { reason };
+            let result = CommitResult::NotWritten { reason };
             self.tell(Event::Committed { ticket: *ticket, result });
         }
     }
