Ask any daemon, and tell the core, in one place each

Cause: 'this daemon by its core, another by its peer port' stood in four places of the front, and handing the core an answer, with the log line where that fails, in four duties. Change: ask_daemon also asks this daemon, and Ring<Told>::tell hands answers over. No behaviour changed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -223,6 +223,15 @@
 #[rtype(result = "()")]
 pub struct Told(pub Event);
 
+impl Ring<Told> {
+    /// Hands the core an answer that it waits for. It is lost only with the core itself.
+    pub fn tell(&mut self, event: Event) {
+        if self.push(Told(event)).is_err() {
+            log::error!("answer-lost");
+        }
+    }
+}
+
 impl Handler<Told> for Control {
     type Result = ();
 
--- a/src/front/explain.rs
+++ b/src/front/explain.rs
@@ -4,7 +4,6 @@
 use super::tasks::read_id;
 use super::{Links, State, answer};
 use crate::api::{ApiError, ErrorKind, Explanation, Result};
-use crate::control::Ask;
 use crate::core::policy::Subject;
 use crate::ids::{RequestId, VmId};
 use crate::peers::{Call, Reply};
@@ -48,12 +47,7 @@
     let mut explanation = Explanation { complete: true, ..Explanation::default() };
     for member in members {
         let call = Call::Explain { subject: subject.clone() };
-        let reply = if member == links.me {
-            let own = links.control.send(Ask(call)).await;
-            own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
-        } else {
-            ask_daemon(links, member.clone(), call).await
-        };
+        let reply = ask_daemon(links, member.clone(), call).await;
         match reply {
             Reply::Records { records, forgotten: false } => explanation.records.extend(records),
             Reply::Records { records, forgotten: true } => {
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -35,12 +35,19 @@
             return Reply::Answer(Answer::Accepted { task, repeated: true });
         }
     }
+    ask_core(control, call).await
+}
+
+async fn ask_core(control: &Addr<Control>, call: Call) -> Reply {
     let reply = control.send(Ask(call)).await;
     reply.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
 }
 
-/// Asks one other daemon.
+/// Asks one daemon, which may be this one.
 pub async fn ask_daemon(links: &Links, to: DaemonId, call: Call) -> Reply {
+    if to == links.me {
+        return ask_core(&links.control, call).await;
+    }
     let reply = links.peers.send(Forward { to, call }).await;
     reply.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
 }
--- a/src/front/shares.rs
+++ b/src/front/shares.rs
@@ -4,7 +4,7 @@
 use super::view::{ListRead, Stage};
 use super::{Links, Slots};
 use crate::clock::Clock;
-use crate::control::{Ask, Control, Inspect};
+use crate::control::{Control, Inspect};
 use crate::ids::{DaemonId, VmId};
 use crate::peers::{Call, Reply};
 use crate::request::Dispatcher;
@@ -68,19 +68,11 @@
         }
     }
     let sent = links.clock.now();
-    let batches = batches.into_iter().map(|(holder, asks)| ask_holder(links, holder, asks));
+    let batches =
+        batches.into_iter().map(|(holder, asks)| ask_daemon(links, holder, Call::Slots { asks }));
     for reply in futures::future::join_all(batches).await {
         if let Reply::Slots(grants) = reply {
             grants.iter().for_each(|grant| dispatcher.share_granted(grant, sent));
         }
     }
 }
-
-async fn ask_holder(links: &Links, holder: DaemonId, asks: Vec<ShareAsk>) -> Reply {
-    let call = Call::Slots { asks };
-    if holder != links.me {
-        return ask_daemon(links, holder, call).await;
-    }
-    let own = links.control.send(Ask(call)).await;
-    own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
-}
--- a/src/front/status.rs
+++ b/src/front/status.rs
@@ -7,7 +7,7 @@
     ApiError, DaemonState, ErrorKind, MemberStatus, PartitionStatus, Result, Status, StoreStatus,
     VmDetail, VmSummary,
 };
-use crate::control::{Ask, Control, Inspect};
+use crate::control::{Control, Inspect};
 use crate::ids::{ClassName, PartitionId, VmId};
 use crate::peers::{Call, Reply};
 use crate::request::RequestStatus;
@@ -133,12 +133,7 @@
     let members: Vec<_> = links.view.borrow().serving().cloned().collect();
     let mut vms = Vec::new();
     for member in members {
-        let reply = if member == links.me {
-            let own = links.control.send(Ask(Call::Vms)).await;
-            own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
-        } else {
-            ask_daemon(links, member, Call::Vms).await
-        };
+        let reply = ask_daemon(links, member, Call::Vms).await;
         if let Reply::Vms(held) = reply {
             vms.extend(held);
         }
--- a/src/front/tasks.rs
+++ b/src/front/tasks.rs
@@ -6,7 +6,6 @@
     ApiError, CancelReply, DEFAULT_PAGE, ErrorKind, MAX_PAGE, Result, SubmitPriority, SubmitReply,
     SubmitReq, TaskList, TaskPhase, TaskQuery, TaskView,
 };
-use crate::control::Ask;
 use crate::core::event::Answer;
 use crate::ids::{ClassName, IdempotencyKey, PartitionId, TaskId};
 use crate::model::{Config, Urgency};
@@ -132,12 +131,7 @@
     let mut tasks = Vec::new();
     let mut missing = Vec::new();
     for member in members {
-        let reply = if member == links.me {
-            let own = links.control.send(Ask(Call::List)).await;
-            own.unwrap_or_else(|e| Reply::NotSent { reason: e.to_string() })
-        } else {
-            ask_daemon(links, member.clone(), Call::List).await
-        };
+        let reply = ask_daemon(links, member.clone(), Call::List).await;
         match reply {
             Reply::Tasks(shown) => {
                 tasks.extend(shown.into_iter().filter(|s| selected(s, query)).map(view_of));
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -99,9 +99,7 @@
     }
 
     fn tell(&self, event: Event) {
-        if self.control.borrow_mut().push(Told(event)).is_err() {
-            log::error!("answer-lost");
-        }
+        self.control.borrow_mut().tell(event);
     }
 
     fn tell_follower(&self, news: News) {
--- a/src/storage/follow.rs
+++ b/src/storage/follow.rs
@@ -215,9 +215,7 @@
         }
         self.note_known(follower.known());
         self.peers.do_send(Announce::Revision { revision: config.revision, tell });
-        if self.control.borrow_mut().push(Told(Event::Configured(config.clone()))).is_err() {
-            log::error!("answer-lost");
-        }
+        self.control.borrow_mut().tell(Event::Configured(config.clone()));
         self.front.send_modify(|view| view.configured(config));
     }
 
--- a/src/storage/partition.rs
+++ b/src/storage/partition.rs
@@ -127,9 +127,7 @@
     }
 
     fn tell(&self, event: Event) {
-        if self.control.borrow_mut().push(Told(event)).is_err() {
-            log::error!("answer-lost");
-        }
+        self.control.borrow_mut().tell(event);
     }
 }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -95,9 +95,7 @@
     }
 
     fn tell(&mut self, event: Event) {
-        if self.control.push(Told(event)).is_err() {
-            log::error!("answer-lost");
-        }
+        self.control.tell(event);
     }
 
     fn call(&mut self, action: Action, cx: &mut Context<Self>) {
