--- /dev/null
+++ b/src/cluster/plan.rs
@@ -0,0 +1,101 @@
+//! Which VMs make up which shard.
+//!
+//! A shard is a set of racks of one failure domain: a VM's rack stays with it, so that a VM that
+//! restarts comes back to its shard. The plan is one value in the store; racks that it lacks are
+//! added by whoever sees them first, and nothing in it ever moves, so that a stale copy is never
+//! wrong, only short.
+
+use crate::ids::{DomainId, RackId};
+use crate::vm::VmEntry;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// Key of the plan.
+pub const PLAN_KEY: &str = "plan";
+
+/// VMs that one owner can look after. A look costs about 0.15 ms of processor, an order as much;
+/// with 3 looks and 2 orders a second for each, 32 VMs take 25 ms a second.
+pub const SHARD_VMS: usize = 32;
+
+/// Racks by failure domain, with the number of their shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    domains: IndexMap<DomainId, DomainPlan>,
+}
+
+/// Racks of one failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct DomainPlan {
+    shards: u32,
+    racks: IndexMap<RackId, PlannedRack>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct PlannedRack {
+    shard: u32,
+    /// VMs there when it was planned.
+    vms: u32,
+}
+
+impl Plan {
+    /// The shard of a VM, if it is planned.
+    pub fn shard_of(&self, vm: &VmEntry) -> Option<String> {
+        let domain = self.domains.get(&vm.domain)?;
+        let rack = domain.racks.get(&vm.rack)?;
+        Some(shard_name(&vm.domain, rack.shard))
+    }
+
+    /// Every shard, with its failure domain.
+    pub fn shards(&self) -> Vec<(String, DomainId)> {
+        let mut shards = Vec::new();
+        for (domain, plan) in &self.domains {
+            shards.extend((0..plan.shards).map(|n| (shard_name(domain, n), domain.clone())));
+        }
+        shards
+    }
+
+    /// The plan with all racks of the VMs; `None` if nothing is new.
+    pub fn extended(&self, vms: &[VmEntry]) -> Option<Self> {
+        let mut counts: IndexMap<(&DomainId, &RackId), u32> = IndexMap::new();
+        for vm in vms {
+            *counts.entry((&vm.domain, &vm.rack)).or_default() += 1;
+        }
+        let known = |domain: &DomainId, rack: &RackId| {
+            self.domains.get(domain).is_some_and(|plan| plan.racks.contains_key(rack))
+        };
+        counts.retain(|(domain, rack), _| !known(domain, rack));
+        if counts.is_empty() {
+            return None;
+        }
+        counts.sort_unstable_keys();
+        let mut plan = self.clone();
+        let mut new: IndexMap<&DomainId, Vec<(&RackId, u32)>> = IndexMap::new();
+        for ((domain, rack), vms) in counts {
+            new.entry(domain).or_default().push((rack, vms));
+        }
+        for (domain, racks) in new {
+            plan.domains.entry(domain.clone()).or_default().add(&racks);
+        }
+        Some(plan)
+    }
+}
+
+impl DomainPlan {
+    fn add(&mut self, racks: &[(&RackId, u32)]) {
+        let vms = |plan: &Self| plan.racks.values().map(|rack| rack.vms).sum::<u32>();
+        let all = vms(self) + racks.iter().map(|(_, vms)| vms).sum::<u32>();
+        let wanted = (all as usize).div_ceil(SHARD_VMS).max(1);
+        self.shards = self.shards.max(u32::try_from(wanted).unwrap_or(u32::MAX));
+        for (rack, vms) in racks {
+            let load = |shard: u32| -> u32 {
+                self.racks.values().filter(|rack| rack.shard == shard).map(|rack| rack.vms).sum()
+            };
+            let shard = (0..self.shards).min_by_key(|shard| load(*shard)).unwrap_or(0);
+            self.racks.insert((*rack).clone(), PlannedRack { shard, vms: *vms });
+        }
+    }
+}
+
+fn shard_name(domain: &DomainId, number: u32) -> String {
+    format!("{domain}.{number}")
+}
--- /dev/null
+++ b/src/jobs/calls.rs
@@ -0,0 +1,332 @@
+//! Callers' calls, made at the owner of the shard that they concern, wherever that is.
+
+use super::control::{Control, TakeCall};
+use super::links::{self, Links, PassOn};
+use super::records::{FindJob, Found};
+use super::view::{Directory, Owner, ShardView, View};
+use crate::clock::Clock;
+use crate::job::{Job, JobId, Life, QueueName, Share, ShownState};
+use crate::shard::Answer;
+use actix::prelude::*;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// A call that a shard's owner answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    Submit(Box<Job>),
+    Cancel(JobId),
+    Show(JobId),
+}
+
+/// The answer to a [`Call`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    Answer(Answer),
+    /// The daemon asked doesn't own the shard; the call had no effect.
+    NotOwner,
+}
+
+/// Age from which on a shard's news are too old to go by.
+const STALE_NEWS: Duration = Duration::from_millis(2500);
+
+/// Age up to which counts of waiting jobs are given.
+const STALE_COUNT: Duration = Duration::from_millis(1900);
+
+/// Pause before a call is made again at what may be the shard's new owner.
+const OWNER_RETRY: Duration = Duration::from_millis(80);
+
+/// Longest time for one attempt at the owner: a commit takes 5 to 30 ms, and up to 400 ms while
+/// the store is slow.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1400);
+
+/// When to come back if no shard has an owner; it takes up to 2 s to find one.
+const RETRY_NO_OWNER: Duration = Duration::from_millis(1000);
+
+/// Makes callers' calls.
+#[derive(Clone)]
+pub struct Calls {
+    view: watch::Receiver<Arc<View>>,
+    directory: Arc<Mutex<Directory>>,
+    control: Addr<Control>,
+    links: Addr<Links>,
+    finder: Recipient<FindJob>,
+    clock: Arc<dyn Clock>,
+    sent: Arc<Mutex<IndexMap<String, Sent>>>,
+}
+
+/// What was sent to a shard since its last news.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    /// News that it comes on top of.
+    at: Duration,
+    reserved: f64,
+    leftover_work: f64,
+}
+
+/// What became of one attempt.
+enum Attempt {
+    Answered(Answer),
+    /// It surely had no effect.
+    Nothing,
+    /// It may have had an effect.
+    Unsure(String),
+}
+
+impl Calls {
+    /// Calls by way of these duties.
+    pub fn new(
+        view: watch::Receiver<Arc<View>>,
+        directory: Arc<Mutex<Directory>>,
+        control: Addr<Control>,
+        links: Addr<Links>,
+        finder: Recipient<FindJob>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self { view, directory, control, links, finder, clock, sent: Arc::default() }
+    }
+
+    /// What control published last.
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Hands a job in.
+    pub async fn submit(&self, job: Job, budget: Duration) -> Answer {
+        let until = self.clock.now() + budget;
+        let mut refused: Vec<String> = Vec::new();
+        let mut last = not_run("no shard has an owner just now", RETRY_NO_OWNER);
+        loop {
+            let known = self.known_shard(job.id);
+            let Some(shard) = known.or_else(|| self.choose(&job, &refused)) else {
+                if refused.is_empty() && self.pause(until).await {
+                    continue;
+                }
+                return last;
+            };
+            match self.attempt(&shard, Call::Submit(Box::new(job.clone())), until).await {
+                Attempt::Answered(Answer::Accepted) => {
+                    self.note_shard(job.id, &shard);
+                    return Answer::Accepted;
+                }
+                Attempt::Answered(answer @ Answer::NotRun { .. }) => {
+                    refused.push(shard);
+                    last = answer;
+                }
+                Attempt::Answered(answer) => return answer,
+                Attempt::Unsure(reason) => return Answer::Unknown { reason },
+                Attempt::Nothing => {
+                    if !self.pause(until).await {
+                        return last;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives a job up.
+    pub async fn cancel(&self, id: JobId, budget: Duration) -> Answer {
+        self.about(id, Call::Cancel(id), budget).await
+    }
+
+    /// A job's state.
+    pub async fn show(&self, id: JobId, budget: Duration) -> Answer {
+        self.about(id, Call::Show(id), budget).await
+    }
+
+    /// Jobs of a queue that no task of has started; `None` if that isn't known now.
+    pub fn queued(&self, queue: &QueueName) -> Option<u32> {
+        let view = self.view();
+        let now = self.clock.now();
+        let mut sum = 0;
+        for shard in view.shards.values() {
+            if now.saturating_sub(shard.at) > STALE_COUNT {
+                return None;
+            }
+            let queued = shard.summary.queued.iter().find(|(name, _)| name == queue);
+            sum += queued.map_or(0, |(_, count)| *count);
+        }
+        Some(sum)
+    }
+
+    /// Makes a call about a job that was handed in before.
+    async fn about(&self, id: JobId, call: Call, budget: Duration) -> Answer {
+        let until = self.clock.now() + budget;
+        loop {
+            let shard = match self.locate(id).await {
+                Located::Shard(shard) => shard,
+                Located::Nowhere => return Answer::NotHere,
+                Located::Unknown(reason) => {
+                    if self.pause(until).await {
+                        continue;
+                    }
+                    return Answer::Unknown { reason };
+                }
+            };
+            match self.attempt(&shard, call.clone(), until).await {
+                // A finished job that the owner has forgotten is forgotten in the store as well.
+                Attempt::Answered(answer) => return answer,
+                Attempt::Unsure(reason) => return Answer::Unknown { reason },
+                Attempt::Nothing => {
+                    if !self.pause(until).await {
+                        let reason = "the job's shard has no owner just now".to_owned();
+                        return Answer::Unknown { reason };
+                    }
+                }
+            }
+        }
+    }
+
+    async fn locate(&self, id: JobId) -> Located {
+        if let Some(shard) = self.known_shard(id) {
+            return Located::Shard(shard);
+        }
+        match self.finder.send(FindJob(id)).await {
+            Ok(Found::Shard(shard)) => {
+                self.note_shard(id, &shard);
+                Located::Shard(shard)
+            }
+            Ok(Found::Nowhere) => Located::Nowhere,
+            Ok(Found::Unknown(reason)) => Located::Unknown(reason),
+            Err(e) => Located::Unknown(e.to_string()),
+        }
+    }
+
+    async fn attempt(&self, shard: &str, call: Call, until: Duration) -> Attempt {
+        let owner = self.view.borrow().shards.get(shard).and_then(|s| s.owner.clone());
+        let left = until.saturating_sub(self.clock.now());
+        let timeout = left.min(ATTEMPT_TIMEOUT);
+        match owner {
+            None => Attempt::Nothing,
+            Some(Owner::Here) => self.attempt_here(shard, call, timeout).await,
+            Some(Owner::Other(to)) => {
+                let msg = PassOn { to, shard: shard.to_owned(), call, timeout };
+                match self.links.send(msg).await {
+                    Ok(Ok(Reply::Answer(answer))) => Attempt::Answered(answer),
+                    Ok(Ok(Reply::NotOwner)) => Attempt::Nothing,
+                    Ok(Err(links::Error::NoAnswer { reason, .. })) => Attempt::Unsure(reason),
+                    Ok(Err(_)) => Attempt::Nothing,
+                    Err(e) => Attempt::Unsure(e.to_string()),
+                }
+            }
+        }
+    }
+
+    async fn attempt_here(&self, shard: &str, call: Call, timeout: Duration) -> Attempt {
+        let msg = TakeCall { shard: shard.to_owned(), call };
+        match tokio::time::timeout(timeout, self.control.send(msg)).await {
+            Ok(Ok(Reply::Answer(answer))) => Attempt::Answered(answer),
+            Ok(Ok(Reply::NotOwner)) => Attempt::Nothing,
+            Ok(Err(e)) => Attempt::Unsure(e.to_string()),
+            Err(_) => Attempt::Unsure("timeout".to_owned()),
+        }
+    }
+
+    /// The shard that serves a job best, by what is known of each.
+    fn choose(&self, job: &Job, refused: &[String]) -> Option<String> {
+        let (view, now) = (self.view(), self.clock.now());
+        let need = Need::of(job);
+        let fit = |(name, shard): &(&String, &ShardView)| {
+            shard.owner.is_some()
+                && now.saturating_sub(shard.at) < STALE_NEWS
+                && shard.summary.vms > 0
+                && !refused.contains(*name)
+        };
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let best = view
+            .shards
+            .iter()
+            .filter(fit)
+            .map(|(name, shard)| {
+                let on_top = sent.get(name).filter(|s| s.at == shard.at).copied();
+                (name, shard, need.cost(&shard.summary, &on_top.unwrap_or_default()))
+            })
+            .min_by(|(_, _, a), (_, _, b)| a.total_cmp(b))?;
+        let (name, shard, _) = best;
+        let entry = sent.entry(name.clone()).or_default();
+        if entry.at != shard.at {
+            *entry = Sent { at: shard.at, ..Sent::default() };
+        }
+        entry.reserved += need.reserved;
+        entry.leftover_work += need.leftover_work;
+        Some(name.clone())
+    }
+
+    fn known_shard(&self, id: JobId) -> Option<String> {
+        let directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
+        directory.find(id).map(|shard| shard.to_string())
+    }
+
+    fn note_shard(&self, id: JobId, shard: &str) {
+        let mut directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
+        directory.add(id, &Arc::from(shard));
+    }
+
+    /// Waits a moment; false if there is no time for another attempt.
+    async fn pause(&self, until: Duration) -> bool {
+        if self.clock.now() + 2 * OWNER_RETRY >= until {
+            return false;
+        }
+        tokio::time::sleep(OWNER_RETRY).await;
+        true
+    }
+}
+
+enum Located {
+    Shard(String),
+    Nowhere,
+    Unknown(String),
+}
+
+/// What a job needs of a shard.
+#[derive(Clone, Copy, Debug, Default)]
+struct Need {
+    /// Processors at a time, in thousandths of a core.
+    reserved: f64,
+    /// Work on what is left over, in milliseconds times thousandths of a core.
+    leftover_work: f64,
+    lasting: bool,
+}
+
+impl Need {
+    fn of(job: &Job) -> Self {
+        let mut need = Self::default();
+        for step in &job.steps {
+            let cores = f64::from(step.tasks) * f64::from(step.size.milli_cores.0);
+            match step.share {
+                Share::Reserved => need.reserved = need.reserved.max(cores),
+                Share::Leftover => need.leftover_work += cores * step.estimate.as_millis() as f64,
+            }
+            need.lasting |= step.life == Life::Lasting;
+        }
+        need
+    }
+
+    /// Less is better.
+    fn cost(&self, summary: &crate::shard::Summary, sent: &Sent) -> f64 {
+        let work = summary.leftover_work as f64 + sent.leftover_work + self.leftover_work;
+        let wait = work / (summary.leftover as f64).max(1.0);
+        let free = summary.free as f64 - sent.reserved - self.reserved;
+        let capacity = (summary.capacity as f64).max(1.0);
+        let waiting = summary.waiting_work as f64 / capacity;
+        if self.leftover_work > 0.0 {
+            wait
+        } else if self.lasting {
+            -free / capacity
+        } else {
+            waiting - free / capacity
+        }
+    }
+}
+
+fn not_run(reason: &str, retry_after: Duration) -> Answer {
+    Answer::NotRun { reason: reason.to_owned(), retry_after }
+}
+
+/// Whether an answer says how a job stands for good.
+pub fn is_final(answer: &Answer) -> bool {
+    matches!(answer, Answer::Shown(state) if ShownState::is_final(*state))
+}
--- /dev/null
+++ b/src/jobs/control.rs
@@ -0,0 +1,712 @@
+//! The duty that decides: it holds the shards that this daemon owns, and who owns which.
+//!
+//! It never waits. After a pause of its own, the machine's suspension included, it asks the store
+//! whether it still owns its shards before it gives any order.
+
+use super::calls::{Call, Reply};
+use super::links::{Links, Offer, Probe, SayHello};
+use super::orders::Order;
+use super::records::{Claim, Commit, Confirm, Confirmation, Forget, ReadHeads};
+use super::view::{Directory, Owner, Readiness, ShardView, View};
+use crate::clock::Clock;
+use crate::cluster::ownership::OWN_PAUSE;
+use crate::cluster::{self, Head, Hello, Member, Ownership, Plan, ShardNews, StoreReach};
+use crate::ids::{DaemonId, Ticket};
+use crate::journal::Journal;
+use crate::job::JobId;
+use crate::note::{Ms, Note};
+use crate::queues::Queues;
+use crate::ring::{RING_CAPACITY, Ring, WhenFull};
+use crate::shard::{
+    self, Action, Announcements, Answer, CommitResult, Event, Now, Recovered, Shard, Summary,
+};
+use crate::vm::{Fence, VmEntry};
+use actix::prelude::*;
+use indexmap::IndexMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime};
+use tokio::sync::{oneshot, watch};
+
+/// Between two looks at the time. Orders that wait for their turn are late by half of it.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Between two publications of who owns what.
+const PUBLISH: Duration = Duration::from_millis(100);
+
+/// Between two hellos of a daemon that owns a shard, and of one that owns none.
+const OWNER_HELLO: Duration = Duration::from_millis(400);
+const HELLO: Duration = Duration::from_millis(1000);
+
+/// Age of the configuration's last confirmation up to which callers are taken: operators' changes
+/// must be in force within 2 s.
+const CONFIG_FRESH: Duration = Duration::from_millis(1900);
+
+/// Orders and commits that wait at control.
+const WAITING_ACTIONS: usize = 100_000;
+
+/// The rings to the other duties.
+pub struct Rings {
+    pub orders: Ring<Order>,
+    pub links: Addr<Links>,
+    pub claims: Recipient<Claim>,
+    pub commits: Recipient<Commit>,
+    pub forget: Recipient<Forget>,
+    pub heads: Recipient<ReadHeads>,
+    pub confirm: Recipient<Confirm>,
+}
+
+/// A shard that this daemon owns.
+struct Hosted {
+    shard: Shard,
+    name: Arc<str>,
+    /// Events that wait until it is known that the shard is still owned.
+    held: Option<Vec<Event>>,
+    accepted: Vec<JobId>,
+    /// Daemon that the shard is given to.
+    to: Option<Member>,
+    summary: Arc<Summary>,
+}
+
+/// The duty.
+pub struct Control {
+    settings: shard::Settings,
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    ownership: Ownership,
+    rings: Option<Rings>,
+    hosted: IndexMap<String, Hosted>,
+    others: IndexMap<String, ShardView>,
+    queues: Option<Arc<Queues>>,
+    config_confirmed: Duration,
+    fleet: Vec<VmEntry>,
+    plan: Plan,
+    store: StoreReach,
+    store_lost: Option<Duration>,
+    tickets: IndexMap<Ticket, oneshot::Sender<Reply>>,
+    next_ticket: u64,
+    view: watch::Sender<Arc<View>>,
+    directory: Arc<Mutex<Directory>>,
+    last: Duration,
+    next_publish: Duration,
+    next_hello: Duration,
+}
+
+impl Control {
+    /// A duty that owns nothing.
+    pub fn new(
+        me: Member,
+        settings: shard::Settings,
+        clock: Arc<dyn Clock>,
+        journal: Journal,
+        view: watch::Sender<Arc<View>>,
+        directory: Arc<Mutex<Directory>>,
+    ) -> Self {
+        let now = clock.now();
+        Self {
+            settings,
+            journal,
+            ownership: Ownership::new(me, now),
+            rings: None,
+            hosted: IndexMap::new(),
+            others: IndexMap::new(),
+            queues: None,
+            config_confirmed: Duration::ZERO,
+            fleet: Vec::new(),
+            plan: Plan::default(),
+            store: StoreReach::Away,
+            store_lost: None,
+            tickets: IndexMap::new(),
+            next_ticket: 0,
+            view,
+            directory,
+            last: now,
+            next_publish: now,
+            next_hello: now,
+            clock,
+        }
+    }
+
+    fn now(&self) -> Now {
+        let wall = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Now { steady: self.clock.now(), wall }
+    }
+
+    /// Called first in each handler: finds out whether this daemon stood still.
+    fn wake(&mut self, cx: &mut Context<Self>) -> Now {
+        let now = self.now();
+        let pause = now.steady.saturating_sub(self.last);
+        self.last = now.steady;
+        if pause >= OWN_PAUSE {
+            self.confirm_all(cx);
+        }
+        now
+    }
+
+    fn confirm_all(&mut self, cx: &mut Context<Self>) {
+        let names: Vec<String> = self.hosted.keys().cloned().collect();
+        for name in names {
+            let Some(hosted) = self.hosted.get_mut(&name) else { continue };
+            hosted.held.get_or_insert_default();
+            self.confirm(name, cx);
+        }
+    }
+
+    fn confirm(&mut self, shard: String, cx: &mut Context<Self>) {
+        let Some(rings) = &self.rings else { return };
+        let owner = self.ownership.me().id.clone();
+        let asked = rings.confirm.send(Confirm { shard: shard.clone(), owner });
+        cx.spawn(asked.into_actor(self).map(move |answer, this, cx| match answer {
+            Ok(Confirmation::Owned) => this.go_on(&shard, cx),
+            Ok(Confirmation::Lost) => this.drop_shard(&shard, "another daemon owns it", cx),
+            Ok(Confirmation::Unknown) | Err(_) => {
+                cx.run_later(CONFIRM_RETRY, move |this, cx| {
+                    if this.hosted.get(&shard).is_some_and(|hosted| hosted.held.is_some()) {
+                        this.confirm(shard, cx);
+                    }
+                });
+            }
+        }));
+    }
+
+    fn go_on(&mut self, shard: &str, cx: &mut Context<Self>) {
+        let held = self.hosted.get_mut(shard).and_then(|hosted| hosted.held.take());
+        for event in held.into_iter().flatten() {
+            self.step(shard, event, cx);
+        }
+    }
+
+    /// Lets a shard decide, and carries out what it asks for.
+    fn step(&mut self, name: &str, event: Event, cx: &mut Context<Self>) {
+        let now = self.now();
+        let Some(hosted) = self.hosted.get_mut(name) else { return };
+        if let Some(held) = &mut hosted.held {
+            if !matches!(event, Event::Tick) {
+                held.push(event);
+            }
+            return;
+        }
+        let actions = hosted.shard.step(now, event);
+        let (shard, fence) = (hosted.name.clone(), hosted.shard.fence());
+        for action in actions {
+            self.carry_out(&shard, fence, action, cx);
+        }
+    }
+
+    fn carry_out(&mut self, shard: &Arc<str>, fence: Fence, action: Action, cx: &mut Context<Self>) {
+        match action {
+            Action::Look { .. }
+            | Action::Start { .. }
+            | Action::Stop { .. }
+            | Action::Pace { .. } => {
+                let Some(rings) = &mut self.rings else { return };
+                // The order's answer never comes if its duty has ended, and nothing else does then.
+                let _ = rings.orders.push(Order { shard: shard.clone(), fence, action });
+            }
+            Action::Commit { seq, txn } => {
+                if let Some(rings) = &self.rings {
+                    rings.commits.do_send(Commit { shard: shard.to_string(), seq, txn });
+                }
+            }
+            Action::Reply { ticket, answer } => self.reply(ticket, Reply::Answer(answer)),
+            Action::Note(note) => {
+                self.hear_of_job(shard, &note);
+                self.journal.write(note);
+            }
+            Action::Fenced => self.drop_shard(shard, "a VM has seen a later owner", cx),
+            Action::HandedOver => self.handed_over(shard, cx),
+        }
+    }
+
+    fn hear_of_job(&mut self, shard: &Arc<str>, note: &Note) {
+        if let Note::JobAccepted { job, .. } = note {
+            self.add_to_directory(*job, shard);
+            if let Some(hosted) = self.hosted.get_mut(&**shard) {
+                hosted.accepted.push(*job);
+            }
+        }
+    }
+
+    fn add_to_directory(&self, job: JobId, shard: &Arc<str>) {
+        self.directory.lock().unwrap_or_else(PoisonError::into_inner).add(job, shard);
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        if let Some(tx) = self.tickets.swap_remove(&ticket) {
+            // A caller that has gone doesn't wait for its answer.
+            let _ = tx.send(reply);
+        }
+    }
+
+    fn handed_over(&mut self, shard: &str, cx: &mut Context<Self>) {
+        let to = self.hosted.get(shard).and_then(|hosted| hosted.to.clone());
+        let from = self.ownership.me().id.clone();
+        if let (Some(to), Some(rings)) = (to, &self.rings) {
+            if to.id != from {
+                rings.links.do_send(Offer { shard: shard.to_owned(), to, from });
+            }
+        }
+        self.drop_shard(shard, "given away", cx);
+    }
+
+    fn drop_shard(&mut self, shard: &str, reason: &'static str, cx: &mut Context<Self>) {
+        let Some(mut hosted) = self.hosted.shift_remove(shard) else { return };
+        for action in hosted.shard.abandon() {
+            if let Action::Reply { ticket, answer } = action {
+                self.reply(ticket, Reply::Answer(answer));
+            }
+        }
+        let owns_more = !self.hosted.is_empty();
+        if let Some(rings) = &self.rings {
+            rings.forget.do_send(Forget { shard: shard.to_owned(), owns_more });
+        }
+        let gone = cluster::Event::Gone { shard: shard.to_owned(), reason };
+        self.own(gone, cx);
+    }
+
+    /// Lets ownership decide, and carries out what it asks for.
+    fn own(&mut self, event: cluster::Event, cx: &mut Context<Self>) {
+        let now = self.now().steady;
+        let actions = self.ownership.step(now, event);
+        for action in actions {
+            match action {
+                cluster::Action::Note(note) => self.journal.write(note),
+                cluster::Action::HandOver { shard, to } => {
+                    if let Some(hosted) = self.hosted.get_mut(&shard) {
+                        hosted.to = Some(to);
+                    }
+                    self.step(&shard, Event::HandOver, cx);
+                }
+                other => self.ask(other),
+            }
+        }
+    }
+
+    fn ask(&mut self, action: cluster::Action) {
+        let Some(rings) = &self.rings else { return };
+        match action {
+            cluster::Action::Claim { shard, previous } => {
+                rings.claims.do_send(Claim { shard, previous });
+            }
+            cluster::Action::ReadHeads => rings.heads.do_send(ReadHeads),
+            cluster::Action::Probe(member) => rings.links.do_send(Probe(member)),
+            cluster::Action::HandOver { .. } | cluster::Action::Note(_) => {}
+        }
+    }
+
+    fn tick(&mut self, cx: &mut Context<Self>) {
+        let now = self.wake(cx);
+        let names: Vec<String> = self.hosted.keys().cloned().collect();
+        for name in names {
+            self.step(&name, Event::Tick, cx);
+        }
+        if now.steady >= self.next_publish {
+            self.next_publish = now.steady + PUBLISH;
+            self.own(cluster::Event::Tick, cx);
+            self.publish(now.steady);
+        }
+        if let Some(rings) = &mut self.rings {
+            rings.orders.flush();
+        }
+    }
+
+    fn publish(&mut self, now: Duration) {
+        let mut shards = IndexMap::new();
+        for name in self.ownership.shards() {
+            let view = match self.hosted.get_mut(&name) {
+                Some(hosted) => {
+                    hosted.summary = Arc::new(hosted.shard.summary());
+                    let summary = hosted.summary.clone();
+                    ShardView { owner: Some(Owner::Here), summary, at: now }
+                }
+                None => self.other(&name),
+            };
+            shards.insert(name, view);
+        }
+        let readiness = self.readiness(now, &shards);
+        let before = self.view.borrow().readiness;
+        if before != readiness {
+            let (ready, reason) = match readiness {
+                Readiness::Ready => (true, "callers can be served"),
+                Readiness::Not { reason } => (false, reason),
+            };
+            self.journal.write(Note::Readiness { ready, reason });
+        }
+        let queues = self.queues.clone();
+        self.view.send_replace(Arc::new(View { queues, shards, readiness }));
+        if now >= self.next_hello {
+            self.next_hello = now + if self.hosted.is_empty() { HELLO } else { OWNER_HELLO };
+            self.say_hello();
+        }
+    }
+
+    fn other(&self, name: &str) -> ShardView {
+        let known = self.others.get(name);
+        ShardView {
+            owner: self.ownership.owner(name).map(Owner::Other),
+            summary: known.map(|view| view.summary.clone()).unwrap_or_default(),
+            at: known.map_or(Duration::ZERO, |view| view.at),
+        }
+    }
+
+    fn readiness(&self, now: Duration, shards: &IndexMap<String, ShardView>) -> Readiness {
+        let not = |reason| Readiness::Not { reason };
+        if self.ownership.me().stage == crate::cluster::MemberStage::Draining {
+            return not("the daemon stops");
+        }
+        if self.queues.is_none() {
+            return not("no configuration was read yet");
+        }
+        if now.saturating_sub(self.config_confirmed) > CONFIG_FRESH
+            && !self.ownership.store_in_reach()
+        {
+            return not("the store can't be reached");
+        }
+        if !shards.values().any(|shard| shard.owner.is_some()) {
+            return not("no shard has an owner");
+        }
+        Readiness::Ready
+    }
+
+    fn say_hello(&mut self) {
+        let hello = Hello {
+            from: self.ownership.me().clone(),
+            store: self.store,
+            config: self.queues.as_ref().map_or(0, |queues| queues.version),
+            shards: self.news(),
+        };
+        let to = self.ownership.all_members();
+        if let Some(rings) = &self.rings {
+            rings.links.do_send(SayHello { hello, to });
+        }
+    }
+
+    fn news(&mut self) -> Vec<ShardNews> {
+        let news = |(name, hosted): (&String, &mut Hosted)| ShardNews {
+            name: name.clone(),
+            fence: hosted.shard.fence().0,
+            summary: (*hosted.summary).clone(),
+            accepted: std::mem::take(&mut hosted.accepted),
+        };
+        self.hosted.iter_mut().map(news).collect()
+    }
+
+    /// VMs of a shard.
+    fn vms_of(&self, shard: &str) -> Vec<VmEntry> {
+        let ours = |vm: &&VmEntry| self.plan.shard_of(vm).as_deref() == Some(shard);
+        self.fleet.iter().filter(ours).cloned().collect()
+    }
+
+    fn take_recovered(&mut self, recovered: Recovered, cx: &mut Context<Self>) {
+        let now = self.now();
+        let (name, fence) = (recovered.shard.clone(), recovered.fence);
+        let (closed, jobs) = (recovered.progress.len(), recovered.jobs.len());
+        let known: Vec<JobId> = recovered.progress.iter().map(|(id, _)| *id).collect();
+        let shard = Shard::new(
+            recovered,
+            self.settings,
+            self.queues.clone().unwrap_or_default(),
+            self.vms_of(&name),
+            now,
+        );
+        let shared: Arc<str> = Arc::from(name.as_str());
+        known.iter().for_each(|id| self.add_to_directory(*id, &shared));
+        let (_, runs) = shard.open_work();
+        log_claim(&self.journal, &name, fence, jobs, runs, closed);
+        let hosted = Hosted {
+            shard,
+            name: shared,
+            held: None,
+            accepted: known,
+            to: None,
+            summary: Arc::default(),
+        };
+        self.hosted.insert(name.clone(), hosted);
+        self.own(cluster::Event::Claimed { shard: name.clone(), fence: fence.0 }, cx);
+        self.step(&name, Event::Tick, cx);
+        self.publish(now.steady);
+        self.say_hello();
+    }
+
+    fn take_queues(&mut self, queues: Queues, cx: &mut Context<Self>) {
+        let before = self.queues.as_ref().map_or(0, |queues| queues.version);
+        self.config_confirmed = self.now().steady;
+        if queues.version <= before {
+            return;
+        }
+        self.journal.write(Note::ConfigInForce {
+            version: queues.version,
+            before,
+            queues: queues.queues.len(),
+            age_ms: Ms(Duration::ZERO),
+        });
+        let queues = Arc::new(queues);
+        self.queues = Some(queues.clone());
+        self.tell_all(cx, &|| Event::Queues(queues.clone()));
+        let now = self.now().steady;
+        self.publish(now);
+    }
+
+    fn tell_all(&mut self, cx: &mut Context<Self>, event: &dyn Fn() -> Event) {
+        let names: Vec<String> = self.hosted.keys().cloned().collect();
+        for name in names {
+            self.step(&name, event(), cx);
+        }
+    }
+
+    fn take_fleet(
+        &mut self,
+        vms: Vec<VmEntry>,
+        announcements: Announcements,
+        cx: &mut Context<Self>,
+    ) {
+        if announcements == Announcements::Complete || !vms.is_empty() {
+            self.fleet = vms;
+        }
+        let names: Vec<String> = self.hosted.keys().cloned().collect();
+        for name in names {
+            let vms = self.vms_of(&name);
+            self.step(&name, Event::Fleet { vms, announcements }, cx);
+        }
+    }
+
+    fn take_reach(&mut self, reach: StoreReach, silent: Duration, reason: String) {
+        let now = self.now().steady;
+        match (reach, self.store) {
+            (StoreReach::Away, StoreReach::Reached) => {
+                self.store_lost = Some(now);
+                self.journal.write(Note::StoreLost { reason, silent_ms: Ms(silent) });
+            }
+            (StoreReach::Reached, StoreReach::Away) => {
+                let away = self.store_lost.take().map_or(Duration::ZERO, |at| now - at);
+                self.journal.write(Note::StoreRegained { away_ms: Ms(away) });
+            }
+            _ => {}
+        }
+        self.store = reach;
+    }
+}
+
+/// Pause before the store is asked again whether shards are still owned.
+const CONFIRM_RETRY: Duration = Duration::from_millis(150);
+
+fn log_claim(journal: &Journal, name: &str, fence: Fence, jobs: usize, runs: usize, _: usize) {
+    let shard = name.to_owned();
+    let took_ms = Ms(Duration::ZERO);
+    journal.write(Note::ShardOwned { shard, fence: fence.0, jobs, runs, took_ms });
+}
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.set_mailbox_capacity(RING_CAPACITY);
+        cx.run_interval(TICK, Self::tick);
+    }
+}
+
+/// Joins control to the other duties.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Connect(pub Rings);
+
+impl Handler<Connect> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Connect, _: &mut Self::Context) {
+        self.rings = Some(msg.0);
+    }
+}
+
+/// The answer to an order.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Told {
+    pub shard: Arc<str>,
+    pub fence: Fence,
+    pub event: Event,
+}
+
+impl Handler<Told> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Told, cx: &mut Self::Context) {
+        self.wake(cx);
+        // An answer to an earlier ownership of the shard says nothing about this one.
+        if self.hosted.get(&*msg.shard).is_some_and(|hosted| hosted.shard.fence() == msg.fence) {
+            self.step(&msg.shard, msg.event, cx);
+        }
+    }
+}
+
+/// What the store has, or did.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub enum Stored {
+    Members(Vec<Member>),
+    Heads(Vec<(String, Head)>),
+    Plan(Plan),
+    Claimed(Box<Recovered>),
+    ClaimFailed { shard: String, head: Option<Head>, reason: String },
+    Committed { shard: String, fence: Fence, seq: u64, result: CommitResult },
+    Fleet { vms: Vec<VmEntry>, announcements: Announcements },
+    Queues(Box<Queues>),
+    /// The configuration in force was the newest then.
+    ConfigConfirmed { at: Duration },
+    Reach { reach: StoreReach, silent: Duration, reason: String },
+    Note(Note),
+}
+
+impl Handler<Stored> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Stored, cx: &mut Self::Context) {
+        self.wake(cx);
+        match msg {
+            Stored::Members(members) => self.own(cluster::Event::Registered(members), cx),
+            Stored::Heads(heads) => self.own(cluster::Event::Heads(heads), cx),
+            Stored::Plan(plan) => {
+                if plan != self.plan {
+                    self.plan = plan.clone();
+                    self.own(cluster::Event::Plan(plan), cx);
+                }
+            }
+            Stored::Claimed(recovered) => self.take_recovered(*recovered, cx),
+            Stored::ClaimFailed { shard, head, reason } => {
+                self.own(cluster::Event::ClaimFailed { shard, head, reason }, cx);
+            }
+            Stored::Committed { shard, fence, seq, result } => {
+                if self.hosted.get(&shard).is_some_and(|hosted| hosted.shard.fence() == fence) {
+                    let lost = matches!(result, CommitResult::Superseded(_));
+                    self.step(&shard, Event::Committed { seq, result }, cx);
+                    if lost {
+                        self.drop_shard(&shard, "another daemon owns it", cx);
+                    }
+                }
+            }
+            Stored::Fleet { vms, announcements } => self.take_fleet(vms, announcements, cx),
+            Stored::Queues(queues) => self.take_queues(*queues, cx),
+            Stored::ConfigConfirmed { at } => self.config_confirmed = at,
+            Stored::Reach { reach, silent, reason } => {
+                self.take_reach(reach, silent, reason);
+                self.own(cluster::Event::Store(reach), cx);
+            }
+            Stored::Note(note) => self.journal.write(note),
+        }
+    }
+}
+
+/// Another daemon's news.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Hear(pub Hello);
+
+impl Handler<Hear> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Hear, cx: &mut Self::Context) {
+        let now = self.wake(cx).steady;
+        for news in &msg.0.shards {
+            let shared: Arc<str> = Arc::from(news.name.as_str());
+            news.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
+            let summary = Arc::new(news.summary.clone());
+            self.others.insert(news.name.clone(), ShardView { owner: None, summary, at: now });
+        }
+        self.own(cluster::Event::Hello(msg.0), cx);
+    }
+}
+
+/// Another daemon's port refuses connections.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Refused(pub DaemonId);
+
+impl Handler<Refused> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Refused, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.own(cluster::Event::Refused(msg.0), cx);
+    }
+}
+
+/// A caller's call about a shard.
+#[derive(Message)]
+#[rtype(result = "Reply")]
+pub struct TakeCall {
+    pub shard: String,
+    pub call: Call,
+}
+
+impl Handler<TakeCall> for Control {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, msg: TakeCall, cx: &mut Self::Context) -> Self::Result {
+        self.wake(cx);
+        if !self.hosted.contains_key(&msg.shard) {
+            return Box::pin(std::future::ready(Reply::NotOwner));
+        }
+        let (tx, rx) = oneshot::channel();
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.tickets.insert(ticket, tx);
+        let event = match msg.call {
+            Call::Submit(job) => Event::Submit { ticket, job: Arc::from(job) },
+            Call::Cancel(job) => Event::Cancel { ticket, job },
+            Call::Show(job) => Event::Show { ticket, job },
+        };
+        self.step(&msg.shard, event, cx);
+        Box::pin(async move {
+            let lost = || Answer::Unknown { reason: "the shard has changed hands".to_owned() };
+            rx.await.unwrap_or_else(|_| Reply::Answer(lost()))
+        })
+    }
+}
+
+/// Another daemon gives a shard to this one.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct TakeOffer {
+    pub shard: String,
+    pub from: DaemonId,
+}
+
+impl Handler<TakeOffer> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeOffer, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.own(cluster::Event::Offered { shard: msg.shard, from: msg.from }, cx);
+    }
+}
+
+/// The daemon stops as planned.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Drain;
+
+impl Handler<Drain> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Drain, cx: &mut Self::Context) {
+        let now = self.wake(cx).steady;
+        self.own(cluster::Event::Drain, cx);
+        self.publish(now);
+        self.say_hello();
+    }
+}
+
+/// Asks whether any shard is still owned here.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct OwnsAny;
+
+impl Handler<OwnsAny> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, _: OwnsAny, _: &mut Self::Context) -> Self::Result {
+        !self.hosted.is_empty()
+    }
+}
+
+/// What a ring from control does when it is full.
+pub const ACTIONS: WhenFull = WhenFull::Wait { limit: WAITING_ACTIONS };
--- /dev/null
+++ b/src/jobs/daemon.rs
@@ -0,0 +1,181 @@
+//! The daemon: its duties on their threads, from start to planned stop.
+
+use super::Platform;
+use super::calls::Calls;
+use super::control::{ACTIONS, Connect, Control, Drain, OwnsAny, Rings};
+use super::links::{self, Links};
+use super::orders::Orders;
+use super::records::{Leave, Records};
+use super::settings::Settings;
+use super::view::{Directory, View};
+use crate::clock::Clock;
+use crate::cluster::{Member, MemberStage};
+use crate::ids::DaemonId;
+use crate::journal::Journal;
+use crate::note::Note;
+use crate::ring::Ring;
+use actix::prelude::*;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+use tokio::sync::{oneshot, watch};
+
+/// Result of starting.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A daemon that can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("can't listen on {addr} for other daemons ({source}); free the port or widen `ports`")]
+    Listen { addr: SocketAddr, source: io::Error },
+    #[error("a duty ended while it started; see the log")]
+    Ended,
+}
+
+/// Leases of registrations: three renewals may be lost.
+const MIN_LEASE: Duration = Duration::from_secs(4);
+
+/// A running daemon.
+pub struct Daemon<P: Platform> {
+    id: DaemonId,
+    control: Addr<Control>,
+    links: Addr<Links>,
+    records: Addr<Records<P>>,
+    view: watch::Receiver<Arc<View>>,
+    directory: Arc<Mutex<Directory>>,
+    clock: Arc<dyn Clock>,
+    journal: Journal,
+    arbiters: Vec<Arbiter>,
+}
+
+impl<P: Platform> Daemon<P> {
+    /// Starts every duty; called within a system.
+    pub async fn start(
+        platform: P,
+        settings: &Settings,
+        clock: Arc<dyn Clock>,
+        journal: Journal,
+    ) -> Result<Self> {
+        let me = member(settings, &*clock);
+        let id = me.id.clone();
+        let (publish, view) = watch::channel(Arc::new(View::default()));
+        let directory: Arc<Mutex<Directory>> = Arc::default();
+        let arbiters: Vec<Arbiter> = (0..4).map(|_| Arbiter::new()).collect();
+
+        let control = {
+            let (me, clock, journal) = (me.clone(), clock.clone(), journal.clone());
+            let (figures, directory) = (settings.shard(), directory.clone());
+            Control::start_in_arbiter(&arbiters[0].handle(), move |_| {
+                Control::new(me, figures, clock, journal, publish, directory)
+            })
+        };
+        let records = {
+            let ttl = MIN_LEASE.max(Duration::from_millis(settings.store.min_lease_ms));
+            let (me, platform) = (me.clone(), platform.clone());
+            let (control, clock) = (control.clone(), clock.clone());
+            Records::start_in_arbiter(&arbiters[1].handle(), move |_| {
+                Records::new(me, platform, ttl, control, clock)
+            })
+        };
+        let orders = {
+            let (control, clock) = (control.clone(), clock.clone());
+            Orders::start_in_arbiter(&arbiters[2].handle(), move |_| {
+                Orders::new(&platform, control, clock)
+            })
+        };
+        let links = start_links(&arbiters[3], settings.peer_addr(), &control).await?;
+        control.do_send(Connect(Rings {
+            orders: Ring::new(orders, ACTIONS),
+            links: links.clone(),
+            claims: records.clone().recipient(),
+            commits: records.clone().recipient(),
+            forget: records.clone().recipient(),
+            heads: records.clone().recipient(),
+            confirm: records.clone().recipient(),
+        }));
+        journal.write(Note::DaemonStarted {
+            daemon: id.clone(),
+            domain: settings.domain.clone(),
+            front: settings.listen.front.to_string(),
+            peer: settings.peer_addr().to_string(),
+            release: env!("CARGO_PKG_VERSION"),
+        });
+        Ok(Self { id, control, links, records, view, directory, clock, journal, arbiters })
+    }
+
+    /// A way to make callers' calls, for one thread.
+    pub fn calls(&self) -> Calls {
+        Calls::new(
+            self.view.clone(),
+            self.directory.clone(),
+            self.control.clone(),
+            self.links.clone(),
+            self.records.clone().recipient(),
+            self.clock.clone(),
+        )
+    }
+
+    /// What control published last.
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
+    }
+
+    /// Begins a planned stop, and waits until every shard has been given away, at most this long.
+    pub async fn drain(&self, limit: Duration) {
+        let shards = usize::from(self.control.send(OwnsAny).await.unwrap_or(false));
+        self.journal.write(Note::DaemonStopping { daemon: self.id.clone(), shards });
+        self.control.do_send(Drain);
+        let until = self.clock.now() + limit;
+        while self.clock.now() < until {
+            if !self.control.send(OwnsAny).await.unwrap_or(false) {
+                return;
+            }
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+    }
+
+    /// Ends the duties.
+    pub fn end(self, open_calls: usize) {
+        self.records.do_send(Leave);
+        self.journal.write(Note::DaemonStopped { daemon: self.id.clone(), open_calls });
+        self.journal.close(Duration::from_millis(200));
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
+
+/// Between two looks at whether shards are left.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+async fn start_links(
+    arbiter: &Arbiter,
+    addr: SocketAddr,
+    control: &Addr<Control>,
+) -> Result<Addr<Links>> {
+    let links = {
+        let control = control.clone();
+        Links::start_in_arbiter(&arbiter.handle(), move |_| Links::new(control))
+    };
+    let (tx, rx) = oneshot::channel();
+    let (served, control) = (links.clone(), control.clone());
+    arbiter.spawn(async move {
+        // The starter waits for this.
+        let _ = tx.send(links::serve(addr, served, control).await);
+    });
+    let served = rx.await.map_err(|_| Error::Ended)?;
+    served.map_err(|source| Error::Listen { addr, source })?;
+    Ok(links)
+}
+
+fn member(settings: &Settings, clock: &dyn Clock) -> Member {
+    let start = clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Member {
+        id: DaemonId::new(&format!("{}@{}", settings.name, start.as_millis())),
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        addr: settings.peer_addr().to_string(),
+        stage: MemberStage::Serving,
+    }
+}
--- /dev/null
+++ b/src/jobs/follow.rs
@@ -0,0 +1,274 @@
+//! Following what others write in the store: the configuration, the VMs, the daemons and the plan.
+
+use super::Platform;
+use super::control::{Control, Stored};
+use super::records::{Watched, note_unreadable, retry_pause};
+use crate::cluster::plan::PLAN_KEY;
+use crate::cluster::{Member, Plan, StoreReach};
+use crate::job::progress::{decode, encode};
+use crate::kv::{
+    Change, Condition, Error, Freshness, Item, Kv, LeaseId, More, Put, Result, Rev, Txn, Watch,
+};
+use crate::shard::Announcements;
+use crate::vm::VmEntry;
+use actix::Addr;
+use bytes::Bytes;
+use indexmap::IndexMap;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Prefix of the daemons' registrations.
+const MEMBERS: &str = "daemon/";
+
+/// How long a watch of what operators write waits. Operators' changes must be in force within 2 s;
+/// a watch that has gone silent is noticed within this time.
+const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
+
+/// Between two readings of the changes of VMs. VMs announce themselves every 1.5 s each, so that
+/// a watch which returns with each change would be called some thirty times a second.
+const FLEET_EVERY: Duration = Duration::from_millis(400);
+
+/// The same on a daemon that owns no shard.
+const IDLE_FLEET_EVERY: Duration = Duration::from_secs(3);
+
+/// Between two readings of the daemons' registrations.
+const MEMBERS_EVERY: Duration = Duration::from_millis(1000);
+
+/// How long after its return the store may lack VMs that live.
+const ANNOUNCED_AGAIN: Duration = Duration::from_millis(2500);
+
+/// What the followers work with.
+pub struct Sources<P: Platform> {
+    pub platform: P,
+    pub store: Watched<P::Store>,
+    pub control: Addr<Control>,
+    /// Whether this daemon owns or claims a shard.
+    pub owns: Rc<Cell<bool>>,
+}
+
+/// Follows what operators write.
+pub async fn operators<P: Platform>(from: Sources<P>) {
+    loop {
+        if let Err(e) = follow_operators(&from).await {
+            tokio::time::sleep(retry_pause(&e)).await;
+        }
+    }
+}
+
+async fn follow_operators<P: Platform>(from: &Sources<P>) -> Result<()> {
+    let prefix = from.platform.operator_prefix();
+    let (items, mut after) = read_all(&from.store, prefix, Freshness::Latest).await?;
+    items.iter().for_each(|item| take_operators(from, item));
+    loop {
+        let watch = Watch { prefix: prefix.to_owned(), after, wait: OPERATOR_WAIT };
+        let changes = from.store.call(|store| store.watch(&watch)).await?;
+        after = changes.at.max(after);
+        for change in &changes.changes {
+            if let Change::Put(item) = change {
+                take_operators(from, item);
+            }
+        }
+        let at = from.store.clock().now();
+        from.control.do_send(Stored::ConfigConfirmed { at });
+    }
+}
+
+fn take_operators<P: Platform>(from: &Sources<P>, item: &Item) {
+    match from.platform.read_queues(item) {
+        Ok(Some(queues)) => from.control.do_send(Stored::Queues(Box::new(queues))),
+        Ok(None) => {}
+        Err(e) => from.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e))),
+    }
+}
+
+/// Follows the VMs.
+pub async fn fleet<P: Platform>(from: Sources<P>) {
+    loop {
+        if let Err(e) = follow_fleet(&from).await {
+            from.tell_announcements(Announcements::Recovering);
+            tokio::time::sleep(retry_pause(&e).max(FLEET_EVERY / 2)).await;
+        }
+    }
+}
+
+async fn follow_fleet<P: Platform>(from: &Sources<P>) -> Result<()> {
+    let prefix = from.platform.fleet_prefix();
+    let (items, mut after) = read_all(&from.store, prefix, Freshness::Latest).await?;
+    let mut vms: IndexMap<String, VmEntry> = IndexMap::new();
+    for item in &items {
+        from.take_vm(item, &mut vms);
+    }
+    extend_plan(from, &vms).await?;
+    loop {
+        from.tell_fleet(&vms);
+        wait_for_turn(from).await;
+        let wait = Duration::from_millis(1);
+        let watch = Watch { prefix: prefix.to_owned(), after, wait };
+        let changes = from.store.call(|store| store.watch(&watch)).await?;
+        after = changes.at.max(after);
+        let mut added = false;
+        for change in changes.changes {
+            match change {
+                Change::Put(item) => added |= from.take_vm(&item, &mut vms),
+                Change::Deleted { key } => {
+                    vms.shift_remove(&key);
+                }
+            }
+        }
+        if added {
+            extend_plan(from, &vms).await?;
+        }
+    }
+}
+
+/// Waits until the VMs are to be looked at again; sooner once a shard is claimed.
+async fn wait_for_turn<P: Platform>(from: &Sources<P>) {
+    let mut waited = Duration::ZERO;
+    loop {
+        tokio::time::sleep(FLEET_EVERY).await;
+        waited += FLEET_EVERY;
+        if from.owns.get() || waited >= IDLE_FLEET_EVERY {
+            return;
+        }
+    }
+}
+
+impl<P: Platform> Sources<P> {
+    /// Takes an announcement over; true if the VM is new.
+    fn take_vm(&self, item: &Item, vms: &mut IndexMap<String, VmEntry>) -> bool {
+        match self.platform.read_vm(item) {
+            Ok(vm) => vms.insert(item.key.clone(), vm).is_none(),
+            Err(e) => {
+                self.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e)));
+                false
+            }
+        }
+    }
+
+    fn announcements(&self) -> Announcements {
+        let (now, reach) = (self.store.clock().now(), self.store.reach());
+        let back = now.saturating_sub(reach.regained());
+        let fresh = reach.regained() > Duration::ZERO && back < ANNOUNCED_AGAIN;
+        match reach.state(now) {
+            StoreReach::Reached if !fresh => Announcements::Complete,
+            _ => Announcements::Recovering,
+        }
+    }
+
+    fn tell_fleet(&self, vms: &IndexMap<String, VmEntry>) {
+        let announcements = self.announcements();
+        let vms = vms.values().cloned().collect();
+        self.control.do_send(Stored::Fleet { vms, announcements });
+    }
+
+    fn tell_announcements(&self, announcements: Announcements) {
+        self.control.do_send(Stored::Fleet { vms: Vec::new(), announcements });
+    }
+}
+
+/// Reads the plan, and adds racks that it lacks.
+async fn extend_plan<P: Platform>(
+    from: &Sources<P>,
+    vms: &IndexMap<String, VmEntry>,
+) -> Result<()> {
+    let vms: Vec<VmEntry> = vms.values().cloned().collect();
+    loop {
+        let item = from.store.call(|store| store.get(PLAN_KEY)).await?;
+        let rev = item.as_ref().map_or(Rev::ABSENT, |item| item.rev);
+        let plan: Plan = match item.map(|item| decode(&item.value)) {
+            Some(Ok(plan)) => plan,
+            None => Plan::default(),
+            Some(Err(e)) => {
+                let reason = e.to_string();
+                let note = crate::note::Note::ConfigUnreadable { rev: rev.0, reason };
+                from.control.do_send(Stored::Note(note));
+                return Ok(());
+            }
+        };
+        let Some(extended) = plan.extended(&vms) else {
+            from.control.do_send(Stored::Plan(plan));
+            return Ok(());
+        };
+        let txn = Txn {
+            conditions: vec![Condition { key: PLAN_KEY.to_owned(), rev }],
+            puts: vec![Put {
+                key: PLAN_KEY.to_owned(),
+                value: Bytes::from(encode(&extended)),
+                lease: None,
+            }],
+            deletes: Vec::new(),
+        };
+        match from.store.call(|store| store.commit(&txn)).await {
+            // Another daemon was quicker, or this one was: the next round tells.
+            Ok(_) | Err(Error::Conflict { .. } | Error::NoAnswer { .. }) => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// Registers this daemon, and follows the others' registrations.
+pub async fn members<P: Platform>(from: Sources<P>, me: Member, ttl: Duration) {
+    let mut lease = None;
+    loop {
+        if let Err(e) = follow_members(&from, &me, ttl, &mut lease).await {
+            if e == Error::LeaseEnded {
+                lease = None;
+            }
+            tokio::time::sleep(retry_pause(&e)).await;
+        }
+    }
+}
+
+async fn follow_members<P: Platform>(
+    from: &Sources<P>,
+    me: &Member,
+    ttl: Duration,
+    lease: &mut Option<LeaseId>,
+) -> Result<()> {
+    let store = &from.store;
+    let key = format!("{MEMBERS}{}", me.name);
+    let held = match *lease {
+        Some(held) => held,
+        None => *lease.insert(store.call(|store| store.grant(ttl)).await?),
+    };
+    register(store, &key, me, held).await?;
+    loop {
+        let (items, _) = read_all(store, MEMBERS, Freshness::Stale).await?;
+        let members = items.iter().filter_map(|item| decode::<Member>(&item.value).ok()).collect();
+        from.control.do_send(Stored::Members(members));
+        tokio::time::sleep(MEMBERS_EVERY).await;
+        store.call(|store| store.keep(held)).await?;
+        // Keys can vanish though their lease lives on.
+        if !items.iter().any(|item| item.key == key) {
+            register(store, &key, me, held).await?;
+        }
+    }
+}
+
+async fn register<S: Kv>(store: &Watched<S>, key: &str, me: &Member, lease: LeaseId) -> Result<()> {
+    let value = Bytes::from(encode(me));
+    let put = Put { key: key.to_owned(), value, lease: Some(lease) };
+    let txn = Txn { puts: vec![put], ..Txn::default() };
+    store.call(|store| store.commit(&txn)).await.map(|_| ())
+}
+
+async fn read_all<S: Kv>(
+    store: &Watched<S>,
+    prefix: &str,
+    freshness: Freshness,
+) -> Result<(Vec<Item>, Rev)> {
+    let mut items: Vec<Item> = Vec::new();
+    let mut at = None;
+    loop {
+        let after = items.last().map(|item| item.key.clone());
+        let after = after.as_deref();
+        let page = store.call(|store| store.range(prefix, after, freshness)).await?;
+        // Pages are not a snapshot: what changed since the first is in the watch from there on.
+        let at = *at.get_or_insert(page.at);
+        items.extend(page.items);
+        if page.more == More::No {
+            return Ok((items, at));
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/links.rs
@@ -0,0 +1,297 @@
+//! The duty that talks to other daemons, over `tarpc`.
+//!
+//! Hellos tell who is there and what it owns; both sides of a call learn from it. Callers' calls
+//! are passed on to the owner of the shard that they concern. Nothing is repeated here: a hello is
+//! followed by the next one, and a call that failed is the caller's to repeat.
+
+use super::calls::{Call, Reply};
+use super::control::{Control, Hear, Refused, TakeCall, TakeOffer};
+use crate::cluster::{Hello, Member};
+use crate::ids::DaemonId;
+use crate::ring::RING_CAPACITY;
+use actix::prelude::*;
+use futures::StreamExt;
+use indexmap::IndexMap;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tarpc::client::RpcError;
+use tarpc::context::Context as CallContext;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+
+/// Largest message between daemons, in bytes; a job is bounded by the limits on bodies.
+const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// Within a site an answer takes 1 to 3 ms; a daemon that is slowed by five still makes this.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// For hellos; three fit into the silence after which an owner is replaced.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What daemons ask of each other.
+#[tarpc::service]
+pub trait JobsRpc {
+    /// Exchanges news.
+    async fn hello(hello: Hello) -> Option<Hello>;
+
+    /// Makes a caller's call at the owner of a shard.
+    async fn call(shard: String, call: Call) -> Reply;
+
+    /// Offers a shard that its owner has given up.
+    async fn take(shard: String, from: DaemonId);
+}
+
+/// A call that failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The process isn't there.
+    #[error("{addr} refuses connections; its process has ended")]
+    Refused { addr: String },
+    /// Nothing was sent.
+    #[error("{addr} can't be reached ({reason})")]
+    NotSent { addr: String, reason: String },
+    #[error("{addr} did not answer ({reason}); the call may have taken effect")]
+    NoAnswer { addr: String, reason: String },
+}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The duty.
+pub struct Links {
+    control: Addr<Control>,
+    links: IndexMap<String, Link>,
+    /// What this daemon tells of itself.
+    mine: Rc<RefCell<Option<Hello>>>,
+}
+
+impl Links {
+    /// A duty that knows nobody yet.
+    pub fn new(control: Addr<Control>) -> Self {
+        Self { control, links: IndexMap::new(), mine: Rc::default() }
+    }
+
+    fn link(&mut self, addr: &str) -> Link {
+        self.links.entry(addr.to_owned()).or_insert_with(|| Link::new(addr)).clone()
+    }
+
+    fn say_hello(&mut self, to: &Member) {
+        let Some(hello) = self.mine.borrow().clone() else { return };
+        let (link, control, to) = (self.link(&to.addr), self.control.clone(), to.id.clone());
+        actix::spawn(async move {
+            match link.hello(hello).await {
+                Ok(Some(news)) => control.do_send(Hear(news)),
+                Ok(None) | Err(Error::NotSent { .. } | Error::NoAnswer { .. }) => {}
+                Err(Error::Refused { .. }) => control.do_send(Refused(to)),
+            }
+        });
+    }
+}
+
+impl Actor for Links {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.set_mailbox_capacity(RING_CAPACITY);
+    }
+}
+
+/// Listens for other daemons on the present thread until it ends.
+pub async fn serve(addr: SocketAddr, links: Addr<Links>, control: Addr<Control>) -> io::Result<()> {
+    let mut listener = tarpc::serde_transport::tcp::listen(addr, Bincode::default).await?;
+    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    actix::spawn(async move {
+        while let Some(incoming) = listener.next().await {
+            // A connection that broke while it was taken is made again by its other end.
+            let Ok(transport) = incoming else { continue };
+            let server = Server { links: links.clone(), control: control.clone() };
+            let requests = BaseChannel::with_defaults(transport).execute(server.serve());
+            actix::spawn(requests.for_each(|answer| async {
+                actix::spawn(answer);
+            }));
+        }
+    });
+    Ok(())
+}
+
+#[derive(Clone)]
+struct Server {
+    links: Addr<Links>,
+    control: Addr<Control>,
+}
+
+impl JobsRpc for Server {
+    async fn hello(self, _: CallContext, hello: Hello) -> Option<Hello> {
+        self.control.do_send(Hear(hello));
+        self.links.send(GetHello).await.ok().flatten()
+    }
+
+    async fn call(self, _: CallContext, shard: String, call: Call) -> Reply {
+        // A control that has ended owns nothing any more.
+        self.control.send(TakeCall { shard, call }).await.unwrap_or(Reply::NotOwner)
+    }
+
+    async fn take(self, _: CallContext, shard: String, from: DaemonId) {
+        self.control.do_send(TakeOffer { shard, from });
+    }
+}
+
+/// What this daemon tells of itself, to be told to these at once.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct SayHello {
+    pub hello: Hello,
+    pub to: Vec<Member>,
+}
+
+impl Handler<SayHello> for Links {
+    type Result = ();
+
+    fn handle(&mut self, msg: SayHello, _: &mut Self::Context) {
+        *self.mine.borrow_mut() = Some(msg.hello);
+        for member in &msg.to {
+            self.say_hello(member);
+        }
+        let known = |addr: &String| msg.to.iter().any(|member| member.addr == *addr);
+        if !msg.to.is_empty() && self.links.len() > 2 * msg.to.len() + SPARE_LINKS {
+            self.links.retain(|addr, _| known(addr));
+        }
+    }
+}
+
+/// Links to daemons that are gone, kept before they are cleared.
+const SPARE_LINKS: usize = 8;
+
+/// Says hello to one daemon, to learn whether it answers.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Probe(pub Member);
+
+impl Handler<Probe> for Links {
+    type Result = ();
+
+    fn handle(&mut self, msg: Probe, _: &mut Self::Context) {
+        self.say_hello(&msg.0);
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "Option<Hello>")]
+struct GetHello;
+
+impl Handler<GetHello> for Links {
+    type Result = Option<Hello>;
+
+    fn handle(&mut self, _: GetHello, _: &mut Self::Context) -> Self::Result {
+        self.mine.borrow().clone()
+    }
+}
+
+/// Offers a shard to a daemon.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Offer {
+    pub shard: String,
+    pub to: Member,
+    pub from: DaemonId,
+}
+
+impl Handler<Offer> for Links {
+    type Result = ();
+
+    fn handle(&mut self, msg: Offer, _: &mut Self::Context) {
+        let link = self.link(&msg.to.addr);
+        actix::spawn(async move {
+            // A daemon that doesn't hear of the offer finds the shard without an owner.
+            let _ = link.take(msg.shard, msg.from).await;
+        });
+    }
+}
+
+/// Makes a caller's call at another daemon.
+#[derive(Message)]
+#[rtype(result = "Result<Reply>")]
+pub struct PassOn {
+    pub to: Member,
+    pub shard: String,
+    pub call: Call,
+    pub timeout: Duration,
+}
+
+impl Handler<PassOn> for Links {
+    type Result = ResponseFuture<Result<Reply>>;
+
+    fn handle(&mut self, msg: PassOn, _: &mut Self::Context) -> Self::Result {
+        let link = self.link(&msg.to.addr);
+        Box::pin(async move { link.call(msg.shard, msg.call, msg.timeout).await })
+    }
+}
+
+/// The connection to one daemon, made again when it breaks.
+#[derive(Clone)]
+struct Link {
+    addr: Rc<str>,
+    client: Rc<RefCell<Option<JobsRpcClient>>>,
+}
+
+impl Link {
+    fn new(addr: &str) -> Self {
+        Self { addr: Rc::from(addr), client: Rc::default() }
+    }
+
+    async fn hello(&self, hello: Hello) -> Result<Option<Hello>> {
+        self.ask(HELLO_TIMEOUT, |client, cx| async move { client.hello(cx, hello).await }).await
+    }
+
+    async fn take(&self, shard: String, from: DaemonId) -> Result<()> {
+        self.ask(HELLO_TIMEOUT, |client, cx| async move { client.take(cx, shard, from).await }).await
+    }
+
+    async fn call(&self, shard: String, call: Call, timeout: Duration) -> Result<Reply> {
+        self.ask(timeout, |client, cx| async move { client.call(cx, shard, call).await }).await
+    }
+
+    async fn ask<T, F>(
+        &self,
+        timeout: Duration,
+        call: impl FnOnce(JobsRpcClient, CallContext) -> F,
+    ) -> Result<T>
+    where
+        F: Future<Output = std::result::Result<T, RpcError>>,
+    {
+        let client = self.client().await?;
+        let answer = tokio::time::timeout(timeout, call(client, tarpc::context::current())).await;
+        let reason = match answer {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "timeout".to_owned(),
+        };
+        // A connection that went silent looks like a dead daemon for as long as it is kept.
+        self.client.borrow_mut().take();
+        Err(Error::NoAnswer { addr: self.addr.to_string(), reason })
+    }
+
+    async fn client(&self) -> Result<JobsRpcClient> {
+        if let Some(client) = self.client.borrow().clone() {
+            return Ok(client);
+        }
+        let addr = self.addr.to_string();
+        let mut connect = tarpc::serde_transport::tcp::connect(&*self.addr, Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+            Ok(Ok(transport)) => transport,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(Error::Refused { addr });
+            }
+            Ok(Err(e)) => return Err(Error::NotSent { addr, reason: e.to_string() }),
+            Err(_) => return Err(Error::NotSent { addr, reason: "timeout".to_owned() }),
+        };
+        let client = JobsRpcClient::new(tarpc::client::Config::default(), transport).spawn();
+        *self.client.borrow_mut() = Some(client.clone());
+        Ok(client)
+    }
+}
--- /dev/null
+++ b/src/jobs/orders.rs
@@ -0,0 +1,82 @@
+//! The duty that calls VMs.
+//!
+//! Calls to one VM run side by side: a look that waits for news must not hold up a start. Each
+//! call's answer, or what is known in its place, goes back to control.
+
+use super::Platform;
+use super::control::{Control, Told};
+use crate::clock::Clock;
+use crate::ring::RING_CAPACITY;
+use crate::shard::{Action, Event};
+use crate::vm::{Fence, VmPort};
+use actix::prelude::*;
+use std::sync::Arc;
+
+/// The duty.
+pub struct Orders<P: Platform> {
+    vms: P::Vms,
+    control: Addr<Control>,
+    clock: Arc<dyn Clock>,
+}
+
+impl<P: Platform> Orders<P> {
+    /// A duty; made on its own thread.
+    pub fn new(platform: &P, control: Addr<Control>, clock: Arc<dyn Clock>) -> Self {
+        Self { vms: platform.vms(), control, clock }
+    }
+}
+
+impl<P: Platform> Actor for Orders<P> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.set_mailbox_capacity(RING_CAPACITY);
+    }
+}
+
+/// An order of one owner of a shard.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Order {
+    pub shard: Arc<str>,
+    pub fence: Fence,
+    pub action: Action,
+}
+
+impl<P: Platform> Handler<Order> for Orders<P> {
+    type Result = ();
+
+    fn handle(&mut self, order: Order, _: &mut Self::Context) {
+        let (vms, control, clock) = (self.vms.clone(), self.control.clone(), self.clock.clone());
+        actix::spawn(async move {
+            if let Some(event) = carry_out(&vms, order.action, &*clock).await {
+                control.do_send(Told { shard: order.shard, fence: order.fence, event });
+            }
+        });
+    }
+}
+
+async fn carry_out(vms: &impl VmPort, action: Action, clock: &dyn Clock) -> Option<Event> {
+    match action {
+        Action::Look { vm, req } => {
+            let sent = clock.now();
+            let result = vms.look(&vm, req).await;
+            Some(Event::Looked { vm: vm.id, sent, result })
+        }
+        Action::Start { vm, req } => {
+            let (task, run) = (req.task, req.run);
+            let result = vms.start(&vm, req).await;
+            Some(Event::Started { vm: vm.id, task, run, result })
+        }
+        Action::Stop { vm, req } => {
+            let result = vms.stop(&vm, req).await;
+            Some(Event::Stopped { vm: vm.id, task: req.task, run: req.run, result })
+        }
+        Action::Pace { vm, req } => {
+            let result = vms.pace(&vm, req).await;
+            let (task, run, percent) = (req.task, req.run, req.percent);
+            Some(Event::Paced { vm: vm.id, task, run, percent, result })
+        }
+        _ => None,
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -158,6 +158,12 @@
     buf.push('"');
 }
 
+/// Quotes what was appended to `buf` from `start` on, if it needs quotes.
+pub(crate) fn quote_from(buf: &mut String, start: usize) {
+    let value = buf.split_off(start);
+    push_value(buf, &value);
+}
+
 fn push_time(buf: &mut String, at: SystemTime) {
     buf.push_str("ts=");
     buf.push_str(&utc(at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()));
--- /dev/null
+++ b/src/shard/event.rs
@@ -0,0 +1,130 @@
+//! What a shard is told, and what it asks for.
+
+use crate::ids::{Ticket, VmId};
+use crate::job::{Job, JobId, QueueName, RunNumber, ShownState, TaskRef};
+use crate::kv::Txn;
+use crate::note::Note;
+use crate::queues::Queues;
+use crate::vm::{self, LookReq, LookResp, PaceReq, RunReq, StartReq, VmAddr, VmEntry, VmTime};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The present time, on both clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Now {
+    /// Never goes back; counts suspension.
+    pub steady: Duration,
+    /// Time of day, since 1970; may jump.
+    pub wall: Duration,
+}
+
+/// What a shard is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passes.
+    Tick,
+    /// The queues in force.
+    Queues(Arc<Queues>),
+    /// All VMs of the shard that the platform announces, and whether a missing one is telling.
+    Fleet { vms: Vec<VmEntry>, announcements: Announcements },
+    /// Answer to [`Action::Look`].
+    Looked { vm: VmId, sent: Duration, result: vm::Result<LookResp> },
+    /// Answer to [`Action::Start`].
+    Started { vm: VmId, task: TaskRef, run: RunNumber, result: vm::Result<VmTime> },
+    /// Answer to [`Action::Stop`].
+    Stopped { vm: VmId, task: TaskRef, run: RunNumber, result: vm::Result<VmTime> },
+    /// Answer to [`Action::Pace`].
+    Paced { vm: VmId, task: TaskRef, run: RunNumber, percent: u8, result: vm::Result<VmTime> },
+    /// Answer to [`Action::Commit`].
+    Committed { seq: u64, result: CommitResult },
+    /// A caller hands in a job.
+    Submit { ticket: Ticket, job: Arc<Job> },
+    /// A caller gives a job up.
+    Cancel { ticket: Ticket, job: JobId },
+    /// A caller asks for a job's state.
+    Show { ticket: Ticket, job: JobId },
+    /// The owner stops as planned: begin nothing more, and finish what is being committed.
+    HandOver,
+}
+
+/// Whether the platform's announcements are complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announcements {
+    Complete,
+    /// The store was away a moment ago; VMs that lapsed meanwhile are announced again.
+    Recovering,
+}
+
+/// How a commit ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommitResult {
+    Durable,
+    /// Another daemon owns the shard; whether this commit came before that.
+    Superseded(Landed),
+    /// These jobs are known already, in this shard or another; nothing was written.
+    JobExists(Vec<JobId>),
+}
+
+/// Whether a write took effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Landed {
+    Yes,
+    No,
+    Unknown,
+}
+
+/// What a shard asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Look { vm: VmAddr, req: LookReq },
+    Start { vm: VmAddr, req: StartReq },
+    Stop { vm: VmAddr, req: RunReq },
+    Pace { vm: VmAddr, req: PaceReq },
+    /// Makes changes durable; at most one is under way.
+    Commit { seq: u64, txn: Txn },
+    /// Answers a caller.
+    Reply { ticket: Ticket, answer: Answer },
+    /// A line for the log.
+    Note(Note),
+    /// A higher fencing token was seen; the shard's owner has to be looked up.
+    Fenced,
+    /// Nothing is under way any more; the shard can be given away.
+    HandedOver,
+}
+
+/// The answer to a caller.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The job is durable.
+    Accepted,
+    /// Nothing was recorded and nothing will run.
+    NotRun { reason: String, retry_after: Duration },
+    /// What becomes of the call isn't known; it can be made again with the same id.
+    Unknown { reason: String },
+    /// The job's state.
+    Shown(ShownState),
+    /// The cancellation is durable.
+    Cancelling,
+    /// The job isn't in this shard.
+    NotHere,
+}
+
+/// What others are told of a shard.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Processors that can be reserved, in thousandths of a core, on VMs that take work.
+    pub capacity: u64,
+    /// Of these, not reserved.
+    pub free: u64,
+    /// Processors that leftover work gets, in thousandths of a core.
+    pub leftover: u64,
+    /// Leftover work that is left, in milliseconds times thousandths of a core.
+    pub leftover_work: u64,
+    /// Reserved work that waits, in milliseconds times thousandths of a core.
+    pub waiting_work: u64,
+    /// Jobs that no task of has started, by queue.
+    pub queued: Vec<(QueueName, u32)>,
+    /// VMs that take work.
+    pub vms: u32,
+}
--- /dev/null
+++ b/src/shard/finish.rs
@@ -0,0 +1,221 @@
+//! What the end of a run means for its task and its job.
+
+use super::Shard;
+use super::job_run::{Effect, JobRun, Place, lasts};
+use super::vm_run::{RunKey, Stage, Unanswered};
+use crate::ids::VmId;
+use crate::job::progress::TaskPhase;
+use crate::job::{Checkpoint, JobId, RunNumber, ShownState, TaskRef};
+use crate::note::{Ms, Note, Word};
+use crate::vm::EndKind;
+
+/// A run's end, as a VM lists it.
+pub(super) struct End {
+    pub vm: VmId,
+    pub key: RunKey,
+    pub how: EndKind,
+    pub checkpoint: Option<Checkpoint>,
+    /// Number in the VM's list.
+    pub number: u64,
+}
+
+impl Shard {
+    /// A VM lists a run's end.
+    pub(super) fn run_ended(&mut self, end: End) {
+        let run = self.vms.get_mut(&end.vm).and_then(|vm| vm.runs.shift_remove(&end.key));
+        let ran = run.and_then(|run| run.running_since);
+        let ran_ms = Ms(ran.map_or_else(Default::default, |at| self.now.steady.saturating_sub(at)));
+        let RunKey { task, run } = end.key;
+        self.note(Note::TaskEnded { task, run, vm: end.vm.clone(), how: word(end.how), ran_ms });
+        let now = self.now.steady;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return self.take_effect(Effect::Forget { vm: end.vm, number: end.number });
+        };
+        let state = job.state;
+        if let Some(known) = job.task_mut(task) {
+            known.remove(&end.vm, run);
+            known.away_since.get_or_insert(now);
+            if end.checkpoint.is_some() {
+                known.checkpoint = end.checkpoint;
+            }
+        }
+        job.effects.push(Effect::Forget { vm: end.vm.clone(), number: end.number });
+        self.log.touch(task.job);
+        match end.how {
+            EndKind::Succeeded => self.task_succeeded(&end.vm, task),
+            EndKind::Failed if !state.is_final() => self.task_failed(&end.vm, end.key, ran_ms),
+            _ => {}
+        }
+        self.advance(task.job);
+    }
+
+    fn task_succeeded(&mut self, vm: &VmId, task: TaskRef) {
+        let now = self.now.steady;
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.health.succeeded(task, now);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(step) = job.step(task).cloned() else { return };
+        if lasts(&step) {
+            return;
+        }
+        if step.members.as_one() {
+            // One member's success stands for the group's.
+            if let Some(run) = job.step_run_mut(task) {
+                run.tasks.iter_mut().for_each(|task| task.phase = TaskPhase::Succeeded);
+            }
+            return;
+        }
+        let Some(known) = job.task_mut(task) else { return };
+        known.phase = TaskPhase::Succeeded;
+        let copies = known.runs.clone();
+        for place in copies {
+            self.stop_run(task, &place, "another copy has succeeded");
+        }
+    }
+
+    fn task_failed(&mut self, vm: &VmId, key: RunKey, ran_ms: Ms) {
+        let task = key.task;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(step) = job.step(task).cloned() else { return };
+        let attempts = self.queues.queues.get(&job.job.queue).map_or(u32::MAX, |q| q.attempts);
+        let Some(known) = job.task_mut(task) else { return };
+        known.failed += 1;
+        let earlier = known.failed_on.replace(vm.clone());
+        let own = known.failed;
+        let whole = job.step_run(task).map_or(0, super::job_run::StepRun::failed);
+        let failed = if step.members.as_one() { whole } else { own };
+        let (run, vm_id) = (key.run, vm.clone());
+        self.note(Note::TaskFailed { task, run, vm: vm_id, failed, attempts, ran_ms });
+        self.blame(vm, earlier.as_ref(), task);
+        if failed >= attempts && !lasts(&step) {
+            self.fail_job(task.job);
+        }
+    }
+
+    /// Blames a VM for a failure, or the task if it failed on another VM before.
+    pub(super) fn blame(&mut self, vm: &VmId, earlier: Option<&VmId>, task: TaskRef) {
+        let now = self.now.steady;
+        if let Some(other) = earlier.filter(|other| *other != vm) {
+            if let Some(other) = self.vms.get_mut(other) {
+                other.health.excuse(task);
+            }
+        }
+        let Some(known) = self.vms.get_mut(vm) else { return };
+        if !known.health.failed(task, now) {
+            return;
+        }
+        let (failed, of) = known.health.recent(now);
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let (failed, of) = (count(failed), count(of));
+        let (vm, rate_percent) = (vm.clone(), 0);
+        self.note(Note::VmHealth { vm, health: "sick", failed, of, rate_percent });
+    }
+
+    fn fail_job(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.state = ShownState::Failed;
+        }
+        self.stop_job(id, "the job has failed");
+    }
+
+    /// Moves a job on after one of its runs has ended.
+    pub(super) fn advance(&mut self, id: JobId) {
+        let now = self.now.steady;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if !job.is_final() && job.all_succeeded() {
+            job.state = ShownState::Done;
+        }
+        job.advance(now);
+    }
+
+    /// Begins occurrences whose time has come.
+    pub(super) fn begin_due(&mut self) {
+        let now = self.now;
+        let mut begun = Vec::new();
+        for job in self.jobs.values_mut() {
+            let before = job.begun;
+            while !job.is_final() && begins(job, now.wall) {
+                job.begin_occurrence(now.steady);
+                job.advance(now.steady);
+            }
+            if job.begun > before && job.record != super::job_run::RecordState::New {
+                begun.push(job.id());
+            }
+        }
+        begun.into_iter().for_each(|id| self.log.touch(id));
+    }
+
+    /// Ends a run by this system's own decision.
+    pub(super) fn stop_run(&mut self, task: TaskRef, place: &Place, reason: Word) {
+        let now = self.now.steady;
+        let key = RunKey { task, run: place.run };
+        let Some(run) = self.vms.get_mut(&place.vm).and_then(|vm| vm.runs.get_mut(&key)) else {
+            return;
+        };
+        if run.is_stopping() {
+            return;
+        }
+        if run.sends == 0 && run.stage != Stage::Recovered {
+            return self.drop_run(&place.vm, key);
+        }
+        run.stage = Stage::Stopping { next_send: Some(now), answered: None };
+        run.since = now;
+        let vm = place.vm.clone();
+        self.note(Note::TaskStopping { task, run: place.run, vm, reason });
+    }
+
+    /// Takes a run off that surely doesn't run and never will.
+    pub(super) fn drop_run(&mut self, vm: &VmId, key: RunKey) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.runs.shift_remove(&key);
+        }
+        let now = self.now.steady;
+        let Some(job) = self.jobs.get_mut(&key.task.job) else { return };
+        if let Some(task) = job.task_mut(key.task) {
+            task.remove(vm, key.run);
+            task.away_since.get_or_insert(now);
+        }
+        self.log.touch(key.task.job);
+        self.advance(key.task.job);
+    }
+
+    /// Takes a run off whose VM has surely ended it, though the end was never listed.
+    pub(super) fn run_gone(&mut self, vm: &VmId, key: RunKey, proof: Word) {
+        let RunKey { task, run } = key;
+        self.note(Note::TaskGone { task, run, vm: vm.clone(), proof });
+        self.drop_run(vm, key);
+    }
+
+    /// A run that was ordered is given up: dropped if the VM never got an order that it could
+    /// still carry out, and stopped otherwise, which bars it.
+    pub(super) fn give_up(&mut self, vm: &VmId, key: RunKey, reason: Word) {
+        let Some(run) = self.vms.get(vm).and_then(|vm| vm.runs.get(&key)) else { return };
+        if run.unanswered == Unanswered::No {
+            return self.drop_run(vm, key);
+        }
+        self.stop_run(key.task, &Place { vm: vm.clone(), run: key.run }, reason);
+    }
+
+    /// Number for a task's next run.
+    pub(super) fn next_run(job: &JobRun, task: TaskRef) -> RunNumber {
+        let last = job.task(task).map_or(RunNumber(0), |task| task.last_run);
+        RunNumber(last.0 + 1)
+    }
+}
+
+fn begins(job: &JobRun, wall: std::time::Duration) -> bool {
+    job.begun < job.job.repeat.occurrences()
+        && job.job.repeat.due(job.begun).is_none_or(|due| wall >= due)
+}
+
+fn word(how: EndKind) -> Word {
+    match how {
+        EndKind::Succeeded => "succeeded",
+        EndKind::Failed => "failed",
+        EndKind::Stopped => "stopped",
+        EndKind::Lapsed => "lapsed",
+        EndKind::Broken => "broken",
+        EndKind::LeftAlone => "left-alone",
+    }
+}
--- /dev/null
+++ b/src/shard/fleet.rs
@@ -0,0 +1,77 @@
+//! The VMs of the shard, as the platform announces them.
+
+use super::Shard;
+use super::event::Announcements;
+use super::vm_run::{Announced, Silent, Vm};
+use crate::ids::VmId;
+use crate::note::{Ms, Note, Word};
+use crate::vm::VmEntry;
+use indexmap::IndexSet;
+
+impl Shard {
+    /// Takes over the announced VMs.
+    pub(super) fn announced(&mut self, entries: Vec<VmEntry>, announcements: Announcements) {
+        let now = self.now.steady;
+        let mut present = IndexSet::new();
+        for entry in entries {
+            present.insert(entry.id.clone());
+            self.replace_earlier_life(&entry);
+            self.announce(entry);
+        }
+        if announcements == Announcements::Recovering {
+            return;
+        }
+        for vm in self.vms.values_mut() {
+            if !present.contains(&vm.id) && vm.announced == Announced::Yes {
+                vm.announced = Announced::Missing { since: now };
+            }
+        }
+        self.forget_gone();
+    }
+
+    fn announce(&mut self, entry: VmEntry) {
+        let (now, inherited) = (self.now.steady, self.inherited_until);
+        let Some(vm) = self.vms.get_mut(&entry.id) else {
+            let vm = Vm::new(entry, now, inherited);
+            self.vms.insert(vm.id.clone(), vm);
+            return;
+        };
+        let stayed = vm.leaving.is_none();
+        vm.announce(entry, now);
+        if let Some(leaving) = vm.leaving.filter(|_| stayed) {
+            let left_ms = Ms(leaving.left.unwrap_or_default());
+            let (vm, runs) = (vm.id.clone(), vm.runs.len());
+            self.note(Note::VmLeaving { vm, runs, left_ms });
+        }
+    }
+
+    /// A VM's address belongs to one life at a time: a new one there ends the earlier one.
+    fn replace_earlier_life(&mut self, entry: &VmEntry) {
+        if self.vms.contains_key(&entry.id) {
+            return;
+        }
+        let earlier = self.vms.values().find(|vm| vm.entry.addr == entry.addr);
+        if let Some(id) = earlier.map(|vm| vm.id.clone()) {
+            self.vm_gone(&id, "another life at its address");
+        }
+    }
+
+    /// A life of a VM is over, and everything there with it.
+    pub(super) fn vm_gone(&mut self, id: &VmId, proof: Word) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let (runs, id) = (vm.runs.len(), vm.id.clone());
+        self.note(Note::VmGone { vm: id.clone(), proof, runs });
+        self.drop_all(&id, proof);
+        self.vms.shift_remove(&id);
+    }
+
+    /// Forgets VMs that aren't announced, don't answer and have nothing left.
+    fn forget_gone(&mut self) {
+        let gone = |vm: &Vm| {
+            vm.announced != Announced::Yes
+                && vm.runs.is_empty()
+                && (vm.contact.silent != Silent::No || vm.contact.heard.is_none())
+        };
+        self.vms.retain(|_, vm| !gone(vm));
+    }
+}
--- /dev/null
+++ b/src/shard/job_run.rs
@@ -0,0 +1,338 @@
+//! A job on its way: what of it waits, runs and has ended.
+
+use crate::ids::{Ticket, VmId};
+use crate::job::progress::{
+    Binding, OccurrenceProgress, Progress, TaskPhase, TaskProgress,
+};
+use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, ShownState, Step, TaskRef};
+use crate::shard::event::Answer;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A job of the shard.
+#[derive(Debug)]
+pub struct JobRun {
+    pub job: Arc<Job>,
+    /// As decided here.
+    pub state: ShownState,
+    /// As it is durable; callers are shown nothing else.
+    pub durable: Option<ShownState>,
+    /// Occurrences begun so far.
+    pub begun: u32,
+    /// Occurrences that haven't ended, in order.
+    pub open: Vec<Occurrence>,
+    /// When the job became known here.
+    pub since: Duration,
+    /// What waits for the job's next commit.
+    pub effects: Vec<Effect>,
+    pub record: RecordState,
+    /// Whether a task of it ever started.
+    pub started: Started,
+}
+
+/// Whether a task of a job has started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Started {
+    No,
+    Yes,
+}
+
+/// What the store has of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordState {
+    /// Nothing yet.
+    New,
+    /// The job itself and its progress.
+    Kept,
+    /// Only the final state.
+    Closed,
+}
+
+/// What takes place once a job's changes are durable.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Reply { ticket: Ticket, answer: Answer },
+    Start { task: TaskRef, run: RunNumber, vm: VmId },
+    Forget { vm: VmId, number: u64 },
+}
+
+/// One occurrence of a job's steps.
+#[derive(Debug)]
+pub struct Occurrence {
+    pub number: u32,
+    pub since: Duration,
+    pub steps: Vec<StepRun>,
+}
+
+/// A step of one occurrence.
+#[derive(Debug)]
+pub struct StepRun {
+    pub tasks: Vec<Task>,
+    /// When the step's turn came.
+    pub ready: Option<Duration>,
+}
+
+/// A task.
+#[derive(Debug, Default)]
+pub struct Task {
+    pub phase: TaskPhase,
+    pub last_run: RunNumber,
+    pub failed: u32,
+    pub checkpoint: Option<Checkpoint>,
+    /// Runs that may have started and aren't known to have ended.
+    pub runs: Vec<Place>,
+    /// VM of the last failed run; the next one goes elsewhere if it can.
+    pub failed_on: Option<VmId>,
+    /// When it last ended or stopped being at work.
+    pub away_since: Option<Duration>,
+}
+
+/// Where a run is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub vm: VmId,
+    pub run: RunNumber,
+}
+
+impl JobRun {
+    /// A job just handed in.
+    pub fn new(job: Arc<Job>, now: Duration) -> Self {
+        Self {
+            job,
+            state: ShownState::Queued,
+            durable: None,
+            begun: 0,
+            open: Vec::new(),
+            since: now,
+            effects: Vec::new(),
+            record: RecordState::New,
+            started: Started::No,
+        }
+    }
+
+    /// A job as the store has it. `age` is the time since its acceptance.
+    pub fn recovered(job: Arc<Job>, progress: Option<&Progress>, now: Duration, age: Duration) -> Self {
+        let mut run = Self::new(job, now.saturating_sub(age));
+        run.record = RecordState::Kept;
+        run.durable = Some(ShownState::Queued);
+        let Some(progress) = progress else { return run };
+        run.state = progress.state;
+        run.durable = Some(progress.state);
+        run.begun = progress.begun;
+        run.open =
+            progress.open.iter().map(|o| Occurrence::recovered(o, &progress.vms, now)).collect();
+        let begun = |task: &Task| task.last_run > RunNumber(0);
+        if run.tasks().any(begun) || progress.state != ShownState::Queued {
+            run.started = Started::Yes;
+        }
+        run
+    }
+
+    /// The job's id.
+    pub fn id(&self) -> JobId {
+        self.job.id
+    }
+
+    /// Whether nothing more of it is to start.
+    pub fn is_final(&self) -> bool {
+        self.state.is_final()
+    }
+
+    /// Every task of the open occurrences.
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.open.iter().flat_map(|o| o.steps.iter()).flat_map(|s| s.tasks.iter())
+    }
+
+    /// Runs that aren't known to have ended.
+    pub fn places(&self) -> Vec<(TaskRef, Place)> {
+        let mut places = Vec::new();
+        for occurrence in &self.open {
+            for (step, run) in occurrence.steps.iter().enumerate() {
+                for (index, task) in run.tasks.iter().enumerate() {
+                    let task_ref = self.task_ref(occurrence.number, step, index);
+                    places.extend(task.runs.iter().map(|place| (task_ref, place.clone())));
+                }
+            }
+        }
+        places
+    }
+
+    /// Whether any run isn't known to have ended.
+    pub fn has_runs(&self) -> bool {
+        self.tasks().any(|task| !task.runs.is_empty())
+    }
+
+    /// A task, unless its occurrence has ended.
+    pub fn task(&self, task: TaskRef) -> Option<&Task> {
+        let occurrence = self.open.iter().find(|o| o.number == task.occurrence)?;
+        occurrence.steps.get(usize::from(task.step))?.tasks.get(task.index as usize)
+    }
+
+    /// A task, unless its occurrence has ended.
+    pub fn task_mut(&mut self, task: TaskRef) -> Option<&mut Task> {
+        self.step_run_mut(task)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// The step run of a task.
+    pub fn step_run(&self, task: TaskRef) -> Option<&StepRun> {
+        let occurrence = self.open.iter().find(|o| o.number == task.occurrence)?;
+        occurrence.steps.get(usize::from(task.step))
+    }
+
+    /// The step run of a task.
+    pub fn step_run_mut(&mut self, task: TaskRef) -> Option<&mut StepRun> {
+        let occurrence = self.open.iter_mut().find(|o| o.number == task.occurrence)?;
+        occurrence.steps.get_mut(usize::from(task.step))
+    }
+
+    /// The step that a task belongs to.
+    pub fn step(&self, task: TaskRef) -> Option<&Step> {
+        self.job.steps.get(usize::from(task.step))
+    }
+
+    /// Names a task.
+    pub fn task_ref(&self, occurrence: u32, step: usize, index: usize) -> TaskRef {
+        TaskRef {
+            job: self.job.id,
+            occurrence,
+            step: u16::try_from(step).unwrap_or(u16::MAX),
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Begins the next occurrence.
+    pub fn begin_occurrence(&mut self, now: Duration) {
+        let steps = self.job.steps.iter().map(|step| StepRun {
+            tasks: (0..step.tasks).map(|_| Task::default()).collect(),
+            ready: None,
+        });
+        self.open.push(Occurrence { number: self.begun, since: now, steps: steps.collect() });
+        self.begun += 1;
+    }
+
+    /// Marks steps whose turn has come, and drops occurrences that have ended and run nothing.
+    pub fn advance(&mut self, now: Duration) {
+        let job = self.job.clone();
+        for occurrence in &mut self.open {
+            occurrence.mark_ready(&job, now);
+        }
+        self.open.retain(|o| !o.is_over());
+    }
+
+    /// Whether every occurrence has begun and ended.
+    pub fn all_succeeded(&self) -> bool {
+        self.begun == self.job.repeat.occurrences() && self.open.iter().all(Occurrence::succeeded)
+    }
+
+    /// What has to be durable.
+    pub fn progress(&self) -> Progress {
+        let mut vms = Vec::new();
+        let open = self.open.iter().map(|o| o.progress(&mut vms)).collect();
+        Progress { state: self.state, vms, begun: self.begun, open }
+    }
+}
+
+impl Occurrence {
+    fn recovered(progress: &OccurrenceProgress, vms: &[VmId], now: Duration) -> Self {
+        let steps = progress.steps.iter().map(|tasks| StepRun {
+            tasks: tasks.iter().map(|t| Task::recovered(t, vms)).collect(),
+            ready: None,
+        });
+        Self { number: progress.number, since: now, steps: steps.collect() }
+    }
+
+    fn mark_ready(&mut self, job: &Job, now: Duration) {
+        for number in 0..self.steps.len() {
+            let Some(step) = job.steps.get(number) else { continue };
+            let before = |after: &u16| {
+                self.steps.get(usize::from(*after)).is_some_and(StepRun::succeeded)
+            };
+            if self.steps[number].ready.is_none() && step.after.iter().all(before) {
+                self.steps[number].ready = Some(now);
+            }
+        }
+    }
+
+    fn succeeded(&self) -> bool {
+        self.steps.iter().all(StepRun::succeeded)
+    }
+
+    /// Whether every task has succeeded and no copy of one runs any more.
+    fn is_over(&self) -> bool {
+        self.succeeded() && self.steps.iter().flat_map(|s| &s.tasks).all(|t| t.runs.is_empty())
+    }
+
+    fn progress(&self, vms: &mut Vec<VmId>) -> OccurrenceProgress {
+        let steps = self.steps.iter().map(|s| s.tasks.iter().map(|t| t.progress(vms)).collect());
+        OccurrenceProgress { number: self.number, steps: steps.collect() }
+    }
+}
+
+impl StepRun {
+    /// Whether every task has succeeded.
+    pub fn succeeded(&self) -> bool {
+        self.tasks.iter().all(|task| task.phase == TaskPhase::Succeeded)
+    }
+
+    /// Failed runs of all tasks.
+    pub fn failed(&self) -> u32 {
+        self.tasks.iter().map(|task| task.failed).sum()
+    }
+}
+
+impl Task {
+    fn recovered(progress: &TaskProgress, vms: &[VmId]) -> Self {
+        let place = |b: &Binding| {
+            let vm = vms.get(usize::from(b.vm))?.clone();
+            Some(Place { vm, run: b.run })
+        };
+        Self {
+            phase: progress.state,
+            last_run: progress.last_run,
+            failed: progress.failed,
+            checkpoint: progress.checkpoint.clone(),
+            runs: progress.bound.iter().filter_map(place).collect(),
+            failed_on: None,
+            away_since: None,
+        }
+    }
+
+    fn progress(&self, vms: &mut Vec<VmId>) -> TaskProgress {
+        let bound = self.runs.iter().map(|place| Binding {
+            vm: u16::try_from(intern(vms, &place.vm)).unwrap_or(u16::MAX),
+            run: place.run,
+        });
+        TaskProgress {
+            state: self.phase,
+            last_run: self.last_run,
+            failed: self.failed,
+            checkpoint: self.checkpoint.clone(),
+            bound: bound.collect(),
+        }
+    }
+
+    /// Whether a run may be added.
+    pub fn is_waiting(&self) -> bool {
+        self.phase == TaskPhase::Open && self.runs.is_empty()
+    }
+
+    /// Takes a run off; false if it isn't there.
+    pub fn remove(&mut self, vm: &VmId, run: RunNumber) -> bool {
+        let before = self.runs.len();
+        self.runs.retain(|place| place.run != run || place.vm != *vm);
+        self.runs.len() < before
+    }
+}
+
+fn intern(vms: &mut Vec<VmId>, vm: &VmId) -> usize {
+    if let Some(place) = vms.iter().position(|known| known == vm) {
+        return place;
+    }
+    vms.push(vm.clone());
+    vms.len() - 1
+}
+
+/// Whether the tasks of a step are started again however they end.
+pub fn lasts(step: &Step) -> bool {
+    step.life == Life::Lasting
+}
--- /dev/null
+++ b/src/shard/look.rs
@@ -0,0 +1,236 @@
+//! Looking at VMs: what runs there, what has ended, and who doesn't answer.
+
+use super::Shard;
+use super::event::Action;
+use super::finish::End;
+use super::job_run::Place;
+use super::settings::{LOOK_RETRY, SILENT_AFTER};
+use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
+use crate::ids::VmId;
+use crate::job::{Share, TaskRef};
+use crate::note::{Ms, Note, Word};
+use crate::vm::{self, EndKind, EndedRun, LookReq, LookResp, RunningTask, VmTime};
+use indexmap::IndexSet;
+use std::time::Duration;
+
+/// Ends that a VM lists at a time. A longer list is cut, so that a run which is missing from it
+/// may have ended all the same.
+const MAX_LISTED_ENDS: usize = 500;
+
+impl Shard {
+    /// Looks at the VMs whose turn it is.
+    pub(super) fn look(&mut self) {
+        let (now, keep, fence) = (self.now.steady, self.settings.max_keep, self.fence);
+        for vm in self.vms.values_mut() {
+            if vm.contact.looking == Looking::Yes || now < vm.contact.next_look {
+                continue;
+            }
+            let keep_until = vm.extends(now).then(|| vm.clock_now(now)).flatten();
+            if keep_until.is_some() {
+                vm.extended(now, keep);
+            }
+            let keep_until = keep_until.map(|clock| VmTime(clock.0 + keep));
+            let (forget, wait) = (vm.ends.forget(), vm.look_wait());
+            vm.contact.looking = Looking::Yes;
+            let req = LookReq { fence, forget, keep_until, wait };
+            self.out.push(Action::Look { vm: vm.addr(), req });
+        }
+    }
+
+    pub(super) fn looked(&mut self, id: &VmId, sent: Duration, result: vm::Result<LookResp>) {
+        let now = self.now.steady;
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        vm.contact.looking = Looking::No;
+        match result {
+            Ok(resp) => {
+                let before = vm.contact.heard.replace(sent);
+                vm.contact.failures = 0;
+                vm.read_clock(resp.clock, now);
+                let was = std::mem::replace(&mut vm.contact.silent, Silent::No);
+                if let Silent::Since(since) = was {
+                    let (runs, silent_ms) = (vm.runs.len(), Ms(now.saturating_sub(since)));
+                    self.note(Note::VmHeard { vm: id.clone(), silent_ms, runs });
+                } else if before.is_none() {
+                    let size = vm.entry.size;
+                    let (cores, memory_mib) = (size.milli_cores.0 / 1000, size.memory_mib.0);
+                    self.note(Note::VmKnown { vm: id.clone(), cores, memory_mib });
+                }
+                self.take_news(id, sent, resp);
+                if let Some(vm) = self.vms.get_mut(id) {
+                    vm.plan_look(now);
+                }
+            }
+            Err(vm::Error::OtherLife) => self.vm_gone(id, "another life at its address"),
+            Err(vm::Error::Fenced) => {
+                vm.contact.next_look = now + LOOK_RETRY;
+                self.fenced(id);
+            }
+            Err(e) => self.look_failed(id, &e),
+        }
+    }
+
+    pub(super) fn fenced(&mut self, id: &VmId) {
+        self.note(Note::VmFenced { vm: id.clone(), fence: self.fence.0 });
+        self.stage = super::Stage::HandedOver;
+        self.out.push(Action::Fenced);
+    }
+
+    fn look_failed(&mut self, id: &VmId, error: &vm::Error) {
+        let now = self.now.steady;
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        vm.contact.failures += 1;
+        vm.plan_look(now);
+        let heard = vm.contact.heard.unwrap_or(now);
+        let silent_ms = Ms(now.saturating_sub(heard));
+        if vm.contact.silent == Silent::No && silent_ms.0 >= SILENT_AFTER {
+            vm.contact.silent = Silent::Since(heard);
+            let (runs, reason) = (vm.runs.len(), error.to_string());
+            self.note(Note::VmSilent { vm: id.clone(), silent_ms, runs, reason });
+        }
+    }
+
+    fn take_news(&mut self, id: &VmId, sent: Duration, resp: LookResp) {
+        let complete = resp.ended.len() < MAX_LISTED_ENDS;
+        let mut seen = IndexSet::new();
+        for row in &resp.running {
+            seen.insert(RunKey { task: row.task, run: row.run });
+            self.seen_running(id, row);
+        }
+        for row in resp.ended {
+            seen.insert(RunKey { task: row.task, run: row.run });
+            self.seen_ended(id, row);
+        }
+        if complete {
+            self.find_absent(id, sent, &seen);
+        }
+    }
+
+    fn seen_running(&mut self, id: &VmId, row: &RunningTask) {
+        let now = self.now.steady;
+        let key = RunKey { task: row.task, run: row.run };
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let Some(run) = vm.runs.get_mut(&key) else {
+            return self.stop_stray(id, key);
+        };
+        if matches!(run.stage, Stage::Starting { .. } | Stage::Recovered) {
+            run.stage = Stage::Running;
+            run.since = now;
+        }
+        run.unanswered = Unanswered::No;
+        run.running_since.get_or_insert(now);
+        run.percent = row.percent;
+        run.gauge = row.gauge;
+        let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
+        if let Some(task) = job.task_mut(row.task) {
+            if row.checkpoint.is_some() {
+                task.checkpoint.clone_from(&row.checkpoint);
+            }
+            if row.percent == 100 {
+                task.away_since = None;
+            }
+        }
+        if job.is_final() {
+            let place = Place { vm: id.clone(), run: row.run };
+            self.stop_run(row.task, &place, "its job has ended");
+        }
+    }
+
+    /// Stops a run that isn't bound to the VM: it may run elsewhere, or its job may have ended.
+    fn stop_stray(&mut self, id: &VmId, key: RunKey) {
+        let now = self.now.steady;
+        let step = self.jobs.get(&key.task.job).and_then(|job| job.step(key.task));
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        // Of a task that isn't known, neither is its size: until it is gone, nothing else fits.
+        let size = step.map_or(vm.entry.size, |step| step.reserved());
+        let share = step.map_or(Share::Reserved, |step| step.share);
+        let mut run = Run::binding(size, 0, share, now);
+        run.stage = Stage::Stopping { next_send: Some(now), answered: None };
+        vm.runs.insert(key, run);
+        let reason: Word = "it isn't bound to this VM";
+        let RunKey { task, run } = key;
+        self.note(Note::TaskStopping { task, run, vm: id.clone(), reason });
+    }
+
+    fn seen_ended(&mut self, id: &VmId, row: EndedRun) {
+        let key = RunKey { task: row.task, run: row.run };
+        let known = self.knows(row.task);
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        if !vm.ends.list(row.number) {
+            return;
+        }
+        let (bound, number) = (vm.runs.contains_key(&key), row.number);
+        if bound || (row.how == EndKind::Succeeded && known) {
+            let (vm, how, checkpoint) = (id.clone(), row.how, row.checkpoint);
+            self.run_ended(End { vm, key, how, checkpoint, number });
+        } else {
+            vm.ends.settle(number);
+        }
+    }
+
+    fn knows(&self, task: TaskRef) -> bool {
+        self.jobs.get(&task.job).is_some_and(|job| job.task(task).is_some())
+    }
+
+    /// Runs that the VM lists neither as running nor as ended, though it was asked after the
+    /// orders about them were answered.
+    fn find_absent(&mut self, id: &VmId, sent: Duration, seen: &IndexSet<RunKey>) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let absent: Vec<(RunKey, Absence)> = vm
+            .runs
+            .iter()
+            .filter(|(key, _)| !seen.contains(*key))
+            .filter_map(|(key, run)| Some((*key, absence(run, sent)?)))
+            .collect();
+        for (key, absence) in absent {
+            match absence {
+                Absence::Proven(proof) => self.run_gone(id, key, proof),
+                Absence::Odd => {
+                    let place = Place { vm: id.clone(), run: key.run };
+                    self.stop_run(key.task, &place, "the VM doesn't list it");
+                }
+            }
+        }
+    }
+
+    /// VMs that stopped answering: what ran there has surely ended after some time.
+    pub(super) fn check_contacts(&mut self) {
+        let now = self.now.steady;
+        let lapsed = |vm: &Vm| {
+            !vm.runs.is_empty() && now >= vm.lapsed_by && (!vm.is_heard(now) || !vm.extends(now))
+        };
+        let ids: Vec<VmId> =
+            self.vms.values().filter(|vm| lapsed(vm)).map(|vm| vm.id.clone()).collect();
+        for id in ids {
+            self.drop_all(&id, "its time to keep running has passed");
+        }
+    }
+
+    /// Takes off everything on a VM that surely runs nothing any more.
+    pub(super) fn drop_all(&mut self, id: &VmId, proof: Word) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let keys: Vec<RunKey> = vm.runs.keys().copied().collect();
+        for key in keys {
+            self.run_gone(id, key, proof);
+        }
+    }
+}
+
+/// What it means that a VM doesn't list a run.
+enum Absence {
+    /// It doesn't run and never will.
+    Proven(Word),
+    /// It should be there.
+    Odd,
+}
+
+fn absence(run: &Run, sent: Duration) -> Option<Absence> {
+    match run.stage {
+        // The VM has seen this owner's token, so that an earlier owner's order comes too late.
+        Stage::Recovered => Some(Absence::Proven("it was never started")),
+        Stage::Stopping { answered: Some(at), .. } if at <= sent => {
+            Some(Absence::Proven("it was stopped before it came"))
+        }
+        Stage::Running if run.since < sent => Some(Absence::Odd),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/shard/place.rs
@@ -0,0 +1,244 @@
+//! Which task goes where, and which goes first.
+
+use super::Shard;
+use super::job_run::{Effect, JobRun, Place, Started};
+use super::room::{Room, StepKey, Trial};
+use super::vm_run::{Run, RunKey};
+use crate::ids::VmId;
+use crate::job::{JobId, Share, ShownState, Step, TaskRef};
+use crate::note::{Ms, Note};
+use std::time::Duration;
+
+/// Least time between two passes, so that a burst of answers costs one pass.
+const SCHEDULE_GAP: Duration = Duration::from_millis(5);
+
+/// Least speed that a leftover task is placed at: below it, those that run are better left to end
+/// first. Tasks placed sooner only slow each other down.
+const MIN_LEFTOVER_SPEED: f64 = 0.6;
+
+/// A job with tasks that can start.
+struct Candidate {
+    id: JobId,
+    priority: u32,
+    /// Time left until the job can't meet its aim any more, in seconds; negative if it can't.
+    slack: f64,
+}
+
+impl Shard {
+    /// Binds tasks that can start to VMs with room.
+    pub(super) fn schedule(&mut self) {
+        let now = self.now.steady;
+        if now < self.next_schedule {
+            return;
+        }
+        self.next_schedule = now + SCHEDULE_GAP;
+        let candidates = self.candidates();
+        if candidates.is_empty() {
+            return;
+        }
+        let mut rooms: Vec<Room> =
+            self.vms.values().filter_map(|vm| Room::of(vm, now)).collect();
+        for candidate in candidates {
+            self.place_job(candidate.id, &mut rooms);
+        }
+    }
+
+    /// Jobs with tasks that can start, the most urgent first.
+    fn candidates(&self) -> Vec<Candidate> {
+        let mut candidates: Vec<Candidate> = self
+            .jobs
+            .values()
+            .filter(|job| !job.is_final() && !waiting(job).is_empty())
+            .map(|job| Candidate {
+                id: job.id(),
+                priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
+                slack: self.slack(job),
+            })
+            .collect();
+        candidates.sort_by(|a, b| {
+            a.priority.cmp(&b.priority).then(a.slack.total_cmp(&b.slack)).then(a.id.cmp(&b.id))
+        });
+        candidates
+    }
+
+    fn slack(&self, job: &JobRun) -> f64 {
+        let spent = self.now.steady.saturating_sub(job.since).as_secs_f64();
+        self.aim(job.id()).as_secs_f64() - spent - chain(job).as_secs_f64()
+    }
+
+    /// Time from a job's acceptance by which it should be done.
+    pub(super) fn aim(&self, id: JobId) -> Duration {
+        let Some(job) = self.jobs.get(&id) else { return Duration::ZERO };
+        let (stretch, latency) =
+            self.queue(job).map_or((2.0, Duration::ZERO), |q| (q.stretch, q.latency));
+        chain(job).mul_f64(stretch.max(0.0)) + latency
+    }
+
+    fn place_job(&mut self, id: JobId, rooms: &mut [Room]) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (service, spec) = (job.job.service.clone(), job.job.clone());
+        let waiting = waiting(job);
+        let ours: Vec<bool> = rooms
+            .iter()
+            .map(|room| self.vms.get(&room.vm).is_some_and(|vm| vm.entry.service == service))
+            .collect();
+        for group in by_step(&waiting) {
+            let Some(step) = spec.steps.get(usize::from(group[0].step)) else { continue };
+            if step.members.as_one() {
+                self.place_together(&group, step, rooms, &ours);
+                continue;
+            }
+            for task in group {
+                let Some(choice) = self.choose(task, step, rooms, &ours) else { break };
+                self.bind(task, step, &mut rooms[choice]);
+            }
+        }
+    }
+
+    /// Places all tasks of a group, or none.
+    fn place_together(
+        &mut self,
+        group: &[TaskRef],
+        step: &Step,
+        rooms: &mut [Room],
+        ours: &[bool],
+    ) {
+        if group.len() != step.tasks as usize {
+            return;
+        }
+        let mut trial = rooms.to_vec();
+        let mut choices = Vec::new();
+        for task in group {
+            let Some(choice) = self.choose(*task, step, &trial, ours) else { return };
+            trial[choice].take(step, StepKey::of(*task));
+            choices.push(choice);
+        }
+        let run = group.iter().filter_map(|task| {
+            let job = self.jobs.get(&task.job)?;
+            Some(Self::next_run(job, *task))
+        });
+        let Some(run) = run.max() else { return };
+        for (task, choice) in group.iter().zip(choices) {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                if let Some(task) = job.task_mut(*task) {
+                    // Members share the number of their run.
+                    task.last_run = crate::job::RunNumber(run.0 - 1);
+                }
+            }
+            self.bind(*task, step, &mut rooms[choice]);
+        }
+    }
+
+    /// The best VM for a task.
+    fn choose(&self, task: TaskRef, step: &Step, rooms: &[Room], ours: &[bool]) -> Option<usize> {
+        let key = StepKey::of(task);
+        let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
+        let fits = |(index, room): &(usize, &Room)| {
+            ours[*index] && room.takes(step, key) && self.has_label(&room.vm, step)
+        };
+        rooms
+            .iter()
+            .enumerate()
+            .filter(fits)
+            .filter_map(|(index, room)| {
+                let cost = cost(room, step, key, failed_on.as_ref())?;
+                Some((index, cost))
+            })
+            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+            .map(|(index, _)| index)
+    }
+
+    fn has_label(&self, vm: &VmId, step: &Step) -> bool {
+        let Some(label) = &step.label else { return true };
+        self.vms.get(vm).is_some_and(|vm| vm.entry.labels.contains(label))
+    }
+
+    /// Binds a task to a VM; it is started once that is durable.
+    fn bind(&mut self, task: TaskRef, step: &Step, room: &mut Room) {
+        let now = self.now.steady;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let run = Self::next_run(job, task);
+        let vm_id = room.vm.clone();
+        let ready = job.step_run(task).and_then(|step| step.ready).unwrap_or(now);
+        let Some(known) = job.task_mut(task) else { return };
+        known.last_run = run;
+        known.runs.push(Place { vm: vm_id.clone(), run });
+        job.started = Started::Yes;
+        if job.state == ShownState::Queued {
+            job.state = ShownState::Running;
+        }
+        job.effects.push(Effect::Start { task, run, vm: vm_id.clone() });
+        self.log.touch(task.job);
+        let bound = Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
+        if let Some(vm) = self.vms.get_mut(&vm_id) {
+            vm.runs.insert(RunKey { task, run }, bound);
+        }
+        let (ready_ms, neighbours) = (Ms(now.saturating_sub(ready)), room.tasks());
+        room.take(step, StepKey::of(task));
+        let free_cores = u64::from(room.free.milli_cores.0 / 1000);
+        self.note(Note::TaskBound { task, run, vm: vm_id, ready_ms, free_cores, neighbours });
+    }
+}
+
+/// What a task costs on a VM; less is better, `None` if it is better left to wait.
+fn cost(room: &Room, step: &Step, key: StepKey, failed_on: Option<&VmId>) -> Option<f64> {
+    let mut cost = 0.0;
+    match step.share {
+        Share::Reserved => cost -= f64::from(room.free.milli_cores.0) / 1000.0,
+        Share::Leftover => {
+            let speed = room.leftover_speed(step);
+            if speed < MIN_LEFTOVER_SPEED {
+                return None;
+            }
+            cost -= room.leftover - room.leftover_demand;
+        }
+    }
+    cost += room.count(key) as f64;
+    if failed_on == Some(&room.vm) {
+        cost += 1e6;
+    }
+    if room.trial == Trial::Yes {
+        cost += 1e5;
+    }
+    if step.rack.as_ref().is_some_and(|rack| *rack != room.rack) {
+        cost += 1e4;
+    }
+    Some(cost)
+}
+
+/// Tasks that can start.
+fn waiting(job: &JobRun) -> Vec<TaskRef> {
+    let mut waiting = Vec::new();
+    for occurrence in &job.open {
+        for (number, step) in occurrence.steps.iter().enumerate() {
+            if step.ready.is_none() {
+                continue;
+            }
+            let tasks = step.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
+            waiting.extend(tasks.map(|(index, _)| job.task_ref(occurrence.number, number, index)));
+        }
+    }
+    waiting
+}
+
+fn by_step(tasks: &[TaskRef]) -> Vec<Vec<TaskRef>> {
+    let mut groups: Vec<Vec<TaskRef>> = Vec::new();
+    for task in tasks {
+        match groups.last_mut() {
+            Some(group) if StepKey::of(group[0]) == StepKey::of(*task) => group.push(*task),
+            _ => groups.push(vec![*task]),
+        }
+    }
+    groups
+}
+
+/// The longest chain of a job's estimates.
+pub(super) fn chain(job: &JobRun) -> Duration {
+    let mut until: Vec<Duration> = Vec::with_capacity(job.job.steps.len());
+    for step in &job.job.steps {
+        let before = step.after.iter().filter_map(|after| until.get(usize::from(*after)).copied());
+        let start = before.max().unwrap_or_default();
+        until.push(start + step.estimate);
+    }
+    until.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/src/shard/recover.rs
@@ -0,0 +1,144 @@
+//! Taking a shard over: from what the store has, to what the VMs say.
+
+use super::job_run::JobRun;
+use super::log::{Keys, Log};
+use super::settings::{BLIND_EXTENSION, CLOCK_DRIFT, LAPSE_MARGIN, Settings};
+use super::vm_run::{Run, RunKey, Stage, Vm};
+use super::{Closed, Now, Shard};
+use crate::ids::{DomainId, RackId, ServiceName, VmId};
+use crate::job::progress::Progress;
+use crate::job::{Job, JobId};
+use crate::queues::Queues;
+use crate::units::Resources;
+use crate::vm::{Fence, VmEntry, VmState};
+use indexmap::IndexMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A shard as the store has it.
+#[derive(Clone, Debug)]
+pub struct Recovered {
+    pub shard: String,
+    /// Token of this owner.
+    pub fence: Fence,
+    /// Number of the last commit.
+    pub seq: u64,
+    pub previous: Previous,
+    pub jobs: Vec<Arc<Job>>,
+    pub progress: Vec<(JobId, Progress)>,
+}
+
+/// What is known of the owner before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Previous {
+    /// It has ended, or has given the shard away: it keeps nothing running any more.
+    Ended,
+    /// It may not know yet that it lost the shard, and may keep its VMs' work running.
+    Unsure,
+}
+
+impl Shard {
+    /// A shard taken over with what the store has.
+    pub fn new(
+        recovered: Recovered,
+        settings: Settings,
+        queues: Arc<Queues>,
+        fleet: Vec<VmEntry>,
+        now: Now,
+    ) -> Self {
+        let keep = settings.max_keep;
+        let unaware = match recovered.previous {
+            Previous::Ended => Duration::ZERO,
+            Previous::Unsure => BLIND_EXTENSION,
+        };
+        let keys = Keys::new(&recovered.shard);
+        let mut shard = Self {
+            name: recovered.shard,
+            fence: recovered.fence,
+            settings,
+            queues,
+            jobs: IndexMap::new(),
+            closed: IndexMap::new(),
+            vms: IndexMap::new(),
+            log: Log::new(keys, recovered.seq),
+            inherited_until: now.steady
+                + keep
+                + keep.mul_f64(CLOCK_DRIFT)
+                + unaware
+                + LAPSE_MARGIN,
+            stage: super::Stage::Serving,
+            now,
+            next_schedule: now.steady,
+            next_report: now.steady,
+            out: Vec::new(),
+        };
+        for entry in fleet {
+            let vm = Vm::new(entry, now.steady, shard.inherited_until);
+            shard.vms.insert(vm.id.clone(), vm);
+        }
+        let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
+        shard.recover_jobs(recovered.jobs, &progress);
+        shard
+    }
+
+    /// Jobs and runs that aren't known to have ended.
+    pub fn open_work(&self) -> (usize, usize) {
+        (self.jobs.len(), self.vms.values().map(|vm| vm.runs.len()).sum())
+    }
+
+    fn recover_jobs(&mut self, jobs: Vec<Arc<Job>>, progress: &IndexMap<JobId, Progress>) {
+        let now = self.now;
+        for job in jobs {
+            let (id, age) = (job.id, now.wall.saturating_sub(job.accepted));
+            let run = JobRun::recovered(job, progress.get(&id), now.steady, age);
+            self.jobs.insert(id, run);
+            self.recover_runs(id);
+            self.advance(id);
+            if self.jobs.get(&id).is_some_and(|job| job.is_final()) {
+                // What is left of it is to be stopped, and its record to be closed.
+                self.stop_job(id, "its job has ended");
+                self.log.touch(id);
+            }
+        }
+        for (id, progress) in progress {
+            if !self.jobs.contains_key(id) {
+                self.closed.insert(*id, Closed { state: progress.state, since: now.steady });
+            }
+        }
+    }
+
+    fn recover_runs(&mut self, id: JobId) {
+        let now = self.now.steady;
+        let Some(job) = self.jobs.get(&id) else { return };
+        for (task, place) in job.places() {
+            let Some(step) = job.step(task) else { continue };
+            let mut run =
+                Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
+            run.stage = Stage::Recovered;
+            let service = &job.job.service;
+            let vm = self
+                .vms
+                .entry(place.vm.clone())
+                .or_insert_with(|| unannounced(&place.vm, service, now, self.inherited_until));
+            vm.runs.insert(RunKey { task, run: place.run }, run);
+        }
+    }
+}
+
+/// A VM that work is bound to and that isn't announced: nobody can call it, and its work ends by
+/// itself in time.
+fn unannounced(id: &VmId, service: &ServiceName, now: Duration, lapsed_by: Duration) -> Vm {
+    let entry = VmEntry {
+        id: id.clone(),
+        service: service.clone(),
+        domain: DomainId::new(""),
+        rack: RackId::new(""),
+        labels: Vec::new(),
+        size: Resources::ZERO,
+        state: VmState::Ready,
+        addr: Arc::from(""),
+    };
+    let mut vm = Vm::new(entry, now, lapsed_by);
+    vm.announced = super::vm_run::Announced::Missing { since: now };
+    vm
+}
--- /dev/null
+++ b/src/shard/summary.rs
@@ -0,0 +1,63 @@
+//! What others are told of a shard.
+
+use super::Shard;
+use super::event::Summary;
+use super::job_run::Started;
+use super::room::Room;
+use crate::job::QueueName;
+use indexmap::IndexMap;
+
+impl Shard {
+    /// The shard as others need to know it: to choose where a job goes, and to count what waits.
+    pub fn summary(&self) -> Summary {
+        let now = self.now.steady;
+        let mut summary = Summary::default();
+        for vm in self.vms.values() {
+            let Some(room) = Room::of(vm, now) else { continue };
+            summary.vms += 1;
+            summary.capacity += u64::from(vm.entry.size.milli_cores.0);
+            summary.free += u64::from(room.free.milli_cores.0);
+            summary.leftover += room.leftover.max(0.0) as u64;
+        }
+        let mut queued: IndexMap<QueueName, u32> = IndexMap::new();
+        for job in self.jobs.values().filter(|job| !job.is_final() && job.durable.is_some()) {
+            if job.started == Started::No {
+                *queued.entry(job.job.queue.clone()).or_default() += 1;
+            }
+            let work = work_left(job);
+            summary.leftover_work += work.leftover;
+            summary.waiting_work += work.waiting;
+        }
+        summary.queued = queued.into_iter().collect();
+        summary
+    }
+}
+
+struct WorkLeft {
+    leftover: u64,
+    waiting: u64,
+}
+
+fn work_left(job: &super::JobRun) -> WorkLeft {
+    use crate::job::progress::TaskPhase;
+    use crate::job::{Life, Share};
+    let mut left = WorkLeft { leftover: 0, waiting: 0 };
+    for occurrence in &job.open {
+        for (step, run) in job.job.steps.iter().zip(&occurrence.steps) {
+            if step.life == Life::Lasting {
+                continue;
+            }
+            let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            let work = millis.saturating_mul(u64::from(step.size.milli_cores.0));
+            let open = run.tasks.iter().filter(|task| task.phase == TaskPhase::Open);
+            for task in open {
+                match step.share {
+                    Share::Leftover => left.leftover += work,
+                    Share::Reserved if task.runs.is_empty() => left.waiting += work,
+                    Share::Reserved => {}
+                }
+            }
+        }
+    }
+    left
+}
