--- a/src/shard.rs
+++ b/src/shard.rs
@@ -13,12 +13,14 @@
 mod fleet;
 mod health;
 mod intake;
+pub mod interference;
 mod job_run;
 mod log;
 mod look;
 mod orders;
 mod place;
 mod recover;
+mod relief;
 mod room;
 pub mod settings;
 mod summary;
@@ -51,6 +53,7 @@
     closed: IndexMap<JobId, Closed>,
     vms: IndexMap<VmId, Vm>,
     log: Log,
+    effects: interference::Effects,
     /// Until when VMs that this owner hasn't reached may keep running what earlier owners started.
     inherited_until: Duration,
     stage: Stage,
@@ -93,12 +96,18 @@
         &self.name
     }
 
+    /// What was learned of how images disturb each other.
+    pub fn learned(&self) -> Vec<interference::Learned> {
+        self.effects.learned()
+    }
+
     /// This owner's fencing token.
     pub fn fence(&self) -> Fence {
         self.fence
     }
 
     fn handle(&mut self, event: Event) {
+        let now = self.now;
         match event {
             Event::Tick => {}
             Event::Queues(queues) => self.configure(queues),
@@ -113,6 +122,7 @@
             Event::Submit { ticket, job } => self.submit(ticket, job),
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
+            Event::Learned(learned) => self.effects.hear(&learned, now.steady),
             Event::HandOver => self.stage = Stage::HandingOver,
         }
     }
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -5,6 +5,7 @@
 use crate::kv::Txn;
 use crate::note::Note;
 use crate::queues::Queues;
+use crate::shard::interference::Learned;
 use crate::vm::{self, LookReq, LookResp, PaceReq, RunReq, StartReq, VmAddr, VmEntry, VmTime};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -44,6 +45,8 @@
     Cancel { ticket: Ticket, job: JobId },
     /// A caller asks for a job's state.
     Show { ticket: Ticket, job: JobId },
+    /// What another shard has learned of how images disturb each other.
+    Learned(Vec<Learned>),
     /// The owner stops as planned: begin nothing more, and finish what is being committed.
     HandOver,
 }
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -3,11 +3,12 @@
 use super::Shard;
 use super::event::Action;
 use super::finish::End;
+use super::interference::{Beside, Serving};
 use super::job_run::Place;
 use super::settings::{LOOK_RETRY, SILENT_AFTER};
 use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
 use crate::ids::VmId;
-use crate::job::{Share, TaskRef};
+use crate::job::{Image, Share, TaskRef};
 use crate::note::{Ms, Note, Word};
 use crate::vm::{self, EndKind, EndedRun, LookReq, LookResp, RunningTask, VmTime};
 use indexmap::IndexSet;
@@ -96,6 +97,7 @@
             seen.insert(RunKey { task: row.task, run: row.run });
             self.seen_running(id, row);
         }
+        self.learn(id, &resp.running);
         for row in resp.ended {
             seen.insert(RunKey { task: row.task, run: row.run });
             self.seen_ended(id, row);
@@ -103,6 +105,35 @@
         if complete {
             self.find_absent(id, sent, &seen);
         }
+        self.relieve(id);
+    }
+
+    /// Learns from the tails of the serving tasks on a VM.
+    fn learn(&mut self, id: &VmId, running: &[RunningTask]) {
+        let now = self.now.steady;
+        let Some(vm) = self.vms.get(id) else { return };
+        let size = f64::from(vm.entry.size.milli_cores.0).max(1.0);
+        let leftover: Vec<(Image, f64)> = running
+            .iter()
+            .filter_map(|row| {
+                let run = vm.runs.get(&RunKey { task: row.task, run: row.run })?;
+                let beside = run.share == Share::Leftover;
+                beside.then(|| (self.image(row.task), f64::from(row.milli_cores()) / size))
+            })
+            .collect();
+        let beside: Vec<Beside<'_>> =
+            leftover.iter().map(|(image, share)| Beside { image, share: *share }).collect();
+        for row in running.iter().filter(|row| row.percent == 100 && row.gauge > 0) {
+            let target = self.jobs.get(&row.task.job).and_then(|job| job.step(row.task));
+            let Some(target) = target.and_then(|step| step.tail_target) else { continue };
+            let image = self.image(row.task);
+            let key = RunKey { task: row.task, run: row.run };
+            let Some(run) = self.vms.get_mut(id).and_then(|vm| vm.runs.get_mut(&key)) else {
+                continue;
+            };
+            let serving = run.serving.get_or_insert_with(|| Serving::new(target, now));
+            self.effects.learn(serving, &image, row.tail(), &beside, now);
+        }
     }
 
     fn seen_running(&mut self, id: &VmId, row: &RunningTask) {
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -5,7 +5,7 @@
 use super::room::{Room, StepKey, Trial};
 use super::vm_run::{Run, RunKey};
 use crate::ids::VmId;
-use crate::job::{JobId, Share, ShownState, Step, TaskRef};
+use crate::job::{Image, JobId, Life, Share, ShownState, Step, TaskRef};
 use crate::note::{Ms, Note};
 use std::time::Duration;
 
@@ -16,6 +16,24 @@
 /// first. Tasks placed sooner only slow each other down.
 const MIN_LEFTOVER_SPEED: f64 = 0.6;
 
+/// How much a leftover task's speed counts against spare cores.
+const SPEED_WEIGHT: f64 = 100.0;
+
+/// Share of a VM's processors up to which lasting tasks are put there first. The rest is for
+/// tasks that must start at once, which take a tenth of all processors on average.
+const LASTING_SHARE: f64 = 0.8;
+
+/// Costs of placing a lasting task: beside other images only, where nothing serves yet, and where
+/// lasting tasks take nearly everything.
+const MIXED_IMAGES: f64 = 3.0;
+const OPENED_VM: f64 = 0.8;
+const FULL_OF_LASTING: f64 = 2.0;
+
+/// Costs that outweigh everything else, the heavier ones last resorts.
+const FAR_FROM_DATA: f64 = 1e4;
+const ON_TRIAL: f64 = 1e5;
+const FAILED_THERE: f64 = 1e6;
+
 /// A job with tasks that can start.
 struct Candidate {
     id: JobId,
@@ -37,7 +55,7 @@
             return;
         }
         let mut rooms: Vec<Room> =
-            self.vms.values().filter_map(|vm| Room::of(vm, now)).collect();
+            self.vms.values().filter_map(|vm| self.room(vm)).collect();
         for candidate in candidates {
             self.place_job(candidate.id, &mut rooms);
         }
@@ -110,7 +128,7 @@
         let mut choices = Vec::new();
         for task in group {
             let Some(choice) = self.choose(*task, step, &trial, ours) else { return };
-            trial[choice].take(step, StepKey::of(*task));
+            trial[choice].take(step, &self.image(*task), StepKey::of(*task), &self.effects);
             choices.push(choice);
         }
         let run = group.iter().filter_map(|task| {
@@ -132,6 +150,7 @@
     /// The best VM for a task.
     fn choose(&self, task: TaskRef, step: &Step, rooms: &[Room], ours: &[bool]) -> Option<usize> {
         let key = StepKey::of(task);
+        let image = self.image(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
         let fits = |(index, room): &(usize, &Room)| {
             ours[*index] && room.takes(step, key) && self.has_label(&room.vm, step)
@@ -141,13 +160,51 @@
             .enumerate()
             .filter(fits)
             .filter_map(|(index, room)| {
-                let cost = cost(room, step, key, failed_on.as_ref())?;
+                let cost = self.cost(room, step, &image, key, failed_on.as_ref())?;
                 Some((index, cost))
             })
             .min_by(|(_, a), (_, b)| a.total_cmp(b))
             .map(|(index, _)| index)
     }
 
+    /// What a task costs on a VM; less is better, `None` if it is better left to wait.
+    fn cost(
+        &self,
+        room: &Room,
+        step: &Step,
+        image: &Image,
+        key: StepKey,
+        failed_on: Option<&VmId>,
+    ) -> Option<f64> {
+        let mut cost = match (step.share, step.life) {
+            (Share::Leftover, _) => self.leftover_cost(room, step, image)?,
+            (Share::Reserved, Life::Lasting) => lasting_cost(room, step, image),
+            (Share::Reserved, Life::Finite) => -f64::from(room.free.milli_cores.0) / 1000.0,
+        };
+        cost += room.count(key) as f64;
+        if failed_on == Some(&room.vm) {
+            cost += FAILED_THERE;
+        }
+        if room.trial == Trial::Yes {
+            cost += ON_TRIAL;
+        }
+        if step.rack.as_ref().is_some_and(|rack| *rack != room.rack) {
+            cost += FAR_FROM_DATA;
+        }
+        Some(cost)
+    }
+
+    /// Leftover work goes where it works fastest without slowing down those served there.
+    fn leftover_cost(&self, room: &Room, step: &Step, image: &Image) -> Option<f64> {
+        let harmless = room.harmless_speed(step, image, &self.effects);
+        let speed = room.leftover_speed(step) * harmless;
+        if speed < MIN_LEFTOVER_SPEED {
+            return None;
+        }
+        let spare = (room.leftover - room.leftover_demand) / 1000.0;
+        Some(-SPEED_WEIGHT * speed - spare)
+    }
+
     fn has_label(&self, vm: &VmId, step: &Step) -> bool {
         let Some(label) = &step.label else { return true };
         self.vms.get(vm).is_some_and(|vm| vm.entry.labels.contains(label))
@@ -174,36 +231,21 @@
             vm.runs.insert(RunKey { task, run }, bound);
         }
         let (ready_ms, neighbours) = (Ms(now.saturating_sub(ready)), room.tasks());
-        room.take(step, StepKey::of(task));
+        room.take(step, &self.image(task), StepKey::of(task), &self.effects);
         let free_cores = u64::from(room.free.milli_cores.0 / 1000);
         self.note(Note::TaskBound { task, run, vm: vm_id, ready_ms, free_cores, neighbours });
     }
 }
 
-/// What a task costs on a VM; less is better, `None` if it is better left to wait.
-fn cost(room: &Room, step: &Step, key: StepKey, failed_on: Option<&VmId>) -> Option<f64> {
-    let mut cost = 0.0;
-    match step.share {
-        Share::Reserved => cost -= f64::from(room.free.milli_cores.0) / 1000.0,
-        Share::Leftover => {
-            let speed = room.leftover_speed(step);
-            if speed < MIN_LEFTOVER_SPEED {
-                return None;
-            }
-            cost -= room.leftover - room.leftover_demand;
-        }
-    }
-    cost += room.count(key) as f64;
-    if failed_on == Some(&room.vm) {
-        cost += 1e6;
-    }
-    if room.trial == Trial::Yes {
-        cost += 1e5;
-    }
-    if step.rack.as_ref().is_some_and(|rack| *rack != room.rack) {
-        cost += 1e4;
-    }
-    Some(cost)
+/// Lasting tasks of one image go together: which leftover work may run beside them is then the same
+/// for all of them. Some processors are kept free on each VM for work that must start at once.
+fn lasting_cost(room: &Room, step: &Step, image: &Image) -> f64 {
+    let (same, others) = room.alike(image);
+    let mixed = others as f64 / (same + others + 1) as f64;
+    let opened = if same + others == 0 { OPENED_VM } else { 0.0 };
+    let share = room.lasting_with(step);
+    let full = if share > LASTING_SHARE { FULL_OF_LASTING * share } else { 0.0 };
+    MIXED_IMAGES * mixed + opened + full + share
 }
 
 /// Tasks that can start.
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -61,6 +61,7 @@
             closed: IndexMap::new(),
             vms: IndexMap::new(),
             log: Log::new(keys, recovered.seq),
+            effects: super::interference::Effects::default(),
             inherited_until: now.steady
                 + keep
                 + keep.mul_f64(CLOCK_DRIFT)
--- /dev/null
+++ b/src/shard/relief.rs
@@ -0,0 +1,192 @@
+//! Slowing leftover work down where a serving task's tail would go over its target.
+//!
+//! For each VM it is worked out how fast each leftover task may work so that every serving task
+//! beside it stays under its bound ([`interference`](super::interference)). Whoever adds most to
+//! the load of the worst-off serving task is slowed first. A task that is over its target for a
+//! while, whatever the estimates say, has everything beside it stopped from working until it
+//! recovers: estimates may be wrong, a tail isn't.
+
+use super::Shard;
+use super::event::Action;
+use super::interference::{Effects, TARGET_SHARE};
+use super::vm_run::{RunKey, Vm};
+use crate::job::{Image, Share, TaskRef};
+use crate::note::Note;
+use crate::vm::PaceReq;
+use std::time::Duration;
+
+/// Time over the target after which the heaviest neighbours stop working.
+const OVER_LONG: Duration = Duration::from_millis(1200);
+
+/// Time over the target after which every neighbour does; half of the time that counts as harm.
+const OVER_TOO_LONG: Duration = Duration::from_millis(2000);
+
+/// Amount from which on a pair counts as heavy; between the two groups that amounts fall into.
+const HEAVY: f64 = 0.6;
+
+/// Least change of a pace that is worth an order.
+const PACE_STEP: u8 = 8;
+
+/// Most that a pace rises at a time: an own load that was read too low is noticed by the next look
+/// before its neighbours work at full speed again.
+const PACE_RISE: u8 = 34;
+
+/// Load that is kept back for the swing until the next look.
+const SWING_MARGIN: f64 = 0.03;
+
+/// A leftover task that may be slowed.
+struct Neighbour {
+    key: RunKey,
+    image: Image,
+    /// Share of the VM's processors that it uses at full speed.
+    full: f64,
+    pace: u8,
+    wanted: f64,
+}
+
+/// A serving task that may be harmed.
+struct Served {
+    task: TaskRef,
+    image: Image,
+    own: f64,
+    bound: f64,
+    over: Duration,
+    tail_ms: u32,
+    target_ms: u32,
+}
+
+impl Shard {
+    /// Sets the pace of the leftover work on a VM.
+    pub(super) fn relieve(&mut self, id: &crate::ids::VmId) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let mut neighbours = self.neighbours(vm);
+        if neighbours.is_empty() {
+            return;
+        }
+        let served = self.served(vm);
+        for neighbour in &mut neighbours {
+            neighbour.wanted = 1.0;
+        }
+        let worst = limit(&mut neighbours, &served, &self.effects);
+        for neighbour in &neighbours {
+            self.order_pace(id, neighbour, worst.map(|index| &served[index]));
+        }
+    }
+
+    fn neighbours(&self, vm: &Vm) -> Vec<Neighbour> {
+        let size = f64::from(vm.entry.size.milli_cores.0).max(1.0);
+        let running = vm.runs.iter().filter(|(_, run)| {
+            run.share == Share::Leftover && run.running_since.is_some() && !run.is_stopping()
+        });
+        running
+            .map(|(key, run)| {
+                let demand = f64::from(run.milli_cores);
+                // A slowed task's use says nothing of what it would use at full speed.
+                let used = f64::from(run.gauge);
+                let full = if run.pace == 100 && used > 0.0 { used.min(demand) } else { demand };
+                Neighbour {
+                    key: *key,
+                    image: self.image(key.task),
+                    full: full / size,
+                    pace: run.pace,
+                    wanted: 1.0,
+                }
+            })
+            .collect()
+    }
+
+    fn served(&self, vm: &Vm) -> Vec<Served> {
+        let now = self.now.steady;
+        let served = |(key, run): (&RunKey, &super::vm_run::Run)| {
+            let serving = run.serving.as_ref()?;
+            let target = self.jobs.get(&key.task.job)?.step(key.task)?.tail_target?;
+            Some(Served {
+                task: key.task,
+                image: self.image(key.task),
+                own: serving.own_load() + SWING_MARGIN,
+                bound: serving.load_for(TARGET_SHARE),
+                over: serving.over_since.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
+                tail_ms: run.gauge,
+                target_ms: u32::try_from(target.as_millis()).unwrap_or(u32::MAX),
+            })
+        };
+        vm.runs.iter().filter_map(served).collect()
+    }
+
+    /// The image of a task; tasks without one behave like their queue's.
+    pub(super) fn image(&self, task: TaskRef) -> Image {
+        let Some(job) = self.jobs.get(&task.job) else { return Image::new("") };
+        let image = job.step(task).and_then(|step| step.image.clone());
+        image.unwrap_or_else(|| Image::new(job.job.queue.as_str()))
+    }
+
+    fn order_pace(&mut self, id: &crate::ids::VmId, neighbour: &Neighbour, victim: Option<&Served>) {
+        let wanted = (neighbour.wanted * 100.0).round().clamp(0.0, 100.0) as u8;
+        let before = neighbour.pace;
+        let known = before <= 100;
+        let percent = if known { wanted.min(before.saturating_add(PACE_RISE)) } else { wanted };
+        let small = known && percent.abs_diff(before) < PACE_STEP;
+        let reaches_end = percent != before && (percent == 100 || percent == 0);
+        if small && !reaches_end {
+            return;
+        }
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let addr = vm.addr();
+        let Some(run) = vm.runs.get_mut(&neighbour.key) else { return };
+        run.pace = percent;
+        let RunKey { task, run } = neighbour.key;
+        let req = PaceReq { fence: self.fence, task, run, percent };
+        self.out.push(Action::Pace { vm: addr, req });
+        self.note(Note::TaskPaced {
+            task,
+            run,
+            vm: id.clone(),
+            percent,
+            victim: victim.map_or(task, |served| served.task),
+            tail_ms: victim.map_or(0, |served| served.tail_ms),
+            target_ms: victim.map_or(0, |served| served.target_ms),
+        });
+    }
+}
+
+/// Lowers the wanted paces until no serving task is over its bound; gives the one that was worst.
+fn limit(neighbours: &mut [Neighbour], served: &[Served], effects: &Effects) -> Option<usize> {
+    for served in served {
+        stop_beside(neighbours, served, effects);
+    }
+    let mut worst = None;
+    // Each round brings the worst-off under its bound, or one neighbour to a stop.
+    for _ in 0..neighbours.len() + served.len() {
+        let excess = |index: usize| {
+            let served = &served[index];
+            let added: f64 = neighbours
+                .iter()
+                .map(|n| effects.amount(&n.image, &served.image) * n.full * n.wanted)
+                .sum();
+            served.own + added - served.bound
+        };
+        let most = (0..served.len()).max_by(|a, b| excess(*a).total_cmp(&excess(*b)));
+        let Some(most) = most.filter(|index| excess(*index) > 0.0) else { return worst };
+        worst.get_or_insert(most);
+        let (over, image) = (excess(most), &served[most].image);
+        let load = |n: &Neighbour| effects.amount(&n.image, image) * n.full * n.wanted;
+        let heaviest = neighbours.iter_mut().max_by(|a, b| load(a).total_cmp(&load(b)));
+        let Some(heaviest) = heaviest else { return worst };
+        let added = load(heaviest);
+        if added <= 0.0 {
+            return worst;
+        }
+        heaviest.wanted *= (1.0 - over / added).max(0.0);
+    }
+    worst
+}
+
+/// A task that has been over its target for long isn't argued with.
+fn stop_beside(neighbours: &mut [Neighbour], served: &Served, effects: &Effects) {
+    for neighbour in neighbours {
+        let heavy = effects.amount(&neighbour.image, &served.image) >= HEAVY;
+        if served.over >= OVER_TOO_LONG || (served.over >= OVER_LONG && heavy) {
+            neighbour.wanted = 0.0;
+        }
+    }
+}
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -3,7 +3,9 @@
 use super::health::State;
 use super::vm_run::{RunKey, Vm};
 use crate::ids::{RackId, VmId};
-use crate::job::{Share, Step, TaskRef};
+use super::Shard;
+use super::interference::Effects;
+use crate::job::{Image, Life, Share, Step, TaskRef};
 use crate::units::Resources;
 use std::time::Duration;
 
@@ -22,10 +24,23 @@
     /// Processors that the leftover work there would use, in thousandths of a core.
     pub leftover_demand: f64,
     pub trial: Trial,
+    /// Serving tasks there.
+    pub served: Vec<Served>,
+    /// Processors reserved for lasting tasks, as a share of all.
+    pub lasting: f64,
+    size: f64,
     /// Steps of the tasks there, to count those of one step.
     steps: Vec<StepKey>,
 }
 
+/// A serving task, as far as placing beside it is concerned.
+#[derive(Clone, Debug)]
+pub struct Served {
+    pub image: Image,
+    /// Load that may be added before its tail is over the bound.
+    pub slack: f64,
+}
+
 /// Whether a VM gets one task at a time, to see whether it is well again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trial {
@@ -46,9 +61,46 @@
     }
 }
 
+/// Own load that a serving task is expected to have while work placed beside it runs: the mean of
+/// both sites and half of the swing.
+const EXPECTED_LOAD: f64 = 0.52;
+
+impl Shard {
+    /// The room on a VM; `None` if it takes no work now.
+    pub(super) fn room(&self, vm: &Vm) -> Option<Room> {
+        let mut room = Room::of(vm, self.now.steady)?;
+        let mut lasting = 0.0;
+        let mut beside = Vec::new();
+        for (key, run) in &vm.runs {
+            let Some(step) = self.jobs.get(&key.task.job).and_then(|job| job.step(key.task)) else {
+                continue;
+            };
+            let image = self.image(key.task);
+            if step.life == Life::Lasting && step.share == Share::Reserved {
+                lasting += f64::from(run.milli_cores) / room.size;
+            }
+            if step.tail_target.is_some() {
+                let bound = run.serving.map(|s| s.load_for(super::interference::TARGET_SHARE));
+                let slack = bound.unwrap_or(USUAL_BOUND) - EXPECTED_LOAD;
+                room.served.push(Served { image, slack });
+            } else if run.share == Share::Leftover {
+                beside.push((image, f64::from(run.milli_cores) / room.size));
+            }
+        }
+        room.lasting = lasting;
+        for (image, share) in beside {
+            room.add_beside(&image, share, &self.effects);
+        }
+        Some(room)
+    }
+}
+
+/// Bound on the load of a serving task that has told nothing yet.
+const USUAL_BOUND: f64 = 0.7;
+
 impl Room {
     /// The room on a VM; `None` if it takes no work now.
-    pub fn of(vm: &Vm, now: Duration) -> Option<Self> {
+    fn of(vm: &Vm, now: Duration) -> Option<Self> {
         if !vm.takes_work(now) {
             return None;
         }
@@ -72,6 +124,9 @@
             leftover: (f64::from(vm.entry.size.milli_cores.0) - used).max(0.0),
             leftover_demand,
             trial,
+            served: Vec::new(),
+            lasting: 0.0,
+            size: f64::from(vm.entry.size.milli_cores.0).max(1.0),
             steps: vm.runs.keys().map(|key: &RunKey| StepKey::of(key.task)).collect(),
         })
     }
@@ -93,14 +148,50 @@
     }
 
     /// Takes room for a task.
-    pub fn take(&mut self, step: &Step, key: StepKey) {
+    pub fn take(&mut self, step: &Step, image: &Image, key: StepKey, effects: &Effects) {
         self.free = self.free.saturating_sub(&step.reserved());
+        let share = f64::from(step.size.milli_cores.0) / self.size;
         if step.share == Share::Leftover {
             self.leftover_demand += f64::from(step.size.milli_cores.0);
+            self.add_beside(image, share, effects);
+        }
+        if step.life == Life::Lasting && step.share == Share::Reserved {
+            self.lasting += share;
+        }
+        if step.tail_target.is_some() {
+            let slack = USUAL_BOUND - EXPECTED_LOAD;
+            self.served.push(Served { image: image.clone(), slack });
         }
         self.steps.push(key);
     }
 
+    /// Speed at which a leftover task could work without harm to those served here, 0 to 1.
+    pub fn harmless_speed(&self, step: &Step, image: &Image, effects: &Effects) -> f64 {
+        let share = f64::from(step.size.milli_cores.0) / self.size;
+        let speed = |served: &Served| {
+            let added = effects.amount(image, &served.image) * share;
+            if added <= 0.0 { 1.0 } else { (served.slack / added).clamp(0.0, 1.0) }
+        };
+        self.served.iter().map(speed).fold(1.0, f64::min)
+    }
+
+    /// Share of the VM's processors that lasting tasks reserve once the task is there.
+    pub fn lasting_with(&self, step: &Step) -> f64 {
+        self.lasting + f64::from(step.size.milli_cores.0) / self.size
+    }
+
+    /// Serving tasks there with this image, and with others.
+    pub fn alike(&self, image: &Image) -> (usize, usize) {
+        let same = self.served.iter().filter(|served| served.image == *image).count();
+        (same, self.served.len() - same)
+    }
+
+    fn add_beside(&mut self, image: &Image, share: f64, effects: &Effects) {
+        for served in &mut self.served {
+            served.slack -= effects.amount(image, &served.image) * share;
+        }
+    }
+
     /// Speed that one more leftover task would have, 0 to 1.
     pub fn leftover_speed(&self, step: &Step) -> f64 {
         let demand = self.leftover_demand + f64::from(step.size.milli_cores.0);
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -3,17 +3,15 @@
 use super::Shard;
 use super::event::Summary;
 use super::job_run::Started;
-use super::room::Room;
 use crate::job::QueueName;
 use indexmap::IndexMap;
 
 impl Shard {
     /// The shard as others need to know it: to choose where a job goes, and to count what waits.
     pub fn summary(&self) -> Summary {
-        let now = self.now.steady;
         let mut summary = Summary::default();
         for vm in self.vms.values() {
-            let Some(room) = Room::of(vm, now) else { continue };
+            let Some(room) = self.room(vm) else { continue };
             summary.vms += 1;
             summary.capacity += u64::from(vm.entry.size.milli_cores.0);
             summary.free += u64::from(room.free.milli_cores.0);
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -1,5 +1,6 @@
 //! A VM of the shard: what runs there, what is known of its clock, and when it was last heard.
 
+use super::interference::Serving;
 use super::settings::{
     BUSY_LOOK, CLOCK_DRIFT, IDLE_LOOK, LAPSE_MARGIN, LOOK_RETRY, SILENT_AFTER, UNFORGOTTEN_LOOK,
 };
@@ -82,6 +83,8 @@
     pub gauge: u32,
     /// Speed it is paced to, of 100.
     pub pace: u8,
+    /// What is known of its load, for a task with a bound on its tail.
+    pub serving: Option<Serving>,
 }
 
 /// Whether an order without an answer may still be carried out.
@@ -270,6 +273,7 @@
             percent: 0,
             gauge: 0,
             pace: 100,
+            serving: None,
         }
     }
 
