--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -14,7 +14,7 @@
 
 /// Least speed that a leftover task is placed at: below it, those that run are better left to end
 /// first. Tasks placed sooner only slow each other down.
-const MIN_LEFTOVER_SPEED: f64 = 0.4;
+const MIN_LEFTOVER_SPEED: f64 = 0.8;
 
 /// How much a leftover task's speed counts against spare cores.
 const SPEED_WEIGHT: f64 = 100.0;
@@ -37,14 +37,41 @@
 const ON_TRIAL: f64 = 1e5;
 const FAILED_THERE: f64 = 1e6;
 
+/// Time after which a job of which nothing runs gets a place for one task, however slow it is
+/// there: work that stands still altogether looks lost to its caller.
+const STALLED: Duration = Duration::from_millis(1500);
+
+/// Whether a task is better left to wait than run slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Need {
+    Usual,
+    /// Nothing of its job runs, and hasn't for a while.
+    Stalled,
+}
+
 /// A job with tasks that can start.
 struct Candidate {
     id: JobId,
     priority: u32,
-    /// Time left until the job can't meet its aim any more, in seconds; negative if it can't.
-    slack: f64,
+    prospect: Prospect,
+    /// Orders those of one prospect, the lowest first.
+    rank: f64,
 }
 
+/// What can still become of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Prospect {
+    /// It can be done within its aim.
+    InTime,
+    /// It will be late, and is still of use.
+    Late,
+    /// It is past the time in which it was of use; it is done all the same.
+    Overdue,
+}
+
+/// Times its aim after which a finished job is of no use to its caller any more.
+const OF_USE: f64 = 3.0;
+
 impl Shard {
     /// Binds tasks that can start to VMs with room.
     pub(super) fn schedule(&mut self) {
@@ -73,18 +100,32 @@
             .map(|job| Candidate {
                 id: job.id(),
                 priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
-                slack: self.slack(job),
+                prospect: self.prospect(job).0,
+                rank: self.prospect(job).1,
             })
             .collect();
         candidates.sort_by(|a, b| {
-            a.priority.cmp(&b.priority).then(a.slack.total_cmp(&b.slack)).then(a.id.cmp(&b.id))
+            a.priority
+                .cmp(&b.priority)
+                .then(a.prospect.cmp(&b.prospect))
+                .then(a.rank.total_cmp(&b.rank))
+                .then(a.id.cmp(&b.id))
         });
         candidates
     }
 
-    fn slack(&self, job: &JobRun) -> f64 {
+    fn prospect(&self, job: &JobRun) -> (Prospect, f64) {
         let spent = self.now.steady.saturating_sub(job.since).as_secs_f64();
-        self.aim(job.id()).as_secs_f64() - spent - chain(job).as_secs_f64()
+        let aim = self.aim(job.id()).as_secs_f64();
+        let left = chain_left(job).as_secs_f64();
+        let slack = aim - spent - left;
+        if slack >= 0.0 {
+            (Prospect::InTime, left)
+        } else if OF_USE * aim - spent - left >= 0.0 {
+            (Prospect::Late, left)
+        } else {
+            (Prospect::Overdue, spent)
+        }
     }
 
     /// Time from a job's acceptance by which it should be done.
@@ -110,7 +151,8 @@
                 continue;
             }
             for task in group {
-                let Some(choice) = self.choose(task, step, rooms, &ours) else { break };
+                let need = if self.is_stalled(id, task) { Need::Stalled } else { Need::Usual };
+                let Some(choice) = self.choose(task, step, need, rooms, &ours) else { break };
                 self.bind(task, step, &mut rooms[choice]);
             }
         }
@@ -130,7 +172,7 @@
         let mut trial = rooms.to_vec();
         let mut choices = Vec::new();
         for task in group {
-            let Some(choice) = self.choose(*task, step, &trial, ours) else { return };
+            let Some(choice) = self.choose(*task, step, Need::Usual, &trial, ours) else { return };
             trial[choice].take(step, &self.image(*task), StepKey::of(*task), &self.effects);
             choices.push(choice);
         }
@@ -151,7 +193,14 @@
     }
 
     /// The best VM for a task.
-    fn choose(&self, task: TaskRef, step: &Step, rooms: &[Room], ours: &[bool]) -> Option<usize> {
+    fn choose(
+        &self,
+        task: TaskRef,
+        step: &Step,
+        need: Need,
+        rooms: &[Room],
+        ours: &[bool],
+    ) -> Option<usize> {
         let key = StepKey::of(task);
         let image = self.image(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
@@ -163,7 +212,7 @@
             .enumerate()
             .filter(fits)
             .filter_map(|(index, room)| {
-                let cost = self.cost(room, step, &image, key, failed_on.as_ref())?;
+                let cost = self.cost(room, step, &image, need)? + penalty(room, key, step, &failed_on);
                 Some((index, cost))
             })
             .min_by(|(_, a), (_, b)| a.total_cmp(b))
@@ -176,32 +225,35 @@
         room: &Room,
         step: &Step,
         image: &Image,
-        key: StepKey,
-        failed_on: Option<&VmId>,
+        need: Need,
     ) -> Option<f64> {
-        let mut cost = match (step.share, step.life) {
-            (Share::Leftover, _) => self.leftover_cost(room, step, image)?,
+        let cost = match (step.share, step.life) {
+            (Share::Leftover, _) => self.leftover_cost(room, step, image, need)?,
             (Share::Reserved, Life::Lasting) => lasting_cost(room, step, image),
             (Share::Reserved, Life::Finite) => -f64::from(room.free.milli_cores.0) / 1000.0,
         };
-        cost += SAME_STEP * room.count(key) as f64;
-        if failed_on == Some(&room.vm) {
-            cost += FAILED_THERE;
-        }
-        if room.trial == Trial::Yes {
-            cost += ON_TRIAL;
-        }
-        if step.rack.as_ref().is_some_and(|rack| *rack != room.rack) {
-            cost += FAR_FROM_DATA;
-        }
         Some(cost)
     }
 
+    /// Whether nothing of a job runs though its turn came a while ago.
+    fn is_stalled(&self, id: JobId, task: TaskRef) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let since = job.step_run(task).and_then(|step| step.ready);
+        let waited = since.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at));
+        waited >= STALLED && !job.has_runs()
+    }
+
     /// Leftover work goes where it works fastest without slowing down those served there.
-    fn leftover_cost(&self, room: &Room, step: &Step, image: &Image) -> Option<f64> {
+    fn leftover_cost(
+        &self,
+        room: &Room,
+        step: &Step,
+        image: &Image,
+        need: Need,
+    ) -> Option<f64> {
         let harmless = room.harmless_speed(step, image, &self.effects);
         let speed = room.leftover_speed(step) * harmless;
-        if speed < MIN_LEFTOVER_SPEED {
+        if speed < MIN_LEFTOVER_SPEED && need == Need::Usual {
             return None;
         }
         let spare = (room.leftover - room.leftover_demand) / 1000.0;
@@ -240,6 +292,21 @@
     }
 }
 
+/// What speaks against a VM whatever the task.
+fn penalty(room: &Room, key: StepKey, step: &Step, failed_on: &Option<VmId>) -> f64 {
+    let mut cost = SAME_STEP * room.count(key) as f64;
+    if failed_on.as_ref() == Some(&room.vm) {
+        cost += FAILED_THERE;
+    }
+    if room.trial == Trial::Yes {
+        cost += ON_TRIAL;
+    }
+    if step.rack.as_ref().is_some_and(|rack| *rack != room.rack) {
+        cost += FAR_FROM_DATA;
+    }
+    cost
+}
+
 /// Lasting tasks of one image go together: which leftover work may run beside them is then the same
 /// for all of them. Some processors are kept free on each VM for work that must start at once.
 fn lasting_cost(room: &Room, step: &Step, image: &Image) -> f64 {
@@ -287,3 +354,18 @@
     }
     until.into_iter().max().unwrap_or_default()
 }
+
+/// The longest chain of what is left of a job's estimates.
+fn chain_left(job: &JobRun) -> Duration {
+    let left = |occurrence: &super::job_run::Occurrence| {
+        let mut until: Vec<Duration> = Vec::with_capacity(job.job.steps.len());
+        for (step, run) in job.job.steps.iter().zip(&occurrence.steps) {
+            let before = step.after.iter().filter_map(|after| until.get(usize::from(*after)));
+            let start = before.max().copied().unwrap_or_default();
+            let own = if run.succeeded() { Duration::ZERO } else { step.estimate };
+            until.push(start + own);
+        }
+        until.into_iter().max().unwrap_or_default()
+    };
+    job.open.iter().map(left).max().unwrap_or_default()
+}
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -63,7 +63,7 @@
 
 /// Own load that a serving task is expected to have while work placed beside it runs: the mean of
 /// both sites. Work beside a task that swings above it is slowed for a while.
-const EXPECTED_LOAD: f64 = 0.5;
+const EXPECTED_LOAD: f64 = 0.64;
 
 impl Shard {
     /// The room on a VM; `None` if it takes no work now.
@@ -184,7 +184,10 @@
             if amount <= 0.0 { self.size } else { bound / amount * self.size }
         };
         let most = self.served.iter().map(most).fold(self.size, f64::min);
-        most.min(self.leftover) as u64
+        // A VM where the image may use a tenth of what is left is worth far less than a tenth: what
+        // runs there is slowed with every swing of those served.
+        let share = (most / self.leftover.max(1.0)).min(1.0);
+        (self.leftover * share * share) as u64
     }
 
     /// Share of the VM's processors that lasting tasks reserve once the task is there.
