Lend tasks between shards

Ruled out: moving whole jobs (throws running work away), one shard for all VMs (a domain that is cut off would lose its running work after the 6 s that VMs keep it).

Change: a task without room is lent; both sides make their part durable first and repeat it until answered. Lasting tasks first, with a VM kept free for one that fits nowhere.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -21,8 +21,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
     pub state: ShownState,
+    /// Shard that lent tasks of the job to this one; `None` in the shard that accepted it.
+    pub home: Option<String>,
     /// VMs that bindings name, by their place in this table.
     pub vms: Vec<VmId>,
+    /// Shards that tasks are lent to, by their place in this table.
+    pub shards: Vec<String>,
     /// Occurrences begun so far.
     pub begun: u32,
     /// Occurrences that were begun and haven't ended.
@@ -48,14 +52,33 @@
     pub checkpoint: Option<Checkpoint>,
     /// Runs that may have started and aren't known to have ended.
     pub bound: Vec<Binding>,
+    /// Shard that runs it in place of this one.
+    pub lent: Option<LentTo>,
+    /// Number of the loan by which it is here; zero in the shard that accepted the job.
+    pub loan: u64,
 }
 
-/// Whether a task has succeeded.
+/// What has become of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskPhase {
     #[default]
     Open,
     Succeeded,
+    /// Lent here: it used up its attempts.
+    Failed,
+    /// Lent here: it is given back without having succeeded.
+    GivenBack,
+    /// Of a job of which other tasks are lent here.
+    Elsewhere,
+}
+
+/// A loan as the lending shard keeps it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LentTo {
+    /// Place in the record's table of shards.
+    pub shard: u16,
+    /// Number of the loan; rises with each of a shard.
+    pub loan: u64,
 }
 
 /// One run's VM.
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -4,7 +4,7 @@
 //! whether it still owns its shards before it gives any order.
 
 use super::calls::{Call, Reply};
-use super::links::{Links, Offer, Probe, SayHello};
+use super::links::{Links, Offer, Probe, SayHello, Tell};
 use super::orders::Order;
 use super::records::{Claim, Commit, Confirm, Confirmation, Forget, ReadHeads};
 use super::view::{Directory, Owner, Readiness, ShardView, View};
@@ -21,6 +21,7 @@
     self, Action, Announcements, Answer, CommitResult, Event, Now, Recovered, Shard, Summary,
 };
 use crate::shard::interference::Learned;
+use crate::shard::loan::LoanMsg;
 use crate::vm::{Fence, VmEntry};
 use actix::prelude::*;
 use indexmap::IndexMap;
@@ -38,6 +39,9 @@
 const OWNER_HELLO: Duration = Duration::from_millis(400);
 const HELLO: Duration = Duration::from_millis(1000);
 
+/// Age up to which another shard's news are gone by for lending.
+const FRESH_NEIGHBOUR: Duration = Duration::from_millis(1500);
+
 /// Between two tellings of what was learned of how images disturb each other: 2 KB with 45 pairs.
 const LEARNED_EVERY: Duration = Duration::from_millis(1500);
 
@@ -220,11 +224,46 @@
                 self.hear_of_job(shard, &note);
                 self.journal.write(note);
             }
+            Action::Tell { to, msg } => self.tell(shard, &to, msg, cx),
             Action::Fenced => self.drop_shard(shard, "a VM has seen a later owner", cx),
             Action::HandedOver => self.handed_over(shard, cx),
         }
     }
 
+    /// Says something to the owner of another shard, wherever that is.
+    fn tell(&mut self, from: &Arc<str>, to: &Arc<str>, msg: LoanMsg, cx: &mut Context<Self>) {
+        if self.hosted.contains_key(&**to) {
+            // Not at once: the shard that says it is being stepped.
+            let (from, to) = (from.clone(), to.clone());
+            cx.notify(TakeMessage { shard: to, from, msg });
+            return;
+        }
+        // Without an owner it is lost, and said again.
+        let (Some(owner), Some(rings)) = (self.ownership.owner(to), &self.rings) else { return };
+        let (shard, from) = (to.to_string(), from.to_string());
+        rings.links.do_send(Tell { to: owner, shard, from, msg });
+    }
+
+    /// Tells the shards here what is known of the others.
+    fn tell_neighbours(&mut self, cx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let mut known: Vec<(Arc<str>, Arc<Summary>)> = Vec::new();
+        for (name, view) in &self.others {
+            let fresh = now.saturating_sub(view.at) < FRESH_NEIGHBOUR;
+            if fresh && self.ownership.owner(name).is_some() && !self.hosted.contains_key(name) {
+                known.push((Arc::from(name.as_str()), view.summary.clone()));
+            }
+        }
+        for hosted in self.hosted.values() {
+            known.push((hosted.name.clone(), hosted.summary.clone()));
+        }
+        let names: Vec<String> = self.hosted.keys().cloned().collect();
+        for name in names {
+            let others = known.iter().filter(|(other, _)| **other != *name).cloned().collect();
+            self.step(&name, Event::Neighbours(others), cx);
+        }
+    }
+
     fn hear_of_job(&mut self, shard: &Arc<str>, note: &Note) {
         if let Note::JobAccepted { job, .. } = note {
             self.add_to_directory(*job, shard);
@@ -429,7 +468,8 @@
         let now = self.now();
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
         let (closed, jobs) = (recovered.progress.len(), recovered.jobs.len());
-        let known: Vec<JobId> = recovered.progress.iter().map(|(id, _)| *id).collect();
+        let accepted = recovered.progress.iter().filter(|(_, p)| p.home.is_none());
+        let known: Vec<JobId> = accepted.map(|(id, _)| *id).collect();
         let shard = Shard::new(
             recovered,
             self.settings,
@@ -644,6 +684,7 @@
             let summary = Arc::new(news.summary.clone());
             self.others.insert(news.name.clone(), ShardView { owner: None, summary, at: now });
         }
+        self.tell_neighbours(cx);
         let learned: Vec<(String, Vec<Learned>)> =
             msg.0.shards.iter().map(|news| (news.name.clone(), news.learned.clone())).collect();
         for (from, learned) in learned {
@@ -717,6 +758,24 @@
     }
 }
 
+/// Another shard's owner says something about a loan.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct TakeMessage {
+    pub shard: Arc<str>,
+    pub from: Arc<str>,
+    pub msg: LoanMsg,
+}
+
+impl Handler<TakeMessage> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeMessage, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.step(&msg.shard, Event::Message { from: msg.from, msg: msg.msg }, cx);
+    }
+}
+
 /// The daemon stops as planned.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -5,10 +5,11 @@
 //! followed by the next one, and a call that failed is the caller's to repeat.
 
 use super::calls::{Call, Reply};
-use super::control::{Control, Hear, Refused, TakeCall, TakeOffer};
+use super::control::{Control, Hear, Refused, TakeCall, TakeMessage, TakeOffer};
 use crate::cluster::{Hello, Member};
 use crate::ids::DaemonId;
 use crate::ring::RING_CAPACITY;
+use crate::shard::loan::LoanMsg;
 use actix::prelude::*;
 use futures::StreamExt;
 use indexmap::IndexMap;
@@ -17,6 +18,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tarpc::client::RpcError;
 use tarpc::context::Context as CallContext;
@@ -41,6 +43,9 @@
     /// Makes a caller's call at the owner of a shard.
     async fn call(shard: String, call: Call) -> Reply;
 
+    /// Says something about a loan to the owner of a shard.
+    async fn tell(shard: String, from: String, msg: LoanMsg);
+
     /// Offers a shard that its owner has given up.
     async fn take(shard: String, from: DaemonId);
 }
@@ -135,6 +140,11 @@
         self.control.send(TakeCall { shard, call }).await.unwrap_or(Reply::NotOwner)
     }
 
+    async fn tell(self, _: CallContext, shard: String, from: String, msg: LoanMsg) {
+        let (shard, from) = (Arc::from(shard.as_str()), Arc::from(from.as_str()));
+        self.control.do_send(TakeMessage { shard, from, msg });
+    }
+
     async fn take(self, _: CallContext, shard: String, from: DaemonId) {
         self.control.do_send(TakeOffer { shard, from });
     }
@@ -212,6 +222,28 @@
     }
 }
 
+/// Says something about a loan to a shard's owner; lost if it isn't heard.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Tell {
+    pub to: Member,
+    pub shard: String,
+    pub from: String,
+    pub msg: LoanMsg,
+}
+
+impl Handler<Tell> for Links {
+    type Result = ();
+
+    fn handle(&mut self, msg: Tell, _: &mut Self::Context) {
+        let link = self.link(&msg.to.addr);
+        actix::spawn(async move {
+            // It is said again until it is answered.
+            let _ = link.tell(msg.shard, msg.from, msg.msg).await;
+        });
+    }
+}
+
 /// Makes a caller's call at another daemon.
 #[derive(Message)]
 #[rtype(result = "Result<Reply>")]
@@ -251,6 +283,11 @@
         self.ask(HELLO_TIMEOUT, |client, cx| async move { client.take(cx, shard, from).await }).await
     }
 
+    async fn tell(&self, shard: String, from: String, msg: LoanMsg) -> Result<()> {
+        let told = |client: JobsRpcClient, cx| async move { client.tell(cx, shard, from, msg).await };
+        self.ask(HELLO_TIMEOUT, told).await
+    }
+
     async fn call(&self, shard: String, call: Call, timeout: Duration) -> Result<Reply> {
         self.ask(timeout, |client, cx| async move { client.call(cx, shard, call).await }).await
     }
--- a/src/note.rs
+++ b/src/note.rs
@@ -156,6 +156,8 @@
     Telling JobEnded = "job-ended" { job: JobId, queue: QueueName, state: Word, took_ms: Ms, aim_ms: Ms, seq: u64, }
     /// A caller gave a job up.
     Telling JobCancelled = "job-cancelled" { job: JobId, queue: QueueName, runs: usize, }
+    /// Tasks that find no room in their shard are lent to another.
+    Telling TasksLent = "tasks-lent" { job: JobId, to: String, tasks: usize, }
     /// A run was bound to a VM.
     Routine TaskBound = "task-bound" { task: TaskRef, run: RunNumber, vm: VmId, ready_ms: Ms, free_cores: u64, neighbours: usize, }
     /// A VM confirmed a start.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -15,6 +15,7 @@
 mod intake;
 pub mod interference;
 mod job_run;
+pub mod loan;
 mod log;
 mod look;
 mod orders;
@@ -55,6 +56,7 @@
     vms: IndexMap<VmId, Vm>,
     log: Log,
     effects: interference::Effects,
+    loans: loan::Loans,
     /// Until when VMs that this owner hasn't reached may keep running what earlier owners started.
     inherited_until: Duration,
     stage: Stage,
@@ -123,6 +125,8 @@
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
             Event::Learned { from, learned } => self.effects.hear(&from, &learned),
+            Event::Neighbours(neighbours) => self.loans.know(neighbours),
+            Event::Message { from, msg } => self.hear_message(&from, msg),
             Event::HandOver => self.stage = Stage::HandingOver,
         }
     }
@@ -136,6 +140,7 @@
         self.check_contacts();
         if self.stage == Stage::Serving {
             self.schedule();
+            self.tell_loans();
             self.send_orders();
             self.look();
         }
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -1,11 +1,13 @@
 //! What a shard is told, and what it asks for.
 
-use crate::ids::{Ticket, VmId};
-use crate::job::{Image, Job, JobId, QueueName, RunNumber, ShownState, TaskRef};
+use crate::ids::{RackId, ServiceName, Ticket, VmId};
+use crate::units::Resources;
+use crate::job::{Image, Job, JobId, Label, QueueName, RunNumber, ShownState, TaskRef};
 use crate::kv::Txn;
 use crate::note::Note;
 use crate::queues::Queues;
 use crate::shard::interference::Learned;
+use crate::shard::loan::LoanMsg;
 use crate::vm::{self, LookReq, LookResp, PaceReq, RunReq, StartReq, VmAddr, VmEntry, VmTime};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -47,6 +49,10 @@
     Show { ticket: Ticket, job: JobId },
     /// What another shard has learned of how images disturb each other.
     Learned { from: String, learned: Vec<Learned> },
+    /// Other shards, as they were last heard of.
+    Neighbours(Vec<(Arc<str>, Arc<Summary>)>),
+    /// Another shard's owner says something about a loan.
+    Message { from: Arc<str>, msg: LoanMsg },
     /// The owner stops as planned: begin nothing more, and finish what is being committed.
     HandOver,
 }
@@ -94,6 +100,8 @@
     Pace { vm: VmAddr, req: PaceReq },
     /// Makes changes durable; at most one is under way.
     Commit { seq: u64, txn: Txn },
+    /// Tells another shard's owner something about a loan; lost if it isn't there.
+    Tell { to: Arc<str>, msg: LoanMsg },
     /// Answers a caller.
     Reply { ticket: Ticket, answer: Answer },
     /// A line for the log.
@@ -121,6 +129,15 @@
     NotHere,
 }
 
+/// Room on one VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FreeRoom {
+    pub free: Resources,
+    pub rack: RackId,
+    pub labels: Vec<Label>,
+    pub service: ServiceName,
+}
+
 /// What others are told of a shard.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -134,12 +151,16 @@
     pub leftover: u64,
     /// Of these, what leftover work of an image gets without harm to those served beside it.
     pub harmless: Vec<(Image, u64)>,
+    /// The same of what nothing uses yet.
+    pub harmless_free: Vec<(Image, u64)>,
     /// Leftover work that is left, in milliseconds times thousandths of a core.
     pub leftover_work: u64,
     /// Reserved work that waits, in milliseconds times thousandths of a core.
     pub waiting_work: u64,
     /// Jobs that no task of has started, by queue.
     pub queued: Vec<(QueueName, u32)>,
+    /// Room that is free on the VMs that take work.
+    pub rooms: Vec<FreeRoom>,
     /// VMs that take work.
     pub vms: u32,
 }
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -89,7 +89,7 @@
         self.note(Note::TaskFailed { task, run, vm: vm_id, failed, attempts, ran_ms });
         self.blame(vm, earlier.as_ref(), task);
         if failed >= attempts && !lasts(&step) {
-            self.fail_job(task.job);
+            self.give_task_up(task);
         }
     }
 
@@ -112,7 +112,18 @@
         self.note(Note::VmHealth { vm, health: "sick", failed, of, rate_percent });
     }
 
-    fn fail_job(&mut self, id: JobId) {
+    /// A task has used up its attempts: its job fails, wherever that is.
+    fn give_task_up(&mut self, task: TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if !job.is_guest() {
+            return self.fail_job(task.job);
+        }
+        if let Some(task) = job.task_mut(task) {
+            task.phase = TaskPhase::Failed;
+        }
+    }
+
+    pub(super) fn fail_job(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.state = ShownState::Failed;
         }
@@ -123,7 +134,7 @@
     pub(super) fn advance(&mut self, id: JobId) {
         let now = self.now.steady;
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if !job.is_final() && job.all_succeeded() {
+        if !job.is_final() && !job.is_guest() && job.all_succeeded() {
             job.state = ShownState::Done;
         }
         job.advance(now);
@@ -205,7 +216,8 @@
 }
 
 fn begins(job: &JobRun, wall: std::time::Duration) -> bool {
-    job.begun < job.job.repeat.occurrences()
+    !job.is_guest()
+        && job.begun < job.job.repeat.occurrences()
         && job.job.repeat.due(job.begun).is_none_or(|due| wall >= due)
 }
 
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -79,7 +79,7 @@
         if self.closed.contains_key(&id) {
             return self.reply(ticket, Answer::Cancelling);
         }
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_guest()) else {
             return self.reply(ticket, Answer::NotHere);
         };
         if job.is_final() && job.durable == Some(job.state) {
@@ -98,8 +98,8 @@
     pub(super) fn show(&mut self, ticket: Ticket, id: JobId) {
         let state = match (self.closed.get(&id), self.jobs.get(&id)) {
             (Some(closed), _) => Some(closed.state),
-            (None, Some(job)) => job.durable.map(|durable| shown(job, durable)),
-            (None, None) => return self.reply(ticket, Answer::NotHere),
+            (None, Some(job)) if !job.is_guest() => job.durable.map(|durable| shown(job, durable)),
+            (None, _) => return self.reply(ticket, Answer::NotHere),
         };
         let answer = state.map_or_else(
             || Answer::Unknown { reason: "the job isn't durable yet; ask again".to_owned() },
@@ -120,6 +120,8 @@
         let Some(commit) = self.log.answered(seq) else { return };
         match result {
             CommitResult::Durable => {
+                self.out.extend(commit.actions);
+                self.loans.hurry(self.now.steady);
                 for part in commit.parts {
                     self.recorded(part.id, part.state, part.record, seq);
                     part.effects.into_iter().for_each(|effect| self.take_effect(effect));
@@ -193,6 +195,12 @@
         let was = std::mem::replace(&mut job.record, record);
         let queue = job.job.queue.clone();
         let (waited, tasks) = (now.saturating_sub(job.since), tasks_of(&job.job));
+        if job.is_guest() {
+            if record == RecordState::Dropped && !self.log.waits(id) {
+                self.jobs.shift_remove(&id);
+            }
+            return;
+        }
         if was == RecordState::New {
             let waited_ms = Ms(waited);
             self.note(Note::JobAccepted { job: id, queue: queue.clone(), tasks, waited_ms, seq });
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{Ticket, VmId};
 use crate::job::progress::{
-    Binding, OccurrenceProgress, Progress, TaskPhase, TaskProgress,
+    Binding, LentTo, OccurrenceProgress, Progress, TaskPhase, TaskProgress,
 };
 use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, ShownState, Step, TaskRef};
 use crate::shard::event::Answer;
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub struct JobRun {
     pub job: Arc<Job>,
+    /// Shard that lent tasks of it to this one; `None` for a job accepted here.
+    pub home: Option<Arc<str>>,
     /// As decided here.
     pub state: ShownState,
     /// As it is durable; callers are shown nothing else.
@@ -46,6 +48,8 @@
     Kept,
     /// Only the final state.
     Closed,
+    /// Nothing any more: its lent tasks have been given back.
+    Dropped,
 }
 
 /// What takes place once a job's changes are durable.
@@ -85,6 +89,25 @@
     pub failed_on: Option<VmId>,
     /// When it last ended or stopped being at work.
     pub away_since: Option<Duration>,
+    /// Shard that runs it in place of this one.
+    pub lent: Option<Lent>,
+    /// Number of the loan by which it is here.
+    pub loan: u64,
+}
+
+/// A task that another shard runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lent {
+    pub to: Arc<str>,
+    pub loan: u64,
+    pub known: LoanKnown,
+}
+
+/// Whether the other shard has said that it has a loan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoanKnown {
+    No,
+    Yes,
 }
 
 /// Where a run is.
@@ -99,6 +122,7 @@
     pub fn new(job: Arc<Job>, now: Duration) -> Self {
         Self {
             job,
+            home: None,
             state: ShownState::Queued,
             durable: None,
             begun: 0,
@@ -119,8 +143,8 @@
         run.state = progress.state;
         run.durable = Some(progress.state);
         run.begun = progress.begun;
-        run.open =
-            progress.open.iter().map(|o| Occurrence::recovered(o, &progress.vms, now)).collect();
+        run.home = progress.home.as_deref().map(Arc::from);
+        run.open = progress.open.iter().map(|o| Occurrence::recovered(o, progress, now)).collect();
         let begun = |task: &Task| task.last_run > RunNumber(0);
         if run.tasks().any(begun) || progress.state != ShownState::Queued {
             run.started = Started::Yes;
@@ -157,6 +181,27 @@
         places
     }
 
+    /// Whether tasks of it are lent here by another shard.
+    pub fn is_guest(&self) -> bool {
+        self.home.is_some()
+    }
+
+    /// Whether another shard runs any task.
+    pub fn has_lent(&self) -> bool {
+        self.tasks().any(|task| task.lent.is_some())
+    }
+
+    /// Every task of the open occurrences, with its name.
+    pub fn named_tasks(&self) -> impl Iterator<Item = (TaskRef, &Task)> {
+        self.open.iter().flat_map(move |occurrence| {
+            occurrence.steps.iter().enumerate().flat_map(move |(step, run)| {
+                run.tasks.iter().enumerate().map(move |(index, task)| {
+                    (self.task_ref(occurrence.number, step, index), task)
+                })
+            })
+        })
+    }
+
     /// Whether any run isn't known to have ended.
     pub fn has_runs(&self) -> bool {
         self.tasks().any(|task| !task.runs.is_empty())
@@ -212,6 +257,12 @@
 
     /// Marks steps whose turn has come, and drops occurrences that have ended and run nothing.
     pub fn advance(&mut self, now: Duration) {
+        if self.is_guest() {
+            // What is lent here has had its turn where it comes from.
+            let steps = self.open.iter_mut().flat_map(|occurrence| &mut occurrence.steps);
+            steps.for_each(|step| step.ready = step.ready.or(Some(now)));
+            return;
+        }
         let job = self.job.clone();
         for occurrence in &mut self.open {
             occurrence.mark_ready(&job, now);
@@ -226,19 +277,21 @@
 
     /// What has to be durable.
     pub fn progress(&self) -> Progress {
-        let mut vms = Vec::new();
-        let open = self.open.iter().map(|o| o.progress(&mut vms)).collect();
-        Progress { state: self.state, vms, begun: self.begun, open }
+        let mut tables = Tables::default();
+        let open = self.open.iter().map(|o| o.progress(&mut tables)).collect();
+        let home = self.home.as_deref().map(str::to_owned);
+        let Tables { vms, shards } = tables;
+        Progress { state: self.state, home, vms, shards, begun: self.begun, open }
     }
 }
 
 impl Occurrence {
-    fn recovered(progress: &OccurrenceProgress, vms: &[VmId], now: Duration) -> Self {
-        let steps = progress.steps.iter().map(|tasks| StepRun {
-            tasks: tasks.iter().map(|t| Task::recovered(t, vms)).collect(),
+    fn recovered(occurrence: &OccurrenceProgress, whole: &Progress, now: Duration) -> Self {
+        let steps = occurrence.steps.iter().map(|tasks| StepRun {
+            tasks: tasks.iter().map(|t| Task::recovered(t, whole)).collect(),
             ready: None,
         });
-        Self { number: progress.number, since: now, steps: steps.collect() }
+        Self { number: occurrence.number, since: now, steps: steps.collect() }
     }
 
     fn mark_ready(&mut self, job: &Job, now: Duration) {
@@ -262,8 +315,8 @@
         self.succeeded() && self.steps.iter().flat_map(|s| &s.tasks).all(|t| t.runs.is_empty())
     }
 
-    fn progress(&self, vms: &mut Vec<VmId>) -> OccurrenceProgress {
-        let steps = self.steps.iter().map(|s| s.tasks.iter().map(|t| t.progress(vms)).collect());
+    fn progress(&self, tables: &mut Tables) -> OccurrenceProgress {
+        let steps = self.steps.iter().map(|s| s.tasks.iter().map(|t| t.progress(tables)).collect());
         OccurrenceProgress { number: self.number, steps: steps.collect() }
     }
 }
@@ -281,11 +334,15 @@
 }
 
 impl Task {
-    fn recovered(progress: &TaskProgress, vms: &[VmId]) -> Self {
+    fn recovered(progress: &TaskProgress, whole: &Progress) -> Self {
         let place = |b: &Binding| {
-            let vm = vms.get(usize::from(b.vm))?.clone();
+            let vm = whole.vms.get(usize::from(b.vm))?.clone();
             Some(Place { vm, run: b.run })
         };
+        let lent = |lent: LentTo| {
+            let to = Arc::from(whole.shards.get(usize::from(lent.shard))?.as_str());
+            Some(Lent { to, loan: lent.loan, known: LoanKnown::No })
+        };
         Self {
             phase: progress.state,
             last_run: progress.last_run,
@@ -294,12 +351,19 @@
             runs: progress.bound.iter().filter_map(place).collect(),
             failed_on: None,
             away_since: None,
+            lent: progress.lent.and_then(lent),
+            loan: progress.loan,
         }
     }
 
-    fn progress(&self, vms: &mut Vec<VmId>) -> TaskProgress {
+    fn progress(&self, tables: &mut Tables) -> TaskProgress {
+        let lent = self.lent.as_ref().map(|lent| LentTo {
+            shard: intern(&mut tables.shards, &lent.to.to_string()),
+            loan: lent.loan,
+        });
+        let vms = &mut tables.vms;
         let bound = self.runs.iter().map(|place| Binding {
-            vm: u16::try_from(intern(vms, &place.vm)).unwrap_or(u16::MAX),
+            vm: intern(vms, &place.vm),
             run: place.run,
         });
         TaskProgress {
@@ -308,12 +372,14 @@
             failed: self.failed,
             checkpoint: self.checkpoint.clone(),
             bound: bound.collect(),
+            lent,
+            loan: self.loan,
         }
     }
 
     /// Whether a run may be added.
     pub fn is_waiting(&self) -> bool {
-        self.phase == TaskPhase::Open && self.runs.is_empty()
+        self.phase == TaskPhase::Open && self.runs.is_empty() && self.lent.is_none()
     }
 
     /// Takes a run off; false if it isn't there.
@@ -324,12 +390,20 @@
     }
 }
 
-fn intern(vms: &mut Vec<VmId>, vm: &VmId) -> usize {
-    if let Some(place) = vms.iter().position(|known| known == vm) {
-        return place;
-    }
-    vms.push(vm.clone());
-    vms.len() - 1
+/// Tables of a record.
+#[derive(Default)]
+struct Tables {
+    vms: Vec<VmId>,
+    shards: Vec<String>,
+}
+
+/// The place of a name in a table, which gains it if it lacks it.
+fn intern<T: Clone + PartialEq>(table: &mut Vec<T>, name: &T) -> u16 {
+    let place = table.iter().position(|known| known == name).unwrap_or_else(|| {
+        table.push(name.clone());
+        table.len() - 1
+    });
+    u16::try_from(place).unwrap_or(u16::MAX)
 }
 
 /// Whether the tasks of a step are started again however they end.
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -3,6 +3,7 @@
 //! One commit is under way at a time: the next one rests on the revision that it leaves. What
 //! changed meanwhile gathers and goes into the next.
 
+use super::event::Action;
 use super::job_run::{Effect, JobRun, RecordState};
 use super::settings::COMMIT_GAP;
 use crate::job::progress::encode;
@@ -70,6 +71,8 @@
     changed: IndexSet<JobId>,
     expired: Vec<JobId>,
     in_flight: Option<InFlight>,
+    /// What takes place once the next commit is durable.
+    after_next: Vec<Action>,
     last_seq: u64,
     next_at: Duration,
 }
@@ -80,6 +83,8 @@
     pub seq: u64,
     pub since: Duration,
     pub parts: Vec<Part>,
+    /// What takes place once it is durable.
+    pub actions: Vec<Action>,
 }
 
 /// One job's part of a commit.
@@ -101,6 +106,7 @@
             changed: IndexSet::new(),
             expired: Vec::new(),
             in_flight: None,
+            after_next: Vec::new(),
             last_seq: seq,
             next_at: Duration::ZERO,
         }
@@ -111,6 +117,11 @@
         self.changed.insert(id);
     }
 
+    /// Does something once the next commit has proved that the shard is still owned.
+    pub fn after_next(&mut self, action: Action) {
+        self.after_next.push(action);
+    }
+
     /// A job's state has been shown for long enough.
     pub fn expire(&mut self, id: JobId) {
         self.expired.push(id);
@@ -126,6 +137,17 @@
         self.changed.contains(&id)
     }
 
+    /// Whether everything about a job is durable.
+    pub fn is_durable(&self, id: JobId) -> bool {
+        let in_flight = self.in_flight.as_ref();
+        !self.waits(id) && !in_flight.is_some_and(|c| c.parts.iter().any(|part| part.id == id))
+    }
+
+    /// Number that a change made now will be committed under, at the earliest.
+    pub fn next_seq(&self) -> u64 {
+        self.last_seq + 1
+    }
+
     /// Whether everything is durable.
     pub fn is_settled(&self) -> bool {
         self.changed.is_empty() && self.in_flight.is_none()
@@ -139,7 +161,9 @@
     /// When the next commit may be made, if there is anything to commit.
     pub fn due(&self) -> Option<Duration> {
         let idle = self.in_flight.is_none();
-        (idle && !(self.changed.is_empty() && self.expired.is_empty())).then_some(self.next_at)
+        let empty =
+            self.changed.is_empty() && self.expired.is_empty() && self.after_next.is_empty();
+        (idle && !empty).then_some(self.next_at)
     }
 
     /// Makes up the next commit.
@@ -152,8 +176,12 @@
             return None;
         }
         let mut txn = Txn::default();
-        let mut commit =
-            InFlight { seq: self.last_seq + 1, since: now, parts: Vec::new() };
+        let mut commit = InFlight {
+            seq: self.last_seq + 1,
+            since: now,
+            parts: Vec::new(),
+            actions: std::mem::take(&mut self.after_next),
+        };
         let room = MAX_TXN_ENTRIES - HEAD_ENTRIES - MAX_JOB_ENTRIES;
         while txn.entries() <= room {
             let Some(id) = self.changed.shift_remove_index(0) else { break };
@@ -190,6 +218,7 @@
 
     /// Gives back the jobs of a commit that did not take effect, to be committed again.
     pub fn redo(&mut self, commit: InFlight, jobs: &mut IndexMap<JobId, JobRun>) {
+        self.after_next.extend(commit.actions);
         for mut part in commit.parts {
             let Some(job) = jobs.get_mut(&part.id) else { continue };
             part.effects.append(&mut job.effects);
@@ -202,15 +231,25 @@
         let id = job.id();
         let put = |key: String, value: Vec<u8>| Put { key, value: Bytes::from(value), lease: None };
         let mut record = job.record;
+        if record == RecordState::Dropped {
+            txn.deletes.push(self.keys.job(id));
+            txn.deletes.push(self.keys.progress(id));
+            let effects = std::mem::take(&mut job.effects);
+            commit.parts.push(Part { id, state: job.state, record, effects });
+            return;
+        }
         if record == RecordState::New {
-            txn.conditions.push(Condition { key: Keys::id(id), rev: Rev::ABSENT });
-            txn.puts.push(put(Keys::id(id), self.keys.shard.clone().into_bytes()));
+            if !job.is_guest() {
+                txn.conditions.push(Condition { key: Keys::id(id), rev: Rev::ABSENT });
+                txn.puts.push(put(Keys::id(id), self.keys.shard.clone().into_bytes()));
+            }
             if !job.is_final() {
                 txn.puts.push(put(self.keys.job(id), encode(job.job.as_ref())));
             }
             record = RecordState::Kept;
         }
-        if job.is_final() && !job.has_runs() && record == RecordState::Kept {
+        let over = job.is_final() && !job.has_runs() && !job.has_lent();
+        if over && record == RecordState::Kept {
             if job.record == RecordState::Kept {
                 txn.deletes.push(self.keys.job(id));
             }
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -8,6 +8,7 @@
 use super::settings::{LOOK_RETRY, SILENT_AFTER};
 use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
 use crate::ids::VmId;
+use crate::job::progress::TaskPhase;
 use crate::job::{Image, Share, TaskRef};
 use crate::note::{Ms, Note, Word};
 use crate::vm::{self, EndKind, EndedRun, LookReq, LookResp, RunningTask, VmTime};
@@ -199,7 +200,8 @@
     }
 
     fn knows(&self, task: TaskRef) -> bool {
-        self.jobs.get(&task.job).is_some_and(|job| job.task(task).is_some())
+        let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        known.is_some_and(|task| task.phase == TaskPhase::Open && task.lent.is_none())
     }
 
     /// Runs that the VM lists neither as running nor as ended, though it was asked after the
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -49,15 +49,27 @@
     Stalled,
 }
 
+/// Waiting tasks that are offered to other shards in one pass.
+const MAX_LENT: usize = 64;
+
 /// A job with tasks that can start.
 struct Candidate {
     id: JobId,
     priority: u32,
+    life: Urgency,
     prospect: Prospect,
     /// Orders those of one prospect, the lowest first.
     rank: f64,
 }
 
+/// Which tasks go first within a priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Lasting tasks: each moment of one that isn't at work is lost, and they are few.
+    Lasting,
+    Finite,
+}
+
 /// What can still become of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Prospect {
@@ -86,9 +98,12 @@
         }
         let mut rooms: Vec<Room> =
             self.vms.values().filter_map(|vm| self.room(vm)).collect();
-        for candidate in candidates {
+        for candidate in &candidates {
             self.place_job(candidate.id, &mut rooms);
         }
+        let left = candidates.iter().filter_map(|candidate| self.jobs.get(&candidate.id));
+        let left: Vec<TaskRef> = left.flat_map(waiting).take(MAX_LENT).collect();
+        self.lend(&left);
     }
 
     /// Jobs with tasks that can start, the most urgent first.
@@ -100,6 +115,7 @@
             .map(|job| Candidate {
                 id: job.id(),
                 priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
+                life: urgency(job),
                 prospect: self.prospect(job).0,
                 rank: self.prospect(job).1,
             })
@@ -107,6 +123,7 @@
         candidates.sort_by(|a, b| {
             a.priority
                 .cmp(&b.priority)
+                .then(a.life.cmp(&b.life))
                 .then(a.prospect.cmp(&b.prospect))
                 .then(a.rank.total_cmp(&b.rank))
                 .then(a.id.cmp(&b.id))
@@ -152,7 +169,10 @@
             }
             for task in group {
                 let need = if self.is_stalled(id, task) { Need::Stalled } else { Need::Usual };
-                let Some(choice) = self.choose(task, step, need, rooms, &ours) else { break };
+                let Some(choice) = self.choose(task, step, need, rooms, &ours) else {
+                    hold_for(step, rooms, &ours);
+                    break;
+                };
                 self.bind(task, step, &mut rooms[choice]);
             }
         }
@@ -205,7 +225,8 @@
         let image = self.image(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
         let fits = |(index, room): &(usize, &Room)| {
-            ours[*index] && room.takes(step, key) && self.has_label(&room.vm, step)
+            let held = room.held && step.life == Life::Finite;
+            ours[*index] && !held && room.takes(step, key) && self.has_label(&room.vm, step)
         };
         rooms
             .iter()
@@ -318,6 +339,25 @@
     MIXED_IMAGES * mixed + opened + full + share
 }
 
+/// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
+/// than a short one, and would wait as long as any of those comes.
+fn hold_for(step: &Step, rooms: &mut [Room], ours: &[bool]) {
+    if step.life != Life::Lasting || step.share != Share::Reserved {
+        return;
+    }
+    let fits = |room: &Room| room.lasting_with(step) <= 1.0 && !room.held;
+    let candidates = rooms.iter_mut().zip(ours).filter(|(room, ours)| **ours && fits(room));
+    let best = candidates.max_by_key(|(room, _)| room.free.milli_cores);
+    if let Some((room, _)) = best {
+        room.held = true;
+    }
+}
+
+fn urgency(job: &JobRun) -> Urgency {
+    let lasting = job.job.steps.iter().any(|step| step.life == Life::Lasting);
+    if lasting { Urgency::Lasting } else { Urgency::Finite }
+}
+
 /// Tasks that can start.
 fn waiting(job: &JobRun) -> Vec<TaskRef> {
     let mut waiting = Vec::new();
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -61,6 +61,7 @@
             closed: IndexMap::new(),
             vms: IndexMap::new(),
             log: Log::new(keys, recovered.seq),
+            loans: super::loan::Loans::default(),
             effects: super::interference::Effects::default(),
             inherited_until: now.steady
                 + keep
@@ -94,6 +95,7 @@
             let run = JobRun::recovered(job, progress.get(&id), now.steady, age);
             self.jobs.insert(id, run);
             self.recover_runs(id);
+            self.recover_loans(id);
             self.advance(id);
             if self.jobs.get(&id).is_some_and(|job| job.is_final()) {
                 // What is left of it is to be stopped, and its record to be closed.
@@ -102,7 +104,7 @@
             }
         }
         for (id, progress) in progress {
-            if !self.jobs.contains_key(id) {
+            if !self.jobs.contains_key(id) && progress.home.is_none() {
                 self.closed.insert(*id, Closed { state: progress.state, since: now.steady });
             }
         }
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -24,6 +24,8 @@
     /// Processors that the leftover work there would use, in thousandths of a core.
     pub leftover_demand: f64,
     pub trial: Trial,
+    /// Whether it is kept free for a lasting task.
+    pub held: bool,
     /// Serving tasks there.
     pub served: Vec<Served>,
     /// Processors reserved for lasting tasks, as a share of all.
@@ -124,6 +126,7 @@
             leftover: (f64::from(vm.entry.size.milli_cores.0) - used).max(0.0),
             leftover_demand,
             trial,
+            held: false,
             served: Vec::new(),
             lasting: 0.0,
             size: f64::from(vm.entry.size.milli_cores.0).max(1.0),
@@ -190,6 +193,17 @@
         (self.leftover * share * share) as u64
     }
 
+    /// Processors that leftover work of an image would still get here without harm, in thousandths
+    /// of a core.
+    pub fn harmless_free(&self, image: &Image, effects: &Effects) -> u64 {
+        let most = |served: &Served| {
+            let amount = effects.amount(image, &served.image);
+            if amount <= 0.0 { self.size } else { served.slack.max(0.0) / amount * self.size }
+        };
+        let most = self.served.iter().map(most).fold(self.size, f64::min);
+        most.min(self.leftover - self.leftover_demand).max(0.0) as u64
+    }
+
     /// Share of the VM's processors that lasting tasks reserve once the task is there.
     pub fn lasting_with(&self, step: &Step) -> f64 {
         self.lasting + f64::from(step.size.milli_cores.0) / self.size
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -2,8 +2,11 @@
 
 use super::Shard;
 use super::event::Summary;
-use super::job_run::Started;
-use super::intake::lasting_cores;
+use super::job_run::{Started, Task};
+use crate::job::progress::TaskPhase;
+use crate::job::{Life, Share};
+use super::event::FreeRoom;
+use super::room::Trial;
 use crate::job::{Image, QueueName};
 use indexmap::IndexMap;
 
@@ -18,17 +21,31 @@
             summary.capacity += u64::from(vm.entry.size.milli_cores.0);
             summary.free += u64::from(room.free.milli_cores.0);
             summary.leftover += room.leftover.max(0.0) as u64;
+            if room.trial == Trial::No {
+                summary.rooms.push(FreeRoom {
+                    free: room.free,
+                    rack: room.rack.clone(),
+                    labels: vm.entry.labels.clone(),
+                    service: vm.entry.service.clone(),
+                });
+            }
             rooms.push(room);
         }
         let images = self.effects.leftover_images();
         let harmless = |image: &Image| rooms.iter().map(|r| r.harmless(image, &self.effects)).sum();
+        let free = |image: &Image| rooms.iter().map(|r| r.harmless_free(image, &self.effects)).sum();
+        summary.harmless_free = self
+            .effects
+            .leftover_images()
+            .map(|image| (image.clone(), free(image)))
+            .collect();
         summary.harmless = images.map(|image| (image.clone(), harmless(image))).collect();
         let mut queued: IndexMap<QueueName, u32> = IndexMap::new();
         for job in self.jobs.values().filter(|job| !job.is_final() && job.durable.is_some()) {
-            if job.started == Started::No {
+            if job.started == Started::No && !job.is_guest() {
                 *queued.entry(job.job.queue.clone()).or_default() += 1;
             }
-            summary.lasting += lasting_cores(&job.job);
+            summary.lasting += lasting_here(job);
             let work = work_left(job);
             summary.leftover_work += work.leftover;
             summary.waiting_work += work.waiting;
@@ -38,14 +55,27 @@
     }
 }
 
+/// Processors that the lasting tasks of a job reserve here, in thousandths of a core.
+fn lasting_here(job: &super::JobRun) -> u64 {
+    let mut cores = 0;
+    for occurrence in &job.open {
+        for (step, run) in job.job.steps.iter().zip(&occurrence.steps) {
+            if step.life == Life::Lasting && step.share == Share::Reserved {
+                let here = |task: &&Task| task.phase == TaskPhase::Open && task.lent.is_none();
+                let tasks = run.tasks.iter().filter(here).count() as u64;
+                cores += tasks * u64::from(step.size.milli_cores.0);
+            }
+        }
+    }
+    cores
+}
+
 struct WorkLeft {
     leftover: u64,
     waiting: u64,
 }
 
 fn work_left(job: &super::JobRun) -> WorkLeft {
-    use crate::job::progress::TaskPhase;
-    use crate::job::{Life, Share};
     let mut left = WorkLeft { leftover: 0, waiting: 0 };
     for occurrence in &job.open {
         for (step, run) in job.job.steps.iter().zip(&occurrence.steps) {
@@ -54,7 +84,8 @@
             }
             let millis = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
             let work = millis.saturating_mul(u64::from(step.size.milli_cores.0));
-            let open = run.tasks.iter().filter(|task| task.phase == TaskPhase::Open);
+            let here = |task: &&Task| task.phase == TaskPhase::Open && task.lent.is_none();
+            let open = run.tasks.iter().filter(here);
             for task in open {
                 match step.share {
                     Share::Leftover => left.leftover += work,
