Follow the load of a step's serving tasks as one

Cause: paces and placing rested on one task's tail at a time, and a tail that read too low made the task's load look higher for good: b8a tasks at the top of their swing counted 0.72 instead of 0.655, which left room for one leftover task instead of five.

Ruled out: a sinusoid of fixed period (10 s and 14 s on the two sites, unknown elsewhere).

Change: one filter for the tasks of a step, with its slope, foreseen for half a second; the tail without load falls only when a lower tail is seen; bound at the target itself.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -19,6 +19,7 @@
 mod log;
 mod look;
 mod orders;
+mod own_load;
 mod place;
 mod recover;
 mod relief;
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -8,25 +8,17 @@
 //! decides nearly everything.
 //!
 //! Each tail corrects the task's own load and the amounts of the pairs beside it, each by its part
-//! of the doubt (a Kalman filter that neglects covariances). An own load strays back to the usual
-//! one between readings, since it swings. What shards learn by themselves is told to all and put
-//! together by its doubt: replayed over the tails of two calm days, three or four shards together
+//! of the doubt (a Kalman filter that neglects covariances between the pairs). What shards learn by
+//! themselves is told to all and put together by its doubt: replayed over the tails of two calm days, three or four shards together
 //! tell heavy pairs from light ones within 2 to 5 s, with an error of 0.12 after 20 s; one shard
 //! alone has 0.2 to 0.3.
 
+use super::own_load::{HIGHEST_READ, OwnLoad};
 use crate::job::Image;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Usual own load of a serving task, and how far it strays: mean and deviation over both sites.
-const OWN_LOAD: f64 = 0.44;
-const OWN_DEVIATION: f64 = 0.16;
-
-/// Time in which an own load forgets what was read: it swings within 10 to 14 s. Of 0.5 to 5 s,
-/// this one gave the least error.
-const OWN_MEMORY: f64 = 2.0;
-
 /// Amount and doubt of a pair that was never seen. Most pairs are light; a first guess of 0.8
 /// kept work off VMs where it would have done no harm.
 const PAIR: f64 = 0.4;
@@ -38,24 +30,16 @@
 /// Unexplained part of a load as read from a tail.
 const READING_DEVIATION: f64 = 0.06;
 
-/// Part of its target that a task's tail has without any load, until a lower tail was seen. Both
-/// users set targets 4.5 times as high.
-const BASE_SHARE: f64 = 1.0 / 4.5;
-
-/// Load at the least tail that is usually seen; the base is that much below it.
-const LEAST_LOAD: f64 = 0.2;
-
-/// Highest load that a tail tells apart; beyond it a tail is cut off by its callers' patience.
-const HIGHEST_LOAD: f64 = 0.97;
-
 /// Time that a tail covers; two within it tell the same.
 const READ_EVERY: Duration = Duration::from_millis(350);
 
 /// Least doubt of an amount that counts; what is learned within seconds isn't surer.
 const MIN_VARIANCE: f64 = 0.0025;
 
-/// Part of the target that tails are kept under, which leaves room for half a second of swing.
-pub const TARGET_SHARE: f64 = 0.95;
+/// Part of the target that tails are kept under. Of 0.85 to 1.1, 0.95 and below cost leftover work
+/// more than serving tasks gained (means of eight calm days: 0.765 and 0.660 at 0.95, 0.748 and 0.696
+/// at 1.0, 0.779 and 0.686 at 1.1, all within 0.03 of each other).
+pub const TARGET_SHARE: f64 = 1.0;
 
 /// An amount that is not known exactly.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -97,15 +81,10 @@
 }
 
 /// What is known of one serving task.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Serving {
-    own: Estimate,
-    at: Duration,
     /// When a tail was last learned from.
-    read: Duration,
-    /// Tail without any load.
-    base: f64,
-    target: f64,
+    read: Option<Duration>,
     /// Since when its tail is over the target.
     pub over_since: Option<Duration>,
 }
@@ -134,42 +113,27 @@
     /// Corrects what is known by one tail.
     pub fn learn(
         &mut self,
-        serving: &mut Serving,
+        load: &mut OwnLoad,
         image: &Image,
         tail: Duration,
         beside: &[Beside<'_>],
         now: Duration,
     ) {
-        serving.note_tail(tail, now);
-        if now.saturating_sub(serving.read) < READ_EVERY {
-            return;
-        }
-        serving.read = now;
-        serving.drift(now);
-        let mut amounts: Vec<(Pair, Estimate, f64)> = Vec::with_capacity(beside.len());
-        for other in beside.iter().filter(|other| other.share > 0.0) {
-            let pair = Pair { leftover: other.image.clone(), serving: image.clone() };
-            let known = amounts.iter_mut().find(|(known, _, _)| *known == pair);
-            match known {
-                Some((_, _, share)) => *share += other.share,
-                None => {
-                    let amount = self.drifted(&pair, now);
-                    amounts.push((pair, amount, other.share));
-                }
-            }
-        }
+        load.note_tail(tail);
+        load.advance(now);
+        let amounts = self.beside(image, beside, now);
         let added: f64 = amounts
             .iter()
             .map(|(pair, _, share)| self.amount(&pair.leftover, &pair.serving) * share)
             .sum();
         let doubt: f64 = amounts.iter().map(|(_, a, share)| a.variance * share * share).sum();
-        let read = serving.load_at(tail);
-        let error = read - (serving.own.mean + added);
-        if read >= HIGHEST_LOAD && error < 0.0 {
+        let read = load.read(tail);
+        let error = read - (load.expected() + added);
+        if read >= HIGHEST_READ && error < 0.0 {
             return;
         }
-        let variance = READING_DEVIATION.powi(2) + serving.own.variance + doubt;
-        serving.own.correct(1.0, error, variance);
+        let variance = READING_DEVIATION.powi(2) + load.variance() + doubt;
+        load.correct(error, variance);
         for (pair, mut amount, share) in amounts {
             amount.correct(share, error, variance);
             amount.mean = amount.mean.max(0.0);
@@ -178,6 +142,27 @@
         }
     }
 
+    /// The pairs beside a serving image, with what is known of each and the share that it has.
+    fn beside(
+        &self,
+        image: &Image,
+        beside: &[Beside<'_>],
+        now: Duration,
+    ) -> Vec<(Pair, Estimate, f64)> {
+        let mut amounts: Vec<(Pair, Estimate, f64)> = Vec::with_capacity(beside.len());
+        for other in beside.iter().filter(|other| other.share > 0.0) {
+            let pair = Pair { leftover: other.image.clone(), serving: image.clone() };
+            match amounts.iter_mut().find(|(known, _, _)| *known == pair) {
+                Some((_, _, share)) => *share += other.share,
+                None => {
+                    let amount = self.drifted(&pair, now);
+                    amounts.push((pair, amount, other.share));
+                }
+            }
+        }
+        amounts
+    }
+
     /// Takes over what a shard has learned by itself.
     pub fn hear(&mut self, from: &str, learned: &[Learned]) {
         let heard = self.heard.entry(from.to_owned()).or_default();
@@ -231,53 +216,17 @@
 }
 
 impl Serving {
-    /// A task that has told nothing yet.
-    pub fn new(target: Duration, now: Duration) -> Self {
-        let target = target.as_secs_f64();
-        Self {
-            own: Estimate { mean: OWN_LOAD, variance: OWN_DEVIATION.powi(2) },
-            at: now,
-            read: Duration::ZERO,
-            base: target * BASE_SHARE,
-            target,
-            over_since: None,
-        }
-    }
-
-    /// Load that the task itself brings.
-    pub fn own_load(&self) -> f64 {
-        self.own.mean.clamp(0.0, 1.0)
-    }
-
-    /// Load at which its tail is this share of the target.
-    pub fn load_for(&self, share: f64) -> f64 {
-        1.0 - self.base / (share * self.target)
-    }
-
-    fn load_at(&self, tail: Duration) -> f64 {
-        let tail = tail.as_secs_f64().max(self.base);
-        (1.0 - self.base / tail).min(HIGHEST_LOAD)
-    }
-
-    fn drift(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
-        let kept = (-age / OWN_MEMORY).exp();
-        self.own.mean = OWN_LOAD + (self.own.mean - OWN_LOAD) * kept;
-        let strayed = OWN_DEVIATION.powi(2) * (1.0 - kept * kept);
-        self.own.variance = self.own.variance * kept * kept + strayed;
-    }
-
-    fn note_tail(&mut self, tail: Duration, now: Duration) {
-        let seconds = tail.as_secs_f64();
-        if seconds > 0.0 {
-            let base = seconds * (1.0 - LEAST_LOAD);
-            self.base = self.base.min(base).max(self.target / 50.0);
-        }
-        if seconds > self.target {
+    /// Notes a tail; true if there is something to learn from it.
+    pub fn note_tail(&mut self, tail: Duration, target: Duration, now: Duration) -> bool {
+        if tail > target {
             self.over_since.get_or_insert(now);
         } else {
             self.over_since = None;
         }
+        let fresh = self.read.is_none_or(|at| now.saturating_sub(at) >= READ_EVERY);
+        if fresh {
+            self.read = Some(now);
+        }
+        fresh
     }
 }
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -6,6 +6,7 @@
 };
 use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, ShownState, Step, TaskRef};
 use crate::shard::event::Answer;
+use crate::shard::own_load::OwnLoad;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,6 +75,8 @@
     pub tasks: Vec<Task>,
     /// When the step's turn came.
     pub ready: Option<Duration>,
+    /// Load of its tasks, where they serve.
+    pub load: Option<OwnLoad>,
 }
 
 /// A task.
@@ -250,6 +253,7 @@
         let steps = self.job.steps.iter().map(|step| StepRun {
             tasks: (0..step.tasks).map(|_| Task::default()).collect(),
             ready: None,
+            load: None,
         });
         self.open.push(Occurrence { number: self.begun, since: now, steps: steps.collect() });
         self.begun += 1;
@@ -290,6 +294,7 @@
         let steps = occurrence.steps.iter().map(|tasks| StepRun {
             tasks: tasks.iter().map(|t| Task::recovered(t, whole)).collect(),
             ready: None,
+            load: None,
         });
         Self { number: occurrence.number, since: now, steps: steps.collect() }
     }
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -509,6 +509,7 @@
     let steps = job.steps.iter().map(|step| StepRun {
         tasks: (0..step.tasks).map(|_| elsewhere()).collect(),
         ready: Some(now),
+        load: None,
     });
     Occurrence { number, since: now, steps: steps.collect() }
 }
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -3,7 +3,8 @@
 use super::Shard;
 use super::event::Action;
 use super::finish::End;
-use super::interference::{Beside, Serving};
+use super::interference::Beside;
+use super::own_load::OwnLoad;
 use super::job_run::Place;
 use super::settings::{LOOK_RETRY, SILENT_AFTER};
 use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
@@ -125,15 +126,21 @@
         let beside: Vec<Beside<'_>> =
             leftover.iter().map(|(image, share)| Beside { image, share: *share }).collect();
         for row in running.iter().filter(|row| row.percent == 100 && row.gauge > 0) {
-            let target = self.jobs.get(&row.task.job).and_then(|job| job.step(row.task));
-            let Some(target) = target.and_then(|step| step.tail_target) else { continue };
             let image = self.image(row.task);
+            let Some(job) = self.jobs.get_mut(&row.task.job) else { continue };
+            let Some(target) = job.step(row.task).and_then(|step| step.tail_target) else {
+                continue;
+            };
             let key = RunKey { task: row.task, run: row.run };
             let Some(run) = self.vms.get_mut(id).and_then(|vm| vm.runs.get_mut(&key)) else {
                 continue;
             };
-            let serving = run.serving.get_or_insert_with(|| Serving::new(target, now));
-            self.effects.learn(serving, &image, row.tail(), &beside, now);
+            if !run.serving.note_tail(row.tail(), target, now) {
+                continue;
+            }
+            let Some(step) = job.step_run_mut(row.task) else { continue };
+            let load = step.load.get_or_insert_with(|| OwnLoad::new(target, now));
+            self.effects.learn(load, &image, row.tail(), &beside, now);
         }
     }
 
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -31,8 +31,11 @@
 /// before its neighbours work at full speed again.
 const PACE_RISE: u8 = 34;
 
-/// Load that is kept back for the swing until the next look.
-const SWING_MARGIN: f64 = 0.03;
+/// Time from a look to the middle of the half second that its orders rule.
+const FORESIGHT: Duration = Duration::from_millis(350);
+
+/// Load that is kept back for what isn't foreseen.
+const SWING_MARGIN: f64 = 0.02;
 
 /// A leftover task that may be slowed.
 struct Neighbour {
@@ -98,13 +101,15 @@
     fn served(&self, vm: &Vm) -> Vec<Served> {
         let now = self.now.steady;
         let served = |(key, run): (&RunKey, &super::vm_run::Run)| {
-            let serving = run.serving.as_ref()?;
-            let target = self.jobs.get(&key.task.job)?.step(key.task)?.tail_target?;
+            let job = self.jobs.get(&key.task.job)?;
+            let target = job.step(key.task)?.tail_target?;
+            let load = job.step_run(key.task)?.load?;
+            let serving = &run.serving;
             Some(Served {
                 task: key.task,
                 image: self.image(key.task),
-                own: serving.own_load() + SWING_MARGIN,
-                bound: serving.load_for(TARGET_SHARE),
+                own: load.foreseen(now, FORESIGHT) + SWING_MARGIN,
+                bound: load.load_for(TARGET_SHARE),
                 over: serving.over_since.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
                 tail_ms: run.gauge,
                 target_ms: u32::try_from(target.as_millis()).unwrap_or(u32::MAX),
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -63,9 +63,14 @@
     }
 }
 
-/// Own load that a serving task is expected to have while work placed beside it runs: the mean of
-/// both sites. Work beside a task that swings above it is slowed for a while.
-const EXPECTED_LOAD: f64 = 0.64;
+/// Own load of a serving task that has told nothing yet: near the top of its swing.
+const EXPECTED_LOAD: f64 = 0.6;
+
+/// Least own load that is expected while work placed beside it runs: a low one rises again.
+const LEAST_EXPECTED: f64 = 0.45;
+
+/// Time from now to the middle of what is placed now.
+const FORESIGHT: Duration = Duration::from_millis(1000);
 
 impl Shard {
     /// The room on a VM; `None` if it takes no work now.
@@ -82,8 +87,11 @@
                 lasting += f64::from(run.milli_cores) / room.size;
             }
             if step.tail_target.is_some() {
-                let bound = run.serving.map(|s| s.load_for(super::interference::TARGET_SHARE));
-                let slack = bound.unwrap_or(USUAL_BOUND) - EXPECTED_LOAD;
+                let load = self.jobs.get(&key.task.job).and_then(|job| job.step_run(key.task)?.load);
+                let slack = load.map_or(USUAL_BOUND - EXPECTED_LOAD, |load| {
+                    let foreseen = load.foreseen(self.now.steady, FORESIGHT).max(LEAST_EXPECTED);
+                    load.load_for(super::interference::TARGET_SHARE) - foreseen
+                });
                 room.served.push(Served { image, slack });
             } else if run.share == Share::Leftover {
                 beside.push((image, f64::from(run.milli_cores) / room.size));
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -83,8 +83,8 @@
     pub gauge: u32,
     /// Speed it is paced to, of 100.
     pub pace: u8,
-    /// What is known of its load, for a task with a bound on its tail.
-    pub serving: Option<Serving>,
+    /// What its tail has told, for a task with a bound on it.
+    pub serving: Serving,
 }
 
 /// Whether an order without an answer may still be carried out.
@@ -273,7 +273,7 @@
             percent: 0,
             gauge: 0,
             pace: 100,
-            serving: None,
+            serving: Serving::default(),
         }
     }
 
