--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -11,5 +11,5 @@
 
 pub use head::Head;
 pub use member::{Hello, Member, MemberStage, ShardNews, StoreReach};
-pub use ownership::{Action, Event, Ownership};
+pub use ownership::{Action, Event, HandOver, Ownership};
 pub use plan::Plan;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -29,8 +29,9 @@
 /// Between the first and the next candidate's try.
 const RANK_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for an owner's hello to name a shard that it claimed or gave away.
-const NEWS_DELAY: Duration = Duration::from_millis(600);
+/// Time for news of a shard that has just changed hands: for a claim, a reading of the heads, and
+/// the new owner's hello. Without it daemons took shards from each other ten times a second.
+const NEWS_DELAY: Duration = Duration::from_millis(700);
 
 /// Time at the start in which owners and other daemons are heard of.
 const SETTLE: Duration = Duration::from_millis(700);
@@ -79,10 +80,19 @@
     /// Says hello to a daemon at once, and learns whether it answers.
     Probe(Member),
     /// Gives a shard away as planned.
-    HandOver { shard: String, to: Member },
+    HandOver { shard: String, to: Member, how: HandOver },
     Note(Note),
 }
 
+/// How a shard is given away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandOver {
+    /// Once what was decided is durable.
+    Settled,
+    /// At once: the store doesn't answer this daemon.
+    AtOnce,
+}
+
 /// A daemon as it was last heard of.
 #[derive(Clone, Debug)]
 struct Known {
@@ -111,9 +121,18 @@
 #[derive(Clone, Copy, Debug)]
 struct Orphan {
     since: Duration,
+    cause: Cause,
+}
+
+/// Why a shard has no owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Cause {
     previous: Previous,
     reason: Word,
+    /// Time since the owner was last heard.
     silent: Duration,
+    /// Time for news that there is an owner after all.
+    settle: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -356,10 +375,9 @@
         self.held.shift_remove(shard);
         let now = self.now;
         if let Some(view) = self.shards.get_mut(shard) {
-            if view.owner.as_ref() == Some(&self.me.id) {
-                view.owner = None;
-                view.since = now;
-            }
+            view.owner = None;
+            view.since = now;
+            view.orphan = None;
             let fence = view.fence;
             self.out.push(Action::Note(Note::ShardLost { shard: shard.to_owned(), fence, reason }));
         }
@@ -370,13 +388,13 @@
         if self.me.stage == MemberStage::Draining || self.held.contains_key(shard) {
             return;
         }
-        let orphan = Orphan {
-            since: self.now,
+        let cause = Cause {
             previous: Previous::Ended,
             reason: "given by its owner",
             silent: Duration::ZERO,
+            settle: Duration::ZERO,
         };
-        self.claim(shard, Some(from), orphan);
+        self.claim(shard, Some(from), cause);
     }
 
     fn store_reach(&mut self, reach: StoreReach) {
@@ -400,23 +418,13 @@
                 continue;
             }
             let lost = match &view.owner {
-                None => Some((Previous::Unsure, "it has no owner", Duration::ZERO)),
-                Some(owner) if *owner == self.me.id => {
-                    Some((Previous::Ended, "this daemon gave it up", Duration::ZERO))
-                }
+                None => Some(no_owner("it has no owner")),
+                Some(owner) if *owner == self.me.id => Some(no_owner("this daemon gave it up")),
                 Some(owner) => lost_owner(owner, name, view, &self.members, now, &mut probes),
             };
-            match (lost, &view.orphan) {
-                (None, _) => view.orphan = None,
-                (Some((previous, reason, silent)), None) => {
-                    view.orphan = Some(Orphan { since: now, previous, reason, silent });
-                }
-                // Silence may turn into proof.
-                (Some((previous, reason, silent)), Some(orphan)) if previous == Previous::Ended => {
-                    view.orphan = Some(Orphan { previous, reason, silent, ..*orphan });
-                }
-                _ => {}
-            }
+            // Silence may turn into proof meanwhile.
+            let since = view.orphan.map_or(now, |orphan| orphan.since);
+            view.orphan = lost.map(|cause| Orphan { since, cause });
         }
         for name in probes {
             let Some(known) = self.members.get_mut(&name) else { continue };
@@ -445,22 +453,22 @@
             self.out.push(Action::ReadHeads);
         }
         for (shard, orphan, domain, owner) in orphans {
-            let delay = self.delay(&shard, &domain);
+            let delay = orphan.cause.settle + self.delay(&shard, &domain);
             if self.now.saturating_sub(orphan.since) >= delay {
-                self.claim(&shard, owner.as_ref(), orphan);
+                self.claim(&shard, owner.as_ref(), orphan.cause);
             }
         }
     }
 
-    fn claim(&mut self, shard: &str, owner: Option<&DaemonId>, orphan: Orphan) {
+    fn claim(&mut self, shard: &str, owner: Option<&DaemonId>, cause: Cause) {
         self.held.insert(shard.to_owned(), Holding::Claiming);
         self.out.push(Action::Note(Note::ShardClaiming {
             shard: shard.to_owned(),
             owner: owner.map_or_else(String::new, ToString::to_string),
-            reason: orphan.reason,
-            silent_ms: Ms(orphan.silent),
+            reason: cause.reason,
+            silent_ms: Ms(cause.silent),
         }));
-        let previous = orphan.previous;
+        let previous = cause.previous;
         self.out.push(Action::Claim { shard: shard.to_owned(), previous });
     }
 
@@ -501,7 +509,8 @@
             };
             let away = domain != self.me.domain;
             if lost || away {
-                self.give_away(&shard, &domain, if lost { Duration::ZERO } else { HOME_DELAY });
+                let how = if lost { HandOver::AtOnce } else { HandOver::Settled };
+                self.give_away(&shard, &domain, how);
             }
         }
     }
@@ -520,25 +529,29 @@
             let best = self.best(&shard, &domain, fit);
             // Without a daemon to take it, whoever comes finds it without an owner.
             let to = best.unwrap_or_else(|| self.me.clone());
-            self.hand_over(shard, to);
+            self.hand_over(shard, to, HandOver::Settled);
         }
     }
 
-    fn give_away(&mut self, shard: &str, domain: &DomainId, there_for: Duration) {
+    fn give_away(&mut self, shard: &str, domain: &DomainId, how: HandOver) {
         let now = self.now;
+        let there_for = match how {
+            HandOver::AtOnce => Duration::ZERO,
+            HandOver::Settled => HOME_DELAY,
+        };
         let fit = |known: &&Known| {
             self.may_take(known)
                 && known.member.domain == *domain
                 && now.saturating_sub(known.since) >= there_for
         };
         if let Some(to) = self.best(shard, domain, fit) {
-            self.hand_over(shard.to_owned(), to);
+            self.hand_over(shard.to_owned(), to, how);
         }
     }
 
-    fn hand_over(&mut self, shard: String, to: Member) {
+    fn hand_over(&mut self, shard: String, to: Member, how: HandOver) {
         self.held.insert(shard.clone(), Holding::GivingAway);
-        self.out.push(Action::HandOver { shard, to });
+        self.out.push(Action::HandOver { shard, to, how });
     }
 
     fn may_take(&self, known: &Known) -> bool {
@@ -583,28 +596,37 @@
     members: &IndexMap<String, Known>,
     now: Duration,
     probes: &mut Vec<String>,
-) -> Option<(Previous, Word, Duration)> {
+) -> Option<Cause> {
     let same_name = members.values().find(|known| same_daemon(&known.member, owner));
     let Some(known) = same_name else {
         let silent = now.saturating_sub(view.since);
-        return (silent >= SILENT_OWNER).then_some((Previous::Unsure, "its owner is gone", silent));
+        let cause = Cause { silent, settle: Duration::ZERO, ..no_owner("its owner is gone") };
+        return (silent >= SILENT_OWNER).then_some(cause);
     };
     let silent = now.saturating_sub(known.heard);
+    let settle = Duration::ZERO;
+    let cause = |previous, reason| Some(Cause { previous, reason, silent, settle });
     if known.member.id != *owner {
-        return Some((Previous::Ended, "its owner was restarted", silent));
+        return cause(Previous::Ended, "its owner was restarted");
     }
     if known.refused.is_some() {
-        return Some((Previous::Ended, "its owner's process has ended", silent));
+        return cause(Previous::Ended, "its owner's process has ended");
     }
     if silent >= PROBE_OWNER {
         probes.push(known.member.name.clone());
     }
     if silent >= SILENT_OWNER {
-        return Some((Previous::Unsure, "its owner is silent", silent));
+        return cause(Previous::Unsure, "its owner is silent");
     }
     let told = known.shards.iter().any(|name| name == shard);
-    let settled = now.saturating_sub(view.since) >= NEWS_DELAY;
-    (settled && !told).then_some((Previous::Ended, "its owner gave it up", silent))
+    let gave_up = Cause { previous: Previous::Ended, ..no_owner("its owner gave it up") };
+    (!told).then_some(gave_up)
+}
+
+/// A shard that seems to have no owner, which news may still tell of.
+fn no_owner(reason: Word) -> Cause {
+    let (previous, silent) = (Previous::Unsure, Duration::ZERO);
+    Cause { previous, reason, silent, settle: NEWS_DELAY }
 }
 
 fn same_daemon(member: &Member, owner: &DaemonId) -> bool {
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -10,7 +10,7 @@
 use super::view::{Directory, Owner, Readiness, ShardView, View};
 use crate::clock::Clock;
 use crate::cluster::ownership::OWN_PAUSE;
-use crate::cluster::{self, Head, Hello, Member, Ownership, Plan, ShardNews, StoreReach};
+use crate::cluster::{self, HandOver, Head, Hello, Member, Ownership, Plan, ShardNews, StoreReach};
 use crate::ids::{DaemonId, Ticket};
 use crate::journal::Journal;
 use crate::job::JobId;
@@ -317,11 +317,14 @@
         for action in actions {
             match action {
                 cluster::Action::Note(note) => self.journal.write(note),
-                cluster::Action::HandOver { shard, to } => {
+                cluster::Action::HandOver { shard, to, how } => {
                     if let Some(hosted) = self.hosted.get_mut(&shard) {
                         hosted.to = Some(to);
                     }
-                    self.step(&shard, Event::HandOver, cx);
+                    match how {
+                        HandOver::Settled => self.step(&shard, Event::HandOver, cx),
+                        HandOver::AtOnce => self.handed_over(&shard, cx),
+                    }
                 }
                 other => self.ask(other),
             }
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -167,7 +167,13 @@
         if run.is_stopping() {
             return;
         }
-        if run.sends == 0 && run.stage != Stage::Recovered {
+        // A run that is known from the store or from the VM was started by an earlier owner.
+        let never_sent = match run.stage {
+            Stage::Binding => true,
+            Stage::Starting { .. } => run.sends == 0,
+            Stage::Running | Stage::Stopping { .. } | Stage::Recovered => false,
+        };
+        if never_sent {
             return self.drop_run(&place.vm, key);
         }
         run.stage = Stage::Stopping { next_send: Some(now), answered: None };
