Count a job as waiting until a task of it runs

Change: begun when a VM confirms a start; a shard that borrowed tasks says that the job was accepted elsewhere; 410 only after the store was asked.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -117,6 +117,7 @@
                     self.note_shard(job.id, &shard);
                     return Answer::Accepted;
                 }
+                Attempt::Answered(Answer::AcceptedElsewhere) => return Answer::Accepted,
                 Attempt::Answered(answer @ Answer::NotRun { .. }) => {
                     refused.add(shard, urge);
                     last = answer;
@@ -172,7 +173,12 @@
                 }
             };
             match self.attempt(&shard, call.clone(), until).await {
-                // A finished job that the owner has forgotten is forgotten in the store as well.
+                Attempt::Answered(Answer::NotHere) => match self.find(id).await {
+                    Located::Shard(other) if other != shard => {}
+                    // A finished job that its owner has forgotten is forgotten in the store, too.
+                    Located::Shard(_) | Located::Nowhere => return Answer::NotHere,
+                    Located::Unknown(reason) => return Answer::Unknown { reason },
+                },
                 Attempt::Answered(answer) => return answer,
                 Attempt::Unsure(reason) => return Answer::Unknown { reason },
                 Attempt::Nothing => {
@@ -186,9 +192,14 @@
     }
 
     async fn locate(&self, id: JobId) -> Located {
-        if let Some(shard) = self.known_shard(id) {
-            return Located::Shard(shard);
+        match self.known_shard(id) {
+            Some(shard) => Located::Shard(shard),
+            None => self.find(id).await,
         }
+    }
+
+    /// Asks the store which shard a job is in.
+    async fn find(&self, id: JobId) -> Located {
         match self.finder.send(FindJob(id)).await {
             Ok(Found::Shard(shard)) => {
                 self.note_shard(id, &shard);
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -117,6 +117,8 @@
 pub enum Answer {
     /// The job is durable.
     Accepted,
+    /// The job is durable in another shard, which accepted it before.
+    AcceptedElsewhere,
     /// Nothing was recorded and nothing will run.
     NotRun { reason: String, retry_after: Duration },
     /// What becomes of the call isn't known; it can be made again with the same id.
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -214,6 +214,15 @@
         self.stop_run(key.task, &Place { vm: vm.clone(), run: key.run }, reason);
     }
 
+    /// A task of the job has started.
+    pub(super) fn note_began(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.started = super::job_run::Started::Yes;
+        if job.state == ShownState::Queued {
+            job.state = ShownState::Running;
+        }
+    }
+
     /// Number for a task's next run.
     pub(super) fn next_run(job: &JobRun, task: TaskRef) -> RunNumber {
         let last = job.task(task).map_or(RunNumber(0), |task| task.last_run);
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -27,6 +27,9 @@
             return self.reply(ticket, Answer::Accepted);
         }
         if let Some(known) = self.jobs.get_mut(&id) {
+            if known.is_guest() {
+                return self.reply(ticket, Answer::AcceptedElsewhere);
+            }
             if known.durable.is_some() {
                 return self.reply(ticket, Answer::Accepted);
             }
@@ -179,8 +182,8 @@
         self.log.forget(id);
         let Some(job) = self.jobs.shift_remove(&id) else { return };
         for effect in job.effects {
-            if let Effect::Reply { ticket, answer } = effect {
-                self.reply(ticket, answer);
+            if let Effect::Reply { ticket, .. } = effect {
+                self.reply(ticket, Answer::AcceptedElsewhere);
             }
         }
         for vm in self.vms.values_mut() {
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -12,7 +12,7 @@
 use super::event::{Action, FreeRoom, Summary};
 use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, StepRun, Task};
 use crate::job::progress::TaskPhase;
-use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, Share, ShownState, Step, TaskRef};
+use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, Share, Step, TaskRef};
 use crate::note::Note;
 use crate::units::Resources;
 use indexmap::{IndexMap, IndexSet};
@@ -305,6 +305,7 @@
                 continue;
             };
             task.lent = None;
+            let began = back.last_run > task.last_run;
             task.last_run = task.last_run.max(back.last_run);
             task.failed = task.failed.max(back.failed);
             task.away_since.get_or_insert(self.now.steady);
@@ -316,6 +317,9 @@
                 LoanResult::Failed => failed = true,
                 LoanResult::GivenBack => {}
             }
+            if began {
+                self.note_began(id);
+            }
             self.log.touch(id);
         }
         if failed && self.jobs.get(&id).is_some_and(|job| !job.is_final()) {
@@ -392,10 +396,6 @@
             let Some(job) = self.jobs.get_mut(&task.job) else { continue };
             let Some(known) = job.task_mut(*task) else { continue };
             known.lent = Some(Lent { to: to.clone(), loan, known: LoanKnown::No });
-            job.started = super::job_run::Started::Yes;
-            if job.state == ShownState::Queued {
-                job.state = ShownState::Running;
-            }
             self.log.touch(task.job);
             self.loans.lending.insert(task.job);
             self.loans.hurry(now);
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -159,6 +159,7 @@
         run.running_since.get_or_insert(now);
         run.percent = row.percent;
         run.gauge = row.gauge;
+        self.note_began(row.task.job);
         let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
         if let Some(task) = job.task_mut(row.task) {
             if row.checkpoint.is_some() {
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -100,6 +100,7 @@
                     known.since = now;
                 }
                 vm.read_clock(clock, now);
+                self.note_began(task.job);
                 self.note(Note::TaskStarted { task, run, vm: id.clone(), sends });
             }
             Err(vm::Error::Fenced) => self.fenced(id),
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -1,11 +1,11 @@
 //! Which task goes where, and which goes first.
 
 use super::Shard;
-use super::job_run::{Effect, JobRun, Place, Started};
+use super::job_run::{Effect, JobRun, Place};
 use super::room::{Room, StepKey, Trial};
 use super::vm_run::{Run, RunKey};
 use crate::ids::VmId;
-use crate::job::{Image, JobId, Life, Share, ShownState, Step, TaskRef};
+use crate::job::{Image, JobId, Life, Share, Step, TaskRef};
 use crate::note::{Ms, Note};
 use std::time::Duration;
 
@@ -296,10 +296,6 @@
         let Some(known) = job.task_mut(task) else { return };
         known.last_run = run;
         known.runs.push(Place { vm: vm_id.clone(), run });
-        job.started = Started::Yes;
-        if job.state == ShownState::Queued {
-            job.state = ShownState::Running;
-        }
         job.effects.push(Effect::Start { task, run, vm: vm_id.clone() });
         self.log.touch(task.job);
         let bound = Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
