--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -11,6 +11,7 @@
 use crate::ids::{DaemonId, DomainId};
 use crate::note::{Ms, Note, Word};
 use crate::shard::Previous;
+use crate::vm::Fence;
 use indexmap::IndexMap;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -59,13 +60,26 @@
     Heads(Vec<(String, Head)>),
     Plan(Plan),
     /// A claim succeeded.
-    Claimed { shard: String, fence: u64 },
+    Claimed {
+        shard: String,
+        fence: u64,
+    },
     /// A claim failed; the present head, if it could be read.
-    ClaimFailed { shard: String, head: Option<Head>, reason: String },
+    ClaimFailed {
+        shard: String,
+        head: Option<Head>,
+        reason: String,
+    },
     /// A shard was lost or has been given away.
-    Gone { shard: String, reason: Word },
+    Gone {
+        shard: String,
+        reason: Word,
+    },
     /// Another daemon gives a shard to this one.
-    Offered { shard: String, from: DaemonId },
+    Offered {
+        shard: String,
+        from: DaemonId,
+    },
     /// Whether the store answers this daemon.
     Store(StoreReach),
     /// The daemon stops as planned.
@@ -75,12 +89,19 @@
 /// What ownership asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Claim { shard: String, previous: Previous },
+    Claim {
+        shard: String,
+        previous: Previous,
+    },
     ReadHeads,
     /// Says hello to a daemon at once, and learns whether it answers.
     Probe(Member),
     /// Gives a shard away as planned.
-    HandOver { shard: String, to: Member, how: HandOver },
+    HandOver {
+        shard: String,
+        to: Member,
+        how: HandOver,
+    },
     Note(Note),
 }
 
@@ -191,7 +212,11 @@
 
     /// The daemons heard of lately, this one not included.
     pub fn members(&self) -> Vec<Member> {
-        self.members.values().filter(|known| self.is_there(known)).map(|k| k.member.clone()).collect()
+        self.members
+            .values()
+            .filter(|known| self.is_there(known))
+            .map(|k| k.member.clone())
+            .collect()
     }
 
     /// Every other daemon that may be there.
@@ -209,6 +234,11 @@
         self.is_there(known).then(|| known.member.clone())
     }
 
+    /// Token of a shard's owner, as last heard of.
+    pub fn fence(&self, shard: &str) -> Fence {
+        Fence(self.shards.get(shard).map_or(0, |view| view.fence))
+    }
+
     /// Every shard of the plan.
     pub fn shards(&self) -> Vec<String> {
         self.shards.keys().cloned().collect()
@@ -560,7 +590,12 @@
             && known.store == StoreReach::Reached
     }
 
-    fn best(&self, shard: &str, domain: &DomainId, fit: impl Fn(&&Known) -> bool) -> Option<Member> {
+    fn best(
+        &self,
+        shard: &str,
+        domain: &DomainId,
+        fit: impl Fn(&&Known) -> bool,
+    ) -> Option<Member> {
         self.members
             .values()
             .filter(|known| fit(known))
--- a/src/job.rs
+++ b/src/job.rs
@@ -26,9 +26,7 @@
 }
 
 /// A job, named by its caller.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct JobId(pub u64);
 
@@ -231,17 +229,13 @@
     pub fn reserved(&self) -> Resources {
         match self.share {
             Share::Reserved => self.size,
-            Share::Leftover => {
-                Resources::new(0, self.size.memory_mib.0, self.size.accelerators.0)
-            }
+            Share::Leftover => Resources::new(0, self.size.memory_mib.0, self.size.accelerators.0),
         }
     }
 }
 
 /// One task: its job, occurrence, step, and place in the step, all counted from zero.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskRef {
     pub job: JobId,
     pub occurrence: u32,
@@ -256,9 +250,7 @@
 }
 
 /// Number of a task's start; rises with each.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RunNumber(pub u32);
 
--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -249,7 +249,7 @@
             shard.owner.is_some()
                 && now.saturating_sub(shard.at) < STALE_NEWS
                 && shard.summary.vms > 0
-            };
+        };
         let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
         let fitting: Vec<(&String, &ShardView, Sent)> = view
             .shards
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -229,7 +229,9 @@
         }
         let landed = match &present.before {
             _ if sends == Sends::Answered => Landed::No,
-            Some(before) if before.owner == self.head.owner && before.seq >= head.seq => Landed::Yes,
+            Some(before) if before.owner == self.head.owner && before.seq >= head.seq => {
+                Landed::Yes
+            }
             Some(before) if before.owner == self.head.owner => Landed::No,
             _ => Landed::Unknown,
         };
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -12,16 +12,17 @@
 use crate::cluster::ownership::OWN_PAUSE;
 use crate::cluster::{self, HandOver, Head, Hello, Member, Ownership, Plan, ShardNews, StoreReach};
 use crate::ids::{DaemonId, Ticket};
-use crate::journal::Journal;
 use crate::job::JobId;
+use crate::journal::Journal;
 use crate::note::{Ms, Note};
 use crate::queues::Queues;
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
-use crate::shard::{
-    self, Action, Announcements, Answer, CommitResult, Event, Now, Recovered, Shard, Summary,
-};
 use crate::shard::interference::Learned;
 use crate::shard::loan::LoanMsg;
+use crate::shard::{
+    self, Action, Announcements, Answer, CommitResult, Event, Neighbour, Now, Recovered, Shard,
+    Summary,
+};
 use crate::vm::{Fence, VmEntry};
 use actix::prelude::*;
 use indexmap::IndexMap;
@@ -204,7 +205,13 @@
         }
     }
 
-    fn carry_out(&mut self, shard: &Arc<str>, fence: Fence, action: Action, cx: &mut Context<Self>) {
+    fn carry_out(
+        &mut self,
+        shard: &Arc<str>,
+        fence: Fence,
+        action: Action,
+        cx: &mut Context<Self>,
+    ) {
         match action {
             Action::Look { .. }
             | Action::Start { .. }
@@ -224,42 +231,52 @@
                 self.hear_of_job(shard, &note);
                 self.journal.write(note);
             }
-            Action::Tell { to, msg } => self.tell(shard, &to, msg, cx),
+            Action::Tell { to, fence, msg } => self.tell(shard, &to, fence, msg, cx),
             Action::Fenced => self.drop_shard(shard, "a VM has seen a later owner", cx),
             Action::HandedOver => self.handed_over(shard, cx),
         }
     }
 
     /// Says something to the owner of another shard, wherever that is.
-    fn tell(&mut self, from: &Arc<str>, to: &Arc<str>, msg: LoanMsg, cx: &mut Context<Self>) {
+    fn tell(
+        &mut self,
+        from: &Arc<str>,
+        to: &Arc<str>,
+        fence: Fence,
+        msg: LoanMsg,
+        cx: &mut Context<Self>,
+    ) {
         if self.hosted.contains_key(&**to) {
             // Not at once: the shard that says it is being stepped.
             let (from, to) = (from.clone(), to.clone());
-            cx.notify(TakeMessage { shard: to, from, msg });
+            cx.notify(TakeMessage { shard: to, from, fence, msg });
             return;
         }
         // Without an owner it is lost, and said again.
         let (Some(owner), Some(rings)) = (self.ownership.owner(to), &self.rings) else { return };
         let (shard, from) = (to.to_string(), from.to_string());
-        rings.links.do_send(Tell { to: owner, shard, from, msg });
+        rings.links.do_send(Tell { to: owner, shard, from, fence, msg });
     }
 
     /// Tells the shards here what is known of the others.
     fn tell_neighbours(&mut self, cx: &mut Context<Self>) {
         let now = self.clock.now();
-        let mut known: Vec<(Arc<str>, Arc<Summary>)> = Vec::new();
+        let mut known: Vec<Neighbour> = Vec::new();
         for (name, view) in &self.others {
             let fresh = now.saturating_sub(view.at) < FRESH_NEIGHBOUR;
             if fresh && self.ownership.owner(name).is_some() && !self.hosted.contains_key(name) {
-                known.push((Arc::from(name.as_str()), view.summary.clone()));
+                let (name, summary) = (Arc::from(name.as_str()), view.summary.clone());
+                let fence = self.ownership.fence(&name);
+                known.push(Neighbour { name, fence, summary });
             }
         }
         for hosted in self.hosted.values() {
-            known.push((hosted.name.clone(), hosted.summary.clone()));
+            let (name, summary) = (hosted.name.clone(), hosted.summary.clone());
+            known.push(Neighbour { name, fence: hosted.shard.fence(), summary });
         }
         let names: Vec<String> = self.hosted.keys().cloned().collect();
         for name in names {
-            let others = known.iter().filter(|(other, _)| **other != *name).cloned().collect();
+            let others = known.iter().filter(|other| *other.name != *name).cloned().collect();
             self.step(&name, Event::Neighbours(others), cx);
         }
     }
@@ -287,10 +304,10 @@
     fn handed_over(&mut self, shard: &str, cx: &mut Context<Self>) {
         let to = self.hosted.get(shard).and_then(|hosted| hosted.to.clone());
         let from = self.ownership.me().id.clone();
-        if let (Some(to), Some(rings)) = (to, &self.rings) {
-            if to.id != from {
-                rings.links.do_send(Offer { shard: shard.to_owned(), to, from });
-            }
+        if let (Some(to), Some(rings)) = (to, &self.rings)
+            && to.id != from
+        {
+            rings.links.do_send(Offer { shard: shard.to_owned(), to, from });
         }
         self.drop_shard(shard, "given away", cx);
     }
@@ -622,13 +639,31 @@
     Heads(Vec<(String, Head)>),
     Plan(Plan),
     Claimed(Box<Recovered>),
-    ClaimFailed { shard: String, head: Option<Head>, reason: String },
-    Committed { shard: String, fence: Fence, seq: u64, result: CommitResult },
-    Fleet { vms: Vec<VmEntry>, announcements: Announcements },
+    ClaimFailed {
+        shard: String,
+        head: Option<Head>,
+        reason: String,
+    },
+    Committed {
+        shard: String,
+        fence: Fence,
+        seq: u64,
+        result: CommitResult,
+    },
+    Fleet {
+        vms: Vec<VmEntry>,
+        announcements: Announcements,
+    },
     Queues(Box<Queues>),
     /// The configuration in force was the newest then.
-    ConfigConfirmed { at: Duration },
-    Reach { reach: StoreReach, silent: Duration, reason: String },
+    ConfigConfirmed {
+        at: Duration,
+    },
+    Reach {
+        reach: StoreReach,
+        silent: Duration,
+        reason: String,
+    },
     Note(Note),
 }
 
@@ -767,6 +802,8 @@
 pub struct TakeMessage {
     pub shard: Arc<str>,
     pub from: Arc<str>,
+    /// Token of the owner that it is meant for.
+    pub fence: Fence,
     pub msg: LoanMsg,
 }
 
@@ -775,7 +812,7 @@
 
     fn handle(&mut self, msg: TakeMessage, cx: &mut Self::Context) {
         self.wake(cx);
-        self.step(&msg.shard, Event::Message { from: msg.from, msg: msg.msg }, cx);
+        self.step(&msg.shard, Event::Message { from: msg.from, to: msg.fence, msg: msg.msg }, cx);
     }
 }
 
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -10,6 +10,7 @@
 use crate::ids::DaemonId;
 use crate::ring::RING_CAPACITY;
 use crate::shard::loan::LoanMsg;
+use crate::vm::Fence;
 use actix::prelude::*;
 use futures::StreamExt;
 use indexmap::IndexMap;
@@ -44,7 +45,7 @@
     async fn call(shard: String, call: Call) -> Reply;
 
     /// Says something about a loan to the owner of a shard.
-    async fn tell(shard: String, from: String, msg: LoanMsg);
+    async fn tell(shard: String, from: String, fence: Fence, msg: LoanMsg);
 
     /// Offers a shard that its owner has given up.
     async fn take(shard: String, from: DaemonId);
@@ -140,9 +141,9 @@
         self.control.send(TakeCall { shard, call }).await.unwrap_or(Reply::NotOwner)
     }
 
-    async fn tell(self, _: CallContext, shard: String, from: String, msg: LoanMsg) {
+    async fn tell(self, _: CallContext, shard: String, from: String, fence: Fence, msg: LoanMsg) {
         let (shard, from) = (Arc::from(shard.as_str()), Arc::from(from.as_str()));
-        self.control.do_send(TakeMessage { shard, from, msg });
+        self.control.do_send(TakeMessage { shard, from, fence, msg });
     }
 
     async fn take(self, _: CallContext, shard: String, from: DaemonId) {
@@ -229,6 +230,7 @@
     pub to: Member,
     pub shard: String,
     pub from: String,
+    pub fence: Fence,
     pub msg: LoanMsg,
 }
 
@@ -239,7 +241,7 @@
         let link = self.link(&msg.to.addr);
         actix::spawn(async move {
             // It is said again until it is answered.
-            let _ = link.tell(msg.shard, msg.from, msg.msg).await;
+            let _ = link.tell(msg).await;
         });
     }
 }
@@ -280,11 +282,15 @@
     }
 
     async fn take(&self, shard: String, from: DaemonId) -> Result<()> {
-        self.ask(HELLO_TIMEOUT, |client, cx| async move { client.take(cx, shard, from).await }).await
+        self.ask(HELLO_TIMEOUT, |client, cx| async move { client.take(cx, shard, from).await })
+            .await
     }
 
-    async fn tell(&self, shard: String, from: String, msg: LoanMsg) -> Result<()> {
-        let told = |client: JobsRpcClient, cx| async move { client.tell(cx, shard, from, msg).await };
+    async fn tell(&self, tell: Tell) -> Result<()> {
+        let Tell { shard, from, fence, msg, .. } = tell;
+        let told = |client: JobsRpcClient, cx| async move {
+            client.tell(cx, shard, from, fence, msg).await
+        };
         self.ask(HELLO_TIMEOUT, told).await
     }
 
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -163,7 +163,11 @@
         }
         if self.bounds.max_keep_ms < 1000 {
             let value = self.bounds.max_keep_ms.to_string();
-            return Err(Error::Range { key: "bounds.max_keep_ms", value, expected: "of 1000 or more" });
+            return Err(Error::Range {
+                key: "bounds.max_keep_ms",
+                value,
+                expected: "of 1000 or more",
+            });
         }
         Ok(())
     }
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -42,9 +42,7 @@
 }
 
 /// A revision of the store; rises with each change of any key.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Rev(pub u64);
 
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -28,7 +28,9 @@
 mod summary;
 mod vm_run;
 
-pub use event::{Action, Announcements, Answer, CommitResult, Event, Landed, Now, Summary, Urge};
+pub use event::{
+    Action, Announcements, Answer, CommitResult, Event, Landed, Neighbour, Now, Summary, Urge,
+};
 pub use log::Keys;
 pub use place::LASTING_SHARE;
 pub use recover::{Previous, Recovered};
@@ -116,10 +118,12 @@
             Event::Queues(queues) => self.configure(queues),
             Event::Fleet { vms, announcements } => self.announced(vms, announcements),
             Event::Looked { vm, sent, result } => self.looked(&vm, sent, result),
-            Event::Started { vm, task, run, result } => self.start_answered(&vm, task, run, result),
-            Event::Stopped { vm, task, run, result } => self.stop_answered(&vm, task, run, result),
+            Event::Started { vm, task, run, result } => {
+                self.start_answered(&vm, task, run, &result)
+            }
+            Event::Stopped { vm, task, run, result } => self.stop_answered(&vm, task, run, &result),
             Event::Paced { vm, task, run, percent, result } => {
-                self.pace_answered(&vm, task, run, percent, result);
+                self.pace_answered(&vm, task, run, percent, &result);
             }
             Event::Committed { seq, result } => self.committed(seq, result),
             Event::Submit { ticket, job, urge } => self.submit(ticket, job, urge),
@@ -127,7 +131,12 @@
             Event::Show { ticket, job } => self.show(ticket, job),
             Event::Learned { from, learned } => self.effects.hear(&from, &learned),
             Event::Neighbours(neighbours) => self.loans.know(neighbours),
-            Event::Message { from, msg } => self.hear_message(&from, msg),
+            Event::Message { from, to, msg } => {
+                // What was said to another owner may have been answered by it, and settled since.
+                if to == self.fence {
+                    self.hear_message(&from, msg);
+                }
+            }
             Event::HandOver => self.stage = Stage::HandingOver,
         }
     }
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -1,14 +1,16 @@
 //! What a shard is told, and what it asks for.
 
 use crate::ids::{RackId, ServiceName, Ticket, VmId};
-use crate::units::Resources;
 use crate::job::{Image, Job, JobId, Label, QueueName, RunNumber, ShownState, TaskRef};
 use crate::kv::Txn;
 use crate::note::Note;
 use crate::queues::Queues;
 use crate::shard::interference::Learned;
 use crate::shard::loan::LoanMsg;
-use crate::vm::{self, LookReq, LookResp, PaceReq, RunReq, StartReq, VmAddr, VmEntry, VmTime};
+use crate::units::Resources;
+use crate::vm::{
+    self, Fence, LookReq, LookResp, PaceReq, RunReq, StartReq, VmAddr, VmEntry, VmTime,
+};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,9 +52,9 @@
     /// What another shard has learned of how images disturb each other.
     Learned { from: String, learned: Vec<Learned> },
     /// Other shards, as they were last heard of.
-    Neighbours(Vec<(Arc<str>, Arc<Summary>)>),
+    Neighbours(Vec<Neighbour>),
     /// Another shard's owner says something about a loan.
-    Message { from: Arc<str>, msg: LoanMsg },
+    Message { from: Arc<str>, to: Fence, msg: LoanMsg },
     /// The owner stops as planned: begin nothing more, and finish what is being committed.
     HandOver,
 }
@@ -94,16 +96,38 @@
 /// What a shard asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Look { vm: VmAddr, req: LookReq },
-    Start { vm: VmAddr, req: StartReq },
-    Stop { vm: VmAddr, req: RunReq },
-    Pace { vm: VmAddr, req: PaceReq },
+    Look {
+        vm: VmAddr,
+        req: LookReq,
+    },
+    Start {
+        vm: VmAddr,
+        req: StartReq,
+    },
+    Stop {
+        vm: VmAddr,
+        req: RunReq,
+    },
+    Pace {
+        vm: VmAddr,
+        req: PaceReq,
+    },
     /// Makes changes durable; at most one is under way.
-    Commit { seq: u64, txn: Txn },
-    /// Tells another shard's owner something about a loan; lost if it isn't there.
-    Tell { to: Arc<str>, msg: LoanMsg },
+    Commit {
+        seq: u64,
+        txn: Txn,
+    },
+    /// Tells another shard's owner something about a loan; lost if it isn't there any more.
+    Tell {
+        to: Arc<str>,
+        fence: Fence,
+        msg: LoanMsg,
+    },
     /// Answers a caller.
-    Reply { ticket: Ticket, answer: Answer },
+    Reply {
+        ticket: Ticket,
+        answer: Answer,
+    },
     /// A line for the log.
     Note(Note),
     /// A higher fencing token was seen; the shard's owner has to be looked up.
@@ -131,6 +155,15 @@
     NotHere,
 }
 
+/// Another shard, as it was last heard of.
+#[derive(Clone, Debug)]
+pub struct Neighbour {
+    pub name: Arc<str>,
+    /// Token of its owner.
+    pub fence: Fence,
+    pub summary: Arc<Summary>,
+}
+
 /// Room on one VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FreeRoom {
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -96,10 +96,10 @@
     /// Blames a VM for a failure, or the task if it failed on another VM before.
     pub(super) fn blame(&mut self, vm: &VmId, earlier: Option<&VmId>, task: TaskRef) {
         let now = self.now.steady;
-        if let Some(other) = earlier.filter(|other| *other != vm) {
-            if let Some(other) = self.vms.get_mut(other) {
-                other.health.excuse(task);
-            }
+        if let Some(other) = earlier.filter(|other| *other != vm)
+            && let Some(other) = self.vms.get_mut(other)
+        {
+            other.health.excuse(task);
         }
         let Some(known) = self.vms.get_mut(vm) else { return };
         if !known.health.failed(task, now) {
@@ -147,7 +147,7 @@
         for job in self.jobs.values_mut() {
             let before = job.begun;
             while !job.is_final() && begins(job, now.wall) {
-                job.begin_occurrence(now.steady);
+                job.begin_occurrence();
                 job.advance(now.steady);
             }
             if job.begun > before && job.record != super::job_run::RecordState::New {
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -135,6 +135,8 @@
                 known.into_iter().for_each(|id| self.drop_known(id));
             }
             CommitResult::Superseded(landed) => {
+                // What was in the commit isn't durable, and nothing may be said as if it were.
+                self.stage = Stage::HandedOver;
                 for effect in commit.parts.into_iter().flat_map(|part| part.effects) {
                     if let Effect::Reply { ticket, answer } = effect {
                         self.answer_superseded(ticket, answer, landed);
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -190,10 +190,8 @@
 
     /// What to tell other shards.
     pub fn learned(&self) -> Vec<Learned> {
-        let learned = |(pair, known): (&Pair, &Known)| Learned {
-            pair: pair.clone(),
-            amount: known.amount,
-        };
+        let learned =
+            |(pair, known): (&Pair, &Known)| Learned { pair: pair.clone(), amount: known.amount };
         self.own.iter().map(learned).collect()
     }
 
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -65,7 +65,6 @@
 #[derive(Debug)]
 pub struct Occurrence {
     pub number: u32,
-    pub since: Duration,
     pub steps: Vec<StepRun>,
 }
 
@@ -106,11 +105,17 @@
     pub known: LoanKnown,
 }
 
-/// Whether the other shard has said that it has a loan.
+/// What the other shard has said of a loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoanKnown {
-    No,
-    Yes,
+    Nothing,
+    /// It has it.
+    Taken {
+        /// When it is to be asked again whether it has begun.
+        ask: Duration,
+    },
+    /// A task of the job has started there.
+    Begun,
 }
 
 /// Where a run is.
@@ -138,7 +143,12 @@
     }
 
     /// A job as the store has it. `age` is the time since its acceptance.
-    pub fn recovered(job: Arc<Job>, progress: Option<&Progress>, now: Duration, age: Duration) -> Self {
+    pub fn recovered(
+        job: Arc<Job>,
+        progress: Option<&Progress>,
+        now: Duration,
+        age: Duration,
+    ) -> Self {
         let mut run = Self::new(job, now.saturating_sub(age));
         run.record = RecordState::Kept;
         run.durable = Some(ShownState::Queued);
@@ -147,7 +157,7 @@
         run.durable = Some(progress.state);
         run.begun = progress.begun;
         run.home = progress.home.as_deref().map(Arc::from);
-        run.open = progress.open.iter().map(|o| Occurrence::recovered(o, progress, now)).collect();
+        run.open = progress.open.iter().map(|o| Occurrence::recovered(o, progress)).collect();
         let begun = |task: &Task| task.last_run > RunNumber(0);
         if run.tasks().any(begun) || progress.state != ShownState::Queued {
             run.started = Started::Yes;
@@ -198,9 +208,10 @@
     pub fn named_tasks(&self) -> impl Iterator<Item = (TaskRef, &Task)> {
         self.open.iter().flat_map(move |occurrence| {
             occurrence.steps.iter().enumerate().flat_map(move |(step, run)| {
-                run.tasks.iter().enumerate().map(move |(index, task)| {
-                    (self.task_ref(occurrence.number, step, index), task)
-                })
+                run.tasks
+                    .iter()
+                    .enumerate()
+                    .map(move |(index, task)| (self.task_ref(occurrence.number, step, index), task))
             })
         })
     }
@@ -249,13 +260,13 @@
     }
 
     /// Begins the next occurrence.
-    pub fn begin_occurrence(&mut self, now: Duration) {
+    pub fn begin_occurrence(&mut self) {
         let steps = self.job.steps.iter().map(|step| StepRun {
             tasks: (0..step.tasks).map(|_| Task::default()).collect(),
             ready: None,
             load: None,
         });
-        self.open.push(Occurrence { number: self.begun, since: now, steps: steps.collect() });
+        self.open.push(Occurrence { number: self.begun, steps: steps.collect() });
         self.begun += 1;
     }
 
@@ -290,21 +301,20 @@
 }
 
 impl Occurrence {
-    fn recovered(occurrence: &OccurrenceProgress, whole: &Progress, now: Duration) -> Self {
+    fn recovered(occurrence: &OccurrenceProgress, whole: &Progress) -> Self {
         let steps = occurrence.steps.iter().map(|tasks| StepRun {
             tasks: tasks.iter().map(|t| Task::recovered(t, whole)).collect(),
             ready: None,
             load: None,
         });
-        Self { number: occurrence.number, since: now, steps: steps.collect() }
+        Self { number: occurrence.number, steps: steps.collect() }
     }
 
     fn mark_ready(&mut self, job: &Job, now: Duration) {
         for number in 0..self.steps.len() {
             let Some(step) = job.steps.get(number) else { continue };
-            let before = |after: &u16| {
-                self.steps.get(usize::from(*after)).is_some_and(StepRun::succeeded)
-            };
+            let before =
+                |after: &u16| self.steps.get(usize::from(*after)).is_some_and(StepRun::succeeded);
             if self.steps[number].ready.is_none() && step.after.iter().all(before) {
                 self.steps[number].ready = Some(now);
             }
@@ -346,7 +356,7 @@
         };
         let lent = |lent: LentTo| {
             let to = Arc::from(whole.shards.get(usize::from(lent.shard))?.as_str());
-            Some(Lent { to, loan: lent.loan, known: LoanKnown::No })
+            Some(Lent { to, loan: lent.loan, known: LoanKnown::Nothing })
         };
         Self {
             phase: progress.state,
@@ -367,10 +377,8 @@
             loan: lent.loan,
         });
         let vms = &mut tables.vms;
-        let bound = self.runs.iter().map(|place| Binding {
-            vm: intern(vms, &place.vm),
-            run: place.run,
-        });
+        let bound =
+            self.runs.iter().map(|place| Binding { vm: intern(vms, &place.vm), run: place.run });
         TaskProgress {
             state: self.phase,
             last_run: self.last_run,
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -6,15 +6,17 @@
 //! makes durable that it has it, runs it like its own, makes its end durable, and gives it back.
 //! So at each moment at most one shard may start a task, whatever message is lost, late or
 //! doubled, and whichever owner is replaced: each side repeats what it has durably said until the
-//! other answers, and a loan that was given back is not taken again, by its number.
+//! other answers. A loan that was given back is not taken again, by its number; since the owner that
+//! remembers it may have been replaced, a message is meant for one owner, by its token.
 
 use super::Shard;
-use super::event::{Action, FreeRoom, Summary};
-use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, StepRun, Task};
+use super::event::{Action, FreeRoom, Neighbour, Summary};
+use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, Started, StepRun, Task};
 use crate::job::progress::TaskPhase;
 use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, Share, Step, TaskRef};
 use crate::note::Note;
 use crate::units::Resources;
+use crate::vm::Fence;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -23,6 +25,9 @@
 /// Pause before something about a loan is said again; an answer takes 10 to 40 ms.
 const TELL_EVERY: Duration = Duration::from_millis(250);
 
+/// Pause before a shard that has a loan is asked again whether it has begun.
+const ASK_EVERY: Duration = Duration::from_millis(800);
+
 /// Time that a task waits for room here before another shard is asked. Lending costs two commits
 /// and a message, 30 to 60 ms in all.
 const PATIENCE: Duration = Duration::from_millis(60);
@@ -48,8 +53,8 @@
 pub enum LoanMsg {
     /// Run these.
     Lend { job: Arc<Job>, loan: u64, tasks: Vec<LentTask> },
-    /// They are durable here.
-    Taken { job: JobId, loan: u64, tasks: Vec<TaskRef> },
+    /// They are durable here, and whether a task of the job has started.
+    Taken { job: JobId, loan: u64, tasks: Vec<TaskRef>, begun: Begun },
     /// This has become of them.
     Return { job: JobId, tasks: Vec<ReturnedTask> },
     /// What became of them is durable where they come from.
@@ -58,6 +63,13 @@
     Recall { job: JobId, tasks: Vec<LoanedTask> },
 }
 
+/// Whether a task of a job has started where it was lent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Begun {
+    No,
+    Yes,
+}
+
 /// A task with the number of its loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LoanedTask {
@@ -99,7 +111,7 @@
 #[derive(Debug, Default)]
 pub struct Loans {
     /// Other shards, as they were last heard of; less what was lent there since.
-    neighbours: IndexMap<Arc<str>, Arc<Summary>>,
+    neighbours: IndexMap<Arc<str>, Neighbour>,
     /// Jobs accepted here of which tasks are lent.
     lending: IndexSet<JobId>,
     /// Jobs of other shards of which tasks are here.
@@ -111,8 +123,8 @@
 
 impl Loans {
     /// Takes over what other shards told of themselves.
-    pub fn know(&mut self, neighbours: Vec<(Arc<str>, Arc<Summary>)>) {
-        self.neighbours = neighbours.into_iter().collect();
+    pub fn know(&mut self, neighbours: Vec<Neighbour>) {
+        self.neighbours = neighbours.into_iter().map(|n| (n.name.clone(), n)).collect();
     }
 
     /// Looks at loans at once, since something about them has become durable.
@@ -120,6 +132,10 @@
         self.next_tell = self.next_tell.min(now);
     }
 
+    fn fence_of(&self, shard: &str) -> Option<Fence> {
+        self.neighbours.get(shard).map(|neighbour| neighbour.fence)
+    }
+
     fn end(&mut self, loan: LoanedTask, now: Duration) {
         self.ended.insert(loan, now);
         while let Some((_, at)) = self.ended.first() {
@@ -156,6 +172,7 @@
     }
 
     fn tell_lent(&mut self, id: JobId) {
+        let now = self.now.steady;
         let Some(job) = self.jobs.get(&id) else {
             self.loans.lending.shift_remove(&id);
             return;
@@ -174,7 +191,7 @@
             if job.is_final() {
                 let loaned = LoanedTask { task, loan: lent.loan };
                 recalls.entry(lent.to.clone()).or_default().push(loaned);
-            } else if lent.known == LoanKnown::No {
+            } else if lent.known.is_asked(now) {
                 let key = (lent.to.clone(), lent.loan);
                 msgs.entry(key).or_default().push(LentTask {
                     task,
@@ -187,10 +204,10 @@
         let spec = job.job.clone();
         for ((to, loan), tasks) in msgs {
             let msg = LoanMsg::Lend { job: spec.clone(), loan, tasks };
-            self.out.push(Action::Tell { to, msg });
+            self.tell(&to, msg);
         }
         for (to, tasks) in recalls {
-            self.out.push(Action::Tell { to, msg: LoanMsg::Recall { job: id, tasks } });
+            self.tell(&to, LoanMsg::Recall { job: id, tasks });
         }
     }
 
@@ -209,7 +226,7 @@
             job.named_tasks().filter_map(|(task, known)| returned(task, known)).collect();
         if !returned.is_empty() {
             let msg = LoanMsg::Return { job: id, tasks: returned };
-            self.out.push(Action::Tell { to: home, msg });
+            self.tell(&home, msg);
         }
     }
 
@@ -235,7 +252,9 @@
     pub(super) fn hear_message(&mut self, from: &Arc<str>, msg: LoanMsg) {
         match msg {
             LoanMsg::Lend { job, loan, tasks } => self.take_loan(from, &job, loan, tasks),
-            LoanMsg::Taken { job, loan, tasks } => self.loan_taken(job, loan, &tasks),
+            LoanMsg::Taken { job, loan, tasks, begun } => {
+                self.loan_taken(job, loan, &tasks, begun);
+            }
             LoanMsg::Return { job, tasks } => self.loan_returned(from, job, tasks),
             LoanMsg::Settled { job, tasks } => self.loan_settled(job, &tasks),
             LoanMsg::Recall { job, tasks } => self.loan_recalled(from, job, &tasks),
@@ -244,9 +263,8 @@
 
     fn take_loan(&mut self, from: &Arc<str>, spec: &Arc<Job>, loan: u64, tasks: Vec<LentTask>) {
         let (id, now) = (spec.id, self.now.steady);
-        let wanted = |task: &LentTask| {
-            !self.loans.ended.contains_key(&LoanedTask { task: task.task, loan })
-        };
+        let wanted =
+            |task: &LentTask| !self.loans.ended.contains_key(&LoanedTask { task: task.task, loan });
         let tasks: Vec<LentTask> = tasks.into_iter().filter(wanted).collect();
         if tasks.is_empty() || self.stage != super::Stage::Serving {
             return;
@@ -272,19 +290,27 @@
             job.advance(now);
             self.log.touch(id);
         } else if self.log.is_durable(id) && !names.is_empty() {
-            let msg = LoanMsg::Taken { job: id, loan, tasks: names };
-            self.out.push(Action::Tell { to: from.clone(), msg });
+            let begun = if job.started == Started::Yes { Begun::Yes } else { Begun::No };
+            let msg = LoanMsg::Taken { job: id, loan, tasks: names, begun };
+            self.tell(from, msg);
         }
     }
 
-    fn loan_taken(&mut self, id: JobId, loan: u64, tasks: &[TaskRef]) {
+    fn loan_taken(&mut self, id: JobId, loan: u64, tasks: &[TaskRef], begun: Begun) {
+        let known = match begun {
+            Begun::No => LoanKnown::Taken { ask: self.now.steady + ASK_EVERY },
+            Begun::Yes => LoanKnown::Begun,
+        };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         for task in tasks {
             let lent = job.task_mut(*task).and_then(|task| task.lent.as_mut());
             if let Some(lent) = lent.filter(|lent| lent.loan == loan) {
-                lent.known = LoanKnown::Yes;
+                lent.known = known;
             }
         }
+        if begun == Begun::Yes {
+            self.note_began(id);
+        }
     }
 
     fn loan_returned(&mut self, from: &Arc<str>, id: JobId, tasks: Vec<ReturnedTask>) {
@@ -380,7 +406,16 @@
     /// Says what only the owner may: that a loan isn't known here. One that lost the shard without
     /// knowing it would deny loans of its successor, so that it is said after the next commit.
     fn tell_as_owner(&mut self, to: &Arc<str>, msg: LoanMsg) {
-        self.log.after_next(Action::Tell { to: to.clone(), msg });
+        if let Some(fence) = self.loans.fence_of(to) {
+            self.log.after_next(Action::Tell { to: to.clone(), fence, msg });
+        }
+    }
+
+    /// Says something to a shard's present owner, if that is known.
+    fn tell(&mut self, to: &Arc<str>, msg: LoanMsg) {
+        if let Some(fence) = self.loans.fence_of(to) {
+            self.out.push(Action::Tell { to: to.clone(), fence, msg });
+        }
     }
 
     /// Lends waiting tasks that find no room here to shards that have some.
@@ -395,7 +430,7 @@
             let loan = self.log.next_seq();
             let Some(job) = self.jobs.get_mut(&task.job) else { continue };
             let Some(known) = job.task_mut(*task) else { continue };
-            known.lent = Some(Lent { to: to.clone(), loan, known: LoanKnown::No });
+            known.lent = Some(Lent { to: to.clone(), loan, known: LoanKnown::Nothing });
             self.log.touch(task.job);
             self.loans.lending.insert(task.job);
             self.loans.hurry(now);
@@ -430,15 +465,27 @@
             Share::Reserved => reserved_room(summary, &step, &service),
             Share::Leftover => leftover_room(summary, &step, &image),
         };
-        let best = self.loans.neighbours.iter().map(|(name, summary)| (name, fits(summary)));
+        let neighbours = self.loans.neighbours.values();
+        let best = neighbours.map(|neighbour| (&neighbour.name, fits(&neighbour.summary)));
         let (name, _) = best.filter(|(_, room)| *room > 0.0).max_by(|a, b| a.1.total_cmp(&b.1))?;
         let name = name.clone();
-        let summary = Arc::make_mut(self.loans.neighbours.get_mut(&name)?);
+        let summary = Arc::make_mut(&mut self.loans.neighbours.get_mut(&name)?.summary);
         count_lent(summary, &step, &image);
         Some(name)
     }
 }
 
+impl LoanKnown {
+    /// Whether the loan is to be told again.
+    fn is_asked(self, now: Duration) -> bool {
+        match self {
+            Self::Nothing => true,
+            Self::Taken { ask } => now >= ask,
+            Self::Begun => false,
+        }
+    }
+}
+
 /// Tasks of a step that a shard has room for.
 fn reserved_room(summary: &Summary, step: &Step, service: &crate::ids::ServiceName) -> f64 {
     let need = step.reserved();
@@ -511,7 +558,7 @@
         ready: Some(now),
         load: None,
     });
-    Occurrence { number, since: now, steps: steps.collect() }
+    Occurrence { number, steps: steps.collect() }
 }
 
 fn returned(task: TaskRef, known: &Task) -> Option<ReturnedTask> {
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,7 +2,6 @@
 
 use super::Shard;
 use super::event::Action;
-use super::job_run::Place;
 use super::settings::{START_RETRY, START_TRIES, STOP_RETRY};
 use super::vm_run::{RunKey, Stage, Unanswered};
 use crate::ids::VmId;
@@ -15,10 +14,10 @@
     pub(super) fn start_bound(&mut self, task: TaskRef, run: RunNumber, vm: &VmId) {
         let now = self.now.steady;
         let key = RunKey { task, run };
-        if let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key)) {
-            if run.stage == Stage::Binding {
-                run.stage = Stage::Starting { next_send: Some(now) };
-            }
+        if let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key))
+            && run.stage == Stage::Binding
+        {
+            run.stage = Stage::Starting { next_send: Some(now) };
         }
     }
 
@@ -80,7 +79,7 @@
         id: &VmId,
         task: TaskRef,
         run: RunNumber,
-        result: vm::Result<VmTime>,
+        result: &vm::Result<VmTime>,
     ) {
         let now = self.now.steady;
         let key = RunKey { task, run };
@@ -88,7 +87,7 @@
         let Some(known) = vm.runs.get_mut(&key) else { return };
         let sends = known.sends;
         let starting = matches!(known.stage, Stage::Starting { .. });
-        if let Err(e) = &result {
+        if let Err(e) = result {
             let (vm, reason) = (id.clone(), e.to_string());
             self.out.push(Action::Note(Note::StartFailed { task, run, vm, sends, reason }));
         }
@@ -99,7 +98,7 @@
                     known.stage = Stage::Running;
                     known.since = now;
                 }
-                vm.read_clock(clock, now);
+                vm.read_clock(*clock, now);
                 self.note_began(task.job);
                 self.note(Note::TaskStarted { task, run, vm: id.clone(), sends });
             }
@@ -147,7 +146,7 @@
         id: &VmId,
         task: TaskRef,
         run: RunNumber,
-        result: vm::Result<VmTime>,
+        result: &vm::Result<VmTime>,
     ) {
         let now = self.now.steady;
         let key = RunKey { task, run };
@@ -156,7 +155,7 @@
         match result {
             Ok(clock) => {
                 known.stage = Stage::Stopping { next_send: None, answered: Some(now) };
-                vm.read_clock(clock, now);
+                vm.read_clock(*clock, now);
                 vm.contact.next_look = vm.contact.next_look.min(now);
             }
             Err(vm::Error::Fenced) => self.fenced(id),
@@ -174,7 +173,7 @@
         task: TaskRef,
         run: RunNumber,
         percent: u8,
-        result: vm::Result<VmTime>,
+        result: &vm::Result<VmTime>,
     ) {
         match result {
             Ok(_) => {}
@@ -190,12 +189,6 @@
             }
         }
     }
-
-    /// Stops a run where it is.
-    pub(super) fn stop_at(&mut self, vm: &VmId, key: RunKey, reason: &'static str) {
-        let place = Place { vm: vm.clone(), run: key.run };
-        self.stop_run(key.task, &place, reason);
-    }
 }
 
 /// Pace of a run whose last pace order wasn't answered; differs from any that is ordered.
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -96,8 +96,7 @@
         if candidates.is_empty() {
             return;
         }
-        let mut rooms: Vec<Room> =
-            self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let mut rooms: Vec<Room> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
         for candidate in &candidates {
             self.place_job(candidate.id, &mut rooms);
         }
@@ -202,11 +201,11 @@
         });
         let Some(run) = run.max() else { return };
         for (task, choice) in group.iter().zip(choices) {
-            if let Some(job) = self.jobs.get_mut(&task.job) {
-                if let Some(task) = job.task_mut(*task) {
-                    // Members share the number of their run.
-                    task.last_run = crate::job::RunNumber(run.0 - 1);
-                }
+            if let Some(job) = self.jobs.get_mut(&task.job)
+                && let Some(task) = job.task_mut(*task)
+            {
+                // Members share the number of their run.
+                task.last_run = crate::job::RunNumber(run.0 - 1);
             }
             self.bind(*task, step, &mut rooms[choice]);
         }
@@ -233,7 +232,8 @@
             .enumerate()
             .filter(fits)
             .filter_map(|(index, room)| {
-                let cost = self.cost(room, step, &image, need)? + penalty(room, key, step, &failed_on);
+                let cost =
+                    self.cost(room, step, &image, need)? + penalty(room, key, step, &failed_on);
                 Some((index, cost))
             })
             .min_by(|(_, a), (_, b)| a.total_cmp(b))
@@ -241,13 +241,7 @@
     }
 
     /// What a task costs on a VM; less is better, `None` if it is better left to wait.
-    fn cost(
-        &self,
-        room: &Room,
-        step: &Step,
-        image: &Image,
-        need: Need,
-    ) -> Option<f64> {
+    fn cost(&self, room: &Room, step: &Step, image: &Image, need: Need) -> Option<f64> {
         let cost = match (step.share, step.life) {
             (Share::Leftover, _) => self.leftover_cost(room, step, image, need)?,
             (Share::Reserved, Life::Lasting) => lasting_cost(room, step, image),
@@ -265,13 +259,7 @@
     }
 
     /// Leftover work goes where it works fastest without slowing down those served there.
-    fn leftover_cost(
-        &self,
-        room: &Room,
-        step: &Step,
-        image: &Image,
-        need: Need,
-    ) -> Option<f64> {
+    fn leftover_cost(&self, room: &Room, step: &Step, image: &Image, need: Need) -> Option<f64> {
         let harmless = room.harmless_speed(step, image, &self.effects);
         let speed = room.leftover_speed(step) * harmless;
         if speed < MIN_LEFTOVER_SPEED && need == Need::Usual {
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -63,11 +63,7 @@
             log: Log::new(keys, recovered.seq),
             loans: super::loan::Loans::default(),
             effects: super::interference::Effects::default(),
-            inherited_until: now.steady
-                + keep
-                + keep.mul_f64(CLOCK_DRIFT)
-                + unaware
-                + LAPSE_MARGIN,
+            inherited_until: now.steady + keep + keep.mul_f64(CLOCK_DRIFT) + unaware + LAPSE_MARGIN,
             stage: super::Stage::Serving,
             now,
             next_schedule: now.steady,
@@ -115,8 +111,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         for (task, place) in job.places() {
             let Some(step) = job.step(task) else { continue };
-            let mut run =
-                Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
+            let mut run = Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
             run.stage = Stage::Recovered;
             let service = &job.job.service;
             let vm = self
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -125,7 +125,12 @@
         image.unwrap_or_else(|| Image::new(job.job.queue.as_str()))
     }
 
-    fn order_pace(&mut self, id: &crate::ids::VmId, neighbour: &Neighbour, victim: Option<&Served>) {
+    fn order_pace(
+        &mut self,
+        id: &crate::ids::VmId,
+        neighbour: &Neighbour,
+        victim: Option<&Served>,
+    ) {
         let wanted = (neighbour.wanted * 100.0).round().clamp(0.0, 100.0) as u8;
         let before = neighbour.pace;
         let known = before <= 100;
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -1,10 +1,10 @@
 //! The room on the shard's VMs, as one pass of placing sees it.
 
+use super::Shard;
 use super::health::State;
+use super::interference::Effects;
 use super::vm_run::{RunKey, Vm};
 use crate::ids::{RackId, VmId};
-use super::Shard;
-use super::interference::Effects;
 use crate::job::{Image, Life, Share, Step, TaskRef};
 use crate::units::Resources;
 use std::time::Duration;
@@ -87,7 +87,8 @@
                 lasting += f64::from(run.milli_cores) / room.size;
             }
             if step.tail_target.is_some() {
-                let load = self.jobs.get(&key.task.job).and_then(|job| job.step_run(key.task)?.load);
+                let load =
+                    self.jobs.get(&key.task.job).and_then(|job| job.step_run(key.task)?.load);
                 let slack = load.map_or(USUAL_BOUND - EXPECTED_LOAD, |load| {
                     let foreseen = load.foreseen(self.now.steady, FORESIGHT).max(LEAST_EXPECTED);
                     load.load_for(super::interference::TARGET_SHARE) - foreseen
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -1,13 +1,13 @@
 //! What others are told of a shard.
 
 use super::Shard;
+use super::event::FreeRoom;
 use super::event::Summary;
 use super::job_run::{Started, Task};
-use crate::job::progress::TaskPhase;
-use crate::job::{Life, Share};
-use super::event::FreeRoom;
 use super::room::Trial;
+use crate::job::progress::TaskPhase;
 use crate::job::{Image, QueueName};
+use crate::job::{Life, Share};
 use indexmap::IndexMap;
 
 impl Shard {
@@ -33,12 +33,10 @@
         }
         let images = self.effects.leftover_images();
         let harmless = |image: &Image| rooms.iter().map(|r| r.harmless(image, &self.effects)).sum();
-        let free = |image: &Image| rooms.iter().map(|r| r.harmless_free(image, &self.effects)).sum();
-        summary.harmless_free = self
-            .effects
-            .leftover_images()
-            .map(|image| (image.clone(), free(image)))
-            .collect();
+        let free =
+            |image: &Image| rooms.iter().map(|r| r.harmless_free(image, &self.effects)).sum();
+        summary.harmless_free =
+            self.effects.leftover_images().map(|image| (image.clone(), free(image))).collect();
         summary.harmless = images.map(|image| (image.clone(), harmless(image))).collect();
         let mut queued: IndexMap<QueueName, u32> = IndexMap::new();
         for job in self.jobs.values().filter(|job| !job.is_final() && job.durable.is_some()) {
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -43,7 +43,9 @@
 pub enum Announced {
     Yes,
     /// Not any more, since then.
-    Missing { since: Duration },
+    Missing {
+        since: Duration,
+    },
 }
 
 /// A VM's announcement that it leaves.
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -19,16 +19,12 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Right of one owner of a shard, compared by VMs; a later owner's is higher.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fence(pub u64);
 
 /// A time on a VM's own steady clock.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct VmTime(pub Duration);
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod meter;
 pub mod platform;
 pub mod rack;
+pub mod runs;
 pub mod server;
+pub mod txns;
 pub mod worker;
--- /dev/null
+++ b/standin/src/runs.rs
@@ -0,0 +1,372 @@
+//! What runs on a VM, as a VM keeps it.
+//!
+//! A table in memory, driven by the caller's clock: the stand-in over HTTP asks it with the
+//! machine's clock, tests with one that they move. What a task does is in its payload, as
+//! [`Work`].
+
+use indexmap::IndexMap;
+use std::time::Duration;
+use waxwingstall::ids::VmId;
+use waxwingstall::job::{Checkpoint, RunNumber, TaskRef};
+use waxwingstall::units::Resources;
+use waxwingstall::vm::{
+    EndKind, EndedRun, Error, Fence, LookReq, LookResp, PaceReq, Result, RunReq, RunningTask,
+    StartReq, VmTime,
+};
+
+/// What a task does, written in its payload as `key=value` words.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Work until it ends by itself; zero for a task that lasts.
+    pub time: Duration,
+    /// Runs that fail: those with numbers up to this.
+    pub fails: u32,
+    pub size: Resources,
+}
+
+impl Work {
+    /// The payload that says so.
+    pub fn payload(&self) -> String {
+        format!(
+            "work_ms={} fails={} milli_cores={} memory_mib={}",
+            self.time.as_millis(),
+            self.fails,
+            self.size.milli_cores.0,
+            self.size.memory_mib.0
+        )
+    }
+
+    /// Reads a payload; words that it doesn't know are left out.
+    pub fn read(payload: &str) -> Self {
+        let mut work = Self::default();
+        let mut size = [0, 0];
+        for (key, value) in payload.split(' ').filter_map(|word| word.split_once('=')) {
+            let value: u64 = value.parse().unwrap_or(0);
+            let small = u32::try_from(value).unwrap_or(u32::MAX);
+            match key {
+                "work_ms" => work.time = Duration::from_millis(value),
+                "fails" => work.fails = small,
+                "milli_cores" => size[0] = small,
+                "memory_mib" => size[1] = small,
+                _ => {}
+            }
+        }
+        work.size = Resources::new(size[0], size[1], 0);
+        work
+    }
+}
+
+/// Properties of a VM.
+#[derive(Clone, Debug)]
+pub struct RunSettings {
+    /// Longest time that work is kept running without another look.
+    pub max_keep: Duration,
+    /// Time that stopping takes.
+    pub stop_time: Duration,
+    /// Work between two checkpoints.
+    pub checkpoint_every: Duration,
+    /// Its clock at the callers' origin.
+    pub clock_offset: Duration,
+}
+
+impl Default for RunSettings {
+    fn default() -> Self {
+        Self {
+            max_keep: Duration::from_secs(10),
+            stop_time: Duration::from_millis(200),
+            checkpoint_every: Duration::from_secs(2),
+            clock_offset: Duration::from_secs(77),
+        }
+    }
+}
+
+/// Something that happened on a VM, as a test's witness.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    Started {
+        at: Duration,
+        task: TaskRef,
+        run: RunNumber,
+        payload: String,
+    },
+    Ended {
+        at: Duration,
+        task: TaskRef,
+        run: RunNumber,
+        how: EndKind,
+    },
+    /// The time that the VM was given to keep running passed.
+    Lapsed {
+        at: Duration,
+    },
+    /// The end was forgotten, since its consequence is durable.
+    Forgotten {
+        at: Duration,
+        task: TaskRef,
+        run: RunNumber,
+        how: EndKind,
+    },
+}
+
+#[derive(Debug)]
+struct Running {
+    run: RunNumber,
+    work: Work,
+    /// Work done before this run.
+    resumed: Duration,
+    done: Duration,
+    /// When `done` was last brought up to date.
+    at: Duration,
+    pace: u8,
+    stop_at: Option<Duration>,
+    fails: bool,
+}
+
+/// What runs on one life of a VM.
+#[derive(Debug)]
+pub struct RunTable {
+    pub id: VmId,
+    settings: RunSettings,
+    fence: Fence,
+    keep_until: Duration,
+    lapsed: bool,
+    running: IndexMap<TaskRef, Running>,
+    /// Highest run of each task that ended or was stopped here.
+    barred: IndexMap<TaskRef, RunNumber>,
+    ended: Vec<EndedRun>,
+    ends: u64,
+    pub seen: Vec<Seen>,
+}
+
+impl RunTable {
+    /// A VM that runs nothing.
+    pub fn new(id: VmId, settings: RunSettings) -> Self {
+        Self {
+            id,
+            settings,
+            fence: Fence(0),
+            keep_until: Duration::ZERO,
+            lapsed: true,
+            running: IndexMap::new(),
+            barred: IndexMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+            seen: Vec::new(),
+        }
+    }
+
+    /// Starts a run.
+    pub fn start(&mut self, now: Duration, req: &StartReq) -> Result<VmTime> {
+        self.pass(now);
+        self.check(req.fence)?;
+        self.keep(now, req.keep_until);
+        let known = self.running.get(&req.task);
+        if known.is_some_and(|running| running.run == req.run) {
+            return Ok(self.clock(now));
+        }
+        let barred = self.barred.get(&req.task).copied().unwrap_or_default();
+        if known.is_some() || req.run <= barred {
+            return Err(Error::OldRun);
+        }
+        if req.keep_until <= self.clock(now) {
+            return Err(Error::TooLate);
+        }
+        let work = Work::read(&req.payload);
+        let resumed = req.resume.as_ref().map_or(Duration::ZERO, checkpointed);
+        self.running.insert(
+            req.task,
+            Running {
+                run: req.run,
+                work,
+                resumed,
+                done: Duration::ZERO,
+                at: now,
+                pace: 100,
+                stop_at: None,
+                fails: req.run.0 <= work.fails,
+            },
+        );
+        let (task, run, payload) = (req.task, req.run, req.payload.to_string());
+        self.seen.push(Seen::Started { at: now, task, run, payload });
+        Ok(self.clock(now))
+    }
+
+    /// Stops a run, and bars it if it isn't there.
+    pub fn stop(&mut self, now: Duration, req: &RunReq) -> Result<VmTime> {
+        self.pass(now);
+        self.check(req.fence)?;
+        let stop_time = self.settings.stop_time;
+        match self.running.get_mut(&req.task) {
+            Some(running) if running.run <= req.run => {
+                running.stop_at.get_or_insert(now + stop_time);
+            }
+            _ => {
+                let barred = self.barred.entry(req.task).or_default();
+                *barred = (*barred).max(req.run);
+            }
+        }
+        Ok(self.clock(now))
+    }
+
+    /// Sets the speed of a run.
+    pub fn pace(&mut self, now: Duration, req: &PaceReq) -> Result<VmTime> {
+        self.pass(now);
+        self.check(req.fence)?;
+        if let Some(running) = self.running.get_mut(&req.task).filter(|r| r.run == req.run) {
+            running.pace = req.percent;
+        }
+        Ok(self.clock(now))
+    }
+
+    /// Keeps everything running, forgets what may be forgotten, and tells the news.
+    pub fn look(&mut self, now: Duration, req: &LookReq) -> Result<LookResp> {
+        self.pass(now);
+        self.check(req.fence)?;
+        if let Some(keep_until) = req.keep_until {
+            self.keep(now, keep_until);
+        }
+        let (forgotten, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.ended).into_iter().partition(|end| end.number <= req.forget);
+        self.ended = kept;
+        for end in forgotten {
+            let (task, run, how) = (end.task, end.run, end.how);
+            self.seen.push(Seen::Forgotten { at: now, task, run, how });
+        }
+        let running = self.running.iter().map(|(task, running)| RunningTask {
+            task: *task,
+            run: running.run,
+            checkpoint: running.checkpoint(self.settings.checkpoint_every),
+            percent: running.percent(),
+            gauge: running.work.size.milli_cores.0,
+        });
+        Ok(LookResp {
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    /// Whether an end is listed that a look with this number would bring.
+    pub fn has_news(&mut self, now: Duration, forget: u64) -> bool {
+        self.pass(now);
+        self.ended.iter().any(|end| end.number > forget)
+    }
+
+    /// What runs now.
+    pub fn runs(&mut self, now: Duration) -> Vec<(TaskRef, RunNumber, Resources)> {
+        self.pass(now);
+        self.running.iter().map(|(task, r)| (*task, r.run, r.work.size)).collect()
+    }
+
+    /// The VM dies: what ran there has ended, and nobody is told.
+    pub fn crash(&mut self, now: Duration) {
+        self.pass(now);
+        let tasks: Vec<TaskRef> = self.running.keys().copied().collect();
+        for task in tasks {
+            if let Some(running) = self.running.shift_remove(&task) {
+                let (run, how) = (running.run, EndKind::Lapsed);
+                self.seen.push(Seen::Ended { at: now, task, run, how });
+            }
+        }
+    }
+
+    fn clock(&self, now: Duration) -> VmTime {
+        VmTime(now + self.settings.clock_offset)
+    }
+
+    fn check(&mut self, fence: Fence) -> Result<()> {
+        if fence < self.fence {
+            return Err(Error::Fenced);
+        }
+        self.fence = fence;
+        Ok(())
+    }
+
+    fn keep(&mut self, now: Duration, until: VmTime) {
+        let until = until.0.saturating_sub(self.settings.clock_offset);
+        let most = now + self.settings.max_keep;
+        self.keep_until = self.keep_until.max(until.min(most));
+        self.lapsed = self.keep_until <= now;
+    }
+
+    /// Lets time pass until `now`: work is done, runs end.
+    fn pass(&mut self, now: Duration) {
+        let tasks: Vec<TaskRef> = self.running.keys().copied().collect();
+        for task in tasks {
+            let Some(running) = self.running.get_mut(&task) else { continue };
+            let Some((at, how)) = running.end(now, self.keep_until) else {
+                running.work_until(now);
+                continue;
+            };
+            running.work_until(at);
+            self.end(task, at, how);
+        }
+        self.ended.sort_by_key(|end| end.number);
+        if !self.lapsed && self.keep_until <= now {
+            self.lapsed = true;
+            self.seen.push(Seen::Lapsed { at: self.keep_until });
+        }
+    }
+
+    fn end(&mut self, task: TaskRef, at: Duration, how: EndKind) {
+        let Some(running) = self.running.shift_remove(&task) else { return };
+        self.ends += 1;
+        self.barred.insert(task, running.run);
+        let saved = match how {
+            EndKind::Stopped => Some(Checkpoint::new(&running.total().as_millis().to_string())),
+            _ => running.checkpoint(self.settings.checkpoint_every),
+        };
+        self.seen.push(Seen::Ended { at, task, run: running.run, how });
+        self.ended.push(EndedRun {
+            number: self.ends,
+            task,
+            run: running.run,
+            how,
+            checkpoint: saved,
+        });
+    }
+}
+
+impl Running {
+    /// When and how it ends, if that is at `now` or before.
+    fn end(&self, now: Duration, keep_until: Duration) -> Option<(Duration, EndKind)> {
+        let mut ends = Vec::new();
+        if self.work.time > Duration::ZERO && self.pace > 0 {
+            let left = self.work.time.saturating_sub(self.total());
+            let left = left.mul_f64(100.0 / f64::from(self.pace));
+            let how = if self.fails { EndKind::Failed } else { EndKind::Succeeded };
+            ends.push((self.at + left, how));
+        }
+        ends.extend(self.stop_at.map(|at| (at, EndKind::Stopped)));
+        ends.push((keep_until.max(self.at), EndKind::Lapsed));
+        ends.into_iter().filter(|(at, _)| *at <= now).min_by_key(|(at, _)| *at)
+    }
+
+    fn work_until(&mut self, at: Duration) {
+        let passed = at.saturating_sub(self.at);
+        self.done += passed.mul_f64(f64::from(self.pace) / 100.0);
+        self.at = self.at.max(at);
+    }
+
+    fn total(&self) -> Duration {
+        self.resumed + self.done
+    }
+
+    fn percent(&self) -> u8 {
+        if self.work.time.is_zero() {
+            return 100;
+        }
+        let share = self.total().as_secs_f64() / self.work.time.as_secs_f64();
+        (share * 100.0).clamp(0.0, 99.0) as u8
+    }
+
+    fn checkpoint(&self, every: Duration) -> Option<Checkpoint> {
+        let every = every.as_millis().max(1);
+        let saved = self.total().as_millis() / every * every;
+        (saved > 0).then(|| Checkpoint::new(&saved.to_string()))
+    }
+}
+
+fn checkpointed(checkpoint: &Checkpoint) -> Duration {
+    Duration::from_millis(checkpoint.as_str().parse().unwrap_or(0))
+}
--- /dev/null
+++ b/tests/shards/jobs.rs
@@ -0,0 +1,65 @@
+//! Jobs for tests.
+
+use crate::world::{QUEUE, SERVICE};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use std::sync::Arc;
+use std::time::Duration;
+use waxwingstall::ids::ServiceName;
+use waxwingstall::job::{
+    Copies, Job, JobId, Life, Members, QueueName, Repeat, Resume, Share, Step,
+};
+use waxwingstall::units::Resources;
+use waxwingstall_standin::runs::Work;
+
+/// A job of steps that follow each other.
+pub fn chain(id: u64, steps: u16, tasks: u32, work: Work) -> Job {
+    let step = |number: u16| Step {
+        tasks,
+        size: work.size,
+        estimate: work.time,
+        after: if number == 0 { Vec::new() } else { vec![number - 1] },
+        resume: Resume::FromCheckpoint,
+        members: Members::Alone,
+        copies: Copies::One,
+        life: if work.time.is_zero() { Life::Lasting } else { Life::Finite },
+        share: Share::Reserved,
+        label: None,
+        rack: None,
+        per_vm: 0,
+        image: None,
+        tail_target: None,
+        max_away: None,
+    };
+    Job {
+        id: JobId(id),
+        queue: QueueName::new(QUEUE),
+        service: ServiceName::new(SERVICE),
+        payload: Arc::from(work.payload().as_str()),
+        steps: (0..steps).map(step).collect(),
+        repeat: Repeat::Once,
+        accepted: Duration::ZERO,
+    }
+}
+
+/// Work of so many milliseconds on so many cores.
+pub fn work(millis: u64, cores: u32) -> Work {
+    let size = Resources::new(cores * 1000, cores * 1000, 0);
+    Work { time: Duration::from_millis(millis), fails: 0, size }
+}
+
+/// A job by chance: one to three steps of one to six tasks.
+pub fn random(id: u64, rng: &mut SmallRng) -> Job {
+    let mut work = work(rng.random_range(100..3000), rng.random_range(1..4));
+    if rng.random_range(0..10) == 0 {
+        work.fails = rng.random_range(1..3);
+    }
+    // Lasting tasks are few and small, so that the others always find room in the end.
+    if id.is_multiple_of(9) {
+        work.time = Duration::ZERO;
+        work.size = Resources::new(1000, 1000, 0);
+        return chain(id, 1, rng.random_range(1..4), work);
+    }
+    let steps = rng.random_range(1..4);
+    chain(id, steps, rng.random_range(1..7), work)
+}
--- /dev/null
+++ b/tests/shards/main.rs
@@ -0,0 +1,8 @@
+//! Shards on VMs and a store that fail.
+
+mod faults;
+mod jobs;
+mod random;
+mod takeover;
+mod witness;
+mod world;
--- /dev/null
+++ b/tests/shards/takeover.rs
@@ -0,0 +1,128 @@
+//! What a shard's next owner makes of what it finds.
+
+use crate::faults::Sound;
+use crate::jobs::{chain, work};
+use crate::witness::check;
+use crate::world::World;
+use indexmap::IndexMap;
+use std::time::Duration;
+use waxwingstall::job::{Job, JobId, ShownState};
+use waxwingstall::shard::Answer;
+use waxwingstall::units::Resources;
+
+const SIZE: Resources = Resources::new(8000, 8000, 0);
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn world(vms: usize) -> World<Sound> {
+    World::new(Sound, &["kacyiru"], vms, SIZE)
+}
+
+fn known(jobs: &[Job]) -> IndexMap<JobId, Job> {
+    jobs.iter().map(|job| (job.id, job.clone())).collect()
+}
+
+// A caller hands in two steps of four tasks and sees them done. Nothing fails on the way; this is
+// what the other tests disturb.
+#[test]
+fn a_job_of_two_steps_is_done() {
+    let mut world = world(2);
+    let job = chain(1, 2, 4, work(500, 2));
+    let ticket = world.submit("kacyiru", job.clone());
+    world.run_for(seconds(3));
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[job]), SIZE);
+}
+
+// A caller cancels a job that runs; between its start and the cancellation the shard changed
+// hands. The new owner has sent no start itself and took the runs for never sent: it gave their
+// room away while they ran on, and the next job overfilled the VM.
+#[test]
+fn a_cancelled_job_keeps_its_room_until_it_has_ended_also_after_a_takeover() {
+    let mut world = world(1);
+    let first = chain(1, 1, 4, work(20_000, 2));
+    let second = chain(2, 1, 4, work(1000, 2));
+    world.submit("kacyiru", first.clone());
+    world.run_for(seconds(1));
+    world.replace_owner("kacyiru");
+    world.run_for(seconds(1));
+    world.cancel("kacyiru", first.id);
+    world.submit("kacyiru", second.clone());
+    world.run_for(seconds(5));
+    assert_eq!(world.show("kacyiru", first.id), Some(Answer::Shown(ShownState::Cancelled)));
+    assert_eq!(world.show("kacyiru", second.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[first, second]), SIZE);
+}
+
+// A caller's job goes on while its shard's owner stands still for four seconds. Another daemon
+// takes the shard; the first wakes and still believes that it owns it. VMs refuse its orders and
+// the store its commits, so that no task runs twice.
+#[test]
+fn an_owner_that_wakes_up_late_starts_nothing() {
+    let mut world = world(3);
+    let jobs: Vec<Job> = (1..6).map(|id| chain(id, 2, 3, work(900, 2))).collect();
+    for job in &jobs {
+        world.submit("kacyiru", job.clone());
+    }
+    world.run_for(Duration::from_millis(300));
+    world.pause_owner("kacyiru", seconds(4));
+    world.run_for(seconds(20));
+    for job in &jobs {
+        assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    }
+    check(&mut world, &known(&jobs), SIZE);
+}
+
+// A caller waits for a task on a VM that nobody reaches any more. It may still run there, so that
+// it is started elsewhere only once the time that the VM was given has surely passed.
+#[test]
+fn a_task_on_a_vm_out_of_reach_is_started_again_after_its_time_has_passed() {
+    let mut world = world(2);
+    let job = chain(1, 1, 1, work(30_000, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(seconds(1));
+    let index = (0..2).find(|i| !world.vms[*i].table.seen.is_empty()).expect("it started");
+    world.cut_vm(index, seconds(60));
+    world.run_for(seconds(4));
+    assert!(world.vms[1 - index].table.seen.is_empty(), "started elsewhere too soon");
+    world.run_for(seconds(8));
+    assert!(!world.vms[1 - index].table.seen.is_empty(), "not started elsewhere");
+    check(&mut world, &known(&[job]), SIZE);
+}
+
+// A caller's job is on a VM that restarts. The VM's new life at the same address proves that the
+// earlier one has ended, so that its tasks start again at once and don't wait for their time.
+#[test]
+fn tasks_of_a_restarted_vm_start_again_when_it_is_back() {
+    let mut world = world(1);
+    let job = chain(1, 1, 2, work(1500, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(seconds(1));
+    world.crash_vm(0, seconds(1));
+    world.run_for(seconds(5));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[job]), SIZE);
+}
+
+// Callers hand jobs in while the store is away. Those that come too late for the last commit are
+// told at once that nothing of them runs; what runs goes on, and its ends are made durable later.
+#[test]
+fn jobs_are_refused_as_not_run_while_the_store_is_away() {
+    let mut world = world(2);
+    let first = chain(1, 1, 4, work(3000, 2));
+    world.submit("kacyiru", first.clone());
+    world.run_for(seconds(1));
+    world.stop_store(seconds(6));
+    let second = world.submit("kacyiru", chain(2, 1, 1, work(100, 1)));
+    world.run_for(seconds(2));
+    let third = world.submit("kacyiru", chain(3, 1, 1, work(100, 1)));
+    world.run_for(Duration::from_millis(100));
+    assert!(!world.answers.contains_key(&second), "what is being written has no answer yet");
+    assert!(matches!(world.answers.get(&third), Some(Answer::NotRun { .. })));
+    world.run_for(seconds(8));
+    assert_eq!(world.answers.get(&second), Some(&Answer::Accepted));
+    assert_eq!(world.show("kacyiru", first.id), Some(Answer::Shown(ShownState::Done)));
+}
