Stop what was recalled also after a takeover

A job was cancelled whose tasks were lent into a failure domain that was cut off; as the cut healed, the borrower's owner heard of it, and gave the shard away in the same moment, since its own store had been lost. The next owner found the tasks running and took them for wanted, since the job isn't final there.

Change: a run whose task isn't open any more is stopped when it is seen; a shard is given to a daemon only once the store has answered that one for 0.6 s.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -47,6 +47,10 @@
 /// reaches the store.
 const STORE_LOST: Duration = Duration::from_millis(700);
 
+/// How long the store must have answered another daemon before a shard is given to it for that: as a
+/// cut heals, the store comes back to all within a moment, and nothing has to change hands.
+const STORE_KEPT: Duration = Duration::from_millis(600);
+
 /// What ownership is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -121,6 +125,8 @@
     heard: Duration,
     since: Duration,
     store: StoreReach,
+    /// Since when the store answers it, or doesn't.
+    store_since: Duration,
     shards: Vec<String>,
     /// When it was last seen to have ended.
     refused: Option<Duration>,
@@ -323,6 +329,7 @@
             heard: self.now,
             since: self.now,
             store: StoreReach::Away,
+            store_since: self.now,
             shards: Vec::new(),
             refused: None,
             probed: self.now,
@@ -346,7 +353,10 @@
         known.member = hello.from.clone();
         known.heard = self.now;
         known.refused = None;
-        known.store = hello.store;
+        if known.store != hello.store {
+            known.store = hello.store;
+            known.store_since = self.now;
+        }
         known.shards = hello.shards.iter().map(|news| news.name.clone()).collect();
         for news in hello.shards {
             self.learn(&news.name, hello.from.id.clone(), news.fence);
@@ -573,6 +583,8 @@
             self.may_take(known)
                 && known.member.domain == *domain
                 && now.saturating_sub(known.since) >= there_for
+                && (how == HandOver::Settled
+                    || now.saturating_sub(known.store_since) >= STORE_KEPT)
         };
         if let Some(to) = self.best(shard, domain, fit) {
             self.hand_over(shard.to_owned(), to, how);
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -161,17 +161,18 @@
         run.gauge = row.gauge;
         self.note_began(row.task.job);
         let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
-        if let Some(task) = job.task_mut(row.task) {
-            if row.checkpoint.is_some() {
-                task.checkpoint.clone_from(&row.checkpoint);
-            }
-            if row.percent == 100 {
-                task.away_since = None;
-            }
+        let over = job.is_final();
+        let Some(task) = job.task_mut(row.task) else { return };
+        if row.checkpoint.is_some() {
+            task.checkpoint.clone_from(&row.checkpoint);
+        }
+        if row.percent == 100 {
+            task.away_since = None;
         }
-        if job.is_final() {
+        // An earlier owner may have been replaced before it could stop what isn't wanted any more.
+        if over || task.phase != TaskPhase::Open {
             let place = Place { vm: id.clone(), run: row.run };
-            self.stop_run(row.task, &place, "its job has ended");
+            self.stop_run(row.task, &place, "it isn't wanted any more");
         }
     }
 
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -126,3 +126,27 @@
     assert_eq!(world.answers.get(&second), Some(&Answer::Accepted));
     assert_eq!(world.show("kacyiru", first.id), Some(Answer::Shown(ShownState::Done)));
 }
+
+// A caller cancels a job of which a task is lent to another shard. That shard's VM can't be reached
+// just then, and its owner is replaced before the stop gets through. The next owner finds a task
+// that was recalled and still runs: it has to stop it, though the job goes on as far as it knows.
+#[test]
+fn a_recalled_task_is_stopped_by_the_borrowers_next_owner() {
+    let mut world = World::new(Sound, &["kacyiru", "remera"], 1, SIZE);
+    let full = chain(1, 1, 4, work(0, 2));
+    let lent = chain(2, 1, 1, work(0, 2));
+    world.submit("kacyiru", full.clone());
+    world.run_for(seconds(1));
+    world.submit("kacyiru", lent.clone());
+    world.run_for(seconds(4));
+    assert!(!world.vms[1].table.seen.is_empty(), "the task was lent");
+    world.cut_vm(1, Duration::from_millis(700));
+    world.cancel("kacyiru", lent.id);
+    world.run_for(Duration::from_millis(400));
+    world.replace_owner("remera");
+    world.run_for(seconds(4));
+    let now = world.now;
+    assert_eq!(world.vms[1].table.runs(now), [], "it runs on");
+    assert_eq!(world.show("kacyiru", lent.id), Some(Answer::Shown(ShownState::Cancelled)));
+    check(&mut world, &known(&[full, lent]), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -62,16 +62,17 @@
 }
 
 enum Delivery {
-    ToOwner {
+    // To whom.
+    Owner {
         number: u64,
         event: Event,
     },
-    ToShard {
+    Shard {
         shard: Arc<str>,
         event: Event,
     },
     /// An order that comes late.
-    ToVm {
+    Vm {
         number: u64,
         action: Action,
     },
@@ -237,7 +238,7 @@
 
     fn call(&mut self, shard: &str, event: Event) {
         let shard = Arc::from(shard);
-        self.later(HOP, Delivery::ToShard { shard, event });
+        self.later(HOP, Delivery::Shard { shard, event });
     }
 
     fn later(&mut self, after: Duration, delivery: Delivery) {
@@ -357,15 +358,15 @@
 
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
-            Delivery::ToOwner { number, event } => self.step(number, event),
-            Delivery::ToShard { shard, event } => {
+            Delivery::Owner { number, event } => self.step(number, event),
+            Delivery::Shard { shard, event } => {
                 // The last owner is the one that others know.
                 let owner = self.owners.iter().rev().find(|owner| owner.name == shard);
                 if let Some(number) = owner.map(|owner| owner.number) {
                     self.step(number, event);
                 }
             }
-            Delivery::ToVm { number, action } => {
+            Delivery::Vm { number, action } => {
                 // Nobody waits for the answer any more.
                 let _ = self.carry_out(number, &action);
             }
@@ -380,7 +381,7 @@
         if owner.paused_until > self.now {
             if !matches!(event, Event::Tick | Event::Fleet { .. } | Event::Neighbours(_)) {
                 let after = owner.paused_until - self.now;
-                self.later(after, Delivery::ToOwner { number, event });
+                self.later(after, Delivery::Owner { number, event });
             }
             return;
         }
@@ -404,8 +405,8 @@
                 let event = Event::Message { from: name.clone(), to: fence, msg };
                 match self.faults.meet_message(self.now) {
                     Fate::Lost | Fate::AnswerLost => {}
-                    Fate::Late(by) => self.later(by, Delivery::ToShard { shard: to, event }),
-                    Fate::Done => self.later(HOP, Delivery::ToShard { shard: to, event }),
+                    Fate::Late(by) => self.later(by, Delivery::Shard { shard: to, event }),
+                    Fate::Done => self.later(HOP, Delivery::Shard { shard: to, event }),
                 }
             }
             Action::Fenced => self.retire(number),
@@ -439,7 +440,7 @@
             }
             Fate::Lost => Err(unanswered()),
             Fate::Late(by) => {
-                self.later(by, Delivery::ToVm { number, action: action.clone() });
+                self.later(by, Delivery::Vm { number, action: action.clone() });
                 Err(unanswered())
             }
         };
@@ -448,7 +449,7 @@
             _ => 2 * HOP + wait_of(&action),
         };
         let event = answer(action, sent, result);
-        self.later(after, Delivery::ToOwner { number, event });
+        self.later(after, Delivery::Owner { number, event });
     }
 
     fn carry_out(&mut self, _: u64, action: &Action) -> Result<VmAnswer, VmError> {
@@ -475,7 +476,7 @@
     fn commit(&mut self, number: u64, seq: u64, txn: Txn) {
         if self.now < self.store_down_until {
             let wait = self.store_down_until - self.now + HOP;
-            self.later(wait, Delivery::ToOwner { number, event: Event::Tick });
+            self.later(wait, Delivery::Owner { number, event: Event::Tick });
         }
         let Some(owner) = self.owners.iter_mut().find(|owner| owner.number == number) else {
             return;
@@ -508,7 +509,7 @@
         };
         let lost = matches!(result, CommitResult::Superseded(_));
         let event = Event::Committed { seq, result };
-        self.later(delay + 5 * HOP, Delivery::ToOwner { number, event });
+        self.later(delay + 5 * HOP, Delivery::Owner { number, event });
         if lost {
             // It hears of it with the answer; until then it goes on.
             let unaware = self.owners.iter_mut().find(|owner| owner.number == number);
