Empty VMs that leave; know a VM's next life by its address

Lasting tasks stayed on a VM that left, and then waited ten seconds for its time to pass; tasks of a VM that died before a takeover waited as long, since the next owner knew its id only.

Found on the way: an announcement that outlives its VM was taken for a VM that took over the address again, which would have started what runs there a second time.

Change: everything on a leaving VM is stopped in time to be heard of; bindings carry the VM's address; lives that are over are remembered.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -583,8 +583,7 @@
             self.may_take(known)
                 && known.member.domain == *domain
                 && now.saturating_sub(known.since) >= there_for
-                && (how == HandOver::Settled
-                    || now.saturating_sub(known.store_since) >= STORE_KEPT)
+                && (how == HandOver::Settled || now.saturating_sub(known.store_since) >= STORE_KEPT)
         };
         if let Some(to) = self.best(shard, domain, fit) {
             self.hand_over(shard.to_owned(), to, how);
--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -8,6 +8,7 @@
 use super::{Checkpoint, RunNumber, ShownState};
 use crate::ids::VmId;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// Result of reading a record.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -24,7 +25,7 @@
     /// Shard that lent tasks of the job to this one; `None` in the shard that accepted it.
     pub home: Option<String>,
     /// VMs that bindings name, by their place in this table.
-    pub vms: Vec<VmId>,
+    pub vms: Vec<BoundVm>,
     /// Shards that tasks are lent to, by their place in this table.
     pub shards: Vec<String>,
     /// Occurrences begun so far.
@@ -81,6 +82,14 @@
     pub loan: u64,
 }
 
+/// A VM that a task is bound to. Its address is kept since the VM may not be announced any more
+/// when the next owner takes over: another life there proves that this one has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoundVm {
+    pub id: VmId,
+    pub addr: Arc<str>,
+}
+
 /// One run's VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Binding {
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -8,6 +8,7 @@
 //! [`Shard::step`] takes an event and gives actions, without I/O, without a clock of its own, and
 //! without depending on the order of hashes.
 
+mod drain;
 pub mod event;
 mod finish;
 mod fleet;
@@ -41,7 +42,7 @@
 use crate::note::Note;
 use crate::queues::{Queue, Queues};
 use crate::vm::Fence;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use job_run::JobRun;
 use log::Log;
 use std::sync::Arc;
@@ -57,6 +58,8 @@
     jobs: IndexMap<JobId, JobRun>,
     closed: IndexMap<JobId, Closed>,
     vms: IndexMap<VmId, Vm>,
+    /// Lives of VMs that are over, whatever is still announced of them.
+    gone: IndexSet<VmId>,
     log: Log,
     effects: interference::Effects,
     loans: loan::Loans,
@@ -149,6 +152,7 @@
         self.begin_due();
         self.check_contacts();
         if self.stage == Stage::Serving {
+            self.empty_leaving();
             self.schedule();
             self.tell_loans();
             self.send_orders();
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -1,7 +1,7 @@
 //! What the end of a run means for its task and its job.
 
 use super::Shard;
-use super::job_run::{Effect, JobRun, Place, lasts};
+use super::job_run::{Effect, JobRun, lasts};
 use super::vm_run::{RunKey, Stage, Unanswered};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
@@ -70,7 +70,8 @@
         known.phase = TaskPhase::Succeeded;
         let copies = known.runs.clone();
         for place in copies {
-            self.stop_run(task, &place, "another copy has succeeded");
+            let key = RunKey { task, run: place.run };
+            self.stop_run(&place.vm, key, "another copy has succeeded");
         }
     }
 
@@ -158,10 +159,9 @@
     }
 
     /// Ends a run by this system's own decision.
-    pub(super) fn stop_run(&mut self, task: TaskRef, place: &Place, reason: Word) {
+    pub(super) fn stop_run(&mut self, vm: &VmId, key: RunKey, reason: Word) {
         let now = self.now.steady;
-        let key = RunKey { task, run: place.run };
-        let Some(run) = self.vms.get_mut(&place.vm).and_then(|vm| vm.runs.get_mut(&key)) else {
+        let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key)) else {
             return;
         };
         if run.is_stopping() {
@@ -174,12 +174,12 @@
             Stage::Running | Stage::Stopping { .. } | Stage::Recovered => false,
         };
         if never_sent {
-            return self.drop_run(&place.vm, key);
+            return self.drop_run(vm, key);
         }
         run.stage = Stage::Stopping { next_send: Some(now), answered: None };
         run.since = now;
-        let vm = place.vm.clone();
-        self.note(Note::TaskStopping { task, run: place.run, vm, reason });
+        let RunKey { task, run } = key;
+        self.note(Note::TaskStopping { task, run, vm: vm.clone(), reason });
     }
 
     /// Takes a run off that surely doesn't run and never will.
@@ -211,7 +211,7 @@
         if run.unanswered == Unanswered::No {
             return self.drop_run(vm, key);
         }
-        self.stop_run(key.task, &Place { vm: vm.clone(), run: key.run }, reason);
+        self.stop_run(vm, key, reason);
     }
 
     /// A task of the job has started.
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -8,6 +8,10 @@
 use crate::vm::VmEntry;
 use indexmap::IndexSet;
 
+/// Lives remembered after they are over. An announcement outlives its VM by seconds, and a shard of
+/// some thirty VMs loses far fewer in that time.
+const MAX_GONE: usize = 256;
+
 impl Shard {
     /// Takes over the announced VMs.
     pub(super) fn announced(&mut self, entries: Vec<VmEntry>, announcements: Announcements) {
@@ -15,7 +19,12 @@
         let mut present = IndexSet::new();
         for entry in entries {
             present.insert(entry.id.clone());
-            self.replace_earlier_life(&entry);
+            if self.gone.contains(&entry.id) {
+                continue;
+            }
+            if !self.vms.contains_key(&entry.id) {
+                self.replace_earlier_lives(&entry);
+            }
             self.announce(entry);
         }
         if announcements == Announcements::Recovering {
@@ -45,13 +54,15 @@
         }
     }
 
-    /// A VM's address belongs to one life at a time: a new one there ends the earlier one.
-    fn replace_earlier_life(&mut self, entry: &VmEntry) {
-        if self.vms.contains_key(&entry.id) {
-            return;
-        }
-        let earlier = self.vms.values().find(|vm| vm.entry.addr == entry.addr);
-        if let Some(id) = earlier.map(|vm| vm.id.clone()) {
+    /// A VM's address belongs to one life at a time: a new one there ends those known before. Of two
+    /// that are announced for the first time together, nobody knows which is the later one until
+    /// the address is asked.
+    fn replace_earlier_lives(&mut self, entry: &VmEntry) {
+        let now = self.now.steady;
+        let earlier = |vm: &&Vm| vm.entry.addr == entry.addr && vm.known_since < now;
+        let earlier: Vec<VmId> =
+            self.vms.values().filter(earlier).map(|vm| vm.id.clone()).collect();
+        for id in earlier {
             self.vm_gone(&id, "another life at its address");
         }
     }
@@ -63,6 +74,10 @@
         self.note(Note::VmGone { vm: id.clone(), proof, runs });
         self.drop_all(&id, proof);
         self.vms.shift_remove(&id);
+        self.gone.insert(id);
+        if self.gone.len() > MAX_GONE {
+            self.gone.shift_remove_index(0);
+        }
     }
 
     /// Forgets VMs that aren't announced, don't answer and have nothing left.
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -3,6 +3,7 @@
 use super::event::{Action, Answer, CommitResult, Landed, Urge};
 use super::job_run::{Effect, JobRun, RecordState, Started};
 use super::settings::STALLED_COMMIT;
+use super::vm_run::RunKey;
 use super::{Closed, Shard, Stage};
 use crate::ids::Ticket;
 use crate::job::{Job, JobId, Life, Share, ShownState};
@@ -115,7 +116,7 @@
     pub(super) fn stop_job(&mut self, id: JobId, reason: &'static str) {
         let Some(job) = self.jobs.get(&id) else { return };
         for (task, place) in job.places() {
-            self.stop_run(task, &place, reason);
+            self.stop_run(&place.vm, RunKey { task, run: place.run }, reason);
         }
     }
 
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{Ticket, VmId};
 use crate::job::progress::{
-    Binding, LentTo, OccurrenceProgress, Progress, TaskPhase, TaskProgress,
+    Binding, BoundVm, LentTo, OccurrenceProgress, Progress, TaskPhase, TaskProgress,
 };
 use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, ShownState, Step, TaskRef};
 use crate::shard::event::Answer;
@@ -122,9 +122,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
     pub vm: VmId,
+    /// `ip:port` of the VM.
+    pub addr: Arc<str>,
     pub run: RunNumber,
 }
 
+impl Place {
+    fn bound_vm(&self) -> BoundVm {
+        BoundVm { id: self.vm.clone(), addr: self.addr.clone() }
+    }
+}
+
 impl JobRun {
     /// A job just handed in.
     pub fn new(job: Arc<Job>, now: Duration) -> Self {
@@ -351,8 +359,8 @@
 impl Task {
     fn recovered(progress: &TaskProgress, whole: &Progress) -> Self {
         let place = |b: &Binding| {
-            let vm = whole.vms.get(usize::from(b.vm))?.clone();
-            Some(Place { vm, run: b.run })
+            let vm = whole.vms.get(usize::from(b.vm))?;
+            Some(Place { vm: vm.id.clone(), addr: vm.addr.clone(), run: b.run })
         };
         let lent = |lent: LentTo| {
             let to = Arc::from(whole.shards.get(usize::from(lent.shard))?.as_str());
@@ -377,8 +385,10 @@
             loan: lent.loan,
         });
         let vms = &mut tables.vms;
-        let bound =
-            self.runs.iter().map(|place| Binding { vm: intern(vms, &place.vm), run: place.run });
+        let bound = self
+            .runs
+            .iter()
+            .map(|place| Binding { vm: intern(vms, &place.bound_vm()), run: place.run });
         TaskProgress {
             state: self.phase,
             last_run: self.last_run,
@@ -406,7 +416,7 @@
 /// Tables of a record.
 #[derive(Default)]
 struct Tables {
-    vms: Vec<VmId>,
+    vms: Vec<BoundVm>,
     shards: Vec<String>,
 }
 
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -12,6 +12,7 @@
 use super::Shard;
 use super::event::{Action, FreeRoom, Neighbour, Summary};
 use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, Started, StepRun, Task};
+use super::vm_run::RunKey;
 use crate::job::progress::TaskPhase;
 use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, Share, Step, TaskRef};
 use crate::note::Note;
@@ -393,7 +394,8 @@
                 let places = task.runs.clone();
                 self.log.touch(id);
                 for place in places {
-                    self.stop_run(loaned.task, &place, "its job has ended where it was accepted");
+                    let key = RunKey { task: loaned.task, run: place.run };
+                    self.stop_run(&place.vm, key, "its job has ended where it was accepted");
                 }
             }
         }
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -4,7 +4,6 @@
 use super::event::Action;
 use super::finish::End;
 use super::interference::Beside;
-use super::job_run::Place;
 use super::own_load::OwnLoad;
 use super::settings::{LOOK_RETRY, SILENT_AFTER};
 use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
@@ -171,8 +170,7 @@
         }
         // An earlier owner may have been replaced before it could stop what isn't wanted any more.
         if over || task.phase != TaskPhase::Open {
-            let place = Place { vm: id.clone(), run: row.run };
-            self.stop_run(row.task, &place, "it isn't wanted any more");
+            self.stop_run(id, key, "it isn't wanted any more");
         }
     }
 
@@ -226,10 +224,7 @@
         for (key, absence) in absent {
             match absence {
                 Absence::Proven(proof) => self.run_gone(id, key, proof),
-                Absence::Odd => {
-                    let place = Place { vm: id.clone(), run: key.run };
-                    self.stop_run(key.task, &place, "the VM doesn't list it");
-                }
+                Absence::Odd => self.stop_run(id, key, "the VM doesn't list it"),
             }
         }
     }
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -283,7 +283,7 @@
         let ready = job.step_run(task).and_then(|step| step.ready).unwrap_or(now);
         let Some(known) = job.task_mut(task) else { return };
         known.last_run = run;
-        known.runs.push(Place { vm: vm_id.clone(), run });
+        known.runs.push(Place { vm: vm_id.clone(), addr: room.addr.clone(), run });
         job.effects.push(Effect::Start { task, run, vm: vm_id.clone() });
         self.log.touch(task.job);
         let bound = Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -1,9 +1,9 @@
 //! Taking a shard over: from what the store has, to what the VMs say.
 
-use super::job_run::JobRun;
+use super::job_run::{JobRun, Place};
 use super::log::{Keys, Log};
 use super::settings::{BLIND_EXTENSION, CLOCK_DRIFT, LAPSE_MARGIN, Settings};
-use super::vm_run::{Run, RunKey, Stage, Vm};
+use super::vm_run::{Announced, Run, RunKey, Stage, Vm};
 use super::{Closed, Now, Shard};
 use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::Progress;
@@ -11,7 +11,7 @@
 use crate::queues::Queues;
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +60,7 @@
             jobs: IndexMap::new(),
             closed: IndexMap::new(),
             vms: IndexMap::new(),
+            gone: IndexSet::new(),
             log: Log::new(keys, recovered.seq),
             loans: super::loan::Loans::default(),
             effects: super::interference::Effects::default(),
@@ -99,6 +100,7 @@
                 self.log.touch(id);
             }
         }
+        self.find_later_lives();
         for (id, progress) in progress {
             if !self.jobs.contains_key(id) && progress.home.is_none() {
                 self.closed.insert(*id, Closed { state: progress.state, since: now.steady });
@@ -106,6 +108,24 @@
         }
     }
 
+    /// Work bound to an earlier life of a VM has ended with it.
+    fn find_later_lives(&mut self) {
+        let announced: Vec<VmEntry> = self
+            .vms
+            .values()
+            .filter(|vm| vm.announced == Announced::Yes)
+            .map(|vm| vm.entry.clone())
+            .collect();
+        for entry in announced {
+            let bound = |vm: &&Vm| vm.entry.addr == entry.addr && vm.announced != Announced::Yes;
+            let earlier: Vec<VmId> =
+                self.vms.values().filter(bound).map(|vm| vm.id.clone()).collect();
+            for id in earlier {
+                self.vm_gone(&id, "another life at its address");
+            }
+        }
+    }
+
     fn recover_runs(&mut self, id: JobId) {
         let now = self.now.steady;
         let Some(job) = self.jobs.get(&id) else { return };
@@ -117,26 +137,25 @@
             let vm = self
                 .vms
                 .entry(place.vm.clone())
-                .or_insert_with(|| unannounced(&place.vm, service, now, self.inherited_until));
+                .or_insert_with(|| unannounced(&place, service, now, self.inherited_until));
             vm.runs.insert(RunKey { task, run: place.run }, run);
         }
     }
 }
 
-/// A VM that work is bound to and that isn't announced: nobody can call it, and its work ends by
-/// itself in time.
-fn unannounced(id: &VmId, service: &ServiceName, now: Duration, lapsed_by: Duration) -> Vm {
+/// A VM that work is bound to and that isn't announced: it may be out of reach, or gone.
+fn unannounced(place: &Place, service: &ServiceName, now: Duration, lapsed_by: Duration) -> Vm {
     let entry = VmEntry {
-        id: id.clone(),
+        id: place.vm.clone(),
         service: service.clone(),
         domain: DomainId::new(""),
         rack: RackId::new(""),
         labels: Vec::new(),
         size: Resources::ZERO,
         state: VmState::Ready,
-        addr: Arc::from(""),
+        addr: place.addr.clone(),
     };
     let mut vm = Vm::new(entry, now, lapsed_by);
-    vm.announced = super::vm_run::Announced::Missing { since: now };
+    vm.announced = Announced::Missing { since: now };
     vm
 }
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -7,6 +7,7 @@
 use crate::ids::{RackId, VmId};
 use crate::job::{Image, Life, Share, Step, TaskRef};
 use crate::units::Resources;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Part of a lasting task's reserved processors that it uses on average; the rest is left over.
@@ -17,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub struct Room {
     pub vm: VmId,
+    /// `ip:port` of the VM.
+    pub addr: Arc<str>,
     pub rack: RackId,
     pub free: Resources,
     /// Processors that leftover work shares, in thousandths of a core.
@@ -130,6 +133,7 @@
         }
         Some(Self {
             vm: vm.id.clone(),
+            addr: vm.entry.addr.clone(),
             rack: vm.entry.rack.clone(),
             free: vm.free(),
             leftover: (f64::from(vm.entry.size.milli_cores.0) - used).max(0.0),
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -26,6 +26,7 @@
     /// As last announced.
     pub entry: VmEntry,
     pub announced: Announced,
+    pub known_since: Duration,
     /// When the platform first said that it leaves, and the time it left then.
     pub leaving: Option<Leaving>,
     pub clock: Option<ClockReading>,
@@ -157,6 +158,7 @@
             leaving: leaving(&entry, now),
             entry,
             announced: Announced::Yes,
+            known_since: now,
             clock: None,
             runs: IndexMap::new(),
             ends: Ends::default(),
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -150,3 +150,63 @@
     assert_eq!(world.show("kacyiru", lent.id), Some(Answer::Shown(ShownState::Cancelled)));
     check(&mut world, &known(&[full, lent]), SIZE);
 }
+
+// A caller's job runs on a VM that dies; the shard changes hands before the VM is back. The next
+// owner knows the VM only from the binding. Its new life at the same address proves that the run
+// has ended, so that the task doesn't wait for the VM's time, ten seconds and more.
+#[test]
+fn a_vm_that_restarts_over_a_takeover_is_recognised_by_its_address() {
+    let mut world = world(1);
+    let job = chain(1, 1, 1, work(800, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(Duration::from_millis(500));
+    world.crash_vm(0, seconds(2));
+    world.run_for(seconds(1));
+    world.replace_owner("kacyiru");
+    world.run_for(seconds(4));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[job]), SIZE);
+}
+
+// A VM restarts, and the platform goes on announcing its earlier life for a while, beside the new
+// one. What runs on the new life stays there: the earlier announcement is not taken for a VM that
+// took over the address.
+#[test]
+fn an_announcement_that_outlives_its_vm_ends_nothing() {
+    let mut world = world(1);
+    let job = chain(1, 1, 1, work(4000, 2));
+    world.run_for(seconds(1));
+    let before = world.vms[0].entry.clone();
+    world.crash_vm(0, Duration::from_millis(500));
+    world.announced_beside.push(before);
+    world.run_for(seconds(2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(seconds(6));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    assert_eq!(world.vms[0].table.seen.len(), 3, "started, ended and forgotten once");
+    check(&mut world, &known(&[job]), SIZE);
+}
+
+// A VM says that it leaves in four seconds while a lasting task and a long one run there. Both are
+// stopped while there is time to hear of it, and go on elsewhere at once: the lasting one well
+// before the VM is gone, the long one from its checkpoint.
+#[test]
+fn a_leaving_vm_is_emptied_before_it_is_gone() {
+    let mut world = world(2);
+    let lasting = chain(1, 1, 1, work(0, 2));
+    let long = chain(2, 1, 1, work(9000, 2));
+    world.submit("kacyiru", lasting.clone());
+    world.submit("kacyiru", long.clone());
+    world.run_for(seconds(3));
+    let now = world.now;
+    let index = (0..2).find(|i| !world.vms[*i].table.runs(now).is_empty()).expect("they run");
+    let other = 1 - index;
+    world.leave_vm(index, seconds(4));
+    world.run_for(Duration::from_millis(1500));
+    let now = world.now;
+    assert!(world.vms[index].table.runs(now).is_empty(), "nothing is left on the leaving VM");
+    assert_eq!(world.vms[other].table.runs(now).len(), 2, "both go on elsewhere");
+    world.run_for(seconds(8));
+    assert_eq!(world.show("kacyiru", long.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[lasting, long]), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -89,6 +89,8 @@
     pub answers: IndexMap<Ticket, Answer>,
     /// The store takes nothing until then.
     pub store_down_until: Duration,
+    /// Announced beside the VMs that are there.
+    pub announced_beside: Vec<VmEntry>,
     owners: Vec<Owner>,
     next_owner: u64,
     deliveries: BTreeMap<(Duration, u64), Delivery>,
@@ -111,6 +113,7 @@
             past: Vec::new(),
             answers: IndexMap::new(),
             store_down_until: Duration::ZERO,
+            announced_beside: Vec::new(),
             owners: Vec::new(),
             next_owner: 0,
             deliveries: BTreeMap::new(),
@@ -203,6 +206,11 @@
         self.vms[index].cut_until = self.now + time;
     }
 
+    /// A VM announces that it leaves after this time.
+    pub fn leave_vm(&mut self, index: usize, left: Duration) {
+        self.vms[index].entry.state = VmState::Leaving { left: Some(left) };
+    }
+
     /// The store takes nothing for a while.
     pub fn stop_store(&mut self, time: Duration) {
         self.store_down_until = self.now + time;
@@ -295,7 +303,9 @@
 
     fn fleet_of(&self, shard: &str) -> Vec<VmEntry> {
         let ours = self.vms.iter().filter(|vm| &*vm.shard == shard && vm.down_until.is_none());
-        ours.map(|vm| vm.entry.clone()).collect()
+        let ours = ours.map(|vm| vm.entry.clone());
+        let beside = self.announced_beside.iter().filter(|vm| vm.domain.as_str() == shard);
+        ours.chain(beside.cloned()).collect()
     }
 
     fn both_clocks(&self) -> Now {
