Plan when something changed, and name images by number

Cause: most of a daemon's processor went into passes over the waiting work that could change nothing, and into comparing and hashing images' names in them.

Ruled out: fewer passes at a fixed pace; a pass every 20 ms costs a short task's start 10 ms.

Change: a pass follows a change that may let a task start, 10 ms after the last one at the soonest and 100 ms at the latest; a shape that found no room isn't tried again within the pass; images are numbered, and the order of the jobs has a module of its own.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -19,6 +19,7 @@
 pub mod loan;
 mod log;
 mod look;
+mod order;
 mod orders;
 mod own_load;
 mod place;
@@ -67,6 +68,7 @@
     inherited_until: Duration,
     stage: Stage,
     now: Now,
+    last_schedule: Duration,
     next_schedule: Duration,
     next_report: Duration,
     out: Vec<Action>,
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -133,6 +133,7 @@
 
     /// Moves a job on after one of its runs has ended.
     pub(super) fn advance(&mut self, id: JobId) {
+        self.replan();
         let now = self.now.steady;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if !job.is_final() && !job.is_guest() && job.all_succeeded() {
@@ -151,10 +152,13 @@
                 job.begin_occurrence();
                 job.advance(now.steady);
             }
-            if job.begun > before && job.record != super::job_run::RecordState::New {
+            if job.begun > before {
                 begun.push(job.id());
             }
         }
+        if !begun.is_empty() {
+            self.replan();
+        }
         begun.into_iter().for_each(|id| self.log.touch(id));
     }
 
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -39,6 +39,7 @@
     }
 
     fn announce(&mut self, entry: VmEntry) {
+        self.replan();
         let (now, inherited) = (self.now.steady, self.inherited_until);
         let Some(vm) = self.vms.get_mut(&entry.id) else {
             let vm = Vm::new(entry, now, inherited);
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -51,7 +51,8 @@
             let reason = reason.to_owned();
             return self.reply(ticket, Answer::NotRun { reason, retry_after });
         }
-        let mut run = JobRun::new(job, self.now.steady);
+        let images = self.images_of(&job);
+        let mut run = JobRun::new(job, images, self.now.steady);
         run.effects.push(Effect::Reply { ticket, answer: Answer::Accepted });
         self.jobs.insert(id, run);
         self.log.touch(id);
@@ -196,6 +197,7 @@
 
     fn recorded(&mut self, id: JobId, state: ShownState, record: RecordState, seq: u64) {
         let now = self.now.steady;
+        let Some(aim) = self.jobs.get(&id).map(|job| self.aim(job)) else { return };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let before = job.durable.replace(state);
         let was = std::mem::replace(&mut job.record, record);
@@ -212,7 +214,7 @@
             self.note(Note::JobAccepted { job: id, queue: queue.clone(), tasks, waited_ms, seq });
         }
         if state.is_final() && before != Some(state) {
-            let aim_ms = Ms(self.aim(id));
+            let aim_ms = Ms(aim);
             let (state, took_ms) = (state_word(state), Ms(waited));
             self.note(Note::JobEnded { job: id, queue, state, took_ms, aim_ms, seq });
         }
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -9,9 +9,9 @@
 //!
 //! Each tail corrects the task's own load and the amounts of the pairs beside it, each by its part
 //! of the doubt (a Kalman filter that neglects covariances between the pairs). What shards learn by
-//! themselves is told to all and put together by its doubt: replayed over the tails of two calm days, three or four shards together
-//! tell heavy pairs from light ones within 2 to 5 s, with an error of 0.12 after 20 s; one shard
-//! alone has 0.2 to 0.3.
+//! themselves is told to all and put together by its doubt: replayed over the tails of two calm
+//! days, three or four shards together tell heavy pairs from light ones within 2 to 5 s, with an
+//! error of 0.12 after 20 s; one shard alone has 0.2 to 0.3.
 
 use super::own_load::{HIGHEST_READ, OwnLoad};
 use crate::job::Image;
@@ -49,18 +49,33 @@
     pub variance: f64,
 }
 
+/// Images told apart; the rest count as one. Pairs are kept for each two of them.
+const MAX_IMAGES: usize = 256;
+
+/// An image's number in [`Effects`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ImageIx(u16);
+
 /// What is known of the pairs of images.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Effects {
+    images: IndexSet<Image>,
     /// Learned here.
-    own: IndexMap<Pair, Known>,
+    own: IndexMap<PairIx, Known>,
     /// Learned by other shards, or by an earlier owner of this one.
-    heard: IndexMap<String, IndexMap<Pair, Estimate>>,
-    /// Both together.
-    all: IndexMap<Pair, f64>,
+    heard: IndexMap<String, IndexMap<PairIx, Estimate>>,
+    /// Both together, by leftover and serving image.
+    all: Vec<Vec<Option<f32>>>,
 }
 
 /// A leftover image beside a serving one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct PairIx {
+    leftover: ImageIx,
+    serving: ImageIx,
+}
+
+/// The names of a leftover image and of a serving one beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Pair {
     pub leftover: Image,
@@ -91,32 +106,47 @@
 
 /// A leftover task beside a serving one.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Beside<'a> {
-    pub image: &'a Image,
+pub struct Beside {
+    pub image: ImageIx,
     /// Share of the VM's processors that it uses, 0 to 1.
     pub share: f64,
 }
 
 impl Effects {
+    /// The number of an image.
+    pub fn number(&mut self, image: &Image) -> ImageIx {
+        if let Some(known) = self.images.get_index_of(image) {
+            return ImageIx(u16::try_from(known).unwrap_or(u16::MAX));
+        }
+        if self.images.len() < MAX_IMAGES {
+            self.images.insert(image.clone());
+        }
+        ImageIx(u16::try_from(self.images.len() - 1).unwrap_or(u16::MAX))
+    }
+
     /// Load that a leftover image adds to a serving one for each whole VM's worth of processors.
-    pub fn amount(&self, leftover: &Image, serving: &Image) -> f64 {
-        let pair = Pair { leftover: leftover.clone(), serving: serving.clone() };
-        self.all.get(&pair).copied().unwrap_or(PAIR)
+    pub fn amount(&self, leftover: ImageIx, serving: ImageIx) -> f64 {
+        let known = self.all.get(usize::from(leftover.0));
+        let known = known.and_then(|row| row.get(usize::from(serving.0)).copied().flatten());
+        known.map_or(PAIR, f64::from)
     }
 
     /// Images of leftover work that were seen beside a serving task.
-    pub fn leftover_images(&self) -> impl Iterator<Item = &Image> {
-        let images: IndexSet<&Image> = self.all.keys().map(|pair| &pair.leftover).collect();
-        images.into_iter()
+    pub fn leftover_images(&self) -> impl Iterator<Item = (ImageIx, &Image)> {
+        self.images.iter().enumerate().filter_map(|(number, image)| {
+            let seen = self.all.get(number)?.iter().any(Option::is_some);
+            let number = ImageIx(u16::try_from(number).ok()?);
+            seen.then_some((number, image))
+        })
     }
 
     /// Corrects what is known by one tail.
     pub fn learn(
         &mut self,
         load: &mut OwnLoad,
-        image: &Image,
+        image: ImageIx,
         tail: Duration,
-        beside: &[Beside<'_>],
+        beside: &[Beside],
         now: Duration,
     ) {
         load.note_tail(tail);
@@ -124,7 +154,7 @@
         let amounts = self.beside(image, beside, now);
         let added: f64 = amounts
             .iter()
-            .map(|(pair, _, share)| self.amount(&pair.leftover, &pair.serving) * share)
+            .map(|(pair, _, share)| self.amount(pair.leftover, pair.serving) * share)
             .sum();
         let doubt: f64 = amounts.iter().map(|(_, a, share)| a.variance * share * share).sum();
         let read = load.read(tail);
@@ -137,7 +167,7 @@
         for (pair, mut amount, share) in amounts {
             amount.correct(share, error, variance);
             amount.mean = amount.mean.max(0.0);
-            self.own.insert(pair.clone(), Known { amount, at: now });
+            self.own.insert(pair, Known { amount, at: now });
             self.combine(pair);
         }
     }
@@ -145,19 +175,16 @@
     /// The pairs beside a serving image, with what is known of each and the share that it has.
     fn beside(
         &self,
-        image: &Image,
-        beside: &[Beside<'_>],
+        serving: ImageIx,
+        beside: &[Beside],
         now: Duration,
-    ) -> Vec<(Pair, Estimate, f64)> {
-        let mut amounts: Vec<(Pair, Estimate, f64)> = Vec::with_capacity(beside.len());
+    ) -> Vec<(PairIx, Estimate, f64)> {
+        let mut amounts: Vec<(PairIx, Estimate, f64)> = Vec::with_capacity(beside.len());
         for other in beside.iter().filter(|other| other.share > 0.0) {
-            let pair = Pair { leftover: other.image.clone(), serving: image.clone() };
+            let pair = PairIx { leftover: other.image, serving };
             match amounts.iter_mut().find(|(known, _, _)| *known == pair) {
                 Some((_, _, share)) => *share += other.share,
-                None => {
-                    let amount = self.drifted(&pair, now);
-                    amounts.push((pair, amount, other.share));
-                }
+                None => amounts.push((pair, self.drifted(pair, now), other.share)),
             }
         }
         amounts
@@ -165,15 +192,16 @@
 
     /// Takes over what a shard has learned by itself.
     pub fn hear(&mut self, from: &str, learned: &[Learned]) {
-        let heard = self.heard.entry(from.to_owned()).or_default();
         for other in learned {
-            heard.insert(other.pair.clone(), other.amount);
+            let leftover = self.number(&other.pair.leftover);
+            let pair = PairIx { leftover, serving: self.number(&other.pair.serving) };
+            self.heard.entry(from.to_owned()).or_default().insert(pair, other.amount);
+            self.combine(pair);
         }
-        learned.iter().for_each(|other| self.combine(other.pair.clone()));
     }
 
     /// Puts together what is known of a pair: each amount counts by what it adds to a first guess.
-    fn combine(&mut self, pair: Pair) {
+    fn combine(&mut self, pair: PairIx) {
         let first = 1.0 / PAIR_DEVIATION.powi(2);
         let own = self.own.get(&pair).map(|known| known.amount);
         let heard = self.heard.values().filter_map(|from| from.get(&pair).copied());
@@ -185,19 +213,29 @@
             sum += certainty * amount.mean - first * PAIR;
             weight += added;
         }
-        self.all.insert(pair, (sum / weight).max(0.0));
+        let (row, column) = (usize::from(pair.leftover.0), usize::from(pair.serving.0));
+        if self.all.len() <= row {
+            self.all.resize(row + 1, Vec::new());
+        }
+        if self.all[row].len() <= column {
+            self.all[row].resize(column + 1, None);
+        }
+        self.all[row][column] = Some((sum / weight).max(0.0) as f32);
     }
 
     /// What to tell other shards.
     pub fn learned(&self) -> Vec<Learned> {
-        let learned =
-            |(pair, known): (&Pair, &Known)| Learned { pair: pair.clone(), amount: known.amount };
-        self.own.iter().map(learned).collect()
+        let name = |number: ImageIx| self.images.get_index(usize::from(number.0)).cloned();
+        let learned = |(pair, known): (&PairIx, &Known)| {
+            let pair = Pair { leftover: name(pair.leftover)?, serving: name(pair.serving)? };
+            Some(Learned { pair, amount: known.amount })
+        };
+        self.own.iter().filter_map(learned).collect()
     }
 
-    fn drifted(&self, pair: &Pair, now: Duration) -> Estimate {
+    fn drifted(&self, pair: PairIx, now: Duration) -> Estimate {
         let unseen = Estimate { mean: PAIR, variance: PAIR_DEVIATION.powi(2) };
-        let Some(known) = self.own.get(pair) else { return unseen };
+        let Some(known) = self.own.get(&pair) else { return unseen };
         let age = now.saturating_sub(known.at).as_secs_f64();
         let variance = known.amount.variance + PAIR_DRIFT.powi(2) * age;
         Estimate { variance: variance.min(unseen.variance), ..known.amount }
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -6,6 +6,7 @@
 };
 use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, ShownState, Step, TaskRef};
 use crate::shard::event::Answer;
+use crate::shard::interference::ImageIx;
 use crate::shard::own_load::OwnLoad;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 #[derive(Debug)]
 pub struct JobRun {
     pub job: Arc<Job>,
+    /// Numbers of its steps' images.
+    pub images: Vec<ImageIx>,
     /// Shard that lent tasks of it to this one; `None` for a job accepted here.
     pub home: Option<Arc<str>>,
     /// As decided here.
@@ -135,9 +138,10 @@
 
 impl JobRun {
     /// A job just handed in.
-    pub fn new(job: Arc<Job>, now: Duration) -> Self {
+    pub fn new(job: Arc<Job>, images: Vec<ImageIx>, now: Duration) -> Self {
         Self {
             job,
+            images,
             home: None,
             state: ShownState::Queued,
             durable: None,
@@ -153,11 +157,12 @@
     /// A job as the store has it. `age` is the time since its acceptance.
     pub fn recovered(
         job: Arc<Job>,
+        images: Vec<ImageIx>,
         progress: Option<&Progress>,
         now: Duration,
         age: Duration,
     ) -> Self {
-        let mut run = Self::new(job, now.saturating_sub(age));
+        let mut run = Self::new(job, images, now.saturating_sub(age));
         run.record = RecordState::Kept;
         run.durable = Some(ShownState::Queued);
         let Some(progress) = progress else { return run };
@@ -257,6 +262,11 @@
         self.job.steps.get(usize::from(task.step))
     }
 
+    /// The number of a task's image.
+    pub fn image(&self, task: TaskRef) -> ImageIx {
+        self.images.get(usize::from(task.step)).copied().unwrap_or_default()
+    }
+
     /// Names a task.
     pub fn task_ref(&self, occurrence: u32, step: usize, index: usize) -> TaskRef {
         TaskRef {
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -14,7 +14,7 @@
 use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, Started, StepRun, Task};
 use super::vm_run::RunKey;
 use crate::job::progress::TaskPhase;
-use crate::job::{Checkpoint, Job, JobId, Life, RunNumber, Share, Step, TaskRef};
+use crate::job::{Checkpoint, Image, Job, JobId, Life, RunNumber, Share, Step, TaskRef};
 use crate::note::Note;
 use crate::units::Resources;
 use crate::vm::Fence;
@@ -270,9 +270,10 @@
         if tasks.is_empty() || self.stage != super::Stage::Serving {
             return;
         }
+        let images = self.images_of(spec);
         let job = self.jobs.entry(id).or_insert_with(|| {
             let age = self.now.wall.saturating_sub(spec.accepted);
-            let mut job = JobRun::new(spec.clone(), now.saturating_sub(age));
+            let mut job = JobRun::new(spec.clone(), images, now.saturating_sub(age));
             job.home = Some(from.clone());
             job
         });
@@ -289,6 +290,7 @@
         names.retain(|name| job.task(*name).is_some_and(|task| task.loan == loan));
         if changed {
             job.advance(now);
+            self.replan();
             self.log.touch(id);
         } else if self.log.is_durable(id) && !names.is_empty() {
             let begun = if job.started == Started::Yes { Begun::Yes } else { Begun::No };
@@ -462,7 +464,8 @@
         if self.now.steady.saturating_sub(since) < patience {
             return None;
         }
-        let (service, image) = (job.job.service.clone(), self.image(task));
+        let service = job.job.service.clone();
+        let image = image_name(job, &step);
         let fits = |summary: &Summary| match step.share {
             Share::Reserved => reserved_room(summary, &step, &service),
             Share::Leftover => leftover_room(summary, &step, &image),
@@ -488,6 +491,11 @@
     }
 }
 
+/// The image of a step's tasks, as other shards know it.
+fn image_name(job: &JobRun, step: &Step) -> Image {
+    step.image.clone().unwrap_or_else(|| Image::new(job.job.queue.as_str()))
+}
+
 /// Tasks of a step that a shard has room for.
 fn reserved_room(summary: &Summary, step: &Step, service: &crate::ids::ServiceName) -> f64 {
     let need = step.reserved();
@@ -500,7 +508,7 @@
 }
 
 /// Processors that leftover work of an image would get in a shard, in thousandths of a core.
-fn leftover_room(summary: &Summary, step: &Step, image: &crate::job::Image) -> f64 {
+fn leftover_room(summary: &Summary, step: &Step, image: &Image) -> f64 {
     let harmless = summary.harmless_free.iter().find(|(known, _)| known == image);
     let free = harmless.map_or(0.0, |(_, free)| *free as f64) * COUNTED_ON;
     let need = f64::from(step.size.milli_cores.0);
@@ -508,7 +516,7 @@
 }
 
 /// Takes what was just lent off what is known of a shard.
-fn count_lent(summary: &mut Summary, step: &Step, image: &crate::job::Image) {
+fn count_lent(summary: &mut Summary, step: &Step, image: &Image) {
     let need = step.reserved();
     match step.share {
         Share::Reserved => {
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -9,7 +9,7 @@
 use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
-use crate::job::{Image, Share, TaskRef};
+use crate::job::{Share, TaskRef};
 use crate::note::{Ms, Note, Word};
 use crate::vm::{self, EndKind, EndedRun, LookReq, LookResp, RunningTask, VmTime};
 use indexmap::IndexSet;
@@ -49,6 +49,7 @@
                 vm.contact.failures = 0;
                 vm.read_clock(resp.clock, now);
                 let was = std::mem::replace(&mut vm.contact.silent, Silent::No);
+                let met = before.is_none() || was != Silent::No;
                 if let Silent::Since(since) = was {
                     let (runs, silent_ms) = (vm.runs.len(), Ms(now.saturating_sub(since)));
                     self.note(Note::VmHeard { vm: id.clone(), silent_ms, runs });
@@ -57,6 +58,9 @@
                     let (cores, memory_mib) = (size.milli_cores.0 / 1000, size.memory_mib.0);
                     self.note(Note::VmKnown { vm: id.clone(), cores, memory_mib });
                 }
+                if met {
+                    self.replan();
+                }
                 self.take_news(id, sent, resp);
                 if let Some(vm) = self.vms.get_mut(id) {
                     vm.plan_look(now);
@@ -114,16 +118,15 @@
         let now = self.now.steady;
         let Some(vm) = self.vms.get(id) else { return };
         let size = f64::from(vm.entry.size.milli_cores.0).max(1.0);
-        let leftover: Vec<(Image, f64)> = running
+        let beside: Vec<Beside> = running
             .iter()
             .filter_map(|row| {
                 let run = vm.runs.get(&RunKey { task: row.task, run: row.run })?;
-                let beside = run.share == Share::Leftover;
-                beside.then(|| (self.image(row.task), f64::from(row.milli_cores()) / size))
+                let share = f64::from(row.milli_cores()) / size;
+                let beside = || Beside { image: self.image(row.task), share };
+                (run.share == Share::Leftover).then(beside)
             })
             .collect();
-        let beside: Vec<Beside<'_>> =
-            leftover.iter().map(|(image, share)| Beside { image, share: *share }).collect();
         for row in running.iter().filter(|row| row.percent == 100 && row.gauge > 0) {
             let image = self.image(row.task);
             let Some(job) = self.jobs.get_mut(&row.task.job) else { continue };
@@ -139,7 +142,7 @@
             }
             let Some(step) = job.step_run_mut(row.task) else { continue };
             let load = step.load.get_or_insert_with(|| OwnLoad::new(target, now));
-            self.effects.learn(load, &image, row.tail(), &beside, now);
+            self.effects.learn(load, image, row.tail(), &beside, now);
         }
     }
 
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -1,16 +1,22 @@
 //! Which task goes where, and which goes first.
 
 use super::Shard;
-use super::job_run::{Effect, JobRun, Place};
+use super::interference::ImageIx;
+use super::job_run::{Effect, Place};
+use super::order::Candidate;
 use super::room::{Room, StepKey, Trial};
 use super::vm_run::{Run, RunKey};
-use crate::ids::VmId;
-use crate::job::{Image, JobId, Life, Share, Step, TaskRef};
+use crate::ids::{ServiceName, VmId};
+use crate::job::{Job, JobId, Life, Share, Step, TaskRef};
 use crate::note::{Ms, Note};
+use crate::units::Resources;
 use std::time::Duration;
 
 /// Least time between two passes, so that a burst of answers costs one pass.
-const SCHEDULE_GAP: Duration = Duration::from_millis(5);
+const SCHEDULE_GAP: Duration = Duration::from_millis(10);
+
+/// Longest time between two passes: loads swing and rests end without an event.
+const SCHEDULE_EVERY: Duration = Duration::from_millis(100);
 
 /// Least speed that a leftover task is placed at: below it, those that run are better left to end
 /// first. Tasks placed sooner only slow each other down.
@@ -52,147 +58,131 @@
 /// Waiting tasks that are offered to other shards in one pass.
 const MAX_LENT: usize = 64;
 
-/// A job with tasks that can start.
-struct Candidate {
-    id: JobId,
-    priority: u32,
-    life: Urgency,
-    prospect: Prospect,
-    /// Orders those of one prospect, the lowest first.
-    rank: f64,
+/// One pass over what waits.
+struct Pass {
+    rooms: Vec<Room>,
+    /// What found no room in this pass; room only gets less.
+    hopeless: Vec<Shape>,
+}
+
+/// What decides where a task fits, apart from its own past.
+#[derive(Clone, Debug)]
+struct Shape {
+    service: ServiceName,
+    image: ImageIx,
+    share: Share,
+    life: Life,
+    size: Resources,
+    /// Whether it may go to any VM of the service.
+    free: Anywhere,
 }
 
-/// Which tasks go first within a priority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    /// Lasting tasks: each moment of one that isn't at work is lost, and they are few.
-    Lasting,
-    Finite,
+/// Whether a task is bound to some VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Anywhere {
+    Yes,
+    No,
 }
 
-/// What can still become of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Prospect {
-    /// It can be done within its aim.
-    InTime,
-    /// It will be late, and is still of use.
-    Late,
-    /// It is past the time in which it was of use; it is done all the same.
-    Overdue,
+impl Shape {
+    fn of(job: &Job, step: &Step, image: ImageIx) -> Self {
+        let bound = step.label.is_some() || step.per_vm > 0;
+        Self {
+            service: job.service.clone(),
+            image,
+            share: step.share,
+            life: step.life,
+            size: step.size,
+            free: if bound { Anywhere::No } else { Anywhere::Yes },
+        }
+    }
+
+    /// Whether a task of this shape fits nowhere where one of the other doesn't.
+    fn is_as_large(&self, other: &Self) -> bool {
+        let alike = self.share == Share::Reserved || self.image == other.image;
+        other.free == Anywhere::Yes
+            && alike
+            && self.service == other.service
+            && (self.share, self.life) == (other.share, other.life)
+            && other.size.fits_in(&self.size)
+    }
 }
 
-/// Times its aim after which a finished job is of no use to its caller any more.
-const OF_USE: f64 = 3.0;
+impl Pass {
+    fn is_hopeless(&self, shape: &Shape) -> bool {
+        self.hopeless.iter().any(|hopeless| shape.is_as_large(hopeless))
+    }
+}
 
 impl Shard {
+    /// Something has changed that may let a task start.
+    pub(super) fn replan(&mut self) {
+        self.next_schedule = self.next_schedule.min(self.last_schedule + SCHEDULE_GAP);
+    }
+
     /// Binds tasks that can start to VMs with room.
     pub(super) fn schedule(&mut self) {
         let now = self.now.steady;
         if now < self.next_schedule {
             return;
         }
-        self.next_schedule = now + SCHEDULE_GAP;
+        self.last_schedule = now;
+        self.next_schedule = now + SCHEDULE_EVERY;
         let candidates = self.candidates();
         if candidates.is_empty() {
             return;
         }
-        let mut rooms: Vec<Room> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let rooms = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let mut pass = Pass { rooms, hopeless: Vec::new() };
         for candidate in &candidates {
-            self.place_job(candidate.id, &mut rooms);
+            self.place_job(candidate, &mut pass);
         }
-        let left = candidates.iter().filter_map(|candidate| self.jobs.get(&candidate.id));
-        let left: Vec<TaskRef> = left.flat_map(waiting).take(MAX_LENT).collect();
+        let waits = |task: &&TaskRef| {
+            let task = self.jobs.get(&task.job).and_then(|job| job.task(**task));
+            task.is_some_and(super::job_run::Task::is_waiting)
+        };
+        let tasks = candidates.iter().flat_map(|candidate| &candidate.tasks);
+        let left: Vec<TaskRef> = tasks.filter(waits).take(MAX_LENT).copied().collect();
         self.lend(&left);
     }
 
-    /// Jobs with tasks that can start, the most urgent first.
-    fn candidates(&self) -> Vec<Candidate> {
-        let mut candidates: Vec<Candidate> = self
-            .jobs
-            .values()
-            .filter(|job| !job.is_final() && !waiting(job).is_empty())
-            .map(|job| Candidate {
-                id: job.id(),
-                priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
-                life: urgency(job),
-                prospect: self.prospect(job).0,
-                rank: self.prospect(job).1,
-            })
-            .collect();
-        candidates.sort_by(|a, b| {
-            a.priority
-                .cmp(&b.priority)
-                .then(a.life.cmp(&b.life))
-                .then(a.prospect.cmp(&b.prospect))
-                .then(a.rank.total_cmp(&b.rank))
-                .then(a.id.cmp(&b.id))
-        });
-        candidates
-    }
-
-    fn prospect(&self, job: &JobRun) -> (Prospect, f64) {
-        let spent = self.now.steady.saturating_sub(job.since).as_secs_f64();
-        let aim = self.aim(job.id()).as_secs_f64();
-        let left = chain_left(job).as_secs_f64();
-        let slack = aim - spent - left;
-        if slack >= 0.0 {
-            (Prospect::InTime, left)
-        } else if OF_USE * aim - spent - left >= 0.0 {
-            (Prospect::Late, left)
-        } else {
-            (Prospect::Overdue, spent)
-        }
-    }
-
-    /// Time from a job's acceptance by which it should be done.
-    pub(super) fn aim(&self, id: JobId) -> Duration {
-        let Some(job) = self.jobs.get(&id) else { return Duration::ZERO };
-        let (stretch, latency) =
-            self.queue(job).map_or((2.0, Duration::ZERO), |q| (q.stretch, q.latency));
-        chain(job).mul_f64(stretch.max(0.0)) + latency
-    }
-
-    fn place_job(&mut self, id: JobId, rooms: &mut [Room]) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let (service, spec) = (job.job.service.clone(), job.job.clone());
-        let waiting = waiting(job);
-        let ours: Vec<bool> = rooms
-            .iter()
-            .map(|room| self.vms.get(&room.vm).is_some_and(|vm| vm.entry.service == service))
-            .collect();
-        for group in by_step(&waiting) {
+    fn place_job(&mut self, candidate: &Candidate, pass: &mut Pass) {
+        let Some(job) = self.jobs.get(&candidate.id) else { return };
+        let spec = job.job.clone();
+        for group in candidate.tasks.chunk_by(|a, b| StepKey::of(*a) == StepKey::of(*b)) {
             let Some(step) = spec.steps.get(usize::from(group[0].step)) else { continue };
+            let shape = Shape::of(&spec, step, self.image(group[0]));
             if step.members.as_one() {
-                self.place_together(&group, step, rooms, &ours);
+                self.place_together(group, step, &shape, pass);
                 continue;
             }
             for task in group {
-                let need = if self.is_stalled(id, task) { Need::Stalled } else { Need::Usual };
-                let Some(choice) = self.choose(task, step, need, rooms, &ours) else {
-                    hold_for(step, rooms, &ours);
+                let need = self.need(candidate.id, *task);
+                if need == Need::Usual && pass.is_hopeless(&shape) {
+                    break;
+                }
+                let Some(choice) = self.choose(*task, step, need, &shape, &pass.rooms) else {
+                    hold_for(step, &shape, &mut pass.rooms);
+                    pass.hopeless.push(shape.clone());
                     break;
                 };
-                self.bind(task, step, &mut rooms[choice]);
+                self.bind(*task, step, &mut pass.rooms[choice]);
             }
         }
     }
 
     /// Places all tasks of a group, or none.
-    fn place_together(
-        &mut self,
-        group: &[TaskRef],
-        step: &Step,
-        rooms: &mut [Room],
-        ours: &[bool],
-    ) {
+    fn place_together(&mut self, group: &[TaskRef], step: &Step, shape: &Shape, pass: &mut Pass) {
         if group.len() != step.tasks as usize {
             return;
         }
-        let mut trial = rooms.to_vec();
+        let mut trial = pass.rooms.clone();
         let mut choices = Vec::new();
         for task in group {
-            let Some(choice) = self.choose(*task, step, Need::Usual, &trial, ours) else { return };
-            trial[choice].take(step, &self.image(*task), StepKey::of(*task), &self.effects);
+            let Some(choice) = self.choose(*task, step, Need::Usual, shape, &trial) else {
+                return;
+            };
+            trial[choice].take(step, self.image(*task), StepKey::of(*task), &self.effects);
             choices.push(choice);
         }
         let run = group.iter().filter_map(|task| {
@@ -207,7 +197,7 @@
                 // Members share the number of their run.
                 task.last_run = crate::job::RunNumber(run.0 - 1);
             }
-            self.bind(*task, step, &mut rooms[choice]);
+            self.bind(*task, step, &mut pass.rooms[choice]);
         }
     }
 
@@ -217,31 +207,30 @@
         task: TaskRef,
         step: &Step,
         need: Need,
+        shape: &Shape,
         rooms: &[Room],
-        ours: &[bool],
     ) -> Option<usize> {
         let key = StepKey::of(task);
-        let image = self.image(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
-        let fits = |(index, room): &(usize, &Room)| {
+        let fits = |(_, room): &(usize, &Room)| {
             let held = room.held && step.life == Life::Finite;
-            ours[*index] && !held && room.takes(step, key) && self.has_label(&room.vm, step)
+            !held && room.service == shape.service && room.takes(step, key)
         };
         rooms
             .iter()
             .enumerate()
             .filter(fits)
+            .filter(|(_, room)| self.has_label(&room.vm, step))
             .filter_map(|(index, room)| {
-                let cost =
-                    self.cost(room, step, &image, need)? + penalty(room, key, step, &failed_on);
-                Some((index, cost))
+                let cost = self.cost(room, step, shape.image, need)?;
+                Some((index, cost + penalty(room, key, step, failed_on.as_ref())))
             })
             .min_by(|(_, a), (_, b)| a.total_cmp(b))
             .map(|(index, _)| index)
     }
 
     /// What a task costs on a VM; less is better, `None` if it is better left to wait.
-    fn cost(&self, room: &Room, step: &Step, image: &Image, need: Need) -> Option<f64> {
+    fn cost(&self, room: &Room, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
         let cost = match (step.share, step.life) {
             (Share::Leftover, _) => self.leftover_cost(room, step, image, need)?,
             (Share::Reserved, Life::Lasting) => lasting_cost(room, step, image),
@@ -251,15 +240,15 @@
     }
 
     /// Whether nothing of a job runs though its turn came a while ago.
-    fn is_stalled(&self, id: JobId, task: TaskRef) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
+    fn need(&self, id: JobId, task: TaskRef) -> Need {
+        let Some(job) = self.jobs.get(&id) else { return Need::Usual };
         let since = job.step_run(task).and_then(|step| step.ready);
         let waited = since.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at));
-        waited >= STALLED && !job.has_runs()
+        if waited >= STALLED && !job.has_runs() { Need::Stalled } else { Need::Usual }
     }
 
     /// Leftover work goes where it works fastest without slowing down those served there.
-    fn leftover_cost(&self, room: &Room, step: &Step, image: &Image, need: Need) -> Option<f64> {
+    fn leftover_cost(&self, room: &Room, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
         let harmless = room.harmless_speed(step, image, &self.effects);
         let speed = room.leftover_speed(step) * harmless;
         if speed < MIN_LEFTOVER_SPEED && need == Need::Usual {
@@ -291,16 +280,16 @@
             vm.runs.insert(RunKey { task, run }, bound);
         }
         let (ready_ms, neighbours) = (Ms(now.saturating_sub(ready)), room.tasks());
-        room.take(step, &self.image(task), StepKey::of(task), &self.effects);
+        room.take(step, self.image(task), StepKey::of(task), &self.effects);
         let free_cores = u64::from(room.free.milli_cores.0 / 1000);
         self.note(Note::TaskBound { task, run, vm: vm_id, ready_ms, free_cores, neighbours });
     }
 }
 
 /// What speaks against a VM whatever the task.
-fn penalty(room: &Room, key: StepKey, step: &Step, failed_on: &Option<VmId>) -> f64 {
+fn penalty(room: &Room, key: StepKey, step: &Step, failed_on: Option<&VmId>) -> f64 {
     let mut cost = SAME_STEP * room.count(key) as f64;
-    if failed_on.as_ref() == Some(&room.vm) {
+    if failed_on == Some(&room.vm) {
         cost += FAILED_THERE;
     }
     if room.trial == Trial::Yes {
@@ -314,7 +303,7 @@
 
 /// Lasting tasks of one image go together: which leftover work may run beside them is then the same
 /// for all of them. Some processors are kept free on each VM for work that must start at once.
-fn lasting_cost(room: &Room, step: &Step, image: &Image) -> f64 {
+fn lasting_cost(room: &Room, step: &Step, image: ImageIx) -> f64 {
     let (same, others) = room.alike(image);
     let mixed = others as f64 / (same + others + 1) as f64;
     let opened = if same + others == 0 { OPENED_VM } else { 0.0 };
@@ -325,71 +314,15 @@
 
 /// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
 /// than a short one, and would wait as long as any of those comes.
-fn hold_for(step: &Step, rooms: &mut [Room], ours: &[bool]) {
+fn hold_for(step: &Step, shape: &Shape, rooms: &mut [Room]) {
     if step.life != Life::Lasting || step.share != Share::Reserved {
         return;
     }
-    let fits = |room: &Room| room.lasting_with(step) <= 1.0 && !room.held;
-    let candidates = rooms.iter_mut().zip(ours).filter(|(room, ours)| **ours && fits(room));
-    let best = candidates.max_by_key(|(room, _)| room.free.milli_cores);
-    if let Some((room, _)) = best {
+    let fits = |room: &&mut Room| {
+        room.lasting_with(step) <= 1.0 && !room.held && room.service == shape.service
+    };
+    let best = rooms.iter_mut().filter(fits).max_by_key(|room| room.free.milli_cores);
+    if let Some(room) = best {
         room.held = true;
     }
 }
-
-fn urgency(job: &JobRun) -> Urgency {
-    let lasting = job.job.steps.iter().any(|step| step.life == Life::Lasting);
-    if lasting { Urgency::Lasting } else { Urgency::Finite }
-}
-
-/// Tasks that can start.
-fn waiting(job: &JobRun) -> Vec<TaskRef> {
-    let mut waiting = Vec::new();
-    for occurrence in &job.open {
-        for (number, step) in occurrence.steps.iter().enumerate() {
-            if step.ready.is_none() {
-                continue;
-            }
-            let tasks = step.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
-            waiting.extend(tasks.map(|(index, _)| job.task_ref(occurrence.number, number, index)));
-        }
-    }
-    waiting
-}
-
-fn by_step(tasks: &[TaskRef]) -> Vec<Vec<TaskRef>> {
-    let mut groups: Vec<Vec<TaskRef>> = Vec::new();
-    for task in tasks {
-        match groups.last_mut() {
-            Some(group) if StepKey::of(group[0]) == StepKey::of(*task) => group.push(*task),
-            _ => groups.push(vec![*task]),
-        }
-    }
-    groups
-}
-
-/// The longest chain of a job's estimates.
-pub(super) fn chain(job: &JobRun) -> Duration {
-    let mut until: Vec<Duration> = Vec::with_capacity(job.job.steps.len());
-    for step in &job.job.steps {
-        let before = step.after.iter().filter_map(|after| until.get(usize::from(*after)).copied());
-        let start = before.max().unwrap_or_default();
-        until.push(start + step.estimate);
-    }
-    until.into_iter().max().unwrap_or_default()
-}
-
-/// The longest chain of what is left of a job's estimates.
-fn chain_left(job: &JobRun) -> Duration {
-    let left = |occurrence: &super::job_run::Occurrence| {
-        let mut until: Vec<Duration> = Vec::with_capacity(job.job.steps.len());
-        for (step, run) in job.job.steps.iter().zip(&occurrence.steps) {
-            let before = step.after.iter().filter_map(|after| until.get(usize::from(*after)));
-            let start = before.max().copied().unwrap_or_default();
-            let own = if run.succeeded() { Duration::ZERO } else { step.estimate };
-            until.push(start + own);
-        }
-        until.into_iter().max().unwrap_or_default()
-    };
-    job.open.iter().map(left).max().unwrap_or_default()
-}
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -67,6 +67,7 @@
             inherited_until: now.steady + keep + keep.mul_f64(CLOCK_DRIFT) + unaware + LAPSE_MARGIN,
             stage: super::Stage::Serving,
             now,
+            last_schedule: Duration::ZERO,
             next_schedule: now.steady,
             next_report: now.steady,
             out: Vec::new(),
@@ -89,7 +90,8 @@
         let now = self.now;
         for job in jobs {
             let (id, age) = (job.id, now.wall.saturating_sub(job.accepted));
-            let run = JobRun::recovered(job, progress.get(&id), now.steady, age);
+            let images = self.images_of(&job);
+            let run = JobRun::recovered(job, images, progress.get(&id), now.steady, age);
             self.jobs.insert(id, run);
             self.recover_runs(id);
             self.recover_loans(id);
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -8,9 +8,9 @@
 
 use super::Shard;
 use super::event::Action;
-use super::interference::{Effects, TARGET_SHARE};
+use super::interference::{Effects, ImageIx, TARGET_SHARE};
 use super::vm_run::{RunKey, Vm};
-use crate::job::{Image, Share, TaskRef};
+use crate::job::{Image, Job, Share, TaskRef};
 use crate::note::Note;
 use crate::vm::PaceReq;
 use std::time::Duration;
@@ -40,7 +40,7 @@
 /// A leftover task that may be slowed.
 struct Neighbour {
     key: RunKey,
-    image: Image,
+    image: ImageIx,
     /// Share of the VM's processors that it uses at full speed.
     full: f64,
     pace: u8,
@@ -50,7 +50,7 @@
 /// A serving task that may be harmed.
 struct Served {
     task: TaskRef,
-    image: Image,
+    image: ImageIx,
     own: f64,
     bound: f64,
     over: Duration,
@@ -118,11 +118,16 @@
         vm.runs.iter().filter_map(served).collect()
     }
 
-    /// The image of a task; tasks without one behave like their queue's.
-    pub(super) fn image(&self, task: TaskRef) -> Image {
-        let Some(job) = self.jobs.get(&task.job) else { return Image::new("") };
-        let image = job.step(task).and_then(|step| step.image.clone());
-        image.unwrap_or_else(|| Image::new(job.job.queue.as_str()))
+    /// The image of a task.
+    pub(super) fn image(&self, task: TaskRef) -> ImageIx {
+        self.jobs.get(&task.job).map_or_else(ImageIx::default, |job| job.image(task))
+    }
+
+    /// The images of a job's steps; tasks without one behave like their queue's.
+    pub(super) fn images_of(&mut self, job: &Job) -> Vec<ImageIx> {
+        let queue = Image::new(job.queue.as_str());
+        let images = job.steps.iter().map(|step| step.image.as_ref().unwrap_or(&queue));
+        images.map(|image| self.effects.number(image)).collect()
     }
 
     fn order_pace(
@@ -171,15 +176,15 @@
             let served = &served[index];
             let added: f64 = neighbours
                 .iter()
-                .map(|n| effects.amount(&n.image, &served.image) * n.full * n.wanted)
+                .map(|n| effects.amount(n.image, served.image) * n.full * n.wanted)
                 .sum();
             served.own + added - served.bound
         };
         let most = (0..served.len()).max_by(|a, b| excess(*a).total_cmp(&excess(*b)));
         let Some(most) = most.filter(|index| excess(*index) > 0.0) else { return worst };
         worst.get_or_insert(most);
-        let (over, image) = (excess(most), &served[most].image);
-        let load = |n: &Neighbour| effects.amount(&n.image, image) * n.full * n.wanted;
+        let (over, image) = (excess(most), served[most].image);
+        let load = |n: &Neighbour| effects.amount(n.image, image) * n.full * n.wanted;
         let heaviest = neighbours.iter_mut().max_by(|a, b| load(a).total_cmp(&load(b)));
         let Some(heaviest) = heaviest else { return worst };
         let added = load(heaviest);
@@ -194,7 +199,7 @@
 /// A task that has been over its target for long isn't argued with.
 fn stop_beside(neighbours: &mut [Neighbour], served: &Served, effects: &Effects) {
     for neighbour in neighbours {
-        let heavy = effects.amount(&neighbour.image, &served.image) >= HEAVY;
+        let heavy = effects.amount(neighbour.image, served.image) >= HEAVY;
         if served.over >= OVER_TOO_LONG || (served.over >= OVER_LONG && heavy) {
             neighbour.wanted = 0.0;
         }
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -2,10 +2,10 @@
 
 use super::Shard;
 use super::health::State;
-use super::interference::Effects;
+use super::interference::{Effects, ImageIx};
 use super::vm_run::{RunKey, Vm};
-use crate::ids::{RackId, VmId};
-use crate::job::{Image, Life, Share, Step, TaskRef};
+use crate::ids::{RackId, ServiceName, VmId};
+use crate::job::{Life, Share, Step, TaskRef};
 use crate::units::Resources;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +21,7 @@
     /// `ip:port` of the VM.
     pub addr: Arc<str>,
     pub rack: RackId,
+    pub service: ServiceName,
     pub free: Resources,
     /// Processors that leftover work shares, in thousandths of a core.
     pub leftover: f64,
@@ -41,7 +42,7 @@
 /// A serving task, as far as placing beside it is concerned.
 #[derive(Clone, Debug)]
 pub struct Served {
-    pub image: Image,
+    pub image: ImageIx,
     /// Load that may be added before its tail is over the bound.
     pub slack: f64,
 }
@@ -103,7 +104,7 @@
         }
         room.lasting = lasting;
         for (image, share) in beside {
-            room.add_beside(&image, share, &self.effects);
+            room.add_beside(image, share, &self.effects);
         }
         Some(room)
     }
@@ -135,6 +136,7 @@
             vm: vm.id.clone(),
             addr: vm.entry.addr.clone(),
             rack: vm.entry.rack.clone(),
+            service: vm.entry.service.clone(),
             free: vm.free(),
             leftover: (f64::from(vm.entry.size.milli_cores.0) - used).max(0.0),
             leftover_demand,
@@ -164,7 +166,7 @@
     }
 
     /// Takes room for a task.
-    pub fn take(&mut self, step: &Step, image: &Image, key: StepKey, effects: &Effects) {
+    pub fn take(&mut self, step: &Step, image: ImageIx, key: StepKey, effects: &Effects) {
         self.free = self.free.saturating_sub(&step.reserved());
         let share = f64::from(step.size.milli_cores.0) / self.size;
         if step.share == Share::Leftover {
@@ -176,16 +178,16 @@
         }
         if step.tail_target.is_some() {
             let slack = USUAL_BOUND - EXPECTED_LOAD;
-            self.served.push(Served { image: image.clone(), slack });
+            self.served.push(Served { image, slack });
         }
         self.steps.push(key);
     }
 
     /// Speed at which a leftover task could work without harm to those served here, 0 to 1.
-    pub fn harmless_speed(&self, step: &Step, image: &Image, effects: &Effects) -> f64 {
+    pub fn harmless_speed(&self, step: &Step, image: ImageIx, effects: &Effects) -> f64 {
         let share = f64::from(step.size.milli_cores.0) / self.size;
         let speed = |served: &Served| {
-            let added = effects.amount(image, &served.image) * share;
+            let added = effects.amount(image, served.image) * share;
             if added <= 0.0 { 1.0 } else { (served.slack / added).clamp(0.0, 1.0) }
         };
         self.served.iter().map(speed).fold(1.0, f64::min)
@@ -193,10 +195,10 @@
 
     /// Processors that leftover work of an image gets here without harm to those served, beside
     /// nothing else, in thousandths of a core.
-    pub fn harmless(&self, image: &Image, effects: &Effects) -> u64 {
+    pub fn harmless(&self, image: ImageIx, effects: &Effects) -> u64 {
         let bound = USUAL_BOUND - EXPECTED_LOAD;
         let most = |served: &Served| {
-            let amount = effects.amount(image, &served.image);
+            let amount = effects.amount(image, served.image);
             if amount <= 0.0 { self.size } else { bound / amount * self.size }
         };
         let most = self.served.iter().map(most).fold(self.size, f64::min);
@@ -208,9 +210,9 @@
 
     /// Processors that leftover work of an image would still get here without harm, in thousandths
     /// of a core.
-    pub fn harmless_free(&self, image: &Image, effects: &Effects) -> u64 {
+    pub fn harmless_free(&self, image: ImageIx, effects: &Effects) -> u64 {
         let most = |served: &Served| {
-            let amount = effects.amount(image, &served.image);
+            let amount = effects.amount(image, served.image);
             if amount <= 0.0 { self.size } else { served.slack.max(0.0) / amount * self.size }
         };
         let most = self.served.iter().map(most).fold(self.size, f64::min);
@@ -223,14 +225,14 @@
     }
 
     /// Serving tasks there with this image, and with others.
-    pub fn alike(&self, image: &Image) -> (usize, usize) {
-        let same = self.served.iter().filter(|served| served.image == *image).count();
+    pub fn alike(&self, image: ImageIx) -> (usize, usize) {
+        let same = self.served.iter().filter(|served| served.image == image).count();
         (same, self.served.len() - same)
     }
 
-    fn add_beside(&mut self, image: &Image, share: f64, effects: &Effects) {
+    fn add_beside(&mut self, image: ImageIx, share: f64, effects: &Effects) {
         for served in &mut self.served {
-            served.slack -= effects.amount(image, &served.image) * share;
+            served.slack -= effects.amount(image, served.image) * share;
         }
     }
 
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -5,8 +5,8 @@
 use super::event::Summary;
 use super::job_run::{Started, Task};
 use super::room::Trial;
+use crate::job::QueueName;
 use crate::job::progress::TaskPhase;
-use crate::job::{Image, QueueName};
 use crate::job::{Life, Share};
 use indexmap::IndexMap;
 
@@ -31,13 +31,12 @@
             }
             rooms.push(room);
         }
-        let images = self.effects.leftover_images();
-        let harmless = |image: &Image| rooms.iter().map(|r| r.harmless(image, &self.effects)).sum();
-        let free =
-            |image: &Image| rooms.iter().map(|r| r.harmless_free(image, &self.effects)).sum();
-        summary.harmless_free =
-            self.effects.leftover_images().map(|image| (image.clone(), free(image))).collect();
-        summary.harmless = images.map(|image| (image.clone(), harmless(image))).collect();
+        for (number, image) in self.effects.leftover_images() {
+            let all = rooms.iter().map(|room| room.harmless(number, &self.effects)).sum();
+            let free = rooms.iter().map(|room| room.harmless_free(number, &self.effects)).sum();
+            summary.harmless.push((image.clone(), all));
+            summary.harmless_free.push((image.clone(), free));
+        }
         let mut queued: IndexMap<QueueName, u32> = IndexMap::new();
         for job in self.jobs.values().filter(|job| !job.is_final() && job.durable.is_some()) {
             if job.started == Started::No && !job.is_guest() {
