--- a/src/job.rs
+++ b/src/job.rs
@@ -243,6 +243,27 @@
     pub index: u32,
 }
 
+impl TaskRef {
+    /// The step that it belongs to.
+    pub fn of_step(self) -> StepRef {
+        StepRef { job: self.job, occurrence: self.occurrence, step: self.step }
+    }
+}
+
+/// One step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StepRef {
+    pub job: JobId,
+    pub occurrence: u32,
+    pub step: u16,
+}
+
+impl fmt::Display for StepRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 impl fmt::Display for TaskRef {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | `control` | decides: shards and who owns them | callers are refused as not run; answers of other duties wait |
 //! | `records` | reads and writes the store | commits wait at control |
-//! | `orders` | calls VMs | orders wait at control |
+//! | `orders` | calls VMs, and the service that permits steps | orders wait at control |
 //! | `links` | talks to other daemons | messages are dropped; their senders repeat them |
 //!
 //! What the platform's interfaces look like is behind [`Platform`].
@@ -21,6 +21,7 @@
 pub mod view;
 
 use crate::kv::{Item, Kv};
+use crate::permit::PermitPort;
 use crate::queues::Queues;
 use crate::vm::{VmEntry, VmPort};
 
@@ -38,6 +39,8 @@
     type Store: Kv + Clone + Unpin + 'static;
     /// Client of the VMs.
     type Vms: VmPort + Clone + Unpin + 'static;
+    /// Client of the service that permits steps on VMs.
+    type Permits: PermitPort + Clone + Unpin + 'static;
 
     /// A client of the store, made on the thread that uses it.
     fn store(&self) -> Self::Store;
@@ -45,6 +48,9 @@
     /// A client of the VMs, made on the thread that uses it.
     fn vms(&self) -> Self::Vms;
 
+    /// A client of the service that permits steps, made on the thread that uses it.
+    fn permits(&self) -> Self::Permits;
+
     /// Prefix of the VMs' announcements.
     fn fleet_prefix(&self) -> &str;
 
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -4,17 +4,20 @@
 //! whether it still owns its shards before it gives any order.
 
 use super::calls::{Call, Reply};
-use super::links::{Links, Offer, Probe, SayHello, Tell};
-use super::orders::Order;
+use super::links::{AskThrough, Links, Offer, Probe, SayHello, Tell};
+use super::orders::{AskHere, Order};
 use super::records::{Claim, Commit, Confirm, Confirmation, Forget, ReadHeads};
 use super::view::{Directory, Owner, Readiness, ShardView, View};
 use crate::clock::Clock;
 use crate::cluster::ownership::OWN_PAUSE;
-use crate::cluster::{self, HandOver, Head, Hello, Member, Ownership, Plan, ShardNews, StoreReach};
+use crate::cluster::{
+    self, HandOver, Head, Hello, Member, MemberStage, Ownership, Plan, ShardNews, StoreReach,
+};
 use crate::ids::{DaemonId, Ticket};
 use crate::job::JobId;
 use crate::journal::Journal;
 use crate::note::{Ms, Note};
+use crate::permit::{self, PermitReq};
 use crate::queues::Queues;
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
 use crate::shard::interference::Learned;
@@ -27,9 +30,11 @@
 use actix::prelude::*;
 use indexmap::IndexMap;
 use std::collections::VecDeque;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 use tokio::sync::{oneshot, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Between two looks at the time. Orders that wait for their turn are late by half of it.
 const TICK: Duration = Duration::from_millis(20);
@@ -60,6 +65,7 @@
 /// The rings to the other duties.
 pub struct Rings {
     pub orders: Ring<Order>,
+    pub asker: Recipient<AskHere>,
     pub links: Addr<Links>,
     pub claims: Recipient<Claim>,
     pub commits: Recipient<Commit>,
@@ -97,6 +103,8 @@
     plan: Plan,
     store: StoreReach,
     store_lost: Option<Duration>,
+    /// Questions about permits that are under way, by the daemon that asks.
+    asking: IndexMap<String, u32>,
     tickets: IndexMap<Ticket, oneshot::Sender<Reply>>,
     next_ticket: u64,
     view: watch::Sender<Arc<View>>,
@@ -132,6 +140,7 @@
             plan: Plan::default(),
             store: StoreReach::Away,
             store_lost: None,
+            asking: IndexMap::new(),
             tickets: IndexMap::new(),
             next_ticket: 0,
             view,
@@ -226,6 +235,7 @@
                 // The order's answer never comes if its duty has ended, and nothing else does then.
                 let _ = rings.orders.push(Order { shard: shard.clone(), fence, action });
             }
+            Action::Ask(req) => self.ask_permits(shard, fence, req, cx),
             Action::Commit { seq, txn } => {
                 if let Some(rings) = &self.rings {
                     rings.commits.do_send(Commit { shard: shard.to_string(), seq, txn });
@@ -242,6 +252,41 @@
         }
     }
 
+    /// Asks the service that permits steps, through the daemon with the fewest questions of ours.
+    fn ask_permits(
+        &mut self,
+        shard: &Arc<str>,
+        fence: Fence,
+        req: PermitReq,
+        cx: &mut Context<Self>,
+    ) {
+        let through = self.ownership.members().into_iter().filter(may_ask).min_by_key(|member| {
+            let asked = self.asking.get(&member.name).copied().unwrap_or(0);
+            (asked, xxh3_64(format!("{}/{}", req.step, member.name).as_bytes()))
+        });
+        let here = self.asking.get(&self.ownership.me().name).copied().unwrap_or(0);
+        let through =
+            through.filter(|member| here > self.asking.get(&member.name).copied().unwrap_or(0));
+        let Some(rings) = &mut self.rings else { return };
+        let name = through.as_ref().unwrap_or(self.ownership.me()).name.clone();
+        *self.asking.entry(name.clone()).or_default() += 1;
+        let (sent, step, vms) = (self.last, req.step, req.vms.clone());
+        let answer: Pin<Box<dyn Future<Output = _>>> = match through {
+            Some(to) => Box::pin(rings.links.send(AskThrough { to, req })),
+            None => Box::pin(rings.asker.send(AskHere(req))),
+        };
+        let shard = shard.clone();
+        cx.spawn(answer.into_actor(self).map(move |answer, this, cx| {
+            if let Some(asked) = this.asking.get_mut(&name) {
+                *asked = asked.saturating_sub(1);
+            }
+            let ended = |e: MailboxError| permit::Error::NotSent { reason: e.to_string() };
+            let result = answer.map_err(ended).flatten();
+            let event = Event::Permitted { step, vms, sent, result };
+            cx.notify(Told { shard, fence, event });
+        }));
+    }
+
     /// Says something to the owner of another shard, wherever that is.
     fn tell(
         &mut self,
@@ -279,8 +324,12 @@
             let (name, summary) = (hosted.name.clone(), hosted.summary.clone());
             known.push(Neighbour { name, fence: hosted.shard.fence(), summary });
         }
+        let daemons = self.ownership.members().len() + 1;
+        let shards = self.ownership.shards().len().max(1);
+        let askers = u32::try_from(daemons.div_ceil(shards)).unwrap_or(1);
         let names: Vec<String> = self.hosted.keys().cloned().collect();
         for name in names {
+            self.step(&name, Event::Askers(askers), cx);
             let others = known.iter().filter(|other| *other.name != *name).cloned().collect();
             self.step(&name, Event::Neighbours(others), cx);
         }
@@ -431,7 +480,7 @@
 
     fn readiness(&self, now: Duration, shards: &IndexMap<String, ShardView>) -> Readiness {
         let not = |reason| Readiness::Not { reason };
-        if self.ownership.me().stage == crate::cluster::MemberStage::Draining {
+        if self.ownership.me().stage == MemberStage::Draining {
             return not("the daemon stops");
         }
         if self.queues.is_none() {
@@ -470,7 +519,8 @@
     fn news(&mut self) -> Vec<ShardNews> {
         let now = self.clock.now();
         let news = |(name, hosted): (&String, &mut Hosted)| {
-            while hosted.accepted.front().is_some_and(|(at, _)| now.saturating_sub(*at) > TOLD_FOR) {
+            while hosted.accepted.front().is_some_and(|(at, _)| now.saturating_sub(*at) > TOLD_FOR)
+            {
                 hosted.accepted.pop_front();
             }
             let tells = now >= hosted.next_learned;
@@ -604,6 +654,11 @@
     }
 }
 
+/// Whether a daemon may ask for others.
+fn may_ask(member: &Member) -> bool {
+    member.stage == MemberStage::Serving
+}
+
 /// Pause before the store is asked again whether shards are still owned.
 const CONFIRM_RETRY: Duration = Duration::from_millis(150);
 
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -4,7 +4,7 @@
 use super::calls::Calls;
 use super::control::{ACTIONS, Connect, Control, Drain, OwnsAny, Rings};
 use super::links::{self, Links};
-use super::orders::Orders;
+use super::orders::{AskHere, Orders};
 use super::records::{Leave, Records};
 use super::settings::Settings;
 use super::view::{Directory, View};
@@ -84,8 +84,10 @@
                 Orders::new(&platform, control, clock)
             })
         };
-        let links = start_links(&arbiters[3], settings.peer_addr(), &control).await?;
+        let asker = orders.clone().recipient();
+        let links = start_links(&arbiters[3], settings.peer_addr(), &control, asker).await?;
         control.do_send(Connect(Rings {
+            asker: orders.clone().recipient(),
             orders: Ring::new(orders, ACTIONS),
             links: links.clone(),
             claims: records.clone().recipient(),
@@ -153,6 +155,7 @@
     arbiter: &Arbiter,
     addr: SocketAddr,
     control: &Addr<Control>,
+    asker: Recipient<AskHere>,
 ) -> Result<Addr<Links>> {
     let links = {
         let control = control.clone();
@@ -162,7 +165,7 @@
     let (served, control) = (links.clone(), control.clone());
     arbiter.spawn(async move {
         // The starter waits for this.
-        let _ = tx.send(links::serve(addr, served, control).await);
+        let _ = tx.send(links::serve(addr, served, control, asker).await);
     });
     let served = rx.await.map_err(|_| Error::Ended)?;
     served.map_err(|source| Error::Listen { addr, source })?;
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -6,8 +6,10 @@
 
 use super::calls::{Call, Reply};
 use super::control::{Control, Hear, Refused, TakeCall, TakeMessage, TakeOffer};
+use super::orders::AskHere;
 use crate::cluster::{Hello, Member};
 use crate::ids::DaemonId;
+use crate::permit::{self, PermitReq, PermitResp};
 use crate::ring::RING_CAPACITY;
 use crate::shard::loan::LoanMsg;
 use crate::vm::Fence;
@@ -47,6 +49,9 @@
     /// Says something about a loan to the owner of a shard.
     async fn tell(shard: String, from: String, fence: Fence, msg: LoanMsg);
 
+    /// Asks the service that permits steps, which takes one question at a time from each daemon.
+    async fn ask(req: PermitReq) -> permit::Result<PermitResp>;
+
     /// Offers a shard that its owner has given up.
     async fn take(shard: String, from: DaemonId);
 }
@@ -111,14 +116,20 @@
 }
 
 /// Listens for other daemons on the present thread until it ends.
-pub async fn serve(addr: SocketAddr, links: Addr<Links>, control: Addr<Control>) -> io::Result<()> {
+pub async fn serve(
+    addr: SocketAddr,
+    links: Addr<Links>,
+    control: Addr<Control>,
+    asker: Recipient<AskHere>,
+) -> io::Result<()> {
     let mut listener = tarpc::serde_transport::tcp::listen(addr, Bincode::default).await?;
     listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
     actix::spawn(async move {
         while let Some(incoming) = listener.next().await {
             // A connection that broke while it was taken is made again by its other end.
             let Ok(transport) = incoming else { continue };
-            let server = Server { links: links.clone(), control: control.clone() };
+            let (links, control) = (links.clone(), control.clone());
+            let server = Server { links, control, asker: asker.clone() };
             let requests = BaseChannel::with_defaults(transport).execute(server.serve());
             actix::spawn(requests.for_each(|answer| async {
                 actix::spawn(answer);
@@ -132,6 +143,7 @@
 struct Server {
     links: Addr<Links>,
     control: Addr<Control>,
+    asker: Recipient<AskHere>,
 }
 
 impl JobsRpc for Server {
@@ -151,6 +163,11 @@
         self.control.do_send(TakeMessage { shard, from, fence, msg });
     }
 
+    async fn ask(self, _: CallContext, req: PermitReq) -> permit::Result<PermitResp> {
+        let ended = |e: MailboxError| permit::Error::NotSent { reason: e.to_string() };
+        self.asker.send(AskHere(req)).await.map_err(ended)?
+    }
+
     async fn take(self, _: CallContext, shard: String, from: DaemonId) {
         self.control.do_send(TakeOffer { shard, from });
     }
@@ -264,6 +281,26 @@
     }
 }
 
+/// Asks the service that permits steps, through another daemon.
+#[derive(Message)]
+#[rtype(result = "permit::Result<PermitResp>")]
+pub struct AskThrough {
+    pub to: Member,
+    pub req: PermitReq,
+}
+
+impl Handler<AskThrough> for Links {
+    type Result = ResponseFuture<permit::Result<PermitResp>>;
+
+    fn handle(&mut self, msg: AskThrough, _: &mut Self::Context) -> Self::Result {
+        let link = self.link(&msg.to.addr);
+        Box::pin(async move {
+            let unheard = |e: Error| permit::Error::NoAnswer { reason: e.to_string() };
+            link.ask_permits(msg.req).await.map_err(unheard)?
+        })
+    }
+}
+
 /// Makes a caller's call at another daemon.
 #[derive(Message)]
 #[rtype(result = "Result<Reply>")]
@@ -316,6 +353,11 @@
         self.ask(timeout, |client, cx| async move { client.call(cx, shard, call).await }).await
     }
 
+    async fn ask_permits(&self, req: PermitReq) -> Result<permit::Result<PermitResp>> {
+        let timeout = req.timeout + HELLO_TIMEOUT;
+        self.ask(timeout, |client, cx| async move { client.ask(cx, req).await }).await
+    }
+
     async fn ask<T, F>(
         &self,
         timeout: Duration,
--- a/src/jobs/orders.rs
+++ b/src/jobs/orders.rs
@@ -1,4 +1,4 @@
-//! The duty that calls VMs.
+//! The duty that calls VMs, and the service that permits steps on them.
 //!
 //! Calls to one VM run side by side: a look that waits for news must not hold up a start. Each
 //! call's answer, or what is known in its place, goes back to control.
@@ -6,6 +6,7 @@
 use super::Platform;
 use super::control::{Control, Told};
 use crate::clock::Clock;
+use crate::permit::{self, PermitPort, PermitReq, PermitResp};
 use crate::ring::RING_CAPACITY;
 use crate::shard::{Action, Event};
 use crate::vm::{Fence, VmPort};
@@ -15,6 +16,7 @@
 /// The duty.
 pub struct Orders<P: Platform> {
     vms: P::Vms,
+    permits: P::Permits,
     control: Addr<Control>,
     clock: Arc<dyn Clock>,
 }
@@ -22,7 +24,7 @@
 impl<P: Platform> Orders<P> {
     /// A duty; made on its own thread.
     pub fn new(platform: &P, control: Addr<Control>, clock: Arc<dyn Clock>) -> Self {
-        Self { vms: platform.vms(), control, clock }
+        Self { vms: platform.vms(), permits: platform.permits(), control, clock }
     }
 }
 
@@ -56,6 +58,20 @@
     }
 }
 
+/// Asks the service that permits steps, from this daemon.
+#[derive(Message)]
+#[rtype(result = "permit::Result<PermitResp>")]
+pub struct AskHere(pub PermitReq);
+
+impl<P: Platform> Handler<AskHere> for Orders<P> {
+    type Result = ResponseFuture<permit::Result<PermitResp>>;
+
+    fn handle(&mut self, msg: AskHere, _: &mut Self::Context) -> Self::Result {
+        let permits = self.permits.clone();
+        Box::pin(async move { permits.ask(&msg.0).await })
+    }
+}
+
 async fn carry_out(vms: &impl VmPort, action: Action, clock: &dyn Clock) -> Option<Event> {
     match action {
         Action::Look { vm, req } => {
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -36,9 +36,9 @@
     pub listen: Listen,
     pub store: Store,
     pub bounds: Bounds,
-    /// Address of the service that admits steps to VMs; empty if there is none.
+    /// Address of the service that permits steps on VMs; empty if there is none.
     #[serde(default)]
-    pub admission: String,
+    pub permits: String,
     /// Address of the service that lists and moves VMs; empty if there is none.
     #[serde(default)]
     pub machines: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod note;
 pub mod peer;
 pub mod peers;
+pub mod permit;
 pub mod queues;
 pub mod report;
 pub mod request;
--- a/src/note.rs
+++ b/src/note.rs
@@ -158,6 +158,10 @@
     Telling JobCancelled = "job-cancelled" { job: JobId, queue: QueueName, runs: usize, }
     /// Tasks that find no room in their shard are lent to another.
     Telling TasksLent = "tasks-lent" { job: JobId, to: String, tasks: usize, }
+    /// An outside service said on which VMs a step may run.
+    Telling StepPermitted = "step-permitted" { job: JobId, step: u16, asked: usize, permitted: usize, took_ms: Ms, }
+    /// It didn't say.
+    Urgent PermitsUnanswered = "permits-unanswered" { job: JobId, step: u16, asked: usize, reason: String, }
     /// A run was bound to a VM.
     Routine TaskBound = "task-bound" { task: TaskRef, run: RunNumber, vm: VmId, ready_ms: Ms, free_cores: u64, neighbours: usize, }
     /// A VM confirmed a start.
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -35,17 +35,17 @@
     pub latency: Duration,
     /// Longest time that a call may take.
     pub timeout: Duration,
-    /// Whether its steps run only where an outside service admits them.
-    pub admission: Option<Admission>,
+    /// Set where its steps run only on VMs that an outside service permits.
+    pub permits: Option<PermitTimes>,
 }
 
-/// An outside service that says where a step may run.
+/// Times of the service that permits steps on VMs.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Admission {
-    /// Time that it takes for a question, and for each VM asked about.
-    pub base: Duration,
-    pub per_vm: Duration,
-    /// How long a ticket is valid.
+pub struct PermitTimes {
+    /// For a question, and for each VM that it names.
+    pub question: Duration,
+    pub each_vm: Duration,
+    /// How long a permit is valid.
     pub valid: Duration,
 }
 
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -22,6 +22,7 @@
 mod order;
 mod orders;
 mod own_load;
+mod permits;
 mod place;
 mod recover;
 mod relief;
@@ -64,6 +65,7 @@
     log: Log,
     effects: interference::Effects,
     loans: loan::Loans,
+    questions: permits::Questions,
     /// Until when VMs that this owner hasn't reached may keep running what earlier owners started.
     inherited_until: Duration,
     stage: Stage,
@@ -130,12 +132,16 @@
             Event::Paced { vm, task, run, percent, result } => {
                 self.pace_answered(&vm, task, run, percent, &result);
             }
+            Event::Permitted { step, vms, sent, result } => {
+                self.permitted(step, &vms, sent, result);
+            }
             Event::Committed { seq, result } => self.committed(seq, result),
             Event::Submit { ticket, job, urge } => self.submit(ticket, job, urge),
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
             Event::Learned { from, learned } => self.effects.hear(&from, &learned),
             Event::Neighbours(neighbours) => self.loans.know(neighbours),
+            Event::Askers(askers) => self.set_askers(askers),
             Event::Message { from, to, msg } => {
                 // What was said to another owner may have been answered by it, and settled since.
                 if to == self.fence {
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -1,9 +1,10 @@
 //! What a shard is told, and what it asks for.
 
 use crate::ids::{RackId, ServiceName, Ticket, VmId};
-use crate::job::{Image, Job, JobId, Label, QueueName, RunNumber, ShownState, TaskRef};
+use crate::job::{Image, Job, JobId, Label, QueueName, RunNumber, ShownState, StepRef, TaskRef};
 use crate::kv::Txn;
 use crate::note::Note;
+use crate::permit::{self, PermitReq, PermitResp};
 use crate::queues::Queues;
 use crate::shard::interference::Learned;
 use crate::shard::loan::LoanMsg;
@@ -41,6 +42,8 @@
     Stopped { vm: VmId, task: TaskRef, run: RunNumber, result: vm::Result<VmTime> },
     /// Answer to [`Action::Pace`].
     Paced { vm: VmId, task: TaskRef, run: RunNumber, percent: u8, result: vm::Result<VmTime> },
+    /// Answer to [`Action::Ask`].
+    Permitted { step: StepRef, vms: Vec<VmId>, sent: Duration, result: permit::Result<PermitResp> },
     /// Answer to [`Action::Commit`].
     Committed { seq: u64, result: CommitResult },
     /// A caller hands in a job.
@@ -53,6 +56,8 @@
     Learned { from: String, learned: Vec<Learned> },
     /// Other shards, as they were last heard of.
     Neighbours(Vec<Neighbour>),
+    /// Questions about permits that may be under way at a time.
+    Askers(u32),
     /// Another shard's owner says something about a loan.
     Message { from: Arc<str>, to: Fence, msg: LoanMsg },
     /// The owner stops as planned: begin nothing more, and finish what is being committed.
@@ -112,6 +117,8 @@
         vm: VmAddr,
         req: PaceReq,
     },
+    /// Asks on which VMs a step may run.
+    Ask(PermitReq),
     /// Makes changes durable; at most one is under way.
     Commit {
         seq: u64,
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -8,6 +8,7 @@
 use crate::shard::event::Answer;
 use crate::shard::interference::ImageIx;
 use crate::shard::own_load::OwnLoad;
+use crate::shard::permits::StepPermits;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -79,6 +80,8 @@
     pub ready: Option<Duration>,
     /// Load of its tasks, where they serve.
     pub load: Option<OwnLoad>,
+    /// Where it may run, if its queue needs permits.
+    pub permits: StepPermits,
 }
 
 /// A task.
@@ -283,6 +286,7 @@
             tasks: (0..step.tasks).map(|_| Task::default()).collect(),
             ready: None,
             load: None,
+            permits: StepPermits::default(),
         });
         self.open.push(Occurrence { number: self.begun, steps: steps.collect() });
         self.begun += 1;
@@ -324,6 +328,7 @@
             tasks: tasks.iter().map(|t| Task::recovered(t, whole)).collect(),
             ready: None,
             load: None,
+            permits: StepPermits::default(),
         });
         Self { number: occurrence.number, steps: steps.collect() }
     }
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -464,6 +464,9 @@
         if self.now.steady.saturating_sub(since) < patience {
             return None;
         }
+        if self.needs_permits(job) && !self.is_denied_here(task, &step) {
+            return None;
+        }
         let service = job.job.service.clone();
         let image = image_name(job, &step);
         let fits = |summary: &Summary| match step.share {
@@ -567,6 +570,7 @@
         tasks: (0..step.tasks).map(|_| elsewhere()).collect(),
         ready: Some(now),
         load: None,
+        permits: super::permits::StepPermits::default(),
     });
     Occurrence { number, steps: steps.collect() }
 }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -55,6 +55,12 @@
         if !wanted || vm.leaving.is_some() {
             return self.give_up(id, key, "it is not wanted there any more");
         }
+        let permit = match self.permits_of(key.task).map(|permits| permits.valid(id, now)) {
+            None => None,
+            Some(Some(permit)) => Some(permit.clone()),
+            Some(None) => return self.give_up(id, key, "its permit has run out"),
+        };
+        let Some(vm) = self.vms.get_mut(id) else { return };
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
         vm.extended(now, keep);
         let Some(run) = vm.runs.get_mut(&key) else { return };
@@ -69,7 +75,7 @@
             payload: job.job.payload.clone(),
             keep_until: VmTime(clock.0 + keep),
             resume,
-            ticket: None,
+            permit,
         };
         self.out.push(Action::Start { vm: addr, req });
     }
@@ -123,7 +129,14 @@
                 self.blame(id, None, task);
                 self.give_up(id, key, "the VM refused it");
             }
-            Err(vm::Error::NoRoom | vm::Error::NoTicket | vm::Error::Malformed { .. }) => {
+            Err(vm::Error::NoPermit) => {
+                let step = self.jobs.get_mut(&task.job).and_then(|job| job.step_run_mut(task));
+                if let Some(step) = step {
+                    step.permits.lapse(id);
+                }
+                self.give_up(id, key, "the VM didn't take its permit");
+            }
+            Err(vm::Error::NoRoom | vm::Error::Malformed { .. }) => {
                 self.give_up(id, key, "the VM refused it");
             }
         }
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -4,10 +4,10 @@
 use super::interference::ImageIx;
 use super::job_run::{Effect, Place};
 use super::order::Candidate;
-use super::room::{Room, StepKey, Trial};
+use super::room::{Room, Trial};
 use super::vm_run::{Run, RunKey};
 use crate::ids::{ServiceName, VmId};
-use crate::job::{Job, JobId, Life, Share, Step, TaskRef};
+use crate::job::{Job, JobId, Life, Share, Step, StepRef, TaskRef};
 use crate::note::{Ms, Note};
 use crate::units::Resources;
 use std::time::Duration;
@@ -137,6 +137,7 @@
         for candidate in &candidates {
             self.place_job(candidate, &mut pass);
         }
+        self.ask_permits(&candidates, &pass.rooms);
         let waits = |task: &&TaskRef| {
             let task = self.jobs.get(&task.job).and_then(|job| job.task(**task));
             task.is_some_and(super::job_run::Task::is_waiting)
@@ -149,9 +150,12 @@
     fn place_job(&mut self, candidate: &Candidate, pass: &mut Pass) {
         let Some(job) = self.jobs.get(&candidate.id) else { return };
         let spec = job.job.clone();
-        for group in candidate.tasks.chunk_by(|a, b| StepKey::of(*a) == StepKey::of(*b)) {
+        for group in candidate.tasks.chunk_by(|a, b| a.of_step() == b.of_step()) {
             let Some(step) = spec.steps.get(usize::from(group[0].step)) else { continue };
-            let shape = Shape::of(&spec, step, self.image(group[0]));
+            let mut shape = Shape::of(&spec, step, self.image(group[0]));
+            if self.permits_of(group[0]).is_some() {
+                shape.free = Anywhere::No;
+            }
             if step.members.as_one() {
                 self.place_together(group, step, &shape, pass);
                 continue;
@@ -182,7 +186,7 @@
             let Some(choice) = self.choose(*task, step, Need::Usual, shape, &trial) else {
                 return;
             };
-            trial[choice].take(step, self.image(*task), StepKey::of(*task), &self.effects);
+            trial[choice].take(step, self.image(*task), task.of_step(), &self.effects);
             choices.push(choice);
         }
         let run = group.iter().filter_map(|task| {
@@ -210,7 +214,8 @@
         shape: &Shape,
         rooms: &[Room],
     ) -> Option<usize> {
-        let key = StepKey::of(task);
+        let (key, now) = (task.of_step(), self.now.steady);
+        let permits = self.permits_of(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
         let fits = |(_, room): &(usize, &Room)| {
             let held = room.held && step.life == Life::Finite;
@@ -221,6 +226,7 @@
             .enumerate()
             .filter(fits)
             .filter(|(_, room)| self.has_label(&room.vm, step))
+            .filter(|(_, room)| permits.is_none_or(|p| p.valid(&room.vm, now).is_some()))
             .filter_map(|(index, room)| {
                 let cost = self.cost(room, step, shape.image, need)?;
                 Some((index, cost + penalty(room, key, step, failed_on.as_ref())))
@@ -258,7 +264,7 @@
         Some(-SPEED_WEIGHT * speed - spare)
     }
 
-    fn has_label(&self, vm: &VmId, step: &Step) -> bool {
+    pub(super) fn has_label(&self, vm: &VmId, step: &Step) -> bool {
         let Some(label) = &step.label else { return true };
         self.vms.get(vm).is_some_and(|vm| vm.entry.labels.contains(label))
     }
@@ -280,14 +286,14 @@
             vm.runs.insert(RunKey { task, run }, bound);
         }
         let (ready_ms, neighbours) = (Ms(now.saturating_sub(ready)), room.tasks());
-        room.take(step, self.image(task), StepKey::of(task), &self.effects);
+        room.take(step, self.image(task), task.of_step(), &self.effects);
         let free_cores = u64::from(room.free.milli_cores.0 / 1000);
         self.note(Note::TaskBound { task, run, vm: vm_id, ready_ms, free_cores, neighbours });
     }
 }
 
 /// What speaks against a VM whatever the task.
-fn penalty(room: &Room, key: StepKey, step: &Step, failed_on: Option<&VmId>) -> f64 {
+fn penalty(room: &Room, key: StepRef, step: &Step, failed_on: Option<&VmId>) -> f64 {
     let mut cost = SAME_STEP * room.count(key) as f64;
     if failed_on == Some(&room.vm) {
         cost += FAILED_THERE;
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -63,6 +63,7 @@
             gone: IndexSet::new(),
             log: Log::new(keys, recovered.seq),
             loans: super::loan::Loans::default(),
+            questions: super::permits::Questions::default(),
             effects: super::interference::Effects::default(),
             inherited_until: now.steady + keep + keep.mul_f64(CLOCK_DRIFT) + unaware + LAPSE_MARGIN,
             stage: super::Stage::Serving,
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -5,7 +5,7 @@
 use super::interference::{Effects, ImageIx};
 use super::vm_run::{RunKey, Vm};
 use crate::ids::{RackId, ServiceName, VmId};
-use crate::job::{Life, Share, Step, TaskRef};
+use crate::job::{Life, Share, Step, StepRef};
 use crate::units::Resources;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,7 +36,7 @@
     pub lasting: f64,
     size: f64,
     /// Steps of the tasks there, to count those of one step.
-    steps: Vec<StepKey>,
+    steps: Vec<StepRef>,
 }
 
 /// A serving task, as far as placing beside it is concerned.
@@ -54,19 +54,6 @@
     Yes,
 }
 
-/// One step of one occurrence of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StepKey {
-    task: TaskRef,
-}
-
-impl StepKey {
-    /// The step of a task.
-    pub fn of(task: TaskRef) -> Self {
-        Self { task: TaskRef { index: 0, ..task } }
-    }
-}
-
 /// Own load of a serving task that has told nothing yet: near the top of its swing.
 const EXPECTED_LOAD: f64 = 0.6;
 
@@ -145,18 +132,25 @@
             served: Vec::new(),
             lasting: 0.0,
             size: f64::from(vm.entry.size.milli_cores.0).max(1.0),
-            steps: vm.runs.keys().map(|key: &RunKey| StepKey::of(key.task)).collect(),
+            steps: vm.runs.keys().map(|key: &RunKey| key.task.of_step()).collect(),
         })
     }
 
     /// Whether a task of the step fits.
-    pub fn takes(&self, step: &Step, key: StepKey) -> bool {
+    pub fn takes(&self, step: &Step, key: StepRef) -> bool {
         step.reserved().fits_in(&self.free)
             && (step.per_vm == 0 || self.count(key) < step.per_vm as usize)
     }
 
+    /// Tasks of a step that fit.
+    pub fn fitting(&self, step: &Step) -> usize {
+        let need = step.reserved();
+        let fits = self.free.times(&need);
+        if step.per_vm == 0 { fits } else { fits.min(step.per_vm as usize) }
+    }
+
     /// Tasks of a step there.
-    pub fn count(&self, key: StepKey) -> usize {
+    pub fn count(&self, key: StepRef) -> usize {
         self.steps.iter().filter(|step| **step == key).count()
     }
 
@@ -166,7 +160,7 @@
     }
 
     /// Takes room for a task.
-    pub fn take(&mut self, step: &Step, image: ImageIx, key: StepKey, effects: &Effects) {
+    pub fn take(&mut self, step: &Step, image: ImageIx, key: StepRef, effects: &Effects) {
         self.free = self.free.saturating_sub(&step.reserved());
         let share = f64::from(step.size.milli_cores.0) / self.size;
         if step.share == Share::Leftover {
--- a/src/units.rs
+++ b/src/units.rs
@@ -63,6 +63,15 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// How many times `need` fits into this room; nothing fits any number of times.
+    pub fn times(&self, need: &Self) -> usize {
+        let each = |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
+        let cores = each(self.milli_cores.0, need.milli_cores.0);
+        let memory = each(self.memory_mib.0, need.memory_mib.0);
+        let accelerators = each(self.accelerators.0, need.accelerators.0);
+        cores.min(memory).min(accelerators) as usize
+    }
+
     /// The sum, or [`Error::Overflow`].
     pub fn checked_add(&self, other: &Self) -> Result<Self> {
         self.combine(other, u32::checked_add).ok_or(Error::Overflow { left: *self, right: *other })
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::{Checkpoint, Label, RunNumber, TaskRef};
+use crate::permit::Permit;
 use crate::units::Resources;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
@@ -67,8 +68,8 @@
     TooLate,
     #[error("the VM has no room for the task; look at what runs there")]
     NoRoom,
-    #[error("the admission ticket isn't valid any more; ask for another")]
-    NoTicket,
+    #[error("the step's permit for this VM isn't valid any more; ask for another")]
+    NoPermit,
     /// The VM was restarted since; nothing of its earlier life runs.
     #[error("the VM has another life now; place its work again")]
     OtherLife,
@@ -167,8 +168,8 @@
     pub payload: Arc<str>,
     pub keep_until: VmTime,
     pub resume: Option<Checkpoint>,
-    /// Admission ticket of the step on this VM, where the queue needs one.
-    pub ticket: Option<Arc<str>>,
+    /// The step's permit for this VM, where its queue needs one.
+    pub permit: Option<Permit>,
 }
 
 /// Names a run.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ledger;
 pub mod list;
 pub mod meter;
+pub mod permits;
 pub mod platform;
 pub mod rack;
 pub mod runs;
--- /dev/null
+++ b/tests/shards/permits.rs
@@ -0,0 +1,104 @@
+//! Steps that run only on VMs that an outside service permits.
+
+use crate::faults::{Chance, Faults, Sound};
+use crate::jobs::{chain, work};
+use crate::witness::check;
+use crate::world::World;
+use indexmap::IndexMap;
+use std::time::Duration;
+use waxwingstall::job::{Job, JobId, ShownState};
+use waxwingstall::shard::Answer;
+use waxwingstall::units::Resources;
+use waxwingstall_standin::permits::PermitTable;
+
+const SIZE: Resources = Resources::new(8000, 8000, 0);
+const VALID: Duration = Duration::from_secs(3);
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn world<F: Faults>(faults: F, percent: u64, vms: usize) -> World<F> {
+    World::new(faults, &["kacyiru"], vms, SIZE).with_permits(PermitTable::new(percent, VALID))
+}
+
+fn known(jobs: &[Job]) -> IndexMap<JobId, Job> {
+    jobs.iter().map(|job| (job.id, job.clone())).collect()
+}
+
+fn submit_all<F: Faults>(world: &mut World<F>, jobs: &[Job]) {
+    for job in jobs {
+        world.submit("kacyiru", job.clone());
+    }
+}
+
+fn table<F: Faults>(world: &World<F>) -> &PermitTable {
+    world.permits.as_ref().expect("the world has permits")
+}
+
+// A caller hands in two steps of six tasks; each step may run on about half of ten VMs, which only
+// the service knows. Every start carries a permit that holds, no VM that was denied is asked about
+// again, and both steps are done.
+#[test]
+fn tasks_start_only_where_they_are_permitted() {
+    let mut world = world(Sound, 50, 10);
+    let job = chain(1, 2, 6, work(500, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(seconds(4));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[job]), SIZE);
+    assert_eq!(table(&world).refused, 0);
+    for (step, vms) in &table(&world).asked {
+        let again = |vm: &&_| {
+            table(&world).asked.iter().filter(|(s, v)| s == step && v.contains(vm)).count() > 1
+        };
+        assert_eq!(vms.iter().find(again), None, "step {step} is asked about twice");
+    }
+}
+
+// A step of eight tasks fits on the permitted VMs four at a time, and the second four start after
+// the permits of the first have run out. They are renewed in time; no start is refused.
+#[test]
+fn permits_are_renewed_for_tasks_that_waited_long() {
+    let mut world = world(Sound, 100, 1);
+    let job = chain(1, 1, 8, work(3500, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(seconds(9));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[job]), SIZE);
+    assert_eq!(table(&world).refused, 0);
+    assert!(table(&world).asked.len() >= 2, "{:?}", table(&world).asked);
+}
+
+// Thirty jobs wait for the service at once. It answers one question at a time, and no more than one
+// is under way, so that an urgent job's question never stands behind thirty others.
+#[test]
+fn questions_are_asked_a_few_at_a_time() {
+    let mut world = world(Sound, 50, 10);
+    let jobs: Vec<Job> = (1..=30).map(|id| chain(id, 1, 1, work(200, 1))).collect();
+    submit_all(&mut world, &jobs);
+    world.run_for(Duration::from_millis(30));
+    assert!(table(&world).asked.len() <= 1, "{:?}", table(&world).asked);
+    world.run_for(seconds(5));
+    for job in &jobs {
+        assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    }
+    check(&mut world, &known(&jobs), SIZE);
+}
+
+// Every third order, message and question is lost, unanswered or late for ten seconds, and the owner is
+// replaced on the way. Questions are asked again, and the jobs are done once.
+#[test]
+fn a_lost_question_is_asked_again() {
+    let faults = Chance::new(7, 300, seconds(15));
+    let mut world = world(faults, 60, 6);
+    let jobs: Vec<Job> = (1..=6).map(|id| chain(id, 2, 3, work(300, 2))).collect();
+    submit_all(&mut world, &jobs);
+    world.run_for(seconds(3));
+    world.replace_owner("kacyiru");
+    world.run_for(seconds(40));
+    for job in &jobs {
+        assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    }
+    check(&mut world, &known(&jobs), SIZE);
+}
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -13,6 +13,7 @@
 use waxwingstall::job::{Job, JobId, ShownState};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
+use waxwingstall_standin::permits::PermitTable;
 
 const SIZE: Resources = Resources::new(12_000, 12_000, 0);
 const SHARDS: [&str; 2] = ["kacyiru", "remera"];
@@ -24,6 +25,11 @@
 /// Time after which everything has settled.
 const CALM: Duration = Duration::from_secs(45);
 
+/// Share of VMs that a step may run on, where it needs permits; of 100. With six VMs, some are left
+/// for each step of the seeds here.
+const PERMITTED: u64 = 85;
+const PERMIT_VALID: Duration = Duration::from_secs(3);
+
 struct Played {
     world: World<Chance>,
     jobs: IndexMap<JobId, Job>,
@@ -36,7 +42,10 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let permille = rng.random_range(0..120);
     let until = Duration::from_secs(5) + TROUBLED;
-    let world = World::new(Chance::new(seed, permille, until), &SHARDS, VMS, SIZE);
+    let mut world = World::new(Chance::new(seed, permille, until), &SHARDS, VMS, SIZE);
+    if seed.is_multiple_of(3) {
+        world = world.with_permits(PermitTable::new(PERMITTED, PERMIT_VALID));
+    }
     let mut played = Played {
         world,
         jobs: IndexMap::new(),
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -14,13 +14,15 @@
 use waxwingstall::job::{Job, JobId, QueueName};
 use waxwingstall::kv::{Condition, Error, More, Put, Rev, Txn};
 use waxwingstall::note::Note;
-use waxwingstall::queues::{Queue, Queues};
+use waxwingstall::permit::{self, PermitReq};
+use waxwingstall::queues::{PermitTimes, Queue, Queues};
 use waxwingstall::shard::{
     Action, Announcements, Answer, CommitResult, Event, Keys, Landed, Neighbour, Now, Previous,
     Recovered, Settings, Shard, Urge,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{Error as VmError, Fence, VmAddr, VmEntry, VmState};
+use waxwingstall_standin::permits::PermitTable;
 use waxwingstall_standin::runs::{RunSettings, RunTable};
 use waxwingstall_standin::txns::TxnTable;
 
@@ -34,6 +36,12 @@
 const FLEET_EVERY: Duration = Duration::from_millis(400);
 /// Time after which a call counts as unanswered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(350);
+/// Times of the service that permits steps.
+const PERMIT_TIMES: PermitTimes = PermitTimes {
+    question: Duration::from_millis(20),
+    each_vm: Duration::from_millis(2),
+    valid: Duration::from_secs(3),
+};
 /// Time of day at the world's origin.
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
 
@@ -83,6 +91,8 @@
     pub now: Duration,
     pub faults: F,
     pub kv: TxnTable,
+    /// Set where the queue's steps need permits.
+    pub permits: Option<PermitTable>,
     pub vms: Vec<VmNode>,
     /// Lives of VMs that are over.
     pub past: Vec<RunTable>,
@@ -109,6 +119,7 @@
             now: Duration::from_secs(5),
             faults,
             kv: TxnTable::new(),
+            permits: None,
             vms: Vec::new(),
             past: Vec::new(),
             answers: IndexMap::new(),
@@ -133,6 +144,22 @@
         world
     }
 
+    /// The queue's steps need permits from now on.
+    pub fn with_permits(mut self, table: PermitTable) -> Self {
+        let mut queues = (*self.queues).clone();
+        queues.version += 1;
+        for queue in queues.queues.values_mut() {
+            queue.permits = Some(PERMIT_TIMES);
+        }
+        self.queues = Arc::new(queues);
+        self.permits = Some(table);
+        let numbers: Vec<u64> = self.owners.iter().map(|owner| owner.number).collect();
+        for number in numbers {
+            self.step(number, Event::Queues(self.queues.clone()));
+        }
+        self
+    }
+
     /// Hands a job in; the ticket names the answer.
     pub fn submit(&mut self, shard: &str, job: Job) -> Ticket {
         let ticket = self.ticket();
@@ -407,6 +434,7 @@
             | Action::Start { .. }
             | Action::Stop { .. }
             | Action::Pace { .. } => self.order(number, action),
+            Action::Ask(req) => self.ask(number, &req),
             Action::Commit { seq, txn } => self.commit(number, seq, txn),
             Action::Reply { ticket, answer } => {
                 self.answers.insert(ticket, answer);
@@ -434,6 +462,24 @@
         }
     }
 
+    fn ask(&mut self, number: u64, req: &PermitReq) {
+        let (sent, step, vms) = (self.now, req.step, req.vms.clone());
+        let named = u32::try_from(vms.len()).expect("a hundred at the most");
+        let mut after = 2 * HOP + PERMIT_TIMES.question + PERMIT_TIMES.each_vm * named;
+        let result = match self.faults.meet_message(sent) {
+            Fate::Done => {
+                let table = self.permits.as_mut().expect("nobody asks without need");
+                Ok(table.ask(sent, req))
+            }
+            Fate::Lost | Fate::AnswerLost | Fate::Late(_) => {
+                after = req.timeout;
+                Err(permit::Error::NoAnswer { reason: "lost".to_owned() })
+            }
+        };
+        let event = Event::Permitted { step, vms, sent, result };
+        self.later(after, Delivery::Owner { number, event });
+    }
+
     fn retire(&mut self, number: u64) {
         self.owners.retain(|owner| owner.number != number);
     }
@@ -474,6 +520,11 @@
         if vm.entry.id != addr.id {
             return Err(VmError::OtherLife);
         }
+        if let (Action::Start { req, .. }, Some(permits)) = (action, &mut self.permits)
+            && !permits.check(now, req.task.of_step(), &addr.id, req.permit.as_ref())
+        {
+            return Err(VmError::NoPermit);
+        }
         match action {
             Action::Look { req, .. } => vm.table.look(now, req).map(VmAnswer::Looked),
             Action::Start { req, .. } => vm.table.start(now, req).map(VmAnswer::Clock),
@@ -605,7 +656,7 @@
         stretch: 2.0,
         latency: Duration::from_secs(1),
         timeout: Duration::from_secs(3),
-        admission: None,
+        permits: None,
     };
     let mut queues = Queues { version: 1, ..Queues::default() };
     queues.queues.insert(queue.name.clone(), queue);
