Take machines down for upkeep waves

Cause: operators' waves of upkeep weren't read.

Ruled out: one daemon that looks after all waves, since it can't empty other shards' VMs and a cut would stop every failure domain's upkeep; the bound on machines that are down in each shard's own commits, which would contend on one key with every start.

Change: a shard's owner empties the VM, counts the machine as down in the wave's record by a conditional write, orders the upkeep with its token, and takes the machine off once it is listed as up again. src/upkeep/, src/shard/vacate.rs; calls in platform/machines.rs. Lasting tasks leave within their budget, resumable work at once, the rest as far as the wave's time allows; as many machines are emptied ahead as that time demands.

A lasting task with a budget that is lent to another shard doesn't leave for an upkeep: its machine waits.

--- a/src/cluster/plan.rs
+++ b/src/cluster/plan.rs
@@ -40,9 +40,13 @@
 impl Plan {
     /// The shard of a VM, if it is planned.
     pub fn shard_of(&self, vm: &VmEntry) -> Option<String> {
-        let domain = self.domains.get(&vm.domain)?;
-        let rack = domain.racks.get(&vm.rack)?;
-        Some(shard_name(&vm.domain, rack.shard))
+        self.shard_of_rack(&vm.domain, &vm.rack)
+    }
+
+    /// The shard of a rack's VMs, if the rack is planned.
+    pub fn shard_of_rack(&self, domain: &DomainId, rack: &RackId) -> Option<String> {
+        let planned = self.domains.get(domain)?.racks.get(rack)?;
+        Some(shard_name(domain, planned.shard))
     }
 
     /// Every shard, with its failure domain.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,6 +3,7 @@
 //! | duty | does | when its ring is full |
 //! |---|---|---|
 //! | `control` | decides: shards and who owns them | callers are refused as not run; answers of other duties wait |
+//! | `machines` | lists machines and orders their upkeep, keeps waves' records | a wave waits |
 //! | `records` | reads and writes the store | commits wait at control |
 //! | `orders` | calls VMs, and the service that permits steps | orders wait at control |
 //! | `links` | talks to other daemons | messages are dropped; their senders repeat them |
@@ -15,14 +16,16 @@
 pub mod daemon;
 pub mod follow;
 pub mod links;
+pub mod machines;
 pub mod orders;
 pub mod records;
 pub mod settings;
 pub mod view;
 
-use crate::kv::{Item, Kv};
+use crate::kv::{Item, Kv, Put};
 use crate::permit::PermitPort;
 use crate::queues::Queues;
+use crate::upkeep::{MachinePort, Wave, WaveState};
 use crate::vm::{VmEntry, VmPort};
 
 /// An item of the store that can't be read.
@@ -33,6 +36,16 @@
     pub reason: String,
 }
 
+/// What operators write.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Written {
+    /// The configuration, whole.
+    Queues(Queues),
+    Wave(Wave),
+    /// Nothing that this release knows.
+    Other,
+}
+
 /// What the platform offers, and how its own entries in the store read.
 pub trait Platform: Clone + Send + Unpin + 'static {
     /// Client of the store.
@@ -41,6 +54,8 @@
     type Vms: VmPort + Clone + Unpin + 'static;
     /// Client of the service that permits steps on VMs.
     type Permits: PermitPort + Clone + Unpin + 'static;
+    /// Client of the service that looks after the machines.
+    type Machines: MachinePort + Clone + Unpin + 'static;
 
     /// A client of the store, made on the thread that uses it.
     fn store(&self) -> Self::Store;
@@ -51,6 +66,9 @@
     /// A client of the service that permits steps, made on the thread that uses it.
     fn permits(&self) -> Self::Permits;
 
+    /// A client for the machines, made on the thread that uses it.
+    fn machines(&self) -> Self::Machines;
+
     /// Prefix of the VMs' announcements.
     fn fleet_prefix(&self) -> &str;
 
@@ -60,6 +78,9 @@
     /// Prefix of what operators write.
     fn operator_prefix(&self) -> &str;
 
-    /// Reads the queues, if the item holds them.
-    fn read_queues(&self, item: &Item) -> Result<Option<Queues>, Unreadable>;
+    /// Reads what an operator wrote.
+    fn read_operators(&self, item: &Item) -> Result<Written, Unreadable>;
+
+    /// What tells operators how far a wave has come.
+    fn wave_state(&self, wave: u64, state: WaveState) -> Put;
 }
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -5,6 +5,7 @@
 
 use super::calls::{Call, Reply};
 use super::links::{AskThrough, Links, Offer, Probe, SayHello, Tell};
+use super::machines::Upkeep;
 use super::orders::{AskHere, Order};
 use super::records::{Claim, Commit, Confirm, Confirmation, Forget, ReadHeads};
 use super::view::{Directory, Owner, Readiness, ShardView, View};
@@ -26,6 +27,8 @@
     self, Action, Announcements, Answer, CommitResult, Event, Neighbour, Now, Recovered, Shard,
     Summary,
 };
+use crate::upkeep::duty::{Duty, OwnShard};
+use crate::upkeep::{self, Wave};
 use crate::vm::{Fence, VmEntry};
 use actix::prelude::*;
 use indexmap::IndexMap;
@@ -42,6 +45,9 @@
 /// Between two publications of who owns what.
 const PUBLISH: Duration = Duration::from_millis(100);
 
+/// Between two looks at the waves of upkeep.
+const UPKEEP_EVERY: Duration = Duration::from_millis(200);
+
 /// How long an accepted job is told of: with three hellos, so that one may be lost.
 const TOLD_FOR: Duration = Duration::from_millis(1200);
 
@@ -66,6 +72,7 @@
 pub struct Rings {
     pub orders: Ring<Order>,
     pub asker: Recipient<AskHere>,
+    pub upkeep: Recipient<Upkeep>,
     pub links: Addr<Links>,
     pub claims: Recipient<Claim>,
     pub commits: Recipient<Commit>,
@@ -103,6 +110,8 @@
     plan: Plan,
     store: StoreReach,
     store_lost: Option<Duration>,
+    upkeep: Duty,
+    next_upkeep: Duration,
     /// Questions about permits that are under way, by the daemon that asks.
     asking: IndexMap<String, u32>,
     tickets: IndexMap<Ticket, oneshot::Sender<Reply>>,
@@ -127,6 +136,7 @@
         directory: Arc<Mutex<Directory>>,
     ) -> Self {
         let now = clock.now();
+        let upkeep = Duty::new(&me.name);
         Self {
             settings,
             journal,
@@ -140,6 +150,8 @@
             plan: Plan::default(),
             store: StoreReach::Away,
             store_lost: None,
+            upkeep,
+            next_upkeep: now,
             asking: IndexMap::new(),
             tickets: IndexMap::new(),
             next_ticket: 0,
@@ -423,6 +435,10 @@
         if now.steady >= self.next_publish {
             self.next_publish = now.steady + PUBLISH;
             self.own(cluster::Event::Tick, cx);
+            if now.steady >= self.next_upkeep {
+                self.next_upkeep = now.steady + UPKEEP_EVERY;
+                self.go_on_with_upkeep(cx);
+            }
             if now.steady >= self.next_neighbours {
                 self.next_neighbours = now.steady + NEIGHBOURS_EVERY;
                 self.summarize();
@@ -435,6 +451,34 @@
         }
     }
 
+    fn go_on_with_upkeep(&mut self, cx: &mut Context<Self>) {
+        let own = |(name, hosted): (&String, &Hosted)| OwnShard {
+            name: name.clone(),
+            fence: hosted.shard.fence(),
+            vacated: hosted.shard.vacated(),
+        };
+        let shards = self.hosted.iter().map(own).collect();
+        self.keep_up(upkeep::duty::Event::Tick(shards), cx);
+    }
+
+    /// Lets the duty of upkeep decide, and carries out what it asks for.
+    fn keep_up(&mut self, event: upkeep::duty::Event, cx: &mut Context<Self>) {
+        let now = self.clock.now();
+        for action in self.upkeep.step(now, event) {
+            match action {
+                upkeep::duty::Action::Note(note) => self.journal.write(note),
+                upkeep::duty::Action::Vacate { shard, order } => {
+                    self.step(&shard, Event::Vacate(order), cx);
+                }
+                other => {
+                    if let Some(rings) = &self.rings {
+                        rings.upkeep.do_send(Upkeep(other));
+                    }
+                }
+            }
+        }
+    }
+
     fn summarize(&mut self) {
         let now = self.clock.now();
         for hosted in self.hosted.values_mut() {
@@ -735,6 +779,7 @@
         announcements: Announcements,
     },
     Queues(Box<Queues>),
+    Wave(Wave),
     /// The configuration in force was the newest then.
     ConfigConfirmed {
         at: Duration,
@@ -758,6 +803,7 @@
             Stored::Plan(plan) => {
                 if plan != self.plan {
                     self.plan = plan.clone();
+                    self.keep_up(upkeep::duty::Event::Plan(plan.clone()), cx);
                     self.own(cluster::Event::Plan(plan), cx);
                 }
             }
@@ -776,6 +822,7 @@
             }
             Stored::Fleet { vms, announcements } => self.take_fleet(vms, announcements, cx),
             Stored::Queues(queues) => self.take_queues(*queues, cx),
+            Stored::Wave(wave) => self.keep_up(upkeep::duty::Event::Wave(wave), cx),
             Stored::ConfigConfirmed { at } => self.config_confirmed = at,
             Stored::Reach { reach, silent, reason } => {
                 self.take_reach(reach, silent, reason);
@@ -786,6 +833,20 @@
     }
 }
 
+/// What became of something that was done for a wave.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Upkept(pub upkeep::duty::Event);
+
+impl Handler<Upkept> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Upkept, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.keep_up(msg.0, cx);
+    }
+}
+
 /// Another daemon's news.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -4,6 +4,7 @@
 use super::calls::Calls;
 use super::control::{ACTIONS, Connect, Control, Drain, OwnsAny, Rings};
 use super::links::{self, Links};
+use super::machines::Machines;
 use super::orders::{AskHere, Orders};
 use super::records::{Leave, Records};
 use super::settings::Settings;
@@ -78,6 +79,12 @@
                 Records::new(me, platform, ttl, control, clock)
             })
         };
+        let upkeep = {
+            let (platform, control, clock) = (platform.clone(), control.clone(), clock.clone());
+            Machines::start_in_arbiter(&arbiters[1].handle(), move |_| {
+                Machines::new(platform, control, clock)
+            })
+        };
         let orders = {
             let (control, clock) = (control.clone(), clock.clone());
             Orders::start_in_arbiter(&arbiters[2].handle(), move |_| {
@@ -87,6 +94,7 @@
         let asker = orders.clone().recipient();
         let links = start_links(&arbiters[3], settings.peer_addr(), &control, asker).await?;
         control.do_send(Connect(Rings {
+            upkeep: upkeep.recipient(),
             asker: orders.clone().recipient(),
             orders: Ring::new(orders, ACTIONS),
             links: links.clone(),
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -1,8 +1,8 @@
 //! Following what others write in the store: the configuration, the VMs, the daemons and the plan.
 
-use super::Platform;
 use super::control::{Control, Stored};
 use super::records::{Watched, note_unreadable, retry_pause};
+use super::{Platform, Written};
 use crate::cluster::plan::PLAN_KEY;
 use crate::cluster::{Member, Plan, StoreReach};
 use crate::job::progress::{decode, encode};
@@ -75,9 +75,10 @@
 }
 
 fn take_operators<P: Platform>(from: &Sources<P>, item: &Item) {
-    match from.platform.read_queues(item) {
-        Ok(Some(queues)) => from.control.do_send(Stored::Queues(Box::new(queues))),
-        Ok(None) => {}
+    match from.platform.read_operators(item) {
+        Ok(Written::Queues(queues)) => from.control.do_send(Stored::Queues(Box::new(queues))),
+        Ok(Written::Wave(wave)) => from.control.do_send(Stored::Wave(wave)),
+        Ok(Written::Other) => {}
         Err(e) => from.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e))),
     }
 }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -92,6 +92,11 @@
 }
 
 impl<S: Kv> Watched<S> {
+    /// A client that hasn't called yet.
+    pub fn new(store: S, clock: Arc<dyn Clock>) -> Self {
+        Self { store, reach: Rc::default(), clock }
+    }
+
     /// Makes a call and notes how it ended.
     pub async fn call<'a, T, F>(&'a self, call: impl FnOnce(&'a S) -> F) -> Result<T>
     where
@@ -140,7 +145,7 @@
         control: Addr<Control>,
         clock: Arc<dyn Clock>,
     ) -> Self {
-        let store = Watched { store: platform.store(), reach: Rc::default(), clock };
+        let store = Watched::new(platform.store(), clock);
         Self {
             me,
             platform,
--- a/src/note.rs
+++ b/src/note.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::{DaemonId, DomainId, VmId};
 use crate::job::{JobId, QueueName, RunNumber, ShownState, TaskRef};
+use crate::upkeep::MachineId;
 use std::fmt::{Display, Write as _};
 use std::time::Duration;
 
@@ -192,6 +193,22 @@
     Urgent VmHealth = "vm-health" { vm: VmId, health: Word, failed: u32, of: u32, rate_percent: u32, }
     /// A VM saw a higher fencing token than this owner's.
     Urgent VmFenced = "vm-fenced" { vm: VmId, fence: u64, }
+    /// Operators want machines to go down for upkeep.
+    Urgent WaveOpened = "wave-opened" { wave: u64, machines: usize, max_down: usize, within_ms: Ms, }
+    /// Each machine of a wave has had its upkeep, or is gone.
+    Urgent WaveDone = "wave-done" { wave: u64, machines: usize, took_ms: Ms, }
+    /// A machine's upkeep was ordered, and it is down.
+    Urgent MachineDown = "machine-down" { wave: u64, machine: MachineId, }
+    /// A machine is back after its upkeep.
+    Urgent MachineBack = "machine-back" { wave: u64, machine: MachineId, took_ms: Ms, }
+    /// An order of an upkeep failed; it is given again.
+    Telling UpkeepFailed = "upkeep-failed" { wave: u64, machine: MachineId, reason: String, }
+    /// The machines couldn't be listed.
+    Urgent MachinesUnknown = "machines-unknown" { reason: String, }
+    /// A VM is emptied for its machine's upkeep, or is empty.
+    Telling VmVacating = "vm-vacating" { vm: VmId, runs: usize, outcome: Word, }
+    /// A VM that is to be empty isn't yet.
+    Telling VacateWaits = "vacate-waits" { vm: VmId, task: TaskRef, reason: Word, }
     /// Work waits though its turn has come.
     Telling JobStalled = "job-stalled" { job: JobId, waiting: usize, running: usize, stalled_ms: Ms, reason: Word, }
     /// The state of a shard, now and then.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -29,10 +29,12 @@
 mod room;
 pub mod settings;
 mod summary;
+mod vacate;
 mod vm_run;
 
 pub use event::{
     Action, Announcements, Answer, CommitResult, Event, Landed, Neighbour, Now, Summary, Urge,
+    VacateOrder,
 };
 pub use log::Keys;
 pub use place::LASTING_SHARE;
@@ -66,6 +68,7 @@
     effects: interference::Effects,
     loans: loan::Loans,
     questions: permits::Questions,
+    vacating: vacate::Vacating,
     /// Until when VMs that this owner hasn't reached may keep running what earlier owners started.
     inherited_until: Duration,
     stage: Stage,
@@ -141,6 +144,7 @@
             Event::Show { ticket, job } => self.show(ticket, job),
             Event::Learned { from, learned } => self.effects.hear(&from, &learned),
             Event::Neighbours(neighbours) => self.loans.know(neighbours),
+            Event::Vacate(order) => self.vacate(order),
             Event::Askers(askers) => self.set_askers(askers),
             Event::Message { from, to, msg } => {
                 // What was said to another owner may have been answered by it, and settled since.
@@ -161,6 +165,7 @@
         self.check_contacts();
         if self.stage == Stage::Serving {
             self.empty_leaving();
+            self.empty_vacating();
             self.schedule();
             self.tell_loans();
             self.send_orders();
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -56,6 +56,8 @@
     Learned { from: String, learned: Vec<Learned> },
     /// Other shards, as they were last heard of.
     Neighbours(Vec<Neighbour>),
+    /// VMs that are to be empty, and those whose turn comes later.
+    Vacate(VacateOrder),
     /// Questions about permits that may be under way at a time.
     Askers(u32),
     /// Another shard's owner says something about a loan.
@@ -64,6 +66,17 @@
     HandOver,
 }
 
+/// VMs whose machines go down for upkeep.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VacateOrder {
+    /// To be empty as soon as can be.
+    pub vms: Vec<VmId>,
+    /// Their turn comes after.
+    pub later: Vec<VmId>,
+    /// Time that work which can't be resumed is left to end by itself.
+    pub patience: Duration,
+}
+
 /// Whether a job is taken though it would be better off elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Urge {
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -35,6 +35,9 @@
 const OPENED_VM: f64 = 0.8;
 const FULL_OF_LASTING: f64 = 2.0;
 
+/// Cost of placing a lasting task where it will have to leave again: more than any mixture.
+const CLOSES_SOON: f64 = 10.0;
+
 /// Cost of another task of the same step on a VM: tells like VMs apart, and no more.
 const SAME_STEP: f64 = 0.01;
 
@@ -315,7 +318,8 @@
     let opened = if same + others == 0 { OPENED_VM } else { 0.0 };
     let share = room.lasting_with(step);
     let full = if share > LASTING_SHARE { FULL_OF_LASTING * share } else { 0.0 };
-    MIXED_IMAGES * mixed + opened + full + share
+    let closes = if room.closes { CLOSES_SOON } else { 0.0 };
+    MIXED_IMAGES * mixed + opened + full + share + closes
 }
 
 /// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -64,6 +64,7 @@
             log: Log::new(keys, recovered.seq),
             loans: super::loan::Loans::default(),
             questions: super::permits::Questions::default(),
+            vacating: super::vacate::Vacating::default(),
             effects: super::interference::Effects::default(),
             inherited_until: now.steady + keep + keep.mul_f64(CLOCK_DRIFT) + unaware + LAPSE_MARGIN,
             stage: super::Stage::Serving,
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -30,6 +30,8 @@
     pub trial: Trial,
     /// Whether it is kept free for a lasting task.
     pub held: bool,
+    /// Whether it will have to be emptied soon.
+    pub closes: bool,
     /// Serving tasks there.
     pub served: Vec<Served>,
     /// Processors reserved for lasting tasks, as a share of all.
@@ -66,7 +68,11 @@
 impl Shard {
     /// The room on a VM; `None` if it takes no work now.
     pub(super) fn room(&self, vm: &Vm) -> Option<Room> {
+        if self.vacating.has(&vm.id) {
+            return None;
+        }
         let mut room = Room::of(vm, self.now.steady)?;
+        room.closes = self.vacating.comes(&vm.id);
         let mut lasting = 0.0;
         let mut beside = Vec::new();
         for (key, run) in &vm.runs {
@@ -129,6 +135,7 @@
             leftover_demand,
             trial,
             held: false,
+            closes: false,
             served: Vec::new(),
             lasting: 0.0,
             size: f64::from(vm.entry.size.milli_cores.0).max(1.0),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod kv;
 pub mod ledger;
 pub mod list;
+pub mod machines;
 pub mod meter;
 pub mod permits;
 pub mod platform;
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -5,5 +5,6 @@
 mod permits;
 mod random;
 mod takeover;
+mod vacate;
 mod witness;
 mod world;
--- /dev/null
+++ b/tests/shards/vacate.rs
@@ -0,0 +1,91 @@
+//! VMs that are emptied because their machines go down.
+
+use crate::faults::Sound;
+use crate::jobs::{chain, work};
+use crate::witness::check;
+use crate::world::World;
+use indexmap::IndexMap;
+use std::time::Duration;
+use waxwingstall::job::{Job, JobId, Resume, ShownState};
+use waxwingstall::shard::Answer;
+use waxwingstall::units::Resources;
+use waxwingstall_standin::runs::Seen;
+
+const SIZE: Resources = Resources::new(8000, 8000, 0);
+const SHARD: &str = "kacyiru";
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn world(vms: usize) -> World<Sound> {
+    World::new(Sound, &[SHARD], vms, SIZE)
+}
+
+fn known(jobs: &[Job]) -> IndexMap<JobId, Job> {
+    jobs.iter().map(|job| (job.id, job.clone())).collect()
+}
+
+fn runs_on(world: &mut World<Sound>, index: usize) -> usize {
+    let now = world.now;
+    world.vms[index].table.runs(now).len()
+}
+
+// Callers watch a job of four lasting tasks of which one may be away. The VM with two of them is to
+// be empty: they leave one after the other, the second once the first is at work elsewhere.
+#[test]
+fn lasting_tasks_leave_within_their_budget() {
+    let mut world = world(2);
+    let mut job = chain(1, 1, 4, work(0, 2));
+    job.steps[0].max_away = Some(1);
+    world.submit(SHARD, job.clone());
+    world.run_for(seconds(2));
+    let there = runs_on(&mut world, 0);
+    assert!((1..4).contains(&there), "{there} tasks are on the first VM");
+    world.vacate(SHARD, 0, Duration::ZERO);
+    world.run_for(seconds(6));
+    assert_eq!(runs_on(&mut world, 0), 0);
+    assert_eq!(runs_on(&mut world, 1), 4);
+    assert_eq!(world.vacated(SHARD), [world.vms[0].entry.id.clone()]);
+    check(&mut world, &known(&[job]), SIZE);
+    assert_apart(&world, there);
+}
+
+/// Each stop on the first VM comes after the start that follows the one before.
+fn assert_apart(world: &World<Sound>, stops: usize) {
+    let ended: Vec<Duration> = world.vms[0].table.seen.iter().filter_map(end_of).collect();
+    let started: Vec<Duration> = world.vms[1].table.seen.iter().filter_map(start_of).collect();
+    let moved = &started[started.len() - stops..];
+    assert_eq!(ended.len(), stops);
+    for (next_end, start) in ended.iter().skip(1).zip(moved) {
+        assert!(start < next_end, "{ended:?}, {moved:?}");
+    }
+}
+
+fn end_of(seen: &Seen) -> Option<Duration> {
+    if let Seen::Ended { at, .. } = seen { Some(*at) } else { None }
+}
+
+fn start_of(seen: &Seen) -> Option<Duration> {
+    if let Seen::Started { at, .. } = seen { Some(*at) } else { None }
+}
+
+// Two jobs run on a VM that is to be empty: one can be resumed and leaves at once, the other can't,
+// and ends by itself within the time that it is left. Neither is run twice, and nothing new comes.
+#[test]
+fn work_that_cannot_be_resumed_may_end() {
+    let mut world = world(1);
+    let resumable = chain(1, 1, 1, work(6000, 2));
+    let mut fixed = chain(2, 1, 1, work(1500, 2));
+    fixed.steps[0].resume = Resume::FromStart;
+    world.submit(SHARD, resumable.clone());
+    world.submit(SHARD, fixed.clone());
+    world.run_for(Duration::from_millis(500));
+    world.vacate(SHARD, 0, seconds(3));
+    world.submit(SHARD, chain(3, 1, 1, work(200, 1)));
+    world.run_for(seconds(2));
+    assert_eq!(runs_on(&mut world, 0), 0);
+    assert_eq!(world.show(SHARD, fixed.id), Some(Answer::Shown(ShownState::Done)));
+    assert_eq!(world.show(SHARD, resumable.id), Some(Answer::Shown(ShownState::Running)));
+    assert_eq!(world.show(SHARD, JobId(3)), Some(Answer::Shown(ShownState::Queued)));
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -18,7 +18,7 @@
 use waxwingstall::queues::{PermitTimes, Queue, Queues};
 use waxwingstall::shard::{
     Action, Announcements, Answer, CommitResult, Event, Keys, Landed, Neighbour, Now, Previous,
-    Recovered, Settings, Shard, Urge,
+    Recovered, Settings, Shard, Urge, VacateOrder,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{Error as VmError, Fence, VmAddr, VmEntry, VmState};
@@ -238,6 +238,19 @@
         self.vms[index].entry.state = VmState::Leaving { left: Some(left) };
     }
 
+    /// A VM is to be empty from now on.
+    pub fn vacate(&mut self, shard: &str, index: usize, patience: Duration) {
+        let vms = vec![self.vms[index].entry.id.clone()];
+        let order = VacateOrder { vms, later: Vec::new(), patience };
+        self.call(shard, Event::Vacate(order));
+    }
+
+    /// The VMs that a shard says are empty.
+    pub fn vacated(&self, shard: &str) -> Vec<VmId> {
+        let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
+        owner.expect("the shard has an owner").shard.vacated()
+    }
+
     /// The store takes nothing for a while.
     pub fn stop_store(&mut self, time: Duration) {
         self.store_down_until = self.now + time;
