--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balancer;
 pub mod endpoint;
+pub mod fakes;
 pub mod kv;
 pub mod ledger;
 pub mod list;
@@ -15,5 +16,6 @@
 pub mod rack;
 pub mod runs;
 pub mod server;
+pub mod troubled;
 pub mod txns;
 pub mod worker;
