Place nothing by a list of VMs that was read before the shard was claimed

Cause: a daemon that owns nothing reads the VMs every 3 s. Ruled out: the store's forgotten history (the follower's reading at 15.2 s succeeded) and the order of news (the first owner knew it at 13.5 s, 0.3 s after the store). Change: the follower reads at once after a claim, and the shard places nothing until that list is there, or 400 ms have passed. Test: a_new_owner_places_nothing_by_an_old_list_of_vms fails without the wait.

--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -17,6 +17,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Prefix of the daemons' registrations.
 const MEMBERS: &str = "daemon/";
@@ -44,7 +45,15 @@
     pub store: Watched<P::Store>,
     pub control: Addr<Control>,
     /// Whether this daemon owns or claims a shard.
-    pub owns: Rc<Cell<bool>>,
+    pub owning: Rc<Owning>,
+}
+
+/// Whether a daemon owns or claims a shard, and the news that it has claimed one.
+#[derive(Debug, Default)]
+pub struct Owning {
+    pub now: Cell<bool>,
+    /// Ends the wait until VMs are looked at again.
+    pub claimed: Notify,
 }
 
 /// Follows what operators write.
@@ -87,7 +96,7 @@
 pub async fn fleet<P: Platform>(from: Sources<P>) {
     loop {
         if let Err(e) = follow_fleet(&from).await {
-            from.tell_announcements(Announcements::Recovering);
+            from.tell_unread();
             tokio::time::sleep(retry_pause(&e).max(FLEET_EVERY / 2)).await;
         }
     }
@@ -123,13 +132,13 @@
     }
 }
 
-/// Waits until the VMs are to be looked at again; sooner once a shard is claimed.
+/// Waits until the VMs are to be looked at again; at once when a shard was claimed.
 async fn wait_for_turn<P: Platform>(from: &Sources<P>) {
     let mut waited = Duration::ZERO;
     loop {
-        tokio::time::sleep(FLEET_EVERY).await;
+        let claimed = tokio::time::timeout(FLEET_EVERY, from.owning.claimed.notified()).await;
         waited += FLEET_EVERY;
-        if from.owns.get() || waited >= IDLE_FLEET_EVERY {
+        if claimed.is_ok() || from.owning.now.get() || waited >= IDLE_FLEET_EVERY {
             return;
         }
     }
@@ -163,7 +172,8 @@
         self.control.do_send(Stored::Fleet { vms, announcements });
     }
 
-    fn tell_announcements(&self, announcements: Announcements) {
+    fn tell_unread(&self) {
+        let announcements = Announcements::Unread;
         self.control.do_send(Stored::Fleet { vms: Vec::new(), announcements });
     }
 }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -6,7 +6,7 @@
 
 use super::claim::{self, Held};
 use super::control::{Control, Stored};
-use super::follow::{self, Sources};
+use super::follow::{self, Owning, Sources};
 use super::{Platform, Unreadable};
 use crate::clock::Clock;
 use crate::cluster::{Member, StoreReach};
@@ -126,7 +126,7 @@
     control: Addr<Control>,
     shards: IndexMap<String, mpsc::Sender<Job>>,
     told: StoreReach,
-    owns: Rc<Cell<bool>>,
+    owning: Rc<Owning>,
     lease_ttl: Duration,
 }
 
@@ -153,7 +153,7 @@
             control,
             shards: IndexMap::new(),
             told: StoreReach::Away,
-            owns: Rc::default(),
+            owning: Rc::default(),
             lease_ttl,
         }
     }
@@ -173,7 +173,7 @@
             platform: self.platform.clone(),
             store: self.store.clone(),
             control: self.control.clone(),
-            owns: self.owns.clone(),
+            owning: self.owning.clone(),
         }
     }
 }
@@ -206,13 +206,14 @@
 
     fn handle(&mut self, msg: Claim, cx: &mut Self::Context) {
         let (store, me, control) = (self.store.clone(), self.me.id.clone(), self.control.clone());
-        self.owns.set(true);
+        self.owning.now.set(true);
         let (shard, previous) = (msg.shard.clone(), msg.previous);
         let claimed = async move { claim::claim(&store, &me, &shard, previous).await };
         cx.spawn(claimed.into_actor(self).map(move |claimed, this, _| match claimed {
             Ok((held, recovered)) => {
                 this.write_shard(&msg.shard, held);
                 control.do_send(Stored::Claimed(Box::new(recovered)));
+                this.owning.claimed.notify_one();
             }
             Err(failed) => {
                 let (shard, head) = (msg.shard, failed.head);
@@ -286,7 +287,7 @@
 
     fn handle(&mut self, msg: Forget, _: &mut Self::Context) {
         self.shards.shift_remove(&msg.shard);
-        self.owns.set(msg.owns_more);
+        self.owning.now.set(msg.owns_more);
     }
 }
 
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -70,6 +70,7 @@
     loans: loan::Loans,
     questions: permits::Questions,
     vacating: vacate::Vacating,
+    list: fleet::List,
     /// Until when VMs that this owner hasn't reached may keep running what earlier owners started.
     inherited_until: Duration,
     stage: Stage,
@@ -167,7 +168,9 @@
         if self.stage == Stage::Serving {
             self.empty_leaving();
             self.empty_vacating();
-            self.schedule();
+            if self.knows_who_leaves() {
+                self.schedule();
+            }
             self.tell_loans();
             self.send_orders();
             self.look();
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -91,6 +91,8 @@
     Complete,
     /// The store was away a moment ago; VMs that lapsed meanwhile are announced again.
     Recovering,
+    /// They could not be read; those known before are given again.
+    Unread,
 }
 
 /// How a commit ended.
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -7,12 +7,36 @@
 use crate::note::{Ms, Note, Word};
 use crate::vm::VmEntry;
 use indexmap::IndexSet;
+use std::time::Duration;
 
 /// Lives remembered after they are over. An announcement outlives its VM by seconds, and a shard of
 /// some thirty VMs loses far fewer in that time.
 const MAX_GONE: usize = 256;
 
+/// Time that a new owner waits for a list of VMs of its own. One is read within 10 ms of the claim; an
+/// owner whose store has just gone away again goes on with the list that it has.
+const LIST_PATIENCE: Duration = Duration::from_millis(400);
+
+/// How a shard's owner came by the list of VMs that it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum List {
+    /// Its daemon had it before it claimed the shard, and may have read it seconds ago.
+    Inherited { since: Duration },
+    /// It was read since.
+    Read,
+}
+
 impl Shard {
+    /// Whether the list of VMs is recent enough to place work by. A daemon that owns nothing reads the
+    /// list every few seconds; one that took a shard over placed a dozen tasks on a VM that had said
+    /// 2 s before that it leaves, and they were lost with it.
+    pub(super) fn knows_who_leaves(&self) -> bool {
+        match self.list {
+            List::Read => true,
+            List::Inherited { since } => self.now.steady.saturating_sub(since) >= LIST_PATIENCE,
+        }
+    }
+
     /// Takes over the announced VMs.
     pub(super) fn announced(&mut self, entries: Vec<VmEntry>, announcements: Announcements) {
         let now = self.now.steady;
@@ -27,7 +51,10 @@
             }
             self.announce(entry);
         }
-        if announcements == Announcements::Recovering {
+        if announcements != Announcements::Unread {
+            self.list = List::Read;
+        }
+        if announcements != Announcements::Complete {
             return;
         }
         for vm in self.vms.values_mut() {
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -78,6 +78,7 @@
             questions: super::permits::Questions::default(),
             vacating: super::vacate::Vacating::default(),
             effects: super::interference::Effects::default(),
+            list: super::fleet::List::Inherited { since: now.steady },
             inherited_until: now.steady + keep + keep.mul_f64(CLOCK_DRIFT) + unaware + LAPSE_MARGIN,
             stage: super::Stage::Serving,
             now,
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -230,3 +230,26 @@
     assert_eq!(world.runs_on(1 - there), 1);
     check(&mut world, &known(&[job]), SIZE);
 }
+
+// One of two VMs says that it leaves, and half of a caller's job waits for the other. The shard's owner
+// is then replaced by a daemon that owned nothing and had read the list of VMs before: it started the
+// rest on the leaving VM, where it was lost. It places nothing until it has read the list itself.
+#[test]
+fn a_new_owner_places_nothing_by_an_old_list_of_vms() {
+    let mut world = world(2);
+    world.run_for(seconds(1));
+    world.read_list_early("kacyiru");
+    world.leave_vm(0, seconds(4));
+    world.run_for(seconds(1));
+    let job = chain(1, 1, 8, work(700, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(Duration::from_millis(500));
+    world.replace_owner("kacyiru");
+    for _ in 0..30 {
+        world.run_for(Duration::from_millis(50));
+        assert_eq!(world.runs_on(0), 0);
+    }
+    world.run_for(seconds(1));
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+    check(&mut world, &known(&[job]), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -108,6 +108,8 @@
     next_ticket: u64,
     next_fleet: Duration,
     store_back: Duration,
+    /// What the next owner knows of the VMs, if that is old.
+    old_list: Option<Vec<VmEntry>>,
     queues: Arc<Queues>,
     traced: bool,
 }
@@ -132,6 +134,7 @@
             next_ticket: 0,
             next_fleet: Duration::ZERO,
             store_back: Duration::ZERO,
+            old_list: None,
             queues: Arc::new(queues()),
             traced: std::env::var_os("SHARD_TRACE").is_some(),
         };
@@ -202,6 +205,11 @@
         }
     }
 
+    /// The next owner of a shard will have read the list of its VMs at this moment.
+    pub fn read_list_early(&mut self, shard: &str) {
+        self.old_list = Some(self.fleet_of(shard));
+    }
+
     /// The shard's owner ends without a word, and another takes over.
     pub fn replace_owner(&mut self, shard: &str) {
         self.owners.retain(|owner| &*owner.name != shard);
@@ -341,7 +349,7 @@
                 })
                 .collect(),
         };
-        let fleet = self.fleet_of(name);
+        let fleet = self.old_list.take().unwrap_or_else(|| self.fleet_of(name));
         let now = self.both_clocks();
         let shard = Shard::new(recovered, settings(), self.queues.clone(), fleet, now);
         self.owners.push(Owner {
