Pace leftover work by the chance of going over a target

Pacing to the mean leaves a task over its target every other time, and slows neighbours that matter little. Change: each serving task counts by its chance of being over (deviation 0.05), each neighbour by its speed; paces are settled one at a time from both ends. Leftover work that is held back holds up what waits behind it, which is worth more than what operators pay for the task itself.

--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -6,12 +6,13 @@
 //! while, whatever the estimates say, has everything beside it stopped from working until it
 //! recovers: estimates may be wrong, a tail isn't.
 
+mod paces;
 #[cfg(test)]
 mod tests;
 
 use super::Shard;
 use super::event::Action;
-use super::interference::{Effects, ImageIx, TARGET_SHARE};
+use super::interference::{ImageIx, TARGET_SHARE};
 use super::moving::SLOW_PACE;
 use super::vm_run::{RunKey, Vm};
 use crate::job::{Image, Job, Share, TaskRef};
@@ -20,19 +21,11 @@
 use std::time::Duration;
 
 /// Time over the target after which the heaviest neighbours stop working.
-const OVER_LONG: Duration = Duration::from_millis(1200);
+const OVER_LONG: Duration = Duration::from_millis(1600);
 
-/// Time over the target after which every neighbour does; half of the time that counts as harm.
-const OVER_TOO_LONG: Duration = Duration::from_millis(2000);
-
-/// Neighbours that stand still for as much loss as one serving task over its target. Operators of both
-/// sites count a serving task over its target four times, and pay 0.65 as much for a second of its
-/// work as for one of a leftover task, which makes 2.6. What is foreseen isn't sure, and less did
-/// better: mean worth of 36 days a site 0.565 and 0.538 at 2.6, 0.600 and 0.539 at 1.6.
-const OVER_COST: f64 = 1.6;
-
-/// Load over a bound that doesn't count: less than what readings leave unexplained.
-const OVER_SLACK: f64 = 1e-6;
+/// Time over the target after which every neighbour does, and nothing else begins beside the task.
+/// Until that is noticed and has taken effect another second goes by, of the four that count as harm.
+pub(super) const OVER_TOO_LONG: Duration = Duration::from_millis(2200);
 
 /// Amount from which on a pair counts as heavy; between the two groups that amounts fall into.
 const HEAVY: f64 = 0.6;
@@ -61,6 +54,7 @@
 }
 
 /// A serving task that may be harmed.
+#[derive(Clone)]
 struct Served {
     task: TaskRef,
     image: ImageIx,
@@ -83,7 +77,7 @@
         for neighbour in &mut neighbours {
             neighbour.wanted = 1.0;
         }
-        let worst = limit(&mut neighbours, &served, &self.effects);
+        let worst = paces::choose(&mut neighbours, &served, &self.effects);
         for neighbour in &neighbours {
             self.order_pace(id, neighbour, worst.map(|index| &served[index]));
         }
@@ -178,76 +172,3 @@
         });
     }
 }
-
-/// Sets the wanted paces so that what is lost is least; gives the worst-off serving task for whom
-/// something is slowed.
-///
-/// Bringing one serving task under its bound may cost the work of a dozen neighbours for as long
-/// as its load is at its height. So plans that leave the worst-off over their bounds are
-/// compared with those that don't, each task over its bound counting as much as
-/// [`OVER_COST`] neighbours that stand still. Who was over the target for a while isn't left so.
-fn limit(neighbours: &mut [Neighbour], served: &[Served], effects: &Effects) -> Option<usize> {
-    for served in served {
-        stop_beside(neighbours, served, effects);
-    }
-    let asked: Vec<f64> = neighbours.iter().map(|n| n.wanted).collect();
-    let mut order: Vec<usize> = (0..served.len()).collect();
-    let at_first: Vec<f64> = served.iter().map(|s| excess(s, neighbours, effects)).collect();
-    order.retain(|index| at_first[*index] > 0.0);
-    order.sort_by(|a, b| at_first[*b].total_cmp(&at_first[*a]));
-    let left_over = order.iter().take_while(|index| served[**index].over < OVER_LONG).count();
-    let mut best: Option<(f64, Vec<f64>, usize)> = None;
-    for left in 0..=left_over {
-        for (neighbour, asked) in neighbours.iter_mut().zip(&asked) {
-            neighbour.wanted = *asked;
-        }
-        let kept: Vec<&Served> = order[left..].iter().map(|index| &served[*index]).collect();
-        bring_under(neighbours, &kept, effects);
-        let lost: f64 = neighbours.iter().zip(&asked).map(|(n, asked)| asked - n.wanted).sum();
-        let over = served.iter().filter(|s| excess(s, neighbours, effects) > OVER_SLACK).count();
-        let cost = lost + OVER_COST * over as f64;
-        if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-            best = Some((cost, neighbours.iter().map(|n| n.wanted).collect(), left));
-        }
-    }
-    let (_, wanted, left) = best?;
-    for (neighbour, wanted) in neighbours.iter_mut().zip(wanted) {
-        neighbour.wanted = wanted;
-    }
-    order.get(left).copied()
-}
-
-/// Load over a serving task's bound.
-fn excess(served: &Served, neighbours: &[Neighbour], effects: &Effects) -> f64 {
-    let added = |n: &Neighbour| effects.amount(n.image, served.image) * n.full * n.wanted;
-    served.own + neighbours.iter().map(added).sum::<f64>() - served.bound
-}
-
-/// Lowers the wanted paces until none of these is over its bound: whoever adds most to the load of
-/// the worst-off is slowed first.
-fn bring_under(neighbours: &mut [Neighbour], served: &[&Served], effects: &Effects) {
-    // Each round brings the worst-off under its bound, or one neighbour to a stop.
-    for _ in 0..neighbours.len() + served.len() {
-        let excesses = served.iter().map(|served| (excess(served, neighbours, effects), served));
-        let worst = excesses.max_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((over, worst)) = worst.filter(|(over, _)| *over > 0.0) else { return };
-        let load = |n: &Neighbour| effects.amount(n.image, worst.image) * n.full * n.wanted;
-        let heaviest = neighbours.iter_mut().max_by(|a, b| load(a).total_cmp(&load(b)));
-        let Some(heaviest) = heaviest else { return };
-        let added = load(heaviest);
-        if added <= 0.0 {
-            return;
-        }
-        heaviest.wanted *= (1.0 - over / added).max(0.0);
-    }
-}
-
-/// A task that has been over its target for long isn't argued with.
-fn stop_beside(neighbours: &mut [Neighbour], served: &Served, effects: &Effects) {
-    for neighbour in neighbours {
-        let heavy = effects.amount(neighbour.image, served.image) >= HEAVY;
-        if served.over >= OVER_TOO_LONG || (served.over >= OVER_LONG && heavy) {
-            neighbour.wanted = 0.0;
-        }
-    }
-}
