Count the time over a target through rough tails, and start nothing beside it

Its tails are rough whole milliseconds: one reading of 50 of 50 ms began the count anew at 36.8 s, another at 37.3 s, so that its neighbours were stopped at 39.8 s, and six tasks began beside it at full speed between 39.6 and 40.1 s. Change: one tail just under or at the target does not end the count; nothing begins beside a task that was over for 2.2 s.

--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -13,6 +13,9 @@
 //! days, three or four shards together tell heavy pairs from light ones within 2 to 5 s, with an
 //! error of 0.12 after 20 s; one shard alone has 0.2 to 0.3.
 
+#[cfg(test)]
+mod tests;
+
 use super::own_load::{HIGHEST_READ, OwnLoad};
 use crate::job::Image;
 use indexmap::{IndexMap, IndexSet};
@@ -102,8 +105,20 @@
     read: Option<Duration>,
     /// Since when its tail is over the target.
     pub over_since: Option<Duration>,
+    last: Last,
+}
+
+/// What the last tail of a serving task told that was over its target before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Last {
+    #[default]
+    Over,
+    JustUnder,
 }
 
+/// Part of its target below which one tail alone shows that a task isn't over it any more.
+const CLEARLY_UNDER: f64 = 0.85;
+
 /// A leftover task beside a serving one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Beside {
@@ -254,15 +269,34 @@
 impl Serving {
     /// Notes a tail; true if there is something to learn from it.
     pub fn note_tail(&mut self, tail: Duration, target: Duration, now: Duration) -> bool {
-        if tail > target {
-            self.over_since.get_or_insert(now);
-        } else {
-            self.over_since = None;
-        }
         let fresh = self.read.is_none_or(|at| now.saturating_sub(at) >= READ_EVERY);
         if fresh {
             self.read = Some(now);
         }
+        self.note_over(tail, target, now, fresh);
         fresh
     }
+
+    /// Whether its tail has been over the target for so long.
+    pub fn is_over_for(&self, time: Duration, now: Duration) -> bool {
+        self.over_since.is_some_and(|since| now.saturating_sub(since) >= time)
+    }
+
+    /// Follows how long the task is over its target.
+    ///
+    /// Tails are rough figures in whole milliseconds. A task a tenth over its target tells one just
+    /// under it every few readings; when each of these began the count anew, a task was over for
+    /// four seconds on end before everything beside it had stopped. So one tail just under the target,
+    /// or at it, doesn't end the count; two in a row do, or one that is clearly under it.
+    fn note_over(&mut self, tail: Duration, target: Duration, now: Duration, fresh: bool) {
+        if tail >= target {
+            self.over_since.get_or_insert(now);
+            self.last = Last::Over;
+        } else if tail <= target.mul_f64(CLEARLY_UNDER) || self.last == Last::JustUnder {
+            self.over_since = None;
+            self.last = Last::Over;
+        } else if fresh && self.over_since.is_some() {
+            self.last = Last::JustUnder;
+        }
+    }
 }
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -263,8 +263,14 @@
         if waited >= STALLED && !job.has_runs() { Need::Stalled } else { Need::Usual }
     }
 
-    /// Leftover work goes where it works fastest without slowing down those served there.
+    /// Leftover work goes where it works fastest without slowing down those served there. None begins
+    /// beside a task that has been over its target for long: it works at full speed until the
+    /// VM was looked at again, and so one start after the other kept such a task over its target
+    /// while all that had begun before stood still for it.
     fn leftover_cost(&self, room: &Room, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
+        if room.pressed {
+            return None;
+        }
         let speed = self.speed(room, step, image);
         if speed < MIN_LEFTOVER_SPEED && need == Need::Usual {
             return None;
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -3,6 +3,7 @@
 use super::Shard;
 use super::health::State;
 use super::interference::{Effects, ImageIx};
+use super::relief::OVER_TOO_LONG;
 use super::vm_run::{RunKey, Vm};
 use crate::ids::{RackId, ServiceName, VmId};
 use crate::job::{Life, Share, Step, StepRef};
@@ -30,6 +31,8 @@
     pub trial: Trial,
     /// Whether it is kept free for a lasting task.
     pub held: bool,
+    /// Whether a serving task there has been over its target for long.
+    pub pressed: bool,
     /// Whether it will have to be emptied soon.
     pub closes: bool,
     /// Serving tasks there.
@@ -72,7 +75,9 @@
             return None;
         }
         let mut room = Room::of(vm, self.now.steady)?;
+        let now = self.now.steady;
         room.closes = self.vacating.comes(&vm.id);
+        room.pressed = vm.runs.values().any(|run| run.serving.is_over_for(OVER_TOO_LONG, now));
         let mut lasting = 0.0;
         let mut beside = Vec::new();
         for (key, run) in &vm.runs {
@@ -157,6 +162,7 @@
             leftover_demand: 0.0,
             trial: Trial::No,
             held: false,
+            pressed: false,
             closes: false,
             served: Vec::new(),
             lasting: 0.0,
