--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -21,8 +21,8 @@
 /// Longest time between two passes: loads swing and rests end without an event.
 const SCHEDULE_EVERY: Duration = Duration::from_millis(100);
 
-/// Least speed that a leftover task is placed at: below it, those that run are better left to end
-/// first. Tasks placed sooner only slow each other down.
+/// Least speed, less the harm that it does, at which a leftover task is placed: below it, those that run
+/// are better left to end first. Tasks placed sooner only slow each other down.
 pub(super) const MIN_LEFTOVER_SPEED: f64 = 0.8;
 
 /// How much a leftover task's speed counts against spare cores.
@@ -280,7 +280,7 @@
         Some(free - SPEED_WEIGHT * speed - spare)
     }
 
-    /// Speed that leftover work would have on a VM without harm to those served there, 0 to 1.
+    /// Speed that leftover work would have on a VM, less the harm to those served there, 0 to 1.
     pub(super) fn speed(&self, room: &Room, step: &Step, image: ImageIx) -> f64 {
         room.leftover_speed(step) * room.harmless_worth(step, image, &self.effects)
     }
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -5,7 +5,7 @@
 //! whatever the estimates say, has everything beside it stopped from working until it recovers:
 //! estimates may be wrong, a tail isn't.
 
-pub(super) mod paces;
+mod paces;
 #[cfg(test)]
 mod tests;
 
--- a/src/shard/relief/paces.rs
+++ b/src/shard/relief/paces.rs
@@ -15,7 +15,7 @@
 /// one of a leftover task, which makes 2.6; but leftover work that is held back also holds up what
 /// waits behind it. Mean worth of 18 days on each of three sites at 0.3: 0.620, 0.563, 0.505; at 0.5:
 /// 0.625, 0.561, 0.493; at 1.1: 0.605, 0.529, 0.467; at 2.6: 0.547, 0.473, 0.405.
-pub(in crate::shard) const OVER_COST: f64 = 0.5;
+const OVER_COST: f64 = 0.5;
 
 /// Steps in which paces are tried, as a share of full speed.
 const STEP: f64 = 0.1;
