Log how late the VMs' announcements are read

What on-call engineers lacked: nothing told when an owner's list of VMs was read, or that a watch's answer left changes unread. shard-state now has vms_age_ms, and fleet-behind tells when an answer ends before a revision that the store had passed when it was asked. No decision changes.

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -695,6 +695,7 @@
         &mut self,
         vms: Vec<VmEntry>,
         announcements: Announcements,
+        at: Duration,
         cx: &mut Context<Self>,
     ) {
         if announcements == Announcements::Complete {
@@ -706,7 +707,7 @@
         let names: Vec<String> = self.hosted.keys().cloned().collect();
         for name in names {
             let vms = self.vms_of(&name);
-            self.step(&name, Event::Fleet { vms, announcements }, cx);
+            self.step(&name, Event::Fleet { vms, announcements, at }, cx);
         }
     }
 
@@ -803,9 +804,11 @@
         seq: u64,
         result: CommitResult,
     },
+    /// VMs as they were at some time after `at`.
     Fleet {
         vms: Vec<VmEntry>,
         announcements: Announcements,
+        at: Duration,
     },
     Queues(Box<Queues>),
     Wave(Wave),
@@ -849,7 +852,9 @@
                     }
                 }
             }
-            Stored::Fleet { vms, announcements } => self.take_fleet(vms, announcements, cx),
+            Stored::Fleet { vms, announcements, at } => {
+                self.take_fleet(vms, announcements, at, cx);
+            }
             Stored::Queues(queues) => self.take_queues(*queues, cx),
             Stored::Wave(wave) => self.keep_up(upkeep::duty::Event::Wave(wave), cx),
             Stored::ConfigConfirmed { at } => self.config_confirmed = at,
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -12,7 +12,7 @@
 use crate::kv::{
     Change, Condition, Error, Freshness, Item, Kv, LeaseId, More, Put, Result, Rev, Txn, Watch,
 };
-use crate::note::Note;
+use crate::note::{Ms, Note};
 use crate::shard::Announcements;
 use crate::vm::VmEntry;
 use actix::Addr;
@@ -157,6 +157,7 @@
 
 async fn follow_fleet<P: Platform>(from: &Sources<P>) -> Result<()> {
     let prefix = from.platform.fleet_prefix();
+    let mut asked = from.store.clock().now();
     let (items, mut after) = read_all(&from.store, prefix, Freshness::Latest).await?;
     let mut fleet = Fleet::default();
     for item in &items {
@@ -164,12 +165,21 @@
     }
     extend_plan(from, &fleet.vms).await?;
     loop {
-        from.tell_fleet(&fleet.vms);
+        from.tell_fleet(&fleet.vms, asked);
         wait_for_turn(from).await;
+        let (newest, before) = (from.store.reach().newest(), asked);
+        asked = from.store.clock().now();
         let wait = Duration::from_millis(1);
         let watch = Watch { prefix: prefix.to_owned(), after, wait };
         let changes = from.store.call(|store| store.watch(&watch)).await?;
         after = changes.at.max(after);
+        if after < newest {
+            let pause_ms = Ms(asked.saturating_sub(before));
+            let (read_rev, newest_rev) = (after.0, newest.0);
+            let changes = changes.changes.len();
+            let note = Note::FleetBehind { changes, read_rev, newest_rev, pause_ms };
+            from.control.do_send(Stored::Note(note));
+        }
         let mut added = false;
         for change in changes.changes {
             match change {
@@ -214,15 +224,16 @@
         }
     }
 
-    fn tell_fleet(&self, vms: &IndexMap<String, VmEntry>) {
+    fn tell_fleet(&self, vms: &IndexMap<String, VmEntry>, at: Duration) {
         let announcements = self.announcements();
         let vms = vms.values().cloned().collect();
-        self.control.do_send(Stored::Fleet { vms, announcements });
+        self.control.do_send(Stored::Fleet { vms, announcements, at });
     }
 
     fn tell_unread(&self) {
         let announcements = Announcements::Unread;
-        self.control.do_send(Stored::Fleet { vms: Vec::new(), announcements });
+        let at = self.store.clock().now();
+        self.control.do_send(Stored::Fleet { vms: Vec::new(), announcements, at });
     }
 }
 
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -12,7 +12,7 @@
 use crate::cluster::{Member, StoreReach};
 use crate::ids::DaemonId;
 use crate::job::JobId;
-use crate::kv::{Error, Kv, Result, Txn};
+use crate::kv::{Error, Kv, Result, Rev, Revised, Txn};
 use crate::ring::RING_CAPACITY;
 use crate::shard::{Keys, Previous};
 use actix::prelude::*;
@@ -39,11 +39,15 @@
     failures: Cell<u32>,
     reason: RefCell<String>,
     regained: Cell<Duration>,
+    newest: Cell<Rev>,
 }
 
 impl Reach {
     /// Notes how a call ended.
-    pub fn note<T>(&self, now: Duration, result: &Result<T>) {
+    pub fn note<T: Revised>(&self, now: Duration, result: &Result<T>) {
+        if let Ok(answer) = result {
+            self.newest.set(self.newest.get().max(answer.revision()));
+        }
         match result {
             Err(e) if e.is_outage() => {
                 self.failures.set(self.failures.get() + 1);
@@ -72,6 +76,11 @@
         self.answered.get().map_or(now, |at| now.saturating_sub(at))
     }
 
+    /// Newest revision of the store that any answer told of.
+    pub fn newest(&self) -> Rev {
+        self.newest.get()
+    }
+
     /// When the store came back, if it was away.
     pub fn regained(&self) -> Duration {
         self.regained.get()
@@ -100,6 +109,7 @@
     /// Makes a call and notes how it ended.
     pub async fn call<'a, T, F>(&'a self, call: impl FnOnce(&'a S) -> F) -> Result<T>
     where
+        T: Revised,
         F: Future<Output = Result<T>> + 'a,
     {
         let result = call(&self.store).await;
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -144,6 +144,48 @@
     pub wait: Duration,
 }
 
+/// What an answer tells of the store's revision.
+pub trait Revised {
+    /// A revision that the store had reached when it gave the answer; absent if it names none.
+    fn revision(&self) -> Rev;
+}
+
+impl Revised for Rev {
+    fn revision(&self) -> Rev {
+        *self
+    }
+}
+
+impl Revised for Page {
+    fn revision(&self) -> Rev {
+        self.at
+    }
+}
+
+impl Revised for Changes {
+    fn revision(&self) -> Rev {
+        self.at
+    }
+}
+
+impl Revised for Option<Item> {
+    fn revision(&self) -> Rev {
+        self.as_ref().map_or(Rev::ABSENT, |item| item.rev)
+    }
+}
+
+impl Revised for LeaseId {
+    fn revision(&self) -> Rev {
+        Rev::ABSENT
+    }
+}
+
+impl Revised for () {
+    fn revision(&self) -> Rev {
+        Rev::ABSENT
+    }
+}
+
 /// The platform's store.
 pub trait Kv {
     /// Reads a key.
--- a/src/note.rs
+++ b/src/note.rs
@@ -137,6 +137,8 @@
     Urgent ConfigInForce = "config-in-force" { version: u64, before: u64, queues: usize, age_ms: Ms, }
     /// An entry of the store can't be read, and is passed over.
     Urgent EntryUnreadable = "entry-unreadable" { entry: String, rev: u64, reason: String, }
+    /// The VMs' announcements were read only up to a revision that the store had passed before.
+    Urgent FleetBehind = "fleet-behind" { changes: usize, read_rev: u64, newest_rev: u64, pause_ms: Ms, }
     /// A daemon was heard of, or wasn't any more.
     Urgent MemberChanged = "member-changed" { member: DaemonId, state: Word, silent_ms: Ms, }
     /// This daemon claims a shard.
@@ -212,7 +214,7 @@
     /// Work waits though its turn has come.
     Telling JobStalled = "job-stalled" { job: JobId, waiting: usize, running: usize, stalled_ms: Ms, reason: Word, }
     /// The state of a shard, now and then.
-    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, commit_age_ms: Ms, }
+    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, commit_age_ms: Ms, vms_age_ms: Ms, }
     /// Lines of one event that were left out since the last such line.
     Urgent LinesDropped = "lines-dropped" { dropped: u64, event_kind: Word, }
     /// A caller's call was answered.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -128,7 +128,7 @@
         match event {
             Event::Tick => {}
             Event::Queues(queues) => self.configure(queues),
-            Event::Fleet { vms, announcements } => self.announced(vms, announcements),
+            Event::Fleet { vms, announcements, at } => self.announced(vms, announcements, at),
             Event::Looked { vm, sent, result } => self.looked(&vm, sent, result),
             Event::Started { vm, task, run, result } => {
                 self.start_answered(&vm, task, run, &result)
@@ -221,6 +221,7 @@
             waiting: tasks().filter(|task| task.is_waiting()).count(),
             free_cores: summary.free / 1000,
             commit_age_ms: crate::note::Ms(self.log.age(self.now.steady)),
+            vms_age_ms: crate::note::Ms(self.list_age()),
         }));
     }
 }
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -32,8 +32,9 @@
     Tick,
     /// The queues in force.
     Queues(Arc<Queues>),
-    /// All VMs of the shard that the platform announces, and whether a missing one is telling.
-    Fleet { vms: Vec<VmEntry>, announcements: Announcements },
+    /// All VMs of the shard that the platform announces, whether a missing one is telling, and when
+    /// they were asked for.
+    Fleet { vms: Vec<VmEntry>, announcements: Announcements, at: Duration },
     /// Answer to [`Action::Look`].
     Looked { vm: VmId, sent: Duration, result: vm::Result<LookResp> },
     /// Answer to [`Action::Start`].
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -22,8 +22,8 @@
 pub(super) enum List {
     /// Its daemon had it before it claimed the shard, and may have read it seconds ago.
     Inherited { since: Duration },
-    /// It was read since.
-    Read,
+    /// It was asked for then.
+    Read { at: Duration },
 }
 
 impl Shard {
@@ -32,13 +32,24 @@
     /// 2 s before that it leaves, and they were lost with it.
     pub(super) fn knows_who_leaves(&self) -> bool {
         match self.list {
-            List::Read => true,
+            List::Read { .. } => true,
             List::Inherited { since } => self.now.steady.saturating_sub(since) >= LIST_PATIENCE,
         }
     }
 
-    /// Takes over the announced VMs.
-    pub(super) fn announced(&mut self, entries: Vec<VmEntry>, announcements: Announcements) {
+    /// Time since the list of VMs was asked for; since the claim, while it is an inherited one.
+    pub(super) fn list_age(&self) -> Duration {
+        let (List::Inherited { since: at } | List::Read { at }) = self.list;
+        self.now.steady.saturating_sub(at)
+    }
+
+    /// Takes over the announced VMs, as they were at some time after `at`.
+    pub(super) fn announced(
+        &mut self,
+        entries: Vec<VmEntry>,
+        announcements: Announcements,
+        at: Duration,
+    ) {
         let now = self.now.steady;
         let mut present = IndexSet::new();
         for entry in entries {
@@ -52,7 +63,7 @@
             self.announce(entry);
         }
         if announcements != Announcements::Unread {
-            self.list = List::Read;
+            self.list = List::Read { at };
         }
         if announcements != Announcements::Complete {
             return;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -417,7 +417,7 @@
             self.owners.iter().map(|owner| (owner.number, owner.name.clone())).collect();
         for (number, name) in owners {
             let vms = self.fleet_of(&name);
-            self.step(number, Event::Fleet { vms, announcements });
+            self.step(number, Event::Fleet { vms, announcements, at: self.now });
             let neighbours = self.neighbours(&name);
             self.step(number, Event::Neighbours(neighbours));
         }
