--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -79,7 +79,7 @@
         let records = {
             let ttl = MIN_LEASE.max(Duration::from_millis(settings.store.min_lease_ms));
             let (me, platform) = (me.clone(), platform.clone());
-            let (control, clock) = (control.clone(), clock.clone());
+            let (control, clock) = (control.clone().recipient(), clock.clone());
             Records::start_in_arbiter(&arbiters[1].handle(), move |_| {
                 Records::new(me, platform, ttl, control, clock)
             })
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::control::{Control, Stored};
+use super::control::Stored;
 use super::records::{Watched, note_unreadable, retry_pause};
 use super::{Platform, Unreadable, Written};
 use crate::cluster::plan::PLAN_KEY;
@@ -15,7 +15,7 @@
 use crate::note::{Ms, Note};
 use crate::shard::Announcements;
 use crate::vm::VmEntry;
-use actix::Addr;
+use actix::Recipient;
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use std::cell::Cell;
@@ -47,7 +47,7 @@
 pub struct Sources<P: Platform> {
     pub platform: P,
     pub store: Watched<P::Store>,
-    pub control: Addr<Control>,
+    pub control: Recipient<Stored>,
     /// Whether this daemon owns or claims a shard.
     pub owning: Rc<Owning>,
 }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -5,7 +5,7 @@
 //! that it replaces, so that it takes effect once at the most, however often and late it arrives.
 
 use super::claim::{self, Held};
-use super::control::{Control, Stored};
+use super::control::Stored;
 use super::follow::{self, Owning, Sources};
 use super::{Platform, Unreadable};
 use crate::clock::Clock;
@@ -133,7 +133,7 @@
     me: Member,
     platform: P,
     store: Watched<P::Store>,
-    control: Addr<Control>,
+    control: Recipient<Stored>,
     shards: IndexMap<String, mpsc::Sender<Job>>,
     told: StoreReach,
     owning: Rc<Owning>,
@@ -152,7 +152,7 @@
         me: Member,
         platform: P,
         lease_ttl: Duration,
-        control: Addr<Control>,
+        control: Recipient<Stored>,
         clock: Arc<dyn Clock>,
     ) -> Self {
         let store = Watched::new(platform.store(), clock);
@@ -245,7 +245,7 @@
 /// Makes a shard's commits, one after the other, until the shard is lost.
 async fn write<S: Kv>(
     store: Watched<S>,
-    control: Addr<Control>,
+    control: Recipient<Stored>,
     shard: String,
     mut held: Held,
     mut rx: mpsc::Receiver<Job>,
--- a/standin/src/txns.rs
+++ b/standin/src/txns.rs
@@ -11,6 +11,10 @@
 /// Items of a page of a range.
 const PAGE_ITEMS: usize = 500;
 
+/// Changes that a watch's answer holds; more are left to the next one. Counted in the answers of the
+/// users' store.
+pub const ANSWER_CHANGES: usize = 500;
+
 #[derive(Clone, Debug)]
 struct Stored {
     value: Bytes,
@@ -78,15 +82,24 @@
         if after < self.forgotten {
             return Err(Error::HistoryGone);
         }
-        let matching = self.history.iter().filter(|(rev, change)| {
+        let matches = |(rev, change): &&(Rev, Change)| {
             let key = match change {
                 Change::Put(item) => &item.key,
                 Change::Deleted { key } => key,
             };
             *rev > after && key.starts_with(prefix)
-        });
-        let changes = matching.map(|(_, change)| change.clone()).collect();
-        Ok(Changes { changes, at: Rev(self.rev) })
+        };
+        let mut matching = self.history.iter().filter(matches).peekable();
+        let (mut changes, mut at) = (Vec::new(), after);
+        // Changes of one revision stay together.
+        while let Some((rev, change)) =
+            matching.next_if(|(rev, _)| changes.len() < ANSWER_CHANGES || *rev == at)
+        {
+            changes.push(change.clone());
+            at = *rev;
+        }
+        let at = if matching.peek().is_some() { at } else { Rev(self.rev) };
+        Ok(Changes { changes, at })
     }
 
     /// Carries out a transaction.
--- /dev/null
+++ b/tests/followers.rs
@@ -0,0 +1,361 @@
+//! What the duty of records tells control of the VMs, on a store that holds only so many changes in an
+//! answer; time is virtual.
+
+use actix::prelude::*;
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::time::Instant;
+use waxwingstall::clock::Clock;
+use waxwingstall::cluster::{Member, MemberStage};
+use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
+use waxwingstall::jobs::control::Stored;
+use waxwingstall::jobs::records::{Claim, Forget, Records};
+use waxwingstall::jobs::{Platform, Unreadable, Written};
+use waxwingstall::kv::{self, Changes, Freshness, Item, Kv, LeaseId, Page, Put, Rev, Txn, Watch};
+use waxwingstall::permit::{self, PermitPort, PermitReq, PermitResp};
+use waxwingstall::shard::{Announcements, Previous};
+use waxwingstall::units::Resources;
+use waxwingstall::upkeep::{self, Machine, MachinePort, UpkeepReq, WaveState};
+use waxwingstall::vm::{
+    self, LookReq, LookResp, PaceReq, RunReq, StartReq, VmAddr, VmEntry, VmPort, VmState, VmTime,
+};
+use waxwingstall_standin::fakes::FakeStore;
+use waxwingstall_standin::troubled::Troubled;
+use waxwingstall_standin::txns::{ANSWER_CHANGES, TxnTable};
+
+/// Time that the store takes for a call.
+const CALL: Duration = Duration::from_millis(4);
+
+/// Time from a VM's announcement until owners know of it. Nothing may be started on a VM 2 s after it
+/// said that it leaves, and half of that is left to the start itself.
+const HEARD_WITHIN: Duration = Duration::from_secs(1);
+
+/// The runtime's time, which tests let pass.
+struct VirtualClock {
+    start: Instant,
+}
+
+impl Clock for VirtualClock {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.now()
+    }
+}
+
+/// The store, which takes time.
+#[derive(Clone)]
+struct SlowStore(FakeStore);
+
+impl Kv for SlowStore {
+    async fn get(&self, key: &str) -> kv::Result<Option<Item>> {
+        tokio::time::sleep(CALL).await;
+        self.0.get(key).await
+    }
+
+    async fn range(&self, prefix: &str, after: Option<&str>, of: Freshness) -> kv::Result<Page> {
+        tokio::time::sleep(CALL).await;
+        self.0.range(prefix, after, of).await
+    }
+
+    async fn watch(&self, watch: &Watch) -> kv::Result<Changes> {
+        tokio::time::sleep(CALL).await;
+        let until = Instant::now() + watch.wait;
+        loop {
+            let changes = self.0.watch(watch).await?;
+            if !changes.changes.is_empty() || Instant::now() >= until {
+                return Ok(changes);
+            }
+            tokio::time::sleep(CALL).await;
+        }
+    }
+
+    async fn commit(&self, txn: &Txn) -> kv::Result<Rev> {
+        tokio::time::sleep(CALL).await;
+        self.0.commit(txn).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> kv::Result<LeaseId> {
+        tokio::time::sleep(CALL).await;
+        self.0.grant(ttl).await
+    }
+
+    async fn keep(&self, lease: LeaseId) -> kv::Result<()> {
+        tokio::time::sleep(CALL).await;
+        self.0.keep(lease).await
+    }
+
+    async fn end(&self, lease: LeaseId) -> kv::Result<()> {
+        tokio::time::sleep(CALL).await;
+        self.0.end(lease).await
+    }
+}
+
+/// VMs, permits and machines: these tests call none.
+#[derive(Clone)]
+struct Nobody;
+
+impl VmPort for Nobody {
+    async fn look(&self, _: &VmAddr, _: LookReq) -> vm::Result<LookResp> {
+        Err(vm::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+
+    async fn start(&self, _: &VmAddr, _: StartReq) -> vm::Result<VmTime> {
+        Err(vm::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+
+    async fn stop(&self, _: &VmAddr, _: RunReq) -> vm::Result<VmTime> {
+        Err(vm::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+
+    async fn pace(&self, _: &VmAddr, _: PaceReq) -> vm::Result<VmTime> {
+        Err(vm::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+}
+
+impl PermitPort for Nobody {
+    async fn ask(&self, _: &PermitReq) -> permit::Result<PermitResp> {
+        Err(permit::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+}
+
+impl MachinePort for Nobody {
+    async fn list(&self) -> upkeep::Result<Vec<Machine>> {
+        Err(upkeep::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+
+    async fn upkeep(&self, _: &UpkeepReq) -> upkeep::Result<()> {
+        Err(upkeep::Error::NotSent { reason: "nobody is there".to_owned() })
+    }
+}
+
+/// A platform of which only the store is there.
+#[derive(Clone)]
+struct StorePlatform(SlowStore);
+
+impl Platform for StorePlatform {
+    type Store = SlowStore;
+    type Vms = Nobody;
+    type Permits = Nobody;
+    type Machines = Nobody;
+
+    fn store(&self) -> SlowStore {
+        self.0.clone()
+    }
+
+    fn vms(&self) -> Nobody {
+        Nobody
+    }
+
+    fn permits(&self) -> Nobody {
+        Nobody
+    }
+
+    fn machines(&self) -> Nobody {
+        Nobody
+    }
+
+    fn fleet_prefix(&self) -> &str {
+        "vm/"
+    }
+
+    fn read_vm(&self, item: &Item) -> Result<VmEntry, Unreadable> {
+        let leaves = item.value.starts_with(b"leaving");
+        let state = if leaves { VmState::Leaving { left: None } } else { VmState::Ready };
+        Ok(VmEntry {
+            id: VmId::new(&item.key),
+            service: ServiceName::new("shop"),
+            domain: DomainId::new("kacyiru"),
+            rack: RackId::new("r0"),
+            labels: Vec::new(),
+            size: Resources::new(32_000, 128_000, 0),
+            state,
+            addr: Arc::from("10.1.0.1:80"),
+        })
+    }
+
+    fn operator_prefix(&self) -> &str {
+        "op/"
+    }
+
+    fn read_operators(&self, _: &Item) -> Result<Written, Unreadable> {
+        Ok(Written::Other)
+    }
+
+    fn wave_state(&self, wave: u64, _: WaveState) -> Put {
+        Put { key: format!("status/{wave}"), value: Bytes::new(), lease: None }
+    }
+}
+
+/// Leaving VMs as they were told of, with the time.
+type Told = Rc<RefCell<Vec<(Duration, Vec<String>)>>>;
+
+/// Takes control's place.
+struct Listener {
+    clock: Arc<dyn Clock>,
+    told: Told,
+}
+
+impl Actor for Listener {
+    type Context = Context<Self>;
+}
+
+impl Handler<Stored> for Listener {
+    type Result = ();
+
+    fn handle(&mut self, msg: Stored, _: &mut Self::Context) {
+        let Stored::Fleet { vms, announcements, .. } = msg else { return };
+        if announcements == Announcements::Unread {
+            return;
+        }
+        let leaves = |vm: &&VmEntry| matches!(vm.state, VmState::Leaving { .. });
+        let leaving = vms.iter().filter(leaves).map(|vm| vm.id.to_string()).collect();
+        self.told.borrow_mut().push((self.clock.now(), leaving));
+    }
+}
+
+/// A daemon's records, and what they tell.
+struct Seen {
+    clock: Arc<dyn Clock>,
+    table: Arc<Troubled<TxnTable>>,
+    records: Addr<Records<StorePlatform>>,
+    told: Told,
+    seq: u64,
+}
+
+impl Seen {
+    /// Records of a daemon that owns nothing, and this many VMs.
+    fn start(vms: usize) -> Self {
+        tokio::time::pause();
+        let clock: Arc<dyn Clock> = Arc::new(VirtualClock { start: Instant::now() });
+        let table = Arc::new(Troubled::new(TxnTable::new()));
+        let store = SlowStore(FakeStore { table: table.clone(), clock: clock.clone() });
+        let told: Told = Rc::default();
+        let listener = Listener { clock: clock.clone(), told: told.clone() }.start();
+        let records = Records::new(
+            me(),
+            StorePlatform(store),
+            Duration::from_secs(4),
+            listener.recipient(),
+            clock.clone(),
+        );
+        let mut seen = Self { clock, table, records: records.start(), told, seq: 0 };
+        (0..vms).for_each(|number| seen.announce(number, "ready"));
+        seen
+    }
+
+    fn announce(&mut self, number: usize, state: &str) {
+        self.seq += 1;
+        let put = Put {
+            key: vm_key(number),
+            value: Bytes::from(format!("{state} {}", self.seq)),
+            lease: None,
+        };
+        let txn = Txn { puts: vec![put], ..Txn::default() };
+        self.table.table().commit(&txn).expect("the table takes it");
+    }
+
+    /// Lets time pass in which each of `vms` VMs announces itself every 1.5 s.
+    async fn run(&mut self, vms: usize, time: Duration) {
+        let gap = Duration::from_millis(1500) / u32::try_from(vms).expect("a few hundred VMs");
+        let until = self.clock.now() + time;
+        let mut next = 0;
+        while self.clock.now() < until {
+            self.announce(next % vms, "ready");
+            next += 1;
+            tokio::time::sleep(gap).await;
+        }
+    }
+
+    async fn claim(&self, shard: &str) {
+        let claim = Claim { shard: shard.to_owned(), previous: Previous::Ended };
+        self.records.send(claim).await.expect("the duty runs");
+    }
+
+    /// Whether the last list that was told of names the VM as leaving.
+    fn knows_leaving(&self, number: usize) -> bool {
+        let told = self.told.borrow();
+        told.last().is_some_and(|(_, leaving)| leaving.contains(&vm_key(number)))
+    }
+
+    /// Time of the last list.
+    fn last_told(&self) -> Duration {
+        self.told.borrow().last().map_or(Duration::ZERO, |(at, _)| *at)
+    }
+}
+
+fn vm_key(number: usize) -> String {
+    format!("vm/{number:04}")
+}
+
+fn me() -> Member {
+    Member {
+        id: DaemonId::new("one@1"),
+        name: "one".to_owned(),
+        domain: DomainId::new("kacyiru"),
+        addr: "127.0.0.1:1".to_owned(),
+        stage: MemberStage::Serving,
+        power: 500,
+    }
+}
+
+// Tasks are started on VMs that said seconds before that they leave, and lasting tasks stand still for
+// ten seconds after their VM went: their owner heard of neither. As daemons start, this one claims two
+// shards, gives the first away and owns the second a moment later. Word that it owns no more, said
+// before the second claim was known, left it reading the VMs as rarely as a daemon that owns nothing.
+#[ignore = "known to fail"]
+#[actix_rt::test]
+async fn an_owner_that_gave_another_shard_away_hears_of_vms_in_time() {
+    let mut seen = Seen::start(30);
+    seen.run(30, Duration::from_secs(1)).await;
+    seen.claim("kacyiru.0").await;
+    seen.run(30, Duration::from_millis(100)).await;
+    seen.claim("kacyiru.1").await;
+    let forget = Forget { shard: "kacyiru.0".to_owned(), owns_more: false };
+    seen.records.send(forget).await.expect("the duty runs");
+    seen.run(30, Duration::from_secs(10)).await;
+    for number in 0..5 {
+        seen.announce(number, "leaving");
+        tokio::time::sleep(HEARD_WITHIN).await;
+        assert!(seen.knows_leaving(number), "VM {number} left, and its owner knows nothing");
+    }
+}
+
+// The same symptom on deployments of hundreds of VMs. More changes come between two readings than an
+// answer of the store holds: what is left over is read the next time, by then more is left over, and the
+// list that decides what is started where is older and older, though it was read a moment ago.
+#[ignore = "known to fail"]
+#[actix_rt::test]
+async fn an_owner_reads_on_until_nothing_is_left_unread() {
+    let mut seen = Seen::start(2 * ANSWER_CHANGES);
+    seen.claim("kacyiru.0").await;
+    seen.run(30, Duration::from_secs(2)).await;
+    for _ in 0..5 {
+        (0..2 * ANSWER_CHANGES).for_each(|number| seen.announce(number, "ready"));
+    }
+    seen.announce(7, "leaving");
+    tokio::time::sleep(HEARD_WITHIN).await;
+    assert!(seen.knows_leaving(7), "five answers' worth of changes came before it");
+}
+
+// A daemon that owned nothing is given a shard. It has read the VMs now and then, and never all that was
+// new, so that its next answer is old as well; what it is told first as an owner must be as things are.
+#[ignore = "known to fail"]
+#[actix_rt::test]
+async fn a_new_owner_is_told_of_the_vms_as_they_are() {
+    let mut seen = Seen::start(400);
+    seen.run(400, Duration::from_secs(15)).await;
+    seen.announce(3, "leaving");
+    tokio::time::sleep(CALL).await;
+    let before = seen.last_told();
+    seen.claim("kacyiru.0").await;
+    while seen.last_told() == before {
+        tokio::time::sleep(CALL).await;
+    }
+    assert!(seen.knows_leaving(3), "it said that it leaves before the shard was claimed");
+}
