Bind and start nothing by a list of VMs that is old

What callers saw: as before, tasks started where VMs leave, and lost with them; in these cases the owner couldn't read the list though its commits were taken, or had decided a start before an outage of the store and sent it after.

Cause: the class behind the two faults before this one. A decision went by an input of which nobody knew how old it was. With the reasons for its age mended, the next one would act alike.

Mend: the list carries the time at which it was asked for; an owner binds and starts nothing by one that is older than 1.3 s, or was asked for before its claim. This takes the place of the 0.4 s that a new owner waited for a list before it went on without. 1.3 s leaves 0.7 s of the shortest 2 s for the binding and the start, and owners' lists are 0.4 s old, 1.2 s while the store is slow.

--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -13,27 +13,28 @@
 /// some thirty VMs loses far fewer in that time.
 const MAX_GONE: usize = 256;
 
-/// Time that a new owner waits for a list of VMs of its own. One is read within 10 ms of the claim; an
-/// owner whose store has just gone away again goes on with the list that it has.
-const LIST_PATIENCE: Duration = Duration::from_millis(400);
+/// Age of the list of VMs up to which work is bound and started by it. Nothing may start on a VM 2 s
+/// after it said that it leaves; a binding takes 30 ms to be durable, 0.4 s while the store is slow. An
+/// owner's list is 0.4 s old at the most, and 1.2 s while the store is slow.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1300);
 
-/// How a shard's owner came by the list of VMs that it knows.
+/// The list of VMs that a shard's owner goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum List {
-    /// Its daemon had it before it claimed the shard, and may have read it seconds ago.
+    /// Its daemon had it before it claimed the shard; nobody knows how old it is.
     Inherited { since: Duration },
     /// It was asked for then.
     Read { at: Duration },
 }
 
 impl Shard {
-    /// Whether the list of VMs is recent enough to place work by. A daemon that owns nothing reads the
-    /// list every few seconds; one that took a shard over placed a dozen tasks on a VM that had said
-    /// 2 s before that it leaves, and they were lost with it.
+    /// Whether the list of VMs is recent enough to place and start work by. Whatever keeps an owner from
+    /// reading the list, tasks that it starts by an old one are lost with VMs that have left meanwhile:
+    /// so it waits, however the list came to be old.
     pub(super) fn knows_who_leaves(&self) -> bool {
         match self.list {
-            List::Read { .. } => true,
-            List::Inherited { since } => self.now.steady.saturating_sub(since) >= LIST_PATIENCE,
+            List::Inherited { .. } => false,
+            List::Read { .. } => self.list_age() <= MAX_LIST_AGE,
         }
     }
 
@@ -43,6 +44,14 @@
         self.now.steady.saturating_sub(at)
     }
 
+    /// Notes when the list was asked for; what was asked for before the claim stays inherited.
+    fn note_read(&mut self, asked: Duration) {
+        let (List::Inherited { since: known } | List::Read { at: known }) = self.list;
+        if asked >= known {
+            self.list = List::Read { at: asked };
+        }
+    }
+
     /// Takes over the announced VMs, as they were at some time after `at`.
     pub(super) fn announced(
         &mut self,
@@ -63,7 +72,7 @@
             self.announce(entry);
         }
         if announcements != Announcements::Unread {
-            self.list = List::Read { at };
+            self.note_read(at);
         }
         if announcements != Announcements::Complete {
             return;
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -21,15 +21,17 @@
         }
     }
 
-    /// Sends the orders whose time has come.
+    /// Sends the orders whose time has come. Starts wait while it isn't known who leaves: they may have
+    /// been decided long before, as when the store was away while they became durable.
     pub(super) fn send_orders(&mut self) {
         let now = self.now.steady;
+        let may_start = self.knows_who_leaves();
         let mut starts = Vec::new();
         for vm in self.vms.values_mut() {
             let addr = vm.addr();
             for (key, run) in &mut vm.runs {
                 match &mut run.stage {
-                    Stage::Starting { next_send: Some(at) } if *at <= now => {
+                    Stage::Starting { next_send: Some(at) } if may_start && *at <= now => {
                         starts.push((vm.id.clone(), *key));
                     }
                     Stage::Stopping { next_send: send @ Some(_), .. } if *send <= Some(now) => {
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod jobs;
+mod lists;
 mod permits;
 mod random;
 mod takeover;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -108,6 +108,8 @@
     next_ticket: u64,
     next_fleet: Duration,
     store_back: Duration,
+    /// Nobody can read the list of VMs until then, though the store takes commits.
+    list_unread_until: Duration,
     /// What the next owner knows of the VMs, if that is old.
     old_list: Option<Vec<VmEntry>>,
     queues: Arc<Queues>,
@@ -134,6 +136,7 @@
             next_ticket: 0,
             next_fleet: Duration::ZERO,
             store_back: Duration::ZERO,
+            list_unread_until: Duration::ZERO,
             old_list: None,
             queues: Arc::new(queues()),
             traced: std::env::var_os("SHARD_TRACE").is_some(),
@@ -210,6 +213,11 @@
         self.old_list = Some(self.fleet_of(shard));
     }
 
+    /// Nobody can read the list of VMs for a while; everything else goes on.
+    pub fn stop_list(&mut self, time: Duration) {
+        self.list_unread_until = self.now + time;
+    }
+
     /// The shard's owner ends without a word, and another takes over.
     pub fn replace_owner(&mut self, shard: &str) {
         self.owners.retain(|owner| &*owner.name != shard);
@@ -411,6 +419,9 @@
             self.store_back = self.now;
             return;
         }
+        if self.now < self.list_unread_until {
+            return;
+        }
         let back = self.now.saturating_sub(self.store_back) < Duration::from_secs(3);
         let announcements = if back { Announcements::Recovering } else { Announcements::Complete };
         let owners: Vec<(u64, Arc<str>)> =
