Count an owner's silence from when it became the owner

What callers saw: as daemons start, or after a claim by a daemon that owned nothing, a shard changed hands twice within 0.1 s, and each change refuses jobs for that long.

The one that claims says so at once, but another may read the claim in the store first; it then counted the silence from the last greeting, which is longer than an owner may be silent, and took a greeting that was older than the claim and didn't name the shard for word that it was given up. In the log: shard-claiming with reason="its owner is silent" silent_ms=2917, 13 ms before the owner's own shard-owned. Ruled out: a second claim sent before the first was known (those fail on the head's revision, and are logged so).

Mend: silence counts from when the owner was learned of, if that is later, and older greetings say nothing. An owner that ends without a word right after its claim is replaced after the same 1.6 s as any other, as the test shows.

a_daemon_that_has_just_become_an_owner_is_not_taken_for_silent failed before and passes.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -738,7 +738,9 @@
         let cause = Cause { silent, settle: Duration::ZERO, ..no_owner("its owner is gone") };
         return (silent >= SILENT_OWNER).then_some(cause);
     };
-    let silent = now.saturating_sub(known.heard);
+    // As an owner it has been silent only since it is one: daemons without shards greet seldom, and a
+    // claim that was read in the store before its owner's first greeting was claimed anew at once.
+    let silent = now.saturating_sub(known.heard.max(view.since));
     let settle = Duration::ZERO;
     let cause = |previous, reason| Some(Cause { previous, reason, silent, settle });
     if known.member.id != *owner {
@@ -753,7 +755,8 @@
     if silent >= SILENT_OWNER {
         return cause(Previous::Unsure, "its owner is silent");
     }
-    let told = known.shards.iter().any(|name| name == shard);
+    // What it said before it became the owner says nothing about this.
+    let told = known.heard < view.since || known.shards.iter().any(|name| name == shard);
     let gave_up = Cause { previous: Previous::Ended, ..no_owner("its owner gave it up") };
     (!told).then_some(gave_up)
 }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -3,7 +3,8 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::cluster::{
-    Action, Event, HandOver, Hello, Member, MemberStage, Ownership, Plan, ShardNews, StoreReach,
+    Action, Event, HandOver, Head, Hello, Member, MemberStage, Ownership, Plan, ShardNews,
+    StoreReach,
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::shard::Summary;
@@ -208,3 +209,23 @@
     let (_, others) = greetings(&mut idle);
     assert!((7..=8).contains(&others), "{others}");
 }
+
+// As daemons start, callers' jobs are refused for longer than need be, since shards change hands at once:
+// two daemons know of each other from the store and greet every third second, as long as neither owns
+// anything. One claims a shard, the other reads so in the store before the first greeting of the new
+// owner comes, and took it for an owner that had been silent for those three seconds.
+#[test]
+fn a_daemon_that_has_just_become_an_owner_is_not_taken_for_silent() {
+    let mut seen = Seen::new(member("strong", STRONG), 1);
+    seen.greet(member("before", STRONG), vec![news("kacyiru.0", 5)]);
+    seen.tell(Event::Registered(vec![member("quiet", STRONG)]));
+    seen.run_for(ms(3000));
+    let before = Head::claim(DaemonId::new("before@1"), None);
+    let mut head = Head::claim(DaemonId::new("quiet@1"), Some(&before));
+    head.fence = 9;
+    seen.tell(Event::Heads(vec![("kacyiru.0".to_owned(), head)]));
+    seen.run_for(ms(1200));
+    assert_eq!(seen.claims, [], "its first greeting is on its way");
+    seen.run_for(ms(800));
+    assert_eq!(seen.claims.len(), 1, "it says nothing at all");
+}
