Tell one job's story from the logs of many daemons: waxwing trace

On-call engineers have logs of daemons that may be gone, and read them one by one with clocks that differ. waxwing trace ID reads them from files or standard input, puts the job's lines and those on its VMs in order, moves clocks that are behind as far as cause and effect ask for, and says what the logs lack.

--- a/src/bin/waxwing/clap_app.rs
+++ b/src/bin/waxwing/clap_app.rs
@@ -3,6 +3,7 @@
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 use clap_complete::Shell;
 use waxwingstall::ids::TaskId;
+use waxwingstall::job::JobId;
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -61,6 +62,7 @@
         .subcommand(task())
         .subcommand(vm())
         .subcommand(explain())
+        .subcommand(trace())
         .subcommand(completions())
 }
 
@@ -232,6 +234,24 @@
         .after_help("Examples:\n  waxwing explain task t3-1187\n  waxwing explain vm worker-17")
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Tells a job's story from the logs of daemons, which may be gone")
+        .long_about(
+            "Tells a job's story from the logs of daemons, which may be gone: its lines and those on \
+             the VMs that it ran on, in order of time. Daemons whose clocks are behind are shifted, \
+             and what the logs don't tell is said.",
+        )
+        .arg(positional("job", "ID", "The job").value_parser(value_parser!(JobId)))
+        .arg(
+            Arg::new("log")
+                .value_name("FILE")
+                .help("Logs, one a daemon; without any, or for `-`, the standard input")
+                .num_args(0..),
+        )
+        .after_help("Example:\n  waxwing trace 5c0e7a21d94b36f8 logs/*.log")
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Prints completions for a shell")
--- a/src/bin/waxwing/commands.rs
+++ b/src/bin/waxwing/commands.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod local;
 mod order;
+mod trace;
 
 use crate::app::{Context, Format};
 use crate::clap_app::build_app;
@@ -30,6 +31,7 @@
         "task" => task(cx, args).await,
         "vm" => vm(cx, args).await,
         "explain" => explain(cx, args).await,
+        "trace" => trace::run(cx, args),
         "completions" => completions(cx, args),
         other => bail!("no command `{other}`"),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod store;
 pub mod task;
 pub mod tasklog;
+pub mod trace;
 pub mod units;
 pub mod upkeep;
 pub mod usage;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -171,46 +171,7 @@
 
 /// Time since 1970 as `2026-12-02T20:15:00.250Z`.
 pub fn utc(since_epoch: Duration) -> String {
-    const DAY_SECONDS: u64 = 86_400;
-    let seconds = since_epoch.as_secs();
-    let (days, rest) = (seconds / DAY_SECONDS, seconds % DAY_SECONDS);
-    let date = civil_date(days);
-    format!(
-        "{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z",
-        date.year,
-        date.month,
-        date.day,
-        rest / 3600,
-        rest / 60 % 60,
-        rest % 60,
-        since_epoch.subsec_millis()
-    )
-}
-
-struct Date {
-    year: u64,
-    month: u64,
-    day: u64,
-}
-
-/// Days since 1970 as a date of the Gregorian calendar, in years that begin in March so that the
-/// leap day comes last.
-fn civil_date(days: u64) -> Date {
-    const DAYS_BEFORE_1970: u64 = 719_468;
-    const DAYS_OF_400_YEARS: u64 = 146_097;
-    let days = days + DAYS_BEFORE_1970;
-    let era = days / DAYS_OF_400_YEARS;
-    let day_of_era = days % DAYS_OF_400_YEARS;
-    let leap_days = day_of_era / 1460 - day_of_era / 36_524 + day_of_era / 146_096;
-    let year_of_era = (day_of_era - leap_days) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let march_month = (5 * day_of_year + 2) / 153;
-    let month = if march_month < 10 { march_month + 3 } else { march_month - 9 };
-    Date {
-        year: era * 400 + year_of_era + u64::from(month <= 2),
-        month,
-        day: day_of_year - (153 * march_month + 2) / 5 + 1,
-    }
+    humantime::format_rfc3339_millis(SystemTime::UNIX_EPOCH + since_epoch).to_string()
 }
 
 fn severity(level: log::Level) -> Level {
