--- a/src/cluster/ownership/sharing.rs
+++ b/src/cluster/ownership/sharing.rs
@@ -29,12 +29,7 @@
 impl Ownership {
     /// Gives shards to daemons that are better placed.
     pub(super) fn bring_home(&mut self) {
-        let owned: Vec<String> = self
-            .held
-            .iter()
-            .filter(|(_, holding)| **holding == Holding::Owned)
-            .map(|(name, _)| name.clone())
-            .collect();
+        let owned = self.owned();
         let lost = self.store == StoreReach::Away
             && self.now.saturating_sub(self.store_since) >= STORE_LOST;
         for shard in &owned {
@@ -52,6 +47,12 @@
         }
     }
 
+    /// Shards that are owned, and neither claimed yet nor being given away.
+    fn owned(&self) -> Vec<String> {
+        let owned = self.held.iter().filter(|(_, holding)| **holding == Holding::Owned);
+        owned.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Gives a shard to a daemon of its failure domain that has far more processor to spare.
     fn share_out(&mut self, owned: &[String]) {
         let now = self.now;
@@ -78,13 +79,7 @@
     }
 
     pub(super) fn give_all_away(&mut self) {
-        let owned: Vec<String> = self
-            .held
-            .iter()
-            .filter(|(_, holding)| **holding == Holding::Owned)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for shard in owned {
+        for shard in self.owned() {
             let domain = self.shards.get(&shard).map(|view| view.domain.clone());
             let Some(domain) = domain else { continue };
             let fit = |known: &&Known| self.may_take(known);
