Show that a list of VMs that is old ends a life of a VM that goes on

A new owner that inherits a list read before a VM's restart takes the later life, which it knows from the binding alone, for the earlier one (find_later_lives in src/shard/recover.rs): "another life at its address". The task runs twice, and the VM isn't used again by this owner.

--- a/tests/shards/lists.rs
+++ b/tests/shards/lists.rs
@@ -64,3 +64,24 @@
         check(&mut world, &IndexMap::from([(job.id, job)]), SIZE);
     }
 }
+
+// A caller's task runs twice at once. Its VM died and came back at its address, and was given the task in
+// its new life; then the shard changes hands, to a daemon that read the list of VMs before that. It knows
+// the earlier life from the list and the later one only from the binding, and took the later one for the
+// one that is over: it started the task elsewhere, and never used the VM again.
+#[test]
+fn a_life_that_an_old_list_lacks_is_not_taken_for_over() {
+    let mut world = World::new(Sound, &["kacyiru"], 2, SIZE);
+    world.run_for(seconds(1));
+    world.read_list_early("kacyiru");
+    world.crash_vm(0, Duration::from_millis(300));
+    world.run_for(seconds(1));
+    let job = chain(1, 1, 4, work(4000, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(Duration::from_millis(500));
+    assert!(world.runs_on(0) > 0, "it runs in the later life");
+    world.replace_owner("kacyiru");
+    world.run_for(seconds(12));
+    check(&mut world, &IndexMap::from([(job.id, job.clone())]), SIZE);
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+}
