Show that reading the plan keeps lists of VMs from owners

an_owners_list_stays_recent_while_the_store_is_slow_and_vms_come and a_list_that_was_read_is_told_of_though_the_plan_is_not_read fail, each time; no code is changed.

--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -6,9 +6,11 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
 use waxwingstall::clock::Clock;
+use waxwingstall::cluster::plan::PLAN_KEY;
 use waxwingstall::cluster::{Member, MemberStage};
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::jobs::control::Stored;
@@ -50,49 +52,65 @@
 
 /// The store, which takes time.
 #[derive(Clone)]
-struct SlowStore(FakeStore);
+struct SlowStore {
+    store: FakeStore,
+    /// Time that it takes for a call.
+    call: Duration,
+    /// Whether it turns away calls about the plan.
+    no_plan: Arc<AtomicBool>,
+}
+
+impl SlowStore {
+    fn allows(&self, key: &str) -> kv::Result<()> {
+        if key == PLAN_KEY && self.no_plan.load(Ordering::Relaxed) {
+            return Err(kv::Error::Refused { reason: "too many calls".to_owned() });
+        }
+        Ok(())
+    }
+}
 
 impl Kv for SlowStore {
     async fn get(&self, key: &str) -> kv::Result<Option<Item>> {
-        tokio::time::sleep(CALL).await;
-        self.0.get(key).await
+        tokio::time::sleep(self.call).await;
+        self.allows(key)?;
+        self.store.get(key).await
     }
 
     async fn range(&self, prefix: &str, after: Option<&str>, of: Freshness) -> kv::Result<Page> {
-        tokio::time::sleep(CALL).await;
-        self.0.range(prefix, after, of).await
+        tokio::time::sleep(self.call).await;
+        self.store.range(prefix, after, of).await
     }
 
     async fn watch(&self, watch: &Watch) -> kv::Result<Changes> {
-        tokio::time::sleep(CALL).await;
+        tokio::time::sleep(self.call).await;
         let until = Instant::now() + watch.wait;
         loop {
-            let changes = self.0.watch(watch).await?;
+            let changes = self.store.watch(watch).await?;
             if !changes.changes.is_empty() || Instant::now() >= until {
                 return Ok(changes);
             }
-            tokio::time::sleep(CALL).await;
+            tokio::time::sleep(self.call).await;
         }
     }
 
     async fn commit(&self, txn: &Txn) -> kv::Result<Rev> {
-        tokio::time::sleep(CALL).await;
-        self.0.commit(txn).await
+        tokio::time::sleep(self.call).await;
+        self.store.commit(txn).await
     }
 
     async fn grant(&self, ttl: Duration) -> kv::Result<LeaseId> {
-        tokio::time::sleep(CALL).await;
-        self.0.grant(ttl).await
+        tokio::time::sleep(self.call).await;
+        self.store.grant(ttl).await
     }
 
     async fn keep(&self, lease: LeaseId) -> kv::Result<()> {
-        tokio::time::sleep(CALL).await;
-        self.0.keep(lease).await
+        tokio::time::sleep(self.call).await;
+        self.store.keep(lease).await
     }
 
     async fn end(&self, lease: LeaseId) -> kv::Result<()> {
-        tokio::time::sleep(CALL).await;
-        self.0.end(lease).await
+        tokio::time::sleep(self.call).await;
+        self.store.end(lease).await
     }
 }
 
@@ -192,8 +210,15 @@
     }
 }
 
-/// Leaving VMs as they were told of, with the time.
-type Told = Rc<RefCell<Vec<(Duration, Vec<String>)>>>;
+/// Lists as they were told of.
+type Told = Rc<RefCell<Vec<ToldList>>>;
+
+struct ToldList {
+    at: Duration,
+    /// When it was asked for, as was said.
+    asked: Duration,
+    leaving: Vec<String>,
+}
 
 /// Takes control's place.
 struct Listener {
@@ -209,13 +234,14 @@
     type Result = ();
 
     fn handle(&mut self, msg: Stored, _: &mut Self::Context) {
-        let Stored::Fleet { vms, announcements, .. } = msg else { return };
+        let Stored::Fleet { vms, announcements, at: asked } = msg else { return };
         if announcements == Announcements::Unread {
             return;
         }
         let leaves = |vm: &&VmEntry| matches!(vm.state, VmState::Leaving { .. });
         let leaving = vms.iter().filter(leaves).map(|vm| vm.id.to_string()).collect();
-        self.told.borrow_mut().push((self.clock.now(), leaving));
+        let at = self.clock.now();
+        self.told.borrow_mut().push(ToldList { at, asked, leaving });
     }
 }
 
@@ -225,16 +251,24 @@
     table: Arc<Troubled<TxnTable>>,
     records: Addr<Records<StorePlatform>>,
     told: Told,
+    no_plan: Arc<AtomicBool>,
     seq: u64,
 }
 
 impl Seen {
     /// Records of a daemon that owns nothing, and this many VMs.
     fn start(vms: usize) -> Self {
+        Self::start_with(vms, CALL)
+    }
+
+    /// The same on a store that takes this time for a call.
+    fn start_with(vms: usize, call: Duration) -> Self {
         tokio::time::pause();
         let clock: Arc<dyn Clock> = Arc::new(VirtualClock { start: Instant::now() });
         let table = Arc::new(Troubled::new(TxnTable::new()));
-        let store = SlowStore(FakeStore { table: table.clone(), clock: clock.clone() });
+        let no_plan: Arc<AtomicBool> = Arc::default();
+        let store = FakeStore { table: table.clone(), clock: clock.clone() };
+        let store = SlowStore { store, call, no_plan: no_plan.clone() };
         let told: Told = Rc::default();
         let listener = Listener { clock: clock.clone(), told: told.clone() }.start();
         let records = Records::new(
@@ -244,7 +278,7 @@
             listener.recipient(),
             clock.clone(),
         );
-        let mut seen = Self { clock, table, records: records.start(), told, seq: 0 };
+        let mut seen = Self { clock, table, records: records.start(), told, no_plan, seq: 0 };
         (0..vms).for_each(|number| seen.announce(number, "ready"));
         seen
     }
@@ -280,12 +314,19 @@
     /// Whether the last list that was told of names the VM as leaving.
     fn knows_leaving(&self, number: usize) -> bool {
         let told = self.told.borrow();
-        told.last().is_some_and(|(_, leaving)| leaving.contains(&vm_key(number)))
+        told.last().is_some_and(|list| list.leaving.contains(&vm_key(number)))
+    }
+
+    /// Longest time for which a list was the newest that was told of, from when it was asked for.
+    fn oldest_list(&self) -> Duration {
+        let told = self.told.borrow();
+        let ages = told.windows(2).map(|lists| lists[1].at.saturating_sub(lists[0].asked));
+        ages.max().unwrap_or_default()
     }
 
     /// Time of the last list.
     fn last_told(&self) -> Duration {
-        self.told.borrow().last().map_or(Duration::ZERO, |(at, _)| *at)
+        self.told.borrow().last().map_or(Duration::ZERO, |list| list.at)
     }
 }
 
@@ -359,3 +400,41 @@
     }
     assert!(seen.knows_leaving(3), "it said that it leaves before the shard was claimed");
 }
+
+/// Age of the list up to which a shard's owner places and starts work by it.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1300);
+
+/// Time that the store takes for a call while it is slow: 90 times the usual.
+const SLOW_CALL: Duration = Duration::from_millis(360);
+
+// Nothing is placed for half of the time while the store is slow and VMs are replaced: as soon as a list
+// names a new VM, the plan is read before anybody is told of the list, and so the one that owners have is
+// older than they may go by.
+#[actix_rt::test]
+async fn an_owners_list_stays_recent_while_the_store_is_slow_and_vms_come() {
+    let mut seen = Seen::start_with(30, SLOW_CALL);
+    seen.claim("kacyiru.0").await;
+    seen.run(30, Duration::from_secs(4)).await;
+    seen.told.borrow_mut().clear();
+    for number in 30..40 {
+        seen.announce(number, "ready");
+        seen.run(30, Duration::from_millis(1000)).await;
+    }
+    let oldest = seen.oldest_list();
+    assert!(oldest <= MAX_LIST_AGE, "{oldest:?}");
+}
+
+// Nothing at all is placed, though the list of VMs is read several times a second: a VM has come, and the
+// store turns away what concerns the plan. The list that was read is thrown away with the failed call.
+#[actix_rt::test]
+async fn a_list_that_was_read_is_told_of_though_the_plan_is_not_read() {
+    let mut seen = Seen::start(30);
+    seen.claim("kacyiru.0").await;
+    seen.run(30, Duration::from_secs(2)).await;
+    seen.no_plan.store(true, Ordering::Relaxed);
+    seen.announce(30, "ready");
+    seen.run(30, Duration::from_secs(1)).await;
+    seen.announce(7, "leaving");
+    tokio::time::sleep(HEARD_WITHIN).await;
+    assert!(seen.knows_leaving(7), "its announcement was read and not passed on");
+}
