Show that daemons take a shard from one that still reads it

A claimant greets without naming its shard until it has read it. Daemons that saw the claim in the store take that for word that it was given up, and claim the shard 0.7 s and their rank's delay after the greeting: sooner than a claim ends while the store takes 0.4 s for a call.

a_claimant_that_still_reads_its_shard_has_not_given_it_up fails, each time; no code is changed.

--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -229,3 +229,30 @@
     seen.run_for(ms(800));
     assert_eq!(seen.claims.len(), 1, "it says nothing at all");
 }
+
+/// Time between a claim's taking effect and the first greeting that names the shard, while the store takes
+/// 0.4 s for a call: half a call for the claim's answer, a page of jobs, and three of their progress, which
+/// is kept for as long as ended jobs are shown.
+const SLOW_CLAIM: Duration = Duration::from_millis(1800);
+
+// Callers' jobs are refused for as long as the store is slow, since daemons take a shard from each other. The
+// one that claimed it still reads what the store has of it, and greets without naming it; another, which is
+// placed worse, reads the claim in the store, takes these greetings for word that the shard was given up,
+// and claims it in turn.
+#[test]
+fn a_claimant_that_still_reads_its_shard_has_not_given_it_up() {
+    let mut seen = Seen::new(member("worse", WEAK), 1);
+    seen.greet(member("before", STRONG), vec![news("kacyiru.0", 5)]);
+    seen.greet(member("reading", STRONG), Vec::new());
+    seen.run_for(ms(3000));
+    seen.others.shift_remove("before");
+    let before = Head::claim(DaemonId::new("before@1"), None);
+    let mut head = Head::claim(DaemonId::new("reading@1"), Some(&before));
+    head.fence = 9;
+    seen.tell(Event::Heads(vec![("kacyiru.0".to_owned(), head)]));
+    seen.run_for(SLOW_CLAIM);
+    assert_eq!(seen.claims, [], "its owner is there, and reads");
+    seen.greet(member("reading", STRONG), vec![news("kacyiru.0", 9)]);
+    seen.run_for(ms(2000));
+    assert_eq!(seen.claims, []);
+}
