Show that a failed claim replaces newer knowledge of an owner

The head that refuses a claim names no fence while it is a claim itself, and such a head is taken for the present one whatever is known already. The present owner's greetings don't correct it, as their fence is known.

a_failed_claim_brings_nothing_older_than_what_is_known fails, each time; no code is changed.

--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -256,3 +256,27 @@
     seen.run_for(ms(2000));
     assert_eq!(seen.claims, []);
 }
+
+// A shard is taken from a daemon that serves it well, and jobs are refused meanwhile. Another daemon's claim
+// failed, since a third was quicker; by the time it is told so, the shard has gone on to a fourth, which has
+// greeted. The head that the failed claim brought is older, but names no fence yet: it took the place of what
+// was known, and the present owner's greetings, with the fence that was known already, changed nothing.
+#[test]
+fn a_failed_claim_brings_nothing_older_than_what_is_known() {
+    let mut seen = Seen::new(member("strong", STRONG), 1);
+    seen.run_for(ms(3000));
+    assert_eq!(seen.claims.len(), 1, "the shard has no owner");
+    seen.claims.clear();
+    let quicker = Head::claim(DaemonId::new("quicker@1"), None);
+    seen.greet(member("quicker", STRONG), Vec::new());
+    seen.greet(member("present", STRONG), vec![news("kacyiru.0", 9)]);
+    seen.run_for(ms(100));
+    let (shard, reason) = ("kacyiru.0".to_owned(), "quicker@1 was quicker".to_owned());
+    seen.tell(Event::ClaimFailed { shard, head: Some(quicker), reason });
+    seen.run_for(ms(3000));
+    assert_eq!(
+        seen.ownership.owner("kacyiru.0").map(|owner| owner.name),
+        Some("present".to_owned())
+    );
+    assert_eq!(seen.claims, [], "its owner greets");
+}
