Show that a restarted owner is taken for gone

An owner that is known from the store by its new id, and from greetings by its earlier one, counts as restarted since: its shard is claimed at once, and as one whose owner keeps nothing running any more.

an_owner_that_is_known_only_from_its_earlier_process_is_not_taken_for_gone fails, each time; no code is changed.

--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -280,3 +280,21 @@
     );
     assert_eq!(seen.claims, [], "its owner greets");
 }
+
+// A shard changes hands twice as a daemon comes back after a restart. It claims the shard, and another daemon
+// reads so in the store before it hears of the new process: the owner that it knows under that name is the
+// earlier process, so that it took the new one for gone, and claimed at once.
+#[test]
+fn an_owner_that_is_known_only_from_its_earlier_process_is_not_taken_for_gone() {
+    let mut seen = Seen::new(member("strong", STRONG), 1);
+    seen.greet(member("before", STRONG), vec![news("kacyiru.0", 5)]);
+    seen.greet(member("anew", STRONG), Vec::new());
+    seen.run_for(ms(3000));
+    seen.others.shift_remove("anew");
+    let before = Head::claim(DaemonId::new("before@1"), None);
+    let mut head = Head::claim(DaemonId::new("anew@2"), Some(&before));
+    head.fence = 9;
+    seen.tell(Event::Heads(vec![("kacyiru.0".to_owned(), head)]));
+    seen.run_for(ms(400));
+    assert_eq!(seen.claims, [], "its first greeting is on its way");
+}
