--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -229,3 +229,72 @@
     seen.run_for(ms(800));
     assert_eq!(seen.claims.len(), 1, "it says nothing at all");
 }
+
+/// Time between a claim's taking effect and the first greeting that names the shard, while the store takes
+/// 0.4 s for a call: half a call for the claim's answer, a page of jobs, and three of their progress, which
+/// is kept for as long as ended jobs are shown.
+const SLOW_CLAIM: Duration = Duration::from_millis(1800);
+
+// Callers' jobs are refused for as long as the store is slow, since daemons take a shard from each other. The
+// one that claimed it still reads what the store has of it, and greets without naming it; another, which is
+// placed worse, reads the claim in the store, takes these greetings for word that the shard was given up,
+// and claims it in turn.
+#[test]
+fn a_claimant_that_still_reads_its_shard_has_not_given_it_up() {
+    let mut seen = Seen::new(member("worse", WEAK), 1);
+    seen.greet(member("before", STRONG), vec![news("kacyiru.0", 5)]);
+    seen.greet(member("reading", STRONG), Vec::new());
+    seen.run_for(ms(3000));
+    seen.others.shift_remove("before");
+    let before = Head::claim(DaemonId::new("before@1"), None);
+    let mut head = Head::claim(DaemonId::new("reading@1"), Some(&before));
+    head.fence = 9;
+    seen.tell(Event::Heads(vec![("kacyiru.0".to_owned(), head)]));
+    seen.run_for(SLOW_CLAIM);
+    assert_eq!(seen.claims, [], "its owner is there, and reads");
+    seen.greet(member("reading", STRONG), vec![news("kacyiru.0", 9)]);
+    seen.run_for(ms(2000));
+    assert_eq!(seen.claims, []);
+}
+
+// A shard is taken from a daemon that serves it well, and jobs are refused meanwhile. Another daemon's claim
+// failed, since a third was quicker; by the time it is told so, the shard has gone on to a fourth, which has
+// greeted. The head that the failed claim brought is older, but names no fence yet: it took the place of what
+// was known, and the present owner's greetings, with the fence that was known already, changed nothing.
+#[test]
+fn a_failed_claim_brings_nothing_older_than_what_is_known() {
+    let mut seen = Seen::new(member("strong", STRONG), 1);
+    seen.run_for(ms(3000));
+    assert_eq!(seen.claims.len(), 1, "the shard has no owner");
+    seen.claims.clear();
+    let quicker = Head::claim(DaemonId::new("quicker@1"), None);
+    seen.greet(member("quicker", STRONG), Vec::new());
+    seen.greet(member("present", STRONG), vec![news("kacyiru.0", 9)]);
+    seen.run_for(ms(100));
+    let (shard, reason) = ("kacyiru.0".to_owned(), "quicker@1 was quicker".to_owned());
+    seen.tell(Event::ClaimFailed { shard, head: Some(quicker), reason });
+    seen.run_for(ms(3000));
+    assert_eq!(
+        seen.ownership.owner("kacyiru.0").map(|owner| owner.name),
+        Some("present".to_owned())
+    );
+    assert_eq!(seen.claims, [], "its owner greets");
+}
+
+// A shard changes hands twice as a daemon comes back after a restart. It claims the shard, and another daemon
+// reads so in the store before it hears of the new process: the owner that it knows under that name is the
+// earlier process, so that it took the new one for gone, and claimed at once.
+#[test]
+fn an_owner_that_is_known_only_from_its_earlier_process_is_not_taken_for_gone() {
+    let mut seen = Seen::new(member("strong", STRONG), 1);
+    seen.greet(member("before", STRONG), vec![news("kacyiru.0", 5)]);
+    seen.greet(member("anew", STRONG), Vec::new());
+    seen.run_for(ms(3000));
+    seen.others.shift_remove("anew");
+    let before = Head::claim(DaemonId::new("before@1"), None);
+    let mut head = Head::claim(DaemonId::new("anew@2"), Some(&before));
+    head.fence = 9;
+    seen.tell(Event::Heads(vec![("kacyiru.0".to_owned(), head)]));
+    seen.run_for(ms(400));
+    assert_eq!(seen.claims, [], "its first greeting is on its way");
+}
--- a/tests/shards/lists.rs
+++ b/tests/shards/lists.rs
@@ -64,3 +64,44 @@
         check(&mut world, &IndexMap::from([(job.id, job)]), SIZE);
     }
 }
+
+// A caller's task runs twice at once. Its VM died and came back at its address, and was given the task in
+// its new life; then the shard changes hands, to a daemon that read the list of VMs before that. It knows
+// the earlier life from the list and the later one only from the binding, and took the later one for the
+// one that is over: it started the task elsewhere, and never used the VM again.
+#[test]
+fn a_life_that_an_old_list_lacks_is_not_taken_for_over() {
+    let mut world = World::new(Sound, &["kacyiru"], 2, SIZE);
+    world.run_for(seconds(1));
+    world.read_list_early("kacyiru");
+    world.crash_vm(0, Duration::from_millis(300));
+    world.run_for(seconds(1));
+    let job = chain(1, 1, 4, work(4000, 2));
+    world.submit("kacyiru", job.clone());
+    world.run_for(Duration::from_millis(500));
+    assert!(world.runs_on(0) > 0, "it runs in the later life");
+    world.replace_owner("kacyiru");
+    world.run_for(seconds(12));
+    check(&mut world, &IndexMap::from([(job.id, job.clone())]), SIZE);
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
+}
+
+// Callers' jobs wait 0.4 s longer than need be at most takeovers. The list of VMs is asked for at the moment
+// that a claim has succeeded; control, on a thread of its own, hears of the claim a little later, and took
+// the list for one of before the claim. Its age is known, and is a few milliseconds.
+#[test]
+fn a_list_asked_for_as_the_claim_succeeded_counts() {
+    let mut world = World::new(Sound, &["kacyiru"], 2, SIZE);
+    let job = chain(1, 1, 6, work(700, 2));
+    world.submit("kacyiru", job);
+    world.run_for(Duration::from_millis(840));
+    let asked = world.now;
+    world.run_for(Duration::from_millis(20));
+    world.stop_list(seconds(2));
+    world.replace_owner("kacyiru");
+    world.hear_list("kacyiru", asked);
+    let next = chain(2, 1, 2, work(700, 2));
+    world.submit("kacyiru", next);
+    world.run_for(Duration::from_millis(300));
+    assert!(world.runs_on(0) + world.runs_on(1) > 0, "a list 20 ms old is recent enough");
+}
