Show that a claim replaces an owner that it wasn't decided against

Claim names the shard and what is known of the owner before, not which owner that is. The duty of records reads the head and replaces whoever it names, so that a claim which starts after another's has taken effect, and before there is word of it, takes the shard from its new owner, as one that has ended. Only claims whose readings and writings overlap fail.

The mend needs the owner, or its fence, in Claim; the test then passes it.

--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -213,6 +213,9 @@
 /// Lists as they were told of.
 type Told = Rc<RefCell<Vec<ToldList>>>;
 
+/// Claims as they ended, by the daemon's name and whether it became the owner.
+type Claims = Rc<RefCell<Vec<(&'static str, bool)>>>;
+
 struct ToldList {
     at: Duration,
     /// When it was asked for, as was said.
@@ -222,18 +225,34 @@
 
 /// Takes control's place.
 struct Listener {
+    name: &'static str,
     clock: Arc<dyn Clock>,
     told: Told,
+    claims: Claims,
 }
 
 impl Actor for Listener {
     type Context = Context<Self>;
 }
 
+impl Listener {
+    /// Records that tell this listener.
+    fn with_records(self, store: SlowStore) -> Addr<Records<StorePlatform>> {
+        let (me, clock) = (member(self.name), self.clock.clone());
+        let (platform, ttl) = (StorePlatform(store), Duration::from_secs(4));
+        Records::new(me, platform, ttl, self.start().recipient(), clock).start()
+    }
+}
+
 impl Handler<Stored> for Listener {
     type Result = ();
 
     fn handle(&mut self, msg: Stored, _: &mut Self::Context) {
+        match &msg {
+            Stored::Claimed(_) => self.claims.borrow_mut().push((self.name, true)),
+            Stored::ClaimFailed { .. } => self.claims.borrow_mut().push((self.name, false)),
+            _ => {}
+        }
         let Stored::Fleet { vms, announcements, at: asked } = msg else { return };
         if announcements == Announcements::Unread {
             return;
@@ -251,6 +270,8 @@
     table: Arc<Troubled<TxnTable>>,
     records: Addr<Records<StorePlatform>>,
     told: Told,
+    claims: Claims,
+    store: SlowStore,
     no_plan: Arc<AtomicBool>,
     seq: u64,
 }
@@ -269,16 +290,15 @@
         let no_plan: Arc<AtomicBool> = Arc::default();
         let store = FakeStore { table: table.clone(), clock: clock.clone() };
         let store = SlowStore { store, call, no_plan: no_plan.clone() };
-        let told: Told = Rc::default();
-        let listener = Listener { clock: clock.clone(), told: told.clone() }.start();
-        let records = Records::new(
-            me(),
-            StorePlatform(store),
-            Duration::from_secs(4),
-            listener.recipient(),
-            clock.clone(),
-        );
-        let mut seen = Self { clock, table, records: records.start(), told, no_plan, seq: 0 };
+        let (told, claims): (Told, Claims) = Default::default();
+        let listener = Listener {
+            name: "one",
+            clock: clock.clone(),
+            told: told.clone(),
+            claims: claims.clone(),
+        };
+        let records = listener.with_records(store.clone());
+        let mut seen = Self { clock, table, records, told, claims, store, no_plan, seq: 0 };
         (0..vms).for_each(|number| seen.announce(number, "ready"));
         seen
     }
@@ -294,6 +314,13 @@
         self.table.table().commit(&txn).expect("the table takes it");
     }
 
+    /// Records of another daemon.
+    fn join(&self, name: &'static str) -> Addr<Records<StorePlatform>> {
+        let (clock, claims) = (self.clock.clone(), self.claims.clone());
+        let listener = Listener { name, clock, told: Rc::default(), claims };
+        listener.with_records(self.store.clone())
+    }
+
     /// Lets time pass in which each of `vms` VMs announces itself every 1.5 s.
     async fn run(&mut self, vms: usize, time: Duration) {
         let gap = Duration::from_millis(1500) / u32::try_from(vms).expect("a few hundred VMs");
@@ -334,10 +361,10 @@
     format!("vm/{number:04}")
 }
 
-fn me() -> Member {
+fn member(name: &str) -> Member {
     Member {
-        id: DaemonId::new("one@1"),
-        name: "one".to_owned(),
+        id: DaemonId::new(&format!("{name}@1")),
+        name: name.to_owned(),
         domain: DomainId::new("kacyiru"),
         addr: "127.0.0.1:1".to_owned(),
         stage: MemberStage::Serving,
@@ -438,3 +465,20 @@
     tokio::time::sleep(HEARD_WITHIN).await;
     assert!(seen.knows_leaving(7), "its announcement was read and not passed on");
 }
+
+// Jobs are refused since a shard changes hands twice within a moment. Two daemons find it without an owner and
+// decide to claim it; the second one's claim starts as the first one's has just taken effect, before there is
+// any word of it. It read the new owner from the store and replaced it, though it had decided to replace
+// nobody, rather than fail.
+#[actix_rt::test]
+async fn a_claim_replaces_nobody_but_the_owner_that_it_was_decided_against() {
+    let seen = Seen::start(1);
+    let other = seen.join("two");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let claim = || Claim { shard: "kacyiru.0".to_owned(), previous: Previous::Ended };
+    seen.records.send(claim()).await.expect("the duty runs");
+    tokio::time::sleep(3 * CALL).await;
+    other.send(claim()).await.expect("the duty runs");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(*seen.claims.borrow(), [("one", true), ("two", false)]);
+}
