Keep lists of VMs from owners for nothing but the time to read them

Causes: the list that is read as a claim succeeds was asked for a moment before control hears of the claim, and was taken for one of before it; and the plan was read between reading a list that names a new VM and telling of it, so that the list was thrown away where the plan couldn't be read, and over 1.3 s old where it was read slowly.

Mend: a list says when it was asked for as it is, or that nobody knows (reads that may be old), and its age alone decides; the plan is read beside the lists, and plan-unread tells where that failed.

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -694,7 +694,7 @@
         &mut self,
         vms: Vec<VmEntry>,
         announcements: Announcements,
-        at: Duration,
+        at: Option<Duration>,
         cx: &mut Context<Self>,
     ) {
         if announcements == Announcements::Complete {
@@ -803,11 +803,11 @@
         seq: u64,
         result: CommitResult,
     },
-    /// VMs as they were at some time after `at`.
+    /// VMs as they were at some time after `at`; `None` if that isn't known.
     Fleet {
         vms: Vec<VmEntry>,
         announcements: Announcements,
-        at: Duration,
+        at: Option<Duration>,
     },
     Queues(Box<Queues>),
     Wave(Wave),
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -32,6 +32,7 @@
 const MEMBERS_EVERY: Duration = Duration::from_millis(1000);
 
 /// What the followers work with.
+#[derive(Clone)]
 pub struct Sources<P: Platform> {
     pub platform: P,
     pub store: Watched<P::Store>,
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -19,6 +19,8 @@
 use crate::shard::Announcements;
 use crate::vm::VmEntry;
 use indexmap::{IndexMap, IndexSet};
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Between two readings of the changes of VMs. VMs announce themselves every 1.5 s each, so that
@@ -56,6 +58,7 @@
     fleet.read(from, Freshness::Latest).await?;
     loop {
         from.tell_fleet(fleet);
+        fleet.plan(from);
         match wait_for_turn(from).await {
             Turn::Changes => {
                 if fleet.catch_up(from).await? == Caught::Behind {
@@ -98,14 +101,23 @@
     vms: IndexMap<String, VmEntry>,
     /// Revision up to which changes were read.
     after: Rev,
-    /// When the list was asked for as it is.
-    at: Duration,
-    /// Whether the plan may lack a rack of the VMs.
-    unplanned: bool,
+    /// When the list was asked for as it is; `None` if the read may have been old.
+    at: Option<Duration>,
+    planning: Rc<Cell<Planning>>,
     /// Keys of entries that can't be read.
     unreadable: IndexSet<String>,
 }
 
+/// Whether the plan has the racks of all VMs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Planning {
+    #[default]
+    Done,
+    /// There are VMs that weren't known.
+    Wanted,
+    UnderWay,
+}
+
 /// Whether an announcement is of a VM that wasn't known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Novelty {
@@ -127,12 +139,12 @@
         let asked = from.store.clock().now();
         let prefix = from.platform.fleet_prefix();
         let (items, after) = read_all(&from.store, prefix, freshness).await?;
-        (self.at, self.after) = (asked, after);
+        (self.at, self.after) = ((freshness == Freshness::Latest).then_some(asked), after);
         items.iter().for_each(|item| self.take_item(from, item));
         let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         self.vms.retain(|key, _| present.contains(key.as_str()));
         self.unreadable.retain(|key| present.contains(key.as_str()));
-        self.extend_plan(from).await
+        Ok(())
     }
 
     /// Reads changes until none is left unread. An answer that is as long as they get may have been cut;
@@ -149,8 +161,7 @@
             let changes = answer.changes.len();
             answer.changes.into_iter().for_each(|change| self.take_change(from, change));
             if self.after >= newest && changes < MAY_BE_CUT {
-                self.at = asked;
-                self.extend_plan(from).await?;
+                self.at = Some(asked);
                 return Ok(Caught::Up);
             }
             from.note_behind(self, changes, newest);
@@ -170,7 +181,9 @@
 
     fn take_item<P: Platform>(&mut self, from: &Sources<P>, item: &Item) {
         let (novelty, note) = self.take(item, from.platform.read_vm(item));
-        self.unplanned |= novelty == Novelty::New;
+        if novelty == Novelty::New {
+            self.planning.set(Planning::Wanted);
+        }
         if let Some(note) = note {
             from.control.do_send(Stored::Note(note));
         }
@@ -205,12 +218,25 @@
         self.unreadable.shift_remove(key);
     }
 
-    async fn extend_plan<P: Platform>(&mut self, from: &Sources<P>) -> Result<()> {
-        if self.unplanned {
-            extend_plan(from, &self.vms).await?;
-            self.unplanned = false;
+    /// Reads the plan beside the lists, if it may lack a rack. Waited for, it kept the list from owners for
+    /// as long as it took, and for good where it failed: they bind and start nothing by an old list.
+    fn plan<P: Platform>(&self, from: &Sources<P>) {
+        if self.planning.get() != Planning::Wanted {
+            return;
         }
-        Ok(())
+        self.planning.set(Planning::UnderWay);
+        let (from, vms, planning) = (from.clone(), self.vms.clone(), self.planning.clone());
+        actix::spawn(async move {
+            match extend_plan(&from, &vms).await {
+                Ok(()) if planning.get() == Planning::UnderWay => planning.set(Planning::Done),
+                Ok(()) => {}
+                Err(e) => {
+                    planning.set(Planning::Wanted);
+                    let reason = e.to_string();
+                    from.control.do_send(Stored::Note(Note::PlanUnread { reason }));
+                }
+            }
+        });
     }
 }
 
@@ -233,12 +259,11 @@
 
     fn tell_unread(&self) {
         let announcements = Announcements::Unread;
-        let at = self.store.clock().now();
-        self.control.do_send(Stored::Fleet { vms: Vec::new(), announcements, at });
+        self.control.do_send(Stored::Fleet { vms: Vec::new(), announcements, at: None });
     }
 
     fn note_behind(&self, fleet: &Fleet, changes: usize, newest: Rev) {
-        let age_ms = Ms(self.store.clock().now().saturating_sub(fleet.at));
+        let age_ms = Ms(self.store.clock().now().saturating_sub(fleet.at.unwrap_or_default()));
         let (read_rev, newest_rev) = (fleet.after.0, newest.0);
         let note = Note::FleetBehind { changes, read_rev, newest_rev, age_ms };
         self.control.do_send(Stored::Note(note));
--- a/src/note.rs
+++ b/src/note.rs
@@ -139,6 +139,8 @@
     Urgent EntryUnreadable = "entry-unreadable" { entry: String, rev: u64, reason: String, }
     /// The VMs' announcements were read only up to a revision that the store had passed before.
     Urgent FleetBehind = "fleet-behind" { changes: usize, read_rev: u64, newest_rev: u64, age_ms: Ms, }
+    /// The plan of shards couldn't be read or extended; it is tried again with the next list of VMs.
+    Urgent PlanUnread = "plan-unread" { reason: String, }
     /// A daemon was heard of, or wasn't any more.
     Urgent MemberChanged = "member-changed" { member: DaemonId, state: Word, silent_ms: Ms, }
     /// This daemon claims a shard.
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -33,8 +33,8 @@
     /// The queues in force.
     Queues(Arc<Queues>),
     /// All VMs of the shard that the platform announces, whether a missing one is telling, and when
-    /// they were asked for.
-    Fleet { vms: Vec<VmEntry>, announcements: Announcements, at: Duration },
+    /// they were asked for as they are; `None` if nobody knows how old the list is.
+    Fleet { vms: Vec<VmEntry>, announcements: Announcements, at: Option<Duration> },
     /// Answer to [`Action::Look`].
     Looked { vm: VmId, sent: Duration, result: vm::Result<LookResp> },
     /// Answer to [`Action::Start`].
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -21,7 +21,7 @@
 /// The list of VMs that a shard's owner goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum List {
-    /// Its daemon had it before it claimed the shard; nobody knows how old it is.
+    /// Its daemon had it as it claimed the shard; nobody knows how old it is.
     Inherited { since: Duration },
     /// It was asked for then.
     Read { at: Duration },
@@ -44,20 +44,12 @@
         self.now.steady.saturating_sub(at)
     }
 
-    /// Notes when the list was asked for; what was asked for before the claim stays inherited.
-    fn note_read(&mut self, asked: Duration) {
-        let (List::Inherited { since: known } | List::Read { at: known }) = self.list;
-        if asked >= known {
-            self.list = List::Read { at: asked };
-        }
-    }
-
     /// Takes over the announced VMs, as they were at some time after `at`.
     pub(super) fn announced(
         &mut self,
         entries: Vec<VmEntry>,
         announcements: Announcements,
-        at: Duration,
+        at: Option<Duration>,
     ) {
         let now = self.now.steady;
         let mut present = IndexSet::new();
@@ -71,8 +63,8 @@
             }
             self.announce(entry);
         }
-        if announcements != Announcements::Unread {
-            self.note_read(at);
+        if let Some(at) = at.filter(|_| announcements != Announcements::Unread) {
+            self.list = List::Read { at };
         }
         if announcements != Announcements::Complete {
             return;
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -219,7 +219,7 @@
 struct ToldList {
     at: Duration,
     /// When it was asked for, as was said.
-    asked: Duration,
+    asked: Option<Duration>,
     leaving: Vec<String>,
 }
 
@@ -347,7 +347,9 @@
     /// Longest time for which a list was the newest that was told of, from when it was asked for.
     fn oldest_list(&self) -> Duration {
         let told = self.told.borrow();
-        let ages = told.windows(2).map(|lists| lists[1].at.saturating_sub(lists[0].asked));
+        let ages = told
+            .windows(2)
+            .map(|lists| lists[1].at.saturating_sub(lists[0].asked.unwrap_or_default()));
         ages.max().unwrap_or_default()
     }
 
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -221,7 +221,7 @@
     /// The shard's owner is told of the VMs, by a list that was asked for then.
     pub fn hear_list(&mut self, shard: &str, asked: Duration) {
         let vms = self.fleet_of(shard);
-        let event = Event::Fleet { vms, announcements: Announcements::Complete, at: asked };
+        let event = Event::Fleet { vms, announcements: Announcements::Complete, at: Some(asked) };
         self.call(shard, event);
     }
 
@@ -435,7 +435,7 @@
             self.owners.iter().map(|owner| (owner.number, owner.name.clone())).collect();
         for (number, name) in owners {
             let vms = self.fleet_of(&name);
-            self.step(number, Event::Fleet { vms, announcements, at: self.now });
+            self.step(number, Event::Fleet { vms, announcements, at: Some(self.now) });
             let neighbours = self.neighbours(&name);
             self.step(number, Event::Neighbours(neighbours));
         }
