Count a tail just under the target once, however often it is told

What callers saw: nothing that is traced to it; the fault was read in the code. A lasting task that is over its target may keep its neighbours at work for up to a second too long.

Of two tails just under the target, which end the time over it, only the first had to be a fresh reading. The second could be the first one told again.

Ruled out: that each of the two has to come after the time that a tail covers (350 ms).

Change: the second counts if it is another figure, or comes after the time that a tail covers.

--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -119,12 +119,13 @@
     last: Last,
 }
 
-/// What the last tail of a serving task told that was over its target before.
+/// What the last tail of a serving task told, if it was over its target before.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Last {
     #[default]
     Over,
-    JustUnder,
+    /// Under the target by little; the tail.
+    JustUnder(Duration),
 }
 
 /// Part of its target below which one tail alone shows that a task isn't over it any more.
@@ -298,16 +299,25 @@
     /// Tails are rough figures in whole milliseconds. A task a tenth over its target tells one just
     /// under it every few readings; when each of these began the count anew, a task was over for
     /// four seconds on end before everything beside it had stopped. So one tail just under the target,
-    /// or at it, doesn't end the count; two in a row do, or one that is clearly under it.
+    /// or at it, doesn't end the count; two in a row do, or one that is clearly under it. A VM measures
+    /// about every 200 ms and may answer ten times as often, so that it tells one measurement again: the
+    /// same figure within the time that a tail covers counts once.
     fn note_over(&mut self, tail: Duration, target: Duration, now: Duration, fresh: bool) {
         if tail >= target {
             self.over_since.get_or_insert(now);
             self.last = Last::Over;
-        } else if tail <= target.mul_f64(CLEARLY_UNDER) || self.last == Last::JustUnder {
+        } else if tail <= target.mul_f64(CLEARLY_UNDER) {
             self.over_since = None;
-            self.last = Last::Over;
-        } else if fresh && self.over_since.is_some() {
-            self.last = Last::JustUnder;
+        } else {
+            self.note_just_under(tail, fresh);
+        }
+    }
+
+    fn note_just_under(&mut self, tail: Duration, fresh: bool) {
+        match self.last {
+            Last::Over if fresh => self.last = Last::JustUnder(tail),
+            Last::JustUnder(before) if fresh || tail != before => self.over_since = None,
+            Last::Over | Last::JustUnder(_) => {}
         }
     }
 }
