Answer each call about a job within its time, whatever it waits for

Callers saw: no answer within their 3 s while the store was silent (up to 3,458 ms), or "unknown" for a job that had not been sent at all.

Cause: `find` asks the store where a job is and waited as long as the store client does (800 ms), whatever the call had left; begun 160 ms before the end it ended 640 ms after it. An attempt at an owner was made even with no time left: its timeout of zero reads as "may have run".

Ruled out: control and the shards (their calls end within the attempt's 1.4 s); tarpc's own deadline (10 s) and its 1,000 requests in flight, never reached.

Change: the look-up is bounded by what the call has left; with nothing left nothing is sent, and a submission says "not run". `Calls::end_by` bounds all calls by the daemon's own end. A shard that has a job and refuses it just now is asked again after the usual pause, not at once.

Tests (failed first: two got no answer in 20 s, one got Unknown in place of NotRun): jobs::calls::tests.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -1,4 +1,10 @@
 //! Callers' calls, made at the owner of the shard that they concern, wherever that is.
+//!
+//! Each call is answered within its time, whatever it waits for: a caller without an answer knows
+//! less than one who is told that nothing is known yet.
+
+#[cfg(test)]
+mod tests;
 
 use super::control::{Control, TakeCall};
 use super::links::{self, Links, PassOn};
@@ -11,7 +17,7 @@
 use actix::prelude::*;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -65,6 +71,8 @@
     finder: Recipient<FindJob>,
     clock: Arc<dyn Clock>,
     sent: Arc<Mutex<IndexMap<String, Sent>>>,
+    /// When the daemon ends, once it stops as planned.
+    ends: Arc<OnceLock<Duration>>,
 }
 
 /// What was sent to a shard since its last news.
@@ -95,7 +103,20 @@
         finder: Recipient<FindJob>,
         clock: Arc<dyn Clock>,
     ) -> Self {
-        Self { view, directory, control, links, finder, clock, sent: Arc::default() }
+        let (sent, ends) = Default::default();
+        Self { view, directory, control, links, finder, clock, sent, ends }
+    }
+
+    /// Answers every call before `at`: the daemon ends then, and calls that it still had would be
+    /// cut off. Holds for all clones; said once.
+    pub fn end_by(&self, at: Duration) {
+        self.ends.get_or_init(|| at);
+    }
+
+    /// What is left of a call's time.
+    fn left(&self, until: Duration) -> Duration {
+        let until = self.ends.get().map_or(until, |ends| until.min(*ends));
+        until.saturating_sub(self.clock.now())
     }
 
     /// What control published last.
@@ -113,6 +134,7 @@
         let mut last = not_run("no shard has an owner just now", RETRY_NO_OWNER);
         loop {
             let known = self.known_shard(job.id).map(|shard| (shard, Urge::Always));
+            let is_known = known.is_some();
             let Some((shard, urge)) = known.or_else(|| self.choose(&job, &refused)) else {
                 if refused.by_all.is_empty() && self.pause(until).await {
                     continue;
@@ -126,8 +148,12 @@
                 }
                 Attempt::Answered(Answer::AcceptedElsewhere) => return Answer::Accepted,
                 Attempt::Answered(answer @ Answer::NotRun { .. }) => {
-                    refused.add(shard, urge);
                     last = answer;
+                    // The shard that has the job is asked again, not another one.
+                    if is_known && !self.pause(until).await {
+                        return last;
+                    }
+                    refused.add(shard, urge);
                 }
                 Attempt::Answered(answer) => return answer,
                 Attempt::Unsure(reason) => return Answer::Unknown { reason },
@@ -169,7 +195,7 @@
     async fn about(&self, id: JobId, call: Call, budget: Duration) -> Answer {
         let until = self.clock.now() + budget;
         loop {
-            let shard = match self.locate(id).await {
+            let shard = match self.locate(id, until).await {
                 Located::Shard(shard) => shard,
                 Located::Nowhere => return Answer::NotHere,
                 Located::Unknown(reason) => {
@@ -180,7 +206,7 @@
                 }
             };
             match self.attempt(&shard, call.clone(), until).await {
-                Attempt::Answered(Answer::NotHere) => match self.find(id).await {
+                Attempt::Answered(Answer::NotHere) => match self.find(id, until).await {
                     Located::Shard(other) if other != shard => {}
                     // A finished job that its owner has forgotten is forgotten in the store, too.
                     Located::Shard(_) | Located::Nowhere => return Answer::NotHere,
@@ -198,29 +224,36 @@
         }
     }
 
-    async fn locate(&self, id: JobId) -> Located {
+    async fn locate(&self, id: JobId, until: Duration) -> Located {
         match self.known_shard(id) {
             Some(shard) => Located::Shard(shard),
-            None => self.find(id).await,
+            None => self.find(id, until).await,
         }
     }
 
     /// Asks the store which shard a job is in.
-    async fn find(&self, id: JobId) -> Located {
-        match self.finder.send(FindJob(id)).await {
-            Ok(Found::Shard(shard)) => {
+    async fn find(&self, id: JobId, until: Duration) -> Located {
+        // A store that doesn't answer takes longer to be given up than a call may have left.
+        let found = tokio::time::timeout(self.left(until), self.finder.send(FindJob(id))).await;
+        match found {
+            Ok(Ok(Found::Shard(shard))) => {
                 self.note_shard(id, &shard);
                 Located::Shard(shard)
             }
-            Ok(Found::Nowhere) => Located::Nowhere,
-            Ok(Found::Unknown(reason)) => Located::Unknown(reason),
-            Err(e) => Located::Unknown(e.to_string()),
+            Ok(Ok(Found::Nowhere)) => Located::Nowhere,
+            Ok(Ok(Found::Unknown(reason))) => Located::Unknown(reason),
+            Ok(Err(e)) => Located::Unknown(e.to_string()),
+            Err(_) => Located::Unknown("the store has not said where the job is".to_owned()),
         }
     }
 
     async fn attempt(&self, shard: &str, call: Call, until: Duration) -> Attempt {
         let owner = self.view.borrow().shards.get(shard).and_then(|s| s.owner.clone());
-        let left = until.saturating_sub(self.clock.now());
+        let left = self.left(until);
+        if left.is_zero() {
+            // What was not sent has surely not run, and the caller may be told so.
+            return Attempt::Nothing;
+        }
         let timeout = left.min(ATTEMPT_TIMEOUT);
         match owner {
             None => Attempt::Nothing,
@@ -296,7 +329,7 @@
 
     /// Waits a moment; false if there is no time for another attempt.
     async fn pause(&self, until: Duration) -> bool {
-        if self.clock.now() + 2 * OWNER_RETRY >= until {
+        if self.left(until) <= 2 * OWNER_RETRY {
             return false;
         }
         tokio::time::sleep(OWNER_RETRY).await;
