Send callers on when a shard is lost while their calls are held

Callers saw: 1.4 s of waiting and "unknown" after a daemon had stood still and lost its shard.

Cause: after a pause of its own a daemon holds events until the store confirms that it still owns the shard. When another one owns it, the shard is dropped with the events that were held: nobody answered their tickets, which also stayed in control's list for good.

Ruled out: effects that wait for a commit, which the dropped shard answers itself (`abandon`).

Change: held calls had no effect, so they are answered `NotOwner`, and are made again at the owner.

Test, failed first (no answer in 20 s): jobs::control::tests.

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -3,6 +3,9 @@
 //! It never waits. After a pause of its own, the machine's suspension included, it asks the store
 //! whether it still owns its shards before it gives any order.
 
+#[cfg(test)]
+mod tests;
+
 use super::calls::{Call, Reply};
 use super::links::{AskThrough, Links, Offer, Probe, SayHello, Tell};
 use super::machines::Upkeep;
@@ -394,6 +397,12 @@
 
     fn drop_shard(&mut self, shard: &str, reason: &'static str, cx: &mut Context<Self>) {
         let Some(mut hosted) = self.hosted.shift_remove(shard) else { return };
+        for event in hosted.held.take().into_iter().flatten() {
+            // Not decided on, so it had no effect: the caller was left waiting, and can ask the owner.
+            if let Some(ticket) = event.ticket() {
+                self.reply(ticket, Reply::NotOwner);
+            }
+        }
         for action in hosted.shard.abandon() {
             if let Action::Reply { ticket, answer } = action {
                 self.reply(ticket, Reply::Answer(answer));
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -66,6 +66,18 @@
     HandOver,
 }
 
+impl Event {
+    /// The caller that waits for an answer to it.
+    pub fn ticket(&self) -> Option<Ticket> {
+        match self {
+            Self::Submit { ticket, .. }
+            | Self::Cancel { ticket, .. }
+            | Self::Show { ticket, .. } => Some(*ticket),
+            _ => None,
+        }
+    }
+}
+
 /// VMs whose machines go down for upkeep.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VacateOrder {
