Bound connecting by a call's time, and keep connections that are newer

Cause: connecting to a daemon had 250 ms of its own, outside the time of the call. Besides, each call that was given up on a silent connection took away whatever connection there was, also one that was made since: with n calls waiting, n connections.

Ruled out: tarpc's deadline (10 s); its limit of requests in flight (1,000).

Change: one time limit holds for connecting and asking; a call that ran out of it before it was sent is told so. A given-up call takes away its own connection only.

Test, failed first (2 connections in place of 1 after the silent one): jobs::links::tests.

--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -4,6 +4,9 @@
 //! are passed on to the owner of the shard that they concern. Nothing is repeated here: a hello is
 //! followed by the next one, and a call that failed is the caller's to repeat.
 
+#[cfg(test)]
+mod tests;
+
 use super::calls::{Call, Reply};
 use super::control::{Control, Hear, Refused, TakeCall, TakeMessage, TakeOffer};
 use super::orders::AskHere;
@@ -17,7 +20,7 @@
 use actix::prelude::*;
 use futures::StreamExt;
 use indexmap::IndexMap;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::TcpListener;
@@ -328,7 +331,7 @@
 #[derive(Clone)]
 struct Link {
     addr: Rc<str>,
-    client: Rc<RefCell<Option<JobsRpcClient>>>,
+    client: Rc<RefCell<Option<Rc<JobsRpcClient>>>>,
 }
 
 impl Link {
@@ -371,19 +374,35 @@
     where
         F: Future<Output = std::result::Result<T, RpcError>>,
     {
-        let client = self.client().await?;
-        let answer = tokio::time::timeout(timeout, call(client, tarpc::context::current())).await;
-        let reason = match answer {
-            Ok(Ok(answer)) => return Ok(answer),
-            Ok(Err(e)) => e.to_string(),
+        let used = OnceCell::new();
+        let asked = async {
+            let client = self.client().await?;
+            let client = used.get_or_init(|| client);
+            Ok(call((**client).clone(), tarpc::context::current()).await)
+        };
+        let reason = match tokio::time::timeout(timeout, asked).await {
+            Ok(Ok(Ok(answer))) => return Ok(answer),
+            Ok(Ok(Err(e))) => e.to_string(),
+            Ok(Err(not_sent)) => return Err(not_sent),
             Err(_) => "timeout".to_owned(),
         };
-        // A connection that went silent looks like a dead daemon for as long as it is kept.
-        self.client.borrow_mut().take();
-        Err(Error::NoAnswer { addr: self.addr.to_string(), reason })
+        let addr = self.addr.to_string();
+        let Some(client) = used.get() else { return Err(Error::NotSent { addr, reason }) };
+        self.drop_client(client);
+        Err(Error::NoAnswer { addr, reason })
+    }
+
+    /// A connection that went silent looks like a dead daemon for as long as it is kept. A newer one,
+    /// made after another call was given up, stays: without this each of the calls that wait on the
+    /// silent one costs a connection more.
+    fn drop_client(&self, silent: &Rc<JobsRpcClient>) {
+        let mut client = self.client.borrow_mut();
+        if client.as_ref().is_some_and(|client| Rc::ptr_eq(client, silent)) {
+            client.take();
+        }
     }
 
-    async fn client(&self) -> Result<JobsRpcClient> {
+    async fn client(&self) -> Result<Rc<JobsRpcClient>> {
         if let Some(client) = self.client.borrow().clone() {
             return Ok(client);
         }
@@ -399,6 +418,7 @@
             Err(_) => return Err(Error::NotSent { addr, reason: "timeout".to_owned() }),
         };
         let client = JobsRpcClient::new(tarpc::client::Config::default(), transport).spawn();
+        let client = Rc::new(client);
         *self.client.borrow_mut() = Some(client.clone());
         Ok(client)
     }
