Ask again about a job when its owner didn't answer

Callers saw: 503 or 504 after 1.4 s about a job that they had handed in, with half of their time left.

Cause: `about` gave up at the first attempt without an answer, also when only the connection had gone silent and a new one would work, or a new owner was about to take over.

Change: showing and cancelling may be asked twice, so they are asked again within the call's time. Submissions are not: that is left open (an attempt without an answer may have been accepted, so later attempts would have to stay with that shard and never report "not run").

Test, failed first (Unknown in place of Shown(Done)): a_silent_connection_is_not_the_end_of_a_call.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -213,7 +213,12 @@
                     Located::Unknown(reason) => return Answer::Unknown { reason },
                 },
                 Attempt::Answered(answer) => return answer,
-                Attempt::Unsure(reason) => return Answer::Unknown { reason },
+                // Asked twice, it is the same question; a connection that went silent is replaced.
+                Attempt::Unsure(reason) => {
+                    if !self.pause(until).await {
+                        return Answer::Unknown { reason };
+                    }
+                }
                 Attempt::Nothing => {
                     if !self.pause(until).await {
                         let reason = "the job's shard has no owner just now".to_owned();
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -1,19 +1,26 @@
-use super::{Answer, Calls};
+use super::{Answer, Call, Calls, Reply};
 use crate::clock::{Clock, SystemClock};
-use crate::cluster::{Member, MemberStage};
+use crate::cluster::{Hello, Member, MemberStage};
 use crate::ids::{DaemonId, DomainId, ServiceName};
-use crate::job::{Job, JobId, QueueName, Repeat};
+use crate::job::{Job, JobId, QueueName, Repeat, ShownState};
 use crate::jobs::control::Control;
-use crate::jobs::links::Links;
+use crate::jobs::links::{JobsRpc, Links};
 use crate::jobs::records::{FindJob, Found};
 use crate::jobs::view::{Directory, Owner, ShardView, View};
 use crate::journal::Journal;
 use crate::note::Weight;
-use crate::shard::Settings;
+use crate::permit::{self, PermitReq, PermitResp};
+use crate::shard::loan::LoanMsg;
+use crate::shard::{Lapse, Settings};
+use crate::vm::Fence;
 use actix::prelude::*;
+use futures::StreamExt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tarpc::context::Context as CallContext;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::watch;
 
 const JOB: JobId = JobId(0xa1);
@@ -136,3 +143,57 @@
     let answer = answered(async { caller.await.expect("a caller that doesn't panic") }).await;
     assert!(matches!(answer, Answer::Unknown { .. }), "{answer:?}");
 }
+
+/// An owner that shows every job as done.
+#[derive(Clone)]
+struct Owning;
+
+impl JobsRpc for Owning {
+    async fn hello(self, _: CallContext, _: Hello) -> Option<Hello> {
+        None
+    }
+
+    async fn call(self, _: CallContext, _: String, call: Call) -> Reply {
+        Reply::Answer(match call {
+            Call::Submit(..) => Answer::Accepted,
+            Call::Cancel(_) => Answer::Cancelling,
+            Call::Show(_) => Answer::Shown(ShownState::Done),
+        })
+    }
+
+    async fn tell(self, _: CallContext, _: String, _: String, _: Fence, _: LoanMsg) {}
+
+    async fn ask(self, _: CallContext, _: PermitReq) -> permit::Result<PermitResp> {
+        Err(permit::Error::NotSent { reason: "no service".to_owned() })
+    }
+
+    async fn take(self, _: CallContext, _: String, _: DaemonId, _: Vec<Lapse>) {}
+}
+
+/// Serves an owner whose first connection goes silent.
+async fn serve_after_silence(listener: TcpListener) {
+    listener.set_nonblocking(true).expect("a socket");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
+    let _silent = listener.accept().await.expect("a connection");
+    loop {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let transport = tarpc::serde_transport::Transport::from((stream, Bincode::default()));
+        let requests = BaseChannel::with_defaults(transport).execute(Owning.serve());
+        actix::spawn(requests.for_each(|answer| async {
+            actix::spawn(answer);
+        }));
+    }
+}
+
+// The connection to a shard's owner has gone silent without a word; new ones work. The caller has time
+// left when the first attempt is given up, and what it asks may be asked twice: it gets its answer over
+// a new connection, not "unknown".
+#[actix::test]
+async fn a_silent_connection_is_not_the_end_of_a_call() {
+    let (listener, addr) = silent();
+    actix::spawn(serve_after_silence(listener));
+    let calls = calls(None, Some(addr));
+    calls.note_shard(JOB, SHARD);
+    let answer = answered(calls.show(JOB, LIMIT)).await;
+    assert_eq!(answer, Answer::Shown(ShownState::Done));
+}
