--- /dev/null
+++ b/src/jobs/control/messages.rs
@@ -0,0 +1,289 @@
+//! What control is told.
+
+use super::{Control, Offered, Rings};
+use crate::cluster::{self, Head, Hello, Member, Plan, StoreReach};
+use crate::ids::{DaemonId, Ticket};
+use crate::jobs::calls::{Call, Reply};
+use crate::jobs::view::ShardView;
+use crate::note::Note;
+use crate::queues::Queues;
+use crate::shard::interference::Learned;
+use crate::shard::loan::LoanMsg;
+use crate::shard::{Announcements, Answer, CommitResult, Event, Lapse, Recovered};
+use crate::upkeep::{self, Wave};
+use crate::vm::{Fence, VmEntry};
+use actix::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Joins control to the other duties.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Connect(pub Rings);
+
+impl Handler<Connect> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Connect, _: &mut Self::Context) {
+        self.rings = Some(msg.0);
+    }
+}
+
+/// The answer to an order.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Told {
+    pub shard: Arc<str>,
+    pub fence: Fence,
+    pub event: Event,
+}
+
+impl Handler<Told> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Told, cx: &mut Self::Context) {
+        self.wake(cx);
+        // An answer to an earlier ownership of the shard says nothing about this one.
+        if self.hosted.get(&*msg.shard).is_some_and(|hosted| hosted.shard.fence() == msg.fence) {
+            self.step(&msg.shard, msg.event, cx);
+        }
+    }
+}
+
+/// What the store has, or did.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub enum Stored {
+    Members(Vec<Member>),
+    Heads(Vec<(String, Head)>),
+    Plan(Plan),
+    Claimed(Box<Recovered>),
+    ClaimFailed {
+        shard: String,
+        head: Option<Head>,
+        reason: String,
+    },
+    Committed {
+        shard: String,
+        fence: Fence,
+        seq: u64,
+        result: CommitResult,
+    },
+    /// VMs as they were at some time after `at`; `None` if that isn't known.
+    Fleet {
+        vms: Vec<VmEntry>,
+        announcements: Announcements,
+        at: Option<Duration>,
+    },
+    Queues(Box<Queues>),
+    Wave(Wave),
+    /// The configuration in force was the newest then.
+    ConfigConfirmed {
+        at: Duration,
+    },
+    Reach {
+        reach: StoreReach,
+        silent: Duration,
+        reason: String,
+    },
+    Note(Note),
+}
+
+impl Handler<Stored> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Stored, cx: &mut Self::Context) {
+        self.wake(cx);
+        match msg {
+            Stored::Members(members) => self.own(cluster::Event::Registered(members), cx),
+            Stored::Heads(heads) => self.own(cluster::Event::Heads(heads), cx),
+            Stored::Plan(plan) => {
+                if plan != self.plan {
+                    self.plan = plan.clone();
+                    self.keep_up(upkeep::duty::Event::Plan(plan.clone()), cx);
+                    self.own(cluster::Event::Plan(plan), cx);
+                }
+            }
+            Stored::Claimed(recovered) => self.take_recovered(*recovered, cx),
+            Stored::ClaimFailed { shard, head, reason } => {
+                self.own(cluster::Event::ClaimFailed { shard, head, reason }, cx);
+            }
+            Stored::Committed { shard, fence, seq, result } => {
+                if self.hosted.get(&shard).is_some_and(|hosted| hosted.shard.fence() == fence) {
+                    let lost = matches!(result, CommitResult::Superseded(_));
+                    self.step(&shard, Event::Committed { seq, result }, cx);
+                    if lost {
+                        self.drop_shard(&shard, "another daemon owns it", cx);
+                    }
+                }
+            }
+            Stored::Fleet { vms, announcements, at } => {
+                self.take_fleet(vms, announcements, at, cx);
+            }
+            Stored::Queues(queues) => self.take_queues(*queues, cx),
+            Stored::Wave(wave) => self.keep_up(upkeep::duty::Event::Wave(wave), cx),
+            Stored::ConfigConfirmed { at } => self.config_confirmed = at,
+            Stored::Reach { reach, silent, reason } => {
+                self.take_reach(reach, silent, reason);
+                self.own(cluster::Event::Store(reach), cx);
+            }
+            Stored::Note(note) => self.journal.write(note),
+        }
+    }
+}
+
+/// What became of something that was done for a wave.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Upkept(pub upkeep::duty::Event);
+
+impl Handler<Upkept> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Upkept, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.keep_up(msg.0, cx);
+    }
+}
+
+/// Another daemon's news.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Hear(pub Hello);
+
+impl Handler<Hear> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Hear, cx: &mut Self::Context) {
+        let now = self.wake(cx).steady;
+        for news in &msg.0.shards {
+            let shared: Arc<str> = Arc::from(news.name.as_str());
+            news.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
+            let summary = Arc::new(news.summary.clone());
+            self.others.insert(news.name.clone(), ShardView { owner: None, summary, at: now });
+        }
+        let learned: Vec<(String, Vec<Learned>)> =
+            msg.0.shards.iter().map(|news| (news.name.clone(), news.learned.clone())).collect();
+        for (from, learned) in learned {
+            self.hear_learned(&from, learned, cx);
+        }
+        self.own(cluster::Event::Hello(msg.0), cx);
+    }
+}
+
+/// Another daemon's port refuses connections.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Refused(pub DaemonId);
+
+impl Handler<Refused> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Refused, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.own(cluster::Event::Refused(msg.0), cx);
+    }
+}
+
+/// A caller's call about a shard.
+#[derive(Message)]
+#[rtype(result = "Reply")]
+pub struct TakeCall {
+    pub shard: String,
+    pub call: Call,
+}
+
+impl Handler<TakeCall> for Control {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, msg: TakeCall, cx: &mut Self::Context) -> Self::Result {
+        self.wake(cx);
+        if !self.hosted.contains_key(&msg.shard) {
+            return Box::pin(std::future::ready(Reply::NotOwner));
+        }
+        let (tx, rx) = oneshot::channel();
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.tickets.insert(ticket, tx);
+        let event = match msg.call {
+            Call::Submit(job, urge) => Event::Submit { ticket, job: Arc::from(job), urge },
+            Call::Cancel(job) => Event::Cancel { ticket, job },
+            Call::Show(job) => Event::Show { ticket, job },
+        };
+        self.step(&msg.shard, event, cx);
+        Box::pin(async move {
+            let lost = || Answer::Unknown { reason: "the shard has changed hands".to_owned() };
+            rx.await.unwrap_or_else(|_| Reply::Answer(lost()))
+        })
+    }
+}
+
+/// Another daemon gives a shard to this one.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct TakeOffer {
+    pub shard: String,
+    pub from: DaemonId,
+    pub lapses: Vec<Lapse>,
+}
+
+impl Handler<TakeOffer> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeOffer, cx: &mut Self::Context) {
+        self.wake(cx);
+        let offer = Offered { from: msg.from.clone(), at: self.last, lapses: msg.lapses };
+        self.offered.insert(msg.shard.clone(), offer);
+        self.own(cluster::Event::Offered { shard: msg.shard, from: msg.from }, cx);
+    }
+}
+
+/// Another shard's owner says something about a loan.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct TakeMessage {
+    pub shard: Arc<str>,
+    pub from: Arc<str>,
+    /// Token of the owner that it is meant for.
+    pub fence: Fence,
+    pub msg: LoanMsg,
+}
+
+impl Handler<TakeMessage> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeMessage, cx: &mut Self::Context) {
+        self.wake(cx);
+        self.step(&msg.shard, Event::Message { from: msg.from, to: msg.fence, msg: msg.msg }, cx);
+    }
+}
+
+/// The daemon stops as planned.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Drain;
+
+impl Handler<Drain> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Drain, cx: &mut Self::Context) {
+        let now = self.wake(cx).steady;
+        self.own(cluster::Event::Drain, cx);
+        self.ownership.greet_all();
+        self.publish(now);
+    }
+}
+
+/// Asks whether any shard is still owned here.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct OwnsAny;
+
+impl Handler<OwnsAny> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, _: OwnsAny, _: &mut Self::Context) -> Self::Result {
+        !self.hosted.is_empty()
+    }
+}
