--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -20,6 +20,7 @@
 pub mod orders;
 pub mod records;
 pub mod settings;
+pub mod stop;
 pub mod view;
 
 use crate::kv::{Item, Kv, Put};
--- a/platform/src/stop.rs
+++ b/src/jobs/stop.rs
@@ -1,13 +1,13 @@
 //! The planned stop: shards are given away, the balancer hears of it, callers get their answers.
 
+use super::Platform;
+use super::calls::Calls;
+use super::daemon::Daemon;
+use crate::clock::Clock;
 use actix_web::dev::ServerHandle;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use waxwingstall::clock::Clock;
-use waxwingstall::jobs::Platform;
-use waxwingstall::jobs::calls::Calls;
-use waxwingstall::jobs::daemon::Daemon;
 
 /// Time for giving the shards away at a planned stop.
 const HAND_OVER: Duration = Duration::from_millis(1500);
@@ -22,6 +22,9 @@
 /// Kept back from the end for the answers' way to their callers.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 
+/// For what was decided on shards that nobody has taken to become durable; a commit takes 30 ms.
+const GIVE_UP: Duration = Duration::from_millis(200);
+
 /// What a daemon answers with.
 pub struct Servers {
     pub callers: ServerHandle,
@@ -45,6 +48,7 @@
         // What is left then is a request that wasn't read whole.
         let _ = tokio::time::timeout(left, answered).await;
         self.ready.stop(false).await;
+        daemon.give_up(GIVE_UP).await;
         daemon.end(self.open.load(Ordering::Relaxed));
     }
 }
