Keep shards at a planned stop while nobody else serves

Cause: a daemon that was told to stop gave its shards to nobody if no other one served.

Mend: the shards stay until another daemon serves, and are given up as the daemon ends, so that whoever comes doesn't have to find out that it is gone.

a_daemon_that_stops_keeps_its_shards_while_nobody_else_serves failed before (given to itself at once, by the code as it stood) and passes.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -64,6 +64,8 @@
     Store(StoreReach),
     /// The daemon stops as planned.
     Drain,
+    /// It ends now.
+    GiveUp,
 }
 
 /// What ownership asks for.
@@ -214,6 +216,7 @@
             Event::Offered { shard, from } => self.offered(&shard, &from),
             Event::Store(reach) => self.store_reach(reach),
             Event::Drain => self.me.stage = MemberStage::Draining,
+            Event::GiveUp => self.give_up(),
         }
         if self.me.stage == MemberStage::Draining {
             self.give_all_away();
--- a/src/cluster/ownership/sharing.rs
+++ b/src/cluster/ownership/sharing.rs
@@ -83,13 +83,20 @@
             let domain = self.shards.get(&shard).map(|view| view.domain.clone());
             let Some(domain) = domain else { continue };
             let fit = |known: &&Known| self.may_take(known);
-            let best = self.best(&shard, &domain, fit);
-            // Without a daemon to take it, whoever comes finds it without an owner.
-            let to = best.unwrap_or_else(|| self.me.clone());
+            // Without one the shard stays: given to nobody, it had no owner for as long as several
+            // daemons were on their way down and up again.
+            let Some(to) = self.best(&shard, &domain, fit) else { continue };
             self.hand_over(shard, to, HandOver::Settled);
         }
     }
 
+    /// Gives up what nobody took: whoever comes finds it without an owner.
+    pub(super) fn give_up(&mut self) {
+        for shard in self.owned() {
+            self.hand_over(shard, self.me.clone(), HandOver::Settled);
+        }
+    }
+
     fn give_away(&mut self, shard: &str, domain: &DomainId, how: HandOver) {
         let now = self.now;
         let there_for = match how {
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -10,7 +10,8 @@
 mod tests;
 
 pub use messages::{
-    Connect, Drain, Hear, OwnsAny, Refused, Stored, TakeCall, TakeMessage, TakeOffer, Told, Upkept,
+    Connect, Drain, GiveUp, Hear, OwnsAny, Refused, Stored, TakeCall, TakeMessage, TakeOffer, Told,
+    Upkept,
 };
 
 use super::calls::Reply;
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -275,6 +275,22 @@
     }
 }
 
+/// The daemon ends now, and with it whatever it owns.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct GiveUp;
+
+impl Handler<GiveUp> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: GiveUp, cx: &mut Self::Context) {
+        let now = self.wake(cx).steady;
+        self.own(cluster::Event::GiveUp, cx);
+        self.ownership.greet_all();
+        self.publish(now);
+    }
+}
+
 /// Asks whether any shard is still owned here.
 #[derive(Message)]
 #[rtype(result = "bool")]
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -2,7 +2,7 @@
 
 use super::Platform;
 use super::calls::Calls;
-use super::control::{ACTIONS, Connect, Control, Drain, OwnsAny, Rings};
+use super::control::{ACTIONS, Connect, Control, Drain, GiveUp, OwnsAny, Rings};
 use super::links::{self, Links};
 use super::machines::Machines;
 use super::orders::{AskHere, Orders};
@@ -141,6 +141,16 @@
         let shards = usize::from(self.control.send(OwnsAny).await.unwrap_or(false));
         self.journal.write(Note::DaemonStopping { daemon: self.id.clone(), shards });
         self.control.do_send(Drain);
+        self.wait_for_shards(limit).await;
+    }
+
+    /// Gives up the shards that nobody has taken, and waits until that is done, at most this long.
+    pub async fn give_up(&self, limit: Duration) {
+        self.control.do_send(GiveUp);
+        self.wait_for_shards(limit).await;
+    }
+
+    async fn wait_for_shards(&self, limit: Duration) {
         let until = self.clock.now() + limit;
         while self.clock.now() < until {
             if !self.control.send(OwnsAny).await.unwrap_or(false) {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -298,3 +298,35 @@
     seen.run_for(ms(400));
     assert_eq!(seen.claims, [], "its first greeting is on its way");
 }
+
+// Callers' lasting tasks stand still while daemons are stopped one after the other. The last one that serves
+// is told to stop while those before it haven't come back: it gave its shards to nobody, and nobody owned
+// them for seconds. It keeps them until another one serves, or until it ends itself.
+#[test]
+fn a_daemon_that_stops_keeps_its_shards_while_nobody_else_serves() {
+    let stopping = Member { stage: MemberStage::Draining, ..member("before", STRONG) };
+    let mut seen = Seen::new(member("last", STRONG), 2);
+    seen.greet(stopping, Vec::new());
+    seen.own("kacyiru.0", 5);
+    seen.own("kacyiru.1", 6);
+    seen.tell(Event::Drain);
+    seen.run_for(ms(2000));
+    assert_eq!(seen.given, [], "nobody serves");
+    seen.greet(member("anew", STRONG), Vec::new());
+    seen.run_for(ms(500));
+    let to: Vec<&str> = seen.given.iter().map(|(_, to)| to.as_str()).collect();
+    assert_eq!(to, ["anew", "anew"]);
+}
+
+// The same daemon ends before another one serves. It gives its shards up, so that whoever comes doesn't have
+// to find out that it is gone.
+#[test]
+fn a_daemon_that_ends_gives_its_shards_up() {
+    let mut seen = Seen::new(member("last", STRONG), 1);
+    seen.own("kacyiru.0", 5);
+    seen.tell(Event::Drain);
+    seen.run_for(ms(2000));
+    assert_eq!(seen.given, []);
+    seen.tell(Event::GiveUp);
+    assert_eq!(seen.given, [("kacyiru.0".to_owned(), "last".to_owned())]);
+}
