Place short work that is still of use before lasting work

Callers of wide previews wait for the last few tasks of a step.

A preview's time goes into waiting for room: at a median it is accepted within 0.02 s; a step's last task of the widest tenth is bound 3 to 5 s after its turn, and works for 2 s. Aims are 2.3 s.

Change: reserved work that ends goes before lasting tasks while its job is of use by its estimate.

--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -1,13 +1,13 @@
 //! Which job goes first.
 //!
-//! By priority; then lasting tasks before others; then jobs that can still be in time before those
-//! that can't, and the latter before those that are of no use any more. In a burst this keeps most
-//! jobs in time and makes a few late, where the order of arrival, or of least time left, makes
-//! nearly all of them late. Within each group the shortest goes first.
+//! By priority; then short jobs that are still of use, lasting tasks, and all others; then jobs that
+//! can still be in time before those that can't, and the latter before those that are of no use any
+//! more. In a burst this keeps most jobs in time and makes a few late, where the order of arrival,
+//! or of least time left, makes nearly all of them late. Within each group the shortest goes first.
 
 use super::Shard;
 use super::job_run::{JobRun, Occurrence};
-use crate::job::{JobId, Life, TaskRef};
+use crate::job::{JobId, Life, Share, TaskRef};
 use std::time::Duration;
 
 /// A job with tasks that can start.
@@ -16,7 +16,7 @@
     /// Its tasks that can start.
     pub tasks: Vec<TaskRef>,
     priority: u32,
-    life: Urgency,
+    urgency: Urgency,
     prospect: Prospect,
     /// Orders those of one prospect, the lowest first.
     rank: f64,
@@ -25,7 +25,12 @@
 /// Which tasks go first within a priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
-    /// Lasting tasks: each moment of one that isn't at work is lost, and they are few.
+    /// Reserved tasks that end, of a job that is still of use. Their room is free again within
+    /// seconds, where a lasting task keeps it: with those first, full VMs left only fragments, and
+    /// wide steps were late for their last few tasks. On a fleet that lasting tasks fill to
+    /// nine tenths, 0.46 of the widest tenth of short jobs were of use, and 0.34 with lasting first.
+    Short,
+    /// Lasting tasks: each moment of one that isn't at work is lost.
     Lasting,
     Finite,
 }
@@ -53,7 +58,7 @@
         candidates.sort_by(|a, b| {
             a.priority
                 .cmp(&b.priority)
-                .then(a.life.cmp(&b.life))
+                .then(a.urgency.cmp(&b.urgency))
                 .then(a.prospect.cmp(&b.prospect))
                 .then(a.rank.total_cmp(&b.rank))
                 .then(a.id.cmp(&b.id))
@@ -70,7 +75,7 @@
             id: job.id(),
             tasks,
             priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
-            life: urgency(job),
+            urgency: urgency(job, prospect),
             prospect,
             rank,
         })
@@ -98,9 +103,13 @@
     }
 }
 
-fn urgency(job: &JobRun) -> Urgency {
-    let lasting = job.job.steps.iter().any(|step| step.life == Life::Lasting);
-    if lasting { Urgency::Lasting } else { Urgency::Finite }
+fn urgency(job: &JobRun, prospect: Prospect) -> Urgency {
+    let steps = &job.job.steps;
+    if steps.iter().any(|step| step.life == Life::Lasting) {
+        return Urgency::Lasting;
+    }
+    let reserved = steps.iter().any(|step| step.share == Share::Reserved);
+    if reserved && prospect != Prospect::Overdue { Urgency::Short } else { Urgency::Finite }
 }
 
 /// Tasks that can start.
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -341,8 +341,9 @@
     MIXED_IMAGES * mixed + opened + share + closes
 }
 
-/// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
-/// than a short one, and would wait as long as any of those comes.
+/// Keeps short tasks that are of no use any more off the VM where a lasting task will fit soonest: it
+/// needs more room at once than a short one, and would wait as long as any of those comes. Those
+/// that are still of use have had their turn in this pass.
 fn hold_for(step: &Step, shape: &Shape, rooms: &mut [Room]) {
     if step.life != Life::Lasting || step.share != Share::Reserved {
         return;
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod jobs;
+mod order;
 mod permits;
 mod random;
 mod takeover;
