--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -4,6 +4,7 @@
 mod jobs;
 mod permits;
 mod random;
+mod short_work;
 mod takeover;
 mod vacate;
 mod witness;
