--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -12,7 +12,7 @@
 use super::Shard;
 use super::event::{Action, FreeRoom, Neighbour, Summary};
 use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, Started, StepRun, Task};
-use super::place::LASTING_SHARE;
+use super::place::MOST_LASTING;
 use super::room::Room;
 use super::vm_run::RunKey;
 use crate::job::progress::TaskPhase;
@@ -461,7 +461,6 @@
         }
         let patience = match (step.share, step.life) {
             (Share::Leftover, _) => LEFTOVER_PATIENCE,
-            _ if self.is_held_back(task, &step, rooms) => HELD_BACK_PATIENCE,
             _ if step.members.one_rack() => LASTING_PATIENCE,
             (Share::Reserved, Life::Lasting) => LASTING_PATIENCE,
             (Share::Reserved, Life::Finite) => PATIENCE,
@@ -519,7 +518,7 @@
     let lasting = summary.lasting as f64 + f64::from(need.milli_cores.0);
     let idle_only = step.life == Life::Lasting
         && begun == Begun::No
-        && lasting > summary.capacity as f64 * LASTING_SHARE;
+        && lasting > summary.capacity as f64 * MOST_LASTING;
     let fits = |room: &&FreeRoom| {
         need.fits_in(if idle_only { &room.idle } else { &room.free })
             && room.service == *service
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -34,6 +34,9 @@
 /// up to 97 %, and two thirds of the short work was late, at a twentieth more of lasting work.
 pub const LASTING_SHARE: f64 = 0.82;
 
+/// Share of a shard's processors above which lasting tasks begin only in room that others left free.
+pub(super) const MOST_LASTING: f64 = 0.92;
+
 /// Costs of placing a lasting task: beside other images only, and where nothing serves yet.
 const MIXED_IMAGES: f64 = 3.0;
 const OPENED_VM: f64 = 0.8;
@@ -263,7 +266,7 @@
         }
         let ran = |task: &super::job_run::Task| task.last_run > crate::job::RunNumber(0);
         let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        !known.is_some_and(ran) && lasting_share_with(step, rooms) > LASTING_SHARE
+        !known.is_some_and(ran) && lasting_share_with(step, rooms) > MOST_LASTING
     }
 
     /// Whether there is room for a task that it isn't given before it has stayed free for a while.
