--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -192,8 +192,6 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FreeRoom {
     pub free: Resources,
-    /// Of that, what has stayed free for a while.
-    pub idle: Resources,
     pub rack: RackId,
     pub labels: Vec<Label>,
     pub service: ServiceName,
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -12,8 +12,6 @@
 use super::Shard;
 use super::event::{Action, FreeRoom, Neighbour, Summary};
 use super::job_run::{JobRun, Lent, LoanKnown, Occurrence, RecordState, Started, StepRun, Task};
-use super::place::MOST_LASTING;
-use super::room::Room;
 use super::vm_run::RunKey;
 use crate::job::progress::TaskPhase;
 use crate::job::{Checkpoint, Image, Job, JobId, Life, RunNumber, Share, Step, TaskRef};
@@ -38,10 +36,6 @@
 /// The same for lasting tasks: their room often comes back within a second, as a short task ends.
 const LASTING_PATIENCE: Duration = Duration::from_millis(700);
 
-/// The same where there is room that hasn't stayed free for long enough yet: it has by then, if
-/// nothing else needs it, and tasks of one image are better kept together.
-const HELD_BACK_PATIENCE: Duration = Duration::from_millis(2200);
-
 /// The same for leftover work, which has time.
 const LEFTOVER_PATIENCE: Duration = Duration::from_millis(900);
 
@@ -429,14 +423,14 @@
     }
 
     /// Lends waiting tasks that find no room here to shards that have some.
-    pub(super) fn lend(&mut self, waiting: &[TaskRef], rooms: &[Room]) {
+    pub(super) fn lend(&mut self, waiting: &[TaskRef]) {
         let now = self.now.steady;
         if self.loans.neighbours.is_empty() {
             return;
         }
         let mut lent: IndexMap<(JobId, Arc<str>), usize> = IndexMap::new();
         for task in waiting {
-            let Some(to) = self.lender_for(*task, rooms) else { continue };
+            let Some(to) = self.lender_for(*task) else { continue };
             let loan = self.log.next_seq();
             let Some(job) = self.jobs.get_mut(&task.job) else { continue };
             let Some(known) = job.task_mut(*task) else { continue };
@@ -452,7 +446,7 @@
     }
 
     /// A shard with room for a task that has waited long enough.
-    fn lender_for(&mut self, task: TaskRef, rooms: &[Room]) -> Option<Arc<str>> {
+    fn lender_for(&mut self, task: TaskRef) -> Option<Arc<str>> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task)?.clone();
         // A group runs in one shard, and a task that was lent here isn't lent on.
@@ -466,7 +460,6 @@
             (Share::Reserved, Life::Finite) => PATIENCE,
         };
         let known = job.task(task)?;
-        let begins = if known.last_run == RunNumber(0) { Begun::No } else { Begun::Yes };
         let since = known.away_since.max(job.step_run(task)?.ready)?;
         if self.now.steady.saturating_sub(since) < patience {
             return None;
@@ -477,7 +470,7 @@
         let service = job.job.service.clone();
         let image = image_name(job, &step);
         let fits = |summary: &Summary| match step.share {
-            Share::Reserved => reserved_room(summary, &step, &service, begins),
+            Share::Reserved => reserved_room(summary, &step, &service),
             Share::Leftover => leftover_room(summary, &step, &image),
         };
         let neighbours = self.loans.neighbours.values();
@@ -506,21 +499,11 @@
     step.image.clone().unwrap_or_else(|| Image::new(job.job.queue.as_str()))
 }
 
-/// Tasks of a step that a shard has room for; one that is to last, and begins, is given only room that
-/// stayed free there, once such tasks have their share.
-fn reserved_room(
-    summary: &Summary,
-    step: &Step,
-    service: &crate::ids::ServiceName,
-    begun: Begun,
-) -> f64 {
+/// Tasks of a step that a shard has room for.
+fn reserved_room(summary: &Summary, step: &Step, service: &crate::ids::ServiceName) -> f64 {
     let need = step.reserved();
-    let lasting = summary.lasting as f64 + f64::from(need.milli_cores.0);
-    let idle_only = step.life == Life::Lasting
-        && begun == Begun::No
-        && lasting > summary.capacity as f64 * MOST_LASTING;
     let fits = |room: &&FreeRoom| {
-        need.fits_in(if idle_only { &room.idle } else { &room.free })
+        need.fits_in(&room.free)
             && room.service == *service
             && step.label.as_ref().is_none_or(|label| room.labels.contains(label))
     };
@@ -543,7 +526,6 @@
             let room = summary.rooms.iter_mut().find(|room| need.fits_in(&room.free));
             if let Some(room) = room {
                 room.free = Resources::ZERO;
-                room.idle = Resources::ZERO;
             }
         }
         Share::Leftover => {
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -29,14 +29,9 @@
 const SPEED_WEIGHT: f64 = 100.0;
 
 /// Share of a shard's processors up to which it is given lasting tasks first. The rest is for
-/// tasks that must start at once, which take a tenth of all processors on average: lasting tasks that
-/// begin above it get only what those left free for a while. Started like the others, they reserved
-/// up to 97 %, and two thirds of the short work was late, at a twentieth more of lasting work.
+/// tasks that must start at once, which take a tenth of all processors on average.
 pub const LASTING_SHARE: f64 = 0.82;
 
-/// Share of a shard's processors above which lasting tasks begin only in room that others left free.
-pub(super) const MOST_LASTING: f64 = 0.92;
-
 /// Costs of placing a lasting task: beside other images only, and where nothing serves yet.
 const MIXED_IMAGES: f64 = 3.0;
 const OPENED_VM: f64 = 0.8;
@@ -141,9 +136,6 @@
         }
         self.last_schedule = now;
         self.next_schedule = now + SCHEDULE_EVERY;
-        for vm in self.vms.values_mut() {
-            vm.idle.note(vm.free(), now);
-        }
         let candidates = self.candidates();
         let slowed = self.slowed();
         if candidates.is_empty() && slowed.is_empty() {
@@ -162,7 +154,7 @@
         };
         let tasks = candidates.iter().flat_map(|candidate| &candidate.tasks);
         let left: Vec<TaskRef> = tasks.filter(waits).take(MAX_LENT).copied().collect();
-        self.lend(&left, &pass.rooms);
+        self.lend(&left);
     }
 
     fn place_job(&mut self, candidate: &Candidate, pass: &mut Pass) {
@@ -184,9 +176,7 @@
                     break;
                 }
                 let Some(choice) = self.choose(*task, step, need, &shape, &pass.rooms) else {
-                    if !self.takes_idle_only(*task, step, &pass.rooms) {
-                        hold_for(step, &shape, &mut pass.rooms);
-                    }
+                    hold_for(step, &shape, &mut pass.rooms);
                     pass.hopeless.push(shape.clone());
                     break;
                 };
@@ -237,11 +227,9 @@
         let (key, now) = (task.of_step(), self.now.steady);
         let permits = self.permits_of(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
-        let idle_only = self.takes_idle_only(task, step, rooms);
         let fits = |(_, room): &(usize, &Room)| {
             let held = room.held && step.life == Life::Finite;
-            let kept = idle_only && !room.is_idle_for(step);
-            !held && !kept && room.service == shape.service && room.takes(step, key)
+            !held && room.service == shape.service && room.takes(step, key)
         };
         rooms
             .iter()
@@ -257,27 +245,6 @@
             .map(|(index, _)| index)
     }
 
-    /// Whether a task is given only room that has stayed free for a while: one that is to last, and
-    /// begins where others of its kind have their share already. One that ran before has its place
-    /// among those.
-    fn takes_idle_only(&self, task: TaskRef, step: &Step, rooms: &[Room]) -> bool {
-        if step.life != Life::Lasting || step.share != Share::Reserved {
-            return false;
-        }
-        let ran = |task: &super::job_run::Task| task.last_run > crate::job::RunNumber(0);
-        let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        !known.is_some_and(ran) && lasting_share_with(step, rooms) > MOST_LASTING
-    }
-
-    /// Whether there is room for a task that it isn't given before it has stayed free for a while.
-    pub(super) fn is_held_back(&self, task: TaskRef, step: &Step, rooms: &[Room]) -> bool {
-        let takes = |room: &Room| {
-            let service = self.jobs.get(&task.job).map(|job| &job.job.service);
-            service == Some(&room.service) && room.takes(step, task.of_step())
-        };
-        self.takes_idle_only(task, step, rooms) && rooms.iter().any(takes)
-    }
-
     /// What a task costs on a VM; less is better, `None` if it is better left to wait.
     fn cost(&self, room: &Room, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
         let cost = match (step.share, step.life) {
@@ -337,9 +304,6 @@
         self.log.touch(task.job);
         let bound = Run::binding(step.reserved(), step.size.milli_cores.0, step.share, now);
         if let Some(vm) = self.vms.get_mut(&vm_id) {
-            if step.life == Life::Lasting {
-                vm.idle.take(step.reserved());
-            }
             vm.runs.insert(RunKey { task, run }, bound);
         }
         let (ready_ms, neighbours) = (Ms(now.saturating_sub(ready)), room.tasks());
@@ -349,15 +313,6 @@
     }
 }
 
-/// Share of all processors that lasting tasks reserve once one more is there.
-fn lasting_share_with(step: &Step, rooms: &[Room]) -> f64 {
-    let add = |(all, lasting): (f64, f64), (cores, reserved): (f64, f64)| {
-        (all + cores, lasting + reserved)
-    };
-    let (all, lasting) = rooms.iter().map(Room::cores).fold((0.0, 0.0), add);
-    (lasting + f64::from(step.size.milli_cores.0)) / all.max(1.0)
-}
-
 /// What speaks against a VM whatever the task.
 fn penalty(room: &Room, key: StepRef, step: &Step, failed_on: Option<&VmId>) -> f64 {
     let mut cost = SAME_STEP * room.count(key) as f64;
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -27,8 +27,6 @@
     pub rack: RackId,
     pub service: ServiceName,
     pub free: Resources,
-    /// Of that, what has stayed free for a while.
-    pub idle: Resources,
     /// Processors that leftover work shares, in thousandths of a core.
     pub leftover: f64,
     /// Processors that the leftover work there would use, in thousandths of a core.
@@ -147,7 +145,6 @@
         let room = Self::empty(id, addr, rack, service, vm.entry.size);
         Some(Self {
             free: vm.free(),
-            idle: vm.idle.room().least(&vm.free()),
             leftover: (room.leftover - used).max(0.0),
             leftover_demand,
             trial,
@@ -171,7 +168,6 @@
             rack,
             service,
             free: size,
-            idle: size,
             leftover: cores,
             leftover_demand: 0.0,
             trial: Trial::No,
@@ -191,11 +187,6 @@
             && (step.per_vm == 0 || self.count(key) < step.per_vm as usize)
     }
 
-    /// Whether a task of the step fits into what has stayed free for a while.
-    pub fn is_idle_for(&self, step: &Step) -> bool {
-        step.reserved().fits_in(&self.idle)
-    }
-
     /// Tasks of a step that fit.
     pub fn fitting(&self, step: &Step) -> usize {
         let need = step.reserved();
@@ -223,9 +214,7 @@
         }
         if step.life == Life::Lasting && step.share == Share::Reserved {
             self.lasting += share;
-            self.idle = self.idle.saturating_sub(&step.reserved());
         }
-        self.idle = self.idle.least(&self.free);
         if step.tail_target.is_some() {
             let slack = USUAL_BOUND - EXPECTED_LOAD;
             self.served.push(Served { image, slack });
@@ -278,11 +267,6 @@
         self.lasting + f64::from(step.size.milli_cores.0) / self.size
     }
 
-    /// Processors, and those that lasting tasks reserve, in thousandths of a core.
-    pub fn cores(&self) -> (f64, f64) {
-        (self.size, self.lasting * self.size)
-    }
-
     /// Serving tasks there with this image, and with others.
     pub fn alike(&self, image: ImageIx) -> (usize, usize) {
         let same = self.served.iter().filter(|served| served.image == image).count();
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -24,7 +24,6 @@
             if room.trial == Trial::No {
                 summary.rooms.push(FreeRoom {
                     free: room.free,
-                    idle: room.idle,
                     rack: room.rack.clone(),
                     labels: vm.entry.labels.clone(),
                     service: vm.entry.service.clone(),
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -1,6 +1,5 @@
 //! A VM of the shard: what runs there, what is known of its clock, and when it was last heard.
 
-use super::idle::Idle;
 use super::interference::Serving;
 use super::settings::{
     BUSY_LOOK, CLOCK_DRIFT, IDLE_LOOK, LAPSE_MARGIN, LOOK_RETRY, SILENT_AFTER, UNFORGOTTEN_LOOK,
@@ -33,8 +32,6 @@
     pub clock: Option<ClockReading>,
     /// Runs that aren't known to have ended; each takes room.
     pub runs: IndexMap<RunKey, Run>,
-    /// Room that has stayed free.
-    pub idle: Idle,
     pub ends: Ends,
     pub contact: Contact,
     /// Time from which on everything there has surely ended, unless it is extended.
@@ -166,7 +163,6 @@
             known_since: now,
             clock: None,
             runs: IndexMap::new(),
-            idle: Idle::new(now),
             ends: Ends::default(),
             contact: Contact {
                 looking: Looking::No,
--- a/src/units.rs
+++ b/src/units.rs
@@ -91,15 +91,6 @@
         )
     }
 
-    /// The lesser of each amount.
-    pub fn least(&self, other: &Self) -> Self {
-        Self::new(
-            self.milli_cores.0.min(other.milli_cores.0),
-            self.memory_mib.0.min(other.memory_mib.0),
-            self.accelerators.0.min(other.accelerators.0),
-        )
-    }
-
     /// The sum, with each amount at most the largest number.
     pub fn saturating_add(&self, other: &Self) -> Self {
         Self::new(
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -4,7 +4,6 @@
 mod jobs;
 mod permits;
 mod random;
-mod short_work;
 mod takeover;
 mod vacate;
 mod witness;
