Tell in a shard's line what waits beside lasting tasks

Both decide; 42 to 79 free cores of 2464 lay in pieces of one or two.

Change: `shard-state` has `lasting_cores` (also those waited for), `lasting_waiting` and `short_waiting`. No decision changes. Tested by `a_shard_tells_what_waits_beside_lasting_tasks` on the shards' world, which now keeps each shard's last line.

--- a/src/note.rs
+++ b/src/note.rs
@@ -212,7 +212,7 @@
     /// Work waits though its turn has come.
     Telling JobStalled = "job-stalled" { job: JobId, waiting: usize, running: usize, stalled_ms: Ms, reason: Word, }
     /// The state of a shard, now and then.
-    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, commit_age_ms: Ms, }
+    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Ms, }
     /// Lines of one event that were left out since the last such line.
     Urgent LinesDropped = "lines-dropped" { dropped: u64, event_kind: Word, }
     /// A caller's call was answered.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -43,7 +43,7 @@
 pub use settings::Settings;
 
 use crate::ids::VmId;
-use crate::job::{JobId, ShownState};
+use crate::job::{JobId, Life, Share, ShownState};
 use crate::note::Note;
 use crate::queues::{Queue, Queues};
 use crate::vm::Fence;
@@ -205,6 +205,16 @@
         }
     }
 
+    /// Tasks on reserved processors that wait for room here.
+    fn reserved_waiting(&self, life: Life) -> usize {
+        let open = self.jobs.values().filter(|job| !job.is_final());
+        let steps = open.flat_map(|job| {
+            let tasks = order::waiting(job);
+            tasks.into_iter().filter_map(|task| job.step(task))
+        });
+        steps.filter(|step| step.life == life && step.share == Share::Reserved).count()
+    }
+
     fn report(&mut self) {
         if self.now.steady < self.next_report {
             return;
@@ -220,6 +230,9 @@
             running: self.vms.values().map(|vm| vm.runs.len()).sum(),
             waiting: tasks().filter(|task| task.is_waiting()).count(),
             free_cores: summary.free / 1000,
+            lasting_cores: summary.lasting / 1000,
+            lasting_waiting: self.reserved_waiting(Life::Lasting),
+            short_waiting: self.reserved_waiting(Life::Finite),
             commit_age_ms: crate::note::Ms(self.log.age(self.now.steady)),
         }));
     }
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -4,6 +4,7 @@
 mod jobs;
 mod permits;
 mod random;
+mod state;
 mod takeover;
 mod vacate;
 mod witness;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -101,6 +101,8 @@
     pub store_down_until: Duration,
     /// Announced beside the VMs that are there.
     pub announced_beside: Vec<VmEntry>,
+    /// What each shard said of its state last.
+    pub states: IndexMap<Arc<str>, Note>,
     owners: Vec<Owner>,
     next_owner: u64,
     deliveries: BTreeMap<(Duration, u64), Delivery>,
@@ -127,6 +129,7 @@
             answers: IndexMap::new(),
             store_down_until: Duration::ZERO,
             announced_beside: Vec::new(),
+            states: IndexMap::new(),
             owners: Vec::new(),
             next_owner: 0,
             deliveries: BTreeMap::new(),
@@ -489,7 +492,12 @@
                 }
             }
             Action::Fenced => self.retire(number),
-            Action::Note(note) => self.trace(number, name, &note),
+            Action::Note(note) => {
+                self.trace(number, name, &note);
+                if matches!(note, Note::ShardState { .. }) {
+                    self.states.insert(name.clone(), note);
+                }
+            }
             Action::HandedOver => {}
         }
     }
