--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -6,6 +6,7 @@
 mod order;
 mod permits;
 mod random;
+mod state;
 mod takeover;
 mod vacate;
 mod witness;
