Let lasting work go first once it has waited for two seconds

Mend: a lasting task that has waited for 2 s goes first; one that is away for 3 s counts as lost.

a_stream_of_short_work_does_not_hold_lasting_work_up failed before and passes.

--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -1,6 +1,7 @@
 //! Which job goes first.
 //!
-//! By priority; then short jobs that are still of use, lasting tasks, and all others; then jobs that
+//! By priority; then lasting tasks that have waited for long, short jobs that are still of use, other
+//! lasting tasks, and all others; then jobs that
 //! can still be in time before those that can't, and the latter before those that are of no use any
 //! more. In a burst this keeps most jobs in time and makes a few late, where the order of arrival,
 //! or of least time left, makes nearly all of them late. Within each group the shortest goes first.
@@ -25,6 +26,9 @@
 /// Which tasks go first within a priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
+    /// Lasting tasks that have waited for [`LASTING_WAITS`]. Behind a stream of short jobs they got no
+    /// room for up to 17 s, and their callers took them for lost.
+    LongAway,
     /// Reserved tasks that end, of a job that is still of use. Their room is free again within
     /// seconds, where a lasting task keeps it: with those first, full VMs left only fragments, and
     /// wide steps were late for their last few tasks. On a fleet that lasting tasks fill to
@@ -35,6 +39,10 @@
     Finite,
 }
 
+/// Time for which short jobs go before a lasting task. One that is away for 3 s counts as lost; room
+/// for it comes free within a second, as short tasks end.
+const LASTING_WAITS: Duration = Duration::from_secs(2);
+
 /// What can still become of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Prospect {
@@ -71,16 +79,37 @@
             return None;
         }
         let (prospect, rank) = self.prospect(job);
+        let urgency = self.urgency(job, &tasks, prospect);
         Some(Candidate {
             id: job.id(),
             tasks,
             priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
-            urgency: urgency(job, prospect),
+            urgency,
             prospect,
             rank,
         })
     }
 
+    fn urgency(&self, job: &JobRun, tasks: &[TaskRef], prospect: Prospect) -> Urgency {
+        let steps = &job.job.steps;
+        if steps.iter().any(|step| step.life == Life::Lasting) {
+            let away = self.away_longest(job, tasks);
+            return if away >= LASTING_WAITS { Urgency::LongAway } else { Urgency::Lasting };
+        }
+        let reserved = steps.iter().any(|step| step.share == Share::Reserved);
+        if reserved && prospect != Prospect::Overdue { Urgency::Short } else { Urgency::Finite }
+    }
+
+    /// Time for which the first of a job's waiting tasks has waited since it ran last.
+    fn away_longest(&self, job: &JobRun, tasks: &[TaskRef]) -> Duration {
+        let since = |task: &TaskRef| {
+            let ready = job.step_run(*task).and_then(|step| step.ready);
+            job.task(*task)?.away_since.max(ready)
+        };
+        let first = tasks.iter().filter_map(since).min();
+        first.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at))
+    }
+
     fn prospect(&self, job: &JobRun) -> (Prospect, f64) {
         let spent = self.now.steady.saturating_sub(job.since).as_secs_f64();
         let aim = self.aim(job).as_secs_f64();
@@ -103,15 +132,6 @@
     }
 }
 
-fn urgency(job: &JobRun, prospect: Prospect) -> Urgency {
-    let steps = &job.job.steps;
-    if steps.iter().any(|step| step.life == Life::Lasting) {
-        return Urgency::Lasting;
-    }
-    let reserved = steps.iter().any(|step| step.share == Share::Reserved);
-    if reserved && prospect != Prospect::Overdue { Urgency::Short } else { Urgency::Finite }
-}
-
 /// Tasks that can start.
 pub(super) fn waiting(job: &JobRun) -> Vec<TaskRef> {
     let mut waiting = Vec::new();
--- a/tests/shards/order.rs
+++ b/tests/shards/order.rs
@@ -67,3 +67,20 @@
     assert_eq!(contest.world.runs_on(0), 4);
     check(&mut contest.world, &contest.all, SIZE);
 }
+
+// A caller's lasting job stands still for as long as others hand in one short job after the other, each of
+// which is in time: room that comes free went to the next short one. It is taken for lost after three
+// seconds, so that it goes first once it has waited for two.
+#[test]
+fn a_stream_of_short_work_does_not_hold_lasting_work_up() {
+    let mut contest = Contest::new(500);
+    for id in 10..30 {
+        let short = chain(id, 1, 4, work(500, 2));
+        contest.world.submit(SHARD, short.clone());
+        contest.all.insert(short.id, short);
+        contest.world.run_for(Duration::from_millis(200));
+    }
+    let lasting = contest.world.show(SHARD, contest.lasting.id);
+    assert_eq!(lasting, Some(Answer::Shown(ShownState::Running)));
+    check(&mut contest.world, &contest.all, SIZE);
+}
