Revert placing short work before lasting work

Cause of the loss: where short jobs come one after the other, each takes the room that the one before it left, and a lasting task never finds enough on one VM; its callers take it for lost after 3 s.

--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -1,14 +1,13 @@
 //! Which job goes first.
 //!
-//! By priority; then lasting tasks that have waited for long, short jobs that are still of use, other
-//! lasting tasks, and all others; then jobs that
-//! can still be in time before those that can't, and the latter before those that are of no use any
-//! more. In a burst this keeps most jobs in time and makes a few late, where the order of arrival,
-//! or of least time left, makes nearly all of them late. Within each group the shortest goes first.
+//! By priority; then lasting tasks before others; then jobs that can still be in time before those
+//! that can't, and the latter before those that are of no use any more. In a burst this keeps most
+//! jobs in time and makes a few late, where the order of arrival, or of least time left, makes
+//! nearly all of them late. Within each group the shortest goes first.
 
 use super::Shard;
 use super::job_run::{JobRun, Occurrence};
-use crate::job::{JobId, Life, Share, TaskRef};
+use crate::job::{JobId, Life, TaskRef};
 use std::time::Duration;
 
 /// A job with tasks that can start.
@@ -17,7 +16,7 @@
     /// Its tasks that can start.
     pub tasks: Vec<TaskRef>,
     priority: u32,
-    urgency: Urgency,
+    life: Urgency,
     prospect: Prospect,
     /// Orders those of one prospect, the lowest first.
     rank: f64,
@@ -26,23 +25,11 @@
 /// Which tasks go first within a priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
-    /// Lasting tasks that have waited for [`LASTING_WAITS`]. Behind a stream of short jobs they got no
-    /// room for up to 17 s, and their callers took them for lost.
-    LongAway,
-    /// Reserved tasks that end, of a job that is still of use. Their room is free again within
-    /// seconds, where a lasting task keeps it: with those first, full VMs left only fragments, and
-    /// wide steps were late for their last few tasks. On a fleet that lasting tasks fill to
-    /// nine tenths, 0.46 of the widest tenth of short jobs were of use, and 0.34 with lasting first.
-    Short,
-    /// Lasting tasks: each moment of one that isn't at work is lost.
+    /// Lasting tasks: each moment of one that isn't at work is lost, and they are few.
     Lasting,
     Finite,
 }
 
-/// Time for which short jobs go before a lasting task. One that is away for 3 s counts as lost; room
-/// for it comes free within a second, as short tasks end.
-const LASTING_WAITS: Duration = Duration::from_secs(2);
-
 /// What can still become of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Prospect {
@@ -66,7 +53,7 @@
         candidates.sort_by(|a, b| {
             a.priority
                 .cmp(&b.priority)
-                .then(a.urgency.cmp(&b.urgency))
+                .then(a.life.cmp(&b.life))
                 .then(a.prospect.cmp(&b.prospect))
                 .then(a.rank.total_cmp(&b.rank))
                 .then(a.id.cmp(&b.id))
@@ -79,37 +66,16 @@
             return None;
         }
         let (prospect, rank) = self.prospect(job);
-        let urgency = self.urgency(job, &tasks, prospect);
         Some(Candidate {
             id: job.id(),
             tasks,
             priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
-            urgency,
+            life: urgency(job),
             prospect,
             rank,
         })
     }
 
-    fn urgency(&self, job: &JobRun, tasks: &[TaskRef], prospect: Prospect) -> Urgency {
-        let steps = &job.job.steps;
-        if steps.iter().any(|step| step.life == Life::Lasting) {
-            let away = self.away_longest(job, tasks);
-            return if away >= LASTING_WAITS { Urgency::LongAway } else { Urgency::Lasting };
-        }
-        let reserved = steps.iter().any(|step| step.share == Share::Reserved);
-        if reserved && prospect != Prospect::Overdue { Urgency::Short } else { Urgency::Finite }
-    }
-
-    /// Time for which the first of a job's waiting tasks has waited since it ran last.
-    fn away_longest(&self, job: &JobRun, tasks: &[TaskRef]) -> Duration {
-        let since = |task: &TaskRef| {
-            let ready = job.step_run(*task).and_then(|step| step.ready);
-            job.task(*task)?.away_since.max(ready)
-        };
-        let first = tasks.iter().filter_map(since).min();
-        first.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at))
-    }
-
     fn prospect(&self, job: &JobRun) -> (Prospect, f64) {
         let spent = self.now.steady.saturating_sub(job.since).as_secs_f64();
         let aim = self.aim(job).as_secs_f64();
@@ -132,6 +98,11 @@
     }
 }
 
+fn urgency(job: &JobRun) -> Urgency {
+    let lasting = job.job.steps.iter().any(|step| step.life == Life::Lasting);
+    if lasting { Urgency::Lasting } else { Urgency::Finite }
+}
+
 /// Tasks that can start.
 pub(super) fn waiting(job: &JobRun) -> Vec<TaskRef> {
     let mut waiting = Vec::new();
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -331,7 +331,7 @@
 /// Lasting tasks of one image go together: which leftover work may run beside them is then the same
 /// for all of them. They fill VM after VM, so that some VMs are left without: work that disturbs every
 /// image runs there, and work that must start at once finds room. With a fifth of each VM kept
-/// free instead, days of trouble were worth 0.38 to 0.40 at Pivnița's size, and 0.43 so.
+/// free instead, days of trouble on 66 VMs were worth 0.38 to 0.40, and 0.43 so.
 fn lasting_cost(room: &Room, step: &Step, image: ImageIx) -> f64 {
     let (same, others) = room.alike(image);
     let mixed = others as f64 / (same + others + 1) as f64;
@@ -341,9 +341,8 @@
     MIXED_IMAGES * mixed + opened + share + closes
 }
 
-/// Keeps short tasks that are of no use any more off the VM where a lasting task will fit soonest: it
-/// needs more room at once than a short one, and would wait as long as any of those comes. Those
-/// that are still of use have had their turn in this pass.
+/// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
+/// than a short one, and would wait as long as any of those comes.
 fn hold_for(step: &Step, shape: &Shape, rooms: &mut [Room]) {
     if step.life != Life::Lasting || step.share != Share::Reserved {
         return;
