Read the pages of a range in one place

Claims had a loop of their own beside the followers'; they call it now. A count that control passed on to a function that threw it away is gone.

--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -1,11 +1,12 @@
 //! Becoming a shard's owner, and its commits.
 
+use super::follow::read_all;
 use super::records::{Watched, retry_pause};
 use crate::cluster::{Head, Replaced};
 use crate::ids::DaemonId;
 use crate::job::progress::{Progress, decode, encode};
 use crate::job::{Job, JobId};
-use crate::kv::{Condition, Error, Freshness, Item, Kv, More, Put, Rev, Txn};
+use crate::kv::{Condition, Error, Freshness, Item, Kv, Put, Rev, Txn};
 use crate::shard::{CommitResult, Keys, Landed, Previous, Recovered};
 use crate::vm::Fence;
 use bytes::Bytes;
@@ -58,8 +59,8 @@
     let condition = present.as_ref().map_or(Rev::ABSENT, |(rev, _)| *rev);
     let rev = write_claim(store, &keys, &head, condition).await?;
     let held = Held { key: keys.head(), rev, fence: Fence(rev.0), head };
-    let jobs = read_all(store, &keys.jobs()).await?;
-    let progress = read_all(store, &keys.all_progress()).await?;
+    let (jobs, _) = read_all(store, &keys.jobs(), Freshness::Latest).await?;
+    let (progress, _) = read_all(store, &keys.all_progress(), Freshness::Latest).await?;
     let recovered = Recovered {
         shard: shard.to_owned(),
         fence: held.fence,
@@ -129,7 +130,7 @@
 
 /// The heads of all shards.
 pub async fn read_heads<S: Kv>(store: &Watched<S>) -> Result<Vec<(String, Head)>> {
-    let items = read_all(store, Keys::HEADS).await?;
+    let (items, _) = read_all(store, Keys::HEADS, Freshness::Latest).await?;
     let head = |item: &Item| {
         let head = fenced(decode_head(item)?, item.rev);
         let name = item.key.strip_prefix(Keys::HEADS).unwrap_or(&item.key);
@@ -144,19 +145,6 @@
     Head { fence, ..head }
 }
 
-async fn read_all<S: Kv>(store: &Watched<S>, prefix: &str) -> Result<Vec<Item>> {
-    let mut items: Vec<Item> = Vec::new();
-    loop {
-        let after = items.last().map(|item| item.key.clone());
-        let after = after.as_deref();
-        let page = store.call(|store| store.range(prefix, after, Freshness::Latest)).await?;
-        items.extend(page.items);
-        if page.more == More::No {
-            return Ok(items);
-        }
-    }
-}
-
 fn decode_head(item: &Item) -> Result<Head> {
     decode(&item.value).map_err(|e| unreadable(item, &e.to_string()))
 }
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -156,7 +156,7 @@
             recovered.lapses = offered.lapses.into_iter().map(left).collect();
         }
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
-        let (closed, jobs) = (recovered.progress.len(), recovered.jobs.len());
+        let jobs = recovered.jobs.len();
         let accepted = recovered.progress.iter().filter(|(_, p)| p.home.is_none());
         let known: Vec<JobId> = accepted.map(|(id, _)| *id).collect();
         let shard = Shard::new(
@@ -169,7 +169,7 @@
         let shared: Arc<str> = Arc::from(name.as_str());
         known.iter().for_each(|id| self.add_to_directory(*id, &shared));
         let (_, runs) = shard.open_work();
-        log_claim(&self.journal, &name, fence, jobs, runs, closed);
+        log_claim(&self.journal, &name, fence, jobs, runs);
         let summary = Arc::new(shard.summary());
         let hosted = Hosted {
             shard,
@@ -254,7 +254,7 @@
     }
 }
 
-fn log_claim(journal: &Journal, name: &str, fence: Fence, jobs: usize, runs: usize, _: usize) {
+fn log_claim(journal: &Journal, name: &str, fence: Fence, jobs: usize, runs: usize) {
     let shard = name.to_owned();
     let took_ms = Ms(Duration::ZERO);
     journal.write(Note::ShardOwned { shard, fence: fence.0, jobs, runs, took_ms });
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -171,7 +171,8 @@
     store.call(|store| store.commit(&txn)).await.map(|_| ())
 }
 
-async fn read_all<S: Kv>(
+/// Reads every page of a range; gives the revision of the first, from which on a watch tells the rest.
+pub(super) async fn read_all<S: Kv>(
     store: &Watched<S>,
     prefix: &str,
     freshness: Freshness,
