Tell the next owner until when silent VMs keep their work running

Its VM died, and its owner froze before the time of the work there had passed; the next owner waited for the whole time and 12 s of blind extension anew.

Cause: only the owner knows when it extended a VM last.

Why this holds: an owner makes durable that it doesn't extend a VM that has been silent for 3 s, under the number of that commit, and takes that back durably before it extends the VM again. Its greetings tell the time left under the same number. The next owner goes by what it heard if the store still has the same record, so that a lost, late or old greeting can't bring a task to run twice.

Ruled out: greetings alone (the VM may have been extended since), the record alone (the store has no clock).

Tests: tests/shards/silence.rs; the first two fail with take_told left out, the third fails with the number not compared.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -2,8 +2,8 @@
 
 use crate::ids::{DaemonId, DomainId};
 use crate::job::JobId;
-use crate::shard::Summary;
 use crate::shard::interference::Learned;
+use crate::shard::{Summary, ToldLapse};
 use serde::{Deserialize, Serialize};
 
 /// A daemon.
@@ -70,4 +70,6 @@
     pub accepted: Vec<JobId>,
     /// What it has learned of how images disturb each other; empty if it tells that another time.
     pub learned: Vec<Learned>,
+    /// How long VMs that the store has as silent may keep their work running.
+    pub lapses: Vec<ToldLapse>,
 }
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -7,7 +7,7 @@
 use crate::job::progress::{Progress, decode, encode};
 use crate::job::{Job, JobId};
 use crate::kv::{Condition, Error, Freshness, Item, Kv, Put, Rev, Txn};
-use crate::shard::{CommitResult, Keys, Landed, Previous, Recovered};
+use crate::shard::{CommitResult, Keys, Landed, Previous, Recovered, SilentVm};
 use crate::vm::Fence;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -61,6 +61,8 @@
     let held = Held { key: keys.head(), rev, fence: Fence(rev.0), head };
     let (jobs, _) = read_all(store, &keys.jobs(), Freshness::Latest).await?;
     let (progress, _) = read_all(store, &keys.all_progress(), Freshness::Latest).await?;
+    let key = keys.silence();
+    let silent = store.call(|store| store.get(&key)).await?;
     let recovered = Recovered {
         shard: shard.to_owned(),
         fence: held.fence,
@@ -68,6 +70,8 @@
         previous,
         predecessor: held.head.before.as_ref().map(|before| before.owner.clone()),
         lapses: Vec::new(),
+        silent: silent.as_ref().map(read_silent).transpose()?.unwrap_or_default(),
+        told: Vec::new(),
         jobs: jobs.iter().map(read_job).collect::<Result<_>>()?,
         progress: progress.iter().map(read_progress).collect::<Result<_>>()?,
     };
@@ -153,6 +157,10 @@
     decode::<Job>(&item.value).map(Arc::new).map_err(|e| unreadable(item, &e.to_string()))
 }
 
+fn read_silent(item: &Item) -> Result<Vec<SilentVm>> {
+    decode(&item.value).map_err(|e| unreadable(item, &e.to_string()))
+}
+
 fn read_progress(item: &Item) -> Result<(JobId, Progress)> {
     let id = item.key.rsplit('/').next().unwrap_or_default();
     let id = id.parse().map_err(|e| unreadable(item, &format!("{e}")))?;
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -32,7 +32,7 @@
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
 use crate::shard::interference::Learned;
 use crate::shard::loan::LoanMsg;
-use crate::shard::{self, Action, Event, Lapse, Now, Shard, Summary};
+use crate::shard::{self, Action, Event, Lapse, Now, Shard, Summary, ToldLapse};
 use crate::upkeep::duty::{Duty, OwnShard};
 use crate::upkeep::{self};
 use crate::vm::{Fence, VmEntry};
@@ -95,6 +95,24 @@
     lapses: Vec<Lapse>,
 }
 
+/// What a shard's owner told last of silent VMs, and when.
+struct TimedLapses {
+    at: Duration,
+    lapses: Vec<ToldLapse>,
+}
+
+impl TimedLapses {
+    /// The same as of now.
+    fn aged(self, now: Duration) -> Vec<ToldLapse> {
+        let passed = now.saturating_sub(self.at);
+        let aged = |told: ToldLapse| {
+            let left = told.lapse.left.saturating_sub(passed);
+            ToldLapse { lapse: Lapse { left, ..told.lapse }, ..told }
+        };
+        self.lapses.into_iter().map(aged).collect()
+    }
+}
+
 /// The duty.
 pub struct Control {
     settings: shard::Settings,
@@ -116,6 +134,7 @@
     /// Questions about permits that are under way, by the daemon that asks.
     asking: IndexMap<String, u32>,
     offered: IndexMap<String, Offered>,
+    told_lapses: IndexMap<String, TimedLapses>,
     tickets: IndexMap<Ticket, oneshot::Sender<Reply>>,
     next_ticket: u64,
     view: watch::Sender<Arc<View>>,
@@ -157,6 +176,7 @@
             next_upkeep: now,
             asking: IndexMap::new(),
             offered: IndexMap::new(),
+            told_lapses: IndexMap::new(),
             tickets: IndexMap::new(),
             next_ticket: 0,
             view,
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -1,6 +1,6 @@
 //! What control is told.
 
-use super::{Control, Offered, Rings};
+use super::{Control, Offered, Rings, TimedLapses};
 use crate::cluster::{self, Head, Hello, Member, Plan, StoreReach};
 use crate::ids::{DaemonId, Ticket};
 use crate::jobs::calls::{Call, Reply};
@@ -162,6 +162,8 @@
             news.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
             let summary = Arc::new(news.summary.clone());
             self.others.insert(news.name.clone(), ShardView { owner: None, summary, at: now });
+            let lapses = TimedLapses { at: now, lapses: news.lapses.clone() };
+            self.told_lapses.insert(news.name.clone(), lapses);
         }
         let learned: Vec<(String, Vec<Learned>)> =
             msg.0.shards.iter().map(|news| (news.name.clone(), news.learned.clone())).collect();
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -161,6 +161,7 @@
                 summary: (*hosted.summary).clone(),
                 accepted: hosted.accepted.iter().map(|(_, job)| *job).collect(),
                 learned: if tells { hosted.shard.learned() } else { Vec::new() },
+                lapses: hosted.shard.told_lapses(),
             }
         };
         self.hosted.iter_mut().map(news).collect()
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -155,6 +155,9 @@
             let left = |lapse: Lapse| Lapse { left: lapse.left.saturating_sub(passed), ..lapse };
             recovered.lapses = offered.lapses.into_iter().map(left).collect();
         }
+        if let Some(told) = self.told_lapses.shift_remove(&recovered.shard) {
+            recovered.told = told.aged(now.steady);
+        }
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
         let jobs = recovered.jobs.len();
         let accepted = recovered.progress.iter().filter(|(_, p)| p.home.is_none());
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -98,6 +98,8 @@
         previous: Previous::Ended,
         predecessor: None,
         lapses: Vec::new(),
+        silent: Vec::new(),
+        told: Vec::new(),
         jobs: Vec::new(),
         progress: Vec::new(),
     }))
--- a/src/note.rs
+++ b/src/note.rs
@@ -189,6 +189,8 @@
     Urgent VmSilent = "vm-silent" { vm: VmId, silent_ms: Ms, runs: usize, reason: String, }
     /// A VM answers again.
     Urgent VmHeard = "vm-heard" { vm: VmId, silent_ms: Ms, runs: usize, }
+    /// An earlier owner told until when the work on a silent VM may run.
+    Urgent VmLapseTold = "vm-lapse-told" { vm: VmId, left_ms: Ms, runs: usize, }
     /// A VM leaves.
     Telling VmLeaving = "vm-leaving" { vm: VmId, runs: usize, left_ms: Ms, }
     /// A VM is gone for good.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -29,6 +29,7 @@
 mod relief;
 mod room;
 pub mod settings;
+mod silence;
 mod summary;
 mod vacate;
 mod vm_run;
@@ -41,6 +42,7 @@
 pub use place::LASTING_SHARE;
 pub use recover::{Lapse, Previous, Recovered};
 pub use settings::Settings;
+pub use silence::{Mark, SilentVm, ToldLapse};
 
 use crate::ids::VmId;
 use crate::job::{JobId, Life, Share, ShownState};
@@ -176,6 +178,7 @@
             self.look();
         }
         self.expire_closed();
+        self.record_silence();
         self.commit();
         self.report();
         if self.stage == Stage::HandingOver && self.log.is_settled() {
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -126,6 +126,7 @@
         match result {
             CommitResult::Durable => {
                 self.out.extend(commit.actions);
+                self.log.silence.written();
                 self.loans.hurry(self.now.steady);
                 for part in commit.parts {
                     self.recorded(part.id, part.state, part.record, seq);
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -6,6 +6,7 @@
 use super::event::Action;
 use super::job_run::{Effect, JobRun, RecordState};
 use super::settings::COMMIT_GAP;
+use super::silence;
 use crate::job::progress::encode;
 use crate::job::{JobId, ShownState};
 use crate::kv::{Condition, MAX_TXN_ENTRIES, Put, Rev, Txn};
@@ -13,8 +14,9 @@
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
-/// Entries kept for the shard's head, which is a condition and a write of each commit.
-const HEAD_ENTRIES: usize = 2;
+/// Entries kept for the shard's head, which is a condition and a write of each commit, and for the
+/// record of silent VMs.
+const HEAD_ENTRIES: usize = 3;
 
 /// Entries that one job takes at the most: the condition on its id, its id, the job and its
 /// progress.
@@ -50,6 +52,11 @@
         format!("run/{}/", self.shard)
     }
 
+    /// VMs that don't answer and aren't extended.
+    pub fn silence(&self) -> String {
+        format!("silent/{}", self.shard)
+    }
+
     fn job(&self, id: JobId) -> String {
         format!("job/{}/{id}", self.shard)
     }
@@ -73,6 +80,7 @@
     in_flight: Option<InFlight>,
     /// What takes place once the next commit is durable.
     after_next: Vec<Action>,
+    pub silence: silence::Record,
     last_seq: u64,
     next_at: Duration,
 }
@@ -100,13 +108,14 @@
 
 impl Log {
     /// A log whose last commit was `seq`.
-    pub fn new(keys: Keys, seq: u64) -> Self {
+    pub fn new(keys: Keys, seq: u64, silence: silence::Record) -> Self {
         Self {
             keys,
             changed: IndexSet::new(),
             expired: Vec::new(),
             in_flight: None,
             after_next: Vec::new(),
+            silence,
             last_seq: seq,
             next_at: Duration::ZERO,
         }
@@ -161,8 +170,10 @@
     /// When the next commit may be made, if there is anything to commit.
     pub fn due(&self) -> Option<Duration> {
         let idle = self.in_flight.is_none();
-        let empty =
-            self.changed.is_empty() && self.expired.is_empty() && self.after_next.is_empty();
+        let empty = self.changed.is_empty()
+            && self.expired.is_empty()
+            && self.after_next.is_empty()
+            && !self.silence.is_changed();
         (idle && !empty).then_some(self.next_at)
     }
 
@@ -183,6 +194,9 @@
             actions: std::mem::take(&mut self.after_next),
         };
         let room = MAX_TXN_ENTRIES - HEAD_ENTRIES - MAX_JOB_ENTRIES;
+        if self.silence.is_changed() {
+            txn.puts.push(put(self.keys.silence(), encode(&self.silence.send())));
+        }
         while txn.entries() <= room {
             let Some(id) = self.changed.shift_remove_index(0) else { break };
             if let Some(job) = jobs.get_mut(&id) {
@@ -218,6 +232,7 @@
 
     /// Gives back the jobs of a commit that did not take effect, to be committed again.
     pub fn redo(&mut self, commit: InFlight, jobs: &mut IndexMap<JobId, JobRun>) {
+        self.silence.not_written();
         self.after_next.extend(commit.actions);
         for mut part in commit.parts {
             let Some(job) = jobs.get_mut(&part.id) else { continue };
@@ -229,7 +244,6 @@
 
     fn add(&self, job: &mut JobRun, txn: &mut Txn, commit: &mut InFlight) {
         let id = job.id();
-        let put = |key: String, value: Vec<u8>| Put { key, value: Bytes::from(value), lease: None };
         let mut record = job.record;
         if record == RecordState::Dropped {
             txn.deletes.push(self.keys.job(id));
@@ -261,3 +275,7 @@
         commit.parts.push(Part { id, state: job.state, record, effects });
     }
 }
+
+fn put(key: String, value: Vec<u8>) -> Put {
+    Put { key, value: Bytes::from(value), lease: None }
+}
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -27,7 +27,9 @@
             if vm.contact.looking == Looking::Yes || now < vm.contact.next_look {
                 continue;
             }
-            let keep_until = vm.extends(now).then(|| vm.clock_now(now)).flatten();
+            // A silence that the store knows of is taken back first: the next owner goes by it.
+            let extends = vm.extends(now) && self.log.silence.may_extend(&vm.id);
+            let keep_until = extends.then(|| vm.clock_now(now)).flatten();
             if keep_until.is_some() {
                 vm.extended(now, keep);
             }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -62,6 +62,10 @@
             Some(Some(permit)) => Some(permit.clone()),
             Some(None) => return self.give_up(id, key, "its permit has run out"),
         };
+        // A start extends all work there; see `silence`.
+        if !self.log.silence.may_extend(id) {
+            return;
+        }
         let Some(vm) = self.vms.get_mut(id) else { return };
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
         vm.extended(now, keep);
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -3,11 +3,13 @@
 use super::job_run::{JobRun, Place};
 use super::log::{Keys, Log};
 use super::settings::{BLIND_EXTENSION, CLOCK_DRIFT, LAPSE_MARGIN, Settings};
+use super::silence::{Record, SilentVm, ToldLapse};
 use super::vm_run::{Announced, Run, RunKey, Stage, Vm};
 use super::{Closed, Now, Shard};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::Progress;
 use crate::job::{Job, JobId};
+use crate::note::{Ms, Note};
 use crate::queues::Queues;
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
@@ -31,6 +33,10 @@
     pub predecessor: Option<DaemonId>,
     /// What it said of VMs that it didn't hear, as it gave the shard to this owner.
     pub lapses: Vec<Lapse>,
+    /// VMs that the store has as silent.
+    pub silent: Vec<SilentVm>,
+    /// What owners told of them, as of now.
+    pub told: Vec<ToldLapse>,
 }
 
 /// A VM that isn't heard, and how long it may still keep its work running.
@@ -73,7 +79,7 @@
             closed: IndexMap::new(),
             vms: IndexMap::new(),
             gone: IndexSet::new(),
-            log: Log::new(keys, recovered.seq),
+            log: Log::new(keys, recovered.seq, Record::new(recovered.silent)),
             loans: super::loan::Loans::default(),
             questions: super::permits::Questions::default(),
             vacating: super::vacate::Vacating::default(),
@@ -94,6 +100,7 @@
         let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
         shard.recover_jobs(recovered.jobs, &progress);
         shard.take_lapses(&recovered.lapses);
+        shard.take_told(recovered.told);
         shard
     }
 
@@ -116,6 +123,20 @@
         }
     }
 
+    /// Goes by what was told of VMs whose silence the store still has: nobody has extended them since.
+    /// Without it, a task on a VM that died before its owner did stood still for twice the time.
+    fn take_told(&mut self, told: Vec<ToldLapse>) {
+        let silence = &self.log.silence;
+        let holds = |told: &ToldLapse| silence.mark(&told.lapse.vm) == Some(told.mark);
+        let lapses: Vec<Lapse> = told.into_iter().filter(holds).map(|told| told.lapse).collect();
+        self.take_lapses(&lapses);
+        for lapse in lapses {
+            let Some(vm) = self.vms.get(&lapse.vm) else { continue };
+            let (runs, left_ms) = (vm.runs.len(), Ms(lapse.left));
+            self.note(Note::VmLapseTold { vm: lapse.vm, left_ms, runs });
+        }
+    }
+
     /// Jobs and runs that aren't known to have ended.
     pub fn open_work(&self) -> (usize, usize) {
         (self.jobs.len(), self.vms.values().map(|vm| vm.runs.len()).sum())
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -38,6 +38,7 @@
         summary: Summary::default(),
         accepted: Vec::new(),
         learned: Vec::new(),
+        lapses: Vec::new(),
     }
 }
 
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -6,6 +6,7 @@
 mod order;
 mod permits;
 mod random;
+mod silence;
 mod state;
 mod takeover;
 mod vacate;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -18,7 +18,7 @@
 use waxwingstall::queues::{PermitTimes, Queue, Queues};
 use waxwingstall::shard::{
     Action, Announcements, Answer, CommitResult, Event, Keys, Landed, Lapse, Neighbour, Now,
-    Previous, Recovered, Settings, Shard, Urge, VacateOrder,
+    Previous, Recovered, Settings, Shard, ToldLapse, Urge, VacateOrder,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{Error as VmError, Fence, VmAddr, VmEntry, VmState};
@@ -115,6 +115,10 @@
     /// What the next owner knows of the VMs, if that is old.
     old_list: Option<Vec<VmEntry>>,
     queues: Arc<Queues>,
+    /// What owners told last of silent VMs, and when.
+    told: IndexMap<Arc<str>, (Duration, Vec<ToldLapse>)>,
+    /// Owners' news are lost from then on.
+    news_lost_from: Duration,
     traced: bool,
 }
 
@@ -141,6 +145,8 @@
             store_back: Duration::ZERO,
             list_unread_until: Duration::ZERO,
             old_list: None,
+            told: IndexMap::new(),
+            news_lost_from: Duration::MAX,
             queues: Arc::new(queues()),
             traced: std::env::var_os("SHARD_TRACE").is_some(),
         };
@@ -228,6 +234,11 @@
         self.call(shard, event);
     }
 
+    /// Nobody hears of what owners tell from now on.
+    pub fn lose_news(&mut self) {
+        self.news_lost_from = self.now;
+    }
+
     /// The shard's owner ends without a word, and another takes over.
     pub fn replace_owner(&mut self, shard: &str) {
         self.owners.retain(|owner| &*owner.name != shard);
@@ -358,6 +369,11 @@
             previous,
             predecessor: head.before.as_ref().map(|before| before.owner.clone()),
             lapses,
+            silent: self
+                .kv
+                .get(&keys.silence())
+                .map_or(Vec::new(), |item| decode(&item.value).expect("silent VMs")),
+            told: self.told_of(name),
             jobs: jobs.iter().map(|(_, v)| Arc::new(decode::<Job>(v).expect("a job"))).collect(),
             progress: progress
                 .iter()
@@ -381,6 +397,28 @@
         });
     }
 
+    fn told_of(&self, name: &str) -> Vec<ToldLapse> {
+        let Some((at, told)) = self.told.get(name) else { return Vec::new() };
+        let passed = self.now - *at;
+        let aged = |told: &ToldLapse| {
+            let mut told = told.clone();
+            told.lapse.left = told.lapse.left.saturating_sub(passed);
+            told
+        };
+        told.iter().map(aged).collect()
+    }
+
+    fn hear_lapses(&mut self) {
+        if self.now >= self.news_lost_from {
+            return;
+        }
+        for owner in &self.owners {
+            if self.now >= owner.paused_until && !owner.unaware {
+                self.told.insert(owner.name.clone(), (self.now, owner.shard.told_lapses()));
+            }
+        }
+    }
+
     fn read_all(&mut self, prefix: &str) -> Vec<(String, bytes::Bytes)> {
         let page = self.kv.range(prefix, None);
         assert_eq!(page.more, More::No, "tests stay within one page");
@@ -403,6 +441,7 @@
         if self.now >= self.next_fleet {
             self.next_fleet = self.now + FLEET_EVERY;
             self.tell_fleet();
+            self.hear_lapses();
         }
         let numbers: Vec<u64> = self.owners.iter().map(|owner| owner.number).collect();
         for number in numbers {
