Tell in the log whether lasting tasks that wait would find room anywhere

Hypotheses on LOST by lasting tasks couldn't be told apart: order in their own shard, lending, or fragments. lasting-waits says, with each shard-state, how many wait, for how long, and for how many a VM has room here or in another shard.

--- a/src/note.rs
+++ b/src/note.rs
@@ -219,6 +219,8 @@
     Telling JobStalled = "job-stalled" { job: JobId, waiting: usize, running: usize, stalled_ms: Ms, reason: Word, }
     /// The state of a shard, now and then.
     Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Ms, vms_age_ms: Ms, }
+    /// Lasting tasks wait for room; for how many a VM has some, here or in another shard.
+    Telling LastingWaits = "lasting-waits" { shard: String, tasks: usize, oldest_ms: Ms, fit_here: usize, fit_elsewhere: usize, wanted_cores: u32, largest_free_cores: u32, }
     /// Lines of one event that were left out since the last such line.
     Urgent LinesDropped = "lines-dropped" { dropped: u64, event_kind: Word, }
     /// A caller's call was answered.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -33,6 +33,7 @@
 mod summary;
 mod vacate;
 mod vm_run;
+mod waiting;
 
 pub use event::{
     Action, Announcements, Answer, CommitResult, Event, Landed, Neighbour, Now, Summary, Urge,
@@ -239,5 +240,6 @@
             commit_age_ms: crate::note::Ms(self.log.age(self.now.steady)),
             vms_age_ms: crate::note::Ms(self.list_age()),
         }));
+        self.report_waiting();
     }
 }
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -422,6 +422,13 @@
         }
     }
 
+    /// Whether another shard, as it was last heard of, has a VM with room for a task of the step.
+    pub(super) fn fits_elsewhere(&self, job: JobId, step: &Step) -> bool {
+        let Some(job) = self.jobs.get(&job) else { return false };
+        let mut others = self.loans.neighbours.values();
+        others.any(|other| reserved_room(&other.summary, step, &job.job.service) > 0.0)
+    }
+
     /// Lends waiting tasks that find no room here to shards that have some.
     pub(super) fn lend(&mut self, waiting: &[TaskRef]) {
         let now = self.now.steady;
