Give borrowed tasks back that wait when their shard's owner is replaced

Cause: a task lent to another shard is given back after it has waited for 1.5 s there. Since when it waits isn't durable, and the next owner took a task without that time for one that doesn't wait. lasting-waits showed it: five tasks in one shard, oldest_ms=0 and fit_elsewhere=5, from 44 to 57 s, after six takeovers.

Mend: what a new owner finds waiting waits since the takeover. The same time is the one by which lending and the log count.

Test: a_borrowed_task_without_room_is_given_back_by_the_next_owner, failed before.

--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -173,7 +173,7 @@
         run.durable = Some(progress.state);
         run.begun = progress.begun;
         run.home = progress.home.as_deref().map(Arc::from);
-        run.open = progress.open.iter().map(|o| Occurrence::recovered(o, progress)).collect();
+        run.open = progress.open.iter().map(|o| Occurrence::recovered(o, progress, now)).collect();
         let begun = |task: &Task| task.last_run > RunNumber(0);
         if run.tasks().any(begun) || progress.state != ShownState::Queued {
             run.started = Started::Yes;
@@ -323,9 +323,9 @@
 }
 
 impl Occurrence {
-    fn recovered(occurrence: &OccurrenceProgress, whole: &Progress) -> Self {
+    fn recovered(occurrence: &OccurrenceProgress, whole: &Progress, now: Duration) -> Self {
         let steps = occurrence.steps.iter().map(|tasks| StepRun {
-            tasks: tasks.iter().map(|t| Task::recovered(t, whole)).collect(),
+            tasks: tasks.iter().map(|t| Task::recovered(t, whole, now)).collect(),
             ready: None,
             load: None,
             permits: StepPermits::default(),
@@ -372,7 +372,7 @@
 }
 
 impl Task {
-    fn recovered(progress: &TaskProgress, whole: &Progress) -> Self {
+    fn recovered(progress: &TaskProgress, whole: &Progress, now: Duration) -> Self {
         let place = |b: &Binding| {
             let vm = whole.vms.get(usize::from(b.vm))?;
             Some(Place { vm: vm.id.clone(), addr: vm.addr.clone(), run: b.run })
@@ -381,7 +381,7 @@
             let to = Arc::from(whole.shards.get(usize::from(lent.shard))?.as_str());
             Some(Lent { to, loan: lent.loan, known: LoanKnown::Nothing })
         };
-        Self {
+        let mut task = Self {
             phase: progress.state,
             last_run: progress.last_run,
             failed: progress.failed,
@@ -391,7 +391,10 @@
             away_since: None,
             lent: progress.lent.and_then(lent),
             loan: progress.loan,
-        }
+        };
+        // Without it a borrowed task that waits would never be given back.
+        task.away_since = task.is_waiting().then_some(now);
+        task
     }
 
     fn progress(&self, tables: &mut Tables) -> TaskProgress {
--- /dev/null
+++ b/tests/shards/loans.rs
@@ -0,0 +1,42 @@
+//! Tasks that another shard runs, and what becomes of them there.
+
+use crate::faults::Sound;
+use crate::jobs::{chain, work};
+use crate::witness::check;
+use crate::world::World;
+use indexmap::IndexMap;
+use std::time::Duration;
+use waxwingstall::units::Resources;
+
+const SIZE: Resources = Resources::new(8000, 8000, 0);
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+// A caller's lasting task stands still for good, though the shard that accepted it has room. It was lent
+// to another shard, whose VM leaves; as it waits there for room, that shard's owner is replaced. A
+// borrower gives back what has waited for 1.5 s, but the next owner didn't know since when it waits: in the
+// log `lasting-waits` told of five tasks with `oldest_ms=0` and `fit_elsewhere=5` for the last 12 s of a
+// day. What is found waiting waits since the takeover.
+#[test]
+fn a_borrowed_task_without_room_is_given_back_by_the_next_owner() {
+    let mut world = World::new(Sound, &["kacyiru", "remera"], 1, SIZE);
+    let full = chain(1, 1, 4, work(0, 2));
+    let lent = chain(2, 1, 1, work(0, 2));
+    world.submit("kacyiru", full.clone());
+    world.run_for(seconds(1));
+    world.submit("kacyiru", lent.clone());
+    world.run_for(seconds(3));
+    assert_eq!(world.runs_on(1), 1, "the task was lent");
+    world.leave_vm(1, seconds(60));
+    while world.runs_on(1) > 0 {
+        world.run_for(Duration::from_millis(100));
+    }
+    world.run_for(Duration::from_millis(300));
+    world.replace_owner("remera");
+    world.cancel("kacyiru", full.id);
+    world.run_for(seconds(5));
+    assert_eq!(world.runs_on(0), 1, "it isn't given back");
+    check(&mut world, &IndexMap::from([(full.id, full), (lent.id, lent)]), SIZE);
+}
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod jobs;
 mod lists;
+mod loans;
 mod order;
 mod permits;
 mod random;
