Keep a VM for a lasting task only if its memory can come free, too

Cause: the VM that is kept for a waiting lasting task is the one with the most free processors on which it would fit by processors. A VM whose memory lasting work holds for good has free processors for ever, and so was kept at each pass. lasting-waits showed it: one shard with 25 tasks that wait, the least for 5,450 thousandths of a core, and largest_free_milli_cores=8000 in each line from 22 to 39 s; with the memory logged, largest_free_mib=608 there, largest_leftover_mib=0, least_mib=8,864.

Mend: a VM is kept only if the task will fit, by all sizes, once what doesn't last there has ended. lasting-waits now tells of memory, of VMs that take no work, and for how many tasks some VM would have room then (fit_later); task-bound tells the size.

It doesn't mend the entry: fit_later is 0 for most that wait, so that for them lasting work itself is in the way, in pieces.

Test: a_lasting_task_does_not_wait_for_a_vm_whose_memory_is_taken_for_good, failed before.

--- a/src/note.rs
+++ b/src/note.rs
@@ -168,7 +168,7 @@
     /// It didn't say.
     Urgent PermitsUnanswered = "permits-unanswered" { job: JobId, step: u16, asked: usize, reason: String, }
     /// A run was bound to a VM.
-    Routine TaskBound = "task-bound" { task: TaskRef, run: RunNumber, vm: VmId, ready_ms: Ms, free_cores: u64, neighbours: usize, }
+    Routine TaskBound = "task-bound" { task: TaskRef, run: RunNumber, vm: VmId, milli_cores: u32, ready_ms: Ms, free_cores: u64, neighbours: usize, }
     /// A VM confirmed a start.
     Routine TaskStarted = "task-started" { task: TaskRef, run: RunNumber, vm: VmId, sends: u32, }
     /// A start failed.
@@ -220,7 +220,7 @@
     /// The state of a shard, now and then.
     Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Ms, vms_age_ms: Ms, }
     /// Lasting tasks wait for room; for how many a VM has some, here or in another shard.
-    Telling LastingWaits = "lasting-waits" { shard: String, tasks: usize, oldest_ms: Ms, fit_here: usize, fit_elsewhere: usize, wanted_cores: u32, largest_free_cores: u32, }
+    Telling LastingWaits = "lasting-waits" { shard: String, tasks: usize, oldest_ms: Ms, fit_here: usize, fit_elsewhere: usize, fit_later: usize, least_milli_cores: u32, most_milli_cores: u32, least_mib: u32, largest_free_milli_cores: u32, largest_free_mib: u32, largest_leftover_mib: u32, closed_vms: usize, closed_free_milli_cores: u32, }
     /// Lines of one event that were left out since the last such line.
     Urgent LinesDropped = "lines-dropped" { dropped: u64, event_kind: Word, }
     /// A caller's call was answered.
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -176,7 +176,7 @@
                     break;
                 }
                 let Some(choice) = self.choose(*task, step, need, &shape, &pass.rooms) else {
-                    hold_for(step, &shape, &mut pass.rooms);
+                    hold_for(*task, step, &shape, &mut pass.rooms);
                     pass.hopeless.push(shape.clone());
                     break;
                 };
@@ -309,7 +309,16 @@
         let (ready_ms, neighbours) = (Ms(now.saturating_sub(ready)), room.tasks());
         room.take(step, self.image(task), task.of_step(), &self.effects);
         let free_cores = u64::from(room.free.milli_cores.0 / 1000);
-        self.note(Note::TaskBound { task, run, vm: vm_id, ready_ms, free_cores, neighbours });
+        let milli_cores = step.size.milli_cores.0;
+        self.note(Note::TaskBound {
+            task,
+            run,
+            vm: vm_id,
+            milli_cores,
+            ready_ms,
+            free_cores,
+            neighbours,
+        });
     }
 }
 
@@ -342,13 +351,14 @@
 }
 
 /// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
-/// than a short one, and would wait as long as any of those comes.
-fn hold_for(step: &Step, shape: &Shape, rooms: &mut [Room]) {
+/// than a short one, and would wait as long as any of those comes. Memory counts as well: a VM without
+/// any, which is taken for good, was kept for its free processors, and the task waited in vain.
+fn hold_for(task: TaskRef, step: &Step, shape: &Shape, rooms: &mut [Room]) {
     if step.life != Life::Lasting || step.share != Share::Reserved {
         return;
     }
     let fits = |room: &&mut Room| {
-        room.lasting_with(step) <= 1.0 && !room.held && room.service == shape.service
+        room.could_take(step, task.of_step()) && !room.held && room.service == shape.service
     };
     let best = rooms.iter_mut().filter(fits).max_by_key(|room| room.free.milli_cores);
     if let Some(room) = best {
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -43,6 +43,8 @@
     /// Processors reserved for lasting tasks, as a share of all.
     pub lasting: f64,
     size: f64,
+    /// What is there for tasks that don't last.
+    passing: Resources,
     /// Steps of the tasks there, to count those of one step.
     steps: Vec<StepRef>,
 }
@@ -95,6 +97,9 @@
                 continue;
             };
             let image = self.image(key.task);
+            if step.life == Life::Lasting {
+                room.passing = room.passing.saturating_sub(&run.reserved);
+            }
             if step.life == Life::Lasting && step.share == Share::Reserved {
                 lasting += f64::from(run.milli_cores) / room.size;
             }
@@ -177,6 +182,7 @@
             served: Vec::new(),
             lasting: 0.0,
             size: cores.max(1.0),
+            passing: size,
             steps: Vec::new(),
         }
     }
@@ -187,6 +193,12 @@
             && (step.per_vm == 0 || self.count(key) < step.per_vm as usize)
     }
 
+    /// Whether a task of the step will fit once everything that doesn't last has ended.
+    pub fn could_take(&self, step: &Step, key: StepRef) -> bool {
+        step.reserved().fits_in(&self.passing)
+            && (step.per_vm == 0 || self.count(key) < step.per_vm as usize)
+    }
+
     /// Tasks of a step that fit.
     pub fn fitting(&self, step: &Step) -> usize {
         let need = step.reserved();
@@ -207,6 +219,9 @@
     /// Takes room for a task.
     pub fn take(&mut self, step: &Step, image: ImageIx, key: StepRef, effects: &Effects) {
         self.free = self.free.saturating_sub(&step.reserved());
+        if step.life == Life::Lasting {
+            self.passing = self.passing.saturating_sub(&step.reserved());
+        }
         let share = f64::from(step.size.milli_cores.0) / self.size;
         if step.share == Share::Leftover {
             self.leftover_demand += f64::from(step.size.milli_cores.0);
--- a/src/shard/waiting.rs
+++ b/src/shard/waiting.rs
@@ -3,8 +3,10 @@
 use super::Shard;
 use super::order::waiting;
 use super::room::Room;
+use super::vm_run::Vm;
 use crate::job::{Life, Share, Step, TaskRef};
 use crate::note::{Ms, Note};
+use crate::units::Resources;
 use std::time::Duration;
 
 /// Tasks of one kind that wait, and where a VM has room for them.
@@ -14,6 +16,9 @@
     oldest: Duration,
     fit_here: usize,
     fit_elsewhere: usize,
+    fit_later: usize,
+    least_wanted: Option<u32>,
+    least_mib: Option<u32>,
     most_wanted: u32,
 }
 
@@ -25,15 +30,27 @@
         if tally.tasks == 0 {
             return;
         }
-        let largest = rooms.iter().map(|room| room.free.milli_cores.0).max();
+        let closed = self.vms.values().filter(|vm| vm.leaving.is_none() && self.room(vm).is_none());
+        let closed: Vec<u32> = closed.map(|vm| vm.free().milli_cores.0).collect();
+        let largest = rooms.iter().max_by_key(|room| room.free.milli_cores);
+        let free = largest.map_or(Resources::ZERO, |room| room.free);
+        let on_largest = largest.and_then(|room| self.vms.get(&room.vm));
+        let leftover = on_largest.map_or(Resources::ZERO, leftover_on);
         self.note(Note::LastingWaits {
             shard: self.name.clone(),
             tasks: tally.tasks,
             oldest_ms: Ms(tally.oldest),
             fit_here: tally.fit_here,
             fit_elsewhere: tally.fit_elsewhere,
-            wanted_cores: tally.most_wanted / 1000,
-            largest_free_cores: largest.unwrap_or(0) / 1000,
+            fit_later: tally.fit_later,
+            least_milli_cores: tally.least_wanted.unwrap_or(0),
+            most_milli_cores: tally.most_wanted,
+            least_mib: tally.least_mib.unwrap_or(0),
+            largest_free_milli_cores: free.milli_cores.0,
+            largest_free_mib: free.memory_mib.0,
+            largest_leftover_mib: leftover.memory_mib.0,
+            closed_vms: closed.len(),
+            closed_free_milli_cores: closed.into_iter().max().unwrap_or(0),
         });
     }
 
@@ -62,12 +79,26 @@
         let waited = since.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at));
         tally.tasks += 1;
         tally.oldest = tally.oldest.max(waited);
+        let least = tally.least_wanted.unwrap_or(u32::MAX);
+        tally.least_wanted = Some(least.min(step.size.milli_cores.0));
+        let least = tally.least_mib.unwrap_or(u32::MAX);
+        tally.least_mib = Some(least.min(step.size.memory_mib.0));
         tally.most_wanted = tally.most_wanted.max(step.size.milli_cores.0);
         let here = |room: &Room| room.takes(step, task.of_step()) && self.has_label(&room.vm, step);
+        let later =
+            |room: &Room| room.could_take(step, task.of_step()) && self.has_label(&room.vm, step);
         if rooms.iter().any(here) {
             tally.fit_here += 1;
         } else if self.fits_elsewhere(task.job, step) {
             tally.fit_elsewhere += 1;
+        } else if rooms.iter().any(later) {
+            tally.fit_later += 1;
         }
     }
 }
+
+/// What leftover work takes on a VM.
+fn leftover_on(vm: &Vm) -> Resources {
+    let runs = vm.runs.values().filter(|run| run.share == Share::Leftover);
+    runs.fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.reserved))
+}
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -1,6 +1,7 @@
 //! Shards on VMs and a store that fail.
 
 mod faults;
+mod hold;
 mod jobs;
 mod lists;
 mod loans;
