Turn lasting jobs away that would take the room of short work

Mend: a shard refuses a job that would bring its lasting tasks over 0.86, unless it has none; when the one with most room refuses, the caller is told at once that nothing runs and to come back in 2 s. Short work keeps room, and accepted lasting work finds a place when VMs go.

Trials, not kept: harm weighted by how long a step has suffered; own load of a service believed up to its target only.

--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -1,8 +1,10 @@
-use super::{Answer, Call, Calls, Reply};
+use super::{Answer, Call, Calls, Need, Refused, Reply, Sent};
 use crate::clock::{Clock, SystemClock};
 use crate::cluster::{Hello, Member, MemberStage};
 use crate::ids::{DaemonId, DomainId, ServiceName};
-use crate::job::{Job, JobId, QueueName, Repeat, ShownState};
+use crate::job::{
+    Copies, Job, JobId, Life, Members, QueueName, Repeat, Resume, Share, ShownState, Step,
+};
 use crate::jobs::control::Control;
 use crate::jobs::links::{JobsRpc, Links};
 use crate::jobs::records::{FindJob, Found};
@@ -11,7 +13,8 @@
 use crate::note::Weight;
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::shard::loan::LoanMsg;
-use crate::shard::{Lapse, Settings};
+use crate::shard::{Lapse, Settings, Summary, Urge};
+use crate::units::Resources;
 use crate::vm::Fence;
 use actix::prelude::*;
 use futures::StreamExt;
@@ -197,3 +200,40 @@
     let answer = answered(calls.show(JOB, LIMIT)).await;
     assert_eq!(answer, Answer::Shown(ShownState::Done));
 }
+
+/// A job of one lasting task of two cores.
+fn lasting() -> Job {
+    let step = Step {
+        tasks: 1,
+        size: Resources::new(2000, 2000, 0),
+        estimate: Duration::ZERO,
+        after: Vec::new(),
+        resume: Resume::FromStart,
+        members: Members::Alone,
+        copies: Copies::One,
+        life: Life::Lasting,
+        share: Share::Reserved,
+        label: None,
+        rack: None,
+        per_vm: 0,
+        image: None,
+        tail_target: None,
+        max_away: None,
+    };
+    Job { steps: vec![step], ..job() }
+}
+
+// A caller hands in a lasting job while no shard has room for more of them. The one with most room is
+// asked and refuses; asking hundreds of others in turn would take the whole time of the call.
+#[test]
+fn shards_without_room_for_lasting_work_are_not_asked_one_by_one() {
+    let job = lasting();
+    let full = Summary { capacity: 8000, lasting: 7000, vms: 1, ..Summary::default() };
+    let cost = |refused: &Refused| {
+        Need::of(&job, refused).cost(SHARD, &full, &Sent::default(), Urge::Always)
+    };
+    assert!(cost(&Refused::default()).is_some());
+    let mut refused = Refused::default();
+    refused.add("kacyiru/1".to_owned(), Urge::Always);
+    assert_eq!(cost(&refused), None);
+}
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -2,6 +2,7 @@
 
 use super::event::{Action, Answer, CommitResult, Landed, Urge};
 use super::job_run::{Effect, JobRun, RecordState, Started};
+use super::place::{LASTING_LIMIT, LASTING_SHARE};
 use super::settings::STALLED_COMMIT;
 use super::vm_run::RunKey;
 use super::{Closed, Shard, Stage};
@@ -18,6 +19,11 @@
 /// When to come back while the store is away; outages last for seconds.
 const RETRY_OUTAGE: Duration = Duration::from_millis(1500);
 
+/// Answer of a shard that takes no more lasting tasks from anybody. Room comes back as other jobs are
+/// cancelled, which takes seconds.
+const NO_MORE: (&str, Duration) =
+    ("lasting tasks have all the room that they may take", Duration::from_secs(2));
+
 /// Answer of a shard that has little room for a job's lasting tasks.
 const FULL: (&str, Duration) = ("other shards have more room", Duration::ZERO);
 
@@ -39,8 +45,7 @@
             self.log.touch(id);
             return;
         }
-        let full = (urge == Urge::IfRoom && self.is_full_for(&job)).then_some(FULL);
-        if let Some((reason, retry_after)) = self.refusal().or(full) {
+        if let Some((reason, retry_after)) = self.refusal().or_else(|| self.is_full(&job, urge)) {
             let note = Note::JobRefused {
                 job: id,
                 queue: job.queue.clone(),
@@ -69,15 +74,21 @@
         None
     }
 
-    /// Whether a job's lasting tasks would take what is kept for work that must start at once.
-    fn is_full_for(&self, job: &Job) -> bool {
+    /// The refusal of a job whose lasting tasks would take what is kept for work that must start at once.
+    /// A shard that has none takes any: the job may be larger than the share of each.
+    fn is_full(&self, job: &Job, urge: Urge) -> Option<(&'static str, Duration)> {
         let lasting = lasting_cores(job);
         if lasting == 0 {
-            return false;
+            return None;
         }
+        let (share, answer) = match urge {
+            Urge::IfRoom => (LASTING_SHARE, FULL),
+            Urge::Always => (LASTING_LIMIT, NO_MORE),
+        };
         let summary = self.summary();
-        let limit = summary.capacity as f64 * super::place::LASTING_SHARE;
-        (summary.lasting + lasting) as f64 > limit
+        let over = (summary.lasting + lasting) as f64 > summary.capacity as f64 * share;
+        let alone = urge == Urge::Always && summary.lasting == 0;
+        (over && !alone).then_some(answer)
     }
 
     pub(super) fn cancel(&mut self, ticket: Ticket, id: JobId) {
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod hold;
 mod jobs;
+mod limits;
 mod lists;
 mod loans;
 mod order;
