Decide nothing about ends before the queues are known

Without queues attempts count as unlimited.

Mend: until the queues are known, a shard places nothing and leaves listed ends with the VMs, which repeat them. Looks and extensions go on, so that work outlives it.

Ruled out: the end acknowledged before it was durable (the VM listed it to the next owner).

Test: an_owner_that_has_not_read_the_queues_starts_nothing_again, failed before.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -171,7 +171,7 @@
         if self.stage == Stage::Serving {
             self.empty_leaving();
             self.empty_vacating();
-            if self.knows_who_leaves() {
+            if self.knows_who_leaves() && self.is_configured() {
                 self.schedule();
             }
             self.tell_loans();
@@ -194,6 +194,13 @@
         }
     }
 
+    /// Whether the queues are known. An owner that starts beside an outage of the store may have the shard
+    /// before it has read them: a task that had used up its attempts was started again, since of a queue that
+    /// isn't known neither are those.
+    fn is_configured(&self) -> bool {
+        self.queues.version > 0
+    }
+
     /// The queue of a job, as configured now; jobs outlive their queue.
     fn queue(&self, job: &JobRun) -> Option<&Queue> {
         self.queues.queues.get(&job.job.queue)
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -5,7 +5,7 @@
 use super::finish::End;
 use super::interference::Beside;
 use super::own_load::OwnLoad;
-use super::settings::{LOOK_RETRY, SILENT_AFTER};
+use super::settings::{LOOK_RETRY, SILENT_AFTER, UNFORGOTTEN_LOOK};
 use super::vm_run::{Looking, Run, RunKey, Silent, Stage, Unanswered, Vm};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
@@ -64,8 +64,12 @@
                     self.replan();
                 }
                 self.take_news(id, sent, resp);
+                let configured = self.is_configured();
                 if let Some(vm) = self.vms.get_mut(id) {
                     vm.plan_look(now);
+                    if !configured {
+                        vm.contact.next_look = now + UNFORGOTTEN_LOOK;
+                    }
                 }
             }
             Err(vm::Error::OtherLife) => self.vm_gone(id, "another life at its address"),
@@ -196,6 +200,10 @@
     }
 
     fn seen_ended(&mut self, id: &VmId, row: EndedRun) {
+        if !self.is_configured() {
+            // What follows from it isn't known; the VM tells it again until it may forget it.
+            return;
+        }
         let key = RunKey { task: row.task, run: row.run };
         let known = self.knows(row.task);
         let Some(vm) = self.vms.get_mut(id) else { return };
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -9,6 +9,7 @@
 use waxwingstall::job::{Job, JobId, ShownState};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
+use waxwingstall_standin::runs::{Seen, Work};
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
 
@@ -253,3 +254,31 @@
     assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Done)));
     check(&mut world, &known(&[job]), SIZE);
 }
+
+// A caller's task fails for the third and last time as its shard's owner is replaced. The next owner has the
+// shard a moment before it has read the queues, as after an outage of the store; it heard of the end
+// (`task-failed ... attempts=4294967295` in its log), took the attempts for unlimited, and started the task
+// a fourth time. It waits for the queues before it decides what an end means.
+#[test]
+fn an_owner_that_has_not_read_the_queues_starts_nothing_again() {
+    let mut world = world(2);
+    let failing = Work { fails: 9, ..work(800, 2) };
+    let job = chain(1, 1, 1, failing);
+    world.submit("kacyiru", job.clone());
+    while started(&world) < 3 {
+        world.run_for(Duration::from_millis(20));
+    }
+    world.replace_owner_unconfigured("kacyiru");
+    world.run_for(seconds(3));
+    assert_eq!(started(&world), 3, "started again");
+    world.configure("kacyiru");
+    world.run_for(seconds(1));
+    assert_eq!(started(&world), 3, "started again");
+    assert_eq!(world.show("kacyiru", job.id), Some(Answer::Shown(ShownState::Failed)));
+}
+
+/// Runs that were started on any VM.
+fn started(world: &World<Sound>) -> usize {
+    let seen = world.vms.iter().flat_map(|vm| &vm.table.seen);
+    seen.filter(|seen| matches!(seen, Seen::Started { .. })).count()
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -245,6 +245,18 @@
         self.claim(shard, Previous::Ended);
     }
 
+    /// The shard's owner ends without a word, and another takes over that hasn't read the queues yet.
+    pub fn replace_owner_unconfigured(&mut self, shard: &str) {
+        let known = std::mem::take(&mut self.queues);
+        self.replace_owner(shard);
+        self.queues = known;
+    }
+
+    /// The shard's owner reads the queues.
+    pub fn configure(&mut self, shard: &str) {
+        self.call(shard, Event::Queues(self.queues.clone()));
+    }
+
     /// The shard's owner gives it away as planned.
     pub fn hand_over(&mut self, shard: &str) {
         let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
