Turn calls away where the configuration can't be confirmed in time

What callers saw: calls handled by a configuration of seconds or minutes ago, on daemons that called themselves ready all the while. The cause of the incident made it last, but any other reason for which the configuration doesn't come in had the same end.

Cause: readiness counted the store as in reach if any call reached it, from any daemon, and nothing asked how long ago the store had confirmed the version in force.

Fix: the follower tells the time for which the store surely confirmed the version: that of asking, and of the whole wait where nothing had changed; after a change it asks again at once, since a large answer says nothing of what was written while it came in. Where the store doesn't answer and nobody is heard to have a newer version, the domain is cut off and goes on as before. A configuration that can't be read confirms nothing.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -12,6 +12,7 @@
 
 pub mod calls;
 pub mod claim;
+pub mod confirmed;
 pub mod control;
 pub mod daemon;
 pub mod follow;
@@ -79,6 +80,9 @@
     /// Prefix of what operators write.
     fn operator_prefix(&self) -> &str;
 
+    /// Key of the configuration, among what operators write.
+    fn config_key(&self) -> &str;
+
     /// Reads what an operator wrote.
     fn read_operators(&self, item: &Item) -> Result<Written, Unreadable>;
 
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -78,8 +78,9 @@
     }
     let me = member("one", SocketAddr::from(([127, 0, 0, 1], 1)));
     let (control_clock, known) = (clock.clone(), directory.clone());
-    let control =
-        Control::new(me, Settings::default(), control_clock, journal, publish, known).start();
+    let (settings, in_force) = (Settings::default(), Duration::from_secs(2));
+    let control = Control::new(me, settings, in_force, control_clock, journal, publish, known);
+    let control = control.start();
     let (_, fixed) = watch::channel(Arc::new(shown));
     drop(view);
     let links = Links::new(control.clone()).start();
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -15,6 +15,7 @@
 };
 
 use super::calls::Reply;
+use super::confirmed::Confirmed;
 use super::links::{AskThrough, Links, Tell};
 use super::machines::Upkeep;
 use super::orders::{AskHere, Order};
@@ -123,7 +124,7 @@
     hosted: IndexMap<String, Hosted>,
     others: IndexMap<String, ShardView>,
     queues: Option<Arc<Queues>>,
-    config_confirmed: Duration,
+    confirmed: Confirmed,
     /// Whether it was logged that the configuration isn't confirmed.
     config_unconfirmed: bool,
     fleet: Vec<VmEntry>,
@@ -149,10 +150,11 @@
 }
 
 impl Control {
-    /// A duty that owns nothing.
+    /// A duty that owns nothing; a configuration may take `config_in_force` to be in force everywhere.
     pub fn new(
         me: Member,
         settings: shard::Settings,
+        config_in_force: Duration,
         clock: Arc<dyn Clock>,
         journal: Journal,
         view: watch::Sender<Arc<View>>,
@@ -168,7 +170,7 @@
             hosted: IndexMap::new(),
             others: IndexMap::new(),
             queues: None,
-            config_confirmed: now,
+            confirmed: Confirmed::new(now, config_in_force),
             config_unconfirmed: false,
             fleet: Vec::new(),
             shapes: Arc::default(),
@@ -332,7 +334,6 @@
                 self.summarize();
                 self.tell_neighbours(cx);
             }
-            self.watch_config(now.steady);
             self.publish(now.steady);
         }
         if let Some(rings) = &mut self.rings {
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -3,6 +3,7 @@
 use super::{Control, Hosted};
 use crate::clock::Clock;
 use crate::cluster::{Hello, MemberStage, ShardNews};
+use crate::jobs::confirmed::Standing;
 use crate::jobs::links::SayHello;
 use crate::jobs::view::{Owner, Readiness, ShardView, View};
 use crate::note::Note;
@@ -22,10 +23,6 @@
 /// Between two tellings of what was learned of how images disturb each other: 2 KB with 45 pairs.
 pub(super) const LEARNED_EVERY: Duration = Duration::from_millis(1500);
 
-/// Age of the configuration's last confirmation up to which callers are taken: operators' changes
-/// must be in force within 2 s.
-pub(super) const CONFIG_FRESH: Duration = Duration::from_millis(1900);
-
 impl Control {
     /// Tells the shards here what is known of the others.
     pub(super) fn tell_neighbours(&mut self, cx: &mut Context<Self>) {
@@ -63,6 +60,7 @@
     }
 
     pub(super) fn publish(&mut self, now: Duration) {
+        self.watch_config(now);
         let mut shards = IndexMap::new();
         for name in self.ownership.shards() {
             let view = match self.hosted.get_mut(&name) {
@@ -86,6 +84,7 @@
         let queues = self.queues.clone();
         self.view.send_replace(Arc::new(View {
             queues,
+            confirmed: self.confirmed,
             shards,
             readiness,
             shapes: self.shapes.clone(),
@@ -114,10 +113,12 @@
         if self.queues.is_none() {
             return not("no configuration was read yet");
         }
-        if now.saturating_sub(self.config_confirmed) > CONFIG_FRESH
-            && !self.ownership.store_in_reach()
-        {
-            return not("the store can't be reached");
+        match self.confirmed.standing(now) {
+            Standing::Unconfirmed => return not("the configuration isn't confirmed"),
+            Standing::CutOff if !self.ownership.store_in_reach() => {
+                return not("the store can't be reached");
+            }
+            Standing::CutOff | Standing::Confirmed => {}
         }
         if !shards.values().any(|shard| shard.owner.is_some()) {
             return not("no shard has an owner");
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -1,11 +1,12 @@
 //! The shards that are owned here: how they come, what they hear of, and how they go.
 
-use super::publish::{CONFIG_FRESH, LEARNED_EVERY};
+use super::publish::LEARNED_EVERY;
 use super::{Control, Hosted};
 use crate::cluster::{self, HandOver, StoreReach};
 use crate::ids::Ticket;
 use crate::job::JobId;
 use crate::jobs::calls::Reply;
+use crate::jobs::confirmed::Standing;
 use crate::jobs::follow::ReadQueues;
 use crate::jobs::links::{Offer, Probe};
 use crate::jobs::records::{Claim, Confirm, Confirmation, Forget, ReadHeads};
@@ -197,45 +198,47 @@
     pub(super) fn take_queues(&mut self, read: ReadQueues, cx: &mut Context<Self>) {
         let ReadQueues { queues, bytes, decode } = read;
         let before = self.queues.as_ref().map_or(0, |queues| queues.version);
-        let now = self.now().steady;
-        let unconfirmed_ms = Ms(now.saturating_sub(self.config_confirmed));
-        self.confirm_config(now);
-        if queues.version > before {
-            self.journal.write(Note::ConfigInForce {
-                version: queues.version,
-                before,
-                queues: queues.queues.len(),
-                bytes,
-                decode_ms: Ms(decode),
-                unconfirmed_ms,
-            });
-            let queues = Arc::new(queues);
-            self.queues = Some(queues.clone());
-            self.tell_all(cx, &|| Event::Queues(queues.clone()));
-            self.publish(now);
+        if queues.version <= before {
+            return;
         }
+        let now = self.now().steady;
+        self.journal.write(Note::ConfigInForce {
+            version: queues.version,
+            before,
+            queues: queues.queues.len(),
+            bytes,
+            decode_ms: Ms(decode),
+            unconfirmed_ms: Ms(self.confirmed.age(now)),
+        });
+        let queues = Arc::new(queues);
+        self.queues = Some(queues.clone());
+        self.tell_all(cx, &|| Event::Queues(queues.clone()));
+        self.publish(now);
     }
 
     /// The store has confirmed the configuration in force.
     pub(super) fn confirm_config(&mut self, at: Duration) {
-        if std::mem::take(&mut self.config_unconfirmed) {
+        let now = self.now().steady;
+        let unconfirmed_ms = Ms(self.confirmed.age(now));
+        self.confirmed.confirm(at);
+        if self.config_unconfirmed && self.confirmed.standing(now) == Standing::Confirmed {
+            self.config_unconfirmed = false;
             let version = self.queues.as_ref().map_or(0, |queues| queues.version);
-            let unconfirmed_ms = Ms(at.saturating_sub(self.config_confirmed));
             self.journal.write(Note::ConfigConfirmed { version, unconfirmed_ms });
+            self.publish(now);
         }
-        self.config_confirmed = at;
     }
 
-    /// Logs once that the configuration in force may be out of date.
+    /// Finds out whether the configuration in force may be old, and logs it once.
     pub(super) fn watch_config(&mut self, now: Duration) {
         let Some(queues) = &self.queues else { return };
-        let unconfirmed = now.saturating_sub(self.config_confirmed);
-        if self.config_unconfirmed || unconfirmed <= CONFIG_FRESH {
+        let (version, newest) = (queues.version, self.ownership.newest_config());
+        self.confirmed.hear(self.store, version, newest);
+        if self.config_unconfirmed || self.confirmed.standing(now) == Standing::Confirmed {
             return;
         }
         self.config_unconfirmed = true;
-        let (version, newest) = (queues.version, self.ownership.newest_config());
-        let unconfirmed_ms = Ms(unconfirmed);
+        let unconfirmed_ms = Ms(self.confirmed.age(now));
         self.journal.write(Note::ConfigUnconfirmed { version, newest, unconfirmed_ms });
     }
 
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -74,7 +74,9 @@
     let journal = Journal::start(clock.clone(), Weight::Urgent, std::io::sink());
     let (publish, _) = watch::channel(Arc::new(View::default()));
     let settings = Settings::default();
-    let control = Control::new(me, settings, clock, journal, publish, Arc::default()).start();
+    let in_force = Duration::from_secs(2);
+    let control = Control::new(me, settings, in_force, clock, journal, publish, Arc::default());
+    let control = control.start();
     let others = Others.start();
     control.do_send(Connect(Rings {
         orders: Ring::new(others.clone(), WhenFull::Drop),
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -72,8 +72,9 @@
         let control = {
             let (me, clock, journal) = (me.clone(), clock.clone(), journal.clone());
             let (figures, directory) = (settings.shard(), directory.clone());
+            let in_force = Duration::from_millis(settings.bounds.config_in_force_ms);
             Control::start_in_arbiter(&arbiters[0].handle(), move |_| {
-                Control::new(me, figures, clock, journal, publish, directory)
+                Control::new(me, figures, in_force, clock, journal, publish, directory)
             })
         };
         let records = {
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -29,6 +29,9 @@
 /// a watch that has gone silent is noticed within this time.
 const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
 
+/// Waits of the watch that follows a change: no longer than the answer takes.
+const CONFIRM_WAIT: Duration = Duration::from_millis(1);
+
 /// Between two readings of the daemons' registrations.
 const MEMBERS_EVERY: Duration = Duration::from_millis(1000);
 
@@ -108,34 +111,66 @@
 
 async fn follow_operators<P: Platform>(from: &Sources<P>, failures: &mut Failures) -> Result<()> {
     let prefix = from.platform.operator_prefix();
+    let asked = from.store.clock().now();
     let (items, mut after) = read_all(&from.store, prefix, Freshness::Latest).await?;
-    items.iter().for_each(|item| take_operators(from, item));
+    let mut config = Config::Read;
+    items.iter().for_each(|item| take_operators(from, item, &mut config));
+    from.confirm(config, asked);
+    let mut wait = OPERATOR_WAIT;
     loop {
-        failures.read_at(from.store.clock().now());
-        let watch = Watch { prefix: prefix.to_owned(), after, wait: OPERATOR_WAIT };
+        let asked = from.store.clock().now();
+        failures.read_at(asked);
+        let watch = Watch { prefix: prefix.to_owned(), after, wait };
         let changes = from.store.call(|store| store.watch(&watch)).await?;
         after = changes.at.max(after);
         for change in &changes.changes {
             if let Change::Put(item) = change {
-                take_operators(from, item);
+                take_operators(from, item, &mut config);
             }
         }
-        let at = from.store.clock().now();
-        from.control.do_send(Stored::ConfigConfirmed { at });
+        if changes.changes.is_empty() {
+            from.confirm(config, asked + wait);
+            wait = OPERATOR_WAIT;
+        } else {
+            // It may have taken long to come in, and says nothing of what was written meanwhile.
+            from.confirm(config, asked);
+            wait = CONFIRM_WAIT;
+        }
     }
 }
 
-fn take_operators<P: Platform>(from: &Sources<P>, item: &Item) {
+/// Whether the newest configuration could be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Config {
+    Read,
+    Unreadable,
+}
+
+impl<P: Platform> Sources<P> {
+    fn confirm(&self, config: Config, at: Duration) {
+        if config == Config::Read {
+            self.control.do_send(Stored::ConfigConfirmed { at });
+        }
+    }
+}
+
+fn take_operators<P: Platform>(from: &Sources<P>, item: &Item, config: &mut Config) {
     let began = from.store.clock().now();
     match from.platform.read_operators(item) {
         Ok(Written::Queues(queues)) => {
+            *config = Config::Read;
             let decode = from.store.clock().now().saturating_sub(began);
             let read = ReadQueues { queues, bytes: item.value.len(), decode };
             from.control.do_send(Stored::Queues(Box::new(read)));
         }
         Ok(Written::Wave(wave)) => from.control.do_send(Stored::Wave(wave)),
         Ok(Written::Other) => {}
-        Err(e) => from.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e))),
+        Err(e) => {
+            if item.key == from.platform.config_key() {
+                *config = Config::Unreadable;
+            }
+            from.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e)));
+        }
     }
 }
 
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -96,6 +96,8 @@
     pub notice_ms: u64,
     pub harm_ms: u64,
     pub pace_ms: u64,
+    /// From the acknowledgement of a configuration until it is in force everywhere.
+    pub config_in_force_ms: u64,
     /// From the request to stop to the end of the process.
     pub grace_s: f64,
 }
--- a/src/jobs/view.rs
+++ b/src/jobs/view.rs
@@ -1,5 +1,6 @@
 //! What callers' calls need to know, as control last published it.
 
+use super::confirmed::Confirmed;
 use crate::cluster::Member;
 use crate::job::JobId;
 use crate::job::check::Shapes;
@@ -14,6 +15,8 @@
 pub struct View {
     /// The configuration in force; `None` until one was read from the store.
     pub queues: Option<Arc<Queues>>,
+    /// When it was last confirmed.
+    pub confirmed: Confirmed,
     pub shards: IndexMap<String, ShardView>,
     pub readiness: Readiness,
     /// What VMs can carry.
--- a/tests/followers.rs
+++ b/tests/followers.rs
@@ -201,6 +201,10 @@
         "op/"
     }
 
+    fn config_key(&self) -> &str {
+        "op/config"
+    }
+
     fn read_operators(&self, _: &Item) -> Result<Written, Unreadable> {
         Ok(Written::Other)
     }
