Read only the newest version where many were written since the last

What callers would see: a daemon on a slow link that falls ever further behind while an operator makes changes that follow each other closely, then turns calls away for it.

Cause: a watch tells each version that was written, whole. While one of a second comes in, three more are written; the next answer holds three, and takes three seconds, and so on, up to the limit on answers.

Fix: an answer that is larger than one version isn't read (its head tells its size); the range is read anew, which has the newest version alone.

The follower of operators' entries has a module of its own now, and the followers' tests a folder, their harness apart from the tests, unchanged.

--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{self, Head, Hello, Member, Plan, StoreReach};
 use crate::ids::{DaemonId, Ticket};
 use crate::jobs::calls::{Call, Reply};
-use crate::jobs::follow::ReadQueues;
+use crate::jobs::follow::operators::ReadQueues;
 use crate::jobs::view::ShardView;
 use crate::note::Note;
 use crate::shard::interference::Learned;
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -7,7 +7,7 @@
 use crate::job::JobId;
 use crate::jobs::calls::Reply;
 use crate::jobs::confirmed::Standing;
-use crate::jobs::follow::ReadQueues;
+use crate::jobs::follow::operators::ReadQueues;
 use crate::jobs::links::{Offer, Probe};
 use crate::jobs::records::{Claim, Confirm, Confirmation, Forget, ReadHeads};
 use crate::journal::Journal;
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -1,18 +1,16 @@
 //! Following what others write in the store: the configuration, the VMs, the daemons and the plan.
 
 pub mod fleet;
+pub mod operators;
 
+use super::Platform;
 use super::control::Stored;
-use super::records::{Watched, note_unreadable, retry_pause};
-use super::{Platform, Written};
+use super::records::{Watched, retry_pause};
 use crate::cluster::plan::PLAN_KEY;
 use crate::cluster::{Member, Plan};
 use crate::job::progress::{decode, encode};
-use crate::kv::{
-    Change, Condition, Error, Freshness, Item, Kv, LeaseId, More, Put, Result, Rev, Txn, Watch,
-};
+use crate::kv::{Condition, Error, Freshness, Item, Kv, LeaseId, More, Put, Result, Rev, Txn};
 use crate::note::{Ms, Note, Word};
-use crate::queues::Queues;
 use crate::vm::VmEntry;
 use actix::Recipient;
 use bytes::Bytes;
@@ -25,13 +23,6 @@
 /// Prefix of the daemons' registrations.
 const MEMBERS: &str = "daemon/";
 
-/// How long a watch of what operators write waits. Operators' changes must be in force within 2 s;
-/// a watch that has gone silent is noticed within this time.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
-
-/// Waits of the watch that follows a change: no longer than the answer takes.
-const CONFIRM_WAIT: Duration = Duration::from_millis(1);
-
 /// Between two readings of the daemons' registrations.
 const MEMBERS_EVERY: Duration = Duration::from_millis(1000);
 
@@ -45,6 +36,14 @@
     pub owning: Rc<Owning>,
 }
 
+/// How following changes ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Caught {
+    Up,
+    /// More is left than is worth reading: the range is shorter.
+    Behind,
+}
+
 /// Whether a daemon owns or claims a shard, and the news that it has claimed one.
 #[derive(Debug, Default)]
 pub struct Owning {
@@ -53,16 +52,6 @@
     pub claimed: Notify,
 }
 
-/// A configuration as it was read.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ReadQueues {
-    pub queues: Queues,
-    /// Size of the entry.
-    pub bytes: usize,
-    /// Time that decoding it took.
-    pub decode: Duration,
-}
-
 /// Readings that failed one after the other.
 struct Failures {
     what: Word,
@@ -98,82 +87,6 @@
     }
 }
 
-/// Follows what operators write.
-pub async fn operators<P: Platform>(from: Sources<P>) {
-    let mut failures = Failures::new("configuration", from.store.clock().now());
-    loop {
-        if let Err(e) = follow_operators(&from, &mut failures).await {
-            from.note_failure(&mut failures, &e);
-            tokio::time::sleep(retry_pause(&e)).await;
-        }
-    }
-}
-
-async fn follow_operators<P: Platform>(from: &Sources<P>, failures: &mut Failures) -> Result<()> {
-    let prefix = from.platform.operator_prefix();
-    let asked = from.store.clock().now();
-    let (items, mut after) = read_all(&from.store, prefix, Freshness::Latest).await?;
-    let mut config = Config::Read;
-    items.iter().for_each(|item| take_operators(from, item, &mut config));
-    from.confirm(config, asked);
-    let mut wait = OPERATOR_WAIT;
-    loop {
-        let asked = from.store.clock().now();
-        failures.read_at(asked);
-        let watch = Watch { prefix: prefix.to_owned(), after, wait };
-        let changes = from.store.call(|store| store.watch(&watch)).await?;
-        after = changes.at.max(after);
-        for change in &changes.changes {
-            if let Change::Put(item) = change {
-                take_operators(from, item, &mut config);
-            }
-        }
-        if changes.changes.is_empty() {
-            from.confirm(config, asked + wait);
-            wait = OPERATOR_WAIT;
-        } else {
-            // It may have taken long to come in, and says nothing of what was written meanwhile.
-            from.confirm(config, asked);
-            wait = CONFIRM_WAIT;
-        }
-    }
-}
-
-/// Whether the newest configuration could be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Config {
-    Read,
-    Unreadable,
-}
-
-impl<P: Platform> Sources<P> {
-    fn confirm(&self, config: Config, at: Duration) {
-        if config == Config::Read {
-            self.control.do_send(Stored::ConfigConfirmed { at });
-        }
-    }
-}
-
-fn take_operators<P: Platform>(from: &Sources<P>, item: &Item, config: &mut Config) {
-    let began = from.store.clock().now();
-    match from.platform.read_operators(item) {
-        Ok(Written::Queues(queues)) => {
-            *config = Config::Read;
-            let decode = from.store.clock().now().saturating_sub(began);
-            let read = ReadQueues { queues, bytes: item.value.len(), decode };
-            from.control.do_send(Stored::Queues(Box::new(read)));
-        }
-        Ok(Written::Wave(wave)) => from.control.do_send(Stored::Wave(wave)),
-        Ok(Written::Other) => {}
-        Err(e) => {
-            if item.key == from.platform.config_key() {
-                *config = Config::Unreadable;
-            }
-            from.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e)));
-        }
-    }
-}
-
 /// Reads the plan, and adds racks that it lacks.
 async fn extend_plan<P: Platform>(
     from: &Sources<P>,
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::{Failures, Sources, extend_plan, read_all};
+use super::{Caught, Failures, Sources, extend_plan, read_all};
 use crate::cluster::StoreReach;
 use crate::jobs::control::Stored;
 use crate::jobs::records::{note_unreadable, retry_pause};
@@ -132,14 +132,6 @@
     Known,
 }
 
-/// How reading on ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Caught {
-    Up,
-    /// More is left than the list is long.
-    Behind,
-}
-
 impl Fleet {
     /// Reads the whole list.
     async fn read<P: Platform>(&mut self, from: &Sources<P>, freshness: Freshness) -> Result<()> {
@@ -161,8 +153,7 @@
         let mut read = 0;
         loop {
             let (newest, asked) = (from.store.reach().newest(), from.store.clock().now());
-            let prefix = from.platform.fleet_prefix().to_owned();
-            let watch = Watch { prefix, after: self.after, wait: WATCH_WAIT };
+            let watch = Watch::new(from.platform.fleet_prefix(), self.after, WATCH_WAIT);
             let answer = from.store.call(|store| store.watch(&watch)).await?;
             self.after = self.after.max(answer.at);
             let changes = answer.changes.len();
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -207,7 +207,7 @@
     fn started(&mut self, cx: &mut Self::Context) {
         cx.set_mailbox_capacity(RING_CAPACITY);
         cx.run_interval(REACH_CHECK, |this, _| this.watch_reach());
-        actix::spawn(follow::operators(self.sources()));
+        actix::spawn(follow::operators::follow(self.sources()));
         actix::spawn(follow::fleet::follow(self.sources()));
         actix::spawn(follow::members(self.sources(), self.me.clone(), self.lease_ttl));
     }
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -26,8 +26,8 @@
     /// What was to be watched is no longer kept.
     #[error("the store's history doesn't reach back that far; read the range again")]
     HistoryGone,
-    /// There is an answer, larger than a client takes.
-    #[error("{reason}; split the value, or raise the limit on answers")]
+    /// There is an answer, larger than was asked for or than a client takes.
+    #[error("{reason}; ask for less, split the value, or raise the limit on answers")]
     TooLarge { reason: String },
     /// The call surely had no effect, now or later.
     #[error("the store refused the call ({reason}); try again in a moment")]
@@ -145,6 +145,20 @@
     pub prefix: String,
     pub after: Rev,
     pub wait: Duration,
+    /// Answers with more bytes aren't read: [`Error::TooLarge`].
+    pub most_bytes: usize,
+}
+
+impl Watch {
+    /// A watch that reads answers of any size.
+    pub fn new(prefix: &str, after: Rev, wait: Duration) -> Self {
+        Self { prefix: prefix.to_owned(), after, wait, most_bytes: usize::MAX }
+    }
+
+    /// The same for answers of at most so many bytes, as they are sent.
+    pub fn with_most_bytes(self, most_bytes: usize) -> Self {
+        Self { most_bytes, ..self }
+    }
 }
 
 /// What an answer tells of the store's revision.
--- a/tests/followers.rs
+++ b/tests/followers/world.rs
@@ -1,9 +1,8 @@
-//! What the duty of records tells control of the VMs, on a store that holds only so many changes in an
-//! answer; time is virtual.
+//! The duty of records on a store that takes time, with a listener in control's place; time is virtual.
 
 use actix::prelude::*;
 use bytes::Bytes;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,10 +13,13 @@
 use waxwingstall::cluster::{Member, MemberStage, Replaced};
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::jobs::control::Stored;
-use waxwingstall::jobs::records::{Claim, Forget, Records};
+use waxwingstall::jobs::records::{Claim, Records};
 use waxwingstall::jobs::{Platform, Unreadable, Written};
-use waxwingstall::kv::{self, Changes, Freshness, Item, Kv, LeaseId, Page, Put, Rev, Txn, Watch};
+use waxwingstall::kv::{
+    self, Change, Changes, Freshness, Item, Kv, LeaseId, Page, Put, Rev, Txn, Watch,
+};
 use waxwingstall::permit::{self, PermitPort, PermitReq, PermitResp};
+use waxwingstall::queues::Queues;
 use waxwingstall::shard::{Announcements, Previous};
 use waxwingstall::units::Resources;
 use waxwingstall::upkeep::{self, Machine, MachinePort, UpkeepReq, WaveState};
@@ -26,14 +28,10 @@
 };
 use waxwingstall_standin::fakes::FakeStore;
 use waxwingstall_standin::troubled::Troubled;
-use waxwingstall_standin::txns::{ANSWER_CHANGES, TxnTable};
+use waxwingstall_standin::txns::TxnTable;
 
 /// Time that the store takes for a call.
-const CALL: Duration = Duration::from_millis(4);
-
-/// Time from a VM's announcement until owners know of it. Nothing may be started on a VM 2 s after it
-/// said that it leaves, and half of that is left to the start itself.
-const HEARD_WITHIN: Duration = Duration::from_secs(1);
+pub const CALL: Duration = Duration::from_millis(4);
 
 /// The runtime's time, which tests let pass.
 struct VirtualClock {
@@ -52,15 +50,24 @@
 
 /// The store, which takes time.
 #[derive(Clone)]
-struct SlowStore {
+pub struct SlowStore {
     store: FakeStore,
     /// Time that it takes for a call.
     call: Duration,
+    /// Bytes of its answers that come in in a second, if that is bounded.
+    link: Option<u32>,
     /// Whether it turns away calls about the plan.
     no_plan: Arc<AtomicBool>,
 }
 
 impl SlowStore {
+    /// Lets values come in.
+    async fn carry(&self, bytes: usize) {
+        if let Some(link) = self.link {
+            tokio::time::sleep(Duration::from_secs_f64(wire(bytes) as f64 / f64::from(link))).await;
+        }
+    }
+
     fn allows(&self, key: &str) -> kv::Result<()> {
         if key == PLAN_KEY && self.no_plan.load(Ordering::Relaxed) {
             return Err(kv::Error::Refused { reason: "too many calls".to_owned() });
@@ -78,7 +85,9 @@
 
     async fn range(&self, prefix: &str, after: Option<&str>, of: Freshness) -> kv::Result<Page> {
         tokio::time::sleep(self.call).await;
-        self.store.range(prefix, after, of).await
+        let page = self.store.range(prefix, after, of).await?;
+        self.carry(page.items.iter().map(|item| item.value.len()).sum()).await;
+        Ok(page)
     }
 
     async fn watch(&self, watch: &Watch) -> kv::Result<Changes> {
@@ -87,6 +96,11 @@
         loop {
             let changes = self.store.watch(watch).await?;
             if !changes.changes.is_empty() || Instant::now() >= until {
+                let size = changes.changes.iter().map(size).sum();
+                if wire(size) > watch.most_bytes {
+                    return Err(kv::Error::TooLarge { reason: format!("{size} bytes") });
+                }
+                self.carry(size).await;
                 return Ok(changes);
             }
             tokio::time::sleep(self.call).await;
@@ -114,9 +128,21 @@
     }
 }
 
+/// Size of values as they are sent, in base64.
+fn wire(bytes: usize) -> usize {
+    bytes.div_ceil(3) * 4
+}
+
+fn size(change: &Change) -> usize {
+    match change {
+        Change::Put(item) => item.value.len(),
+        Change::Deleted { .. } => 0,
+    }
+}
+
 /// VMs, permits and machines: these tests call none.
 #[derive(Clone)]
-struct Nobody;
+pub struct Nobody;
 
 impl VmPort for Nobody {
     async fn look(&self, _: &VmAddr, _: LookReq) -> vm::Result<LookResp> {
@@ -154,7 +180,7 @@
 
 /// A platform of which only the store is there.
 #[derive(Clone)]
-struct StorePlatform(SlowStore);
+pub struct StorePlatform(SlowStore);
 
 impl Platform for StorePlatform {
     type Store = SlowStore;
@@ -205,8 +231,13 @@
         "op/config"
     }
 
-    fn read_operators(&self, _: &Item) -> Result<Written, Unreadable> {
-        Ok(Written::Other)
+    fn read_operators(&self, item: &Item) -> Result<Written, Unreadable> {
+        let text = str::from_utf8(&item.value).unwrap_or_default();
+        let version = text
+            .trim()
+            .parse()
+            .map_err(|_| Unreadable { key: item.key.clone(), reason: "no version".to_owned() })?;
+        Ok(Written::Queues(Queues { version, ..Queues::default() }))
     }
 
     fn wave_state(&self, wave: u64, _: WaveState) -> Put {
@@ -220,11 +251,19 @@
 /// Claims as they ended, by the daemon's name and whether it became the owner.
 type Claims = Rc<RefCell<Vec<(&'static str, bool)>>>;
 
-struct ToldList {
-    at: Duration,
+pub struct ToldList {
+    pub at: Duration,
     /// When it was asked for, as was said.
-    asked: Option<Duration>,
-    leaving: Vec<String>,
+    pub asked: Option<Duration>,
+    pub leaving: Vec<String>,
+}
+
+/// The configuration as it was told of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ToldConfig {
+    pub version: u64,
+    /// Until when it is said to have been the newest.
+    pub confirmed: Duration,
 }
 
 /// Takes control's place.
@@ -233,6 +272,7 @@
     clock: Arc<dyn Clock>,
     told: Told,
     claims: Claims,
+    config: Rc<Cell<ToldConfig>>,
 }
 
 impl Actor for Listener {
@@ -255,6 +295,13 @@
         match &msg {
             Stored::Claimed(_) => self.claims.borrow_mut().push((self.name, true)),
             Stored::ClaimFailed { .. } => self.claims.borrow_mut().push((self.name, false)),
+            Stored::Queues(read) => {
+                let version = read.queues.version;
+                self.config.set(ToldConfig { version, ..self.config.get() });
+            }
+            Stored::ConfigConfirmed { at } => {
+                self.config.set(ToldConfig { confirmed: *at, ..self.config.get() });
+            }
             _ => {}
         }
         let Stored::Fleet { vms, announcements, at: asked } = msg else { return };
@@ -269,45 +316,72 @@
 }
 
 /// A daemon's records, and what they tell.
-struct Seen {
-    clock: Arc<dyn Clock>,
-    table: Arc<Troubled<TxnTable>>,
-    records: Addr<Records<StorePlatform>>,
-    told: Told,
-    claims: Claims,
-    store: SlowStore,
-    no_plan: Arc<AtomicBool>,
-    seq: u64,
+pub struct Seen {
+    pub clock: Arc<dyn Clock>,
+    pub table: Arc<Troubled<TxnTable>>,
+    pub records: Addr<Records<StorePlatform>>,
+    pub told: Told,
+    pub claims: Claims,
+    pub config: Rc<Cell<ToldConfig>>,
+    pub store: SlowStore,
+    pub no_plan: Arc<AtomicBool>,
+    pub seq: u64,
 }
 
 impl Seen {
     /// Records of a daemon that owns nothing, and this many VMs.
-    fn start(vms: usize) -> Self {
+    pub fn start(vms: usize) -> Self {
         Self::start_with(vms, CALL)
     }
 
     /// The same on a store that takes this time for a call.
-    fn start_with(vms: usize, call: Duration) -> Self {
+    pub fn start_with(vms: usize, call: Duration) -> Self {
+        Self::start_over(vms, call, None)
+    }
+
+    /// The same over a link that carries so many bytes a second.
+    pub fn start_over(vms: usize, call: Duration, link: Option<u32>) -> Self {
         tokio::time::pause();
         let clock: Arc<dyn Clock> = Arc::new(VirtualClock { start: Instant::now() });
         let table = Arc::new(Troubled::new(TxnTable::new()));
         let no_plan: Arc<AtomicBool> = Arc::default();
         let store = FakeStore { table: table.clone(), clock: clock.clone() };
-        let store = SlowStore { store, call, no_plan: no_plan.clone() };
+        let store = SlowStore { store, call, link, no_plan: no_plan.clone() };
         let (told, claims): (Told, Claims) = Default::default();
+        let config: Rc<Cell<ToldConfig>> = Rc::default();
         let listener = Listener {
             name: "one",
             clock: clock.clone(),
             told: told.clone(),
             claims: claims.clone(),
+            config: config.clone(),
         };
         let records = listener.with_records(store.clone());
-        let mut seen = Self { clock, table, records, told, claims, store, no_plan, seq: 0 };
+        let mut seen = Self { clock, table, records, told, claims, config, store, no_plan, seq: 0 };
         (0..vms).for_each(|number| seen.announce(number, "ready"));
         seen
     }
 
-    fn announce(&mut self, number: usize, state: &str) {
+    /// Writes a version of the configuration of so many bytes.
+    pub fn configure(&self, version: u64, bytes: usize) {
+        let mut text = version.to_string();
+        text.extend(std::iter::repeat_n(' ', bytes.saturating_sub(text.len())));
+        self.write_config(text);
+    }
+
+    /// Writes a configuration that no daemon can read.
+    pub fn configure_unreadable(&self) {
+        self.write_config("no version".to_owned());
+    }
+
+    fn write_config(&self, text: String) {
+        let value = Bytes::from(text);
+        let put = Put { key: "op/config".to_owned(), value, lease: None };
+        let txn = Txn { puts: vec![put], ..Txn::default() };
+        self.table.table().commit(&txn).expect("the table takes it");
+    }
+
+    pub fn announce(&mut self, number: usize, state: &str) {
         self.seq += 1;
         let put = Put {
             key: vm_key(number),
@@ -319,14 +393,15 @@
     }
 
     /// Records of another daemon.
-    fn join(&self, name: &'static str) -> Addr<Records<StorePlatform>> {
+    pub fn join(&self, name: &'static str) -> Addr<Records<StorePlatform>> {
         let (clock, claims) = (self.clock.clone(), self.claims.clone());
-        let listener = Listener { name, clock, told: Rc::default(), claims };
+        let (told, config) = Default::default();
+        let listener = Listener { name, clock, told, claims, config };
         listener.with_records(self.store.clone())
     }
 
     /// Lets time pass in which each of `vms` VMs announces itself every 1.5 s.
-    async fn run(&mut self, vms: usize, time: Duration) {
+    pub async fn run(&mut self, vms: usize, time: Duration) {
         let gap = Duration::from_millis(1500) / u32::try_from(vms).expect("a few hundred VMs");
         let until = self.clock.now() + time;
         let mut next = 0;
@@ -337,19 +412,19 @@
         }
     }
 
-    async fn claim(&self, shard: &str) {
+    pub async fn claim(&self, shard: &str) {
         let claim = claim_of(shard);
         self.records.send(claim).await.expect("the duty runs");
     }
 
     /// Whether the last list that was told of names the VM as leaving.
-    fn knows_leaving(&self, number: usize) -> bool {
+    pub fn knows_leaving(&self, number: usize) -> bool {
         let told = self.told.borrow();
         told.last().is_some_and(|list| list.leaving.contains(&vm_key(number)))
     }
 
     /// Longest time for which a list was the newest that was told of, from when it was asked for.
-    fn oldest_list(&self) -> Duration {
+    pub fn oldest_list(&self) -> Duration {
         let told = self.told.borrow();
         let ages = told
             .windows(2)
@@ -358,17 +433,17 @@
     }
 
     /// Time of the last list.
-    fn last_told(&self) -> Duration {
+    pub fn last_told(&self) -> Duration {
         self.told.borrow().last().map_or(Duration::ZERO, |list| list.at)
     }
 }
 
-fn vm_key(number: usize) -> String {
+pub fn vm_key(number: usize) -> String {
     format!("vm/{number:04}")
 }
 
 /// A claim of a shard that is known to have had no owner.
-fn claim_of(shard: &str) -> Claim {
+pub fn claim_of(shard: &str) -> Claim {
     let (previous, replaces) = (Previous::Ended, Replaced::default());
     Claim { shard: shard.to_owned(), previous, replaces }
 }
@@ -383,116 +458,3 @@
         power: 500,
     }
 }
-
-// Tasks are started on VMs that said seconds before that they leave, and lasting tasks stand still for
-// ten seconds after their VM went: their owner heard of neither. As daemons start, this one claims two
-// shards, gives the first away and owns the second a moment later. Word that it owned no more, said
-// before the second claim was known, left it reading the VMs every 3 s like a daemon that owns nothing.
-// That it did so was told by the pauses that it logged between two readings.
-#[actix_rt::test]
-async fn an_owner_that_gave_another_shard_away_hears_of_vms_in_time() {
-    let mut seen = Seen::start(30);
-    seen.run(30, Duration::from_secs(1)).await;
-    seen.claim("kacyiru.0").await;
-    seen.run(30, Duration::from_millis(100)).await;
-    seen.claim("kacyiru.1").await;
-    let forget = Forget { shard: "kacyiru.0".to_owned() };
-    seen.records.send(forget).await.expect("the duty runs");
-    seen.run(30, Duration::from_secs(10)).await;
-    for number in 0..5 {
-        seen.announce(number, "leaving");
-        tokio::time::sleep(HEARD_WITHIN).await;
-        assert!(seen.knows_leaving(number), "VM {number} left, and its owner knows nothing");
-    }
-}
-
-// The same symptom on deployments of hundreds of VMs. More changes come between two readings than an
-// answer of the store holds: what was left over was read the next time, by then more was left over, and
-// the list that decides what is started where grew older and older, though it was read a moment ago.
-// That answers are cut was told by their changes, 500 each, and by the revision that they end at.
-#[actix_rt::test]
-async fn an_owner_reads_on_until_nothing_is_left_unread() {
-    let mut seen = Seen::start(2 * ANSWER_CHANGES);
-    seen.claim("kacyiru.0").await;
-    seen.run(30, Duration::from_secs(2)).await;
-    for _ in 0..5 {
-        (0..2 * ANSWER_CHANGES).for_each(|number| seen.announce(number, "ready"));
-    }
-    seen.announce(7, "leaving");
-    tokio::time::sleep(HEARD_WITHIN).await;
-    assert!(seen.knows_leaving(7), "five answers' worth of changes came before it");
-}
-
-// A daemon that owned nothing is given a shard. It has read the VMs now and then, and never all that was
-// new, so that its next answer was old as well, up to the 20 s that the store keeps; what it is told
-// first as an owner must be as things are.
-#[actix_rt::test]
-async fn a_new_owner_is_told_of_the_vms_as_they_are() {
-    let mut seen = Seen::start(400);
-    seen.run(400, Duration::from_secs(15)).await;
-    seen.announce(3, "leaving");
-    tokio::time::sleep(CALL).await;
-    let before = seen.last_told();
-    seen.claim("kacyiru.0").await;
-    while seen.last_told() == before {
-        tokio::time::sleep(CALL).await;
-    }
-    assert!(seen.knows_leaving(3), "it said that it leaves before the shard was claimed");
-}
-
-/// Age of the list up to which a shard's owner places and starts work by it.
-const MAX_LIST_AGE: Duration = Duration::from_millis(1300);
-
-/// Time that the store takes for a call while it is slow: 90 times the usual.
-const SLOW_CALL: Duration = Duration::from_millis(360);
-
-// Nothing is placed for half of the time while the store is slow and VMs are replaced: as soon as a list
-// names a new VM, the plan is read before anybody is told of the list, and so the one that owners have is
-// older than they may go by.
-#[actix_rt::test]
-async fn an_owners_list_stays_recent_while_the_store_is_slow_and_vms_come() {
-    let mut seen = Seen::start_with(30, SLOW_CALL);
-    seen.claim("kacyiru.0").await;
-    seen.run(30, Duration::from_secs(4)).await;
-    seen.told.borrow_mut().clear();
-    for number in 30..40 {
-        seen.announce(number, "ready");
-        seen.run(30, Duration::from_millis(1000)).await;
-    }
-    let oldest = seen.oldest_list();
-    assert!(oldest <= MAX_LIST_AGE, "{oldest:?}");
-}
-
-// Nothing at all is placed, though the list of VMs is read several times a second: a VM has come, and the
-// store turns away what concerns the plan. The list that was read is thrown away with the failed call.
-#[actix_rt::test]
-async fn a_list_that_was_read_is_told_of_though_the_plan_is_not_read() {
-    let mut seen = Seen::start(30);
-    seen.claim("kacyiru.0").await;
-    seen.run(30, Duration::from_secs(2)).await;
-    seen.no_plan.store(true, Ordering::Relaxed);
-    seen.announce(30, "ready");
-    seen.run(30, Duration::from_secs(1)).await;
-    seen.announce(7, "leaving");
-    tokio::time::sleep(HEARD_WITHIN).await;
-    assert!(seen.knows_leaving(7), "its announcement was read and not passed on");
-}
-
-// Jobs are refused since a shard changes hands twice within a moment. Two daemons find it without an owner and
-// decide to claim it; the second one's claim starts as the first one's has just taken effect, before there is
-// any word of it. It read the new owner from the store and replaced it, though it had decided to replace
-// nobody, rather than fail.
-#[actix_rt::test]
-async fn a_claim_replaces_nobody_but_the_owner_that_it_was_decided_against() {
-    let seen = Seen::start(1);
-    let other = seen.join("two");
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    let claim = || claim_of("kacyiru.0");
-    seen.records.send(claim()).await.expect("the duty runs");
-    tokio::time::sleep(3 * CALL).await;
-    other.send(claim()).await.expect("the duty runs");
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    let mut claims = seen.claims.borrow().clone();
-    claims.sort_unstable();
-    assert_eq!(claims, [("one", true), ("two", false)]);
-}
