Tell by waxwing status how sure a daemon is of its configuration

Operators could ask a daemon that runs jobs nothing, and a configuration that can't be read or is too large stood in its log alone. It answers GET /v1/status now, beside the balancer's question: version, since when it is unconfirmed and why, whether calls are turned away for it, shards and owners, other daemons with their versions. waxwing status prints it, faults first; the interface is the one that waxwingd has, with two parts more.

Tests: a configuration that can't be read stands in the status; the page tells the reason.

--- a/src/api.rs
+++ b/src/api.rs
@@ -15,6 +15,7 @@
 use crate::worker::TaskAttempt;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, ApiError>;
@@ -48,9 +49,40 @@
     /// Requests and tasks refused since the start, by reason.
     pub refusals: IndexMap<String, u64>,
     pub partitions: Vec<PartitionStatus>,
+    /// Shards of VMs and jobs, on daemons that own such.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shards: Vec<ShardStatus>,
+    /// How sure the daemon is of its configuration, if it tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<ConfigStatus>,
     pub members: Vec<MemberStatus>,
 }
 
+/// How sure a daemon is that the configuration in force there is the newest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigStatus {
+    /// Time since the store confirmed it, in milliseconds.
+    pub unconfirmed_ms: u64,
+    /// Whether calls are turned away for that.
+    pub calls_refused: bool,
+    /// Newest that another daemon was heard to have.
+    pub newest_heard: Revision,
+    /// Why it couldn't be read since.
+    pub fault: Option<String>,
+}
+
+/// A shard as a daemon sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardStatus {
+    pub shard: String,
+    pub owner: Option<DaemonId>,
+}
+
+/// A time in whole milliseconds, as statuses tell it.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Where a daemon is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/bin/waxwing/status_page.rs
+++ b/src/bin/waxwing/status_page.rs
@@ -1,7 +1,7 @@
 //! The page that an operator reads first: what is wrong on top, the rest below.
 
 use crate::tables::Table;
-use waxwingstall::api::{DaemonState, Status};
+use waxwingstall::api::{ConfigStatus, DaemonState, ShardStatus, Status};
 use waxwingstall::peer::MemberState;
 
 /// The status as text.
@@ -28,7 +28,12 @@
     ));
     lines.push(counts("queued", status.queued.iter()));
     lines.push(counts("refused since the start", status.refusals.iter()));
-    section(&mut lines, &partitions(status));
+    if !status.partitions.is_empty() {
+        section(&mut lines, &partitions(status));
+    }
+    if !status.shards.is_empty() {
+        section(&mut lines, &shards(status));
+    }
     section(&mut lines, &members(status));
     lines
 }
@@ -45,6 +50,7 @@
             age(status.store.since_ms)
         ));
     }
+    faults.extend(status.configuration.as_ref().and_then(config_fault));
     if status.leases_near_lapse > 0 {
         let n = status.leases_near_lapse;
         faults.push(format!("{n} control leases are near their end; are their VMs up?"));
@@ -53,6 +59,9 @@
         let id = partition.partition;
         faults.push(format!("partition {id} has no known writer; its waiting tasks stand still"));
     }
+    for ShardStatus { shard, .. } in status.shards.iter().filter(|shard| shard.owner.is_none()) {
+        faults.push(format!("shard {shard} has no known owner; its jobs stand still"));
+    }
     for member in &status.members {
         if member.revision < status.revision {
             let (daemon, revision) = (&member.daemon, member.revision);
@@ -65,6 +74,18 @@
     faults
 }
 
+fn config_fault(config: &ConfigStatus) -> Option<String> {
+    let reason = config.fault.as_ref().map(|fault| format!(" ({fault})")).unwrap_or_default();
+    let unconfirmed = age(config.unconfirmed_ms);
+    if config.calls_refused {
+        return Some(format!(
+            "the configuration is unconfirmed for {unconfirmed}{reason}; calls are turned away"
+        ));
+    }
+    let fault = config.fault.as_ref()?;
+    Some(format!("the configuration can't be read, for {unconfirmed} ({fault})"))
+}
+
 fn store_line(status: &Status) -> String {
     let word = if status.store.reachable { "answers" } else { "DOES NOT ANSWER" };
     format!("key-value service {word}, for {}", age(status.store.since_ms))
@@ -102,6 +123,15 @@
     table
 }
 
+fn shards(status: &Status) -> Table {
+    let mut table = Table::new(&["SHARD", "OWNER"]);
+    for ShardStatus { shard, owner } in &status.shards {
+        let owner = owner.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
+        table.push([shard.clone(), owner]);
+    }
+    table
+}
+
 fn members(status: &Status) -> Table {
     let mut table = Table::new(&["DAEMON", "DOMAIN", "STATE", "CONFIGURATION"]);
     for member in &status.members {
--- a/src/bin/waxwing/tests.rs
+++ b/src/bin/waxwing/tests.rs
@@ -373,6 +373,33 @@
     assert_eq!(ran.out, expected);
 }
 
+const UNCONFIRMED: &str = r#"{
+    "daemon": "entry-1", "domain": "kacyiru", "state": "starting", "revision": 41,
+    "store": {"reachable": true, "since_ms": 60000},
+    "vms_held": 0, "leases_near_lapse": 0, "queued": {}, "refusals": {}, "partitions": [],
+    "shards": [{"shard": "kacyiru.0", "owner": "entry-2"}],
+    "configuration": {
+        "unconfirmed_ms": 8200, "calls_refused": true, "newest_heard": 44,
+        "fault": "the answer was given up with 870 of 1500 bytes read"
+    },
+    "members": []
+}"#;
+
+// Guards against a daemon whose configuration doesn't come in, and an operator who isn't told why.
+#[actix_web::test]
+async fn the_status_page_tells_why_the_configuration_is_unconfirmed() {
+    let status: Status = serde_json::from_str(UNCONFIRMED).expect("a status");
+    let daemon = FakeDaemon::start();
+    daemon.will_answer("/v1/status", &status);
+    let ran = run(&daemon.addr, &["status"]).await;
+    let lines: Vec<&str> = ran.out.lines().collect();
+    let fault = "  ! the configuration is unconfirmed for 8 s (the answer was given up with 870 of \
+                 1500 bytes read); calls are turned away";
+    assert!(lines.contains(&fault), "{}", ran.out);
+    assert!(lines.contains(&"kacyiru.0  entry-2"), "{}", ran.out);
+    assert!(!ran.out.contains("PARTITION"), "{}", ran.out);
+}
+
 #[actix_web::test]
 async fn a_failure_is_printed_as_json_where_that_was_asked_for() {
     let ran = run("127.0.0.1:1", &["status", "--output", "json"]).await;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -203,6 +203,17 @@
         self.newest_config
     }
 
+    /// The daemons heard of lately, with the version of the configuration in force there.
+    pub fn member_configs(&self) -> impl Iterator<Item = (&Member, u64)> {
+        let there = self.members.values().filter(|known| self.is_there(known));
+        there.map(|known| (&known.member, known.config))
+    }
+
+    /// How long the store has answered this daemon, or not.
+    pub fn store_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.store_since)
+    }
+
     /// Whether nothing is owned or claimed any more.
     pub fn is_empty(&self) -> bool {
         self.held.is_empty()
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -26,6 +26,8 @@
     /// Since when the store answers it, or doesn't.
     pub(super) store_since: Duration,
     pub(super) shards: Vec<String>,
+    /// Version of the configuration in force there.
+    pub(super) config: u64,
     /// When it was last seen to have ended.
     pub(super) refused: Option<Duration>,
     pub(super) probed: Duration,
@@ -99,6 +101,7 @@
             store: StoreReach::Away,
             store_since: self.now,
             shards: Vec::new(),
+            config: 0,
             refused: None,
             probed: self.now,
             next_hello: self.now,
@@ -127,6 +130,7 @@
             known.store = hello.store;
             known.store_since = self.now;
         }
+        known.config = hello.config;
         known.shards = hello.shards.iter().map(|news| news.name.clone()).collect();
         for news in hello.shards {
             self.learn(&news.name, hello.from.id.clone(), news.fence);
--- a/src/front/status.rs
+++ b/src/front/status.rs
@@ -5,7 +5,7 @@
 use super::{Links, State, answer};
 use crate::api::{
     ApiError, DaemonState, ErrorKind, MemberStatus, PartitionStatus, Result, Status, StoreStatus,
-    VmDetail, VmSummary,
+    VmDetail, VmSummary, millis,
 };
 use crate::control::{Control, Inspect};
 use crate::ids::{ClassName, PartitionId, VmId};
@@ -62,13 +62,15 @@
         revision: view.config.revision,
         store: StoreStatus {
             reachable: reach.answers == Answers::Reached,
-            since_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            since_ms: millis(since),
         },
         vms_held: core.vms_held,
         leases_near_lapse: core.leases_near_lapse,
         queued: core.queued,
         refusals: core.refusals,
         partitions: core.partitions,
+        shards: Vec::new(),
+        configuration: None,
         members: view
             .members()
             .iter()
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -21,6 +21,7 @@
 pub mod orders;
 pub mod records;
 pub mod settings;
+pub mod status;
 pub mod stop;
 pub mod view;
 
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -6,9 +6,12 @@
 mod messages;
 mod publish;
 mod shards;
+mod status;
 #[cfg(test)]
 mod tests;
 
+pub use status::GetStatus;
+
 pub use messages::{
     Connect, Drain, GiveUp, Hear, OwnsAny, Refused, Stored, TakeCall, TakeMessage, TakeOffer, Told,
     Upkept,
@@ -127,6 +130,8 @@
     confirmed: Confirmed,
     /// Whether it was logged that the configuration isn't confirmed.
     config_unconfirmed: bool,
+    /// Why it couldn't be read, since the last confirmation.
+    config_fault: Option<String>,
     fleet: Vec<VmEntry>,
     shapes: Arc<Shapes>,
     plan: Plan,
@@ -172,6 +177,7 @@
             queues: None,
             confirmed: Confirmed::new(now, config_in_force),
             config_unconfirmed: false,
+            config_fault: None,
             fleet: Vec::new(),
             shapes: Arc::default(),
             plan: Plan::default(),
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -82,6 +82,10 @@
     ConfigConfirmed {
         at: Duration,
     },
+    /// The configuration couldn't be read.
+    ConfigUnread {
+        reason: String,
+    },
     Reach {
         reach: StoreReach,
         silent: Duration,
@@ -124,6 +128,7 @@
             Stored::Queues(queues) => self.take_queues(*queues, cx),
             Stored::Wave(wave) => self.keep_up(upkeep::duty::Event::Wave(wave), cx),
             Stored::ConfigConfirmed { at } => self.confirm_config(at),
+            Stored::ConfigUnread { reason } => self.config_fault = Some(reason),
             Stored::Reach { reach, silent, reason } => {
                 self.take_reach(reach, silent, reason);
                 self.own(cluster::Event::Store(reach), cx);
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -221,6 +221,7 @@
         let now = self.now().steady;
         let unconfirmed_ms = Ms(self.confirmed.age(now));
         self.confirmed.confirm(at);
+        self.config_fault = None;
         if self.config_unconfirmed && self.confirmed.standing(now) == Standing::Confirmed {
             self.config_unconfirmed = false;
             let version = self.queues.as_ref().map_or(0, |queues| queues.version);
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -1,6 +1,5 @@
 //! The daemon: its duties on their threads, from start to planned stop.
 
-use super::Platform;
 use super::calls::Calls;
 use super::control::{ACTIONS, Connect, Control, Drain, GiveUp, OwnsAny, Rings};
 use super::links::{self, Links};
@@ -9,6 +8,7 @@
 use super::records::{Leave, Records};
 use super::settings::Settings;
 use super::view::{Directory, View};
+use super::{Platform, status};
 use crate::clock::Clock;
 use crate::cluster::{Member, MemberStage};
 use crate::ids::DaemonId;
@@ -16,6 +16,7 @@
 use crate::note::Note;
 use crate::ring::Ring;
 use actix::prelude::*;
+use actix_web::web;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -132,6 +133,11 @@
         )
     }
 
+    /// Mounts what operators ask this daemon.
+    pub fn operators(&self) -> impl Fn(&mut web::ServiceConfig) + Clone + Send + use<P> {
+        status::mount(self.control.clone())
+    }
+
     /// What control published last.
     pub fn view(&self) -> watch::Receiver<Arc<View>> {
         self.view.clone()
--- a/src/jobs/follow/operators.rs
+++ b/src/jobs/follow/operators.rs
@@ -38,6 +38,7 @@
     loop {
         if let Err(e) = follow_entries(&from, &mut failures).await {
             from.note_failure(&mut failures, &e);
+            from.control.do_send(Stored::ConfigUnread { reason: e.to_string() });
             tokio::time::sleep(retry_pause(&e)).await;
         }
     }
@@ -133,6 +134,7 @@
             Err(e) => {
                 if item.key == from.platform.config_key() {
                     self.config = Config::Unreadable;
+                    from.control.do_send(Stored::ConfigUnread { reason: e.to_string() });
                 }
                 from.control.do_send(Stored::Note(note_unreadable(item.rev.0, &e)));
             }
