Tell for how long a task had worked on a VM that is gone

What the logs couldn't tell of VMs that crash one after the other: which of the tasks there had only just begun. task-gone says it in worked_ms, zero where no look after its start was answered. No decision changes.

--- a/src/note.rs
+++ b/src/note.rs
@@ -186,7 +186,7 @@
     /// A run is stopped by this system's own decision.
     Telling TaskStopping = "task-stopping" { task: TaskRef, run: RunNumber, vm: VmId, reason: Word, }
     /// A run's end isn't known, and it surely doesn't run any more.
-    Telling TaskGone = "task-gone" { task: TaskRef, run: RunNumber, vm: VmId, proof: Word, }
+    Telling TaskGone = "task-gone" { task: TaskRef, run: RunNumber, vm: VmId, worked_ms: Ms, proof: Word, }
     /// A task works at another share of its speed.
     Routine TaskPaced = "task-paced" { task: TaskRef, run: RunNumber, vm: VmId, percent: u8, victim: TaskRef, tail_ms: u32, target_ms: u32, }
     /// A VM is there for this shard.
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -8,6 +8,7 @@
 use crate::job::{Checkpoint, JobId, RunNumber, ShownState, TaskRef};
 use crate::note::{Ms, Note, Word};
 use crate::vm::EndKind;
+use std::time::Duration;
 
 /// A run's end, as a VM lists it.
 pub(super) struct End {
@@ -204,7 +205,8 @@
     /// Takes a run off whose VM has surely ended it, though the end was never listed.
     pub(super) fn run_gone(&mut self, vm: &VmId, key: RunKey, proof: Word) {
         let RunKey { task, run } = key;
-        self.note(Note::TaskGone { task, run, vm: vm.clone(), proof });
+        let worked_ms = Ms(self.vms.get(vm).map_or(Duration::ZERO, |vm| vm.worked(key)));
+        self.note(Note::TaskGone { task, run, vm: vm.clone(), worked_ms, proof });
         self.drop_run(vm, key);
     }
 
@@ -234,7 +236,7 @@
     }
 }
 
-fn begins(job: &JobRun, wall: std::time::Duration) -> bool {
+fn begins(job: &JobRun, wall: Duration) -> bool {
     !job.is_guest()
         && job.begun < job.job.repeat.occurrences()
         && job.job.repeat.due(job.begun).is_none_or(|due| wall >= due)
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -207,6 +207,14 @@
         self.lapsed_by = self.lapsed_by.max(now + keep + drift + LAPSE_MARGIN);
     }
 
+    /// How long a run is known to have been at work: from the answer that first listed it to the last look
+    /// that was answered.
+    pub fn worked(&self, key: RunKey) -> Duration {
+        let since = self.runs.get(&key).and_then(|run| run.running_since);
+        let worked = since.zip(self.contact.heard).map(|(since, at)| at.saturating_sub(since));
+        worked.unwrap_or_default()
+    }
+
     /// Room that is taken.
     pub fn reserved(&self) -> Resources {
         self.runs.values().fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.reserved))
