Start nothing on a VM that is over its size

The list of VMs brings each one's size; placing goes by it, but a start went out by the size that its VM had as the task was bound, which can be long ago where the binding waited for the store, and leftover work, which takes memory alone, went to VMs whose processors were taken twice.

Fix: a VM on which more is reserved than it has takes nothing new, and what is bound there and wasn't sent is given up. What runs is left alone.

The stand-in's VMs change their size and announce it a beat later.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -57,6 +57,10 @@
         if !wanted || vm.leaving.is_some() {
             return self.give_up(id, key, "it is not wanted there any more");
         }
+        // It may have become smaller since the binding, which can wait for the store.
+        if vm.is_over() {
+            return self.give_up(id, key, "the VM has no room for it any more");
+        }
         let permit = match self.permits_of(key.task).map(|permits| permits.valid(id, now)) {
             None => None,
             Some(Some(permit)) => Some(permit.clone()),
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -135,7 +135,7 @@
 impl Room {
     /// The room on a VM; `None` if it takes no work now.
     fn of(vm: &Vm, now: Duration) -> Option<Self> {
-        if !vm.takes_work(now) {
+        if !vm.takes_work(now) || vm.is_over() {
             return None;
         }
         let trial = match vm.health.state(now) {
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -223,6 +223,11 @@
         self.runs.values().fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.reserved))
     }
 
+    /// Whether more is taken than it has.
+    pub fn is_over(&self) -> bool {
+        !self.reserved().fits_in(&self.entry.size)
+    }
+
     /// Room that is left.
     pub fn free(&self) -> Resources {
         self.entry.size.saturating_sub(&self.reserved())
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -10,6 +10,7 @@
 mod order;
 mod permits;
 mod random;
+mod resize;
 mod silence;
 mod state;
 mod takeover;
--- a/tests/shards/witness.rs
+++ b/tests/shards/witness.rs
@@ -126,14 +126,49 @@
     }
 }
 
+/// Time from a change of a VM's size to when work may not be started by the old one any more.
+const SIZE_KNOWN: Duration = Duration::from_millis(3000 + 1500);
+
+/// No start brings a VM over the size that it has, or had until a moment ago.
+pub fn check_sizes<F: Faults>(world: &mut World<F>) {
+    let now = world.now;
+    let mut starts = 0;
+    for vm in &mut world.vms {
+        let _ = vm.table.runs(now);
+        let runs = runs_of(&vm.table);
+        starts += runs.len();
+        for start in &runs {
+            let at = start.started;
+            let taken = taken_at(&runs, start);
+            let told = |(index, _): &(usize, &(Duration, Resources))| {
+                let until = vm.sizes.get(index + 1).map_or(Duration::MAX, |(next, _)| *next);
+                until.saturating_add(SIZE_KNOWN) > at && vm.sizes[*index].0 <= at
+            };
+            let mut sizes = vm.sizes.iter().enumerate().filter(told).map(|(_, (_, size))| size);
+            assert!(
+                sizes.any(|size| taken.fits_in(size)),
+                "{} carries {taken} at {at:?}, of {:?}",
+                start.vm,
+                vm.sizes
+            );
+        }
+    }
+    assert!(starts > 0, "nothing was started");
+}
+
+/// Room that is taken on a VM as a run starts there, with it.
+fn taken_at(runs: &[Run], start: &Run) -> Resources {
+    let at = start.started;
+    let there = runs.iter().filter(|run| {
+        run.vm == start.vm && run.started <= at && run.ended.is_none_or(|(end, _)| end > at)
+    });
+    there.fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.size))
+}
+
 /// No VM is overfilled.
 fn check_room(runs: &[Run], size: Resources) {
     for start in runs {
-        let at = start.started;
-        let there = runs.iter().filter(|run| {
-            run.vm == start.vm && run.started <= at && run.ended.is_none_or(|(end, _)| end > at)
-        });
-        let taken = there.fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.size));
-        assert!(taken.fits_in(&size), "{} carries {taken} at {at:?}", start.vm);
+        let taken = taken_at(runs, start);
+        assert!(taken.fits_in(&size), "{} carries {taken} at {:?}", start.vm, start.started);
     }
 }
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -36,6 +36,8 @@
 const FLEET_EVERY: Duration = Duration::from_millis(400);
 /// Time after which a call counts as unanswered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(350);
+/// Between two announcements of a VM.
+pub const BEAT: Duration = Duration::from_millis(1500);
 /// Time that a VM is down after something there crashed it.
 const CRASH_DOWN: Duration = Duration::from_secs(3);
 /// Times of the service that permits steps.
@@ -57,6 +59,8 @@
     pub down_until: Option<Duration>,
     /// While it is down: its port refuses connections.
     refuses: bool,
+    /// Its sizes, and since when it has had each; the last is announced a beat later.
+    pub sizes: Vec<(Duration, Resources)>,
     lives: u32,
 }
 
@@ -332,6 +336,11 @@
         self.vms[index].entry.state = VmState::Leaving { left: Some(left) };
     }
 
+    /// A VM has another size from now on, and announces it a beat later.
+    pub fn resize_vm(&mut self, index: usize, size: Resources) {
+        self.vms[index].sizes.push((self.now, size));
+    }
+
     /// A VM is to be empty from now on.
     pub fn vacate(&mut self, shard: &str, index: usize, patience: Duration) {
         let vms = vec![self.vms[index].entry.id.clone()];
@@ -370,6 +379,7 @@
             cut_until: Duration::ZERO,
             down_until: None,
             refuses: false,
+            sizes: vec![(Duration::ZERO, size)],
             lives: 0,
         });
     }
@@ -483,6 +493,7 @@
     fn tick(&mut self) {
         self.crash_vms();
         self.revive_vms();
+        self.announce_sizes();
         if self.now >= self.next_fleet {
             self.next_fleet = self.now + FLEET_EVERY;
             self.tell_fleet();
@@ -494,6 +505,14 @@
         }
     }
 
+    fn announce_sizes(&mut self) {
+        let now = self.now;
+        for vm in &mut self.vms {
+            let told = vm.sizes.iter().rev().find(|(at, _)| *at + BEAT <= now);
+            vm.entry.size = told.map_or(vm.entry.size, |(_, size)| *size);
+        }
+    }
+
     fn revive_vms(&mut self) {
         let now = self.now;
         for vm in &mut self.vms {
