Tell of loans only as the shard's owner

Cause: a loan is told again until it is taken. An owner that stood still and was replaced told of it each new owner of the borrower's shard, one of whom had forgotten that it was settled long ago. Only its VMs or a commit tell such an owner that it was replaced, and it had nothing to commit.

--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -120,6 +120,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoanKnown {
     Nothing,
+    /// Nothing, though it was told of it.
+    Told {
+        /// When it is to be told again.
+        ask: Duration,
+    },
     /// It has it.
     Taken {
         /// When it is to be asked again whether it has begun.
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -180,7 +180,7 @@
             self.loans.lending.shift_remove(&id);
             return;
         };
-        if !self.log.is_durable(id) {
+        if !self.log.is_durable(id) || self.log.age(now) >= TELL_EVERY {
             return;
         }
         if !job.has_lent() {
@@ -207,14 +207,26 @@
         }
         let spec = job.job.clone();
         for ((to, loan), tasks) in msgs {
-            let msg = LoanMsg::Lend { job: spec.clone(), loan, tasks };
-            self.tell(&to, msg);
+            self.note_told(id, &tasks, now);
+            // An owner that stood still and was replaced would lend what has been given back long ago to a
+            // borrower that has forgotten it, and the task would run a second time.
+            self.tell_as_owner(&to, LoanMsg::Lend { job: spec.clone(), loan, tasks });
         }
         for (to, tasks) in recalls {
             self.tell(&to, LoanMsg::Recall { job: id, tasks });
         }
     }
 
+    /// Notes that a loan is being told, not to be told again before there can be an answer.
+    fn note_told(&mut self, id: JobId, tasks: &[LentTask], now: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        for told in tasks {
+            if let Some(lent) = job.task_mut(told.task).and_then(|task| task.lent.as_mut()) {
+                lent.known = LoanKnown::Told { ask: now + TELL_EVERY };
+            }
+        }
+    }
+
     fn tell_guest(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             self.loans.guests.shift_remove(&id);
@@ -499,7 +511,7 @@
     fn is_asked(self, now: Duration) -> bool {
         match self {
             Self::Nothing => true,
-            Self::Taken { ask } => now >= ask,
+            Self::Told { ask } | Self::Taken { ask } => now >= ask,
             Self::Begun => false,
         }
     }
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -40,3 +40,26 @@
     assert_eq!(world.runs_on(0), 1, "it isn't given back");
     check(&mut world, &IndexMap::from([(full.id, full), (lent.id, lent)]), SIZE);
 }
+
+// Guards against a task that runs a second time, since an owner that stood still and was replaced lends it again.
+#[test]
+fn an_owner_that_was_replaced_lends_nothing_again() {
+    let mut world = World::new(Sound, &["kacyiru", "remera"], 1, SIZE);
+    let full = chain(1, 1, 4, work(60_000, 2));
+    let lent = chain(2, 1, 1, work(1000, 2));
+    world.submit("kacyiru", full.clone());
+    world.run_for(seconds(1));
+    world.submit("kacyiru", lent.clone());
+    while world.runs_on(1) == 0 {
+        world.run_for(Duration::from_millis(20));
+    }
+    world.pause_owner("kacyiru", seconds(6));
+    world.run_for(seconds(4));
+    assert_eq!(world.runs_on(1), 0, "it is done and given back");
+    world.replace_owner("remera");
+    world.run_for(seconds(1));
+    // Its VM, which has seen the next owner, can't tell it.
+    world.cut_vm(0, seconds(4));
+    world.run_for(seconds(10));
+    check(&mut world, &IndexMap::from([(full.id, full), (lent.id, lent)]), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -606,6 +606,9 @@
                 self.answers.insert(ticket, answer);
             }
             Action::Tell { to, fence, msg } => {
+                if self.traced {
+                    println!("{:?} {name}#{number} tells {to} {fence:?} {msg:?}", self.now);
+                }
                 let event = Event::Message { from: name.clone(), to: fence, msg };
                 match self.faults.meet_message(self.now) {
                     Fate::Lost | Fate::AnswerLost => {}
