Keep what was told of silent VMs when a shard is dropped

Cause, traced before: the owner gives its shard away beside an outage, nobody can claim it, and it takes the shard back itself. What owners tell of silent VMs was kept from others' greetings only, so that it waited for the VMs' whole time anew.

Fix: a daemon that drops a shard keeps what it told of it, under the same number of the record, which the store guards as before.

Ageing a lapse stands once now (three times before).

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -109,11 +109,7 @@
     /// The same as of now.
     fn aged(self, now: Duration) -> Vec<ToldLapse> {
         let passed = now.saturating_sub(self.at);
-        let aged = |told: ToldLapse| {
-            let left = told.lapse.left.saturating_sub(passed);
-            ToldLapse { lapse: Lapse { left, ..told.lapse }, ..told }
-        };
-        self.lapses.into_iter().map(aged).collect()
+        self.lapses.into_iter().map(|told| told.aged(passed)).collect()
     }
 }
 
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -162,7 +162,7 @@
                 summary: (*hosted.summary).clone(),
                 accepted: hosted.accepted.iter().map(|(_, job)| *job).collect(),
                 learned: if tells { hosted.shard.learned() } else { Vec::new() },
-                lapses: hosted.shard.told_lapses(),
+                lapses: hosted.shard.told_lapses(now),
             }
         };
         self.hosted.iter_mut().map(news).collect()
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -1,7 +1,7 @@
 //! The shards that are owned here: how they come, what they hear of, and how they go.
 
 use super::publish::LEARNED_EVERY;
-use super::{Control, Hosted};
+use super::{Control, Hosted, TimedLapses};
 use crate::cluster::{self, HandOver, StoreReach};
 use crate::ids::Ticket;
 use crate::job::JobId;
@@ -12,7 +12,7 @@
 use crate::jobs::records::{Claim, Confirm, Confirmation, Forget, ReadHeads};
 use crate::journal::Journal;
 use crate::note::{Ms, Note};
-use crate::shard::{Action, Announcements, Event, Lapse, Recovered, Shard};
+use crate::shard::{Action, Announcements, Event, Recovered, Shard};
 use crate::vm::{Fence, VmEntry};
 use actix::prelude::*;
 use std::sync::{Arc, PoisonError};
@@ -90,6 +90,10 @@
 
     pub(super) fn drop_shard(&mut self, shard: &str, reason: &'static str, cx: &mut Context<Self>) {
         let Some(mut hosted) = self.hosted.shift_remove(shard) else { return };
+        // This daemon may be the next owner as well.
+        let now = self.now().steady;
+        let lapses = TimedLapses { at: now, lapses: hosted.shard.told_lapses(now) };
+        self.told_lapses.insert(shard.to_owned(), lapses);
         for event in hosted.held.take().into_iter().flatten() {
             // Not decided on, so it had no effect: the caller was left waiting, and can ask the owner.
             if let Some(ticket) = event.ticket() {
@@ -153,8 +157,7 @@
         // Another owner in between may have extended work since.
         if let Some(offered) = offered.filter(|o| recovered.predecessor.as_ref() == Some(&o.from)) {
             let passed = now.steady.saturating_sub(offered.at);
-            let left = |lapse: Lapse| Lapse { left: lapse.left.saturating_sub(passed), ..lapse };
-            recovered.lapses = offered.lapses.into_iter().map(left).collect();
+            recovered.lapses = offered.lapses.into_iter().map(|lapse| lapse.aged(passed)).collect();
         }
         if let Some(told) = self.told_lapses.shift_remove(&recovered.shard) {
             recovered.told = told.aged(now.steady);
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,9 +1,13 @@
-use super::{Connect, Control, Rings, Stored, TakeCall};
+use super::{Connect, Control, Hear, OwnsAny, Rings, Stored, TakeCall};
 use crate::clock::{Clock, ManualClock};
 use crate::cluster::ownership::OWN_PAUSE;
-use crate::cluster::{Member, MemberStage};
-use crate::ids::{DaemonId, DomainId};
-use crate::job::JobId;
+use crate::cluster::{Hello, Member, MemberStage, ShardNews, StoreReach};
+use crate::ids::{DaemonId, DomainId, ServiceName, VmId};
+use crate::job::progress::{Binding, BoundVm, OccurrenceProgress, Progress, TaskProgress};
+use crate::job::{
+    Copies, Job, JobId, Life, Members, QueueName, Repeat, Resume, RunNumber, Share, ShownState,
+    Step,
+};
 use crate::jobs::calls::{Call, Reply};
 use crate::jobs::links::Links;
 use crate::jobs::machines::Upkeep;
@@ -14,10 +18,11 @@
 use crate::note::Weight;
 use crate::permit::{self, PermitResp};
 use crate::ring::{Ring, WhenFull};
-use crate::shard::{Previous, Recovered, Settings};
+use crate::shard::{Lapse, Mark, Previous, Recovered, Settings, SilentVm, Summary, ToldLapse};
+use crate::units::Resources;
 use crate::vm::Fence;
 use actix::prelude::*;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -62,16 +67,27 @@
 
 ignored!(Order, Upkeep, Claim, Commit, Forget, ReadHeads);
 
-fn control(clock: Arc<ManualClock>) -> Addr<Control> {
-    let me = Member {
+fn me() -> Member {
+    Member {
         id: DaemonId::new("one@1"),
         name: "one".to_owned(),
         domain: DomainId::new("kacyiru"),
         addr: "127.0.0.1:1".to_owned(),
         stage: MemberStage::Serving,
         power: 100,
-    };
-    let journal = Journal::start(clock.clone(), Weight::Urgent, std::io::sink());
+    }
+}
+
+fn control(clock: Arc<ManualClock>) -> Addr<Control> {
+    logging_control(clock, std::io::sink())
+}
+
+fn logging_control(
+    clock: Arc<ManualClock>,
+    out: impl std::io::Write + Send + 'static,
+) -> Addr<Control> {
+    let me = me();
+    let journal = Journal::start(clock.clone(), Weight::Urgent, out);
     let (publish, _) = watch::channel(Arc::new(View::default()));
     let settings = Settings::default();
     let in_force = Duration::from_secs(2);
@@ -123,3 +139,118 @@
     }
     assert!(clock.now() >= OWN_PAUSE);
 }
+
+/// A log that the test reads.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for Lines {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no test panics with it").extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    /// Waits until an event stands there so many times; false if that takes too long.
+    async fn wait_for(&self, event: &str, times: usize) -> bool {
+        let found = || {
+            let bytes = self.0.lock().expect("no test panics with it");
+            String::from_utf8_lossy(&bytes).matches(event).count() >= times
+        };
+        let waited = async {
+            while !found() {
+                actix::clock::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, waited).await.is_ok()
+    }
+}
+
+const VM: &str = "i-1";
+
+/// A shard with a task on a VM that the store has as silent.
+fn claimed_with_silent_vm() -> Stored {
+    let size = Resources::new(1000, 1000, 0);
+    let step = Step {
+        tasks: 1,
+        size,
+        estimate: Duration::ZERO,
+        after: Vec::new(),
+        resume: Resume::FromCheckpoint,
+        members: Members::Alone,
+        copies: Copies::One,
+        life: Life::Lasting,
+        share: Share::Reserved,
+        label: None,
+        rack: None,
+        per_vm: 0,
+        image: None,
+        tail_target: None,
+        max_away: None,
+    };
+    let job = Job {
+        id: JobId(1),
+        queue: QueueName::new("builds"),
+        service: ServiceName::new("shop"),
+        payload: Arc::from(""),
+        steps: vec![step],
+        repeat: Repeat::Once,
+        accepted: Duration::ZERO,
+    };
+    let run = RunNumber(1);
+    let bound = vec![Binding { vm: 0, run }];
+    let task = TaskProgress { last_run: run, bound, ..TaskProgress::default() };
+    let progress = Progress {
+        state: ShownState::Running,
+        home: None,
+        vms: vec![BoundVm { id: VmId::new(VM), addr: Arc::from("127.0.0.1:1") }],
+        shards: Vec::new(),
+        begun: 1,
+        open: vec![OccurrenceProgress { number: 0, steps: vec![vec![task]] }],
+        crashes: Vec::new(),
+    };
+    let Stored::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
+    recovered.silent = vec![SilentVm { vm: VmId::new(VM), mark: Mark(3) }];
+    recovered.progress = vec![(job.id, progress)];
+    recovered.jobs = vec![Arc::new(job)];
+    Stored::Claimed(recovered)
+}
+
+/// What an earlier owner tells of the silent VM.
+fn hello() -> Hello {
+    let lapse = Lapse { vm: VmId::new(VM), left: Duration::from_secs(5) };
+    let news = ShardNews {
+        name: SHARD.to_owned(),
+        fence: 5,
+        summary: Summary::default(),
+        accepted: Vec::new(),
+        learned: Vec::new(),
+        lapses: vec![ToldLapse { lapse, mark: Mark(3) }],
+    };
+    let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
+    Hello { from, store: StoreReach::Reached, config: 1, shards: vec![news] }
+}
+
+// Guards against work of a dead VM that stands still since an owner forgot, with its shard, what it told others.
+#[actix::test]
+async fn an_owner_that_takes_its_shard_back_knows_what_it_told_of_silent_vms() {
+    let clock = Arc::new(ManualClock::new());
+    let lines = Lines::default();
+    let control = logging_control(clock.clone(), lines.clone());
+    control.send(Hear(hello())).await.expect("a control");
+    control.send(claimed_with_silent_vm()).await.expect("a control");
+    assert!(lines.wait_for("vm-lapse-told", 1).await, "another owner told of it");
+    clock.advance(2 * OWN_PAUSE);
+    control.send(TakeCall { shard: SHARD.to_owned(), call: Call::Show(JobId(1)) }).await.ok();
+    assert!(
+        !control.send(OwnsAny).await.expect("a control"),
+        "the store says that it lost the shard"
+    );
+    control.send(claimed_with_silent_vm()).await.expect("a control");
+    assert!(lines.wait_for("vm-lapse-told", 2).await, "it told of it itself");
+}
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -46,6 +46,13 @@
     pub left: Duration,
 }
 
+impl Lapse {
+    /// The same after some time.
+    pub fn aged(self, passed: Duration) -> Self {
+        Self { left: self.left.saturating_sub(passed), ..self }
+    }
+}
+
 /// What is known of the owner before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Previous {
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -36,6 +36,13 @@
     pub mark: Mark,
 }
 
+impl ToldLapse {
+    /// The same after some time.
+    pub fn aged(self, passed: Duration) -> Self {
+        Self { lapse: self.lapse.aged(passed), ..self }
+    }
+}
+
 /// The record of silent VMs: as it should be, and as the store has it.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -111,9 +118,8 @@
         self.log.silence.want(&silent, mark);
     }
 
-    /// What the next owner should know of VMs that the store has as silent.
-    pub fn told_lapses(&self) -> Vec<ToldLapse> {
-        let now = self.now.steady;
+    /// What the next owner should know of VMs that the store has as silent, as of `now`.
+    pub fn told_lapses(&self, now: Duration) -> Vec<ToldLapse> {
         let told = |vm: &Vm| {
             let mark = self.log.silence.mark(&vm.id)?;
             let left = vm.lapsed_by.saturating_sub(now);
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -454,12 +454,7 @@
     fn told_of(&self, name: &str) -> Vec<ToldLapse> {
         let Some((at, told)) = self.told.get(name) else { return Vec::new() };
         let passed = self.now - *at;
-        let aged = |told: &ToldLapse| {
-            let mut told = told.clone();
-            told.lapse.left = told.lapse.left.saturating_sub(passed);
-            told
-        };
-        told.iter().map(aged).collect()
+        told.iter().map(|told| told.clone().aged(passed)).collect()
     }
 
     fn hear_lapses(&mut self) {
@@ -468,7 +463,8 @@
         }
         for owner in &self.owners {
             if self.now >= owner.paused_until && !owner.unaware {
-                self.told.insert(owner.name.clone(), (self.now, owner.shard.told_lapses()));
+                let told = owner.shard.told_lapses(self.now);
+                self.told.insert(owner.name.clone(), (self.now, told));
             }
         }
     }
