Fold copies of a step's fixture and of the bounds on lasting tasks

Five tests built a Step field by field, the two bounds on lasting tasks stood in intake and in the calls, and the check of per_vm stood twice. Step::new, Summary::is_full_with and Room::is_below_most serve all of them; behaviour stays as it was.

--- a/src/job.rs
+++ b/src/job.rs
@@ -162,6 +162,29 @@
     pub max_away: Option<u32>,
 }
 
+impl Step {
+    /// So many tasks that each take their room until they end, bound to nothing.
+    pub fn new(tasks: u32, size: Resources, estimate: Duration) -> Self {
+        Self {
+            tasks,
+            size,
+            estimate,
+            after: Vec::new(),
+            resume: Resume::default(),
+            members: Members::default(),
+            copies: Copies::default(),
+            life: Life::default(),
+            share: Share::default(),
+            label: None,
+            rack: None,
+            per_vm: 0,
+            image: None,
+            tail_target: None,
+            max_away: None,
+        }
+    }
+}
+
 /// Whether a task can go on where an earlier run was stopped.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Resume {
--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -13,7 +13,7 @@
 use crate::clock::Clock;
 use crate::job::check::{self, Fault};
 use crate::job::{Image, Job, JobId, Life, QueueName, Share, ShownState};
-use crate::shard::{Answer, LASTING_LIMIT, LASTING_SHARE, Summary, Urge};
+use crate::shard::{Answer, Summary, Urge};
 use actix::prelude::*;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -435,10 +435,14 @@
         };
         let lasting = summary.lasting as f64 + sent.reserved + self.reserved;
         match urge {
-            Urge::IfRoom if lasting > capacity * LASTING_SHARE => None,
+            Urge::IfRoom if summary.is_full_with(lasting, urge) => None,
             // The shard with most room for lasting tasks was asked first, and refused: hundreds of others that
             // have less needn't be asked one by one.
-            Urge::Always if !self.refused.by_all.is_empty() && is_over(summary, lasting) => None,
+            Urge::Always
+                if !self.refused.by_all.is_empty() && summary.is_full_with(lasting, urge) =>
+            {
+                None
+            }
             // One image's lasting tasks go to one shard, whoever asks: less leftover work then
             // has nowhere to run without disturbing some image.
             Urge::IfRoom => Some(xxh3_64(format!("{image}/{name}").as_bytes()) as f64),
@@ -453,11 +457,6 @@
     }
 }
 
-/// Whether a shard takes no job that brings its lasting tasks to so much.
-fn is_over(summary: &Summary, lasting: f64) -> bool {
-    summary.lasting > 0 && lasting > summary.capacity as f64 * LASTING_LIMIT
-}
-
 fn not_run(reason: &str, retry_after: Duration) -> Answer {
     Answer::NotRun { reason: reason.to_owned(), retry_after }
 }
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -2,9 +2,7 @@
 use crate::clock::{Clock, SystemClock};
 use crate::cluster::{Hello, Member, MemberStage};
 use crate::ids::{DaemonId, DomainId, ServiceName};
-use crate::job::{
-    Copies, Job, JobId, Life, Members, QueueName, Repeat, Resume, Share, ShownState, Step,
-};
+use crate::job::{Job, JobId, Life, QueueName, Repeat, ShownState, Step};
 use crate::jobs::control::Control;
 use crate::jobs::links::{JobsRpc, Links};
 use crate::jobs::records::{FindJob, Found};
@@ -204,23 +202,8 @@
 
 /// A job of one lasting task of two cores.
 fn lasting() -> Job {
-    let step = Step {
-        tasks: 1,
-        size: Resources::new(2000, 2000, 0),
-        estimate: Duration::ZERO,
-        after: Vec::new(),
-        resume: Resume::FromStart,
-        members: Members::Alone,
-        copies: Copies::One,
-        life: Life::Lasting,
-        share: Share::Reserved,
-        label: None,
-        rack: None,
-        per_vm: 0,
-        image: None,
-        tail_target: None,
-        max_away: None,
-    };
+    let step =
+        Step { life: Life::Lasting, ..Step::new(1, Resources::new(2000, 2000, 0), Duration::ZERO) };
     Job { steps: vec![step], ..job() }
 }
 
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -4,10 +4,7 @@
 use crate::cluster::{Hello, Member, MemberStage, ShardNews, StoreReach};
 use crate::ids::{DaemonId, DomainId, ServiceName, VmId};
 use crate::job::progress::{Binding, BoundVm, OccurrenceProgress, Progress, TaskProgress};
-use crate::job::{
-    Copies, Job, JobId, Life, Members, QueueName, Repeat, Resume, RunNumber, Share, ShownState,
-    Step,
-};
+use crate::job::{Job, JobId, Life, QueueName, Repeat, Resume, RunNumber, ShownState, Step};
 use crate::jobs::calls::{Call, Reply};
 use crate::jobs::links::Links;
 use crate::jobs::machines::Upkeep;
@@ -177,21 +174,9 @@
 fn claimed_with_silent_vm() -> Stored {
     let size = Resources::new(1000, 1000, 0);
     let step = Step {
-        tasks: 1,
-        size,
-        estimate: Duration::ZERO,
-        after: Vec::new(),
         resume: Resume::FromCheckpoint,
-        members: Members::Alone,
-        copies: Copies::One,
         life: Life::Lasting,
-        share: Share::Reserved,
-        label: None,
-        rack: None,
-        per_vm: 0,
-        image: None,
-        tail_target: None,
-        max_away: None,
+        ..Step::new(1, size, Duration::ZERO)
     };
     let job = Job {
         id: JobId(1),
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -41,7 +41,6 @@
     VacateOrder,
 };
 pub use log::Keys;
-pub use place::{LASTING_LIMIT, LASTING_SHARE};
 pub use recover::{Lapse, Previous, Recovered};
 pub use settings::Settings;
 pub use silence::{Mark, SilentVm, ToldLapse};
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -2,7 +2,6 @@
 
 use super::event::{Action, Answer, CommitResult, Landed, Urge};
 use super::job_run::{Effect, JobRun, RecordState, Started};
-use super::place::{LASTING_LIMIT, LASTING_SHARE};
 use super::settings::STALLED_COMMIT;
 use super::vm_run::RunKey;
 use super::{Closed, Shard, Stage};
@@ -75,20 +74,17 @@
     }
 
     /// The refusal of a job whose lasting tasks would take what is kept for work that must start at once.
-    /// A shard that has none takes any: the job may be larger than the share of each.
     fn is_full(&self, job: &Job, urge: Urge) -> Option<(&'static str, Duration)> {
         let lasting = lasting_cores(job);
         if lasting == 0 {
             return None;
         }
-        let (share, answer) = match urge {
-            Urge::IfRoom => (LASTING_SHARE, FULL),
-            Urge::Always => (LASTING_LIMIT, NO_MORE),
-        };
         let summary = self.summary();
-        let over = (summary.lasting + lasting) as f64 > summary.capacity as f64 * share;
-        let alone = urge == Urge::Always && summary.lasting == 0;
-        (over && !alone).then_some(answer)
+        let full = summary.is_full_with((summary.lasting + lasting) as f64, urge);
+        full.then_some(match urge {
+            Urge::IfRoom => FULL,
+            Urge::Always => NO_MORE,
+        })
     }
 
     pub(super) fn cancel(&mut self, ticket: Ticket, id: JobId) {
--- a/src/shard/moving/tests.rs
+++ b/src/shard/moving/tests.rs
@@ -1,5 +1,5 @@
 use super::{SLOWED_FOR, may_move};
-use crate::job::{Copies, Life, Members, Resume, Share, Step};
+use crate::job::{Resume, Share, Step};
 use crate::shard::vm_run::{Run, Stage};
 use crate::units::Resources;
 use std::time::Duration;
@@ -8,21 +8,9 @@
 
 fn leftover() -> Step {
     Step {
-        tasks: 8,
-        size: Resources::new(3500, 6400, 0),
-        estimate: Duration::from_millis(2700),
-        after: Vec::new(),
         resume: Resume::FromCheckpoint,
-        members: Members::Alone,
-        copies: Copies::One,
-        life: Life::Finite,
         share: Share::Leftover,
-        label: None,
-        rack: None,
-        per_vm: 0,
-        image: None,
-        tail_target: None,
-        max_away: None,
+        ..Step::new(8, Resources::new(3500, 6400, 0), Duration::from_millis(2700))
     }
 }
 
--- a/src/shard/place/tests.rs
+++ b/src/shard/place/tests.rs
@@ -1,6 +1,6 @@
 use super::lasting_cost;
 use crate::ids::{RackId, ServiceName, VmId};
-use crate::job::{Copies, Image, JobId, Life, Members, Resume, Share, Step, TaskRef};
+use crate::job::{Image, JobId, Life, Step, TaskRef};
 use crate::shard::interference::{Effects, ImageIx};
 use crate::shard::room::Room;
 use crate::units::Resources;
@@ -11,21 +11,9 @@
 
 fn lasting() -> Step {
     Step {
-        tasks: 6,
-        size: Resources::new(6400, 13_000, 0),
-        estimate: Duration::ZERO,
-        after: Vec::new(),
-        resume: Resume::FromStart,
-        members: Members::Alone,
-        copies: Copies::One,
         life: Life::Lasting,
-        share: Share::Reserved,
-        label: None,
-        rack: None,
-        per_vm: 0,
-        image: None,
         tail_target: Some(Duration::from_millis(18)),
-        max_away: None,
+        ..Step::new(6, Resources::new(6400, 13_000, 0), Duration::ZERO)
     }
 }
 
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -197,14 +197,17 @@
 
     /// Whether a task of the step fits.
     pub fn takes(&self, step: &Step, key: StepRef) -> bool {
-        step.reserved().fits_in(&self.free)
-            && (step.per_vm == 0 || self.count(key) < step.per_vm as usize)
+        step.reserved().fits_in(&self.free) && self.is_below_most(step, key)
     }
 
     /// Whether a task of the step will fit once everything that doesn't last has ended.
     pub fn could_take(&self, step: &Step, key: StepRef) -> bool {
-        step.reserved().fits_in(&self.passing)
-            && (step.per_vm == 0 || self.count(key) < step.per_vm as usize)
+        step.reserved().fits_in(&self.passing) && self.is_below_most(step, key)
+    }
+
+    /// Whether one more task of the step may be here.
+    fn is_below_most(&self, step: &Step, key: StepRef) -> bool {
+        step.per_vm == 0 || self.count(key) < step.per_vm as usize
     }
 
     /// Tasks of a step that fit.
--- a/src/shard/room/tests.rs
+++ b/src/shard/room/tests.rs
@@ -1,6 +1,6 @@
 use super::{Room, Served};
 use crate::ids::{RackId, ServiceName, VmId};
-use crate::job::{Copies, Image, Life, Members, Resume, Share, Step};
+use crate::job::{Image, Resume, Share, Step};
 use crate::shard::interference::{Effects, Estimate, ImageIx, Learned, Pair};
 use crate::units::Resources;
 use std::sync::Arc;
@@ -11,21 +11,9 @@
 /// A leftover task of a ninth of a VM's processors, as batch work of the users asks for.
 fn leftover() -> Step {
     Step {
-        tasks: 8,
-        size: Resources::new(3500, 6400, 0),
-        estimate: Duration::from_millis(2200),
-        after: Vec::new(),
         resume: Resume::FromCheckpoint,
-        members: Members::Alone,
-        copies: Copies::One,
-        life: Life::Finite,
         share: Share::Leftover,
-        label: None,
-        rack: None,
-        per_vm: 0,
-        image: None,
-        tail_target: None,
-        max_away: None,
+        ..Step::new(8, Resources::new(3500, 6400, 0), Duration::from_millis(2200))
     }
 }
 
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -2,8 +2,9 @@
 
 use super::Shard;
 use super::event::FreeRoom;
-use super::event::Summary;
+use super::event::{Summary, Urge};
 use super::job_run::{Started, Task};
+use super::place::{LASTING_LIMIT, LASTING_SHARE};
 use super::room::Trial;
 use crate::job::QueueName;
 use crate::job::progress::TaskPhase;
@@ -52,6 +53,18 @@
     }
 }
 
+impl Summary {
+    /// Whether the shard turns a job away that brings its lasting tasks to so much, in thousandths of a core. The
+    /// first such job of a shard is taken whatever its size: it may be larger than the share of each.
+    pub fn is_full_with(&self, lasting: f64, urge: Urge) -> bool {
+        let capacity = self.capacity as f64;
+        match urge {
+            Urge::IfRoom => lasting > capacity * LASTING_SHARE,
+            Urge::Always => self.lasting > 0 && lasting > capacity * LASTING_LIMIT,
+        }
+    }
+}
+
 /// Processors that the lasting tasks of a job reserve here, in thousandths of a core.
 fn lasting_here(job: &super::JobRun) -> u64 {
     let mut cores = 0;
--- a/tests/shards/jobs.rs
+++ b/tests/shards/jobs.rs
@@ -6,30 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 use waxwingstall::ids::ServiceName;
-use waxwingstall::job::{
-    Copies, Job, JobId, Life, Members, QueueName, Repeat, Resume, Share, Step,
-};
+use waxwingstall::job::{Job, JobId, Life, QueueName, Repeat, Resume, Step};
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::{Crash, Work};
 
 /// A job of steps that follow each other.
 pub fn chain(id: u64, steps: u16, tasks: u32, work: Work) -> Job {
     let step = |number: u16| Step {
-        tasks,
-        size: work.size,
-        estimate: work.time,
         after: if number == 0 { Vec::new() } else { vec![number - 1] },
         resume: Resume::FromCheckpoint,
-        members: Members::Alone,
-        copies: Copies::One,
         life: if work.time.is_zero() { Life::Lasting } else { Life::Finite },
-        share: Share::Reserved,
-        label: None,
-        rack: None,
-        per_vm: 0,
-        image: None,
-        tail_target: None,
-        max_away: None,
+        ..Step::new(tasks, work.size, work.time)
     };
     Job {
         id: JobId(id),
