Count lasting jobs that are not durable yet against the bound

Callers saw: lasting jobs beyond the bound were accepted, then short jobs waited and, once VMs had left, lasting tasks stood still for up to 20 s.

Cause: the sum of lasting processors left out jobs whose record isn't durable, and a commit takes 20 to 30 ms. All that came together was accepted whatever the bound. Ruled out: lent tasks counted twice, the first job's exemption.

Change: the sum takes every job that isn't final. What is told of queues and leftover work stays about durable jobs.

lasting_jobs_that_come_together_leave_room_for_short_ones fails before (3 of 3 accepted, 2 fit).

--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -39,11 +39,14 @@
             summary.harmless_free.push((image.clone(), free));
         }
         let mut queued: IndexMap<QueueName, u32> = IndexMap::new();
-        for job in self.jobs.values().filter(|job| !job.is_final() && job.durable.is_some()) {
+        for job in self.jobs.values().filter(|job| !job.is_final()) {
+            summary.lasting += lasting_here(job);
+            if job.durable.is_none() {
+                continue;
+            }
             if job.started == Started::No && !job.is_guest() {
                 *queued.entry(job.job.queue.clone()).or_default() += 1;
             }
-            summary.lasting += lasting_here(job);
             let work = work_left(job);
             summary.leftover_work += work.leftover;
             summary.waiting_work += work.waiting;
--- a/tests/shards/limits.rs
+++ b/tests/shards/limits.rs
@@ -41,6 +41,20 @@
     check(&mut world, &known(&[&first, &short]), SIZE);
 }
 
+// Callers hand lasting jobs in at the same moment: none of them is durable yet as the next one comes, and
+// all of them were taken.
+#[test]
+fn lasting_jobs_that_come_together_leave_room_for_short_ones() {
+    let mut world = World::new(Sound, &[SHARD], 1, SIZE);
+    world.run_for(Duration::from_secs(1));
+    let jobs = [1, 2, 3].map(|id| chain(id, 1, 1, work(0, 3)));
+    let tickets = jobs.each_ref().map(|job| world.submit(SHARD, job.clone()));
+    world.run_for(Duration::from_secs(1));
+    let accepted = tickets.iter().filter(|id| world.answers.get(*id) == Some(&Answer::Accepted));
+    assert_eq!(accepted.count(), 2);
+    check(&mut world, &known(&jobs.each_ref()), SIZE);
+}
+
 // The same job is taken once another one was cancelled.
 #[test]
 fn a_lasting_job_is_taken_once_room_has_come_back() {
