Move smaller lasting tasks for one that fits nowhere

Cause: what is free lies in pieces of 4 to 6 cores on each VM. A lasting task waited until one of others ended by chance.

Change: where lasting tasks want over 0.9 of a shard, they are placed where they leave least. A task that has waited for a second and fits nowhere has up to three smaller ones move for it, each to a VM of its own; those VMs are kept meanwhile, and given to the tasks that they are kept for before anything else is placed. room-planned tells of it.

--- a/src/note.rs
+++ b/src/note.rs
@@ -169,6 +169,8 @@
     Telling JobCancelled = "job-cancelled" { job: JobId, queue: QueueName, runs: usize, }
     /// Tasks that find no room in their shard are lent to another.
     Telling TasksLent = "tasks-lent" { job: JobId, to: String, tasks: usize, }
+    /// Smaller lasting tasks move so that one fits on a VM.
+    Telling RoomPlanned = "room-planned" { task: TaskRef, vm: VmId, milli_cores: u32, waited_ms: Ms, moved: usize, moved_milli_cores: u32, }
     /// An outside service said on which VMs a step may run.
     Telling StepPermitted = "step-permitted" { job: JobId, step: u16, asked: usize, permitted: usize, took_ms: Ms, }
     /// It didn't say.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -8,6 +8,7 @@
 //! [`Shard::step`] takes an event and gives actions, without I/O, without a clock of its own, and
 //! without depending on the order of hashes.
 
+mod compact;
 mod crash;
 mod drain;
 pub mod event;
@@ -74,6 +75,7 @@
     questions: permits::Questions,
     vacating: vacate::Vacating,
     crash_log: crash::CrashLog,
+    kept: compact::Kept,
     list: fleet::List,
     /// Until when VMs that this owner hasn't reached may keep running what earlier owners started.
     inherited_until: Duration,
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -37,6 +37,10 @@
 /// hardly fit in: with more, their callers waited for a place on one VM for as long as the lasting tasks ran.
 pub(super) const LASTING_LIMIT: f64 = 0.8;
 
+/// Share of a shard's processors from which on its lasting tasks are crowded: each piece of room is needed for
+/// the largest task that fits in it.
+const CROWDED: f64 = 0.9;
+
 /// Costs of placing a lasting task: beside other images only, and where nothing serves yet.
 const MIXED_IMAGES: f64 = 3.0;
 const OPENED_VM: f64 = 0.8;
@@ -144,13 +148,17 @@
         }
         self.last_schedule = now;
         self.next_schedule = now + SCHEDULE_EVERY;
-        let candidates = self.candidates();
+        self.release_kept();
         let slowed = self.slowed();
-        if candidates.is_empty() && slowed.is_empty() {
+        if self.candidates().is_empty() && slowed.is_empty() {
             return;
         }
-        let rooms = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let mut rooms: Vec<Room> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let is_crowded = self.lasting_share(&rooms) > CROWDED;
+        rooms.iter_mut().for_each(|room| room.is_crowded = is_crowded);
         let mut pass = Pass { rooms, hopeless: Vec::new() };
+        self.place_kept(&mut pass);
+        let candidates = self.candidates();
         for candidate in &candidates {
             self.place_job(candidate, &mut pass);
         }
@@ -163,6 +171,7 @@
         let tasks = candidates.iter().flat_map(|candidate| &candidate.tasks);
         let left: Vec<TaskRef> = tasks.filter(waits).take(MAX_LENT).copied().collect();
         self.lend(&left);
+        self.make_room(&left, &pass);
     }
 
     fn place_job(&mut self, candidate: &Candidate, pass: &mut Pass) {
@@ -239,7 +248,7 @@
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
         let fits = |(_, room): &(usize, &Room)| {
             let held = room.held && step.life == Life::Finite;
-            !held && room.service == shape.service && room.takes(step, key)
+            !held && !room.is_kept && room.service == shape.service && room.takes(step, key)
         };
         rooms
             .iter()
@@ -260,6 +269,7 @@
     fn cost(&self, room: &Room, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
         let cost = match (step.share, step.life) {
             (Share::Leftover, _) => self.leftover_cost(room, step, image, need)?,
+            (Share::Reserved, Life::Lasting) if room.is_crowded => crowded_cost(room, step, image),
             (Share::Reserved, Life::Lasting) => lasting_cost(room, step, image),
             (Share::Reserved, Life::Finite) => -f64::from(room.free.milli_cores.0) / 1000.0,
         };
@@ -302,7 +312,7 @@
     }
 
     /// Binds a task to a VM; it is started once that is durable.
-    fn bind(&mut self, task: TaskRef, step: &Step, room: &mut Room) {
+    pub(super) fn bind(&mut self, task: TaskRef, step: &Step, room: &mut Room) {
         let now = self.now.steady;
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let run = Self::next_run(job, task);
@@ -371,6 +381,15 @@
     MIXED_IMAGES * mixed + opened + share + closes
 }
 
+/// Crowded lasting tasks go where they leave least, so that a larger one that needs room finds a whole piece.
+/// Which images are beside each other only tells like VMs apart.
+fn crowded_cost(room: &Room, step: &Step, image: ImageIx) -> f64 {
+    let (same, others) = room.alike(image);
+    let mixed = others as f64 / (same + others + 1) as f64;
+    let closes = if room.closes { CLOSES_SOON } else { 0.0 };
+    closes + room.left_beside_lasting(step) + SAME_STEP * mixed
+}
+
 /// Keeps short tasks off the VM where a lasting task will fit soonest: it needs more room at once
 /// than a short one, and would wait as long as any of those comes. Memory counts as well: a VM without
 /// any, which is taken for good, was kept for its free processors, and the task waited in vain.
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -91,6 +91,7 @@
             questions: super::permits::Questions::default(),
             vacating: super::vacate::Vacating::default(),
             crash_log: super::crash::CrashLog::default(),
+            kept: super::compact::Kept::default(),
             effects: super::interference::Effects::default(),
             list: super::fleet::List::Inherited { since: now.steady },
             inherited_until: now.steady + keep + keep.mul_f64(CLOCK_DRIFT) + unaware + LAPSE_MARGIN,
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -34,6 +34,10 @@
     pub trial: Trial,
     /// Whether it is kept free for a lasting task.
     pub held: bool,
+    /// Whether the shard's lasting tasks are crowded.
+    pub is_crowded: bool,
+    /// Whether it is kept for a single task that is to come.
+    pub is_kept: bool,
     /// Whether a serving task there has been over its target for long.
     pub pressed: bool,
     /// Tasks there that may crash their VM.
@@ -92,6 +96,7 @@
         }
         let mut room = Room::of(vm, self.now.steady)?;
         let now = self.now.steady;
+        room.is_kept = self.kept.has(&vm.id);
         room.closes = self.vacating.comes(&vm.id);
         room.pressed = vm.runs.values().any(|run| run.serving.is_over_for(OVER_TOO_LONG, now));
         let mut lasting = 0.0;
@@ -183,6 +188,8 @@
             leftover_demand: 0.0,
             trial: Trial::No,
             held: false,
+            is_crowded: false,
+            is_kept: false,
             pressed: false,
             suspects: 0,
             closes: false,
@@ -210,6 +217,16 @@
         step.per_vm == 0 || self.count(key) < step.per_vm as usize
     }
 
+    /// The VM's processors, in thousandths of a core.
+    pub fn milli_cores(&self) -> f64 {
+        self.size
+    }
+
+    /// What lasting tasks leave here.
+    pub fn beside_lasting(&self) -> Resources {
+        self.passing
+    }
+
     /// Tasks of a step that fit.
     pub fn fitting(&self, step: &Step) -> usize {
         let need = step.reserved();
@@ -289,6 +306,12 @@
         most.min(self.leftover - self.leftover_demand).max(0.0) as u64
     }
 
+    /// Share of the VM's processors that lasting tasks leave once the task is there.
+    pub fn left_beside_lasting(&self, step: &Step) -> f64 {
+        let left = self.passing.saturating_sub(&step.reserved());
+        f64::from(left.milli_cores.0) / self.size
+    }
+
     /// Share of the VM's processors that lasting tasks reserve once the task is there.
     pub fn lasting_with(&self, step: &Step) -> f64 {
         self.lasting + f64::from(step.size.milli_cores.0) / self.size
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -5,7 +5,7 @@
 use super::event::{Summary, Urge};
 use super::job_run::{Started, Task};
 use super::place::{LASTING_LIMIT, LASTING_SHARE};
-use super::room::Trial;
+use super::room::{Room, Trial};
 use crate::job::QueueName;
 use crate::job::progress::TaskPhase;
 use crate::job::{Life, Share};
@@ -56,6 +56,16 @@
     }
 }
 
+impl Shard {
+    /// Share of the VMs' processors that lasting tasks reserve, once those that wait have some.
+    pub(super) fn lasting_share(&self, rooms: &[Room]) -> f64 {
+        let open = self.jobs.values().filter(|job| !job.is_final());
+        let lasting: u64 = open.map(lasting_here).sum();
+        let cores: f64 = rooms.iter().map(Room::milli_cores).sum();
+        lasting as f64 / cores.max(1.0)
+    }
+}
+
 impl Summary {
     /// Whether the shard turns a job away that brings its lasting tasks to so much, in thousandths of a core. The
     /// first such job of a shard is taken whatever its size: it may be larger than the share of each.
--- a/src/shard/waiting.rs
+++ b/src/shard/waiting.rs
@@ -84,7 +84,9 @@
         let least = tally.least_mib.unwrap_or(u32::MAX);
         tally.least_mib = Some(least.min(step.size.memory_mib.0));
         tally.most_wanted = tally.most_wanted.max(step.size.milli_cores.0);
-        let here = |room: &Room| room.takes(step, task.of_step()) && self.has_label(&room.vm, step);
+        let here = |room: &Room| {
+            !room.is_kept && room.takes(step, task.of_step()) && self.has_label(&room.vm, step)
+        };
         let later =
             |room: &Room| room.could_take(step, task.of_step()) && self.has_label(&room.vm, step);
         if rooms.iter().any(here) {
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod hold;
 mod jobs;
+mod leaving;
 mod limits;
 mod lists;
 mod loans;
