Play moves of lasting tasks beside faults

promises_hold_while_lasting_tasks_move: a full shard loses an eighth of its VMs while owners are replaced or stand still, VMs crash or can't be reached, and 2 % of orders and messages are lost or late. No task runs twice and no VM is overfilled.

--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -1,12 +1,13 @@
 //! Lasting work that needs room elsewhere when its VMs leave.
 
-use crate::faults::Sound;
+use crate::faults::{Chance, Faults, Sound};
 use crate::jobs::{chain, work};
 use crate::witness::check;
 use crate::world::{VmNode, World};
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::ops::Range;
 use std::time::Duration;
 use waxwingstall::job::{Image, Job, JobId, TaskRef};
 use waxwingstall::shard::Answer;
@@ -16,30 +17,35 @@
 const SIZE: Resources = Resources::new(32_000, 128_000, 0);
 const SHARD: &str = "kacyiru";
 
-/// An eighth of them leaves.
-const VMS: usize = 32;
-const LEAVING: usize = 4;
+/// One VM of so many leaves.
+const LEAVING_OF: usize = 8;
 const NOTICE: Duration = Duration::from_secs(4);
 
 /// Time that a lasting task may stand still while its size is free twice over.
 const STANDSTILL: Duration = Duration::from_secs(6);
 
+/// Time in which a shard is filled, and in which there are faults after that.
+const FILLED: Duration = Duration::from_secs(4);
+const TROUBLED: Duration = Duration::from_secs(16);
+
+/// Time after which everything has settled.
+const CALM: Duration = Duration::from_secs(30);
+
 /// A shard with all the lasting work that it accepts.
-struct Full {
-    world: World<Sound>,
+struct Full<F> {
+    world: World<F>,
     jobs: IndexMap<JobId, Job>,
     /// Since when each task that doesn't run could.
     still: IndexMap<TaskRef, Duration>,
     next: u64,
 }
 
-impl Full {
-    fn new(seed: u64) -> Self {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let world = World::new(Sound, &[SHARD], VMS, SIZE);
+impl<F: Faults> Full<F> {
+    fn new(faults: F, vms: usize, sizes: Range<u32>, rng: &mut SmallRng) -> Self {
+        let world = World::new(faults, &[SHARD], vms, SIZE);
         let (jobs, still) = (IndexMap::new(), IndexMap::new());
         let mut full = Self { world, jobs, still, next: 1 };
-        while full.submit(lasting(full.next, &mut rng)) {}
+        while full.submit(lasting(full.next, rng.random_range(sizes.clone()))) {}
         full
     }
 
@@ -56,8 +62,8 @@
     }
 
     fn leave(&mut self) {
-        for index in 0..LEAVING {
-            self.world.leave_vm(index * VMS / LEAVING, NOTICE);
+        for index in (0..self.world.vms.len()).step_by(LEAVING_OF) {
+            self.world.leave_vm(index, NOTICE);
         }
     }
 
@@ -65,7 +71,7 @@
     fn free(&mut self) -> u32 {
         let now = self.world.now;
         let stay = self.world.vms.iter_mut().enumerate();
-        let stay = stay.filter(|(index, _)| index % (VMS / LEAVING) != 0);
+        let stay = stay.filter(|(index, _)| index % LEAVING_OF != 0);
         let used = |vm: &mut VmNode| -> u32 {
             vm.table.runs(now).iter().map(|(_, _, size)| size.milli_cores.0).sum()
         };
@@ -100,9 +106,9 @@
     }
 }
 
-/// Six lasting tasks of one image.
-fn lasting(id: u64, rng: &mut SmallRng) -> Job {
-    let size = Resources::new(rng.random_range(20..100) * 100, 6_000, 0);
+/// Six lasting tasks of one image, each of so many tenths of a core.
+fn lasting(id: u64, tenths: u32) -> Job {
+    let size = Resources::new(tenths * 100, 6_000, 0);
     let mut job = chain(id, 1, 6, Work { size, ..work(0, 1) });
     job.steps[0].image = Some(Image::new(&format!("voice-{}", id % 10)));
     job.steps[0].tail_target = Some(Duration::from_millis(18));
@@ -113,7 +119,7 @@
 #[test]
 fn no_lasting_task_stands_still_for_long_beside_room_for_two() {
     for seed in 0..6 {
-        let mut full = Full::new(seed);
+        let mut full = Full::new(Sound, 32, 20..100, &mut SmallRng::seed_from_u64(seed));
         full.leave();
         let mut longest = (Duration::ZERO, 0);
         for _ in 0..100 {
@@ -126,3 +132,29 @@
         check(&mut full.world, &full.jobs, SIZE);
     }
 }
+
+// A task that moves for another one, or the one that it moves for, runs twice or takes room that isn't there,
+// as owners and VMs fail meanwhile.
+#[test]
+fn promises_hold_while_lasting_tasks_move() {
+    for seed in 0..12 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let until = Duration::from_secs(5) + FILLED + TROUBLED;
+        let mut full = Full::new(Chance::new(seed, 20, until), 16, 20..160, &mut rng);
+        full.leave();
+        while full.world.now < until {
+            full.world.run_for(Duration::from_millis(rng.random_range(500..2500)));
+            let (vm, time) =
+                (rng.random_range(0..16), Duration::from_millis(rng.random_range(300..4000)));
+            match rng.random_range(0..10) {
+                0..2 => full.world.replace_owner(SHARD),
+                2..4 => full.world.pause_owner(SHARD, time),
+                4 => full.world.cut_vm(vm, time),
+                5 => full.world.crash_vm(vm, time),
+                _ => {}
+            }
+        }
+        full.world.run_for(CALM);
+        check(&mut full.world, &full.jobs, SIZE);
+    }
+}
