Send jobs past owners that are out of touch, and on after a call is left unanswered

Cause: a job went to the shard with the least estimated cost until its owner was replaced, 1.6 s after its last hello: when a failure domain is cut off, a fifth of all jobs went into it and waited 1.4 s each for 'unknown' (502 and 504 of requests that had reached no runner). While the store was away each job was sent to all owners in turn, twice, before it was refused.

Change: shards/ownership views say whether the owner reaches the store. Owners that missed a hello, or can't reach the store, are passed over while others are heard; a call is given up once the owner has been silent for 0.9 s; a job left unanswered goes to another shard, since the store keeps ids unique, and its last answer is 'unknown' unless one accepts it. If no owner reaches the store, jobs are refused at once with 1 s of Retry-After in place of 1.5 s, which the header rounded to 2 s of the 3 s that callers have. An owner tells everyone at once when it loses or regains the store. The choice is a module of its own, without network.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -6,21 +6,20 @@
 #[cfg(test)]
 mod tests;
 
+use super::choice::{Refusals, UnreportedLoads};
 use super::control::{Control, HandleCall};
 use super::links::{self, ForwardCall, PeerLinks};
 use super::records::{FindJob, JobLocation};
-use super::view::{JobDirectory, Owner, ShardView, View};
+use super::view::{JobDirectory, Owner, View};
 use crate::clock::Clock;
 use crate::job::check::{self, JobError};
-use crate::job::{Image, Job, JobId, JobState, Life, QueueName, Share};
-use crate::shard::{AdmissionMode, Answer, Summary};
+use crate::job::{Job, JobId, JobState, QueueName};
+use crate::shard::{AdmissionMode, Answer, RETRY_AFTER_OUTAGE};
 use actix::prelude::*;
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// A request that the owner of a shard answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -38,8 +37,8 @@
     NotOwner,
 }
 
-/// Age from which a shard's summary is too old to choose a shard by.
-const MAX_SUMMARY_AGE: Duration = Duration::from_millis(2500);
+/// Silence of a shard's owner after which a call to it is given up: two hellos are missing.
+const OWNER_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Maximum age of a shard summary whose counts of queued jobs are reported.
 const MAX_COUNT_AGE: Duration = Duration::from_millis(1900);
@@ -57,10 +56,6 @@
 /// Retry hint for a job that requires a label no VM has; a new VM takes seconds to appear.
 const RETRY_AFTER_NO_LABEL: Duration = Duration::from_secs(10);
 
-/// Weight of a job's own work relative to the work queued before it. A shard with few VMs that suit
-/// the job is worse than one with a longer queue of work that runs on other VMs.
-const OWN_WORK_WEIGHT: f64 = 3.0;
-
 /// Client for jobs in any shard.
 #[derive(Clone)]
 pub struct JobClient {
@@ -70,20 +65,11 @@
     links: Addr<PeerLinks>,
     finder: Recipient<FindJob>,
     clock: Arc<dyn Clock>,
-    unreported: Arc<Mutex<IndexMap<String, UnreportedLoad>>>,
+    unreported: Arc<Mutex<UnreportedLoads>>,
     /// Time by which every call is answered, set when a planned shutdown begins.
     shutdown_deadline: Arc<OnceLock<Duration>>,
 }
 
-/// Load sent to a shard that its last summary doesn't include yet.
-#[derive(Clone, Copy, Debug, Default)]
-struct UnreportedLoad {
-    /// Time of the summary that this load is added to.
-    summary_at: Duration,
-    reserved: f64,
-    leftover_work: f64,
-}
-
 /// Outcome of one attempt.
 enum Attempt {
     Answered(Answer),
@@ -138,11 +124,15 @@
         loop {
             let cached = self.cached_shard(job.id).map(|shard| (shard, AdmissionMode::Always));
             let is_cached = cached.is_some();
+            if !is_cached && self.view().lacks_store() {
+                let refusal = not_run("no shard's owner reaches the store", RETRY_AFTER_OUTAGE);
+                return refusals.or_unknown(refusal);
+            }
             let Some((shard, mode)) = cached.or_else(|| self.choose(&job, &refusals)) else {
-                if refusals.unconditional.is_empty() && self.wait_to_retry(deadline).await {
+                if refusals.is_conditional() && self.wait_to_retry(deadline).await {
                     continue;
                 }
-                return last;
+                return refusals.or_unknown(last);
             };
             match self.attempt(&shard, Call::Submit(Box::new(job.clone()), mode), deadline).await {
                 Attempt::Answered(Answer::Accepted) => {
@@ -154,15 +144,20 @@
                     last = answer;
                     // The shard that already has the job is retried; no other shard is tried.
                     if is_cached && !self.wait_to_retry(deadline).await {
-                        return last;
+                        return refusals.or_unknown(last);
                     }
                     refusals.add(shard, mode);
                 }
                 Attempt::Answered(answer) => return answer,
+                // The store keeps ids unique over all shards, so that another shard can be tried:
+                // whichever commits the job first runs it.
+                Attempt::Uncertain(reason) if !is_cached && !self.time_left(deadline).is_zero() => {
+                    refusals.add_unanswered(shard, reason);
+                }
                 Attempt::Uncertain(reason) => return Answer::Unknown { reason },
                 Attempt::NotRun => {
                     if !self.wait_to_retry(deadline).await {
-                        return last;
+                        return refusals.or_unknown(last);
                     }
                 }
             }
@@ -271,17 +266,33 @@
             Some(Owner::Local) => self.attempt_locally(shard, call, timeout).await,
             Some(Owner::Remote(to)) => {
                 let msg = ForwardCall { to, shard: shard.to_owned(), call, timeout };
-                match self.links.send(msg).await {
-                    Ok(Ok(Reply::Answer(answer))) => Attempt::Answered(answer),
-                    Ok(Ok(Reply::NotOwner)) => Attempt::NotRun,
-                    Ok(Err(links::Error::NoAnswer { reason, .. })) => Attempt::Uncertain(reason),
-                    Ok(Err(_)) => Attempt::NotRun,
-                    Err(e) => Attempt::Uncertain(e.to_string()),
+                tokio::select! {
+                    sent = self.links.send(msg) => match sent {
+                        Ok(Ok(Reply::Answer(answer))) => Attempt::Answered(answer),
+                        Ok(Ok(Reply::NotOwner)) => Attempt::NotRun,
+                        Ok(Err(links::Error::NoAnswer { reason, .. })) => {
+                            Attempt::Uncertain(reason)
+                        }
+                        Ok(Err(_)) => Attempt::NotRun,
+                        Err(e) => Attempt::Uncertain(e.to_string()),
+                    },
+                    () = self.owner_falls_silent(shard) => {
+                        Attempt::Uncertain("the shard's owner has fallen silent".to_owned())
+                    }
                 }
             }
         }
     }
 
+    /// Completes if no hello of a shard's owner arrives in [`OWNER_SILENCE_TIMEOUT`] from now.
+    async fn owner_falls_silent(&self, shard: &str) {
+        let sent = self.clock.now();
+        tokio::time::sleep(OWNER_SILENCE_TIMEOUT).await;
+        if self.view().shards.get(shard).is_some_and(|shard| shard.summary_at > sent) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn attempt_locally(&self, shard: &str, call: Call, timeout: Duration) -> Attempt {
         let msg = HandleCall { shard: shard.to_owned(), call };
         match tokio::time::timeout(timeout, self.control.send(msg)).await {
@@ -292,42 +303,10 @@
         }
     }
 
-    /// Chooses the shard with the lowest estimated cost for a job.
+    /// Chooses a shard for a job, and counts the job towards that shard's load.
     fn choose(&self, job: &Job, refusals: &Refusals) -> Option<(String, AdmissionMode)> {
-        let (view, now) = (self.view(), self.clock.now());
-        let demand = Demand::of(job, refusals);
-        let is_candidate = |(_, shard): &(&String, &ShardView)| {
-            shard.owner.is_some()
-                && now.saturating_sub(shard.summary_at) < MAX_SUMMARY_AGE
-                && shard.summary.vms > 0
-        };
         let mut unreported = self.unreported.lock().unwrap_or_else(PoisonError::into_inner);
-        let candidates: Vec<(&String, &ShardView, UnreportedLoad)> = view
-            .shards
-            .iter()
-            .filter(is_candidate)
-            .map(|(name, shard)| {
-                let load =
-                    unreported.get(name).filter(|l| l.summary_at == shard.summary_at).copied();
-                (name, shard, load.unwrap_or_default())
-            })
-            .collect();
-        let best = |mode| {
-            let costs = candidates.iter().filter_map(|(name, shard, load)| {
-                let cost = demand.cost(name, &shard.summary, load, mode)?;
-                Some((*name, *shard, cost))
-            });
-            costs.min_by(|(_, _, a), (_, _, b)| a.total_cmp(b)).map(|best| (best, mode))
-        };
-        let ((name, shard, _), mode) =
-            best(AdmissionMode::IfRoom).or_else(|| best(AdmissionMode::Always))?;
-        let entry = unreported.entry(name.clone()).or_default();
-        if entry.summary_at != shard.summary_at {
-            *entry = UnreportedLoad { summary_at: shard.summary_at, ..UnreportedLoad::default() };
-        }
-        entry.reserved += demand.reserved;
-        entry.leftover_work += demand.leftover_work;
-        Some((name.clone(), mode))
+        unreported.choose(&self.view(), self.clock.now(), job, refusals)
     }
 
     fn cached_shard(&self, id: JobId) -> Option<String> {
@@ -362,118 +341,6 @@
     }
 }
 
-/// Resources that a job requires of a shard.
-struct Demand<'a> {
-    /// Largest concurrent reservation, in thousandths of a core.
-    reserved: f64,
-    /// Work that runs on unreserved capacity, in milliseconds times thousandths of a core.
-    leftover_work: f64,
-    /// Image of the first step with such work that names one.
-    leftover_image: Option<&'a Image>,
-    /// Image of the job's lasting tasks, or its queue if they name no image; `None` without such
-    /// tasks.
-    lasting: Option<&'a str>,
-    refusals: &'a Refusals,
-}
-
-/// Shards that refused a job.
-#[derive(Debug, Default)]
-struct Refusals {
-    /// Refused because they had little room; they may take the job under [`AdmissionMode::Always`].
-    lacking_room: Vec<String>,
-    /// Refused regardless of room.
-    unconditional: Vec<String>,
-}
-
-impl Refusals {
-    fn add(&mut self, shard: String, mode: AdmissionMode) {
-        match mode {
-            AdmissionMode::IfRoom => self.lacking_room.push(shard),
-            AdmissionMode::Always => self.unconditional.push(shard),
-        }
-    }
-
-    fn contains(&self, shard: &str, mode: AdmissionMode) -> bool {
-        let lists = |shards: &[String]| shards.iter().any(|name| name == shard);
-        lists(&self.unconditional) || (mode == AdmissionMode::IfRoom && lists(&self.lacking_room))
-    }
-}
-
-impl<'a> Demand<'a> {
-    fn of(job: &'a Job, refusals: &'a Refusals) -> Self {
-        let mut demand = Self {
-            reserved: 0.0,
-            leftover_work: 0.0,
-            leftover_image: None,
-            lasting: None,
-            refusals,
-        };
-        for step in &job.steps {
-            let cores = f64::from(step.tasks) * f64::from(step.size.milli_cores.0);
-            match step.share {
-                Share::Reserved => demand.reserved = demand.reserved.max(cores),
-                Share::Leftover => {
-                    demand.leftover_work += cores * step.estimate.as_millis() as f64;
-                    demand.leftover_image = demand.leftover_image.or(step.image.as_ref());
-                }
-            }
-            if step.life == Life::Lasting {
-                demand.lasting =
-                    Some(step.image.as_ref().map_or(job.queue.as_str(), Image::as_str));
-            }
-        }
-        demand
-    }
-
-    /// Estimated cost of running the job in a shard, lower being better; `None` excludes the shard.
-    fn cost(
-        &self,
-        name: &str,
-        summary: &Summary,
-        load: &UnreportedLoad,
-        mode: AdmissionMode,
-    ) -> Option<f64> {
-        if self.refusals.contains(name, mode) {
-            return None;
-        }
-        let capacity = (summary.capacity as f64).max(1.0);
-        let free = summary.free as f64 - load.reserved - self.reserved;
-        if self.leftover_work > 0.0 {
-            let queued = summary.leftover_work as f64 + load.leftover_work;
-            let wait = queued / (summary.leftover as f64).max(1.0);
-            return Some(
-                wait + OWN_WORK_WEIGHT * self.leftover_work / self.leftover(summary).max(1.0),
-            );
-        }
-        let Some(image) = self.lasting else {
-            return Some(summary.waiting_work as f64 / capacity - free / capacity);
-        };
-        let lasting = summary.lasting as f64 + load.reserved + self.reserved;
-        match mode {
-            AdmissionMode::IfRoom if summary.exceeds_long_running_limit(lasting, mode) => None,
-            // The shard with the most room for lasting tasks was tried first and refused. Trying
-            // hundreds of shards with less room one by one would use up the call's time.
-            AdmissionMode::Always
-                if !self.refusals.unconditional.is_empty()
-                    && summary.exceeds_long_running_limit(lasting, mode) =>
-            {
-                None
-            }
-            // The hash sends all lasting tasks of an image to the same shard, whichever daemon
-            // chooses. Less leftover work is then left without a VM where it disturbs no image.
-            AdmissionMode::IfRoom => Some(xxh3_64(format!("{image}/{name}").as_bytes()) as f64),
-            AdmissionMode::Always => Some(lasting / capacity),
-        }
-    }
-
-    /// Capacity available to the job's leftover work, in thousandths of a core.
-    fn leftover(&self, summary: &Summary) -> f64 {
-        let harmless =
-            summary.harmless.iter().find(|(image, _)| Some(image) == self.leftover_image);
-        harmless.map_or(summary.leftover, |(_, harmless)| *harmless) as f64
-    }
-}
-
 fn not_run(reason: &str, retry_after: Duration) -> Answer {
     Answer::NotRun { reason: reason.to_owned(), retry_after }
 }
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -168,8 +168,9 @@
             let shared: Arc<str> = Arc::from(report.name.as_str());
             report.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
             let summary = Arc::new(report.summary.clone());
-            self.remote_shards
-                .insert(report.name.clone(), ShardView { owner: None, summary, summary_at: now });
+            let store = msg.0.store;
+            let view = ShardView { owner: None, store, summary, summary_at: now };
+            self.remote_shards.insert(report.name.clone(), view);
             let lapses = TimedLapses { at: now, lapses: report.lapses.clone() };
             self.reported_lapses.insert(report.name.clone(), lapses);
         }
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -2,7 +2,7 @@
 
 use super::{Control, HostedShard};
 use crate::clock::Clock;
-use crate::cluster::{Hello, MemberStage, ShardReport};
+use crate::cluster::{Hello, MemberStage, ShardReport, StoreReachability};
 use crate::jobs::confirmed::ConfirmationStatus;
 use crate::jobs::links::SendHello;
 use crate::jobs::view::{Owner, Readiness, ShardView, View};
@@ -68,7 +68,8 @@
             let view = match self.hosted.get_mut(&name) {
                 Some(hosted) => {
                     let (summary, summary_at) = (hosted.summary.clone(), hosted.summary_at);
-                    ShardView { owner: Some(Owner::Local), summary, summary_at }
+                    let (owner, store) = (Some(Owner::Local), self.store_reach);
+                    ShardView { owner, store, summary, summary_at }
                 }
                 None => self.remote_view(&name),
             };
@@ -98,6 +99,7 @@
         let known = self.remote_shards.get(name);
         ShardView {
             owner: self.ownership.owner(name).map(Owner::Remote),
+            store: known.map_or(StoreReachability::Away, |view| view.store),
             summary: known.map(|view| view.summary.clone()).unwrap_or_default(),
             summary_at: known.map_or(Duration::ZERO, |view| view.summary_at),
         }
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -301,7 +301,11 @@
             }
             _ => {}
         }
-        self.store_reach = reach;
+        if self.store_reach != reach {
+            self.store_reach = reach;
+            // Others send no jobs to an owner while it can't reach the store.
+            self.ownership.schedule_hello_to_all();
+        }
     }
 }
 
--- a/src/jobs/view.rs
+++ b/src/jobs/view.rs
@@ -1,7 +1,7 @@
 //! The state that callers' calls use, as last published by control.
 
 use super::confirmed::ConfigConfirmation;
-use crate::cluster::Member;
+use crate::cluster::{Member, StoreReachability};
 use crate::job::JobId;
 use crate::job::check::VmShapes;
 use crate::queues::Queues;
@@ -23,11 +23,28 @@
     pub vm_shapes: Arc<VmShapes>,
 }
 
+impl View {
+    /// Whether shards have owners, none of which can reach the store.
+    pub fn lacks_store(&self) -> bool {
+        let mut owned = self.shards.values().filter(|shard| shard.owner.is_some()).peekable();
+        owned.peek().is_some() && owned.all(|shard| shard.store == StoreReachability::Away)
+    }
+}
+
+impl ShardView {
+    /// Whether the shard has an owner that can make a job durable.
+    pub fn accepts_jobs(&self) -> bool {
+        self.owner.is_some() && self.store == StoreReachability::Reached
+    }
+}
+
 /// Last known state of a shard.
 #[derive(Clone, Debug)]
 pub struct ShardView {
     /// The owner, if it is responding.
     pub owner: Option<Owner>,
+    /// Whether the owner can reach the store, which it needs to accept a job.
+    pub store: StoreReachability,
     pub summary: Arc<Summary>,
     /// When the summary was created.
     pub summary_at: Duration,
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -42,6 +42,7 @@
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Now,
     OtherShard, Summary, WriteOutcome,
 };
+pub use intake::RETRY_AFTER_OUTAGE;
 pub use log::Keys;
 pub use recover::{PreviousOwner, Recovered, VmLapse};
 pub use settings::Settings;
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -15,8 +15,9 @@
 /// Retry delay while ownership of the shard is transferred, which takes about 100 ms.
 const RETRY_AFTER_HANDOVER: Duration = Duration::from_millis(300);
 
-/// Retry delay while the store is unavailable; outages last for seconds.
-const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(1500);
+/// Retry delay while the store is unavailable: a caller's time limit is a few seconds, so it can
+/// afford several attempts a second apart, but not one that comes back to the same outage late.
+pub const RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(1);
 
 /// Refusal when the shard accepts no more long-running tasks. Capacity is freed as other jobs are
 /// cancelled, which takes seconds.
