--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -30,6 +30,10 @@
 /// Length of a pause of this daemon beyond which the silence of other daemons is not counted.
 pub const OWN_PAUSE_THRESHOLD: Duration = Duration::from_millis(500);
 
+/// Silence of all owners in other failure domains after which this one counts as cut off, if the
+/// store can't be reached either: two missed hellos.
+const DOMAIN_CUT_OFF_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// Input of [`Ownership::step`].
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -202,6 +206,23 @@
         self.store == StoreReachability::Reached || self.members.values().any(reached)
     }
 
+    /// Whether this daemon's failure domain seems to be partitioned from the others and the store:
+    /// the store is away, and no owner of another domain is heard any more.
+    ///
+    /// Owners send everyone a hello several times per second, so silence from all of them at once
+    /// shows a partition sooner than the silence of one shows that it has ended.
+    pub fn is_domain_cut_off(&self, now: Duration) -> bool {
+        let mut remote_owners = self
+            .members
+            .values()
+            .filter(|known| known.member.domain != self.me.domain && !known.shards.is_empty())
+            .peekable();
+        self.store == StoreReachability::Away
+            && remote_owners.peek().is_some()
+            && remote_owners
+                .all(|known| now.saturating_sub(known.last_heard) >= DOMAIN_CUT_OFF_TIMEOUT)
+    }
+
     /// Newest configuration version in force at any other daemon.
     pub fn newest_config(&self) -> u64 {
         self.newest_config
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -127,6 +127,9 @@
         if !shards.values().any(|shard| shard.owner.is_some()) {
             return not("no shard has an owner");
         }
+        if self.ownership.is_domain_cut_off(now) {
+            return not("the failure domain is cut off");
+        }
         Readiness::Ready
     }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -332,3 +332,50 @@
     harness.step(Event::ReleaseAll);
     assert_eq!(harness.handed_over, [("kacyiru.0".to_owned(), "last".to_owned())]);
 }
+
+fn remote(name: &str) -> Member {
+    Member { domain: DomainId::new("gikondo"), ..member(name, STRONG) }
+}
+
+/// A daemon that knows two owners in another failure domain and one in its own.
+fn daemon_beside_owners() -> Harness {
+    let mut harness = Harness::new(member("idle", WEAK), 3);
+    harness.set_peer(remote("far"), vec![report("kacyiru.0", 5)]);
+    harness.set_peer(remote("farther"), vec![report("kacyiru.1", 5)]);
+    harness.set_peer(member("near", STRONG), vec![report("kacyiru.2", 5)]);
+    harness.run_for(ms(3000));
+    harness
+}
+
+fn silence_remote_owners(harness: &mut Harness) {
+    harness.others.shift_remove("far");
+    harness.others.shift_remove("farther");
+}
+
+// Guards against callers who are kept at a domain that can't accept jobs: with many daemons, the
+// silence of those without shards shows nothing for tens of seconds, so that a domain that was cut
+// off called itself ready until the cut was over.
+#[test]
+fn a_domain_that_hears_no_other_owner_and_no_store_is_cut_off() {
+    let mut harness = daemon_beside_owners();
+    let is_cut_off = |harness: &Harness| harness.ownership.is_domain_cut_off(harness.now);
+    silence_remote_owners(&mut harness);
+    harness.step(Event::Store(StoreReachability::Away));
+    harness.run_for(ms(500));
+    assert!(!is_cut_off(&harness), "one missed hello shows nothing");
+    harness.run_for(ms(900));
+    assert!(is_cut_off(&harness));
+    harness.step(Event::Store(StoreReachability::Reached));
+    assert!(!is_cut_off(&harness));
+}
+
+// Guards against a whole cluster that turns callers away while the store is away for everyone: they
+// would find no other daemon to go to.
+#[test]
+fn an_outage_of_the_store_cuts_no_domain_off() {
+    let mut harness = daemon_beside_owners();
+    harness.others.shift_remove("far");
+    harness.step(Event::Store(StoreReachability::Away));
+    harness.run_for(ms(5000));
+    assert!(!harness.ownership.is_domain_cut_off(harness.now), "another domain is heard");
+}
