Back off reads of the store on daemons without shards

Cause: each daemon repeats three reads every 20 to 200 ms for as long as the store is away: with 147 daemons some thousand calls a second, which is priced and slows the store's return, for daemons whose callers don't wait for it.

Change: a daemon without shards doubles the delay with each failure in a row, up to 0.64 s. Owners keep theirs, since their tasks stand still until they are back.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -11,6 +11,7 @@
 //!
 //! The platform's own interfaces are behind [`Platform`].
 
+pub mod backoff;
 pub mod calls;
 pub mod choice;
 pub mod claim;
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -4,8 +4,9 @@
 pub mod operators;
 
 use super::Platform;
+use super::backoff::{Urgency, read_delay};
 use super::control::StoreEvent;
-use super::records::{MonitoredStore, retry_delay};
+use super::records::MonitoredStore;
 use crate::cluster::plan::PLAN_KEY;
 use crate::cluster::{Member, Plan};
 use crate::job::progress::{decode, encode};
@@ -83,6 +84,12 @@
 }
 
 impl<P: Platform> FollowContext<P> {
+    /// Delay before a read is repeated that has just failed.
+    fn retry_delay(&self, failures: &FailureStreak, e: &Error) -> Duration {
+        let urgency = if self.ownership.owning.get() { Urgency::Owner } else { Urgency::Idle };
+        read_delay(e, failures.in_row, urgency)
+    }
+
     fn report_failure(&self, failures: &mut FailureStreak, e: &Error) {
         if let Some(note) = failures.record_failure(self.store.clock().now(), e) {
             self.control.do_send(StoreEvent::Note(note));
@@ -140,7 +147,7 @@
             if e == Error::LeaseEnded {
                 lease = None;
             }
-            tokio::time::sleep(retry_delay(&e)).await;
+            tokio::time::sleep(ctx.retry_delay(&failures, &e)).await;
         }
     }
 }
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -12,7 +12,7 @@
 use super::{FailureStreak, FollowContext, ReadProgress, extend_plan, read_all};
 use crate::cluster::StoreReachability;
 use crate::jobs::control::StoreEvent;
-use crate::jobs::records::{retry_delay, unreadable_note};
+use crate::jobs::records::unreadable_note;
 use crate::jobs::{Platform, UnreadableEntry};
 use crate::kv::{Change, Freshness, Item, KvStore, Result, Rev, Watch};
 use crate::note::{Millis, Note};
@@ -52,7 +52,7 @@
         if let Err(e) = follow_list(&ctx, &mut fleet, &mut failures).await {
             ctx.report_failure(&mut failures, &e);
             ctx.publish_unread();
-            tokio::time::sleep(retry_delay(&e).max(POLL_INTERVAL / 2)).await;
+            tokio::time::sleep(ctx.retry_delay(&failures, &e).max(POLL_INTERVAL / 2)).await;
         }
     }
 }
--- a/src/jobs/follow/operators.rs
+++ b/src/jobs/follow/operators.rs
@@ -7,7 +7,7 @@
 
 use super::{FailureStreak, FollowContext, ReadProgress, read_all};
 use crate::jobs::control::StoreEvent;
-use crate::jobs::records::{retry_delay, unreadable_note};
+use crate::jobs::records::unreadable_note;
 use crate::jobs::{OperatorEntry, Platform};
 use crate::kv::{Change, Changes, Error, Freshness, Item, KvStore, Result, Rev, Watch};
 use crate::queues::Queues;
@@ -40,7 +40,7 @@
         if let Err(e) = follow_entries(&ctx, &mut failures).await {
             ctx.report_failure(&mut failures, &e);
             ctx.control.do_send(StoreEvent::ConfigReadFailed { reason: e.to_string() });
-            tokio::time::sleep(retry_delay(&e)).await;
+            tokio::time::sleep(ctx.retry_delay(&failures, &e)).await;
         }
     }
 }
