--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -1,6 +1,7 @@
 //! Simulation tests of shards with failing VMs, network and store.
 
 mod crashes;
+mod elsewhere;
 mod faults;
 mod hold;
 mod invariants;
