--- a/src/jobs/choice.rs
+++ b/src/jobs/choice.rs
@@ -1,9 +1,9 @@
 //! Choice of the shard that a new job is sent to.
 //!
-//! Pattern: load balancing by reported load, with ejection of hosts that are out of touch. While a
-//! failure domain is lost or the store is away, most owners are still well: an owner whose hellos
-//! stop, that can't reach the store, or that left a call unanswered is passed over at once, long
-//! before it is replaced, and its share of the jobs goes to the others.
+//! Pattern: load balancing by reported load, with ejection of unresponsive hosts. While a failure
+//! domain is lost or the store is away, most owners are still well: an owner whose hellos stop, that
+//! can't reach the store, or that left a call unanswered is passed over at once, long before it is
+//! replaced, and its share of the jobs goes to the others.
 
 #[cfg(test)]
 mod tests;
--- a/tests/shards/elsewhere.rs
+++ b/tests/shards/elsewhere.rs
@@ -6,6 +6,7 @@
 use crate::faults::{NoFaults, RandomFaults};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, random, work};
+use crate::random::seeds;
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
@@ -104,18 +105,11 @@
     }
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let given = std::env::var("SHARD_SEEDS").ok();
-    let range = given.as_deref().and_then(|text| text.split_once(".."));
-    let range = range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    range.unwrap_or(0..40)
-}
-
 // Guards against tasks that run twice, or jobs that are lost, because their caller sent them to
 // several shards while owners, VMs and the store failed.
 #[test]
 fn promises_hold_for_jobs_sent_to_several_shards() {
-    for seed in seeds() {
+    for seed in seeds(0..40) {
         println!("seed {seed}");
         verify(seed);
     }
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::ops::Range;
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, JobState};
 use waxwingstall::shard::Answer;
@@ -117,11 +118,12 @@
     }
 }
 
-fn seeds() -> std::ops::Range<u64> {
+/// Seeds to run: those in `SHARD_SEEDS`, or the default ones.
+pub fn seeds(default: Range<u64>) -> Range<u64> {
     let given = std::env::var("SHARD_SEEDS").ok();
     let range = given.as_deref().and_then(|text| text.split_once(".."));
     let range = range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    range.unwrap_or(0..60)
+    range.unwrap_or(default)
 }
 
 // Jobs are submitted and cancelled while commands and messages are lost, delayed or unanswered, VMs
@@ -129,7 +131,7 @@
 // twice or before its predecessors, no VM may be overcommitted, and every finite job must complete.
 #[test]
 fn promises_hold_whatever_fails() {
-    for seed in seeds() {
+    for seed in seeds(0..60) {
         println!("seed {seed}");
         verify(seed);
     }
