--- a/src/cluster/ownership/sharing.rs
+++ b/src/cluster/ownership/sharing.rs
@@ -19,10 +19,10 @@
 /// no shard needs to move.
 const STORE_UP_DELAY: Duration = Duration::from_millis(600);
 
-/// Largest load of the receiver, including the shard, as a fraction of this daemon's load: of equal
-/// daemons one with three shards gives one to one with a single shard. A hand-over stops the shard
-/// for 0.1 to 0.2 s, which isn't worth it for smaller differences.
-const MAX_LOAD_RATIO: (u64, u64) = (2, 3);
+/// Largest load of the receiver, including the shard, as a fraction of this daemon's load: three
+/// fifths. A hand-over stops the shard for 0.1 to 0.2 s, which isn't worth it for small
+/// differences.
+const MAX_LOAD_RATIO: (u64, u64) = (3, 5);
 
 /// Interval between hand-overs that balance load, so that the effect of one is known before the
 /// next is decided.
