--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -49,8 +49,8 @@
 }
 
 impl Hello {
-    /// A shorter hello for receivers that own no shard. It omits the free room of VMs, which is
-    /// needed only to lend tasks.
+    /// A shorter hello for receivers that own no shard. It omits the free room of VMs, which is the
+    /// largest part of a hello and is needed only to lend tasks.
     pub fn without_free_room(&self) -> Self {
         let mut shortened = self.clone();
         for report in &mut shortened.shards {
@@ -59,12 +59,6 @@
         }
         shortened
     }
-
-    /// The hello without the measured interference between images.
-    pub fn without_learned(mut self) -> Self {
-        self.shards.iter_mut().for_each(|report| report.learned.clear());
-        self
-    }
 }
 
 /// State of a shard as reported by its owner.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -13,13 +13,11 @@
 
 pub mod backoff;
 pub mod calls;
-pub mod choice;
 pub mod claim;
 pub mod confirmed;
 pub mod control;
 pub mod daemon;
 pub mod follow;
-pub mod learned;
 pub mod links;
 pub mod machines;
 pub mod orders;
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -19,7 +19,6 @@
 
 use super::calls::Reply;
 use super::confirmed::ConfigConfirmation;
-use super::learned::LearnedSchedule;
 use super::links::{ForwardPermitRequest, PeerLinks, SendLoanMessage};
 use super::machines::UpkeepAction;
 use super::orders::{RequestPermits, VmCall};
@@ -87,6 +86,8 @@
     deferred: Option<Vec<Event>>,
     /// Recently accepted jobs, with the time of acceptance.
     accepted: VecDeque<(Duration, JobId)>,
+    /// When the learned interference is next sent to other daemons.
+    next_learned_at: Duration,
     /// Daemon that the shard is being handed over to.
     new_owner: Option<Member>,
     summary: Arc<Summary>,
@@ -146,7 +147,6 @@
     directory: Arc<Mutex<JobDirectory>>,
     /// Interference between images, as learned by other daemons' shards.
     learned: IndexMap<String, Vec<PairEstimate>>,
-    learned_schedule: LearnedSchedule,
     /// When a handler last started.
     last_wake: Duration,
     next_publish: Duration,
@@ -193,7 +193,6 @@
             view,
             directory,
             learned: IndexMap::new(),
-            learned_schedule: LearnedSchedule::default(),
             last_wake: now,
             next_publish: now,
             next_neighbours: now,
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -4,7 +4,6 @@
 use crate::clock::Clock;
 use crate::cluster::{Hello, MemberStage, ShardReport, StoreReachability};
 use crate::jobs::confirmed::ConfirmationStatus;
-use crate::jobs::learned::LearnedFor;
 use crate::jobs::links::SendHello;
 use crate::jobs::view::{Owner, Readiness, ShardView, View};
 use crate::note::Note;
@@ -21,6 +20,9 @@
 /// Maximum age of another shard's summary that is used for lending tasks.
 const MAX_NEIGHBOUR_AGE: Duration = Duration::from_millis(1500);
 
+/// Interval at which the learned interference between images is sent: 2 KB with 45 pairs.
+pub(super) const LEARNED_INTERVAL: Duration = Duration::from_millis(1500);
+
 impl Control {
     /// Informs each local shard about the other shards.
     pub(super) fn report_neighbours(&mut self, cx: &mut Context<Self>) {
@@ -138,28 +140,20 @@
         if to.is_empty() {
             return;
         }
-        let learned_for = if self.hosted.is_empty() {
-            LearnedFor::Nobody
-        } else {
-            self.learned_schedule.take_due(now, self.ownership.members().len())
-        };
         let hello = Hello {
             from: self.ownership.me().clone(),
             store: self.store_reach,
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
-            shards: self.shard_reports(now, learned_for),
+            shards: self.shard_reports(),
         };
-        let mut brief = hello.without_free_room();
-        if learned_for != LearnedFor::Everyone {
-            brief = brief.without_learned();
-        }
         let (owners, others) = to.into_iter().partition(|to| self.ownership.is_owner(&to.name));
         if let Some(actors) = &self.actors {
-            actors.links.do_send(SendHello { hello, brief, owners, others });
+            actors.links.do_send(SendHello { hello, owners, others });
         }
     }
 
-    fn shard_reports(&mut self, now: Duration, learned_for: LearnedFor) -> Vec<ShardReport> {
+    pub(super) fn shard_reports(&mut self) -> Vec<ShardReport> {
+        let now = self.clock.now();
         let report = |(name, hosted): (&String, &mut HostedShard)| {
             while hosted
                 .accepted
@@ -168,16 +162,16 @@
             {
                 hosted.accepted.pop_front();
             }
-            let learned = match learned_for {
-                LearnedFor::Nobody => Vec::new(),
-                LearnedFor::Owners | LearnedFor::Everyone => hosted.shard.learned(),
-            };
+            let learned_due = now >= hosted.next_learned_at;
+            if learned_due {
+                hosted.next_learned_at = now + LEARNED_INTERVAL;
+            }
             ShardReport {
                 name: name.clone(),
                 fence: hosted.shard.fence().0,
                 summary: (*hosted.summary).clone(),
                 accepted: hosted.accepted.iter().map(|(_, job)| *job).collect(),
-                learned,
+                learned: if learned_due { hosted.shard.learned() } else { Vec::new() },
                 lapses: hosted.shard.reported_lapses(now),
             }
         };
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -1,5 +1,6 @@
 //! Life cycle of the shards owned by this daemon, and the events passed to them.
 
+use super::publish::LEARNED_INTERVAL;
 use super::{Control, HostedShard, TimedLapses};
 use crate::cluster::{self, HandOver, StoreReachability};
 use crate::ids::Ticket;
@@ -187,6 +188,7 @@
             name: shared,
             deferred: None,
             accepted: accepted_jobs.into_iter().map(|job| (now.steady, job)).collect(),
+            next_learned_at: now.steady + LEARNED_INTERVAL,
             new_owner: None,
             summary,
             summary_at: now.steady,
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -187,10 +187,7 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct SendHello {
-    /// For daemons that own shards.
     pub hello: Hello,
-    /// For the others.
-    pub brief: Hello,
     pub owners: Vec<Member>,
     pub others: Vec<Member>,
 }
@@ -199,9 +196,10 @@
     type Result = ();
 
     fn handle(&mut self, msg: SendHello, _: &mut Self::Context) {
+        let brief = msg.hello.without_free_room();
         msg.owners.iter().for_each(|owner| self.send_hello(owner, msg.hello.clone()));
-        msg.others.iter().for_each(|other| self.send_hello(other, msg.brief.clone()));
-        self.own_hello = Some(OwnHello { full: msg.hello, brief: msg.brief });
+        msg.others.iter().for_each(|other| self.send_hello(other, brief.clone()));
+        self.own_hello = Some(OwnHello { full: msg.hello, brief });
         while self.peers.len() > MAX_CONNECTIONS {
             self.peers.shift_remove_index(0);
         }
