--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -133,10 +133,6 @@
             known.store = hello.store;
             known.store_since = self.now;
         }
-        if self.held.is_empty() && !hello.shards.is_empty() {
-            // The answer to an owner's hello is this daemon's hello to it.
-            known.next_hello = self.now + HELLO_INTERVAL;
-        }
         known.config = hello.config;
         known.shards = hello.shards.iter().map(|report| report.name.clone()).collect();
         for report in hello.shards {
