--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -13,6 +13,7 @@
 
 pub mod backoff;
 pub mod calls;
+pub mod choice;
 pub mod claim;
 pub mod confirmed;
 pub mod control;
