Log the runs left on VMs that are no longer listed

Change: run-left-behind names the run's stage and since when, the notice and the VM's silence. Result: log_lines and the shards' 74 tests pass.

--- a/src/note.rs
+++ b/src/note.rs
@@ -201,6 +201,8 @@
     Urgent VmLapseTold = "vm-lapse-told" { vm: VmId, left_ms: Millis, runs: usize, }
     /// A VM is about to leave.
     Telling VmLeaving = "vm-leaving" { vm: VmId, runs: usize, left_ms: Millis, }
+    /// A run is not known to have ended on a VM that is no longer listed; `notice_ms` is how long the VM was known to leave.
+    Urgent RunLeftBehind = "run-left-behind" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, notice_ms: Millis, silent_ms: Millis, }
     /// A VM has permanently left.
     Urgent VmGone = "vm-gone" { vm: VmId, proof: StaticText, runs: usize, }
     /// A VM has crashed with all its runs; `sudden` of them had only just started.
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::Shard;
 use super::event::FleetListStatus;
-use super::vm_run::{Listing, Responsiveness, Vm};
+use super::vm_run::{Listing, Responsiveness, Run, RunKey, Vm};
 use crate::ids::VmId;
 use crate::note::{Millis, Note, StaticText};
 use crate::vm::VmEntry;
@@ -70,11 +70,14 @@
         if list_status != FleetListStatus::Complete {
             return;
         }
+        let mut unlisted = Vec::new();
         for vm in self.vms.values_mut() {
             if !present.contains(&vm.id) && vm.listing == Listing::Listed {
                 vm.listing = Listing::Missing { since: now };
+                unlisted.push(vm.id.clone());
             }
         }
+        unlisted.iter().for_each(|vm| self.report_runs_left(vm));
         self.remove_absent_vms();
     }
 
@@ -122,6 +125,25 @@
         }
     }
 
+    /// Logs the runs on a VM that is no longer listed.
+    fn report_runs_left(&mut self, id: &VmId) {
+        let now = self.now.steady;
+        let Some(vm) = self.vms.get(id) else { return };
+        let notice = vm.leaving.map_or(Duration::ZERO, |leaving| now.saturating_sub(leaving.since));
+        let heard = vm.contact.last_successful_poll.unwrap_or(vm.known_since);
+        let note = |(key, run): (&RunKey, &Run)| Note::RunLeftBehind {
+            task: key.task,
+            run: key.run,
+            vm: id.clone(),
+            stage: run.stage.name(),
+            stage_ms: Millis(now.saturating_sub(run.since)),
+            notice_ms: Millis(notice),
+            silent_ms: Millis(now.saturating_sub(heard)),
+        };
+        let notes: Vec<Note> = vm.runs.iter().map(note).collect();
+        notes.into_iter().for_each(|note| self.note(note));
+    }
+
     /// Removes VMs that are no longer announced, don't respond and have no runs left.
     fn remove_absent_vms(&mut self) {
         let is_absent = |vm: &Vm| {
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -7,6 +7,7 @@
 };
 use crate::ids::VmId;
 use crate::job::{RunNumber, Share, TaskRef};
+use crate::note::StaticText;
 use crate::units::Resources;
 use crate::vm::{VmAddr, VmEntry, VmState, VmTime};
 use indexmap::IndexMap;
@@ -115,6 +116,20 @@
     Recovered,
 }
 
+impl Stage {
+    /// Name of the stage in log lines.
+    pub fn name(self) -> StaticText {
+        match self {
+            Self::Binding => "binding",
+            Self::Starting { .. } => "starting",
+            Self::Running => "running",
+            Self::Stopping { answered: None, .. } => "stopping",
+            Self::Stopping { answered: Some(_), .. } => "stop-answered",
+            Self::Recovered => "recovered",
+        }
+    }
+}
+
 /// Ended runs that the VM has reported and has not yet been told to discard.
 #[derive(Debug, Default)]
 pub struct EndedRuns {
