Restart what ran on a VM that has left without waiting for its lease

Cause: a VM whose announcement is gone was waited for like a silent one that may be alive, by 10.9 s, and a new owner by 10.9 to 22.9 s from its takeover. The store removes an announcement when the VM has left, and also after three missed ones, and nothing told the two apart. Change: the follower keeps the last announcement of each leaving VM. If it is removed after the notice, within two announcement intervals of when it was written at the earliest, with the store reachable all the while, the VM has left (src/jobs/follow/fleet/departures.rs). Shards remove such a VM unless it answered a later poll; control keeps departures for 30 s for shards that are claimed later. The interval comes from the platform's settings. Why it works: an announcement can't expire for silence sooner than three intervals after it was written, so an earlier removal is the VM's departure, and what runs on a VM that left has ended. Not covered: an owner that hadn't read the list when the VM left; it waits for the lease as before.

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -40,7 +40,7 @@
 use crate::shard::{self, Action, Event, Now, ReportedLapse, Shard, Summary, VmLapse};
 use crate::upkeep::duty::{OwnedShard, WaveScheduler};
 use crate::upkeep::{self};
-use crate::vm::{Fence, VmEntry};
+use crate::vm::{Departure, Fence, VmEntry};
 use actix::prelude::*;
 use indexmap::IndexMap;
 use std::collections::VecDeque;
@@ -134,6 +134,8 @@
     /// Evacuations of failure domains, and when they were last read; `None` until then.
     evacuations: Option<(Arc<Evacuations>, Duration)>,
     fleet: Vec<VmEntry>,
+    /// VMs that have left recently, for shards that are claimed later.
+    departures: VecDeque<Departure>,
     vm_shapes: Arc<VmShapes>,
     plan: Plan,
     store_reach: StoreReachability,
@@ -183,6 +185,7 @@
             config_error: None,
             evacuations: None,
             fleet: Vec::new(),
+            departures: VecDeque::new(),
             vm_shapes: Arc::default(),
             plan: Plan::default(),
             store_reach: StoreReachability::Away,
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -12,7 +12,7 @@
 use crate::shard::loan::LoanMsg;
 use crate::shard::{Answer, CommitResult, Event, FleetListStatus, Recovered, VmLapse};
 use crate::upkeep::{self, Wave};
-use crate::vm::{Fence, VmEntry};
+use crate::vm::{Departure, Fence, VmEntry};
 use actix::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,6 +77,8 @@
         list_status: FleetListStatus,
         at: Option<Duration>,
     },
+    /// VMs that have left after announcing it.
+    Departed(Vec<Departure>),
     Config(Box<LoadedConfig>),
     Wave(Wave),
     /// Evacuations of failure domains as of some time after `at`.
@@ -133,6 +135,7 @@
             StoreEvent::Fleet { vms, list_status, at } => {
                 self.update_fleet(vms, list_status, at, cx);
             }
+            StoreEvent::Departed(departures) => self.remember_departures(&departures, cx),
             StoreEvent::Config(loaded) => self.apply_config(*loaded, cx),
             StoreEvent::Wave(wave) => self.step_upkeep(upkeep::duty::Event::Wave(wave), cx),
             StoreEvent::Evacuations { evacuations, at } => {
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -14,7 +14,7 @@
 use crate::journal::Journal;
 use crate::note::{Millis, Note};
 use crate::shard::{Action, Event, FleetListStatus, Recovered, Shard};
-use crate::vm::{Fence, VmEntry};
+use crate::vm::{Departure, Fence, VmEntry};
 use actix::prelude::*;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -22,6 +22,9 @@
 /// Delay before the store is asked again to confirm a shard's ownership.
 const CONFIRM_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// How long a VM that has left is remembered: longer than a new owner would wait for its lease.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(30);
+
 impl Control {
     /// Defers the events of all local shards until the store confirms their ownership.
     pub(super) fn confirm_all_ownership(&mut self, cx: &mut Context<Self>) {
@@ -198,6 +201,8 @@
         if let Some((evacuations, at)) = self.evacuations.clone() {
             self.step_shard(&name, Event::Evacuations { evacuations, at }, cx);
         }
+        let departures = self.departures.iter().cloned().collect();
+        self.step_shard(&name, Event::Departed(departures), cx);
         for (from, learned) in self.learned.clone() {
             self.step_shard(&name, Event::Interference { from, learned }, cx);
         }
@@ -314,6 +319,17 @@
         }
     }
 
+    /// Tells the shards which VMs have left, and keeps them for shards that are claimed later.
+    pub(super) fn remember_departures(&mut self, departures: &[Departure], cx: &mut Context<Self>) {
+        let now = self.now().steady;
+        let is_old = |past: &Departure| now.saturating_sub(past.at) >= DEPARTURE_RETENTION;
+        while self.departures.front().is_some_and(is_old) {
+            self.departures.pop_front();
+        }
+        self.departures.extend(departures.iter().cloned());
+        self.step_all_shards(cx, &|| Event::Departed(departures.to_vec()));
+    }
+
     pub(super) fn update_store_reach(
         &mut self,
         reach: StoreReachability,
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -37,6 +37,8 @@
     pub control: Recipient<StoreEvent>,
     /// Whether this daemon owns or is claiming a shard.
     pub ownership: Rc<OwnershipSignal>,
+    /// Interval between two announcements of a VM.
+    pub announce_interval: Duration,
 }
 
 /// Result of a read of changes.
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -6,6 +6,7 @@
 //! the whole list, which is smaller than all changes since the last read. It reads the list again
 //! when it claims a shard, since work must not be started on VMs that are leaving.
 
+mod departures;
 #[cfg(test)]
 mod tests;
 
@@ -17,7 +18,8 @@
 use crate::kv::{Change, Freshness, Item, KvStore, Result, Rev, Watch};
 use crate::note::{Millis, Note};
 use crate::shard::FleetListStatus;
-use crate::vm::VmEntry;
+use crate::vm::{Departure, VmEntry};
+use departures::{LeavingVms, Removal};
 use indexmap::{IndexMap, IndexSet};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -66,6 +68,7 @@
     loop {
         failures.record_success(ctx.store.clock().now());
         ctx.publish_fleet(fleet);
+        ctx.publish_departures(fleet);
         fleet.update_plan(ctx);
         match wait_for_next_read(ctx).await {
             NextRead::Changes => {
@@ -116,6 +119,9 @@
     plan_update: Rc<Cell<PlanUpdate>>,
     /// Keys of the entries that failed to decode.
     unreadable: IndexSet<String>,
+    leaving: LeavingVms,
+    /// VMs that have left and are not published yet.
+    departures: Vec<Departure>,
 }
 
 /// Whether the plan includes the racks of all VMs.
@@ -145,10 +151,17 @@
         let asked = ctx.store.clock().now();
         let prefix = ctx.platform.vm_prefix();
         let (items, after) = read_all(&ctx.store, prefix, freshness).await?;
-        (self.requested_at, self.after) =
-            ((freshness == Freshness::Latest).then_some(asked), after);
         items.iter().for_each(|item| self.apply_item(ctx, item));
         let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        if freshness == Freshness::Stale {
+            // The data may be older than what was read before.
+            self.leaving.clear();
+        }
+        for key in self.leaving.missing(&present) {
+            self.note_removal(ctx, &key);
+        }
+        (self.requested_at, self.after) =
+            ((freshness == Freshness::Latest).then_some(asked), after);
         self.vms.retain(|key, _| present.contains(key.as_str()));
         self.unreadable.retain(|key| present.contains(key.as_str()));
         Ok(())
@@ -181,12 +194,20 @@
     fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change) {
         match change {
             Change::Put(item) => self.apply_item(ctx, &item),
-            Change::Deleted { key } => self.remove(&key),
+            Change::Deleted { key } => {
+                self.note_removal(ctx, &key);
+                self.remove(&key);
+            }
         }
     }
 
     fn apply_item<P: Platform>(&mut self, ctx: &FollowContext<P>, item: &Item) {
-        let (novelty, note) = self.apply(item, ctx.platform.parse_vm_entry(item));
+        let read = ctx.platform.parse_vm_entry(item);
+        if let Ok(entry) = &read {
+            let now = ctx.store.clock().now();
+            self.leaving.record(&item.key, item.rev, entry, self.requested_at, now);
+        }
+        let (novelty, note) = self.apply(item, read);
         if novelty == Novelty::New {
             self.plan_update.set(PlanUpdate::Needed);
         }
@@ -219,6 +240,12 @@
         }
     }
 
+    /// Records a VM as departed if the removal of its announcement proves that it has left.
+    fn note_removal<P: Platform>(&mut self, ctx: &FollowContext<P>, key: &str) {
+        let departure = self.leaving.remove(key, ctx.removal());
+        self.departures.extend(departure);
+    }
+
     fn remove(&mut self, key: &str) {
         self.vms.shift_remove(key);
         self.unreadable.shift_remove(key);
@@ -267,6 +294,20 @@
         self.control.do_send(StoreEvent::Fleet { vms, list_status, at: fleet.requested_at });
     }
 
+    fn publish_departures(&self, fleet: &mut Fleet) {
+        if !fleet.departures.is_empty() {
+            let departures = std::mem::take(&mut fleet.departures);
+            self.control.do_send(StoreEvent::Departed(departures));
+        }
+    }
+
+    fn removal(&self) -> Removal {
+        let (now, reach) = (self.store.clock().now(), self.store.reach());
+        let is_reachable = reach.state(now) == StoreReachability::Reached;
+        let reachable_since = is_reachable.then(|| reach.regained());
+        Removal { now, reachable_since, announce_interval: self.announce_interval }
+    }
+
     fn publish_unread(&self) {
         let list_status = FleetListStatus::Unread;
         self.control.do_send(StoreEvent::Fleet { vms: Vec::new(), list_status, at: None });
--- /dev/null
+++ b/src/jobs/follow/fleet/departures/tests.rs
@@ -0,0 +1,92 @@
+use super::{LeavingVms, Removal};
+use crate::ids::{DomainId, RackId, ServiceName, VmId};
+use crate::kv::Rev;
+use crate::units::Resources;
+use crate::vm::{Departure, VmEntry, VmState};
+use std::sync::Arc;
+use std::time::Duration;
+
+const KEY: &str = "vm/a";
+const NOTICE: Duration = Duration::from_secs(5);
+
+fn entry(state: VmState) -> VmEntry {
+    VmEntry {
+        id: VmId::new("a"),
+        service: ServiceName::new("shop"),
+        domain: DomainId::new("kacyiru"),
+        rack: RackId::new("r0"),
+        labels: Vec::new(),
+        size: Resources::new(32_000, 128_000, 0),
+        state,
+        addr: Arc::from("10.1.0.1:80"),
+    }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn removal(now: Duration) -> Removal {
+    Removal { now, reachable_since: Some(ms(0)), announce_interval: ms(1500) }
+}
+
+/// A VM that announces at 10 s that it leaves in 5 s, and again until `last`.
+fn leaving(last: Duration) -> LeavingVms {
+    let mut vms = LeavingVms::default();
+    let entry = entry(VmState::Leaving { left: Some(NOTICE) });
+    for (rev, at) in (1..).zip((10_000..=15_000).step_by(1000).map(ms)) {
+        if at <= last {
+            vms.record(KEY, Rev(rev), &entry, Some(at), at + ms(400));
+        }
+    }
+    vms
+}
+
+#[test]
+fn a_vm_whose_announcement_ends_with_its_notice_has_left() {
+    let now = ms(15_400);
+    let departure = leaving(ms(15_000)).remove(KEY, removal(now));
+    assert_eq!(departure, Some(Departure { vm: VmId::new("a"), at: now }));
+}
+
+// Guards against tasks started a second time while the VM that runs them is cut off: the store
+// removes the announcement of a VM that is silent for three intervals.
+#[test]
+fn a_vm_that_may_have_been_removed_for_its_silence_counts_as_alive() {
+    assert_eq!(leaving(ms(12_000)).remove(KEY, removal(ms(16_500))), None);
+    assert_eq!(leaving(ms(12_000)).remove(KEY, removal(ms(15_000))), None);
+}
+
+// Guards against the same for announcements that expire while the store is away.
+#[test]
+fn a_vm_removed_around_an_outage_of_the_store_counts_as_alive() {
+    let now = ms(15_400);
+    let away = Removal { reachable_since: None, ..removal(now) };
+    assert_eq!(leaving(ms(15_000)).remove(KEY, away), None);
+    let regained = Removal { reachable_since: Some(ms(15_100)), ..removal(now) };
+    assert_eq!(leaving(ms(15_000)).remove(KEY, regained), None);
+}
+
+// Guards against the same for a VM that stays although its announcement vanishes early.
+#[test]
+fn a_vm_whose_notice_is_not_over_counts_as_alive() {
+    assert_eq!(leaving(ms(13_000)).remove(KEY, removal(ms(14_000))), None);
+}
+
+// Guards against the same for an announcement that was only read late: a read of the whole list
+// doesn't tell when it was written, nor does a repeated one.
+#[test]
+fn a_vm_whose_last_announcement_is_of_unknown_age_counts_as_alive() {
+    let mut vms = LeavingVms::default();
+    let entry = entry(VmState::Leaving { left: Some(ms(1000)) });
+    vms.record(KEY, Rev(1), &entry, None, ms(14_000));
+    vms.record(KEY, Rev(1), &entry, Some(ms(14_400)), ms(14_800));
+    assert_eq!(vms.remove(KEY, removal(ms(15_200))), None);
+}
+
+#[test]
+fn a_vm_that_did_not_announce_its_leaving_counts_as_alive() {
+    let mut vms = leaving(ms(15_000));
+    vms.record(KEY, Rev(20), &entry(VmState::Ready), Some(ms(15_100)), ms(15_300));
+    assert_eq!(vms.remove(KEY, removal(ms(15_400))), None);
+}
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -142,6 +142,7 @@
     reported_reach: StoreReachability,
     ownership: Rc<OwnershipSignal>,
     lease_ttl: Duration,
+    announce_interval: Duration,
 }
 
 /// A queued commit.
@@ -151,11 +152,13 @@
 }
 
 impl<P: Platform> Records<P> {
-    /// Creates the actor. Must be called on the actor's thread.
+    /// Creates the actor. VMs announce themselves every `announce_interval`. Must be called on the
+    /// actor's thread.
     pub fn new(
         me: Member,
         platform: P,
         lease_ttl: Duration,
+        announce_interval: Duration,
         control: Recipient<StoreEvent>,
         clock: Arc<dyn Clock>,
     ) -> Self {
@@ -170,6 +173,7 @@
             reported_reach: StoreReachability::Away,
             ownership: Rc::default(),
             lease_ttl,
+            announce_interval,
         }
     }
 
@@ -196,6 +200,7 @@
             store: self.store.clone(),
             control: self.control.clone(),
             ownership: self.ownership.clone(),
+            announce_interval: self.announce_interval,
         }
     }
 }
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -142,6 +142,7 @@
             Event::Tick => {}
             Event::Queues(queues) => self.configure(queues),
             Event::Fleet { vms, list_status, at } => self.update_vm_list(vms, list_status, at),
+            Event::Departed(departures) => self.remove_departed_vms(&departures),
             Event::Polled { vm, sent, result } => self.handle_poll_response(&vm, sent, result),
             Event::Started { vm, task, run, result } => {
                 self.handle_start_response(&vm, task, run, &result)
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -11,7 +11,7 @@
 use crate::shard::loan::LoanMsg;
 use crate::units::Resources;
 use crate::vm::{
-    self, Fence, PaceReq, PollReq, PollResp, RunReq, StartReq, VmAddr, VmEntry, VmTime,
+    self, Departure, Fence, PaceReq, PollReq, PollResp, RunReq, StartReq, VmAddr, VmEntry, VmTime,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -36,6 +36,8 @@
     /// All VMs of the shard that the platform lists, whether a VM's absence from the list is
     /// meaningful, and when the list was requested; `None` if its age is unknown.
     Fleet { vms: Vec<VmEntry>, list_status: FleetListStatus, at: Option<Duration> },
+    /// VMs that have left after announcing it, of this shard or of others.
+    Departed(Vec<Departure>),
     /// Response to [`Action::Poll`].
     Polled { vm: VmId, sent: Duration, result: vm::Result<PollResp> },
     /// Response to [`Action::Start`].
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -5,7 +5,7 @@
 use super::vm_run::{Listing, Responsiveness, Run, RunKey, Vm};
 use crate::ids::VmId;
 use crate::note::{Millis, Note, StaticText};
-use crate::vm::VmEntry;
+use crate::vm::{Departure, VmEntry};
 use indexmap::IndexSet;
 use std::time::Duration;
 
@@ -113,13 +113,36 @@
 
     /// Removes a VM instance that has ended, with everything that ran on it.
     pub(super) fn remove_vm_instance(&mut self, id: &VmId, proof: StaticText) {
-        let Some(vm) = self.vms.get(id) else { return };
-        let (runs, id) = (vm.runs.len(), vm.id.clone());
-        self.note(Note::VmGone { vm: id.clone(), proof, runs });
-        self.handle_vm_crash(&id);
-        self.remove_all_runs(&id, proof);
-        self.vms.shift_remove(&id);
-        self.ended_vms.insert(id);
+        self.report_vm_gone(id, proof);
+        self.handle_vm_crash(id);
+        self.forget_vm(id, proof);
+    }
+
+    /// Removes VMs that have left, with everything that ran on them. The announcement of a VM that
+    /// still answers was removed for another reason.
+    pub(super) fn remove_departed_vms(&mut self, departures: &[Departure]) {
+        for Departure { vm: id, at } in departures {
+            let answers = |vm: &Vm| vm.contact.last_successful_poll.is_some_and(|sent| sent >= *at);
+            if self.vms.get(id).is_some_and(|vm| !answers(vm)) {
+                let proof = "it has left as it announced";
+                self.report_vm_gone(id, proof);
+                self.forget_vm(id, proof);
+            }
+        }
+    }
+
+    fn report_vm_gone(&mut self, id: &VmId, proof: StaticText) {
+        if let Some(vm) = self.vms.get(id) {
+            let runs = vm.runs.len();
+            self.note(Note::VmGone { vm: id.clone(), proof, runs });
+        }
+    }
+
+    fn forget_vm(&mut self, id: &VmId, proof: StaticText) {
+        self.remove_all_runs(id, proof);
+        if self.vms.shift_remove(id).is_some() {
+            self.ended_vms.insert(id.clone());
+        }
         if self.ended_vms.len() > MAX_ENDED_VMS {
             self.ended_vms.shift_remove_index(0);
         }
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -53,6 +53,14 @@
     },
 }
 
+/// A VM that has left after announcing it; everything on it has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    pub vm: VmId,
+    /// When it was known to have left, on the daemon's monotonic clock.
+    pub at: Duration,
+}
+
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
--- a/tests/followers/fleet.rs
+++ b/tests/followers/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleet updates sent to control, with a store that limits the number of changes in an answer.
 
-use crate::harness::{Harness, LATENCY, unowned_claim};
+use crate::harness::{ANNOUNCE_INTERVAL, Harness, LATENCY, NOTICE, unowned_claim};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use waxwingstall::jobs::records::RemoveShard;
@@ -132,3 +132,40 @@
     claims.sort_unstable();
     assert_eq!(claims, [("one", true), ("two", false)]);
 }
+
+/// Time in which the store removes the announcement of a VM that is silent.
+const ANNOUNCEMENT_EXPIRY: Duration = Duration::from_millis(4500);
+
+/// Lets a VM announce for its whole notice that it leaves, and removes its announcement after this
+/// silence.
+async fn leave(harness: &mut Harness, number: usize, silence: Duration) {
+    let until = harness.clock.now() + NOTICE;
+    while harness.clock.now() < until {
+        harness.announce(number, "leaving");
+        tokio::time::sleep(ANNOUNCE_INTERVAL / 2).await;
+    }
+    harness.announce(number, "leaving");
+    tokio::time::sleep(silence).await;
+    harness.remove_announcement(number);
+    tokio::time::sleep(MAX_NOTICE_TIME).await;
+}
+
+// Guards against owners that wait for the lease of a VM that has left, since nobody tells them.
+#[actix_rt::test]
+async fn an_owner_is_told_that_a_vm_has_left_after_its_notice() {
+    let mut harness = Harness::start(3);
+    harness.claim("kacyiru.0").await;
+    harness.advance(3, Duration::from_secs(2)).await;
+    leave(&mut harness, 1, Duration::from_millis(500)).await;
+    assert_eq!(harness.departures.borrow().len(), 1, "the VM has left after its notice");
+}
+
+// Guards against tasks that run twice: a VM that is silent after its notice may be alive.
+#[actix_rt::test]
+async fn a_silent_vm_is_not_told_to_have_left() {
+    let mut harness = Harness::start(3);
+    harness.claim("kacyiru.0").await;
+    harness.advance(3, Duration::from_secs(2)).await;
+    leave(&mut harness, 1, ANNOUNCEMENT_EXPIRY).await;
+    assert_eq!(*harness.departures.borrow(), Vec::<String>::new());
+}
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -33,6 +33,10 @@
 use waxwingstall_standin::txns::TxnTable;
 
 /// Latency of a store call.
+/// Time that a leaving VM stays.
+pub const NOTICE: Duration = Duration::from_secs(3);
+/// Time between two announcements of a VM.
+pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1500);
 pub const LATENCY: Duration = Duration::from_millis(4);
 
 /// Clock that follows the runtime's paused time.
@@ -215,7 +219,7 @@
 
     fn parse_vm_entry(&self, item: &Item) -> Result<VmEntry, UnreadableEntry> {
         let leaves = item.value.starts_with(b"leaving");
-        let state = if leaves { VmState::Leaving { left: None } } else { VmState::Ready };
+        let state = if leaves { VmState::Leaving { left: Some(NOTICE) } } else { VmState::Ready };
         Ok(VmEntry {
             id: VmId::new(&item.key),
             service: ServiceName::new("shop"),
@@ -286,6 +290,7 @@
     claims: Claims,
     config: Rc<Cell<ConfigUpdate>>,
     evacuations: Rc<RefCell<(Evacuations, Duration)>>,
+    departures: Rc<RefCell<Vec<String>>>,
 }
 
 impl Actor for FakeControl {
@@ -297,7 +302,7 @@
     fn start_records(self, store: SlowStore) -> Addr<Records<TestPlatform>> {
         let (me, clock) = (member(self.name), self.clock.clone());
         let (platform, ttl) = (TestPlatform(store), Duration::from_secs(4));
-        Records::new(me, platform, ttl, self.start().recipient(), clock).start()
+        Records::new(me, platform, ttl, ANNOUNCE_INTERVAL, self.start().recipient(), clock).start()
     }
 }
 
@@ -318,6 +323,10 @@
             StoreEvent::Evacuations { evacuations, at } => {
                 *self.evacuations.borrow_mut() = (evacuations.clone(), *at);
             }
+            StoreEvent::Departed(departures) => {
+                let vms = departures.iter().map(|departure| departure.vm.to_string());
+                self.departures.borrow_mut().extend(vms);
+            }
             _ => {}
         }
         let StoreEvent::Fleet { vms, list_status, at: asked } = msg else { return };
@@ -341,6 +350,8 @@
     pub config: Rc<Cell<ConfigUpdate>>,
     /// Evacuations last received by control, and when they were read.
     pub evacuations: Rc<RefCell<(Evacuations, Duration)>>,
+    /// VMs that control was told to have left.
+    pub departures: Rc<RefCell<Vec<String>>>,
     pub store: SlowStore,
     pub refuse_plan: Arc<AtomicBool>,
     pub seq: u64,
@@ -369,6 +380,7 @@
         let (updates, claims): (FleetUpdates, Claims) = Default::default();
         let config: Rc<Cell<ConfigUpdate>> = Rc::default();
         let evacuations: Rc<RefCell<(Evacuations, Duration)>> = Rc::default();
+        let departures: Rc<RefCell<Vec<String>>> = Rc::default();
         let control = FakeControl {
             name: "one",
             clock: clock.clone(),
@@ -376,6 +388,7 @@
             claims: claims.clone(),
             config: config.clone(),
             evacuations: evacuations.clone(),
+            departures: departures.clone(),
         };
         let records = control.start_records(store.clone());
         let mut harness = Self {
@@ -386,6 +399,7 @@
             claims,
             config,
             evacuations,
+            departures,
             store,
             refuse_plan,
             seq: 0,
@@ -443,11 +457,17 @@
         self.table.table().commit(&txn).expect("the commit succeeds");
     }
 
+    /// Removes a VM's announcement.
+    pub fn remove_announcement(&mut self, number: usize) {
+        let txn = Txn { deletes: vec![vm_key(number)], ..Txn::default() };
+        self.table.table().commit(&txn).expect("the commit succeeds");
+    }
+
     /// Starts the records actor of another daemon.
     pub fn start_other(&self, name: &'static str) -> Addr<Records<TestPlatform>> {
         let (clock, claims) = (self.clock.clone(), self.claims.clone());
-        let (updates, config, evacuations) = Default::default();
-        let control = FakeControl { name, clock, updates, claims, config, evacuations };
+        let (updates, config, evacuations, departures) = Default::default();
+        let control = FakeControl { name, clock, updates, claims, config, evacuations, departures };
         control.start_records(self.store.clone())
     }
 
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -186,7 +186,6 @@
 // Guards against a task that is down for the whole lease of a VM that left with it as announced,
 // since its owner could not reach the VM in time to stop the task.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_task_left_on_a_vm_that_departs_restarts_without_waiting_for_the_lease() {
     let (mut sim, job, there) = simulation_with_task();
     sim.disconnect_vm(there, Duration::from_secs(120));
@@ -199,7 +198,6 @@
 // The same if the shard's owner is replaced once the VM has left: the next one finds the task bound
 // to a VM that is not listed.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_new_owner_does_not_wait_for_the_lease_of_a_departed_vm() {
     let (mut sim, job, there) = simulation_with_task();
     sim.disconnect_vm(there, Duration::from_secs(120));
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -22,7 +22,7 @@
     OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
-use waxwingstall::vm::{Error as VmError, Fence, VmAddr, VmEntry, VmState};
+use waxwingstall::vm::{Departure, Error as VmError, Fence, VmAddr, VmEntry, VmState};
 use waxwingstall_standin::permits::PermitTable;
 use waxwingstall_standin::runs::{RunSettings, RunTable};
 use waxwingstall_standin::txns::TxnTable;
@@ -120,6 +120,8 @@
     pub store_down_until: Duration,
     /// Entries listed in addition to the running VMs.
     pub extra_entries: Vec<VmEntry>,
+    /// VMs that have left, in order.
+    departures: Vec<Departure>,
     /// Latest state reported by each shard.
     pub states: IndexMap<Arc<str>, Note>,
     owners: Vec<Owner>,
@@ -178,6 +180,7 @@
             answers: IndexMap::new(),
             store_down_until: Duration::ZERO,
             extra_entries: Vec::new(),
+            departures: Vec::new(),
             states: IndexMap::new(),
             owners: Vec::new(),
             next_owner: 0,
@@ -519,6 +522,7 @@
         });
         let (evacuations, at) = self.read_evacuations.clone();
         self.step(self.next_owner, Event::Evacuations { evacuations, at });
+        self.step(self.next_owner, Event::Departed(self.departures.clone()));
     }
 
     fn published_lapses_of(&self, name: &str) -> Vec<ReportedLapse> {
@@ -579,6 +583,7 @@
         for vm in self.vms.iter_mut().filter(departing) {
             vm.table.crash(now);
             vm.down_until = Some(Duration::MAX);
+            self.departures.push(Departure { vm: vm.entry.id.clone(), at: now });
         }
     }
 
@@ -625,6 +630,7 @@
         for (number, name) in owners {
             let vms = self.fleet_of(&name);
             self.step(number, Event::Fleet { vms, list_status, at: Some(self.now) });
+            self.step(number, Event::Departed(self.departures.clone()));
             let (evacuations, at) = self.read_evacuations.clone();
             self.step(number, Event::Evacuations { evacuations, at });
             let other_shards = self.other_shards(&name);
