Ignore responses to start commands of runs that are known to run

Cause: a start that isn't answered is sent again. If a poll then lists the run, the response to the second command still took effect: an "old" made a running run one that is being stopped, for which no stop is sent, so that it left with its VM; 503 or a want of room dropped it and let its task start a second time. Evidence: a_late_response_to_a_start_does_not_end_a_running_task failed (the task ran on the other VM). Change: an error that answers a start counts only while the run is starting. Why it works: the poll's list is newer than the command's order, and a run that is being stopped stays so until its end is listed.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -127,6 +127,9 @@
             Err(vm::Error::InstanceChanged) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
+            // A poll has listed the run since, or it is being stopped: a command sent before tells
+            // nothing more about it.
+            Err(_) if !starting => {}
             Err(vm::Error::StaleRun) => {
                 // This run or a later one has already ended or been stopped there; the next
                 // status poll tells which.
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -9,9 +9,10 @@
 use rand::{Rng, SeedableRng};
 use std::ops::Range;
 use std::time::Duration;
-use waxwingstall::job::{Image, Job, JobId, TaskRef};
+use waxwingstall::job::{Image, Job, JobId, RunNumber, TaskRef};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
+use waxwingstall::vm::Error;
 use waxwingstall_standin::runs::Work;
 
 const SIZE: Resources = Resources::new(32_000, 128_000, 0);
@@ -208,3 +209,21 @@
     assert_eq!(sim.runs_on(1 - there), 1, "the new owner waits for the lease of a departed VM");
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
+
+// Guards against a running task that is started a second time, or leaves with its VM, since the late
+// response to a repeated start command was taken for one to the only start.
+#[test]
+fn a_late_response_to_a_start_does_not_end_a_running_task() {
+    let (mut sim, job, there) = simulation_with_task();
+    let task = TaskRef { job: job.id, occurrence: 0, step: 0, index: 0 };
+    for error in [Error::StaleRun, Error::Unavailable { status: 503 }, Error::NoRoom] {
+        sim.answer_start(SHARD, there, (task, RunNumber(1)), error);
+        sim.run_for(Duration::from_secs(2));
+        assert_eq!(sim.runs_on(there), 1);
+        assert_eq!(sim.runs_on(1 - there), 0);
+    }
+    sim.depart_vm(there, NOTICE);
+    sim.run_for(NOTICE - Duration::from_millis(200));
+    assert_eq!(sim.runs_on(1 - there), 1, "the task stays on its VM until that leaves");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -279,6 +279,18 @@
         self.list_unread_until = self.now + time;
     }
 
+    /// Delivers the response to a start command.
+    pub fn answer_start(
+        &mut self,
+        shard: &str,
+        index: usize,
+        (task, run): (TaskRef, RunNumber),
+        error: VmError,
+    ) {
+        let vm = self.vms[index].entry.id.clone();
+        self.call(shard, Event::Started { vm, task, run, result: Err(error) });
+    }
+
     /// Sends the shard's owner the list of VMs, as requested at `asked`.
     pub fn send_vm_list(&mut self, shard: &str, asked: Duration) {
         let vms = self.fleet_of(shard);
