Stop a run again that its VM goes on listing after the stop was answered

Cause: once a VM had answered a stop, the run counted as being stopped for as long as the VM listed it, and every other reason to stop it, such as the VM's leaving, was passed over. Evidence: a_run_that_goes_on_after_its_stop_was_answered_is_stopped_again failed: the task left with its VM. Change: a run that a poll lists 0.3 s beyond the VM's limit for a stop after its answer is stopped again. Why it works: a stop is idempotent, and only a poll sent after the limit tells that the first one had no effect.

--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -19,6 +19,9 @@
 /// run missing from it may have ended nevertheless.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Time beyond the VM's limit for a stop after which a run that is still listed is stopped again.
+const STOP_REPEAT_MARGIN: Duration = Duration::from_millis(300);
+
 impl Shard {
     /// Polls the VMs that are due.
     pub(super) fn poll_due_vms(&mut self) {
@@ -119,6 +122,7 @@
         for row in &resp.running {
             seen.insert(RunKey { task: row.task, run: row.run });
             self.update_running(id, row);
+            self.repeat_ineffective_stop(id, RunKey { task: row.task, run: row.run }, sent);
         }
         self.learn_interference(id, &resp.running);
         for row in resp.ended {
@@ -198,6 +202,22 @@
         }
     }
 
+    /// Stops a run again that a poll sent at `sent` lists as running, although the VM answered the
+    /// stop long before.
+    fn repeat_ineffective_stop(&mut self, id: &VmId, key: RunKey, sent: Duration) {
+        let now = self.now.steady;
+        let timeout = self.settings.stop_timeout + STOP_REPEAT_MARGIN;
+        let Some(run) = self.vms.get_mut(id).and_then(|vm| vm.runs.get_mut(&key)) else { return };
+        let Stage::Stopping { answered: Some(at), .. } = run.stage else { return };
+        if sent < at + timeout {
+            return;
+        }
+        run.stage = Stage::Stopping { next_send: Some(now), answered: None };
+        let reason: StaticText = "it still runs although its stop was answered";
+        let RunKey { task, run } = key;
+        self.note(Note::TaskStopping { task, run, vm: id.clone(), reason });
+    }
+
     /// Stops a run that isn't bound to the VM: its task may run elsewhere, or its job may have
     /// ended.
     fn stop_unbound_run(&mut self, id: &VmId, key: RunKey) {
--- a/tests/shards/faults.rs
+++ b/tests/shards/faults.rs
@@ -12,6 +12,8 @@
     Lost,
     /// It takes effect, but the response is lost.
     AnswerLost,
+    /// It is answered and has no effect.
+    Ignored,
     /// The sender gets no response, and it takes effect after this delay.
     Late(Duration),
 }
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -1,6 +1,6 @@
 //! Long-running tasks that must be moved when their VMs leave.
 
-use crate::faults::{Faults, NoFaults, RandomFaults};
+use crate::faults::{Faults, NoFaults, Outcome, RandomFaults};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
 use crate::world::{Simulation, VmNode};
@@ -10,7 +10,7 @@
 use std::ops::Range;
 use std::time::Duration;
 use waxwingstall::job::{Image, Job, JobId, RunNumber, TaskRef};
-use waxwingstall::shard::Answer;
+use waxwingstall::shard::{Action, Answer};
 use waxwingstall::units::Resources;
 use waxwingstall::vm::Error;
 use waxwingstall_standin::runs::Work;
@@ -174,9 +174,26 @@
 /// Notice of a VM that is taken away soon.
 const SHORT_NOTICE: Duration = Duration::from_secs(2);
 
+/// VMs answer the next stop commands and don't carry them out.
+struct IgnoredStops(u32);
+
+impl Faults for IgnoredStops {
+    fn command_outcome(&mut self, _: Duration, action: &Action) -> Outcome {
+        if !matches!(action, Action::Stop { .. }) || self.0 == 0 {
+            return Outcome::Delivered;
+        }
+        self.0 -= 1;
+        Outcome::Ignored
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
 /// Two VMs, a long-running task, and the index of the VM it runs on.
-fn simulation_with_task() -> (Simulation<NoFaults>, Job, usize) {
-    let mut sim = Simulation::with_max_keep(NoFaults, &[SHARD], 2, SMALL, LONG_KEEP);
+fn simulation_with_task<F: Faults>(faults: F) -> (Simulation<F>, Job, usize) {
+    let mut sim = Simulation::with_max_keep(faults, &[SHARD], 2, SMALL, LONG_KEEP);
     let job = job_with_steps(1, 1, 1, work(0, 2));
     sim.submit(SHARD, job.clone());
     sim.run_for(Duration::from_secs(1));
@@ -188,7 +205,7 @@
 // since its owner could not reach the VM in time to stop the task.
 #[test]
 fn a_task_left_on_a_vm_that_departs_restarts_without_waiting_for_the_lease() {
-    let (mut sim, job, there) = simulation_with_task();
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
     sim.disconnect_vm(there, Duration::from_secs(120));
     sim.depart_vm(there, SHORT_NOTICE);
     sim.run_for(SHORT_NOTICE + MAX_DOWNTIME);
@@ -200,7 +217,7 @@
 // to a VM that is not listed.
 #[test]
 fn a_new_owner_does_not_wait_for_the_lease_of_a_departed_vm() {
-    let (mut sim, job, there) = simulation_with_task();
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
     sim.disconnect_vm(there, Duration::from_secs(120));
     sim.depart_vm(there, SHORT_NOTICE);
     sim.run_for(SHORT_NOTICE + Duration::from_millis(100));
@@ -210,11 +227,22 @@
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
 
+// Guards against a long-running task that leaves with its VM, since a stop that was answered counted
+// as done although the VM went on listing the run.
+#[test]
+fn a_run_that_goes_on_after_its_stop_was_answered_is_stopped_again() {
+    let (mut sim, job, there) = simulation_with_task(IgnoredStops(1));
+    sim.depart_vm(there, NOTICE);
+    sim.run_for(NOTICE - Duration::from_millis(200));
+    assert_eq!(sim.runs_on(1 - there), 1, "the task stays on its VM until that leaves");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
+
 // Guards against a running task that is started a second time, or leaves with its VM, since the late
 // response to a repeated start command was taken for one to the only start.
 #[test]
 fn a_late_response_to_a_start_does_not_end_a_running_task() {
-    let (mut sim, job, there) = simulation_with_task();
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
     let task = TaskRef { job: job.id, occurrence: 0, step: 0, index: 0 };
     for error in [Error::StaleRun, Error::Unavailable { status: 503 }, Error::NoRoom] {
         sim.answer_start(SHARD, there, (task, RunNumber(1)), error);
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -22,7 +22,7 @@
     OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
-use waxwingstall::vm::{Departure, Error as VmError, Fence, VmAddr, VmEntry, VmState};
+use waxwingstall::vm::{Departure, Error as VmError, Fence, PollReq, VmAddr, VmEntry, VmState};
 use waxwingstall_standin::permits::PermitTable;
 use waxwingstall_standin::runs::{RunSettings, RunTable};
 use waxwingstall_standin::txns::TxnTable;
@@ -716,7 +716,7 @@
                 }
                 let event = Event::Message { from: name.clone(), to: fence, msg };
                 match self.faults.message_outcome(self.now) {
-                    Outcome::Lost | Outcome::AnswerLost => {}
+                    Outcome::Lost | Outcome::AnswerLost | Outcome::Ignored => {}
                     Outcome::Late(delay) => {
                         self.schedule(delay, Delivery::Shard { shard: to, event })
                     }
@@ -755,7 +755,7 @@
                 let table = self.permits.as_mut().expect("permits are requested only if required");
                 Ok(table.ask(sent, req))
             }
-            Outcome::Lost | Outcome::AnswerLost | Outcome::Late(_) => {
+            Outcome::Lost | Outcome::AnswerLost | Outcome::Ignored | Outcome::Late(_) => {
                 after = req.timeout;
                 Err(permit::Error::NoAnswer { reason: "lost".to_owned() })
             }
@@ -779,6 +779,10 @@
                 Err(unanswered())
             }
             Outcome::Lost => Err(unanswered()),
+            Outcome::Ignored => self.execute(number, &empty_poll(&action)).map(|answer| {
+                let VmResponse::Polled(poll) = answer else { unreachable!("a poll was sent") };
+                VmResponse::Clock(poll.clock)
+            }),
             Outcome::Late(delay) => {
                 self.schedule(delay, Delivery::Vm { number, action: action.clone() });
                 Err(unanswered())
@@ -869,6 +873,13 @@
     }
 }
 
+/// A poll of the VM that a stop command goes to, which changes nothing there.
+fn empty_poll(action: &Action) -> Action {
+    let Action::Stop { vm, req } = action else { unreachable!("only stop commands are ignored") };
+    let req = PollReq { fence: req.fence, ack_up_to: 0, keep_until: None, wait: Duration::ZERO };
+    Action::Poll { vm: vm.clone(), req }
+}
+
 enum VmResponse {
     Polled(waxwingstall::vm::PollResp),
     Clock(waxwingstall::vm::VmTime),
