--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -2,8 +2,8 @@
 
 use super::interference::TailState;
 use super::settings::{
-    BUSY_POLL_WAIT, CLOCK_DRIFT, EXPIRY_MARGIN, IDLE_POLL_WAIT, POLL_RETRY_DELAY, SILENCE_TIMEOUT,
-    UNCOMMITTED_POLL_DELAY,
+    BUSY_POLL_WAIT, CLOCK_DRIFT, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP, POLL_RETRY_DELAY,
+    SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY,
 };
 use crate::ids::VmId;
 use crate::job::{RunNumber, Share, TaskRef};
@@ -277,6 +277,11 @@
         }
     }
 
+    /// How long the next poll lets the VM keep its tasks running; `keep` is the longest time.
+    pub fn max_extension(&self, keep: Duration) -> Duration {
+        if self.leaving.is_some() { keep.min(LEAVING_KEEP) } else { keep }
+    }
+
     /// How long the VM may delay its response to the next poll to wait for a run to end.
     pub fn poll_wait(&self) -> Duration {
         if self.contact.failures > 0
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -191,6 +191,9 @@
     }
 }
 
+/// Notice of a VM that is replaced as planned.
+const LONG_NOTICE: Duration = Duration::from_secs(6);
+
 /// Two VMs, a long-running task, and the index of the VM it runs on.
 fn simulation_with_task<F: Faults>(faults: F) -> (Simulation<F>, Job, usize) {
     let mut sim = Simulation::with_max_keep(faults, &[SHARD], 2, SMALL, LONG_KEEP);
@@ -255,3 +258,15 @@
     assert_eq!(sim.runs_on(1 - there), 1, "the task stays on its VM until that leaves");
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
+
+// Guards against a task that is down for a whole lease after its VM has left, if the end of its run
+// can't be known sooner: the lease was extended until the VM left.
+#[test]
+fn the_lease_of_a_leaving_vm_is_not_extended_far_beyond_its_notice() {
+    let (mut sim, job, there) = simulation_with_task(IgnoredStops(u32::MAX));
+    sim.hide_departures();
+    sim.depart_vm(there, LONG_NOTICE);
+    sim.run_for(LONG_NOTICE + MAX_DOWNTIME);
+    assert_eq!(sim.runs_on(1 - there), 1, "the lease was extended until the VM left");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -122,6 +122,8 @@
     pub extra_entries: Vec<VmEntry>,
     /// VMs that have left, in order.
     departures: Vec<Departure>,
+    /// Whether nobody learns which VMs have left.
+    departures_unknown: bool,
     /// Latest state reported by each shard.
     pub states: IndexMap<Arc<str>, Note>,
     owners: Vec<Owner>,
@@ -181,6 +183,7 @@
             store_down_until: Duration::ZERO,
             extra_entries: Vec::new(),
             departures: Vec::new(),
+            departures_unknown: false,
             states: IndexMap::new(),
             owners: Vec::new(),
             next_owner: 0,
@@ -274,6 +277,11 @@
         self.outdated_list = Some(self.fleet_of(shard));
     }
 
+    /// Leaves owners with the list alone to tell which VMs have left.
+    pub fn hide_departures(&mut self) {
+        self.departures_unknown = true;
+    }
+
     /// Makes the list of VMs unreadable for a while; everything else keeps working.
     pub fn block_vm_list(&mut self, time: Duration) {
         self.list_unread_until = self.now + time;
@@ -595,7 +603,9 @@
         for vm in self.vms.iter_mut().filter(departing) {
             vm.table.crash(now);
             vm.down_until = Some(Duration::MAX);
-            self.departures.push(Departure { vm: vm.entry.id.clone(), at: now });
+            if !self.departures_unknown {
+                self.departures.push(Departure { vm: vm.entry.id.clone(), at: now });
+            }
         }
     }
 
