--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -3,6 +3,7 @@
 use crate::faults::{Faults, NoFaults, Outcome, RandomFaults};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
+use crate::random::seeds;
 use crate::world::{Simulation, VmNode};
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
@@ -140,10 +141,10 @@
 }
 
 // Guards against a task that is moved to make room for another one, or that other task, running
-// twice or overcommitting a VM when owners and VMs fail during the move.
+// twice or overcommitting a VM when owners and VMs fail, and VMs leave for good, during the move.
 #[test]
 fn promises_hold_while_lasting_tasks_move() {
-    for seed in 0..12 {
+    for seed in seeds(0..12) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let until = Duration::from_secs(5) + FILL_TIME + FAULT_PERIOD;
         let mut filled =
@@ -158,6 +159,7 @@
                 2..4 => filled.sim.pause_owner(SHARD, time),
                 4 => filled.sim.disconnect_vm(vm, time),
                 5 => filled.sim.crash_vm(vm, time),
+                6 => filled.sim.depart_vm(vm, time),
                 _ => {}
             }
         }
