Take no VM for departed that has announced itself since

The check for later polls couldn't act, since the shard hears of a departure at once. Change: a removal counts only if the read reaches the last announcement's revision; a new announcement takes back a departure that isn't told yet; shards remove only VMs that aren't listed. Without a known interval of announcements no VM counts as departed; a default of 1.5 s was wrong for a platform with a shorter one. Also: errors that answer a start keep their effects on the VM (its health, its permit); only the run is left as it is once it was listed.

--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -37,7 +37,7 @@
     pub control: Recipient<StoreEvent>,
     /// Whether this daemon owns or is claiming a shard.
     pub ownership: Rc<OwnershipSignal>,
-    /// Interval between two announcements of a VM.
+    /// Interval between two announcements of a VM; zero if unknown.
     pub announce_interval: Duration,
 }
 
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -158,7 +158,7 @@
             self.leaving.clear();
         }
         for key in self.leaving.missing(&present) {
-            self.note_removal(ctx, &key);
+            self.note_removal(ctx, &key, ctx.store.reach().newest());
         }
         (self.requested_at, self.after) =
             ((freshness == Freshness::Latest).then_some(asked), after);
@@ -178,7 +178,7 @@
             let answer = ctx.store.call(|store| store.watch(&watch)).await?;
             self.after = self.after.max(answer.at);
             let changes = answer.changes.len();
-            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change));
+            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change, answer.at));
             if self.after >= newest && changes < TRUNCATION_THRESHOLD {
                 self.requested_at = Some(asked);
                 return Ok(ReadProgress::CaughtUp);
@@ -191,11 +191,12 @@
         }
     }
 
-    fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change) {
+    /// Applies one of the changes up to a revision.
+    fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change, up_to: Rev) {
         match change {
             Change::Put(item) => self.apply_item(ctx, &item),
             Change::Deleted { key } => {
-                self.note_removal(ctx, &key);
+                self.note_removal(ctx, &key, up_to);
                 self.remove(&key);
             }
         }
@@ -206,6 +207,7 @@
         if let Ok(entry) = &read {
             let now = ctx.store.clock().now();
             self.leaving.record(&item.key, item.rev, entry, self.requested_at, now);
+            self.departures.retain(|departure| departure.vm != entry.id);
         }
         let (novelty, note) = self.apply(item, read);
         if novelty == Novelty::New {
@@ -241,8 +243,8 @@
     }
 
     /// Records a VM as departed if the removal of its announcement proves that it has left.
-    fn note_removal<P: Platform>(&mut self, ctx: &FollowContext<P>, key: &str) {
-        let departure = self.leaving.remove(key, ctx.removal());
+    fn note_removal<P: Platform>(&mut self, ctx: &FollowContext<P>, key: &str, read_up_to: Rev) {
+        let departure = self.leaving.remove(key, ctx.removal(read_up_to));
         self.departures.extend(departure);
     }
 
@@ -301,11 +303,12 @@
         }
     }
 
-    fn removal(&self) -> Removal {
+    fn removal(&self, read_up_to: Rev) -> Removal {
         let (now, reach) = (self.store.clock().now(), self.store.reach());
         let is_reachable = reach.state(now) == StoreReachability::Reached;
         let reachable_since = is_reachable.then(|| reach.regained());
-        Removal { now, reachable_since, announce_interval: self.announce_interval }
+        let announce_interval = self.announce_interval;
+        Removal { now, read_up_to, reachable_since, announce_interval }
     }
 
     fn publish_unread(&self) {
--- a/src/jobs/follow/fleet/departures.rs
+++ b/src/jobs/follow/fleet/departures.rs
@@ -31,6 +31,7 @@
     rev: Rev,
     /// Time after which the last announcement was written; `None` if unknown.
     written_after: Option<Duration>,
+    /// The earliest end of its notice.
     notice_ends: Duration,
 }
 
@@ -38,8 +39,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Removal {
     pub now: Duration,
+    /// The read that found it tells of changes up to this revision.
+    pub read_up_to: Rev,
     /// Since when the store has been reachable without interruption; `None` if it isn't.
     pub reachable_since: Option<Duration>,
+    /// Interval between two announcements; zero if unknown.
     pub announce_interval: Duration,
 }
 
@@ -76,7 +80,10 @@
         let (now, written_after) = (removal.now, last.written_after?);
         let is_reachable = removal.reachable_since.is_some_and(|since| since <= written_after);
         let max_silence = MAX_SILENCE_INTERVALS * removal.announce_interval;
-        let has_left = is_reachable && now >= last.notice_ends && now - written_after < max_silence;
+        // A removal that is older than the last announcement was followed by it.
+        let is_latest = last.rev <= removal.read_up_to;
+        let is_early = now >= last.notice_ends && now - written_after < max_silence;
+        let has_left = is_reachable && is_latest && is_early;
         has_left.then_some(Departure { vm: last.vm, at: now })
     }
 
--- a/src/jobs/follow/fleet/departures/tests.rs
+++ b/src/jobs/follow/fleet/departures/tests.rs
@@ -27,7 +27,8 @@
 }
 
 fn removal(now: Duration) -> Removal {
-    Removal { now, reachable_since: Some(ms(0)), announce_interval: ms(1500) }
+    let (read_up_to, announce_interval) = (Rev(100), ms(1500));
+    Removal { now, read_up_to, reachable_since: Some(ms(0)), announce_interval }
 }
 
 /// A VM that announces at 10 s that it leaves in 5 s, and again until `last`.
@@ -90,3 +91,17 @@
     vms.record(KEY, Rev(20), &entry(VmState::Ready), Some(ms(15_100)), ms(15_300));
     assert_eq!(vms.remove(KEY, removal(ms(15_400))), None);
 }
+
+// Guards against the same for a VM that was silent, and announced itself again between two pages of
+// the list: the removal before that is told later.
+#[test]
+fn a_vm_that_announced_itself_after_its_removal_counts_as_alive() {
+    let before_last = Removal { read_up_to: Rev(5), ..removal(ms(15_400)) };
+    assert_eq!(leaving(ms(15_000)).remove(KEY, before_last), None);
+}
+
+#[test]
+fn no_vm_is_known_to_have_left_if_the_announce_interval_is_unknown() {
+    let unknown = Removal { announce_interval: ms(0), ..removal(ms(15_400)) };
+    assert_eq!(leaving(ms(15_000)).remove(KEY, unknown), None);
+}
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -80,15 +80,12 @@
     pub address: String,
     /// Shortest lease that the store grants, in milliseconds.
     pub min_lease_ms: u64,
-    /// Interval between two announcements of a VM, in milliseconds.
-    #[serde(default = "default_announce_ms")]
+    /// Interval between two announcements of a VM, in milliseconds. If it is 0, not known, the
+    /// tasks of VMs that have left wait for their leases.
+    #[serde(default)]
     pub announce_ms: u64,
 }
 
-fn default_announce_ms() -> u64 {
-    1500
-}
-
 /// Times that the platform guarantees or requires, in milliseconds unless the name says otherwise.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -196,10 +193,6 @@
                 return Err(Error::Range { key, value, expected: "from 0 to 1000000" });
             }
         }
-        if self.store.announce_ms == 0 {
-            let (key, value) = ("store.announce_ms", "0".to_owned());
-            return Err(Error::Range { key, value, expected: "of 1 or more" });
-        }
         if self.bounds.max_keep_ms < 1000 {
             let value = self.bounds.max_keep_ms.to_string();
             return Err(Error::Range {
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -249,6 +249,10 @@
     /// the VM, and otherwise stops it, which also prevents a delayed start.
     pub(super) fn abandon_start(&mut self, vm: &VmId, key: RunKey, reason: StaticText) {
         let Some(run) = self.vms.get(vm).and_then(|vm| vm.runs.get(&key)) else { return };
+        if run.running_since.is_some() {
+            // An earlier start command was carried out.
+            return;
+        }
         if run.pending_start == PendingStart::No {
             return self.drop_run(vm, key);
         }
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -118,12 +118,11 @@
         self.forget_vm(id, proof);
     }
 
-    /// Removes VMs that have left, with everything that ran on them. The announcement of a VM that
-    /// still answers was removed for another reason.
+    /// Removes VMs that have left, with everything that ran on them. A VM that is listed has
+    /// announced itself again.
     pub(super) fn remove_departed_vms(&mut self, departures: &[Departure]) {
-        for Departure { vm: id, at } in departures {
-            let answers = |vm: &Vm| vm.contact.last_successful_poll.is_some_and(|sent| sent >= *at);
-            if self.vms.get(id).is_some_and(|vm| !answers(vm)) {
+        for Departure { vm: id, .. } in departures {
+            if self.vms.get(id).is_some_and(|vm| vm.listing != Listing::Listed) {
                 let proof = "it has left as it announced";
                 self.report_vm_gone(id, proof);
                 self.forget_vm(id, proof);
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -108,6 +108,7 @@
         let Some(known) = vm.runs.get_mut(&key) else { return };
         let sends = known.sends;
         let starting = matches!(known.stage, Stage::Starting { .. });
+        let listed = known.running_since.is_some();
         if let Err(e) = result {
             let (vm, reason) = (id.clone(), e.to_string());
             self.actions.push(Action::Note(Note::StartFailed { task, run, vm, sends, reason }));
@@ -127,9 +128,7 @@
             Err(vm::Error::InstanceChanged) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
-            // A poll has listed the run since, or it is being stopped: a command sent before tells
-            // nothing more about it.
-            Err(_) if !starting => {}
+            Err(vm::Error::StaleRun) if listed => {}
             Err(vm::Error::StaleRun) => {
                 // This run or a later one has already ended or been stopped there; the next
                 // status poll tells which.
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -32,11 +32,13 @@
 use waxwingstall_standin::troubled::Troubled;
 use waxwingstall_standin::txns::TxnTable;
 
-/// Latency of a store call.
 /// Time that a leaving VM stays.
 pub const NOTICE: Duration = Duration::from_secs(3);
+
 /// Time between two announcements of a VM.
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Latency of a store call.
 pub const LATENCY: Duration = Duration::from_millis(4);
 
 /// Clock that follows the runtime's paused time.
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -261,6 +261,21 @@
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
 
+// Guards against a task that runs twice: a VM that is listed has announced itself since it was taken
+// for departed.
+#[test]
+fn a_listed_vm_is_not_removed_as_departed() {
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
+    sim.report_departure(there);
+    sim.run_for(Duration::from_secs(3));
+    assert_eq!(sim.runs_on(there), 1);
+    assert_eq!(sim.runs_on(1 - there), 0, "the task runs in two places");
+    sim.pause_owner(SHARD, Duration::from_secs(60));
+    sim.run_for(Duration::from_secs(3));
+    assert_eq!(sim.runs_on(there), 1);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
+
 // Guards against a task that is down for a whole lease after its VM has left, if the end of its run
 // can't be known sooner: the lease was extended until the VM left.
 #[test]
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -277,6 +277,12 @@
         self.outdated_list = Some(self.fleet_of(shard));
     }
 
+    /// Reports a VM as departed that is still there.
+    pub fn report_departure(&mut self, index: usize) {
+        let vm = self.vms[index].entry.id.clone();
+        self.departures.push(Departure { vm, at: self.now });
+    }
+
     /// Leaves owners with the list alone to tell which VMs have left.
     pub fn hide_departures(&mut self) {
         self.departures_unknown = true;
