--- a/src/shard/drain.rs
+++ b/src/shard/drain.rs
@@ -1,9 +1,10 @@
 //! Draining of VMs that are about to leave.
 //!
 //! Runs that are still on a VM when it leaves are lost without a report of their end. Their tasks
-//! could start again only after the VM's lease has expired, up to ten seconds later, so all runs
-//! are stopped before: long-running tasks at once, tasks with checkpoints if they would not end in
-//! time, and the rest while there is still time to confirm the stop.
+//! start again once the VM is known to have left or, if that can't be told, once its lease has
+//! expired, up to ten seconds later. All runs are therefore stopped before: long-running tasks at
+//! once, tasks with checkpoints if they would not end in time, and the rest while there is still
+//! time to confirm the stop.
 
 use super::Shard;
 use super::vm_run::{Leaving, Run, RunKey};
