Keep the full lease of a leaving VM until its notice nears its end

Work on a VM with a long notice was lost if its shard's owner stood still for over 3 s. Cause: the lease of a leaving VM was cut to 3 s from the first moment, which fits notices of about 5 s only. Change: a poll extends to 3 s beyond the notice at most; a notice that isn't stated counts as 2 s, as for stops. Why it works: with 5 s of notice the lease still ends by what was granted before it, 10.9 s after it began; with a long one nothing is cut while the VM certainly stays.

--- a/src/shard/drain.rs
+++ b/src/shard/drain.rs
@@ -7,14 +7,11 @@
 //! time to confirm the stop.
 
 use super::Shard;
-use super::vm_run::{Leaving, Run, RunKey};
+use super::vm_run::{Run, RunKey};
 use crate::ids::VmId;
 use crate::job::{Life, Resume, Step};
 use std::time::Duration;
 
-/// Assumed notice of a leaving VM that does not state one; the shortest notice in use.
-const DEFAULT_NOTICE: Duration = Duration::from_millis(2000);
-
 /// Time for a stop to be carried out and confirmed.
 const STOP_MARGIN: Duration = Duration::from_millis(1300);
 
@@ -43,7 +40,7 @@
         let now = self.now.steady;
         let Some(vm) = self.vms.get(id) else { return Vec::new() };
         let Some(leaving) = vm.leaving else { return Vec::new() };
-        let left = time_left(leaving, now).saturating_sub(STOP_MARGIN);
+        let left = leaving.time_left(now).saturating_sub(STOP_MARGIN);
         let stops = |(key, run): &(&RunKey, &Run)| {
             let step = self.jobs.get(&key.task.job).and_then(|job| job.step(key.task));
             run.is_running() && step.is_some_and(|step| must_stop(step, run, left, now))
@@ -52,11 +49,6 @@
     }
 }
 
-fn time_left(leaving: Leaving, now: Duration) -> Duration {
-    let given = leaving.left.unwrap_or(DEFAULT_NOTICE);
-    (leaving.since + given).saturating_sub(now)
-}
-
 fn must_stop(step: &Step, run: &Run, left: Duration, now: Duration) -> bool {
     if step.life == Life::Lasting || left.is_zero() {
         return true;
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -33,7 +33,7 @@
             // A silence recorded in the store must be withdrawn before the VM's work is extended,
             // since the next owner relies on that record.
             let extends = vm.may_extend_runs(now) && self.log.silence.may_extend_lease(&vm.id);
-            let keep = vm.max_extension(keep);
+            let keep = vm.max_extension(keep, now);
             let keep_until = extends.then(|| vm.clock_now(now)).flatten();
             if keep_until.is_some() {
                 vm.record_extension(now, keep);
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -78,8 +78,11 @@
 /// are no longer extended, so that the time by which they must have ended stays fixed.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// How long a leaving VM keeps its tasks running without another poll. If it leaves with a task,
-/// that task may be started again only when its lease has expired.
+/// Assumed notice of a leaving VM that does not state one; the shortest notice in use.
+pub const DEFAULT_NOTICE: Duration = Duration::from_millis(2000);
+
+/// Longest time beyond its notice for which a leaving VM keeps its tasks running without another
+/// poll. If it leaves with a task, that task may be started again only when its lease has expired.
 pub const LEAVING_KEEP: Duration = Duration::from_secs(3);
 
 /// Maximum relative error by which a VM's clock may run slow.
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -2,8 +2,8 @@
 
 use super::interference::TailState;
 use super::settings::{
-    BUSY_POLL_WAIT, CLOCK_DRIFT, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP, POLL_RETRY_DELAY,
-    SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY,
+    BUSY_POLL_WAIT, CLOCK_DRIFT, DEFAULT_NOTICE, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP,
+    POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY,
 };
 use crate::ids::VmId;
 use crate::job::{RunNumber, Share, TaskRef};
@@ -58,6 +58,13 @@
     pub left: Option<Duration>,
 }
 
+impl Leaving {
+    /// Time until the notice is over.
+    pub fn time_left(self, now: Duration) -> Duration {
+        (self.since + self.left.unwrap_or(DEFAULT_NOTICE)).saturating_sub(now)
+    }
+}
+
 /// A reading of a VM's clock, and when the response with it arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -278,8 +285,9 @@
     }
 
     /// How long the next poll lets the VM keep its tasks running; `keep` is the longest time.
-    pub fn max_extension(&self, keep: Duration) -> Duration {
-        if self.leaving.is_some() { keep.min(LEAVING_KEEP) } else { keep }
+    pub fn max_extension(&self, keep: Duration, now: Duration) -> Duration {
+        let until_gone = |leaving: Leaving| leaving.time_left(now) + LEAVING_KEEP;
+        self.leaving.map_or(keep, |leaving| keep.min(until_gone(leaving)))
     }
 
     /// How long the VM may delay its response to the next poll to wait for a run to end.
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -287,3 +287,19 @@
     assert_eq!(sim.runs_on(1 - there), 1, "the lease was extended until the VM left");
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
+
+// Guards against work that is lost on a VM which stays for long after announcing that it leaves,
+// while its shard's owner stands still for less than a lease.
+#[test]
+fn a_vm_with_a_long_notice_keeps_its_work_while_the_owner_stands_still() {
+    let mut sim = Simulation::with_max_keep(NoFaults, &[SHARD], 1, SMALL, LONG_KEEP);
+    let job = job_with_steps(1, 1, 1, work(40_000, 2));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(Duration::from_secs(1));
+    sim.depart_vm(0, Duration::from_secs(60));
+    sim.run_for(LONG_KEEP);
+    sim.stall_owner(SHARD, Duration::from_secs(6));
+    sim.run_for(Duration::from_secs(7));
+    assert_eq!(sim.runs_on(0), 1, "the lease has expired long before the VM leaves");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -371,11 +371,16 @@
 
     /// Pauses the shard's owner for a while, and lets another one take over meanwhile.
     pub fn pause_owner(&mut self, shard: &str, time: Duration) {
+        self.stall_owner(shard, time);
+        self.claim(shard, PreviousOwner::MaybeActive);
+    }
+
+    /// Stops the shard's owner for a while, without another one taking over.
+    pub fn stall_owner(&mut self, shard: &str, time: Duration) {
         let until = self.now + time;
         for owner in self.owners.iter_mut().filter(|owner| &*owner.name == shard) {
             owner.paused_until = until;
         }
-        self.claim(shard, PreviousOwner::MaybeActive);
     }
 
     /// Number of tasks running on a VM.
