Remember a departure until a complete list confirms it

A task on a VM that left within 2.5 s of a store's outage waited for the lease, as before. Cause: owners are told of a departure once. While the list is incomplete after an outage the VM still counts as listed, the departure was passed over, and nothing told of it again. Evidence: a_departure_after_an_outage_of_the_store_is_not_forgotten failed: nothing ran 6 s after the VM had left. Change: a listed VM that is reported to have left takes no work, and is removed with the first complete list without it; a new announcement takes the report back.

--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -70,14 +70,17 @@
         if list_status != FleetListStatus::Complete {
             return;
         }
-        let mut unlisted = Vec::new();
-        for vm in self.vms.values_mut() {
-            if !present.contains(&vm.id) && vm.listing == Listing::Listed {
-                vm.listing = Listing::Missing { since: now };
-                unlisted.push(vm.id.clone());
+        let (mut unlisted, mut departed) = (Vec::new(), Vec::new());
+        for vm in self.vms.values_mut().filter(|vm| !present.contains(&vm.id)) {
+            match vm.listing {
+                Listing::Listed => unlisted.push(vm.id.clone()),
+                Listing::Departed => departed.push(vm.id.clone()),
+                Listing::Missing { .. } => continue,
             }
+            vm.listing = Listing::Missing { since: now };
         }
-        unlisted.iter().for_each(|vm| self.report_runs_left(vm));
+        unlisted.iter().chain(&departed).for_each(|vm| self.report_runs_left(vm));
+        departed.iter().for_each(|vm| self.remove_departed_vm(vm));
         self.remove_absent_vms();
     }
 
@@ -118,18 +121,25 @@
         self.forget_vm(id, proof);
     }
 
-    /// Removes VMs that have left, with everything that ran on them. A VM that is listed has
-    /// announced itself again.
+    /// Removes VMs that have left, with everything that ran on them. A VM that is still listed may
+    /// have announced itself again, so it is removed once a complete list confirms that it is gone.
     pub(super) fn remove_departed_vms(&mut self, departures: &[Departure]) {
         for Departure { vm: id, .. } in departures {
-            if self.vms.get(id).is_some_and(|vm| vm.listing != Listing::Listed) {
-                let proof = "it has left as it announced";
-                self.report_vm_gone(id, proof);
-                self.forget_vm(id, proof);
+            let Some(vm) = self.vms.get_mut(id) else { continue };
+            match vm.listing {
+                Listing::Listed => vm.listing = Listing::Departed,
+                Listing::Departed => {}
+                Listing::Missing { .. } => self.remove_departed_vm(id),
             }
         }
     }
 
+    fn remove_departed_vm(&mut self, id: &VmId) {
+        let proof = "it has left as it announced";
+        self.report_vm_gone(id, proof);
+        self.forget_vm(id, proof);
+    }
+
     fn report_vm_gone(&mut self, id: &VmId, proof: StaticText) {
         if let Some(vm) = self.vms.get(id) {
             let runs = vm.runs.len();
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
     Listed,
+    /// Reported to have left; no list has confirmed that it is gone.
+    Departed,
     /// No longer listed since the given time.
     Missing {
         since: Duration,
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -261,6 +261,21 @@
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
 
+// Guards against a task that waits for the lease since its VM left shortly after an outage of the
+// store, when a VM's absence from the list tells nothing yet.
+#[test]
+fn a_departure_after_an_outage_of_the_store_is_not_forgotten() {
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
+    sim.stop_store(Duration::from_secs(1));
+    sim.run_for(Duration::from_millis(1500));
+    sim.disconnect_vm(there, Duration::from_secs(120));
+    sim.depart_vm(there, Duration::from_millis(300));
+    sim.tell_departures_once();
+    sim.run_for(MAX_DOWNTIME);
+    assert_eq!(sim.runs_on(1 - there), 1, "the task waits for the lease of a VM that has left");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
+
 // Guards against a task that runs twice: a VM that is listed has announced itself since it was taken
 // for departed.
 #[test]
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -122,6 +122,8 @@
     pub extra_entries: Vec<VmEntry>,
     /// VMs that have left, in order.
     departures: Vec<Departure>,
+    /// How many of them owners were told of, if each is told once.
+    departures_told: Option<usize>,
     /// Whether nobody learns which VMs have left.
     departures_unknown: bool,
     /// Latest state reported by each shard.
@@ -183,6 +185,7 @@
             store_down_until: Duration::ZERO,
             extra_entries: Vec::new(),
             departures: Vec::new(),
+            departures_told: None,
             departures_unknown: false,
             states: IndexMap::new(),
             owners: Vec::new(),
@@ -283,6 +286,11 @@
         self.departures.push(Departure { vm, at: self.now });
     }
 
+    /// Tells owners of each later departure once, as soon as it is known.
+    pub fn tell_departures_once(&mut self) {
+        self.departures_told = Some(self.departures.len());
+    }
+
     /// Leaves owners with the list alone to tell which VMs have left.
     pub fn hide_departures(&mut self) {
         self.departures_unknown = true;
@@ -660,10 +668,12 @@
             if back { FleetListStatus::Recovering } else { FleetListStatus::Complete };
         let owners: Vec<(u64, Arc<str>)> =
             self.owners.iter().map(|owner| (owner.number, owner.name.clone())).collect();
+        let new = self.departures[self.departures_told.unwrap_or(0)..].to_vec();
+        self.departures_told = self.departures_told.map(|_| self.departures.len());
         for (number, name) in owners {
             let vms = self.fleet_of(&name);
             self.step(number, Event::Fleet { vms, list_status, at: Some(self.now) });
-            self.step(number, Event::Departed(self.departures.clone()));
+            self.step(number, Event::Departed(new.clone()));
             let (evacuations, at) = self.read_evacuations.clone();
             self.step(number, Event::Evacuations { evacuations, at });
             let other_shards = self.other_shards(&name);
