Allow for a watch's delay where VMs announce themselves often

Cause: the proof that a VM has left allowed one announcement interval for changes that the store tells late. That is enough at 1.5 s; with intervals under a second a silent VM could pass for departed and its tasks run twice. Change: the allowance is an interval, or the second for which a watch may be silent, whichever is longer. With 1.5 s nothing changes. The tests of departures use the follower's builder of an entry.

--- a/src/jobs/follow/fleet/departures.rs
+++ b/src/jobs/follow/fleet/departures.rs
@@ -14,9 +14,12 @@
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
-/// Announcement intervals within which the store doesn't remove an announcement for silence. It
-/// does so after three; the third allows for changes of which the store tells late.
-const MAX_SILENCE_INTERVALS: u32 = 2;
+/// Missed announcements after which the store removes the last one.
+const MISSED_ANNOUNCEMENTS: u32 = 3;
+
+/// Longest time for which the store may hold changes back from a watch, by which an announcement
+/// may be older than it seems.
+const MAX_WATCH_DELAY: Duration = Duration::from_secs(1);
 
 /// Last announcements of the VMs that are leaving, by key.
 #[derive(Debug, Default)]
@@ -47,6 +50,15 @@
     pub announce_interval: Duration,
 }
 
+impl Removal {
+    /// Silence that doesn't make the store remove an announcement, with an allowance of one interval
+    /// or the longest delay of a watch.
+    fn max_silence(self) -> Duration {
+        let interval = self.announce_interval;
+        (MISSED_ANNOUNCEMENTS * interval).saturating_sub(interval.max(MAX_WATCH_DELAY))
+    }
+}
+
 impl LeavingVms {
     /// Records an announcement that was read at `now` and written after `written_after`.
     pub fn record(
@@ -79,7 +91,7 @@
         let last = self.vms.shift_remove(key)?;
         let (now, written_after) = (removal.now, last.written_after?);
         let is_reachable = removal.reachable_since.is_some_and(|since| since <= written_after);
-        let max_silence = MAX_SILENCE_INTERVALS * removal.announce_interval;
+        let max_silence = removal.max_silence();
         // A removal that is older than the last announcement was followed by it.
         let is_latest = last.rev <= removal.read_up_to;
         let is_early = now >= last.notice_ends && now - written_after < max_silence;
--- a/src/jobs/follow/fleet/departures/tests.rs
+++ b/src/jobs/follow/fleet/departures/tests.rs
@@ -1,25 +1,15 @@
 use super::{LeavingVms, Removal};
-use crate::ids::{DomainId, RackId, ServiceName, VmId};
+use crate::ids::VmId;
+use crate::jobs::follow::fleet::tests::vm;
 use crate::kv::Rev;
-use crate::units::Resources;
 use crate::vm::{Departure, VmEntry, VmState};
-use std::sync::Arc;
 use std::time::Duration;
 
 const KEY: &str = "vm/a";
 const NOTICE: Duration = Duration::from_secs(5);
 
 fn entry(state: VmState) -> VmEntry {
-    VmEntry {
-        id: VmId::new("a"),
-        service: ServiceName::new("shop"),
-        domain: DomainId::new("kacyiru"),
-        rack: RackId::new("r0"),
-        labels: Vec::new(),
-        size: Resources::new(32_000, 128_000, 0),
-        state,
-        addr: Arc::from("10.1.0.1:80"),
-    }
+    VmEntry { state, ..vm("a") }
 }
 
 fn ms(millis: u64) -> Duration {
@@ -105,3 +95,17 @@
     let unknown = Removal { announce_interval: ms(0), ..removal(ms(15_400)) };
     assert_eq!(leaving(ms(15_000)).remove(KEY, unknown), None);
 }
+
+// Guards against the same on a platform with frequent announcements: the store may tell of a change
+// a second late, so that an announcement is older than it seems by more than an interval.
+#[test]
+fn a_delayed_watch_does_not_make_a_silent_vm_depart() {
+    let (interval, delay) = (ms(400), ms(1000));
+    let mut vms = LeavingVms::default();
+    let entry = entry(VmState::Leaving { left: Some(ms(0)) });
+    let written = ms(10_000);
+    vms.record(KEY, Rev(1), &entry, Some(written + delay), written + delay);
+    let expired = written + 3 * interval;
+    let found = Removal { announce_interval: interval, ..removal(expired + delay / 2) };
+    assert_eq!(vms.remove(KEY, found), None);
+}
--- a/src/jobs/follow/fleet/tests.rs
+++ b/src/jobs/follow/fleet/tests.rs
@@ -11,7 +11,7 @@
     Item { key: key.to_owned(), value: Bytes::new(), rev: Rev(7) }
 }
 
-fn vm(name: &str) -> VmEntry {
+pub(super) fn vm(name: &str) -> VmEntry {
     VmEntry {
         id: VmId::new(name),
         service: ServiceName::new("shop"),
