Remember departures for as long as a lease may be inherited

Cause: departures were kept for 30 s, which fits leases of 10 s only; a deployment with leases over 17 s would forget one that a new owner still waits for. Change: the time follows from the lease's length, by the formula that a new owner waits by.

--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -13,6 +13,7 @@
 use crate::jobs::records::{ClaimShard, ConfirmOwnership, OwnershipStatus, ReadHeads, RemoveShard};
 use crate::journal::Journal;
 use crate::note::{Millis, Note};
+use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use crate::shard::{Action, Event, FleetListStatus, Recovered, Shard};
 use crate::vm::{Departure, Fence, VmEntry};
 use actix::prelude::*;
@@ -22,9 +23,6 @@
 /// Delay before the store is asked again to confirm a shard's ownership.
 const CONFIRM_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// How long a VM that has left is remembered: longer than a new owner would wait for its lease.
-const DEPARTURE_RETENTION: Duration = Duration::from_secs(30);
-
 impl Control {
     /// Defers the events of all local shards until the store confirms their ownership.
     pub(super) fn confirm_all_ownership(&mut self, cx: &mut Context<Self>) {
@@ -322,7 +320,9 @@
     /// Tells the shards which VMs have left, and keeps them for shards that are claimed later.
     pub(super) fn remember_departures(&mut self, departures: &[Departure], cx: &mut Context<Self>) {
         let now = self.now().steady;
-        let is_old = |past: &Departure| now.saturating_sub(past.at) >= DEPARTURE_RETENTION;
+        // By then any owner has found that the VM's lease has expired.
+        let retention = self.settings.inherited_lease(MAX_STALE_OWNER_EXTENSION);
+        let is_old = |past: &Departure| now.saturating_sub(past.at) >= retention;
         while self.departures.front().is_some_and(is_old) {
             self.departures.pop_front();
         }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -3,7 +3,7 @@
 
 use super::job_run::{JobRun, PlacedRun};
 use super::log::{Keys, Log};
-use super::settings::{CLOCK_DRIFT, EXPIRY_MARGIN, MAX_STALE_OWNER_EXTENSION, Settings};
+use super::settings::{MAX_STALE_OWNER_EXTENSION, Settings};
 use super::silence::{ReportedLapse, SilenceRecord, SilentVm};
 use super::vm_run::{Listing, Run, RunKey, Stage, Vm};
 use super::{ClosedJob, Now, Shard};
@@ -72,7 +72,6 @@
         fleet: Vec<VmEntry>,
         now: Now,
     ) -> Self {
-        let keep = settings.max_keep;
         let stale_owner_extension = match recovered.previous {
             PreviousOwner::Ended => Duration::ZERO,
             PreviousOwner::MaybeActive => MAX_STALE_OWNER_EXTENSION,
@@ -97,11 +96,7 @@
             run_times: super::run_times::RunTimes::default(),
             vm_list: super::fleet::VmListSource::Inherited { since: now.steady },
             evacuation: super::evacuate::EvacuationOrders::default(),
-            inherited_runs_until: now.steady
-                + keep
-                + keep.mul_f64(CLOCK_DRIFT)
-                + stale_owner_extension
-                + EXPIRY_MARGIN,
+            inherited_runs_until: now.steady + settings.inherited_lease(stale_owner_extension),
             stage: super::Stage::Serving,
             now,
             last_schedule: Duration::ZERO,
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -34,6 +34,14 @@
     pub evacuation_in_force: Duration,
 }
 
+impl Settings {
+    /// Longest time after a takeover for which VMs may keep running tasks of earlier owners, one of
+    /// which may extend leases for `stale` without knowing that it was replaced.
+    pub fn inherited_lease(&self, stale: Duration) -> Duration {
+        self.max_keep + self.max_keep.mul_f64(CLOCK_DRIFT) + stale + EXPIRY_MARGIN
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
