Log the VMs at whose address another one is announced

No line tells which VM displaced which at an address, by which announcement and by how old a list, so that a stale list, an entry that stands in the store longer and one that was written again can't be told apart. Change: vm-address-shared names both VMs, the store revisions of their announcements, when the other one was last heard and how old the list is. VM entries carry their revision for it. No decision changes.

--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -8,6 +8,7 @@
 use crate::jobs::records::{FindJob, JobLocation};
 use crate::jobs::view::{JobDirectory, Owner, ShardView, View};
 use crate::journal::Journal;
+use crate::kv::Rev;
 use crate::note::Weight;
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::shard::loan::LoanMsg;
@@ -289,6 +290,7 @@
         size: Resources::new(16_000, 64_000, 0),
         state: VmState::Ready,
         addr: Arc::from("10.1.0.1:80"),
+        announced: Rev::ABSENT,
     }
 }
 
--- a/src/jobs/follow/fleet/tests.rs
+++ b/src/jobs/follow/fleet/tests.rs
@@ -21,6 +21,7 @@
         size: Resources::new(32_000, 128_000, 0),
         state: VmState::Ready,
         addr: Arc::from("10.1.0.1:80"),
+        announced: Rev::ABSENT,
     }
 }
 
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -4,7 +4,7 @@
 use crate::ids::{RackId, ServiceName, Ticket, VmId};
 use crate::job::{Image, Job, JobId, JobState, Label, QueueName, RunNumber, StepRef, TaskRef};
 use crate::kv::Txn;
-use crate::note::Note;
+use crate::note::{Note, StaticText};
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::queues::Queues;
 use crate::shard::interference::PairEstimate;
@@ -114,6 +114,17 @@
     Unread,
 }
 
+impl FleetListStatus {
+    /// Name of the status in log lines.
+    pub fn name(self) -> StaticText {
+        match self {
+            Self::Complete => "complete",
+            Self::Recovering => "recovering",
+            Self::Unread => "unread",
+        }
+    }
+}
+
 /// Result of a commit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CommitResult {
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -60,6 +60,7 @@
                 continue;
             }
             if !self.vms.contains_key(&entry.id) {
+                self.report_shared_address(&entry, list_status, at);
                 self.remove_earlier_instances(&entry);
             }
             self.update_vm(entry);
@@ -114,6 +115,30 @@
         }
     }
 
+    /// Logs the other VMs at the address of a newly announced one.
+    fn report_shared_address(
+        &mut self,
+        entry: &VmEntry,
+        list_status: FleetListStatus,
+        at: Option<Duration>,
+    ) {
+        let now = self.now.steady;
+        let others = self.vms.values().filter(|vm| vm.entry.addr == entry.addr);
+        let note = |other: &Vm| Note::VmAddressShared {
+            vm: entry.id.clone(),
+            other: other.id.clone(),
+            rev: entry.announced.0,
+            other_rev: other.entry.announced.0,
+            other_listed: other.listing == Listing::Listed,
+            other_heard_ms: Millis(now.saturating_sub(other.last_heard())),
+            other_runs: other.runs.len(),
+            list_ms: Millis(at.map_or(Duration::ZERO, |at| now.saturating_sub(at))),
+            list: if at.is_some() { list_status.name() } else { "stale" },
+        };
+        let notes: Vec<Note> = others.map(note).collect();
+        notes.into_iter().for_each(|note| self.note(note));
+    }
+
     /// Removes a VM instance that has ended, with everything that ran on it.
     pub(super) fn remove_vm_instance(&mut self, id: &VmId, proof: StaticText) {
         self.report_vm_gone(id, proof);
@@ -162,7 +187,7 @@
         let now = self.now.steady;
         let Some(vm) = self.vms.get(id) else { return };
         let notice = vm.leaving.map_or(Duration::ZERO, |leaving| now.saturating_sub(leaving.since));
-        let heard = vm.contact.last_successful_poll.unwrap_or(vm.known_since);
+        let heard = vm.last_heard();
         let note = |(key, run): (&RunKey, &Run)| Note::RunLeftBehind {
             task: key.task,
             run: key.run,
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -10,6 +10,7 @@
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::Progress;
 use crate::job::{Job, JobId};
+use crate::kv::Rev;
 use crate::note::{Millis, Note};
 use crate::queues::Queues;
 use crate::units::Resources;
@@ -221,6 +222,7 @@
         size: Resources::ZERO,
         state: VmState::Ready,
         addr: placed.addr.clone(),
+        announced: Rev::ABSENT,
     };
     let mut vm = Vm::new(entry, now, runs_ended_by);
     vm.listing = Listing::Missing { since: now };
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -264,6 +264,11 @@
         self.entry.size.saturating_sub(&self.reserved())
     }
 
+    /// When the last successful poll was sent, or the VM became known.
+    pub fn last_heard(&self) -> Duration {
+        self.contact.last_successful_poll.unwrap_or(self.known_since)
+    }
+
     /// Whether the VM has responded to this owner recently.
     pub fn is_responsive(&self, now: Duration) -> bool {
         self.contact.responsiveness == Responsiveness::Responsive
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -8,6 +8,7 @@
 
 use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::{Checkpoint, Label, RunNumber, TaskRef};
+use crate::kv::Rev;
 use crate::permit::Permit;
 use crate::units::Resources;
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,8 @@
     pub state: VmState,
     /// Address of the VM's API, as `ip:port`.
     pub addr: Arc<str>,
+    /// Store revision at which the VM last announced itself; absent if it isn't announced.
+    pub announced: Rev,
 }
 
 /// Whether a VM takes new work.
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -231,6 +231,7 @@
             size: Resources::new(32_000, 128_000, 0),
             state,
             addr: Arc::from("10.1.0.1:80"),
+            announced: item.rev,
         })
     }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -7,6 +7,7 @@
     StoreReachability,
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
+use waxwingstall::kv::Rev;
 use waxwingstall::shard::Summary;
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{VmEntry, VmState};
@@ -53,6 +54,7 @@
         size: Resources::new(1000, 1000, 0),
         state: VmState::Ready,
         addr: "vm:1".into(),
+        announced: Rev::ABSENT,
     };
     let vms: Vec<VmEntry> = (0..shards * 32).map(vm).collect();
     Plan::default().extended(&vms).expect("racks are new")
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -480,6 +480,7 @@
             size,
             state: VmState::Ready,
             addr: Arc::from(addr.as_str()),
+            announced: Rev::ABSENT,
         };
         self.vms.push(VmNode {
             table: RunTable::new(id, run_settings(self.max_keep)),
--- a/tests/upkeep.rs
+++ b/tests/upkeep.rs
@@ -272,6 +272,7 @@
         size: Resources::new(1000, 1000, 0),
         state: VmState::Ready,
         addr: "any:1".into(),
+        announced: Rev::ABSENT,
     }
 }
 
