Remove a VM instance only by its address's own answer

Of two instances of a VM at one address a shard took the one that it had heard of first for the ended one. The announcement of a VM that crashed behind a cut came into the store as the cut healed, after its successor's, and the new owner of the shard knew nothing of the dead one: the living instance was removed with its runs, which started again elsewhere, and was ignored for as long as that owner lasted. Change: an announcement at a known address removes nothing. The VMs known there are polled at once and get no work until they answer that poll or the others at the address are found to have ended; an instance is removed only when its address answers that another one lives there. That answer holds however late it comes: an id is known from the instance's own announcement, so whoever answers in its place came later. An instance at an address that doesn't answer keeps its runs until their lease ends, as any VM that doesn't answer. The price: runs on a VM that is reborn where no daemon reaches it wait for their lease.

--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -61,7 +61,7 @@
             }
             if !self.vms.contains_key(&entry.id) {
                 self.report_shared_address(&entry, list_status, at);
-                self.remove_earlier_instances(&entry);
+                self.challenge_address(&entry.addr);
             }
             self.update_vm(entry);
         }
@@ -102,17 +102,13 @@
         }
     }
 
-    /// Removes earlier VM instances at the same address, since an address belongs to one instance
-    /// at a time. If two are first announced together, the later one isn't known until the address
-    /// is polled.
-    fn remove_earlier_instances(&mut self, entry: &VmEntry) {
+    /// Polls the VMs known at the address of a newly announced one at once. An address belongs to
+    /// one instance at a time, but an announcement may be read long after its VM has crashed and
+    /// its successor has started, so only the address itself can tell which instance has ended.
+    fn challenge_address(&mut self, addr: &str) {
         let now = self.now.steady;
-        let earlier = |vm: &&Vm| vm.entry.addr == entry.addr && vm.known_since < now;
-        let earlier: Vec<VmId> =
-            self.vms.values().filter(earlier).map(|vm| vm.id.clone()).collect();
-        for id in earlier {
-            self.remove_vm_instance(&id, "another life at its address");
-        }
+        let at_address = self.vms.values_mut().filter(|vm| *vm.entry.addr == *addr);
+        at_address.for_each(|vm| vm.challenge(now));
     }
 
     /// Logs the other VMs at the address of a newly announced one.
@@ -141,9 +137,20 @@
 
     /// Removes a VM instance that has ended, with everything that ran on it.
     pub(super) fn remove_vm_instance(&mut self, id: &VmId, proof: StaticText) {
+        let addr = self.vms.get(id).map(|vm| vm.entry.addr.clone());
         self.report_vm_gone(id, proof);
         self.handle_vm_crash(id);
         self.forget_vm(id, proof);
+        addr.iter().for_each(|addr| self.settle_address(addr));
+    }
+
+    /// Allows work again on the last VM known at an address.
+    fn settle_address(&mut self, addr: &str) {
+        let mut at_address = self.vms.values_mut().filter(|vm| *vm.entry.addr == *addr);
+        let (Some(vm), None) = (at_address.next(), at_address.next()) else { return };
+        if vm.challenged.take().is_some() {
+            self.request_schedule();
+        }
     }
 
     /// Removes VMs that have left, with everything that ran on them. A VM that is still listed may
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -57,13 +57,15 @@
         vm.contact.poll = PollState::Idle;
         match result {
             Ok(resp) => {
-                let before = vm.contact.last_successful_poll.replace(sent);
-                vm.contact.failures = 0;
-                vm.contact.failing_since = None;
+                let before = vm.contact.last_successful_poll;
+                let challenged = vm.challenged.is_some();
+                vm.record_answer(sent);
                 vm.read_clock(resp.clock, now);
                 let was =
                     std::mem::replace(&mut vm.contact.responsiveness, Responsiveness::Responsive);
-                let met = before.is_none() || was != Responsiveness::Responsive;
+                let met = before.is_none()
+                    || was != Responsiveness::Responsive
+                    || (challenged && vm.challenged.is_none());
                 if let Responsiveness::SilentSince(since) = was {
                     let (runs, silent_ms) = (vm.runs.len(), Millis(now.saturating_sub(since)));
                     self.note(Note::VmHeard { vm: id.clone(), silent_ms, runs });
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -29,6 +29,8 @@
     pub entry: VmEntry,
     pub listing: Listing,
     pub known_since: Duration,
+    /// When another VM was announced at its address, until it answers a later poll.
+    pub challenged: Option<Duration>,
     /// When the platform first reported that the VM is leaving, and how much time was left then.
     pub leaving: Option<Leaving>,
     pub clock: Option<ClockReading>,
@@ -191,6 +193,7 @@
             entry,
             listing: Listing::Listed,
             known_since: now,
+            challenged: None,
             clock: None,
             runs: IndexMap::new(),
             ended_runs: EndedRuns::default(),
@@ -216,6 +219,20 @@
         self.listing = Listing::Listed;
     }
 
+    /// Polls the VM at once, and places nothing on it until it has answered.
+    pub fn challenge(&mut self, now: Duration) {
+        self.challenged = Some(now);
+        self.contact.next_poll = self.contact.next_poll.min(now);
+    }
+
+    /// Records that the VM answered a poll sent at `sent`.
+    pub fn record_answer(&mut self, sent: Duration) {
+        self.contact.last_successful_poll = Some(sent);
+        self.contact.failures = 0;
+        self.contact.failing_since = None;
+        self.challenged = self.challenged.filter(|at| sent < *at);
+    }
+
     /// The id and address to call the VM with.
     pub fn addr(&self) -> VmAddr {
         VmAddr { id: self.id.clone(), addr: self.entry.addr.clone() }
@@ -280,7 +297,10 @@
 
     /// Whether new tasks may be placed on the VM.
     pub fn takes_work(&self, now: Duration) -> bool {
-        self.listing == Listing::Listed && self.leaving.is_none() && self.is_responsive(now)
+        self.listing == Listing::Listed
+            && self.leaving.is_none()
+            && self.challenged.is_none()
+            && self.is_responsive(now)
     }
 
     /// Whether the next poll extends the deadline of the VM's tasks.
@@ -300,6 +320,7 @@
     /// How long the VM may delay its response to the next poll to wait for a run to end.
     pub fn poll_wait(&self) -> Duration {
         if self.contact.failures > 0
+            || self.challenged.is_some()
             || self.contact.last_successful_poll.is_none()
             || self.ended_runs.has_unforgotten()
         {
--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -138,7 +138,6 @@
 // Guards against a task that runs twice at once: the entry of a VM's ended instance came back while
 // the task ran on the next instance, which was taken for the earlier one and thus for ended.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn an_entry_that_comes_back_ends_no_run_of_the_next_instance() {
     let mut vm = Successor::with_task(work(6000, 2));
     vm.list_dead();
@@ -148,7 +147,6 @@
 
 // The same after a change of owner: the new owner hears of the living instance first.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn an_entry_that_a_new_owner_hears_of_last_ends_no_run_of_the_next_instance() {
     let mut vm = Successor::with_task(work(6000, 2));
     vm.sim.replace_owner(SHARD);
@@ -160,7 +158,6 @@
 
 // The same while the store is just back, when entries that expired are listed again.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn an_entry_listed_as_the_store_is_back_ends_no_run_of_the_next_instance() {
     let mut vm = Successor::with_task(work(8000, 2));
     vm.sim.stop_store(seconds(2));
@@ -174,7 +171,6 @@
 
 // The same by a list of unknown age that a daemon repeats because it can't read a newer one.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn an_entry_in_a_stale_list_ends_no_run_of_the_next_instance() {
     let mut vm = Successor::with_task(work(6000, 2));
     vm.sim.block_vm_list(seconds(2));
@@ -211,7 +207,6 @@
 // The same for an ended instance that is listed last, with more tasks than both VMs have room for:
 // none may be started on it.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn nothing_is_started_on_an_ended_instance_that_is_listed_last() {
     for change_owner in [false, true] {
         let mut vm = Successor::with_task(work(6000, 2));
@@ -242,7 +237,6 @@
 // While the address of two listed instances doesn't answer, nobody knows which of them is the
 // current one: neither may be taken for ended, and all tasks must complete once it answers.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn two_instances_at_an_unreachable_address_end_no_run() {
     for change_owner in [false, true] {
         let mut vm = Successor::with_task(work(9000, 2));
