Take no VM for gone by a list of unknown age

Cause: a daemon without shards reads the list of VMs from any replica of the store, seconds old. If it claims a shard during such a read, the new owner got that list as a complete one: VMs announced since counted as missing, and a VM that had been told to have departed and is still there was removed with its runs, which started again elsewhere. Change: absence from a list counts only if the age of the list is known. The next list, requested as the claim succeeds, is a current one.

--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -65,9 +65,9 @@
             }
             self.update_vm(entry);
         }
-        if let Some(at) = at.filter(|_| list_status != FleetListStatus::Unread) {
-            self.vm_list = VmListSource::Read { at };
-        }
+        // A list of unknown age may be from before a VM was announced.
+        let Some(at) = at.filter(|_| list_status != FleetListStatus::Unread) else { return };
+        self.vm_list = VmListSource::Read { at };
         if list_status != FleetListStatus::Complete {
             return;
         }
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -291,6 +291,21 @@
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
 
+// Guards against a task that runs in two places: a list from before its VM was announced confirmed
+// that the VM had departed.
+#[test]
+fn a_stale_list_confirms_no_departure() {
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
+    sim.report_departure(there);
+    for _ in 0..20 {
+        sim.run_for(Duration::from_millis(100));
+        sim.send_stale_list_without(SHARD, there);
+    }
+    assert_eq!(sim.runs_on(there), 1);
+    assert_eq!(sim.runs_on(1 - there), 0, "the task runs in two places");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
+
 // Guards against a task that is down for a whole lease after its VM has left, if the end of its run
 // can't be known sooner: the lease was extended until the VM left.
 #[test]
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -39,6 +39,9 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time between two announcements of a VM.
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1500);
+/// Store revision of the VMs' announcements, and an earlier one.
+const ANNOUNCED: Rev = Rev(2);
+const STALE: Rev = Rev(1);
 /// Longest time for which a VM keeps its tasks running without another poll, unless a test sets
 /// another.
 const MAX_KEEP: Duration = Duration::from_secs(6);
@@ -327,6 +330,26 @@
         self.call(shard, event);
     }
 
+    /// Sends the shard's owner a list from before a VM was announced, of unknown age.
+    pub fn send_stale_list_without(&mut self, shard: &str, index: usize) {
+        let missing = self.vms[index].entry.id.clone();
+        let mut vms = self.fleet_of(shard);
+        vms.retain(|vm| vm.id != missing);
+        let event = Event::Fleet { vms, list_status: FleetListStatus::Complete, at: None };
+        self.call(shard, event);
+    }
+
+    /// Sends the shard's owner a list of unknown age in which a VM has its first size.
+    pub fn send_stale_size(&mut self, shard: &str, index: usize) {
+        let (id, size) = (self.vms[index].entry.id.clone(), self.vms[index].sizes[0].1);
+        let mut vms = self.fleet_of(shard);
+        for vm in vms.iter_mut().filter(|vm| vm.id == id) {
+            (vm.size, vm.announced) = (size, STALE);
+        }
+        let event = Event::Fleet { vms, list_status: FleetListStatus::Complete, at: None };
+        self.call(shard, event);
+    }
+
     /// Orders the evacuation of a failure domain.
     pub fn evacuate(&mut self, domain: &str) {
         let domain = DomainId::new(domain);
@@ -487,7 +510,7 @@
             size,
             state: VmState::Ready,
             addr: Arc::from(addr.as_str()),
-            announced: Rev::ABSENT,
+            announced: ANNOUNCED,
         };
         self.vms.push(VmNode {
             table: RunTable::new(id, run_settings(self.max_keep)),
