Keep a VM's latest announcement when an older one is read

Cause: a list from any replica of the store may be older than what is known. A shard took each entry that it read for the current one, so that the former size of a VM that had shrunk came back, and tasks were started beyond its capacity. Change: VM entries carry the store revision of their announcement; one that is older than the known one only shows that the VM is listed.

--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -210,13 +210,16 @@
         }
     }
 
-    /// Updates the VM from the platform's current entry.
+    /// Updates the VM from an entry of the platform, unless a later one is known.
     pub fn update_entry(&mut self, entry: VmEntry, now: Duration) {
+        self.listing = Listing::Listed;
+        if entry.announced < self.entry.announced {
+            return;
+        }
         if self.leaving.is_none() {
             self.leaving = leaving(&entry, now);
         }
         self.entry = entry;
-        self.listing = Listing::Listed;
     }
 
     /// Polls the VM at once, and places nothing on it until it has answered.
--- a/tests/shards/resize.rs
+++ b/tests/shards/resize.rs
@@ -30,6 +30,23 @@
     check_sizes(&mut sim);
 }
 
+// Guards against starting more than a VM that has shrunk can carry: an older list brought its former
+// size back.
+#[test]
+fn a_stale_list_does_not_bring_back_a_former_size() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 1, SIZE);
+    sim.run_for(seconds(1));
+    sim.resize_vm(0, HALF);
+    sim.run_for(seconds(6));
+    sim.submit(SHARD, job_with_steps(1, 1, 4, work(60_000, 2)));
+    for _ in 0..20 {
+        sim.send_stale_size(SHARD, 0);
+        sim.run_for(Duration::from_millis(100));
+    }
+    assert_eq!(sim.runs_on(0), 2, "there is room for two");
+    check_sizes(&mut sim);
+}
+
 // Guards against stopping tasks when their VM shrinks, and against leaving added capacity unused
 // when it grows.
 #[test]
