Take an owner for restarted only if a later process answered

Cause: tasks ran twice after the owner of their shard was taken for ended though it was alive. The next owner then doesn't wait out the time in which the former one may extend leases of VMs that the new one can't reach. An owner counted as restarted when a hello of another process of its name was heard after its claim, when that process's start time was later, or when the store's list of daemons held another process. But a hello or a list may have been held up and come from an earlier process, and the start time is a wall clock's, which may step back. Change: an answer to a hello carries when that hello was sent. Only the answer of another process to a hello sent after the owner's claim was known shows that the owner has ended. A hello that wasn't asked for doesn't replace a known process that owns shards; its sender is probed. Without an answer the shard is claimed after the owner's silence, as of one that may still be active. That silence is counted without the hellos of other processes. The wall clock is no longer read. Evidence: the new tests failed before: - a_late_hello_of_an_earlier_process_does_not_show_that_the_owner_ended: "its owner has not been silent for long", left: [(13.3s, "kacyiru.0")], right: [] - a_late_hello_of_an_earlier_process_does_not_show_that_a_claimant_ended: "its first hello is still on its way", left: [(13.4s, "kacyiru.0")], right: [] - a_wall_clock_that_steps_back_does_not_show_that_the_owner_ended: "its first hello is still on its way", left: [(11.3s, "kacyiru.0")], right: [] - a_registration_does_not_show_that_the_owner_ended: left: [Ended], right: [MaybeActive] - an_answer_of_a_later_process_shows_that_the_owner_ended: left: [], right: [DaemonId("anew@1")] Why it works: a daemon runs one process at a time. A process that ran after the owner had claimed the shard, and isn't the owner, has replaced it. An answer proves when its sender ran at the earliest; a message that may be of any age doesn't. Result: these tests and those of ownership, shards, followers and the library pass. A restarted owner costs each daemon one more exchange of hellos.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -4,6 +4,10 @@
 //! fast failover without needless moves. An owner whose process is known to have ended is replaced
 //! at once, an unresponsive one after [`OWNER_TIMEOUT`](orphans::OWNER_TIMEOUT).
 //!
+//! What a claim says of the previous owner must be proved, though. A message may arrive at any time
+//! after it was sent, so a hello shows who was running at some time in the past. Only the answer to
+//! a hello shows who was running after that one was sent.
+//!
 //! Daemons in the shard's failure domain claim it first, because they still reach its VMs when the
 //! domain is partitioned. Others wait [`REMOTE_DOMAIN_DELAY`](orphans::REMOTE_DOMAIN_DELAY), which
 //! is longer than most partitions. Within a domain, the daemon with the most CPU per shard claims
@@ -40,7 +44,12 @@
     Tick,
     /// Daemons registered in the store.
     Registered(Vec<Member>),
-    Hello(Hello),
+    Hello {
+        hello: Hello,
+        /// When this daemon sent the hello that this one answers; `None` for a hello that was sent
+        /// unasked and may be of any age.
+        asked: Option<Duration>,
+    },
     /// A daemon's port refuses connections: its process has ended.
     Refused(DaemonId),
     /// Shard heads read from the store.
@@ -248,7 +257,7 @@
         match event {
             Event::Tick => {}
             Event::Registered(members) => self.handle_registered(members),
-            Event::Hello(hello) => self.handle_hello(hello),
+            Event::Hello { hello, asked } => self.handle_hello(hello, asked),
             Event::Refused(id) => self.handle_refused(&id),
             Event::Heads(heads) => heads.into_iter().for_each(|(name, head)| {
                 self.record_owner(&name, head.owner, head.fence);
@@ -279,6 +288,7 @@
         }
         for known in self.members.values_mut() {
             known.last_heard += pause;
+            known.earlier_heard += pause;
         }
         for view in self.shards.values_mut() {
             view.orphan = None;
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -1,6 +1,6 @@
 //! State of the other daemons and the schedule of hellos to them.
 
-use super::orphans::OWNER_TIMEOUT;
+use super::orphans::{OWNER_TIMEOUT, PROBE_INTERVAL};
 use super::{Action, Ownership};
 use crate::cluster::member::{Hello, Member, StoreReachability};
 use crate::ids::DaemonId;
@@ -22,6 +22,10 @@
 pub(super) struct MemberState {
     pub(super) member: Member,
     pub(super) last_heard: Duration,
+    /// When an earlier process of the daemon was last heard.
+    pub(super) earlier_heard: Duration,
+    /// When the newest hello that this process answered was sent to it.
+    pub(super) answered: Option<Duration>,
     /// When this process of the daemon was first heard of.
     pub(super) joined: Duration,
     pub(super) store: StoreReachability,
@@ -36,6 +40,33 @@
     pub(super) next_hello: Duration,
 }
 
+impl MemberState {
+    /// Whether another process of the daemon takes this one's place. It must have answered a hello
+    /// sent after this one was heard, unless this one owns no shard and nothing depends on it.
+    fn may_be_replaced(&self, asked: Option<Duration>) -> bool {
+        self.shards.is_empty() || asked.is_some_and(|asked| asked >= self.last_heard)
+    }
+
+    fn replace_process(&mut self, member: Member, now: Duration) {
+        self.member = member;
+        self.earlier_heard = self.last_heard;
+        self.last_heard = now;
+        self.answered = None;
+        self.joined = now;
+        self.shards.clear();
+        self.refused_at = None;
+    }
+
+    /// Whether a probe is due; marks it as sent.
+    pub(super) fn take_probe(&mut self, now: Duration) -> bool {
+        let due = now.saturating_sub(self.last_probe) >= PROBE_INTERVAL;
+        if due {
+            self.last_probe = now;
+        }
+        due
+    }
+}
+
 impl Ownership {
     /// Live daemons, excluding this one.
     pub fn members(&self) -> Vec<Member> {
@@ -86,9 +117,7 @@
                 None => self.add_member(member),
                 // A daemon's own hellos take precedence over its registration in the store.
                 Some(known) if known.member.id != member.id && !alive => {
-                    known.member = member;
-                    known.last_heard = now;
-                    known.refused_at = None;
+                    known.replace_process(member, now);
                 }
                 Some(_) => {}
             }
@@ -100,6 +129,8 @@
         let known = MemberState {
             member,
             last_heard: self.now,
+            earlier_heard: self.now,
+            answered: None,
             joined: self.now,
             store: StoreReachability::Away,
             store_since: self.now,
@@ -113,7 +144,8 @@
         self.log_member(id, "known", Duration::ZERO);
     }
 
-    pub(super) fn handle_hello(&mut self, hello: Hello) {
+    pub(super) fn handle_hello(&mut self, hello: Hello, asked: Option<Duration>) {
+        let now = self.now;
         let name = hello.from.name.clone();
         if name == self.me.name {
             return;
@@ -122,20 +154,29 @@
         if !self.members.contains_key(&name) {
             self.add_member(hello.from.clone());
         }
+        self.record_reports(&hello);
         let Some(known) = self.members.get_mut(&name) else { return };
         if known.member.id != hello.from.id {
-            known.joined = self.now;
+            if !known.may_be_replaced(asked) {
+                self.probe_process(&name, hello.from);
+                return;
+            }
+            known.replace_process(hello.from.clone(), now);
         }
-        known.member = hello.from.clone();
-        known.last_heard = self.now;
+        known.member = hello.from;
+        known.last_heard = now;
+        known.answered = known.answered.max(asked);
         known.refused_at = None;
         if known.store != hello.store {
             known.store = hello.store;
-            known.store_since = self.now;
+            known.store_since = now;
         }
         known.config = hello.config;
-        known.shards = hello.shards.iter().map(|report| report.name.clone()).collect();
-        for report in hello.shards {
+        known.shards = hello.shards.into_iter().map(|report| report.name).collect();
+    }
+
+    fn record_reports(&mut self, hello: &Hello) {
+        for report in &hello.shards {
             self.record_owner(&report.name, hello.from.id.clone(), report.fence);
             let view = self.shards.get_mut(&report.name);
             if let Some(view) = view.filter(|view| view.owner.as_ref() == Some(&hello.from.id)) {
@@ -144,6 +185,15 @@
         }
     }
 
+    /// Asks another process of a known daemon whether it is the one that is running.
+    fn probe_process(&mut self, name: &str, process: Member) {
+        let now = self.now;
+        let Some(known) = self.members.get_mut(name) else { return };
+        if known.take_probe(now) {
+            self.actions.push(Action::Probe(process));
+        }
+    }
+
     pub(super) fn handle_refused(&mut self, id: &DaemonId) {
         let now = self.now;
         let Some(known) = self.members.values_mut().find(|k| k.member.id == *id) else { return };
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -41,7 +41,7 @@
 const READ_HEADS_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Interval between probes of an unresponsive owner.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A shard without a live owner.
 #[derive(Clone, Copy, Debug)]
@@ -82,8 +82,7 @@
         }
         for name in probes {
             let Some(known) = self.members.get_mut(&name) else { continue };
-            if now.saturating_sub(known.last_probe) >= PROBE_INTERVAL {
-                known.last_probe = now;
+            if known.take_probe(now) {
                 self.actions.push(Action::Probe(known.member.clone()));
             }
         }
@@ -160,23 +159,26 @@
         let cause = Cause { silent, grace: Duration::ZERO, ..unowned("its owner is gone") };
         return (silent >= OWNER_TIMEOUT).then_some(cause);
     };
+    let is_same_process = known.member.id == *owner;
     // Silence is counted from when the daemon became the owner. Daemons without shards rarely send
     // hellos, so a new owner whose claim was read from the store before its first hello as an owner
     // would appear unresponsive, and the shard would be claimed again at once.
-    let silent = now.saturating_sub(known.last_heard.max(view.since));
+    let last_heard = if is_same_process { known.last_heard } else { known.earlier_heard };
+    let silent = now.saturating_sub(last_heard.max(view.since));
     let grace = Duration::ZERO;
     let cause = |previous, reason| Some(Cause { previous, reason, silent, grace });
-    if known.member.id != *owner {
-        // A process whose claim was read from the store before its first hello is still known under
-        // the id of the daemon's previous process.
-        let later =
-            start_time(&known.member.id) > start_time(owner) || known.last_heard > view.since;
-        let timed_out = silent >= OWNER_TIMEOUT;
-        return match (later, timed_out) {
-            (true, _) => cause(PreviousOwner::Ended, "its owner was restarted"),
-            (false, true) => cause(PreviousOwner::MaybeActive, "its owner is silent"),
-            (false, false) => None,
-        };
+    if !is_same_process {
+        // A daemon runs one process at a time. One that was running after the owner had claimed the
+        // shard has replaced it; otherwise it may be an earlier one, and the owner's first hello is
+        // still on its way.
+        if known.answered.is_some_and(|asked| asked >= view.since) {
+            return cause(PreviousOwner::Ended, "its owner was restarted");
+        }
+        probes.push(known.member.name.clone());
+        if silent < OWNER_TIMEOUT {
+            return None;
+        }
+        return cause(PreviousOwner::MaybeActive, "its owner is silent");
     }
     if known.refused_at.is_some() {
         return cause(PreviousOwner::Ended, "its owner's process has ended");
@@ -206,8 +208,3 @@
 fn is_same_daemon(member: &Member, owner: &DaemonId) -> bool {
     owner.as_str().rsplit_once('@').is_some_and(|(name, _)| name == member.name)
 }
-
-/// Start time of a daemon's process by its own wall clock, taken from its id.
-fn start_time(id: &DaemonId) -> u64 {
-    id.as_str().rsplit_once('@').and_then(|(_, start)| start.parse().ok()).unwrap_or_default()
-}
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -96,7 +96,7 @@
     let control = control.start();
     let (_, fixed) = watch::channel(Arc::new(shown));
     drop(view);
-    let links = PeerLinks::new(control.clone()).start();
+    let links = PeerLinks::new(control.clone(), clock.clone()).start();
     let finder = FakeStore(found).start().recipient();
     JobClient::new(fixed, directory, control, links, finder, clock)
 }
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -169,26 +169,30 @@
 /// Another daemon's hello was received.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct HelloReceived(pub Hello);
+pub struct HelloReceived {
+    pub hello: Hello,
+    /// When the hello that it answers was sent; `None` if it was sent unasked.
+    pub asked: Option<Duration>,
+}
 
 impl Handler<HelloReceived> for Control {
     type Result = ();
 
     fn handle(&mut self, msg: HelloReceived, cx: &mut Self::Context) {
         let now = self.begin_handler(cx).steady;
-        for report in &msg.0.shards {
+        let HelloReceived { hello, asked } = msg;
+        for report in &hello.shards {
             let shared: Arc<str> = Arc::from(report.name.as_str());
             report.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
             let summary = Arc::new(report.summary.clone());
-            let store = msg.0.store;
+            let store = hello.store;
             let (owner, is_evacuated) = (None, false);
             let view = ShardView { owner, store, summary, summary_at: now, is_evacuated };
             self.remote_shards.insert(report.name.clone(), view);
             let lapses = TimedLapses { at: now, lapses: report.lapses.clone() };
             self.reported_lapses.insert(report.name.clone(), lapses);
         }
-        let learned: Vec<(String, Vec<PairEstimate>)> = msg
-            .0
+        let learned: Vec<(String, Vec<PairEstimate>)> = hello
             .shards
             .iter()
             .map(|report| (report.name.clone(), report.learned.clone()))
@@ -196,7 +200,7 @@
         for (from, learned) in learned {
             self.share_learned(&from, learned, cx);
         }
-        self.step_ownership(cluster::Event::Hello(msg.0), cx);
+        self.step_ownership(cluster::Event::Hello { hello, asked }, cx);
     }
 }
 
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -92,14 +92,15 @@
     let (publish, _) = watch::channel(Arc::new(View::default()));
     let settings = Settings::default();
     let in_force = Duration::from_secs(2);
-    let control = Control::new(me, settings, in_force, clock, journal, publish, Arc::default());
+    let control =
+        Control::new(me, settings, in_force, clock.clone(), journal, publish, Arc::default());
     let control = control.start();
     let others = FakeActors.start();
     control.do_send(Connect(ActorHandles {
         vm_calls: Ring::new(others.clone(), WhenFull::Drop),
         permits: others.clone().recipient(),
         upkeep: others.clone().recipient(),
-        links: PeerLinks::new(control.clone()).start(),
+        links: PeerLinks::new(control.clone(), clock).start(),
         claims: others.clone().recipient(),
         commits: others.clone().recipient(),
         removals: others.clone().recipient(),
@@ -232,7 +233,7 @@
     let clock = Arc::new(ManualClock::new());
     let lines = LogBuffer::default();
     let control = logging_control(clock.clone(), lines.clone());
-    control.send(HelloReceived(hello())).await.expect("a control");
+    control.send(HelloReceived { hello: hello(), asked: None }).await.expect("a control");
     control.send(claimed_with_silent_vm()).await.expect("a control");
     assert!(lines.wait_for("vm-lapse-told", 1).await, "the earlier owner reported the VM");
     clock.advance(2 * OWN_PAUSE_THRESHOLD);
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -110,7 +110,7 @@
             })
         };
         let permits = external_calls.clone().recipient();
-        let links = start_links(&arbiters[3], listener, &control, permits).await?;
+        let links = start_links(&arbiters[3], listener, &control, permits, clock.clone()).await?;
         control.do_send(Connect(ActorHandles {
             upkeep: machines.recipient(),
             permits: external_calls.clone().recipient(),
@@ -198,10 +198,11 @@
     listener: TcpListener,
     control: &Addr<Control>,
     permits: Recipient<RequestPermits>,
+    clock: Arc<dyn Clock>,
 ) -> Result<Addr<PeerLinks>> {
     let links = {
         let control = control.clone();
-        PeerLinks::start_in_arbiter(&arbiter.handle(), move |_| PeerLinks::new(control))
+        PeerLinks::start_in_arbiter(&arbiter.handle(), move |_| PeerLinks::new(control, clock))
     };
     let (tx, rx) = oneshot::channel();
     let (served, control) = (links.clone(), control.clone());
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -12,6 +12,7 @@
     ConnectionRefused, Control, HandleCall, HandleLoanMessage, HandleOffer, HelloReceived,
 };
 use super::orders::RequestPermits;
+use crate::clock::Clock;
 use crate::cluster::{Hello, Member};
 use crate::ids::DaemonId;
 use crate::permit::{self, PermitReq, PermitResp};
@@ -85,6 +86,7 @@
     control: Addr<Control>,
     peers: IndexMap<String, PeerClient>,
     own_hello: Option<OwnHello>,
+    clock: Arc<dyn Clock>,
 }
 
 /// This daemon's hello: in full for daemons that own shards, shortened for others.
@@ -95,8 +97,8 @@
 
 impl PeerLinks {
     /// Creates an actor without connections.
-    pub fn new(control: Addr<Control>) -> Self {
-        Self { control, peers: IndexMap::new(), own_hello: None }
+    pub fn new(control: Addr<Control>, clock: Arc<dyn Clock>) -> Self {
+        Self { control, peers: IndexMap::new(), own_hello: None, clock }
     }
 
     fn peer(&mut self, addr: &str) -> PeerClient {
@@ -105,9 +107,10 @@
 
     fn send_hello(&mut self, to: &Member, hello: Hello) {
         let (peer, control, to) = (self.peer(&to.addr), self.control.clone(), to.id.clone());
+        let asked = self.clock.now();
         actix::spawn(async move {
             match peer.hello(hello).await {
-                Ok(Some(hello)) => control.do_send(HelloReceived(hello)),
+                Ok(Some(hello)) => control.do_send(HelloReceived { hello, asked: Some(asked) }),
                 Ok(None) | Err(Error::NotSent { .. } | Error::NoAnswer { .. }) => {}
                 Err(Error::Refused { .. }) => control.do_send(ConnectionRefused(to)),
             }
@@ -159,7 +162,7 @@
 impl JobsRpc for Server {
     async fn hello(self, _: CallContext, hello: Hello) -> Option<Hello> {
         let detail = if hello.shards.is_empty() { Detail::Brief } else { Detail::Full };
-        self.control.do_send(HelloReceived(hello));
+        self.control.do_send(HelloReceived { hello, asked: None });
         self.links.send(GetHello(detail)).await.ok().flatten()
     }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -8,7 +8,7 @@
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
-use waxwingstall::shard::Summary;
+use waxwingstall::shard::{PreviousOwner, Summary};
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{VmEntry, VmState};
 
@@ -32,6 +32,15 @@
     }
 }
 
+/// Another process of the daemon `member`, started at that time by its own wall clock.
+fn process(member: &Member, start: u64) -> Member {
+    Member { id: DaemonId::new(&format!("{}@{start}", member.name)), ..member.clone() }
+}
+
+fn hello(from: Member, shards: Vec<ShardReport>) -> Hello {
+    Hello { from, store: StoreReachability::Reached, config: 1, shards }
+}
+
 fn report(shard: &str, fence: u64) -> ShardReport {
     ShardReport {
         name: shard.to_owned(),
@@ -66,6 +75,10 @@
     now: Duration,
     others: IndexMap<String, Hello>,
     claims: Vec<(Duration, String)>,
+    /// What each claim says of the previous owner.
+    previous: Vec<PreviousOwner>,
+    /// Processes that were probed.
+    probed: Vec<DaemonId>,
     handed_over: Vec<(String, String)>,
 }
 
@@ -77,6 +90,8 @@
             now,
             others: IndexMap::new(),
             claims: Vec::new(),
+            previous: Vec::new(),
+            probed: Vec::new(),
             handed_over: Vec::new(),
         };
         harness.step(Event::Store(StoreReachability::Reached));
@@ -87,25 +102,46 @@
     fn step(&mut self, event: Event) {
         for action in self.ownership.step(self.now, event) {
             match action {
-                Action::Claim { shard, .. } => self.claims.push((self.now, shard)),
+                Action::Claim { shard, previous, .. } => {
+                    self.claims.push((self.now, shard));
+                    self.previous.push(previous);
+                }
+                Action::Probe(member) => self.probed.push(member.id),
                 Action::HandOver { shard, to, how } => {
                     assert_eq!(how, HandOver::AfterCommit);
                     self.handed_over.push((shard, to.name));
                 }
-                Action::ReadHeads | Action::Probe(_) | Action::Note(_) => {}
+                Action::ReadHeads | Action::Note(_) => {}
             }
         }
     }
 
     fn set_peer(&mut self, from: Member, shards: Vec<ShardReport>) {
-        let hello = Hello { from, store: StoreReachability::Reached, config: 1, shards };
+        let hello = hello(from, shards);
         self.others.insert(hello.from.name.clone(), hello);
     }
 
+    /// A daemon sends a hello of its own accord, at any time before it is heard.
+    fn hear(&mut self, hello: Hello) {
+        self.step(Event::Hello { hello, asked: None });
+    }
+
+    /// A daemon answers the hello that was sent to it at `asked`.
+    fn hear_answer(&mut self, hello: Hello, asked: Duration) {
+        self.step(Event::Hello { hello, asked: Some(asked) });
+    }
+
+    /// Reads from the store that a daemon claimed the shard.
+    fn read_claim(&mut self, shard: &str, owner: &Member, fence: u64) {
+        let head = Head { fence, ..Head::claim(owner.id.clone(), None) };
+        self.step(Event::Heads(vec![(shard.to_owned(), head)]));
+    }
+
     fn own_shard(&mut self, shard: &str, fence: u64) {
         self.step(Event::Offered { shard: shard.to_owned(), from: DaemonId::new("gone@1") });
         self.step(Event::Claimed { shard: shard.to_owned(), fence });
         self.claims.clear();
+        self.previous.clear();
     }
 
     /// Advances time; the other daemons send a hello every 400 ms.
@@ -116,7 +152,7 @@
             if self.now >= next_hello {
                 next_hello = self.now + ms(400);
                 for hello in self.others.values().cloned().collect::<Vec<_>>() {
-                    self.step(Event::Hello(hello));
+                    self.hear(hello);
                 }
             }
             self.step(Event::Tick);
@@ -381,3 +417,95 @@
     harness.run_for(ms(5000));
     assert!(!harness.ownership.is_domain_cut_off(harness.now), "another domain is heard");
 }
+
+// Guards against tasks that run twice after an owner was taken for ended. It had restarted, claimed
+// the shard and was then cut off; a hello of its earlier process, held up on the way, came last.
+#[test]
+fn a_late_hello_of_an_earlier_process_does_not_show_that_the_owner_ended() {
+    let (earlier, owner) =
+        (process(&member("anew", STRONG), 1), process(&member("anew", STRONG), 2));
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.set_peer(owner, vec![report("kacyiru.0", 9)]);
+    harness.run_for(ms(3000));
+    harness.others.clear();
+    harness.hear(hello(earlier.clone(), Vec::new()));
+    harness.run_for(ms(1000));
+    harness.hear(hello(earlier, vec![report("kacyiru.0", 5)]));
+    assert_eq!(harness.claims, [], "its owner has not been silent for long");
+    harness.run_for(ms(1000));
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+}
+
+// The same, where the new process's claim was read from the store and it was not heard yet.
+#[test]
+fn a_late_hello_of_an_earlier_process_does_not_show_that_a_claimant_ended() {
+    let (earlier, owner) =
+        (process(&member("anew", STRONG), 1), process(&member("anew", STRONG), 2));
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.set_peer(earlier.clone(), vec![report("kacyiru.0", 5)]);
+    harness.run_for(ms(3000));
+    let asked = harness.now;
+    harness.others.clear();
+    harness.read_claim("kacyiru.0", &owner, 9);
+    harness.run_for(ms(400));
+    harness.hear(hello(earlier.clone(), vec![report("kacyiru.0", 5)]));
+    harness.hear_answer(hello(earlier, vec![report("kacyiru.0", 5)]), asked - ms(1));
+    harness.run_for(ms(800));
+    assert_eq!(harness.claims, [], "its first hello is still on its way");
+    harness.run_for(ms(1000));
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+}
+
+// Guards against an owner taken for ended because the wall clock of its machine stepped back before
+// it started: its earlier process seems to be the later one.
+#[test]
+fn a_wall_clock_that_steps_back_does_not_show_that_the_owner_ended() {
+    let (earlier, owner) =
+        (process(&member("anew", STRONG), 9), process(&member("anew", STRONG), 2));
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.set_peer(earlier, Vec::new());
+    harness.run_for(ms(1000));
+    harness.others.clear();
+    harness.read_claim("kacyiru.0", &owner, 9);
+    harness.run_for(ms(1000));
+    assert_eq!(harness.claims, [], "its first hello is still on its way");
+    harness.hear_answer(hello(owner, vec![report("kacyiru.0", 9)]), harness.now);
+    harness.run_for(ms(1000));
+    assert_eq!(harness.claims, [], "its owner answers");
+}
+
+// Guards against an owner taken for ended by an old list of daemons: it is frozen, and the list
+// still holds its earlier process.
+#[test]
+fn a_registration_does_not_show_that_the_owner_ended() {
+    let (earlier, owner) =
+        (process(&member("anew", STRONG), 1), process(&member("anew", STRONG), 2));
+    let mut harness = Harness::new(remote("far"), 1);
+    harness.set_peer(owner, vec![report("kacyiru.0", 9)]);
+    harness.run_for(ms(3000));
+    harness.others.clear();
+    harness.run_for(ms(3000));
+    harness.step(Event::Registered(vec![earlier]));
+    harness.run_for(ms(6000));
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+}
+
+// A restarted owner's first hello may be of any age, so it is asked at once; its answer shows that
+// the earlier process has ended, whatever its wall clock says.
+#[test]
+fn an_answer_of_a_later_process_shows_that_the_owner_ended() {
+    let (owner, later) = (process(&member("anew", STRONG), 2), process(&member("anew", STRONG), 1));
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.set_peer(owner, vec![report("kacyiru.0", 9)]);
+    harness.run_for(ms(3000));
+    harness.others.clear();
+    harness.now += ms(50);
+    harness.hear(hello(later.clone(), Vec::new()));
+    assert_eq!(harness.probed, std::slice::from_ref(&later.id));
+    assert_eq!(harness.claims, []);
+    let asked = harness.now;
+    harness.now += ms(5);
+    harness.hear_answer(hello(later, Vec::new()), asked);
+    harness.run_for(ms(500));
+    assert_eq!(harness.previous, [PreviousOwner::Ended]);
+}
