Don't take an owner that refuses connections for ended

Cause: a refused connection was taken for a proof that the owner's process had ended, and the next owner didn't wait out the time in which it may still extend leases: a task may run twice. But a network cut may refuse connections to a process that lives. A hello that was sent before the refusal and came after it made the owner count as alive again, and a refusal reported after a newer hello made it count as lost. Change: a shard whose owner refuses connections is still claimed at once, but as one whose owner may be active, unless another process of the owner's name has answered by then. A refusal counts only if nothing was heard since the call was made. After a refusal only an answer to a later hello shows that the process is alive; an unasked hello is followed by a probe. Evidence: the new tests failed before: - a_refused_connection_does_not_show_that_the_owner_ended: "claimed early, without a proof", left: [Ended], right: [MaybeActive] - a_refused_connection_from_before_the_last_hello_shows_nothing: "its owner answered later", left: [(13.04s, "kacyiru.0")], right: [] - a_late_hello_does_not_refute_a_refused_connection: "it may have ended since", left: Some(Member { id: DaemonId("owner@1"), .. }), right: None an_answer_after_a_refused_connection_shows_that_the_owner_ended passed before; it keeps the proof. Why it works: a refusal tells nothing about the process, an answer of its successor does. Result: these tests and those of ownership, shards, followers, log_lines and the library pass.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -50,8 +50,13 @@
         /// unasked and may be of any age.
         asked: Option<Duration>,
     },
-    /// A daemon's port refuses connections: its process has ended.
-    Refused(DaemonId),
+    /// A daemon's port refuses connections: its process has ended, or a network cut refuses them in
+    /// its place.
+    Refused {
+        id: DaemonId,
+        /// When the call was made.
+        asked: Duration,
+    },
     /// Shard heads read from the store.
     Heads(Vec<(String, Head)>),
     Plan(Plan),
@@ -258,7 +263,7 @@
             Event::Tick => {}
             Event::Registered(members) => self.handle_registered(members),
             Event::Hello { hello, asked } => self.handle_hello(hello, asked),
-            Event::Refused(id) => self.handle_refused(&id),
+            Event::Refused { id, asked } => self.handle_refused(&id, asked),
             Event::Heads(heads) => heads.into_iter().for_each(|(name, head)| {
                 self.record_owner(&name, head.owner, head.fence);
             }),
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -34,7 +34,7 @@
     pub(super) shards: Vec<String>,
     /// Version of the configuration in force at that daemon.
     pub(super) config: u64,
-    /// When its process was found to have ended; cleared by the next hello.
+    /// When its port was found to refuse connections; cleared by the next answer.
     pub(super) refused_at: Option<Duration>,
     pub(super) last_probe: Duration,
     pub(super) next_hello: Duration,
@@ -163,6 +163,10 @@
             }
             known.replace_process(hello.from.clone(), now);
         }
+        if known.refused_at.is_some_and(|refused| asked.is_none_or(|asked| asked < refused)) {
+            self.probe_process(&name, hello.from);
+            return;
+        }
         known.member = hello.from;
         known.last_heard = now;
         known.answered = known.answered.max(asked);
@@ -185,7 +189,7 @@
         }
     }
 
-    /// Asks another process of a known daemon whether it is the one that is running.
+    /// Asks a process of a known daemon whether it is the one that is running.
     fn probe_process(&mut self, name: &str, process: Member) {
         let now = self.now;
         let Some(known) = self.members.get_mut(name) else { return };
@@ -194,10 +198,10 @@
         }
     }
 
-    pub(super) fn handle_refused(&mut self, id: &DaemonId) {
+    pub(super) fn handle_refused(&mut self, id: &DaemonId, asked: Duration) {
         let now = self.now;
         let Some(known) = self.members.values_mut().find(|k| k.member.id == *id) else { return };
-        if known.refused_at.is_none() {
+        if known.refused_at.is_none() && known.last_heard <= asked {
             known.refused_at = Some(now);
             let silent = now.saturating_sub(known.last_heard);
             self.log_member(id.clone(), "refused", silent);
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -181,7 +181,8 @@
         return cause(PreviousOwner::MaybeActive, "its owner is silent");
     }
     if known.refused_at.is_some() {
-        return cause(PreviousOwner::Ended, "its owner's process has ended");
+        // Its process may live behind a network cut that refuses connections.
+        return cause(PreviousOwner::MaybeActive, "its owner refuses connections");
     }
     if silent >= PROBE_AFTER {
         probes.push(known.member.name.clone());
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -207,14 +207,18 @@
 /// Another daemon refused a connection.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct ConnectionRefused(pub DaemonId);
+pub struct ConnectionRefused {
+    pub id: DaemonId,
+    /// When the call was made.
+    pub asked: Duration,
+}
 
 impl Handler<ConnectionRefused> for Control {
     type Result = ();
 
     fn handle(&mut self, msg: ConnectionRefused, cx: &mut Self::Context) {
         self.begin_handler(cx);
-        self.step_ownership(cluster::Event::Refused(msg.0), cx);
+        self.step_ownership(cluster::Event::Refused { id: msg.id, asked: msg.asked }, cx);
     }
 }
 
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -68,8 +68,8 @@
 /// Why a call to another daemon failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
-    /// The process has ended.
-    #[error("{addr} refused the connection; its process has ended")]
+    /// The process has ended, or a network cut refuses connections to it.
+    #[error("{addr} refused the connection")]
     Refused { addr: String },
     /// The call was not sent.
     #[error("cannot reach {addr} ({reason})")]
@@ -112,7 +112,7 @@
             match peer.hello(hello).await {
                 Ok(Some(hello)) => control.do_send(HelloReceived { hello, asked: Some(asked) }),
                 Ok(None) | Err(Error::NotSent { .. } | Error::NoAnswer { .. }) => {}
-                Err(Error::Refused { .. }) => control.do_send(ConnectionRefused(to)),
+                Err(Error::Refused { .. }) => control.do_send(ConnectionRefused { id: to, asked }),
             }
         });
     }
--- a/src/note.rs
+++ b/src/note.rs
@@ -147,7 +147,7 @@
     Urgent FleetBehind = "fleet-behind" { changes: usize, read_rev: u64, newest_rev: u64, age_ms: Millis, }
     /// The shard plan couldn't be read or extended; the daemon retries with the next list of VMs.
     Urgent PlanUnread = "plan-unread" { reason: String, }
-    /// Another daemon was discovered, or its process has ended.
+    /// Another daemon was discovered, or its port refuses connections.
     Urgent MemberChanged = "member-changed" { member: DaemonId, state: StaticText, silent_ms: Millis, }
     /// This daemon claims a shard.
     Urgent ShardClaiming = "shard-claiming" { shard: String, owner: String, reason: StaticText, silent_ms: Millis, }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -131,6 +131,11 @@
         self.step(Event::Hello { hello, asked: Some(asked) });
     }
 
+    /// A daemon refuses a connection for a call made at `asked`.
+    fn refuse(&mut self, to: &Member, asked: Duration) {
+        self.step(Event::Refused { id: to.id.clone(), asked });
+    }
+
     /// Reads from the store that a daemon claimed the shard.
     fn read_claim(&mut self, shard: &str, owner: &Member, fence: u64) {
         let head = Head { fence, ..Head::claim(owner.id.clone(), None) };
@@ -509,3 +514,69 @@
     harness.run_for(ms(500));
     assert_eq!(harness.previous, [PreviousOwner::Ended]);
 }
+
+/// A daemon that hears the owner of a shard until now.
+fn daemon_beside_owner() -> (Harness, Member) {
+    let owner = member("owner", STRONG);
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.set_peer(owner.clone(), vec![report("kacyiru.0", 9)]);
+    harness.run_for(ms(3000));
+    harness.others.clear();
+    (harness, owner)
+}
+
+// Guards against tasks that run twice after a network cut that refuses connections: the owner was
+// taken for ended though its process lives and extends the leases of VMs on its side.
+#[test]
+fn a_refused_connection_does_not_show_that_the_owner_ended() {
+    let (mut harness, owner) = daemon_beside_owner();
+    harness.refuse(&owner, harness.now);
+    harness.run_for(ms(500));
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive], "claimed early, without a proof");
+}
+
+// An owner is restarted. Its port refuses connections until its next process runs, whose answer
+// comes before the claim, which then needn't wait for the owner.
+#[test]
+fn an_answer_after_a_refused_connection_shows_that_the_owner_ended() {
+    let (mut harness, owner) = daemon_beside_owner();
+    harness.set_peer(member("better", 2 * STRONG), Vec::new());
+    harness.run_for(ms(100));
+    harness.refuse(&owner, harness.now);
+    harness.run_for(ms(100));
+    let later = process(&owner, 2);
+    harness.hear_answer(hello(later, Vec::new()), harness.now);
+    harness.run_for(ms(600));
+    assert_eq!(harness.previous, [PreviousOwner::Ended]);
+}
+
+// Guards against a needless move of a shard: a call was refused while a cut began or ended, and the
+// report comes after a hello that the owner sent later.
+#[test]
+fn a_refused_connection_from_before_the_last_hello_shows_nothing() {
+    let (mut harness, owner) = daemon_beside_owner();
+    let asked = harness.now;
+    harness.now += ms(20);
+    harness.hear_answer(hello(owner.clone(), vec![report("kacyiru.0", 9)]), asked + ms(10));
+    harness.now += ms(20);
+    harness.refuse(&owner, asked);
+    harness.run_for(ms(500));
+    assert_eq!(harness.claims, [], "its owner answered later");
+}
+
+// Guards against an owner that is taken for alive again, and callers that are sent to it, after its
+// process has ended: its last hello was held up on the way and came after the refused connection.
+#[test]
+fn a_late_hello_does_not_refute_a_refused_connection() {
+    let (mut harness, owner) = daemon_beside_owner();
+    harness.step(Event::Store(StoreReachability::Away));
+    harness.refuse(&owner, harness.now);
+    harness.now += ms(300);
+    harness.probed.clear();
+    let last = hello(owner.clone(), vec![report("kacyiru.0", 9)]);
+    harness.hear(last.clone());
+    assert_eq!(harness.ownership.owner("kacyiru.0"), None, "it may have ended since");
+    assert_eq!(harness.probed, std::slice::from_ref(&owner.id));
+    harness.hear_answer(last, harness.now);
+    assert_eq!(harness.ownership.owner("kacyiru.0"), Some(owner));
+}
