Wait for one lease only on VMs that have answered their new owner

Cause: callers' lasting tasks stood still for 23 s in place of 11. An owner that replaces one that may still be alive assumes that every VM's leases can be extended for 12 s more, also on VMs that have answered it and then stopped answering. Change: once a VM has answered an owner it rejects all earlier ones by their fencing tokens; from that answer on its runs end within one lease unless this owner extends them. Evidence: a_task_of_a_vm_that_answered_its_new_owner_waits_for_one_lease_at_most failed: "the new owner waits for the earlier one". Found as more claims are made without a proof that the previous owner has ended.

--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -53,6 +53,7 @@
         result: vm::Result<PollResp>,
     ) {
         let now = self.now.steady;
+        let inherited = now + self.settings.inherited_lease(Duration::ZERO);
         let Some(vm) = self.vms.get_mut(id) else { return };
         vm.contact.poll = PollState::Idle;
         match result {
@@ -60,6 +61,10 @@
                 let before = vm.contact.last_successful_poll;
                 let challenged = vm.challenged.is_some();
                 vm.record_answer(sent);
+                if before.is_none() {
+                    // From now on the VM rejects earlier owners.
+                    vm.runs_ended_by = vm.runs_ended_by.min(inherited);
+                }
                 vm.read_clock(resp.clock, now);
                 let was =
                     std::mem::replace(&mut vm.contact.responsiveness, Responsiveness::Responsive);
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -79,6 +79,19 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
+// Guards against a long-running task that stays down for the lease and 12 s more: its VM had answered
+// the new owner, and so took no more commands of the earlier one, before it stopped answering.
+#[test]
+fn a_task_of_a_vm_that_answered_its_new_owner_waits_for_one_lease_at_most() {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.pause_owner("kacyiru", seconds(60));
+    sim.run_for(seconds(1));
+    sim.disconnect_vm(there, seconds(120));
+    sim.run_for(seconds(9));
+    assert_eq!(sim.runs_on(1 - there), 1, "the new owner waits for the earlier one");
+    check(&mut sim, &known(&job), SIZE);
+}
+
 // A VM responds again while the store is unavailable: the record of its silence can't be removed,
 // so its tasks are not extended yet. They must be extended once the store is back, so that the task
 // keeps running.
