Learn after a claim that the previous owner has ended

Cause: since a refused connection is no proof any more, a shard whose owner is killed is claimed as one whose owner may be active, and tasks on VMs that the new owner can't reach stood still for 23 s in place of 11, though the killed process is mostly back within a second. Change: a claim remembers the owner that it replaces and when that one was known. The answer of a later process of the same daemon to a hello sent since then shows that it has ended; the shard is told, and waits for one lease from then on for VMs that have not answered it. Evidence: a_task_on_a_silent_vm_waits_for_one_lease_once_the_previous_owner_has_ended fails without the shortening ("the new owner waits for the previous one"); an_answer_after_the_claim_shows_that_the_previous_owner_has_ended and its counterpart hold the proof to answers of a later process. Found by reading. Result: the tests of ownership and shards pass.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -16,6 +16,7 @@
 
 mod members;
 mod orphans;
+mod predecessors;
 mod sharing;
 
 use super::head::{ExpectedOwner, Head};
@@ -28,6 +29,7 @@
 use indexmap::IndexMap;
 use members::MemberState;
 use orphans::{Cause, Orphan};
+use predecessors::Predecessor;
 use sharing::STABLE_AFTER;
 use std::time::Duration;
 
@@ -98,6 +100,10 @@
         replaces: ExpectedOwner,
     },
     ReadHeads,
+    /// The previous owner of a shard owned here has ended.
+    PredecessorEnded {
+        shard: String,
+    },
     /// Sends a hello to a daemon at once to check whether it answers.
     Probe(Member),
     /// Hands a shard over to another daemon, or releases it if `to` is this daemon.
@@ -148,6 +154,8 @@
     members: IndexMap<String, MemberState>,
     shards: IndexMap<String, ShardView>,
     held: IndexMap<String, HoldState>,
+    /// Previous owners of shards held here that may still be active.
+    predecessors: IndexMap<String, Predecessor>,
     store: StoreReachability,
     store_since: Duration,
     /// Newest configuration version in force at any other daemon.
@@ -168,6 +176,7 @@
             members: IndexMap::new(),
             shards: IndexMap::new(),
             held: IndexMap::new(),
+            predecessors: IndexMap::new(),
             store: StoreReachability::Away,
             store_since: now,
             newest_config: 0,
@@ -327,10 +336,12 @@
         self.held.insert(shard.to_owned(), HoldState::Owned);
         let me = self.me.id.clone();
         self.record_owner(shard, me, fence);
+        self.report_ended_predecessors();
     }
 
     fn handle_claim_failed(&mut self, shard: String, head: Option<Head>, reason: String) {
         self.held.shift_remove(&shard);
+        self.predecessors.shift_remove(&shard);
         if let Some(view) = self.shards.get_mut(&shard) {
             view.orphan = None;
         }
@@ -342,6 +353,7 @@
 
     fn handle_no_longer_owned(&mut self, shard: &str, reason: StaticText) {
         self.held.shift_remove(shard);
+        self.predecessors.shift_remove(shard);
         let now = self.now;
         if let Some(view) = self.shards.get_mut(shard) {
             view.owner = None;
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -155,6 +155,7 @@
             self.add_member(hello.from.clone());
         }
         self.record_reports(&hello);
+        asked.iter().for_each(|asked| self.check_predecessors(&hello, *asked));
         let Some(known) = self.members.get_mut(&name) else { return };
         if known.member.id != hello.from.id {
             if !known.may_be_replaced(asked) {
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -123,6 +123,9 @@
             silent_ms: Millis(cause.silent),
         }));
         let previous = cause.previous;
+        if previous == PreviousOwner::MaybeActive {
+            self.remember_predecessor(shard);
+        }
         let fence = self.fence(shard).0;
         let replaces = ExpectedOwner { owner: owner.cloned(), fence };
         self.actions.push(Action::Claim { shard: shard.to_owned(), previous, replaces });
--- /dev/null
+++ b/src/cluster/ownership/predecessors.rs
@@ -0,0 +1,61 @@
+//! Late proof that the previous owner of a claimed shard has ended.
+//!
+//! A shard is claimed as soon as its owner seems lost, often before anything shows whether that
+//! process has ended. If a later process of the same daemon answers afterwards, the new owner need
+//! no longer allow for leases that the previous one may still extend.
+
+use super::{Action, HoldState, Ownership};
+use crate::cluster::member::Hello;
+use crate::ids::DaemonId;
+use std::time::Duration;
+
+/// The owner that a claim of this daemon replaces, which may still be active.
+#[derive(Clone, Debug)]
+pub(super) struct Predecessor {
+    owner: DaemonId,
+    /// When it became known as the owner.
+    known_since: Duration,
+    has_ended: bool,
+}
+
+impl Predecessor {
+    /// Whether a hello is from a process that has replaced this one: a daemon runs one process at a
+    /// time, and this one was asked after the predecessor had claimed the shard.
+    fn is_replaced_by(&self, hello: &Hello, asked: Duration) -> bool {
+        let owner = self.owner.as_str().rsplit_once('@');
+        owner.is_some_and(|(name, _)| name == hello.from.name)
+            && hello.from.id != self.owner
+            && asked >= self.known_since
+    }
+}
+
+impl Ownership {
+    /// Remembers the owner that a claim replaces, unless it is known to have ended.
+    pub(super) fn remember_predecessor(&mut self, shard: &str) {
+        let Some(view) = self.shards.get(shard) else { return };
+        let Some(owner) = view.owner.clone().filter(|owner| *owner != self.me.id) else { return };
+        let predecessor = Predecessor { owner, known_since: view.since, has_ended: false };
+        self.predecessors.insert(shard.to_owned(), predecessor);
+    }
+
+    /// Notes which predecessors are shown to have ended by a hello that answers one sent at
+    /// `asked`.
+    pub(super) fn check_predecessors(&mut self, hello: &Hello, asked: Duration) {
+        for predecessor in self.predecessors.values_mut() {
+            predecessor.has_ended |= predecessor.is_replaced_by(hello, asked);
+        }
+        self.report_ended_predecessors();
+    }
+
+    /// Tells the shards that are owned by now about predecessors that have ended.
+    pub(super) fn report_ended_predecessors(&mut self) {
+        let (held, actions) = (&self.held, &mut self.actions);
+        self.predecessors.retain(|shard, predecessor| {
+            let known = predecessor.has_ended && held.get(shard) == Some(&HoldState::Owned);
+            if known {
+                actions.push(Action::PredecessorEnded { shard: shard.clone() });
+            }
+            !known
+        });
+    }
+}
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -133,6 +133,9 @@
                         HandOver::Immediate => self.complete_hand_over(&shard, cx),
                     }
                 }
+                cluster::Action::PredecessorEnded { shard } => {
+                    self.step_shard(&shard, Event::PreviousOwnerEnded, cx);
+                }
                 other => self.execute_ownership_action(other),
             }
         }
@@ -146,7 +149,9 @@
             }
             cluster::Action::ReadHeads => actors.heads.do_send(ReadHeads),
             cluster::Action::Probe(member) => actors.links.do_send(ProbeMember(member)),
-            cluster::Action::HandOver { .. } | cluster::Action::Note(_) => {}
+            cluster::Action::HandOver { .. }
+            | cluster::Action::PredecessorEnded { .. }
+            | cluster::Action::Note(_) => {}
         }
     }
 
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -172,6 +172,7 @@
                     self.handle_loan_message(&from, msg);
                 }
             }
+            Event::PreviousOwnerEnded => self.shorten_inherited_leases(),
             Event::HandOver => self.stage = Stage::HandingOver,
         }
     }
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -68,6 +68,8 @@
     PermitConcurrency(u32),
     /// A message about a loan from another shard's owner.
     Message { from: Arc<str>, to: Fence, msg: LoanMsg },
+    /// The previous owner, which might have been active at the takeover, has ended.
+    PreviousOwnerEnded,
     /// Planned shutdown of the owner: start nothing new, and wait for the pending commit.
     HandOver,
 }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -80,6 +80,8 @@
     /// Processes that were probed.
     probed: Vec<DaemonId>,
     handed_over: Vec<(String, String)>,
+    /// Shards whose previous owner was found to have ended after the claim.
+    predecessors_ended: Vec<String>,
 }
 
 impl Harness {
@@ -93,6 +95,7 @@
             previous: Vec::new(),
             probed: Vec::new(),
             handed_over: Vec::new(),
+            predecessors_ended: Vec::new(),
         };
         harness.step(Event::Store(StoreReachability::Reached));
         harness.step(Event::Plan(plan(shards)));
@@ -111,6 +114,7 @@
                     assert_eq!(how, HandOver::AfterCommit);
                     self.handed_over.push((shard, to.name));
                 }
+                Action::PredecessorEnded { shard } => self.predecessors_ended.push(shard),
                 Action::ReadHeads | Action::Note(_) => {}
             }
         }
@@ -580,3 +584,33 @@
     harness.hear_answer(last, harness.now);
     assert_eq!(harness.ownership.owner("kacyiru.0"), Some(owner));
 }
+
+// Guards against waiting 12 s more than needed for VMs that don't answer: the owner was restarted
+// after its shard had been claimed as that of a daemon that may be active.
+#[test]
+fn an_answer_after_the_claim_shows_that_the_previous_owner_has_ended() {
+    let (mut harness, owner) = daemon_beside_owner();
+    let later = process(&owner, 2);
+    let asked = harness.now;
+    harness.refuse(&owner, asked);
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+    harness.hear_answer(hello(later.clone(), Vec::new()), asked);
+    assert!(harness.predecessors_ended.is_empty(), "the shard isn't owned yet");
+    harness.step(Event::Claimed { shard: "kacyiru.0".to_owned(), fence: 10 });
+    harness.hear_answer(hello(later, Vec::new()), asked);
+    assert_eq!(harness.predecessors_ended, ["kacyiru.0"], "once");
+}
+
+// Guards against tasks that run twice: a process from before the previous owner's claim, or a hello
+// of any age, was taken for a proof that the previous owner has ended.
+#[test]
+fn hellos_from_before_the_claim_do_not_show_that_the_previous_owner_has_ended() {
+    let (mut harness, owner) = daemon_beside_owner();
+    let (other, refused) = (process(&owner, 2), harness.now);
+    harness.refuse(&owner, refused);
+    harness.step(Event::Claimed { shard: "kacyiru.0".to_owned(), fence: 10 });
+    harness.hear(hello(other.clone(), Vec::new()));
+    harness.hear_answer(hello(other, Vec::new()), ms(10_000) - TICK);
+    harness.hear_answer(hello(owner, Vec::new()), refused);
+    assert!(harness.predecessors_ended.is_empty());
+}
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -92,6 +92,20 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
+// Guards against a long-running task that stays down for the lease and 12 s more: the previous owner
+// was found to have ended only after the takeover.
+#[test]
+fn a_task_on_a_silent_vm_waits_for_one_lease_once_the_previous_owner_has_ended() {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.disconnect_vm(there, seconds(120));
+    sim.pause_owner("kacyiru", seconds(60));
+    sim.run_for(seconds(1));
+    sim.tell_previous_owner_ended("kacyiru");
+    sim.run_for(seconds(8));
+    assert_eq!(sim.runs_on(1 - there), 1, "the new owner waits for the previous one");
+    check(&mut sim, &known(&job), SIZE);
+}
+
 // A VM responds again while the store is unavailable: the record of its silence can't be removed,
 // so its tasks are not extended yet. They must be extended once the store is back, so that the task
 // keeps running.
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -413,6 +413,11 @@
         self.claim(shard, PreviousOwner::MaybeActive);
     }
 
+    /// Tells the shard's owner that the previous one has ended.
+    pub fn tell_previous_owner_ended(&mut self, shard: &str) {
+        self.call(shard, Event::PreviousOwnerEnded);
+    }
+
     /// Stops the shard's owner for a while, without another one taking over.
     pub fn stall_owner(&mut self, shard: &str, time: Duration) {
         let until = self.now + time;
