Claim a shard by an offer only for the ownership that it ended

Cause: an offer named its sender and not which ownership of the shard had ended. If it was held up on the way, the receiver took the shard from an owner that had claimed it meanwhile, called that owner ended, and might start tasks that still ran: the claim was made against the highest fencing token known and so covered any owner. Where the sender had claimed the shard again itself, any head that named it was covered, whatever its token. Change: an offer carries the fencing token of the ownership that it ended; one older than what is known is dropped. A claim covers only heads up to the known token, also those of the same daemon. Evidence: the new tests failed before: - a_late_offer_takes_no_shard_from_its_next_owner: "it was offered before its owner claimed it", left: [(13s, "kacyiru.0")], right: [] - a_late_offer_takes_no_shard_from_a_daemon_that_claimed_it_again: "it was offered before its owner claimed it again", left: [(13s, "kacyiru.0")], right: [] - a_claim_does_not_cover_a_later_ownership_of_the_same_daemon: "it is the owner again" Why it works: each ownership has its own token, and the store compares it when the claim is made.

--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -42,16 +42,16 @@
 }
 
 /// The owner that a claim is meant to replace, as far as the claimant knows.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ExpectedOwner {
-    pub owner: Option<DaemonId>,
-    /// Highest known fencing token of the shard.
+    /// Highest known fencing token of the shard. An owner that claims the shard again gets another
+    /// one, and what was known of its earlier ownership holds no more.
     pub fence: u64,
 }
 
 impl ExpectedOwner {
-    /// Whether the owner in a head was known when the claim was decided.
-    pub fn covers(&self, head: &Head) -> bool {
-        head.fence <= self.fence || self.owner.as_ref() == Some(&head.owner)
+    /// Whether the ownership in a head was known when the claim was decided.
+    pub fn covers(self, head: &Head) -> bool {
+        head.fence <= self.fence
     }
 }
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -82,6 +82,8 @@
     Offered {
         shard: String,
         from: DaemonId,
+        /// Fencing token of the ownership that ended with the offer.
+        fence: u64,
     },
     /// Whether this daemon can reach the store.
     Store(StoreReachability),
@@ -282,7 +284,7 @@
                 self.handle_claim_failed(shard, head, reason)
             }
             Event::NoLongerOwned { shard, reason } => self.handle_no_longer_owned(&shard, reason),
-            Event::Offered { shard, from } => self.handle_offer(&shard, &from),
+            Event::Offered { shard, from, fence } => self.handle_offer(&shard, &from, fence),
             Event::Store(reach) => self.handle_store_reach(reach),
             Event::Drain => self.me.stage = MemberStage::Draining,
             Event::ReleaseAll => self.release_all(),
@@ -369,10 +371,15 @@
         self.actions.push(Action::ReadHeads);
     }
 
-    fn handle_offer(&mut self, shard: &str, from: &DaemonId) {
+    fn handle_offer(&mut self, shard: &str, from: &DaemonId, fence: u64) {
         if self.me.stage == MemberStage::Draining || self.held.contains_key(shard) {
             return;
         }
+        self.record_owner(shard, from.clone(), fence);
+        // A late offer: the shard was claimed since.
+        if self.fence(shard).0 > fence {
+            return;
+        }
         let cause = Cause {
             previous: PreviousOwner::Ended,
             reason: "handed over by its owner",
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -126,8 +126,7 @@
         if previous == PreviousOwner::MaybeActive {
             self.remember_predecessor(shard);
         }
-        let fence = self.fence(shard).0;
-        let replaces = ExpectedOwner { owner: owner.cloned(), fence };
+        let replaces = ExpectedOwner { fence: self.fence(shard).0 };
         self.actions.push(Action::Claim { shard: shard.to_owned(), previous, replaces });
     }
 
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -183,7 +183,7 @@
         Err(permit::Error::NotSent { reason: "no service".to_owned() })
     }
 
-    async fn take(self, _: CallContext, _: String, _: DaemonId, _: Vec<VmLapse>) {}
+    async fn take(self, _: CallContext, _: String, _: DaemonId, _: Fence, _: Vec<VmLapse>) {}
 }
 
 /// Serves a shard owner whose first connection stays unanswered.
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -46,7 +46,7 @@
     me: &DaemonId,
     shard: &str,
     previous: PreviousOwner,
-    replaces: &ExpectedOwner,
+    replaces: ExpectedOwner,
 ) -> Result<(ShardWriter, Recovered)> {
     let keys = Keys::new(shard);
     let present = read_head(store, shard).await?;
@@ -80,7 +80,7 @@
 /// Fails if the shard has an owner that was not known when the claim was decided. A claim decided
 /// before another one became known would otherwise take the shard from its new owner, and callers
 /// would be refused twice.
-fn check_expected_owner(me: &DaemonId, present: Head, replaces: &ExpectedOwner) -> Result<()> {
+fn check_expected_owner(me: &DaemonId, present: Head, replaces: ExpectedOwner) -> Result<()> {
     if present.owner == *me || replaces.covers(&present) {
         return Ok(());
     }
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -261,6 +261,8 @@
 pub struct HandleOffer {
     pub shard: String,
     pub from: DaemonId,
+    /// Fencing token of the ownership that ended with the offer.
+    pub fence: Fence,
     pub lapses: Vec<VmLapse>,
 }
 
@@ -269,9 +271,10 @@
 
     fn handle(&mut self, msg: HandleOffer, cx: &mut Self::Context) {
         self.begin_handler(cx);
-        let offer = ShardOffer { from: msg.from.clone(), at: self.last_wake, lapses: msg.lapses };
-        self.offers.insert(msg.shard.clone(), offer);
-        self.step_ownership(cluster::Event::Offered { shard: msg.shard, from: msg.from }, cx);
+        let HandleOffer { shard, from, fence: Fence(fence), lapses } = msg;
+        let offer = ShardOffer { from: from.clone(), at: self.last_wake, lapses };
+        self.offers.insert(shard.clone(), offer);
+        self.step_ownership(cluster::Event::Offered { shard, from, fence }, cx);
     }
 }
 
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -81,14 +81,13 @@
     }
 
     pub(super) fn complete_hand_over(&mut self, shard: &str, cx: &mut Context<Self>) {
-        let new_owner = self.hosted.get(shard).and_then(|hosted| hosted.new_owner.clone());
         let from = self.ownership.me().id.clone();
-        if let (Some(to), Some(actors)) = (new_owner, &self.actors)
+        if let (Some(hosted), Some(actors)) = (self.hosted.get(shard), &self.actors)
+            && let Some(to) = hosted.new_owner.clone()
             && to.id != from
         {
-            let lapses = self.hosted.get(shard).map(|hosted| hosted.shard.unresponsive_vms());
-            let (shard, lapses) = (shard.to_owned(), lapses.unwrap_or_default());
-            actors.links.do_send(OfferShard { shard, to, from, lapses });
+            let (fence, lapses) = (hosted.shard.fence(), hosted.shard.unresponsive_vms());
+            actors.links.do_send(OfferShard { shard: shard.to_owned(), to, from, fence, lapses });
         }
         self.drop_shard(shard, "handed over", cx);
     }
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -62,7 +62,7 @@
     async fn ask(req: PermitReq) -> permit::Result<PermitResp>;
 
     /// Offers a shard that its owner has released.
-    async fn take(shard: String, from: DaemonId, lapses: Vec<VmLapse>);
+    async fn take(shard: String, from: DaemonId, fence: Fence, lapses: Vec<VmLapse>);
 }
 
 /// Why a call to another daemon failed.
@@ -181,8 +181,15 @@
         self.permits.send(RequestPermits(req)).await.map_err(ended)?
     }
 
-    async fn take(self, _: CallContext, shard: String, from: DaemonId, lapses: Vec<VmLapse>) {
-        self.control.do_send(HandleOffer { shard, from, lapses });
+    async fn take(
+        self,
+        _: CallContext,
+        shard: String,
+        from: DaemonId,
+        fence: Fence,
+        lapses: Vec<VmLapse>,
+    ) {
+        self.control.do_send(HandleOffer { shard, from, fence, lapses });
     }
 }
 
@@ -257,6 +264,8 @@
     pub shard: String,
     pub to: Member,
     pub from: DaemonId,
+    /// Fencing token of the ownership that ends with the offer.
+    pub fence: Fence,
     pub lapses: Vec<VmLapse>,
 }
 
@@ -267,7 +276,7 @@
         let peer = self.peer(&msg.to.addr);
         actix::spawn(async move {
             // If the offer is lost, the daemon finds the shard without an owner.
-            let _ = peer.offer_shard(msg.shard, msg.from, msg.lapses).await;
+            let _ = peer.offer_shard(msg).await;
         });
     }
 }
@@ -350,9 +359,11 @@
         self.request(HELLO_TIMEOUT, |client, cx| async move { client.hello(cx, hello).await }).await
     }
 
-    async fn offer_shard(&self, shard: String, from: DaemonId, lapses: Vec<VmLapse>) -> Result<()> {
-        let offer =
-            |client: JobsRpcClient, cx| async move { client.take(cx, shard, from, lapses).await };
+    async fn offer_shard(&self, offer: OfferShard) -> Result<()> {
+        let OfferShard { shard, from, fence, lapses, .. } = offer;
+        let offer = |client: JobsRpcClient, cx| async move {
+            client.take(cx, shard, from, fence, lapses).await
+        };
         self.request(HELLO_TIMEOUT, offer).await
     }
 
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -241,7 +241,7 @@
         self.claims += 1;
         self.update_ownership();
         let (shard, previous, replaces) = (msg.shard.clone(), msg.previous, msg.replaces);
-        let claimed = async move { claim::claim(&store, &me, &shard, previous, &replaces).await };
+        let claimed = async move { claim::claim(&store, &me, &shard, previous, replaces).await };
         cx.spawn(claimed.into_actor(self).map(move |claimed, this, _| {
             this.claims -= 1;
             match claimed {
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -3,8 +3,8 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::cluster::{
-    Action, Event, HandOver, Head, Hello, Member, MemberStage, Ownership, Plan, ShardReport,
-    StoreReachability,
+    Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, Ownership, Plan,
+    ShardReport, StoreReachability,
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
@@ -77,6 +77,7 @@
     claims: Vec<(Duration, String)>,
     /// What each claim says of the previous owner.
     previous: Vec<PreviousOwner>,
+    replaces: Vec<ExpectedOwner>,
     /// Processes that were probed.
     probed: Vec<DaemonId>,
     handed_over: Vec<(String, String)>,
@@ -93,6 +94,7 @@
             others: IndexMap::new(),
             claims: Vec::new(),
             previous: Vec::new(),
+            replaces: Vec::new(),
             probed: Vec::new(),
             handed_over: Vec::new(),
             predecessors_ended: Vec::new(),
@@ -105,9 +107,10 @@
     fn step(&mut self, event: Event) {
         for action in self.ownership.step(self.now, event) {
             match action {
-                Action::Claim { shard, previous, .. } => {
+                Action::Claim { shard, previous, replaces } => {
                     self.claims.push((self.now, shard));
                     self.previous.push(previous);
+                    self.replaces.push(replaces);
                 }
                 Action::Probe(member) => self.probed.push(member.id),
                 Action::HandOver { shard, to, how } => {
@@ -140,6 +143,11 @@
         self.step(Event::Refused { id: to.id.clone(), asked });
     }
 
+    /// A daemon hands the shard over that it owned with this fencing token.
+    fn offer(&mut self, shard: &str, from: &Member, fence: u64) {
+        self.step(Event::Offered { shard: shard.to_owned(), from: from.id.clone(), fence });
+    }
+
     /// Reads from the store that a daemon claimed the shard.
     fn read_claim(&mut self, shard: &str, owner: &Member, fence: u64) {
         let head = Head { fence, ..Head::claim(owner.id.clone(), None) };
@@ -147,7 +155,7 @@
     }
 
     fn own_shard(&mut self, shard: &str, fence: u64) {
-        self.step(Event::Offered { shard: shard.to_owned(), from: DaemonId::new("gone@1") });
+        self.offer(shard, &member("gone", STRONG), fence - 1);
         self.step(Event::Claimed { shard: shard.to_owned(), fence });
         self.claims.clear();
         self.previous.clear();
@@ -614,3 +622,34 @@
     harness.hear_answer(hello(owner, Vec::new()), refused);
     assert!(harness.predecessors_ended.is_empty());
 }
+
+// Guards against a shard that is taken from its owner, which is then taken for ended: an offer of
+// its former owner was held up on the way, and another daemon has claimed it meanwhile.
+#[test]
+fn a_late_offer_takes_no_shard_from_its_next_owner() {
+    let (mut harness, owner) = daemon_beside_owner();
+    harness.offer("kacyiru.0", &member("former", STRONG), 5);
+    assert_eq!(harness.claims, [], "it was offered before its owner claimed it");
+    harness.offer("kacyiru.0", &owner, 9);
+    assert_eq!(harness.previous, [PreviousOwner::Ended]);
+}
+
+// The same, where the offer's sender has claimed the shard again itself.
+#[test]
+fn a_late_offer_takes_no_shard_from_a_daemon_that_claimed_it_again() {
+    let (mut harness, owner) = daemon_beside_owner();
+    harness.read_claim("kacyiru.0", &owner, 12);
+    harness.offer("kacyiru.0", &owner, 9);
+    assert_eq!(harness.claims, [], "it was offered before its owner claimed it again");
+}
+
+// Guards against a shard that is taken from an owner that has claimed it again, by a claim that was
+// decided when its earlier ownership had ended.
+#[test]
+fn a_claim_does_not_cover_a_later_ownership_of_the_same_daemon() {
+    let (mut harness, owner) = daemon_beside_owner();
+    harness.offer("kacyiru.0", &owner, 9);
+    let again = |fence| Head { fence, ..Head::claim(owner.id.clone(), None) };
+    assert!(harness.replaces[0].covers(&again(9)));
+    assert!(!harness.replaces[0].covers(&again(12)), "it is the owner again");
+}
