Use an offer's lapses only after the ownership that it ended

Cause: a daemon that is offered a shard learns how long its unresponsive VMs may keep their work. It kept that for its next claim and compared only the name of the last owner. If another daemon was quicker, the offering one took the shard back, extended the VM's work and lost the shard again without an offer, the old times still counted: the work was started elsewhere and ran twice. Change: the offer is compared by the fencing token of the ownership that it ended, and an older offer doesn't replace a newer one. The log lines of these tests now include telling ones. Why it works: each ownership has its own token.

--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -50,8 +50,9 @@
 ) -> Result<(ShardWriter, Recovered)> {
     let keys = Keys::new(shard);
     let present = read_head(store, shard).await?;
-    if let Some((rev, head)) = &present {
-        check_expected_owner(me, with_fence(head.clone(), *rev), replaces)?;
+    let predecessor = present.as_ref().map(|(rev, head)| with_fence(head.clone(), *rev));
+    if let Some(head) = &predecessor {
+        check_expected_owner(me, head, replaces)?;
     }
     let before = present.as_ref().map(|(_, head)| head);
     let head = Head::claim(me.clone(), before);
@@ -67,7 +68,7 @@
         fence: writer.fence,
         seq: writer.head.seq,
         previous,
-        predecessor: writer.head.before.as_ref().map(|before| before.owner.clone()),
+        predecessor: predecessor.map(|head| Fence(head.fence)),
         unresponsive_vms: Vec::new(),
         silent: silent.as_ref().map(decode_silent_vms).transpose()?.unwrap_or_default(),
         reported_lapses: Vec::new(),
@@ -80,12 +81,12 @@
 /// Fails if the shard has an owner that was not known when the claim was decided. A claim decided
 /// before another one became known would otherwise take the shard from its new owner, and callers
 /// would be refused twice.
-fn check_expected_owner(me: &DaemonId, present: Head, replaces: ExpectedOwner) -> Result<()> {
-    if present.owner == *me || replaces.covers(&present) {
+fn check_expected_owner(me: &DaemonId, present: &Head, replaces: ExpectedOwner) -> Result<()> {
+    if present.owner == *me || replaces.covers(present) {
         return Ok(());
     }
     let reason = format!("{} became the owner after the claim was decided", present.owner);
-    Err(ClaimError { head: Some(present), reason })
+    Err(ClaimError { head: Some(present.clone()), reason })
 }
 
 async fn write_claim<S: KvStore>(
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -28,7 +28,7 @@
 use crate::cluster::ownership::OWN_PAUSE_THRESHOLD;
 use crate::cluster::{self, Member, MemberStage, Ownership, Plan, StoreReachability};
 use crate::evacuation::Evacuations;
-use crate::ids::{DaemonId, Ticket};
+use crate::ids::Ticket;
 use crate::job::JobId;
 use crate::job::check::VmShapes;
 use crate::journal::Journal;
@@ -97,7 +97,8 @@
 
 /// Another daemon's offer to hand a shard over to this one.
 struct ShardOffer {
-    from: DaemonId,
+    /// Fencing token of the ownership that ended with the offer.
+    fence: Fence,
     at: Duration,
     lapses: Vec<VmLapse>,
 }
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -271,10 +271,13 @@
 
     fn handle(&mut self, msg: HandleOffer, cx: &mut Self::Context) {
         self.begin_handler(cx);
-        let HandleOffer { shard, from, fence: Fence(fence), lapses } = msg;
-        let offer = ShardOffer { from: from.clone(), at: self.last_wake, lapses };
-        self.offers.insert(shard.clone(), offer);
-        self.step_ownership(cluster::Event::Offered { shard, from, fence }, cx);
+        let HandleOffer { shard, from, fence, lapses } = msg;
+        let is_newest = self.offers.get(&shard).is_none_or(|offer| offer.fence <= fence);
+        if is_newest {
+            let offer = ShardOffer { fence, at: self.last_wake, lapses };
+            self.offers.insert(shard.clone(), offer);
+        }
+        self.step_ownership(cluster::Event::Offered { shard, from, fence: fence.0 }, cx);
     }
 }
 
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -163,9 +163,9 @@
     pub(super) fn start_shard(&mut self, mut recovered: Recovered, cx: &mut Context<Self>) {
         let now = self.now();
         let offer = self.offers.shift_remove(&recovered.shard);
-        // Valid only if the offering daemon was the last owner: another one in between may have
-        // extended the time for which the VMs keep their work running.
-        if let Some(offer) = offer.filter(|o| recovered.predecessor.as_ref() == Some(&o.from)) {
+        // Valid only if the offered ownership was the last one: another one in between, also one of
+        // the offering daemon, may have extended the time for which the VMs keep their work running.
+        if let Some(offer) = offer.filter(|offer| recovered.predecessor == Some(offer.fence)) {
             let passed = now.steady.saturating_sub(offer.at);
             recovered.unresponsive_vms =
                 offer.lapses.into_iter().map(|lapse| lapse.aged(passed)).collect();
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,4 +1,6 @@
-use super::{ActorHandles, Connect, Control, HandleCall, HasShards, HelloReceived, StoreEvent};
+use super::{
+    ActorHandles, Connect, Control, HandleCall, HandleOffer, HasShards, HelloReceived, StoreEvent,
+};
 use crate::clock::{Clock, ManualClock};
 use crate::cluster::ownership::OWN_PAUSE_THRESHOLD;
 use crate::cluster::{Hello, Member, MemberStage, ShardReport, StoreReachability};
@@ -88,7 +90,7 @@
     out: impl std::io::Write + Send + 'static,
 ) -> Addr<Control> {
     let me = me();
-    let journal = Journal::start(clock.clone(), Weight::Urgent, out);
+    let journal = Journal::start(clock.clone(), Weight::Telling, out);
     let (publish, _) = watch::channel(Arc::new(View::default()));
     let settings = Settings::default();
     let in_force = Duration::from_secs(2);
@@ -158,6 +160,11 @@
 }
 
 impl LogBuffer {
+    fn text(&self) -> String {
+        let bytes = self.0.lock().expect("no test panics with it");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// Waits until an event is logged `times` times; returns `false` after the timeout.
     async fn wait_for(&self, event: &str, times: usize) -> bool {
         let found = || {
@@ -245,3 +252,35 @@
     control.send(claimed_with_silent_vm()).await.expect("a control");
     assert!(lines.wait_for("vm-lapse-told", 2).await, "the daemon itself reported the VM before");
 }
+
+/// Offers the shard with a silent VM whose work has ended, and then claims it from this owner.
+async fn claim_after_offer(predecessor: Fence) -> LogBuffer {
+    let clock = Arc::new(ManualClock::new());
+    let lines = LogBuffer::default();
+    let control = logging_control(clock.clone(), lines.clone());
+    let lapses = vec![VmLapse { vm: VmId::new(VM), left: Duration::ZERO }];
+    let (shard, from) = (SHARD.to_owned(), DaemonId::new("two@1"));
+    control.send(HandleOffer { shard, from, fence: Fence(5), lapses }).await.expect("a control");
+    let StoreEvent::Claimed(mut recovered) = claimed_with_silent_vm() else { unreachable!() };
+    recovered.predecessor = Some(predecessor);
+    control.send(StoreEvent::Claimed(recovered)).await.expect("a control");
+    for _ in 0..8 {
+        clock.advance(OWN_PAUSE_THRESHOLD / 2);
+        actix::clock::sleep(Duration::from_millis(60)).await;
+    }
+    lines
+}
+
+// Guards against tasks that run twice: the offering daemon took the shard back, extended the work
+// of a VM that it had called silent, and lost the shard again without an offer.
+#[actix::test]
+async fn an_offer_of_an_earlier_ownership_tells_nothing_of_silent_vms() {
+    let lines = claim_after_offer(Fence(5)).await;
+    assert!(
+        lines.wait_for("task-gone", 1).await,
+        "the last owner offered the shard: {}",
+        lines.text()
+    );
+    let lines = claim_after_offer(Fence(6)).await;
+    assert!(!lines.text().contains("task-gone"), "the VM's work may have been extended since");
+}
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -7,7 +7,7 @@
 use super::silence::{ReportedLapse, SilenceRecord, SilentVm};
 use super::vm_run::{Listing, Run, RunKey, Stage, Vm};
 use super::{ClosedJob, Now, Shard};
-use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
+use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::Progress;
 use crate::job::{Job, JobId};
 use crate::kv::Rev;
@@ -31,8 +31,8 @@
     pub previous: PreviousOwner,
     pub jobs: Vec<Arc<Job>>,
     pub progress: Vec<(JobId, Progress)>,
-    /// Previous owner.
-    pub predecessor: Option<DaemonId>,
+    /// Fencing token of the previous owner.
+    pub predecessor: Option<Fence>,
     /// VMs that did not answer the previous owner when it handed the shard over.
     pub unresponsive_vms: Vec<VmLapse>,
     /// VMs that are recorded as silent in the store.
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -567,7 +567,7 @@
             fence: Fence(rev.0),
             seq: head.seq,
             previous,
-            predecessor: head.before.as_ref().map(|before| before.owner.clone()),
+            predecessor: before.map(|before| Fence(before.fence)),
             unresponsive_vms: lapses,
             silent: self
                 .kv
