List ended instances of VMs in the shards' simulation

Cause: the simulated platform listed the running VMs and nothing else, so that no seed could show what the entries of ended instances do to the runs of living ones. Change: tests only. tests/shards/announcements.rs draws, for a simulation that asks for it, how long the entry of an ended instance stands, whether it comes back, and how late a new instance is listed; lists that new owners start with are kept there too, one a shard. promises_hold_whatever_instances_are_listed adds frequent crashes, unreachable VMs, changes of owner and outdated lists; it shares the checks of promises_hold_whatever_fails, which are as before. VMs crash four times at most, since a task is rightly given up after five. One more test in tests/shards/instances.rs: a list that names the ended instance alone.

--- a/benches/shards/main.rs
+++ b/benches/shards/main.rs
@@ -5,6 +5,9 @@
 //! cost is that of [`Shard::step`](waxwingstall::shard::Shard::step) with the stand-ins' tables
 //! around it; `valgrind --tool=callgrind` tells them apart.
 
+#[allow(dead_code)] // the tests use the rest
+#[path = "../../tests/shards/announcements.rs"]
+mod announcements;
 #[allow(dead_code)] // the tests use the rest
 #[path = "../../tests/shards/faults.rs"]
 mod faults;
--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -97,11 +97,11 @@
 
     /// Lists the ended instance from now on.
     fn list_dead(&mut self) {
-        self.sim.extra_entries.push(self.dead.clone());
+        self.sim.announcements.extra.push(self.dead.clone());
     }
 
     fn unlist_dead(&mut self) {
-        self.sim.extra_entries.clear();
+        self.sim.announcements.extra.clear();
     }
 
     /// Panics unless the task ran once, on its first VM, and is done.
@@ -156,6 +156,20 @@
     vm.check_ran_once();
 }
 
+// The same by a list older than the living instance, which names the ended one alone.
+#[test]
+fn an_entry_listed_in_place_of_the_next_instance_ends_none_of_its_runs() {
+    let mut vm = Successor::with_task(work(6000, 2));
+    let now = vm.sim.now;
+    let living = vm.sim.vms[vm.vm].entry.id.clone();
+    vm.sim.announcements.hide(&living, now..now + seconds(2));
+    vm.list_dead();
+    vm.sim.run_for(seconds(2));
+    vm.unlist_dead();
+    vm.sim.run_for(seconds(8));
+    vm.check_ran_once();
+}
+
 // The same while the store is just back, when entries that expired are listed again.
 #[test]
 fn an_entry_listed_as_the_store_is_back_ends_no_run_of_the_next_instance() {
@@ -189,7 +203,7 @@
     for down in [300, 700, 1500, 2500].map(millis) {
         let (mut sim, job, vm) = simulation_with_task();
         let dead = sim.vms[vm].entry.clone();
-        sim.extra_entries.push(dead.clone());
+        sim.announcements.extra.push(dead.clone());
         sim.crash_vm(vm, down);
         let back = sim.now + down;
         sim.run_for(down + answer_bound() + RESTART_TIME);
@@ -259,7 +273,7 @@
     for change_owner in [false, true] {
         let (mut sim, job, vm) = simulation_with_task();
         let dead = sim.vms[vm].entry.clone();
-        sim.extra_entries.push(dead);
+        sim.announcements.extra.push(dead);
         sim.disconnect_vm(vm, seconds(60));
         sim.crash_vm(vm, seconds(1));
         sim.run_for(seconds(2));
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use std::ops::Range;
 use std::time::Duration;
+use waxwingstall::ids::Ticket;
 use waxwingstall::job::{Job, JobId, JobState};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
@@ -23,6 +24,9 @@
 /// Time with faults.
 const FAULT_PERIOD: Duration = Duration::from_secs(20);
 
+/// When the faults end.
+const UNTIL: Duration = FAULT_PERIOD.saturating_add(Duration::from_secs(5));
+
 /// Time for the system to settle after the faults.
 const SETTLE_TIME: Duration = Duration::from_secs(45);
 
@@ -31,115 +35,203 @@
 const PERMITTED: u64 = 85;
 const PERMIT_VALID: Duration = Duration::from_secs(3);
 
+/// Most VM crashes of a simulation; a task is given up once five VMs have crashed under it.
+const MAX_CRASHES: usize = 4;
+
 struct RandomRun {
+    seed: u64,
+    rng: SmallRng,
     sim: Simulation<RandomFaults>,
     jobs: IndexMap<JobId, Job>,
     home: IndexMap<JobId, &'static str>,
+    tickets: IndexMap<Ticket, JobId>,
     cancelled: Vec<JobId>,
-    accepted: Vec<JobId>,
 }
 
-fn simulate(seed: u64) -> RandomRun {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let permille = rng.random_range(0..120);
-    let until = Duration::from_secs(5) + FAULT_PERIOD;
-    let mut sim = Simulation::new(RandomFaults::new(seed, permille, until), &SHARDS, VMS, SIZE);
+impl RandomRun {
+    fn new(seed: u64, most_permille: u32) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let permille = rng.random_range(0..most_permille);
+        let faults = RandomFaults::new(seed, permille, UNTIL);
+        Self {
+            seed,
+            rng,
+            sim: Simulation::new(faults, &SHARDS, VMS, SIZE),
+            jobs: IndexMap::new(),
+            home: IndexMap::new(),
+            tickets: IndexMap::new(),
+            cancelled: Vec::new(),
+        }
+    }
+
+    fn millis(&mut self, range: Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+
+    fn shard(&mut self) -> &'static str {
+        SHARDS[self.rng.random_range(0..2)]
+    }
+
+    fn vm(&mut self) -> usize {
+        self.rng.random_range(0..2 * VMS)
+    }
+
+    fn submit(&mut self) {
+        let job = random(self.jobs.len() as u64 + 1, &mut self.rng);
+        let home = self.shard();
+        self.tickets.insert(self.sim.submit(home, job.clone()), job.id);
+        self.home.insert(job.id, home);
+        self.jobs.insert(job.id, job);
+    }
+
+    fn cancel(&mut self) {
+        let id = *self.jobs.get_index(self.rng.random_range(0..self.jobs.len())).unwrap().0;
+        self.sim.cancel(self.home[&id], id);
+        self.cancelled.push(id);
+    }
+
+    fn pause_owner(&mut self) {
+        let time = self.millis(500..5000);
+        let shard = self.shard();
+        self.sim.pause_owner(shard, time);
+    }
+
+    fn crash_vm(&mut self) {
+        let time = self.millis(300..5000);
+        let vm = self.vm();
+        self.sim.crash_vm(vm, time);
+    }
+
+    fn disconnect_vm(&mut self) {
+        let time = self.millis(300..9000);
+        let vm = self.vm();
+        self.sim.disconnect_vm(vm, time);
+    }
+
+    fn stop_store(&mut self) {
+        let time = self.millis(300..4000);
+        self.sim.stop_store(time);
+    }
+
+    /// Lets the system settle, and checks what it has done.
+    fn verify(mut self) {
+        let seed = self.seed;
+        self.sim.run_for(SETTLE_TIME);
+        check(&mut self.sim, &self.jobs, SIZE);
+        let accepted = |(ticket, _): &(&Ticket, &JobId)| {
+            self.sim.answers.get(*ticket) == Some(&Answer::Accepted)
+        };
+        let accepted: Vec<JobId> =
+            self.tickets.iter().filter(accepted).map(|(_, id)| *id).collect();
+        for id in accepted {
+            let shown = self.sim.show(self.home[&id], id);
+            let Some(Answer::Shown(state)) = shown else {
+                panic!("seed {seed}: job {id} was accepted and is answered with {shown:?}");
+            };
+            let long_running = self.jobs[&id].steps[0].life == waxwingstall::job::Life::Lasting;
+            let expected = match (self.cancelled.contains(&id), long_running) {
+                // A cancellation may arrive too late, or be lost with the shard's owner.
+                (true, _) => continue,
+                (false, true) => JobState::Running,
+                (false, false) => JobState::Done,
+            };
+            assert_eq!(state, expected, "seed {seed}: job {id}");
+        }
+    }
+}
+
+/// Seeds to run: those in `SHARD_SEEDS`, or the default ones.
+pub fn seeds(default: Range<u64>) -> Range<u64> {
+    let given = std::env::var("SHARD_SEEDS").ok();
+    let range = given.as_deref().and_then(|text| text.split_once(".."));
+    let range = range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
+    range.unwrap_or(default)
+}
+
+/// Commands and messages are lost, delayed or unanswered, VMs restart or become unreachable, owners
+/// are killed or paused, and the store fails.
+fn simulate_any_failure(seed: u64) -> RandomRun {
+    let mut run = RandomRun::new(seed, 120);
     if seed.is_multiple_of(3) {
-        sim = sim.with_permits(PermitTable::new(PERMITTED, PERMIT_VALID));
-    }
-    let mut run = RandomRun {
-        sim,
-        jobs: IndexMap::new(),
-        home: IndexMap::new(),
-        cancelled: Vec::new(),
-        accepted: Vec::new(),
-    };
-    let mut tickets = IndexMap::new();
-    while run.sim.now < until {
-        run.sim.run_for(Duration::from_millis(rng.random_range(20..600)));
-        match rng.random_range(0..100) {
-            0..60 if run.jobs.len() < 30 => {
-                let job = random(run.jobs.len() as u64 + 1, &mut rng);
-                let home = SHARDS[rng.random_range(0..2)];
-                tickets.insert(run.sim.submit(home, job.clone()), job.id);
-                run.home.insert(job.id, home);
-                run.jobs.insert(job.id, job);
-            }
-            60..66 if !run.jobs.is_empty() => {
-                let id = *run.jobs.get_index(rng.random_range(0..run.jobs.len())).unwrap().0;
-                run.sim.cancel(run.home[&id], id);
-                run.cancelled.push(id);
-            }
-            66..70 => run.sim.replace_owner(SHARDS[rng.random_range(0..2)]),
-            70..74 => {
-                let time = Duration::from_millis(rng.random_range(500..5000));
-                run.sim.pause_owner(SHARDS[rng.random_range(0..2)], time);
-            }
-            74..78 => {
-                let time = Duration::from_millis(rng.random_range(300..5000));
-                run.sim.crash_vm(rng.random_range(0..2 * VMS), time);
+        run.sim = run.sim.with_permits(PermitTable::new(PERMITTED, PERMIT_VALID));
+    }
+    while run.sim.now < UNTIL {
+        let pause = run.millis(20..600);
+        run.sim.run_for(pause);
+        match run.rng.random_range(0..100) {
+            0..60 if run.jobs.len() < 30 => run.submit(),
+            60..66 if !run.jobs.is_empty() => run.cancel(),
+            66..70 => {
+                let shard = run.shard();
+                run.sim.replace_owner(shard);
             }
-            78..82 => {
-                let time = Duration::from_millis(rng.random_range(300..9000));
-                run.sim.disconnect_vm(rng.random_range(0..2 * VMS), time);
+            70..74 => run.pause_owner(),
+            74..78 => run.crash_vm(),
+            78..82 => run.disconnect_vm(),
+            82..84 => run.stop_store(),
+            84..88 => {
+                let shard = run.shard();
+                run.sim.evacuate(shard);
             }
-            82..84 => {
-                let time = Duration::from_millis(rng.random_range(300..4000));
-                run.sim.stop_store(time);
+            88..91 => {
+                let shard = run.shard();
+                run.sim.withdraw_evacuation(shard);
             }
-            84..88 => run.sim.evacuate(SHARDS[rng.random_range(0..2)]),
-            88..91 => run.sim.withdraw_evacuation(SHARDS[rng.random_range(0..2)]),
             91..93 => {
-                let time = Duration::from_millis(rng.random_range(300..4000));
+                let time = run.millis(300..4000);
                 run.sim.block_evacuations(time);
             }
             _ => {}
         }
     }
     SHARDS.iter().for_each(|shard| run.sim.withdraw_evacuation(shard));
-    run.sim.run_for(SETTLE_TIME);
-    for (ticket, id) in &tickets {
-        if run.sim.answers.get(ticket) == Some(&Answer::Accepted) {
-            run.accepted.push(*id);
-        }
-    }
     run
 }
 
-fn verify(seed: u64) {
-    let mut run = simulate(seed);
-    check(&mut run.sim, &run.jobs, SIZE);
-    for id in run.accepted.clone() {
-        let shown = run.sim.show(run.home[&id], id);
-        let Some(Answer::Shown(state)) = shown else {
-            panic!("seed {seed}: job {id} was accepted and is answered with {shown:?}");
-        };
-        let long_running = run.jobs[&id].steps[0].life == waxwingstall::job::Life::Lasting;
-        let expected = match (run.cancelled.contains(&id), long_running) {
-            // A cancellation may arrive too late, or be lost with the shard's owner.
-            (true, _) => continue,
-            (false, true) => JobState::Running,
-            (false, false) => JobState::Done,
-        };
-        assert_eq!(state, expected, "seed {seed}: job {id}");
+/// VMs crash and become unreachable often, entries of their instances outlive them, come back or
+/// come late, owners change often, and lists of VMs are out of date.
+fn simulate_instances(seed: u64) -> RandomRun {
+    let mut run = RandomRun::new(seed, 40);
+    run.sim.announcements.randomize(seed);
+    while run.sim.now < UNTIL {
+        let pause = run.millis(20..600);
+        run.sim.run_for(pause);
+        let shard = run.shard();
+        match run.rng.random_range(0..100) {
+            0..45 if run.jobs.len() < 30 => run.submit(),
+            45..57 if run.sim.crashes < MAX_CRASHES => run.crash_vm(),
+            57..67 => run.disconnect_vm(),
+            67..74 => run.sim.replace_owner(shard),
+            74..78 => run.sim.hand_over(shard),
+            78..82 => run.pause_owner(),
+            82..90 => run.sim.keep_outdated_list(shard),
+            90..94 => run.sim.repeat_vm_list(shard),
+            94..96 => {
+                let time = run.millis(300..3000);
+                run.sim.block_vm_list(time);
+            }
+            96..98 => run.stop_store(),
+            _ => {}
+        }
     }
+    run
 }
 
-/// Seeds to run: those in `SHARD_SEEDS`, or the default ones.
-pub fn seeds(default: Range<u64>) -> Range<u64> {
-    let given = std::env::var("SHARD_SEEDS").ok();
-    let range = given.as_deref().and_then(|text| text.split_once(".."));
-    let range = range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    range.unwrap_or(default)
-}
-
-// Jobs are submitted and cancelled while commands and messages are lost, delayed or unanswered, VMs
-// restart or become unreachable, owners are killed or paused, and the store fails. No task may run
-// twice or before its predecessors, no VM may be overcommitted, and every finite job must complete.
+// Jobs are submitted and cancelled while anything may fail. No task may run twice or before its
+// predecessors, no VM may be overcommitted, and every finite job must complete.
 #[test]
 fn promises_hold_whatever_fails() {
     for seed in seeds(0..60) {
         println!("seed {seed}");
-        verify(seed);
+        simulate_any_failure(seed).verify();
+    }
+}
+
+// The same while the platform lists instances of VMs that have ended, and lacks some that run.
+#[test]
+fn promises_hold_whatever_instances_are_listed() {
+    for seed in seeds(0..40) {
+        println!("seed {seed}");
+        simulate_instances(seed).verify();
     }
 }
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -177,7 +177,7 @@
     sim.run_for(seconds(1));
     let before = sim.vms[0].entry.clone();
     sim.crash_vm(0, Duration::from_millis(500));
-    sim.extra_entries.push(before);
+    sim.announcements.extra.push(before);
     sim.run_for(seconds(2));
     sim.submit("kacyiru", job.clone());
     sim.run_for(seconds(6));
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -3,6 +3,7 @@
 //! Owners run the production shard code; VMs and the store are simulated by tables of the
 //! `standin` crate. Messages between them take time, and a fault model decides the outcome of each.
 
+use crate::announcements::Announcements;
 use crate::faults::{Faults, Outcome};
 use indexmap::IndexMap;
 use std::collections::BTreeMap;
@@ -121,8 +122,7 @@
     pub answers: IndexMap<Ticket, Answer>,
     /// The store accepts no commits until then.
     pub store_down_until: Duration,
-    /// Entries listed in addition to the running VMs.
-    pub extra_entries: Vec<VmEntry>,
+    pub announcements: Announcements,
     /// VMs that have left, in order.
     departures: Vec<Departure>,
     /// How many of them owners were told of, if each is told once.
@@ -140,8 +140,6 @@
     store_back: Duration,
     /// The list of VMs can't be read until then, although the store accepts commits.
     list_unread_until: Duration,
-    /// Outdated list of VMs that the next owner starts with.
-    outdated_list: Option<Vec<VmEntry>>,
     /// Evacuation orders as in the store, and how long each has stood.
     evacuations: Evacuations,
     pub evacuation_history: Vec<EvacuationOrder>,
@@ -186,7 +184,7 @@
             groups: Vec::new(),
             answers: IndexMap::new(),
             store_down_until: Duration::ZERO,
-            extra_entries: Vec::new(),
+            announcements: Announcements::default(),
             departures: Vec::new(),
             departures_told: None,
             departures_unknown: false,
@@ -199,7 +197,6 @@
             next_fleet: Duration::ZERO,
             store_back: Duration::ZERO,
             list_unread_until: Duration::ZERO,
-            outdated_list: None,
             evacuations: Evacuations::default(),
             evacuation_history: Vec::new(),
             read_evacuations: (Arc::default(), Duration::from_secs(5)),
@@ -280,7 +277,8 @@
 
     /// Makes the next owner of a shard start with the list of VMs as it is now.
     pub fn keep_outdated_list(&mut self, shard: &str) {
-        self.outdated_list = Some(self.fleet_of(shard));
+        let vms = self.fleet_of(shard);
+        self.announcements.outdated.insert(Arc::from(shard), vms);
     }
 
     /// Reports a VM as departed that is still there.
@@ -323,9 +321,11 @@
         self.call(shard, event);
     }
 
-    /// Sends the shard's owner the list of VMs as the last one it was sent, which may be old.
+    /// Sends the shard's owner the outdated list of VMs, or else the current one, as a list of
+    /// unknown age.
     pub fn repeat_vm_list(&mut self, shard: &str) {
-        let vms = self.fleet_of(shard);
+        let outdated = self.announcements.outdated.get(shard).cloned();
+        let vms = outdated.unwrap_or_else(|| self.fleet_of(shard));
         let event = Event::Fleet { vms, list_status: FleetListStatus::Unread, at: None };
         self.call(shard, event);
     }
@@ -441,6 +441,7 @@
         }
         vm.table.crash(now);
         vm.down_until = Some(now + down);
+        self.announcements.note_end(&vm.entry, now);
         self.crashes += 1;
     }
 
@@ -583,7 +584,8 @@
                 })
                 .collect(),
         };
-        let fleet = self.outdated_list.take().unwrap_or_else(|| self.fleet_of(name));
+        let outdated = self.announcements.outdated.shift_remove(name);
+        let fleet = outdated.unwrap_or_else(|| self.fleet_of(name));
         let now = self.clocks();
         let shard = Shard::new(recovered, settings(self.max_keep), self.queues.clone(), fleet, now);
         self.owners.push(Owner {
@@ -626,9 +628,8 @@
 
     fn fleet_of(&self, shard: &str) -> Vec<VmEntry> {
         let ours = self.vms.iter().filter(|vm| &*vm.shard == shard && vm.down_until.is_none());
-        let ours = ours.map(|vm| vm.entry.clone());
-        let beside = self.extra_entries.iter().filter(|vm| vm.domain.as_str() == shard);
-        ours.chain(beside.cloned()).collect()
+        let running = ours.map(|vm| vm.entry.clone()).collect();
+        self.announcements.list(self.now, shard, running)
     }
 
     fn clocks(&self) -> Now {
@@ -683,6 +684,7 @@
             vm.restarts += 1;
             let id = VmId::new(&format!("{}/{}", vm.entry.addr, vm.restarts));
             vm.entry.id = id.clone();
+            self.announcements.note_start(&id, now);
             self.ended_tables
                 .push(std::mem::replace(&mut vm.table, RunTable::new(id, run_settings(max_keep))));
         }
