--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -81,14 +81,13 @@
     }
 
     pub(super) fn complete_hand_over(&mut self, shard: &str, cx: &mut Context<Self>) {
-        let new_owner = self.hosted.get(shard).and_then(|hosted| hosted.new_owner.clone());
         let from = self.ownership.me().id.clone();
-        if let (Some(to), Some(actors)) = (new_owner, &self.actors)
+        if let (Some(hosted), Some(actors)) = (self.hosted.get(shard), &self.actors)
+            && let Some(to) = hosted.new_owner.clone()
             && to.id != from
         {
-            let lapses = self.hosted.get(shard).map(|hosted| hosted.shard.unresponsive_vms());
-            let (shard, lapses) = (shard.to_owned(), lapses.unwrap_or_default());
-            actors.links.do_send(OfferShard { shard, to, from, lapses });
+            let (fence, lapses) = (hosted.shard.fence(), hosted.shard.unresponsive_vms());
+            actors.links.do_send(OfferShard { shard: shard.to_owned(), to, from, fence, lapses });
         }
         self.drop_shard(shard, "handed over", cx);
     }
@@ -164,9 +163,9 @@
     pub(super) fn start_shard(&mut self, mut recovered: Recovered, cx: &mut Context<Self>) {
         let now = self.now();
         let offer = self.offers.shift_remove(&recovered.shard);
-        // Valid only if the offering daemon was the last owner: another one in between may have
-        // extended the time for which the VMs keep their work running.
-        if let Some(offer) = offer.filter(|o| recovered.predecessor.as_ref() == Some(&o.from)) {
+        // Valid only if the offered ownership was the last one: another one in between, also one of
+        // the offering daemon, may have extended the time for which the VMs keep their work running.
+        if let Some(offer) = offer.filter(|offer| recovered.predecessor == Some(offer.fence)) {
             let passed = now.steady.saturating_sub(offer.at);
             recovered.unresponsive_vms =
                 offer.lapses.into_iter().map(|lapse| lapse.aged(passed)).collect();
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -1,6 +1,8 @@
 //! Simulation tests of shards with failing VMs, network and store.
 
+mod announcements;
 mod crashes;
+mod duplicates;
 mod elsewhere;
 mod evacuation;
 mod faults;
