Let the time that the last owner told of a VM replace the inherited one

Cause: callers' tasks ran twice at the same time. An owner that is cut off with a VM may extend the VM's lease for some seconds after it was replaced. Its successor knows, and waits; but when the successor handed the shard over, the next owner took its own claim from an owner that has ended for the whole truth, and the longer time that it was told of the VM only as an upper bound. Change: the times in an offer that counts replace the inherited one, shorter or longer. Times reported of VMs that the store records as silent still only shorten. Why it works: the last owner counts the leases of all owners before it, as far as it was told, and names each VM with runs that has not answered it; a VM that has answered it refuses the earlier owner. The offer counts only for its maker's claim, so nobody has extended the VM since. The price: a VM that answered the successor once and fell silent waits for the longer time too, as it would have without the hand-over.

--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -111,7 +111,7 @@
         }
         let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
         shard.recover_jobs(recovered.jobs, &progress);
-        shard.apply_lapses(&recovered.unresponsive_vms);
+        shard.apply_offered_lapses(&recovered.unresponsive_vms);
         shard.apply_reported_lapses(recovered.reported_lapses);
         shard
     }
@@ -140,11 +140,15 @@
         silent.map(lapse).collect()
     }
 
-    fn apply_lapses(&mut self, lapses: &[VmLapse]) {
+    /// Applies the remaining times that the previous owner told as it handed the shard over.
+    ///
+    /// They replace the inherited one also where they are longer: that owner may itself have
+    /// replaced one that still extends the VMs' leases.
+    fn apply_offered_lapses(&mut self, lapses: &[VmLapse]) {
         let now = self.now.steady;
         for lapse in lapses {
             if let Some(vm) = self.vms.get_mut(&lapse.vm) {
-                vm.runs_ended_by = vm.runs_ended_by.min(now + lapse.left);
+                vm.runs_ended_by = now + lapse.left;
             }
         }
     }
@@ -159,9 +163,10 @@
             |reported: &ReportedLapse| silence.mark(&reported.lapse.vm) == Some(reported.mark);
         let lapses: Vec<VmLapse> =
             reported_lapses.into_iter().filter(holds).map(|reported| reported.lapse).collect();
-        self.apply_lapses(&lapses);
+        let now = self.now.steady;
         for lapse in lapses {
-            let Some(vm) = self.vms.get(&lapse.vm) else { continue };
+            let Some(vm) = self.vms.get_mut(&lapse.vm) else { continue };
+            vm.runs_ended_by = vm.runs_ended_by.min(now + lapse.left);
             let (runs, left_ms) = (vm.runs.len(), Millis(lapse.left));
             self.note(Note::VmLapseTold { vm: lapse.vm, left_ms, runs });
         }
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId};
+use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::units::Resources;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
@@ -119,3 +120,31 @@
     assert_eq!(sim.runs_on(there), 1);
     check(&mut sim, &known(&job), SIZE);
 }
+
+/// Lets an owner that is partitioned with the task's VM be replaced, its successor hand the shard
+/// over after `held`, and the partitioned owner extend the task for as long as it may.
+fn hand_over_beside_a_partitioned_owner(held: Duration) {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.partition_owner("kacyiru", there);
+    sim.run_for(held);
+    sim.hand_over("kacyiru");
+    sim.run_for(MAX_STALE_OWNER_EXTENSION - held - Duration::from_millis(100));
+    sim.end_partitioned_owner();
+    assert_eq!(sim.runs_on(there), 1, "the partitioned owner has extended it");
+    sim.run_for(seconds(10));
+    assert_eq!(sim.runs_on(1 - there), 1, "it starts elsewhere after that");
+    check(&mut sim, &known(&job), SIZE);
+}
+
+// An owner is replaced that may be alive, and its successor hands the shard over. Guards against
+// the next owner counting the VM's time from its own takeover only, and starting the task twice.
+#[test]
+fn an_owner_before_the_last_may_still_extend_a_vm_that_was_handed_over() {
+    hand_over_beside_a_partitioned_owner(seconds(2));
+}
+
+// The same with a successor that hasn't yet found the VM silent as it hands the shard over.
+#[test]
+fn a_vm_that_the_last_owner_never_reached_is_handed_over_with_its_time() {
+    hand_over_beside_a_partitioned_owner(Duration::from_millis(300));
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -156,6 +156,8 @@
     published_lapses: IndexMap<Arc<str>, (Duration, Vec<ReportedLapse>)>,
     /// Published deadlines are lost from then on.
     published_lapses_lost_from: Duration,
+    /// The VM that only this owner reaches, which reaches no other one.
+    partition: Option<(u64, Arc<str>)>,
     traced: bool,
 }
 
@@ -204,6 +206,7 @@
             late_starts: Vec::new(),
             published_lapses: IndexMap::new(),
             published_lapses_lost_from: Duration::MAX,
+            partition: None,
             queues: Arc::new(queues()),
             max_keep,
             traced: std::env::var_os("SHARD_TRACE").is_some(),
@@ -383,7 +386,7 @@
 
     /// Kills the shard's owner, and lets another one take over.
     pub fn replace_owner(&mut self, shard: &str) {
-        self.owners.retain(|owner| &*owner.name != shard);
+        self.end_owners(shard);
         self.claim(shard, PreviousOwner::Ended);
     }
 
@@ -403,10 +406,17 @@
     pub fn hand_over(&mut self, shard: &str) {
         let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
         let lapses = owner.expect("the shard has an owner").shard.unresponsive_vms();
-        self.owners.retain(|owner| &*owner.name != shard);
+        self.end_owners(shard);
         self.claim_with(shard, PreviousOwner::Ended, lapses);
     }
 
+    /// Ends all owners of the shard but a partitioned one.
+    fn end_owners(&mut self, shard: &str) {
+        let partitioned = self.partition.as_ref().map(|(number, _)| *number);
+        let ends = |owner: &Owner| &*owner.name == shard && Some(owner.number) != partitioned;
+        self.owners.retain(|owner| !ends(owner));
+    }
+
     /// Pauses the shard's owner for a while, and lets another one take over meanwhile.
     pub fn pause_owner(&mut self, shard: &str, time: Duration) {
         self.stall_owner(shard, time);
@@ -426,6 +436,22 @@
         }
     }
 
+    /// Partitions the shard's owner with one VM from the other owners and VMs, and lets another
+    /// owner take over.
+    pub fn partition_owner(&mut self, shard: &str, index: usize) {
+        let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
+        let number = owner.expect("the shard has an owner").number;
+        self.partition = Some((number, self.vms[index].entry.addr.clone()));
+        self.claim(shard, PreviousOwner::MaybeActive);
+    }
+
+    /// Ends the partitioned owner; its VM stays out of reach.
+    pub fn end_partitioned_owner(&mut self) {
+        if let Some((number, _)) = self.partition {
+            self.remove_owner(number);
+        }
+    }
+
     /// Number of tasks running on a VM.
     pub fn runs_on(&mut self, index: usize) -> usize {
         let now = self.now;
@@ -876,9 +902,13 @@
         self.schedule(after, Delivery::Owner { number, event });
     }
 
-    fn execute(&mut self, _: u64, action: &Action) -> Result<VmResponse, VmError> {
+    fn execute(&mut self, number: u64, action: &Action) -> Result<VmResponse, VmError> {
         let now = self.now;
         let addr = addr_of(action);
+        let is_cut = |(owner, vm): &(u64, Arc<str>)| (number == *owner) != (addr.addr == *vm);
+        if self.partition.as_ref().is_some_and(is_cut) {
+            return Err(VmError::NoAnswer { reason: "cut".to_owned() });
+        }
         let Some(vm) = self.vms.iter_mut().find(|vm| vm.entry.addr == addr.addr) else {
             return Err(VmError::NotSent { reason: "no such address".to_owned() });
         };
