--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -152,7 +152,7 @@
 }
 
 /// A VM that tasks are bound to. The address is stored because the VM may no longer be listed when
-/// the next owner takes over: a new VM id at that address proves that this instance has ended.
+/// the next owner takes over: if another instance answers there, this one has ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BoundVm {
     pub id: VmId,
