Hold that an ended instance's room isn't used at an address that doesn't answer

Cause: a VM restarts behind a cut, and both instances are listed. The ended one has answered shortly before and passes for responsive. Today it is removed as the next one is listed; a shard that waits for the address's answer instead would start tasks there, which then wait for a lease. Change: one test of the shards, which passes today.

--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -286,3 +286,25 @@
         check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
     }
 }
+
+// Guards against tasks that wait for the lease of an ended instance: while its address doesn't
+// answer, nothing may be started on it once the next instance is listed beside it.
+#[test]
+fn nothing_is_started_on_an_ended_instance_that_answered_shortly_before() {
+    let mut sim = Simulation::new(Recorder::default(), &[SHARD], 2, SIZE);
+    sim.run_for(seconds(1));
+    let dead = sim.vms[0].entry.clone();
+    sim.announcements.extra.push(dead.clone());
+    sim.crash_vm(0, millis(100));
+    sim.disconnect_vm(0, seconds(20));
+    // The list of VMs is sent every 400 ms.
+    sim.run_for(millis(100 + 400 + 20));
+    let listed = sim.now;
+    let job = job_with_steps(1, 1, 4, work(1000, 2));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(seconds(5));
+    let mut commands = sim.faults.commands.iter().filter(|command| command.at >= listed);
+    assert!(!commands.any(|command| command.vm == dead.id && command.is_start));
+    assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
