Take a shard for released only by a hello after one that lists it

Cause: an owner whose last heard hello didn't list its shard counted as having released it, and as inactive, so that tasks could run twice. But that hello may have been sent before the owner's claim and held up on the way, or overtaken by later ones; an owner that reads the shard from a slow store doesn't list it yet either; and after a pause of this daemon its last hello from before the claim was counted as later. Change: a process numbers its hellos. One that was overtaken changes nothing, and only an answer among them shows that the process is alive. A shard is released if its owner listed it under the fencing token of its claim, and not in a later hello. Why it works: hellos of one process are ordered by their numbers, not by when they are heard, and a claim made again has another token.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -41,6 +41,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
     pub from: Member,
+    /// Increases with each hello that the process composes. One may be sent several times, and
+    /// later ones may overtake it.
+    pub number: u64,
     pub store: StoreReachability,
     /// Version of the configuration in force at the sender.
     pub config: u64,
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -134,8 +134,8 @@
     fence: u64,
     /// When the owner became known.
     since: Duration,
-    /// Whether the owner has listed the shard in a hello since then.
-    announced: bool,
+    /// Number of the newest hello in which the owner has listed the shard.
+    listed: Option<u64>,
     /// Set while the shard has no live owner.
     orphan: Option<Orphan>,
 }
@@ -319,7 +319,7 @@
             view.owner = Some(owner);
             view.fence = fence;
             view.since = now;
-            view.announced = false;
+            view.listed = None;
             view.orphan = None;
         }
     }
@@ -328,7 +328,7 @@
         for (name, domain) in plan.shards() {
             let since = self.now;
             let view =
-                ShardView { domain, owner: None, fence: 0, since, announced: false, orphan: None };
+                ShardView { domain, owner: None, fence: 0, since, listed: None, orphan: None };
             self.shards.entry(name).or_insert(view);
         }
         self.actions.push(Action::ReadHeads);
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -32,6 +32,8 @@
     /// When `store` last changed.
     pub(super) store_since: Duration,
     pub(super) shards: Vec<String>,
+    /// Number of the hello that told this, and when it was received.
+    pub(super) told: Option<(u64, Duration)>,
     /// Version of the configuration in force at that daemon.
     pub(super) config: u64,
     /// When its port was found to refuse connections; cleared by the next answer.
@@ -54,6 +56,7 @@
         self.answered = None;
         self.joined = now;
         self.shards.clear();
+        self.told = None;
         self.refused_at = None;
     }
 
@@ -135,6 +138,7 @@
             store: StoreReachability::Away,
             store_since: self.now,
             shards: Vec::new(),
+            told: None,
             config: 0,
             refused_at: None,
             last_probe: self.now,
@@ -168,10 +172,18 @@
             self.probe_process(&name, hello.from);
             return;
         }
-        known.member = hello.from;
+        let overtaken = known.told.is_some_and(|(number, _)| hello.number < number);
+        if overtaken && asked.is_none() {
+            return;
+        }
         known.last_heard = now;
         known.answered = known.answered.max(asked);
         known.refused_at = None;
+        if overtaken {
+            return;
+        }
+        known.told = Some((hello.number, now));
+        known.member = hello.from;
         if known.store != hello.store {
             known.store = hello.store;
             known.store_since = now;
@@ -184,8 +196,8 @@
         for report in &hello.shards {
             self.record_owner(&report.name, hello.from.id.clone(), report.fence);
             let view = self.shards.get_mut(&report.name);
-            if let Some(view) = view.filter(|view| view.owner.as_ref() == Some(&hello.from.id)) {
-                view.announced = true;
+            if let Some(view) = view.filter(|view| view.fence == report.fence) {
+                view.listed = view.listed.max(Some(hello.number));
             }
         }
     }
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -192,13 +192,20 @@
     if silent >= OWNER_TIMEOUT {
         return cause(PreviousOwner::MaybeActive, "its owner is silent");
     }
-    // Hellos from before the daemon became the owner don't count, and it lists the shard only after
-    // loading it from the store.
-    let loading = !view.announced && now.saturating_sub(view.since) < RECOVERY_GRACE;
-    let listed = known.last_heard < view.since || known.shards.iter().any(|name| name == shard);
-    let is_owned = listed || loading;
-    let released = Cause { previous: PreviousOwner::Ended, ..unowned("its owner released it") };
-    (!is_owned).then_some(released)
+    let (newest, told_at) = known.told?;
+    if known.shards.iter().any(|name| name == shard) {
+        return None;
+    }
+    match view.listed {
+        Some(listed) if newest > listed => {
+            Some(Cause { previous: PreviousOwner::Ended, ..unowned("its owner released it") })
+        }
+        Some(_) => None,
+        // Hellos from before the daemon became the owner don't count, and it lists the shard only
+        // after loading it from the store, which may take longer while the store is slow.
+        None if told_at < view.since || now.saturating_sub(view.since) < RECOVERY_GRACE => None,
+        None => Some(unowned("its owner doesn't list it")),
+    }
 }
 
 /// Cause for a shard that appears to have no owner, though one may become known during the grace
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -155,6 +155,8 @@
     learned: IndexMap<String, Vec<PairEstimate>>,
     /// When a handler last started.
     last_wake: Duration,
+    /// Number of the last hello that was composed.
+    last_hello: u64,
     next_publish: Duration,
     next_neighbours: Duration,
 }
@@ -202,6 +204,7 @@
             directory,
             learned: IndexMap::new(),
             last_wake: now,
+            last_hello: 0,
             next_publish: now,
             next_neighbours: now,
             clock,
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -158,8 +158,10 @@
         if to.is_empty() {
             return;
         }
+        self.last_hello += 1;
         let hello = Hello {
             from: self.ownership.me().clone(),
+            number: self.last_hello,
             store: self.store_reach,
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
             shards: self.shard_reports(),
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -230,7 +230,7 @@
         lapses: vec![ReportedLapse { lapse, mark: SilenceMark(3) }],
     };
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
-    Hello { from, store: StoreReachability::Reached, config: 1, shards: vec![report] }
+    Hello { from, number: 1, store: StoreReachability::Reached, config: 1, shards: vec![report] }
 }
 
 // A daemon loses a shard and claims it again. Guards against it forgetting what it reported about
