Ignore a plan without racks of the one in force

Cause: work that fits only on new VMs waited, and work on them was left alone. The follower of VMs may read the plan twice at once; when the older read was answered last, the older plan came into force, and the VMs of the newest racks belonged to no shard until another new VM appeared. Change: control takes a plan only if it has all racks of the one in force. Why it works: racks are only added, each against the revision that was read, so of two plans the one that lacks a rack of the other is the older, whatever the order of the answers. Evidence: an_older_plan_replaces_no_newer_one failed with "left: [None, None] right: [Some("kacyiru.0"), Some("kacyiru.0")]", the shards of the two racks. If the plan were ever removed from the store and written anew without some racks, daemons that run would keep theirs.

--- a/src/cluster/plan.rs
+++ b/src/cluster/plan.rs
@@ -58,6 +58,15 @@
         shards
     }
 
+    /// Whether all racks of another plan are in this one. Plans only grow, so a plan without some of
+    /// them is older.
+    pub fn has_racks_of(&self, other: &Self) -> bool {
+        other.domains.iter().all(|(domain, theirs)| {
+            let ours = self.domains.get(domain);
+            theirs.racks.keys().all(|rack| ours.is_some_and(|ours| ours.racks.contains_key(rack)))
+        })
+    }
+
     /// The plan extended with the racks of these VMs, or `None` if all of them are planned already.
     pub fn extended(&self, vms: &[VmEntry]) -> Option<Self> {
         let mut counts: IndexMap<(&DomainId, &RackId), u32> = IndexMap::new();
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -113,7 +113,8 @@
             }
             StoreEvent::Heads(heads) => self.step_ownership(cluster::Event::Heads(heads), cx),
             StoreEvent::Plan(plan) => {
-                if plan != self.plan {
+                // Reads of the plan may overlap, and the older one may be answered last.
+                if plan != self.plan && plan.has_racks_of(&self.plan) {
                     self.plan = plan.clone();
                     self.step_upkeep(upkeep::duty::Event::Plan(plan.clone()), cx);
                     self.step_ownership(cluster::Event::Plan(plan), cx);
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -3,8 +3,8 @@
 };
 use crate::clock::{Clock, ManualClock};
 use crate::cluster::ownership::OWN_PAUSE_THRESHOLD;
-use crate::cluster::{Hello, Member, MemberStage, ShardReport, StoreReachability};
-use crate::ids::{DaemonId, DomainId, ServiceName, VmId};
+use crate::cluster::{Hello, Member, MemberStage, Plan, ShardReport, StoreReachability};
+use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::{Binding, BoundVm, OccurrenceProgress, Progress, TaskProgress};
 use crate::job::{Job, JobId, JobState, Life, QueueName, Repeat, Resume, RunNumber, Step};
 use crate::jobs::calls::{Call, Reply};
@@ -16,6 +16,7 @@
 };
 use crate::jobs::view::View;
 use crate::journal::Journal;
+use crate::kv::Rev;
 use crate::note::Weight;
 use crate::permit::{self, PermitResp};
 use crate::ring::{Ring, WhenFull};
@@ -23,7 +24,7 @@
     PreviousOwner, Recovered, ReportedLapse, Settings, SilenceMark, SilentVm, Summary, VmLapse,
 };
 use crate::units::Resources;
-use crate::vm::Fence;
+use crate::vm::{Fence, VmEntry, VmState};
 use actix::prelude::*;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -284,3 +285,45 @@
     let lines = claim_after_offer(Fence(6)).await;
     assert!(!lines.text().contains("task-gone"), "the VM's work may have been extended since");
 }
+
+/// Returns the shard that each of some racks is planned for.
+#[derive(Message)]
+#[rtype(result = "Vec<Option<String>>")]
+struct PlannedShards(Vec<VmEntry>);
+
+impl Handler<PlannedShards> for Control {
+    type Result = Vec<Option<String>>;
+
+    fn handle(&mut self, msg: PlannedShards, _: &mut Self::Context) -> Self::Result {
+        msg.0.iter().map(|vm| self.plan.shard_of(vm)).collect()
+    }
+}
+
+fn vm_in_rack(rack: &str) -> VmEntry {
+    VmEntry {
+        id: VmId::new(rack),
+        service: ServiceName::new("shop"),
+        domain: DomainId::new("kacyiru"),
+        rack: RackId::new(rack),
+        labels: Vec::new(),
+        size: Resources::new(1000, 1000, 0),
+        state: VmState::Ready,
+        addr: Arc::from("127.0.0.1:1"),
+        announced: Rev::ABSENT,
+    }
+}
+
+// Two reads of the plan overlap, and the older is answered last. Guards against VMs of new racks
+// that belong to no shard from then on.
+#[actix::test]
+async fn an_older_plan_replaces_no_newer_one() {
+    let control = control(Arc::new(ManualClock::new()));
+    let vms = vec![vm_in_rack("r1"), vm_in_rack("r2")];
+    let older = Plan::default().extended(&vms[..1]).expect("its rack is new");
+    let newer = older.extended(&vms).expect("its rack is new");
+    for plan in [older.clone(), newer, older, Plan::default()] {
+        control.send(StoreEvent::Plan(plan)).await.expect("a control");
+    }
+    let planned = control.send(PlannedShards(vms)).await.expect("a control");
+    assert_eq!(planned, [Some("kacyiru.0".to_owned()), Some("kacyiru.0".to_owned())]);
+}
