Give a VM a new mark that falls silent while its record is being removed

Cause: callers' tasks could run twice. An owner's report of how long a silent VM keeps its runs counts while the store records the VM under the same mark. While the removal of a record was in flight, a VM that fell silent again took its old mark from the record still in the store. Once the removal was durable its lease might be extended, and the record that followed, under the old mark, made the earlier report count again. Change: while a write is in flight only the rows being written are looked up for a mark. Why it works: a VM keeps its mark only if it stays in the record throughout, and so isn't extended. If the removal isn't written, the new mark replaces the old one, and only the report is lost. Evidence: a_vm_that_falls_silent_while_its_record_is_removed_gets_a_new_mark failed with "left: [SilentVm { vm: VmId("i-1"), mark: SilenceMark(3) }] right: [SilentVm { vm: VmId("i-1"), mark: SilenceMark(5) }]"; a_vm_keeps_its_mark_while_it_is_in_the_record_being_written holds the other end.

--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -7,6 +7,9 @@
 //! removed before the VM's lease is extended again, so the reported times are valid for as long as
 //! the record is in the store, however late they are read.
 
+#[cfg(test)]
+mod tests;
+
 use super::Shard;
 use super::recover::VmLapse;
 use super::vm_run::{Responsiveness, Vm};
@@ -100,9 +103,10 @@
     fn update_wanted(&mut self, silent: &[VmId], mark: SilenceMark) {
         self.wanted.retain(|vm, _| silent.contains(vm));
         for vm in silent {
-            // A VM in the durable record or in a write in flight keeps its mark.
-            let known = self.sent.as_ref().and_then(|sent| sent.get(vm)).or(self.durable.get(vm));
-            let mark = known.copied().unwrap_or(mark);
+            // A VM that is in the record keeps its mark. While a write is in flight, the record is
+            // what is being written: once a VM is durably removed, its lease may be extended.
+            let record = self.sent.as_ref().unwrap_or(&self.durable);
+            let mark = record.get(vm).copied().unwrap_or(mark);
             self.wanted.entry(vm.clone()).or_insert(mark);
         }
     }
