List what is known of runs that may overlap, and what stays open

Evidence: the test fails with "runs twice at a time": run 1 until 23.794 s, run 2 from 18.825 s. Result: the other tests of the shards are as before.

--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -121,13 +121,16 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
-/// Lets an owner that is partitioned with the task's VM be replaced, its successor hand the shard
-/// over after `held`, and the partitioned owner extend the task for as long as it may.
-fn hand_over_beside_a_partitioned_owner(held: Duration) {
+/// Lets an owner that is partitioned with the task's VM be replaced, its successor be replaced
+/// after `held`, and the partitioned owner extend the task for as long as it may.
+fn replace_beside_a_partitioned_owner(
+    held: Duration,
+    replace: impl FnOnce(&mut Simulation<NoFaults>),
+) {
     let (mut sim, job, there) = simulation_with_task();
     sim.partition_owner("kacyiru", there);
     sim.run_for(held);
-    sim.hand_over("kacyiru");
+    replace(&mut sim);
     sim.run_for(MAX_STALE_OWNER_EXTENSION - held - Duration::from_millis(100));
     sim.end_partitioned_owner();
     assert_eq!(sim.runs_on(there), 1, "the partitioned owner has extended it");
@@ -140,11 +143,18 @@
 // the next owner counting the VM's time from its own takeover only, and starting the task twice.
 #[test]
 fn an_owner_before_the_last_may_still_extend_a_vm_that_was_handed_over() {
-    hand_over_beside_a_partitioned_owner(seconds(2));
+    replace_beside_a_partitioned_owner(seconds(2), |sim| sim.hand_over("kacyiru"));
 }
 
 // The same with a successor that hasn't yet found the VM silent as it hands the shard over.
 #[test]
 fn a_vm_that_the_last_owner_never_reached_is_handed_over_with_its_time() {
-    hand_over_beside_a_partitioned_owner(Duration::from_millis(300));
+    replace_beside_a_partitioned_owner(Duration::from_millis(300), |sim| sim.hand_over("kacyiru"));
+}
+
+// The same with a successor that is killed: what it knew of the partitioned owner is lost.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn an_owner_before_the_last_may_still_extend_a_vm_whose_next_owner_is_killed() {
+    replace_beside_a_partitioned_owner(seconds(6), |sim| sim.replace_owner("kacyiru"));
 }
