Don't replace a report on a shard by an older one

Cause: any hello replaced the summary of its sender's shards and the reported lapses of their silent VMs, also one that was held up and overtaken, or that came from a former owner. A newer report was lost: the work of a dead VM waited for longer after a change of owners, and old free room counted as fresh. Change: reports on a shard are ordered by the fencing token and then by the number of the hello; older ones, and those of an owner that is known to have been replaced, are dropped. The jobs that they list as accepted are still learned, as they stay in their shard. Evidence: a_late_hello_replaces_no_newer_report failed before: "the owner reported the VM" (vm-lapse-told wasn't logged). Why it works: tokens order the owners of a shard, and numbers the hellos of one owner.

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -103,6 +103,19 @@
     lapses: Vec<VmLapse>,
 }
 
+/// Order of the reports on a shard: by its owner's fencing token, then by the owner's hellos.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReportOrder {
+    fence: u64,
+    hello: u64,
+}
+
+/// Another daemon's newest report on its shard.
+struct RemoteShard {
+    order: ReportOrder,
+    view: ShardView,
+}
+
 /// A shard owner's last report on silent VMs, with its time.
 struct TimedLapses {
     at: Duration,
@@ -125,7 +138,7 @@
     ownership: Ownership,
     actors: Option<ActorHandles>,
     hosted: IndexMap<String, HostedShard>,
-    remote_shards: IndexMap<String, ShardView>,
+    remote_shards: IndexMap<String, RemoteShard>,
     queues: Option<Arc<Queues>>,
     config_confirmation: ConfigConfirmation,
     /// Whether the loss of the configuration's confirmation was logged.
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -1,6 +1,6 @@
 //! Messages handled by the control actor.
 
-use super::{ActorHandles, Control, ShardOffer, TimedLapses};
+use super::{ActorHandles, Control, RemoteShard, ReportOrder, ShardOffer, TimedLapses};
 use crate::cluster::{self, Head, Hello, Member, Plan, StoreReachability};
 use crate::evacuation::Evacuations;
 use crate::ids::{DaemonId, Ticket};
@@ -8,7 +8,6 @@
 use crate::jobs::follow::operators::LoadedConfig;
 use crate::jobs::view::ShardView;
 use crate::note::Note;
-use crate::shard::interference::PairEstimate;
 use crate::shard::loan::LoanMsg;
 use crate::shard::{Answer, CommitResult, Event, FleetListStatus, Recovered, VmLapse};
 use crate::upkeep::{self, Wave};
@@ -182,22 +181,23 @@
     fn handle(&mut self, msg: HelloReceived, cx: &mut Self::Context) {
         let now = self.begin_handler(cx).steady;
         let HelloReceived { hello, asked } = msg;
+        let mut learned = Vec::new();
         for report in &hello.shards {
             let shared: Arc<str> = Arc::from(report.name.as_str());
             report.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
+            let order = ReportOrder { fence: report.fence, hello: hello.number };
+            if !self.is_newest_report(&report.name, order) {
+                continue;
+            }
             let summary = Arc::new(report.summary.clone());
             let store = hello.store;
             let (owner, is_evacuated) = (None, false);
             let view = ShardView { owner, store, summary, summary_at: now, is_evacuated };
-            self.remote_shards.insert(report.name.clone(), view);
+            self.remote_shards.insert(report.name.clone(), RemoteShard { order, view });
             let lapses = TimedLapses { at: now, lapses: report.lapses.clone() };
             self.reported_lapses.insert(report.name.clone(), lapses);
+            learned.push((report.name.clone(), report.learned.clone()));
         }
-        let learned: Vec<(String, Vec<PairEstimate>)> = hello
-            .shards
-            .iter()
-            .map(|report| (report.name.clone(), report.learned.clone()))
-            .collect();
         for (from, learned) in learned {
             self.share_learned(&from, learned, cx);
         }
@@ -205,6 +205,14 @@
     }
 }
 
+impl Control {
+    /// Whether no newer report on a shard is known; a hello may be held up on the way.
+    fn is_newest_report(&self, shard: &str, order: ReportOrder) -> bool {
+        order.fence >= self.ownership.fence(shard).0
+            && self.remote_shards.get(shard).is_none_or(|known| known.order <= order)
+    }
+}
+
 /// Another daemon refused a connection.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -1,6 +1,6 @@
 //! State that the control actor publishes to other actors and daemons.
 
-use super::{Control, HostedShard};
+use super::{Control, HostedShard, RemoteShard};
 use crate::clock::Clock;
 use crate::cluster::{Hello, MemberStage, ShardReport, StoreReachability};
 use crate::jobs::confirmed::ConfirmationStatus;
@@ -29,7 +29,7 @@
         let now = self.clock.now();
         let mut known: Vec<OtherShard> = Vec::new();
         let evacuated = self.evacuated_shards();
-        for (name, view) in &self.remote_shards {
+        for (name, RemoteShard { view, .. }) in &self.remote_shards {
             let fresh = now.saturating_sub(view.summary_at) < MAX_NEIGHBOUR_AGE;
             if fresh && self.ownership.owner(name).is_some() && !self.hosted.contains_key(name) {
                 let (name, summary) = (Arc::from(name.as_str()), view.summary.clone());
@@ -103,7 +103,7 @@
     }
 
     pub(super) fn remote_view(&self, name: &str) -> ShardView {
-        let known = self.remote_shards.get(name);
+        let known = self.remote_shards.get(name).map(|known| &known.view);
         ShardView {
             owner: self.ownership.owner(name).map(Owner::Remote),
             store: known.map_or(StoreReachability::Away, |view| view.store),
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -327,3 +327,23 @@
     let planned = control.send(PlannedShards(vms)).await.expect("a control");
     assert_eq!(planned, [Some("kacyiru.0".to_owned()), Some("kacyiru.0".to_owned())]);
 }
+
+// Guards against work of a dead VM that is delayed: the report on it was replaced by an older hello
+// that was held up on the way, of the same owner or of an earlier one.
+#[actix::test]
+async fn a_late_hello_replaces_no_newer_report() {
+    let (newest, mut late) = (Hello { number: 9, ..hello() }, hello());
+    late.shards[0].lapses.clear();
+    let mut former = late.clone();
+    former.number = 50;
+    former.shards[0].fence = 4;
+    for late in [late, former] {
+        let lines = LogBuffer::default();
+        let control = logging_control(Arc::new(ManualClock::new()), lines.clone());
+        for hello in [newest.clone(), late] {
+            control.send(HelloReceived { hello, asked: None }).await.expect("a control");
+        }
+        control.send(claimed_with_silent_vm()).await.expect("a control");
+        assert!(lines.wait_for("vm-lapse-told", 1).await, "the owner reported the VM");
+    }
+}
