--- a/src/shard/run_times.rs
+++ b/src/shard/run_times.rs
@@ -45,6 +45,8 @@
     /// Weighted sums of squares and products of the deviations from the means.
     estimate_squares: f64,
     products: f64,
+    /// Weighted sum of the squared errors of the predictions made before each observation.
+    error_squares: f64,
 }
 
 impl RunTimes {
@@ -67,11 +69,19 @@
         let factor = (regression.predict(log_estimate) - log_estimate).exp();
         estimate.mul_f64(factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR))
     }
+
+    /// Returns the standard deviation of the logarithm of a run time around that of the expected
+    /// one.
+    pub fn deviation(&self, queue: &QueueName) -> f64 {
+        self.queues.get(queue).copied().unwrap_or_default().deviation()
+    }
 }
 
 impl Regression {
     fn add(&mut self, estimate: f64, run_time: f64) {
         let decay = 1.0 - 1.0 / MEMORY_TASKS;
+        let error = run_time - self.predict(estimate);
+        self.error_squares = self.error_squares * decay + error.powi(2);
         let before = self.tasks * decay;
         self.tasks = before + 1.0;
         let (off_estimate, off_run_time) =
@@ -90,6 +100,11 @@
             (self.mean_run_time - self.mean_estimate) * self.tasks / (self.tasks + PRIOR_TASKS);
         self.mean_estimate + bias + slope.clamp(0.0, 1.0) * (estimate - self.mean_estimate)
     }
+
+    fn deviation(&self) -> f64 {
+        let squares = self.error_squares + PRIOR_TASKS * PRIOR_VARIANCE;
+        (squares / (self.tasks + PRIOR_TASKS)).sqrt()
+    }
 }
 
 fn log_secs(time: Duration) -> f64 {
--- a/src/shard/run_times/tests.rs
+++ b/src/shard/run_times/tests.rs
@@ -88,3 +88,12 @@
     assert_eq!(expect(&times, 0), 0.0);
     assert!((0.8..3.0).contains(&expect(&times, 1700)));
 }
+
+// Guards against times that are foreseen well being taken for uncertain, or the other way round.
+#[test]
+fn the_deviation_follows_the_errors() {
+    assert_eq!(RunTimes::default().deviation(&queue()), 0.5);
+    let (known, unknown) = (learned(1.0, 300, 4), learned(30.0, 300, 4));
+    assert!(known.deviation(&queue()) < 0.2, "{}", known.deviation(&queue()));
+    assert!((0.5..0.9).contains(&unknown.deviation(&queue())), "{}", unknown.deviation(&queue()));
+}
