--- a/src/shard/own_load.rs
+++ b/src/shard/own_load.rs
@@ -2,21 +2,26 @@
 //!
 //! The tasks of a step serve the same users, so their loads change together: fitted individually,
 //! the tasks of a step agree in phase within 0.2 radians and differ from those of other steps.
-//! Their tails are therefore treated as readings of a single load by a filter that tracks its level
-//! and slope. A dozen tails a second reduce the error to 0.03. Forecasting half a second ahead, the
-//! time that commands need to take effect, adds about as much.
+//! Their tails are therefore treated as readings of a single load.
+//!
+//! Pattern: a bank of Kalman filters (a multiple-model estimator). One member tracks a level and a
+//! slope; each of the others tracks a mean and an oscillation of a fixed period. Each reading
+//! updates all members, and the members are weighted by how well they have predicted the readings.
+//! The estimate is the weighted mixture, whose variance includes the differences between members.
+//! A load that doesn't oscillate is left to the first member.
+
+mod oscillation;
+#[cfg(test)]
+mod tests;
+mod trend;
 
+use oscillation::{Oscillation, Period};
+use std::sync::LazyLock;
 use std::time::Duration;
+use trend::Trend;
 
-/// Initial load and its standard deviation.
+/// Initial load.
 const INITIAL_LOAD: f64 = 0.44;
-const INITIAL_LOAD_DEVIATION: f64 = 0.16;
-
-/// Standard deviation of the slope: a load changes by 0.2 in either direction within 10 to 14 s.
-const SLOPE_DEVIATION: f64 = 0.12;
-
-/// Standard deviation of the change in slope over one second.
-const SLOPE_DRIFT: f64 = 0.07;
 
 /// Mean age of a tail in seconds: it covers the last half second.
 const MEAN_TAIL_AGE: f64 = 0.25;
@@ -40,39 +45,128 @@
 /// Highest load that a tail can distinguish; above it the tail is cut off by its callers' timeouts.
 pub const MAX_MEASURED_LOAD: f64 = 0.97;
 
+/// Shortest and longest period of the bank in seconds, and the number of periods, which are spaced
+/// evenly on a logarithmic scale.
+const MIN_PERIOD: f64 = 5.0;
+const MAX_PERIOD: f64 = 20.0;
+const PERIODS: usize = 10;
+
+/// Initial weight of the level and slope; the periods share the rest evenly.
+const INITIAL_TREND_WEIGHT: f64 = 0.4;
+
+/// Share of a reading's evidence that counts towards the weights. The errors of readings taken
+/// within seconds of each other are correlated through their neighbours.
+const EVIDENCE: f64 = 0.5;
+
+/// Time in seconds after which evidence has lost two thirds of its weight.
+const EVIDENCE_MEMORY: f64 = 15.0;
+
+/// Weight below which a member doesn't count in a forecast.
+const MIN_FORECAST_WEIGHT: f64 = 0.005;
+
+/// Times in seconds at which the outlook is computed: the loads at each [`OUTLOOK_STEP`], and their
+/// deviations at each second of these times.
+const OUTLOOK_STEP: f64 = 0.25;
+const OUTLOOK_LOADS: usize = 29;
+const DEVIATION_STRIDE: usize = 2;
+const OUTLOOK_DEVIATIONS: usize = OUTLOOK_LOADS / DEVIATION_STRIDE + 1;
+
+/// Factor between the standard error that the bank computes and the one that is measured: the
+/// errors of readings are not independent.
+const ERROR_FACTOR: f64 = 1.0;
+
+static BANK: LazyLock<[Period; PERIODS]> = LazyLock::new(|| {
+    let ratio = MAX_PERIOD / MIN_PERIOD;
+    std::array::from_fn(|n| Period::new(MIN_PERIOD * ratio.powf(n as f64 / (PERIODS - 1) as f64)))
+});
+
 /// Estimated load of the serving tasks of one step.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OwnLoad {
-    level: f64,
-    /// Change per second.
-    slope: f64,
-    /// Error covariance: variance of the level, covariance of level and slope, variance of the
-    /// slope.
-    covariance: [f64; 3],
+    trend: Trend,
+    oscillations: [Oscillation; PERIODS],
+    /// Weights of the trend and of each oscillation as logarithms.
+    evidence: [f64; PERIODS + 1],
+    weights: [f64; PERIODS + 1],
+    reading: Reading,
     at: Duration,
+    outlook: Outlook,
     /// Tail latency without any load, in seconds.
     base: f64,
     target: f64,
 }
 
+/// A forecast load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    pub load: f64,
+    /// Standard error of `load`.
+    pub deviation: f64,
+}
+
+/// An expected reading and its variance.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Reading {
+    mean: f64,
+    variance: f64,
+}
+
+/// Expected loads after a reading.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Outlook {
+    at: Duration,
+    loads: [f32; OUTLOOK_LOADS],
+    deviations: [f32; OUTLOOK_DEVIATIONS],
+}
+
 impl OwnLoad {
     /// Returns the initial estimate for tasks that have reported nothing yet.
     pub fn new(target: Duration, now: Duration) -> Self {
         let target = target.as_secs_f64();
-        Self {
-            level: INITIAL_LOAD,
-            slope: 0.0,
-            covariance: [INITIAL_LOAD_DEVIATION.powi(2), 0.0, SLOPE_DEVIATION.powi(2)],
+        let mut load = Self {
+            trend: Trend::new(),
+            oscillations: [Oscillation::new(); PERIODS],
+            evidence: initial_evidence(),
+            weights: [0.0; PERIODS + 1],
+            reading: Reading::default(),
             at: now,
+            outlook: Outlook {
+                at: now,
+                loads: [INITIAL_LOAD as f32; OUTLOOK_LOADS],
+                deviations: [0.0; OUTLOOK_DEVIATIONS],
+            },
             base: target * BASE_SHARE,
             target,
-        }
+        };
+        load.update_weights();
+        load.update_reading();
+        load.update_outlook();
+        load
     }
 
     /// Returns the load expected `ahead` of now.
     pub fn forecast(&self, now: Duration, ahead: Duration) -> f64 {
-        let age = now.saturating_sub(self.at) + ahead;
-        (self.level + self.slope * age.as_secs_f64()).clamp(MIN_LOAD, MAX_LOAD)
+        let position = self.outlook.position(now + ahead);
+        interpolate(&self.outlook.loads, position)
+    }
+
+    /// Returns the standard error of [`OwnLoad::forecast`].
+    pub fn deviation(&self, now: Duration, ahead: Duration) -> f64 {
+        self.outlook.deviation(self.outlook.position(now + ahead))
+    }
+
+    /// Returns the highest load expected between two times from now, with its standard error.
+    pub fn highest(&self, now: Duration, from: Duration, to: Duration) -> Forecast {
+        let last = (OUTLOOK_LOADS - 1) as f64;
+        let first = self.outlook.position(now + from).min(last);
+        let end = self.outlook.position(now + to).min(last);
+        let within = (first as usize + 1)..=(end as usize);
+        let positions = within.map(|index| index as f64).chain([first, end]);
+        let highest = positions
+            .map(|position| (interpolate(&self.outlook.loads, position), position))
+            .max_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (load, position) = highest.unwrap_or((INITIAL_LOAD, 0.0));
+        Forecast { load, deviation: self.outlook.deviation(position) }
     }
 
     /// Returns the total load at which the tail is `share` of the target.
@@ -89,47 +183,59 @@
     /// Advances the estimate to the present.
     pub fn advance(&mut self, now: Duration) {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
         if age > EXPIRY_SECONDS {
             let known = Self::new(Duration::from_secs_f64(self.target), now);
             *self = Self { base: self.base, ..known };
             return;
         }
-        self.level = (self.level + self.slope * age).clamp(MIN_LOAD, MAX_LOAD);
-        let [level, cross, slope] = self.covariance;
-        let drift = SLOPE_DRIFT.powi(2);
-        self.covariance = [
-            level + 2.0 * age * cross + age * age * slope + drift * age.powi(3) / 3.0,
-            cross + age * slope + drift * age * age / 2.0,
-            (slope + drift * age).min(SLOPE_DEVIATION.powi(2)),
-        ];
+        self.at = now;
+        if age <= 0.0 {
+            return;
+        }
+        self.trend.advance(age);
+        for (oscillation, period) in self.oscillations.iter_mut().zip(BANK.iter()) {
+            oscillation.advance(period, age);
+        }
+        let kept = (-age / EVIDENCE_MEMORY).exp();
+        for (evidence, initial) in self.evidence.iter_mut().zip(initial_evidence()) {
+            *evidence = initial + (*evidence - initial) * kept;
+        }
+        self.update_weights();
+        self.update_reading();
     }
 
     /// Returns the own load expected in a reading that arrives now, without the load added by
     /// neighbours.
     pub fn expected_reading(&self) -> f64 {
-        self.level - MEAN_TAIL_AGE * self.slope
+        self.reading.mean
     }
 
     /// Returns the variance of [`OwnLoad::expected_reading`].
     pub fn variance(&self) -> f64 {
-        let [level, cross, slope] = self.covariance;
-        level - 2.0 * MEAN_TAIL_AGE * cross + MEAN_TAIL_AGE * MEAN_TAIL_AGE * slope
+        self.reading.variance
     }
 
     /// Corrects the estimate by its part of a reading's error, whose variance is `variance`.
     pub fn correct(&mut self, error: f64, variance: f64) {
-        let [level, cross, slope] = self.covariance;
-        let on_level = level - MEAN_TAIL_AGE * cross;
-        let on_slope = cross - MEAN_TAIL_AGE * slope;
-        let (gain_level, gain_slope) = (on_level / variance, on_slope / variance);
-        self.level = (self.level + gain_level * error).clamp(MIN_LOAD, MAX_LOAD);
-        self.slope += gain_slope * error;
-        self.covariance = [
-            level - gain_level * on_level,
-            cross - gain_level * on_slope,
-            slope - gain_slope * on_slope,
-        ];
+        let noise = (variance - self.reading.variance).max(0.0);
+        let value = self.reading.mean + error;
+        let mut evidence = self.evidence;
+        let note = |evidence: &mut f64, expected: Reading| {
+            let (error, variance) = (value - expected.mean, expected.variance + noise);
+            *evidence -= EVIDENCE * 0.5 * (error * error / variance + variance.ln());
+            (error, variance)
+        };
+        let (error, variance) = note(&mut evidence[0], self.trend.reading());
+        self.trend.correct(error, variance);
+        let members = self.oscillations.iter_mut().zip(BANK.iter());
+        for ((oscillation, period), evidence) in members.zip(&mut evidence[1..]) {
+            let (error, variance) = note(evidence, oscillation.reading(period));
+            oscillation.correct(period, error, variance);
+        }
+        self.evidence = evidence;
+        self.update_weights();
+        self.update_reading();
+        self.update_outlook();
     }
 
     /// Lowers the estimated tail without load if this tail is lower than all before.
@@ -140,4 +246,95 @@
             self.base = self.base.min(base).max(self.target / 50.0);
         }
     }
+
+    fn update_weights(&mut self) {
+        let most = self.evidence.iter().copied().fold(f64::MIN, f64::max);
+        let mut sum = 0.0;
+        for (weight, evidence) in self.weights.iter_mut().zip(&mut self.evidence) {
+            *evidence -= most;
+            *weight = evidence.exp();
+            sum += *weight;
+        }
+        self.weights.iter_mut().for_each(|weight| *weight /= sum);
+    }
+
+    fn update_reading(&mut self) {
+        let oscillations = self.oscillations.iter().zip(BANK.iter());
+        let members = std::iter::once(self.trend.reading())
+            .chain(oscillations.map(|(oscillation, period)| oscillation.reading(period)));
+        let (mut mean, mut squares) = (0.0, 0.0);
+        for (weight, reading) in self.weights.iter().zip(members) {
+            mean += weight * reading.mean;
+            squares += weight * (reading.variance + reading.mean * reading.mean);
+        }
+        self.reading = Reading { mean, variance: squares - mean * mean };
+    }
+
+    fn update_outlook(&mut self) {
+        let mut loads = [0.0; OUTLOOK_LOADS];
+        let mut squares = [0.0; OUTLOOK_DEVIATIONS];
+        let mut total = 0.0;
+        let mut add = |weight: f64, forecast: &mut dyn FnMut(f64) -> (f64, f64)| {
+            if weight < MIN_FORECAST_WEIGHT {
+                return;
+            }
+            total += weight;
+            for (index, sum) in loads.iter_mut().enumerate() {
+                let (load, variance) = forecast(index as f64 * OUTLOOK_STEP);
+                *sum += weight * load;
+                if index % DEVIATION_STRIDE == 0 {
+                    squares[index / DEVIATION_STRIDE] += weight * (variance + load * load);
+                }
+            }
+        };
+        add(self.weights[0], &mut |ahead| self.trend.forecast(ahead));
+        let members = self.oscillations.iter().zip(BANK.iter());
+        for ((oscillation, period), weight) in members.zip(&self.weights[1..]) {
+            let (step_sin, step_cos) = (period.frequency * OUTLOOK_STEP).sin_cos();
+            let (mut sin, mut cos) = (0.0, 1.0);
+            add(*weight, &mut |ahead| {
+                let forecast = oscillation.forecast(sin, cos, ahead);
+                (sin, cos) = (sin * step_cos + cos * step_sin, cos * step_cos - sin * step_sin);
+                forecast
+            });
+        }
+        self.outlook.at = self.at;
+        for (index, load) in loads.iter().enumerate() {
+            let load = load / total;
+            if index % DEVIATION_STRIDE == 0 {
+                let variance = squares[index / DEVIATION_STRIDE] / total - load * load;
+                let deviation = ERROR_FACTOR * variance.max(0.0).sqrt();
+                self.outlook.deviations[index / DEVIATION_STRIDE] = deviation as f32;
+            }
+            self.outlook.loads[index] = load.clamp(MIN_LOAD, MAX_LOAD) as f32;
+        }
+    }
+}
+
+impl Outlook {
+    /// Returns the position of a time in `loads`.
+    fn position(&self, at: Duration) -> f64 {
+        at.saturating_sub(self.at).as_secs_f64() / OUTLOOK_STEP
+    }
+
+    /// Returns the standard error at a position in `loads`.
+    fn deviation(&self, position: f64) -> f64 {
+        interpolate(&self.deviations, position / DEVIATION_STRIDE as f64)
+    }
+}
+
+/// Returns the value at a position between two values; beyond the last one, the last one.
+fn interpolate(values: &[f32], position: f64) -> f64 {
+    let index = position as usize;
+    let last = values.last().copied().map_or(0.0, f64::from);
+    let value = |index: usize| values.get(index).copied().map_or(last, f64::from);
+    let part = position - position.floor();
+    value(index) * (1.0 - part) + value(index + 1) * part
+}
+
+fn initial_evidence() -> [f64; PERIODS + 1] {
+    let each = (1.0 - INITIAL_TREND_WEIGHT) / PERIODS as f64;
+    let mut evidence = [(each / INITIAL_TREND_WEIGHT).ln(); PERIODS + 1];
+    evidence[0] = 0.0;
+    evidence
 }
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -109,7 +109,7 @@
         let served = |(key, run): (&RunKey, &super::vm_run::Run)| {
             let job = self.jobs.get(&key.task.job)?;
             let target = job.step(key.task)?.tail_target?;
-            let load = job.step_run(key.task)?.load?;
+            let load = job.step_run(key.task)?.load.as_ref()?;
             let serving = &run.serving;
             Some(ServingTask {
                 task: key.task,
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -115,8 +115,10 @@
                 long_running_share += f64::from(run.milli_cores) / room.size;
             }
             if step.tail_target.is_some() {
-                let load =
-                    self.jobs.get(&key.task.job).and_then(|job| job.step_run(key.task)?.load);
+                let load = self
+                    .jobs
+                    .get(&key.task.job)
+                    .and_then(|job| job.step_run(key.task)?.load.as_ref());
                 let slack = load.map_or(DEFAULT_LOAD_BOUND - DEFAULT_EXPECTED_LOAD, |load| {
                     let expected =
                         load.forecast(self.now.steady, FORECAST_HORIZON).max(MIN_EXPECTED_LOAD);
