--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -44,15 +44,17 @@
 /// than serving tasks gain.
 pub const TARGET_SHARE: f64 = 1.0;
 
-/// Standard deviation of a serving task's load half a second ahead from its forecast.
-const FORECAST_DEVIATION: f64 = 0.05;
-
-/// Returns the probability that a load forecast to exceed its bound by `excess` will be above the
-/// bound, using the logistic approximation of the normal distribution.
-pub fn chance_over(excess: f64) -> f64 {
+/// Standard deviation of a single task's load from the one expected of its step with its
+/// neighbours, apart from the error of the forecast.
+const TASK_DEVIATION: f64 = 0.03;
+
+/// Returns the probability that a task's load will be above its bound, using the logistic
+/// approximation of the normal distribution. The forecast exceeds the bound by `excess`, and its
+/// standard error is `deviation`.
+pub fn chance_over(excess: f64, deviation: f64) -> f64 {
     /// Scale at which the logistic curve approximates the normal distribution best.
     const LOGISTIC: f64 = 1.702;
-    1.0 / (1.0 + (-LOGISTIC * excess / FORECAST_DEVIATION).exp())
+    1.0 / (1.0 + (-LOGISTIC * excess / deviation.hypot(TASK_DEVIATION)).exp())
 }
 
 /// An estimated amount.
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -58,6 +58,8 @@
     task: TaskRef,
     image: ImageIx,
     own: f64,
+    /// Standard error of `own`.
+    deviation: f64,
     bound: f64,
     over: Duration,
     tail_ms: u32,
@@ -115,6 +117,7 @@
                 task: key.task,
                 image: self.image(key.task),
                 own: load.forecast(now, FORECAST_HORIZON) + LOAD_MARGIN,
+                deviation: load.deviation(now, FORECAST_HORIZON),
                 bound: load.load_at_target_share(TARGET_SHARE),
                 over: serving.over_since.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
                 tail_ms: run.measurement,
--- a/src/shard/relief/paces.rs
+++ b/src/shard/relief/paces.rs
@@ -1,10 +1,10 @@
 //! Selects the paces of the leftover work on one VM that minimize the total loss.
 //!
-//! A serving task's load half a second ahead is known to about 0.05. Pacing its neighbours so that
-//! the mean load stays at the bound leaves it over the bound half of the time: on days of usual
-//! load, half of all time over a target had been forecast to be below it by less than 0.06. Each
-//! serving task is therefore weighted by its probability of exceeding its target, and each
-//! neighbour by the work that it loses. A neighbour that adds much load is kept well below the
+//! A serving task's load half a second ahead is known only with the error of its forecast. Pacing
+//! its neighbours so that the mean load stays at the bound leaves it over the bound half of the
+//! time: on days of usual load, half of all time over a target had been forecast to be below it by
+//! less than 0.06. Each serving task is therefore weighted by its probability of exceeding its
+//! target, and each neighbour by the work that it loses. A neighbour that adds much load is kept well below the
 //! bound, and one that adds little keeps running next to a task that is near it.
 
 use super::{HEAVY, Neighbour, STOP_ALL_AFTER, STOP_HEAVY_AFTER, ServingTask};
@@ -54,6 +54,8 @@
 struct PaceModel {
     /// Load without neighbours minus the bound, by serving task.
     own: Vec<f64>,
+    /// Standard error of `own`, by serving task.
+    deviations: Vec<f64>,
     /// Load added at full speed, by neighbour, then by serving task.
     added: Vec<Vec<f64>>,
 }
@@ -69,6 +71,7 @@
         };
         Self {
             own: served.iter().map(|s| s.own - s.bound).collect(),
+            deviations: served.iter().map(|s| s.deviation).collect(),
             added: neighbours.iter().map(added).collect(),
         }
     }
@@ -87,7 +90,7 @@
     /// Returns the loss, in stopped neighbours.
     fn cost(&self, paces: &[f64], limits: &[f64]) -> f64 {
         let held: f64 = limits.iter().zip(paces).map(|(limit, pace)| limit - pace).sum();
-        held + over_cost(self.excess(paces).into_iter())
+        held + self.over_cost(self.excess(paces).into_iter())
     }
 
     /// Improves one pace at a time until there is no further gain.
@@ -101,7 +104,7 @@
                 }
                 let loss = |pace: f64| {
                     let there = excess.iter().zip(added).map(|(e, a)| e + a * pace);
-                    limits[index] - pace + over_cost(there)
+                    limits[index] - pace + self.over_cost(there)
                 };
                 let before = loss(paces[index]);
                 let (pace, least) = best_pace(limits[index], loss);
@@ -120,6 +123,13 @@
         paces
     }
 
+    /// Returns the expected loss of the serving tasks when their loads exceed their bounds by
+    /// `excess`.
+    fn over_cost(&self, excess: impl Iterator<Item = f64>) -> f64 {
+        let chances = excess.zip(&self.deviations).map(|(e, deviation)| chance_over(e, *deviation));
+        OVER_TARGET_COST * chances.sum::<f64>()
+    }
+
     /// Returns the serving task with the highest load above its bound.
     fn worst(&self, paces: &[f64]) -> Option<usize> {
         let excess = self.excess(paces);
@@ -143,11 +153,6 @@
     best
 }
 
-/// Returns the expected loss of serving tasks whose loads exceed their bounds by `excess`.
-fn over_cost(excess: impl Iterator<Item = f64>) -> f64 {
-    OVER_TARGET_COST * excess.map(chance_over).sum::<f64>()
-}
-
 /// Stops the neighbours of a task that has been over its target for long, regardless of the
 /// estimated loss.
 fn stop_neighbours(
--- a/src/shard/relief/tests.rs
+++ b/src/shard/relief/tests.rs
@@ -7,6 +7,9 @@
 const HEAVY: f64 = 2.0;
 const LIGHT: f64 = 0.2;
 
+/// Standard error of a forecast that makes each task's load known to 0.05.
+const DEVIATION: f64 = 0.04;
+
 /// Learned effects of one heavy and one light leftover image on one serving image.
 struct Known {
     interference: InterferenceModel,
@@ -41,6 +44,7 @@
         task: task(2),
         image,
         own: 0.78 - slack,
+        deviation: DEVIATION,
         bound: 0.78,
         over,
         tail_ms: 12,
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -84,6 +84,9 @@
 /// for slowing down running work, since work that waits a moment finds another VM.
 const HARM_COST: f64 = 1.25;
 
+/// Standard error of a forecast at [`FORECAST_HORIZON`].
+const FORECAST_DEVIATION: f64 = 0.04;
+
 /// Time from now to the middle of the run of a task placed now.
 const FORECAST_HORIZON: Duration = Duration::from_millis(1000);
 
@@ -294,7 +297,8 @@
         let share = f64::from(step.size.milli_cores.0) / self.size;
         let harm = |served: &ServingTask| {
             let added = interference.amount(image, served.image) * share;
-            chance_over(added - served.slack) - chance_over(-served.slack)
+            chance_over(added - served.slack, FORECAST_DEVIATION)
+                - chance_over(-served.slack, FORECAST_DEVIATION)
         };
         (1.0 - HARM_COST * self.served.iter().map(harm).sum::<f64>()).max(0.0)
     }
