--- a/src/shard/moving.rs
+++ b/src/shard/moving.rs
@@ -43,12 +43,14 @@
             let Some(step) = job.step(key.task).cloned() else { continue };
             let image = self.image(key.task);
             let service = job.job.service.clone();
+            let percent = self.vms.get(&vm).and_then(|vm| Some(vm.runs.get(&key)?.percent));
+            let time = remaining(self.expected_run_time(key.task), percent.unwrap_or(0));
             let is_better = |room: &&mut VmCapacity| {
                 room.vm != vm
                     && room.service == service
                     && room.takes(&step, key.task.step_ref())
                     && self.has_label(&room.vm, &step)
-                    && self.speed(room, &step, image) >= MIN_LEFTOVER_SPEED
+                    && self.speed(room, &step, image, time) >= MIN_LEFTOVER_SPEED
             };
             let Some(room) = pass.rooms.iter_mut().find(is_better) else { continue };
             room.take(&step, image, key.task.step_ref(), &self.interference);
@@ -84,7 +86,7 @@
 fn can_move(step: &Step, time: Duration, run: &Run, move_time: Duration, now: Duration) -> bool {
     let min_slowdown = move_time.mul_f64(MIN_SLOWDOWN_SHARE);
     let long = run.slowed.is_some_and(|since| now.saturating_sub(since) >= min_slowdown);
-    let left = time.mul_f64(f64::from(100 - run.percent.min(100)) / 100.0);
+    let left = remaining(time, run.percent);
     long && run.is_running()
         && step.share == Share::Leftover
         && step.life == Life::Finite
@@ -92,3 +94,8 @@
         && !step.grouping.is_gang()
         && left >= move_time.mul_f64(MIN_REMAINING_SHARE)
 }
+
+/// Returns what is left of a run time when `percent` of the work is done.
+fn remaining(time: Duration, percent: u8) -> Duration {
+    time.mul_f64(f64::from(100 - percent.min(100)) / 100.0)
+}
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -260,6 +260,7 @@
         let permits = self.permits_of(task);
         let suspect = self.is_suspect(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
+        let time = self.expected_run_time(task);
         let fits = |(_, room): &(usize, &VmCapacity)| {
             let held = room.held_for_long_running && step.life == Life::Finite;
             !held && !room.is_reserved && room.service == shape.service && room.takes(step, key)
@@ -271,7 +272,7 @@
             .filter(|(_, room)| self.has_label(&room.vm, step))
             .filter(|(_, room)| permits.is_none_or(|p| p.valid_permit(&room.vm, now).is_some()))
             .filter_map(|(index, room)| {
-                let cost = self.cost(room, step, shape.image, need)?;
+                let cost = self.cost(room, step, shape.image, time, need)?;
                 let cost = cost + penalty(room, key, step, failed_on.as_ref());
                 Some((index, cost + suspect_cost(room, suspect)))
             })
@@ -281,9 +282,16 @@
 
     /// Computes the cost of placing a task on a VM (lower is better), or `None` if the task should
     /// rather wait.
-    fn cost(&self, room: &VmCapacity, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
+    fn cost(
+        &self,
+        room: &VmCapacity,
+        step: &Step,
+        image: ImageIx,
+        time: Duration,
+        need: Need,
+    ) -> Option<f64> {
         let cost = match (step.share, step.life) {
-            (Share::Leftover, _) => self.leftover_cost(room, step, image, need)?,
+            (Share::Leftover, _) => self.leftover_cost(room, step, image, time, need)?,
             (Share::Reserved, Life::Lasting) if room.is_crowded => crowded_cost(room, step, image),
             (Share::Reserved, Life::Lasting) => long_running_cost(room, step, image),
             (Share::Reserved, Life::Finite) => -f64::from(room.free.milli_cores.0) / 1000.0,
@@ -311,12 +319,13 @@
         room: &VmCapacity,
         step: &Step,
         image: ImageIx,
+        time: Duration,
         need: Need,
     ) -> Option<f64> {
         if room.is_overloaded {
             return None;
         }
-        let speed = self.speed(room, step, image);
+        let speed = self.speed(room, step, image, time);
         if speed < MIN_LEFTOVER_SPEED && need == Need::Normal {
             return None;
         }
@@ -325,10 +334,23 @@
         Some(free - SPEED_WEIGHT * speed - spare)
     }
 
-    /// Returns the effective speed of leftover work on a VM, reduced by the harm to serving tasks,
-    /// from 0 to 1.
-    pub(super) fn speed(&self, room: &VmCapacity, step: &Step, image: ImageIx) -> f64 {
-        room.leftover_speed(step) * room.value_after_harm(step, image, &self.interference)
+    /// Returns the effective speed of leftover work that runs for `time` on a VM, reduced by the
+    /// harm to serving tasks, from 0 to 1.
+    pub(super) fn speed(
+        &self,
+        room: &VmCapacity,
+        step: &Step,
+        image: ImageIx,
+        time: Duration,
+    ) -> f64 {
+        room.leftover_speed(step) * room.value_after_harm(step, image, time, &self.interference)
+    }
+
+    /// Returns the time that a run of a task is expected to take.
+    pub(super) fn expected_run_time(&self, task: TaskRef) -> Duration {
+        let job = self.jobs.get(&task.job);
+        let time = |job| self.step_time(job, usize::from(task.step), job.step_run(task));
+        job.map_or(Duration::ZERO, time)
     }
 
     pub(super) fn has_label(&self, vm: &VmId, step: &Step) -> bool {
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -5,7 +5,8 @@
 
 use super::Shard;
 use super::health::State;
-use super::interference::{ImageIx, InterferenceModel, chance_over};
+use super::interference::{ImageIx, InterferenceModel, TARGET_SHARE, chance_over};
+use super::own_load::OwnLoad;
 use super::relief::STOP_ALL_AFTER;
 use super::vm_run::{RunKey, Vm};
 use crate::ids::{RackId, ServiceName, VmId};
@@ -61,8 +62,69 @@
 #[derive(Clone, Debug)]
 pub struct ServingTask {
     pub image: ImageIx,
-    /// Load that can be added before the task's tail latency exceeds its target.
-    pub slack: f64,
+    pub slack: Slack,
+}
+
+/// Load that can be added before a serving task's tail latency exceeds its target, by how long the
+/// load stays.
+#[derive(Clone, Debug)]
+pub struct Slack {
+    /// Slack at the highest own load expected until each of [`SPANS`], without the added load.
+    spans: [SpanSlack; SPANS.len()],
+    /// Load that leftover work adds.
+    added: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SpanSlack {
+    load: f64,
+    /// Standard error of the highest own load.
+    deviation: f64,
+}
+
+/// Times for which slacks are known; longer runs count as the last one. An oscillating load passes
+/// its peak within the last one.
+const SPANS: [Duration; 6] = [
+    Duration::from_millis(500),
+    Duration::from_millis(1000),
+    Duration::from_millis(1750),
+    Duration::from_millis(2500),
+    Duration::from_millis(4000),
+    Duration::from_millis(7000),
+];
+
+impl Slack {
+    /// Returns a slack that is the same for all times, with the standard error `deviation`.
+    pub fn constant(load: f64, deviation: f64) -> Self {
+        Self { spans: [SpanSlack { load, deviation }; SPANS.len()], added: 0.0 }
+    }
+
+    /// Returns the slack of a task with this load.
+    fn of(load: &OwnLoad, now: Duration) -> Self {
+        let bound = load.load_at_target_share(TARGET_SHARE);
+        let spans = SPANS.map(|span| {
+            let highest = load.highest(now, Duration::ZERO, span);
+            SpanSlack { load: bound - highest.load, deviation: highest.deviation }
+        });
+        Self { spans, added: 0.0 }
+    }
+
+    /// Returns the probability that the task exceeds its target within `time` if `added` is added
+    /// to its load.
+    fn chance_over(&self, time: Duration, added: f64) -> f64 {
+        let span = self.within(time);
+        chance_over(self.added + added - span.load, span.deviation)
+    }
+
+    /// Returns the slack that remains for `time`.
+    fn remaining(&self, time: Duration) -> f64 {
+        self.within(time).load - self.added
+    }
+
+    fn within(&self, time: Duration) -> SpanSlack {
+        let index = SPANS.iter().position(|span| time <= *span).unwrap_or(SPANS.len() - 1);
+        self.spans[index]
+    }
 }
 
 /// Whether a VM is on probation and gets one task at a time.
@@ -76,19 +138,15 @@
 /// range.
 const DEFAULT_EXPECTED_LOAD: f64 = 0.6;
 
-/// Lower bound of the own load expected while work placed next to a serving task runs, since a low
-/// load rises again.
-const MIN_EXPECTED_LOAD: f64 = 0.35;
+/// Standard error of that assumption, which is already on the high side.
+const DEFAULT_DEVIATION: f64 = 0.04;
 
 /// Share of a leftover task's value that is lost for each serving task over its target. Higher than
 /// for slowing down running work, since work that waits a moment finds another VM.
 const HARM_COST: f64 = 1.25;
 
-/// Standard error of a forecast at [`FORECAST_HORIZON`].
-const FORECAST_DEVIATION: f64 = 0.04;
-
-/// Time from now to the middle of the run of a task placed now.
-const FORECAST_HORIZON: Duration = Duration::from_millis(1000);
+/// Time for which the free room reported to other shards is to last.
+const REPORTED_SPAN: Duration = Duration::from_millis(1000);
 
 impl Shard {
     /// Returns the room on a VM, or `None` if it accepts no work at the moment.
@@ -118,15 +176,9 @@
                 long_running_share += f64::from(run.milli_cores) / room.size;
             }
             if step.tail_target.is_some() {
-                let load = self
-                    .jobs
-                    .get(&key.task.job)
-                    .and_then(|job| job.step_run(key.task)?.load.as_ref());
-                let slack = load.map_or(DEFAULT_LOAD_BOUND - DEFAULT_EXPECTED_LOAD, |load| {
-                    let expected =
-                        load.forecast(self.now.steady, FORECAST_HORIZON).max(MIN_EXPECTED_LOAD);
-                    load.load_at_target_share(super::interference::TARGET_SHARE) - expected
-                });
+                let job = self.jobs.get(&key.task.job);
+                let load = job.and_then(|job| job.step_run(key.task)?.load.as_ref());
+                let slack = load.map_or_else(default_slack, |load| Slack::of(load, now));
                 room.served.push(ServingTask { image, slack });
             } else if run.share == Share::Leftover {
                 beside.push((image, f64::from(run.milli_cores) / room.size));
@@ -143,6 +195,11 @@
 /// Load bound of a serving task that has reported nothing yet.
 const DEFAULT_LOAD_BOUND: f64 = 0.72;
 
+/// Returns the slack of a serving task that has reported nothing yet.
+fn default_slack() -> Slack {
+    Slack::constant(DEFAULT_LOAD_BOUND - DEFAULT_EXPECTED_LOAD, DEFAULT_DEVIATION)
+}
+
 impl VmCapacity {
     /// Returns the room on a VM as far as its own state tells, or `None` if it accepts no work at
     /// the moment.
@@ -276,29 +333,29 @@
             self.long_running_share += share;
         }
         if step.tail_target.is_some() {
-            let slack = DEFAULT_LOAD_BOUND - DEFAULT_EXPECTED_LOAD;
-            self.served.push(ServingTask { image, slack });
+            self.served.push(ServingTask { image, slack: default_slack() });
         }
         self.steps.push(key);
     }
 
-    /// Returns the value of a leftover task here after subtracting the harm to serving tasks, from
-    /// 0 to 1.
+    /// Returns the value of a leftover task that runs here for `time` after subtracting the harm to
+    /// serving tasks, from 0 to 1.
     ///
-    /// Harm is the increase in each serving task's probability of exceeding its target. A task that
+    /// Harm is the increase in each serving task's probability of exceeding its target at the
+    /// highest load expected within that time. A task that
     /// adds little load does little harm even next to a serving task that is at its bound or
     /// already over it. One that adds much harms several tasks that are still below theirs.
     pub fn value_after_harm(
         &self,
         step: &Step,
         image: ImageIx,
+        time: Duration,
         interference: &InterferenceModel,
     ) -> f64 {
         let share = f64::from(step.size.milli_cores.0) / self.size;
         let harm = |served: &ServingTask| {
             let added = interference.amount(image, served.image) * share;
-            chance_over(added - served.slack, FORECAST_DEVIATION)
-                - chance_over(-served.slack, FORECAST_DEVIATION)
+            served.slack.chance_over(time, added) - served.slack.chance_over(time, 0.0)
         };
         (1.0 - HARM_COST * self.served.iter().map(harm).sum::<f64>()).max(0.0)
     }
@@ -325,9 +382,10 @@
         image: ImageIx,
         interference: &InterferenceModel,
     ) -> u64 {
+        let slack = |served: &ServingTask| served.slack.remaining(REPORTED_SPAN).max(0.0);
         let most = |served: &ServingTask| {
             let amount = interference.amount(image, served.image);
-            if amount <= 0.0 { self.size } else { served.slack.max(0.0) / amount * self.size }
+            if amount <= 0.0 { self.size } else { slack(served) / amount * self.size }
         };
         let most = self.served.iter().map(most).fold(self.size, f64::min);
         most.min(self.leftover - self.leftover_demand).max(0.0) as u64
@@ -354,7 +412,7 @@
 
     fn add_beside(&mut self, image: ImageIx, share: f64, interference: &InterferenceModel) {
         for served in &mut self.served {
-            served.slack -= interference.amount(image, served.image) * share;
+            served.slack.added += interference.amount(image, served.image) * share;
         }
     }
 
--- a/src/shard/room/tests.rs
+++ b/src/shard/room/tests.rs
@@ -1,4 +1,4 @@
-use super::{ServingTask, VmCapacity};
+use super::{ServingTask, Slack, VmCapacity};
 use crate::ids::{RackId, ServiceName, VmId};
 use crate::job::{Image, Resume, Share, Step};
 use crate::shard::interference::{Estimate, ImageIx, InterferenceModel, Pair, PairEstimate};
@@ -29,13 +29,18 @@
         ["leftover", "serving"].map(|name| interference.number(&Image::new(name)));
     let (rack, service) = (RackId::new("r0"), ServiceName::new("desk"));
     let mut room = VmCapacity::empty(VmId::new("vm"), Arc::from("vm"), rack, service, SIZE);
+    let slack = Slack::constant(slack, DEVIATION);
     room.served = vec![ServingTask { image: serving, slack }; 5];
-    room.value_after_harm(&leftover(), image, &interference)
+    let step = leftover();
+    room.value_after_harm(&step, image, step.estimate, &interference)
 }
 
 const HEAVY: f64 = 2.0;
 const LIGHT: f64 = 0.2;
 
+/// Standard error of a forecast that makes each task's load known to 0.05.
+const DEVIATION: f64 = 0.04;
+
 // Five serving tasks are over their targets because of their own load. Work that adds little load
 // makes no difference to them and must be able to start. If only the remaining slack counted, it
 // would wait for the peak to pass.
