--- a/src/shard/interference/tests.rs
+++ b/src/shard/interference/tests.rs
@@ -1,4 +1,7 @@
-use super::{READING_INTERVAL, TailState};
+use super::{InterferenceModel, LeftoverNeighbour, OwnLoad, READING_INTERVAL, TailState};
+use crate::job::Image;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
 const TARGET: Duration = Duration::from_millis(50);
@@ -70,3 +73,36 @@
 fn another_tail_just_under_the_target_ends_the_time_over_it() {
     assert_eq!(over_since_at(&[(0, 60), (350, 48), (360, 48), (560, 47)]), None);
 }
+
+// The own load takes part of each reading's error. If its variance were wrong while it oscillates,
+// pairs would absorb the oscillation, and heavy ones couldn't be told from light ones.
+#[test]
+fn pairs_are_learned_beside_oscillating_loads() {
+    const AMOUNTS: [f64; 2] = [2.0, 0.2];
+    for seed in 0..8 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut model = InterferenceModel::default();
+        let [heavy, light, serving] =
+            ["heavy", "light", "serving"].map(|name| model.number(&Image::new(name)));
+        let mut load = OwnLoad::new(Duration::from_millis(18), Duration::ZERO);
+        let (period, phase) = (rng.random_range(7.0..14.0), rng.random_range(0.0..6.28));
+        for reading in 0..600 {
+            let now = 0.035 * f64::from(reading);
+            let neighbour = rng.random_range(0..4);
+            let share = rng.random_range(0.03..0.1);
+            let image = [heavy, light].get(neighbour).copied();
+            let beside: Vec<_> =
+                image.into_iter().map(|image| LeftoverNeighbour { image, share }).collect();
+            let own = 0.42 + 0.21 * (std::f64::consts::TAU * (now - 0.25) / period + phase).sin();
+            let added = AMOUNTS.get(neighbour).map_or(0.0, |amount| amount * share);
+            let noise = rng.random_range(-0.08..0.08);
+            let tail = (4.0 / (1.0 - (own + added + noise).min(0.97))).round();
+            let tail = Duration::from_millis(tail as u64);
+            model.learn(&mut load, serving, tail, &beside, Duration::from_secs_f64(now));
+        }
+        let [heavy, light] = [heavy, light].map(|image| model.amount(image, serving));
+        println!("{heavy:.2} {light:.2}");
+        assert!((heavy - AMOUNTS[0]).abs() < 0.4, "seed {seed}: {heavy}");
+        assert!((light - AMOUNTS[1]).abs() < 0.25, "seed {seed}: {light}");
+    }
+}
--- a/src/shard/own_load.rs
+++ b/src/shard/own_load.rs
@@ -15,8 +15,7 @@
 mod tests;
 mod trend;
 
-use oscillation::{Oscillation, Period};
-use std::sync::LazyLock;
+use oscillation::Oscillation;
 use std::time::Duration;
 use trend::Trend;
 
@@ -45,21 +44,26 @@
 /// Highest load that a tail can distinguish; above it the tail is cut off by its callers' timeouts.
 pub const MAX_MEASURED_LOAD: f64 = 0.97;
 
-/// Shortest and longest period of the bank in seconds, and the number of periods, which are spaced
-/// evenly on a logarithmic scale.
-const MIN_PERIOD: f64 = 5.0;
-const MAX_PERIOD: f64 = 20.0;
-const PERIODS: usize = 10;
+/// Initial periods of the oscillations in seconds.
+const INITIAL_PERIODS: [f64; 3] = [7.0, 10.0, 14.0];
+const PERIODS: usize = INITIAL_PERIODS.len();
+
+/// Weight of the trend above which all oscillations are started anew at its level, since the load
+/// has changed in a way that none of them follows.
+const RESTART_TREND_WEIGHT: f64 = 0.98;
+
+/// Weight of all oscillations together when they are started anew.
+const RESTART_WEIGHT: f64 = 0.05;
 
 /// Initial weight of the level and slope; the periods share the rest evenly.
-const INITIAL_TREND_WEIGHT: f64 = 0.4;
+const INITIAL_TREND_WEIGHT: f64 = 0.3;
 
 /// Share of a reading's evidence that counts towards the weights. The errors of readings taken
 /// within seconds of each other are correlated through their neighbours.
 const EVIDENCE: f64 = 0.5;
 
 /// Time in seconds after which evidence has lost two thirds of its weight.
-const EVIDENCE_MEMORY: f64 = 15.0;
+const EVIDENCE_MEMORY: f64 = 8.0;
 
 /// Weight below which a member doesn't count in a forecast.
 const MIN_FORECAST_WEIGHT: f64 = 0.005;
@@ -71,14 +75,12 @@
 const DEVIATION_STRIDE: usize = 2;
 const OUTLOOK_DEVIATIONS: usize = OUTLOOK_LOADS / DEVIATION_STRIDE + 1;
 
-/// Factor between the standard error that the bank computes and the one that is measured: the
-/// errors of readings are not independent.
-const ERROR_FACTOR: f64 = 1.0;
+/// Weight of one reading in the ratio between the errors of readings and those expected.
+const ERROR_RATIO_GAIN: f64 = 0.02;
 
-static BANK: LazyLock<[Period; PERIODS]> = LazyLock::new(|| {
-    let ratio = MAX_PERIOD / MIN_PERIOD;
-    std::array::from_fn(|n| Period::new(MIN_PERIOD * ratio.powf(n as f64 / (PERIODS - 1) as f64)))
-});
+/// Limits of the factor between the measured standard error and the one that the bank computes.
+const MIN_ERROR_FACTOR: f64 = 0.7;
+const MAX_ERROR_FACTOR: f64 = 2.0;
 
 /// Estimated load of the serving tasks of one step.
 #[derive(Clone, Debug, PartialEq)]
@@ -89,6 +91,8 @@
     evidence: [f64; PERIODS + 1],
     weights: [f64; PERIODS + 1],
     reading: Reading,
+    /// Moving average of the squared errors of readings, as shares of their expected variance.
+    error_ratio: f64,
     at: Duration,
     outlook: Outlook,
     /// Tail latency without any load, in seconds.
@@ -125,10 +129,11 @@
         let target = target.as_secs_f64();
         let mut load = Self {
             trend: Trend::new(),
-            oscillations: [Oscillation::new(); PERIODS],
+            oscillations: INITIAL_PERIODS.map(|period| Oscillation::new(INITIAL_LOAD, period)),
             evidence: initial_evidence(),
             weights: [0.0; PERIODS + 1],
             reading: Reading::default(),
+            error_ratio: 1.0,
             at: now,
             outlook: Outlook {
                 at: now,
@@ -193,9 +198,7 @@
             return;
         }
         self.trend.advance(age);
-        for (oscillation, period) in self.oscillations.iter_mut().zip(BANK.iter()) {
-            oscillation.advance(period, age);
-        }
+        self.oscillations.iter_mut().for_each(|oscillation| oscillation.advance(age));
         let kept = (-age / EVIDENCE_MEMORY).exp();
         for (evidence, initial) in self.evidence.iter_mut().zip(initial_evidence()) {
             *evidence = initial + (*evidence - initial) * kept;
@@ -217,6 +220,7 @@
 
     /// Corrects the estimate by its part of a reading's error, whose variance is `variance`.
     pub fn correct(&mut self, error: f64, variance: f64) {
+        self.error_ratio += ERROR_RATIO_GAIN * (error * error / variance - self.error_ratio);
         let noise = (variance - self.reading.variance).max(0.0);
         let value = self.reading.mean + error;
         let mut evidence = self.evidence;
@@ -227,13 +231,13 @@
         };
         let (error, variance) = note(&mut evidence[0], self.trend.reading());
         self.trend.correct(error, variance);
-        let members = self.oscillations.iter_mut().zip(BANK.iter());
-        for ((oscillation, period), evidence) in members.zip(&mut evidence[1..]) {
-            let (error, variance) = note(evidence, oscillation.reading(period));
-            oscillation.correct(period, error, variance);
+        for (oscillation, evidence) in self.oscillations.iter_mut().zip(&mut evidence[1..]) {
+            let (error, variance) = note(evidence, oscillation.reading());
+            oscillation.correct(error, variance);
         }
         self.evidence = evidence;
         self.update_weights();
+        self.restart_oscillations();
         self.update_reading();
         self.update_outlook();
     }
@@ -258,10 +262,21 @@
         self.weights.iter_mut().for_each(|weight| *weight /= sum);
     }
 
+    fn restart_oscillations(&mut self) {
+        if self.weights[0] < RESTART_TREND_WEIGHT {
+            return;
+        }
+        let level = self.trend.level();
+        self.oscillations = INITIAL_PERIODS.map(|period| Oscillation::new(level, period));
+        let each = RESTART_WEIGHT / PERIODS as f64;
+        self.evidence = [(each / (1.0 - RESTART_WEIGHT)).ln(); PERIODS + 1];
+        self.evidence[0] = 0.0;
+        self.update_weights();
+    }
+
     fn update_reading(&mut self) {
-        let oscillations = self.oscillations.iter().zip(BANK.iter());
-        let members = std::iter::once(self.trend.reading())
-            .chain(oscillations.map(|(oscillation, period)| oscillation.reading(period)));
+        let oscillations = self.oscillations.iter().map(Oscillation::reading);
+        let members = std::iter::once(self.trend.reading()).chain(oscillations);
         let (mut mean, mut squares) = (0.0, 0.0);
         for (weight, reading) in self.weights.iter().zip(members) {
             mean += weight * reading.mean;
@@ -274,36 +289,30 @@
         let mut loads = [0.0; OUTLOOK_LOADS];
         let mut squares = [0.0; OUTLOOK_DEVIATIONS];
         let mut total = 0.0;
-        let mut add = |weight: f64, forecast: &mut dyn FnMut(f64) -> (f64, f64)| {
+        let mut add = |weight: f64, forecasts: &mut dyn Iterator<Item = (f64, f64)>| {
             if weight < MIN_FORECAST_WEIGHT {
                 return;
             }
             total += weight;
-            for (index, sum) in loads.iter_mut().enumerate() {
-                let (load, variance) = forecast(index as f64 * OUTLOOK_STEP);
+            for (index, (sum, (load, variance))) in loads.iter_mut().zip(forecasts).enumerate() {
                 *sum += weight * load;
                 if index % DEVIATION_STRIDE == 0 {
                     squares[index / DEVIATION_STRIDE] += weight * (variance + load * load);
                 }
             }
         };
-        add(self.weights[0], &mut |ahead| self.trend.forecast(ahead));
-        let members = self.oscillations.iter().zip(BANK.iter());
-        for ((oscillation, period), weight) in members.zip(&self.weights[1..]) {
-            let (step_sin, step_cos) = (period.frequency * OUTLOOK_STEP).sin_cos();
-            let (mut sin, mut cos) = (0.0, 1.0);
-            add(*weight, &mut |ahead| {
-                let forecast = oscillation.forecast(sin, cos, ahead);
-                (sin, cos) = (sin * step_cos + cos * step_sin, cos * step_cos - sin * step_sin);
-                forecast
-            });
+        let ahead = (0..OUTLOOK_LOADS).map(|index| index as f64 * OUTLOOK_STEP);
+        add(self.weights[0], &mut ahead.map(|ahead| self.trend.forecast(ahead)));
+        for (oscillation, weight) in self.oscillations.iter().zip(&self.weights[1..]) {
+            add(*weight, &mut oscillation.forecasts(OUTLOOK_STEP));
         }
+        let factor = self.error_ratio.sqrt().clamp(MIN_ERROR_FACTOR, MAX_ERROR_FACTOR);
         self.outlook.at = self.at;
         for (index, load) in loads.iter().enumerate() {
             let load = load / total;
             if index % DEVIATION_STRIDE == 0 {
                 let variance = squares[index / DEVIATION_STRIDE] / total - load * load;
-                let deviation = ERROR_FACTOR * variance.max(0.0).sqrt();
+                let deviation = factor * variance.max(0.0).sqrt();
                 self.outlook.deviations[index / DEVIATION_STRIDE] = deviation as f32;
             }
             self.outlook.loads[index] = load.clamp(MIN_LOAD, MAX_LOAD) as f32;
--- a/src/shard/own_load/oscillation.rs
+++ b/src/shard/own_load/oscillation.rs
@@ -1,114 +1,165 @@
-//! A load that oscillates around a mean with a fixed period.
+//! A load that oscillates around a mean with an unknown period.
 
-use super::{INITIAL_LOAD, MEAN_TAIL_AGE, Reading};
+use super::{MEAN_TAIL_AGE, Reading};
 use std::f64::consts::TAU;
 
 /// Standard deviations of the initial mean and of each phase of the initial oscillation.
 const INITIAL_MEAN_DEVIATION: f64 = 0.12;
 const INITIAL_PHASE_DEVIATION: f64 = 0.13;
 
-/// Standard deviations of the changes of the mean and of each phase over one second. The latter
-/// covers the difference between the load's period and the nearest one of the bank.
-const MEAN_DRIFT: f64 = 0.01;
-const PHASE_DRIFT: f64 = 0.015;
-
-/// Constants of an oscillation with a fixed period.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Period {
-    /// Angular frequency in radians per second.
-    pub frequency: f64,
-    /// Sine and cosine of the phase that passes within the mean age of a tail.
-    tail_sin: f64,
-    tail_cos: f64,
-}
+/// Standard deviation of the initial frequency, as a share of it.
+const INITIAL_FREQUENCY_SHARE: f64 = 0.2;
 
-impl Period {
-    pub fn new(seconds: f64) -> Self {
-        let frequency = TAU / seconds;
-        let (tail_sin, tail_cos) = (frequency * MEAN_TAIL_AGE).sin_cos();
-        Self { frequency, tail_sin, tail_cos }
-    }
-}
+/// Limits of the period in seconds.
+const MIN_PERIOD: f64 = 5.0;
+const MAX_PERIOD: f64 = 20.0;
 
-/// Kalman filter of a mean and an oscillation around it.
+/// Standard deviations of the changes of the mean, of each phase and of the frequency (in radians
+/// per second) over one second.
+const MEAN_DRIFT: f64 = 0.007;
+const PHASE_DRIFT: f64 = 0.007;
+const FREQUENCY_DRIFT: f64 = 0.02;
+
+/// Extended Kalman filter of a mean and an oscillation around it.
+///
+/// The load `t` from now is `mean + now * cos(frequency * t) + quarter * sin(frequency * t)`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Oscillation {
     mean: f64,
     /// Present deviation from the mean, and the one a quarter of a period from now.
     now: f64,
     quarter: f64,
-    /// Error covariance of `mean`, `now` and `quarter`: the upper triangle, by rows.
-    covariance: [f64; 6],
+    /// Radians per second.
+    frequency: f64,
+    covariance: Covariance,
+}
+
+/// Error covariance: each field is the row of the upper triangle that begins with the variance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Covariance {
+    /// Of the mean with itself, `now`, `quarter` and the frequency.
+    mean: [f64; 4],
+    now: [f64; 3],
+    quarter: [f64; 2],
+    frequency: f64,
 }
 
 impl Oscillation {
-    pub fn new() -> Self {
-        let (mean, phase) = (INITIAL_MEAN_DEVIATION.powi(2), INITIAL_PHASE_DEVIATION.powi(2));
+    /// Returns an oscillation of unknown amplitude around a mean.
+    pub fn new(mean: f64, period: f64) -> Self {
+        let frequency = TAU / period;
+        let phase = INITIAL_PHASE_DEVIATION.powi(2);
         Self {
-            mean: INITIAL_LOAD,
+            mean,
             now: 0.0,
             quarter: 0.0,
-            covariance: [mean, 0.0, 0.0, phase, 0.0, phase],
+            frequency,
+            covariance: Covariance {
+                mean: [INITIAL_MEAN_DEVIATION.powi(2), 0.0, 0.0, 0.0],
+                now: [phase, 0.0, 0.0],
+                quarter: [phase, 0.0],
+                frequency: (INITIAL_FREQUENCY_SHARE * frequency).powi(2),
+            },
         }
     }
 
-    pub fn advance(&mut self, period: &Period, age: f64) {
-        let (sin, cos) = (period.frequency * age).sin_cos();
+    pub fn advance(&mut self, age: f64) {
+        let (sin, cos) = (self.frequency * age).sin_cos();
         (self.now, self.quarter) =
             (self.now * cos + self.quarter * sin, self.quarter * cos - self.now * sin);
-        let [mm, mn, mq, nn, nq, qq] = self.covariance;
+        // Derivatives of both phases with respect to the frequency.
+        let (on_now, on_quarter) = (age * self.quarter, -age * self.now);
+        let Covariance {
+            mean: [mm, mn, mq, mf],
+            now: [nn, nq, nf],
+            quarter: [qq, qf],
+            frequency: ff,
+        } = self.covariance;
+        let now = |n: f64, q: f64, f: f64| cos * n + sin * q + on_now * f;
+        let quarter = |n: f64, q: f64, f: f64| cos * q - sin * n + on_quarter * f;
+        let (now_n, now_q, now_f) = (now(nn, nq, nf), now(nq, qq, qf), now(nf, qf, ff));
+        let (quarter_n, quarter_q, quarter_f) =
+            (quarter(nn, nq, nf), quarter(nq, qq, qf), quarter(nf, qf, ff));
         let phase_drift = PHASE_DRIFT.powi(2) * age;
-        let (cc, cs, ss) = (cos * cos, cos * sin, sin * sin);
-        self.covariance = [
-            mm + MEAN_DRIFT.powi(2) * age,
-            mn * cos + mq * sin,
-            mq * cos - mn * sin,
-            nn * cc + 2.0 * nq * cs + qq * ss + phase_drift,
-            nq * (cc - ss) + (qq - nn) * cs,
-            nn * ss - 2.0 * nq * cs + qq * cc + phase_drift,
-        ];
-    }
-
-    /// Returns the load expected once the oscillation has passed a phase with this sine and cosine,
-    /// and its variance after a time in seconds.
-    pub fn forecast(&self, sin: f64, cos: f64, ahead: f64) -> (f64, f64) {
-        let drift = (MEAN_DRIFT.powi(2) + PHASE_DRIFT.powi(2)) * ahead;
-        (self.load(sin, cos), self.variance(sin, cos) + drift)
+        self.covariance = Covariance {
+            mean: [mm + MEAN_DRIFT.powi(2) * age, now(mn, mq, mf), quarter(mn, mq, mf), mf],
+            now: [now(now_n, now_q, now_f) + phase_drift, quarter(now_n, now_q, now_f), now_f],
+            quarter: [quarter(quarter_n, quarter_q, quarter_f) + phase_drift, quarter_f],
+            frequency: ff + FREQUENCY_DRIFT.powi(2) * age,
+        };
     }
 
-    pub fn load(&self, sin: f64, cos: f64) -> f64 {
-        self.mean + self.now * cos + self.quarter * sin
+    /// Returns an iterator over the loads expected at multiples of a step in seconds, and their
+    /// variances.
+    pub fn forecasts(&self, step: f64) -> impl Iterator<Item = (f64, f64)> {
+        let (step_sin, step_cos) = (self.frequency * step).sin_cos();
+        let (mut sin, mut cos, mut ahead) = (0.0, 1.0, 0.0);
+        let amplitude_squared = self.now * self.now + self.quarter * self.quarter;
+        std::iter::from_fn(move || {
+            let load = self.mean + self.now * cos + self.quarter * sin;
+            let drift = (MEAN_DRIFT.powi(2) + PHASE_DRIFT.powi(2)) * ahead
+                + amplitude_squared * FREQUENCY_DRIFT.powi(2) * ahead.powi(3) / 3.0;
+            let variance = self.covariance.along(self.weights(sin, cos, ahead)) + drift;
+            (sin, cos) = (sin * step_cos + cos * step_sin, cos * step_cos - sin * step_sin);
+            ahead += step;
+            Some((load, variance))
+        })
     }
 
-    pub fn reading(&self, period: &Period) -> Reading {
-        let (sin, cos) = (-period.tail_sin, period.tail_cos);
-        Reading { mean: self.load(sin, cos), variance: self.variance(sin, cos) }
+    pub fn reading(&self) -> Reading {
+        let (sin, cos) = self.tail_phase();
+        Reading {
+            mean: self.mean + self.now * cos + self.quarter * sin,
+            variance: self.covariance.along(self.weights(sin, cos, -MEAN_TAIL_AGE)),
+        }
     }
 
     /// Corrects the estimate by the error of a reading with this variance.
-    pub fn correct(&mut self, period: &Period, error: f64, variance: f64) {
-        let (sin, cos) = (-period.tail_sin, period.tail_cos);
-        let [mm, mn, mq, nn, nq, qq] = self.covariance;
-        let on_mean = mm + mn * cos + mq * sin;
-        let on_now = mn + nn * cos + nq * sin;
-        let on_quarter = mq + nq * cos + qq * sin;
-        let scaled = error / variance;
-        self.mean += on_mean * scaled;
-        self.now += on_now * scaled;
-        self.quarter += on_quarter * scaled;
+    pub fn correct(&mut self, error: f64, variance: f64) {
+        let (sin, cos) = self.tail_phase();
+        let [m, n, q, f] = self.covariance.times(self.weights(sin, cos, -MEAN_TAIL_AGE));
         let inverse = 1.0 / variance;
-        self.covariance = [
-            mm - on_mean * on_mean * inverse,
-            mn - on_mean * on_now * inverse,
-            mq - on_mean * on_quarter * inverse,
-            nn - on_now * on_now * inverse,
-            nq - on_now * on_quarter * inverse,
-            qq - on_quarter * on_quarter * inverse,
-        ];
+        let scaled = error * inverse;
+        self.mean += m * scaled;
+        self.now += n * scaled;
+        self.quarter += q * scaled;
+        self.frequency = (self.frequency + f * scaled).clamp(TAU / MAX_PERIOD, TAU / MIN_PERIOD);
+        let Covariance { mean, now, quarter, frequency } = &mut self.covariance;
+        for (row, by) in [(&mut mean[..], m), (&mut now[..], n), (&mut quarter[..], q)] {
+            let first = 4 - row.len();
+            for (value, other) in row.iter_mut().zip(&[m, n, q, f][first..]) {
+                *value -= by * other * inverse;
+            }
+        }
+        *frequency -= f * f * inverse;
+    }
+
+    /// Returns sine and cosine of the phase at the mean age of a tail.
+    fn tail_phase(&self) -> (f64, f64) {
+        (-self.frequency * MEAN_TAIL_AGE).sin_cos()
+    }
+
+    /// Returns the derivatives of the load at a phase with respect to the states.
+    fn weights(&self, sin: f64, cos: f64, ahead: f64) -> [f64; 4] {
+        [1.0, cos, sin, ahead * (self.quarter * cos - self.now * sin)]
+    }
+}
+
+impl Covariance {
+    fn times(&self, [m, n, q, f]: [f64; 4]) -> [f64; 4] {
+        let Self { mean: [mm, mn, mq, mf], now: [nn, nq, nf], quarter: [qq, qf], frequency: ff } =
+            *self;
+        [
+            mm * m + mn * n + mq * q + mf * f,
+            mn * m + nn * n + nq * q + nf * f,
+            mq * m + nq * n + qq * q + qf * f,
+            mf * m + nf * n + qf * q + ff * f,
+        ]
     }
 
-    fn variance(&self, sin: f64, cos: f64) -> f64 {
-        let [mm, mn, mq, nn, nq, qq] = self.covariance;
-        mm + cos * cos * nn + sin * sin * qq + 2.0 * (cos * mn + sin * mq + sin * cos * nq)
+    /// Returns the variance of the sum of the states with these weights.
+    fn along(&self, weights: [f64; 4]) -> f64 {
+        let sums = self.times(weights);
+        sums.iter().zip(weights).map(|(sum, weight)| sum * weight).sum()
     }
 }
--- a/src/shard/own_load/trend.rs
+++ b/src/shard/own_load/trend.rs
@@ -28,6 +28,10 @@
         Self { level: INITIAL_LOAD, slope: 0.0, covariance }
     }
 
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
     pub fn advance(&mut self, age: f64) {
         self.level = (self.level + self.slope * age).clamp(MIN_LOAD, MAX_LOAD);
         self.covariance = self.covariance_after(age);
