--- a/src/shard/own_load.rs
+++ b/src/shard/own_load.rs
@@ -10,11 +10,13 @@
 //! The estimate is the weighted mixture, whose variance includes the differences between members.
 //! A load that doesn't oscillate is left to the first member.
 
+mod calibration;
 mod oscillation;
 #[cfg(test)]
 mod tests;
 mod trend;
 
+use calibration::{CHECKED_POSITION, Calibration};
 use oscillation::Oscillation;
 use std::time::Duration;
 use trend::Trend;
@@ -75,12 +77,8 @@
 const DEVIATION_STRIDE: usize = 2;
 const OUTLOOK_DEVIATIONS: usize = OUTLOOK_LOADS / DEVIATION_STRIDE + 1;
 
-/// Weight of one reading in the ratio between the errors of readings and those expected.
-const ERROR_RATIO_GAIN: f64 = 0.02;
-
-/// Limits of the factor between the measured standard error and the one that the bank computes.
-const MIN_ERROR_FACTOR: f64 = 0.7;
-const MAX_ERROR_FACTOR: f64 = 2.0;
+/// Minimum variance of a forecast.
+const MIN_VARIANCE: f64 = 1e-5;
 
 /// Estimated load of the serving tasks of one step.
 #[derive(Clone, Debug, PartialEq)]
@@ -91,8 +89,7 @@
     evidence: [f64; PERIODS + 1],
     weights: [f64; PERIODS + 1],
     reading: Reading,
-    /// Moving average of the squared errors of readings, as shares of their expected variance.
-    error_ratio: f64,
+    calibration: Calibration,
     at: Duration,
     outlook: Outlook,
     /// Tail latency without any load, in seconds.
@@ -133,7 +130,7 @@
             evidence: initial_evidence(),
             weights: [0.0; PERIODS + 1],
             reading: Reading::default(),
-            error_ratio: 1.0,
+            calibration: Calibration::new(now),
             at: now,
             outlook: Outlook {
                 at: now,
@@ -220,7 +217,7 @@
 
     /// Corrects the estimate by its part of a reading's error, whose variance is `variance`.
     pub fn correct(&mut self, error: f64, variance: f64) {
-        self.error_ratio += ERROR_RATIO_GAIN * (error * error / variance - self.error_ratio);
+        self.calibration.note_reading(error, variance);
         let noise = (variance - self.reading.variance).max(0.0);
         let value = self.reading.mean + error;
         let mut evidence = self.evidence;
@@ -306,16 +303,22 @@
         for (oscillation, weight) in self.oscillations.iter().zip(&self.weights[1..]) {
             add(*weight, &mut oscillation.forecasts(OUTLOOK_STEP));
         }
-        let factor = self.error_ratio.sqrt().clamp(MIN_ERROR_FACTOR, MAX_ERROR_FACTOR);
+        let expected = |index: usize| {
+            let mean = loads[index] / total;
+            let square = squares[index / DEVIATION_STRIDE] / total;
+            Reading { mean, variance: (square - mean * mean).max(MIN_VARIANCE) }
+        };
+        self.calibration.note_forecast(self.at, expected(0).mean, expected(CHECKED_POSITION));
+        let (near, far) = self.calibration.factors();
         self.outlook.at = self.at;
-        for (index, load) in loads.iter().enumerate() {
-            let load = load / total;
-            if index % DEVIATION_STRIDE == 0 {
-                let variance = squares[index / DEVIATION_STRIDE] / total - load * load;
-                let deviation = factor * variance.max(0.0).sqrt();
-                self.outlook.deviations[index / DEVIATION_STRIDE] = deviation as f32;
-            }
-            self.outlook.loads[index] = load.clamp(MIN_LOAD, MAX_LOAD) as f32;
+        for (value, load) in self.outlook.loads.iter_mut().zip(loads) {
+            *value = (load / total).clamp(MIN_LOAD, MAX_LOAD) as f32;
+        }
+        for (number, deviation) in self.outlook.deviations.iter_mut().enumerate() {
+            let index = number * DEVIATION_STRIDE;
+            let part = (index as f64 / CHECKED_POSITION as f64).min(1.0);
+            let factor = near + (far - near) * part;
+            *deviation = (factor * expected(index).variance.sqrt()) as f32;
         }
     }
 }
--- a/src/shard/own_load/tests.rs
+++ b/src/shard/own_load/tests.rs
@@ -168,6 +168,16 @@
     }
 }
 
+// Paces and placement weigh harm by the deviation. One that is far too small or too large would
+// stop work for nothing, or let it push tasks over their targets.
+#[test]
+fn deviations_match_the_errors() {
+    for span in [1.0..9.0, 11.0..22.0, 28.0..50.0] {
+        let errors = compare(span, oscillation);
+        assert!(errors.ratio.iter().all(|ratio| (0.5..1.5).contains(ratio)), "{errors:?}");
+    }
+}
+
 // Placement asks for the peak that a run will meet, also when it is over before the run ends.
 #[test]
 fn the_highest_load_is_that_of_the_peak_within_the_span() {
