--- a/src/shard/run_times.rs
+++ b/src/shard/run_times.rs
@@ -5,12 +5,16 @@
 //! regressed on that of the estimate, with weights that decay from task to task. Where a queue's
 //! estimates tell little, the expected run time is near the queue's mean; where they are right, it
 //! follows them. Before anything is learned it is the estimate.
+//!
+//! Each shard reports what it has learned itself. A shard keeps the reports of the others by source,
+//! so that a later report replaces the earlier one, and expects run times by all of them together.
 
 #[cfg(test)]
 mod tests;
 
 use crate::job::QueueName;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Number of tasks after which an observation's weight has fallen to about a third.
@@ -29,15 +33,31 @@
 /// Largest factor between a run time and its estimate that is believed.
 const MAX_FACTOR: f64 = 20.0;
 
+/// Weight, in tasks, below which what was learned of a queue is forgotten. An unused queue's weight
+/// falls with time only.
+const MIN_TASKS: f64 = 0.5;
+
 /// Learned run times, by queue.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RunTimes {
-    queues: IndexMap<QueueName, Regression>,
+    /// Learned by this shard.
+    local: IndexMap<QueueName, Regression>,
+    /// Last reports of other shards.
+    from_shards: IndexMap<String, IndexMap<QueueName, Regression>>,
+    /// Local and reported run times combined.
+    combined: IndexMap<QueueName, Regression>,
+}
+
+/// What one shard has learned of the run times of a queue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QueueRunTimes {
+    pub queue: QueueName,
+    pub times: Regression,
 }
 
 /// Weighted regression of run times on estimates, both as logarithms of seconds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Regression {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Regression {
     /// Sum of the weights.
     tasks: f64,
     mean_estimate: f64,
@@ -52,16 +72,84 @@
 impl RunTimes {
     /// Learns from a task that has succeeded in one undisturbed run.
     pub fn learn(&mut self, queue: &QueueName, estimate: Duration, run_time: Duration) {
-        let regression = match self.queues.get_mut(queue) {
-            Some(regression) => regression,
-            None => self.queues.entry(queue.clone()).or_default(),
+        let (estimate, run_time) = (log_secs(estimate), log_secs(run_time));
+        let error = run_time - self.regression(queue).predict(estimate);
+        let local = match self.local.get_mut(queue) {
+            Some(local) => local,
+            None => self.local.entry(queue.clone()).or_default(),
+        };
+        local.add(estimate, run_time, error);
+        self.combine(queue);
+    }
+
+    /// Returns what this shard has learned itself, to be sent to other shards.
+    pub fn learned(&self) -> Vec<QueueRunTimes> {
+        let learned = |(queue, times): (&QueueName, &Regression)| QueueRunTimes {
+            queue: queue.clone(),
+            times: *times,
+        };
+        self.local.iter().map(learned).collect()
+    }
+
+    /// Replaces what this shard has learned itself by what an earlier owner of it had learned.
+    pub fn restore(&mut self, learned: Vec<QueueRunTimes>) {
+        self.local = by_queue(learned);
+        self.combine_all();
+    }
+
+    /// Replaces the report of another shard.
+    pub fn merge(&mut self, from: &str, learned: Vec<QueueRunTimes>) {
+        let before = self.from_shards.insert(from.to_owned(), by_queue(learned));
+        let now = self.from_shards.get(from).into_iter().flat_map(IndexMap::keys);
+        let changed: IndexSet<QueueName> =
+            before.iter().flat_map(IndexMap::keys).chain(now).cloned().collect();
+        changed.iter().for_each(|queue| self.combine(queue));
+    }
+
+    /// Multiplies the weight of everything learned, and forgets queues of which nearly nothing is
+    /// left.
+    pub fn decay(&mut self, factor: f64) {
+        for queues in self.from_shards.values_mut().chain([&mut self.local]) {
+            queues.values_mut().for_each(|times| *times = times.scaled(factor));
+            queues.retain(|_, times| times.is_significant());
+        }
+        self.combine_all();
+    }
+
+    fn combine_all(&mut self) {
+        self.combined.clear();
+        let queues: IndexSet<QueueName> = self
+            .from_shards
+            .values()
+            .chain([&self.local])
+            .flat_map(IndexMap::keys)
+            .cloned()
+            .collect();
+        queues.iter().for_each(|queue| self.combine(queue));
+    }
+
+    fn combine(&mut self, queue: &QueueName) {
+        let heard = self.from_shards.values();
+        let all = heard.chain([&self.local]).filter_map(|queues| queues.get(queue));
+        let Some(combined) = all.copied().reduce(Regression::combined_with) else {
+            self.combined.swap_remove(queue);
+            return;
         };
-        regression.add(log_secs(estimate), log_secs(run_time));
+        match self.combined.get_mut(queue) {
+            Some(known) => *known = combined,
+            None => {
+                self.combined.insert(queue.clone(), combined);
+            }
+        }
+    }
+
+    fn regression(&self, queue: &QueueName) -> Regression {
+        self.combined.get(queue).copied().unwrap_or_default()
     }
 
     /// Returns the expected run time of a task with this estimate.
     pub fn expect(&self, queue: &QueueName, estimate: Duration) -> Duration {
-        let Some(regression) = self.queues.get(queue) else { return estimate };
+        let Some(regression) = self.combined.get(queue) else { return estimate };
         if estimate.is_zero() {
             return estimate;
         }
@@ -73,14 +161,14 @@
     /// Returns the standard deviation of the logarithm of a run time around that of the expected
     /// one.
     pub fn deviation(&self, queue: &QueueName) -> f64 {
-        self.queues.get(queue).copied().unwrap_or_default().deviation()
+        self.regression(queue).deviation()
     }
 }
 
 impl Regression {
-    fn add(&mut self, estimate: f64, run_time: f64) {
+    /// Adds a task whose run time was predicted with this error.
+    fn add(&mut self, estimate: f64, run_time: f64, error: f64) {
         let decay = 1.0 - 1.0 / MEMORY_TASKS;
-        let error = run_time - self.predict(estimate);
         self.error_squares = self.error_squares * decay + error.powi(2);
         let before = self.tasks * decay;
         self.tasks = before + 1.0;
@@ -93,6 +181,58 @@
         self.products = self.products * decay + spread * off_estimate * off_run_time;
     }
 
+    /// Combines what was learned from two separate sets of tasks.
+    fn combined_with(self, other: Self) -> Self {
+        let tasks = self.tasks + other.tasks;
+        if tasks <= 0.0 {
+            return self;
+        }
+        let share = other.tasks / tasks;
+        let (off_estimate, off_run_time) =
+            (other.mean_estimate - self.mean_estimate, other.mean_run_time - self.mean_run_time);
+        let spread = self.tasks * share;
+        Self {
+            tasks,
+            mean_estimate: self.mean_estimate + share * off_estimate,
+            mean_run_time: self.mean_run_time + share * off_run_time,
+            estimate_squares: self.estimate_squares
+                + other.estimate_squares
+                + spread * off_estimate.powi(2),
+            products: self.products + other.products + spread * off_estimate * off_run_time,
+            error_squares: self.error_squares + other.error_squares,
+        }
+    }
+
+    /// Returns the regression with its weight multiplied.
+    pub fn scaled(self, factor: f64) -> Self {
+        Self {
+            tasks: self.tasks * factor,
+            estimate_squares: self.estimate_squares * factor,
+            products: self.products * factor,
+            error_squares: self.error_squares * factor,
+            ..self
+        }
+    }
+
+    /// Returns the weight, in tasks.
+    pub fn weight(&self) -> f64 {
+        self.tasks
+    }
+
+    /// Returns whether enough is known to keep it.
+    pub fn is_significant(&self) -> bool {
+        self.tasks >= MIN_TASKS
+    }
+
+    /// Returns whether the values are possible ones.
+    pub fn is_valid(&self) -> bool {
+        let values = [self.mean_estimate, self.mean_run_time, self.products];
+        let weights = [self.tasks, self.estimate_squares, self.error_squares];
+        values.iter().chain(&weights).all(|value| value.is_finite())
+            && weights.iter().all(|weight| *weight >= 0.0)
+            && self.tasks <= 2.0 * MEMORY_TASKS
+    }
+
     fn predict(&self, estimate: f64) -> f64 {
         let prior_squares = PRIOR_TASKS * PRIOR_VARIANCE;
         let slope = (self.products + prior_squares) / (self.estimate_squares + prior_squares);
@@ -107,6 +247,10 @@
     }
 }
 
+fn by_queue(learned: Vec<QueueRunTimes>) -> IndexMap<QueueName, Regression> {
+    learned.into_iter().map(|learned| (learned.queue, learned.times)).collect()
+}
+
 fn log_secs(time: Duration) -> f64 {
     time.max(MIN_TIME).as_secs_f64().ln()
 }
