--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{DaemonId, DomainId};
 use crate::job::JobId;
-use crate::shard::interference::PairEstimate;
+use crate::shard::learned::Learned;
 use crate::shard::{ReportedLapse, Summary};
 use serde::{Deserialize, Serialize};
 
@@ -72,8 +72,8 @@
     pub summary: Summary,
     /// Recently accepted jobs.
     pub accepted: Vec<JobId>,
-    /// Measured interference between images; empty if this hello doesn't include it.
-    pub learned: Vec<PairEstimate>,
+    /// What the shard has learned itself; empty if this hello doesn't include it.
+    pub learned: Learned,
     /// How long VMs that the store lists as unresponsive may keep their runs.
     pub lapses: Vec<ReportedLapse>,
 }
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -7,6 +7,7 @@
 use crate::job::progress::{Progress, decode, encode};
 use crate::job::{Job, JobId};
 use crate::kv::{Condition, Error, Freshness, Item, KvStore, Put, Rev, Txn};
+use crate::shard::learned::{Inherited, StoredRecord};
 use crate::shard::{CommitResult, Keys, PreviousOwner, Recovered, SilentVm, WriteOutcome};
 use crate::vm::Fence;
 use bytes::Bytes;
@@ -59,10 +60,15 @@
     let condition = present.as_ref().map_or(Rev::ABSENT, |(rev, _)| *rev);
     let rev = write_claim(store, &keys, &head, condition).await?;
     let writer = ShardWriter { key: keys.head(), rev, fence: Fence(rev.0), head };
-    let (jobs, _) = read_all(store, &keys.jobs(), Freshness::Latest).await?;
-    let (progress, _) = read_all(store, &keys.all_progress(), Freshness::Latest).await?;
-    let key = keys.silence();
-    let silent = store.call(|store| store.get(&key)).await?;
+    let state = async {
+        let (jobs, _) = read_all(store, &keys.jobs(), Freshness::Latest).await?;
+        let (progress, _) = read_all(store, &keys.all_progress(), Freshness::Latest).await?;
+        let key = keys.silence();
+        let silent = store.call(|store| store.get(&key)).await?;
+        Ok::<_, Error>((jobs, progress, silent))
+    };
+    let (state, record) = tokio::join!(state, read_learned(store, &keys));
+    let (jobs, progress, silent) = state?;
     let recovered = Recovered {
         shard: shard.to_owned(),
         fence: writer.fence,
@@ -72,12 +78,24 @@
         unresponsive_vms: Vec::new(),
         silent: silent.as_ref().map(decode_silent_vms).transpose()?.unwrap_or_default(),
         reported_lapses: Vec::new(),
+        learned: Inherited { record, report: None },
         jobs: jobs.iter().map(decode_job).collect::<Result<_>>()?,
         progress: progress.iter().map(decode_progress).collect::<Result<_>>()?,
     };
     Ok((writer, recovered))
 }
 
+/// Reads the record of what the shard has learned. A failure doesn't fail the claim: the shard can
+/// do without.
+async fn read_learned<S: KvStore>(store: &MonitoredStore<S>, keys: &Keys) -> StoredRecord {
+    let key = keys.learned();
+    match store.call(|store| store.get(&key)).await {
+        Ok(Some(item)) => StoredRecord::Found(item.value),
+        Ok(None) => StoredRecord::Absent,
+        Err(e) => StoredRecord::Unread { reason: e.to_string() },
+    }
+}
+
 /// Fails if the shard has an owner that was not known when the claim was decided. A claim decided
 /// before another one became known would otherwise take the shard from its new owner, and callers
 /// would be refused twice.
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -35,7 +35,7 @@
 use crate::permit::{self, PermitReq};
 use crate::queues::Queues;
 use crate::ring::{RING_CAPACITY, Ring, WhenFull};
-use crate::shard::interference::PairEstimate;
+use crate::shard::learned::Learned;
 use crate::shard::loan::LoanMsg;
 use crate::shard::{self, Action, Event, Now, ReportedLapse, Shard, Summary, VmLapse};
 use crate::upkeep::duty::{OwnedShard, WaveScheduler};
@@ -87,7 +87,7 @@
     deferred: Option<Vec<Event>>,
     /// Recently accepted jobs, with the time of acceptance.
     accepted: VecDeque<(Duration, JobId)>,
-    /// When the learned interference is next sent to other daemons.
+    /// When what the shard has learned is next sent to other daemons.
     next_learned_at: Duration,
     /// Daemon that the shard is being handed over to.
     new_owner: Option<Member>,
@@ -130,6 +130,12 @@
     }
 }
 
+/// A shard's last report on what it has learned itself, with its time.
+struct TimedLearned {
+    at: Duration,
+    learned: Learned,
+}
+
 /// Actor that runs the daemon's shards.
 pub struct Control {
     settings: shard::Settings,
@@ -164,8 +170,9 @@
     next_ticket: u64,
     view: watch::Sender<Arc<View>>,
     directory: Arc<Mutex<JobDirectory>>,
-    /// Interference between images, as learned by other daemons' shards.
-    learned: IndexMap<String, Vec<PairEstimate>>,
+    /// What each shard has learned itself, as last reported.
+    learned: IndexMap<String, TimedLearned>,
+    next_local_learned: Duration,
     /// When a handler last started.
     last_wake: Duration,
     /// Number of the last hello that was composed.
@@ -216,6 +223,7 @@
             view,
             directory,
             learned: IndexMap::new(),
+            next_local_learned: now,
             last_wake: now,
             last_hello: 0,
             next_publish: now,
@@ -361,6 +369,7 @@
                 self.next_neighbours = now.steady + NEIGHBOUR_INTERVAL;
                 self.update_summaries();
                 self.report_neighbours(cx);
+                self.share_local_learned(cx);
             }
             self.publish(now.steady);
         }
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -1,13 +1,13 @@
 //! State that the control actor publishes to other actors and daemons.
 
-use super::{Control, HostedShard, RemoteShard};
+use super::{Control, HostedShard, RemoteShard, TimedLearned};
 use crate::clock::Clock;
 use crate::cluster::{Hello, MemberStage, ShardReport, StoreReachability};
 use crate::jobs::confirmed::ConfirmationStatus;
 use crate::jobs::links::SendHello;
 use crate::jobs::view::{Owner, Readiness, ShardView, View};
 use crate::note::Note;
-use crate::shard::interference::PairEstimate;
+use crate::shard::learned::Learned;
 use crate::shard::{Event, OtherShard};
 use actix::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -20,7 +20,8 @@
 /// Maximum age of another shard's summary that is used for lending tasks.
 const MAX_NEIGHBOUR_AGE: Duration = Duration::from_millis(1500);
 
-/// Interval at which the learned interference between images is sent: 2 KB with 45 pairs.
+/// Interval at which what a shard has learned is sent: 2 KB with 45 pairs of images, and 60 bytes for
+/// each queue.
 pub(super) const LEARNED_INTERVAL: Duration = Duration::from_millis(1500);
 
 impl Control {
@@ -191,29 +192,38 @@
                 fence: hosted.shard.fence().0,
                 summary: (*hosted.summary).clone(),
                 accepted: hosted.accepted.iter().map(|(_, job)| *job).collect(),
-                learned: if learned_due { hosted.shard.learned() } else { Vec::new() },
+                learned: if learned_due { hosted.shard.learned() } else { Learned::default() },
                 lapses: hosted.shard.reported_lapses(now),
             }
         };
         self.hosted.iter_mut().map(report).collect()
     }
 
-    /// Passes the interference learned by another shard to the local shards, and keeps it for
-    /// shards taken over later.
-    pub(super) fn share_learned(
-        &mut self,
-        from: &str,
-        learned: Vec<PairEstimate>,
-        cx: &mut Context<Self>,
-    ) {
+    /// Passes what the local shards have learned to each other.
+    pub(super) fn share_local_learned(&mut self, cx: &mut Context<Self>) {
+        let now = self.clock.now();
+        if now < self.next_local_learned {
+            return;
+        }
+        self.next_local_learned = now + LEARNED_INTERVAL;
+        let local = self.hosted.iter().map(|(name, hosted)| (name.clone(), hosted.shard.learned()));
+        for (from, learned) in local.collect::<Vec<_>>() {
+            self.share_learned(&from, learned, cx);
+        }
+    }
+
+    /// Passes what a shard has learned to the local shards, and keeps it for shards taken over
+    /// later. The last report of a shard replaces the earlier ones, also those of earlier owners.
+    pub(super) fn share_learned(&mut self, from: &str, learned: Learned, cx: &mut Context<Self>) {
         if learned.is_empty() {
             return;
         }
-        let names: Vec<String> = self.hosted.keys().cloned().collect();
+        let names: Vec<String> = self.hosted.keys().filter(|name| *name != from).cloned().collect();
         for name in names {
             let (from, learned) = (from.to_owned(), learned.clone());
-            self.step_shard(&name, Event::Interference { from, learned }, cx);
+            self.step_shard(&name, Event::Learned { from, learned }, cx);
         }
-        self.learned.insert(from.to_owned(), learned);
+        let at = self.clock.now();
+        self.learned.insert(from.to_owned(), TimedLearned { at, learned });
     }
 }
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -1,7 +1,7 @@
 //! Life cycle of the shards owned by this daemon, and the events passed to them.
 
 use super::publish::LEARNED_INTERVAL;
-use super::{Control, HostedShard, TimedLapses};
+use super::{Control, HostedShard, TimedLapses, TimedLearned};
 use crate::cluster::{self, HandOver, StoreReachability};
 use crate::evacuation::Evacuations;
 use crate::ids::{DomainId, Ticket};
@@ -13,6 +13,7 @@
 use crate::jobs::records::{ClaimShard, ConfirmOwnership, OwnershipStatus, ReadHeads, RemoveShard};
 use crate::journal::Journal;
 use crate::note::{Millis, Note};
+use crate::shard::learned::HeardReport;
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use crate::shard::{Action, Event, FleetListStatus, Recovered, Shard};
 use crate::vm::{Departure, Fence, VmEntry};
@@ -173,6 +174,11 @@
         if let Some(reported) = self.reported_lapses.shift_remove(&recovered.shard) {
             recovered.reported_lapses = reported.aged(now.steady);
         }
+        // The shard's own report goes to the shard as what its earlier owner had learned.
+        if let Some(TimedLearned { at, learned }) = self.learned.shift_remove(&recovered.shard) {
+            let age = now.steady.saturating_sub(at);
+            recovered.learned.report = Some(HeardReport { learned, age });
+        }
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
         let jobs = recovered.jobs.len();
         let accepted = recovered.progress.iter().filter(|(_, p)| p.lender.is_none());
@@ -205,8 +211,12 @@
         }
         let departures = self.departures.iter().cloned().collect();
         self.step_shard(&name, Event::Departed(departures), cx);
-        for (from, learned) in self.learned.clone() {
-            self.step_shard(&name, Event::Interference { from, learned }, cx);
+        let heard = self.learned.iter().map(|(from, known)| {
+            let age = now.steady.saturating_sub(known.at);
+            (from.clone(), known.learned.clone().aged(age))
+        });
+        for (from, learned) in heard.collect::<Vec<_>>() {
+            self.step_shard(&name, Event::Learned { from, learned }, cx);
         }
         self.step_ownership(cluster::Event::Claimed { shard: name.clone(), fence: fence.0 }, cx);
         self.step_shard(&name, Event::Tick, cx);
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -6,7 +6,7 @@
 use crate::cluster::{Hello, Member, MemberStage, Plan, ShardReport, StoreReachability};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::{Binding, BoundVm, OccurrenceProgress, Progress, TaskProgress};
-use crate::job::{Job, JobId, JobState, Life, QueueName, Repeat, Resume, RunNumber, Step};
+use crate::job::{Image, Job, JobId, JobState, Life, QueueName, Repeat, Resume, RunNumber, Step};
 use crate::jobs::calls::{Call, Reply};
 use crate::jobs::links::PeerLinks;
 use crate::jobs::machines::UpkeepAction;
@@ -20,12 +20,15 @@
 use crate::note::Weight;
 use crate::permit::{self, PermitResp};
 use crate::ring::{Ring, WhenFull};
+use crate::shard::interference::{Estimate, Pair, PairEstimate};
+use crate::shard::learned::{Inherited, Learned, StoredRecord};
 use crate::shard::{
     PreviousOwner, Recovered, ReportedLapse, Settings, SilenceMark, SilentVm, Summary, VmLapse,
 };
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
 use actix::prelude::*;
+use bytes::Bytes;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -123,6 +126,7 @@
         unresponsive_vms: Vec::new(),
         silent: Vec::new(),
         reported_lapses: Vec::new(),
+        learned: Inherited::default(),
         jobs: Vec::new(),
         progress: Vec::new(),
     }))
@@ -227,7 +231,7 @@
         fence: 5,
         summary: Summary::default(),
         accepted: Vec::new(),
-        learned: Vec::new(),
+        learned: Learned::default(),
         lapses: vec![ReportedLapse { lapse, mark: SilenceMark(3) }],
     };
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
@@ -347,3 +351,43 @@
         assert!(lines.wait_for("vm-lapse-told", 1).await, "the owner reported the VM");
     }
 }
+
+/// What the shard had learned of one pair of images.
+fn learned() -> Learned {
+    let pair = Pair { leftover: Image::new("fares"), serving: Image::new("map") };
+    let amount = Estimate { mean: 2.0, variance: 0.01 };
+    Learned { run_times: Vec::new(), pairs: vec![PairEstimate { pair, amount }] }
+}
+
+/// Claims the shard with this record after a hello with this report, and returns the log.
+async fn claim_learned(record: StoredRecord, report: Learned, wait_for: &str) -> String {
+    let lines = LogBuffer::default();
+    let control = logging_control(Arc::new(ManualClock::new()), lines.clone());
+    let mut hello = hello();
+    hello.shards[0].learned = report;
+    control.send(HelloReceived { hello, asked: None }).await.expect("a control");
+    let StoreEvent::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
+    recovered.learned.record = record;
+    control.send(StoreEvent::Claimed(recovered)).await.expect("a control");
+    assert!(lines.wait_for(wait_for, 1).await, "{}", lines.text());
+    lines.text()
+}
+
+// Guards against a daemon that has heard what a shard had learned and doesn't start from it as it
+// claims the shard.
+#[actix::test]
+async fn a_claimed_shard_starts_from_what_its_owner_had_reported() {
+    let text = claim_learned(StoredRecord::Absent, learned(), "learned-restored").await;
+    assert!(text.contains("source=report queues=0 pairs=1"), "{text}");
+    assert!(!text.contains("learned-unreadable"), "{text}");
+}
+
+// Guards against a record of another version that fails the claim or hides the report.
+#[actix::test]
+async fn an_unreadable_record_gives_way_to_the_report() {
+    let foreign = StoredRecord::Found(Bytes::from_static(&[99, 0, 0]));
+    let text = claim_learned(foreign, learned(), "learned-restored").await;
+    assert!(text.contains("learned-unreadable"), "{text}");
+    assert!(text.contains("version 99"), "{text}");
+    assert!(text.contains("source=report"), "{text}");
+}
--- a/src/note.rs
+++ b/src/note.rs
@@ -155,6 +155,10 @@
     Urgent ShardOwned = "shard-owned" { shard: String, fence: u64, jobs: usize, runs: usize, took_ms: Millis, }
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
+    /// The new owner of a shard starts from what an earlier owner had learned, as read from the store or as last reported.
+    Telling LearnedRestored = "learned-restored" { shard: String, source: StaticText, queues: usize, pairs: usize, age_ms: Millis, }
+    /// The record of what a shard has learned can't be used; learning starts again.
+    Urgent LearnedUnreadable = "learned-unreadable" { shard: String, reason: String, }
     /// A claim of a shard failed.
     Urgent ShardClaimFailed = "shard-claim-failed" { shard: String, reason: String, }
     /// A job was accepted and is durable.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -20,6 +20,7 @@
 mod intake;
 pub mod interference;
 mod job_run;
+pub mod learned;
 pub mod loan;
 mod log;
 mod look;
@@ -76,6 +77,7 @@
     log: Log,
     interference: interference::InterferenceModel,
     run_times: run_times::RunTimes,
+    record_clock: learned::RecordClock,
     loans: loan::Loans,
     permit_requests: permits::PermitRequests,
     upkeep_drain: vacate::UpkeepDrain,
@@ -127,11 +129,6 @@
         &self.name
     }
 
-    /// Returns the measured interference between pairs of images.
-    pub fn learned(&self) -> Vec<interference::PairEstimate> {
-        self.interference.learned()
-    }
-
     /// Returns this owner's fencing token.
     pub fn fence(&self) -> Fence {
         self.fence
@@ -160,7 +157,7 @@
             Event::Submit { ticket, job, mode } => self.submit(ticket, job, mode),
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
-            Event::Interference { from, learned } => self.interference.merge(&from, &learned),
+            Event::Learned { from, learned } => self.merge_learned(&from, learned),
             Event::OtherShards(other_shards) => self.loans.set_other_shards(other_shards),
             Event::Drain(order) => self.set_draining_vms(order),
             Event::Evacuations { evacuations, at } => self.set_evacuations(evacuations, at),
@@ -173,7 +170,10 @@
                 }
             }
             Event::PreviousOwnerEnded => self.shorten_inherited_leases(),
-            Event::HandOver => self.stage = Stage::HandingOver,
+            Event::HandOver => {
+                self.stage = Stage::HandingOver;
+                self.record_clock.write_soon();
+            }
         }
     }
 
@@ -236,7 +236,13 @@
     }
 
     fn commit(&mut self) {
-        if let Some((seq, txn)) = self.log.next(&mut self.jobs, self.now.steady) {
+        let now = self.now.steady;
+        if self.log.due().is_some_and(|due| now >= due)
+            && let Some(record) = self.due_learned_record()
+        {
+            self.log.add_learned_record(record);
+        }
+        if let Some((seq, txn)) = self.log.next(&mut self.jobs, now) {
             self.actions.push(Action::Commit { seq, txn });
         }
     }
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -40,6 +40,10 @@
 /// Minimum variance of an amount. Estimates learned within seconds aren't more certain than this.
 const MIN_VARIANCE: f64 = 0.0025;
 
+/// Weight below which an estimate isn't worth keeping, as an inverse variance; the initial estimate
+/// has 1.6.
+const MIN_WEIGHT: f64 = 0.2;
+
 /// Share of the target below which tails are kept. Values of 0.95 and below cost leftover work more
 /// than serving tasks gain.
 pub const TARGET_SHARE: f64 = 1.0;
@@ -220,7 +224,18 @@
         amounts
     }
 
-    /// Merges the estimates that another shard has learned locally.
+    /// Restores what an earlier owner of this shard had learned.
+    pub fn restore(&mut self, learned: &[PairEstimate], now: Duration) {
+        for PairEstimate { pair, amount } in learned {
+            let leftover = self.number(&pair.leftover);
+            let pair = PairIx { leftover, serving: self.number(&pair.serving) };
+            self.local.insert(pair, LearnedAmount { amount: *amount, at: now });
+            self.combine(pair);
+        }
+    }
+
+    /// Merges the estimates that another shard has learned locally. Those of an earlier report on
+    /// the same pair are replaced.
     pub fn merge(&mut self, from: &str, learned: &[PairEstimate]) {
         for other in learned {
             let leftover = self.number(&other.pair.leftover);
@@ -256,12 +271,27 @@
 
     /// Returns the local estimates, to be sent to other shards.
     pub fn learned(&self) -> Vec<PairEstimate> {
-        let name = |number: ImageIx| self.images.get_index(usize::from(number.0)).cloned();
-        let learned = |(pair, known): (&PairIx, &LearnedAmount)| {
-            let pair = Pair { leftover: name(pair.leftover)?, serving: name(pair.serving)? };
-            Some(PairEstimate { pair, amount: known.amount })
+        self.local.iter().filter_map(|(pair, known)| self.named(*pair, known.amount)).collect()
+    }
+
+    /// Returns the local estimates with their weight reduced by `weight_after` of the time since
+    /// each was last learned, without those that tell nearly nothing.
+    pub fn learned_weighted(
+        &self,
+        now: Duration,
+        weight_after: impl Fn(Duration) -> f64,
+    ) -> Vec<PairEstimate> {
+        let aged = |(pair, known): (&PairIx, &LearnedAmount)| {
+            let amount = known.amount.scaled(weight_after(now.saturating_sub(known.at)));
+            self.named(*pair, amount).filter(|_| amount.is_significant())
         };
-        self.local.iter().filter_map(learned).collect()
+        self.local.iter().filter_map(aged).collect()
+    }
+
+    fn named(&self, pair: PairIx, amount: Estimate) -> Option<PairEstimate> {
+        let name = |number: ImageIx| self.images.get_index(usize::from(number.0)).cloned();
+        let pair = Pair { leftover: name(pair.leftover)?, serving: name(pair.serving)? };
+        Some(PairEstimate { pair, amount })
     }
 
     fn local_estimate(&self, pair: PairIx, now: Duration) -> Estimate {
@@ -274,6 +304,31 @@
 }
 
 impl Estimate {
+    /// Returns the estimate with a part of the information that it adds to the initial one.
+    pub fn scaled(self, factor: f64) -> Self {
+        let first = 1.0 / INITIAL_AMOUNT_DEVIATION.powi(2);
+        Self { variance: 1.0 / (first + self.weight() * factor), ..self }
+    }
+
+    /// Returns the information that the estimate adds to the initial one, as an inverse variance.
+    pub fn weight(&self) -> f64 {
+        let first = 1.0 / INITIAL_AMOUNT_DEVIATION.powi(2);
+        (1.0 / self.variance.max(MIN_VARIANCE) - first).max(0.0)
+    }
+
+    /// Returns whether enough is known to keep it.
+    pub fn is_significant(&self) -> bool {
+        self.weight() >= MIN_WEIGHT
+    }
+
+    /// Returns whether the values are possible ones.
+    pub fn is_valid(&self) -> bool {
+        self.mean.is_finite()
+            && self.mean >= 0.0
+            && self.variance.is_finite()
+            && self.variance > 0.0
+    }
+
     /// Corrects an amount that contributed to a reading with `weight`, given the reading's error
     /// and variance.
     fn correct(&mut self, weight: f64, error: f64, variance: f64) {
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -14,9 +14,9 @@
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
-/// Entries reserved for the shard's head, which is a condition and a write of each commit, and for
-/// the record of unresponsive VMs.
-const RESERVED_ENTRIES: usize = 3;
+/// Entries reserved for the shard's head, which is a condition and a write of each commit, for the
+/// record of unresponsive VMs and for that of the learned state.
+const RESERVED_ENTRIES: usize = 4;
 
 /// Maximum number of entries for one job: the condition on its id, the id, the job and its
 /// progress.
@@ -57,6 +57,11 @@
         format!("silent/{}", self.shard)
     }
 
+    /// Key of what the shard has learned.
+    pub fn learned(&self) -> String {
+        format!("learned/{}", self.shard)
+    }
+
     fn job(&self, id: JobId) -> String {
         format!("job/{}/{id}", self.shard)
     }
@@ -81,6 +86,8 @@
     /// Actions to take once the next commit is durable.
     after_next_commit: Vec<Action>,
     pub silence: silence::SilenceRecord,
+    /// Learned state to write with the next commit.
+    learned_record: Option<Bytes>,
     last_seq: u64,
     next_at: Duration,
 }
@@ -93,6 +100,7 @@
     pub parts: Vec<CommitPart>,
     /// Actions to take once the commit is durable.
     pub actions: Vec<Action>,
+    learned_record: Option<Bytes>,
 }
 
 /// The part of a commit that concerns one job.
@@ -116,6 +124,7 @@
             in_flight: None,
             after_next_commit: Vec::new(),
             silence,
+            learned_record: None,
             last_seq: seq,
             next_at: Duration::ZERO,
         }
@@ -131,6 +140,11 @@
         self.after_next_commit.push(action);
     }
 
+    /// Adds the record of the learned state to the next commit; it causes no commit.
+    pub fn add_learned_record(&mut self, record: Vec<u8>) {
+        self.learned_record = Some(Bytes::from(record));
+    }
+
     /// Schedules the deletion of a job whose state has been shown for long enough.
     pub fn expire(&mut self, id: JobId) {
         self.expired.push(id);
@@ -193,11 +207,15 @@
             since: now,
             parts: Vec::new(),
             actions: std::mem::take(&mut self.after_next_commit),
+            learned_record: self.learned_record.take(),
         };
         let room = MAX_TXN_ENTRIES - RESERVED_ENTRIES - MAX_JOB_ENTRIES;
         if self.silence.needs_write() {
             txn.puts.push(put(self.keys.silence(), encode(&self.silence.start_write())));
         }
+        if let Some(value) = commit.learned_record.clone() {
+            txn.puts.push(Put { key: self.keys.learned(), value, lease: None });
+        }
         while txn.entries() <= room {
             let Some(id) = self.changed.shift_remove_index(0) else { break };
             if let Some(job) = jobs.get_mut(&id) {
@@ -235,6 +253,7 @@
     pub fn requeue(&mut self, commit: InFlight, jobs: &mut IndexMap<JobId, JobRun>) {
         self.silence.write_failed();
         self.after_next_commit.extend(commit.actions);
+        self.learned_record = self.learned_record.take().or(commit.learned_record);
         for mut part in commit.parts {
             let Some(job) = jobs.get_mut(&part.id) else { continue };
             part.effects.append(&mut job.effects);
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -2,6 +2,7 @@
 //! report.
 
 use super::job_run::{JobRun, PlacedRun};
+use super::learned::{Inherited, RecordClock};
 use super::log::{Keys, Log};
 use super::settings::{MAX_STALE_OWNER_EXTENSION, Settings};
 use super::silence::{ReportedLapse, SilenceRecord, SilentVm};
@@ -39,6 +40,8 @@
     pub silent: Vec<SilentVm>,
     /// Remaining times of these VMs that owners reported, as of now.
     pub reported_lapses: Vec<ReportedLapse>,
+    /// What earlier owners had learned.
+    pub learned: Inherited,
 }
 
 /// A VM that does not answer, and how long it may still keep its work running.
@@ -95,6 +98,7 @@
             reservations: super::compact::Reservations::default(),
             interference: super::interference::InterferenceModel::default(),
             run_times: super::run_times::RunTimes::default(),
+            record_clock: RecordClock::new(now.steady),
             vm_list: super::fleet::VmListSource::Inherited { since: now.steady },
             evacuation: super::evacuate::EvacuationOrders::default(),
             inherited_runs_until: now.steady + settings.inherited_lease(stale_owner_extension),
@@ -109,6 +113,7 @@
             let vm = Vm::new(entry, now.steady, shard.inherited_runs_until);
             shard.vms.insert(vm.id.clone(), vm);
         }
+        shard.restore_learned(recovered.learned);
         let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
         shard.recover_jobs(recovered.jobs, &progress);
         shard.apply_offered_lapses(&recovered.unresponsive_vms);
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -8,6 +8,7 @@
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
+use waxwingstall::shard::learned::Learned;
 use waxwingstall::shard::{PreviousOwner, Summary};
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{VmEntry, VmState};
@@ -52,7 +53,7 @@
         fence,
         summary: Summary::default(),
         accepted: Vec::new(),
-        learned: Vec::new(),
+        learned: Learned::default(),
         lapses: Vec::new(),
     }
 }
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -10,6 +10,7 @@
 mod instances;
 mod invariants;
 mod jobs;
+mod learned;
 mod leaving;
 mod limits;
 mod lists;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -18,6 +18,7 @@
 use waxwingstall::note::Note;
 use waxwingstall::permit::{self, PermitReq};
 use waxwingstall::queues::{PermitTimes, Queue, Queues};
+use waxwingstall::shard::learned::{Inherited, Learned, StoredRecord};
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
     OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, VmLapse, WriteOutcome,
@@ -384,6 +385,24 @@
         self.published_lapses_lost_from = self.now;
     }
 
+    /// What the shard's owner has learned itself.
+    pub fn learned(&self, shard: &str) -> Learned {
+        let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
+        owner.expect("the shard has an owner").shard.learned()
+    }
+
+    /// Tells the shard's owner that it is to hand the shard over.
+    pub fn begin_hand_over(&mut self, shard: &str) {
+        self.call(shard, Event::HandOver);
+    }
+
+    /// Kills the shard's owner, and lets another one take over after a while.
+    pub fn restart_owner_after(&mut self, shard: &str, time: Duration) {
+        self.end_owners(shard);
+        self.run_for(time);
+        self.claim(shard, PreviousOwner::Ended);
+    }
+
     /// Kills the shard's owner, and lets another one take over.
     pub fn replace_owner(&mut self, shard: &str) {
         self.end_owners(shard);
@@ -601,6 +620,7 @@
                 .get(&keys.silence())
                 .map_or(Vec::new(), |item| decode(&item.value).expect("silent VMs")),
             reported_lapses: self.published_lapses_of(name),
+            learned: self.inherited_learned(name),
             jobs: jobs.iter().map(|(_, v)| Arc::new(decode::<Job>(v).expect("a job"))).collect(),
             progress: progress
                 .iter()
@@ -628,6 +648,12 @@
         self.step(self.next_owner, Event::Departed(self.departures.clone()));
     }
 
+    fn inherited_learned(&mut self, name: &str) -> Inherited {
+        let item = self.kv.get(&Keys::new(name).learned());
+        let record = item.map_or(StoredRecord::Absent, |item| StoredRecord::Found(item.value));
+        Inherited { record, report: None }
+    }
+
     fn published_lapses_of(&self, name: &str) -> Vec<ReportedLapse> {
         let Some((at, reported)) = self.published_lapses.get(name) else { return Vec::new() };
         let passed = self.now - *at;
