--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -304,10 +304,13 @@
 }
 
 impl Estimate {
-    /// Returns the estimate with a part of the information that it adds to the initial one.
+    /// Returns the estimate with a part of the information that it adds to the initial one. Both
+    /// mean and variance approach the initial ones.
     pub fn scaled(self, factor: f64) -> Self {
         let first = 1.0 / INITIAL_AMOUNT_DEVIATION.powi(2);
-        Self { variance: 1.0 / (first + self.weight() * factor), ..self }
+        let (weight, left) = (first + self.weight(), first + self.weight() * factor);
+        let added = (weight * self.mean - first * INITIAL_AMOUNT) * factor;
+        Self { mean: (first * INITIAL_AMOUNT + added) / left, variance: 1.0 / left }
     }
 
     /// Returns the information that the estimate adds to the initial one, as an inverse variance.
--- a/src/shard/interference/tests.rs
+++ b/src/shard/interference/tests.rs
@@ -1,4 +1,7 @@
-use super::{READING_INTERVAL, TailState};
+use super::{
+    Estimate, INITIAL_AMOUNT, InterferenceModel, Pair, PairEstimate, READING_INTERVAL, TailState,
+};
+use crate::job::Image;
 use std::time::Duration;
 
 const TARGET: Duration = Duration::from_millis(50);
@@ -70,3 +73,38 @@
 fn another_tail_just_under_the_target_ends_the_time_over_it() {
     assert_eq!(over_since_at(&[(0, 60), (350, 48), (360, 48), (560, 47)]), None);
 }
+
+fn learned(mean: f64, variance: f64) -> PairEstimate {
+    let pair = Pair { leftover: Image::new("fares"), serving: Image::new("map") };
+    PairEstimate { pair, amount: Estimate { mean, variance } }
+}
+
+fn amount(model: &mut InterferenceModel) -> f64 {
+    let [leftover, serving] = ["fares", "map"].map(|name| model.number(&Image::new(name)));
+    model.amount(leftover, serving)
+}
+
+// Guards against a shard that is counted twice through a takeover: the others hold the report of its
+// former owner, and its next owner starts from what that one had learned and reports it again.
+#[test]
+fn the_next_owners_report_on_a_pair_replaces_the_former_ones() {
+    let mut other = InterferenceModel::default();
+    other.merge("kacyiru.1", &[learned(0.2, 0.02)]);
+    other.merge("kacyiru.0", &[learned(2.0, 0.02)]);
+    let before = amount(&mut other);
+    let mut next = InterferenceModel::default();
+    next.restore(&[learned(2.0, 0.02)], Duration::ZERO);
+    next.merge("kacyiru.1", &[learned(0.2, 0.02)]);
+    other.merge("kacyiru.0", &next.learned());
+    assert_eq!(amount(&mut other), before);
+    assert!((amount(&mut next) - before).abs() < 1e-6);
+}
+
+// Guards against an old amount that is certain no more and still pulls the estimate its way.
+#[test]
+fn an_aged_amount_approaches_the_initial_one() {
+    let fresh = learned(2.0, 0.02).amount;
+    assert!((fresh.scaled(1.0).mean - 2.0).abs() < 1e-9);
+    assert!((fresh.scaled(0.5).weight() - fresh.weight() / 2.0).abs() < 1e-9);
+    assert!((fresh.scaled(1e-6).mean - INITIAL_AMOUNT).abs() < 1e-3);
+}
--- a/src/shard/learned/tests.rs
+++ b/src/shard/learned/tests.rs
@@ -1,9 +1,15 @@
 use super::{
-    Error, HALF_LIFE, Learned, MAX_RECORD_BYTES, QueueRunTimes, decode_record, encode_record,
+    Error, HALF_LIFE, HeardReport, Inherited, Learned, MAX_RECORD_BYTES, QueueRunTimes,
+    StoredRecord, decode_record, encode_record,
 };
 use crate::job::{Image, QueueName};
+use crate::note::{Millis, Note};
 use crate::shard::interference::{Estimate, Pair, PairEstimate};
 use crate::shard::run_times::RunTimes;
+use crate::shard::{Action, Event, Now, PreviousOwner, Recovered, Settings, Shard};
+use crate::vm::Fence;
+use bytes::Bytes;
+use std::sync::Arc;
 use std::time::Duration;
 
 const WRITTEN: Duration = Duration::from_secs(1_700_000_000);
@@ -93,3 +99,91 @@
     }
     assert!(learned().aged(12 * HALF_LIFE).is_empty());
 }
+
+/// Claims a shard at a wall-clock time, and returns it with its first actions.
+fn claim(learned: Inherited, wall: Duration) -> (Shard, Vec<Action>) {
+    let recovered = Recovered {
+        shard: "kacyiru.0".to_owned(),
+        fence: Fence(2),
+        seq: 0,
+        previous: PreviousOwner::Ended,
+        jobs: Vec::new(),
+        progress: Vec::new(),
+        predecessor: None,
+        unresponsive_vms: Vec::new(),
+        silent: Vec::new(),
+        reported_lapses: Vec::new(),
+        learned,
+    };
+    let now = Now { steady: Duration::from_secs(50), wall };
+    let mut shard = Shard::new(recovered, Settings::default(), Arc::default(), Vec::new(), now);
+    let actions = shard.step(now, Event::Tick);
+    (shard, actions)
+}
+
+fn restored(actions: &[Action]) -> Option<(&'static str, Duration)> {
+    actions.iter().find_map(|action| match action {
+        Action::Note(Note::LearnedRestored { source, age_ms: Millis(age), .. }) => {
+            Some((*source, *age))
+        }
+        _ => None,
+    })
+}
+
+fn record() -> StoredRecord {
+    StoredRecord::Found(Bytes::from(encode_record(&learned(), WRITTEN)))
+}
+
+// Guards against a shard that counts what it had learned twice, from the record and from the report
+// that its daemon has heard, and against the older of the two being taken.
+#[test]
+fn a_claimed_shard_starts_from_the_newer_of_record_and_report() {
+    let seconds = Duration::from_secs;
+    for (report_age, source) in [(seconds(1), "report"), (seconds(60), "record")] {
+        let report = Some(HeardReport { learned: learned(), age: report_age });
+        let inherited = Inherited { record: record(), report };
+        let (shard, actions) = claim(inherited, WRITTEN + seconds(8));
+        let age = report_age.min(seconds(8));
+        assert_eq!(restored(&actions), Some((source, age)));
+        let expected = learned().aged(age);
+        assert_eq!(shard.learned().run_times, expected.run_times);
+        assert_eq!(shard.learned().pairs.len(), expected.pairs.len());
+    }
+}
+
+// Guards against a wall clock that jumps back and gives knowledge a negative age or more weight than
+// it had, and against one that jumps far ahead and fails the claim.
+#[test]
+fn a_wall_clock_that_jumps_does_no_harm() {
+    let inherited = || Inherited { record: record(), report: None };
+    let (shard, actions) = claim(inherited(), WRITTEN - Duration::from_secs(86_400));
+    assert_eq!(restored(&actions), Some(("record", Duration::ZERO)));
+    assert_eq!(shard.learned().run_times, learned().run_times);
+    let (shard, _) = claim(inherited(), WRITTEN + Duration::from_secs(1_000_000_000));
+    assert!(shard.learned().is_empty());
+}
+
+// Guards against a record that the store doesn't return and that fails the claim silently or aloud.
+#[test]
+fn a_record_that_was_not_read_is_logged() {
+    let record = StoredRecord::Unread { reason: "too many calls".to_owned() };
+    let (shard, actions) = claim(Inherited { record, report: None }, WRITTEN);
+    assert!(shard.learned().is_empty());
+    let noted = |action: &Action| matches!(action, Action::Note(Note::LearnedUnreadable { .. }));
+    assert!(actions.iter().any(noted), "{actions:?}");
+}
+
+// Guards against a late report of an earlier owner that is counted beside what its successor started
+// from.
+#[test]
+fn a_shards_own_report_is_not_merged() {
+    let (mut shard, _) = claim(Inherited { record: record(), report: None }, WRITTEN);
+    let expect = |shard: &Shard| {
+        shard.run_times.expect(&QueueName::new("seat-hold"), Duration::from_secs(2))
+    };
+    let before = expect(&shard);
+    shard.merge_learned("kacyiru.0", learned());
+    assert_eq!(expect(&shard), before);
+    shard.merge_learned("kacyiru.1", learned());
+    assert!(expect(&shard) != before, "another shard's report counts");
+}
--- a/tests/followers/fleet.rs
+++ b/tests/followers/fleet.rs
@@ -169,3 +169,27 @@
     leave(&mut harness, 1, ANNOUNCEMENT_EXPIRY).await;
     assert_eq!(*harness.departures.borrow(), Vec::<String>::new());
 }
+
+/// Claims a shard, and returns which claims have finished after five latencies of the store: the head
+/// is read and written, and then jobs, progress and silent VMs are read.
+async fn claims_after_five_calls(prepare: impl FnOnce(&Harness)) -> Vec<(&'static str, bool)> {
+    let latency = Duration::from_millis(100);
+    let harness = Harness::start_with_latency(1, latency);
+    tokio::time::sleep(10 * latency).await;
+    prepare(&harness);
+    harness.claim("kacyiru.0").await;
+    tokio::time::sleep(latency * 5 + latency / 2).await;
+    harness.claims.borrow().clone()
+}
+
+// Guards against a claim that takes longer because it reads what the shard has learned.
+#[actix::test]
+async fn reading_what_a_shard_has_learned_delays_no_claim() {
+    assert_eq!(claims_after_five_calls(|_| {}).await, [("one", true)]);
+}
+
+// Guards against a shard without an owner because what it has learned can't be read.
+#[actix::test]
+async fn a_claim_does_without_what_the_shard_has_learned() {
+    assert_eq!(claims_after_five_calls(Harness::refuse_learned).await, [("one", true)]);
+}
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -66,6 +66,8 @@
     bytes_per_second: Option<u32>,
     /// Whether it refuses calls for the plan.
     refuse_plan: Arc<AtomicBool>,
+    /// Whether it refuses calls for what shards have learned.
+    refuse_learned: Arc<AtomicBool>,
 }
 
 impl SlowStore {
@@ -80,7 +82,10 @@
     }
 
     fn check_allowed(&self, key: &str) -> kv::Result<()> {
-        if key == PLAN_KEY && self.refuse_plan.load(Ordering::Relaxed) {
+        let refuses = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        if key == PLAN_KEY && refuses(&self.refuse_plan)
+            || key.starts_with("learned/") && refuses(&self.refuse_learned)
+        {
             return Err(kv::Error::Refused { reason: "too many calls".to_owned() });
         }
         Ok(())
@@ -378,8 +383,13 @@
         let table = Arc::new(Troubled::new(TxnTable::new()));
         let refuse_plan: Arc<AtomicBool> = Arc::default();
         let store = FakeStore { table: table.clone(), clock: clock.clone() };
-        let store =
-            SlowStore { store, latency, bytes_per_second, refuse_plan: refuse_plan.clone() };
+        let store = SlowStore {
+            store,
+            latency,
+            bytes_per_second,
+            refuse_plan: refuse_plan.clone(),
+            refuse_learned: Arc::default(),
+        };
         let (updates, claims): (FleetUpdates, Claims) = Default::default();
         let config: Rc<Cell<ConfigUpdate>> = Rc::default();
         let evacuations: Rc<RefCell<(Evacuations, Duration)>> = Rc::default();
@@ -486,6 +496,11 @@
         }
     }
 
+    /// Refuses calls for what shards have learned.
+    pub fn refuse_learned(&self) {
+        self.store.refuse_learned.store(true, Ordering::Relaxed);
+    }
+
     pub async fn claim(&self, shard: &str) {
         let claim = unowned_claim(shard);
         self.records.send(claim).await.expect("the actor is running");
