--- a/src/note.rs
+++ b/src/note.rs
@@ -181,6 +181,10 @@
     Routine TaskStarted = "task-started" { task: TaskRef, run: RunNumber, vm: VmId, sends: u32, }
     /// An attempt to start a run failed.
     Telling StartFailed = "start-failed" { task: TaskRef, run: RunNumber, vm: VmId, sends: u32, reason: String, }
+    /// A slow run got a speculative copy: what was slow, the time that the copy is expected to save, and how long it should take.
+    Telling TaskCopied = "task-copied" { task: TaskRef, run: RunNumber, vm: VmId, slow_run: RunNumber, slow_vm: VmId, reason: StaticText, gain_ms: Millis, new_run_ms: Millis, }
+    /// A run of a task that had several runs at a time ended: whether it won, and the core-milliseconds that it took.
+    Telling CopyEnded = "copy-ended" { task: TaskRef, run: RunNumber, vm: VmId, role: StaticText, outcome: StaticText, core_ms: u64, }
     /// A run ended.
     Routine TaskEnded = "task-ended" { task: TaskRef, run: RunNumber, vm: VmId, how: StaticText, ran_ms: Millis, }
     /// A run failed.
@@ -213,6 +217,8 @@
     Urgent TaskGivenUp = "task-given-up" { task: TaskRef, run: RunNumber, vm: VmId, crashes: u8, sudden: u8, reason: StaticText, }
     /// A VM was marked as unhealthy, or as healthy again.
     Urgent VmHealth = "vm-health" { vm: VmId, health: StaticText, failed: u32, of: u32, rate_percent: u32, }
+    /// A VM was found slow, or sound again (100 percent); `late_starts` is 1 if it carries out starts late.
+    Telling VmSlow = "vm-slow" { vm: VmId, speed_percent: u32, late_starts: u32, runs: usize, }
     /// A VM rejected this owner because it has seen a higher fencing token.
     Urgent VmFenced = "vm-fenced" { vm: VmId, fence: u64, }
     /// Operators have ordered the evacuation of a failure domain: nothing is started on its VMs until the order is withdrawn.
@@ -240,7 +246,7 @@
     /// A job that is due has not been able to start its waiting tasks.
     Telling JobStalled = "job-stalled" { job: JobId, waiting: usize, running: usize, stalled_ms: Millis, reason: StaticText, }
     /// Periodic summary of a shard.
-    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Millis, vms_age_ms: Millis, }
+    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Millis, vms_age_ms: Millis, slow_vms: usize, copies: u64, copies_won: u64, wasted_core_s: u64, }
     /// Lasting tasks wait for room; the line counts those that would fit on a VM in this shard, in another shard, or later.
     Telling LastingWaits = "lasting-waits" { shard: String, tasks: usize, oldest_ms: Millis, fit_here: usize, fit_elsewhere: usize, fit_later: usize, least_milli_cores: u32, most_milli_cores: u32, least_mib: u32, largest_free_milli_cores: u32, largest_free_mib: u32, largest_leftover_mib: u32, closed_vms: usize, closed_free_milli_cores: u32, }
     /// Number of lines of one event that were dropped since the last report.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -10,6 +10,7 @@
 //! hash iteration order.
 
 mod compact;
+mod copies;
 mod crash;
 mod drain;
 mod evacuate;
@@ -38,6 +39,7 @@
 mod summary;
 mod vacate;
 mod vm_run;
+mod vm_speed;
 mod waiting;
 
 pub use event::{
@@ -80,6 +82,7 @@
     permit_requests: permits::PermitRequests,
     upkeep_drain: vacate::UpkeepDrain,
     crash_log: crash::CrashLog,
+    copy_counts: copies::CopyCounts,
     reservations: compact::Reservations,
     vm_list: fleet::VmListSource,
     evacuation: evacuate::EvacuationOrders,
@@ -271,6 +274,10 @@
             short_waiting: self.count_reserved_waiting(Life::Finite),
             commit_age_ms: crate::note::Millis(self.log.age(self.now.steady)),
             vms_age_ms: crate::note::Millis(self.list_age()),
+            slow_vms: self.vms.values().filter(|vm| vm.speed.is_slow(self.now.steady)).count(),
+            copies: self.copy_counts.started,
+            copies_won: self.copy_counts.won,
+            wasted_core_s: self.copy_counts.wasted_core_ms / 1000,
         }));
         self.report_waiting();
         self.report_evacuation();
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -1,6 +1,7 @@
 //! Effects of the end of a run on its task and its job.
 
 use super::Shard;
+use super::copies::{CopyEnd, allows_copies, is_exhausted};
 use super::job_run::{Effect, JobRun, is_long_running};
 use super::vm_run::{PendingStart, Run, RunKey, Stage};
 use crate::ids::VmId;
@@ -24,6 +25,10 @@
     /// Handles the end of a run that a VM reported.
     pub(super) fn handle_run_end(&mut self, end: RunEnd) {
         let run = self.vms.get_mut(&end.vm).and_then(|vm| vm.runs.shift_remove(&end.key));
+        if let Some(run) = &run {
+            let copy_end = self.copy_end(&end);
+            self.account_for_copy(&end.vm, end.key, run, copy_end);
+        }
         let run_time = run.as_ref().and_then(|run| self.whole_run_time(end.key, run));
         let ran = run.and_then(|run| run.running_since);
         let ran_ms =
@@ -43,7 +48,9 @@
         let state = job.state;
         if let Some(known) = job.task_mut(task) {
             known.remove(&end.vm, run);
-            known.not_running_since.get_or_insert(now);
+            if known.runs.is_empty() {
+                known.not_running_since.get_or_insert(now);
+            }
             if end.checkpoint.is_some() {
                 known.checkpoint = end.checkpoint;
             }
@@ -58,11 +65,21 @@
                 self.task_succeeded(&end.vm, task);
             }
             EndKind::Failed if !state.is_final() => self.task_failed(&end.vm, end.key, ran_ms),
-            _ => {}
+            _ => self.fail_exhausted_task(task),
         }
         self.advance(task.job);
     }
 
+    fn copy_end(&self, end: &RunEnd) -> CopyEnd {
+        let task = self.jobs.get(&end.key.task.job).and_then(|job| job.task(end.key.task));
+        let open = task.is_some_and(|task| task.phase == TaskPhase::Open);
+        match end.outcome {
+            EndKind::Succeeded if open => CopyEnd::Won,
+            EndKind::Failed => CopyEnd::Failed,
+            _ => CopyEnd::Lost,
+        }
+    }
+
     /// Returns the time that a run has taken since its start; `None` if this owner doesn't know the
     /// start or the run has resumed from a checkpoint.
     fn whole_run_time(&self, key: RunKey, run: &Run) -> Option<Duration> {
@@ -123,7 +140,28 @@
         let (run, vm_id) = (key.run, vm.clone());
         self.note(Note::TaskFailed { task, run, vm: vm_id, failed, attempts, ran_ms });
         self.record_failure(vm, earlier.as_ref(), task);
-        if failed >= attempts && !is_long_running(&step) {
+        let others = if step.grouping.is_gang() { 0 } else { self.runs_of(task) };
+        if is_exhausted(failed, attempts, others) && !is_long_running(&step) {
+            self.fail_task(task);
+        }
+    }
+
+    /// Number of a task's runs that are not known to have ended.
+    fn runs_of(&self, task: TaskRef) -> usize {
+        let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        known.map_or(0, |known| known.runs.len())
+    }
+
+    /// Fails a task that used up its attempts while another copy of it was running, once that copy
+    /// has ended as well.
+    fn fail_exhausted_task(&mut self, task: TaskRef) {
+        let Some(job) = self.jobs.get(&task.job).filter(|job| !job.is_final()) else { return };
+        let attempts = self.queue(job).map_or(u32::MAX, |queue| queue.attempts);
+        let Some(known) = job.task(task).filter(|known| known.phase == TaskPhase::Open) else {
+            return;
+        };
+        let exhausted = is_exhausted(known.failed, attempts, known.runs.len());
+        if exhausted && job.step(task).is_some_and(allows_copies) {
             self.fail_task(task);
         }
     }
@@ -154,8 +192,12 @@
         if !job.is_borrowed() {
             return self.fail_job(task.job);
         }
-        if let Some(task) = job.task_mut(task) {
-            task.phase = TaskPhase::Failed;
+        let Some(known) = job.task_mut(task) else { return };
+        known.phase = TaskPhase::Failed;
+        let copies = known.runs.clone();
+        for placed in copies {
+            let key = RunKey { task, run: placed.run };
+            self.stop_run(&placed.vm, key, "its task has failed");
         }
     }
 
@@ -224,16 +266,19 @@
 
     /// Removes a run that is certain not to be running and never to start.
     pub(super) fn drop_run(&mut self, vm: &VmId, key: RunKey) {
-        if let Some(vm) = self.vms.get_mut(vm) {
-            vm.runs.shift_remove(&key);
+        if let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.shift_remove(&key)) {
+            self.account_for_copy(vm, key, &run, CopyEnd::Gone);
         }
         let now = self.now.steady;
         let Some(job) = self.jobs.get_mut(&key.task.job) else { return };
         if let Some(task) = job.task_mut(key.task) {
             task.remove(vm, key.run);
-            task.not_running_since.get_or_insert(now);
+            if task.runs.is_empty() {
+                task.not_running_since.get_or_insert(now);
+            }
         }
         self.log.mark_changed(key.task.job);
+        self.fail_exhausted_task(key.task);
         self.advance(key.task.job);
     }
 
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -495,7 +495,9 @@
 
 /// Returns the state to send back for a borrowed task, or `None` if the task is still open.
 fn returned_task(task: TaskRef, known: &Task) -> Option<ReturnedTask> {
-    if !known.runs.is_empty() {
+    // A success counts at once; the other copies of the task may take long to stop. The lender's
+    // confirmation is ignored until they have ended.
+    if !known.runs.is_empty() && known.phase != TaskPhase::Succeeded {
         return None;
     }
     let result = match known.phase {
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -140,6 +140,7 @@
         if complete {
             self.resolve_absent(id, sent, &seen);
         }
+        self.note_late_starts(id);
         self.adjust_paces(id);
     }
 
@@ -193,6 +194,7 @@
         run.percent = row.percent;
         run.measurement = row.measurement;
         self.mark_started(row.task.job);
+        self.read_progress(id, key);
         self.reset_crash_counts(key, worked);
         let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
         let over = job.is_final();
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -67,6 +67,10 @@
 const REMOTE_DATA_COST: f64 = 1e4;
 const SUSPECT_PAIR_COST: f64 = 5e4;
 const PROBATION_COST: f64 = 1e5;
+
+/// Cost of a VM that stands still; a slow one costs the share of its speed that is lost. It exceeds
+/// the free cores of any VM.
+const SLOW_VM_COST: f64 = 500.0;
 const PREVIOUS_FAILURE_COST: f64 = 1e6;
 
 /// Time after which a job with no running task gets one task placed regardless of its speed: to its
@@ -75,7 +79,7 @@
 
 /// Whether a task should wait rather than run slowly.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Need {
+pub(super) enum Need {
     Normal,
     /// None of the job's tasks are running, and haven't been for [`STALL_TIMEOUT`].
     Stalled,
@@ -156,8 +160,8 @@
         self.last_schedule = now;
         self.next_schedule = now + SCHEDULE_EVERY;
         self.release_reservations();
-        let slowed = self.slowed();
-        if self.candidates().is_empty() && slowed.is_empty() {
+        let (slowed, slow) = (self.slowed(), self.slow_runs());
+        if self.candidates().is_empty() && slowed.is_empty() && slow.is_empty() {
             return;
         }
         let mut rooms: Vec<VmCapacity> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
@@ -170,6 +174,7 @@
             self.place_job(candidate, &mut pass);
         }
         self.move_slowed(slowed, &mut pass);
+        self.relieve_slow_runs(slow, &mut pass);
         self.request_missing_permits(&candidates, &pass.rooms);
         let waits = |task: &&TaskRef| {
             let task = self.jobs.get(&task.job).and_then(|job| job.task(**task));
@@ -281,7 +286,13 @@
 
     /// Computes the cost of placing a task on a VM (lower is better), or `None` if the task should
     /// rather wait.
-    fn cost(&self, room: &VmCapacity, step: &Step, image: ImageIx, need: Need) -> Option<f64> {
+    pub(super) fn cost(
+        &self,
+        room: &VmCapacity,
+        step: &Step,
+        image: ImageIx,
+        need: Need,
+    ) -> Option<f64> {
         let cost = match (step.share, step.life) {
             (Share::Leftover, _) => self.leftover_cost(room, step, image, need)?,
             (Share::Reserved, Life::Lasting) if room.is_crowded => crowded_cost(room, step, image),
@@ -371,8 +382,14 @@
 }
 
 /// Computes the part of the cost that doesn't depend on the kind of task.
-fn penalty(room: &VmCapacity, key: StepRef, step: &Step, failed_on: Option<&VmId>) -> f64 {
+pub(super) fn penalty(
+    room: &VmCapacity,
+    key: StepRef,
+    step: &Step,
+    failed_on: Option<&VmId>,
+) -> f64 {
     let mut cost = SAME_STEP_COST * room.count(key) as f64;
+    cost += SLOW_VM_COST * (1.0 - room.speed);
     if failed_on == Some(&room.vm) {
         cost += PREVIOUS_FAILURE_COST;
     }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -1,6 +1,7 @@
 //! Takeover of a shard: rebuilds its state from the store, to be reconciled with what the VMs
 //! report.
 
+use super::copies::Role;
 use super::job_run::{JobRun, PlacedRun};
 use super::log::{Keys, Log};
 use super::settings::{MAX_STALE_OWNER_EXTENSION, Settings};
@@ -9,7 +10,7 @@
 use super::{ClosedJob, Now, Shard};
 use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::Progress;
-use crate::job::{Job, JobId};
+use crate::job::{Job, JobId, TaskRef};
 use crate::kv::Rev;
 use crate::note::{Millis, Note};
 use crate::queues::Queues;
@@ -92,6 +93,7 @@
             permit_requests: super::permits::PermitRequests::default(),
             upkeep_drain: super::vacate::UpkeepDrain::default(),
             crash_log: super::crash::CrashLog::default(),
+            copy_counts: super::copies::CopyCounts::default(),
             reservations: super::compact::Reservations::default(),
             interference: super::interference::InterferenceModel::default(),
             run_times: super::run_times::RunTimes::default(),
@@ -211,6 +213,7 @@
             let mut run =
                 Run::binding(step.reserved_resources(), step.size.milli_cores.0, step.share, now);
             run.stage = Stage::Recovered;
+            run.role = recovered_role(job, task, &placed);
             let service = &job.job.service;
             let vm = self
                 .vms
@@ -221,6 +224,15 @@
     }
 }
 
+/// Returns the role of a recovered run: of several runs of a task, the first is the original.
+fn recovered_role(job: &JobRun, task: TaskRef, placed: &PlacedRun) -> Role {
+    let Some(known) = job.task(task).filter(|known| known.runs.len() > 1) else {
+        return Role::Only;
+    };
+    let first = known.runs.iter().map(|placed| placed.run).min();
+    if first == Some(placed.run) { Role::Original } else { Role::Copy }
+}
+
 /// Creates an entry for a VM that has work bound to it but is not in the list: it may be
 /// unreachable or gone.
 fn unlisted_vm(
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -44,6 +44,8 @@
     pub crash_suspects: usize,
     /// Whether the VM must be drained soon.
     pub drains_soon: bool,
+    /// Estimated share of the VM's usual speed, from 0 to 1.
+    pub speed: f64,
     /// Serving tasks on the VM.
     pub served: Vec<ServingTask>,
     /// Processors reserved for long-running tasks, as a share of the VM's processors.
@@ -96,6 +98,7 @@
         let mut room = VmCapacity::of(vm, self.now.steady)?;
         let now = self.now.steady;
         room.is_reserved = self.reservations.is_reserved(&vm.id);
+        room.speed = vm.speed.share(now);
         room.drains_soon = self.upkeep_drain.is_drain_scheduled(&vm.id);
         room.is_overloaded =
             vm.runs.values().any(|run| run.serving.is_over_for(STOP_ALL_AFTER, now));
@@ -197,6 +200,7 @@
             is_overloaded: false,
             crash_suspects: 0,
             drains_soon: false,
+            speed: 1.0,
             served: Vec::new(),
             long_running_share: 0.0,
             long_running_tasks: 0,
@@ -355,6 +359,6 @@
     /// Returns the speed that one more leftover task would have, from 0 to 1.
     pub fn leftover_speed(&self, step: &Step) -> f64 {
         let demand = self.leftover_demand + f64::from(step.size.milli_cores.0);
-        (self.leftover / demand.max(1.0)).min(1.0)
+        (self.leftover / demand.max(1.0)).min(1.0) * self.speed
     }
 }
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -1,10 +1,12 @@
 //! State of a VM of the shard: its runs, its clock, and when it last responded.
 
+use super::copies::{Restarts, Role};
 use super::interference::TailState;
 use super::settings::{
     BUSY_POLL_WAIT, CLOCK_DRIFT, DEFAULT_NOTICE, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP,
     POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY,
 };
+use super::vm_speed::{Progress, START_TIMEOUT, VmSpeed};
 use crate::ids::VmId;
 use crate::job::{RunNumber, Share, TaskRef};
 use crate::note::StaticText;
@@ -41,6 +43,7 @@
     /// Time by which every run on the VM is certain to have ended, unless it is extended.
     pub runs_ended_by: Duration,
     pub health: super::health::Health,
+    pub speed: VmSpeed,
 }
 
 /// Whether the platform lists a VM.
@@ -91,10 +94,13 @@
     pub running_since: Option<Duration>,
     /// Number of start commands sent.
     pub sends: u32,
+    /// When the first start command was sent.
+    pub sent_at: Option<Duration>,
     /// Whether a start command may still take effect.
     pub pending_start: PendingStart,
     /// Progress in percent.
     pub percent: u8,
+    pub progress: Progress,
     /// Gauge value of the last half second.
     pub measurement: u32,
     /// Speed limit in percent.
@@ -103,6 +109,8 @@
     pub slowed: Option<Duration>,
     /// Tail latency measurements, for a task with a tail latency target.
     pub serving: TailState,
+    pub role: Role,
+    pub restarts: Restarts,
 }
 
 /// Whether an unacknowledged start command may still take effect.
@@ -207,6 +215,7 @@
             },
             runs_ended_by,
             health: super::health::Health::default(),
+            speed: VmSpeed::default(),
         }
     }
 
@@ -363,12 +372,16 @@
             since: now,
             running_since: None,
             sends: 0,
+            sent_at: None,
             pending_start: PendingStart::No,
             percent: 0,
+            progress: Progress::default(),
             measurement: 0,
             pace: 100,
             slowed: None,
             serving: TailState::default(),
+            role: Role::default(),
+            restarts: Restarts::default(),
         }
     }
 
@@ -377,6 +390,12 @@
         matches!(self.stage, Stage::Stopping { .. })
     }
 
+    /// Whether the start was sent long ago and has not been confirmed.
+    pub fn is_start_late(&self, now: Duration) -> bool {
+        matches!(self.stage, Stage::Starting { .. })
+            && self.sent_at.is_some_and(|at| now.saturating_sub(at) >= START_TIMEOUT)
+    }
+
     /// Whether the VM has confirmed the run.
     pub fn is_running(&self) -> bool {
         self.stage == Stage::Running
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -104,6 +104,27 @@
     }
 }
 
+/// Runs that are slow on the VM that they were started on, drawn from a seed.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowRuns {
+    pub seed: u64,
+    /// How many of a thousand runs are slow.
+    pub permille: u64,
+    /// Their speed in percent.
+    pub percent: u8,
+}
+
+impl SlowRuns {
+    fn speed(&self, vm: &VmId, req: &StartReq) -> u8 {
+        // FNV-1a: the draw must be the same on every machine.
+        let name = format!("{} {vm} {} {}", self.seed, req.task, req.run);
+        let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        if (hash >> 20) % 1000 < self.permille { self.percent } else { 100 }
+    }
+}
+
 /// Something that happened on a VM, as a test's witness.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -142,6 +163,8 @@
     /// When `done` was last brought up to date.
     at: Duration,
     pace: u8,
+    /// Speed in percent that this run was given by the VM.
+    speed: u8,
     stop_at: Option<Duration>,
     fails: bool,
 }
@@ -159,6 +182,9 @@
     barred: IndexMap<TaskRef, RunNumber>,
     ended: Vec<EndedRun>,
     ends: u64,
+    /// Speed of the VM in percent.
+    speed: u8,
+    slow_runs: Option<SlowRuns>,
     pub seen: Vec<Seen>,
 }
 
@@ -175,6 +201,8 @@
             barred: IndexMap::new(),
             ended: Vec::new(),
             ends: 0,
+            speed: 100,
+            slow_runs: None,
             seen: Vec::new(),
         }
     }
@@ -206,6 +234,7 @@
                 done: Duration::ZERO,
                 at: now,
                 pace: 100,
+                speed: self.slow_runs.as_ref().map_or(100, |slow| slow.speed(&self.id, req)),
                 stop_at: None,
                 fails: req.run.0 <= work.fails,
             },
@@ -242,6 +271,17 @@
         Ok(self.clock(now))
     }
 
+    /// Changes the speed of the VM.
+    pub fn set_speed(&mut self, now: Duration, percent: u8) {
+        self.pass(now);
+        self.speed = percent;
+    }
+
+    /// Makes some of the runs that start from now on slow.
+    pub fn set_slow_runs(&mut self, slow_runs: SlowRuns) {
+        self.slow_runs = Some(slow_runs);
+    }
+
     /// Keeps everything running, forgets what may be forgotten, and tells the news.
     pub fn poll(&mut self, now: Duration, req: &PollReq) -> Result<PollResp> {
         self.pass(now);
@@ -334,14 +374,15 @@
 
     /// Lets time pass until `now`: work is done, runs end.
     fn pass(&mut self, now: Duration) {
+        let speed = self.speed;
         let tasks: Vec<TaskRef> = self.running.keys().copied().collect();
         for task in tasks {
             let Some(running) = self.running.get_mut(&task) else { continue };
-            let Some((at, outcome)) = running.end(now, self.keep_until) else {
-                running.work_until(now);
+            let Some((at, outcome)) = running.end(now, self.keep_until, speed) else {
+                running.work_until(now, speed);
                 continue;
             };
-            running.work_until(at);
+            running.work_until(at, speed);
             self.end(task, at, outcome);
         }
         self.ended.sort_by_key(|end| end.number);
@@ -372,25 +413,32 @@
 
 impl Running {
     /// When and how it ends, if that is at `now` or before.
-    fn end(&self, now: Duration, keep_until: Duration) -> Option<(Duration, EndKind)> {
+    fn end(&self, now: Duration, keep_until: Duration, speed: u8) -> Option<(Duration, EndKind)> {
         let mut ends = Vec::new();
-        if self.work.time > Duration::ZERO && self.pace > 0 {
+        let speed = self.speed(speed);
+        if self.work.time > Duration::ZERO && speed > 0.0 {
             let left = self.work.time.saturating_sub(self.total());
-            let left = left.mul_f64(100.0 / f64::from(self.pace));
+            let left = Duration::try_from_secs_f64(left.as_secs_f64() / speed);
+            let left = left.unwrap_or(Duration::MAX);
             let outcome = if self.fails { EndKind::Failed } else { EndKind::Succeeded };
-            ends.push((self.at + left, outcome));
+            ends.push((self.at.saturating_add(left), outcome));
         }
         ends.extend(self.stop_at.map(|at| (at, EndKind::Stopped)));
         ends.push((keep_until.max(self.at), EndKind::Lapsed));
         ends.into_iter().filter(|(at, _)| *at <= now).min_by_key(|(at, _)| *at)
     }
 
-    fn work_until(&mut self, at: Duration) {
+    fn work_until(&mut self, at: Duration, speed: u8) {
         let passed = at.saturating_sub(self.at);
-        self.done += passed.mul_f64(f64::from(self.pace) / 100.0);
+        self.done += passed.mul_f64(self.speed(speed));
         self.at = self.at.max(at);
     }
 
+    /// Share of full speed on a VM of this speed in percent.
+    fn speed(&self, vm: u8) -> f64 {
+        f64::from(self.pace) * f64::from(self.speed) * f64::from(vm) / 1e6
+    }
+
     fn total(&self) -> Duration {
         self.resumed + self.done
     }
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -1,6 +1,7 @@
 //! Simulation tests of shards with failing VMs, network and store.
 
 mod announcements;
+mod copies;
 mod crashes;
 mod duplicates;
 mod elsewhere;
