--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -29,6 +29,10 @@
 /// Largest share of a shard's running tasks that may be slow runs with a copy or being restarted.
 const MAX_SHARE: f64 = 0.1;
 
+/// Number of them that a small shard may have if nothing waits: a step may have several tasks on one
+/// slow VM.
+const MIN_SLOW_RUNS: usize = 2;
+
 /// Share of the shard's processors that must be free for a copy.
 const MIN_FREE_SHARE: f64 = 0.05;
 
@@ -192,8 +196,7 @@
     if shard.free < shard.all * MIN_FREE_SHARE {
         return 0;
     }
-    // Small shards have fewer than ten running tasks.
-    let most = ((shard.running as f64 * MAX_SHARE) as usize).max(1);
+    let most = ((shard.running as f64 * MAX_SHARE) as usize).max(MIN_SLOW_RUNS);
     most.saturating_sub(shard.waiting)
 }
 
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -12,7 +12,7 @@
 use std::ops::Range;
 use std::time::Duration;
 use waxwingstall::ids::Ticket;
-use waxwingstall::job::{Job, JobId, JobState};
+use waxwingstall::job::{Copies, Job, JobId, JobState, Resume};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
 use waxwingstall_standin::permits::PermitTable;
@@ -84,6 +84,28 @@
         self.jobs.insert(job.id, job);
     }
 
+    /// Submits a job of finite tasks; every other one may have copies.
+    fn submit_with_copies(&mut self) {
+        let id = self.jobs.len() as u64 + 1;
+        let mut job = random(id, &mut self.rng);
+        if id.is_multiple_of(2) {
+            job.steps.iter_mut().for_each(|step| step.copies = Copies::Parallel);
+        }
+        if id.is_multiple_of(3) {
+            job.steps.iter_mut().for_each(|step| step.resume = Resume::FromStart);
+        }
+        let home = self.shard();
+        self.tickets.insert(self.sim.submit(home, job.clone()), job.id);
+        self.home.insert(job.id, home);
+        self.jobs.insert(job.id, job);
+    }
+
+    fn change_speed(&mut self) {
+        let (vm, now) = (self.vm(), self.sim.now);
+        let percent = [0, 14, 30, 100, 100][self.rng.random_range(0..5)];
+        self.sim.vms[vm].table.set_speed(now, percent);
+    }
+
     fn cancel(&mut self) {
         let id = *self.jobs.get_index(self.rng.random_range(0..self.jobs.len())).unwrap().0;
         self.sim.cancel(self.home[&id], id);
@@ -217,6 +239,33 @@
     run
 }
 
+/// VMs become slow and sound again, half of the jobs may have copies, and anything may fail.
+fn simulate_slow_vms(seed: u64) -> RandomRun {
+    let mut run = RandomRun::new(seed, 80);
+    while run.sim.now < UNTIL {
+        let pause = run.millis(20..600);
+        run.sim.run_for(pause);
+        let shard = run.shard();
+        match run.rng.random_range(0..100) {
+            0..45 if run.jobs.len() < 40 => run.submit_with_copies(),
+            45..65 => run.change_speed(),
+            65..68 if !run.jobs.is_empty() => run.cancel(),
+            68..72 => run.sim.replace_owner(shard),
+            72..76 => run.pause_owner(),
+            76..80 if run.sim.crashes < MAX_CRASHES => run.crash_vm(),
+            80..86 => run.disconnect_vm(),
+            86..89 => run.stop_store(),
+            89..91 => run.sim.evacuate(shard),
+            91..94 => run.sim.withdraw_evacuation(shard),
+            _ => {}
+        }
+    }
+    SHARDS.iter().for_each(|shard| run.sim.withdraw_evacuation(shard));
+    let now = run.sim.now;
+    run.sim.vms.iter_mut().for_each(|vm| vm.table.set_speed(now, 100));
+    run
+}
+
 // Jobs are submitted and cancelled while anything may fail. No task may run twice or before its
 // predecessors, no VM may be overcommitted, and every finite job must complete.
 #[test]
@@ -235,3 +284,12 @@
         simulate_instances(seed).verify();
     }
 }
+
+// The same while VMs run at a fraction of their speed or stand still, and steps may have copies.
+#[test]
+fn promises_hold_with_copies_on_slow_vms() {
+    for seed in seeds(0..40) {
+        println!("seed {seed}");
+        simulate_slow_vms(seed).verify();
+    }
+}
