--- a/src/shard/interference/tests.rs
+++ b/src/shard/interference/tests.rs
@@ -1,12 +1,10 @@
-use super::{InterferenceModel, LeftoverNeighbour, OwnLoad, READING_INTERVAL, TailState};
-use crate::job::Image;
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-
 use super::{
-    Estimate, INITIAL_AMOUNT, InterferenceModel, Pair, PairEstimate, READING_INTERVAL, TailState,
+    Estimate, INITIAL_AMOUNT, InterferenceModel, LeftoverNeighbour, OwnLoad, Pair, PairEstimate,
+    READING_INTERVAL, TailState,
 };
 use crate::job::Image;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
 const TARGET: Duration = Duration::from_millis(50);
