--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -20,8 +20,8 @@
 /// Maximum age of another shard's summary that is used for lending tasks.
 const MAX_NEIGHBOUR_AGE: Duration = Duration::from_millis(1500);
 
-/// Interval at which what a shard has learned is sent: 2 KB with 45 pairs of images, and 60 bytes for
-/// each queue.
+/// Interval at which what a shard has learned is sent: 2 KB with 45 pairs of images, and under 100
+/// bytes for each queue.
 pub(super) const LEARNED_INTERVAL: Duration = Duration::from_millis(1500);
 
 impl Control {
--- a/tests/shards/learned.rs
+++ b/tests/shards/learned.rs
@@ -96,3 +96,18 @@
         assert!(tasks(&sim.learned(SHARD)) > 20.0, "the record was written anew");
     }
 }
+
+// Guards against a commit that the store refuses because the record takes one entry more than it
+// may hold beside many jobs.
+#[test]
+fn a_commit_of_many_jobs_has_room_for_the_record() {
+    let mut sim = sim();
+    run_jobs(&mut sim, Duration::from_secs(5), 1);
+    sim.run_for(Duration::from_secs(6));
+    assert!(sim.kv.get(&Keys::new(SHARD).learned()).is_none(), "no commit was due");
+    for id in 100..160 {
+        sim.submit(SHARD, job_with_steps(id, 1, 1, work(500, 2)));
+    }
+    sim.run_for(Duration::from_millis(500));
+    assert!(sim.kv.get(&Keys::new(SHARD).learned()).is_some(), "the record went along");
+}
