--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -391,3 +391,35 @@
     assert!(text.contains("version 99"), "{text}");
     assert!(text.contains("source=report"), "{text}");
 }
+
+/// Returns the shards of which the last report is kept.
+#[derive(Message)]
+#[rtype(result = "Vec<String>")]
+struct KeptReports;
+
+impl Handler<KeptReports> for Control {
+    type Result = Vec<String>;
+
+    fn handle(&mut self, _: KeptReports, _: &mut Self::Context) -> Self::Result {
+        self.learned.keys().cloned().collect()
+    }
+}
+
+// Guards against local shards that don't learn from each other, and against a daemon that loses a
+// shard and starts from nothing as it claims it again.
+#[actix::test]
+async fn reports_of_local_shards_are_kept() {
+    let clock = Arc::new(ManualClock::new());
+    let control = control(clock.clone());
+    let mut hello = hello();
+    hello.shards[0].learned = learned();
+    control.send(HelloReceived { hello, asked: None }).await.expect("a control");
+    assert_eq!(control.send(KeptReports).await.expect("a control"), [SHARD]);
+    control.send(claimed()).await.expect("a control");
+    assert_eq!(control.send(KeptReports).await.expect("a control"), [""; 0]);
+    for _ in 0..8 {
+        clock.advance(OWN_PAUSE_THRESHOLD / 2);
+        actix::clock::sleep(Duration::from_millis(60)).await;
+    }
+    assert_eq!(control.send(KeptReports).await.expect("a control"), [SHARD]);
+}
