--- a/src/shard/own_load.rs
+++ b/src/shard/own_load.rs
@@ -5,10 +5,11 @@
 //! Their tails are therefore treated as readings of a single load.
 //!
 //! Pattern: a bank of Kalman filters (a multiple-model estimator). One member tracks a level and a
-//! slope; each of the others tracks a mean and an oscillation of a fixed period. Each reading
-//! updates all members, and the members are weighted by how well they have predicted the readings.
-//! The estimate is the weighted mixture, whose variance includes the differences between members.
-//! A load that doesn't oscillate is left to the first member.
+//! slope; each of the others tracks a mean and an oscillation, and learns its period from a
+//! different initial one. Each reading updates all members, and the members are weighted by how
+//! well they have predicted the readings. The estimate is the weighted mixture, whose variance
+//! includes the differences between members. A load that doesn't oscillate is left to the first
+//! member.
 
 mod calibration;
 mod oscillation;
@@ -57,10 +58,10 @@
 /// Weight of all oscillations together when they are started anew.
 const RESTART_WEIGHT: f64 = 0.05;
 
-/// Initial weight of the level and slope; the periods share the rest evenly.
+/// Initial weight of the trend; the oscillations share the rest evenly.
 const INITIAL_TREND_WEIGHT: f64 = 0.3;
 
-/// Share of a reading's evidence that counts towards the weights. The errors of readings taken
+/// Share of a reading's log-likelihood that counts towards the weights. The errors of readings taken
 /// within seconds of each other are correlated through their neighbours.
 const EVIDENCE: f64 = 0.5;
 
@@ -70,10 +71,11 @@
 /// Weight below which a member doesn't count in a forecast.
 const MIN_FORECAST_WEIGHT: f64 = 0.005;
 
-/// Times in seconds at which the outlook is computed: the loads at each [`OUTLOOK_STEP`], and their
-/// deviations at each second of these times.
+/// Seconds between two loads of the outlook, and the number of loads.
 const OUTLOOK_STEP: f64 = 0.25;
 const OUTLOOK_LOADS: usize = 29;
+
+/// Number of loads of the outlook for each of its deviations.
 const DEVIATION_STRIDE: usize = 2;
 const OUTLOOK_DEVIATIONS: usize = OUTLOOK_LOADS / DEVIATION_STRIDE + 1;
 
@@ -85,8 +87,9 @@
 pub struct OwnLoad {
     trend: Trend,
     oscillations: [Oscillation; PERIODS],
-    /// Weights of the trend and of each oscillation as logarithms.
+    /// Logarithms of the unscaled weights of the trend and of each oscillation.
     evidence: [f64; PERIODS + 1],
+    /// Weights of the trend and of each oscillation.
     weights: [f64; PERIODS + 1],
     reading: Reading,
     calibration: Calibration,
--- a/src/shard/own_load/oscillation.rs
+++ b/src/shard/own_load/oscillation.rs
@@ -20,6 +20,10 @@
 const PHASE_DRIFT: f64 = 0.007;
 const FREQUENCY_DRIFT: f64 = 0.02;
 
+/// Standard deviation of the frequency from which it drifts no further. A load without oscillation
+/// tells nothing of its frequency, whose variance would otherwise grow without limit.
+const MAX_FREQUENCY_DEVIATION: f64 = 0.2;
+
 /// Extended Kalman filter of a mean and an oscillation around it.
 ///
 /// The load `t` from now is `mean + now * cos(frequency * t) + quarter * sin(frequency * t)`.
@@ -81,11 +85,13 @@
         let (quarter_n, quarter_q, quarter_f) =
             (quarter(nn, nq, nf), quarter(nq, qq, qf), quarter(nf, qf, ff));
         let phase_drift = PHASE_DRIFT.powi(2) * age;
+        let is_unknown = ff >= MAX_FREQUENCY_DEVIATION.powi(2);
+        let frequency_drift = if is_unknown { 0.0 } else { FREQUENCY_DRIFT.powi(2) * age };
         self.covariance = Covariance {
             mean: [mm + MEAN_DRIFT.powi(2) * age, now(mn, mq, mf), quarter(mn, mq, mf), mf],
             now: [now(now_n, now_q, now_f) + phase_drift, quarter(now_n, now_q, now_f), now_f],
             quarter: [quarter(quarter_n, quarter_q, quarter_f) + phase_drift, quarter_f],
-            frequency: ff + FREQUENCY_DRIFT.powi(2) * age,
+            frequency: ff + frequency_drift,
         };
     }
 
