--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -58,6 +58,8 @@
     task: TaskRef,
     image: ImageIx,
     own: f64,
+    /// Standard error of `own`.
+    deviation: f64,
     bound: f64,
     over: Duration,
     tail_ms: u32,
@@ -109,12 +111,13 @@
         let served = |(key, run): (&RunKey, &super::vm_run::Run)| {
             let job = self.jobs.get(&key.task.job)?;
             let target = job.step(key.task)?.tail_target?;
-            let load = job.step_run(key.task)?.load?;
+            let load = job.step_run(key.task)?.load.as_ref()?;
             let serving = &run.serving;
             Some(ServingTask {
                 task: key.task,
                 image: self.image(key.task),
                 own: load.forecast(now, FORECAST_HORIZON) + LOAD_MARGIN,
+                deviation: load.deviation(now, FORECAST_HORIZON),
                 bound: load.load_at_target_share(TARGET_SHARE),
                 over: serving.over_since.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
                 tail_ms: run.measurement,
