--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -140,7 +140,7 @@
         if complete {
             self.resolve_absent(id, sent, &seen);
         }
-        self.note_late_starts(id);
+        self.note_late_starts(id, sent);
         self.adjust_paces(id);
     }
 
@@ -285,7 +285,10 @@
         for (key, absence) in absent {
             match absence {
                 Absence::Proven(proof) => self.remove_vanished_run(id, key, proof),
-                Absence::Unexpected => self.stop_run(id, key, "VM does not list the run"),
+                Absence::Unexpected => {
+                    self.note_ineffective_start(id, key);
+                    self.stop_run(id, key, "VM does not list the run");
+                }
             }
         }
     }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -125,6 +125,9 @@
                     known.since = now;
                 }
                 vm.read_clock(*clock, now);
+                if starting {
+                    self.note_timely_start(id, key, *clock);
+                }
                 self.mark_started(task.job);
                 self.note(Note::TaskStarted { task, run, vm: id.clone(), sends });
             }
--- a/src/shard/vm_speed.rs
+++ b/src/shard/vm_speed.rs
@@ -15,16 +15,21 @@
 
 use super::Shard;
 use super::job_run::JobRun;
-use super::vm_run::{Run, RunKey, Stage};
+use super::vm_run::RunKey;
 use crate::ids::VmId;
 use crate::job::{Life, Share, Step, TaskRef};
 use crate::note::Note;
+use crate::vm::VmTime;
 use std::time::Duration;
 
 /// Shortest time over which progress is measured; percentages are whole numbers, and polls return
 /// early when a run ends.
 const MIN_WINDOW: Duration = Duration::from_millis(200);
 
+/// Share of a run's expected time over which progress is measured at least. Without it, the first
+/// percent of a task of a minute took longer than a poll, and its VM seemed to stand still.
+const MIN_WINDOW_SHARE: f64 = 0.1;
+
 /// Share of the expected progress below which a run counts against its VM. Run times of one step
 /// differ by a third at most.
 const SLOW_SHARE: f64 = 0.5;
@@ -53,16 +58,26 @@
 /// Lowest speed that is assumed of a VM.
 const MIN_SPEED: f64 = 0.05;
 
-/// Measured progress of one run.
+/// Measured progress of one run. Its readings are dated by the VM's clock: the responses of polls may
+/// be handled much later, and all at once, if the owner was paused.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
-    /// Last reading: when, and the percentage of the work done.
-    last: Option<(Duration, u8)>,
-    /// Percent per second between the last two readings.
+    /// Reading from which the next rate is measured.
+    last: Option<PercentAt>,
+    /// When that reading was handled here.
+    handled: Duration,
+    /// Percent per second between the last two readings that gave a rate.
     rate: Option<f64>,
     weighed: Weighed,
 }
 
+/// Percentage of the work done, and the VM's clock then.
+#[derive(Clone, Copy, Debug)]
+struct PercentAt {
+    clock: VmTime,
+    percent: u8,
+}
+
 /// Whether a run was already compared with the learned run time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Weighed {
@@ -79,9 +94,9 @@
 }
 
 impl Progress {
-    /// Progress of a run that has done `percent` of its work at `at`.
-    pub fn starting(at: Duration, percent: u8) -> Self {
-        Self { last: Some((at, percent)), ..Self::default() }
+    /// Progress of a run that has done `percent` of its work when the VM's clock shows `clock`.
+    pub fn starting(clock: VmTime, percent: u8) -> Self {
+        Self { last: Some(PercentAt { clock, percent }), ..Self::default() }
     }
 
     /// Whether there is no reading yet.
@@ -89,19 +104,19 @@
         self.last.is_none()
     }
 
-    /// Adds a reading.
-    pub fn read(&mut self, now: Duration, percent: u8) -> Reading {
-        let Some((at, before)) = self.last else {
-            self.last = Some((now, percent));
+    /// Adds a reading of a run that is expected to take `time` as a whole.
+    pub fn read(&mut self, clock: VmTime, percent: u8, time: Duration, now: Duration) -> Reading {
+        let window = time.mul_f64(MIN_WINDOW_SHARE).max(MIN_WINDOW);
+        // The first reading is dated in the future while a checkpoint is being restored.
+        let before = *self.last.get_or_insert(PercentAt { clock, percent });
+        let passed = clock.0.saturating_sub(before.clock.0);
+        if passed < window {
             return Reading::TooSoon;
-        };
-        // The start of the measurement may be set to the end of a restore.
-        let Some(passed) = now.checked_sub(at).filter(|passed| *passed >= MIN_WINDOW) else {
-            return Reading::TooSoon;
-        };
-        let done = f64::from(percent.saturating_sub(before));
+        }
+        let done = f64::from(percent.saturating_sub(before.percent));
         self.rate = Some(done / passed.as_secs_f64());
-        self.last = Some((now, percent));
+        self.last = Some(PercentAt { clock, percent });
+        self.handled = now;
         Reading::Rate
     }
 
@@ -113,10 +128,9 @@
     /// Expected time until the run ends at its present rate; `None` if the rate is unknown. A run
     /// that stands still has `Duration::MAX` left.
     pub fn time_left(&self, now: Duration) -> Option<Duration> {
-        let (at, percent) = self.last?;
-        let left = f64::from(100 - percent.min(100)) / self.rate?;
+        let left = f64::from(100 - self.last?.percent.min(100)) / self.rate?;
         let left = Duration::try_from_secs_f64(left).unwrap_or(Duration::MAX);
-        Some(left.saturating_sub(now.saturating_sub(at)))
+        Some(left.saturating_sub(now.saturating_sub(self.handled)))
     }
 }
 
@@ -232,18 +246,16 @@
         }
         let tells = job.step(key.task).is_some_and(tells_speed);
         let restores = job.task(key.task).is_some_and(|task| task.checkpoint.is_some());
-        let restore = self.settings.restore;
-        let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key)) else { return };
-        let percent = run.percent;
+        let restore = if restores { self.settings.restore } else { Duration::ZERO };
+        let time = self.step_time(job, usize::from(key.task.step), job.step_run(key.task));
+        let Some(known) = self.vms.get_mut(vm) else { return };
+        let Some(clock) = known.clock.map(|reading| reading.clock) else { return };
+        let Some(run) = known.runs.get_mut(&key) else { return };
         if run.progress.is_empty() {
-            run.progress = first_reading(run, restores, restore, now);
-            let timely = run.sent_at.is_some_and(|at| now.saturating_sub(at) < START_TIMEOUT);
-            if timely && tells {
-                self.note_speed(vm, Evidence::TimelyStart);
-            }
+            // A run stands still until its checkpoint is restored.
+            run.progress = Progress::starting(VmTime(clock.0 + restore), run.percent);
         }
-        let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key)) else { return };
-        if run.progress.read(now, percent) == Reading::TooSoon || !tells {
+        if run.progress.read(clock, run.percent, time, now) == Reading::TooSoon || !tells {
             return;
         }
         let (rate, weighed) = (run.progress.rate, run.progress.weighed);
@@ -265,12 +277,33 @@
         self.note_speed(vm, evidence);
     }
 
-    /// Counts the starts against a VM that have not taken effect in time, although the VM answers.
-    pub(super) fn note_late_starts(&mut self, vm: &VmId) {
+    /// Begins to measure the progress of a run whose start a VM has answered at `clock`.
+    pub(super) fn note_timely_start(&mut self, vm: &VmId, key: RunKey, clock: VmTime) {
         let now = self.now.steady;
+        let Some(job) = self.jobs.get(&key.task.job) else { return };
+        let restores = job.task(key.task).is_some_and(|task| task.checkpoint.is_some());
+        let Some(run) = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key)) else { return };
+        if run.progress.is_empty() && !restores {
+            run.progress = Progress::starting(clock, 0);
+        }
+        if run.sent_at.is_some_and(|at| now.saturating_sub(at) < START_TIMEOUT) {
+            self.note_speed(vm, Evidence::TimelyStart);
+        }
+    }
+
+    /// Counts the starts against a VM that had not taken effect in time when a poll was sent at
+    /// `sent`, although the VM has answered it.
+    pub(super) fn note_late_starts(&mut self, vm: &VmId, sent: Duration) {
         let Some(known) = self.vms.get(vm) else { return };
-        let late = known.runs.values().any(|run| run.is_start_late(now));
-        if late {
+        if known.runs.values().any(|run| run.is_start_late(sent)) {
+            self.note_speed(vm, Evidence::LateStart);
+        }
+    }
+
+    /// Counts a start against its VM that was answered and had no effect.
+    pub(super) fn note_ineffective_start(&mut self, vm: &VmId, key: RunKey) {
+        let run = self.vms.get(vm).and_then(|vm| vm.runs.get(&key));
+        if run.is_some_and(|run| run.running_since.is_none()) {
             self.note_speed(vm, Evidence::LateStart);
         }
     }
@@ -319,18 +352,3 @@
         }
     }
 }
-
-/// Returns the point from which the progress of a run that is first listed now is measured.
-fn first_reading(run: &Run, restores: bool, restore: Duration, now: Duration) -> Progress {
-    if restores {
-        // It stands still until its checkpoint is restored.
-        return Progress::starting(now + restore, run.percent);
-    }
-    match run.stage {
-        // The start was answered, and the run had done nothing then.
-        Stage::Running if run.sent_at.is_some() && run.since < now => {
-            Progress::starting(run.since, 0)
-        }
-        _ => Progress::starting(now, run.percent),
-    }
-}
--- a/src/shard/vm_speed/tests.rs
+++ b/src/shard/vm_speed/tests.rs
@@ -1,4 +1,5 @@
 use super::{Evidence, ExpectedTime, Progress, Reading, VmSpeed, compared_time, weigh};
+use crate::vm::VmTime;
 use std::time::Duration;
 
 const START: Duration = Duration::from_secs(100);
@@ -10,10 +11,20 @@
     Duration::from_millis(n)
 }
 
+/// A VM's clock is ahead of this one.
+fn clock(at: Duration) -> VmTime {
+    VmTime(at + Duration::from_secs(77))
+}
+
+/// Adds a reading of a run that takes `TIME`.
+fn read(progress: &mut Progress, at: Duration, percent: u8) -> Reading {
+    progress.read(clock(at), percent, TIME, at)
+}
+
 /// Evidence of a run that has done `percent` of its work in `after`.
 fn evidence(percent: u8, after: Duration, expected: ExpectedTime) -> Option<Evidence> {
-    let mut progress = Progress::starting(START, 0);
-    assert_eq!(progress.read(START + after, percent), Reading::Rate);
+    let mut progress = Progress::starting(clock(START), 0);
+    assert_eq!(read(&mut progress, START + after, percent), Reading::Rate);
     weigh(progress.rate().expect("two readings"), expected)
 }
 
@@ -96,9 +107,9 @@
 // Guards against a rate over a moment, when polls return early because another run ended.
 #[test]
 fn readings_within_a_moment_are_taken_together() {
-    let mut progress = Progress::starting(START, 0);
-    assert_eq!(progress.read(START + ms(20), 3), Reading::TooSoon);
-    assert_eq!(progress.read(START + ms(400), 62), Reading::Rate);
+    let mut progress = Progress::starting(clock(START), 0);
+    assert_eq!(read(&mut progress, START + ms(20), 3), Reading::TooSoon);
+    assert_eq!(read(&mut progress, START + ms(400), 62), Reading::Rate);
     let left = progress.time_left(START + ms(400)).expect("a rate");
     assert!(left > ms(200) && left < ms(300), "{left:?}");
 }
@@ -106,15 +117,36 @@
 // Guards against a run that counts as slow while it restores its checkpoint.
 #[test]
 fn a_restore_is_not_slow_progress() {
-    let mut progress = Progress::starting(START + ms(600), 40);
-    assert_eq!(progress.read(START + ms(400), 40), Reading::TooSoon);
-    assert_eq!(progress.read(START + ms(1000), 90), Reading::Rate);
+    let mut progress = Progress::starting(clock(START + ms(600)), 40);
+    assert_eq!(read(&mut progress, START + ms(400), 40), Reading::TooSoon);
+    assert_eq!(read(&mut progress, START + ms(1000), 90), Reading::Rate);
 }
 
 // Guards against a run that stands still and seems about to end.
 #[test]
 fn a_run_that_stands_still_never_ends() {
-    let mut progress = Progress::starting(START, 50);
-    assert_eq!(progress.read(START + ms(400), 50), Reading::Rate);
+    let mut progress = Progress::starting(clock(START), 50);
+    assert_eq!(read(&mut progress, START + ms(400), 50), Reading::Rate);
     assert!(progress.time_left(START + ms(400)) > Some(Duration::from_secs(1_000_000)));
 }
+
+// Guards against a VM that seems to stand still because the first percent of a task of a minute
+// takes longer than a poll.
+#[test]
+fn long_tasks_are_measured_over_longer_times() {
+    let mut progress = Progress::starting(clock(START), 0);
+    let time = Duration::from_secs(60);
+    let mut read = |at: Duration, percent| progress.read(clock(at), percent, time, at);
+    assert_eq!(read(START + ms(400), 0), Reading::TooSoon);
+    assert_eq!(read(START + ms(6000), 10), Reading::Rate);
+}
+
+// Guards against VMs that all seem slow to an owner that was paused and handles old responses.
+#[test]
+fn late_responses_are_dated_by_the_clock_of_the_vm() {
+    let mut progress = Progress::starting(clock(START), 0);
+    let handled = START + ms(4000);
+    assert_eq!(progress.read(clock(START + ms(400)), 62, TIME, handled), Reading::Rate);
+    let evidence = weigh(progress.rate().expect("two readings"), ExpectedTime::Compared(TIME));
+    assert!(!is_slow(evidence));
+}
--- a/tests/shards/copies.rs
+++ b/tests/shards/copies.rs
@@ -534,3 +534,30 @@
     assert!(at(&parallel, 99) < ms(2500), "{:?}", at(&parallel, 99));
     assert!(at(&parallel, 50) < at(&one, 50) + ms(50), "the median gets no worse");
 }
+
+// Guards against sound VMs that seem slow, and work that is restarted or copied for it: tasks of a
+// minute, whose first percent takes longer than a poll, and an owner that stands still and then
+// handles old responses all at once.
+#[test]
+fn sound_vms_are_served_as_before() {
+    let mut sim = simulation(NoFaults, 4);
+    let mut jobs = vec![step_of(1, 4, 60_000, Copies::Parallel)];
+    for id in 2..40 {
+        let copies = if id % 2 == 0 { Copies::Parallel } else { Copies::One };
+        jobs.push(step_of(id, 4, 300 + 100 * id, copies));
+    }
+    for job in &jobs {
+        sim.submit(SHARD, job.clone());
+        sim.run_for(ms(700));
+        if job.id == JobId(20) {
+            sim.stall_owner(SHARD, ms(3000));
+        }
+        let Some(Note::ShardState { slow_vms, copies, .. }) = sim.states.get(SHARD) else {
+            panic!("no report of the shard");
+        };
+        assert_eq!((*slow_vms, *copies), (0, 0), "after job {}", job.id);
+    }
+    sim.run_for(ms(40_000));
+    jobs.iter().for_each(|job| assert_eq!(starts(&sim, job), 4, "job {}", job.id));
+    check_all(&mut sim, &jobs.iter().collect::<Vec<_>>());
+}
