--- a/src/shard/interference/tests.rs
+++ b/src/shard/interference/tests.rs
@@ -5,7 +5,6 @@
 use crate::job::Image;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::f64::consts::TAU;
 use std::time::Duration;
 
 const TARGET: Duration = Duration::from_millis(50);
@@ -109,6 +108,7 @@
         assert!((heavy - AMOUNTS[0]).abs() < 0.4, "seed {seed}: {heavy}");
         assert!((light - AMOUNTS[1]).abs() < 0.25, "seed {seed}: {light}");
     }
+}
 
 fn learned(mean: f64, variance: f64) -> PairEstimate {
     let pair = Pair { leftover: Image::new("fares"), serving: Image::new("map") };
