--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -67,8 +67,20 @@
         let silent = store.call(|store| store.get(&key)).await?;
         Ok::<_, Error>((jobs, progress, silent))
     };
-    let (state, record) = tokio::join!(state, read_learned(store, &keys));
+    let learned = read_learned(store, &keys);
+    tokio::pin!(state, learned);
+    let mut record = None;
+    let state = loop {
+        tokio::select! {
+            biased;
+            read = &mut learned, if record.is_none() => record = Some(read),
+            state = &mut state => break state,
+        }
+    };
     let (jobs, progress, silent) = state?;
+    // A lost answer would delay the claim by the timeout of a call.
+    let late = || StoredRecord::Unread { reason: "the store's answer was late".to_owned() };
+    let record = record.unwrap_or_else(late);
     let recovered = Recovered {
         shard: shard.to_owned(),
         fence: writer.fence,
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -8,6 +8,7 @@
 use crate::jobs::follow::operators::LoadedConfig;
 use crate::jobs::view::ShardView;
 use crate::note::Note;
+use crate::shard::learned::ShardLearned;
 use crate::shard::loan::LoanMsg;
 use crate::shard::{Answer, CommitResult, Event, FleetListStatus, Recovered, VmLapse};
 use crate::upkeep::{self, Wave};
@@ -196,11 +197,10 @@
             self.remote_shards.insert(report.name.clone(), RemoteShard { order, view });
             let lapses = TimedLapses { at: now, lapses: report.lapses.clone() };
             self.reported_lapses.insert(report.name.clone(), lapses);
-            learned.push((report.name.clone(), report.learned.clone()));
-        }
-        for (from, learned) in learned {
-            self.share_learned(&from, learned, cx);
+            let (shard, known) = (report.name.clone(), report.learned.clone());
+            learned.push(ShardLearned { shard, learned: known });
         }
+        self.share_learned(learned, cx);
         self.step_ownership(cluster::Event::Hello { hello, asked }, cx);
     }
 }
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -7,7 +7,7 @@
 use crate::jobs::links::SendHello;
 use crate::jobs::view::{Owner, Readiness, ShardView, View};
 use crate::note::Note;
-use crate::shard::learned::Learned;
+use crate::shard::learned::{Learned, ShardLearned};
 use crate::shard::{Event, OtherShard};
 use actix::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -206,24 +206,29 @@
             return;
         }
         self.next_local_learned = now + LEARNED_INTERVAL;
-        let local = self.hosted.iter().map(|(name, hosted)| (name.clone(), hosted.shard.learned()));
-        for (from, learned) in local.collect::<Vec<_>>() {
-            self.share_learned(&from, learned, cx);
-        }
+        let local = self.hosted.iter().map(|(name, hosted)| ShardLearned {
+            shard: name.clone(),
+            learned: hosted.shard.learned(),
+        });
+        self.share_learned(local.collect(), cx);
     }
 
-    /// Passes what a shard has learned to the local shards, and keeps it for shards taken over
-    /// later. The last report of a shard replaces the earlier ones, also those of earlier owners.
-    pub(super) fn share_learned(&mut self, from: &str, learned: Learned, cx: &mut Context<Self>) {
-        if learned.is_empty() {
+    /// Passes what shards have learned to the local shards, each in one step, and keeps it for
+    /// shards taken over later. The last report of a shard replaces the earlier ones, also those of
+    /// earlier owners.
+    pub(super) fn share_learned(&mut self, reports: Vec<ShardLearned>, cx: &mut Context<Self>) {
+        let known = reports.into_iter().filter(|report| !report.learned.is_empty());
+        let reports: Arc<Vec<ShardLearned>> = Arc::new(known.collect());
+        if reports.is_empty() {
             return;
         }
-        let names: Vec<String> = self.hosted.keys().filter(|name| *name != from).cloned().collect();
-        for name in names {
-            let (from, learned) = (from.to_owned(), learned.clone());
-            self.step_shard(&name, Event::Learned { from, learned }, cx);
+        for name in self.hosted.keys().cloned().collect::<Vec<_>>() {
+            self.step_shard(&name, Event::Learned(reports.clone()), cx);
         }
         let at = self.clock.now();
-        self.learned.insert(from.to_owned(), TimedLearned { at, learned });
+        for report in reports.iter() {
+            let learned = report.learned.clone();
+            self.learned.insert(report.shard.clone(), TimedLearned { at, learned });
+        }
     }
 }
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -13,7 +13,7 @@
 use crate::jobs::records::{ClaimShard, ConfirmOwnership, OwnershipStatus, ReadHeads, RemoveShard};
 use crate::journal::Journal;
 use crate::note::{Millis, Note};
-use crate::shard::learned::HeardReport;
+use crate::shard::learned::{HeardReport, ShardLearned};
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use crate::shard::{Action, Event, FleetListStatus, Recovered, Shard};
 use crate::vm::{Departure, Fence, VmEntry};
@@ -213,11 +213,10 @@
         self.step_shard(&name, Event::Departed(departures), cx);
         let heard = self.learned.iter().map(|(from, known)| {
             let age = now.steady.saturating_sub(known.at);
-            (from.clone(), known.learned.clone().aged(age))
+            ShardLearned { shard: from.clone(), learned: known.learned.clone().aged(age) }
         });
-        for (from, learned) in heard.collect::<Vec<_>>() {
-            self.step_shard(&name, Event::Learned { from, learned }, cx);
-        }
+        let heard = Arc::new(heard.collect());
+        self.step_shard(&name, Event::Learned(heard), cx);
         self.step_ownership(cluster::Event::Claimed { shard: name.clone(), fence: fence.0 }, cx);
         self.step_shard(&name, Event::Tick, cx);
         self.ownership.schedule_hello_to_all();
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -157,7 +157,7 @@
             Event::Submit { ticket, job, mode } => self.submit(ticket, job, mode),
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
-            Event::Learned { from, learned } => self.merge_learned(&from, learned),
+            Event::Learned(reports) => self.merge_reports(&reports),
             Event::OtherShards(other_shards) => self.loans.set_other_shards(other_shards),
             Event::Drain(order) => self.set_draining_vms(order),
             Event::Evacuations { evacuations, at } => self.set_evacuations(evacuations, at),
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -7,7 +7,7 @@
 use crate::note::{Note, StaticText};
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::queues::Queues;
-use crate::shard::learned::Learned;
+use crate::shard::learned::ShardLearned;
 use crate::shard::loan::LoanMsg;
 use crate::units::Resources;
 use crate::vm::{
@@ -56,8 +56,8 @@
     Cancel { ticket: Ticket, job: JobId },
     /// A caller queries a job's state.
     Show { ticket: Ticket, job: JobId },
-    /// What another shard has learned itself.
-    Learned { from: String, learned: Learned },
+    /// What other shards have learned themselves.
+    Learned(Arc<Vec<ShardLearned>>),
     /// Last known state of the other shards.
     OtherShards(Vec<OtherShard>),
     /// VMs to drain now, and VMs to drain later.
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -27,6 +27,9 @@
 const INITIAL_AMOUNT: f64 = 0.4;
 const INITIAL_AMOUNT_DEVIATION: f64 = 0.8;
 
+/// Largest amount that a report or record may hold. Measured amounts are about 0.2 and 2.
+const MAX_AMOUNT: f64 = 100.0;
+
 /// Deviation by which a known amount may have changed after one second.
 const AMOUNT_DRIFT: f64 = 0.02;
 
@@ -290,6 +293,24 @@
         self.local.iter().filter_map(aged).collect()
     }
 
+    /// Multiplies the weight of what was heard, and forgets pairs of which nearly nothing is left.
+    /// `weight_after` is the weight that is left of a local estimate after some time.
+    pub fn decay(&mut self, factor: f64, now: Duration, weight_after: impl Fn(Duration) -> f64) {
+        self.local.retain(|_, known| {
+            let weight = weight_after(now.saturating_sub(known.at));
+            weight > 0.5 || known.amount.scaled(weight).is_significant()
+        });
+        for pairs in self.from_shards.values_mut() {
+            pairs.values_mut().for_each(|amount| *amount = amount.scaled(factor));
+            pairs.retain(|_, amount| amount.is_significant());
+        }
+        self.from_shards.retain(|_, pairs| !pairs.is_empty());
+        self.combined.iter_mut().flatten().for_each(|amount| *amount = None);
+        let heard = self.from_shards.values().flat_map(IndexMap::keys);
+        let pairs: IndexSet<PairIx> = self.local.keys().chain(heard).copied().collect();
+        pairs.into_iter().for_each(|pair| self.combine(pair));
+    }
+
     fn named(&self, pair: PairIx, amount: Estimate) -> Option<PairEstimate> {
         let name = |number: ImageIx| self.images.get_index(usize::from(number.0)).cloned();
         let pair = Pair { leftover: name(pair.leftover)?, serving: name(pair.serving)? };
@@ -328,10 +349,11 @@
 
     /// Returns whether the values are possible ones.
     pub fn is_valid(&self) -> bool {
-        self.mean.is_finite()
-            && self.mean >= 0.0
-            && self.variance.is_finite()
+        // A variance above the initial one would count as negative weight.
+        let max_variance = 1.001 * INITIAL_AMOUNT_DEVIATION.powi(2);
+        (0.0..=MAX_AMOUNT).contains(&self.mean)
             && self.variance > 0.0
+            && self.variance <= max_variance
     }
 
     /// Corrects an amount that contributed to a reading with `weight`, given the reading's error
--- a/src/shard/learned.rs
+++ b/src/shard/learned.rs
@@ -63,6 +63,13 @@
 const PAIR_BYTES: usize = 22;
 const NAME_LEN_BYTES: usize = 3;
 
+/// A shard and what it has learned itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShardLearned {
+    pub shard: String,
+    pub learned: Learned,
+}
+
 /// What one shard has learned itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Learned {
@@ -224,7 +231,15 @@
 impl Shard {
     /// Returns what this shard has learned itself.
     pub fn learned(&self) -> Learned {
-        Learned { run_times: self.run_times.learned(), pairs: self.interference.learned() }
+        let pairs = self.interference.learned_weighted(self.now.steady, weight_after);
+        // An owner without commits doesn't decay what it holds.
+        let passed = self.now.steady.saturating_sub(self.record_clock.last_decay);
+        let mut run_times = self.run_times.learned();
+        run_times
+            .iter_mut()
+            .for_each(|known| known.times = known.times.scaled(weight_after(passed)));
+        run_times.retain(|known| known.times.is_significant());
+        Learned { run_times, pairs }
     }
 
     /// Starts from what an earlier owner had learned.
@@ -245,7 +260,8 @@
             }
         };
         let recorded = recorded.map(|(learned, age)| ("record", learned, age));
-        let heard = inherited.report.map(|heard| ("report", heard.learned, heard.age));
+        let heard = inherited.report.filter(|heard| heard.learned.is_valid());
+        let heard = heard.map(|heard| ("report", heard.learned, heard.age));
         let newest = recorded.into_iter().chain(heard).min_by_key(|(_, _, age)| *age);
         let Some((source, learned, age)) = newest else { return };
         self.start_from(source, learned.aged(age), age);
@@ -263,13 +279,25 @@
         self.note(Note::LearnedUnreadable { shard: self.name.clone(), reason });
     }
 
+    /// Merges what other shards have learned.
+    pub(super) fn merge_reports(&mut self, reports: &[ShardLearned]) {
+        for report in reports {
+            self.merge_learned(&report.shard, report.learned.clone());
+        }
+    }
+
     /// Merges what another shard has learned. A report of this shard is of an earlier owner, whose
     /// knowledge this owner has started from.
     pub(super) fn merge_learned(&mut self, from: &str, learned: Learned) {
-        if from != self.name && learned.is_valid() {
-            self.interference.merge(from, &learned.pairs);
-            self.run_times.merge(from, learned.run_times);
+        if from == self.name {
+            return;
+        }
+        if !learned.is_valid() {
+            return self
+                .note_unreadable(format!("the report of shard {from} has impossible values"));
         }
+        self.interference.merge(from, &learned.pairs);
+        self.run_times.merge(from, learned.run_times);
     }
 
     /// Returns the record of what this shard has learned, if it is to be written with a commit made
@@ -283,8 +311,8 @@
         let passed = now.saturating_sub(self.record_clock.last_decay);
         self.record_clock.last_decay = now;
         self.run_times.decay(weight_after(passed));
-        let pairs = self.interference.learned_weighted(now, weight_after);
-        let learned = Learned { run_times: self.run_times.learned(), pairs };
+        self.interference.decay(weight_after(passed), now, weight_after);
+        let learned = self.learned();
         (!learned.is_empty()).then(|| encode_record(&learned, self.now.wall))
     }
 }
--- a/src/shard/learned/tests.rs
+++ b/src/shard/learned/tests.rs
@@ -187,3 +187,45 @@
     shard.merge_learned("kacyiru.1", learned());
     assert!(expect(&shard) != before, "another shard's report counts");
 }
+
+/// What is learned, with other encoded means and products of the first queue.
+fn damaged(values: [f64; 3]) -> Learned {
+    let mut learned = learned();
+    let mut bytes = crate::job::progress::encode(&learned.run_times[0].times);
+    for (at, value) in [8, 16, 32].into_iter().zip(values) {
+        bytes[at..at + 8].copy_from_slice(&value.to_le_bytes());
+    }
+    learned.run_times[0].times = crate::job::progress::decode(&bytes).expect("six numbers");
+    learned
+}
+
+// Guards against a damaged record or report with finite values whose squares aren't, which made the
+// expected run time NaN and ended the owner, the next owner, and each shard that heard of it.
+#[test]
+fn values_that_cannot_be_computed_with_are_dropped() {
+    for bad in
+        [damaged([1e200, 1e200, 0.0]), damaged([f64::NAN, 0.0, 0.0]), damaged([0.0, 0.0, 1e308])]
+    {
+        assert_eq!(decode_record(&encode_record(&bad, WRITTEN)), Err(Error::Invalid));
+        let report = Some(HeardReport { learned: bad.clone(), age: Duration::ZERO });
+        let (mut shard, _) = claim(Inherited { record: record(), report }, WRITTEN + HALF_LIFE);
+        assert!(!shard.learned().is_empty(), "the record counts instead");
+        shard.merge_learned("kacyiru.1", bad);
+        let (queue, second) = (QueueName::new("seat-hold"), Duration::from_secs(1));
+        shard.run_times.learn(&queue, second, second);
+        assert!(shard.run_times.expect(&queue, second) < 20 * second);
+    }
+}
+
+// Guards against images that are gone and stay in reports, and through them in the state of each
+// next owner and of all other shards.
+#[test]
+fn pairs_that_are_not_seen_any_more_fade_in_memory() {
+    let (mut shard, _) = claim(Inherited { record: record(), report: None }, WRITTEN);
+    shard.merge_learned("kacyiru.1", learned());
+    let later = 12 * HALF_LIFE;
+    shard.step(Now { steady: Duration::from_secs(50) + later, wall: WRITTEN + later }, Event::Tick);
+    assert!(shard.learned().pairs.is_empty());
+    assert_eq!(shard.due_learned_record(), None);
+    assert_eq!(shard.interference.leftover_images().count(), 0);
+}
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -14,9 +14,9 @@
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
-/// Entries reserved for the shard's head, which is a condition and a write of each commit, for the
-/// record of unresponsive VMs and for that of the learned state.
-const RESERVED_ENTRIES: usize = 4;
+/// Entries reserved for the shard's head, which is a condition and a write of each commit. The other
+/// records are counted as they are added.
+const RESERVED_ENTRIES: usize = 2;
 
 /// Maximum number of entries for one job: the condition on its id, the id, the job and its
 /// progress.
--- a/src/shard/moving.rs
+++ b/src/shard/moving.rs
@@ -97,5 +97,5 @@
 
 /// Returns what is left of a run time when `percent` of the work is done.
 fn remaining(time: Duration, percent: u8) -> Duration {
-    time.mul_f64(f64::from(100 - percent.min(100)) / 100.0)
+    (time / 100).saturating_mul(u32::from(100 - percent.min(100)))
 }
--- a/src/shard/own_load.rs
+++ b/src/shard/own_load.rs
@@ -79,6 +79,10 @@
 const DEVIATION_STRIDE: usize = 2;
 const OUTLOOK_DEVIATIONS: usize = OUTLOOK_LOADS / DEVIATION_STRIDE + 1;
 
+/// Maximum standard error of a forecast, for a load of which nothing is known within its limits.
+/// Beyond it, the harm of placed work would appear to vanish, as any load would be equally likely.
+const MAX_DEVIATION: f64 = 0.25;
+
 /// Minimum variance of a forecast.
 const MIN_VARIANCE: f64 = 1e-5;
 
@@ -286,7 +290,7 @@
             mean += weight * reading.mean;
             squares += weight * (reading.variance + reading.mean * reading.mean);
         }
-        self.reading = Reading { mean, variance: squares - mean * mean };
+        self.reading = Reading { mean, variance: (squares - mean * mean).max(MIN_VARIANCE) };
     }
 
     fn update_outlook(&mut self) {
@@ -325,7 +329,8 @@
             let index = number * DEVIATION_STRIDE;
             let part = (index as f64 / CHECKED_POSITION as f64).min(1.0);
             let factor = near + (far - near) * part;
-            *deviation = (factor * expected(index).variance.sqrt()) as f32;
+            let value = factor * expected(index).variance.sqrt();
+            *deviation = value.min(MAX_DEVIATION) as f32;
         }
     }
 }
--- a/src/shard/own_load/tests.rs
+++ b/src/shard/own_load/tests.rs
@@ -199,3 +199,26 @@
     assert!((highest(4.0, 6.0) - real(4.0)).abs() < 0.03, "{}", highest(4.0, 6.0));
     assert!(highest(0.0, 60.0) >= highest(0.0, 4.0));
 }
+
+// Readings pause for just less than the time after which an estimate is discarded, or stay at the
+// highest load that a tail can show. A filter that diverges then makes all forecasts NaN.
+#[test]
+fn estimates_stay_finite_after_gaps_and_at_saturation() {
+    for (gap, level, amplitude) in [(3.9, 0.42, 0.21), (0.1, 0.97, 0.0), (0.1, 0.5, 0.4)] {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let (mut load, mut now) = (OwnLoad::new(TARGET, Duration::ZERO), 0.0);
+        for number in 0..10_000 {
+            now += if number % 100 == 0 { gap } else { 0.1 };
+            let at = Duration::from_secs_f64(now);
+            load.advance(at);
+            let sign = if now % 12.0 < 6.0 { 1.0 } else { -1.0 };
+            let real: f64 = level + sign * amplitude + rng.random_range(-0.08..0.08);
+            let error = real.clamp(0.0, 0.97) - load.expected_reading();
+            load.correct(error, 0.0036 + load.variance());
+            let values =
+                [load.expected_reading(), load.variance(), load.deviation(at, Duration::ZERO)];
+            assert!(values.iter().all(|value| value.is_finite()), "{number}: {values:?}");
+            assert!(load.variance() > 0.0 && load.expected_reading().abs() < 1.5, "{values:?}");
+        }
+    }
+}
--- a/src/shard/own_load/trend.rs
+++ b/src/shard/own_load/trend.rs
@@ -11,6 +11,10 @@
 /// Standard deviation of the change in slope over one second.
 const SLOPE_DRIFT: f64 = 0.07;
 
+/// Limit of the slope. While the level is at its limit, errors of one sign would otherwise change
+/// the slope without end.
+const MAX_SLOPE: f64 = 3.0 * SLOPE_DEVIATION;
+
 /// Kalman filter of a level and a slope.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Trend {
@@ -58,7 +62,7 @@
         let on_slope = cross - MEAN_TAIL_AGE * slope;
         let (gain_level, gain_slope) = (on_level / variance, on_slope / variance);
         self.level = (self.level + gain_level * error).clamp(MIN_LOAD, MAX_LOAD);
-        self.slope += gain_slope * error;
+        self.slope = (self.slope + gain_slope * error).clamp(-MAX_SLOPE, MAX_SLOPE);
         self.covariance = [
             level - gain_level * on_level,
             cross - gain_level * on_slope,
@@ -69,10 +73,14 @@
     fn covariance_after(&self, age: f64) -> [f64; 3] {
         let [level, cross, slope] = self.covariance;
         let drift = SLOPE_DRIFT.powi(2);
-        [
+        let later = [
             level + 2.0 * age * cross + age * age * slope + drift * age.powi(3) / 3.0,
             cross + age * slope + drift * age * age / 2.0,
-            (slope + drift * age).min(SLOPE_DEVIATION.powi(2)),
-        ]
+            slope + drift * age,
+        ];
+        // The covariance is scaled with the variance: a cap on the variance alone makes the matrix
+        // indefinite after a gap of seconds, and the filter diverges.
+        let scale = (SLOPE_DEVIATION / later[2].sqrt()).min(1.0);
+        [later[0], scale * later[1], scale * scale * later[2]]
     }
 }
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -346,11 +346,15 @@
         room.leftover_speed(step) * room.value_after_harm(step, image, time, &self.interference)
     }
 
-    /// Returns the time that a run of a task is expected to take.
+    /// Returns the time that a run of a task is expected to take. It is unlimited for a
+    /// long-running task and for one whose step has no estimate.
     pub(super) fn expected_run_time(&self, task: TaskRef) -> Duration {
-        let job = self.jobs.get(&task.job);
-        let time = |job| self.step_time(job, usize::from(task.step), job.step_run(task));
-        job.map_or(Duration::ZERO, time)
+        let Some(job) = self.jobs.get(&task.job) else { return Duration::MAX };
+        if job.step(task).is_none_or(|step| step.life == Life::Lasting) {
+            return Duration::MAX;
+        }
+        let time = self.step_time(job, usize::from(task.step), job.step_run(task));
+        if time.is_zero() { Duration::MAX } else { time }
     }
 
     pub(super) fn has_label(&self, vm: &VmId, step: &Step) -> bool {
--- a/src/shard/run_times.rs
+++ b/src/shard/run_times.rs
@@ -30,6 +30,9 @@
 /// Shortest time that is learned from or estimated; logarithms of zero don't exist.
 const MIN_TIME: Duration = Duration::from_millis(10);
 
+/// Largest absolute value of the logarithm of a time in seconds; that of the longest `Duration` is 44.
+const MAX_LOG_SECS: f64 = 50.0;
+
 /// Largest factor between a run time and its estimate that is believed.
 const MAX_FACTOR: f64 = 20.0;
 
@@ -113,6 +116,7 @@
             queues.values_mut().for_each(|times| *times = times.scaled(factor));
             queues.retain(|_, times| times.is_significant());
         }
+        self.from_shards.retain(|_, queues| !queues.is_empty());
         self.combine_all();
     }
 
@@ -224,13 +228,18 @@
         self.tasks >= MIN_TASKS
     }
 
-    /// Returns whether the values are possible ones.
+    /// Returns whether the values are possible ones. They are bounded so that sums over all shards
+    /// stay finite; an expected run time that isn't a number can't be computed with.
     pub fn is_valid(&self) -> bool {
-        let values = [self.mean_estimate, self.mean_run_time, self.products];
-        let weights = [self.tasks, self.estimate_squares, self.error_squares];
-        values.iter().chain(&weights).all(|value| value.is_finite())
-            && weights.iter().all(|weight| *weight >= 0.0)
-            && self.tasks <= 2.0 * MEMORY_TASKS
+        let max_squares = 2.0 * MEMORY_TASKS * MAX_LOG_SECS.powi(2) * 4.0;
+        let is_mean = |mean: f64| mean.abs() <= MAX_LOG_SECS;
+        let is_sum = |sum: f64| (0.0..=max_squares).contains(&sum);
+        (0.0..=2.0 * MEMORY_TASKS).contains(&self.tasks)
+            && is_mean(self.mean_estimate)
+            && is_mean(self.mean_run_time)
+            && is_sum(self.estimate_squares)
+            && is_sum(self.error_squares)
+            && self.products.abs() <= max_squares
     }
 
     fn predict(&self, estimate: f64) -> f64 {
