--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -151,6 +151,21 @@
                     }
                     refusals.add(shard, mode);
                 }
+                Attempt::Answered(Answer::OfNoUse { reason, retry_after }) => {
+                    // An earlier call for the same job may have been accepted without an answer.
+                    match self.locate(job.id, deadline).await {
+                        JobLocation::NotFound => {
+                            return refusals.or_unknown(Answer::NotRun { reason, retry_after });
+                        }
+                        JobLocation::Shard(_) => {
+                            if !self.wait_to_retry(deadline).await {
+                                let reason = "the job may have been accepted before".to_owned();
+                                return Answer::Unknown { reason };
+                            }
+                        }
+                        JobLocation::Unknown(reason) => return Answer::Unknown { reason },
+                    }
+                }
                 Attempt::Answered(answer) => return answer,
                 // The store keeps ids unique over all shards, so that another shard can be tried:
                 // whichever commits the job first runs it.
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -256,6 +256,27 @@
     assert!(matches!(answer, Answer::Unknown { .. }), "{answer:?}");
 }
 
+/// Submits a job that the only shard's owner finds of no use, and that the store finds there.
+async fn submit_of_no_use(found: JobLocation) -> Answer {
+    let (reason, retry_after) = ("late".to_owned(), Duration::from_secs(2));
+    let owner = owner_that_answers(Answer::OfNoUse { reason, retry_after });
+    let shards = vec![(SHARD, shard(owner, StoreReachability::Reached))];
+    answered(client_of(Some(found), shards).submit(job(), CALL_TIMEOUT)).await
+}
+
+// Guards against a false "has not run": an earlier call for the job was accepted by another shard,
+// and its answer was lost.
+#[actix::test]
+async fn a_job_of_no_use_is_reported_as_not_run_only_if_no_shard_has_it() {
+    let answer = submit_of_no_use(JobLocation::NotFound).await;
+    assert!(matches!(answer, Answer::NotRun { .. }), "{answer:?}");
+    let found = [JobLocation::Shard("gikondo/0".to_owned()), JobLocation::Unknown(String::new())];
+    for found in found {
+        let answer = submit_of_no_use(found).await;
+        assert!(matches!(answer, Answer::Unknown { .. }), "{answer:?}");
+    }
+}
+
 // Guards against a call that waits for its whole timeout for an owner whose hellos have stopped.
 #[actix::test]
 async fn a_call_is_given_up_once_the_owner_has_fallen_silent() {
--- a/src/jobs/choice.rs
+++ b/src/jobs/choice.rs
@@ -26,6 +26,10 @@
 /// the job is worse than one with a longer queue of work that runs on other VMs.
 const OWN_WORK_WEIGHT: f64 = 3.0;
 
+/// Number of shards that may pass a finite job on before one is made to accept it. They pass it on by
+/// the same summaries that it was sent by, and each attempt uses up some of the call's time.
+const MAX_PASSES: usize = 2;
+
 /// Load sent to a shard that its last summary doesn't include yet.
 #[derive(Clone, Copy, Debug, Default)]
 struct UnreportedLoad {
@@ -190,6 +194,10 @@
         if self.refusals.contains(name, mode) {
             return None;
         }
+        let passes = self.refusals.lacking_room.len();
+        if mode == AdmissionMode::IfRoom && self.lasting.is_none() && passes >= MAX_PASSES {
+            return None;
+        }
         let capacity = (summary.capacity as f64).max(1.0);
         let free = summary.free as f64 - load.reserved - self.reserved;
         if self.leftover_work > 0.0 {
--- a/src/note.rs
+++ b/src/note.rs
@@ -159,8 +159,8 @@
     Urgent ShardClaimFailed = "shard-claim-failed" { shard: String, reason: String, }
     /// A job was accepted and is durable.
     Telling JobAccepted = "job-accepted" { job: JobId, queue: QueueName, tasks: u32, waited_ms: Millis, seq: u64, }
-    /// A job was rejected; none of its tasks run.
-    Telling JobRefused = "job-refused" { job: JobId, queue: QueueName, reason: String, retry_ms: Millis, }
+    /// A job was rejected by this shard, where none of its tasks run. `early_ms` is the time in which it could have been done at the earliest and `useful_ms` the time for which its result is of use; both are 0 if that wasn't the reason.
+    Telling JobRefused = "job-refused" { job: JobId, queue: QueueName, reason: String, retry_ms: Millis, early_ms: Millis, useful_ms: Millis, }
     /// It is unknown whether a job was accepted.
     Urgent JobUnsure = "job-unsure" { job: JobId, reason: String, }
     /// A job has reached its final state.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -9,6 +9,7 @@
 //! [`Shard::step`] maps an event to actions. It does no I/O, reads no clock and doesn't depend on
 //! hash iteration order.
 
+mod admission;
 mod compact;
 mod crash;
 mod drain;
@@ -77,6 +78,7 @@
     interference: interference::InterferenceModel,
     run_times: run_times::RunTimes,
     loans: loan::Loans,
+    admission: admission::Admission,
     permit_requests: permits::PermitRequests,
     upkeep_drain: vacate::UpkeepDrain,
     crash_log: crash::CrashLog,
@@ -161,7 +163,10 @@
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
             Event::Interference { from, learned } => self.interference.merge(&from, &learned),
-            Event::OtherShards(other_shards) => self.loans.set_other_shards(other_shards),
+            Event::OtherShards(other_shards) => {
+                self.admission.note_heard(&other_shards, self.now.steady);
+                self.loans.set_other_shards(other_shards);
+            }
             Event::Drain(order) => self.set_draining_vms(order),
             Event::Evacuations { evacuations, at } => self.set_evacuations(evacuations, at),
             Event::PermitConcurrency(max_requests) => self.set_max_permit_requests(max_requests),
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -209,6 +209,9 @@
     Cancelling,
     /// The job isn't in this shard.
     NotHere,
+    /// Nothing was recorded and nothing will run: no known shard can do the job while its result is
+    /// of use.
+    OfNoUse { reason: String, retry_after: Duration },
 }
 
 /// Last known state of another shard.
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -1,5 +1,6 @@
 //! Caller requests: submitting a job, cancelling it and querying its state.
 
+use super::admission::Decision;
 use super::event::{Action, AdmissionMode, Answer, CommitResult, WriteOutcome};
 use super::job_run::{Effect, JobRun, RecordState, Started};
 use super::settings::COMMIT_STALL_TIMEOUT;
@@ -31,6 +32,37 @@
 /// Refusal when the shard has little room for a job's long-running tasks.
 const LITTLE_ROOM: (&str, Duration) = ("other shards have more room", Duration::ZERO);
 
+/// Refusal when another shard can likely do a finite job in time.
+const DONE_ELSEWHERE: (&str, Duration) = ("another shard can do it in time", Duration::ZERO);
+
+/// Reason for the refusal of a finite job that can't be done while its result is of use.
+const OF_NO_USE: &str = "it can't be done while its result is of use";
+
+/// Why a job is refused.
+struct Refusal {
+    scope: Scope,
+    reason: &'static str,
+    retry_after: Duration,
+    /// Time in which the job could be done at the earliest, and time for which it is of use; zero if
+    /// they don't matter.
+    early: Duration,
+    useful: Duration,
+}
+
+/// Shards that a refusal speaks for.
+enum Scope {
+    Shard,
+    AllShards,
+}
+
+impl Refusal {
+    /// A refusal by this shard alone.
+    fn new((reason, retry_after): (&'static str, Duration)) -> Self {
+        let (early, useful) = (Duration::ZERO, Duration::ZERO);
+        Self { scope: Scope::Shard, reason, retry_after, early, useful }
+    }
+}
+
 impl Shard {
     pub(super) fn submit(&mut self, ticket: Ticket, job: Arc<Job>, mode: AdmissionMode) {
         let id = job.id;
@@ -49,26 +81,51 @@
             self.log.mark_changed(id);
             return;
         }
-        if let Some((reason, retry_after)) =
-            self.unavailable().or_else(|| self.capacity_refusal(&job, mode))
+        if let Some(refusal) =
+            self.unavailable().or_else(|| self.capacity_refusal(&job, mode)).map(Refusal::new)
         {
-            let note = Note::JobRefused {
-                job: id,
-                queue: job.queue.clone(),
-                reason: reason.to_owned(),
-                retry_ms: Millis(retry_after),
-            };
-            self.note(note);
-            let reason = reason.to_owned();
-            return self.reply(ticket, Answer::NotRun { reason, retry_after });
+            return self.refuse(ticket, &job, refusal);
+        }
+        match self.decide(&job, mode) {
+            Decision::Accept => {}
+            Decision::PassOn { early, useful } => {
+                let refusal = Refusal { early, useful, ..Refusal::new(DONE_ELSEWHERE) };
+                return self.refuse(ticket, &job, refusal);
+            }
+            Decision::Refuse { early, useful, retry_after } => {
+                let refusal = Refusal::new((OF_NO_USE, retry_after));
+                let scope = Scope::AllShards;
+                return self.refuse(ticket, &job, Refusal { scope, early, useful, ..refusal });
+            }
         }
         let images = self.images_of(&job);
         let mut run = JobRun::new(job, images, self.now.steady);
+        self.note_accepted(&run);
         run.effects.push(Effect::Reply { ticket, answer: Answer::Accepted });
         self.jobs.insert(id, run);
         self.log.mark_changed(id);
     }
 
+    fn refuse(&mut self, ticket: Ticket, job: &Job, refusal: Refusal) {
+        let Refusal { scope, reason, retry_after, early, useful } = refusal;
+        self.note(Note::JobRefused {
+            job: job.id,
+            queue: job.queue.clone(),
+            reason: reason.to_owned(),
+            retry_ms: Millis(retry_after),
+            early_ms: Millis(early),
+            useful_ms: Millis(useful),
+        });
+        let reason = reason.to_owned();
+        self.reply(
+            ticket,
+            match scope {
+                Scope::Shard => Answer::NotRun { reason, retry_after },
+                Scope::AllShards => Answer::OfNoUse { reason, retry_after },
+            },
+        );
+    }
+
     /// Reason and retry delay if the shard can't accept any job at the moment.
     fn unavailable(&self) -> Option<(&'static str, Duration)> {
         if self.stage != Stage::Serving {
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -123,6 +123,20 @@
         self.other_shards = other_shards.into_iter().map(|n| (n.name.clone(), n)).collect();
     }
 
+    /// Returns the last known state of the other shards.
+    pub fn other_shards(&self) -> impl Iterator<Item = &OtherShard> {
+        self.other_shards.values()
+    }
+
+    /// Adds work to the summary of another shard until its next one arrives.
+    pub fn add_expected_work(&mut self, shard: &str, reserved: u64, leftover: u64) {
+        if let Some(other) = self.other_shards.get_mut(shard) {
+            let summary = Arc::make_mut(&mut other.summary);
+            summary.waiting_work += reserved;
+            summary.leftover_work += leftover;
+        }
+    }
+
     /// Sends loan messages at the next opportunity, after a change has become durable.
     pub fn send_soon(&mut self, now: Duration) {
         self.next_send = self.next_send.min(now);
--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -9,9 +9,10 @@
 use super::job_run::{JobRun, Occurrence, StepRun};
 use crate::job::progress::TaskPhase;
 use crate::job::{Job, JobId, Life, TaskRef};
-use outlook::Outlook;
 use std::time::Duration;
 
+pub(super) use outlook::{Outlook, Timeliness, USEFUL_DURATION_FACTOR};
+
 /// A job with tasks that can start.
 pub(super) struct Candidate {
     pub id: JobId,
@@ -59,7 +60,8 @@
         })
     }
 
-    fn outlook(&self, job: &JobRun) -> Outlook {
+    /// Returns what is expected of a job.
+    pub(super) fn outlook(&self, job: &JobRun) -> Outlook {
         Outlook {
             spent: self.now.steady.saturating_sub(job.since),
             target: self.target_duration(job),
@@ -138,7 +140,7 @@
 }
 
 /// Returns the length of the critical path through steps that take these times.
-fn critical_path(job: &Job, times: impl Iterator<Item = Duration>) -> Duration {
+pub(super) fn critical_path(job: &Job, times: impl Iterator<Item = Duration>) -> Duration {
     let mut until: Vec<Duration> = Vec::with_capacity(job.steps.len());
     for (step, time) in job.steps.iter().zip(times) {
         let before = step.after.iter().filter_map(|after| until.get(usize::from(*after)).copied());
--- a/src/shard/order/outlook.rs
+++ b/src/shard/order/outlook.rs
@@ -14,11 +14,11 @@
 use std::time::Duration;
 
 /// Multiple of its target duration after which a finished job is no longer useful to its caller.
-const USEFUL_DURATION_FACTOR: f64 = 3.0;
+pub(in crate::shard) const USEFUL_DURATION_FACTOR: f64 = 3.0;
 
 /// What is expected of a job.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Outlook {
+pub(in crate::shard) struct Outlook {
     /// Time since the job was accepted.
     pub spent: Duration,
     /// Time after its acceptance by which it should be finished.
@@ -31,7 +31,7 @@
 
 /// Whether a job can still be finished in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Timeliness {
+pub(in crate::shard) enum Timeliness {
     /// The job can finish within its target duration.
     InTime,
     /// The job will be late but still useful.
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns how long the job can wait and still be finished in time.
+    pub fn slack(&self) -> Duration {
+        self.target.saturating_sub(self.spent + self.left)
+    }
+
     /// Orders jobs by when they get capacity, the first one being `Less`.
     pub fn compare(&self, other: &Self) -> Ordering {
         self.timeliness()
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -89,6 +89,7 @@
             ended_vms: IndexSet::new(),
             log: Log::new(keys, recovered.seq, SilenceRecord::new(recovered.silent)),
             loans: super::loan::Loans::default(),
+            admission: super::admission::Admission::default(),
             permit_requests: super::permits::PermitRequests::default(),
             upkeep_drain: super::vacate::UpkeepDrain::default(),
             crash_log: super::crash::CrashLog::default(),
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -78,7 +78,7 @@
 
 /// Lower bound of the own load expected while work placed next to a serving task runs, since a low
 /// load rises again.
-const MIN_EXPECTED_LOAD: f64 = 0.35;
+pub(super) const MIN_EXPECTED_LOAD: f64 = 0.35;
 
 /// Share of a leftover task's value that is lost for each serving task over its target. Higher than
 /// for slowing down running work, since work that waits a moment finds another VM.
--- a/src/shard/run_times.rs
+++ b/src/shard/run_times.rs
@@ -20,6 +20,9 @@
 /// so a few steps are needed to outweigh it.
 const PRIOR_TASKS: f64 = 60.0;
 
+/// Number of tasks after which the mean run time of a queue is known: those of a dozen steps or more.
+const LEARNED_TASKS: f64 = 300.0;
+
 /// Variance of the estimates' logarithms under that assumption.
 const PRIOR_VARIANCE: f64 = 0.25;
 
@@ -70,6 +73,11 @@
         estimate.mul_f64(factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR))
     }
 
+    /// Returns whether more is known of a queue's run times than its estimates.
+    pub fn is_learned(&self, queue: &QueueName) -> bool {
+        self.queues.get(queue).is_some_and(|regression| regression.tasks >= LEARNED_TASKS)
+    }
+
     /// Returns the standard deviation of the logarithm of a run time around that of the expected
     /// one.
     pub fn deviation(&self, queue: &QueueName) -> f64 {
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -1,5 +1,6 @@
 //! Simulation tests of shards with failing VMs, network and store.
 
+mod admission;
 mod announcements;
 mod crashes;
 mod duplicates;
