--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -1,14 +1,18 @@
 //! Order in which jobs are scheduled.
 //!
 //! Jobs are ordered by priority. Within a priority, jobs with long-running tasks come first, then
-//! the others by their [`Outlook`].
+//! the others by their [`Outlook`]. Queues of a priority get fair shares among the finite jobs of
+//! the same timeliness, so that late jobs of one queue don't delay those of another that are in time.
 
+mod fair;
 mod outlook;
 
 use super::Shard;
 use super::job_run::{JobRun, Occurrence, StepRun};
 use crate::job::progress::TaskPhase;
-use crate::job::{Job, JobId, Life, TaskRef};
+use crate::job::{Job, JobId, Life, QueueName, TaskRef};
+use fair::Turn;
+use indexmap::IndexMap;
 use std::time::Duration;
 
 pub(super) use outlook::{Outlook, Timeliness, USEFUL_DURATION_FACTOR};
@@ -21,6 +25,19 @@
     priority: u32,
     urgency: Urgency,
     outlook: Outlook,
+    queue: QueueName,
+    /// Processors that the waiting tasks take, in thousandths of a core.
+    cores: f64,
+}
+
+impl Candidate {
+    /// Whether another job competes with this one for its queue's share of the room.
+    fn shares_room(&self, other: &Self) -> bool {
+        self.urgency == Urgency::Finite
+            && other.urgency == Urgency::Finite
+            && self.priority == other.priority
+            && self.outlook.timeliness() == other.outlook.timeliness()
+    }
 }
 
 /// Order of jobs within a priority.
@@ -44,19 +61,54 @@
                 .then_with(|| a.outlook.compare(&b.outlook))
                 .then(a.id.cmp(&b.id))
         });
-        candidates
+        self.share_fairly(candidates)
+    }
+
+    /// Lets queues of a priority take turns.
+    fn share_fairly(&self, candidates: Vec<Candidate>) -> Vec<Candidate> {
+        let is_shared =
+            |pair: &[Candidate]| pair[0].shares_room(&pair[1]) && pair[0].queue != pair[1].queue;
+        if !candidates.windows(2).any(is_shared) {
+            return candidates;
+        }
+        let mut held = self.held_cores();
+        let mut order = Vec::with_capacity(candidates.len());
+        for group in candidates.chunk_by(Candidate::shares_room) {
+            let turns: Vec<Turn> =
+                group.iter().map(|job| Turn { queue: &job.queue, cores: job.cores }).collect();
+            let first = order.len();
+            order.extend(fair::order(&turns, &mut held).into_iter().map(|index| first + index));
+        }
+        let mut candidates: Vec<Option<Candidate>> = candidates.into_iter().map(Some).collect();
+        order.into_iter().filter_map(|index| candidates.get_mut(index)?.take()).collect()
+    }
+
+    /// Processors that the finite tasks of each queue hold.
+    fn held_cores(&self) -> IndexMap<QueueName, f64> {
+        let mut held: IndexMap<QueueName, f64> = IndexMap::new();
+        for (key, run) in self.vms.values().flat_map(|vm| &vm.runs) {
+            let Some(job) = self.jobs.get(&key.task.job) else { continue };
+            if job.step(key.task).is_some_and(|step| step.life == Life::Finite) {
+                *held.entry(job.job.queue.clone()).or_default() += f64::from(run.milli_cores);
+            }
+        }
+        held
     }
 
     fn candidate(&self, job: &JobRun, tasks: Vec<TaskRef>) -> Option<Candidate> {
         if tasks.is_empty() {
             return None;
         }
+        let steps = tasks.iter().filter_map(|task| job.step(*task));
+        let cores = steps.map(|step| f64::from(step.size.milli_cores.0)).sum();
         Some(Candidate {
             id: job.id(),
             tasks,
             priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
             urgency: urgency(job),
             outlook: self.outlook(job),
+            queue: job.job.queue.clone(),
+            cores,
         })
     }
 
