--- a/src/jobs/choice.rs
+++ b/src/jobs/choice.rs
@@ -109,6 +109,10 @@
     leftover_work: f64,
     /// Image of the first step with such work that names one.
     leftover_image: Option<&'a Image>,
+    /// Job whose reserved tasks need VMs with enough room.
+    job: &'a Job,
+    /// Longest estimate of a step with reserved tasks, in milliseconds.
+    reserved_time: f64,
     /// Image of the job's lasting tasks, or its queue if they name no image; `None` without such
     /// tasks.
     lasting: Option<&'a str>,
@@ -163,13 +167,19 @@
             reserved: 0.0,
             leftover_work: 0.0,
             leftover_image: None,
+            job,
+            reserved_time: 0.0,
             lasting: None,
             refusals,
         };
         for step in &job.steps {
             let cores = f64::from(step.tasks) * f64::from(step.size.milli_cores.0);
             match step.share {
-                Share::Reserved => demand.reserved = demand.reserved.max(cores),
+                Share::Reserved => {
+                    let time = step.estimate.as_millis() as f64;
+                    demand.reserved = demand.reserved.max(cores);
+                    demand.reserved_time = demand.reserved_time.max(time);
+                }
                 Share::Leftover => {
                     demand.leftover_work += cores * step.estimate.as_millis() as f64;
                     demand.leftover_image = demand.leftover_image.or(step.image.as_ref());
@@ -208,7 +218,7 @@
             );
         }
         let Some(image) = self.lasting else {
-            return Some(summary.waiting_work as f64 / capacity - free / capacity);
+            return Some(self.likely_wait(summary, free) - free / capacity);
         };
         let lasting = summary.lasting as f64 + load.reserved + self.reserved;
         match mode {
@@ -228,6 +238,29 @@
         }
     }
 
+    /// Likely wait of the job's reserved tasks in milliseconds, if `free` thousandths of a core are
+    /// left once they run. Waiting work gets only the room that lasting tasks leave. A task that fits
+    /// on no VM waits for another one to end, however much room there is in small pieces.
+    fn likely_wait(&self, summary: &Summary, free: f64) -> f64 {
+        let room = (summary.capacity.saturating_sub(summary.lasting) as f64).max(1.0);
+        let excess = (-free).max(0.0) * self.reserved_time;
+        let wait = (summary.waiting_work as f64 + excess) / room;
+        if self.fits(summary) { wait } else { wait + self.reserved_time }
+    }
+
+    /// Whether a VM has room for a task of each step with reserved tasks.
+    fn fits(&self, summary: &Summary) -> bool {
+        let reserved = self.job.steps.iter().filter(|step| step.share == Share::Reserved);
+        let mut steps = reserved.map(|step| {
+            summary.rooms.iter().any(|room| {
+                room.service == self.job.service
+                    && step.size.fits_in(&room.free)
+                    && step.label.as_ref().is_none_or(|label| room.labels.contains(label))
+            })
+        });
+        steps.all(|fits| fits)
+    }
+
     /// Capacity available to the job's leftover work, in thousandths of a core.
     fn leftover(&self, summary: &Summary) -> f64 {
         let harmless =
--- a/src/jobs/choice/tests.rs
+++ b/src/jobs/choice/tests.rs
@@ -1,8 +1,9 @@
 use super::{Demand, Refusals, UnreportedLoad, UnreportedLoads};
 use crate::cluster::{Member, MemberStage, StoreReachability};
-use crate::ids::{DaemonId, DomainId, ServiceName};
+use crate::ids::{DaemonId, DomainId, RackId, ServiceName};
 use crate::job::{Job, JobId, Life, QueueName, Repeat, Share, Step};
 use crate::jobs::view::{Owner, ShardView, View};
+use crate::shard::event::FreeRoom;
 use crate::shard::{AdmissionMode, Summary};
 use crate::units::Resources;
 use std::sync::Arc;
@@ -130,3 +131,66 @@
     let busy = shard(50_000, Duration::ZERO, StoreReachability::Reached);
     assert_eq!(chosen(vec![("gikondo/0", evacuated), (SHARD, busy)]).as_deref(), Some(SHARD));
 }
+
+/// A shard with this summary, heard of just now.
+fn with_summary(summary: Summary) -> ShardView {
+    let summary = Arc::new(Summary { vms: 50, capacity: 1_600_000, ..summary });
+    ShardView { summary, ..shard(0, Duration::ZERO, StoreReachability::Reached) }
+}
+
+/// The shard chosen for ten tasks of eight cores.
+fn chosen_for_short_tasks(shards: [Summary; 2]) -> Option<String> {
+    let mut view = View::default();
+    for (name, summary) in ["gikondo/0", SHARD].into_iter().zip(shards) {
+        view.shards.insert(name.to_owned(), with_summary(summary));
+    }
+    let job = job(Step::new(10, Resources::new(8000, 4000, 0), Duration::from_millis(600)));
+    let choice = UnreportedLoads::default().choose(&view, NOW, &job, &Refusals::default());
+    choice.map(|(shard, _)| shard)
+}
+
+// Guards against jobs sent to a shard that has less waiting work but does it more slowly: lasting
+// tasks hold nearly all of its room.
+#[test]
+fn waiting_work_is_weighed_by_the_room_beside_lasting_tasks() {
+    let crowded = Summary { waiting_work: 100_000_000, lasting: 1_500_000, ..Summary::default() };
+    let roomy = Summary { waiting_work: 200_000_000, lasting: 400_000, ..Summary::default() };
+    assert_eq!(chosen_for_short_tasks([crowded, roomy]).as_deref(), Some(SHARD));
+}
+
+// Guards against jobs sent to a shard whose free room is in pieces too small for any of their tasks.
+#[test]
+fn room_in_small_pieces_is_passed_over() {
+    let with_pieces = |pieces: u64, milli_cores: u32| {
+        let room = FreeRoom {
+            free: Resources::new(milli_cores, 64_000, 0),
+            rack: RackId::new("r0"),
+            labels: Vec::new(),
+            service: ServiceName::new("shop"),
+        };
+        let free = pieces * u64::from(milli_cores);
+        let rooms = vec![room; usize::try_from(pieces).expect("few")];
+        Summary { free, rooms, ..Summary::default() }
+    };
+    let shards = [with_pieces(50, 4000), with_pieces(10, 16_000)];
+    assert_eq!(chosen_for_short_tasks(shards).as_deref(), Some(SHARD));
+}
+
+// Guards against a finite job that is passed from shard to shard until its call has no time left.
+#[test]
+fn a_finite_job_is_passed_on_twice_at_most() {
+    let mut view = View::default();
+    for name in ["gikondo/0", "kacyiru/0", "kacyiru/1", "remera/0"] {
+        view.shards.insert(name.to_owned(), with_summary(Summary::default()));
+    }
+    let (mut refusals, mut loads) = (Refusals::default(), UnreportedLoads::default());
+    let mut modes = Vec::new();
+    for _ in 0..3 {
+        let chosen = loads.choose(&view, NOW, &build(), &refusals);
+        let (shard, mode) = chosen.expect("a shard");
+        refusals.add(shard, mode);
+        modes.push(mode);
+    }
+    use AdmissionMode::{Always, IfRoom};
+    assert_eq!(modes, [IfRoom, IfRoom, Always]);
+}
