--- a/src/shard/admission/tests.rs
+++ b/src/shard/admission/tests.rs
@@ -5,7 +5,7 @@
     retry_delay,
 };
 use crate::ids::ServiceName;
-use crate::job::{Job, JobId, QueueName, Repeat, Share, Step};
+use crate::job::{Job, JobId, Label, QueueName, Repeat, Share, Step};
 use crate::shard::Summary;
 use crate::shard::order::{Outlook, USEFUL_DURATION_FACTOR};
 use crate::shard::run_times::RunTimes;
@@ -448,3 +448,23 @@
     let elsewhere = demand.estimate_elsewhere(&other);
     assert!(elsewhere.is_some_and(|done| is_in_time(done, target)));
 }
+
+// Guards against a job that waits for nothing because its tasks all go to one hot rack, and against
+// the refusal of the same job where it may run on any rack.
+#[test]
+fn only_jobs_bound_to_a_hot_rack_are_refused() {
+    let hot = Label::new("r7");
+    let simulation = Simulation::new(1, &[Stream { tasks: 300, ..HUGE }], |_| 1, 0.0);
+    let cold = simulation.room().vms.remove(0);
+    let mut vms = vec![cold.clone(); 19];
+    vms.push(VmRoom { labels: vec![hot.clone()], ..cold });
+    let (room, backlog) = (Room { vms }, Backlog::default());
+    let is_refused = |label: Option<Label>| {
+        let mut job = simulation.jobs[0].job.clone();
+        job.steps.iter_mut().for_each(|step| step.label = label.clone());
+        let demand = Demand::new(&job, &simulation.times);
+        let done = demand.estimate(&room, &backlog, 2, &[]).expect("there is room");
+        is_of_no_use(done.soonest, demand.target(HUGE.target))
+    };
+    assert!(is_refused(Some(hot)) && !is_refused(None));
+}
--- a/tests/shards/admission.rs
+++ b/tests/shards/admission.rs
@@ -5,7 +5,7 @@
 use crate::world::Simulation;
 use std::time::Duration;
 use waxwingstall::job::{Job, Repeat};
-use waxwingstall::shard::Answer;
+use waxwingstall::shard::{AdmissionMode, Answer};
 use waxwingstall::units::Resources;
 
 const SIZE: Resources = Resources::new(16_000, 64_000, 0);
@@ -55,3 +55,26 @@
     let repeated = Job { repeat, ..too_large() };
     assert_eq!(answer(&mut shard(25), repeated), Some(Answer::Accepted));
 }
+
+// Guards against a job that is late in the shard it was sent to while another one has room: it is
+// passed on if its sender may try another shard, and accepted otherwise.
+#[test]
+fn a_job_that_another_shard_can_do_in_time_is_passed_on() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD, "remera"], 4, SIZE);
+    sim.run_for(Duration::from_secs(1));
+    for id in 1..=25 {
+        sim.submit(SHARD, job_with_steps(id, 1, 20, work(200, 2)));
+        sim.run_for(Duration::from_millis(500));
+    }
+    let job = |id| job_with_steps(id, 1, 20, work(200, 2));
+    for id in 100..160 {
+        sim.submit(SHARD, job(id));
+    }
+    sim.run_for(Duration::from_millis(20));
+    let tickets = [AdmissionMode::IfRoom, AdmissionMode::Always]
+        .map(|mode| sim.submit_with(SHARD, job(200), mode));
+    sim.run_for(Duration::from_millis(500));
+    let answers = tickets.map(|ticket| sim.answers.get(&ticket).cloned());
+    assert!(matches!(answers[0], Some(Answer::NotRun { .. })), "{answers:?}");
+    assert_eq!(answers[1], Some(Answer::Accepted));
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -238,9 +238,14 @@
 
     /// Submits a job; the ticket identifies the reply.
     pub fn submit(&mut self, shard: &str, job: Job) -> Ticket {
+        self.submit_with(shard, job, AdmissionMode::Always)
+    }
+
+    /// Submits a job under an admission mode.
+    pub fn submit_with(&mut self, shard: &str, job: Job, mode: AdmissionMode) -> Ticket {
         let ticket = self.ticket();
         let job = Arc::new(Job { accepted: EPOCH + self.now, ..job });
-        let event = Event::Submit { ticket, job, mode: AdmissionMode::Always };
+        let event = Event::Submit { ticket, job, mode };
         self.call(shard, event);
         ticket
     }
