--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,6 +1,10 @@
 //! Names and numbers that identify things, each a type of its own.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
+use std::borrow::Borrow;
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -79,7 +83,8 @@
     };
 }
 
-name!(/// A worker or runner VM, as the platform's list names it.
+name!(/// One instance of a worker or runner VM: the id that the platform has registered, followed by
+    /// `@` and the start time where the platform tells it.
     VmId);
 name!(/// A failure domain.
     DomainId);
@@ -106,6 +111,52 @@
 name!(/// One change of the configuration, named by the one who asks for it.
     ChangeId);
 
+/// Separates the registered id of a VM from its start time in a [`VmId`].
+const START_SEPARATOR: char = '@';
+
+impl VmId {
+    /// The instance of the VM `registered` that started at `started`, in Unix milliseconds.
+    pub fn with_start(registered: &str, started: u64) -> Self {
+        Self::new(&format!("{registered}{START_SEPARATOR}{started}"))
+    }
+
+    /// The only instance of the VM `registered`, whose start time is unknown.
+    pub fn without_start(registered: &str) -> Self {
+        // An id that looks like one with a start time gets an empty start time.
+        if Self::split(registered).0 == registered {
+            return Self::new(registered);
+        }
+        Self::new(&format!("{registered}{START_SEPARATOR}"))
+    }
+
+    /// The id under which the platform has registered the VM; restarts may keep it.
+    pub fn registered(&self) -> &str {
+        Self::split(&self.0).0
+    }
+
+    /// The start time in Unix milliseconds; `None` if it is unknown.
+    pub fn started(&self) -> Option<u64> {
+        Self::split(&self.0).1.parse().ok()
+    }
+
+    /// Whether both are instances of one registered VM.
+    pub fn is_same_vm(&self, other: &Self) -> bool {
+        self.registered() == other.registered()
+    }
+
+    fn split(text: &str) -> (&str, &str) {
+        let is_start = |start: &str| start.bytes().all(|byte| byte.is_ascii_digit());
+        let parts = text.rsplit_once(START_SEPARATOR);
+        parts.filter(|(_, start)| is_start(start)).unwrap_or((text, ""))
+    }
+}
+
+impl Borrow<str> for VmId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 number!(/// Revision of the configuration; only ever rises.
     Revision(u64));
 number!(/// Attempt to run a task; rises with each binding to a VM.
