--- a/src/note.rs
+++ b/src/note.rs
@@ -205,8 +205,8 @@
     Urgent RunLeftBehind = "run-left-behind" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, notice_ms: Millis, silent_ms: Millis, }
     /// A VM was announced at the address of another one that isn't known to have ended. `rev` and `other_rev` are the store revisions of their announcements, `list_ms` the age of the list that named it.
     Urgent VmAddressShared = "vm-address-shared" { vm: VmId, other: VmId, rev: u64, other_rev: u64, other_listed: bool, other_heard_ms: Millis, other_runs: usize, list_ms: Millis, list: StaticText, }
-    /// A VM has permanently left.
-    Urgent VmGone = "vm-gone" { vm: VmId, proof: StaticText, runs: usize, }
+    /// A VM has permanently left, or this instance of it has ended; `passed` of its runs may still be started by the next instance under its id and are stopped there.
+    Urgent VmGone = "vm-gone" { vm: VmId, proof: StaticText, runs: usize, passed: usize, }
     /// A VM has crashed with all its runs; `sudden` of them had only just started.
     Urgent VmCrashed = "vm-crashed" { vm: VmId, runs: usize, sudden: usize, }
     /// A task is no longer retried because it crashes VMs; its job fails.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -55,7 +55,7 @@
 use crate::note::Note;
 use crate::queues::{Queue, Queues};
 use crate::vm::Fence;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use job_run::JobRun;
 use log::Log;
 use std::sync::Arc;
@@ -71,8 +71,9 @@
     jobs: IndexMap<JobId, JobRun>,
     closed: IndexMap<JobId, ClosedJob>,
     vms: IndexMap<VmId, Vm>,
-    /// VM instances that have ended; later announcements of them are ignored.
-    ended_vms: IndexSet<VmId>,
+    /// VM instances that have ended, and when that was known; later announcements of them are
+    /// ignored.
+    ended_vms: IndexMap<VmId, Duration>,
     log: Log,
     interference: interference::InterferenceModel,
     run_times: run_times::RunTimes,
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -100,6 +100,7 @@
     fn of(vm: &Vm, key: RunKey, run: &Run, before: Crashes) -> Option<Self> {
         let timing = match run.stage {
             Stage::Binding => return None,
+            Stage::Stopping { .. } if vm.has_not_run(run) => return None,
             Stage::Starting { .. } if run.pending_start == PendingStart::No => return None,
             Stage::Running if vm.running_time(key).is_zero() => {
                 let failing = vm.contact.failing_since;
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// VMs to drain because their machines go down for upkeep.
+/// VMs to drain because their machines go down for upkeep, by their registered ids.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DrainOrder {
     /// VMs to drain immediately.
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -206,14 +206,7 @@
         if run.is_stopping() {
             return;
         }
-        // A run found in the store or reported by the VM was started by an earlier owner, so its
-        // start was sent.
-        let never_sent = match run.stage {
-            Stage::Binding => true,
-            Stage::Starting { .. } => run.sends == 0,
-            Stage::Running | Stage::Stopping { .. } | Stage::Recovered => false,
-        };
-        if never_sent {
+        if !run.may_have_been_sent() {
             return self.drop_run(vm, key);
         }
         run.stage = Stage::Stopping { next_send: Some(now), answered: None };
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -2,11 +2,11 @@
 
 use super::Shard;
 use super::event::FleetListStatus;
-use super::vm_run::{Listing, Responsiveness, Run, RunKey, Vm};
+use super::vm_run::{Listing, Responsiveness, Run, RunKey, Succession, Vm};
 use crate::ids::VmId;
 use crate::note::{Millis, Note, StaticText};
 use crate::vm::{Departure, VmEntry};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
 /// Maximum number of ended VM instances remembered. An announcement outlives its VM by seconds, and
@@ -54,9 +54,12 @@
     ) {
         let now = self.now.steady;
         let mut present = IndexSet::new();
+        let before = self.vms.len();
         for entry in entries {
             present.insert(entry.id.clone());
-            if self.ended_vms.contains(&entry.id) {
+            if self.ended_vms.contains_key(&entry.id) {
+                // An old announcement has replaced the one of the next instance for a while.
+                present.extend(self.listed_successor(&entry.id));
                 continue;
             }
             if !self.vms.contains_key(&entry.id) {
@@ -65,6 +68,9 @@
             }
             self.update_vm(entry);
         }
+        if self.vms.len() > before {
+            self.update_successions();
+        }
         // A list of unknown age may be from before a VM was announced.
         let Some(at) = at.filter(|_| list_status != FleetListStatus::Unread) else { return };
         self.vm_list = VmListSource::Read { at };
@@ -138,12 +144,107 @@
     /// Removes a VM instance that has ended, with everything that ran on it.
     pub(super) fn remove_vm_instance(&mut self, id: &VmId, proof: StaticText) {
         let addr = self.vms.get(id).map(|vm| vm.entry.addr.clone());
-        self.report_vm_gone(id, proof);
+        self.report_vm_gone(id, proof, 0);
         self.handle_vm_crash(id);
         self.forget_vm(id, proof);
         addr.iter().for_each(|addr| self.settle_address(addr));
     }
 
+    /// Removes a VM instance whose successor under the same registered id has answered a poll sent
+    /// at `sent`. The successor may still carry out orders for the ended instance, so it gets the
+    /// runs of that instance, to be stopped.
+    pub(super) fn succeed_vm_instance(&mut self, id: &VmId, successor: VmId, sent: Duration) {
+        let now = self.now.steady;
+        if self.ended_vms.get(&successor).is_some_and(|ended| sent < *ended) {
+            // The answer was late, and the successor has ended since. The next answer names the
+            // current instance.
+            if let Some(vm) = self.vms.get_mut(id) {
+                vm.contact.next_poll = now;
+            }
+            return;
+        }
+        let proof = "another start time in its answer";
+        let Some(vm) = self.vms.get(id) else { return };
+        let (addr, entry, ended_by) = (vm.entry.addr.clone(), vm.entry.clone(), vm.runs_ended_by);
+        let passed: Vec<RunKey> = vm
+            .runs
+            .iter()
+            .filter(|(_, run)| run.may_have_been_sent())
+            .map(|(key, _)| *key)
+            .collect();
+        self.report_vm_gone(id, proof, passed.len());
+        self.handle_vm_crash(id);
+        self.ended_vms.shift_remove(&successor);
+        let next = self
+            .vms
+            .entry(successor.clone())
+            .or_insert_with(|| Vm::unannounced_successor(successor.clone(), &entry, now));
+        // Orders for the ended instance arrive by the end of its last lease, and the successor then
+        // keeps its runs for as long as it does by any order: their deadlines were set by another
+        // clock.
+        next.expect_late_orders(ended_by + self.settings.inherited_lease(Duration::ZERO));
+        next.contact.next_poll = next.contact.next_poll.min(now);
+        let late_starts = self.vms.get_mut(id).map(|vm| std::mem::take(&mut vm.late_starts));
+        passed.iter().for_each(|key| self.pass_run(id, &successor, *key));
+        self.bar_late_starts(&successor, late_starts.unwrap_or_default());
+        self.forget_vm(id, proof);
+        self.settle_address(&addr);
+    }
+
+    /// Passes a run of an ended VM instance to its successor, to be stopped there.
+    fn pass_run(&mut self, from: &VmId, to: &VmId, key: RunKey) {
+        let now = self.now.steady;
+        let run = self.vms.get_mut(from).and_then(|vm| vm.runs.shift_remove(&key));
+        let Some((run, next)) = run.zip(self.vms.get_mut(to)) else { return };
+        next.runs.entry(key).or_insert_with(|| run.passed_on(now));
+        let addr = next.entry.addr.clone();
+        let Some(job) = self.jobs.get_mut(&key.task.job) else { return };
+        let Some(task) = job.task_mut(key.task) else { return };
+        task.pass_run(from, key.run, (to, &addr));
+        self.log.mark_changed(key.task.job);
+        let RunKey { task, run } = key;
+        let reason = "the next instance of its VM may still start it";
+        self.note(Note::TaskStopping { task, run, vm: to.clone(), reason });
+    }
+
+    /// Stops the runs that a VM may start by an order for an earlier instance, although they have
+    /// ended or been stopped there.
+    fn bar_late_starts(&mut self, id: &VmId, late_starts: IndexMap<RunKey, Duration>) {
+        let now = self.now.steady;
+        for (key, end) in late_starts.into_iter().filter(|(_, end)| now < *end) {
+            let Some(vm) = self.vms.get_mut(id) else { return };
+            vm.late_starts.insert(key, end);
+            if !vm.runs.contains_key(&key) {
+                self.stop_unbound_run(id, key, "its VM may still carry out an earlier start");
+            }
+        }
+    }
+
+    /// Finds out which VMs share their registered id and address with another instance.
+    pub(super) fn update_successions(&mut self) {
+        let place = |vm: &Vm| (vm.id.registered().to_owned(), vm.entry.addr.clone());
+        let mut instances: IndexMap<_, usize> = IndexMap::new();
+        for vm in self.vms.values() {
+            *instances.entry(place(vm)).or_default() += 1;
+        }
+        let mut settled = false;
+        for vm in self.vms.values_mut() {
+            let before = vm.succession;
+            let is_only = instances.get(&place(vm)) == Some(&1);
+            vm.succession = if is_only { Succession::Settled } else { Succession::Open };
+            settled |= before == Succession::Open && is_only;
+        }
+        if settled {
+            self.request_schedule();
+        }
+    }
+
+    /// The listed VM under the same registered id as an ended instance.
+    fn listed_successor(&self, ended: &VmId) -> Option<VmId> {
+        let listed = |vm: &&Vm| vm.id.is_same_vm(ended) && vm.listing == Listing::Listed;
+        self.vms.values().find(listed).map(|vm| vm.id.clone())
+    }
+
     /// Allows work again on the last VM known at an address.
     fn settle_address(&mut self, addr: &str) {
         let mut at_address = self.vms.values_mut().filter(|vm| *vm.entry.addr == *addr);
@@ -167,22 +268,27 @@
     }
 
     fn remove_departed_vm(&mut self, id: &VmId) {
+        if self.vms.get(id).is_some_and(|vm| vm.succession == Succession::Open) {
+            // Its runs pass to the next instance once its address has told which one that is.
+            return;
+        }
         let proof = "it has left as it announced";
-        self.report_vm_gone(id, proof);
+        self.report_vm_gone(id, proof, 0);
         self.forget_vm(id, proof);
     }
 
-    fn report_vm_gone(&mut self, id: &VmId, proof: StaticText) {
+    fn report_vm_gone(&mut self, id: &VmId, proof: StaticText, passed: usize) {
         if let Some(vm) = self.vms.get(id) {
             let runs = vm.runs.len();
-            self.note(Note::VmGone { vm: id.clone(), proof, runs });
+            self.note(Note::VmGone { vm: id.clone(), proof, runs, passed });
         }
     }
 
     fn forget_vm(&mut self, id: &VmId, proof: StaticText) {
         self.remove_all_runs(id, proof);
         if self.vms.shift_remove(id).is_some() {
-            self.ended_vms.insert(id.clone());
+            self.ended_vms.insert(id.clone(), self.now.steady);
+            self.update_successions();
         }
         if self.ended_vms.len() > MAX_ENDED_VMS {
             self.ended_vms.shift_remove_index(0);
@@ -216,6 +322,10 @@
                 && (vm.contact.responsiveness != Responsiveness::Responsive
                     || vm.contact.last_successful_poll.is_none())
         };
+        let before = self.vms.len();
         self.vms.retain(|_, vm| !is_absent(vm));
+        if self.vms.len() < before {
+            self.update_successions();
+        }
     }
 }
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -483,6 +483,14 @@
         self.phase == TaskPhase::Open && self.runs.is_empty() && self.lent.is_none()
     }
 
+    /// Records that a run has passed from a VM instance to its successor.
+    pub fn pass_run(&mut self, from: &VmId, run: RunNumber, to: (&VmId, &Arc<str>)) {
+        let placed = self.runs.iter_mut().find(|placed| placed.run == run && placed.vm == *from);
+        if let Some(placed) = placed {
+            (placed.vm, placed.addr) = (to.0.clone(), to.1.clone());
+        }
+    }
+
     /// Removes a run; returns false if there is no such run.
     pub fn remove(&mut self, vm: &VmId, run: RunNumber) -> bool {
         let before = self.runs.len();
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -6,7 +6,7 @@
 use super::interference::LeftoverNeighbour;
 use super::own_load::OwnLoad;
 use super::settings::{POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY};
-use super::vm_run::{PendingStart, PollState, Responsiveness, Run, RunKey, Stage, Vm};
+use super::vm_run::{PendingStart, PollState, Responsiveness, Run, RunKey, Stage, Succession, Vm};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
 use crate::job::{Share, TaskRef};
@@ -39,7 +39,7 @@
                 vm.record_extension(now, keep);
             }
             let keep_until = keep_until.map(|clock| VmTime(clock.0 + keep));
-            let (ack_up_to, wait) = (vm.ended_runs.ack_up_to(), vm.poll_wait());
+            let (ack_up_to, wait) = (vm.send_ack(), vm.poll_wait());
             vm.contact.poll = PollState::InFlight;
             let req = PollReq { fence, ack_up_to, keep_until, wait };
             self.actions.push(Action::Poll { vm: vm.addr(), req });
@@ -59,11 +59,12 @@
         match result {
             Ok(resp) => {
                 let before = vm.contact.last_successful_poll;
+                let succession = vm.succession;
                 let challenged = vm.challenged.is_some();
                 vm.record_answer(sent);
                 if before.is_none() {
                     // From now on the VM rejects earlier owners.
-                    vm.runs_ended_by = vm.runs_ended_by.min(inherited);
+                    vm.shorten_lease(inherited);
                 }
                 vm.read_clock(resp.clock, now);
                 let was =
@@ -82,7 +83,9 @@
                 if met {
                     self.request_schedule();
                 }
-                self.apply_poll_response(id, sent, resp);
+                if succession == Succession::Settled {
+                    self.apply_poll_response(id, sent, resp);
+                }
                 let configured = self.has_queues();
                 if let Some(vm) = self.vms.get_mut(id) {
                     vm.schedule_poll(now);
@@ -91,9 +94,12 @@
                     }
                 }
             }
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { successor: None }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
+            Err(vm::Error::InstanceChanged { successor: Some(successor) }) => {
+                self.succeed_vm_instance(id, successor, sent);
+            }
             Err(vm::Error::Fenced) => {
                 vm.contact.next_poll = now + POLL_RETRY_DELAY;
                 self.handle_fenced(id);
@@ -181,7 +187,7 @@
         let key = RunKey { task: row.task, run: row.run };
         let Some(vm) = self.vms.get_mut(id) else { return };
         let Some(run) = vm.runs.get_mut(&key) else {
-            return self.stop_unbound_run(id, key);
+            return self.stop_unbound_run(id, key, "run is not bound to this VM");
         };
         if matches!(run.stage, Stage::Starting { .. } | Stage::Recovered) {
             run.stage = Stage::Running;
@@ -228,7 +234,7 @@
 
     /// Stops a run that isn't bound to the VM: its task may run elsewhere, or its job may have
     /// ended.
-    fn stop_unbound_run(&mut self, id: &VmId, key: RunKey) {
+    pub(super) fn stop_unbound_run(&mut self, id: &VmId, key: RunKey, reason: StaticText) {
         let now = self.now.steady;
         let step = self.jobs.get(&key.task.job).and_then(|job| job.step(key.task));
         let Some(vm) = self.vms.get_mut(id) else { return };
@@ -239,7 +245,6 @@
         let mut run = Run::binding(size, 0, share, now);
         run.stage = Stage::Stopping { next_send: Some(now), answered: None };
         vm.runs.insert(key, run);
-        let reason: StaticText = "run is not bound to this VM";
         let RunKey { task, run } = key;
         self.note(Note::TaskStopping { task, run, vm: id.clone(), reason });
     }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -125,7 +125,7 @@
                 self.note(Note::TaskStarted { task, run, vm: id.clone(), sends });
             }
             Err(vm::Error::Fenced) => self.handle_fenced(id),
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { .. }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(vm::Error::StaleRun) if listed => {}
@@ -143,6 +143,7 @@
             Err(vm::Error::NotSent { .. }) => self.retry_start(id, key, "the VM is unreachable"),
             Err(vm::Error::NoAnswer { .. }) => {
                 known.pending_start = PendingStart::Yes;
+                vm.expect_late_start(key, now, now + self.settings.max_keep);
                 self.retry_start(id, key, "the VM did not answer");
             }
             Err(vm::Error::Unavailable { .. }) => {
@@ -192,7 +193,7 @@
                 vm.contact.next_poll = vm.contact.next_poll.min(now);
             }
             Err(vm::Error::Fenced) => self.handle_fenced(id),
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { .. }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(_) => {
@@ -213,7 +214,7 @@
         match result {
             Ok(_) => {}
             Err(vm::Error::Fenced) => self.handle_fenced(id),
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { .. }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(_) => {
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -15,7 +15,7 @@
 use crate::queues::Queues;
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,7 +86,7 @@
             jobs: IndexMap::new(),
             closed: IndexMap::new(),
             vms: IndexMap::new(),
-            ended_vms: IndexSet::new(),
+            ended_vms: IndexMap::new(),
             log: Log::new(keys, recovered.seq, SilenceRecord::new(recovered.silent)),
             loans: super::loan::Loans::default(),
             permit_requests: super::permits::PermitRequests::default(),
@@ -111,6 +111,7 @@
         }
         let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
         shard.recover_jobs(recovered.jobs, &progress);
+        shard.update_successions();
         shard.apply_offered_lapses(&recovered.unresponsive_vms);
         shard.apply_reported_lapses(recovered.reported_lapses);
         shard
@@ -123,7 +124,7 @@
         self.inherited_runs_until = self.inherited_runs_until.min(until);
         let unanswered = |vm: &&mut Vm| vm.contact.last_successful_poll.is_none();
         for vm in self.vms.values_mut().filter(unanswered) {
-            vm.runs_ended_by = vm.runs_ended_by.min(until);
+            vm.shorten_lease(until);
         }
     }
 
--- a/src/shard/vacate.rs
+++ b/src/shard/vacate.rs
@@ -24,7 +24,7 @@
 /// VMs that are being drained for upkeep.
 #[derive(Debug, Default)]
 pub struct UpkeepDrain {
-    /// VMs that are being drained, with the start time.
+    /// Registered ids of the VMs that are being drained, with the start time.
     vms: IndexMap<VmId, Duration>,
     /// VMs that are drained later: long-running tasks are not started there.
     upcoming: IndexSet<VmId>,
@@ -37,13 +37,13 @@
 impl UpkeepDrain {
     /// Returns whether a VM is being drained, so that nothing may be placed on it.
     pub fn is_draining(&self, vm: &VmId) -> bool {
-        self.vms.contains_key(vm)
+        self.vms.contains_key(vm.registered())
     }
 
     /// Returns whether a VM is going to be drained soon, so that long-running tasks should avoid
     /// it.
     pub fn is_drain_scheduled(&self, vm: &VmId) -> bool {
-        self.upcoming.contains(vm)
+        self.upcoming.contains(vm.registered())
     }
 }
 
@@ -56,7 +56,7 @@
         for vm in vms {
             let since = before.vms.get(&vm).copied();
             if since.is_none() {
-                let runs = self.vms.get(&vm).map_or(0, |vm| vm.runs.len());
+                let runs = self.instances_of(&vm).map(|vm| vm.runs.len()).sum();
                 self.note(Note::VmVacating { vm: vm.clone(), runs, outcome: "begun" });
             }
             self.upkeep_drain.vms.insert(vm, since.unwrap_or(now));
@@ -68,12 +68,20 @@
         self.request_schedule();
     }
 
-    /// Returns the VMs that have been drained: they respond and have no runs.
+    /// The known instances of a VM, most often one.
+    fn instances_of(&self, registered: &VmId) -> impl Iterator<Item = &Vm> {
+        self.vms.values().filter(move |vm| vm.id.registered() == registered.as_str())
+    }
+
+    /// Returns the registered ids of the VMs that have been drained: they respond and no instance
+    /// has runs.
     pub fn drained_vms(&self) -> Vec<VmId> {
         let now = self.now.steady;
-        let is_empty = |vm: &&Vm| vm.runs.is_empty() && vm.is_responsive(now);
-        let vms = self.upkeep_drain.vms.keys().filter_map(|id| self.vms.get(id));
-        vms.filter(is_empty).map(|vm| vm.id.clone()).collect()
+        let is_drained = |registered: &&VmId| {
+            let is_responsive = self.instances_of(registered).any(|vm| vm.is_responsive(now));
+            is_responsive && self.instances_of(registered).all(|vm| vm.runs.is_empty())
+        };
+        self.upkeep_drain.vms.keys().filter(is_drained).cloned().collect()
     }
 
     /// Stops the runs on draining VMs that may be stopped now.
@@ -83,8 +91,10 @@
             return;
         }
         self.upkeep_drain.next_check = now + CHECK_INTERVAL;
-        let draining: Vec<(VmId, Duration)> =
-            self.upkeep_drain.vms.iter().map(|(vm, since)| (vm.clone(), *since)).collect();
+        let drain = self.upkeep_drain.vms.iter();
+        let draining: Vec<(VmId, Duration)> = drain
+            .flat_map(|(vm, since)| self.instances_of(vm).map(|vm| (vm.id.clone(), *since)))
+            .collect();
         for (vm, since) in draining {
             for key in self.runs_on(&vm) {
                 // Each stop reduces the number of further tasks of the step that may be stopped.
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -7,6 +7,7 @@
 };
 use crate::ids::VmId;
 use crate::job::{RunNumber, Share, TaskRef};
+use crate::kv::Rev;
 use crate::note::StaticText;
 use crate::units::Resources;
 use crate::vm::{VmAddr, VmEntry, VmState, VmTime};
@@ -21,7 +22,7 @@
     pub run: RunNumber,
 }
 
-/// One instance of a VM; a restarted VM is a new instance with a new id.
+/// One instance of a VM; a restarted VM is a new instance.
 #[derive(Debug)]
 pub struct Vm {
     pub id: VmId,
@@ -31,6 +32,7 @@
     pub known_since: Duration,
     /// When another VM was announced at its address, until it answers a later poll.
     pub challenged: Option<Duration>,
+    pub succession: Succession,
     /// When the platform first reported that the VM is leaving, and how much time was left then.
     pub leaving: Option<Leaving>,
     pub clock: Option<ClockReading>,
@@ -40,6 +42,11 @@
     pub contact: Contact,
     /// Time by which every run on the VM is certain to have ended, unless it is extended.
     pub runs_ended_by: Duration,
+    /// Runs whose start was not answered, and until when the next instance under the same registered
+    /// id may still carry it out. The run may have ended or been stopped here since.
+    pub late_starts: IndexMap<RunKey, Duration>,
+    /// Time until which orders for an earlier instance may keep runs on this one.
+    pub late_orders_end: Duration,
     pub health: super::health::Health,
 }
 
@@ -55,6 +62,16 @@
     },
 }
 
+/// Whether another instance under the same registered id may still pass its runs to this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Succession {
+    Settled,
+    /// Two instances are known at the address. Until it has told which of them has ended, neither
+    /// gets work, and their lists of runs are not applied: the runs in them may be known as runs of
+    /// the other one.
+    Open,
+}
+
 /// Notice that a VM is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Leaving {
@@ -146,6 +163,10 @@
 pub struct EndedRuns {
     listed: VecDeque<ListedEnd>,
     ack_up_to: u64,
+    /// Number that the last poll acknowledged.
+    sent: u64,
+    /// Highest number that an answered poll acknowledged.
+    acked: u64,
 }
 
 #[derive(Debug)]
@@ -194,6 +215,7 @@
             listing: Listing::Listed,
             known_since: now,
             challenged: None,
+            succession: Succession::Settled,
             clock: None,
             runs: IndexMap::new(),
             ended_runs: EndedRuns::default(),
@@ -206,6 +228,8 @@
                 responsiveness: Responsiveness::Responsive,
             },
             runs_ended_by,
+            late_starts: IndexMap::new(),
+            late_orders_end: Duration::ZERO,
             health: super::health::Health::default(),
         }
     }
@@ -222,6 +246,30 @@
         self.entry = entry;
     }
 
+    /// Creates the successor under the same registered id of an instance that has ended, before it
+    /// is announced. It gets no work until then.
+    pub fn unannounced_successor(id: VmId, ended: &VmEntry, now: Duration) -> Self {
+        // The first announcement of the successor counts, however old its revision.
+        let (state, announced) = (VmState::Ready, Rev::ABSENT);
+        let entry = VmEntry { id, state, announced, ..ended.clone() };
+        let mut vm = Self::new(entry, now, now);
+        vm.listing = Listing::Missing { since: now };
+        vm
+    }
+
+    /// Returns the number of the ended runs that the next poll acknowledges, and records it as sent.
+    ///
+    /// The poll may reach the next instance under the same registered id, which would discard ended
+    /// runs that nobody has read. So the number is sent only if the instance answered the preceding
+    /// poll, and no more once an answered poll has carried it.
+    pub fn send_ack(&mut self) -> u64 {
+        let answered = self.contact.failures == 0 && self.contact.last_successful_poll.is_some();
+        let ends = &mut self.ended_runs;
+        let is_needed = answered && ends.ack_up_to > ends.acked;
+        ends.sent = if is_needed || self.id.started().is_none() { ends.ack_up_to } else { 0 };
+        ends.sent
+    }
+
     /// Polls the VM at once, and places nothing on it until it has answered.
     pub fn challenge(&mut self, now: Duration) {
         self.challenged = Some(now);
@@ -232,6 +280,7 @@
     pub fn record_answer(&mut self, sent: Duration) {
         self.contact.last_successful_poll = Some(sent);
         self.contact.failures = 0;
+        self.ended_runs.acked = self.ended_runs.acked.max(self.ended_runs.sent);
         self.contact.failing_since = None;
         self.challenged = self.challenged.filter(|at| sent < *at);
     }
@@ -259,6 +308,26 @@
         self.runs_ended_by = self.runs_ended_by.max(now + keep + drift + EXPIRY_MARGIN);
     }
 
+    /// Records that the next instance may carry out the start of a run until `end`.
+    pub fn expect_late_start(&mut self, key: RunKey, now: Duration, end: Duration) {
+        if self.id.started().is_some() {
+            self.late_starts.retain(|_, end| *end > now);
+            self.late_starts.insert(key, end);
+        }
+    }
+
+    /// Lowers the time by which every run has ended to `until`, as far as orders for an earlier
+    /// instance allow.
+    pub fn shorten_lease(&mut self, until: Duration) {
+        self.runs_ended_by = self.runs_ended_by.min(until).max(self.late_orders_end);
+    }
+
+    /// Records that orders for an earlier instance may keep runs on this one until `end`.
+    pub fn expect_late_orders(&mut self, end: Duration) {
+        self.late_orders_end = self.late_orders_end.max(end);
+        self.runs_ended_by = self.runs_ended_by.max(end);
+    }
+
     /// How long a run is known to have been running: from the response that first reported it to
     /// the last successful poll.
     pub fn running_time(&self, key: RunKey) -> Duration {
@@ -269,6 +338,11 @@
         worked.unwrap_or_default()
     }
 
+    /// Whether a run has passed to this instance from an earlier one and has not run here.
+    pub fn has_not_run(&self, run: &Run) -> bool {
+        self.id.started().is_some() && run.running_since.is_none()
+    }
+
     /// Resources reserved by all runs.
     pub fn reserved(&self) -> Resources {
         self.runs.values().fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.reserved))
@@ -303,6 +377,7 @@
         self.listing == Listing::Listed
             && self.leaving.is_none()
             && self.challenged.is_none()
+            && self.succession == Succession::Settled
             && self.is_responsive(now)
     }
 
@@ -372,6 +447,28 @@
         }
     }
 
+    /// Returns the run as it passes to the next instance of its VM, which may still carry out its
+    /// start: it is to be stopped there, and its resources are reserved.
+    pub fn passed_on(self, now: Duration) -> Self {
+        let Self { reserved, milli_cores, share, sends, .. } = self;
+        Self {
+            stage: Stage::Stopping { next_send: Some(now), answered: None },
+            sends,
+            pending_start: PendingStart::Yes,
+            ..Self::binding(reserved, milli_cores, share, now)
+        }
+    }
+
+    /// Whether a start may have been sent. A run found in the store or reported by the VM was
+    /// started by an earlier owner.
+    pub fn may_have_been_sent(&self) -> bool {
+        match self.stage {
+            Stage::Binding => false,
+            Stage::Starting { .. } => self.sends > 0,
+            Stage::Running | Stage::Stopping { .. } | Stage::Recovered => true,
+        }
+    }
+
     /// Whether the run is being stopped.
     pub fn is_stopping(&self) -> bool {
         matches!(self.stage, Stage::Stopping { .. })
@@ -407,11 +504,6 @@
         }
     }
 
-    /// The VM may discard ended runs up to this number.
-    pub fn ack_up_to(&self) -> u64 {
-        self.ack_up_to
-    }
-
     /// Whether the VM would report ended runs again.
     pub fn has_unforgotten(&self) -> bool {
         !self.listed.is_empty()
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -67,7 +67,7 @@
 /// Record of a wave in the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRecord {
-    /// Machines that are down or about to go down, with the VM incarnation that this ends.
+    /// Machines that are down or about to go down, with the registered id of the VM that this ends.
     pub down: IndexMap<MachineId, VmId>,
     /// Machines that have had their upkeep or no longer exist.
     pub done: IndexSet<MachineId>,
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Machine {
     pub id: MachineId,
-    /// The machine's current VM, if any.
+    /// The registered id of the machine's current VM, if any.
     pub vm: Option<VmId>,
     pub domain: DomainId,
     pub rack: RackId,
--- a/src/upkeep/duty.rs
+++ b/src/upkeep/duty.rs
@@ -39,7 +39,7 @@
 pub struct OwnedShard {
     pub name: String,
     pub fence: Fence,
-    /// VMs that have been vacated on request.
+    /// Registered ids of the VMs that have been vacated on request.
     pub vacated: Vec<VmId>,
 }
 
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -4,7 +4,9 @@
 //! the VM ([`VmApi::poll`]) extends that lease and returns the tasks that run and the runs that
 //! have ended. The VM remembers the highest fencing token it has seen and rejects lower ones.
 //!
-//! A [`VmId`] identifies one instance of a VM: after a restart the VM has a new id and no state.
+//! A [`VmId`] identifies one instance of a VM: after a restart the VM has a new id and no state. The
+//! registered id that is part of it may stay the same. An order names the registered id alone, so an
+//! order for an earlier instance may be carried out by a later one, also seconds later.
 
 use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::{Checkpoint, Label, RunNumber, TaskRef};
@@ -84,9 +86,10 @@
     NoRoom,
     #[error("the step's permit for this VM has expired; request another")]
     NoPermit,
-    /// The VM has restarted; nothing from its previous instance runs.
-    #[error("the VM has restarted under another id; place its work again")]
-    InstanceChanged,
+    /// The instance has ended. `successor` is the instance that answered, if it has the same
+    /// registered id; orders for the ended instance may still take effect there.
+    #[error("the VM has restarted; place its work again")]
+    InstanceChanged { successor: Option<VmId> },
     /// The VM refused the call without any effect and is unhealthy.
     #[error("the VM refused ({status}); place the work elsewhere")]
     Unavailable { status: u16 },
@@ -105,7 +108,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PollReq {
     pub fence: Fence,
-    /// Ended runs up to this number are durable; the VM may discard them.
+    /// Ended runs up to this number are durable; the VM may discard them. The number counts for one
+    /// instance, but a later one under the same registered id obeys it too.
     pub ack_up_to: u64,
     /// New lease time of all runs on the VM; `None` leaves it unchanged.
     pub keep_until: Option<VmTime>,
--- a/standin/src/fakes.rs
+++ b/standin/src/fakes.rs
@@ -83,8 +83,8 @@
     ) -> vm::Result<R> {
         let (now, to) = (self.clock.now(), to.id.clone());
         let met = self.table.call(move |table| {
-            if table.id != to {
-                return Err(vm::Error::InstanceChanged);
+            if !table.id.is_same_vm(&to) {
+                return Err(vm::Error::InstanceChanged { successor: None });
             }
             call(table, now)
         });
@@ -98,7 +98,14 @@
 
 impl VmApi for FakeVm {
     async fn poll(&self, vm: &VmAddr, req: PollReq) -> vm::Result<PollResp> {
-        self.call(vm, move |table, now| table.poll(now, &req))
+        let polled = vm.id.clone();
+        self.call(vm, move |table, now| {
+            let answer = table.poll(now, &req)?;
+            if table.id != polled {
+                return Err(vm::Error::InstanceChanged { successor: Some(table.id.clone()) });
+            }
+            Ok(answer)
+        })
     }
 
     async fn start(&self, vm: &VmAddr, req: StartReq) -> vm::Result<VmTime> {
--- a/tests/shards/announcements.rs
+++ b/tests/shards/announcements.rs
@@ -4,13 +4,14 @@
 //! not that exact: the entry of an ended instance stands for some time and can come back, and the
 //! entry of a new one can come late.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use waxwingstall::ids::VmId;
+use waxwingstall::kv::Rev;
 use waxwingstall::vm::VmEntry;
 
 /// Longest time in milliseconds for which an ended instance stays listed.
@@ -61,6 +62,9 @@
             let at = if ended.first { 0 } else { list.len() };
             list.insert(at, ended.entry.clone());
         }
+        // A key of the store holds one announcement.
+        let mut keys = IndexSet::new();
+        list.retain(|vm| keys.insert(vm.id.registered().to_owned()));
         list
     }
 
@@ -78,7 +82,12 @@
         let again = back..back + draw(AGAIN);
         let listed = if rng.random() { vec![now..until, again] } else { vec![now..until] };
         let first = rng.random();
-        self.ended.push(Ended { entry: entry.clone(), listed, first });
+        let mut entry = entry.clone();
+        if entry.id.started().is_some() {
+            // A late announcement is written after the next instance's under the same key.
+            entry.announced = Rev(entry.announced.0 + 1);
+        }
+        self.ended.push(Ended { entry, listed, first });
     }
 
     /// Draws from when on an instance is listed that begins now.
--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -81,10 +81,24 @@
     /// Restarts both VMs, while they are idle and after the owner has dropped them, and starts the
     /// task.
     fn with_task(work: Work) -> Self {
-        let mut sim = Simulation::new(Recorder::default(), &[SHARD], 2, SIZE);
+        let sim = Simulation::new(Recorder::default(), &[SHARD], 2, SIZE);
+        Self::with_restart(sim, work, Simulation::crash_vm)
+    }
+
+    /// The same with VMs that restart under their ids.
+    fn with_same_id(work: Work) -> Self {
+        let sim = Simulation::with_starts(Recorder::default(), &[SHARD], 2, SIZE);
+        Self::with_restart(sim, work, Simulation::restart_vm)
+    }
+
+    fn with_restart(
+        mut sim: Simulation<Recorder>,
+        work: Work,
+        restart: fn(&mut Simulation<Recorder>, usize, Duration),
+    ) -> Self {
         sim.run_for(seconds(1));
         let before: Vec<VmEntry> = sim.vms.iter().map(|vm| vm.entry.clone()).collect();
-        (0..2).for_each(|vm| sim.crash_vm(vm, seconds(3)));
+        (0..2).for_each(|vm| restart(&mut sim, vm, seconds(3)));
         sim.run_for(seconds(4));
         let job = job_with_steps(1, 1, 1, work);
         sim.submit(SHARD, job.clone());
@@ -308,3 +322,185 @@
     assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
     check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
 }
+
+/// Loses the answers of starts until `until`; the VMs carry these starts out after `delay`.
+struct LateStarts {
+    until: Duration,
+    delay: Duration,
+    /// Stops are lost until then.
+    stops_lost_until: Duration,
+}
+
+impl Faults for LateStarts {
+    fn command_outcome(&mut self, at: Duration, action: &Action) -> Outcome {
+        match action {
+            Action::Start { .. } if at < self.until => Outcome::Late(self.delay),
+            Action::Stop { .. } if at < self.stops_lost_until => Outcome::Lost,
+            _ => Outcome::Delivered,
+        }
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
+/// A task whose start is sent at about 6 s and carried out late; the index of its VM.
+fn simulation_with_late_start(delay: Duration) -> (Simulation<LateStarts>, Job, usize) {
+    let (until, stops_lost_until) = (millis(6500), Duration::ZERO);
+    let faults = LateStarts { until, delay, stops_lost_until };
+    let mut sim = Simulation::with_starts(faults, &[SHARD], 2, SIZE);
+    sim.run_for(seconds(1));
+    let job = job_with_steps(1, 1, 1, work(3000, 6));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(millis(100));
+    let state = sim.bound_vms(job.id);
+    assert_eq!(state.len(), 1, "the task is bound");
+    (sim, job, state[0])
+}
+
+// Guards against a task that runs twice at once: its VM restarted under the same id, its task was
+// started elsewhere, and the next instance then carried out the start for the ended one.
+#[test]
+fn a_late_start_that_the_next_instance_carries_out_runs_no_task_twice() {
+    for change_owner in [false, true] {
+        for delay in (400..3000).step_by(100).map(millis) {
+            let (mut sim, job, vm) = simulation_with_late_start(delay);
+            sim.restart_vm(vm, millis(200));
+            sim.run_for(millis(100));
+            if change_owner {
+                sim.replace_owner(SHARD);
+            }
+            sim.run_for(seconds(20));
+            check(&mut sim, &IndexMap::from([(job.id, job.clone())]), SIZE);
+            assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+        }
+    }
+}
+
+// The same with a VM that restarts again before the stop has been confirmed.
+#[test]
+fn runs_pass_on_again_when_the_next_instance_ends_too() {
+    for second in (200..1500).step_by(50).map(millis) {
+        let (mut sim, job, vm) = simulation_with_late_start(millis(2500));
+        sim.restart_vm(vm, millis(200));
+        sim.faults.stops_lost_until = sim.now + second;
+        sim.run_for(second);
+        sim.restart_vm(vm, millis(100));
+        sim.run_for(seconds(20));
+        check(&mut sim, &IndexMap::from([(job.id, job.clone())]), SIZE);
+        assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+    }
+}
+
+// Guards against a task that starts again after its recorded success: the start had not been answered
+// and was repeated, and its first copy was carried out by the next instance of the VM.
+#[test]
+fn a_late_start_of_a_task_that_is_done_is_barred() {
+    let (until, stops_lost_until) = (millis(6300), Duration::ZERO);
+    let faults = LateStarts { until, delay: seconds(3), stops_lost_until };
+    let mut sim = Simulation::with_starts(faults, &[SHARD], 2, SIZE);
+    sim.run_for(seconds(1));
+    let job = job_with_steps(1, 1, 1, work(500, 6));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(millis(100));
+    let vm = sim.bound_vms(job.id)[0];
+    sim.run_for(millis(1500));
+    assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+    sim.restart_vm(vm, millis(200));
+    sim.run_for(seconds(5));
+    assert_eq!(sim.late_starts.len(), 1, "the start is carried out late");
+    assert_eq!(starts(&sim), 1, "the task was started again");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
+
+// Guards against a VM loaded beyond its size: the room of a run that the next instance may still
+// start is reserved until its stop is confirmed.
+#[test]
+fn the_room_of_a_run_that_may_still_start_is_reserved() {
+    for delay in (400..2000).step_by(50).map(millis) {
+        let (mut sim, job, vm) = simulation_with_late_start(delay);
+        let others = job_with_steps(2, 1, 4, work(4000, 6));
+        sim.submit(SHARD, others.clone());
+        sim.restart_vm(vm, millis(200));
+        sim.run_for(seconds(30));
+        let jobs = [&job, &others].map(|job| (job.id, job.clone()));
+        check(&mut sim, &IndexMap::<JobId, Job>::from(jobs), SIZE);
+    }
+}
+
+// Guards against tasks that run twice and tasks that are lost when the old announcement replaces
+// the one of the next instance under the same key.
+#[test]
+fn an_old_entry_under_the_key_of_the_next_instance_ends_none_of_its_runs() {
+    for change_owner in [false, true] {
+        let mut vm = Successor::with_same_id(work(6000, 2));
+        let now = vm.sim.now;
+        let living = vm.sim.vms[vm.vm].entry.id.clone();
+        assert!(living.is_same_vm(&vm.dead.id), "the registered id stays");
+        vm.sim.announcements.hide(&living, now..now + seconds(2));
+        vm.list_dead();
+        if change_owner {
+            vm.sim.replace_owner(SHARD);
+        }
+        vm.sim.run_for(seconds(2));
+        vm.unlist_dead();
+        vm.sim.run_for(seconds(8));
+        vm.check_ran_once();
+    }
+}
+
+// Tasks of an instance that has ended restart as soon as the next one under its id has confirmed
+// their stop, not when their lease has expired.
+#[test]
+fn tasks_restart_when_the_next_instance_has_confirmed_their_stop() {
+    let mut sim = Simulation::with_starts(Recorder::default(), &[SHARD], 2, SIZE);
+    let job = job_with_steps(1, 1, 1, work(8000, 2));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(seconds(1));
+    let vm = (0..2).find(|vm| sim.runs_on(*vm) == 1).expect("the task runs");
+    sim.restart_vm(vm, millis(700));
+    sim.run_for(millis(700) + answer_bound() + 2 * RESTART_TIME);
+    assert_eq!(sim.runs_on(0) + sim.runs_on(1), 1, "not restarted");
+    sim.run_for(seconds(10));
+    assert_eq!(starts(&sim), 2, "started twice in all");
+    assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
+
+/// Loses the answers of every third poll, and records the acknowledgements of all polls.
+#[derive(Default)]
+struct LostPolls {
+    polls: usize,
+    /// Acknowledged number, and whether the poll was answered.
+    acks: Vec<(u64, bool)>,
+}
+
+impl Faults for LostPolls {
+    fn command_outcome(&mut self, _: Duration, action: &Action) -> Outcome {
+        let Action::Poll { req, .. } = action else { return Outcome::Delivered };
+        self.polls += 1;
+        let answered = !self.polls.is_multiple_of(3);
+        self.acks.push((req.ack_up_to, answered));
+        if answered { Outcome::Delivered } else { Outcome::AnswerLost }
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
+// Guards against lost ends: the first poll after a restart made the next instance discard ends that
+// nobody had read. A poll after an unanswered one acknowledges nothing.
+#[test]
+fn a_poll_after_an_unanswered_one_acknowledges_no_end() {
+    let mut sim = Simulation::with_starts(LostPolls::default(), &[SHARD], 1, SIZE);
+    let job = job_with_steps(1, 1, 30, work(700, 2));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(seconds(30));
+    assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+    let acks = &sim.faults.acks;
+    assert!(acks.iter().any(|(ack, _)| *ack > 0), "ends are acknowledged");
+    let after_unanswered = acks.windows(2).filter(|pair| !pair[0].1).map(|pair| pair[1].0);
+    assert_eq!(after_unanswered.max(), Some(0));
+}
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -50,13 +50,30 @@
 
 impl RandomRun {
     fn new(seed: u64, most_permille: u32) -> Self {
+        Self::with_simulation(seed, most_permille, |faults| {
+            Simulation::new(faults, &SHARDS, VMS, SIZE)
+        })
+    }
+
+    /// VMs tell when they have started.
+    fn with_starts(seed: u64, most_permille: u32) -> Self {
+        Self::with_simulation(seed, most_permille, |faults| {
+            Simulation::with_starts(faults, &SHARDS, VMS, SIZE)
+        })
+    }
+
+    fn with_simulation(
+        seed: u64,
+        most_permille: u32,
+        simulation: impl FnOnce(RandomFaults) -> Simulation<RandomFaults>,
+    ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let permille = rng.random_range(0..most_permille);
         let faults = RandomFaults::new(seed, permille, UNTIL);
         Self {
             seed,
             rng,
-            sim: Simulation::new(faults, &SHARDS, VMS, SIZE),
+            sim: simulation(faults),
             jobs: IndexMap::new(),
             home: IndexMap::new(),
             tickets: IndexMap::new(),
@@ -102,6 +119,12 @@
         self.sim.crash_vm(vm, time);
     }
 
+    fn restart_vm(&mut self) {
+        let time = self.millis(50..4000);
+        let vm = self.vm();
+        self.sim.restart_vm(vm, time);
+    }
+
     fn disconnect_vm(&mut self) {
         let time = self.millis(300..9000);
         let vm = self.vm();
@@ -217,6 +240,39 @@
     run
 }
 
+/// VMs restart under the same id, while orders for their earlier instances are still to be carried
+/// out and announcements come late, repeatedly and out of order.
+fn simulate_restarts_under_one_id(seed: u64) -> RandomRun {
+    let mut run = RandomRun::with_starts(seed, 150);
+    run.sim.announcements.randomize(seed);
+    if seed.is_multiple_of(4) {
+        run.sim = run.sim.with_permits(PermitTable::new(PERMITTED, PERMIT_VALID));
+    }
+    while run.sim.now < UNTIL {
+        let pause = run.millis(20..600);
+        run.sim.run_for(pause);
+        let shard = run.shard();
+        match run.rng.random_range(0..100) {
+            0..45 if run.jobs.len() < 30 => run.submit(),
+            45..60 if run.sim.crashes < MAX_CRASHES => run.restart_vm(),
+            60..62 if run.sim.crashes < MAX_CRASHES => run.crash_vm(),
+            62..70 => run.disconnect_vm(),
+            70..76 => run.sim.replace_owner(shard),
+            76..79 => run.sim.hand_over(shard),
+            79..83 => run.pause_owner(),
+            83..89 => run.sim.keep_outdated_list(shard),
+            89..93 => run.sim.repeat_vm_list(shard),
+            93..95 => {
+                let time = run.millis(300..3000);
+                run.sim.block_vm_list(time);
+            }
+            95..97 => run.stop_store(),
+            _ => {}
+        }
+    }
+    run
+}
+
 // Jobs are submitted and cancelled while anything may fail. No task may run twice or before its
 // predecessors, no VM may be overcommitted, and every finite job must complete.
 #[test]
@@ -235,3 +291,13 @@
         simulate_instances(seed).verify();
     }
 }
+
+// The same while VMs restart under the same id: a start for an earlier instance that the next one
+// carries out late must not make a task run twice, and no end that nobody has read may be lost.
+#[test]
+fn promises_hold_while_vms_restart_under_the_same_id() {
+    for seed in seeds(0..40) {
+        println!("seed {seed}");
+        simulate_restarts_under_one_id(seed).verify();
+    }
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -5,18 +5,18 @@
 
 use crate::announcements::Announcements;
 use crate::faults::{Faults, Outcome};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use waxwingstall::cluster::Head;
 use waxwingstall::evacuation::Evacuations;
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, Ticket, VmId};
-use waxwingstall::job::progress::{Progress, decode, encode};
+use waxwingstall::job::progress::{BoundVm, Progress, decode, encode};
 use waxwingstall::job::{Job, JobId, QueueName, RunNumber, StepRef, TaskRef};
 use waxwingstall::kv::{Condition, Error, HasMore, Put, Rev, Txn};
 use waxwingstall::note::Note;
-use waxwingstall::permit::{self, PermitReq};
+use waxwingstall::permit::{self, PermitReq, PermitResp};
 use waxwingstall::queues::{PermitTimes, Queue, Queues};
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
@@ -72,6 +72,26 @@
     /// Each size and since when it applies; a new size is announced one interval later.
     pub sizes: Vec<(Duration, Resources)>,
     restarts: u32,
+    /// Id under which it restarts when it is down.
+    next_id: NextId,
+}
+
+/// Id of the next instance of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextId {
+    /// Another registered id.
+    New,
+    /// The same registered id, with another start time.
+    Same,
+}
+
+/// What the ids of VMs tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// Each instance has a registered id of its own.
+    PerInstance,
+    /// The registered id and the start time.
+    WithStart,
 }
 
 /// An order to evacuate a failure domain.
@@ -152,6 +172,7 @@
     queues: Arc<Queues>,
     /// Longest time for which a VM keeps its tasks running without another poll.
     max_keep: Duration,
+    identity: Identity,
     /// Latest deadlines of silent VMs published by the owners, and when.
     published_lapses: IndexMap<Arc<str>, (Duration, Vec<ReportedLapse>)>,
     /// Published deadlines are lost from then on.
@@ -174,6 +195,23 @@
         vms: usize,
         size: Resources,
         max_keep: Duration,
+    ) -> Self {
+        Self::with_identity(faults, shards, vms, size, max_keep, Identity::PerInstance)
+    }
+
+    /// Creates a system whose VMs tell when they have started, so that they can restart under the
+    /// same id.
+    pub fn with_starts(faults: F, shards: &[&str], vms: usize, size: Resources) -> Self {
+        Self::with_identity(faults, shards, vms, size, MAX_KEEP, Identity::WithStart)
+    }
+
+    fn with_identity(
+        faults: F,
+        shards: &[&str],
+        vms: usize,
+        size: Resources,
+        max_keep: Duration,
+        identity: Identity,
     ) -> Self {
         let mut sim = Self {
             now: Duration::from_secs(5),
@@ -209,6 +247,7 @@
             partition: None,
             queues: Arc::new(queues()),
             max_keep,
+            identity,
             traced: std::env::var_os("SHARD_TRACE").is_some(),
         };
         for shard in shards {
@@ -452,6 +491,24 @@
         }
     }
 
+    /// Indices of the VMs that a job's runs are bound to in the store.
+    pub fn bound_vms(&mut self, job: JobId) -> Vec<usize> {
+        let mut bound = Vec::new();
+        for name in self.shard_names() {
+            let progress = self.read_all(&Keys::new(&name).all_progress());
+            let of_job = progress.iter().filter(|(key, _)| key.ends_with(&job.to_string()));
+            for (_, value) in of_job {
+                bound.extend(Progress::decode(value).expect("progress").vms);
+            }
+        }
+        let index = |vm: BoundVm| self.vms.iter().position(|node| node.entry.id == vm.id);
+        bound.into_iter().filter_map(index).collect()
+    }
+
+    fn shard_names(&self) -> IndexSet<Arc<str>> {
+        self.owners.iter().map(|owner| owner.name.clone()).collect()
+    }
+
     /// Number of tasks running on a VM.
     pub fn runs_on(&mut self, index: usize) -> usize {
         let now = self.now;
@@ -471,6 +528,14 @@
         self.crashes += 1;
     }
 
+    /// Crashes a VM, which restarts without tasks under the same registered id after `down`.
+    pub fn restart_vm(&mut self, index: usize, down: Duration) {
+        if self.vms[index].down_until.is_none() {
+            self.crash_vm(index, down);
+            self.vms[index].next_id = NextId::Same;
+        }
+    }
+
     /// Ends the remaining members of a group.
     fn end_group(&mut self, step: StepRef) {
         if self.groups.contains(&step.job) {
@@ -514,7 +579,7 @@
 
     /// Orders a shard to drain a VM.
     pub fn drain_vm(&mut self, shard: &str, index: usize, finish_timeout: Duration) {
-        let vms = vec![self.vms[index].entry.id.clone()];
+        let vms = vec![VmId::new(self.vms[index].entry.id.registered())];
         let order = DrainOrder { vms, upcoming: Vec::new(), finish_timeout };
         self.call(shard, Event::Drain(order));
     }
@@ -532,7 +597,7 @@
 
     fn add_vm(&mut self, shard: &str, number: usize, size: Resources) {
         let addr = format!("{shard}:{number}");
-        let id = VmId::new(&format!("{addr}/0"));
+        let id = self.vm_id(&format!("{addr}/0"));
         let entry = VmEntry {
             id: id.clone(),
             service: ServiceName::new(SERVICE),
@@ -545,7 +610,7 @@
             announced: ANNOUNCED,
         };
         self.vms.push(VmNode {
-            table: RunTable::new(id, run_settings(self.max_keep)),
+            table: RunTable::new(id, run_settings(self.max_keep, 0)),
             entry,
             shard: Arc::from(shard),
             unreachable_until: Duration::ZERO,
@@ -554,9 +619,21 @@
             refuses: false,
             sizes: vec![(Duration::ZERO, size)],
             restarts: 0,
+            next_id: NextId::New,
         });
     }
 
+    /// The id of a VM instance that starts now.
+    fn vm_id(&self, registered: &str) -> VmId {
+        match self.identity {
+            Identity::PerInstance => VmId::new(registered),
+            Identity::WithStart => {
+                let started = (EPOCH + self.now).as_millis();
+                VmId::with_start(registered, u64::try_from(started).expect("a small number"))
+            }
+        }
+    }
+
     fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         Ticket(self.next_ticket)
@@ -701,18 +778,27 @@
 
     fn restart_vms(&mut self) {
         let (now, max_keep) = (self.now, self.max_keep);
-        for vm in &mut self.vms {
-            if vm.down_until.is_none_or(|until| now < until) {
+        for index in 0..self.vms.len() {
+            if self.vms[index].down_until.is_none_or(|until| now < until) {
                 continue;
             }
+            let vm = &self.vms[index];
+            let registered = match vm.next_id {
+                NextId::New => format!("{}/{}", vm.entry.addr, vm.restarts + 1),
+                NextId::Same => vm.entry.id.registered().to_owned(),
+            };
+            let id = self.vm_id(&registered);
+            let vm = &mut self.vms[index];
             vm.down_until = None;
             vm.refuses = false;
             vm.restarts += 1;
-            let id = VmId::new(&format!("{}/{}", vm.entry.addr, vm.restarts));
+            vm.next_id = NextId::New;
             vm.entry.id = id.clone();
             self.announcements.note_start(&id, now);
-            self.ended_tables
-                .push(std::mem::replace(&mut vm.table, RunTable::new(id, run_settings(max_keep))));
+            self.ended_tables.push(std::mem::replace(
+                &mut vm.table,
+                RunTable::new(id, run_settings(max_keep, vm.restarts)),
+            ));
         }
     }
 
@@ -766,7 +852,14 @@
                     self.step(number, event);
                 }
             }
-            Delivery::Vm { number, action } => {
+            Delivery::Vm { number, mut action } => {
+                if let Action::Poll { vm, req } = &mut action
+                    && !self.vms.iter().any(|node| node.entry.id == vm.id)
+                {
+                    // Only orders are carried out late by the next instance. No owner could prevent
+                    // an acknowledgement from being so.
+                    req.ack_up_to = 0;
+                }
                 if let Action::Start { req, .. } = &action {
                     self.late_starts.push((req.task, req.run));
                 }
@@ -848,7 +941,7 @@
         let result = match self.faults.message_outcome(sent) {
             Outcome::Delivered => {
                 let table = self.permits.as_mut().expect("permits are requested only if required");
-                Ok(table.ask(sent, req))
+                Ok(ask_permits(table, sent, req))
             }
             Outcome::Lost
             | Outcome::AnswerLost
@@ -918,16 +1011,27 @@
         if vm.unreachable_until > now || vm.down_until.is_some() {
             return Err(VmError::NoAnswer { reason: "cut".to_owned() });
         }
-        if vm.entry.id != addr.id {
-            return Err(VmError::InstanceChanged);
+        if !vm.entry.id.is_same_vm(&addr.id) {
+            return Err(VmError::InstanceChanged { successor: None });
         }
         if let (Action::Start { req, .. }, Some(permits)) = (action, &mut self.permits)
-            && !permits.check(now, req.task.step_ref(), &addr.id, req.permit.as_ref())
+            && !permits.check(
+                now,
+                req.task.step_ref(),
+                &VmId::new(addr.id.registered()),
+                req.permit.as_ref(),
+            )
         {
             return Err(VmError::NoPermit);
         }
         match action {
-            Action::Poll { req, .. } => vm.table.poll(now, req).map(VmResponse::Polled),
+            Action::Poll { req, .. } => {
+                let answer = vm.table.poll(now, req)?;
+                if vm.entry.id != addr.id {
+                    return Err(VmError::InstanceChanged { successor: Some(vm.entry.id.clone()) });
+                }
+                Ok(VmResponse::Polled(answer))
+            }
             Action::Start { req, .. } => vm.table.start(now, req).map(VmResponse::Clock),
             Action::Stop { req, .. } => vm.table.stop(now, req).map(VmResponse::Clock),
             Action::Pace { req, .. } => vm.table.set_pace(now, req).map(VmResponse::Clock),
@@ -982,6 +1086,18 @@
     }
 }
 
+/// Asks the permit service with registered ids.
+fn ask_permits(table: &mut PermitTable, now: Duration, req: &PermitReq) -> PermitResp {
+    let registered = |vm: &VmId| VmId::new(vm.registered());
+    let asked = PermitReq { vms: req.vms.iter().map(registered).collect(), ..req.clone() };
+    let mut answer = table.ask(now, &asked);
+    for (vm, _) in &mut answer.permits {
+        let instance = req.vms.iter().find(|instance| registered(instance) == *vm);
+        *vm = instance.expect("the VM was asked about").clone();
+    }
+    answer
+}
+
 /// A poll of the VM that a stop command goes to, which changes nothing there.
 fn empty_poll(action: &Action) -> Action {
     let Action::Stop { vm, req } = action else { unreachable!("only stop commands are ignored") };
@@ -1080,6 +1196,13 @@
     Settings { max_keep, ..Settings::default() }
 }
 
-fn run_settings(max_keep: Duration) -> RunSettings {
-    RunSettings { max_keep, ..RunSettings::default() }
+/// Offset of a VM's clock before its first restart.
+const CLOCK_OFFSET: Duration = Duration::from_secs(1000);
+
+/// Time by which the clock of each next instance of a VM is behind the one before.
+const CLOCK_SETBACK: Duration = Duration::from_secs(40);
+
+fn run_settings(max_keep: Duration, restarts: u32) -> RunSettings {
+    let clock_offset = CLOCK_OFFSET.saturating_sub(restarts * CLOCK_SETBACK);
+    RunSettings { max_keep, clock_offset, ..RunSettings::default() }
 }
