--- a/src/jobs/follow/fleet/departures.rs
+++ b/src/jobs/follow/fleet/departures.rs
@@ -74,6 +74,10 @@
             return;
         };
         let notice_ends = written_after.unwrap_or(now) + left;
+        if self.vms.get(key).is_some_and(|known| known.vm != entry.id) {
+            // The notice was that of another instance under the same key.
+            self.vms.shift_remove(key);
+        }
         let known = self.vms.entry(key.to_owned()).or_insert_with(|| LeavingVm {
             vm: entry.id.clone(),
             rev,
--- a/src/jobs/follow/fleet/departures/tests.rs
+++ b/src/jobs/follow/fleet/departures/tests.rs
@@ -109,3 +109,22 @@
     let found = Removal { announce_interval: interval, ..removal(expired + delay / 2) };
     assert_eq!(vms.remove(KEY, found), None);
 }
+
+// Guards against tasks started a second time: the notice of an ended instance was taken for that of
+// the next one under the same key, which still runs.
+#[test]
+fn the_notice_of_an_earlier_instance_does_not_count_for_the_next_one() {
+    let leaving = |started| VmEntry {
+        id: VmId::with_start("a", started),
+        ..entry(VmState::Leaving { left: Some(NOTICE) })
+    };
+    let mut vms = LeavingVms::default();
+    vms.record(KEY, Rev(1), &leaving(1), Some(ms(10_000)), ms(10_400));
+    vms.record(KEY, Rev(2), &leaving(2), Some(ms(14_800)), ms(15_200));
+    assert_eq!(vms.remove(KEY, removal(ms(15_400))), None);
+    vms.record(KEY, Rev(2), &leaving(2), Some(ms(14_800)), ms(15_200));
+    vms.record(KEY, Rev(3), &leaving(2), Some(ms(19_700)), ms(20_000));
+    let departure = vms.remove(KEY, removal(ms(20_100)));
+    let vm = VmId::with_start("a", 2);
+    assert_eq!(departure, Some(Departure { vm, at: ms(20_100) }));
+}
--- a/src/jobs/follow/fleet/tests.rs
+++ b/src/jobs/follow/fleet/tests.rs
@@ -54,3 +54,20 @@
     }
     assert_eq!(fleet.unreadable.len(), MAX_UNREADABLE);
 }
+
+// A key holds one instance of a VM: the entry of the next one takes the place of the earlier one, and
+// an unreadable entry of another writer takes away whichever is there and no other VM.
+#[test]
+fn instances_share_the_key_of_their_registered_id() {
+    let instance = |started| VmEntry { id: VmId::with_start("a", started), ..vm("a") };
+    let listed =
+        |fleet: &Fleet| -> Vec<String> { fleet.vms.values().map(|vm| vm.id.to_string()).collect() };
+    let mut fleet = Fleet::default();
+    fleet.apply(&item("vm/b"), Ok(vm("b")));
+    for started in [1, 2, 1] {
+        fleet.apply(&item("vm/a"), Ok(instance(started)));
+        assert_eq!(listed(&fleet), ["b".to_owned(), format!("a@{started}")]);
+    }
+    fleet.apply(&item("vm/a"), Err(unreadable("vm/a")));
+    assert_eq!(listed(&fleet), ["b"]);
+}
--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -329,6 +329,14 @@
     delay: Duration,
     /// Stops are lost until then.
     stops_lost_until: Duration,
+    /// Polls of this instance are lost until then.
+    polls_lost: Option<(VmId, Duration)>,
+}
+
+impl LateStarts {
+    fn new(until: Duration, delay: Duration) -> Self {
+        Self { until, delay, stops_lost_until: Duration::ZERO, polls_lost: None }
+    }
 }
 
 impl Faults for LateStarts {
@@ -336,6 +344,10 @@
         match action {
             Action::Start { .. } if at < self.until => Outcome::Late(self.delay),
             Action::Stop { .. } if at < self.stops_lost_until => Outcome::Lost,
+            Action::Poll { vm, .. } => match &self.polls_lost {
+                Some((id, until)) if vm.id == *id && at < *until => Outcome::Lost,
+                _ => Outcome::Delivered,
+            },
             _ => Outcome::Delivered,
         }
     }
@@ -347,8 +359,7 @@
 
 /// A task whose start is sent at about 6 s and carried out late; the index of its VM.
 fn simulation_with_late_start(delay: Duration) -> (Simulation<LateStarts>, Job, usize) {
-    let (until, stops_lost_until) = (millis(6500), Duration::ZERO);
-    let faults = LateStarts { until, delay, stops_lost_until };
+    let faults = LateStarts::new(millis(6500), delay);
     let mut sim = Simulation::with_starts(faults, &[SHARD], 2, SIZE);
     sim.run_for(seconds(1));
     let job = job_with_steps(1, 1, 1, work(3000, 6));
@@ -397,8 +408,7 @@
 // and was repeated, and its first copy was carried out by the next instance of the VM.
 #[test]
 fn a_late_start_of_a_task_that_is_done_is_barred() {
-    let (until, stops_lost_until) = (millis(6300), Duration::ZERO);
-    let faults = LateStarts { until, delay: seconds(3), stops_lost_until };
+    let faults = LateStarts::new(millis(6300), seconds(3));
     let mut sim = Simulation::with_starts(faults, &[SHARD], 2, SIZE);
     sim.run_for(seconds(1));
     let job = job_with_steps(1, 1, 1, work(500, 6));
@@ -429,6 +439,24 @@
     }
 }
 
+// Guards against a VM loaded beyond its size: the next instance is announced and answers, and got
+// work before the runs of the ended one, whose polls were lost, had passed to it.
+#[test]
+fn nothing_is_started_beside_runs_that_may_still_pass_on() {
+    let (mut sim, job, vm) = simulation_with_late_start(millis(1500));
+    let ended = sim.vms[vm].entry.id.clone();
+    sim.faults.polls_lost = Some((ended, sim.now + seconds(3)));
+    sim.restart_vm(vm, millis(200));
+    let others = job_with_steps(2, 1, 4, work(4000, 6));
+    sim.submit(SHARD, others.clone());
+    sim.run_for(seconds(30));
+    let jobs = [&job, &others].map(|job| (job.id, job.clone()));
+    check(&mut sim, &IndexMap::<JobId, Job>::from(jobs), SIZE);
+    for job in [job.id, others.id] {
+        assert_eq!(sim.show(SHARD, job), Some(Answer::Shown(JobState::Done)));
+    }
+}
+
 // Guards against tasks that run twice and tasks that are lost when the old announcement replaces
 // the one of the next instance under the same key.
 #[test]
