--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -153,9 +153,9 @@
     /// Removes a VM instance whose successor under the same registered id has answered a poll sent
     /// at `sent`. The successor may still carry out orders for the ended instance, so it gets the
     /// runs of that instance, to be stopped.
-    pub(super) fn succeed_vm_instance(&mut self, id: &VmId, successor: VmId, sent: Duration) {
+    pub(super) fn succeed_vm_instance(&mut self, id: &VmId, successor: &VmId, sent: Duration) {
         let now = self.now.steady;
-        if self.ended_vms.get(&successor).is_some_and(|ended| sent < *ended) {
+        if self.ended_vms.get(successor).is_some_and(|ended| sent < *ended) {
             // The answer was late, and the successor has ended since. The next answer names the
             // current instance.
             if let Some(vm) = self.vms.get_mut(id) {
@@ -164,6 +164,7 @@
             return;
         }
         let proof = "another start time in its answer";
+        let lease = self.settings.inherited_lease(Duration::ZERO);
         let Some(vm) = self.vms.get(id) else { return };
         let (addr, entry, ended_by) = (vm.entry.addr.clone(), vm.entry.clone(), vm.runs_ended_by);
         let passed: Vec<RunKey> = vm
@@ -174,7 +175,7 @@
             .collect();
         self.report_vm_gone(id, proof, passed.len());
         self.handle_vm_crash(id);
-        self.ended_vms.shift_remove(&successor);
+        self.ended_vms.shift_remove(successor);
         let next = self
             .vms
             .entry(successor.clone())
@@ -182,11 +183,11 @@
         // Orders for the ended instance arrive by the end of its last lease, and the successor then
         // keeps its runs for as long as it does by any order: their deadlines were set by another
         // clock.
-        next.expect_late_orders(ended_by + self.settings.inherited_lease(Duration::ZERO));
+        next.expect_late_orders(ended_by.min(now + lease) + lease);
         next.contact.next_poll = next.contact.next_poll.min(now);
         let late_starts = self.vms.get_mut(id).map(|vm| std::mem::take(&mut vm.late_starts));
-        passed.iter().for_each(|key| self.pass_run(id, &successor, *key));
-        self.bar_late_starts(&successor, late_starts.unwrap_or_default());
+        passed.iter().for_each(|key| self.pass_run(id, successor, *key));
+        self.bar_late_starts(successor, late_starts.unwrap_or_default());
         self.forget_vm(id, proof);
         self.settle_address(&addr);
     }
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -98,7 +98,7 @@
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(vm::Error::InstanceChanged { successor: Some(successor) }) => {
-                self.succeed_vm_instance(id, successor, sent);
+                self.succeed_vm_instance(id, &successor, sent);
             }
             Err(vm::Error::Fenced) => {
                 vm.contact.next_poll = now + POLL_RETRY_DELAY;
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -277,6 +277,12 @@
         self.ended.iter().any(|end| end.number > ack_up_to)
     }
 
+    /// Whether an end with a number after `after` and up to `up_to` is kept.
+    pub fn has_end(&mut self, now: Duration, after: u64, up_to: u64) -> bool {
+        self.pass(now);
+        self.ended.iter().any(|end| after < end.number && end.number <= up_to)
+    }
+
     /// Ends the runs of a step, since another member of their group has ended.
     pub fn end_group(&mut self, now: Duration, step: StepRef) {
         self.pass(now);
--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -439,6 +439,27 @@
     }
 }
 
+// Lists of machines name registered ids: a drained VM is reported by that id, and a restart under it
+// is drained too.
+#[test]
+fn a_vm_is_drained_by_its_registered_id() {
+    let mut sim = Simulation::with_starts(Recorder::default(), &[SHARD], 2, SIZE);
+    let job = job_with_steps(1, 1, 1, work(20_000, 2));
+    sim.submit(SHARD, job);
+    sim.run_for(seconds(1));
+    let vm = (0..2).find(|vm| sim.runs_on(*vm) == 1).expect("the task runs");
+    sim.drain_vm(SHARD, vm, Duration::ZERO);
+    sim.run_for(seconds(3));
+    assert_eq!(sim.runs_on(vm), 0);
+    let registered = VmId::new(sim.vms[vm].entry.id.registered());
+    assert_eq!(sim.drained_vms(SHARD), std::slice::from_ref(&registered));
+    sim.restart_vm(vm, millis(200));
+    sim.submit(SHARD, job_with_steps(2, 1, 6, work(1000, 2)));
+    sim.run_for(seconds(3));
+    assert_eq!(sim.drained_vms(SHARD), [registered]);
+    assert!(sim.vms[vm].table.seen.is_empty(), "nothing is started on it");
+}
+
 // Guards against a VM loaded beyond its size: the next instance is announced and answers, and got
 // work before the runs of the ended one, whose polls were lost, had passed to it.
 #[test]
--- a/tests/shards/invariants.rs
+++ b/tests/shards/invariants.rs
@@ -35,6 +35,7 @@
         runs.extend(runs_of(&vm.table));
     }
     runs.sort_by_key(|run| run.started);
+    assert!(sim.unread_ends.is_empty(), "forgot ends unread: {:?}", sim.unread_ends);
     check_overlap(&runs, jobs);
     check_no_restart(&runs, jobs);
     check_order(&runs, jobs);
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -72,6 +72,8 @@
     /// Each size and since when it applies; a new size is announced one interval later.
     pub sizes: Vec<(Duration, Resources)>,
     restarts: u32,
+    /// Highest number of an end that an answer has listed.
+    listed_ends: u64,
     /// Id under which it restarts when it is down.
     next_id: NextId,
 }
@@ -167,6 +169,8 @@
     read_evacuations: (Arc<Evacuations>, Duration),
     /// The evacuation orders can't be read until then.
     evacuations_unread_until: Duration,
+    /// Instances that were made to forget ends that no answer had listed.
+    pub unread_ends: Vec<VmId>,
     /// Start commands that a VM carried out late.
     pub late_starts: Vec<(TaskRef, RunNumber)>,
     queues: Arc<Queues>,
@@ -241,6 +245,7 @@
             evacuation_history: Vec::new(),
             read_evacuations: (Arc::default(), Duration::from_secs(5)),
             evacuations_unread_until: Duration::ZERO,
+            unread_ends: Vec::new(),
             late_starts: Vec::new(),
             published_lapses: IndexMap::new(),
             published_lapses_lost_from: Duration::MAX,
@@ -619,6 +624,7 @@
             refuses: false,
             sizes: vec![(Duration::ZERO, size)],
             restarts: 0,
+            listed_ends: 0,
             next_id: NextId::New,
         });
     }
@@ -793,6 +799,7 @@
             vm.refuses = false;
             vm.restarts += 1;
             vm.next_id = NextId::New;
+            vm.listed_ends = 0;
             vm.entry.id = id.clone();
             self.announcements.note_start(&id, now);
             self.ended_tables.push(std::mem::replace(
@@ -986,6 +993,12 @@
                 Err(unanswered())
             }
         };
+        if let (Action::Poll { vm, .. }, Ok(VmResponse::Polled(answer))) = (&action, &result) {
+            let listed = answer.ended.iter().map(|end| end.number).max().unwrap_or(0);
+            if let Some(node) = self.vms.iter_mut().find(|node| node.entry.id == vm.id) {
+                node.listed_ends = node.listed_ends.max(listed);
+            }
+        }
         let after = match &result {
             Err(VmError::NoAnswer { .. }) => call_timeout(&action),
             Err(VmError::NotSent { .. }) => delay,
@@ -1026,6 +1039,9 @@
         }
         match action {
             Action::Poll { req, .. } => {
+                if vm.table.has_end(now, vm.listed_ends, req.ack_up_to) {
+                    self.unread_ends.push(vm.entry.id.clone());
+                }
                 let answer = vm.table.poll(now, req)?;
                 if vm.entry.id != addr.id {
                     return Err(VmError::InstanceChanged { successor: Some(vm.entry.id.clone()) });
