--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -101,6 +101,7 @@
         let timing = match run.stage {
             Stage::Binding => return None,
             Stage::Stopping { .. } if vm.has_not_run(run) => return None,
+            Stage::Running if vm.was_started_by_successor(run) => return None,
             Stage::Starting { .. } if run.pending_start == PendingStart::No => return None,
             Stage::Running if vm.running_time(key).is_zero() => {
                 let failing = vm.contact.failing_since;
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -343,6 +343,13 @@
         self.id.started().is_some() && run.running_since.is_none()
     }
 
+    /// Whether a start was answered although polls had failed already and none has succeeded since.
+    /// After a restart under the same id, the next instance answers it, so the run didn't crash
+    /// this one.
+    pub fn was_started_by_successor(&self, run: &Run) -> bool {
+        self.has_not_run(run) && self.contact.failing_since.is_some_and(|at| at <= run.since)
+    }
+
     /// Resources reserved by all runs.
     pub fn reserved(&self) -> Resources {
         self.runs.values().fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.reserved))
