--- a/src/shard.rs
+++ b/src/shard.rs
@@ -9,7 +9,9 @@
 //! [`Shard::step`] maps an event to actions. It does no I/O, reads no clock and doesn't depend on
 //! hash iteration order.
 
+mod admission;
 mod compact;
+mod copies;
 mod crash;
 mod drain;
 mod evacuate;
@@ -39,6 +41,7 @@
 mod summary;
 mod vacate;
 mod vm_run;
+mod vm_speed;
 mod waiting;
 
 pub use event::{
@@ -56,7 +59,7 @@
 use crate::note::Note;
 use crate::queues::{Queue, Queues};
 use crate::vm::Fence;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use job_run::JobRun;
 use log::Log;
 use std::sync::Arc;
@@ -72,16 +75,19 @@
     jobs: IndexMap<JobId, JobRun>,
     closed: IndexMap<JobId, ClosedJob>,
     vms: IndexMap<VmId, Vm>,
-    /// VM instances that have ended; later announcements of them are ignored.
-    ended_vms: IndexSet<VmId>,
+    /// VM instances that have ended, and when that was known; later announcements of them are
+    /// ignored.
+    ended_vms: IndexMap<VmId, Duration>,
     log: Log,
     interference: interference::InterferenceModel,
     run_times: run_times::RunTimes,
     record_clock: learned::RecordClock,
     loans: loan::Loans,
+    admission: admission::Admission,
     permit_requests: permits::PermitRequests,
     upkeep_drain: vacate::UpkeepDrain,
     crash_log: crash::CrashLog,
+    copy_counts: copies::CopyCounts,
     reservations: compact::Reservations,
     vm_list: fleet::VmListSource,
     evacuation: evacuate::EvacuationOrders,
@@ -158,7 +164,10 @@
             Event::Cancel { ticket, job } => self.cancel(ticket, job),
             Event::Show { ticket, job } => self.show(ticket, job),
             Event::Learned(reports) => self.merge_reports(&reports),
-            Event::OtherShards(other_shards) => self.loans.set_other_shards(other_shards),
+            Event::OtherShards(other_shards) => {
+                self.admission.note_heard(&other_shards, self.now.steady);
+                self.loans.set_other_shards(other_shards);
+            }
             Event::Drain(order) => self.set_draining_vms(order),
             Event::Evacuations { evacuations, at } => self.set_evacuations(evacuations, at),
             Event::PermitConcurrency(max_requests) => self.set_max_permit_requests(max_requests),
@@ -277,6 +286,10 @@
             short_waiting: self.count_reserved_waiting(Life::Finite),
             commit_age_ms: crate::note::Millis(self.log.age(self.now.steady)),
             vms_age_ms: crate::note::Millis(self.list_age()),
+            slow_vms: self.vms.values().filter(|vm| vm.speed.is_slow(self.now.steady)).count(),
+            copies: self.copy_counts.started,
+            copies_won: self.copy_counts.won,
+            wasted_core_s: self.copy_counts.wasted_core_ms / 1000,
         }));
         self.report_waiting();
         self.report_evacuation();
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -100,6 +100,8 @@
     fn of(vm: &Vm, key: RunKey, run: &Run, before: Crashes) -> Option<Self> {
         let timing = match run.stage {
             Stage::Binding => return None,
+            Stage::Stopping { .. } if vm.has_not_run(run) => return None,
+            Stage::Running if vm.was_started_by_successor(run) => return None,
             Stage::Starting { .. } if run.pending_start == PendingStart::No => return None,
             Stage::Running if vm.running_time(key).is_zero() => {
                 let failing = vm.contact.failing_since;
@@ -196,6 +198,7 @@
         let (addr, sudden) = (vm.entry.addr.clone(), suspects.len());
         self.note(Note::VmCrashed { vm: id.clone(), runs: affected_runs.len(), sudden });
         affected_runs.iter().for_each(|affected| self.record_crash(affected));
+        affected_runs.iter().for_each(|affected| self.drop_unsent_copies(affected.key.task));
         for affected in &affected_runs {
             let no_unrelated_crash = self.crash_log.has_no_unrelated_crash(affected.job(), &addr);
             if let Some(reason) = affected.blame_reason(&affected_runs, no_unrelated_crash) {
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// VMs to drain because their machines go down for upkeep.
+/// VMs to drain because their machines go down for upkeep, by their registered ids.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DrainOrder {
     /// VMs to drain immediately.
@@ -209,6 +209,9 @@
     Cancelling,
     /// The job isn't in this shard.
     NotHere,
+    /// Nothing was recorded and nothing will run: no known shard can do the job while its result is
+    /// of use.
+    OfNoUse { reason: String, retry_after: Duration },
 }
 
 /// Last known state of another shard.
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -123,6 +123,20 @@
         self.other_shards = other_shards.into_iter().map(|n| (n.name.clone(), n)).collect();
     }
 
+    /// Returns the last known state of the other shards.
+    pub fn other_shards(&self) -> impl Iterator<Item = &OtherShard> {
+        self.other_shards.values()
+    }
+
+    /// Adds work to the summary of another shard until its next one arrives.
+    pub fn add_expected_work(&mut self, shard: &str, reserved: u64, leftover: u64) {
+        if let Some(other) = self.other_shards.get_mut(shard) {
+            let summary = Arc::make_mut(&mut other.summary);
+            summary.waiting_work += reserved;
+            summary.leftover_work += leftover;
+        }
+    }
+
     /// Sends loan messages at the next opportunity, after a change has become durable.
     pub fn send_soon(&mut self, now: Duration) {
         self.next_send = self.next_send.min(now);
@@ -495,7 +509,9 @@
 
 /// Returns the state to send back for a borrowed task, or `None` if the task is still open.
 fn returned_task(task: TaskRef, known: &Task) -> Option<ReturnedTask> {
-    if !known.runs.is_empty() {
+    // A success counts at once; the other copies of the task may take long to stop. The lender's
+    // confirmation is ignored until they have ended.
+    if !known.runs.is_empty() && known.phase != TaskPhase::Succeeded {
         return None;
     }
     let result = match known.phase {
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -80,6 +80,7 @@
         vm.record_extension(now, keep);
         let Some(run) = vm.runs.get_mut(&key) else { return };
         run.sends += 1;
+        run.sent_at.get_or_insert(now);
         run.stage = Stage::Starting { next_send: None };
         let Some(job) = self.jobs.get(&key.task.job) else { return };
         let resume = job.task(key.task).and_then(|task| task.checkpoint.clone());
@@ -121,11 +122,14 @@
                     known.since = now;
                 }
                 vm.read_clock(*clock, now);
+                if starting {
+                    self.note_timely_start(id, key, *clock);
+                }
                 self.mark_started(task.job);
                 self.note(Note::TaskStarted { task, run, vm: id.clone(), sends });
             }
             Err(vm::Error::Fenced) => self.handle_fenced(id),
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { .. }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(vm::Error::StaleRun) if listed => {}
@@ -143,6 +147,7 @@
             Err(vm::Error::NotSent { .. }) => self.retry_start(id, key, "the VM is unreachable"),
             Err(vm::Error::NoAnswer { .. }) => {
                 known.pending_start = PendingStart::Yes;
+                vm.expect_late_start(key, now, now + self.settings.max_keep);
                 self.retry_start(id, key, "the VM did not answer");
             }
             Err(vm::Error::Unavailable { .. }) => {
@@ -192,7 +197,7 @@
                 vm.contact.next_poll = vm.contact.next_poll.min(now);
             }
             Err(vm::Error::Fenced) => self.handle_fenced(id),
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { .. }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(_) => {
@@ -213,7 +218,7 @@
         match result {
             Ok(_) => {}
             Err(vm::Error::Fenced) => self.handle_fenced(id),
-            Err(vm::Error::InstanceChanged) => {
+            Err(vm::Error::InstanceChanged { .. }) => {
                 self.remove_vm_instance(id, "another life at its address")
             }
             Err(_) => {
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -1,6 +1,7 @@
 //! Takeover of a shard: rebuilds its state from the store, to be reconciled with what the VMs
 //! report.
 
+use super::copies::Role;
 use super::job_run::{JobRun, PlacedRun};
 use super::learned::{Inherited, RecordClock};
 use super::log::{Keys, Log};
@@ -10,13 +11,13 @@
 use super::{ClosedJob, Now, Shard};
 use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::Progress;
-use crate::job::{Job, JobId};
+use crate::job::{Job, JobId, TaskRef};
 use crate::kv::Rev;
 use crate::note::{Millis, Note};
 use crate::queues::Queues;
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,12 +90,14 @@
             jobs: IndexMap::new(),
             closed: IndexMap::new(),
             vms: IndexMap::new(),
-            ended_vms: IndexSet::new(),
+            ended_vms: IndexMap::new(),
             log: Log::new(keys, recovered.seq, SilenceRecord::new(recovered.silent)),
             loans: super::loan::Loans::default(),
+            admission: super::admission::Admission::default(),
             permit_requests: super::permits::PermitRequests::default(),
             upkeep_drain: super::vacate::UpkeepDrain::default(),
             crash_log: super::crash::CrashLog::default(),
+            copy_counts: super::copies::CopyCounts::default(),
             reservations: super::compact::Reservations::default(),
             interference: super::interference::InterferenceModel::default(),
             run_times: super::run_times::RunTimes::default(),
@@ -116,6 +119,7 @@
         shard.restore_learned(recovered.learned);
         let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
         shard.recover_jobs(recovered.jobs, &progress);
+        shard.update_successions();
         shard.apply_offered_lapses(&recovered.unresponsive_vms);
         shard.apply_reported_lapses(recovered.reported_lapses);
         shard
@@ -128,7 +132,7 @@
         self.inherited_runs_until = self.inherited_runs_until.min(until);
         let unanswered = |vm: &&mut Vm| vm.contact.last_successful_poll.is_none();
         for vm in self.vms.values_mut().filter(unanswered) {
-            vm.runs_ended_by = vm.runs_ended_by.min(until);
+            vm.shorten_lease(until);
         }
     }
 
@@ -216,6 +220,7 @@
             let mut run =
                 Run::binding(step.reserved_resources(), step.size.milli_cores.0, step.share, now);
             run.stage = Stage::Recovered;
+            run.role = recovered_role(job, task, &placed);
             let service = &job.job.service;
             let vm = self
                 .vms
@@ -226,6 +231,15 @@
     }
 }
 
+/// Returns the role of a recovered run: of several runs of a task, the first is the original.
+fn recovered_role(job: &JobRun, task: TaskRef, placed: &PlacedRun) -> Role {
+    let Some(known) = job.task(task).filter(|known| known.runs.len() > 1) else {
+        return Role::Only;
+    };
+    let first = known.runs.iter().map(|placed| placed.run).min();
+    if first == Some(placed.run) { Role::Original } else { Role::Copy }
+}
+
 /// Creates an entry for a VM that has work bound to it but is not in the list: it may be
 /// unreachable or gone.
 fn unlisted_vm(
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -1,6 +1,8 @@
 //! Simulation tests of shards with failing VMs, network and store.
 
+mod admission;
 mod announcements;
+mod copies;
 mod crashes;
 mod duplicates;
 mod elsewhere;
