--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -409,14 +409,25 @@
         self.stop_run(&slow.vm, slow.key, "its VM is slow; it ends sooner on another one");
     }
 
-    /// Returns whether a copy must not be started any more: its task has ended, or the task may
-    /// crash its VM.
-    pub(super) fn is_superfluous_copy(&self, key: RunKey) -> bool {
-        let Some(known) = self.jobs.get(&key.task.job).and_then(|job| job.task(key.task)) else {
-            return false;
-        };
-        let others = known.runs.iter().any(|placed| placed.run != key.run);
-        others && (known.phase != TaskPhase::Open || known.crashes.is_suspect())
+    /// Drops the runs of a task that may crash its VM if their start was not sent yet, so that the
+    /// task is placed as a suspect.
+    pub(super) fn drop_unsent_copies(&mut self, task: TaskRef) {
+        let Some(known) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else { return };
+        if !known.crashes.is_suspect() {
+            return;
+        }
+        for placed in known.runs.clone() {
+            let key = RunKey { task, run: placed.run };
+            let run = self.vms.get(&placed.vm).and_then(|vm| vm.runs.get(&key));
+            let is_unsent = |run: &Run| match run.stage {
+                Stage::Binding => true,
+                Stage::Starting { .. } => run.sends == 0,
+                Stage::Running | Stage::Stopping { .. } | Stage::Recovered => false,
+            };
+            if run.is_some_and(is_unsent) {
+                self.drop_run(&placed.vm, key);
+            }
+        }
     }
 
     /// Accounts for the end of a run whose task has had several runs at a time.
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -196,6 +196,7 @@
         let (addr, sudden) = (vm.entry.addr.clone(), suspects.len());
         self.note(Note::VmCrashed { vm: id.clone(), runs: affected_runs.len(), sudden });
         affected_runs.iter().for_each(|affected| self.record_crash(affected));
+        affected_runs.iter().for_each(|affected| self.drop_unsent_copies(affected.key.task));
         for affected in &affected_runs {
             let no_unrelated_crash = self.crash_log.has_no_unrelated_crash(affected.job(), &addr);
             if let Some(reason) = affected.blame_reason(&affected_runs, no_unrelated_crash) {
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -55,9 +55,6 @@
     fn send_start(&mut self, id: &VmId, key: RunKey) {
         let (now, keep) = (self.now.steady, self.settings.max_keep);
         let wanted = self.jobs.get(&key.task.job).is_some_and(|job| !job.is_final());
-        if self.is_superfluous_copy(key) {
-            return self.abandon_start(id, key, "its task needs no other copy");
-        }
         let Some(vm) = self.vms.get_mut(id) else { return };
         if !wanted || vm.leaving.is_some() {
             return self.abandon_start(id, key, "the job has ended or the VM is leaving");
--- a/tests/shards/copies.rs
+++ b/tests/shards/copies.rs
@@ -561,3 +561,90 @@
     jobs.iter().for_each(|job| assert_eq!(starts(&sim, job), 4, "job {}", job.id));
     check_all(&mut sim, &jobs.iter().collect::<Vec<_>>());
 }
+
+// Guards against a copy that is bound before a crash of its task's VM and started after it, next to
+// other tasks: the task may crash its VMs, and is to be placed apart.
+#[test]
+fn a_copy_that_was_not_sent_is_dropped_if_its_task_may_crash_vms() {
+    let mut sim = simulation(NoFaults, 5);
+    let job = step_of(1, 2, 4000, Copies::Parallel);
+    sim.submit(SHARD, job.clone());
+    sim.run_for(ms(1000));
+    let (first, task) = runs(&mut sim, &job)[0];
+    sim.crash_vm(first, ms(300));
+    let second = loop {
+        sim.run_for(ms(20));
+        let there = runs(&mut sim, &job);
+        if let Some(run) = there.iter().find(|run| run.1 == task) {
+            break run.0;
+        }
+    };
+    sim.run_for(ms(1000));
+    slow_down(&mut sim, second, 0);
+    sim.run_for(ms(100));
+    sim.stop_store(ms(3000));
+    sim.run_for(ms(900));
+    sim.crash_vm(second, ms(300));
+    sim.run_for(ms(6000));
+    let (started, _) = copies(&mut sim);
+    assert_eq!(started, 1, "a copy was bound");
+    let number = |seen: &Seen| match seen {
+        Seen::Started { task: t, run, .. } if *t == task => Some(run.0),
+        _ => None,
+    };
+    let tables = sim.vms.iter().map(|vm| &vm.table).chain(&sim.ended_tables);
+    let mut numbers: Vec<u32> = tables.flat_map(|table| &table.seen).filter_map(number).collect();
+    numbers.sort_unstable();
+    assert_eq!(numbers, [1, 2, 4], "the copy was run 3");
+    check_all(&mut sim, &[&job]);
+}
+
+// Guards against tasks that go to a VM that is known to be slow while others have room.
+#[test]
+fn new_tasks_avoid_a_slow_vm() {
+    let mut sim = simulation(NoFaults, 4);
+    slow_down(&mut sim, 0, SEVENTH);
+    let first = step_of(1, 8, 640, Copies::Parallel);
+    time_of(&mut sim, &first);
+    let second = step_of(2, 12, 640, Copies::One);
+    sim.submit(SHARD, second.clone());
+    sim.run_for(ms(100));
+    let there = runs(&mut sim, &second);
+    assert_eq!(there.len(), 12);
+    assert!(there.iter().all(|(vm, _)| *vm != 0), "{there:?}");
+}
+
+// Guards against copies that take the room of work that waits: here of tasks that need a whole VM.
+#[test]
+fn nothing_is_copied_while_work_waits() {
+    let mut sim = simulation(NoFaults, 4);
+    slow_down(&mut sim, 0, SEVENTH);
+    let job = step_of(1, 8, 3000, Copies::Parallel);
+    let large = job_with_steps(2, 1, 4, work(500, 16));
+    sim.submit(SHARD, job.clone());
+    sim.submit(SHARD, large.clone());
+    sim.run_for(ms(2800));
+    assert_eq!((starts(&sim, &job), starts(&sim, &large)), (8, 0));
+    wait_for(&mut sim, &large, JobState::Done);
+    wait_for(&mut sim, &job, JobState::Done);
+    assert!(starts(&sim, &job) > 8, "the slow runs are copied later");
+    check_all(&mut sim, &[&job, &large]);
+}
+
+// Guards against two runs at once where they aren't allowed: the stop of the slow run is lost, late
+// or without effect, or the owner is replaced while it is being carried out.
+#[test]
+fn a_restarted_task_never_runs_twice_whatever_becomes_of_the_stop() {
+    let outcomes = [Outcome::Lost, Outcome::AnswerLost, Outcome::Ignored, Outcome::Late(ms(2000))];
+    for outcome in outcomes {
+        let mut sim = simulation(VmFaults::stops(outcome, ms(10_000)), 4);
+        slow_down(&mut sim, 0, SEVENTH);
+        let job = step_of(1, 8, 2000, Copies::One);
+        sim.submit(SHARD, job.clone());
+        sim.run_for(ms(1500));
+        sim.replace_owner(SHARD);
+        wait_for(&mut sim, &job, JobState::Done);
+        sim.run_for(ms(5000));
+        check_all(&mut sim, &[&job]);
+    }
+}
