--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -253,10 +253,7 @@
         let attempts = self.queue(job).map_or(0, |queue| queue.attempts);
         let slow =
             |cause, remedy, gain| SlowRun { vm: vm.id.clone(), key, cause, remedy, gain, new_run };
-        if step.copies == Copies::Parallel && tells_speed(step) {
-            if !may_add_run(known.failed, known.runs.len(), attempts) {
-                return None;
-            }
+        if allows_copies(step) && may_add_run(known.failed, known.runs.len(), attempts) {
             let (cause, gain) = copy_gain(outlook, new_run)?;
             return Some(slow(cause, Remedy::Copy, gain));
         }
--- a/tests/shards/copies.rs
+++ b/tests/shards/copies.rs
@@ -648,3 +648,21 @@
         check_all(&mut sim, &[&job]);
     }
 }
+
+// Guards against a slow run that is left alone because its task has one attempt left, so that it may
+// not have a copy: a stopped run is no attempt.
+#[test]
+fn the_last_attempt_is_restarted_instead_of_copied() {
+    let mut sim = simulation(NoFaults, 4);
+    let job = failing(step_of(1, 8, 1500, Copies::Parallel), 2);
+    sim.submit(SHARD, job.clone());
+    while ends(&sim, &job, EndKind::Failed) < 16 {
+        sim.run_for(ms(20));
+    }
+    sim.run_for(ms(200));
+    slow_down(&mut sim, 0, SEVENTH);
+    wait_for(&mut sim, &job, JobState::Done);
+    assert!(ends(&sim, &job, EndKind::Stopped) > 0);
+    assert_eq!(copies(&mut sim), (0, 0));
+    check_all(&mut sim, &[&job]);
+}
