--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -249,18 +249,26 @@
         if step.life != Life::Finite || step.grouping.is_gang() || self.is_suspect(task) {
             return None;
         }
-        let new_run = self.new_run_time(job, task, vm)?;
         let attempts = self.queue(job).map_or(0, |queue| queue.attempts);
+        let may_copy = allows_copies(step) && may_add_run(known.failed, known.runs.len(), attempts);
+        // The expected time takes a look-up for each run of the step, so it is computed last.
+        if !may_copy && !(matches!(outlook, Outlook::Left(_)) && vm.speed.is_slow(now)) {
+            return None;
+        }
+        if matches!(outlook, Outlook::Left(left) if left < START_TIME + MIN_GAIN) {
+            return None;
+        }
+        let new_run = self.new_run_time(job, task, vm)?;
         let slow =
             |cause, remedy, gain| SlowRun { vm: vm.id.clone(), key, cause, remedy, gain, new_run };
-        if allows_copies(step) && may_add_run(known.failed, known.runs.len(), attempts) {
+        if may_copy {
             let (cause, gain) = copy_gain(outlook, new_run)?;
             return Some(slow(cause, Remedy::Copy, gain));
         }
         let Outlook::Left(left) = outlook else { return None };
         let restarted = known.last_run.0.saturating_sub(known.failed) >= MAX_RESTARTED_RUNS;
         let paced = step.share == Share::Leftover && run.pace != 100;
-        if !vm.speed.is_slow(now) || restarted || paced || known.runs.len() > 1 {
+        if restarted || paced || known.runs.len() > 1 {
             return None;
         }
         let gain = restart_gain(left, run.percent, step.resume, new_run, &self.restart_times())?;
@@ -301,6 +309,11 @@
             if present >= most {
                 return;
             }
+            let known = self.vms.get(&run.vm).and_then(|vm| vm.runs.get(&run.key));
+            if known.is_none_or(Run::is_stopping) {
+                // The same pass has moved or dropped it.
+                continue;
+            }
             let Some(choice) = self.choose_other_room(&run, &pass.rooms) else { continue };
             let room = &mut pass.rooms[choice];
             match run.remedy {
@@ -490,8 +503,10 @@
     }
     match run.stage {
         Stage::Running => run.progress.time_left(now).map_or(Outlook::Unknown, Outlook::Left),
-        Stage::Starting { .. } if run.is_start_late(now) => {
-            let ago = run.sent_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        // Only a poll sent later proves that the start is late: an owner that was paused handles the
+        // answers to its starts long after they were sent.
+        Stage::Starting { .. } if run.is_start_late(vm.last_heard()) => {
+            let ago = run.sent_at.map_or(Duration::ZERO, |at| vm.last_heard().saturating_sub(at));
             Outlook::NotStarted(ago)
         }
         _ => Outlook::Unknown,
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -132,6 +132,10 @@
         let Some(step) = job.step(task).cloned() else { return };
         let attempts = self.queues.queues.get(&job.job.queue).map_or(u32::MAX, |q| q.attempts);
         let Some(known) = job.task_mut(task) else { return };
+        if known.phase != TaskPhase::Open {
+            // Another run of the task has ended it.
+            return;
+        }
         known.failed += 1;
         let earlier = known.failed_on.replace(vm.clone());
         let own = known.failed;
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -409,7 +409,12 @@
     failed_on: Option<&VmId>,
 ) -> f64 {
     let mut cost = SAME_STEP_COST * room.count(key) as f64;
-    cost += SLOW_VM_COST * (1.0 - room.speed);
+    // A VM is slow for seconds; a long-running task outlives that.
+    let slow_cost = match step.life {
+        Life::Finite => SLOW_VM_COST,
+        Life::Lasting => DRAINS_SOON_COST / 2.0,
+    };
+    cost += slow_cost * (1.0 - room.speed);
     if failed_on == Some(&room.vm) {
         cost += PREVIOUS_FAILURE_COST;
     }
--- a/src/shard/vm_speed.rs
+++ b/src/shard/vm_speed.rs
@@ -15,7 +15,7 @@
 
 use super::Shard;
 use super::job_run::JobRun;
-use super::vm_run::RunKey;
+use super::vm_run::{Run, RunKey};
 use crate::ids::VmId;
 use crate::job::{Life, Share, Step, TaskRef};
 use crate::note::Note;
@@ -68,6 +68,8 @@
     handled: Duration,
     /// Percent per second between the last two readings that gave a rate.
     rate: Option<f64>,
+    /// Rate of one percent between these readings, by which `rate` may be too low.
+    resolution: f64,
     weighed: Weighed,
 }
 
@@ -115,6 +117,7 @@
         }
         let done = f64::from(percent.saturating_sub(before.percent));
         self.rate = Some(done / passed.as_secs_f64());
+        self.resolution = 1.0 / passed.as_secs_f64();
         self.last = Some(PercentAt { clock, percent });
         self.handled = now;
         Reading::Rate
@@ -125,10 +128,19 @@
         self.rate
     }
 
+    /// Highest rate that agrees with the last two readings, since percentages are rounded down.
+    fn highest_rate(&self) -> Option<f64> {
+        Some(self.rate? + self.resolution)
+    }
+
     /// Expected time until the run ends at its present rate; `None` if the rate is unknown. A run
     /// that stands still has `Duration::MAX` left.
     pub fn time_left(&self, now: Duration) -> Option<Duration> {
-        let left = f64::from(100 - self.last?.percent.min(100)) / self.rate?;
+        let percent_left = 100 - self.last?.percent.min(100);
+        if percent_left == 0 {
+            return Some(Duration::ZERO);
+        }
+        let left = f64::from(percent_left) / self.rate?;
         let left = Duration::try_from_secs_f64(left).unwrap_or(Duration::MAX);
         Some(left.saturating_sub(now.saturating_sub(self.handled)))
     }
@@ -251,6 +263,10 @@
         let Some(known) = self.vms.get_mut(vm) else { return };
         let Some(clock) = known.clock.map(|reading| reading.clock) else { return };
         let Some(run) = known.runs.get_mut(&key) else { return };
+        // A run that is being stopped makes no progress on a sound VM either.
+        if run.is_stopping() {
+            return;
+        }
         if run.progress.is_empty() {
             // A run stands still until its checkpoint is restored.
             run.progress = Progress::starting(VmTime(clock.0 + restore), run.percent);
@@ -258,15 +274,25 @@
         if run.progress.read(clock, run.percent, time, now) == Reading::TooSoon || !tells {
             return;
         }
-        let (rate, weighed) = (run.progress.rate, run.progress.weighed);
+        if run.percent >= 100 {
+            // It has ended its work at an unknown moment between the two readings.
+            return;
+        }
+        let rate = run.progress.highest_rate();
         let Some(job) = self.jobs.get(&key.task.job) else { return };
         let expected = self.expected_time(job, key.task, vm);
         let evidence = rate.and_then(|rate| weigh(rate, expected));
         let Some(evidence) = evidence else { return };
         if let ExpectedTime::Learned { .. } = expected {
             // Repeated readings of a run whose whole step takes long prove nothing new.
+            // Nor do several of its runs on one VM.
             let is_slow = matches!(evidence, Evidence::Slow { .. });
-            if is_slow && weighed == Weighed::Yes {
+            let step = key.task.step_ref();
+            let of_step = |(other, run): (&RunKey, &Run)| {
+                other.task.step_ref() == step && run.progress.weighed == Weighed::Yes
+            };
+            let counted = self.vms.get(vm).is_some_and(|vm| vm.runs.iter().any(of_step));
+            if is_slow && counted {
                 return;
             }
             let run = self.vms.get_mut(vm).and_then(|vm| vm.runs.get_mut(&key));
--- a/src/shard/vm_speed/tests.rs
+++ b/src/shard/vm_speed/tests.rs
@@ -150,3 +150,12 @@
     let evidence = weigh(progress.rate().expect("two readings"), ExpectedTime::Compared(TIME));
     assert!(!is_slow(evidence));
 }
+
+// Guards against a run that has done all its work, is not listed as ended yet, and seems never to
+// end: its rate is 0.
+#[test]
+fn a_run_that_has_done_its_work_has_no_time_left() {
+    let mut progress = Progress::starting(clock(START), 100);
+    assert_eq!(read(&mut progress, START + ms(400), 100), Reading::Rate);
+    assert_eq!(progress.time_left(START + ms(400)), Some(Duration::ZERO));
+}
--- a/tests/shards/copies.rs
+++ b/tests/shards/copies.rs
@@ -666,3 +666,26 @@
     assert_eq!(copies(&mut sim), (0, 0));
     check_all(&mut sim, &[&job]);
 }
+
+// Guards against a VM that seems slow because all runs of one long step are on it, so that there is
+// no other VM to compare it with.
+#[test]
+fn several_runs_of_one_long_step_do_not_make_their_vm_slow() {
+    let mut sim = simulation(NoFaults, 1);
+    let mut jobs: Vec<Job> = (1..=8).map(|id| step_of(id, 8, 640, Copies::One)).collect();
+    for job in &jobs {
+        time_of(&mut sim, job);
+    }
+    // The evidence of these jobs that the VM is sound has decayed.
+    sim.run_for(ms(10_000));
+    let mut long = step_of(9, 8, 4500, Copies::One);
+    long.steps[0].estimate = ms(640);
+    sim.submit(SHARD, long.clone());
+    jobs.push(long);
+    for _ in 0..20 {
+        sim.run_for(ms(200));
+        let Some(Note::ShardState { slow_vms, .. }) = sim.states.get(SHARD) else { continue };
+        assert_eq!(*slow_vms, 0);
+    }
+    check_all(&mut sim, &jobs.iter().collect::<Vec<_>>());
+}
