--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -275,6 +275,12 @@
         }
         let proof = "it has left as it announced";
         self.report_vm_gone(id, proof, 0);
+        let now = self.now.steady;
+        if self.vms.get(id).is_some_and(|vm| vm.expects_late_starts(now)) {
+            // The next instance under the same id may still carry out a start for this one, so the
+            // VM stays known until no such start can arrive.
+            return self.remove_all_runs(id, proof);
+        }
         self.forget_vm(id, proof);
     }
 
@@ -317,8 +323,10 @@
 
     /// Removes VMs that are no longer announced, don't respond and have no runs left.
     fn remove_absent_vms(&mut self) {
+        let now = self.now.steady;
         let is_absent = |vm: &Vm| {
-            vm.listing != Listing::Listed
+            !vm.expects_late_starts(now)
+                && vm.listing != Listing::Listed
                 && vm.runs.is_empty()
                 && (vm.contact.responsiveness != Responsiveness::Responsive
                     || vm.contact.last_successful_poll.is_none())
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -308,8 +308,15 @@
         };
         let ids: Vec<VmId> =
             self.vms.values().filter(|vm| lapsed(vm)).map(|vm| vm.id.clone()).collect();
+        let lease = self.settings.inherited_lease(Duration::ZERO);
         for id in ids {
-            self.remove_all_runs(&id, "the VM's deadline for keeping its runs has passed");
+            let Some(vm) = self.vms.get(&id) else { continue };
+            let is_over = |key: &RunKey| !vm.may_be_kept_by_successor(*key, lease, now);
+            let keys: Vec<RunKey> = vm.runs.keys().copied().filter(is_over).collect();
+            for key in keys {
+                let proof = "the VM's deadline for keeping its runs has passed";
+                self.remove_vanished_run(&id, key, proof);
+            }
         }
     }
 
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -78,6 +78,11 @@
         let Some(vm) = self.vms.get_mut(id) else { return };
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
         vm.record_extension(now, keep);
+        if !vm.runs.contains_key(&key) {
+            return;
+        }
+        // The run may be released before the start is answered.
+        vm.expect_late_start(key, now, now + keep);
         let Some(run) = vm.runs.get_mut(&key) else { return };
         run.sends += 1;
         run.sent_at.get_or_insert(now);
@@ -106,8 +111,14 @@
         let now = self.now.steady;
         let key = RunKey { task, run };
         let Some(vm) = self.vms.get_mut(id) else { return };
+        if matches!(result, Err(vm::Error::NoAnswer { .. })) {
+            vm.expect_late_start(key, now, now + self.settings.max_keep);
+        }
         let Some(known) = vm.runs.get_mut(&key) else { return };
         let sends = known.sends;
+        if sends == 1 && !matches!(result, Err(vm::Error::NoAnswer { .. })) {
+            vm.late_starts.shift_remove(&key);
+        }
         let starting = matches!(known.stage, Stage::Starting { .. });
         let listed = known.running_since.is_some();
         if let Err(e) = result {
@@ -147,7 +158,6 @@
             Err(vm::Error::NotSent { .. }) => self.retry_start(id, key, "the VM is unreachable"),
             Err(vm::Error::NoAnswer { .. }) => {
                 known.pending_start = PendingStart::Yes;
-                vm.expect_late_start(key, now, now + self.settings.max_keep);
                 self.retry_start(id, key, "the VM did not answer");
             }
             Err(vm::Error::Unavailable { .. }) => {
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -320,11 +320,23 @@
     /// Records that the next instance may carry out the start of a run until `end`.
     pub fn expect_late_start(&mut self, key: RunKey, now: Duration, end: Duration) {
         if self.id.started().is_some() {
-            self.late_starts.retain(|_, end| *end > now);
+            let runs = &self.runs;
+            self.late_starts.retain(|key, end| *end > now || runs.contains_key(key));
             self.late_starts.insert(key, end);
         }
     }
 
+    /// Whether the next instance may still carry out a start sent to this one.
+    pub fn expects_late_starts(&self, now: Duration) -> bool {
+        self.late_starts.values().any(|end| now < *end)
+    }
+
+    /// Whether a run may be kept by the next instance although the lease of this one has passed: the
+    /// next instance keeps a run for up to `lease` from the time at which it carries out the start.
+    pub fn may_be_kept_by_successor(&self, key: RunKey, lease: Duration, now: Duration) -> bool {
+        self.late_starts.get(&key).is_some_and(|end| now < *end + lease)
+    }
+
     /// Lowers the time by which every run has ended to `until`, as far as orders for an earlier
     /// instance allow.
     pub fn shorten_lease(&mut self, until: Duration) {
--- a/tests/shards/instances.rs
+++ b/tests/shards/instances.rs
@@ -553,3 +553,69 @@
     let after_unanswered = acks.windows(2).filter(|pair| !pair[0].1).map(|pair| pair[1].0);
     assert_eq!(after_unanswered.max(), Some(0));
 }
+
+// Guards against a task that runs twice at once: an instance whose run had been released was removed
+// with the record of its unanswered start before the next instance was announced.
+#[test]
+fn an_unanswered_start_outlives_the_removal_of_its_instance() {
+    for down in (200..3000).step_by(200).map(millis) {
+        for delay in
+            (1700..5500).step_by(250).map(millis).filter(|delay| *delay > down + millis(1700))
+        {
+            let (mut sim, job, vm) = simulation_with_late_start(delay);
+            sim.run_for(millis(400));
+            sim.leave_vm(vm, seconds(2));
+            sim.run_for(millis(400));
+            sim.restart_vm(vm, down);
+            sim.run_for(seconds(20));
+            check(&mut sim, &IndexMap::from([(job.id, job.clone())]), SIZE);
+        }
+    }
+}
+
+/// Delays all starts sent before `starts_until`, and loses the polls of one address from then on.
+struct CutPolls {
+    starts_until: Duration,
+    delay: Duration,
+    polls_until: Duration,
+    addr: Option<String>,
+}
+
+impl Faults for CutPolls {
+    fn command_outcome(&mut self, at: Duration, action: &Action) -> Outcome {
+        match action {
+            Action::Start { .. } if at < self.starts_until => Outcome::Late(self.delay),
+            Action::Poll { vm, .. } | Action::Stop { vm, .. }
+                if self.addr.as_deref() == Some(&*vm.addr) && at < self.polls_until =>
+            {
+                Outcome::Lost
+            }
+            _ => Outcome::Delivered,
+        }
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
+// Guards against a task that runs twice at once: its VM restarted under the same id and answers no
+// poll, so its task is started elsewhere once the lease of the ended instance has passed, while the
+// next instance carries out the start late and keeps it for a lease of its own.
+#[test]
+fn a_late_start_on_an_instance_that_answers_no_poll_is_waited_for() {
+    for delay in (1000..6000).step_by(500).map(millis) {
+        let (starts_until, polls_until) = (millis(6500), seconds(20));
+        let faults = CutPolls { starts_until, delay, polls_until, addr: None };
+        let mut sim = Simulation::with_starts(faults, &[SHARD], 2, SIZE);
+        sim.run_for(seconds(1));
+        let job = job_with_steps(1, 1, 1, work(9000, 6));
+        sim.submit(SHARD, job.clone());
+        sim.run_for(millis(100));
+        let vm = sim.bound_vms(job.id)[0];
+        sim.faults.addr = Some(sim.vms[vm].entry.addr.to_string());
+        sim.restart_vm(vm, millis(200));
+        sim.run_for(seconds(40));
+        check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+    }
+}
