--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -153,7 +153,8 @@
                 }
                 Attempt::Answered(Answer::OfNoUse { reason, retry_after }) => {
                     // An earlier call for the same job may have been accepted without an answer.
-                    match self.locate(job.id, deadline).await {
+                    // The cached shard may be the one that has just said it doesn't have the job.
+                    match self.find_in_store(job.id, deadline).await {
                         JobLocation::NotFound => {
                             return refusals.or_unknown(Answer::NotRun { reason, retry_after });
                         }
--- a/src/shard/admission.rs
+++ b/src/shard/admission.rs
@@ -140,10 +140,12 @@
         for (step, time) in self.job.steps.iter().zip(&self.times) {
             let mut capacity = room.capacities(&self.job.service, step)?;
             let lending = self.lending(step, *time, others);
-            capacity.early = capacity.early.plus(lending.capacity);
             if step.after.is_empty() {
-                waits.push(ahead.wait(step, &capacity, lending.work));
+                let all = room.most(&self.job.service);
+                waits.push(ahead.wait(step, &capacity, all, &lending));
             }
+            let lent = lending.iter().fold(Capacity::default(), |sum, l| sum.plus(l.capacity));
+            capacity.early = capacity.early.plus(lent);
             capacities.push(capacity);
         }
         let wait = waits.into_iter().fold(Range::default(), |a, b| a.zip(b, f64::max));
@@ -171,22 +173,24 @@
     ///
     /// Tasks are lent only to shards with room to spare. A shard with waiting tasks and no room for
     /// one of the step's has room to spare once its waiting tasks have started.
-    fn lending(&self, step: &Step, time: Range, others: &[&Summary]) -> Lending {
+    fn lending(&self, step: &Step, time: Range, others: &[&Summary]) -> Vec<Lending> {
         let factor = time.early / time.likely.max(f64::MIN_POSITIVE);
-        let mut lending = Lending::default();
+        let mut all = Vec::new();
         for other in others.iter().filter(|other| other.vms > 0) {
             let (capacity, lasting) = (other.capacity as f64, other.lasting as f64);
-            lending.capacity = lending.capacity.plus(Capacity {
+            let mut lending = Lending::default();
+            lending.capacity = Capacity {
                 milli_cores: (capacity - lasting).max(0.0),
                 leftover: (capacity - MIN_EXPECTED_LOAD * lasting).max(0.0),
                 // Summaries tell only the memory that is free now.
                 mib: f64::INFINITY,
-            });
+            };
             if step.share == Share::Reserved && !self.fits_in(step, other) {
-                lending.work.milli_cores += other.waiting_work as f64 / 1000.0 * factor;
+                lending.work.milli_cores = other.waiting_work as f64 / 1000.0 * factor;
             }
+            all.push(lending);
         }
-        lending
+        all
     }
 
     /// Whether a task of a step fits on a VM of another shard now.
@@ -310,13 +314,31 @@
     late: Capacity,
 }
 
-/// Room of other shards that tasks can be lent to, and the work that fills it first.
+/// Room of another shard that tasks can be lent to, and the work that fills it first.
 #[derive(Clone, Copy, Debug, Default)]
 struct Lending {
     capacity: Capacity,
     work: Work,
 }
 
+/// Least time in seconds that work takes here and in other shards. A shard takes part once its own
+/// work has started, so that one with much waiting work makes the time no longer than without it.
+fn time_with_lending(work: Work, room: Capacity, lending: &[Lending], share: Share) -> f64 {
+    let start = |lending: &Lending| lending.work.time_through(lending.capacity, share);
+    let mut lending: Vec<&Lending> = lending.iter().collect();
+    lending.sort_by(|a, b| start(a).total_cmp(&start(b)));
+    let (mut work, mut room) = (work, room);
+    let mut time = work.time_through(room, share);
+    for lending in lending {
+        if start(lending) >= time {
+            break;
+        }
+        (work, room) = (work.plus(lending.work), room.plus(lending.capacity));
+        time = work.time_through(room, share);
+    }
+    time
+}
+
 /// Room of one VM.
 #[derive(Clone, Debug)]
 pub(super) struct VmRoom {
@@ -339,6 +361,13 @@
 }
 
 impl Room {
+    /// Returns the most room of all VMs of a service, which work ahead of a step can use even where
+    /// the step's own tasks don't fit.
+    fn most(&self, service: &ServiceName) -> Capacity {
+        let vms = self.vms.iter().filter(|vm| vm.service == *service);
+        vms.fold(Capacity::default(), |sum, vm| sum.plus(vm.most))
+    }
+
     /// Returns the capacities that a step of a service can use; `None` if it fits on no VM.
     fn capacities(&self, service: &ServiceName, step: &Step) -> Option<Capacities> {
         let fits = |vm: &&VmRoom| {
@@ -395,11 +424,11 @@
 }
 
 impl Ahead<'_> {
-    /// Time in seconds until a step of the new job gets room. `lent` is the work that goes before it
-    /// in the other shards whose room is counted in the early time.
-    fn wait(&self, step: &Step, room: &Capacities, lent: Work) -> Range {
+    /// Time in seconds until a step of the new job gets room. The early time counts the room of
+    /// `all` VMs of the service and what other shards lend.
+    fn wait(&self, step: &Step, room: &Capacities, all: Capacity, lending: &[Lending]) -> Range {
         Range {
-            early: self.early_wait(step, room.early, lent),
+            early: self.early_wait(step, all, lending),
             likely: self.full_wait(step, room.likely, |time| time.likely),
             late: self.full_wait(step, room.late, |time| time.late),
         }
@@ -410,7 +439,7 @@
     /// while in time, so it counts only if its turn comes before then.
     ///
     /// The last tasks of that work need only have started by then.
-    fn early_wait(&self, step: &Step, room: Capacity, lent: Work) -> f64 {
+    fn early_wait(&self, step: &Step, room: Capacity, lending: &[Lending]) -> f64 {
         if step.label.is_some() {
             // The work ahead may run on VMs that don't have the label.
             return 0.0;
@@ -445,8 +474,8 @@
             squares += (tasks * task.milli_cores * (ahead.time.likely - ahead.time.early)).powi(2);
             let least = 1.0 - squares.sqrt() / work.milli_cores.max(1.0);
             longest = longest.max(ahead.time.late);
-            let sure = work.scaled(least).plus(lent);
-            wait = (sure.time_through(room, step.share) - longest).max(0.0);
+            let sure = work.scaled(least);
+            wait = (time_with_lending(sure, room, lending, step.share) - longest).max(0.0);
         }
         wait
     }
@@ -482,10 +511,12 @@
 
 /// Whether a job that is done at these times at the soonest is surely of no use, by its target.
 ///
-/// Long run times come with a long target, so the times are compared for each run time by itself.
+/// Without a target, or an estimate that it is a multiple of, nothing tells how long the result is of
+/// use. Long run times come with a long target, so the times are compared for each run time by itself.
 pub(super) fn is_of_no_use(soonest: Range, target: Range) -> bool {
     let is_over = |done, target| done > USEFUL_DURATION_FACTOR * target;
-    is_over(soonest.early, target.early)
+    target.likely > 0.0
+        && is_over(soonest.early, target.early)
         && is_over(soonest.likely, target.likely)
         && is_over(soonest.late, target.late)
 }
--- a/src/shard/admission/decision.rs
+++ b/src/shard/admission/decision.rs
@@ -30,6 +30,8 @@
     snapshot: Option<Snapshot>,
     /// When each other shard was last heard of.
     heard: IndexMap<Arc<str>, Duration>,
+    /// Whether the other shards have been reported since this shard was claimed.
+    knows_others: bool,
 }
 
 #[derive(Debug)]
@@ -59,6 +61,7 @@
 impl Admission {
     /// Records that the states of these other shards are known.
     pub fn note_heard(&mut self, others: &[OtherShard], now: Duration) {
+        self.knows_others = true;
         for other in others {
             self.heard.insert(other.name.clone(), now);
         }
@@ -114,7 +117,8 @@
                 return Decision::PassOn { early, useful };
             }
         }
-        let heard = self.loans.other_shards().count() >= self.admission.heard.len();
+        let heard = self.admission.knows_others
+            && self.loans.other_shards().count() >= self.admission.heard.len();
         let useful_elsewhere = elsewhere.iter().any(|(_, done)| !is_of_no_use(*done, target));
         if heard && !useful_elsewhere && is_of_no_use(soonest, target) {
             let retry_after = retry_delay(job.id, done, target);
@@ -198,10 +202,11 @@
         }
     }
 
-    /// Room of a VM; `None` if it is about to leave or takes no work by order.
+    /// Room of a VM; `None` if it is about to leave or takes no work by order. A VM that is missing
+    /// from the list may be listed again, as after a takeover.
     fn vm_room(&self, vm: &Vm) -> Option<VmRoom> {
         let is_closed = self.upkeep_drain.is_draining(&vm.id) || self.evacuation.includes(vm);
-        if is_closed || vm.listing != Listing::Listed || vm.leaving.is_some() {
+        if is_closed || vm.listing == Listing::Departed || vm.leaving.is_some() {
             return None;
         }
         let (mut beside_lasting, mut lasting) = (vm.entry.size, 0.0);
@@ -244,8 +249,8 @@
             let cores = u64::from(step.tasks) * u64::from(step.size.milli_cores.0);
             let work = (cores as f64 * time.likely * 1000.0) as u64;
             match step.share {
-                Share::Reserved => reserved += work,
-                Share::Leftover => leftover += work,
+                Share::Reserved => reserved = work.saturating_add(reserved),
+                Share::Leftover => leftover = work.saturating_add(leftover),
             }
         }
         (reserved, leftover)
--- a/src/shard/admission/tests.rs
+++ b/src/shard/admission/tests.rs
@@ -468,3 +468,70 @@
     };
     assert!(is_refused(Some(hot)) && !is_refused(None));
 }
+
+// Guards against the refusal of all jobs of a queue whose configuration names no target.
+#[test]
+fn jobs_without_a_target_are_of_use() {
+    let simulation = Simulation::new(1, &[HUGE], |_| 5, 0.0);
+    let demand = Demand::new(&simulation.jobs[0].job, &simulation.times);
+    let target = demand.target(Target { stretch: 0.0, latency: Duration::ZERO });
+    let done = demand.estimate(&simulation.room(), &Backlog::default(), 2, &[]);
+    assert!(!is_of_no_use(done.expect("there is room").soonest, target));
+}
+
+/// The early wait of an urgent job of two large tasks behind many small tasks of 0.64 s.
+fn wait_behind_small_tasks(tasks: u32, vms: Vec<VmRoom>, others: &[&Summary]) -> f64 {
+    let simulation =
+        Simulation::new(1, &[Stream { tasks: 2, rate: |_| 1.0, ..URGENT }], |_| 1, 0.0);
+    let demand = Demand::new(&simulation.jobs[0].job, &simulation.times);
+    let time = Range { early: 0.6, likely: 0.64, late: 0.7 };
+    let outlook = Outlook {
+        spent: Duration::ZERO,
+        target: Duration::from_secs(9),
+        left: Duration::ZERO,
+        work: 0.1,
+    };
+    let ahead = WaitingStep {
+        queue: QueueName::new("small"),
+        service: ServiceName::new("shop"),
+        priority: 0,
+        share: Share::Reserved,
+        size: Resources::new(2000, 1000, 0),
+        outlook,
+        time,
+        ready: tasks,
+        open: f64::from(tasks),
+    };
+    let backlog = Backlog { steps: vec![ahead] };
+    let own = demand.estimate(&Room { vms: vms.clone() }, &Backlog::default(), 1, others);
+    let done = demand.estimate(&Room { vms }, &backlog, 1, others);
+    done.expect("there is room").soonest.early - own.expect("there is room").soonest.early
+}
+
+// Guards against a wait for the room of the VMs alone that are large enough for the job's own tasks,
+// while the smaller tasks ahead also run on all other VMs.
+#[test]
+fn work_ahead_also_runs_on_small_vms() {
+    let simulation = Simulation::new(1, &[URGENT], |_| 1, 0.0);
+    let large = simulation.room().vms.remove(0);
+    let size = Resources::new(4000, 16_000, 0);
+    let most = Capacity { milli_cores: 4000.0, leftover: 4000.0, mib: 16_000.0 };
+    let small = VmRoom { most, largest: size, usual: most, ..large.clone() };
+    let mut vms = vec![small; 100];
+    vms.push(large);
+    let wait = wait_behind_small_tasks(400, vms, &[]);
+    assert!(wait < 2.0, "{wait} s");
+}
+
+// Guards against a wait for the waiting work of another shard, which may be of a lower priority and
+// run there, while this shard would be done with its own work earlier.
+#[test]
+fn waiting_work_of_another_shard_does_not_lengthen_the_wait() {
+    let simulation = Simulation::new(1, &[URGENT], |_| 1, 0.0);
+    let vms = simulation.room().vms;
+    let other =
+        Summary { vms: 1, capacity: 64_000, waiting_work: 64_000 * 600_000, ..Summary::default() };
+    let alone = wait_behind_small_tasks(40, vms.clone(), &[]);
+    let wait = wait_behind_small_tasks(40, vms, &[&other]);
+    assert!(wait <= alone + 0.001, "{wait} s, {alone} s alone");
+}
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -132,8 +132,8 @@
     pub fn add_expected_work(&mut self, shard: &str, reserved: u64, leftover: u64) {
         if let Some(other) = self.other_shards.get_mut(shard) {
             let summary = Arc::make_mut(&mut other.summary);
-            summary.waiting_work += reserved;
-            summary.leftover_work += leftover;
+            summary.waiting_work = summary.waiting_work.saturating_add(reserved);
+            summary.leftover_work = summary.leftover_work.saturating_add(leftover);
         }
     }
 
