--- a/src/shard/admission.rs
+++ b/src/shard/admission.rs
@@ -178,13 +178,13 @@
         let mut all = Vec::new();
         for other in others.iter().filter(|other| other.vms > 0) {
             let (capacity, lasting) = (other.capacity as f64, other.lasting as f64);
-            let mut lending = Lending::default();
-            lending.capacity = Capacity {
+            let capacity = Capacity {
                 milli_cores: (capacity - lasting).max(0.0),
                 leftover: (capacity - MIN_EXPECTED_LOAD * lasting).max(0.0),
                 // Summaries tell only the memory that is free now.
                 mib: f64::INFINITY,
             };
+            let mut lending = Lending { capacity, work: Work::default() };
             if step.share == Share::Reserved && !self.fits_in(step, other) {
                 lending.work.milli_cores = other.waiting_work as f64 / 1000.0 * factor;
             }
--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -252,7 +252,8 @@
         let attempts = self.queue(job).map_or(0, |queue| queue.attempts);
         let may_copy = allows_copies(step) && may_add_run(known.failed, known.runs.len(), attempts);
         // The expected time takes a look-up for each run of the step, so it is computed last.
-        if !may_copy && !(matches!(outlook, Outlook::Left(_)) && vm.speed.is_slow(now)) {
+        let may_restart = matches!(outlook, Outlook::Left(_)) && vm.speed.is_slow(now);
+        if !may_copy && !may_restart {
             return None;
         }
         if matches!(outlook, Outlook::Left(left) if left < START_TIME + MIN_GAIN) {
