--- a/src/shard/interference/tests.rs
+++ b/src/shard/interference/tests.rs
@@ -5,6 +5,7 @@
 use crate::job::Image;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::f64::consts::TAU;
 use std::time::Duration;
 
 const TARGET: Duration = Duration::from_millis(50);
@@ -88,7 +89,7 @@
         let [heavy, light, serving] =
             ["heavy", "light", "serving"].map(|name| model.number(&Image::new(name)));
         let mut load = OwnLoad::new(Duration::from_millis(18), Duration::ZERO);
-        let (period, phase) = (rng.random_range(7.0..14.0), rng.random_range(0.0..6.28));
+        let (period, phase) = (rng.random_range(7.0..14.0), rng.random_range(0.0..TAU));
         for reading in 0..600 {
             let now = 0.035 * f64::from(reading);
             let neighbour = rng.random_range(0..4);
@@ -96,7 +97,7 @@
             let image = [heavy, light].get(neighbour).copied();
             let beside: Vec<_> =
                 image.into_iter().map(|image| LeftoverNeighbour { image, share }).collect();
-            let own = 0.42 + 0.21 * (std::f64::consts::TAU * (now - 0.25) / period + phase).sin();
+            let own = 0.42 + 0.21 * (TAU * (now - 0.25) / period + phase).sin();
             let added = AMOUNTS.get(neighbour).map_or(0.0, |amount| amount * share);
             let noise = rng.random_range(-0.08..0.08);
             let tail = (4.0 / (1.0 - (own + added + noise).min(0.97))).round();
