Give announcements a lower bound of their age, and departures a module of their own

No change of behaviour: the bound is unknown everywhere so far. The module moves out of the follower so that the simulation of shards can use it.

--- a/src/jobs/follow/fleet/departures/tests.rs
+++ b/src/departures/tests.rs
@@ -1,15 +1,27 @@
 use super::{LeavingVms, Removal};
-use crate::ids::VmId;
-use crate::jobs::follow::fleet::tests::vm;
+use crate::ids::{DomainId, RackId, ServiceName, VmId};
 use crate::kv::Rev;
+use crate::units::Resources;
 use crate::vm::{Departure, VmEntry, VmState};
+use std::sync::Arc;
 use std::time::Duration;
 
 const KEY: &str = "vm/a";
 const NOTICE: Duration = Duration::from_secs(5);
 
 fn entry(state: VmState) -> VmEntry {
-    VmEntry { state, ..vm("a") }
+    VmEntry {
+        id: VmId::new("a"),
+        service: ServiceName::new("shop"),
+        domain: DomainId::new("kacyiru"),
+        rack: RackId::new("r0"),
+        labels: Vec::new(),
+        size: Resources::new(32_000, 128_000, 0),
+        state,
+        addr: Arc::from("10.1.0.1:80"),
+        announced: Rev::ABSENT,
+        announced_after: None,
+    }
 }
 
 fn ms(millis: u64) -> Duration {
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -312,6 +312,7 @@
         state: VmState::Ready,
         addr: Arc::from("10.1.0.1:80"),
         announced: Rev::ABSENT,
+        announced_after: None,
     }
 }
 
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -314,6 +314,7 @@
         state: VmState::Ready,
         addr: Arc::from("127.0.0.1:1"),
         announced: Rev::ABSENT,
+        announced_after: None,
     }
 }
 
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -6,12 +6,12 @@
 //! the whole list, which is smaller than all changes since the last read. It reads the list again
 //! when it claims a shard, since work must not be started on VMs that are leaving.
 
-mod departures;
 #[cfg(test)]
 mod tests;
 
 use super::{FailureStreak, FollowContext, ReadProgress, extend_plan, read_all};
 use crate::cluster::StoreReachability;
+use crate::departures::{LeavingVms, Removal};
 use crate::jobs::control::StoreEvent;
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{Platform, UnreadableEntry};
@@ -19,7 +19,6 @@
 use crate::note::{Millis, Note};
 use crate::shard::FleetListStatus;
 use crate::vm::{Departure, VmEntry};
-use departures::{LeavingVms, Removal};
 use indexmap::{IndexMap, IndexSet};
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/jobs/follow/fleet/tests.rs
+++ b/src/jobs/follow/fleet/tests.rs
@@ -11,7 +11,7 @@
     Item { key: key.to_owned(), value: Bytes::new(), rev: Rev(7) }
 }
 
-pub(super) fn vm(name: &str) -> VmEntry {
+fn vm(name: &str) -> VmEntry {
     VmEntry {
         id: VmId::new(name),
         service: ServiceName::new("shop"),
@@ -22,6 +22,7 @@
         state: VmState::Ready,
         addr: Arc::from("10.1.0.1:80"),
         announced: Rev::ABSENT,
+        announced_after: None,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod control;
 pub mod core;
 pub mod daemon;
+pub mod departures;
 pub mod evacuation;
 pub mod front;
 pub mod ids;
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -258,6 +258,7 @@
         state: VmState::Ready,
         addr: placed.addr.clone(),
         announced: Rev::ABSENT,
+        announced_after: None,
     };
     let mut vm = Vm::new(entry, now, runs_ended_by);
     vm.listing = Listing::Missing { since: now };
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -237,6 +237,7 @@
             state,
             addr: Arc::from("10.1.0.1:80"),
             announced: item.rev,
+            announced_after: None,
         })
     }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -70,6 +70,7 @@
         state: VmState::Ready,
         addr: "vm:1".into(),
         announced: Rev::ABSENT,
+        announced_after: None,
     };
     let vms: Vec<VmEntry> = (0..shards * 32).map(vm).collect();
     Plan::default().extended(&vms).expect("racks are new")
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -637,6 +637,7 @@
             state: VmState::Ready,
             addr: Arc::from(addr.as_str()),
             announced: ANNOUNCED,
+            announced_after: None,
         };
         self.vms.push(VmNode {
             table: RunTable::new(id, run_settings(self.max_keep, 0)),
--- a/tests/upkeep.rs
+++ b/tests/upkeep.rs
@@ -273,6 +273,7 @@
         state: VmState::Ready,
         addr: "any:1".into(),
         announced: Rev::ABSENT,
+        announced_after: None,
     }
 }
 
