Offer a dropped shard to one daemon after another until one accepts

What callers saw: while daemons were stopped in turn, a shard stood without an owner for seconds; its jobs were refused and its lasting tasks weren't looked after (shard-lost reason="handed over", then no shard-claiming for 3.9 s).

Cause: an offer was sent once, to the daemon chosen before the last commits, and nobody awaited an answer. A daemon that was stopping ignored it, one that had ended or just restarted couldn't take it, and no line named it.

Change: the call `take` answers whether the shard is accepted, or why not. The daemon that gives the shard up drops it first, then offers it to the chosen daemon, and on a decline, a refused connection or no answer within 0.4 s to the next best one that wasn't asked, for at most 2 s. A daemon that didn't accept is passed over for 2 s. If nobody takes the shard, a daemon that can still serve takes it back, also during a planned stop until it exits. A daemon that moves a shard for balance or is cut off from the store offers it within the failure domain only. Times that VMs may keep runs are aged by the time passed at each offer. An offer whose kept connection is broken is repeated over a new one within the same 0.4 s. New lines: shard-offered, shard-offer-ended, shard-not-taken. The ownership tests are in a directory now.

Evidence: on the code before, all four tests of control/tests/offers.rs failed ("left: [] right: [Ended]", the next daemon claims nothing while the clock stands): an heir that stops too, has ended, was restarted, is frozen. With only the repetition switched off, the same four, seven of tests/ownership/offers.rs and the one of links/tests.rs ("the connection to the server was already shutdown") failed. All pass now.

Why it works: whoever may be asked is asked within milliseconds, and an offer is only made once the shard makes no more calls. Two daemons that both accept write the same head conditionally, and a claim covers only the offered fencing token, so that one of them fails.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -11,6 +11,8 @@
 pub mod plan;
 
 pub use head::{ExpectedOwner, Head};
-pub use member::{Hello, Member, MemberStage, ShardReport, StoreReachability};
-pub use ownership::{Action, Event, HandOver, Ownership};
+pub use member::{
+    DeclineReason, Hello, Member, MemberStage, OfferAnswer, ShardReport, StoreReachability,
+};
+pub use ownership::{Action, Event, HandOver, OfferOutcome, Ownership};
 pub use plan::Plan;
--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{DaemonId, DomainId};
 use crate::job::JobId;
+use crate::note::StaticText;
 use crate::shard::learned::Learned;
 use crate::shard::{ReportedLapse, Summary};
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,42 @@
     Away,
 }
 
+/// Answer of a daemon that is offered a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OfferAnswer {
+    /// The daemon claims the shard, or owns it already.
+    Accepted,
+    Declined(DeclineReason),
+}
+
+/// Why a daemon declines an offered shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DeclineReason {
+    /// The daemon is in a planned stop.
+    Draining,
+    /// The daemon can't reach the store.
+    StoreAway,
+    /// The daemon has not read the plan with this shard yet.
+    UnknownShard,
+    /// The shard was claimed after the offered ownership.
+    LaterOwner,
+    /// The daemon has yet to notice that it lost an earlier ownership of the shard.
+    OutdatedOwner,
+}
+
+impl DeclineReason {
+    /// The reason, as logged.
+    pub fn name(self) -> StaticText {
+        match self {
+            Self::Draining => "the daemon stops",
+            Self::StoreAway => "the store can't be reached",
+            Self::UnknownShard => "the shard isn't known",
+            Self::LaterOwner => "a later owner is known",
+            Self::OutdatedOwner => "an earlier ownership of it goes on there",
+        }
+    }
+}
+
 /// Heartbeat that a daemon sends to other daemons.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -15,12 +15,13 @@
 //! while its owner has no CPU left.
 
 mod members;
+mod offers;
 mod orphans;
 mod predecessors;
 mod sharing;
 
 use super::head::{ExpectedOwner, Head};
-use super::member::{Hello, Member, MemberStage, StoreReachability};
+use super::member::{Hello, Member, MemberStage, OfferAnswer, StoreReachability};
 use super::plan::Plan;
 use crate::ids::{DaemonId, DomainId};
 use crate::note::{Note, StaticText};
@@ -28,7 +29,8 @@
 use crate::vm::Fence;
 use indexmap::IndexMap;
 use members::MemberState;
-use orphans::{Cause, Orphan};
+use offers::Offer;
+use orphans::Orphan;
 use predecessors::Predecessor;
 use sharing::STABLE_AFTER;
 use std::time::Duration;
@@ -73,11 +75,25 @@
         head: Option<Head>,
         reason: String,
     },
-    /// A shard was lost or handed over.
+    /// A shard was lost.
     NoLongerOwned {
         shard: String,
         reason: StaticText,
     },
+    /// A shard was dropped to be handed over; its VMs get no more calls from this daemon.
+    Released {
+        shard: String,
+        /// Fencing token of the ownership that has ended.
+        fence: u64,
+    },
+    /// What became of an offer.
+    OfferEnded {
+        shard: String,
+        fence: u64,
+        /// Daemon that the shard was offered to.
+        heir: DaemonId,
+        outcome: OfferOutcome,
+    },
     /// Another daemon hands a shard over to this one.
     Offered {
         shard: String,
@@ -108,12 +124,19 @@
     },
     /// Sends a hello to a daemon at once to check whether it answers.
     Probe(Member),
-    /// Hands a shard over to another daemon, or releases it if `to` is this daemon.
+    /// Drops a shard to hand it over to another daemon, or to release it if `to` is this daemon.
     HandOver {
         shard: String,
         to: Member,
         how: HandOver,
     },
+    /// Offers a dropped shard to a daemon.
+    Offer {
+        shard: String,
+        /// Fencing token of the ownership that has ended.
+        fence: u64,
+        to: Member,
+    },
     Note(Note),
 }
 
@@ -126,6 +149,16 @@
     Immediate,
 }
 
+/// What became of an offer of a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferOutcome {
+    Answered(OfferAnswer),
+    /// The connection was refused.
+    Refused,
+    /// No answer came in time; the offer may have been accepted.
+    NoAnswer,
+}
+
 /// Last known state of a shard.
 #[derive(Clone, Debug)]
 struct ShardView {
@@ -140,11 +173,11 @@
     orphan: Option<Orphan>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum HoldState {
     Claiming,
     Owned,
-    HandingOver,
+    HandingOver { to: DaemonId },
 }
 
 /// State machine that decides which shards this daemon claims, keeps and hands over.
@@ -158,6 +191,10 @@
     held: IndexMap<String, HoldState>,
     /// Previous owners of shards held here that may still be active.
     predecessors: IndexMap<String, Predecessor>,
+    /// Shards given up that no daemon has accepted yet.
+    offers: IndexMap<String, Offer>,
+    /// Whether this daemon exits and takes no shard back.
+    is_exiting: bool,
     store: StoreReachability,
     store_since: Duration,
     /// Newest configuration version in force at any other daemon.
@@ -179,6 +216,8 @@
             shards: IndexMap::new(),
             held: IndexMap::new(),
             predecessors: IndexMap::new(),
+            offers: IndexMap::new(),
+            is_exiting: false,
             store: StoreReachability::Away,
             store_since: now,
             newest_config: 0,
@@ -283,7 +322,14 @@
             Event::ClaimFailed { shard, head, reason } => {
                 self.handle_claim_failed(shard, head, reason)
             }
-            Event::NoLongerOwned { shard, reason } => self.handle_no_longer_owned(&shard, reason),
+            Event::NoLongerOwned { shard, reason } => {
+                self.held.shift_remove(&shard);
+                self.forget_owned(&shard, reason);
+            }
+            Event::Released { shard, fence } => self.handle_released(&shard, fence),
+            Event::OfferEnded { shard, fence, heir, outcome } => {
+                self.handle_offer_outcome(&shard, fence, &heir, outcome);
+            }
             Event::Offered { shard, from, fence } => self.handle_offer(&shard, &from, fence),
             Event::Store(reach) => self.handle_store_reach(reach),
             Event::Drain => self.me.stage = MemberStage::Draining,
@@ -353,8 +399,7 @@
         self.actions.push(Action::Note(Note::ShardClaimFailed { shard, reason }));
     }
 
-    fn handle_no_longer_owned(&mut self, shard: &str, reason: StaticText) {
-        self.held.shift_remove(shard);
+    fn forget_owned(&mut self, shard: &str, reason: StaticText) {
         self.predecessors.shift_remove(shard);
         let now = self.now;
         if let Some(view) = self.shards.get_mut(shard) {
@@ -371,24 +416,6 @@
         self.actions.push(Action::ReadHeads);
     }
 
-    fn handle_offer(&mut self, shard: &str, from: &DaemonId, fence: u64) {
-        if self.me.stage == MemberStage::Draining || self.held.contains_key(shard) {
-            return;
-        }
-        self.record_owner(shard, from.clone(), fence);
-        // A late offer: the shard was claimed since.
-        if self.fence(shard).0 > fence {
-            return;
-        }
-        let cause = Cause {
-            previous: PreviousOwner::Ended,
-            reason: "handed over by its owner",
-            silent: Duration::ZERO,
-            grace: Duration::ZERO,
-        };
-        self.claim(shard, Some(from), cause);
-    }
-
     fn handle_store_reach(&mut self, reach: StoreReachability) {
         if self.store != reach {
             self.store = reach;
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -67,7 +67,7 @@
         let now = self.now;
         let mut probes = Vec::new();
         for (name, view) in &mut self.shards {
-            if self.held.contains_key(name) {
+            if self.held.contains_key(name) || self.offers.contains_key(name) {
                 view.orphan = None;
                 continue;
             }
--- a/src/cluster/ownership/sharing.rs
+++ b/src/cluster/ownership/sharing.rs
@@ -96,6 +96,7 @@
 
     /// Releases the remaining shards, so that the next daemon finds them without an owner.
     pub(super) fn release_all(&mut self) {
+        self.is_exiting = true;
         for shard in self.owned() {
             self.hand_over(shard, self.me.clone(), HandOver::AfterCommit);
         }
@@ -121,17 +122,18 @@
     }
 
     fn hand_over(&mut self, shard: String, to: Member, how: HandOver) {
-        self.held.insert(shard.clone(), HoldState::HandingOver);
+        self.held.insert(shard.clone(), HoldState::HandingOver { to: to.id.clone() });
         self.actions.push(Action::HandOver { shard, to, how });
     }
 
-    fn can_take(&self, known: &MemberState) -> bool {
+    pub(super) fn can_take(&self, known: &MemberState) -> bool {
         self.is_alive(known)
             && known.member.stage == MemberStage::Serving
             && known.store == StoreReachability::Reached
+            && self.now >= known.passed_over_until
     }
 
-    fn best_candidate(
+    pub(super) fn best_candidate(
         &self,
         shard: &str,
         domain: &DomainId,
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -1,6 +1,6 @@
 use super::{Answer, Call, JobClient, RETRY_AFTER_EVACUATION, RETRY_AFTER_OUTAGE, Reply};
 use crate::clock::{Clock, SystemClock};
-use crate::cluster::{Hello, Member, MemberStage, StoreReachability};
+use crate::cluster::{DeclineReason, Hello, Member, MemberStage, OfferAnswer, StoreReachability};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::{Job, JobId, JobState, Label, QueueName, Repeat, Step};
 use crate::jobs::control::Control;
@@ -183,7 +183,16 @@
         Err(permit::Error::NotSent { reason: "no service".to_owned() })
     }
 
-    async fn take(self, _: CallContext, _: String, _: DaemonId, _: Fence, _: Vec<VmLapse>) {}
+    async fn take(
+        self,
+        _: CallContext,
+        _: String,
+        _: DaemonId,
+        _: Fence,
+        _: Vec<VmLapse>,
+    ) -> OfferAnswer {
+        OfferAnswer::Declined(DeclineReason::Draining)
+    }
 }
 
 /// Serves a shard owner whose first connection stays unanswered.
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -89,13 +89,11 @@
     accepted: VecDeque<(Duration, JobId)>,
     /// When what the shard has learned is next sent to other daemons.
     next_learned_at: Duration,
-    /// Daemon that the shard is being handed over to.
-    new_owner: Option<Member>,
     summary: Arc<Summary>,
     summary_at: Duration,
 }
 
-/// Another daemon's offer to hand a shard over to this one.
+/// Another daemon's offer to hand a shard over to this one, or this daemon's own one.
 struct ShardOffer {
     /// Fencing token of the ownership that ended with the offer.
     fence: Fence,
@@ -103,6 +101,14 @@
     lapses: Vec<VmLapse>,
 }
 
+impl ShardOffer {
+    /// The remaining times, adjusted to the time passed since.
+    fn aged(&self, now: Duration) -> Vec<VmLapse> {
+        let passed = now.saturating_sub(self.at);
+        self.lapses.iter().map(|lapse| lapse.clone().aged(passed)).collect()
+    }
+}
+
 /// Order of the reports on a shard: by its owner's fencing token, then by the owner's hellos.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ReportOrder {
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -1,7 +1,7 @@
 //! Messages handled by the control actor.
 
 use super::{ActorHandles, Control, RemoteShard, ReportOrder, ShardOffer, TimedLapses};
-use crate::cluster::{self, Head, Hello, Member, Plan, StoreReachability};
+use crate::cluster::{self, Head, Hello, Member, OfferAnswer, Plan, StoreReachability};
 use crate::evacuation::Evacuations;
 use crate::ids::{DaemonId, Ticket};
 use crate::jobs::calls::{Call, Reply};
@@ -266,7 +266,7 @@
 
 /// Another daemon offers a shard to this one.
 #[derive(Message)]
-#[rtype(result = "()")]
+#[rtype(result = "OfferAnswer")]
 pub struct HandleOffer {
     pub shard: String,
     pub from: DaemonId,
@@ -276,9 +276,9 @@
 }
 
 impl Handler<HandleOffer> for Control {
-    type Result = ();
+    type Result = MessageResult<HandleOffer>;
 
-    fn handle(&mut self, msg: HandleOffer, cx: &mut Self::Context) {
+    fn handle(&mut self, msg: HandleOffer, cx: &mut Self::Context) -> Self::Result {
         self.begin_handler(cx);
         let HandleOffer { shard, from, fence, lapses } = msg;
         let is_newest = self.offers.get(&shard).is_none_or(|offer| offer.fence <= fence);
@@ -286,7 +286,9 @@
             let offer = ShardOffer { fence, at: self.last_wake, lapses };
             self.offers.insert(shard.clone(), offer);
         }
+        let answer = self.ownership.answer_offer(&shard, fence.0);
         self.step_ownership(cluster::Event::Offered { shard, from, fence: fence.0 }, cx);
+        MessageResult(answer)
     }
 }
 
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -1,8 +1,8 @@
 //! Life cycle of the shards owned by this daemon, and the events passed to them.
 
 use super::publish::LEARNED_INTERVAL;
-use super::{Control, HostedShard, TimedLapses, TimedLearned};
-use crate::cluster::{self, HandOver, StoreReachability};
+use super::{Control, HostedShard, ShardOffer, TimedLapses, TimedLearned};
+use crate::cluster::{self, HandOver, Member, OfferOutcome, StoreReachability};
 use crate::evacuation::Evacuations;
 use crate::ids::{DomainId, Ticket};
 use crate::job::JobId;
@@ -81,19 +81,45 @@
         }
     }
 
+    /// Drops a shard whose decisions are durable, and then offers it to another daemon.
     pub(super) fn complete_hand_over(&mut self, shard: &str, cx: &mut Context<Self>) {
-        let from = self.ownership.me().id.clone();
-        if let (Some(hosted), Some(actors)) = (self.hosted.get(shard), &self.actors)
-            && let Some(to) = hosted.new_owner.clone()
-            && to.id != from
-        {
-            let (fence, lapses) = (hosted.shard.fence(), hosted.shard.unresponsive_vms());
-            actors.links.do_send(OfferShard { shard: shard.to_owned(), to, from, fence, lapses });
-        }
-        self.drop_shard(shard, "handed over", cx);
+        let Some(hosted) = self.hosted.get(shard) else { return };
+        let (fence, lapses) = (hosted.shard.fence(), hosted.shard.unresponsive_vms());
+        // Kept until a daemon accepts the shard, which may be this one.
+        let offer = ShardOffer { fence, at: self.now().steady, lapses };
+        self.offers.insert(shard.to_owned(), offer);
+        self.remove_hosted(shard);
+        let released = cluster::Event::Released { shard: shard.to_owned(), fence: fence.0 };
+        self.step_ownership(released, cx);
+    }
+
+    /// Offers a dropped shard to a daemon.
+    fn offer_shard(&mut self, shard: String, fence: Fence, to: Member, cx: &mut Context<Self>) {
+        let now = self.now().steady;
+        let Some(actors) = &self.actors else { return };
+        let offer = self.offers.get(&shard).filter(|offer| offer.fence == fence);
+        let lapses = offer.map(|offer| offer.aged(now)).unwrap_or_default();
+        let (from, heir) = (self.ownership.me().id.clone(), to.id.clone());
+        let offer = OfferShard { shard: shard.clone(), to, from, fence, lapses };
+        let outcome = actors.links.send(offer);
+        cx.spawn(outcome.into_actor(self).map(move |outcome, this, cx| {
+            this.begin_handler(cx);
+            let (fence, outcome) = (fence.0, outcome.unwrap_or(OfferOutcome::NoAnswer));
+            let ended = cluster::Event::OfferEnded { shard, fence, heir, outcome };
+            this.step_ownership(ended, cx);
+        }));
     }
 
     pub(super) fn drop_shard(&mut self, shard: &str, reason: &'static str, cx: &mut Context<Self>) {
+        if !self.hosted.contains_key(shard) {
+            return;
+        }
+        self.remove_hosted(shard);
+        let dropped = cluster::Event::NoLongerOwned { shard: shard.to_owned(), reason };
+        self.step_ownership(dropped, cx);
+    }
+
+    fn remove_hosted(&mut self, shard: &str) {
         let Some(mut hosted) = self.hosted.shift_remove(shard) else { return };
         // Kept because this daemon may become the shard's next owner.
         let now = self.now().steady;
@@ -113,8 +139,6 @@
         if let Some(actors) = &self.actors {
             actors.removals.do_send(RemoveShard { shard: shard.to_owned() });
         }
-        let dropped = cluster::Event::NoLongerOwned { shard: shard.to_owned(), reason };
-        self.step_ownership(dropped, cx);
     }
 
     /// Passes an event to the ownership state machine and executes the resulting actions.
@@ -124,14 +148,12 @@
         for action in actions {
             match action {
                 cluster::Action::Note(note) => self.journal.write(note),
-                cluster::Action::HandOver { shard, to, how } => {
-                    if let Some(hosted) = self.hosted.get_mut(&shard) {
-                        hosted.new_owner = Some(to);
-                    }
-                    match how {
-                        HandOver::AfterCommit => self.step_shard(&shard, Event::HandOver, cx),
-                        HandOver::Immediate => self.complete_hand_over(&shard, cx),
-                    }
+                cluster::Action::HandOver { shard, how, .. } => match how {
+                    HandOver::AfterCommit => self.step_shard(&shard, Event::HandOver, cx),
+                    HandOver::Immediate => self.complete_hand_over(&shard, cx),
+                },
+                cluster::Action::Offer { shard, fence, to } => {
+                    self.offer_shard(shard, Fence(fence), to, cx);
                 }
                 cluster::Action::PredecessorEnded { shard } => {
                     self.step_shard(&shard, Event::PreviousOwnerEnded, cx);
@@ -150,6 +172,7 @@
             cluster::Action::ReadHeads => actors.heads.do_send(ReadHeads),
             cluster::Action::Probe(member) => actors.links.do_send(ProbeMember(member)),
             cluster::Action::HandOver { .. }
+            | cluster::Action::Offer { .. }
             | cluster::Action::PredecessorEnded { .. }
             | cluster::Action::Note(_) => {}
         }
@@ -167,9 +190,7 @@
         // Valid only if the offered ownership was the last one: another one in between, also one of
         // the offering daemon, may have extended the time for which the VMs keep their work running.
         if let Some(offer) = offer.filter(|offer| recovered.predecessor == Some(offer.fence)) {
-            let passed = now.steady.saturating_sub(offer.at);
-            recovered.unresponsive_vms =
-                offer.lapses.into_iter().map(|lapse| lapse.aged(passed)).collect();
+            recovered.unresponsive_vms = offer.aged(now.steady);
         }
         if let Some(reported) = self.reported_lapses.shift_remove(&recovered.shard) {
             recovered.reported_lapses = reported.aged(now.steady);
@@ -201,7 +222,6 @@
             deferred: None,
             accepted: accepted_jobs.into_iter().map(|job| (now.steady, job)).collect(),
             next_learned_at: now.steady + LEARNED_INTERVAL,
-            new_owner: None,
             summary,
             summary_at: now.steady,
         };
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,3 +1,5 @@
+mod offers;
+
 use super::{
     ActorHandles, Connect, Control, HandleCall, HandleOffer, HasShards, HelloReceived, StoreEvent,
 };
@@ -38,8 +40,13 @@
 /// Far longer than any answer takes here; reached only when a test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Stands in for the other actors. The store reports that another daemon owns every shard.
-struct FakeActors;
+/// Stands in for the other actors.
+struct FakeActors {
+    /// What the store reports about the owner of every shard.
+    ownership: OwnershipStatus,
+    /// Claims that were requested.
+    claims: Arc<Mutex<Vec<ClaimShard>>>,
+}
 
 impl Actor for FakeActors {
     type Context = Context<Self>;
@@ -49,7 +56,7 @@
     type Result = OwnershipStatus;
 
     fn handle(&mut self, _: ConfirmOwnership, _: &mut Self::Context) -> Self::Result {
-        OwnershipStatus::Lost
+        self.ownership
     }
 }
 
@@ -61,6 +68,14 @@
     }
 }
 
+impl Handler<ClaimShard> for FakeActors {
+    type Result = ();
+
+    fn handle(&mut self, msg: ClaimShard, _: &mut Self::Context) {
+        self.claims.lock().expect("no test panics with it").push(msg);
+    }
+}
+
 /// Implements handlers that ignore their message.
 macro_rules! ignored {
     ($($msg:ty),+) => {
@@ -72,7 +87,7 @@
     };
 }
 
-ignored!(VmCall, UpkeepAction, ClaimShard, CommitShard, RemoveShard, ReadHeads);
+ignored!(VmCall, UpkeepAction, CommitShard, RemoveShard, ReadHeads);
 
 fn me() -> Member {
     Member {
@@ -93,7 +108,16 @@
     clock: Arc<ManualClock>,
     out: impl std::io::Write + Send + 'static,
 ) -> Addr<Control> {
-    let me = me();
+    let others = FakeActors { ownership: OwnershipStatus::Lost, claims: Arc::default() };
+    start_control(me(), clock, out, others).0
+}
+
+fn start_control(
+    me: Member,
+    clock: Arc<ManualClock>,
+    out: impl std::io::Write + Send + 'static,
+    others: FakeActors,
+) -> (Addr<Control>, Addr<PeerLinks>, Recipient<RequestPermits>) {
     let journal = Journal::start(clock.clone(), Weight::Telling, out);
     let (publish, _) = watch::channel(Arc::new(View::default()));
     let settings = Settings::default();
@@ -101,19 +125,20 @@
     let control =
         Control::new(me, settings, in_force, clock.clone(), journal, publish, Arc::default());
     let control = control.start();
-    let others = FakeActors.start();
+    let others = others.start();
+    let links = PeerLinks::new(control.clone(), clock).start();
     control.do_send(Connect(ActorHandles {
         vm_calls: Ring::new(others.clone(), WhenFull::Drop),
         permits: others.clone().recipient(),
         upkeep: others.clone().recipient(),
-        links: PeerLinks::new(control.clone(), clock).start(),
+        links: links.clone(),
         claims: others.clone().recipient(),
         commits: others.clone().recipient(),
         removals: others.clone().recipient(),
         heads: others.clone().recipient(),
-        confirmations: others.recipient(),
+        confirmations: others.clone().recipient(),
     }));
-    control
+    (control, links, others.recipient())
 }
 
 fn claimed() -> StoreEvent {
--- /dev/null
+++ b/src/jobs/control/tests/offers.rs
@@ -0,0 +1,176 @@
+//! Offers of shards between daemons that are connected with each other.
+
+use super::{
+    FakeActors, HelloReceived, LogBuffer, StoreEvent, TEST_TIMEOUT, claimed, me, start_control,
+    vm_in_rack,
+};
+use crate::clock::ManualClock;
+use crate::cluster::{Head, Hello, Member, Plan, ShardReport, StoreReachability};
+use crate::ids::DaemonId;
+use crate::jobs::control::{Control, Drain};
+use crate::jobs::links;
+use crate::jobs::records::{ClaimShard, OwnershipStatus};
+use crate::shard::PreviousOwner;
+use crate::vm::Fence;
+use actix::prelude::*;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const SHARD: &str = "kacyiru.0";
+const FENCE: u64 = 7;
+
+/// A daemon that serves other daemons' calls; its store and its VMs are stand-ins.
+struct Node {
+    control: Addr<Control>,
+    claims: Arc<Mutex<Vec<ClaimShard>>>,
+    lines: LogBuffer,
+}
+
+impl Node {
+    async fn start(me: Member, listener: TcpListener, clock: Arc<ManualClock>) -> Self {
+        let (claims, lines) = (Arc::default(), LogBuffer::default());
+        let others = FakeActors { ownership: OwnershipStatus::Owned, claims };
+        let claims = others.claims.clone();
+        let (control, links, permits) = start_control(me, clock, lines.clone(), others);
+        let served = links::serve(listener, links, control.clone(), permits).await;
+        served.expect("a listening socket");
+        Self { control, claims, lines }
+    }
+
+    async fn store(&self, event: StoreEvent) {
+        self.control.send(event).await.expect("a control");
+    }
+
+    /// Lets the daemon reach the store and read the plan and the owner of the shard from it.
+    async fn read_store(&self, owner: &Member) {
+        let (reach, silent) = (StoreReachability::Reached, Duration::ZERO);
+        self.store(StoreEvent::Reach { reach, silent, reason: String::new() }).await;
+        let plan = Plan::default().extended(&[vm_in_rack("r1")]).expect("its rack is new");
+        self.store(StoreEvent::Plan(plan)).await;
+        let head = Head { fence: FENCE, ..Head::claim(owner.id.clone(), None) };
+        self.store(StoreEvent::Heads(vec![(SHARD.to_owned(), head)])).await;
+    }
+
+    /// Makes the daemon the owner of the shard.
+    async fn own(&self) {
+        let StoreEvent::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
+        recovered.shard = SHARD.to_owned();
+        recovered.fence = Fence(FENCE);
+        self.store(StoreEvent::Claimed(recovered)).await;
+    }
+
+    async fn hear(&self, from: &Member, shards: Vec<ShardReport>) {
+        let (from, store) = (from.clone(), StoreReachability::Reached);
+        let hello = Hello { from, number: 1, store, config: 1, shards };
+        self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
+    }
+
+    fn claims(&self) -> Vec<PreviousOwner> {
+        let claims = self.claims.lock().expect("no test panics with it");
+        claims.iter().map(|claim| claim.previous).collect()
+    }
+
+    /// Waits for the first claim, while the clock of the daemons stands.
+    async fn wait_for_claim(&self) -> Vec<PreviousOwner> {
+        let waited = async {
+            while self.claims().is_empty() {
+                actix::clock::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        // Without a claim the caller's assertion fails.
+        let _ = tokio::time::timeout(TEST_TIMEOUT, waited).await;
+        self.claims()
+    }
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port")
+}
+
+/// A daemon with that address; of two the one with more CPU is offered a shard first.
+fn member(name: &str, milli_cores: u32, listener: &TcpListener) -> Member {
+    let addr = listener.local_addr().expect("an address").to_string();
+    let (id, name) = (DaemonId::new(&format!("{name}@1")), name.to_owned());
+    Member { id, name, addr, milli_cores, ..me() }
+}
+
+/// The owner of the shard, the daemon that it will offer the shard to, and the next best one.
+struct Trio {
+    owner: Node,
+    heir: Member,
+    next: Node,
+    clock: Arc<ManualClock>,
+}
+
+impl Trio {
+    /// Starts the owner and the next best daemon beside an heir at this listener's address.
+    async fn start(heir: &TcpListener) -> Self {
+        let clock = Arc::new(ManualClock::new());
+        let (at_owner, at_next) = (listener(), listener());
+        let heir = member("heir", 110, heir);
+        let members = [member("owner", 100, &at_owner), member("next", 105, &at_next)];
+        let [owner, next] = members.clone();
+        let owner = Node::start(owner, at_owner, clock.clone()).await;
+        let next = Node::start(next, at_next, clock.clone()).await;
+        for node in [&owner, &next] {
+            node.read_store(&members[0]).await;
+        }
+        owner.own().await;
+        for from in [&heir, &members[1]] {
+            owner.hear(from, Vec::new()).await;
+        }
+        Self { owner, heir, next, clock }
+    }
+}
+
+// Guards against a shard without an owner while daemons are stopped in turn: the daemon that it was
+// offered to had just begun to stop itself, and the offer was sent once.
+#[actix::test]
+async fn a_shard_offered_to_a_daemon_that_stops_too_goes_to_the_next_one() {
+    let at_heir = listener();
+    let trio = Trio::start(&at_heir).await;
+    let heir = Node::start(trio.heir.clone(), at_heir, trio.clock.clone()).await;
+    heir.read_store(&trio.heir).await;
+    heir.control.send(Drain).await.expect("a control");
+    trio.owner.control.send(Drain).await.expect("a control");
+    assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
+    assert_eq!(heir.claims(), [], "it stops");
+    let declined = "heir=heir@1 outcome=declined reason=\"the daemon stops\"";
+    assert!(trio.owner.lines.wait_for(declined, 1).await, "{}", trio.owner.lines.text());
+    let accepted = "heir=next@1 outcome=accepted";
+    assert!(trio.owner.lines.wait_for(accepted, 1).await, "{}", trio.owner.lines.text());
+}
+
+// The same, where the process of that daemon has ended and its port refuses connections.
+#[actix::test]
+async fn a_shard_offered_to_a_daemon_that_has_ended_goes_to_the_next_one() {
+    let at_heir = listener();
+    let trio = Trio::start(&at_heir).await;
+    drop(at_heir);
+    trio.owner.control.send(Drain).await.expect("a control");
+    assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
+}
+
+// The same, where a new process of that daemon answers, which has read nothing from the store yet:
+// its claim would fail.
+#[actix::test]
+async fn a_shard_offered_to_a_daemon_that_just_restarted_goes_to_the_next_one() {
+    let at_heir = listener();
+    let trio = Trio::start(&at_heir).await;
+    let later = Member { id: DaemonId::new("heir@2"), ..trio.heir.clone() };
+    let heir = Node::start(later, at_heir, trio.clock.clone()).await;
+    trio.owner.control.send(Drain).await.expect("a control");
+    assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
+    assert_eq!(heir.claims(), [], "it doesn't know the shard");
+}
+
+// The same, where the daemon is frozen: its port accepts connections and no call is answered.
+#[actix::test]
+async fn a_shard_offered_to_a_daemon_that_is_frozen_goes_to_the_next_one() {
+    let at_heir = listener();
+    let trio = Trio::start(&at_heir).await;
+    trio.owner.control.send(Drain).await.expect("a control");
+    assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
+    drop(at_heir);
+}
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -1,8 +1,9 @@
 //! Actor that communicates with other daemons over `tarpc`.
 //!
 //! Hello messages announce a daemon and the shards it owns, to both sides of the exchange. Callers'
-//! requests are forwarded to the owner of the shard concerned. Nothing is retried here: hellos are
-//! sent periodically, and a failed call is retried by whoever made it.
+//! requests are forwarded to the owner of the shard concerned. Nothing is retried here, except an
+//! offer whose connection breaks: hellos are sent periodically, and a failed call is retried by
+//! whoever made it.
 
 #[cfg(test)]
 mod tests;
@@ -13,7 +14,7 @@
 };
 use super::orders::RequestPermits;
 use crate::clock::Clock;
-use crate::cluster::{Hello, Member};
+use crate::cluster::{DeclineReason, Hello, Member, OfferAnswer, OfferOutcome};
 use crate::ids::DaemonId;
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::ring::RING_CAPACITY;
@@ -34,6 +35,7 @@
 use tarpc::context::Context as CallContext;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::time::Instant;
 
 /// Maximum size of a message between daemons, in bytes. A job is bounded by the limits on request
 /// bodies.
@@ -61,8 +63,9 @@
     /// Asks the permit service for a step. The service handles one request at a time per daemon.
     async fn ask(req: PermitReq) -> permit::Result<PermitResp>;
 
-    /// Offers a shard that its owner has released.
-    async fn take(shard: String, from: DaemonId, fence: Fence, lapses: Vec<VmLapse>);
+    /// Offers a shard that its owner has released. An offer may be repeated.
+    async fn take(shard: String, from: DaemonId, fence: Fence, lapses: Vec<VmLapse>)
+    -> OfferAnswer;
 }
 
 /// Why a call to another daemon failed.
@@ -188,8 +191,10 @@
         from: DaemonId,
         fence: Fence,
         lapses: Vec<VmLapse>,
-    ) {
-        self.control.do_send(HandleOffer { shard, from, fence, lapses });
+    ) -> OfferAnswer {
+        let answer = self.control.send(HandleOffer { shard, from, fence, lapses }).await;
+        // A control actor that has ended takes no shards.
+        answer.unwrap_or(OfferAnswer::Declined(DeclineReason::Draining))
     }
 }
 
@@ -258,8 +263,8 @@
 }
 
 /// Offers a shard to a daemon.
-#[derive(Message)]
-#[rtype(result = "()")]
+#[derive(Clone, Message)]
+#[rtype(result = "OfferOutcome")]
 pub struct OfferShard {
     pub shard: String,
     pub to: Member,
@@ -270,14 +275,17 @@
 }
 
 impl Handler<OfferShard> for PeerLinks {
-    type Result = ();
+    type Result = ResponseFuture<OfferOutcome>;
 
-    fn handle(&mut self, msg: OfferShard, _: &mut Self::Context) {
+    fn handle(&mut self, msg: OfferShard, _: &mut Self::Context) -> Self::Result {
         let peer = self.peer(&msg.to.addr);
-        actix::spawn(async move {
-            // If the offer is lost, the daemon finds the shard without an owner.
-            let _ = peer.offer_shard(msg).await;
-        });
+        Box::pin(async move {
+            match peer.offer_shard(msg).await {
+                Ok(answer) => OfferOutcome::Answered(answer),
+                Err(Error::Refused { .. }) => OfferOutcome::Refused,
+                Err(Error::NotSent { .. } | Error::NoAnswer { .. }) => OfferOutcome::NoAnswer,
+            }
+        })
     }
 }
 
@@ -359,12 +367,23 @@
         self.request(HELLO_TIMEOUT, |client, cx| async move { client.hello(cx, hello).await }).await
     }
 
-    async fn offer_shard(&self, offer: OfferShard) -> Result<()> {
+    async fn offer_shard(&self, offer: OfferShard) -> Result<OfferAnswer> {
+        let deadline = Instant::now() + HELLO_TIMEOUT;
+        let first = self.send_offer(offer.clone(), HELLO_TIMEOUT).await;
+        let left = deadline.saturating_duration_since(Instant::now());
+        // A kept connection breaks if its process has ended; another one may run there by now.
+        match first {
+            Err(Error::NoAnswer { .. }) if !left.is_zero() => self.send_offer(offer, left).await,
+            first => first,
+        }
+    }
+
+    async fn send_offer(&self, offer: OfferShard, timeout: Duration) -> Result<OfferAnswer> {
         let OfferShard { shard, from, fence, lapses, .. } = offer;
         let offer = |client: JobsRpcClient, cx| async move {
             client.take(cx, shard, from, fence, lapses).await
         };
-        self.request(HELLO_TIMEOUT, offer).await
+        self.request(timeout, offer).await
     }
 
     async fn send_loan_message(&self, message: SendLoanMessage) -> Result<()> {
--- a/src/jobs/links/tests.rs
+++ b/src/jobs/links/tests.rs
@@ -1,8 +1,18 @@
-use super::{Error, PeerClient};
+use super::{Error, JobsRpc, OfferShard, PeerClient};
+use crate::cluster::{Hello, Member, MemberStage, OfferAnswer};
+use crate::ids::{DaemonId, DomainId};
 use crate::job::JobId;
-use crate::jobs::calls::Call;
+use crate::jobs::calls::{Call, Reply};
+use crate::permit::{self, PermitReq, PermitResp};
+use crate::shard::VmLapse;
+use crate::shard::loan::LoanMsg;
+use crate::vm::Fence;
+use futures::StreamExt;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
+use tarpc::context::Context as CallContext;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
 
 /// Timeouts of the calls that time out first, and of those that time out later.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(40);
@@ -50,3 +60,66 @@
 }
 
 const SHARD: &str = "kacyiru/0";
+
+/// A daemon that accepts every offer.
+#[derive(Clone)]
+struct Heir;
+
+impl JobsRpc for Heir {
+    async fn hello(self, _: CallContext, _: Hello) -> Option<Hello> {
+        None
+    }
+
+    async fn call(self, _: CallContext, _: String, _: Call) -> Reply {
+        Reply::NotOwner
+    }
+
+    async fn tell(self, _: CallContext, _: String, _: String, _: Fence, _: LoanMsg) {}
+
+    async fn ask(self, _: CallContext, _: PermitReq) -> permit::Result<PermitResp> {
+        Err(permit::Error::NotSent { reason: "no service".to_owned() })
+    }
+
+    async fn take(
+        self,
+        _: CallContext,
+        _: String,
+        _: DaemonId,
+        _: Fence,
+        _: Vec<VmLapse>,
+    ) -> OfferAnswer {
+        OfferAnswer::Accepted
+    }
+}
+
+/// Closes the connection that the listener has accepted, and serves the next one.
+async fn serve_second_connection(listener: TcpListener) {
+    drop(accepted(&listener));
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let transport = tarpc::serde_transport::Transport::from((stream, Bincode::default()));
+    let requests = BaseChannel::with_defaults(transport).execute(Heir.serve());
+    requests.for_each(|answer| answer).await;
+}
+
+// Guards against a shard that is not offered to a daemon which has just been restarted: the kept
+// connection to its earlier process is broken, and a new one would be answered.
+#[actix::test]
+async fn an_offer_over_a_broken_connection_is_repeated_over_a_new_one() {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let peer = PeerClient::new(&addr);
+    peer.client().await.expect("a connection");
+    actix::spawn(serve_second_connection(listener));
+    let to = Member {
+        id: DaemonId::new("two@2"),
+        name: "two".to_owned(),
+        domain: DomainId::new("kacyiru"),
+        addr,
+        stage: MemberStage::Serving,
+        milli_cores: 100,
+    };
+    let (shard, from) = (SHARD.to_owned(), DaemonId::new("one@1"));
+    let offer = OfferShard { shard, to, from, fence: Fence(7), lapses: Vec::new() };
+    assert_eq!(peer.offer_shard(offer).await, Ok(OfferAnswer::Accepted));
+}
--- a/src/note.rs
+++ b/src/note.rs
@@ -155,6 +155,12 @@
     Urgent ShardOwned = "shard-owned" { shard: String, fence: u64, jobs: usize, runs: usize, took_ms: Millis, }
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
+    /// A shard that this daemon has given up is offered to another one.
+    Urgent ShardOffered = "shard-offered" { shard: String, fence: u64, heir: DaemonId, }
+    /// What became of an offer of a shard: accepted, declined, refused (the connection) or unanswered.
+    Urgent ShardOfferEnded = "shard-offer-ended" { shard: String, fence: u64, heir: DaemonId, outcome: StaticText, reason: StaticText, took_ms: Millis, }
+    /// None of the daemons that a shard was offered to took it; `next` tells whether this daemon takes it back or leaves it to whoever hears of it.
+    Urgent ShardNotTaken = "shard-not-taken" { shard: String, fence: u64, offers: usize, took_ms: Millis, next: StaticText, }
     /// The new owner of a shard starts from what an earlier owner had learned, as read from the store or as last reported.
     Telling LearnedRestored = "learned-restored" { shard: String, source: StaticText, queues: usize, pairs: usize, age_ms: Millis, }
     /// The record of what a shard has learned can't be used; learning starts again.
--- a/tests/ownership.rs
+++ b/tests/ownership/main.rs
@@ -1,13 +1,16 @@
 //! Tests of the claims and hand-overs of shards.
 
+mod offers;
+
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::cluster::{
-    Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, Ownership, Plan,
-    ShardReport, StoreReachability,
+    Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, OfferOutcome,
+    Ownership, Plan, ShardReport, StoreReachability,
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
+use waxwingstall::note::Note;
 use waxwingstall::shard::learned::Learned;
 use waxwingstall::shard::{PreviousOwner, Summary};
 use waxwingstall::units::Resources;
@@ -88,6 +91,11 @@
     /// Processes that were probed.
     probed: Vec<DaemonId>,
     handed_over: Vec<(String, String)>,
+    /// How shards should be handed over.
+    how: HandOver,
+    /// Daemons that a dropped shard was offered to.
+    offered: Vec<(String, DaemonId)>,
+    notes: Vec<Note>,
     /// Shards whose previous owner was found to have ended after the claim.
     predecessors_ended: Vec<String>,
 }
@@ -104,6 +112,9 @@
             replaces: Vec::new(),
             probed: Vec::new(),
             handed_over: Vec::new(),
+            how: HandOver::AfterCommit,
+            offered: Vec::new(),
+            notes: Vec::new(),
             predecessors_ended: Vec::new(),
         };
         harness.step(Event::Store(StoreReachability::Reached));
@@ -121,11 +132,13 @@
                 }
                 Action::Probe(member) => self.probed.push(member.id),
                 Action::HandOver { shard, to, how } => {
-                    assert_eq!(how, HandOver::AfterCommit);
+                    assert_eq!(how, self.how);
                     self.handed_over.push((shard, to.name));
                 }
                 Action::PredecessorEnded { shard } => self.predecessors_ended.push(shard),
-                Action::ReadHeads | Action::Note(_) => {}
+                Action::Offer { shard, to, .. } => self.offered.push((shard, to.id)),
+                Action::Note(note) => self.notes.push(note),
+                Action::ReadHeads => {}
             }
         }
     }
@@ -162,6 +175,17 @@
         self.step(Event::Offered { shard: shard.to_owned(), from: from.id.clone(), fence });
     }
 
+    /// The shard that this daemon owned with this token is dropped, so that it can be handed over.
+    fn release(&mut self, shard: &str, fence: u64) {
+        self.step(Event::Released { shard: shard.to_owned(), fence });
+    }
+
+    /// A daemon that a shard was offered to answers, or it is found that it doesn't.
+    fn end_offer(&mut self, shard: &str, fence: u64, heir: &Member, outcome: OfferOutcome) {
+        let (shard, heir) = (shard.to_owned(), heir.id.clone());
+        self.step(Event::OfferEnded { shard, fence, heir, outcome });
+    }
+
     /// Reads from the store that a daemon claimed the shard.
     fn read_claim(&mut self, shard: &str, owner: &Member, fence: u64) {
         let head = Head { fence, ..Head::claim(owner.id.clone(), None) };
