Bound the times of store revisions by a daemon's own calls

No change of behaviour yet. A daemon knew when an announcement was written only if it came with a watch right after a fresh read; whatever it read first, or by a stale read, was of unknown age. Its calls tell more: an answer that states the store's revision shows that later changes were made after its request, and earlier ones before its answer. Samples are pages of fresh range reads, commits, and watch answers; a watch counts only if it moved on, isn't behind a revision known from other calls, and isn't large enough to be truncated. A watch that times out states the revision at the end of its wait, which gives a daemon without shards a sample about each second from the operators' entries.

An answer may be truncated by its size as well as by its number of changes; the follower of the VMs reads on after either.

--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -134,7 +134,7 @@
     let mut attempts = 0;
     loop {
         attempts += 1;
-        match store.call(|store| store.commit(&txn)).await {
+        match store.commit(&txn).await {
             Ok(rev) => return Ok(rev),
             Err(Error::Conflict { items }) => return resolve_claim_conflict(&items, head),
             Err(e) if attempts < MAX_CLAIM_ATTEMPTS => tokio::time::sleep(retry_delay(&e)).await,
@@ -239,7 +239,7 @@
         txn.puts.push(Put { key: self.key.clone(), value, lease: None });
         let mut earlier = EarlierAttempts::Answered;
         loop {
-            match store.call(|store| store.commit(&txn)).await {
+            match store.commit(&txn).await {
                 Ok(rev) => return self.record_commit(rev, head),
                 Err(Error::Conflict { items }) => {
                     return match self.resolve_conflict(&items, &head, earlier) {
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -131,7 +131,7 @@
             }],
             deletes: Vec::new(),
         };
-        match ctx.store.call(|store| store.commit(&txn)).await {
+        match ctx.store.commit(&txn).await {
             // Read the plan again to learn whether this commit or another daemon's took effect.
             Ok(_) | Err(Error::Conflict { .. } | Error::NoAnswer { .. }) => {}
             Err(e) => return Err(e),
@@ -191,10 +191,10 @@
     let value = Bytes::from(encode(me));
     let put = Put { key: key.to_owned(), value, lease: Some(lease) };
     let txn = Txn { puts: vec![put], ..Txn::default() };
-    store.call(|store| store.commit(&txn)).await.map(|_| ())
+    store.commit(&txn).await.map(|_| ())
 }
 
-/// Reads every page of a range. Returns the revision of the first page; a watch from there reports
+/// Reads every page of a range. Returns the revision of the oldest page; a watch from there reports
 /// all later changes.
 pub(super) async fn read_all<S: KvStore>(
     store: &MonitoredStore<S>,
@@ -206,10 +206,10 @@
     loop {
         let after = items.last().map(|item| item.key.clone());
         let after = after.as_deref();
-        let page = store.call(|store| store.range(prefix, after, freshness)).await?;
-        // Pages are not a snapshot: the watch must start at the first one to include what changed
-        // between pages.
-        let at = *at.get_or_insert(page.at);
+        let page = store.range(prefix, after, freshness).await?;
+        // Pages are not a snapshot: the watch must start at the oldest one, which is the first
+        // unless they are stale, to include what changed between pages.
+        let at = *at.insert(at.unwrap_or(page.at).min(page.at));
         items.extend(page.items);
         if page.more == HasMore::No {
             return Ok((items, at));
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -15,7 +15,7 @@
 use crate::jobs::control::StoreEvent;
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{Platform, UnreadableEntry};
-use crate::kv::{Change, Freshness, Item, KvStore, Result, Rev, Watch};
+use crate::kv::{Change, Freshness, Item, Result, Rev, Watch};
 use crate::note::{Millis, Note};
 use crate::shard::FleetListStatus;
 use crate::vm::{Departure, VmEntry};
@@ -34,10 +34,6 @@
 /// Timeout of a watch. Changes from the preceding interval are returned immediately.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 
-/// Number of changes from which an answer may be truncated. The platform's pages hold about 500
-/// items, and 500 changes were the most observed in an answer.
-const TRUNCATION_THRESHOLD: usize = 400;
-
 /// Time after an outage of the store during which it may lack VMs that are alive.
 const REANNOUNCE_WINDOW: Duration = Duration::from_millis(2500);
 
@@ -174,11 +170,11 @@
         loop {
             let (newest, asked) = (ctx.store.reach().newest(), ctx.store.clock().now());
             let watch = Watch::new(ctx.platform.vm_prefix(), self.after, WATCH_TIMEOUT);
-            let answer = ctx.store.call(|store| store.watch(&watch)).await?;
+            let answer = ctx.store.watch(&watch).await?;
             self.after = self.after.max(answer.at);
-            let changes = answer.changes.len();
+            let (changes, may_be_truncated) = (answer.changes.len(), answer.may_be_truncated());
             answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change, answer.at));
-            if self.after >= newest && changes < TRUNCATION_THRESHOLD {
+            if self.after >= newest && !may_be_truncated {
                 self.requested_at = Some(asked);
                 return Ok(ReadProgress::CaughtUp);
             }
@@ -194,7 +190,7 @@
     fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change, up_to: Rev) {
         match change {
             Change::Put(item) => self.apply_item(ctx, &item),
-            Change::Deleted { key } => {
+            Change::Deleted { key, .. } => {
                 self.note_removal(ctx, &key, up_to);
                 self.remove(&key);
             }
--- a/src/jobs/follow/operators.rs
+++ b/src/jobs/follow/operators.rs
@@ -11,7 +11,7 @@
 use crate::jobs::control::StoreEvent;
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{OperatorEntry, Platform};
-use crate::kv::{Change, Changes, Error, Freshness, Item, KvStore, Result, Rev, Watch};
+use crate::kv::{Change, Changes, Error, Freshness, Item, Result, Rev, Watch};
 use crate::queues::Queues;
 use std::time::Duration;
 
@@ -104,7 +104,7 @@
         let wait = if self.changed { CONFIRM_TIMEOUT } else { WATCH_TIMEOUT };
         let watch = Watch::new(ctx.platform.operator_prefix(), self.after, wait);
         let watch = watch.with_max_bytes(self.answer_limit());
-        let answer = match ctx.store.call(|store| store.watch(&watch)).await {
+        let answer = match ctx.store.watch(&watch).await {
             Err(Error::TooLarge { .. }) => return Ok(ReadProgress::Behind),
             answer => answer?,
         };
@@ -129,7 +129,7 @@
                     self.evacuations.extend(ctx.platform.evacuated_domain(&item.key));
                     self.apply(ctx, item);
                 }
-                Change::Deleted { key } => {
+                Change::Deleted { key, .. } => {
                     if let Some(domain) = ctx.platform.evacuated_domain(key) {
                         self.evacuations.remove(&domain);
                     }
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -12,12 +12,13 @@
 use crate::cluster::{ExpectedOwner, Member, StoreReachability};
 use crate::ids::DaemonId;
 use crate::job::JobId;
-use crate::kv::{Error, HasRevision, KvStore, Result, Rev, Txn};
+use crate::kv::{Changes, Error, Freshness, HasRevision, KvStore, Page, Result, Rev, Txn, Watch};
+use crate::revisions::RevisionTimes;
 use crate::ring::RING_CAPACITY;
 use crate::shard::{Keys, PreviousOwner};
 use actix::prelude::*;
 use indexmap::IndexMap;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -95,18 +96,19 @@
     }
 }
 
-/// A store client that records whether the store answers.
+/// A store client that records whether the store answers, and when it reached which revision.
 #[derive(Clone)]
 pub struct MonitoredStore<S> {
     store: S,
     reach: Rc<Reachability>,
+    times: Rc<RefCell<RevisionTimes>>,
     clock: Arc<dyn Clock>,
 }
 
 impl<S: KvStore> MonitoredStore<S> {
     /// Wraps a client that has made no calls yet.
     pub fn new(store: S, clock: Arc<dyn Clock>) -> Self {
-        Self { store, reach: Rc::default(), clock }
+        Self { store, reach: Rc::default(), times: Rc::default(), clock }
     }
 
     /// Makes a call and records its result.
@@ -120,10 +122,56 @@
         result
     }
 
+    /// Reads a page of the keys with the prefix, after the key `after`.
+    pub async fn range(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Page> {
+        let asked = self.clock.now();
+        let page = self.call(|store| store.range(prefix, after, freshness)).await?;
+        if freshness == Freshness::Latest {
+            self.times.borrow_mut().record(asked, self.clock.now(), page.at);
+        }
+        Ok(page)
+    }
+
+    /// Commits a transaction and returns its revision.
+    pub async fn commit(&self, txn: &Txn) -> Result<Rev> {
+        let asked = self.clock.now();
+        let rev = self.call(|store| store.commit(txn)).await?;
+        self.times.borrow_mut().record(asked, self.clock.now(), rev);
+        Ok(rev)
+    }
+
+    /// Waits for changes to a range; returns no changes on timeout.
+    pub async fn watch(&self, watch: &Watch) -> Result<Changes> {
+        let asked = self.clock.now();
+        let answer = self.call(|store| store.watch(watch)).await?;
+        let answered = self.clock.now();
+        // Other calls may show that the store had reached a later revision, so that the answer is
+        // incomplete or delayed.
+        let is_newest = answer.at > watch.after && answer.at >= self.reach.newest();
+        if is_newest && !answer.may_be_truncated() {
+            // Without changes, the revision is that at the end of the wait.
+            let waited = asked + watch.wait;
+            let is_timeout = answer.changes.is_empty() && waited <= answered;
+            let asked = if is_timeout { waited } else { asked };
+            self.times.borrow_mut().record(asked, answered, answer.at);
+        }
+        Ok(answer)
+    }
+
     pub fn clock(&self) -> &dyn Clock {
         &*self.clock
     }
 
+    /// What is known of the times of the store's revisions.
+    pub fn times(&self) -> Ref<'_, RevisionTimes> {
+        self.times.borrow()
+    }
+
     /// What is known of the store's reachability.
     pub fn reach(&self) -> &Reachability {
         &self.reach
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -15,6 +15,14 @@
 /// Maximum number of conditions, writes and deletions in one transaction.
 pub const MAX_TXN_ENTRIES: usize = 32;
 
+/// Number of changes from which an answer may be truncated. The platform's pages hold about 500
+/// items, and 500 changes were the most observed in an answer.
+const TRUNCATION_CHANGES: usize = 400;
+
+/// Size of the values from which an answer may be truncated, in bytes. The platform's pages hold
+/// about 1 MB.
+const TRUNCATION_BYTES: usize = 256 << 10;
+
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum Error {
@@ -128,7 +136,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     Put(Item),
-    Deleted { key: String },
+    Deleted {
+        key: String,
+        /// Revision of the deletion.
+        rev: Rev,
+    },
 }
 
 /// Changes to a range.
@@ -139,6 +151,23 @@
     pub at: Rev,
 }
 
+impl Changes {
+    /// Whether the answer is so large that the store may have left out later changes.
+    pub fn may_be_truncated(&self) -> bool {
+        let bytes: usize = self.changes.iter().map(Change::value_bytes).sum();
+        self.changes.len() >= TRUNCATION_CHANGES || bytes >= TRUNCATION_BYTES
+    }
+}
+
+impl Change {
+    fn value_bytes(&self) -> usize {
+        match self {
+            Self::Put(item) => item.value.len(),
+            Self::Deleted { .. } => 0,
+        }
+    }
+}
+
 /// A range watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Watch {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod queues;
 pub mod report;
 pub mod request;
+pub mod revisions;
 pub mod ring;
 pub mod settings;
 pub mod shard;
--- a/standin/src/txns.rs
+++ b/standin/src/txns.rs
@@ -55,6 +55,11 @@
         ended.into_iter().for_each(|id| self.drop_lease(id));
     }
 
+    /// Revision of the last change.
+    pub fn revision(&self) -> Rev {
+        Rev(self.rev)
+    }
+
     /// Reads a key.
     pub fn get(&mut self, key: &str) -> Option<Item> {
         self.calls += 1;
@@ -85,7 +90,7 @@
         let matches = |(rev, change): &&(Rev, Change)| {
             let key = match change {
                 Change::Put(item) => &item.key,
-                Change::Deleted { key } => key,
+                Change::Deleted { key, .. } => key,
             };
             *rev > after && key.starts_with(prefix)
         };
@@ -131,7 +136,7 @@
         }
         for key in &txn.deletes {
             if self.items.remove(key).is_some() {
-                self.history.push((rev, Change::Deleted { key: key.clone() }));
+                self.history.push((rev, Change::Deleted { key: key.clone(), rev }));
             }
         }
         Ok(rev)
@@ -195,9 +200,10 @@
             return;
         }
         self.rev += 1;
+        let rev = Rev(self.rev);
         for key in keys {
             self.items.remove(key);
-            self.history.push((Rev(self.rev), Change::Deleted { key: key.clone() }));
+            self.history.push((rev, Change::Deleted { key: key.clone(), rev }));
         }
     }
 }
