Judge departures by when announcements were written, whoever read them when

What callers saw: tasks stood still for the whole lease of a VM, 11 s, although the VM had announced its departure and left as announced; the owner of their shard had become so during the notice.

Cause: an announcement that a daemon read first, or by a stale read, was of unknown age, and each stale read made a daemon without shards forget what it knew. The end of the notice was counted from the reading, as if the time left had been stated just then, so that the removal at the real end seemed to come too early; it was judged once and forgotten. A removal before the last announcement also made the follower forget the notice.

Change: `LeavingVms` takes bounds from `RevisionTimes` by the announcement's revision, so it doesn't matter how it was read. The notice ends at the latest bound that an announcement tells. A removal is judged by its own time, bounded by the deletion's revision, and one that is older than the last announcement has no effect. A stale list that is older than what was read before is passed over instead of clearing what is known. The line `departure-judged` tells the outcome and its reason.

A VM that is cut off is not proved to have left by any of the new cases: claims before, during and after its notice, delayed watches, stale lists, no history, an outage, a vanished announcement, the next instance under its key.

They now state what is left; the times of removals are as before, and the tests of departures name the reason that they expect, not only that nothing is proved.

Why it works: the silence is bounded from above by the time before which the removal was made and the time after which the last announcement was, whenever they were read. The check of the end of the notice adds that the VM did go as announced; its bound is the earliest possible end, which no departure precedes.

--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -16,7 +16,7 @@
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{Platform, UnreadableEntry};
 use crate::kv::{Change, Freshness, Item, Result, Rev, Watch};
-use crate::note::{Millis, Note};
+use crate::note::{Millis, Note, StaticText};
 use crate::shard::FleetListStatus;
 use crate::vm::{Departure, VmEntry};
 use indexmap::{IndexMap, IndexSet};
@@ -146,17 +146,17 @@
         let asked = ctx.store.clock().now();
         let prefix = ctx.platform.vm_prefix();
         let (items, after) = read_all(&ctx.store, prefix, freshness).await?;
+        self.requested_at = (freshness == Freshness::Latest).then_some(asked);
+        if freshness == Freshness::Stale && after < self.after {
+            // The list is older than what was read before.
+            return Ok(());
+        }
+        self.after = after;
         items.iter().for_each(|item| self.apply_item(ctx, item));
         let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        if freshness == Freshness::Stale {
-            // The data may be older than what was read before.
-            self.leaving.clear();
-        }
         for key in self.leaving.missing(&present) {
-            self.note_removal(ctx, &key, ctx.store.reach().newest());
+            self.note_removal(ctx, &key, after, "list");
         }
-        (self.requested_at, self.after) =
-            ((freshness == Freshness::Latest).then_some(asked), after);
         self.vms.retain(|key, _| present.contains(key.as_str()));
         self.unreadable.retain(|key| present.contains(key.as_str()));
         Ok(())
@@ -173,7 +173,7 @@
             let answer = ctx.store.watch(&watch).await?;
             self.after = self.after.max(answer.at);
             let (changes, may_be_truncated) = (answer.changes.len(), answer.may_be_truncated());
-            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change, answer.at));
+            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change));
             if self.after >= newest && !may_be_truncated {
                 self.requested_at = Some(asked);
                 return Ok(ReadProgress::CaughtUp);
@@ -186,12 +186,11 @@
         }
     }
 
-    /// Applies one of the changes up to a revision.
-    fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change, up_to: Rev) {
+    fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change) {
         match change {
             Change::Put(item) => self.apply_item(ctx, &item),
-            Change::Deleted { key, .. } => {
-                self.note_removal(ctx, &key, up_to);
+            Change::Deleted { key, rev } => {
+                self.note_removal(ctx, &key, rev, "changes");
                 self.remove(&key);
             }
         }
@@ -200,8 +199,7 @@
     fn apply_item<P: Platform>(&mut self, ctx: &FollowContext<P>, item: &Item) {
         let read = ctx.platform.parse_vm_entry(item);
         if let Ok(entry) = &read {
-            let now = ctx.store.clock().now();
-            self.leaving.record(&item.key, item.rev, entry, self.requested_at, now);
+            self.leaving.record(&item.key, item.rev, entry, &ctx.store.times());
             self.departures.retain(|departure| departure.vm != entry.id);
         }
         let (novelty, note) = self.apply(item, read);
@@ -238,9 +236,18 @@
     }
 
     /// Records a VM as departed if the removal of its announcement proves that it has left.
-    fn note_removal<P: Platform>(&mut self, ctx: &FollowContext<P>, key: &str, read_up_to: Rev) {
-        let departure = self.leaving.remove(key, ctx.removal(read_up_to));
-        self.departures.extend(departure);
+    fn note_removal<P: Platform>(
+        &mut self,
+        ctx: &FollowContext<P>,
+        key: &str,
+        rev: Rev,
+        found_in: StaticText,
+    ) {
+        let finding = self.leaving.remove(key, ctx.removal(rev), &ctx.store.times());
+        if let Some(finding) = finding {
+            ctx.control.do_send(StoreEvent::Note(finding.note(found_in)));
+            self.departures.extend(finding.departure());
+        }
     }
 
     fn remove(&mut self, key: &str) {
@@ -298,12 +305,12 @@
         }
     }
 
-    fn removal(&self, read_up_to: Rev) -> Removal {
+    fn removal(&self, rev: Rev) -> Removal {
         let (now, reach) = (self.store.clock().now(), self.store.reach());
         let is_reachable = reach.state(now) == StoreReachability::Reached;
         let reachable_since = is_reachable.then(|| reach.regained());
         let announce_interval = self.announce_interval;
-        Removal { now, read_up_to, reachable_since, announce_interval }
+        Removal { now, rev, reachable_since, announce_interval }
     }
 
     fn publish_unread(&self) {
--- /dev/null
+++ b/tests/followers/departures.rs
@@ -0,0 +1,279 @@
+//! Departures of VMs whose shard changes its owner around that time.
+
+use crate::harness::{ANNOUNCE_INTERVAL, Harness, NOTICE, vm_id};
+use std::time::Duration;
+use waxwingstall::ids::VmId;
+use waxwingstall::note::Note;
+
+/// Number of VMs that stay.
+const STAYING: usize = 30;
+
+/// The VM that leaves.
+const LEAVING: usize = 99;
+
+const SHARD: &str = "kacyiru.0";
+
+/// Time in which a departure is known, from the removal of the announcement or from the claim.
+const MAX_PROOF_TIME: Duration = Duration::from_secs(1);
+
+/// Silence after which the store removes an announcement.
+const EXPIRY: Duration = Duration::from_millis(4500);
+
+/// Start of the notice.
+const NOTICE_START: Duration = Duration::from_secs(4);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Something that happens at a given time.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The VM announces itself.
+    Announce(String),
+    RemoveAnnouncement,
+    Claim,
+    StoreDown(bool),
+    DelayWatches(Duration),
+    FreezeStaleReads,
+    DropHistory,
+}
+
+/// A sequence of steps.
+#[derive(Clone, Debug, Default)]
+struct Script(Vec<(Duration, Step)>);
+
+impl Script {
+    fn with(mut self, at: Duration, step: Step) -> Self {
+        self.0.push((at, step));
+        self
+    }
+
+    /// A VM that announces itself as ready, then as leaving until `last`; its words are added to
+    /// each announcement.
+    fn leaving_until(last: Duration, words: &str) -> Self {
+        let mut script = Self::default();
+        let mut at = NOTICE_START - 2 * ANNOUNCE_INTERVAL;
+        while at <= last {
+            let left = (NOTICE_START + NOTICE).saturating_sub(at).as_millis();
+            let is_leaving = at >= NOTICE_START;
+            let state =
+                if is_leaving { format!("leaving left={left}") } else { "ready".to_owned() };
+            script.0.push((at, Step::Announce(format!("{state} {words}"))));
+            at += ANNOUNCE_INTERVAL;
+        }
+        script
+    }
+
+    /// A VM that leaves at this time.
+    fn leaving_at(end: Duration, words: &str) -> Self {
+        Self::leaving_until(end - ms(1), words).with(end, Step::RemoveAnnouncement)
+    }
+
+    /// Runs the steps on a daemon, and some seconds more. The shard's records name the VM.
+    fn run(self, vm: &VmId) -> Harness {
+        let mut steps = self.0;
+        steps.sort_by_key(|(at, _)| *at);
+        actix_rt::System::new().block_on(async {
+            let mut harness = Harness::start(STAYING);
+            harness.record_run(SHARD, vm);
+            for (at, step) in steps {
+                let wait = at.saturating_sub(harness.clock.now());
+                harness.advance(STAYING, wait).await;
+                match step {
+                    Step::Announce(state) => harness.announce(LEAVING, &state),
+                    Step::RemoveAnnouncement => harness.remove_announcement(LEAVING),
+                    Step::Claim => harness.claim(SHARD).await,
+                    Step::StoreDown(is_down) => harness.set_down(is_down),
+                    Step::DelayWatches(delay) => harness.delay_watches(delay),
+                    Step::FreezeStaleReads => harness.freeze_stale_reads(),
+                    Step::DropHistory => harness.table.table().compact(),
+                }
+            }
+            harness.advance(STAYING, ms(5000)).await;
+            harness
+        })
+    }
+}
+
+fn vm() -> VmId {
+    VmId::new(&vm_id(LEAVING))
+}
+
+/// Fails if any VM is reported as departed.
+fn assert_none_departed(script: Script, case: &str) {
+    let harness = script.run(&vm());
+    assert_eq!(*harness.departures.borrow(), [], "{case}");
+}
+
+/// Ends of a stay: soon after the notice, and some time later, after another announcement.
+fn ends() -> [Duration; 4] {
+    [50, 700, 1450, 2900].map(|late| NOTICE_START + NOTICE + ms(late))
+}
+
+/// Times from `from` until `until`.
+fn times(from: Duration, until: Duration) -> impl Iterator<Item = Duration> {
+    let step = ms(350);
+    (0..).map(move |number| from + number * step).take_while(move |at| *at < until)
+}
+
+/// Fails unless exactly this VM is reported as departed, in time after `known`.
+fn assert_departed(harness: &Harness, vm: &VmId, known: Duration, case: &str) {
+    let departures = harness.departures.borrow();
+    let vms: Vec<&str> = departures.iter().map(|(vm, _)| vm.as_str()).collect();
+    assert_eq!(vms, [vm.to_string()], "{case}");
+    let took = departures[0].1.saturating_sub(known);
+    assert!(took <= MAX_PROOF_TIME, "{case}: {took:?}");
+}
+
+// Guards against owners that wait for the lease of a VM that has left because they became the owner
+// during its notice: the age of what a daemon reads first was unknown.
+#[test]
+fn an_owner_since_the_notice_is_told_that_a_vm_has_left() {
+    for end in ends() {
+        for claimed in times(NOTICE_START - ms(500), end - ms(100)) {
+            let script = Script::leaving_at(end, "").with(claimed, Step::Claim);
+            let case = format!("claimed at {claimed:?}, left at {end:?}");
+            assert_departed(&script.run(&vm()), &vm(), end, &case);
+        }
+    }
+}
+
+// Guards against a departure that isn't proved, with nothing in the log that tells why.
+#[test]
+fn the_log_tells_why_a_departure_is_not_proved() {
+    let outcomes = |script: Script| -> Vec<&'static str> {
+        let harness = script.with(ms(1000), Step::Claim).run(&vm());
+        let notes = harness.notes.borrow();
+        let outcome = |note: &Note| match note {
+            Note::DepartureJudged { vm: id, outcome, .. } if *id == vm() => Some(*outcome),
+            _ => None,
+        };
+        notes.iter().filter_map(outcome).collect()
+    };
+    let end = NOTICE_START + NOTICE;
+    let last = |at| Script::leaving_until(at, "");
+    let expired = last(end).with(end + EXPIRY, Step::RemoveAnnouncement);
+    let vanished = last(NOTICE_START).with(NOTICE_START + ms(700), Step::RemoveAnnouncement);
+    let lost = last(end)
+        .with(end + ms(100), Step::StoreDown(true))
+        .with(end + ms(300), Step::RemoveAnnouncement)
+        .with(end + ms(1000), Step::StoreDown(false));
+    assert_eq!(outcomes(Script::leaving_at(end + ms(50), "")), ["proved"]);
+    assert_eq!(outcomes(expired), ["it may have been silent for too long"]);
+    assert_eq!(outcomes(vanished), ["its notice was not over"]);
+    assert_eq!(outcomes(lost), ["the store was unreachable after its last announcement"]);
+}
+
+/// Cases of a VM that is cut off and alive: its last announcement, when the store removed that, and
+/// when the shard was claimed.
+fn cut_off() -> Vec<(Script, Duration, Duration, String)> {
+    let mut cases = Vec::new();
+    for number in 0..4 {
+        let last = NOTICE_START + number * ANNOUNCE_INTERVAL;
+        let removed = last + EXPIRY;
+        for claimed in times(NOTICE_START - ms(500), removed + ms(6000)) {
+            let script = Script::leaving_until(last, "").with(removed, Step::RemoveAnnouncement);
+            let script = script.with(claimed, Step::Claim);
+            let case = format!("last heard at {last:?}, claimed at {claimed:?}");
+            cases.push((script, last, claimed, case));
+        }
+    }
+    cases
+}
+
+// Guards against tasks that run twice: a VM that is cut off was taken for one that has left by an
+// owner that read its announcement late, or not at all.
+#[test]
+fn a_vm_that_is_cut_off_counts_as_alive_whenever_its_shard_is_claimed() {
+    for (script, _, _, case) in cut_off() {
+        assert_none_departed(script, &case);
+    }
+}
+
+// Guards against the same while the store holds changes back from watches.
+#[test]
+fn a_vm_that_is_cut_off_counts_as_alive_while_watches_are_delayed() {
+    for (script, _, _, case) in cut_off() {
+        assert_none_departed(script.with(ms(0), Step::DelayWatches(ms(1000))), &case);
+    }
+}
+
+// Guards against the same if lists are seconds old.
+#[test]
+fn a_vm_that_is_cut_off_counts_as_alive_while_lists_are_stale() {
+    for (script, last, _, case) in cut_off() {
+        assert_none_departed(script.with(last + ms(100), Step::FreezeStaleReads), &case);
+    }
+}
+
+// Guards against the same if the store no longer keeps its history.
+#[test]
+fn a_vm_that_is_cut_off_counts_as_alive_without_a_history() {
+    for (script, last, claimed, case) in cut_off() {
+        let script =
+            script.with(last + ms(100), Step::DropHistory).with(claimed, Step::DropHistory);
+        assert_none_departed(script, &case);
+    }
+}
+
+// Guards against the same for announcements that expire while the store is away.
+#[test]
+fn a_vm_whose_announcement_expires_in_an_outage_counts_as_alive() {
+    for last in [NOTICE_START + ANNOUNCE_INTERVAL, NOTICE_START + NOTICE] {
+        let (lost, removed, regained) = (last + ms(200), last + ms(1000), last + ms(2700));
+        for claimed in times(last, regained + ms(6000)) {
+            let script = Script::leaving_until(last, "")
+                .with(lost, Step::StoreDown(true))
+                .with(removed, Step::RemoveAnnouncement)
+                .with(regained, Step::StoreDown(false))
+                .with(claimed, Step::Claim);
+            assert_none_departed(
+                script,
+                &format!("last heard at {last:?}, claimed at {claimed:?}"),
+            );
+        }
+    }
+}
+
+// Guards against the same for a VM whose announcement vanishes and that announces itself again. The
+// end of the notice is known as well as the time of the announcement, which a daemon without shards
+// knows to within a second.
+#[test]
+fn a_vm_whose_announcement_vanishes_during_its_notice_counts_as_alive() {
+    let first = NOTICE_START;
+    let later = NOTICE_START + ANNOUNCE_INTERVAL;
+    let any_time = || times(NOTICE_START - ms(500), NOTICE_START + ms(8000));
+    let before = || times(ms(500), NOTICE_START - ms(500));
+    let early = [first + ms(200), first + ms(900)].map(|at| (at, any_time().collect::<Vec<_>>()));
+    let late = [later + ms(200), later + ms(900)].map(|at| (at, before().collect::<Vec<_>>()));
+    for (vanished, claims) in early.into_iter().chain(late) {
+        for claimed in claims {
+            let script = Script::leaving_until(NOTICE_START + 4 * NOTICE, "")
+                .with(vanished, Step::RemoveAnnouncement)
+                .with(claimed, Step::Claim);
+            let case = format!("vanished at {vanished:?}, claimed at {claimed:?}");
+            assert_none_departed(script, &case);
+        }
+    }
+}
+
+// Guards against tasks that run twice on the next instance under the same registered id, which is cut
+// off soon after an earlier one has left.
+#[test]
+fn the_departure_of_an_instance_does_not_count_for_the_next_one() {
+    let end = NOTICE_START + NOTICE + ms(50);
+    let instance = |started| VmId::with_start(&vm_id(LEAVING), started);
+    let (earlier, next) = (instance(1), instance(2));
+    for claimed in times(NOTICE_START, end + ms(10_000)) {
+        let script = Script::leaving_at(end, "start=1")
+            .with(end + ms(300), Step::Announce("ready start=2".to_owned()))
+            .with(end + ms(1800), Step::Announce("leaving left=500 start=2".to_owned()))
+            .with(end + ms(1800) + EXPIRY, Step::RemoveAnnouncement)
+            .with(claimed, Step::Claim);
+        let harness = script.run(&next);
+        let departures = harness.departures.borrow();
+        let others = departures.iter().filter(|(vm, _)| *vm != earlier.to_string());
+        assert_eq!(others.count(), 0, "claimed at {claimed:?}: {departures:?}");
+    }
+}
--- a/tests/followers/fleet.rs
+++ b/tests/followers/fleet.rs
@@ -141,10 +141,11 @@
 async fn leave(harness: &mut Harness, number: usize, silence: Duration) {
     let until = harness.clock.now() + NOTICE;
     while harness.clock.now() < until {
-        harness.announce(number, "leaving");
+        let left = until - harness.clock.now();
+        harness.announce(number, &format!("leaving left={}", left.as_millis()));
         tokio::time::sleep(ANNOUNCE_INTERVAL / 2).await;
     }
-    harness.announce(number, "leaving");
+    harness.announce(number, "leaving left=0");
     tokio::time::sleep(silence).await;
     harness.remove_announcement(number);
     tokio::time::sleep(MAX_NOTICE_TIME).await;
@@ -167,7 +168,7 @@
     harness.claim("kacyiru.0").await;
     harness.advance(3, Duration::from_secs(2)).await;
     leave(&mut harness, 1, ANNOUNCEMENT_EXPIRY).await;
-    assert_eq!(*harness.departures.borrow(), Vec::<String>::new());
+    assert_eq!(*harness.departures.borrow(), []);
 }
 
 /// Claims a shard, and returns which claims have finished after five latencies of the store: the head
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
 use waxwingstall::clock::Clock;
@@ -14,15 +14,18 @@
 use waxwingstall::cluster::{ExpectedOwner, Member, MemberStage};
 use waxwingstall::evacuation::Evacuations;
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
+use waxwingstall::job::progress::{BoundVm, Progress};
+use waxwingstall::job::{JobId, JobState};
 use waxwingstall::jobs::control::StoreEvent;
 use waxwingstall::jobs::records::{ClaimShard, Records};
 use waxwingstall::jobs::{OperatorEntry, Platform, UnreadableEntry};
 use waxwingstall::kv::{
     self, Change, Changes, Freshness, Item, KvStore, LeaseId, Page, Put, Rev, Txn, Watch,
 };
+use waxwingstall::note::Note;
 use waxwingstall::permit::{self, PermitApi, PermitReq, PermitResp};
 use waxwingstall::queues::Queues;
-use waxwingstall::shard::{FleetListStatus, PreviousOwner};
+use waxwingstall::shard::{FleetListStatus, Keys, PreviousOwner};
 use waxwingstall::units::Resources;
 use waxwingstall::upkeep::{self, Machine, MachineApi, UpkeepReq, WaveState};
 use waxwingstall::vm::{
@@ -32,7 +35,10 @@
 use waxwingstall_standin::troubled::Troubled;
 use waxwingstall_standin::txns::TxnTable;
 
-/// Time that a leaving VM stays.
+/// Key prefix of the VMs.
+const VM_PREFIX: &str = "vm/";
+
+/// Time that a leaving VM stays, unless it announces another one.
 pub const NOTICE: Duration = Duration::from_secs(3);
 
 /// Time between two announcements of a VM.
@@ -68,9 +74,51 @@
     refuse_plan: Arc<AtomicBool>,
     /// Whether it refuses calls for what shards have learned.
     refuse_learned: Arc<AtomicBool>,
+    faults: Arc<StoreFaults>,
+    clock: Arc<dyn Clock>,
+}
+
+/// Faults of the store that last until they are ended.
+#[derive(Default)]
+pub struct StoreFaults {
+    /// Whether every call is refused.
+    is_down: AtomicBool,
+    /// Time by which watches are behind, in milliseconds.
+    watch_delay_ms: AtomicU64,
+    /// Answer to stale reads of the VMs, in place of the current one.
+    stale_vms: Mutex<Option<Page>>,
+    /// Revisions of the store over time.
+    revisions: Mutex<Vec<(Duration, Rev)>>,
 }
 
 impl SlowStore {
+    /// Fails if the store is down.
+    fn check_up(&self) -> kv::Result<()> {
+        if self.faults.is_down.load(Ordering::Relaxed) {
+            return Err(kv::Error::Refused { reason: "down".to_owned() });
+        }
+        Ok(())
+    }
+
+    /// Withholds from an answer what is too recent for a delayed watch.
+    fn delay(&self, watch: &Watch, changes: Changes) -> Changes {
+        let delay = Duration::from_millis(self.faults.watch_delay_ms.load(Ordering::Relaxed));
+        let mut revisions = self.faults.revisions.lock().expect("no test has failed with it");
+        let now = self.clock.now();
+        revisions.push((now, self.store.table.table().revision()));
+        if delay.is_zero() {
+            return changes;
+        }
+        let visible = revisions.iter().rev().find(|(at, _)| *at + delay <= now);
+        let newest = visible.map_or(Rev::ABSENT, |(_, rev)| *rev).max(watch.after);
+        let is_visible = |change: &Change| match change {
+            Change::Put(item) => item.rev <= newest,
+            Change::Deleted { rev, .. } => *rev <= newest,
+        };
+        let at = changes.at.min(newest);
+        Changes { changes: changes.changes.into_iter().filter(is_visible).collect(), at }
+    }
+
     /// Waits for the transfer of values.
     async fn transfer(&self, bytes: usize) {
         if let Some(bytes_per_second) = self.bytes_per_second {
@@ -95,12 +143,18 @@
 impl KvStore for SlowStore {
     async fn get(&self, key: &str) -> kv::Result<Option<Item>> {
         tokio::time::sleep(self.latency).await;
+        self.check_up()?;
         self.check_allowed(key)?;
         self.store.get(key).await
     }
 
     async fn range(&self, prefix: &str, after: Option<&str>, of: Freshness) -> kv::Result<Page> {
         tokio::time::sleep(self.latency).await;
+        self.check_up()?;
+        let stale = self.faults.stale_vms.lock().expect("no test has failed with it").clone();
+        if let Some(page) = stale.filter(|_| of == Freshness::Stale && prefix == VM_PREFIX) {
+            return Ok(page);
+        }
         let page = self.store.range(prefix, after, of).await?;
         self.transfer(page.items.iter().map(|item| item.value.len()).sum()).await;
         Ok(page)
@@ -110,7 +164,8 @@
         tokio::time::sleep(self.latency).await;
         let until = Instant::now() + watch.wait;
         loop {
-            let changes = self.store.watch(watch).await?;
+            self.check_up()?;
+            let changes = self.delay(watch, self.store.watch(watch).await?);
             if !changes.changes.is_empty() || Instant::now() >= until {
                 let value_len = changes.changes.iter().map(value_len).sum();
                 if base64_len(value_len) > watch.max_bytes {
@@ -125,21 +180,25 @@
 
     async fn commit(&self, txn: &Txn) -> kv::Result<Rev> {
         tokio::time::sleep(self.latency).await;
+        self.check_up()?;
         self.store.commit(txn).await
     }
 
     async fn grant_lease(&self, ttl: Duration) -> kv::Result<LeaseId> {
         tokio::time::sleep(self.latency).await;
+        self.check_up()?;
         self.store.grant_lease(ttl).await
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> kv::Result<()> {
         tokio::time::sleep(self.latency).await;
+        self.check_up()?;
         self.store.renew_lease(lease).await
     }
 
     async fn end_lease(&self, lease: LeaseId) -> kv::Result<()> {
         tokio::time::sleep(self.latency).await;
+        self.check_up()?;
         self.store.end_lease(lease).await
     }
 }
@@ -221,14 +280,24 @@
     }
 
     fn vm_prefix(&self) -> &str {
-        "vm/"
+        VM_PREFIX
     }
 
+    /// Decodes `ready` or `leaving`, followed by the time left in `left=MS` and the start time in
+    /// `start=N` where these are given.
     fn parse_vm_entry(&self, item: &Item) -> Result<VmEntry, UnreadableEntry> {
-        let leaves = item.value.starts_with(b"leaving");
-        let state = if leaves { VmState::Leaving { left: Some(NOTICE) } } else { VmState::Ready };
+        let text = str::from_utf8(&item.value).unwrap_or_default();
+        let number = |name: &str| {
+            let mut words = text.split_whitespace();
+            words.find_map(|word| word.strip_prefix(name)?.parse::<u64>().ok())
+        };
+        let left = number("left=").map_or(NOTICE, Duration::from_millis);
+        let leaves = text.starts_with("leaving");
+        let state = if leaves { VmState::Leaving { left: Some(left) } } else { VmState::Ready };
+        let registered = item.key.strip_prefix(VM_PREFIX).unwrap_or(&item.key);
+        let started = number("start=");
         Ok(VmEntry {
-            id: VmId::new(&item.key),
+            id: started.map_or(VmId::new(registered), |at| VmId::with_start(registered, at)),
             service: ServiceName::new("shop"),
             domain: DomainId::new("kacyiru"),
             rack: RackId::new("r0"),
@@ -276,6 +345,9 @@
 /// Finished claims: the daemon's name, and whether it became the owner.
 type Claims = Rc<RefCell<Vec<(&'static str, bool)>>>;
 
+/// VMs that control was told to have left, and when it was told.
+pub type Departures = Rc<RefCell<Vec<(String, Duration)>>>;
+
 pub struct FleetUpdate {
     pub at: Duration,
     /// When the list was requested, as reported.
@@ -299,7 +371,8 @@
     claims: Claims,
     config: Rc<Cell<ConfigUpdate>>,
     evacuations: Rc<RefCell<(Evacuations, Duration)>>,
-    departures: Rc<RefCell<Vec<String>>>,
+    departures: Departures,
+    notes: Rc<RefCell<Vec<Note>>>,
 }
 
 impl Actor for FakeControl {
@@ -333,9 +406,11 @@
                 *self.evacuations.borrow_mut() = (evacuations.clone(), *at);
             }
             StoreEvent::Departed(departures) => {
-                let vms = departures.iter().map(|departure| departure.vm.to_string());
+                let now = self.clock.now();
+                let vms = departures.iter().map(|departure| (departure.vm.to_string(), now));
                 self.departures.borrow_mut().extend(vms);
             }
+            StoreEvent::Note(note) => self.notes.borrow_mut().push(note.clone()),
             _ => {}
         }
         let StoreEvent::Fleet { vms, list_status, at: asked } = msg else { return };
@@ -359,8 +434,8 @@
     pub config: Rc<Cell<ConfigUpdate>>,
     /// Evacuations last received by control, and when they were read.
     pub evacuations: Rc<RefCell<(Evacuations, Duration)>>,
-    /// VMs that control was told to have left.
-    pub departures: Rc<RefCell<Vec<String>>>,
+    pub departures: Departures,
+    pub notes: Rc<RefCell<Vec<Note>>>,
     pub store: SlowStore,
     pub refuse_plan: Arc<AtomicBool>,
     pub seq: u64,
@@ -390,11 +465,13 @@
             bytes_per_second,
             refuse_plan: refuse_plan.clone(),
             refuse_learned: Arc::default(),
+            faults: Arc::default(),
+            clock: clock.clone(),
         };
         let (updates, claims): (FleetUpdates, Claims) = Default::default();
         let config: Rc<Cell<ConfigUpdate>> = Rc::default();
         let evacuations: Rc<RefCell<(Evacuations, Duration)>> = Rc::default();
-        let departures: Rc<RefCell<Vec<String>>> = Rc::default();
+        let (departures, notes): (Departures, Rc<RefCell<Vec<Note>>>) = Default::default();
         let control = FakeControl {
             name: "one",
             clock: clock.clone(),
@@ -403,6 +480,7 @@
             config: config.clone(),
             evacuations: evacuations.clone(),
             departures: departures.clone(),
+            notes: notes.clone(),
         };
         let records = control.start_records(store.clone());
         let mut harness = Self {
@@ -414,6 +492,7 @@
             config,
             evacuations,
             departures,
+            notes,
             store,
             refuse_plan,
             seq: 0,
@@ -477,11 +556,47 @@
         self.table.table().commit(&txn).expect("the commit succeeds");
     }
 
+    /// Starts or ends an outage of the store.
+    pub fn set_down(&self, is_down: bool) {
+        self.store.faults.is_down.store(is_down, Ordering::Relaxed);
+    }
+
+    /// Lets watches tell of changes this much later.
+    pub fn delay_watches(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).expect("a short delay");
+        self.store.faults.watch_delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// Answers stale reads of the VMs with their present state from now on.
+    pub fn freeze_stale_reads(&self) {
+        let page = self.table.table().range(VM_PREFIX, None);
+        *self.store.faults.stale_vms.lock().expect("no test has failed with it") = Some(page);
+    }
+
+    /// Records in the store that a task of the shard runs on a VM.
+    pub fn record_run(&self, shard: &str, vm: &VmId) {
+        let progress = Progress {
+            state: JobState::Running,
+            lender: None,
+            vms: vec![BoundVm { id: vm.clone(), addr: Arc::from("10.1.0.1:80") }],
+            shards: Vec::new(),
+            started_occurrences: 1,
+            open_occurrences: Vec::new(),
+            crashes: Vec::new(),
+        };
+        let key = format!("{}{}", Keys::new(shard).all_progress(), JobId(7));
+        let put = Put { key, value: Bytes::from(progress.encode()), lease: None };
+        let txn = Txn { puts: vec![put], ..Txn::default() };
+        self.table.table().commit(&txn).expect("the commit succeeds");
+    }
+
     /// Starts the records actor of another daemon.
     pub fn start_other(&self, name: &'static str) -> Addr<Records<TestPlatform>> {
         let (clock, claims) = (self.clock.clone(), self.claims.clone());
         let (updates, config, evacuations, departures) = Default::default();
-        let control = FakeControl { name, clock, updates, claims, config, evacuations, departures };
+        let notes = Rc::default();
+        let control =
+            FakeControl { name, clock, updates, claims, config, evacuations, departures, notes };
         control.start_records(self.store.clone())
     }
 
@@ -510,7 +625,7 @@
     /// Whether the last update lists the VM as leaving.
     pub fn reports_leaving(&self, number: usize) -> bool {
         let updates = self.updates.borrow();
-        updates.last().is_some_and(|list| list.leaving.contains(&vm_key(number)))
+        updates.last().is_some_and(|list| list.leaving.contains(&vm_id(number)))
     }
 
     /// Maximum age of a list when it was superseded, counted from its request.
@@ -528,8 +643,13 @@
     }
 }
 
-pub fn vm_key(number: usize) -> String {
-    format!("vm/{number:04}")
+fn vm_key(number: usize) -> String {
+    format!("{VM_PREFIX}{}", vm_id(number))
+}
+
+/// Id of a VM without a start time.
+pub fn vm_id(number: usize) -> String {
+    format!("{number:04}")
 }
 
 /// A claim of a shard that is known to have no owner.
