Tell shards when a VM announced itself

What callers saw: runs on a VM that leaves were stopped too late or not at all by an owner that read the announcement late; they were lost with the VM.

Cause: the time left is stated as of when the VM wrote the announcement, and shards could only count it from when they heard of it.

Change: each published entry states the time after which it was written, as bounded by the daemon's calls. Only a daemon that has just started has no such bound; it assumes that a listed VM announced itself within the last interval. The estimate is kept while the announcement stays the same, so that it doesn't move on with each list. Departures are proved by `RevisionTimes` alone and don't use it. How shards count a notice doesn't change here.

--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -152,7 +152,7 @@
             return Ok(());
         }
         self.after = after;
-        items.iter().for_each(|item| self.apply_item(ctx, item));
+        items.iter().for_each(|item| self.apply_item(ctx, item, asked));
         let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         for key in self.leaving.missing(&present) {
             self.note_removal(ctx, &key, after, "list");
@@ -173,7 +173,7 @@
             let answer = ctx.store.watch(&watch).await?;
             self.after = self.after.max(answer.at);
             let (changes, may_be_truncated) = (answer.changes.len(), answer.may_be_truncated());
-            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change));
+            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change, asked));
             if self.after >= newest && !may_be_truncated {
                 self.requested_at = Some(asked);
                 return Ok(ReadProgress::CaughtUp);
@@ -186,9 +186,15 @@
         }
     }
 
-    fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change) {
+    /// Applies a change that was read by a call at `asked`.
+    fn apply_change<P: Platform>(
+        &mut self,
+        ctx: &FollowContext<P>,
+        change: Change,
+        asked: Duration,
+    ) {
         match change {
-            Change::Put(item) => self.apply_item(ctx, &item),
+            Change::Put(item) => self.apply_item(ctx, &item, asked),
             Change::Deleted { key, rev } => {
                 self.note_removal(ctx, &key, rev, "changes");
                 self.remove(&key);
@@ -196,9 +202,11 @@
         }
     }
 
-    fn apply_item<P: Platform>(&mut self, ctx: &FollowContext<P>, item: &Item) {
-        let read = ctx.platform.parse_vm_entry(item);
-        if let Ok(entry) = &read {
+    /// Applies an item that was read by a call at `asked`.
+    fn apply_item<P: Platform>(&mut self, ctx: &FollowContext<P>, item: &Item, asked: Duration) {
+        let mut read = ctx.platform.parse_vm_entry(item);
+        if let Ok(entry) = &mut read {
+            entry.announced_after = self.announced_after(ctx, item, asked);
             self.leaving.record(&item.key, item.rev, entry, &ctx.store.times());
             self.departures.retain(|departure| departure.vm != entry.id);
         }
@@ -211,6 +219,23 @@
         }
     }
 
+    /// Time after which an announcement was written. Without calls that bound it, this is an estimate:
+    /// a VM that is listed announces itself at each interval.
+    fn announced_after<P: Platform>(
+        &self,
+        ctx: &FollowContext<P>,
+        item: &Item,
+        asked: Duration,
+    ) -> Option<Duration> {
+        let known = self.vms.get(&item.key).filter(|known| known.announced == item.rev);
+        let interval = ctx.announce_interval;
+        let estimate = || (interval > Duration::ZERO).then(|| asked.saturating_sub(interval));
+        known
+            .and_then(|known| known.announced_after)
+            .or_else(|| ctx.store.times().written_after(item.rev))
+            .or_else(estimate)
+    }
+
     /// Applies an announcement. The VM of an entry that can't be decoded is removed: work already
     /// running on it continues as long as the VM responds, but no new work is placed there.
     fn apply(
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -45,7 +45,8 @@
     pub addr: Arc<str>,
     /// Store revision at which the VM last announced itself; absent if it isn't announced.
     pub announced: Rev,
-    /// Time after which it did so, on the daemon's monotonic clock; `None` if unknown.
+    /// Time after which it did so, on the daemon's monotonic clock; `None` if unknown. An estimate
+    /// if the daemon made no calls to the store before, so it proves nothing.
     pub announced_after: Option<Duration>,
 }
 
