Look departures up in the store's history when a shard is claimed

What callers saw: tasks stood still for 11 s after their VM had left as it announced, because their shard got a new owner after that.

Cause: the VM was no longer listed when the new owner read the list.

Change: the VMs that the records of a claimed shard name and that the fresh list lacks are looked up in the store's history, each by a watch of its own key that returns at once. The announcements and the removal found there are judged by the same rules and bounds as those of the list, and reported like them. The same is done on an owner if a list lacks a VM that was known to leave. It takes no part in the claim, and the list is published first. The line `departures-looked-up` tells how many were looked up and proved.

An instance is told from the next one under its key in both directions, and a VM that is cut off isn't proved to have left whenever its shard is claimed. The look-up of 100 VMs with calls of 0.1 s leaves the owner's list at most 0.9 s old.

Why it works: the times of the changes are bounded by calls that this daemon made while they happened, so reading them late makes them no less certain.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -28,7 +28,7 @@
 pub mod stop;
 pub mod view;
 
-use crate::ids::DomainId;
+use crate::ids::{DomainId, VmId};
 use crate::kv::{Item, KvStore, Put};
 use crate::permit::PermitApi;
 use crate::queues::Queues;
@@ -81,6 +81,11 @@
     /// Key prefix of the VM announcements.
     fn vm_prefix(&self) -> &str;
 
+    /// Key of the announcement of a VM.
+    fn vm_key(&self, vm: &VmId) -> String {
+        format!("{}{}", self.vm_prefix(), vm.registered())
+    }
+
     /// Decodes a VM announcement.
     fn parse_vm_entry(&self, item: &Item) -> Result<VmEntry, UnreadableEntry>;
 
--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -1,6 +1,7 @@
 //! Followers of store entries that others write: the configuration, VMs, daemons, and the plan.
 
 pub mod fleet;
+mod history;
 pub mod operators;
 
 use super::Platform;
@@ -9,6 +10,7 @@
 use super::records::MonitoredStore;
 use crate::cluster::plan::PLAN_KEY;
 use crate::cluster::{Member, Plan};
+use crate::ids::VmId;
 use crate::job::progress::{decode, encode};
 use crate::kv::{
     Condition, Error, Freshness, HasMore, Item, KvStore, LeaseId, Put, Result, Rev, Txn,
@@ -17,8 +19,8 @@
 use crate::vm::VmEntry;
 use actix::Recipient;
 use bytes::Bytes;
-use indexmap::IndexMap;
-use std::cell::Cell;
+use indexmap::{IndexMap, IndexSet};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -55,6 +57,8 @@
     pub owning: Cell<bool>,
     /// Wakes the VM follower as soon as a shard has been claimed.
     pub claimed: Notify,
+    /// VMs with runs of the shards claimed since the last fresh list.
+    pub recovered_vms: RefCell<IndexSet<VmId>>,
 }
 
 /// Tracks consecutive failed reads.
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -9,9 +9,10 @@
 #[cfg(test)]
 mod tests;
 
-use super::{FailureStreak, FollowContext, ReadProgress, extend_plan, read_all};
+use super::{FailureStreak, FollowContext, ReadProgress, extend_plan, history, read_all};
 use crate::cluster::StoreReachability;
-use crate::departures::{LeavingVms, Removal};
+use crate::departures::{Finding, LeavingVms, Proof, Removal};
+use crate::ids::VmId;
 use crate::jobs::control::StoreEvent;
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{Platform, UnreadableEntry};
@@ -63,6 +64,7 @@
     loop {
         failures.record_success(ctx.store.clock().now());
         ctx.publish_fleet(fleet);
+        fleet.look_up_missing(ctx);
         ctx.publish_departures(fleet);
         fleet.update_plan(ctx);
         match wait_for_next_read(ctx).await {
@@ -117,6 +119,9 @@
     leaving: LeavingVms,
     /// VMs that have left and are not published yet.
     departures: Vec<Departure>,
+    /// VMs that a list lacked and that are not known to have left. The last of their announcements
+    /// may not have been read.
+    unproved: Vec<VmId>,
 }
 
 /// Whether the plan includes the racks of all VMs.
@@ -155,7 +160,9 @@
         items.iter().for_each(|item| self.apply_item(ctx, item, asked));
         let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         for key in self.leaving.missing(&present) {
-            self.note_removal(ctx, &key, after, "list");
+            let finding = self.note_removal(ctx, &key, after, "list");
+            let unproved = finding.filter(|finding| finding.proof != Proof::Departed);
+            self.unproved.extend(unproved.map(|finding| finding.vm));
         }
         self.vms.retain(|key, _| present.contains(key.as_str()));
         self.unreadable.retain(|key| present.contains(key.as_str()));
@@ -267,11 +274,30 @@
         key: &str,
         rev: Rev,
         found_in: StaticText,
-    ) {
-        let finding = self.leaving.remove(key, ctx.removal(rev), &ctx.store.times());
-        if let Some(finding) = finding {
-            ctx.control.do_send(StoreEvent::Note(finding.note(found_in)));
-            self.departures.extend(finding.departure());
+    ) -> Option<Finding> {
+        let finding = self.leaving.remove(key, ctx.removal(rev), &ctx.store.times())?;
+        ctx.control.do_send(StoreEvent::Note(finding.note(found_in)));
+        self.departures.extend(finding.departure());
+        Some(finding)
+    }
+
+    /// Starts looking up the departures of VMs that a fresh list lacks although runs of a shard are
+    /// recorded on them, or although they were known to leave. A daemon without shards has no use
+    /// for it.
+    fn look_up_missing<P: Platform>(&mut self, ctx: &FollowContext<P>) {
+        let mut unproved = std::mem::take(&mut self.unproved);
+        if self.requested_at.is_none() || !ctx.ownership.owning.get() {
+            return;
+        }
+        let recovered = std::mem::take(&mut *ctx.ownership.recovered_vms.borrow_mut());
+        let mut known: IndexSet<&VmId> = self.vms.values().map(|vm| &vm.id).collect();
+        known.extend(self.departures.iter().map(|departure| &departure.vm));
+        unproved.extend(recovered);
+        let missing: IndexSet<VmId> =
+            unproved.into_iter().filter(|vm| !known.contains(vm)).collect();
+        if !missing.is_empty() {
+            let missing = missing.into_iter().collect();
+            actix::spawn(history::look_up(ctx.clone(), missing, self.after));
         }
     }
 
@@ -330,7 +356,7 @@
         }
     }
 
-    fn removal(&self, rev: Rev) -> Removal {
+    pub(super) fn removal(&self, rev: Rev) -> Removal {
         let (now, reach) = (self.store.clock().now(), self.store.reach());
         let is_reachable = reach.state(now) == StoreReachability::Reached;
         let reachable_since = is_reachable.then(|| reach.regained());
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -295,6 +295,9 @@
             match claimed {
                 Ok((writer, recovered)) => {
                     this.start_writer(&msg.shard, writer);
+                    let bound = recovered.progress.iter().flat_map(|(_, progress)| &progress.vms);
+                    let vms = bound.map(|vm| vm.id.clone());
+                    this.ownership.recovered_vms.borrow_mut().extend(vms);
                     control.do_send(StoreEvent::Claimed(Box::new(recovered)));
                     this.ownership.claimed.notify_one();
                 }
--- a/src/note.rs
+++ b/src/note.rs
@@ -211,6 +211,8 @@
     Telling VmLeaving = "vm-leaving" { vm: VmId, runs: usize, left_ms: Millis, }
     /// The announcement of a leaving VM was removed: whether that proves that the VM has left, or why not. `silent_ms` is the longest time that the VM can have been silent by then (0: unknown), and must be below `max_silent_ms`; `notice_left_ms` is what was left of its notice, and `reachable_ms` how long the store has been reachable.
     Telling DepartureJudged = "departure-judged" { vm: VmId, found_in: StaticText, outcome: StaticText, silent_ms: Millis, max_silent_ms: Millis, notice_left_ms: Millis, reachable_ms: Millis, }
+    /// VMs that a claimed shard's records name, or that a list lacked, were looked up in the store's history: the number of VMs, of removals found after a notice, and of VMs that have certainly left.
+    Telling DeparturesLookedUp = "departures-looked-up" { vms: usize, removed: usize, proved: usize, outcome: StaticText, took_ms: Millis, }
     /// A run is not known to have ended on a VM that is no longer listed; `notice_ms` is how long the VM was known to leave.
     Urgent RunLeftBehind = "run-left-behind" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, notice_ms: Millis, silent_ms: Millis, }
     /// A VM was announced at the address of another one that isn't known to have ended. `rev` and `other_rev` are the store revisions of their announcements, `list_ms` the age of the list that named it.
--- a/tests/followers/departures.rs
+++ b/tests/followers/departures.rs
@@ -76,7 +76,7 @@
         steps.sort_by_key(|(at, _)| *at);
         actix_rt::System::new().block_on(async {
             let mut harness = Harness::start(STAYING);
-            harness.record_run(SHARD, vm);
+            harness.record_runs(SHARD, std::slice::from_ref(vm));
             for (at, step) in steps {
                 let wait = at.saturating_sub(harness.clock.now());
                 harness.advance(STAYING, wait).await;
@@ -120,7 +120,9 @@
 /// Fails unless exactly this VM is reported as departed, in time after `known`.
 fn assert_departed(harness: &Harness, vm: &VmId, known: Duration, case: &str) {
     let departures = harness.departures.borrow();
-    let vms: Vec<&str> = departures.iter().map(|(vm, _)| vm.as_str()).collect();
+    let mut vms: Vec<&str> = departures.iter().map(|(vm, _)| vm.as_str()).collect();
+    // A daemon that knows it before the claim may find it once more in the history.
+    vms.dedup();
     assert_eq!(vms, [vm.to_string()], "{case}");
     let took = departures[0].1.saturating_sub(known);
     assert!(took <= MAX_PROOF_TIME, "{case}: {took:?}");
@@ -142,11 +144,13 @@
 // Guards against a departure that isn't proved, with nothing in the log that tells why.
 #[test]
 fn the_log_tells_why_a_departure_is_not_proved() {
-    let outcomes = |script: Script| -> Vec<&'static str> {
+    let outcomes = |script: Script| -> Vec<(&'static str, &'static str)> {
         let harness = script.with(ms(1000), Step::Claim).run(&vm());
         let notes = harness.notes.borrow();
         let outcome = |note: &Note| match note {
-            Note::DepartureJudged { vm: id, outcome, .. } if *id == vm() => Some(*outcome),
+            Note::DepartureJudged { vm: id, found_in, outcome, .. } if *id == vm() => {
+                Some((*found_in, *outcome))
+            }
             _ => None,
         };
         notes.iter().filter_map(outcome).collect()
@@ -159,10 +163,28 @@
         .with(end + ms(100), Step::StoreDown(true))
         .with(end + ms(300), Step::RemoveAnnouncement)
         .with(end + ms(1000), Step::StoreDown(false));
-    assert_eq!(outcomes(Script::leaving_at(end + ms(50), "")), ["proved"]);
-    assert_eq!(outcomes(expired), ["it may have been silent for too long"]);
-    assert_eq!(outcomes(vanished), ["its notice was not over"]);
-    assert_eq!(outcomes(lost), ["the store was unreachable after its last announcement"]);
+    let silent = "it may have been silent for too long";
+    let unreachable = "the store was unreachable after its last announcement";
+    assert_eq!(outcomes(Script::leaving_at(end + ms(50), "")), [("changes", "proved")]);
+    assert_eq!(outcomes(expired), [("changes", silent)]);
+    assert_eq!(outcomes(vanished), [("changes", "its notice was not over")]);
+    // After an outage the whole list is read.
+    assert_eq!(outcomes(lost), [("list", unreachable), ("history", unreachable)]);
+}
+
+// Guards against owners that wait for the lease of a VM that has left because they became the owner
+// after that, and know it from the records of their shard only.
+#[test]
+fn an_owner_since_the_departure_is_told_that_a_vm_has_left() {
+    // A daemon without shards makes a call about each second, so both ends of the VM's silence are
+    // known to within a second. A silence of up to a second is then certain to be short enough.
+    for end in [50, 950, 2400].map(|late| NOTICE_START + NOTICE + ms(late)) {
+        for claimed in times(end, end + ms(8000)) {
+            let script = Script::leaving_at(end, "").with(claimed, Step::Claim);
+            let case = format!("claimed at {claimed:?}, left at {end:?}");
+            assert_departed(&script.run(&vm()), &vm(), claimed, &case);
+        }
+    }
 }
 
 // Guards against a notice that is counted from when it was read, so that it seems longer than it is.
@@ -314,3 +336,80 @@
     let estimate = list.asked.map(|asked| asked.saturating_sub(ANNOUNCE_INTERVAL));
     assert!(list.vms.iter().all(|entry| entry.announced_after == estimate));
 }
+
+// Guards against the same if the next instance of the VM is already registered under its key.
+#[test]
+fn an_instance_that_has_left_is_told_from_the_next_one() {
+    let end = NOTICE_START + NOTICE + ms(50);
+    let earlier = VmId::with_start(&vm_id(LEAVING), 1);
+    for claimed in times(end + ms(350), end + ms(8000)) {
+        let script = Script::leaving_at(end, "start=1")
+            .with(end + ms(300), Step::Announce("ready start=2".to_owned()))
+            .with(claimed, Step::Claim);
+        let harness = script.run(&earlier);
+        assert_departed(&harness, &earlier, claimed, &format!("claimed at {claimed:?}"));
+    }
+}
+
+// Guards against a departure that isn't proved because the store keeps less of its history than it
+// may, or because its watches are behind.
+#[test]
+fn a_departure_is_found_in_a_short_or_delayed_history() {
+    let end = NOTICE_START + NOTICE + ms(50);
+    let faults = [
+        ("short history", Step::DropHistory, end - ms(3000)),
+        ("delayed watches", Step::DelayWatches(ms(300)), end - ms(100)),
+    ];
+    for (name, fault, at) in faults {
+        for claimed in [2100, 2300, 2500].map(|late| end + ms(late)) {
+            let script = Script::leaving_at(end, "").with(at, fault.clone());
+            let harness = script.with(claimed, Step::Claim).run(&vm());
+            assert_eq!(look_ups(&harness), [(1, 1, 1, "complete")], "{name}");
+            assert_departed(&harness, &vm(), claimed, &format!("{name}, claimed at {claimed:?}"));
+        }
+    }
+}
+
+fn look_ups(harness: &Harness) -> Vec<(usize, usize, usize, &'static str)> {
+    let notes = harness.notes.borrow();
+    let look_up = |note: &Note| match note {
+        Note::DeparturesLookedUp { vms, removed, proved, outcome, .. } => {
+            Some((*vms, *removed, *proved, *outcome))
+        }
+        _ => None,
+    };
+    notes.iter().filter_map(look_up).collect()
+}
+
+#[test]
+fn the_log_tells_what_was_looked_up() {
+    let end = NOTICE_START + NOTICE + ms(50);
+    // By then, the daemon without shards has read a list that lacks the VM.
+    let claimed = end + ms(2400);
+    let left = Script::leaving_at(end, "").with(claimed, Step::Claim);
+    assert_eq!(look_ups(&left.clone().run(&vm())), [(1, 1, 1, "complete")]);
+    let forgotten = left.with(claimed, Step::DropHistory);
+    let reason = "the store's history or the daemon's calls don't reach back";
+    assert_eq!(look_ups(&forgotten.run(&vm())), [(1, 0, 0, reason)]);
+    let listed = Script::leaving_until(end, "").with(claimed, Step::Claim);
+    assert_eq!(look_ups(&listed.run(&vm())), []);
+}
+
+// Guards against an owner whose list grows old, or that calls the store without end, because it looks
+// up a great many VMs.
+#[test]
+fn looking_up_many_vms_does_not_delay_the_list() {
+    actix_rt::System::new().block_on(async {
+        let mut harness = Harness::start_with_latency(STAYING, ms(100));
+        harness.advance(STAYING, ms(2000)).await;
+        let absent: Vec<VmId> = (1000..1100).map(|number| VmId::new(&vm_id(number))).collect();
+        harness.record_runs(SHARD, &absent);
+        let claimed = harness.clock.now();
+        harness.claim(SHARD).await;
+        harness.advance(STAYING, ms(6000)).await;
+        harness.updates.borrow_mut().retain(|update| update.at >= claimed);
+        let oldest = harness.max_list_age();
+        assert!(oldest <= ms(900), "{oldest:?}");
+        assert_eq!(look_ups(&harness), [(100, 0, 0, "too many VMs")]);
+    });
+}
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -574,12 +574,14 @@
         *self.store.faults.stale_vms.lock().expect("no test has failed with it") = Some(page);
     }
 
-    /// Records in the store that a task of the shard runs on a VM.
-    pub fn record_run(&self, shard: &str, vm: &VmId) {
+    /// Records in the store that tasks of the shard run on VMs.
+    pub fn record_runs(&self, shard: &str, vms: &[VmId]) {
+        let addr: Arc<str> = Arc::from("10.1.0.1:80");
+        let bound = |vm: &VmId| BoundVm { id: vm.clone(), addr: addr.clone() };
         let progress = Progress {
             state: JobState::Running,
             lender: None,
-            vms: vec![BoundVm { id: vm.clone(), addr: Arc::from("10.1.0.1:80") }],
+            vms: vms.iter().map(bound).collect(),
             shards: Vec::new(),
             started_occurrences: 1,
             open_occurrences: Vec::new(),
