--- a/src/jobs/follow.rs
+++ b/src/jobs/follow.rs
@@ -1,6 +1,7 @@
 //! Followers of store entries that others write: the configuration, VMs, daemons, and the plan.
 
 pub mod fleet;
+mod history;
 pub mod operators;
 
 use super::Platform;
@@ -9,6 +10,7 @@
 use super::records::MonitoredStore;
 use crate::cluster::plan::PLAN_KEY;
 use crate::cluster::{Member, Plan};
+use crate::ids::VmId;
 use crate::job::progress::{decode, encode};
 use crate::kv::{
     Condition, Error, Freshness, HasMore, Item, KvStore, LeaseId, Put, Result, Rev, Txn,
@@ -17,8 +19,8 @@
 use crate::vm::VmEntry;
 use actix::Recipient;
 use bytes::Bytes;
-use indexmap::IndexMap;
-use std::cell::Cell;
+use indexmap::{IndexMap, IndexSet};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -55,6 +57,8 @@
     pub owning: Cell<bool>,
     /// Wakes the VM follower as soon as a shard has been claimed.
     pub claimed: Notify,
+    /// VMs with runs of the shards claimed since the last fresh list.
+    pub recovered_vms: RefCell<IndexSet<VmId>>,
 }
 
 /// Tracks consecutive failed reads.
@@ -131,7 +135,7 @@
             }],
             deletes: Vec::new(),
         };
-        match ctx.store.call(|store| store.commit(&txn)).await {
+        match ctx.store.commit(&txn).await {
             // Read the plan again to learn whether this commit or another daemon's took effect.
             Ok(_) | Err(Error::Conflict { .. } | Error::NoAnswer { .. }) => {}
             Err(e) => return Err(e),
@@ -191,10 +195,10 @@
     let value = Bytes::from(encode(me));
     let put = Put { key: key.to_owned(), value, lease: Some(lease) };
     let txn = Txn { puts: vec![put], ..Txn::default() };
-    store.call(|store| store.commit(&txn)).await.map(|_| ())
+    store.commit(&txn).await.map(|_| ())
 }
 
-/// Reads every page of a range. Returns the revision of the first page; a watch from there reports
+/// Reads every page of a range. Returns the revision of the oldest page; a watch from there reports
 /// all later changes.
 pub(super) async fn read_all<S: KvStore>(
     store: &MonitoredStore<S>,
@@ -206,10 +210,10 @@
     loop {
         let after = items.last().map(|item| item.key.clone());
         let after = after.as_deref();
-        let page = store.call(|store| store.range(prefix, after, freshness)).await?;
-        // Pages are not a snapshot: the watch must start at the first one to include what changed
-        // between pages.
-        let at = *at.get_or_insert(page.at);
+        let page = store.range(prefix, after, freshness).await?;
+        // Pages are not a snapshot: the watch must start at the oldest one, which is the first
+        // unless they are stale, to include what changed between pages.
+        let at = *at.insert(at.unwrap_or(page.at).min(page.at));
         items.extend(page.items);
         if page.more == HasMore::No {
             return Ok((items, at));
