Count the notice of a leaving VM from its announcement

What callers saw: tasks lost with VMs that had announced their departure 4 to 5 s before, started again only after a lease.

Cause: the time left in an announcement is what was left as the VM wrote it. An owner counted it from when it first read of the notice, and took no notice of later announcements. For an owner that came during the notice, or whose list was late, the VM seemed to stay for longer than it did: finite tasks were stopped too late or not at all, and leases were extended for too long.

Change: `Leaving` keeps the earliest departure. With a lower bound of the time of an announcement it is counted from there, and the latest of these bounds holds. Without one, the time of reading is assumed, the least of the assumed ends holds, and any bound replaces it. The stop of finite tasks and the extension of leases (`max_extension`) follow. `vm-leaving left_ms` is what is left as it is read.

Why it works: a VM doesn't leave sooner than a time before its announcement plus the time left in that announcement, and it isn't announced to stay beyond the time of reading plus the time left.

--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -102,7 +102,7 @@
         let stayed = vm.leaving.is_none();
         vm.update_entry(entry, now);
         if let Some(leaving) = vm.leaving.filter(|_| stayed) {
-            let left_ms = Millis(leaving.left.unwrap_or_default());
+            let left_ms = Millis(leaving.time_left(now));
             let (vm, runs) = (vm.id.clone(), vm.runs.len());
             self.note(Note::VmLeaving { vm, runs, left_ms });
         }
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -35,7 +35,7 @@
     /// When another VM was announced at its address, until it answers a later poll.
     pub challenged: Option<Duration>,
     pub succession: Succession,
-    /// When the platform first reported that the VM is leaving, and how much time was left then.
+    /// Set once the platform has reported that the VM is leaving.
     pub leaving: Option<Leaving>,
     pub clock: Option<ClockReading>,
     /// Runs that are not known to have ended; each reserves resources.
@@ -78,14 +78,48 @@
 /// Notice that a VM is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Leaving {
+    /// When this owner first read of it.
     pub since: Duration,
-    pub left: Option<Duration>,
+    end: NoticeEnd,
+}
+
+/// The earliest departure of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoticeEnd {
+    /// The time left counted from a time before it was announced: the VM does not leave sooner.
+    NotBefore(Duration),
+    /// The same counted from when the announcement was read, of unknown age: the VM may leave
+    /// sooner.
+    Assumed(Duration),
 }
 
 impl Leaving {
+    /// Reads the notice in an announcement, if it has one.
+    fn read(entry: &VmEntry, now: Duration) -> Option<Self> {
+        let VmState::Leaving { left } = entry.state else { return None };
+        let end = match (entry.announced_after, left) {
+            (Some(after), Some(left)) => NoticeEnd::NotBefore(after + left),
+            (after, left) => {
+                NoticeEnd::Assumed(after.unwrap_or(now) + left.unwrap_or(DEFAULT_NOTICE))
+            }
+        };
+        Some(Self { since: now, end })
+    }
+
+    /// Applies the notice in another announcement of the VM.
+    fn refine(&mut self, other: Self) {
+        use NoticeEnd::{Assumed, NotBefore};
+        self.end = match (self.end, other.end) {
+            (NotBefore(a), NotBefore(b)) => NotBefore(a.max(b)),
+            (NotBefore(a), Assumed(_)) | (Assumed(_), NotBefore(a)) => NotBefore(a),
+            (Assumed(a), Assumed(b)) => Assumed(a.min(b)),
+        };
+    }
+
     /// Time until the notice is over.
     pub fn time_left(self, now: Duration) -> Duration {
-        (self.since + self.left.unwrap_or(DEFAULT_NOTICE)).saturating_sub(now)
+        let (NoticeEnd::NotBefore(end) | NoticeEnd::Assumed(end)) = self.end;
+        end.saturating_sub(now)
     }
 }
 
@@ -218,7 +252,7 @@
     pub fn new(entry: VmEntry, now: Duration, runs_ended_by: Duration) -> Self {
         Self {
             id: entry.id.clone(),
-            leaving: leaving(&entry, now),
+            leaving: Leaving::read(&entry, now),
             entry,
             listing: Listing::Listed,
             known_since: now,
@@ -249,8 +283,8 @@
         if entry.announced < self.entry.announced {
             return;
         }
-        if self.leaving.is_none() {
-            self.leaving = leaving(&entry, now);
+        if let Some(read) = Leaving::read(&entry, now) {
+            self.leaving.get_or_insert(read).refine(read);
         }
         self.entry = entry;
     }
@@ -448,13 +482,6 @@
     }
 }
 
-fn leaving(entry: &VmEntry, now: Duration) -> Option<Leaving> {
-    match entry.state {
-        VmState::Ready => None,
-        VmState::Leaving { left } => Some(Leaving { since: now, left }),
-    }
-}
-
 impl Run {
     /// Creates a run whose binding is not durable yet.
     pub fn binding(reserved: Resources, milli_cores: u32, share: Share, now: Duration) -> Self {
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -23,6 +23,7 @@
 mod resize;
 mod silence;
 mod state;
+mod stops;
 mod takeover;
 mod vacate;
 mod world;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -601,6 +601,21 @@
         self.vms[index].departs_at = Some(self.now + left);
     }
 
+    /// Makes a VM announce that it leaves in `left`, at a known time, and leave then.
+    pub fn depart_vm_timed(&mut self, index: usize, left: Duration) {
+        self.depart_vm(index, left);
+        self.vms[index].entry.announced_after = Some(self.now);
+    }
+
+    /// Repeats the announcement of a VM that leaves, at a known time.
+    pub fn repeat_notice(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        let left = vm.departs_at.map(|at| at.saturating_sub(self.now));
+        vm.entry.state = VmState::Leaving { left };
+        vm.entry.announced_after = Some(self.now);
+        vm.entry.announced = Rev(vm.entry.announced.0 + 1);
+    }
+
     /// Changes a VM's size; the platform lists the new size one announcement interval later.
     pub fn resize_vm(&mut self, index: usize, size: Resources) {
         self.vms[index].sizes.push((self.now, size));
