Repeat a stop whose result is never reported

What callers saw: nothing that is traced. Found by reading for runs that no stop reaches: a run whose stop has neither an answer nor a failure stays in its stage for ever, and leaves with its VM.

Cause: a stop that was sent had no time for the next one until its result came. Calls to VMs go through a bounded ring that drops them when it is full, and the shard isn't told.

Change: a stop is due again 1 s after it was sent unless a result comes first.

Evidence: `a_stop_without_any_result_is_repeated` failed before: the task was still on its leaving VM after 2 s, half of the notice.

Why it works: a stop names a run and can be repeated; an answer of the VM clears the time of the next one as before.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,7 +2,7 @@
 
 use super::Shard;
 use super::event::Action;
-use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RETRY};
+use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
 use super::vm_run::{PendingStart, RunKey, Stage};
 use crate::ids::VmId;
 use crate::job::{RunNumber, TaskRef};
@@ -37,7 +37,7 @@
                         starts.push((vm.id.clone(), *key));
                     }
                     Stage::Stopping { next_send: send @ Some(_), .. } if *send <= Some(now) => {
-                        *send = None;
+                        *send = Some(now + STOP_RESULT_TIMEOUT);
                         let RunKey { task, run } = *key;
                         let req = RunReq { fence: self.fence, task, run };
                         self.actions.push(Action::Stop { vm: addr.clone(), req });
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -112,3 +112,7 @@
 
 /// Delay before an unanswered stop command is sent again.
 pub const STOP_RETRY: Duration = Duration::from_millis(120);
+
+/// Time after which a stop command is sent again if not even its failure was reported. It is longer
+/// than the timeout of a call.
+pub const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1000);
--- a/tests/shards/faults.rs
+++ b/tests/shards/faults.rs
@@ -14,6 +14,8 @@
     AnswerLost,
     /// It is answered and has no effect.
     Ignored,
+    /// It has no effect, and the sender is told nothing, not even that it failed.
+    Unreported,
     /// The sender gets no response, and it takes effect after this delay.
     Late(Duration),
     /// It takes effect, and the response takes this long. Only commands are slow.
--- a/tests/shards/stops.rs
+++ b/tests/shards/stops.rs
@@ -25,6 +25,9 @@
 /// Longest time that a long-running task may be down beside room.
 const MAX_DOWNTIME: Duration = Duration::from_secs(6);
 
+/// Longer than a stop takes.
+const STOPPED: Duration = Duration::from_secs(2);
+
 fn seconds(n: u64) -> Duration {
     Duration::from_secs(n)
 }
@@ -126,3 +129,33 @@
     assert_eq!(sim.runs_on(1 - there), 1, "the lease was extended until the VM left");
     check_all(&mut sim, job);
 }
+
+/// The first stop command gets lost inside the daemon: no result of it is ever reported.
+struct UnreportedStop {
+    left: u32,
+}
+
+impl Faults for UnreportedStop {
+    fn command_outcome(&mut self, _: Duration, action: &Action) -> Outcome {
+        if !matches!(action, Action::Stop { .. }) || self.left == 0 {
+            return Outcome::Delivered;
+        }
+        self.left -= 1;
+        Outcome::Unreported
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
+// Guards against a run that nothing stops any more: no result of its stop is reported, and the stop
+// was not repeated.
+#[test]
+fn a_stop_without_any_result_is_repeated() {
+    let (mut sim, job, there) = simulation_with(UnreportedStop { left: 1 }, work(0, 2));
+    sim.depart_vm_timed(there, NOTICE);
+    sim.run_for(STOPPED);
+    assert_eq!(sim.runs_on(1 - there), 1, "the task stays on its VM until that leaves");
+    check_all(&mut sim, job);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -958,7 +958,11 @@
                 }
                 let event = Event::Message { from: name.clone(), to: fence, msg };
                 match self.faults.message_outcome(self.now) {
-                    Outcome::Lost | Outcome::AnswerLost | Outcome::Ignored | Outcome::Slow(_) => {}
+                    Outcome::Lost
+                    | Outcome::AnswerLost
+                    | Outcome::Ignored
+                    | Outcome::Unreported
+                    | Outcome::Slow(_) => {}
                     Outcome::Late(delay) => {
                         self.schedule(delay, Delivery::Shard { shard: to, event })
                     }
@@ -1000,6 +1004,7 @@
             Outcome::Lost
             | Outcome::AnswerLost
             | Outcome::Ignored
+            | Outcome::Unreported
             | Outcome::Late(_)
             | Outcome::Slow(_) => {
                 after = req.timeout;
@@ -1031,6 +1036,7 @@
                 Err(unanswered())
             }
             Outcome::Lost => Err(unanswered()),
+            Outcome::Unreported => return,
             Outcome::Ignored => self.execute(number, &empty_poll(&action)).map(|answer| {
                 let VmResponse::Polled(poll) = answer else { unreachable!("a poll was sent") };
                 VmResponse::Clock(poll.clock)
