Log each long-running task that stays on a leaving VM, and why

What callers saw: two tasks left with their VMs that had announced it, and no line told why nothing had stopped them.

Cause: `run-left-behind` came only for runs on VMs that the owner had found in its list before. For an owner that knows the runs from the records alone, no line came until the lease had passed. Nothing was logged while a VM was leaving.

Change: `run-stays`, once a second from one second after the notice or the stop, for each long-running task on a leaving VM: its stage, the VM's silence and the reason it isn't stopped. Each stop is logged as before (`task-stopping`). A VM that the records name and no list has shown counts as `Listing::Unknown` until the first complete list, which logs its runs as left behind. Otherwise it is treated like a missing one.

Evidence: `a_run_that_stays_on_a_leaving_vm_is_logged_with_the_reason`, `a_stop_that_is_not_carried_out_is_logged` and `a_run_on_a_vm_that_a_new_owner_does_not_find_is_logged`: the lines are new, and the last test found no `run-left-behind` before.

--- a/src/note.rs
+++ b/src/note.rs
@@ -211,6 +211,8 @@
     Telling VmLeaving = "vm-leaving" { vm: VmId, runs: usize, left_ms: Millis, }
     /// A run is not known to have ended on a VM that is no longer listed; `notice_ms` is how long the VM was known to leave.
     Urgent RunLeftBehind = "run-left-behind" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, notice_ms: Millis, silent_ms: Millis, }
+    /// A long-running task is still on a VM that leaves, and why; `left_ms` is the least time until the VM leaves.
+    Telling RunStays = "run-stays" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, left_ms: Millis, silent_ms: Millis, reason: StaticText, }
     /// A VM was announced at the address of another one that isn't known to have ended. `rev` and `other_rev` are the store revisions of their announcements, `list_ms` the age of the list that named it.
     Urgent VmAddressShared = "vm-address-shared" { vm: VmId, other: VmId, rev: u64, other_rev: u64, other_listed: bool, other_heard_ms: Millis, other_runs: usize, list_ms: Millis, list: StaticText, }
     /// A VM has permanently left, or this instance of it has ended; `passed` of its runs may still be started by the next instance under its id and are stopped there.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -99,6 +99,7 @@
     last_schedule: Duration,
     next_schedule: Duration,
     next_report: Duration,
+    next_drain_report: Duration,
     actions: Vec<Action>,
 }
 
@@ -194,6 +195,7 @@
         }
         self.start_due_occurrences();
         self.remove_expired_runs();
+        self.report_runs_on_leaving_vms();
         if self.stage == Stage::Serving {
             self.stop_runs_on_leaving_vms();
             self.stop_runs_on_draining_vms();
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -80,7 +80,7 @@
         let (mut unlisted, mut departed) = (Vec::new(), Vec::new());
         for vm in self.vms.values_mut().filter(|vm| !present.contains(&vm.id)) {
             match vm.listing {
-                Listing::Listed => unlisted.push(vm.id.clone()),
+                Listing::Listed | Listing::Unknown => unlisted.push(vm.id.clone()),
                 Listing::Departed => departed.push(vm.id.clone()),
                 Listing::Missing { .. } => continue,
             }
@@ -263,7 +263,7 @@
             match vm.listing {
                 Listing::Listed => vm.listing = Listing::Departed,
                 Listing::Departed => {}
-                Listing::Missing { .. } => self.remove_departed_vm(id),
+                Listing::Missing { .. } | Listing::Unknown => self.remove_departed_vm(id),
             }
         }
     }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -110,6 +110,7 @@
             last_schedule: Duration::ZERO,
             next_schedule: now.steady,
             next_report: now.steady,
+            next_drain_report: now.steady,
             actions: Vec::new(),
         };
         for entry in fleet {
@@ -261,6 +262,6 @@
         announced_after: None,
     };
     let mut vm = Vm::new(entry, now, runs_ended_by);
-    vm.listing = Listing::Missing { since: now };
+    vm.listing = Listing::Unknown;
     vm
 }
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -57,6 +57,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
     Listed,
+    /// Bound in the store and not listed so far.
+    Unknown,
     /// Reported to have left; no list has confirmed that it is gone.
     Departed,
     /// No longer listed since the given time.
--- a/tests/shards/stops.rs
+++ b/tests/shards/stops.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::job::{Job, Resume};
+use waxwingstall::note::Note;
 use waxwingstall::shard::Action;
 use waxwingstall::units::Resources;
 use waxwingstall::vm::EndKind;
@@ -130,6 +131,55 @@
     check_all(&mut sim, job);
 }
 
+/// Stages and reasons of the runs that are logged as staying on a leaving VM.
+fn staying<F: Faults>(sim: &Simulation<F>) -> Vec<(&'static str, &'static str)> {
+    let staying = sim.left_runs.iter().filter_map(|note| match note {
+        Note::RunStays { stage, reason, .. } => Some((*stage, *reason)),
+        _ => None,
+    });
+    staying.collect()
+}
+
+// Guards against a run that leaves with its VM and of which no line tells why it wasn't stopped.
+#[test]
+fn a_run_that_stays_on_a_leaving_vm_is_logged_with_the_reason() {
+    let (mut sim, job, there) = simulation_with(NoFaults, work(0, 2));
+    sim.disconnect_vm(there, seconds(60));
+    sim.run_for(seconds(3));
+    sim.depart_vm_timed(there, NOTICE);
+    sim.run_for(NOTICE - millis(100));
+    let lines = staying(&sim);
+    assert!(lines.iter().all(|line| *line == ("running", "its VM does not answer")), "{lines:?}");
+    assert_eq!(lines.len(), 3, "one line a second");
+    check_all(&mut sim, job);
+}
+
+// The same for a stop that isn't carried out.
+#[test]
+fn a_stop_that_is_not_carried_out_is_logged() {
+    let (mut sim, job, there) = simulation_with(IgnoredStops, work(0, 2));
+    sim.depart_vm_timed(there, NOTICE);
+    sim.run_for(NOTICE - millis(100));
+    assert!(staying(&sim).contains(&("stop-answered", "its end is not reported")));
+    check_all(&mut sim, job);
+}
+
+// Guards against a run of which no line tells that it left with its VM, since the VM left before its
+// shard's owner was replaced.
+#[test]
+fn a_run_on_a_vm_that_a_new_owner_does_not_find_is_logged() {
+    let (mut sim, job, there) = simulation_with(NoFaults, work(0, 2));
+    sim.hide_departures();
+    sim.disconnect_vm(there, seconds(60));
+    sim.depart_vm_timed(there, millis(200));
+    sim.run_for(millis(220));
+    sim.replace_owner(SHARD);
+    sim.run_for(seconds(1));
+    let is_left = |note: &Note| matches!(note, Note::RunLeftBehind { stage: "recovered", .. });
+    assert_eq!(sim.left_runs.iter().filter(|note| is_left(note)).count(), 1);
+    check_all(&mut sim, job);
+}
+
 /// The first stop command gets lost inside the daemon: no result of it is ever reported.
 struct UnreportedStop {
     left: u32,
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -154,6 +154,8 @@
     departures_unknown: bool,
     /// Latest state reported by each shard.
     pub states: IndexMap<Arc<str>, Note>,
+    /// Log lines about runs on VMs that leave or have left.
+    pub left_runs: Vec<Note>,
     owners: Vec<Owner>,
     next_owner: u64,
     deliveries: BTreeMap<(Duration, u64), Delivery>,
@@ -234,6 +236,7 @@
             departures_told: None,
             departures_unknown: false,
             states: IndexMap::new(),
+            left_runs: Vec::new(),
             owners: Vec::new(),
             next_owner: 0,
             deliveries: BTreeMap::new(),
@@ -974,8 +977,12 @@
             Action::Fenced => self.remove_owner(number),
             Action::Note(note) => {
                 self.trace(number, name, &note);
-                if matches!(note, Note::ShardState { .. }) {
-                    self.states.insert(name.clone(), note);
+                match note {
+                    Note::ShardState { .. } => {
+                        self.states.insert(name.clone(), note);
+                    }
+                    Note::RunStays { .. } | Note::RunLeftBehind { .. } => self.left_runs.push(note),
+                    _ => {}
                 }
             }
             Action::HandedOver => {}
