--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -9,14 +9,15 @@
 #[cfg(test)]
 mod tests;
 
-use super::{FailureStreak, FollowContext, ReadProgress, extend_plan, read_all};
+use super::{FailureStreak, FollowContext, ReadProgress, extend_plan, history, read_all};
 use crate::cluster::StoreReachability;
-use crate::departures::{LeavingVms, Removal};
+use crate::departures::{Finding, LeavingVms, Proof, Removal};
+use crate::ids::VmId;
 use crate::jobs::control::StoreEvent;
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{Platform, UnreadableEntry};
-use crate::kv::{Change, Freshness, Item, KvStore, Result, Rev, Watch};
-use crate::note::{Millis, Note};
+use crate::kv::{Change, Freshness, Item, Result, Rev, Watch};
+use crate::note::{Millis, Note, StaticText};
 use crate::shard::FleetListStatus;
 use crate::vm::{Departure, VmEntry};
 use indexmap::{IndexMap, IndexSet};
@@ -34,10 +35,6 @@
 /// Timeout of a watch. Changes from the preceding interval are returned immediately.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 
-/// Number of changes from which an answer may be truncated. The platform's pages hold about 500
-/// items, and 500 changes were the most observed in an answer.
-const TRUNCATION_THRESHOLD: usize = 400;
-
 /// Time after an outage of the store during which it may lack VMs that are alive.
 const REANNOUNCE_WINDOW: Duration = Duration::from_millis(2500);
 
@@ -67,6 +64,7 @@
     loop {
         failures.record_success(ctx.store.clock().now());
         ctx.publish_fleet(fleet);
+        fleet.look_up_missing(ctx);
         ctx.publish_departures(fleet);
         fleet.update_plan(ctx);
         match wait_for_next_read(ctx).await {
@@ -121,6 +119,9 @@
     leaving: LeavingVms,
     /// VMs that have left and are not published yet.
     departures: Vec<Departure>,
+    /// VMs that a list lacked and that are not known to have left. The last of their announcements
+    /// may not have been read.
+    unproved: Vec<VmId>,
 }
 
 /// Whether the plan includes the racks of all VMs.
@@ -150,17 +151,19 @@
         let asked = ctx.store.clock().now();
         let prefix = ctx.platform.vm_prefix();
         let (items, after) = read_all(&ctx.store, prefix, freshness).await?;
-        items.iter().for_each(|item| self.apply_item(ctx, item));
-        let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        if freshness == Freshness::Stale {
-            // The data may be older than what was read before.
-            self.leaving.clear();
+        self.requested_at = (freshness == Freshness::Latest).then_some(asked);
+        if freshness == Freshness::Stale && after < self.after {
+            // The list is older than what was read before.
+            return Ok(());
         }
+        self.after = after;
+        items.iter().for_each(|item| self.apply_item(ctx, item, asked));
+        let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         for key in self.leaving.missing(&present) {
-            self.note_removal(ctx, &key, ctx.store.reach().newest());
+            let finding = self.note_removal(ctx, &key, after, "list");
+            let unproved = finding.filter(|finding| finding.proof != Proof::Departed);
+            self.unproved.extend(unproved.map(|finding| finding.vm));
         }
-        (self.requested_at, self.after) =
-            ((freshness == Freshness::Latest).then_some(asked), after);
         self.vms.retain(|key, _| present.contains(key.as_str()));
         self.unreadable.retain(|key| present.contains(key.as_str()));
         Ok(())
@@ -174,11 +177,11 @@
         loop {
             let (newest, asked) = (ctx.store.reach().newest(), ctx.store.clock().now());
             let watch = Watch::new(ctx.platform.vm_prefix(), self.after, WATCH_TIMEOUT);
-            let answer = ctx.store.call(|store| store.watch(&watch)).await?;
+            let answer = ctx.store.watch(&watch).await?;
             self.after = self.after.max(answer.at);
-            let changes = answer.changes.len();
-            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change, answer.at));
-            if self.after >= newest && changes < TRUNCATION_THRESHOLD {
+            let (changes, may_be_truncated) = (answer.changes.len(), answer.may_be_truncated());
+            answer.changes.into_iter().for_each(|change| self.apply_change(ctx, change, asked));
+            if self.after >= newest && !may_be_truncated {
                 self.requested_at = Some(asked);
                 return Ok(ReadProgress::CaughtUp);
             }
@@ -190,22 +193,28 @@
         }
     }
 
-    /// Applies one of the changes up to a revision.
-    fn apply_change<P: Platform>(&mut self, ctx: &FollowContext<P>, change: Change, up_to: Rev) {
+    /// Applies a change that was read by a call at `asked`.
+    fn apply_change<P: Platform>(
+        &mut self,
+        ctx: &FollowContext<P>,
+        change: Change,
+        asked: Duration,
+    ) {
         match change {
-            Change::Put(item) => self.apply_item(ctx, &item),
-            Change::Deleted { key } => {
-                self.note_removal(ctx, &key, up_to);
+            Change::Put(item) => self.apply_item(ctx, &item, asked),
+            Change::Deleted { key, rev } => {
+                self.note_removal(ctx, &key, rev, "changes");
                 self.remove(&key);
             }
         }
     }
 
-    fn apply_item<P: Platform>(&mut self, ctx: &FollowContext<P>, item: &Item) {
-        let read = ctx.platform.parse_vm_entry(item);
-        if let Ok(entry) = &read {
-            let now = ctx.store.clock().now();
-            self.leaving.record(&item.key, item.rev, entry, self.requested_at, now);
+    /// Applies an item that was read by a call at `asked`.
+    fn apply_item<P: Platform>(&mut self, ctx: &FollowContext<P>, item: &Item, asked: Duration) {
+        let mut read = ctx.platform.parse_vm_entry(item);
+        if let Ok(entry) = &mut read {
+            entry.announced_after = self.announced_after(ctx, item, asked);
+            self.leaving.record(&item.key, item.rev, entry, &ctx.store.times());
             self.departures.retain(|departure| departure.vm != entry.id);
         }
         let (novelty, note) = self.apply(item, read);
@@ -217,6 +226,23 @@
         }
     }
 
+    /// Time after which an announcement was written. Without calls that bound it, this is an estimate:
+    /// a VM that is listed announces itself at each interval.
+    fn announced_after<P: Platform>(
+        &self,
+        ctx: &FollowContext<P>,
+        item: &Item,
+        asked: Duration,
+    ) -> Option<Duration> {
+        let known = self.vms.get(&item.key).filter(|known| known.announced == item.rev);
+        let interval = ctx.announce_interval;
+        let estimate = || (interval > Duration::ZERO).then(|| asked.saturating_sub(interval));
+        known
+            .and_then(|known| known.announced_after)
+            .or_else(|| ctx.store.times().written_after(item.rev))
+            .or_else(estimate)
+    }
+
     /// Applies an announcement. The VM of an entry that can't be decoded is removed: work already
     /// running on it continues as long as the VM responds, but no new work is placed there.
     fn apply(
@@ -242,9 +268,37 @@
     }
 
     /// Records a VM as departed if the removal of its announcement proves that it has left.
-    fn note_removal<P: Platform>(&mut self, ctx: &FollowContext<P>, key: &str, read_up_to: Rev) {
-        let departure = self.leaving.remove(key, ctx.removal(read_up_to));
-        self.departures.extend(departure);
+    fn note_removal<P: Platform>(
+        &mut self,
+        ctx: &FollowContext<P>,
+        key: &str,
+        rev: Rev,
+        found_in: StaticText,
+    ) -> Option<Finding> {
+        let finding = self.leaving.remove(key, ctx.removal(rev), &ctx.store.times())?;
+        ctx.control.do_send(StoreEvent::Note(finding.note(found_in)));
+        self.departures.extend(finding.departure());
+        Some(finding)
+    }
+
+    /// Starts looking up the departures of VMs that a fresh list lacks although runs of a shard are
+    /// recorded on them, or although they were known to leave. A daemon without shards has no use
+    /// for it.
+    fn look_up_missing<P: Platform>(&mut self, ctx: &FollowContext<P>) {
+        let mut unproved = std::mem::take(&mut self.unproved);
+        if self.requested_at.is_none() || !ctx.ownership.owning.get() {
+            return;
+        }
+        let recovered = std::mem::take(&mut *ctx.ownership.recovered_vms.borrow_mut());
+        let mut known: IndexSet<&VmId> = self.vms.values().map(|vm| &vm.id).collect();
+        known.extend(self.departures.iter().map(|departure| &departure.vm));
+        unproved.extend(recovered);
+        let missing: IndexSet<VmId> =
+            unproved.into_iter().filter(|vm| !known.contains(vm)).collect();
+        if !missing.is_empty() {
+            let missing = missing.into_iter().collect();
+            actix::spawn(history::look_up(ctx.clone(), missing, self.after));
+        }
     }
 
     fn remove(&mut self, key: &str) {
@@ -302,12 +356,12 @@
         }
     }
 
-    fn removal(&self, read_up_to: Rev) -> Removal {
+    pub(super) fn removal(&self, rev: Rev) -> Removal {
         let (now, reach) = (self.store.clock().now(), self.store.reach());
         let is_reachable = reach.state(now) == StoreReachability::Reached;
         let reachable_since = is_reachable.then(|| reach.regained());
         let announce_interval = self.announce_interval;
-        Removal { now, read_up_to, reachable_since, announce_interval }
+        Removal { now, rev, reachable_since, announce_interval }
     }
 
     fn publish_unread(&self) {
