--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -154,6 +154,8 @@
     departures_unknown: bool,
     /// Latest state reported by each shard.
     pub states: IndexMap<Arc<str>, Note>,
+    /// Log lines about runs on VMs that leave or have left.
+    pub left_runs: Vec<Note>,
     owners: Vec<Owner>,
     next_owner: u64,
     deliveries: BTreeMap<(Duration, u64), Delivery>,
@@ -234,6 +236,7 @@
             departures_told: None,
             departures_unknown: false,
             states: IndexMap::new(),
+            left_runs: Vec::new(),
             owners: Vec::new(),
             next_owner: 0,
             deliveries: BTreeMap::new(),
@@ -601,6 +604,21 @@
         self.vms[index].departs_at = Some(self.now + left);
     }
 
+    /// Makes a VM announce that it leaves in `left`, at a known time, and leave then.
+    pub fn depart_vm_timed(&mut self, index: usize, left: Duration) {
+        self.depart_vm(index, left);
+        self.vms[index].entry.announced_after = Some(self.now);
+    }
+
+    /// Repeats the announcement of a VM that leaves, at a known time.
+    pub fn repeat_notice(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        let left = vm.departs_at.map(|at| at.saturating_sub(self.now));
+        vm.entry.state = VmState::Leaving { left };
+        vm.entry.announced_after = Some(self.now);
+        vm.entry.announced = Rev(vm.entry.announced.0 + 1);
+    }
+
     /// Changes a VM's size; the platform lists the new size one announcement interval later.
     pub fn resize_vm(&mut self, index: usize, size: Resources) {
         self.vms[index].sizes.push((self.now, size));
@@ -943,7 +961,11 @@
                 }
                 let event = Event::Message { from: name.clone(), to: fence, msg };
                 match self.faults.message_outcome(self.now) {
-                    Outcome::Lost | Outcome::AnswerLost | Outcome::Ignored | Outcome::Slow(_) => {}
+                    Outcome::Lost
+                    | Outcome::AnswerLost
+                    | Outcome::Ignored
+                    | Outcome::Unreported
+                    | Outcome::Slow(_) => {}
                     Outcome::Late(delay) => {
                         self.schedule(delay, Delivery::Shard { shard: to, event })
                     }
@@ -955,8 +977,12 @@
             Action::Fenced => self.remove_owner(number),
             Action::Note(note) => {
                 self.trace(number, name, &note);
-                if matches!(note, Note::ShardState { .. }) {
-                    self.states.insert(name.clone(), note);
+                match note {
+                    Note::ShardState { .. } => {
+                        self.states.insert(name.clone(), note);
+                    }
+                    Note::RunStays { .. } | Note::RunLeftBehind { .. } => self.left_runs.push(note),
+                    _ => {}
                 }
             }
             Action::HandedOver => {}
@@ -985,6 +1011,7 @@
             Outcome::Lost
             | Outcome::AnswerLost
             | Outcome::Ignored
+            | Outcome::Unreported
             | Outcome::Late(_)
             | Outcome::Slow(_) => {
                 after = req.timeout;
@@ -1016,6 +1043,7 @@
                 Err(unanswered())
             }
             Outcome::Lost => Err(unanswered()),
+            Outcome::Unreported => return,
             Outcome::Ignored => self.execute(number, &empty_poll(&action)).map(|answer| {
                 let VmResponse::Polled(poll) = answer else { unreachable!("a poll was sent") };
                 VmResponse::Clock(poll.clock)
