Keep polling VMs while a hand-over waits for the store

Callers would see every task of a shard killed at once, and jobs refused with "the shard changes hands" for the whole time: the store fails, or rejects just this daemon, in the moment in which the daemon hands a shard over. A run on a VM that leaves in that time is lost with the VM.

Cause: once a hand-over has begun, the owner sends nothing to VMs until its last commit is answered. That takes some 30 ms, but it has no bound while the store doesn't answer, and the hand-over that needs no commit is only chosen for shards that aren't being handed over yet. The leases end after `max_hold_ms`.

Change: once the commit has been unanswered for `COMMIT_STALL_TIMEOUT`, the owner polls its VMs and stops runs on leaving and drained VMs as before the hand-over. It takes up no new work, and leaves ended runs to the next owner, which gets them from the VMs: each would need a further commit, and a busy shard would never be handed over.

Why it works: the shard has no other owner before the hand-over is complete, so the extensions are those of an owner in an outage. As the shard is handed over, no lease is longer than `max_keep` from then, which the next owner assumes.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -18,6 +18,7 @@
 pub mod event;
 mod finish;
 mod fleet;
+mod hand_over;
 mod health;
 mod intake;
 pub mod interference;
@@ -146,7 +147,13 @@
             Event::Queues(queues) => self.configure(queues),
             Event::Fleet { vms, list_status, at } => self.update_vm_list(vms, list_status, at),
             Event::Departed(departures) => self.remove_departed_vms(&departures),
-            Event::Polled { vm, sent, result } => self.handle_poll_response(&vm, sent, result),
+            Event::Polled { vm, sent, result } => {
+                let noted = self.is_hand_over_stalled()
+                    && result.as_ref().is_ok_and(|resp| self.note_poll_response(&vm, sent, resp));
+                if !noted {
+                    self.handle_poll_response(&vm, sent, result);
+                }
+            }
             Event::Started { vm, task, run, result } => {
                 self.handle_start_response(&vm, task, run, &result)
             }
@@ -194,13 +201,15 @@
         }
         self.start_due_occurrences();
         self.remove_expired_runs();
-        if self.stage == Stage::Serving {
+        if self.maintains_runs() {
             self.stop_runs_on_leaving_vms();
             self.stop_runs_on_draining_vms();
-            if self.may_start() && self.has_queues() {
-                self.schedule();
+            if self.stage == Stage::Serving {
+                if self.may_start() && self.has_queues() {
+                    self.schedule();
+                }
+                self.send_pending_loan_messages();
             }
-            self.send_pending_loan_messages();
             self.send_due_commands();
             self.poll_due_vms();
         }
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -6,7 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
-use waxwingstall::job::{Job, JobId, JobState};
+use waxwingstall::job::{Job, JobId, JobState, Resume};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::{Seen, Work};
@@ -279,3 +279,43 @@
     let seen = sim.vms.iter().flat_map(|vm| &vm.table.seen);
     seen.filter(|seen| matches!(seen, Seen::Started { .. })).count()
 }
+
+// Guards against tasks that are killed because the store fails while their shard is handed over: its
+// owner sent no more polls until the last commit was answered, and the leases ended.
+#[test]
+fn tasks_survive_an_outage_of_the_store_during_a_hand_over() {
+    let mut sim = sim(1);
+    sim.submit("kacyiru", job_with_steps(1, 1, 3, work(0, 1)));
+    sim.run_for(seconds(1));
+    sim.stop_store(seconds(10));
+    sim.submit("kacyiru", job_with_steps(2, 1, 1, work(500, 1)));
+    sim.run_for(Duration::from_millis(100));
+    sim.begin_hand_over("kacyiru");
+    sim.run_for(seconds(9));
+    assert_eq!(sim.runs_on(0), 3, "the store is still down");
+    sim.run_for(seconds(2));
+    sim.hand_over("kacyiru");
+    sim.run_for(seconds(3));
+    assert_eq!(sim.show("kacyiru", JobId(2)), Some(Answer::Shown(JobState::Done)));
+    assert_eq!(started(&sim), 4, "each task has started once");
+}
+
+// Guards against a task that is lost with its VM because the store fails while the shard is handed
+// over: no stop was sent although the notice was known.
+#[test]
+fn a_leaving_vm_is_vacated_during_a_hand_over_that_waits_for_the_store() {
+    let mut sim = sim(1);
+    let mut job = job_with_steps(1, 1, 1, work(30_000, 1));
+    job.steps[0].resume = Resume::FromStart;
+    sim.submit("kacyiru", job);
+    sim.run_for(seconds(1));
+    sim.depart_vm(0, seconds(5));
+    sim.run_for(Duration::from_millis(900));
+    sim.stop_store(seconds(10));
+    sim.submit("kacyiru", job_with_steps(2, 1, 1, work(500, 1)));
+    sim.run_for(Duration::from_millis(100));
+    sim.begin_hand_over("kacyiru");
+    assert_eq!(sim.runs_on(0), 1, "the notice leaves time");
+    sim.run_for(Duration::from_millis(3900));
+    assert_eq!(sim.runs_on(0), 0, "the VM leaves in 100 ms");
+}
