Delete expired jobs again after a refused commit

Operators would see entries of finished jobs that stay in the store, and a caller who submits such an id again gets a 200 although nothing will run.

Cause: the deletions of expired jobs are taken off their list as a commit is built. If the commit also holds a new job that another shard already has, the store refuses all of it. The jobs of the commit were queued again, the deletions weren't, so the entries stayed until the shard's next owner found them.

Change: a commit keeps the expired jobs that it deletes, and they are queued again with the rest.

Evidence: `an_expired_job_is_deleted_although_its_commit_had_a_duplicate_job` found the job's id in the store seconds after its time on the code before, and finds none now.

Why it works: a refused commit has no effect, so all of it has to be repeated; a deletion can be repeated without harm.

--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -100,6 +100,8 @@
     pub parts: Vec<CommitPart>,
     /// Actions to take once the commit is durable.
     pub actions: Vec<Action>,
+    /// Jobs whose final state it deletes.
+    expired: Vec<JobId>,
     learned_record: Option<Bytes>,
 }
 
@@ -207,6 +209,7 @@
             since: now,
             parts: Vec::new(),
             actions: std::mem::take(&mut self.after_next_commit),
+            expired: Vec::new(),
             learned_record: self.learned_record.take(),
         };
         let room = MAX_TXN_ENTRIES - RESERVED_ENTRIES - MAX_JOB_ENTRIES;
@@ -226,6 +229,7 @@
             let Some(id) = self.expired.pop() else { break };
             txn.deletes.push(self.keys.progress(id));
             txn.deletes.push(Keys::id(id));
+            commit.expired.push(id);
         }
         self.last_seq = commit.seq;
         self.next_at = now + COMMIT_GAP;
@@ -249,10 +253,11 @@
         self.in_flight.take()
     }
 
-    /// Queues the jobs and actions of a commit that was not applied for the next commit.
+    /// Queues the jobs, actions and deletions of a commit that was not applied for the next commit.
     pub fn requeue(&mut self, commit: InFlight, jobs: &mut IndexMap<JobId, JobRun>) {
         self.silence.write_failed();
         self.after_next_commit.extend(commit.actions);
+        self.expired.extend(commit.expired);
         self.learned_record = self.learned_record.take().or(commit.learned_record);
         for mut part in commit.parts {
             let Some(job) = jobs.get_mut(&part.id) else { continue };
--- a/tests/shards/duplicates.rs
+++ b/tests/shards/duplicates.rs
@@ -1,10 +1,11 @@
 //! Tasks that run a second time although their first run has ended.
 
-use crate::faults::{Faults, Outcome};
+use crate::faults::{Faults, NoFaults, Outcome};
 use crate::jobs::{job_with_steps, work};
 use crate::world::{Simulation, VmNode};
 use std::time::Duration;
-use waxwingstall::shard::Action;
+use waxwingstall::job::Job;
+use waxwingstall::shard::{Action, Keys, Settings};
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::Seen;
 
@@ -58,3 +59,27 @@
     sim.run_for(Duration::from_secs(15));
     assert_eq!([starts(&sim.vms[0]), starts(&sim.vms[1])], [1, 0], "starts on each VM");
 }
+
+// Guards against a finished job whose entries stay in the store: they were deleted in the same commit
+// as a job that another shard already had, which the store refused, and not in a later one.
+#[test]
+fn an_expired_job_is_deleted_although_its_commit_had_a_duplicate_job() {
+    let shards = ["kacyiru", "remera"];
+    let mut sim = Simulation::new(NoFaults, &shards, 1, SIZE);
+    let (expiring, elsewhere) = (job_with_steps(1, 1, 1, work(300, 1)), lasting(2));
+    sim.submit(shards[0], expiring.clone());
+    sim.submit(shards[1], elsewhere.clone());
+    sim.run_for(Settings::default().show_for);
+    assert!(sim.kv.get(&Keys::id(expiring.id)).is_some(), "its state is still shown");
+    let until = sim.now + Duration::from_secs(10);
+    while sim.now < until {
+        sim.submit(shards[0], elsewhere.clone());
+        sim.run_for(ms(10));
+    }
+    sim.run_for(ms(500));
+    assert_eq!(sim.kv.get(&Keys::id(expiring.id)), None);
+}
+
+fn lasting(id: u64) -> Job {
+    job_with_steps(id, 1, 1, work(0, 1))
+}
