Ask again for a job that the store has and the owner doesn't

Callers would get a 410 for a job that runs: a GET takes it for gone, and a DELETE for cancelled, while it goes on.

Cause: an answer that the job isn't in its shard was believed if the store names the same shard. It was taken for a finished job whose deletion is on the way. But the daemon asked may have lost the shard without knowing: cut off from the new owner, with no commit that would tell it, it learns of the loss from the first VM that the new owner has polled. A job that the new owner accepted in that time is not known there.

Change: the call is made again while its time lasts. It ends with 410 only if the store doesn't name a shard any more, and else as unknown.

Evidence: `a_job_in_the_store_is_not_reported_as_missing` got `NotHere` for a job in the store on the code before, and gets the next answer now. It also checks that a job which the store doesn't have is still reported as missing.

Why it works: the job's id is in the store from its acceptance until its final state has been shown for long enough. A deletion on the way is complete within a commit, and the call made again finds it.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -226,8 +226,15 @@
                 Attempt::Answered(Answer::NotHere) => {
                     match self.find_in_store(id, deadline).await {
                         JobLocation::Shard(other) if other != shard => {}
-                        // A finished job that its owner has deleted is deleted from the store, too.
-                        JobLocation::Shard(_) | JobLocation::NotFound => return Answer::NotHere,
+                        // Either a finished job is being deleted, or the daemon asked has lost the
+                        // shard without knowing it, and the next owner has accepted the job.
+                        JobLocation::Shard(_) => {
+                            if !self.wait_to_retry(deadline).await {
+                                let reason = "the shard's owner doesn't know the job".to_owned();
+                                return Answer::Unknown { reason };
+                            }
+                        }
+                        JobLocation::NotFound => return Answer::NotHere,
                         JobLocation::Unknown(reason) => return Answer::Unknown { reason },
                     }
                 }
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -18,6 +18,7 @@
 use actix::prelude::*;
 use futures::StreamExt;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarpc::context::Context as CallContext;
@@ -160,9 +161,27 @@
     assert!(matches!(answer, Answer::Unknown { .. }), "{answer:?}");
 }
 
-/// A shard owner that gives this answer to every submitted job, and reports every job as done.
+/// A shard owner that gives the same answer to every submitted job, and reports every job as done.
 #[derive(Clone)]
-struct FakeOwner(Answer);
+struct FakeOwner {
+    submitted: Answer,
+    /// Number of calls to existing jobs that it answers as if it had no such job.
+    denials: Arc<AtomicUsize>,
+}
+
+impl FakeOwner {
+    fn new(submitted: Answer) -> Self {
+        Self { submitted, denials: Arc::default() }
+    }
+
+    fn existing(&self, answer: Answer) -> Answer {
+        let denied = |left: usize| left.checked_sub(1);
+        match self.denials.fetch_update(Ordering::Relaxed, Ordering::Relaxed, denied) {
+            Ok(_) => Answer::NotHere,
+            Err(_) => answer,
+        }
+    }
+}
 
 impl JobsRpc for FakeOwner {
     async fn hello(self, _: CallContext, _: Hello) -> Option<Hello> {
@@ -171,9 +190,9 @@
 
     async fn call(self, _: CallContext, _: String, call: Call) -> Reply {
         Reply::Answer(match call {
-            Call::Submit(..) => self.0,
-            Call::Cancel(_) => Answer::Cancelling,
-            Call::Show(_) => Answer::Shown(JobState::Done),
+            Call::Submit(..) => self.submitted,
+            Call::Cancel(_) => self.existing(Answer::Cancelling),
+            Call::Show(_) => self.existing(Answer::Shown(JobState::Done)),
         })
     }
 
@@ -191,7 +210,7 @@
     listener.set_nonblocking(true).expect("a socket");
     let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
     let _silent = listener.accept().await.expect("a connection");
-    serve_owner(listener, FakeOwner(Answer::Accepted)).await;
+    serve_owner(listener, FakeOwner::new(Answer::Accepted)).await;
 }
 
 async fn serve_owner(listener: tokio::net::TcpListener, owner: FakeOwner) {
@@ -220,13 +239,43 @@
 
 /// Address of a shard owner that gives this answer to every job.
 fn owner_that_answers(answer: Answer) -> SocketAddr {
+    serve(FakeOwner::new(answer))
+}
+
+/// Serves a shard owner, and returns its address.
+fn serve(owner: FakeOwner) -> SocketAddr {
     let (listener, addr) = unserved_listener();
     listener.set_nonblocking(true).expect("a socket");
     let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
-    actix::spawn(serve_owner(listener, FakeOwner(answer)));
+    actix::spawn(serve_owner(listener, owner));
     addr
 }
 
+/// Client of a shard whose owner answers this number of calls as if it didn't have the job, which
+/// the store finds at `found`.
+fn client_of_denying_owner(denials: usize, found: JobLocation) -> JobClient {
+    let owner = FakeOwner::new(Answer::Accepted);
+    owner.denials.store(denials, Ordering::Relaxed);
+    client(Some(found), Some(serve(owner)))
+}
+
+// Guards against callers who are told that their job doesn't exist, and a cancelled job that runs on:
+// the owner asked had lost the shard without knowing, and the job was accepted by the next one.
+#[actix::test]
+async fn a_job_in_the_store_is_not_reported_as_missing() {
+    let found = JobLocation::Shard(SHARD.to_owned());
+    let shown = answered(client_of_denying_owner(2, found.clone()).show(JOB, TEST_TIMEOUT)).await;
+    assert_eq!(shown, Answer::Shown(JobState::Done));
+    let client = client_of_denying_owner(2, found.clone());
+    assert_eq!(answered(client.cancel(JOB, TEST_TIMEOUT)).await, Answer::Cancelling);
+    let client = client_of_denying_owner(usize::MAX, found);
+    let answer = answered(client.cancel(JOB, CALL_TIMEOUT)).await;
+    assert!(matches!(answer, Answer::Unknown { .. }), "{answer:?}");
+    let client = client_of_denying_owner(usize::MAX, JobLocation::NotFound);
+    client.remember_shard(JOB, SHARD);
+    assert_eq!(answered(client.cancel(JOB, TEST_TIMEOUT)).await, Answer::NotHere);
+}
+
 /// Submits a job to a shard whose owner has just fallen silent, and another whose owner gives this
 /// answer.
 async fn submit_beside_silent_owner(answer: Answer) -> Answer {
