Say in hellos which shards were given up, and until when others may be active

What callers saw: a claim succeeded after its daemon had been told to stop, the shard was handed over 1 ms later, and it had no owner for 3.9 s: the others claimed it with reason="its owner doesn't list it", which waits 2.5 s longer than a known release and takes the owner for active.

Cause: a release was only recognised by a hello that no longer lists a shard that an earlier hello had listed. An ownership of a few milliseconds is never listed; a claim whose answer was lost leaves an owner in the store that holds nothing; a claim that succeeded after the last release of an exiting daemon was kept until its end.

Change: hellos carry the shards that the sender was the last known owner of and owns no longer, with their fencing tokens, until it knows of a newer owner; they go out at once, and then as often as those of an owner. A receiver for which the token is the newest claims the shard after the usual 0.7 s, from an owner that has ended, whether or not the shard was ever listed. A shard that the store says is this daemon's although it holds nothing is released too; the heads are read after a claim without an answer and when the store is back. An exiting daemon releases what it still gets. A daemon that loses a shard keeps the newer owner that it knows.

An owner that gave a shard up may itself have replaced one without a proof of its end, which may extend leases for 12 s more. Releases and offers carry how long that may still be, so that such a shard is claimed as that of an owner that may be active, and a restart of the last owner's process proves nothing.

Why it works: the end of an ownership stays true, so that a hello of any age shows it, and the token keeps it from saying anything about the next one. It is said only after the shard was dropped.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -6,6 +6,7 @@
 use crate::shard::learned::Learned;
 use crate::shard::{ReportedLapse, Summary};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A daemon in the cluster.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +87,8 @@
     pub config: u64,
     /// Shards owned by the sender.
     pub shards: Vec<ShardReport>,
+    /// Shards that the sender was the last known owner of, and owns no longer.
+    pub released: Vec<ReleasedShard>,
 }
 
 impl Hello {
@@ -101,6 +104,16 @@
     }
 }
 
+/// An ownership of a shard that has ended: its owner makes no calls to the shard's VMs any more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleasedShard {
+    pub name: String,
+    /// Fencing token of the ownership.
+    pub fence: u64,
+    /// How long an owner before that one may still extend leases; zero if none does.
+    pub earlier_active: Duration,
+}
+
 /// State of a shard as reported by its owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShardReport {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -18,10 +18,11 @@
 mod offers;
 mod orphans;
 mod predecessors;
+mod released;
 mod sharing;
 
 use super::head::{ExpectedOwner, Head};
-use super::member::{Hello, Member, MemberStage, OfferAnswer, StoreReachability};
+use super::member::{Hello, Member, MemberStage, OfferAnswer, ReleasedShard, StoreReachability};
 use super::plan::Plan;
 use crate::ids::{DaemonId, DomainId};
 use crate::note::{Note, StaticText};
@@ -96,16 +97,14 @@
     },
     /// Another daemon hands a shard over to this one.
     Offered {
-        shard: String,
         from: DaemonId,
-        /// Fencing token of the ownership that ended with the offer.
-        fence: u64,
+        released: ReleasedShard,
     },
     /// Whether this daemon can reach the store.
     Store(StoreReachability),
     /// This daemon begins a planned stop.
     Drain,
-    /// This daemon exits now and releases its remaining shards.
+    /// This daemon exits now and releases its remaining shards, also those that it is claiming.
     ReleaseAll,
 }
 
@@ -132,9 +131,7 @@
     },
     /// Offers a dropped shard to a daemon.
     Offer {
-        shard: String,
-        /// Fencing token of the ownership that has ended.
-        fence: u64,
+        released: ReleasedShard,
         to: Member,
     },
     Note(Note),
@@ -169,10 +166,24 @@
     since: Duration,
     /// Number of the newest hello in which the owner has listed the shard.
     listed: Option<u64>,
+    /// Set once this ownership is known to have ended: until when an owner before it may still
+    /// extend leases.
+    released: Option<Duration>,
+    /// What this daemon's last claim of the shard relies on.
+    basis: ClaimBasis,
     /// Set while the shard has no live owner.
     orphan: Option<Orphan>,
 }
 
+/// What a claim of this daemon relies on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClaimBasis {
+    /// The owner that it replaces may still extend leases after it has taken effect.
+    MaybeActive,
+    /// No earlier owner extends leases after that time.
+    EndedBy(Duration),
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum HoldState {
     Claiming,
@@ -240,9 +251,10 @@
 
     /// The owner of a shard, if it is known and alive.
     pub fn owner(&self, shard: &str) -> Option<Member> {
-        let owner = self.shards.get(shard)?.owner.as_ref()?;
+        let view = self.shards.get(shard)?;
+        let owner = view.owner.as_ref()?;
         if *owner == self.me.id {
-            return Some(self.me.clone());
+            return view.released.is_none().then(|| self.me.clone());
         }
         let known = self.members.values().find(|known| known.member.id == *owner)?;
         self.is_alive(known).then(|| known.member.clone())
@@ -330,10 +342,14 @@
             Event::OfferEnded { shard, fence, heir, outcome } => {
                 self.handle_offer_outcome(&shard, fence, &heir, outcome);
             }
-            Event::Offered { shard, from, fence } => self.handle_offer(&shard, &from, fence),
+            Event::Offered { from, released } => self.handle_offer(&from, &released),
             Event::Store(reach) => self.handle_store_reach(reach),
             Event::Drain => self.me.stage = MemberStage::Draining,
-            Event::ReleaseAll => self.release_all(),
+            Event::ReleaseAll => self.is_exiting = true,
+        }
+        self.release_unheld();
+        if self.is_exiting {
+            self.release_all();
         }
         if self.me.stage == MemberStage::Draining {
             self.hand_over_all();
@@ -362,6 +378,12 @@
         let Some(view) = self.shards.get_mut(shard) else { return };
         let newer = fence > view.fence || (view.owner.is_none() && fence >= view.fence);
         if newer {
+            if owner == self.me.id {
+                view.basis = ClaimBasis::EndedBy(view.basis.earlier_active_until(now));
+            }
+            if fence > view.fence || owner != self.me.id {
+                view.released = None;
+            }
             view.owner = Some(owner);
             view.fence = fence;
             view.since = now;
@@ -373,8 +395,16 @@
     fn handle_plan(&mut self, plan: &Plan) {
         for (name, domain) in plan.shards() {
             let since = self.now;
-            let view =
-                ShardView { domain, owner: None, fence: 0, since, listed: None, orphan: None };
+            let view = ShardView {
+                domain,
+                owner: None,
+                fence: 0,
+                since,
+                listed: None,
+                released: None,
+                basis: ClaimBasis::EndedBy(Duration::ZERO),
+                orphan: None,
+            };
             self.shards.entry(name).or_insert(view);
         }
         self.actions.push(Action::ReadHeads);
@@ -393,8 +423,10 @@
         if let Some(view) = self.shards.get_mut(&shard) {
             view.orphan = None;
         }
-        if let Some(head) = head {
-            self.record_owner(&shard, head.owner, head.fence);
+        match head {
+            Some(head) => self.record_owner(&shard, head.owner, head.fence),
+            // Its answer may have been lost.
+            None => self.actions.push(Action::ReadHeads),
         }
         self.actions.push(Action::Note(Note::ShardClaimFailed { shard, reason }));
     }
@@ -403,8 +435,12 @@
         self.predecessors.shift_remove(shard);
         let now = self.now;
         if let Some(view) = self.shards.get_mut(shard) {
-            view.owner = None;
-            view.since = now;
+            // A newer owner may be known already.
+            if view.owner.as_ref() == Some(&self.me.id) {
+                view.owner = None;
+                view.released = Some(view.basis.earlier_active_until(now));
+                view.since = now;
+            }
             view.orphan = None;
             let fence = view.fence;
             self.actions.push(Action::Note(Note::ShardLost {
@@ -420,6 +456,9 @@
         if self.store != reach {
             self.store = reach;
             self.store_since = self.now;
+            if reach == StoreReachability::Reached {
+                self.actions.push(Action::ReadHeads);
+            }
         }
     }
 }
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -87,7 +87,8 @@
     /// hellos to everyone frequently, since others rely on them. Daemons without shards send them to
     /// owners less often, and to each other at an interval that grows with the size of the cluster.
     pub fn take_due_hellos(&mut self, now: Duration) -> Vec<Member> {
-        let owns = !self.held.is_empty();
+        // Others rely on what a daemon says about shards that it has given up as well.
+        let owns = !self.held.is_empty() || !self.released_shards(now).is_empty();
         let idle_interval = idle_hello_interval(self.members.len());
         let mut due = Vec::new();
         for known in self.members.values_mut().filter(|known| now >= known.next_hello) {
@@ -197,6 +198,7 @@
     }
 
     fn record_reports(&mut self, hello: &Hello) {
+        self.record_released_reports(hello);
         for report in &hello.shards {
             self.record_owner(&report.name, hello.from.id.clone(), report.fence);
             let view = self.shards.get_mut(&report.name);
--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -7,7 +7,9 @@
 use super::members::MemberState;
 use super::orphans::Cause;
 use super::{Action, HoldState, OfferOutcome, Ownership};
-use crate::cluster::member::{DeclineReason, Member, MemberStage, OfferAnswer, StoreReachability};
+use crate::cluster::member::{
+    DeclineReason, Member, MemberStage, OfferAnswer, ReleasedShard, StoreReachability,
+};
 use crate::ids::DaemonId;
 use crate::note::{Millis, Note, StaticText};
 use crate::shard::PreviousOwner;
@@ -49,7 +51,10 @@
             Some(HoldState::HandingOver { to }) => Some(to),
             Some(HoldState::Claiming | HoldState::Owned) | None => None,
         };
-        self.forget_owned(shard, "handed over");
+        self.predecessors.shift_remove(shard);
+        self.release_own(shard, fence);
+        let note = Note::ShardLost { shard: shard.to_owned(), fence, reason: "handed over" };
+        self.actions.extend([Action::Note(note), Action::ReadHeads]);
         let offer = Offer::new(fence, self.now);
         let heir = heir.and_then(|heir| self.heir_if_eligible(shard, &heir, &offer));
         match heir {
@@ -105,14 +110,16 @@
         OfferAnswer::Declined(reason)
     }
 
-    pub(super) fn handle_offer(&mut self, shard: &str, from: &DaemonId, fence: u64) {
+    pub(super) fn handle_offer(&mut self, from: &DaemonId, released: &ReleasedShard) {
+        let shard = &released.name;
         if self.held.contains_key(shard) {
             return;
         }
-        let answer = self.answer_offer(shard, fence);
-        self.record_owner(shard, from.clone(), fence);
+        let answer = self.answer_offer(shard, released.fence);
+        self.record_released(from, released);
         if answer == OfferAnswer::Accepted {
-            self.claim(shard, Some(from), Cause::offered("handed over by its owner"));
+            let until = self.now.saturating_add(released.earlier_active);
+            self.claim(shard, Some(from), Cause::offered("handed over by its owner", until));
         }
     }
 
@@ -128,9 +135,11 @@
         offer.sent = self.now;
         offer.tried.push(heir.id.clone());
         self.offers.insert(shard.clone(), offer);
-        let note = Note::ShardOffered { shard: shard.clone(), fence, heir: heir.id.clone() };
+        let earlier_active = self.earlier_active_until(&shard).saturating_sub(self.now);
+        let released = ReleasedShard { name: shard.clone(), fence, earlier_active };
+        let note = Note::ShardOffered { shard, fence, heir: heir.id.clone() };
         self.actions.push(Action::Note(note));
-        self.actions.push(Action::Offer { shard, fence, to: heir });
+        self.actions.push(Action::Offer { released, to: heir });
     }
 
     /// Takes a shard back that no daemon has accepted, if this daemon can still serve it.
@@ -145,8 +154,8 @@
             next,
         }));
         if take_back {
-            let me = self.me.id.clone();
-            self.claim(shard, Some(&me), Cause::offered("no daemon took it"));
+            let (me, until) = (self.me.id.clone(), self.earlier_active_until(shard));
+            self.claim(shard, Some(&me), Cause::offered("no daemon took it", until));
         }
     }
 
@@ -166,6 +175,11 @@
         self.best_candidate(shard, domain, eligible)
     }
 
+    /// Until when an owner before this daemon may still extend the leases of a released shard.
+    fn earlier_active_until(&self, shard: &str) -> Duration {
+        self.shards.get(shard).and_then(|view| view.released).unwrap_or(Duration::ZERO)
+    }
+
     fn heir_if_eligible(&self, shard: &str, heir: &DaemonId, offer: &Offer) -> Option<Member> {
         let mut members = self.members.values();
         let known = members.find(|known| known.member.id == *heir)?;
@@ -219,8 +233,11 @@
 
 impl Cause {
     /// Cause for a shard whose owner has dropped it and says so.
-    fn offered(reason: StaticText) -> Self {
+    ///
+    /// An owner before that one may still be active: the times told with the offer cover it, for
+    /// each VM that doesn't answer.
+    fn offered(reason: StaticText, earlier_active_until: Duration) -> Self {
         let (silent, grace) = (Duration::ZERO, Duration::ZERO);
-        Self { previous: PreviousOwner::Ended, reason, silent, grace }
+        Self { previous: PreviousOwner::Ended, reason, silent, grace, earlier_active_until }
     }
 }
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -1,7 +1,7 @@
 //! Detection of shards without a live owner, and the order in which daemons claim them.
 
 use super::members::MemberState;
-use super::{Action, HoldState, Ownership, ShardView};
+use super::{Action, ClaimBasis, HoldState, Ownership, ShardView};
 use crate::cluster::head::ExpectedOwner;
 use crate::cluster::member::{Member, MemberStage, StoreReachability};
 use crate::ids::{DaemonId, DomainId};
@@ -59,6 +59,8 @@
     pub(super) silent: Duration,
     /// Additional delay of the claim, in which a live owner may still become known.
     pub(super) grace: Duration,
+    /// Until when an owner before the last one may still extend leases, if the last one has ended.
+    pub(super) earlier_active_until: Duration,
 }
 
 impl Ownership {
@@ -73,7 +75,12 @@
             }
             let lost = match &view.owner {
                 None => Some(unowned("it has no owner")),
-                Some(owner) if *owner == self.me.id => Some(unowned("this daemon released it")),
+                Some(owner) if *owner == self.me.id => {
+                    view.released_cause("this daemon released it", now)
+                }
+                Some(_) if view.released.is_some() => {
+                    view.released_cause("its owner released it", now)
+                }
                 Some(owner) => orphan_cause(owner, name, view, &self.members, now, &mut probes),
             };
             // The cause is updated each time: an unresponsive owner may be found to have ended.
@@ -123,8 +130,15 @@
             silent_ms: Millis(cause.silent),
         }));
         let previous = cause.previous;
-        if previous == PreviousOwner::MaybeActive {
-            self.remember_predecessor(shard);
+        let basis = match previous {
+            PreviousOwner::MaybeActive => {
+                self.remember_predecessor(shard);
+                ClaimBasis::MaybeActive
+            }
+            PreviousOwner::Ended => ClaimBasis::EndedBy(cause.earlier_active_until),
+        };
+        if let Some(view) = self.shards.get_mut(shard) {
+            view.basis = basis;
         }
         let replaces = ExpectedOwner { fence: self.fence(shard).0 };
         self.actions.push(Action::Claim { shard: shard.to_owned(), previous, replaces });
@@ -167,8 +181,9 @@
     // would appear unresponsive, and the shard would be claimed again at once.
     let last_heard = if is_same_process { known.last_heard } else { known.earlier_heard };
     let silent = now.saturating_sub(last_heard.max(view.since));
-    let grace = Duration::ZERO;
-    let cause = |previous, reason| Some(Cause { previous, reason, silent, grace });
+    let cause = |previous, reason| {
+        Some(Cause { previous, silent, grace: Duration::ZERO, ..unowned(reason) })
+    };
     if !is_same_process {
         // A daemon runs one process at a time. One that was running after the owner had claimed the
         // shard has replaced it; otherwise it may be an earlier one, and the owner's first hello is
@@ -210,9 +225,10 @@
 
 /// Cause for a shard that appears to have no owner, though one may become known during the grace
 /// period.
-fn unowned(reason: StaticText) -> Cause {
+pub(super) fn unowned(reason: StaticText) -> Cause {
     let (previous, silent) = (PreviousOwner::MaybeActive, Duration::ZERO);
-    Cause { previous, reason, silent, grace: PROPAGATION_DELAY }
+    let earlier_active_until = Duration::ZERO;
+    Cause { previous, reason, silent, grace: PROPAGATION_DELAY, earlier_active_until }
 }
 
 fn is_same_daemon(member: &Member, owner: &DaemonId) -> bool {
--- a/src/cluster/ownership/predecessors.rs
+++ b/src/cluster/ownership/predecessors.rs
@@ -4,7 +4,7 @@
 //! process has ended. If a later process of the same daemon answers afterwards, the new owner need
 //! no longer allow for leases that the previous one may still extend.
 
-use super::{Action, HoldState, Ownership};
+use super::{Action, ClaimBasis, HoldState, Ownership};
 use crate::cluster::member::Hello;
 use crate::ids::DaemonId;
 use std::time::Duration;
@@ -33,6 +33,10 @@
     /// Remembers the owner that a claim replaces, unless it is known to have ended.
     pub(super) fn remember_predecessor(&mut self, shard: &str) {
         let Some(view) = self.shards.get(shard) else { return };
+        if view.released.is_some() {
+            // The one that may be active is an earlier, unknown owner.
+            return;
+        }
         let Some(owner) = view.owner.clone().filter(|owner| *owner != self.me.id) else { return };
         let predecessor = Predecessor { owner, known_since: view.since, has_ended: false };
         self.predecessors.insert(shard.to_owned(), predecessor);
@@ -49,10 +53,13 @@
 
     /// Tells the shards that are owned by now about predecessors that have ended.
     pub(super) fn report_ended_predecessors(&mut self) {
-        let (held, actions) = (&self.held, &mut self.actions);
+        let (held, actions, shards) = (&self.held, &mut self.actions, &mut self.shards);
         self.predecessors.retain(|shard, predecessor| {
             let known = predecessor.has_ended && held.get(shard) == Some(&HoldState::Owned);
             if known {
+                if let Some(view) = shards.get_mut(shard) {
+                    view.basis = ClaimBasis::EndedBy(Duration::ZERO);
+                }
                 actions.push(Action::PredecessorEnded { shard: shard.clone() });
             }
             !known
--- /dev/null
+++ b/src/cluster/ownership/released.rs
@@ -0,0 +1,101 @@
+//! Ownerships of shards that are known to have ended.
+//!
+//! A daemon that gives a shard up says so in its hellos until it knows of a newer owner. This also
+//! covers a claim that took effect though it was taken for failed, and an ownership so short that no
+//! hello listed the shard. The end of an ownership stays true, so that a hello of any age shows it.
+//!
+//! It shows nothing about the owner before, which may still extend leases if it was replaced without
+//! a proof that it had ended. The time for which it may is passed on.
+
+use super::orphans::{Cause, unowned};
+use super::{ClaimBasis, Ownership, ShardView};
+use crate::cluster::member::{Hello, ReleasedShard};
+use crate::ids::DaemonId;
+use crate::note::{Note, StaticText};
+use crate::shard::PreviousOwner;
+use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
+use std::time::Duration;
+
+impl ClaimBasis {
+    /// Until when an owner before the one that claimed on this basis may still extend leases, if
+    /// the claim has taken effect by `now`.
+    pub(super) fn earlier_active_until(self, now: Duration) -> Duration {
+        match self {
+            Self::MaybeActive => now + MAX_STALE_OWNER_EXTENSION,
+            Self::EndedBy(until) => until,
+        }
+    }
+}
+
+impl ShardView {
+    /// Records that the ownership with this fencing token has ended, if it is the newest one.
+    fn set_released(&mut self, fence: u64, earlier_active_until: Duration) {
+        if self.fence == fence {
+            let known = self.released.unwrap_or(Duration::MAX);
+            self.released = Some(known.min(earlier_active_until));
+        }
+    }
+
+    /// Why the shard has no owner, if its last one is known to have released it.
+    pub(super) fn released_cause(&self, reason: StaticText, now: Duration) -> Option<Cause> {
+        let earlier_active_until = self.released?;
+        let previous = if now < earlier_active_until {
+            PreviousOwner::MaybeActive
+        } else {
+            PreviousOwner::Ended
+        };
+        Some(Cause { previous, earlier_active_until, ..unowned(reason) })
+    }
+}
+
+impl Ownership {
+    /// Shards that this daemon was the last known owner of, and owns no longer.
+    pub fn released_shards(&self, now: Duration) -> Vec<ReleasedShard> {
+        let released = self.shards.iter().filter(|(name, view)| {
+            view.owner.as_ref() == Some(&self.me.id) && !self.held.contains_key(*name)
+        });
+        let to_report = |(name, view): (&String, &ShardView)| {
+            let earlier_active = view.released?.saturating_sub(now);
+            Some(ReleasedShard { name: name.clone(), fence: view.fence, earlier_active })
+        };
+        released.filter_map(to_report).collect()
+    }
+
+    /// Records that an ownership of another daemon has ended.
+    pub(super) fn record_released(&mut self, owner: &DaemonId, released: &ReleasedShard) {
+        let until = self.now.saturating_add(released.earlier_active);
+        self.record_owner(&released.name, owner.clone(), released.fence);
+        if let Some(view) = self.shards.get_mut(&released.name) {
+            view.set_released(released.fence, until);
+        }
+    }
+
+    pub(super) fn record_released_reports(&mut self, hello: &Hello) {
+        hello.released.iter().for_each(|released| self.record_released(&hello.from.id, released));
+    }
+
+    /// Records that this daemon's own ownership has ended, and tells the others soon.
+    pub(super) fn release_own(&mut self, shard: &str, fence: u64) {
+        let Some(view) = self.shards.get_mut(shard) else { return };
+        let until = view.basis.earlier_active_until(self.now);
+        view.set_released(fence, until);
+        self.schedule_hello_to_all();
+    }
+
+    /// Releases shards that the store says are owned by this daemon although it holds nothing: a
+    /// claim took effect and was taken for failed.
+    pub(super) fn release_unheld(&mut self) {
+        let is_unheld = |(name, view): &(&String, &ShardView)| {
+            view.owner.as_ref() == Some(&self.me.id)
+                && view.released.is_none()
+                && !self.held.contains_key(*name)
+        };
+        let unheld = self.shards.iter().filter(is_unheld);
+        let unheld: Vec<(String, u64)> = unheld.map(|(n, view)| (n.clone(), view.fence)).collect();
+        for (shard, fence) in unheld {
+            self.release_own(&shard, fence);
+            let reason = "its claim had been taken for failed";
+            self.actions.push(super::Action::Note(Note::ShardLost { shard, fence, reason }));
+        }
+    }
+}
--- a/src/cluster/ownership/sharing.rs
+++ b/src/cluster/ownership/sharing.rs
@@ -96,7 +96,6 @@
 
     /// Releases the remaining shards, so that the next daemon finds them without an owner.
     pub(super) fn release_all(&mut self) {
-        self.is_exiting = true;
         for shard in self.owned() {
             self.hand_over(shard, self.me.clone(), HandOver::AfterCommit);
         }
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -1,6 +1,8 @@
 use super::{Answer, Call, JobClient, RETRY_AFTER_EVACUATION, RETRY_AFTER_OUTAGE, Reply};
 use crate::clock::{Clock, SystemClock};
-use crate::cluster::{DeclineReason, Hello, Member, MemberStage, OfferAnswer, StoreReachability};
+use crate::cluster::{
+    DeclineReason, Hello, Member, MemberStage, OfferAnswer, ReleasedShard, StoreReachability,
+};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::{Job, JobId, JobState, Label, QueueName, Repeat, Step};
 use crate::jobs::control::Control;
@@ -186,9 +188,8 @@
     async fn take(
         self,
         _: CallContext,
-        _: String,
         _: DaemonId,
-        _: Fence,
+        _: ReleasedShard,
         _: Vec<VmLapse>,
     ) -> OfferAnswer {
         OfferAnswer::Declined(DeclineReason::Draining)
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -1,7 +1,9 @@
 //! Messages handled by the control actor.
 
 use super::{ActorHandles, Control, RemoteShard, ReportOrder, ShardOffer, TimedLapses};
-use crate::cluster::{self, Head, Hello, Member, OfferAnswer, Plan, StoreReachability};
+use crate::cluster::{
+    self, Head, Hello, Member, OfferAnswer, Plan, ReleasedShard, StoreReachability,
+};
 use crate::evacuation::Evacuations;
 use crate::ids::{DaemonId, Ticket};
 use crate::jobs::calls::{Call, Reply};
@@ -268,10 +270,8 @@
 #[derive(Message)]
 #[rtype(result = "OfferAnswer")]
 pub struct HandleOffer {
-    pub shard: String,
     pub from: DaemonId,
-    /// Fencing token of the ownership that ended with the offer.
-    pub fence: Fence,
+    pub released: ReleasedShard,
     pub lapses: Vec<VmLapse>,
 }
 
@@ -280,14 +280,15 @@
 
     fn handle(&mut self, msg: HandleOffer, cx: &mut Self::Context) -> Self::Result {
         self.begin_handler(cx);
-        let HandleOffer { shard, from, fence, lapses } = msg;
-        let is_newest = self.offers.get(&shard).is_none_or(|offer| offer.fence <= fence);
+        let HandleOffer { from, released, lapses } = msg;
+        let (shard, fence) = (&released.name, Fence(released.fence));
+        let is_newest = self.offers.get(shard).is_none_or(|offer| offer.fence <= fence);
         if is_newest {
             let offer = ShardOffer { fence, at: self.last_wake, lapses };
             self.offers.insert(shard.clone(), offer);
         }
-        let answer = self.ownership.answer_offer(&shard, fence.0);
-        self.step_ownership(cluster::Event::Offered { shard, from, fence: fence.0 }, cx);
+        let answer = self.ownership.answer_offer(shard, fence.0);
+        self.step_ownership(cluster::Event::Offered { from, released }, cx);
         MessageResult(answer)
     }
 }
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -166,6 +166,7 @@
             store: self.store_reach,
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
             shards: self.shard_reports(),
+            released: self.ownership.released_shards(now),
         };
         let (owners, others) = to.into_iter().partition(|to| self.ownership.is_owner(&to.name));
         if let Some(actors) = &self.actors {
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -2,7 +2,7 @@
 
 use super::publish::LEARNED_INTERVAL;
 use super::{Control, HostedShard, ShardOffer, TimedLapses, TimedLearned};
-use crate::cluster::{self, HandOver, Member, OfferOutcome, StoreReachability};
+use crate::cluster::{self, HandOver, Member, OfferOutcome, ReleasedShard, StoreReachability};
 use crate::evacuation::Evacuations;
 use crate::ids::{DomainId, Ticket};
 use crate::job::JobId;
@@ -91,20 +91,23 @@
         self.remove_hosted(shard);
         let released = cluster::Event::Released { shard: shard.to_owned(), fence: fence.0 };
         self.step_ownership(released, cx);
+        // This daemon may end before the next hellos are due.
+        self.send_hellos();
     }
 
     /// Offers a dropped shard to a daemon.
-    fn offer_shard(&mut self, shard: String, fence: Fence, to: Member, cx: &mut Context<Self>) {
+    fn offer_shard(&mut self, released: ReleasedShard, to: Member, cx: &mut Context<Self>) {
         let now = self.now().steady;
         let Some(actors) = &self.actors else { return };
-        let offer = self.offers.get(&shard).filter(|offer| offer.fence == fence);
+        let (shard, fence) = (released.name.clone(), released.fence);
+        let offer = self.offers.get(&shard).filter(|offer| offer.fence == Fence(fence));
         let lapses = offer.map(|offer| offer.aged(now)).unwrap_or_default();
         let (from, heir) = (self.ownership.me().id.clone(), to.id.clone());
-        let offer = OfferShard { shard: shard.clone(), to, from, fence, lapses };
+        let offer = OfferShard { to, from, released, lapses };
         let outcome = actors.links.send(offer);
         cx.spawn(outcome.into_actor(self).map(move |outcome, this, cx| {
             this.begin_handler(cx);
-            let (fence, outcome) = (fence.0, outcome.unwrap_or(OfferOutcome::NoAnswer));
+            let outcome = outcome.unwrap_or(OfferOutcome::NoAnswer);
             let ended = cluster::Event::OfferEnded { shard, fence, heir, outcome };
             this.step_ownership(ended, cx);
         }));
@@ -152,9 +155,7 @@
                     HandOver::AfterCommit => self.step_shard(&shard, Event::HandOver, cx),
                     HandOver::Immediate => self.complete_hand_over(&shard, cx),
                 },
-                cluster::Action::Offer { shard, fence, to } => {
-                    self.offer_shard(shard, Fence(fence), to, cx);
-                }
+                cluster::Action::Offer { released, to } => self.offer_shard(released, to, cx),
                 cluster::Action::PredecessorEnded { shard } => {
                     self.step_shard(&shard, Event::PreviousOwnerEnded, cx);
                 }
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -5,7 +5,9 @@
 };
 use crate::clock::{Clock, ManualClock};
 use crate::cluster::ownership::OWN_PAUSE_THRESHOLD;
-use crate::cluster::{Hello, Member, MemberStage, Plan, ShardReport, StoreReachability};
+use crate::cluster::{
+    Hello, Member, MemberStage, Plan, ReleasedShard, ShardReport, StoreReachability,
+};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::{Binding, BoundVm, OccurrenceProgress, Progress, TaskProgress};
 use crate::job::{Image, Job, JobId, JobState, Life, QueueName, Repeat, Resume, RunNumber, Step};
@@ -260,7 +262,8 @@
         lapses: vec![ReportedLapse { lapse, mark: SilenceMark(3) }],
     };
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
-    Hello { from, number: 1, store: StoreReachability::Reached, config: 1, shards: vec![report] }
+    let (store, shards) = (StoreReachability::Reached, vec![report]);
+    Hello { from, number: 1, store, config: 1, shards, released: Vec::new() }
 }
 
 // A daemon loses a shard and claims it again. Guards against it forgetting what it reported about
@@ -289,8 +292,9 @@
     let lines = LogBuffer::default();
     let control = logging_control(clock.clone(), lines.clone());
     let lapses = vec![VmLapse { vm: VmId::new(VM), left: Duration::ZERO }];
-    let (shard, from) = (SHARD.to_owned(), DaemonId::new("two@1"));
-    control.send(HandleOffer { shard, from, fence: Fence(5), lapses }).await.expect("a control");
+    let (name, from) = (SHARD.to_owned(), DaemonId::new("two@1"));
+    let released = ReleasedShard { name, fence: 5, earlier_active: Duration::ZERO };
+    control.send(HandleOffer { from, released, lapses }).await.expect("a control");
     let StoreEvent::Claimed(mut recovered) = claimed_with_silent_vm() else { unreachable!() };
     recovered.predecessor = Some(predecessor);
     control.send(StoreEvent::Claimed(recovered)).await.expect("a control");
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -7,7 +7,7 @@
 use crate::clock::ManualClock;
 use crate::cluster::{Head, Hello, Member, Plan, ShardReport, StoreReachability};
 use crate::ids::DaemonId;
-use crate::jobs::control::{Control, Drain};
+use crate::jobs::control::{Control, Drain, ReleaseShards};
 use crate::jobs::links;
 use crate::jobs::records::{ClaimShard, OwnershipStatus};
 use crate::shard::PreviousOwner;
@@ -62,7 +62,7 @@
 
     async fn hear(&self, from: &Member, shards: Vec<ShardReport>) {
         let (from, store) = (from.clone(), StoreReachability::Reached);
-        let hello = Hello { from, number: 1, store, config: 1, shards };
+        let hello = Hello { from, number: 1, store, config: 1, shards, released: Vec::new() };
         self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     }
 
@@ -174,3 +174,29 @@
     assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
     drop(at_heir);
 }
+
+// Guards against a shard without an owner for seconds: a claim succeeds as the daemon is about to
+// end, and none of its hellos lists the shard.
+#[actix::test]
+async fn a_shard_released_before_any_hello_lists_it_is_claimed_as_released() {
+    let clock = Arc::new(ManualClock::new());
+    let (at_owner, at_next) = (listener(), listener());
+    let (owner, next) = (member("owner", 100, &at_owner), member("next", 105, &at_next));
+    let stopping = Node::start(owner.clone(), at_owner, clock.clone()).await;
+    let serving = Node::start(next.clone(), at_next, clock.clone()).await;
+    stopping.read_store(&owner).await;
+    serving.read_store(&owner).await;
+    serving.hear(&owner, Vec::new()).await;
+    // It is not known to reach the store, so that no shard is handed over to it.
+    stopping.store(StoreEvent::Members(vec![next])).await;
+    stopping.control.send(Drain).await.expect("a control");
+    stopping.control.send(ReleaseShards).await.expect("a control");
+    stopping.own().await;
+    assert!(stopping.lines.wait_for("shard-lost", 1).await, "{}", stopping.lines.text());
+    // Shorter than the time that an owner may take to load its shard.
+    for _ in 0..16 {
+        actix::clock::sleep(Duration::from_millis(40)).await;
+        clock.advance(Duration::from_millis(150));
+    }
+    assert_eq!(serving.wait_for_claim().await, [PreviousOwner::Ended], "{}", serving.lines.text());
+}
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -14,7 +14,7 @@
 };
 use super::orders::RequestPermits;
 use crate::clock::Clock;
-use crate::cluster::{DeclineReason, Hello, Member, OfferAnswer, OfferOutcome};
+use crate::cluster::{DeclineReason, Hello, Member, OfferAnswer, OfferOutcome, ReleasedShard};
 use crate::ids::DaemonId;
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::ring::RING_CAPACITY;
@@ -64,8 +64,7 @@
     async fn ask(req: PermitReq) -> permit::Result<PermitResp>;
 
     /// Offers a shard that its owner has released. An offer may be repeated.
-    async fn take(shard: String, from: DaemonId, fence: Fence, lapses: Vec<VmLapse>)
-    -> OfferAnswer;
+    async fn take(from: DaemonId, released: ReleasedShard, lapses: Vec<VmLapse>) -> OfferAnswer;
 }
 
 /// Why a call to another daemon failed.
@@ -187,12 +186,11 @@
     async fn take(
         self,
         _: CallContext,
-        shard: String,
         from: DaemonId,
-        fence: Fence,
+        released: ReleasedShard,
         lapses: Vec<VmLapse>,
     ) -> OfferAnswer {
-        let answer = self.control.send(HandleOffer { shard, from, fence, lapses }).await;
+        let answer = self.control.send(HandleOffer { from, released, lapses }).await;
         // A control actor that has ended takes no shards.
         answer.unwrap_or(OfferAnswer::Declined(DeclineReason::Draining))
     }
@@ -266,11 +264,9 @@
 #[derive(Clone, Message)]
 #[rtype(result = "OfferOutcome")]
 pub struct OfferShard {
-    pub shard: String,
     pub to: Member,
     pub from: DaemonId,
-    /// Fencing token of the ownership that ends with the offer.
-    pub fence: Fence,
+    pub released: ReleasedShard,
     pub lapses: Vec<VmLapse>,
 }
 
@@ -379,9 +375,9 @@
     }
 
     async fn send_offer(&self, offer: OfferShard, timeout: Duration) -> Result<OfferAnswer> {
-        let OfferShard { shard, from, fence, lapses, .. } = offer;
+        let OfferShard { from, released, lapses, .. } = offer;
         let offer = |client: JobsRpcClient, cx| async move {
-            client.take(cx, shard, from, fence, lapses).await
+            client.take(cx, from, released, lapses).await
         };
         self.request(timeout, offer).await
     }
--- a/src/jobs/links/tests.rs
+++ b/src/jobs/links/tests.rs
@@ -1,5 +1,5 @@
 use super::{Error, JobsRpc, OfferShard, PeerClient};
-use crate::cluster::{Hello, Member, MemberStage, OfferAnswer};
+use crate::cluster::{Hello, Member, MemberStage, OfferAnswer, ReleasedShard};
 use crate::ids::{DaemonId, DomainId};
 use crate::job::JobId;
 use crate::jobs::calls::{Call, Reply};
@@ -83,9 +83,8 @@
     async fn take(
         self,
         _: CallContext,
-        _: String,
         _: DaemonId,
-        _: Fence,
+        _: ReleasedShard,
         _: Vec<VmLapse>,
     ) -> OfferAnswer {
         OfferAnswer::Accepted
@@ -119,7 +118,8 @@
         stage: MemberStage::Serving,
         milli_cores: 100,
     };
-    let (shard, from) = (SHARD.to_owned(), DaemonId::new("one@1"));
-    let offer = OfferShard { shard, to, from, fence: Fence(7), lapses: Vec::new() };
+    let (name, from) = (SHARD.to_owned(), DaemonId::new("one@1"));
+    let released = ReleasedShard { name, fence: 7, earlier_active: Duration::ZERO };
+    let offer = OfferShard { to, from, released, lapses: Vec::new() };
     assert_eq!(peer.offer_shard(offer).await, Ok(OfferAnswer::Accepted));
 }
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -1,12 +1,13 @@
 //! Tests of the claims and hand-overs of shards.
 
 mod offers;
+mod released;
 
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::cluster::{
     Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, OfferOutcome,
-    Ownership, Plan, ShardReport, StoreReachability,
+    Ownership, Plan, ReleasedShard, ShardReport, StoreReachability,
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
@@ -21,7 +22,7 @@
 const WEAK: u32 = 69;
 const TICK: Duration = Duration::from_millis(100);
 
-fn ms(n: u64) -> Duration {
+const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
@@ -47,7 +48,8 @@
 }
 
 fn hello(from: Member, shards: Vec<ShardReport>) -> Hello {
-    Hello { from, number: 0, store: StoreReachability::Reached, config: 1, shards }
+    let store = StoreReachability::Reached;
+    Hello { from, number: 0, store, config: 1, shards, released: Vec::new() }
 }
 
 fn report(shard: &str, fence: u64) -> ShardReport {
@@ -61,6 +63,10 @@
     }
 }
 
+fn released(shard: &str, fence: u64, earlier_active: Duration) -> ReleasedShard {
+    ReleasedShard { name: shard.to_owned(), fence, earlier_active }
+}
+
 /// A plan with this number of shards, named `kacyiru.0` and so on.
 fn plan(shards: usize) -> Plan {
     let vm = |number: usize| VmEntry {
@@ -96,6 +102,8 @@
     /// Daemons that a dropped shard was offered to.
     offered: Vec<(String, DaemonId)>,
     notes: Vec<Note>,
+    /// Number of times that the heads were to be read.
+    heads_read: usize,
     /// Shards whose previous owner was found to have ended after the claim.
     predecessors_ended: Vec<String>,
 }
@@ -115,6 +123,7 @@
             how: HandOver::AfterCommit,
             offered: Vec::new(),
             notes: Vec::new(),
+            heads_read: 0,
             predecessors_ended: Vec::new(),
         };
         harness.step(Event::Store(StoreReachability::Reached));
@@ -136,9 +145,9 @@
                     self.handed_over.push((shard, to.name));
                 }
                 Action::PredecessorEnded { shard } => self.predecessors_ended.push(shard),
-                Action::Offer { shard, to, .. } => self.offered.push((shard, to.id)),
+                Action::Offer { released, to } => self.offered.push((released.name, to.id)),
                 Action::Note(note) => self.notes.push(note),
-                Action::ReadHeads => {}
+                Action::ReadHeads => self.heads_read += 1,
             }
         }
     }
@@ -172,7 +181,8 @@
 
     /// A daemon hands the shard over that it owned with this fencing token.
     fn offer(&mut self, shard: &str, from: &Member, fence: u64) {
-        self.step(Event::Offered { shard: shard.to_owned(), from: from.id.clone(), fence });
+        let released = released(shard, fence, Duration::ZERO);
+        self.step(Event::Offered { from: from.id.clone(), released });
     }
 
     /// The shard that this daemon owned with this token is dropped, so that it can be handed over.
--- /dev/null
+++ b/tests/ownership/released.rs
@@ -0,0 +1,243 @@
+//! Shards that their owners say to have given up.
+
+use super::{Harness, STRONG, WEAK, hello, member, ms, process, released, report};
+use std::time::Duration;
+use waxwingstall::cluster::{Event, Hello, Member, ReleasedShard, StoreReachability};
+use waxwingstall::note::Note;
+use waxwingstall::shard::PreviousOwner;
+
+const SHARD: &str = "kacyiru.0";
+
+/// Time after which a shard is claimed whose owner is known to have released it, and in which a
+/// shard that its owner hasn't listed yet isn't claimed.
+const KNOWN_RELEASE: Duration = ms(1000);
+
+/// Time for which the owner before one that was claimed without a proof counts as active.
+const EARLIER_ACTIVE: Duration = Duration::from_secs(12);
+
+fn releasing(from: Member, shards: Vec<ReleasedShard>) -> Hello {
+    Hello { released: shards, ..hello(from, Vec::new()) }
+}
+
+/// A daemon that has read from the store that another one claimed the shard, and has heard no hello
+/// that lists it.
+fn daemon_beside_claimant() -> (Harness, Member) {
+    let claimant = member("claimant", WEAK);
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.set_peer(member("before", STRONG), vec![report(SHARD, 5)]);
+    harness.set_peer(claimant.clone(), Vec::new());
+    harness.run_for(ms(3000));
+    harness.others.shift_remove("before");
+    harness.read_claim(SHARD, &claimant, 9);
+    harness.run_for(ms(100));
+    (harness, claimant)
+}
+
+impl Harness {
+    fn released(&self) -> Vec<ReleasedShard> {
+        self.ownership.released_shards(self.now)
+    }
+
+    fn fail_claim(&mut self) {
+        let (shard, reason) = (SHARD.to_owned(), "the store did not answer".to_owned());
+        self.step(Event::ClaimFailed { shard, head: None, reason });
+    }
+
+    fn lost(&self) -> usize {
+        self.notes.iter().filter(|note| matches!(note, Note::ShardLost { .. })).count()
+    }
+}
+
+// Guards against a shard without an owner for seconds: its owner's claim succeeded after it had been
+// told to stop, and it gave the shard up before any hello listed it.
+#[test]
+fn a_shard_that_was_never_listed_is_claimed_once_its_owner_says_that_it_released_it() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    let told = releasing(claimant, vec![released(SHARD, 9, Duration::ZERO)]);
+    harness.others.insert("claimant".to_owned(), told);
+    harness.run_for(KNOWN_RELEASE);
+    assert_eq!(harness.previous, [PreviousOwner::Ended]);
+}
+
+// The same, where the claim itself wasn't known here: the claim of the next owner must cover it.
+#[test]
+fn a_released_ownership_that_was_not_known_is_covered_by_the_next_claim() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    let told = releasing(claimant, vec![released(SHARD, 12, Duration::ZERO)]);
+    harness.others.insert("claimant".to_owned(), told);
+    harness.run_for(KNOWN_RELEASE);
+    assert_eq!(harness.previous, [PreviousOwner::Ended]);
+    assert_eq!(harness.replaces[0].fence, 12);
+}
+
+// The same, where its owner exits right after it has said so.
+#[test]
+fn a_shard_released_by_a_daemon_that_exits_is_claimed_from_an_ended_owner() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    harness.others.clear();
+    harness.hear(releasing(claimant.clone(), vec![released(SHARD, 9, Duration::ZERO)]));
+    harness.refuse(&claimant, harness.now);
+    harness.run_for(KNOWN_RELEASE);
+    assert_eq!(harness.previous, [PreviousOwner::Ended]);
+}
+
+// Guards against a shard that is taken from its owner by a hello that was held up on the way and
+// tells of the end of an earlier ownership.
+#[test]
+fn the_end_of_an_earlier_ownership_shows_nothing_of_the_next_one() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    harness.others.clear();
+    harness.hear(releasing(member("before", STRONG), vec![released(SHARD, 5, Duration::ZERO)]));
+    harness.hear(releasing(claimant, vec![released(SHARD, 8, Duration::ZERO)]));
+    harness.run_for(KNOWN_RELEASE);
+    assert_eq!(harness.claims, []);
+}
+
+// Guards against tasks that run twice: an owner that was cut off is replaced by a daemon that gives
+// the shard up at once, and may extend leases for longer than that one was the owner.
+#[test]
+fn an_owner_before_the_one_that_released_the_shard_may_be_active() {
+    let claim_after = |earlier_active| {
+        let (mut harness, claimant) = daemon_beside_claimant();
+        harness.others.clear();
+        let told = releasing(claimant.clone(), vec![released(SHARD, 9, earlier_active)]);
+        harness.hear(told.clone());
+        harness.others.insert("claimant".to_owned(), told);
+        harness.run_for(KNOWN_RELEASE);
+        (harness, claimant)
+    };
+    let (mut harness, claimant) = claim_after(ms(5000));
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+    let asked = harness.now;
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    harness.hear_answer(hello(process(&claimant, 2), Vec::new()), asked);
+    assert!(harness.predecessors_ended.is_empty(), "another one may be active");
+    let (harness, _) = claim_after(ms(300));
+    assert_eq!(harness.previous, [PreviousOwner::Ended], "it is inactive by now");
+}
+
+// Guards against a shard without an owner for seconds: a claim took effect, its answer was lost, and
+// the daemon that is its owner now holds nothing.
+#[test]
+fn a_claim_that_took_effect_though_it_failed_is_released() {
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.run_for(ms(2000));
+    assert_eq!(harness.claims.len(), 1, "the shard has no owner");
+    let me = member("strong", STRONG);
+    harness.read_claim(SHARD, &me, 9);
+    assert_eq!(harness.released(), [], "the claim is on the way");
+    harness.fail_claim();
+    assert_eq!(harness.released(), [released(SHARD, 9, EARLIER_ACTIVE)]);
+    assert_eq!(harness.lost(), 1);
+    harness.run_for(ms(600));
+    assert_eq!(harness.released(), [released(SHARD, 9, EARLIER_ACTIVE - ms(600))]);
+    harness.read_claim(SHARD, &member("next", STRONG), 12);
+    assert_eq!(harness.released(), [], "it has a newer owner");
+}
+
+// The same, where the heads are read after the claim failed, which is done at once.
+#[test]
+fn the_heads_are_read_after_a_claim_without_an_answer() {
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.run_for(ms(2000));
+    harness.step(Event::Drain);
+    let before = harness.heads_read;
+    harness.fail_claim();
+    assert_eq!(harness.heads_read, before + 1);
+    harness.step(Event::Store(StoreReachability::Away));
+    harness.step(Event::Store(StoreReachability::Reached));
+    assert_eq!(harness.heads_read, before + 2, "the store may have been away");
+    harness.read_claim(SHARD, &member("strong", STRONG), 9);
+    assert_eq!(harness.released().len(), 1);
+    assert_eq!(harness.ownership.owner(SHARD), None, "callers would be sent to this daemon");
+}
+
+// Guards against a shard that its owner exits with: its claim was on the way as the shards were
+// released.
+#[test]
+fn a_claim_that_succeeds_as_the_daemon_exits_is_released() {
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.run_for(ms(2000));
+    harness.step(Event::Drain);
+    harness.step(Event::ReleaseAll);
+    assert_eq!(harness.handed_over, []);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 9 });
+    assert_eq!(harness.handed_over, [(SHARD.to_owned(), "strong".to_owned())]);
+}
+
+// Guards against others that have to guess whether a shard was given up: an owner that hands it over
+// or exits says so until it knows of the next owner, as often as it would as an owner.
+#[test]
+fn an_owner_says_that_it_released_a_shard_until_another_one_owns_it() {
+    let mut owner = Harness::new(member("owner", STRONG), 1);
+    for number in 0..39 {
+        owner.set_peer(member(&format!("d{number}"), WEAK), Vec::new());
+    }
+    owner.own_shard(SHARD, 9);
+    owner.run_for(ms(500));
+    assert_eq!(owner.released(), []);
+    owner.step(Event::ReleaseAll);
+    assert_eq!(owner.released(), [], "it still makes calls to its VMs");
+    owner.release(SHARD, 9);
+    assert_eq!(owner.released(), [released(SHARD, 9, Duration::ZERO)]);
+    assert_eq!(owner.ownership.take_due_hellos(owner.now).len(), 39, "everyone is told at once");
+    owner.run_for(ms(400));
+    assert_eq!(owner.ownership.take_due_hellos(owner.now).len(), 39, "and again");
+    owner.set_peer(member("d3", WEAK), vec![report(SHARD, 12)]);
+    owner.run_for(ms(100));
+    assert_eq!(owner.released(), []);
+}
+
+// Guards against tasks that run twice: what is known of an owner that was replaced without a proof
+// of its end is lost as the shard is handed over twice in turn.
+#[test]
+fn an_offer_passes_on_how_long_an_earlier_owner_may_be_active() {
+    let mut heir = Harness::new(member("heir", STRONG), 1);
+    let (from, offered) = (member("owner", STRONG).id, released(SHARD, 9, ms(5000)));
+    heir.step(Event::Offered { from, released: offered });
+    assert_eq!(heir.previous, [PreviousOwner::Ended], "the offer tells of each VM");
+    heir.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    heir.run_for(ms(1000));
+    heir.step(Event::ReleaseAll);
+    heir.release(SHARD, 10);
+    assert_eq!(heir.released(), [released(SHARD, 10, ms(4000))]);
+}
+
+// Guards against waiting for an owner that is known to have ended by now.
+#[test]
+fn an_earlier_owner_that_has_ended_since_is_not_active() {
+    let (mut harness, owner) = super::daemon_beside_owner();
+    let asked = harness.now;
+    harness.refuse(&owner, asked);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    harness.hear_answer(hello(process(&owner, 2), Vec::new()), asked);
+    harness.release(SHARD, 10);
+    assert_eq!(harness.released(), [released(SHARD, 10, Duration::ZERO)]);
+}
+
+// Guards against a shard that is claimed from its owner as released: this daemon, an earlier owner,
+// noticed late that it had lost the shard, when it knew the next owner already.
+#[test]
+fn a_daemon_that_lost_its_shard_does_not_take_the_next_owner_for_gone() {
+    let next = member("next", STRONG);
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.own_shard(SHARD, 5);
+    harness.set_peer(next.clone(), vec![report(SHARD, 9)]);
+    harness.run_for(ms(500));
+    harness.step(Event::NoLongerOwned { shard: SHARD.to_owned(), reason: "it was lost" });
+    assert_eq!(harness.ownership.owner(SHARD), Some(next.clone()));
+    harness.read_claim(SHARD, &next, 9);
+    harness.run_for(ms(2000));
+    assert_eq!(harness.released(), []);
+    assert_eq!(harness.claims, []);
+}
+
+// Guards against a shard that is reported lost twice, by heads that were read before it was lost.
+#[test]
+fn heads_from_before_a_shard_was_lost_do_not_show_a_claim() {
+    let mut harness = Harness::new(member("strong", STRONG), 1);
+    harness.own_shard(SHARD, 5);
+    harness.step(Event::NoLongerOwned { shard: SHARD.to_owned(), reason: "it was lost" });
+    harness.read_claim(SHARD, &member("strong", STRONG), 5);
+    assert_eq!(harness.lost(), 1);
+}
