Let a planned stop wait for claims on their way and for open offers

What callers saw: a daemon that was told to stop while it claimed a shard went on with its stop as if it had none, and could end with the shard just claimed or with an offer that nobody had accepted yet.

Cause: only hosted shards were counted, and a shard is hosted neither while it is claimed nor while it is offered.

Change: the stop waits, within the limits that it has, until no shard is owned, claimed, being handed over or on offer.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -315,9 +315,9 @@
         now.saturating_sub(self.store_since)
     }
 
-    /// Whether no shard is owned, claimed or being handed over.
+    /// Whether no shard is owned, claimed, being handed over, or on offer.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.held.is_empty() && self.offers.is_empty()
     }
 
     fn handle(&mut self, event: Event) {
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -349,7 +349,7 @@
     }
 }
 
-/// Returns whether this daemon still owns any shard.
+/// Returns whether this daemon still owns or claims any shard, or offers one that nobody has accepted.
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub struct HasShards;
@@ -358,6 +358,6 @@
     type Result = bool;
 
     fn handle(&mut self, _: HasShards, _: &mut Self::Context) -> Self::Result {
-        !self.hosted.is_empty()
+        !self.hosted.is_empty() || !self.ownership.is_empty()
     }
 }
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -1,13 +1,13 @@
 //! Offers of shards between daemons that are connected with each other.
 
 use super::{
-    FakeActors, HelloReceived, LogBuffer, StoreEvent, TEST_TIMEOUT, claimed, me, start_control,
-    vm_in_rack,
+    FakeActors, HasShards, HelloReceived, LogBuffer, StoreEvent, TEST_TIMEOUT, claimed, me,
+    start_control, vm_in_rack,
 };
 use crate::clock::ManualClock;
-use crate::cluster::{Head, Hello, Member, Plan, ShardReport, StoreReachability};
+use crate::cluster::{Head, Hello, Member, Plan, ReleasedShard, ShardReport, StoreReachability};
 use crate::ids::DaemonId;
-use crate::jobs::control::{Control, Drain, ReleaseShards};
+use crate::jobs::control::{Control, Drain, HandleOffer, ReleaseShards};
 use crate::jobs::links;
 use crate::jobs::records::{ClaimShard, OwnershipStatus};
 use crate::shard::PreviousOwner;
@@ -66,6 +66,10 @@
         self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     }
 
+    async fn has_shards(&self) -> bool {
+        self.control.send(HasShards).await.expect("a control")
+    }
+
     fn claims(&self) -> Vec<PreviousOwner> {
         let claims = self.claims.lock().expect("no test panics with it");
         claims.iter().map(|claim| claim.previous).collect()
@@ -200,3 +204,39 @@
     }
     assert_eq!(serving.wait_for_claim().await, [PreviousOwner::Ended], "{}", serving.lines.text());
 }
+
+// Guards against a shard whose owner ends right after its claim: the daemon was told to stop while
+// the claim was on its way, and didn't wait for it.
+#[actix::test]
+async fn a_planned_stop_waits_for_a_claim_on_its_way() {
+    let at_heir = listener();
+    let heir = member("heir", 110, &at_heir);
+    let node = Node::start(heir, at_heir, Arc::new(ManualClock::new())).await;
+    let owner = member("owner", 100, &listener());
+    node.read_store(&owner).await;
+    assert!(!node.has_shards().await);
+    let (name, lapses) = (SHARD.to_owned(), Vec::new());
+    let released = ReleasedShard { name, fence: FENCE, earlier_active: Duration::ZERO };
+    let offer = HandleOffer { from: owner.id, released, lapses };
+    node.control.send(offer).await.expect("a control");
+    node.control.send(Drain).await.expect("a control");
+    assert!(node.has_shards().await);
+    let (shard, reason) = (SHARD.to_owned(), "another daemon was quicker".to_owned());
+    node.store(StoreEvent::ClaimFailed { shard, head: None, reason }).await;
+    assert!(!node.has_shards().await);
+}
+
+// Guards against a daemon that ends before another one has taken its shard: those that it is offered
+// to are frozen, and it could offer it further or take it back.
+#[actix::test]
+async fn a_planned_stop_waits_for_an_offer_that_nobody_has_accepted() {
+    let (at_owner, frozen) = (listener(), listener());
+    let owner = member("owner", 100, &at_owner);
+    let node = Node::start(owner.clone(), at_owner, Arc::new(ManualClock::new())).await;
+    node.read_store(&owner).await;
+    node.own().await;
+    node.hear(&member("heir", 110, &frozen), Vec::new()).await;
+    node.control.send(Drain).await.expect("a control");
+    assert!(node.lines.wait_for("shard-offered", 1).await, "{}", node.lines.text());
+    assert!(node.has_shards().await);
+}
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -154,7 +154,8 @@
         self.view.clone()
     }
 
-    /// Starts a planned stop, and waits up to `limit` until every shard is handed over.
+    /// Starts a planned stop, and waits up to `limit` until every shard is handed over, also those
+    /// whose claim is on its way, and every offer of one is accepted.
     pub async fn drain(&self, limit: Duration) {
         let shards = usize::from(self.control.send(HasShards).await.unwrap_or(false));
         self.journal.write(Note::DaemonStopping { daemon: self.id.clone(), shards });
--- a/tests/ownership/offers.rs
+++ b/tests/ownership/offers.rs
@@ -69,6 +69,7 @@
     owner.end_offer(SHARD, 9, &heirs[2], ACCEPTED);
     owner.run_for(ms(500));
     assert_eq!(owner.offered.len(), 3, "it was accepted");
+    assert!(owner.ownership.is_empty(), "nothing is left to wait for");
     assert_eq!(owner.claims, []);
 }
 
