Confirm no configuration ahead of time when a watch is cut

What callers saw: nothing known; found beside the departures, as a twin of times that are taken for later than they are. A daemon could vouch for its configuration, and for the evacuations, up to a second longer than the store did.

Cause: an answer without changes was taken to confirm the state at the end of the wait, also if the watch was cut before that.

Change: it does so only if it comes after the wait, and otherwise as of its request.

Evidence: `a_watch_that_is_cut_confirms_nothing_ahead_of_time` failed before (confirmed up to 1.995 s at 1.001 s).

--- a/src/jobs/follow/operators.rs
+++ b/src/jobs/follow/operators.rs
@@ -110,9 +110,12 @@
         };
         self.changed = !answer.changes.is_empty();
         self.apply_changes(ctx, &answer);
-        // An answer without changes confirms the state at the end of its wait. One with changes may
-        // have taken long to transfer, and does not cover what was written in the meantime.
-        self.confirm(ctx, if self.changed { asked } else { asked + wait });
+        // An answer without changes confirms the state at the end of its wait, unless the watch was
+        // cut before. One with changes may have taken long to transfer, and does not cover what was
+        // written in the meantime.
+        let waited = asked + wait;
+        let is_timeout = !self.changed && waited <= ctx.store.clock().now();
+        self.confirm(ctx, if is_timeout { waited } else { asked });
         Ok(ReadProgress::CaughtUp)
     }
 
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -85,6 +85,8 @@
     is_down: AtomicBool,
     /// Time by which watches are behind, in milliseconds.
     watch_delay_ms: AtomicU64,
+    /// Whether watches end without waiting.
+    cut_watches: AtomicBool,
     /// Answer to stale reads of the VMs, in place of the current one.
     stale_vms: Mutex<Option<Page>>,
     /// Revisions of the store over time.
@@ -166,7 +168,8 @@
         loop {
             self.check_up()?;
             let changes = self.delay(watch, self.store.watch(watch).await?);
-            if !changes.changes.is_empty() || Instant::now() >= until {
+            let is_cut = self.faults.cut_watches.load(Ordering::Relaxed);
+            if !changes.changes.is_empty() || is_cut || Instant::now() >= until {
                 let value_len = changes.changes.iter().map(value_len).sum();
                 if base64_len(value_len) > watch.max_bytes {
                     return Err(kv::Error::TooLarge { reason: format!("{value_len} bytes") });
@@ -568,6 +571,11 @@
         self.store.faults.watch_delay_ms.store(delay_ms, Ordering::Relaxed);
     }
 
+    /// Ends watches without waiting for changes from now on.
+    pub fn cut_watches(&self) {
+        self.store.faults.cut_watches.store(true, Ordering::Relaxed);
+    }
+
     /// Answers stale reads of the VMs with their present state from now on.
     pub fn freeze_stale_reads(&self) {
         let page = self.table.table().range(VM_PREFIX, None);
--- a/tests/followers/operators.rs
+++ b/tests/followers/operators.rs
@@ -125,3 +125,17 @@
         assert!(age <= Duration::from_millis(1100), "{age:?}");
     }
 }
+
+// Guards against a configuration that counts as confirmed for times still to come, and so for longer
+// than the store can vouch for it: a watch may be cut before the end of its wait.
+#[actix_rt::test]
+async fn a_watch_that_is_cut_confirms_nothing_ahead_of_time() {
+    let harness = Harness::start(0);
+    harness.configure(1, 1000);
+    harness.cut_watches();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (confirmed, now) = (harness.config.get().confirmed, harness.clock.now());
+    assert!(confirmed <= now, "confirmed up to {confirmed:?} at {now:?}");
+    let evacuations_at = harness.evacuations.borrow().1;
+    assert!(evacuations_at <= now, "evacuations of {evacuations_at:?} at {now:?}");
+}
