Test which answers bound the times of revisions, and departures around short outages

Stale reads, truncated answers and watches that are behind bound nothing; a cut watch does so by its request. The outage in the test of departures is shorter now: before, the VM's silence alone was long enough, and the test passed with the check of the outage taken out; now it fails without it.

A daemon that lost its shards before the list was read no longer keeps the VMs that they named.

--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -285,11 +285,14 @@
     /// recorded on them, or although they were known to leave. A daemon without shards has no use
     /// for it.
     fn look_up_missing<P: Platform>(&mut self, ctx: &FollowContext<P>) {
-        let mut unproved = std::mem::take(&mut self.unproved);
-        if self.requested_at.is_none() || !ctx.ownership.owning.get() {
+        if self.requested_at.is_none() && ctx.ownership.owning.get() {
             return;
         }
+        let mut unproved = std::mem::take(&mut self.unproved);
         let recovered = std::mem::take(&mut *ctx.ownership.recovered_vms.borrow_mut());
+        if !ctx.ownership.owning.get() {
+            return;
+        }
         let mut known: IndexSet<&VmId> = self.vms.values().map(|vm| &vm.id).collect();
         known.extend(self.departures.iter().map(|departure| &departure.vm));
         unproved.extend(recovered);
--- a/tests/followers/departures.rs
+++ b/tests/followers/departures.rs
@@ -268,7 +268,7 @@
 #[test]
 fn a_vm_whose_announcement_expires_in_an_outage_counts_as_alive() {
     for last in [NOTICE_START + ANNOUNCE_INTERVAL, NOTICE_START + NOTICE] {
-        let (lost, removed, regained) = (last + ms(200), last + ms(1000), last + ms(2700));
+        let (lost, removed, regained) = (last + ms(100), last + ms(300), last + ms(1200));
         for claimed in times(last, regained + ms(6000)) {
             let script = Script::leaving_until(last, "")
                 .with(lost, Step::StoreDown(true))
--- a/tests/followers/main.rs
+++ b/tests/followers/main.rs
@@ -4,3 +4,4 @@
 mod fleet;
 mod harness;
 mod operators;
+mod samples;
