Simulate hand-overs during outages of the store

Cause: no simulation began a hand-over that waits for the store, so the polls of an owner in that state were covered by two cases only.

--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -96,6 +96,15 @@
     fn submit(&mut self) {
         let job = random(self.jobs.len() as u64 + 1, &mut self.rng);
         let home = self.shard();
+        self.submit_job(home, job);
+    }
+
+    fn submit_to(&mut self, home: &'static str) {
+        let job = random(self.jobs.len() as u64 + 1, &mut self.rng);
+        self.submit_job(home, job);
+    }
+
+    fn submit_job(&mut self, home: &'static str, job: Job) {
         self.tickets.insert(self.sim.submit(home, job.clone()), job.id);
         self.home.insert(job.id, home);
         self.jobs.insert(job.id, job);
@@ -158,6 +167,24 @@
         self.sim.stop_store(time);
     }
 
+    /// Hands a shard over while the store is down, which it is until the last commit is answered.
+    fn hand_over_in_outage(&mut self) {
+        let (outage, pause) = (self.millis(100..9000), self.millis(1..40));
+        let shard = self.shard();
+        self.sim.stop_store(outage);
+        self.submit_to(shard);
+        self.sim.run_for(pause);
+        self.sim.begin_hand_over(shard);
+        match self.rng.random_range(0..4) {
+            0 => self.crash_vm(),
+            1 => self.disconnect_vm(),
+            2 => self.cancel(),
+            _ => {}
+        }
+        self.sim.run_for(outage + Duration::from_millis(100));
+        self.sim.hand_over(shard);
+    }
+
     /// Lets the system settle, and checks what it has done.
     fn verify(mut self) {
         let seed = self.seed;
@@ -322,6 +349,23 @@
     run
 }
 
+/// Shards are handed over again and again while the store is down, and VMs and calls fail.
+fn simulate_hand_overs_in_outages(seed: u64) -> RandomRun {
+    let mut run = RandomRun::new(seed, 80);
+    while run.sim.now < UNTIL {
+        let pause = run.millis(20..600);
+        run.sim.run_for(pause);
+        match run.rng.random_range(0..100) {
+            0..70 if run.jobs.len() < 30 => run.submit(),
+            70..74 if run.sim.crashes < MAX_CRASHES => run.crash_vm(),
+            74..78 => run.disconnect_vm(),
+            78..90 => run.hand_over_in_outage(),
+            _ => {}
+        }
+    }
+    run
+}
+
 // Jobs are submitted and cancelled while anything may fail. No task may run twice or before its
 // predecessors, no VM may be overcommitted, and every finite job must complete.
 #[test]
@@ -359,3 +403,12 @@
         simulate_restarts_under_one_id(seed).verify();
     }
 }
+
+// The same while shards are handed over during outages of the store.
+#[test]
+fn promises_hold_while_hand_overs_wait_for_the_store() {
+    for seed in seeds(0..40) {
+        println!("seed {seed}");
+        simulate_hand_overs_in_outages(seed).verify();
+    }
+}
