Take up an offer that came during a claim that fails

What callers saw: a shard without an owner for over a second although a daemon had accepted it.

Cause: a daemon that is claiming a shard accepts an offer of it without another claim. If its claim was decided before the offering owner became known, the claim doesn't cover that owner and fails, and the offer was forgotten.

Change: the offered token is kept during the claim; if the claim fails and that ownership is still the newest, the shard is claimed again at once, from an owner that has ended, once for each offer. A daemon that was told to stop meanwhile leaves it to the others.

Why it works: the offer is answered again as if it had just come, so that a later owner, a stop or the loss of the store since then keep it from being taken up.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -204,6 +204,8 @@
     predecessors: IndexMap<String, Predecessor>,
     /// Shards given up that no daemon has accepted yet.
     offers: IndexMap<String, Offer>,
+    /// Fencing tokens of ownerships that were offered while this daemon was claiming the shard.
+    offers_while_claiming: IndexMap<String, u64>,
     /// Whether this daemon exits and takes no shard back.
     is_exiting: bool,
     store: StoreReachability,
@@ -228,6 +230,7 @@
             held: IndexMap::new(),
             predecessors: IndexMap::new(),
             offers: IndexMap::new(),
+            offers_while_claiming: IndexMap::new(),
             is_exiting: false,
             store: StoreReachability::Away,
             store_since: now,
@@ -332,7 +335,7 @@
             Event::Plan(plan) => self.handle_plan(&plan),
             Event::Claimed { shard, fence } => self.handle_claimed(&shard, fence),
             Event::ClaimFailed { shard, head, reason } => {
-                self.handle_claim_failed(shard, head, reason)
+                self.handle_claim_failed(&shard, head, reason);
             }
             Event::NoLongerOwned { shard, reason } => {
                 self.held.shift_remove(&shard);
@@ -412,23 +415,26 @@
 
     fn handle_claimed(&mut self, shard: &str, fence: u64) {
         self.held.insert(shard.to_owned(), HoldState::Owned);
+        self.offers_while_claiming.shift_remove(shard);
         let me = self.me.id.clone();
         self.record_owner(shard, me, fence);
         self.report_ended_predecessors();
     }
 
-    fn handle_claim_failed(&mut self, shard: String, head: Option<Head>, reason: String) {
-        self.held.shift_remove(&shard);
-        self.predecessors.shift_remove(&shard);
-        if let Some(view) = self.shards.get_mut(&shard) {
+    fn handle_claim_failed(&mut self, shard: &str, head: Option<Head>, reason: String) {
+        self.held.shift_remove(shard);
+        self.predecessors.shift_remove(shard);
+        if let Some(view) = self.shards.get_mut(shard) {
             view.orphan = None;
         }
         match head {
-            Some(head) => self.record_owner(&shard, head.owner, head.fence),
+            Some(head) => self.record_owner(shard, head.owner, head.fence),
             // Its answer may have been lost.
             None => self.actions.push(Action::ReadHeads),
         }
-        self.actions.push(Action::Note(Note::ShardClaimFailed { shard, reason }));
+        let note = Note::ShardClaimFailed { shard: shard.to_owned(), reason };
+        self.actions.push(Action::Note(note));
+        self.take_up_offer(shard);
     }
 
     fn forget_owned(&mut self, shard: &str, reason: StaticText) {
--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -112,8 +112,14 @@
 
     pub(super) fn handle_offer(&mut self, from: &DaemonId, released: &ReleasedShard) {
         let shard = &released.name;
-        if self.held.contains_key(shard) {
-            return;
+        match self.held.get(shard) {
+            Some(HoldState::Claiming) => {
+                self.record_released(from, released);
+                self.offers_while_claiming.insert(shard.clone(), released.fence);
+                return;
+            }
+            Some(HoldState::Owned | HoldState::HandingOver { .. }) => return,
+            None => {}
         }
         let answer = self.answer_offer(shard, released.fence);
         self.record_released(from, released);
@@ -123,6 +129,17 @@
         }
     }
 
+    /// Takes up an offer that was accepted during a claim that has failed. The claim may have been
+    /// decided before the offering owner was known, and so doesn't cover it.
+    pub(super) fn take_up_offer(&mut self, shard: &str) {
+        let Some(fence) = self.offers_while_claiming.shift_remove(shard) else { return };
+        if self.answer_offer(shard, fence) == OfferAnswer::Accepted {
+            let owner = self.shards.get(shard).and_then(|view| view.owner.clone());
+            let until = self.earlier_active_until(shard);
+            self.claim(shard, owner.as_ref(), Cause::offered("handed over by its owner", until));
+        }
+    }
+
     fn offer_to_next(&mut self, shard: &str, offer: Offer) {
         match self.next_heir(shard, &offer) {
             Some(heir) => self.send_offer(shard, heir, offer),
--- a/tests/ownership/offers.rs
+++ b/tests/ownership/offers.rs
@@ -2,7 +2,7 @@
 
 use super::{Harness, STRONG, TICK, WEAK, member, ms, remote, report};
 use waxwingstall::cluster::{
-    DeclineReason, Event, HandOver, Member, MemberStage, OfferAnswer, OfferOutcome,
+    DeclineReason, Event, HandOver, Head, Member, MemberStage, OfferAnswer, OfferOutcome,
     StoreReachability,
 };
 use waxwingstall::ids::DaemonId;
@@ -279,3 +279,49 @@
     heir.own_shard(SHARD, 5);
     assert_eq!(heir.answer(9), OfferAnswer::Declined(DeclineReason::OutdatedOwner));
 }
+
+// Guards against a shard without an owner after an offer was accepted: the claim on the way had been
+// decided when an earlier owner was silent, and doesn't cover the one that offers the shard.
+#[test]
+fn an_offer_during_a_claim_that_fails_is_taken_up() {
+    let (mut heir, owner) = super::daemon_beside_owner();
+    heir.refuse(&owner, heir.now);
+    assert_eq!(heir.previous, [PreviousOwner::MaybeActive]);
+    let next = member("next", STRONG);
+    heir.offer(SHARD, &next, 12);
+    assert_eq!(heir.answer(12), OfferAnswer::Accepted);
+    assert_eq!(heir.claims.len(), 1, "the claim is on the way");
+    let head = Head { fence: 12, ..Head::claim(next.id, None) };
+    let fail = |head| {
+        let (shard, reason) = (SHARD.to_owned(), "another daemon was quicker".to_owned());
+        Event::ClaimFailed { shard, head, reason }
+    };
+    heir.step(fail(Some(head)));
+    assert_eq!(heir.previous, [PreviousOwner::MaybeActive, PreviousOwner::Ended]);
+    assert_eq!(heir.replaces[1].fence, 12);
+    heir.step(fail(None));
+    assert_eq!(heir.claims.len(), 2, "once");
+}
+
+// The same, where the daemon was told to stop meanwhile, or the shard has a later owner.
+#[test]
+fn an_offer_during_a_claim_is_not_taken_up_if_it_no_longer_can_be() {
+    let claiming = || {
+        let (mut heir, owner) = super::daemon_beside_owner();
+        heir.refuse(&owner, heir.now);
+        heir.offer(SHARD, &member("next", STRONG), 12);
+        heir
+    };
+    let fail = |head| {
+        let (shard, reason) = (SHARD.to_owned(), "another daemon was quicker".to_owned());
+        Event::ClaimFailed { shard, head, reason }
+    };
+    let mut stopping = claiming();
+    stopping.step(Event::Drain);
+    stopping.step(fail(None));
+    assert_eq!(stopping.claims.len(), 1);
+    let mut late = claiming();
+    let head = Head { fence: 15, ..Head::claim(member("later", STRONG).id, None) };
+    late.step(fail(Some(head)));
+    assert_eq!(late.claims.len(), 1);
+}
--- a/tests/ownership/released.rs
+++ b/tests/ownership/released.rs
@@ -2,7 +2,9 @@
 
 use super::{Harness, STRONG, WEAK, hello, member, ms, process, released, report};
 use std::time::Duration;
-use waxwingstall::cluster::{Event, Hello, Member, ReleasedShard, StoreReachability};
+use waxwingstall::cluster::{
+    Event, HandOver, Hello, Member, OfferOutcome, ReleasedShard, StoreReachability,
+};
 use waxwingstall::note::Note;
 use waxwingstall::shard::PreviousOwner;
 
@@ -241,3 +243,24 @@
     harness.read_claim(SHARD, &member("strong", STRONG), 5);
     assert_eq!(harness.lost(), 1);
 }
+
+// Guards against a shard without an owner for as long as the store is away from the daemon that gave
+// it up: nobody took it, and the others hear of it.
+#[test]
+fn an_owner_without_the_store_says_that_nobody_took_its_shard() {
+    let heir = member("heir", STRONG);
+    let mut owner = Harness::new(member("owner", WEAK), 1);
+    owner.set_peer(heir.clone(), vec![report("kacyiru.7", 3)]);
+    owner.own_shard(SHARD, 9);
+    owner.run_for(ms(1000));
+    owner.how = HandOver::Immediate;
+    owner.step(Event::Store(StoreReachability::Away));
+    owner.run_for(ms(800));
+    owner.release(SHARD, 9);
+    owner.end_offer(SHARD, 9, &heir, OfferOutcome::NoAnswer);
+    assert_eq!(owner.claims, []);
+    assert_eq!(owner.released(), [released(SHARD, 9, Duration::ZERO)]);
+    owner.step(Event::Store(StoreReachability::Reached));
+    owner.run_for(2 * KNOWN_RELEASE);
+    assert_eq!(owner.previous, [PreviousOwner::Ended], "it reaches the store again");
+}
