Don't offer a shard that is known to have a later owner

What callers saw: nothing yet; found while looking for twins of the lost offer.

Cause: a shard was offered once its last decisions were durable, also if its owner had heard of a later one meanwhile. Whoever got the offer declined it or claimed the shard in vain.

Change: such a shard is dropped without an offer.

Evidence: a_shard_with_a_later_owner_is_not_offered failed before (offered to heir0) and passes now.

Why it works: the fencing tokens say which ownership is the later one.

--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -55,6 +55,9 @@
         self.release_own(shard, fence);
         let note = Note::ShardLost { shard: shard.to_owned(), fence, reason: "handed over" };
         self.actions.extend([Action::Note(note), Action::ReadHeads]);
+        if self.fence(shard).0 > fence {
+            return;
+        }
         let offer = Offer::new(fence, self.now);
         let heir = heir.and_then(|heir| self.heir_if_eligible(shard, &heir, &offer));
         match heir {
--- a/tests/ownership/offers.rs
+++ b/tests/ownership/offers.rs
@@ -325,3 +325,16 @@
     late.step(fail(Some(head)));
     assert_eq!(late.claims.len(), 1);
 }
+
+// Guards against a shard that is offered though another daemon has claimed it: its owner hears of
+// that while its last decisions become durable.
+#[test]
+fn a_shard_with_a_later_owner_is_not_offered() {
+    let mut owner = stopping_owner(&heirs(2));
+    owner.set_peer(member("later", WEAK), vec![report(SHARD, 12)]);
+    owner.run_for(TICK);
+    owner.release(SHARD, 9);
+    assert_eq!(owner.offered, []);
+    assert_eq!(owner.claims, []);
+    assert_eq!(owner.ownership.owner(SHARD), Some(member("later", WEAK)));
+}
