Simulate daemons that are stopped in turn, some almost at the same moment

Cause: none new; the parts of a hand-over were tested one by one only.

Change: a test with nine daemons, three shards, a store and a network between them. The daemons are stopped in random order, three within 0.3 s at a time, and started again 0.8 s after their end. No shard may stand without an owner for over 1 s, and no claim from an owner taken for ended may take effect while that one serves the shard.

Why it works: it runs the state machine of the ownership as it is, on a clock that the test moves.

--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 
 mod offers;
 mod released;
+mod wave;
 
 use indexmap::IndexMap;
 use std::time::Duration;
