Test that a VM whose announcement expires between the pages of a list isn't proved to have left

The test fails: a list's removals are judged by the revision of its oldest page, so the silence of a VM that a later page lacks is counted only until the first one was read.

--- a/tests/followers/departures.rs
+++ b/tests/followers/departures.rs
@@ -413,3 +413,34 @@
         assert_eq!(look_ups(&harness), [(100, 0, 0, "too many VMs")]);
     });
 }
+
+// Guards against tasks that run twice: a VM was cut off and its announcement expired while the pages of
+// the list were read, and its silence was counted only until the first page.
+#[test]
+fn a_vm_that_expires_between_the_pages_of_a_list_does_not_count_as_departed() {
+    let last = ms(10_000);
+    for claimed in times(ms(7000), ms(12_000)) {
+        let departures = actix_rt::System::new().block_on(async {
+            let mut harness = Harness::start_with_latency(STAYING, ms(300));
+            harness.limit_pages(2);
+            let mut steps = Script::leaving_until(last, "")
+                .with(ms(1000), Step::Claim)
+                .with(claimed, Step::Claim)
+                .with(last + EXPIRY, Step::RemoveAnnouncement)
+                .0;
+            steps.sort_by_key(|(at, _)| *at);
+            for (at, step) in steps {
+                let wait = at.saturating_sub(harness.clock.now());
+                harness.advance(STAYING, wait).await;
+                match step {
+                    Step::Announce(state) => harness.announce(LEAVING, &state),
+                    Step::RemoveAnnouncement => harness.remove_announcement(LEAVING),
+                    _ => harness.claim(SHARD).await,
+                }
+            }
+            harness.advance(STAYING, ms(6000)).await;
+            harness.departures.take()
+        });
+        assert_eq!(departures, [], "claimed at {claimed:?}");
+    }
+}
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
@@ -20,7 +20,7 @@
 use waxwingstall::jobs::records::{ClaimShard, Records};
 use waxwingstall::jobs::{OperatorEntry, Platform, UnreadableEntry};
 use waxwingstall::kv::{
-    self, Change, Changes, Freshness, Item, KvStore, LeaseId, Page, Put, Rev, Txn, Watch,
+    self, Change, Changes, Freshness, HasMore, Item, KvStore, LeaseId, Page, Put, Rev, Txn, Watch,
 };
 use waxwingstall::note::Note;
 use waxwingstall::permit::{self, PermitApi, PermitReq, PermitResp};
@@ -87,6 +87,8 @@
     watch_delay_ms: AtomicU64,
     /// Whether watches end without waiting.
     cut_watches: AtomicBool,
+    /// Maximum number of items of a page; zero for the table's own.
+    page_items: AtomicUsize,
     /// Answer to stale reads of the VMs, in place of the current one.
     stale_vms: Mutex<Option<Page>>,
     /// Revisions of the store over time.
@@ -102,6 +104,16 @@
         Ok(())
     }
 
+    /// Leaves what doesn't fit into a page to the next one.
+    fn limit_page(&self, mut page: Page) -> Page {
+        let limit = self.faults.page_items.load(Ordering::Relaxed);
+        if limit > 0 && page.items.len() > limit {
+            page.items.truncate(limit);
+            page.more = HasMore::Yes;
+        }
+        page
+    }
+
     /// Withholds from an answer what is too recent for a delayed watch.
     fn delay(&self, watch: &Watch, changes: Changes) -> Changes {
         let delay = Duration::from_millis(self.faults.watch_delay_ms.load(Ordering::Relaxed));
@@ -157,7 +169,7 @@
         if let Some(page) = stale.filter(|_| of == Freshness::Stale && prefix == VM_PREFIX) {
             return Ok(page);
         }
-        let page = self.store.range(prefix, after, of).await?;
+        let page = self.limit_page(self.store.range(prefix, after, of).await?);
         self.transfer(page.items.iter().map(|item| item.value.len()).sum()).await;
         Ok(page)
     }
@@ -576,6 +588,11 @@
         self.store.faults.cut_watches.store(true, Ordering::Relaxed);
     }
 
+    /// Limits the pages of a range to this many items.
+    pub fn limit_pages(&self, items: usize) {
+        self.store.faults.page_items.store(items, Ordering::Relaxed);
+    }
+
     /// Answers stale reads of the VMs with their present state from now on.
     pub fn freeze_stale_reads(&self) {
         let page = self.table.table().range(VM_PREFIX, None);
