Judge the removals in a list by its newest page

A list's revision is that of its oldest page, since a watch must start there. A VM that a later page lacks may have been removed after it, so its silence was counted for too short a time.

--- a/src/departures.rs
+++ b/src/departures.rs
@@ -49,8 +49,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Removal {
     pub now: Duration,
-    /// Revision of the deletion, or of a read without the announcement.
+    /// Revision of the deletion, or the oldest one of a read without the announcement.
     pub rev: Rev,
+    /// Revision by which it was removed.
+    pub removed_by: Rev,
     /// Since when the store has been reachable without interruption; `None` if it isn't.
     pub reachable_since: Option<Duration>,
     /// Interval between two announcements; zero if unknown.
@@ -135,7 +137,7 @@
     /// Judges the removal of the last announcement.
     fn judge(self, removal: Removal, times: &RevisionTimes) -> Finding {
         let now = removal.now;
-        let removed_before = times.written_before(removal.rev).map_or(now, |at| at.min(now));
+        let removed_before = times.written_before(removal.removed_by).map_or(now, |at| at.min(now));
         let written_after = self.written_after.max(times.written_after(self.rev));
         let silence = written_after.map(|at| removed_before.saturating_sub(at));
         let max_silence = removal.max_silence();
--- a/src/departures/tests.rs
+++ b/src/departures/tests.rs
@@ -31,7 +31,7 @@
 
 fn removal(now: Duration) -> Removal {
     let (rev, announce_interval) = (Rev(100), ms(1500));
-    Removal { now, rev, reachable_since: Some(ms(0)), announce_interval }
+    Removal { now, rev, removed_by: rev, reachable_since: Some(ms(0)), announce_interval }
 }
 
 /// Announcements that are each read within a moment of being written.
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -151,6 +151,7 @@
         let asked = ctx.store.clock().now();
         let prefix = ctx.platform.vm_prefix();
         let (items, after) = read_all(&ctx.store, prefix, freshness).await?;
+        let removed_by = ctx.store.reach().newest();
         self.requested_at = (freshness == Freshness::Latest).then_some(asked);
         if freshness == Freshness::Stale && after < self.after {
             // The list is older than what was read before.
@@ -160,7 +161,8 @@
         items.iter().for_each(|item| self.apply_item(ctx, item, asked));
         let present: IndexSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         for key in self.leaving.missing(&present) {
-            let finding = self.note_removal(ctx, &key, after, "list");
+            let finding =
+                self.note_removal(ctx, &key, Removal { removed_by, ..ctx.removal(after) }, "list");
             let unproved = finding.filter(|finding| finding.proof != Proof::Departed);
             self.unproved.extend(unproved.map(|finding| finding.vm));
         }
@@ -203,7 +205,7 @@
         match change {
             Change::Put(item) => self.apply_item(ctx, &item, asked),
             Change::Deleted { key, rev } => {
-                self.note_removal(ctx, &key, rev, "changes");
+                self.note_removal(ctx, &key, ctx.removal(rev), "changes");
                 self.remove(&key);
             }
         }
@@ -272,10 +274,10 @@
         &mut self,
         ctx: &FollowContext<P>,
         key: &str,
-        rev: Rev,
+        removal: Removal,
         found_in: StaticText,
     ) -> Option<Finding> {
-        let finding = self.leaving.remove(key, ctx.removal(rev), &ctx.store.times())?;
+        let finding = self.leaving.remove(key, removal, &ctx.store.times())?;
         ctx.control.do_send(StoreEvent::Note(finding.note(found_in)));
         self.departures.extend(finding.departure());
         Some(finding)
@@ -364,7 +366,7 @@
         let is_reachable = reach.state(now) == StoreReachability::Reached;
         let reachable_since = is_reachable.then(|| reach.regained());
         let announce_interval = self.announce_interval;
-        Removal { now, rev, reachable_since, announce_interval }
+        Removal { now, rev, removed_by: rev, reachable_since, announce_interval }
     }
 
     fn publish_unread(&self) {
