Test long-running tasks on leaving VMs while their shards change owners

What callers saw: tasks that stood still for 9 to 12 s after their VMs had left as announced, with room on others, where a shard's owner was replaced within the notice. No test had an owner that knew of departures only what it had read.

Change: in the simulation of shards, daemons read the announcements each at its own pace (tests/shards/watchers.rs): changes every 0.4 s with shards, the list every 3 s without, one read in ten slow (up to 1.6 s) and one watch in ten held back by up to 1 s. `LeavingVms` and `RevisionTimes` conclude from that what has left. The look-up of the production code in the store's history is modelled: VMs that a shard's records name and the first list after the claim lacks are told as departed up to 0.4 s after the list, if the same code proves it from the history and the daemon's samples (one a second, and its own reads). Each daemon has been up for 12 s or more.

The test: two shards, tasks of one lent to the other, one or two VMs of each leave with 5 s of notice. An owner is killed, handed over or paused up to 6.5 s after the notice, in half of the cases twice, or killed as the notice begins with the next one 3.5 to 6 s later. No task may be without a run for over 6 s, none may run twice.

--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -5,6 +5,7 @@
 
 use crate::announcements::Announcements;
 use crate::faults::{Faults, Outcome};
+use crate::watchers::{Reading, Watchers};
 use indexmap::{IndexMap, IndexSet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -68,6 +69,9 @@
     pub down_until: Option<Duration>,
     /// When it leaves for good, with everything on it.
     departs_at: Option<Duration>,
+    /// End of the notice that it announces, if daemons read the announcements themselves.
+    notice_end: Option<Duration>,
+    next_announcement: Duration,
     /// Whether its port refuses connections while it is down.
     refuses: bool,
     /// Each size and since when it applies; a new size is announced one interval later.
@@ -117,6 +121,8 @@
     paused_until: Duration,
     /// Whether it lost the shard without having learned of it.
     unaware: bool,
+    /// The daemon that it runs on, if daemons read the announcements themselves.
+    daemon: Option<usize>,
 }
 
 enum Delivery {
@@ -124,6 +130,8 @@
     Owner { number: u64, event: Event },
     /// An event for whichever owner the shard has at delivery.
     Shard { shard: Arc<str>, event: Event },
+    /// A takeover of a shard without an owner.
+    Claim { shard: Arc<str> },
     /// A delayed command to a VM.
     Vm { number: u64, action: Action },
 }
@@ -152,11 +160,15 @@
     departures_told: Option<usize>,
     /// Whether nobody learns which VMs have left.
     departures_unknown: bool,
+    /// Set if each daemon reads the announcements itself.
+    watchers: Option<Watchers>,
     /// Latest state reported by each shard.
     pub states: IndexMap<Arc<str>, Note>,
     /// Log lines about runs on VMs that leave or have left.
     pub left_runs: Vec<Note>,
     owners: Vec<Owner>,
+    /// The daemon that claimed each shard last.
+    daemons_of_shards: IndexMap<Arc<str>, usize>,
     next_owner: u64,
     deliveries: BTreeMap<(Duration, u64), Delivery>,
     next_delivery: u64,
@@ -235,9 +247,11 @@
             departures: Vec::new(),
             departures_told: None,
             departures_unknown: false,
+            watchers: None,
             states: IndexMap::new(),
             left_runs: Vec::new(),
             owners: Vec::new(),
+            daemons_of_shards: IndexMap::new(),
             next_owner: 0,
             deliveries: BTreeMap::new(),
             next_delivery: 0,
@@ -284,6 +298,21 @@
         self
     }
 
+    /// Makes each daemon learn from the announcements that it reads itself which VMs there are and
+    /// which have left. All shards get new owners.
+    pub fn with_watchers(mut self, seed: u64) -> Self {
+        let gap = ANNOUNCE_INTERVAL / u32::try_from(self.vms.len()).expect("a few VMs");
+        for (number, vm) in (0..).zip(&mut self.vms) {
+            vm.next_announcement = self.now + gap * number;
+        }
+        let mut watchers = Watchers::new(seed, self.now, ANNOUNCE_INTERVAL);
+        self.vms.iter().for_each(|vm| watchers.announce(self.now, &vm.entry));
+        self.watchers = Some(watchers);
+        let shards = self.shard_names();
+        shards.iter().for_each(|shard| self.replace_owner(shard));
+        self
+    }
+
     /// Submits a job; the ticket identifies the reply.
     pub fn submit(&mut self, shard: &str, job: Job) -> Ticket {
         self.submit_with(shard, job, AdmissionMode::Always)
@@ -455,6 +484,13 @@
         self.claim(shard, PreviousOwner::Ended);
     }
 
+    /// Kills the shard's owner, and lets another one take over after a while, during which more may
+    /// happen.
+    pub fn replace_owner_after(&mut self, shard: &str, time: Duration) {
+        self.end_owners(shard);
+        self.schedule(time, Delivery::Claim { shard: Arc::from(shard) });
+    }
+
     /// Kills the shard's owner, and lets another one take over.
     pub fn replace_owner(&mut self, shard: &str) {
         self.end_owners(shard);
@@ -619,6 +655,14 @@
         vm.entry.announced = Rev(vm.entry.announced.0 + 1);
     }
 
+    /// Makes a VM announce that it leaves in `left` at the earliest, and leave `later` than that.
+    pub fn depart_vm_later(&mut self, index: usize, left: Duration, later: Duration) {
+        let vm = &mut self.vms[index];
+        vm.notice_end = Some(self.now + left);
+        vm.departs_at = Some(self.now + left + later);
+        vm.next_announcement = self.now;
+    }
+
     /// Changes a VM's size; the platform lists the new size one announcement interval later.
     pub fn resize_vm(&mut self, index: usize, size: Resources) {
         self.vms[index].sizes.push((self.now, size));
@@ -664,6 +708,8 @@
             unreachable_until: Duration::ZERO,
             down_until: None,
             departs_at: None,
+            notice_end: None,
+            next_announcement: Duration::ZERO,
             refuses: false,
             sizes: vec![(Duration::ZERO, size)],
             restarts: 0,
@@ -739,6 +785,7 @@
         };
         let outdated = self.announcements.outdated.shift_remove(name);
         let fleet = outdated.unwrap_or_else(|| self.fleet_of(name));
+        let (daemon, fleet) = self.claiming_daemon(name, fleet);
         let now = self.clocks();
         let shard = Shard::new(recovered, settings(self.max_keep), self.queues.clone(), fleet, now);
         self.owners.push(Owner {
@@ -749,12 +796,36 @@
             rev,
             paused_until: Duration::ZERO,
             unaware: false,
+            daemon,
         });
         let (evacuations, at) = self.read_evacuations.clone();
         self.step(self.next_owner, Event::Evacuations { evacuations, at });
         self.step(self.next_owner, Event::Departed(self.departures.clone()));
     }
 
+    /// Returns the daemon that claims a shard and its list of the shard's VMs, if daemons read the
+    /// announcements themselves.
+    fn claiming_daemon(
+        &mut self,
+        name: &str,
+        fleet: Vec<VmEntry>,
+    ) -> (Option<usize>, Vec<VmEntry>) {
+        let bound = self.bound_vm_ids(name);
+        let Some(watchers) = &mut self.watchers else { return (None, fleet) };
+        let previous = self.daemons_of_shards.get(name).copied();
+        let (daemon, mut fleet) = watchers.claim(self.now, previous, &bound);
+        self.daemons_of_shards.insert(Arc::from(name), daemon);
+        fleet.retain(|vm| vm.domain.as_str() == name);
+        (Some(daemon), fleet)
+    }
+
+    /// The VMs that a shard's runs are bound to in the store.
+    fn bound_vm_ids(&mut self, shard: &str) -> Vec<VmId> {
+        let progress = self.read_all(&Keys::new(shard).all_progress());
+        let vms = progress.iter().flat_map(|(_, v)| Progress::decode(v).expect("progress").vms);
+        vms.map(|vm| vm.id).collect()
+    }
+
     fn inherited_learned(&mut self, name: &str) -> Inherited {
         let item = self.kv.get(&Keys::new(name).learned());
         let record = item.map_or(StoredRecord::Absent, |item| StoredRecord::Found(item.value));
@@ -800,6 +871,8 @@
         self.remove_departing_vms();
         self.restart_vms();
         self.announce_sizes();
+        self.announce_vms();
+        self.read_announcements();
         if self.now >= self.next_fleet {
             self.next_fleet = self.now + FLEET_INTERVAL;
             self.send_fleet();
@@ -818,12 +891,46 @@
         for vm in self.vms.iter_mut().filter(departing) {
             vm.table.crash(now);
             vm.down_until = Some(Duration::MAX);
-            if !self.departures_unknown {
+            if let Some(watchers) = &mut self.watchers {
+                watchers.remove(now, &vm.entry);
+            } else if !self.departures_unknown {
                 self.departures.push(Departure { vm: vm.entry.id.clone(), at: now });
             }
         }
     }
 
+    /// Writes the announcements that are due, if daemons read them themselves.
+    fn announce_vms(&mut self) {
+        let now = self.now;
+        let Some(watchers) = &mut self.watchers else { return };
+        let due = |vm: &&mut VmNode| vm.down_until.is_none() && now >= vm.next_announcement;
+        for vm in self.vms.iter_mut().filter(due) {
+            vm.next_announcement = now + ANNOUNCE_INTERVAL;
+            if let Some(end) = vm.notice_end {
+                vm.entry.state = VmState::Leaving { left: Some(end.saturating_sub(now)) };
+            }
+            watchers.announce(now, &vm.entry);
+        }
+    }
+
+    /// Passes on to the owners what their daemons have read of the announcements.
+    fn read_announcements(&mut self) {
+        let Some(watchers) = &mut self.watchers else { return };
+        let readings = watchers.tick(self.now);
+        let owners: Vec<(u64, Arc<str>, Option<usize>)> =
+            self.owners.iter().map(|o| (o.number, o.name.clone(), o.daemon)).collect();
+        for (daemon, Reading { list, departures }) in readings {
+            for (number, name, _) in owners.iter().filter(|(.., at)| *at == Some(daemon)) {
+                if let Some((mut vms, at)) = list.clone() {
+                    vms.retain(|vm| vm.domain.as_str() == &**name);
+                    let list_status = FleetListStatus::Complete;
+                    self.step(*number, Event::Fleet { vms, list_status, at });
+                }
+                self.step(*number, Event::Departed(departures.clone()));
+            }
+        }
+    }
+
     fn announce_sizes(&mut self) {
         let now = self.now;
         for vm in &mut self.vms {
@@ -878,9 +985,11 @@
         let new = self.departures[self.departures_told.unwrap_or(0)..].to_vec();
         self.departures_told = self.departures_told.map(|_| self.departures.len());
         for (number, name) in owners {
-            let vms = self.fleet_of(&name);
-            self.step(number, Event::Fleet { vms, list_status, at: Some(self.now) });
-            self.step(number, Event::Departed(new.clone()));
+            if self.watchers.is_none() {
+                let vms = self.fleet_of(&name);
+                self.step(number, Event::Fleet { vms, list_status, at: Some(self.now) });
+                self.step(number, Event::Departed(new.clone()));
+            }
             let (evacuations, at) = self.read_evacuations.clone();
             self.step(number, Event::Evacuations { evacuations, at });
             let other_shards = self.other_shards(&name);
@@ -909,6 +1018,7 @@
                     self.step(number, event);
                 }
             }
+            Delivery::Claim { shard } => self.claim(&shard, PreviousOwner::Ended),
             Delivery::Vm { number, mut action } => {
                 if let Action::Poll { vm, req } = &mut action
                     && !self.vms.iter().any(|node| node.entry.id == vm.id)
