Decline offers during a claim while the daemon stops

A shard could be without an owner for seconds, and its jobs were refused, when daemons were stopped in turn: a stopping daemon accepted an offer while its own claim of the shard was on its way. If that claim failed, it could not claim the shard again, and the daemon that had offered it asked nobody else.

`answer_offer` looked at the claim before the stage. It now declines with "the daemon stops", and the shard is offered to the next daemon at once. If the claim succeeds after all, the next daemon's claim fails or replaces it as a known owner, and the shard is handed over as any other of a stopping daemon.

--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -99,6 +99,10 @@
     pub fn answer_offer(&self, shard: &str, fence: u64) -> OfferAnswer {
         let known = self.fence(shard).0;
         let reason = match self.held.get(shard) {
+            // Should the claim fail, this daemon could not claim the shard again.
+            Some(HoldState::Claiming) if self.me.stage == MemberStage::Draining => {
+                DeclineReason::Draining
+            }
             Some(HoldState::Claiming) => return OfferAnswer::Accepted,
             Some(HoldState::Owned) if known > fence => return OfferAnswer::Accepted,
             Some(HoldState::Owned | HoldState::HandingOver { .. }) if known <= fence => {
--- a/tests/ownership/offers.rs
+++ b/tests/ownership/offers.rs
@@ -326,6 +326,17 @@
     assert_eq!(late.claims.len(), 1);
 }
 
+// Guards against a shard without an owner for seconds: a daemon accepts it while its own claim is on
+// the way, and can't claim it again if that fails, as it stops.
+#[test]
+fn a_daemon_that_stops_declines_an_offer_during_its_own_claim() {
+    let mut heir = Harness::new(member("heir", STRONG), 1);
+    heir.run_for(ms(2000));
+    assert_eq!(heir.claims.len(), 1, "the shard has no owner");
+    heir.step(Event::Drain);
+    assert_eq!(heir.answer(9), OfferAnswer::Declined(DeclineReason::Draining));
+}
+
 // Guards against a shard that is offered though another daemon has claimed it: its owner hears of
 // that while its last decisions become durable.
 #[test]
