Collect no ids of the VMs while none is to be looked up

Each owner built a set of the ids of all its VMs after each read of the changes, every 0.4 s, also when no VM had to be looked up. With 14,000 VMs that is 35,000 insertions a second for nothing.

Cause: the set was built before the VMs to look up were counted. Change: return as soon as there is none. Evidence: no behaviour changes; the existing tests of the look-up pass. The cost was not measured.

--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -295,9 +295,12 @@
         if !ctx.ownership.owning.get() {
             return;
         }
+        unproved.extend(recovered);
+        if unproved.is_empty() {
+            return;
+        }
         let mut known: IndexSet<&VmId> = self.vms.values().map(|vm| &vm.id).collect();
         known.extend(self.departures.iter().map(|departure| &departure.vm));
-        unproved.extend(recovered);
         let missing: IndexSet<VmId> =
             unproved.into_iter().filter(|vm| !known.contains(vm)).collect();
         if !missing.is_empty() {
