--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -15,12 +15,14 @@
 //! while its owner has no CPU left.
 
 mod members;
+mod offers;
 mod orphans;
 mod predecessors;
+mod released;
 mod sharing;
 
 use super::head::{ExpectedOwner, Head};
-use super::member::{Hello, Member, MemberStage, StoreReachability};
+use super::member::{Hello, Member, MemberStage, OfferAnswer, ReleasedShard, StoreReachability};
 use super::plan::Plan;
 use crate::ids::{DaemonId, DomainId};
 use crate::note::{Note, StaticText};
@@ -28,7 +30,8 @@
 use crate::vm::Fence;
 use indexmap::IndexMap;
 use members::MemberState;
-use orphans::{Cause, Orphan};
+use offers::Offer;
+use orphans::Orphan;
 use predecessors::Predecessor;
 use sharing::STABLE_AFTER;
 use std::time::Duration;
@@ -73,23 +76,35 @@
         head: Option<Head>,
         reason: String,
     },
-    /// A shard was lost or handed over.
+    /// A shard was lost.
     NoLongerOwned {
         shard: String,
         reason: StaticText,
     },
+    /// A shard was dropped to be handed over; its VMs get no more calls from this daemon.
+    Released {
+        shard: String,
+        /// Fencing token of the ownership that has ended.
+        fence: u64,
+    },
+    /// What became of an offer.
+    OfferEnded {
+        shard: String,
+        fence: u64,
+        /// Daemon that the shard was offered to.
+        heir: DaemonId,
+        outcome: OfferOutcome,
+    },
     /// Another daemon hands a shard over to this one.
     Offered {
-        shard: String,
         from: DaemonId,
-        /// Fencing token of the ownership that ended with the offer.
-        fence: u64,
+        released: ReleasedShard,
     },
     /// Whether this daemon can reach the store.
     Store(StoreReachability),
     /// This daemon begins a planned stop.
     Drain,
-    /// This daemon exits now and releases its remaining shards.
+    /// This daemon exits now and releases its remaining shards, also those that it is claiming.
     ReleaseAll,
 }
 
@@ -108,12 +123,17 @@
     },
     /// Sends a hello to a daemon at once to check whether it answers.
     Probe(Member),
-    /// Hands a shard over to another daemon, or releases it if `to` is this daemon.
+    /// Drops a shard to hand it over to another daemon, or to release it if `to` is this daemon.
     HandOver {
         shard: String,
         to: Member,
         how: HandOver,
     },
+    /// Offers a dropped shard to a daemon.
+    Offer {
+        released: ReleasedShard,
+        to: Member,
+    },
     Note(Note),
 }
 
@@ -126,6 +146,16 @@
     Immediate,
 }
 
+/// What became of an offer of a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferOutcome {
+    Answered(OfferAnswer),
+    /// The connection was refused.
+    Refused,
+    /// No answer came in time; the offer may have been accepted.
+    NoAnswer,
+}
+
 /// Last known state of a shard.
 #[derive(Clone, Debug)]
 struct ShardView {
@@ -136,15 +166,29 @@
     since: Duration,
     /// Number of the newest hello in which the owner has listed the shard.
     listed: Option<u64>,
+    /// Set once this ownership is known to have ended: until when an owner before it may still
+    /// extend leases.
+    released: Option<Duration>,
+    /// What this daemon's last claim of the shard relies on.
+    basis: ClaimBasis,
     /// Set while the shard has no live owner.
     orphan: Option<Orphan>,
 }
 
+/// What a claim of this daemon relies on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClaimBasis {
+    /// The owner that it replaces may still extend leases after it has taken effect.
+    MaybeActive,
+    /// No earlier owner extends leases after that time.
+    EndedBy(Duration),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum HoldState {
     Claiming,
     Owned,
-    HandingOver,
+    HandingOver { to: DaemonId },
 }
 
 /// State machine that decides which shards this daemon claims, keeps and hands over.
@@ -158,6 +202,12 @@
     held: IndexMap<String, HoldState>,
     /// Previous owners of shards held here that may still be active.
     predecessors: IndexMap<String, Predecessor>,
+    /// Shards given up that no daemon has accepted yet.
+    offers: IndexMap<String, Offer>,
+    /// Fencing tokens of ownerships that were offered while this daemon was claiming the shard.
+    offers_while_claiming: IndexMap<String, u64>,
+    /// Whether this daemon exits and takes no shard back.
+    is_exiting: bool,
     store: StoreReachability,
     store_since: Duration,
     /// Newest configuration version in force at any other daemon.
@@ -179,6 +229,9 @@
             shards: IndexMap::new(),
             held: IndexMap::new(),
             predecessors: IndexMap::new(),
+            offers: IndexMap::new(),
+            offers_while_claiming: IndexMap::new(),
+            is_exiting: false,
             store: StoreReachability::Away,
             store_since: now,
             newest_config: 0,
@@ -201,9 +254,10 @@
 
     /// The owner of a shard, if it is known and alive.
     pub fn owner(&self, shard: &str) -> Option<Member> {
-        let owner = self.shards.get(shard)?.owner.as_ref()?;
+        let view = self.shards.get(shard)?;
+        let owner = view.owner.as_ref()?;
         if *owner == self.me.id {
-            return Some(self.me.clone());
+            return view.released.is_none().then(|| self.me.clone());
         }
         let known = self.members.values().find(|known| known.member.id == *owner)?;
         self.is_alive(known).then(|| known.member.clone())
@@ -264,9 +318,9 @@
         now.saturating_sub(self.store_since)
     }
 
-    /// Whether no shard is owned, claimed or being handed over.
+    /// Whether no shard is owned, claimed, being handed over, or on offer.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.held.is_empty() && self.offers.is_empty()
     }
 
     fn handle(&mut self, event: Event) {
@@ -281,13 +335,24 @@
             Event::Plan(plan) => self.handle_plan(&plan),
             Event::Claimed { shard, fence } => self.handle_claimed(&shard, fence),
             Event::ClaimFailed { shard, head, reason } => {
-                self.handle_claim_failed(shard, head, reason)
+                self.handle_claim_failed(&shard, head, reason);
+            }
+            Event::NoLongerOwned { shard, reason } => {
+                self.held.shift_remove(&shard);
+                self.forget_owned(&shard, reason);
+            }
+            Event::Released { shard, fence } => self.handle_released(&shard, fence),
+            Event::OfferEnded { shard, fence, heir, outcome } => {
+                self.handle_offer_outcome(&shard, fence, &heir, outcome);
             }
-            Event::NoLongerOwned { shard, reason } => self.handle_no_longer_owned(&shard, reason),
-            Event::Offered { shard, from, fence } => self.handle_offer(&shard, &from, fence),
+            Event::Offered { from, released } => self.handle_offer(&from, &released),
             Event::Store(reach) => self.handle_store_reach(reach),
             Event::Drain => self.me.stage = MemberStage::Draining,
-            Event::ReleaseAll => self.release_all(),
+            Event::ReleaseAll => self.is_exiting = true,
+        }
+        self.release_unheld();
+        if self.is_exiting {
+            self.release_all();
         }
         if self.me.stage == MemberStage::Draining {
             self.hand_over_all();
@@ -316,6 +381,12 @@
         let Some(view) = self.shards.get_mut(shard) else { return };
         let newer = fence > view.fence || (view.owner.is_none() && fence >= view.fence);
         if newer {
+            if owner == self.me.id {
+                view.basis = ClaimBasis::EndedBy(view.basis.earlier_active_until(now));
+            }
+            if fence > view.fence || owner != self.me.id {
+                view.released = None;
+            }
             view.owner = Some(owner);
             view.fence = fence;
             view.since = now;
@@ -327,8 +398,16 @@
     fn handle_plan(&mut self, plan: &Plan) {
         for (name, domain) in plan.shards() {
             let since = self.now;
-            let view =
-                ShardView { domain, owner: None, fence: 0, since, listed: None, orphan: None };
+            let view = ShardView {
+                domain,
+                owner: None,
+                fence: 0,
+                since,
+                listed: None,
+                released: None,
+                basis: ClaimBasis::EndedBy(Duration::ZERO),
+                orphan: None,
+            };
             self.shards.entry(name).or_insert(view);
         }
         self.actions.push(Action::ReadHeads);
@@ -336,30 +415,38 @@
 
     fn handle_claimed(&mut self, shard: &str, fence: u64) {
         self.held.insert(shard.to_owned(), HoldState::Owned);
+        self.offers_while_claiming.shift_remove(shard);
         let me = self.me.id.clone();
         self.record_owner(shard, me, fence);
         self.report_ended_predecessors();
     }
 
-    fn handle_claim_failed(&mut self, shard: String, head: Option<Head>, reason: String) {
-        self.held.shift_remove(&shard);
-        self.predecessors.shift_remove(&shard);
-        if let Some(view) = self.shards.get_mut(&shard) {
+    fn handle_claim_failed(&mut self, shard: &str, head: Option<Head>, reason: String) {
+        self.held.shift_remove(shard);
+        self.predecessors.shift_remove(shard);
+        if let Some(view) = self.shards.get_mut(shard) {
             view.orphan = None;
         }
-        if let Some(head) = head {
-            self.record_owner(&shard, head.owner, head.fence);
+        match head {
+            Some(head) => self.record_owner(shard, head.owner, head.fence),
+            // Its answer may have been lost.
+            None => self.actions.push(Action::ReadHeads),
         }
-        self.actions.push(Action::Note(Note::ShardClaimFailed { shard, reason }));
+        let note = Note::ShardClaimFailed { shard: shard.to_owned(), reason };
+        self.actions.push(Action::Note(note));
+        self.take_up_offer(shard);
     }
 
-    fn handle_no_longer_owned(&mut self, shard: &str, reason: StaticText) {
-        self.held.shift_remove(shard);
+    fn forget_owned(&mut self, shard: &str, reason: StaticText) {
         self.predecessors.shift_remove(shard);
         let now = self.now;
         if let Some(view) = self.shards.get_mut(shard) {
-            view.owner = None;
-            view.since = now;
+            // A newer owner may be known already.
+            if view.owner.as_ref() == Some(&self.me.id) {
+                view.owner = None;
+                view.released = Some(view.basis.earlier_active_until(now));
+                view.since = now;
+            }
             view.orphan = None;
             let fence = view.fence;
             self.actions.push(Action::Note(Note::ShardLost {
@@ -371,28 +458,13 @@
         self.actions.push(Action::ReadHeads);
     }
 
-    fn handle_offer(&mut self, shard: &str, from: &DaemonId, fence: u64) {
-        if self.me.stage == MemberStage::Draining || self.held.contains_key(shard) {
-            return;
-        }
-        self.record_owner(shard, from.clone(), fence);
-        // A late offer: the shard was claimed since.
-        if self.fence(shard).0 > fence {
-            return;
-        }
-        let cause = Cause {
-            previous: PreviousOwner::Ended,
-            reason: "handed over by its owner",
-            silent: Duration::ZERO,
-            grace: Duration::ZERO,
-        };
-        self.claim(shard, Some(from), cause);
-    }
-
     fn handle_store_reach(&mut self, reach: StoreReachability) {
         if self.store != reach {
             self.store = reach;
             self.store_since = self.now;
+            if reach == StoreReachability::Reached {
+                self.actions.push(Action::ReadHeads);
+            }
         }
     }
 }
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -40,6 +40,8 @@
     pub(super) refused_at: Option<Duration>,
     pub(super) last_probe: Duration,
     pub(super) next_hello: Duration,
+    /// Until when no shard is handed over to it, because it didn't accept the last offer.
+    pub(super) passed_over_until: Duration,
 }
 
 impl MemberState {
@@ -58,6 +60,7 @@
         self.shards.clear();
         self.told = None;
         self.refused_at = None;
+        self.passed_over_until = Duration::ZERO;
     }
 
     /// Whether a probe is due; marks it as sent.
@@ -84,7 +87,8 @@
     /// hellos to everyone frequently, since others rely on them. Daemons without shards send them to
     /// owners less often, and to each other at an interval that grows with the size of the cluster.
     pub fn take_due_hellos(&mut self, now: Duration) -> Vec<Member> {
-        let owns = !self.held.is_empty();
+        // Others rely on what a daemon says about shards that it has given up as well.
+        let owns = !self.held.is_empty() || !self.released_shards(now).is_empty();
         let idle_interval = idle_hello_interval(self.members.len());
         let mut due = Vec::new();
         for known in self.members.values_mut().filter(|known| now >= known.next_hello) {
@@ -143,6 +147,7 @@
             refused_at: None,
             last_probe: self.now,
             next_hello: self.now,
+            passed_over_until: Duration::ZERO,
         };
         self.members.insert(name, known);
         self.log_member(id, "known", Duration::ZERO);
@@ -193,6 +198,7 @@
     }
 
     fn record_reports(&mut self, hello: &Hello) {
+        self.record_released_reports(hello);
         for report in &hello.shards {
             self.record_owner(&report.name, hello.from.id.clone(), report.fence);
             let view = self.shards.get_mut(&report.name);
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,9 +1,13 @@
+mod offers;
+
 use super::{
     ActorHandles, Connect, Control, HandleCall, HandleOffer, HasShards, HelloReceived, StoreEvent,
 };
 use crate::clock::{Clock, ManualClock};
 use crate::cluster::ownership::OWN_PAUSE_THRESHOLD;
-use crate::cluster::{Hello, Member, MemberStage, Plan, ShardReport, StoreReachability};
+use crate::cluster::{
+    Hello, Member, MemberStage, Plan, ReleasedShard, ShardReport, StoreReachability,
+};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use crate::job::progress::{Binding, BoundVm, OccurrenceProgress, Progress, TaskProgress};
 use crate::job::{Image, Job, JobId, JobState, Life, QueueName, Repeat, Resume, RunNumber, Step};
@@ -38,8 +42,13 @@
 /// Far longer than any answer takes here; reached only when a test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Stands in for the other actors. The store reports that another daemon owns every shard.
-struct FakeActors;
+/// Stands in for the other actors.
+struct FakeActors {
+    /// What the store reports about the owner of every shard.
+    ownership: OwnershipStatus,
+    /// Claims that were requested.
+    claims: Arc<Mutex<Vec<ClaimShard>>>,
+}
 
 impl Actor for FakeActors {
     type Context = Context<Self>;
@@ -49,7 +58,7 @@
     type Result = OwnershipStatus;
 
     fn handle(&mut self, _: ConfirmOwnership, _: &mut Self::Context) -> Self::Result {
-        OwnershipStatus::Lost
+        self.ownership
     }
 }
 
@@ -61,6 +70,14 @@
     }
 }
 
+impl Handler<ClaimShard> for FakeActors {
+    type Result = ();
+
+    fn handle(&mut self, msg: ClaimShard, _: &mut Self::Context) {
+        self.claims.lock().expect("no test panics with it").push(msg);
+    }
+}
+
 /// Implements handlers that ignore their message.
 macro_rules! ignored {
     ($($msg:ty),+) => {
@@ -72,7 +89,7 @@
     };
 }
 
-ignored!(VmCall, UpkeepAction, ClaimShard, CommitShard, RemoveShard, ReadHeads);
+ignored!(VmCall, UpkeepAction, CommitShard, RemoveShard, ReadHeads);
 
 fn me() -> Member {
     Member {
@@ -93,7 +110,16 @@
     clock: Arc<ManualClock>,
     out: impl std::io::Write + Send + 'static,
 ) -> Addr<Control> {
-    let me = me();
+    let others = FakeActors { ownership: OwnershipStatus::Lost, claims: Arc::default() };
+    start_control(me(), clock, out, others).0
+}
+
+fn start_control(
+    me: Member,
+    clock: Arc<ManualClock>,
+    out: impl std::io::Write + Send + 'static,
+    others: FakeActors,
+) -> (Addr<Control>, Addr<PeerLinks>, Recipient<RequestPermits>) {
     let journal = Journal::start(clock.clone(), Weight::Telling, out);
     let (publish, _) = watch::channel(Arc::new(View::default()));
     let settings = Settings::default();
@@ -101,19 +127,20 @@
     let control =
         Control::new(me, settings, in_force, clock.clone(), journal, publish, Arc::default());
     let control = control.start();
-    let others = FakeActors.start();
+    let others = others.start();
+    let links = PeerLinks::new(control.clone(), clock).start();
     control.do_send(Connect(ActorHandles {
         vm_calls: Ring::new(others.clone(), WhenFull::Drop),
         permits: others.clone().recipient(),
         upkeep: others.clone().recipient(),
-        links: PeerLinks::new(control.clone(), clock).start(),
+        links: links.clone(),
         claims: others.clone().recipient(),
         commits: others.clone().recipient(),
         removals: others.clone().recipient(),
         heads: others.clone().recipient(),
-        confirmations: others.recipient(),
+        confirmations: others.clone().recipient(),
     }));
-    control
+    (control, links, others.recipient())
 }
 
 fn claimed() -> StoreEvent {
@@ -235,7 +262,8 @@
         lapses: vec![ReportedLapse { lapse, mark: SilenceMark(3) }],
     };
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
-    Hello { from, number: 1, store: StoreReachability::Reached, config: 1, shards: vec![report] }
+    let (store, shards) = (StoreReachability::Reached, vec![report]);
+    Hello { from, number: 1, store, config: 1, shards, released: Vec::new() }
 }
 
 // A daemon loses a shard and claims it again. Guards against it forgetting what it reported about
@@ -264,8 +292,9 @@
     let lines = LogBuffer::default();
     let control = logging_control(clock.clone(), lines.clone());
     let lapses = vec![VmLapse { vm: VmId::new(VM), left: Duration::ZERO }];
-    let (shard, from) = (SHARD.to_owned(), DaemonId::new("two@1"));
-    control.send(HandleOffer { shard, from, fence: Fence(5), lapses }).await.expect("a control");
+    let (name, from) = (SHARD.to_owned(), DaemonId::new("two@1"));
+    let released = ReleasedShard { name, fence: 5, earlier_active: Duration::ZERO };
+    control.send(HandleOffer { from, released, lapses }).await.expect("a control");
     let StoreEvent::Claimed(mut recovered) = claimed_with_silent_vm() else { unreachable!() };
     recovered.predecessor = Some(predecessor);
     control.send(StoreEvent::Claimed(recovered)).await.expect("a control");
@@ -314,6 +343,7 @@
         state: VmState::Ready,
         addr: Arc::from("127.0.0.1:1"),
         announced: Rev::ABSENT,
+        announced_after: None,
     }
 }
 
--- a/src/jobs/follow/operators.rs
+++ b/src/jobs/follow/operators.rs
@@ -11,7 +11,7 @@
 use crate::jobs::control::StoreEvent;
 use crate::jobs::records::unreadable_note;
 use crate::jobs::{OperatorEntry, Platform};
-use crate::kv::{Change, Changes, Error, Freshness, Item, KvStore, Result, Rev, Watch};
+use crate::kv::{Change, Changes, Error, Freshness, Item, Result, Rev, Watch};
 use crate::queues::Queues;
 use std::time::Duration;
 
@@ -104,15 +104,18 @@
         let wait = if self.changed { CONFIRM_TIMEOUT } else { WATCH_TIMEOUT };
         let watch = Watch::new(ctx.platform.operator_prefix(), self.after, wait);
         let watch = watch.with_max_bytes(self.answer_limit());
-        let answer = match ctx.store.call(|store| store.watch(&watch)).await {
+        let answer = match ctx.store.watch(&watch).await {
             Err(Error::TooLarge { .. }) => return Ok(ReadProgress::Behind),
             answer => answer?,
         };
         self.changed = !answer.changes.is_empty();
         self.apply_changes(ctx, &answer);
-        // An answer without changes confirms the state at the end of its wait. One with changes may
-        // have taken long to transfer, and does not cover what was written in the meantime.
-        self.confirm(ctx, if self.changed { asked } else { asked + wait });
+        // An answer without changes confirms the state at the end of its wait, unless the watch was
+        // cut before. One with changes may have taken long to transfer, and does not cover what was
+        // written in the meantime.
+        let waited = asked + wait;
+        let is_timeout = !self.changed && waited <= ctx.store.clock().now();
+        self.confirm(ctx, if is_timeout { waited } else { asked });
         Ok(ReadProgress::CaughtUp)
     }
 
@@ -129,7 +132,7 @@
                     self.evacuations.extend(ctx.platform.evacuated_domain(&item.key));
                     self.apply(ctx, item);
                 }
-                Change::Deleted { key } => {
+                Change::Deleted { key, .. } => {
                     if let Some(domain) = ctx.platform.evacuated_domain(key) {
                         self.evacuations.remove(&domain);
                     }
--- a/src/note.rs
+++ b/src/note.rs
@@ -155,6 +155,12 @@
     Urgent ShardOwned = "shard-owned" { shard: String, fence: u64, jobs: usize, runs: usize, took_ms: Millis, }
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
+    /// A shard that this daemon has given up is offered to another one.
+    Urgent ShardOffered = "shard-offered" { shard: String, fence: u64, heir: DaemonId, }
+    /// What became of an offer of a shard: accepted, declined, refused (the connection) or unanswered.
+    Urgent ShardOfferEnded = "shard-offer-ended" { shard: String, fence: u64, heir: DaemonId, outcome: StaticText, reason: StaticText, took_ms: Millis, }
+    /// None of the daemons that a shard was offered to took it; `next` tells whether this daemon takes it back or leaves it to whoever hears of it.
+    Urgent ShardNotTaken = "shard-not-taken" { shard: String, fence: u64, offers: usize, took_ms: Millis, next: StaticText, }
     /// The new owner of a shard starts from what an earlier owner had learned, as read from the store or as last reported.
     Telling LearnedRestored = "learned-restored" { shard: String, source: StaticText, queues: usize, pairs: usize, age_ms: Millis, }
     /// The record of what a shard has learned can't be used; learning starts again.
@@ -209,8 +215,14 @@
     Urgent VmLapseTold = "vm-lapse-told" { vm: VmId, left_ms: Millis, runs: usize, }
     /// A VM is about to leave.
     Telling VmLeaving = "vm-leaving" { vm: VmId, runs: usize, left_ms: Millis, }
+    /// The announcement of a leaving VM was removed: whether that proves that the VM has left, or why not. `silent_ms` is the longest time that the VM can have been silent by then (0: unknown), and must be below `max_silent_ms`; `notice_left_ms` is what was left of its notice, and `reachable_ms` how long the store has been reachable.
+    Telling DepartureJudged = "departure-judged" { vm: VmId, found_in: StaticText, outcome: StaticText, silent_ms: Millis, max_silent_ms: Millis, notice_left_ms: Millis, reachable_ms: Millis, }
+    /// VMs that a claimed shard's records name, or that a list lacked, were looked up in the store's history: the number of VMs, of removals found after a notice, and of VMs that have certainly left.
+    Telling DeparturesLookedUp = "departures-looked-up" { vms: usize, removed: usize, proved: usize, outcome: StaticText, took_ms: Millis, }
     /// A run is not known to have ended on a VM that is no longer listed; `notice_ms` is how long the VM was known to leave.
     Urgent RunLeftBehind = "run-left-behind" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, notice_ms: Millis, silent_ms: Millis, }
+    /// A long-running task is still on a VM that leaves, and why; `left_ms` is the least time until the VM leaves.
+    Telling RunStays = "run-stays" { task: TaskRef, run: RunNumber, vm: VmId, stage: StaticText, stage_ms: Millis, left_ms: Millis, silent_ms: Millis, reason: StaticText, }
     /// A VM was announced at the address of another one that isn't known to have ended. `rev` and `other_rev` are the store revisions of their announcements, `list_ms` the age of the list that named it.
     Urgent VmAddressShared = "vm-address-shared" { vm: VmId, other: VmId, rev: u64, other_rev: u64, other_listed: bool, other_heard_ms: Millis, other_runs: usize, list_ms: Millis, list: StaticText, }
     /// A VM has permanently left, or this instance of it has ended; `passed` of its runs may still be started by the next instance under its id and are stopped there.
--- a/tests/followers/main.rs
+++ b/tests/followers/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the store followers: what the records actor reports to control.
 
+mod departures;
 mod fleet;
 mod harness;
 mod operators;
+mod samples;
--- a/tests/ownership.rs
+++ b/tests/ownership/main.rs
@@ -1,13 +1,18 @@
 //! Tests of the claims and hand-overs of shards.
 
+mod offers;
+mod released;
+mod wave;
+
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::cluster::{
-    Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, Ownership, Plan,
-    ShardReport, StoreReachability,
+    Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, OfferOutcome,
+    Ownership, Plan, ReleasedShard, ShardReport, StoreReachability,
 };
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
+use waxwingstall::note::Note;
 use waxwingstall::shard::learned::Learned;
 use waxwingstall::shard::{PreviousOwner, Summary};
 use waxwingstall::units::Resources;
@@ -18,7 +23,7 @@
 const WEAK: u32 = 69;
 const TICK: Duration = Duration::from_millis(100);
 
-fn ms(n: u64) -> Duration {
+const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
@@ -44,7 +49,8 @@
 }
 
 fn hello(from: Member, shards: Vec<ShardReport>) -> Hello {
-    Hello { from, number: 0, store: StoreReachability::Reached, config: 1, shards }
+    let store = StoreReachability::Reached;
+    Hello { from, number: 0, store, config: 1, shards, released: Vec::new() }
 }
 
 fn report(shard: &str, fence: u64) -> ShardReport {
@@ -58,6 +64,10 @@
     }
 }
 
+fn released(shard: &str, fence: u64, earlier_active: Duration) -> ReleasedShard {
+    ReleasedShard { name: shard.to_owned(), fence, earlier_active }
+}
+
 /// A plan with this number of shards, named `kacyiru.0` and so on.
 fn plan(shards: usize) -> Plan {
     let vm = |number: usize| VmEntry {
@@ -70,6 +80,7 @@
         state: VmState::Ready,
         addr: "vm:1".into(),
         announced: Rev::ABSENT,
+        announced_after: None,
     };
     let vms: Vec<VmEntry> = (0..shards * 32).map(vm).collect();
     Plan::default().extended(&vms).expect("racks are new")
@@ -87,6 +98,13 @@
     /// Processes that were probed.
     probed: Vec<DaemonId>,
     handed_over: Vec<(String, String)>,
+    /// How shards should be handed over.
+    how: HandOver,
+    /// Daemons that a dropped shard was offered to.
+    offered: Vec<(String, DaemonId)>,
+    notes: Vec<Note>,
+    /// Number of times that the heads were to be read.
+    heads_read: usize,
     /// Shards whose previous owner was found to have ended after the claim.
     predecessors_ended: Vec<String>,
 }
@@ -103,6 +121,10 @@
             replaces: Vec::new(),
             probed: Vec::new(),
             handed_over: Vec::new(),
+            how: HandOver::AfterCommit,
+            offered: Vec::new(),
+            notes: Vec::new(),
+            heads_read: 0,
             predecessors_ended: Vec::new(),
         };
         harness.step(Event::Store(StoreReachability::Reached));
@@ -120,11 +142,13 @@
                 }
                 Action::Probe(member) => self.probed.push(member.id),
                 Action::HandOver { shard, to, how } => {
-                    assert_eq!(how, HandOver::AfterCommit);
+                    assert_eq!(how, self.how);
                     self.handed_over.push((shard, to.name));
                 }
                 Action::PredecessorEnded { shard } => self.predecessors_ended.push(shard),
-                Action::ReadHeads | Action::Note(_) => {}
+                Action::Offer { released, to } => self.offered.push((released.name, to.id)),
+                Action::Note(note) => self.notes.push(note),
+                Action::ReadHeads => self.heads_read += 1,
             }
         }
     }
@@ -158,7 +182,19 @@
 
     /// A daemon hands the shard over that it owned with this fencing token.
     fn offer(&mut self, shard: &str, from: &Member, fence: u64) {
-        self.step(Event::Offered { shard: shard.to_owned(), from: from.id.clone(), fence });
+        let released = released(shard, fence, Duration::ZERO);
+        self.step(Event::Offered { from: from.id.clone(), released });
+    }
+
+    /// The shard that this daemon owned with this token is dropped, so that it can be handed over.
+    fn release(&mut self, shard: &str, fence: u64) {
+        self.step(Event::Released { shard: shard.to_owned(), fence });
+    }
+
+    /// A daemon that a shard was offered to answers, or it is found that it doesn't.
+    fn end_offer(&mut self, shard: &str, fence: u64, heir: &Member, outcome: OfferOutcome) {
+        let (shard, heir) = (shard.to_owned(), heir.id.clone());
+        self.step(Event::OfferEnded { shard, fence, heir, outcome });
     }
 
     /// Reads from the store that a daemon claimed the shard.
