Let VMs leave with notice in the random tests of shards

Change: in each of the four, one VM of each shard may leave for good 0.3 to 6 s after its notice, in place of events that did nothing. Seeds with permits are left out: permits are for a part of the VMs, so that a step may have no other one. Owners are told of departures at once there; tests/shards/notices.rs has owners that learn of them by themselves.

--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -46,6 +46,8 @@
     home: IndexMap<JobId, &'static str>,
     tickets: IndexMap<Ticket, JobId>,
     cancelled: Vec<JobId>,
+    /// Whether a VM of each shard leaves or has left.
+    departed: [bool; 2],
 }
 
 impl RandomRun {
@@ -78,6 +80,7 @@
             home: IndexMap::new(),
             tickets: IndexMap::new(),
             cancelled: Vec::new(),
+            departed: [false; 2],
         }
     }
 
@@ -117,6 +120,16 @@
         self.jobs.insert(job.id, job);
     }
 
+    /// Lets a VM of one of the shards leave for good after a notice, unless one of them does already.
+    fn depart_vm(&mut self) {
+        let shard = self.rng.random_range(0..2);
+        let left = self.millis(300..6000);
+        if !std::mem::replace(&mut self.departed[shard], true) {
+            let vm = shard * VMS + self.rng.random_range(0..VMS);
+            self.sim.depart_vm(vm, left);
+        }
+    }
+
     fn change_speed(&mut self) {
         let (vm, now) = (self.vm(), self.sim.now);
         let percent = [0, 14, 30, 100, 100][self.rng.random_range(0..5)];
@@ -193,8 +206,8 @@
     range.unwrap_or(default)
 }
 
-/// Commands and messages are lost, delayed or unanswered, VMs restart or become unreachable, owners
-/// are killed or paused, and the store fails.
+/// Commands and messages are lost, delayed or unanswered, VMs restart, become unreachable or leave,
+/// owners are killed or paused, and the store fails.
 fn simulate_any_failure(seed: u64) -> RandomRun {
     let mut run = RandomRun::new(seed, 120);
     if seed.is_multiple_of(3) {
@@ -226,6 +239,8 @@
                 let time = run.millis(300..4000);
                 run.sim.block_evacuations(time);
             }
+            // Permits may leave no other VM to a step.
+            93..96 if !seed.is_multiple_of(3) => run.depart_vm(),
             _ => {}
         }
     }
@@ -256,6 +271,7 @@
                 run.sim.block_vm_list(time);
             }
             96..98 => run.stop_store(),
+            98..100 => run.depart_vm(),
             _ => {}
         }
     }
@@ -280,6 +296,7 @@
             86..89 => run.stop_store(),
             89..91 => run.sim.evacuate(shard),
             91..94 => run.sim.withdraw_evacuation(shard),
+            94..97 => run.depart_vm(),
             _ => {}
         }
     }
@@ -316,6 +333,7 @@
                 run.sim.block_vm_list(time);
             }
             95..97 => run.stop_store(),
+            97..100 if !seed.is_multiple_of(4) => run.depart_vm(),
             _ => {}
         }
     }
