Allow for an owner before one that has ended

A task could run twice: an owner is cut off and goes on extending leases for up to 12 s. The daemon that replaces it is restarted within seconds. The next claim took every earlier owner for inactive and started the tasks again after one lease, while they ran. In the same way, leases were shortened too soon where a later process answered only after the claim.

The end of an owner shows nothing of the one before. Two causes ("its owner was restarted", "its owner released it" by its list) claimed as `Ended` all the same, and `report_ended_predecessors` recorded that no earlier owner was active, which hellos and offers passed on.

An owner now tells in its hellos for each shard how long an owner before it may be active (`ShardReport::earlier_active`), and others keep the earliest time told for that fencing token. If it ends before it has told one, the owner before counts as active until MAX_STALE_OWNER_EXTENSION after the claim became known. Both causes claim as `MaybeActive` until then; so do leases stay as they are, and the basis of this daemon's claim passes the same time on. Tasks of silent VMs wait longer only where an owner had claimed without a proof in the last 12 s, or was restarted before its first hello as the owner was heard. The format of hellos changes.

A told time is an upper bound at the time it is sent, and a hello only arrives later, so that hellos of any age may be counted. The earlier owner lost the shard before the claim became known, so that the assumed time covers it.

The simulated daemons in tests/ownership/wave.rs tell the time as the real ones do.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -119,6 +119,8 @@
 pub struct ShardReport {
     pub name: String,
     pub fence: u64,
+    /// How long an owner before this one may still extend leases; zero if none does.
+    pub earlier_active: Duration,
     pub summary: Summary,
     /// Recently accepted jobs.
     pub accepted: Vec<JobId>,
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -166,6 +166,8 @@
     since: Duration,
     /// Number of the newest hello in which the owner has listed the shard.
     listed: Option<u64>,
+    /// Until when an owner before this one may still extend leases, if the owner has told it.
+    earlier_active_until: Option<Duration>,
     /// Set once this ownership is known to have ended: until when an owner before it may still
     /// extend leases.
     released: Option<Duration>,
@@ -350,6 +352,7 @@
             Event::Drain => self.me.stage = MemberStage::Draining,
             Event::ReleaseAll => self.is_exiting = true,
         }
+        self.report_ended_predecessors();
         self.release_unheld();
         if self.is_exiting {
             self.release_all();
@@ -391,6 +394,7 @@
             view.fence = fence;
             view.since = now;
             view.listed = None;
+            view.earlier_active_until = None;
             view.orphan = None;
         }
     }
@@ -404,6 +408,7 @@
                 fence: 0,
                 since,
                 listed: None,
+                earlier_active_until: None,
                 released: None,
                 basis: ClaimBasis::EndedBy(Duration::ZERO),
                 orphan: None,
@@ -418,7 +423,6 @@
         self.offers_while_claiming.shift_remove(shard);
         let me = self.me.id.clone();
         self.record_owner(shard, me, fence);
-        self.report_ended_predecessors();
     }
 
     fn handle_claim_failed(&mut self, shard: &str, head: Option<Head>, reason: String) {
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -201,9 +201,12 @@
         self.record_released_reports(hello);
         for report in &hello.shards {
             self.record_owner(&report.name, hello.from.id.clone(), report.fence);
+            let until = self.now.saturating_add(report.earlier_active);
             let view = self.shards.get_mut(&report.name);
             if let Some(view) = view.filter(|view| view.fence == report.fence) {
                 view.listed = view.listed.max(Some(hello.number));
+                let known = view.earlier_active_until.unwrap_or(Duration::MAX);
+                view.earlier_active_until = Some(known.min(until));
             }
         }
     }
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -181,40 +181,37 @@
     // would appear unresponsive, and the shard would be claimed again at once.
     let last_heard = if is_same_process { known.last_heard } else { known.earlier_heard };
     let silent = now.saturating_sub(last_heard.max(view.since));
-    let cause = |previous, reason| {
-        Some(Cause { previous, silent, grace: Duration::ZERO, ..unowned(reason) })
-    };
+    let unresponsive = |reason| Some(Cause { silent, grace: Duration::ZERO, ..unowned(reason) });
     if !is_same_process {
         // A daemon runs one process at a time. One that was running after the owner had claimed the
         // shard has replaced it; otherwise it may be an earlier one, and the owner's first hello is
         // still on its way.
         if known.answered.is_some_and(|asked| asked >= view.since) {
-            return cause(PreviousOwner::Ended, "its owner was restarted");
+            let ended = view.ended_cause("its owner was restarted", now);
+            return Some(Cause { silent, grace: Duration::ZERO, ..ended });
         }
         probes.push(known.member.name.clone());
         if silent < OWNER_TIMEOUT {
             return None;
         }
-        return cause(PreviousOwner::MaybeActive, "its owner is silent");
+        return unresponsive("its owner is silent");
     }
     if known.refused_at.is_some() {
         // Its process may live behind a network cut that refuses connections.
-        return cause(PreviousOwner::MaybeActive, "its owner refuses connections");
+        return unresponsive("its owner refuses connections");
     }
     if silent >= PROBE_AFTER {
         probes.push(known.member.name.clone());
     }
     if silent >= OWNER_TIMEOUT {
-        return cause(PreviousOwner::MaybeActive, "its owner is silent");
+        return unresponsive("its owner is silent");
     }
     let (newest, told_at) = known.told?;
     if known.shards.iter().any(|name| name == shard) {
         return None;
     }
     match view.listed {
-        Some(listed) if newest > listed => {
-            Some(Cause { previous: PreviousOwner::Ended, ..unowned("its owner released it") })
-        }
+        Some(listed) if newest > listed => Some(view.ended_cause("its owner released it", now)),
         Some(_) => None,
         // Hellos from before the daemon became the owner don't count, and it lists the shard only
         // after loading it from the store, which may take longer while the store is slow.
--- a/src/cluster/ownership/predecessors.rs
+++ b/src/cluster/ownership/predecessors.rs
@@ -2,7 +2,8 @@
 //!
 //! A shard is claimed as soon as its owner seems lost, often before anything shows whether that
 //! process has ended. If a later process of the same daemon answers afterwards, the new owner need
-//! no longer allow for leases that the previous one may still extend.
+//! no longer allow for leases that the previous one may still extend. It does allow for those that
+//! an owner before that one may extend.
 
 use super::{Action, ClaimBasis, HoldState, Ownership};
 use crate::cluster::member::Hello;
@@ -15,6 +16,8 @@
     owner: DaemonId,
     /// When it became known as the owner.
     known_since: Duration,
+    /// Until when an owner before it may still extend leases.
+    earlier_active_until: Duration,
     has_ended: bool,
 }
 
@@ -38,7 +41,9 @@
             return;
         }
         let Some(owner) = view.owner.clone().filter(|owner| *owner != self.me.id) else { return };
-        let predecessor = Predecessor { owner, known_since: view.since, has_ended: false };
+        let (known_since, earlier_active_until) = (view.since, view.earlier_active_until());
+        let has_ended = false;
+        let predecessor = Predecessor { owner, known_since, earlier_active_until, has_ended };
         self.predecessors.insert(shard.to_owned(), predecessor);
     }
 
@@ -48,21 +53,26 @@
         for predecessor in self.predecessors.values_mut() {
             predecessor.has_ended |= predecessor.is_replaced_by(hello, asked);
         }
-        self.report_ended_predecessors();
     }
 
-    /// Tells the shards that are owned by now about predecessors that have ended.
+    /// Tells the shards that are owned by now about predecessors that have ended, once no owner
+    /// before them is active either.
     pub(super) fn report_ended_predecessors(&mut self) {
+        let now = self.now;
         let (held, actions, shards) = (&self.held, &mut self.actions, &mut self.shards);
         self.predecessors.retain(|shard, predecessor| {
-            let known = predecessor.has_ended && held.get(shard) == Some(&HoldState::Owned);
-            if known {
-                if let Some(view) = shards.get_mut(shard) {
-                    view.basis = ClaimBasis::EndedBy(Duration::ZERO);
-                }
+            if !predecessor.has_ended || held.get(shard) != Some(&HoldState::Owned) {
+                return true;
+            }
+            let until = predecessor.earlier_active_until;
+            if let Some(view) = shards.get_mut(shard) {
+                view.basis = ClaimBasis::EndedBy(until);
+            }
+            let all_ended = now >= until;
+            if all_ended {
                 actions.push(Action::PredecessorEnded { shard: shard.clone() });
             }
-            !known
+            !all_ended
         });
     }
 }
--- a/src/cluster/ownership/released.rs
+++ b/src/cluster/ownership/released.rs
@@ -5,7 +5,9 @@
 //! hello listed the shard. The end of an ownership stays true, so that a hello of any age shows it.
 //!
 //! It shows nothing about the owner before, which may still extend leases if it was replaced without
-//! a proof that it had ended. The time for which it may is passed on.
+//! a proof that it had ended. The time for which it may is passed on, by owners as well, since they
+//! may end without releasing the shard. If an owner ends before it has told the time, the owner
+//! before counts as active for as long as it can be.
 
 use super::orphans::{Cause, unowned};
 use super::{ClaimBasis, Ownership, ShardView};
@@ -38,13 +40,29 @@
 
     /// Why the shard has no owner, if its last one is known to have released it.
     pub(super) fn released_cause(&self, reason: StaticText, now: Duration) -> Option<Cause> {
-        let earlier_active_until = self.released?;
+        Some(Cause::ended(reason, self.released?, now))
+    }
+
+    /// Why the shard has no owner, if its last one is shown to have ended.
+    pub(super) fn ended_cause(&self, reason: StaticText, now: Duration) -> Cause {
+        Cause::ended(reason, self.earlier_active_until(), now)
+    }
+
+    /// Until when an owner before the last one may still extend leases.
+    pub(super) fn earlier_active_until(&self) -> Duration {
+        self.earlier_active_until.unwrap_or(self.since + MAX_STALE_OWNER_EXTENSION)
+    }
+}
+
+impl Cause {
+    /// Cause for a shard whose owner has ended, though an owner before it may be active.
+    fn ended(reason: StaticText, earlier_active_until: Duration, now: Duration) -> Self {
         let previous = if now < earlier_active_until {
             PreviousOwner::MaybeActive
         } else {
             PreviousOwner::Ended
         };
-        Some(Cause { previous, earlier_active_until, ..unowned(reason) })
+        Self { previous, earlier_active_until, ..unowned(reason) }
     }
 }
 
@@ -61,6 +79,12 @@
         released.filter_map(to_report).collect()
     }
 
+    /// How long an owner before this daemon may still extend the leases of a shard owned here.
+    pub fn earlier_active(&self, shard: &str, now: Duration) -> Duration {
+        let basis = self.shards.get(shard).map_or(ClaimBasis::MaybeActive, |view| view.basis);
+        basis.earlier_active_until(now).saturating_sub(now)
+    }
+
     /// Records that an ownership of another daemon has ended.
     pub(super) fn record_released(&mut self, owner: &DaemonId, released: &ReleasedShard) {
         let until = self.now.saturating_add(released.earlier_active);
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -176,6 +176,7 @@
 
     pub(super) fn shard_reports(&mut self) -> Vec<ShardReport> {
         let now = self.clock.now();
+        let ownership = &self.ownership;
         let report = |(name, hosted): (&String, &mut HostedShard)| {
             while hosted
                 .accepted
@@ -191,6 +192,7 @@
             ShardReport {
                 name: name.clone(),
                 fence: hosted.shard.fence().0,
+                earlier_active: ownership.earlier_active(name, now),
                 summary: (*hosted.summary).clone(),
                 accepted: hosted.accepted.iter().map(|(_, job)| *job).collect(),
                 learned: if learned_due { hosted.shard.learned() } else { Learned::default() },
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -256,6 +256,7 @@
     let report = ShardReport {
         name: SHARD.to_owned(),
         fence: 5,
+        earlier_active: Duration::ZERO,
         summary: Summary::default(),
         accepted: Vec::new(),
         learned: Learned::default(),
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -57,6 +57,7 @@
     ShardReport {
         name: shard.to_owned(),
         fence,
+        earlier_active: Duration::ZERO,
         summary: Summary::default(),
         accepted: Vec::new(),
         learned: Learned::default(),
--- a/tests/ownership/released.rs
+++ b/tests/ownership/released.rs
@@ -1,9 +1,9 @@
 //! Shards that their owners say to have given up.
 
-use super::{Harness, STRONG, WEAK, hello, member, ms, process, released, report};
+use super::{Harness, STRONG, TICK, WEAK, hello, member, ms, process, released, report};
 use std::time::Duration;
 use waxwingstall::cluster::{
-    Event, HandOver, Hello, Member, OfferOutcome, ReleasedShard, StoreReachability,
+    Event, HandOver, Hello, Member, OfferOutcome, ReleasedShard, ShardReport, StoreReachability,
 };
 use waxwingstall::note::Note;
 use waxwingstall::shard::PreviousOwner;
@@ -264,3 +264,95 @@
     owner.run_for(2 * KNOWN_RELEASE);
     assert_eq!(owner.previous, [PreviousOwner::Ended], "it reaches the store again");
 }
+
+/// A report of an owner that tells how long one before it may be active.
+fn report_telling(earlier_active: Duration) -> ShardReport {
+    ShardReport { earlier_active, ..report(SHARD, 9) }
+}
+
+/// Times that owners tell of the owner before, and what the next claim says if that is all that is
+/// known.
+const TOLD: [(Option<Duration>, PreviousOwner); 4] = [
+    (None, PreviousOwner::MaybeActive),
+    (Some(EARLIER_ACTIVE), PreviousOwner::MaybeActive),
+    (Some(ms(300)), PreviousOwner::Ended),
+    (Some(Duration::ZERO), PreviousOwner::Ended),
+];
+
+// Guards against tasks that run twice: an owner that was cut off is replaced by a daemon that is
+// restarted soon afterwards, and may extend leases for longer than that one was the owner.
+#[test]
+fn an_owner_before_the_one_that_was_restarted_may_be_active() {
+    for (told, previous) in TOLD {
+        let (mut harness, claimant) = daemon_beside_claimant();
+        let reports = told.map(report_telling).into_iter().collect();
+        harness.set_peer(claimant.clone(), reports);
+        harness.run_for(ms(1000));
+        harness.others.clear();
+        harness.hear_answer(hello(process(&claimant, 2), Vec::new()), harness.now);
+        harness.run_for(KNOWN_RELEASE);
+        assert_eq!(harness.previous, [previous], "{told:?}");
+    }
+}
+
+// The same with a daemon that lists the shard no longer.
+#[test]
+fn an_owner_before_the_one_that_lists_the_shard_no_longer_may_be_active() {
+    for (told, previous) in TOLD.into_iter().skip(1) {
+        let (mut harness, claimant) = daemon_beside_claimant();
+        let reports = told.map(report_telling).into_iter().collect();
+        harness.set_peer(claimant.clone(), reports);
+        harness.run_for(ms(400));
+        harness.set_peer(claimant, Vec::new());
+        harness.run_for(ms(1300));
+        assert_eq!(harness.previous, [previous], "{told:?}");
+    }
+}
+
+// The same with a daemon that is found to have ended after its shard was claimed.
+#[test]
+fn leases_are_not_shortened_while_an_owner_before_the_last_may_be_active() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    harness.hear(hello(claimant.clone(), vec![report_telling(ms(5000))]));
+    let asked = harness.now;
+    harness.refuse(&claimant, asked);
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    harness.hear_answer(hello(process(&claimant, 2), Vec::new()), asked);
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), ms(5000));
+    harness.run_for(ms(5000));
+    assert!(harness.predecessors_ended.is_empty(), "the earlier owner may be active");
+    harness.run_for(2 * TICK);
+    assert_eq!(harness.predecessors_ended, [SHARD], "once");
+}
+
+// The same with a daemon that has told nothing.
+#[test]
+fn an_owner_before_one_that_was_never_heard_may_be_active() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    let (since, asked) = (harness.now - ms(100), harness.now);
+    harness.refuse(&claimant, asked);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    harness.hear_answer(hello(process(&claimant, 2), Vec::new()), asked);
+    let left = since + EARLIER_ACTIVE - harness.now;
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), left);
+    harness.run_for(left);
+    assert!(harness.predecessors_ended.is_empty(), "the earlier owner may be active");
+    harness.run_for(2 * TICK);
+    assert_eq!(harness.predecessors_ended, [SHARD]);
+}
+
+// Guards against tasks that wait in vain after an owner's restart, or that run twice: an owner tells
+// in its hellos how long an owner before it may be active.
+#[test]
+fn an_owner_tells_how_long_an_earlier_owner_may_be_active() {
+    let (mut harness, owner) = super::daemon_beside_owner();
+    let asked = harness.now;
+    harness.refuse(&owner, asked);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), EARLIER_ACTIVE);
+    harness.run_for(ms(1000));
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), EARLIER_ACTIVE - ms(1000));
+    harness.hear_answer(hello(process(&owner, 2), Vec::new()), asked);
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), Duration::ZERO);
+}
--- a/tests/ownership/wave.rs
+++ b/tests/ownership/wave.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use waxwingstall::cluster::{
     Action, Event, Head, Hello, Member, MemberStage, OfferAnswer, OfferOutcome, Ownership,
-    ReleasedShard, StoreReachability,
+    ReleasedShard, ShardReport, StoreReachability,
 };
 use waxwingstall::ids::DaemonId;
 use waxwingstall::shard::PreviousOwner;
@@ -178,7 +178,11 @@
         let now = self.now;
         let process = self.process(id)?;
         process.hellos += 1;
-        let shards = process.hosted.iter().map(|(shard, fence)| super::report(shard, *fence));
+        let ownership = &process.ownership;
+        let shards = process.hosted.iter().map(|(shard, fence)| ShardReport {
+            earlier_active: ownership.earlier_active(shard, now),
+            ..super::report(shard, *fence)
+        });
         let mut hello = super::hello(process.ownership.me().clone(), shards.collect());
         hello.number = process.hellos;
         hello.released = process.ownership.released_shards(now);
