Don't count an estimated age of a notice as a bound

A daemon that has just started estimates when the VMs announced themselves. If the estimate for a leaving VM was too late, the owner took the notice to end too late: the VM's runs lapsed instead of being stopped before it left, and a later announcement of known age didn't correct that.

Cause: VmEntry::announced_after was a plain time for bounds and estimates, and Leaving takes the latest of several lower bounds. Change: AnnouncedAfter tells a bound from an estimate. A notice counted from an estimate is an assumed one, which any bound replaces, also an earlier one. The follower replaces the estimate of an announcement as soon as it has a bound.

Evidence: a_later_announcement_corrects_an_estimated_notice failed before, with the run [Lapsed] instead of [Stopped], and passes now. The follower's test of the first list now asks for an estimate, and that of the published age for a bound, so both are stricter than before.

--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -19,7 +19,7 @@
 use crate::kv::{Change, Freshness, Item, Result, Rev, Watch};
 use crate::note::{Millis, Note, StaticText};
 use crate::shard::FleetListStatus;
-use crate::vm::{Departure, VmEntry};
+use crate::vm::{AnnouncedAfter, Departure, VmEntry};
 use indexmap::{IndexMap, IndexSet};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -235,14 +235,17 @@
         ctx: &FollowContext<P>,
         item: &Item,
         asked: Duration,
-    ) -> Option<Duration> {
+    ) -> Option<AnnouncedAfter> {
         let known = self.vms.get(&item.key).filter(|known| known.announced == item.rev);
+        let known = known.and_then(|known| known.announced_after);
         let interval = ctx.announce_interval;
         let estimate = || (interval > Duration::ZERO).then(|| asked.saturating_sub(interval));
+        let bound = || ctx.store.times().written_after(item.rev).map(AnnouncedAfter::Bound);
         known
-            .and_then(|known| known.announced_after)
-            .or_else(|| ctx.store.times().written_after(item.rev))
-            .or_else(estimate)
+            .filter(|known| matches!(known, AnnouncedAfter::Bound(_)))
+            .or_else(bound)
+            .or(known)
+            .or_else(|| estimate().map(AnnouncedAfter::Estimate))
     }
 
     /// Applies an announcement. The VM of an entry that can't be decoded is removed: work already
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -12,7 +12,7 @@
 use crate::kv::Rev;
 use crate::note::StaticText;
 use crate::units::Resources;
-use crate::vm::{VmAddr, VmEntry, VmState, VmTime};
+use crate::vm::{AnnouncedAfter, VmAddr, VmEntry, VmState, VmTime};
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -90,8 +90,8 @@
 enum NoticeEnd {
     /// The time left counted from a time before it was announced: the VM does not leave sooner.
     NotBefore(Duration),
-    /// The same counted from when the announcement was read, of unknown age: the VM may leave
-    /// sooner.
+    /// The same counted from an estimated time, or from when the announcement was read: the VM may
+    /// leave sooner.
     Assumed(Duration),
 }
 
@@ -100,9 +100,13 @@
     fn read(entry: &VmEntry, now: Duration) -> Option<Self> {
         let VmState::Leaving { left } = entry.state else { return None };
         let end = match (entry.announced_after, left) {
-            (Some(after), Some(left)) => NoticeEnd::NotBefore(after + left),
+            (Some(AnnouncedAfter::Bound(after)), Some(left)) => NoticeEnd::NotBefore(after + left),
             (after, left) => {
-                NoticeEnd::Assumed(after.unwrap_or(now) + left.unwrap_or(DEFAULT_NOTICE))
+                let after = match after {
+                    Some(AnnouncedAfter::Bound(after) | AnnouncedAfter::Estimate(after)) => after,
+                    None => now,
+                };
+                NoticeEnd::Assumed(after + left.unwrap_or(DEFAULT_NOTICE))
             }
         };
         Some(Self { since: now, end })
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -45,9 +45,17 @@
     pub addr: Arc<str>,
     /// Store revision at which the VM last announced itself; absent if it isn't announced.
     pub announced: Rev,
-    /// Time after which it did so, on the daemon's monotonic clock; `None` if unknown. An estimate
-    /// if the daemon made no calls to the store before, so it proves nothing.
-    pub announced_after: Option<Duration>,
+    /// Time after which it did so; `None` if unknown.
+    pub announced_after: Option<AnnouncedAfter>,
+}
+
+/// Time after which a VM announced itself, on the daemon's monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnnouncedAfter {
+    /// The announcement is certain to be later.
+    Bound(Duration),
+    /// The announcement may be older.
+    Estimate(Duration),
 }
 
 /// Whether a VM takes new work.
--- a/tests/followers/departures.rs
+++ b/tests/followers/departures.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use waxwingstall::ids::VmId;
 use waxwingstall::note::Note;
+use waxwingstall::vm::AnnouncedAfter;
 
 /// Number of VMs that stay.
 const STAYING: usize = 30;
@@ -203,7 +204,9 @@
             .take_while(|at| *at <= claimed)
             .last()
             .expect("the claim follows the first announcement");
-        let after = entry.announced_after.expect("the daemon has made calls before");
+        let Some(AnnouncedAfter::Bound(after)) = entry.announced_after else {
+            panic!("the daemon has made calls before: {:?}", entry.announced_after);
+        };
         // Steps happen at the first announcement of another VM after their time.
         let latest = announced + ms(50);
         assert!(after <= latest, "claimed at {claimed:?}: {after:?} is after {latest:?}");
@@ -334,6 +337,7 @@
     let list = updates.first().expect("the list is read at the start");
     assert_eq!(list.vms.len(), STAYING);
     let estimate = list.asked.map(|asked| asked.saturating_sub(ANNOUNCE_INTERVAL));
+    let estimate = estimate.map(AnnouncedAfter::Estimate);
     assert!(list.vms.iter().all(|entry| entry.announced_after == estimate));
 }
 
--- a/tests/shards/stops.rs
+++ b/tests/shards/stops.rs
@@ -89,6 +89,20 @@
     check_all(&mut sim, job);
 }
 
+// Guards against the same if the age of the first announcement was estimated: a later one that leaves
+// less time did not count.
+#[test]
+fn a_later_announcement_corrects_an_estimated_notice() {
+    let (mut sim, job, there) = simulation_with(NoFaults, work(40_000, 2));
+    sim.block_vm_list(NOTICE / 2);
+    sim.depart_vm_estimated(there, NOTICE, NOTICE / 2);
+    sim.run_for(NOTICE / 2 + millis(500));
+    sim.repeat_notice(there);
+    sim.run_for(NOTICE);
+    assert_eq!(ends(&sim, there), [EndKind::Stopped]);
+    check_all(&mut sim, job);
+}
+
 // Guards against a run that is stopped too late: of two announcements of unknown age, the one that
 // was read first counted, also if the other one leaves less time.
 #[test]
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -24,7 +24,9 @@
     OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
-use waxwingstall::vm::{Departure, Error as VmError, Fence, PollReq, VmAddr, VmEntry, VmState};
+use waxwingstall::vm::{
+    AnnouncedAfter, Departure, Error as VmError, Fence, PollReq, VmAddr, VmEntry, VmState,
+};
 use waxwingstall_standin::permits::PermitTable;
 use waxwingstall_standin::runs::{RunSettings, RunTable};
 use waxwingstall_standin::txns::TxnTable;
@@ -607,7 +609,14 @@
     /// Makes a VM announce that it leaves in `left`, at a known time, and leave then.
     pub fn depart_vm_timed(&mut self, index: usize, left: Duration) {
         self.depart_vm(index, left);
-        self.vms[index].entry.announced_after = Some(self.now);
+        self.vms[index].entry.announced_after = Some(AnnouncedAfter::Bound(self.now));
+    }
+
+    /// Makes a VM announce that it leaves in `left`, at a time estimated too late by `error`, and
+    /// leave then.
+    pub fn depart_vm_estimated(&mut self, index: usize, left: Duration, error: Duration) {
+        self.depart_vm(index, left);
+        self.vms[index].entry.announced_after = Some(AnnouncedAfter::Estimate(self.now + error));
     }
 
     /// Repeats the announcement of a VM that leaves, at a known time.
@@ -615,7 +624,7 @@
         let vm = &mut self.vms[index];
         let left = vm.departs_at.map(|at| at.saturating_sub(self.now));
         vm.entry.state = VmState::Leaving { left };
-        vm.entry.announced_after = Some(self.now);
+        vm.entry.announced_after = Some(AnnouncedAfter::Bound(self.now));
         vm.entry.announced = Rev(vm.entry.announced.0 + 1);
     }
 
