Bound the cost of looking up departures on a claim

After the loss of a failure domain, each claim made up to 32 watches of single VMs, again for each shorter look-back and each retry for 3 s, although none of the VMs had announced a departure. All daemons share the store's rate limit, so the claims slowed each other down.

Cause: every missing VM was looked up, eight at once, and a refused call was repeated like an answer that came late. Change: the first refused call ends the look-up, and the log says so. Four calls are made at once instead of eight. Of more than eight VMs, a sample of at most four is looked up first, and the others only if the removal of a leaving VM was found. Of up to eight, all are looked up as before. Departures are missed, and their leases waited for, if only a few of many VMs have left and the sample has none of them, and if a call is refused because the store is down.

Evidence, calls of 24 absent VMs: 24 before, at most 4 now (at most 12 with a dropped history); of 8 VMs with refused calls: 64 before, at most 4 now. Both tests failed before. the_departures_of_many_vms_are_found passed before and passes now: 20 of 20 departures, and the list stays fresh meanwhile, which the test of absent VMs now shows for a sample only.

--- a/src/jobs/follow/history.rs
+++ b/src/jobs/follow/history.rs
@@ -24,7 +24,13 @@
 const MAX_VMS: usize = 32;
 
 /// Maximum number of concurrent calls.
-const MAX_CALLS: usize = 8;
+const MAX_CALLS: usize = 4;
+
+/// Maximum number of VMs that are all looked up at first.
+const MAX_UNSAMPLED_VMS: usize = 8;
+
+/// Number of VMs that are looked up first if there are more.
+const SAMPLE_VMS: usize = 4;
 
 /// Time after which no further call is made.
 const MAX_TIME: Duration = Duration::from_secs(3);
@@ -43,9 +49,15 @@
     /// Not known yet.
     Unread,
     HistoryGone,
+    /// The store refused the call, for lack of quota perhaps.
+    Refused,
 }
 
 /// Looks up VMs that a list at revision `up_to` lacks, and reports those that have left.
+///
+/// The calls count towards a quota that all daemons share. When a failure domain is lost, many VMs
+/// are missing that never announced a departure. Of many VMs, a sample is therefore looked up first,
+/// and the others only if a leaving VM was removed.
 pub(super) async fn look_up<P: Platform>(
     ctx: FollowContext<P>,
     mut missing: Vec<VmId>,
@@ -54,9 +66,11 @@
     let began = ctx.store.clock().now();
     let vms = missing.len();
     missing.truncate(MAX_VMS);
+    let mut skipped = take_unsampled(&mut missing);
     let mut look_back = LOOK_BACK.iter();
     let mut from = start(&ctx, look_back.next(), began);
     let (mut removed, mut proved) = (0, 0);
+    let mut is_refused = false;
     while let (Some(after), false) = (from, missing.is_empty()) {
         let mut unread = Vec::new();
         let mut is_gone = false;
@@ -68,12 +82,23 @@
             let calls = batch.iter().map(|vm| look_up_vm(&ctx, vm, after, up_to));
             let outcomes = join_all(calls).await;
             is_gone |= outcomes.iter().any(|outcome| matches!(outcome, Outcome::HistoryGone));
+            is_refused |= outcomes.iter().any(|outcome| matches!(outcome, Outcome::Refused));
             let (findings, left) = sort_outcomes(batch, outcomes);
             unread.extend(left);
             removed += findings.len();
             proved += report(&ctx, &findings);
+            if is_refused {
+                break;
+            }
+        }
+        if is_refused {
+            break;
         }
         missing = unread;
+        if removed > 0 && !skipped.is_empty() {
+            missing.append(&mut skipped);
+            continue;
+        }
         let is_late = ctx.store.clock().now().saturating_sub(began) + RETRY_DELAY >= MAX_TIME;
         if is_gone {
             from = start(&ctx, look_back.next(), began);
@@ -84,9 +109,10 @@
         }
     }
     let outcome: StaticText = match from {
+        _ if is_refused => "the store refused a call",
         None => "the store's history or the daemon's calls don't reach back",
         Some(_) if !missing.is_empty() => "the history was not read in time",
-        Some(_) if vms > MAX_VMS => "too many VMs",
+        Some(_) if vms > MAX_VMS || !skipped.is_empty() => "too many VMs",
         Some(_) => "complete",
     };
     let took_ms = Millis(ctx.store.clock().now().saturating_sub(began));
@@ -94,6 +120,18 @@
     ctx.control.do_send(StoreEvent::Note(note));
 }
 
+/// Removes all VMs but a sample, if there are many; returns the others.
+fn take_unsampled(missing: &mut Vec<VmId>) -> Vec<VmId> {
+    if missing.len() <= MAX_UNSAMPLED_VMS {
+        return Vec::new();
+    }
+    let step = missing.len().div_ceil(SAMPLE_VMS);
+    let numbered = std::mem::take(missing).into_iter().enumerate();
+    let (sample, others): (Vec<_>, Vec<_>) = numbered.partition(|(i, _)| i % step == 0);
+    *missing = sample.into_iter().map(|(_, vm)| vm).collect();
+    others.into_iter().map(|(_, vm)| vm).collect()
+}
+
 /// Revision from which on to read the history; `None` if the times of its changes are unknown.
 fn start<P: Platform>(
     ctx: &FollowContext<P>,
@@ -110,7 +148,7 @@
         match outcome {
             Outcome::Removed(finding) => findings.push(finding),
             Outcome::NotRemoved => {}
-            Outcome::Unread | Outcome::HistoryGone => unread.push(vm.clone()),
+            Outcome::Unread | Outcome::HistoryGone | Outcome::Refused => unread.push(vm.clone()),
         }
     }
     (findings, unread)
@@ -138,6 +176,7 @@
     match read_history(ctx, vm, after, up_to).await {
         Ok(Some(history)) => judge(ctx, vm, &history).map_or(Outcome::NotRemoved, Outcome::Removed),
         Err(Error::HistoryGone) => Outcome::HistoryGone,
+        Err(Error::Refused { .. }) => Outcome::Refused,
         Ok(None) | Err(_) => Outcome::Unread,
     }
 }
--- a/tests/followers/departures.rs
+++ b/tests/followers/departures.rs
@@ -418,6 +418,66 @@
     });
 }
 
+/// Ids of this many VMs that were never announced.
+fn absent(count: usize) -> Vec<VmId> {
+    (1000..1000 + count).map(|number| VmId::new(&vm_id(number))).collect()
+}
+
+/// Claims a shard with runs on absent VMs, on a daemon for which `prepare` was run.
+fn claim_with_absent(vms: usize, prepare: impl FnOnce(&Harness)) -> Harness {
+    actix_rt::System::new().block_on(async {
+        let mut harness = Harness::start(STAYING);
+        harness.advance(STAYING, ms(3400)).await;
+        harness.record_runs(SHARD, &absent(vms));
+        prepare(&harness);
+        harness.claim(SHARD).await;
+        harness.advance(STAYING, ms(6000)).await;
+        harness
+    })
+}
+
+// Guards against a rate limit that is used up by the claims after the loss of a failure domain, none
+// of whose VMs had announced its departure.
+#[test]
+fn many_vms_that_did_not_announce_leaving_take_few_calls() {
+    let harness = claim_with_absent(24, |_| {});
+    assert!(harness.look_ups() <= 4, "{} calls", harness.look_ups());
+    assert_eq!(look_ups(&harness), [(24, 0, 0, "too many VMs")]);
+    let harness = claim_with_absent(24, |harness| harness.table.table().compact());
+    assert!(harness.look_ups() <= 12, "{} calls", harness.look_ups());
+}
+
+// Guards against calls that are repeated while the store refuses them for lack of quota.
+#[test]
+fn a_refused_call_ends_the_look_up() {
+    let harness = claim_with_absent(8, Harness::refuse_look_ups);
+    assert!(harness.look_ups() <= 4, "{} calls", harness.look_ups());
+    assert_eq!(look_ups(&harness), [(8, 0, 0, "the store refused a call")]);
+}
+
+// Guards against owners that wait for the leases of many VMs that have left at once.
+#[test]
+fn the_departures_of_many_vms_are_found() {
+    let vms = absent(20);
+    actix_rt::System::new().block_on(async {
+        let mut harness = Harness::start_with_latency(STAYING, ms(100));
+        harness.advance(STAYING, ms(3400)).await;
+        (1000..1020).for_each(|number| harness.announce(number, "leaving left=300"));
+        harness.record_runs(SHARD, &vms);
+        harness.advance(STAYING, ms(500)).await;
+        (1000..1020).for_each(|number| harness.remove_announcement(number));
+        harness.advance(STAYING, ms(1500)).await;
+        let claimed = harness.clock.now();
+        harness.claim(SHARD).await;
+        harness.advance(STAYING, ms(6000)).await;
+        assert_eq!(look_ups(&harness), [(20, 20, 20, "complete")]);
+        assert_eq!(harness.departures.borrow().len(), 20);
+        harness.updates.borrow_mut().retain(|update| update.at >= claimed);
+        let oldest = harness.max_list_age();
+        assert!(oldest <= ms(900), "{oldest:?}");
+    });
+}
+
 // Guards against tasks that run twice: a VM was cut off and its announcement expired while the pages of
 // the list were read, and its silence was counted only until the first page.
 #[test]
--- a/tests/followers/harness.rs
+++ b/tests/followers/harness.rs
@@ -89,6 +89,10 @@
     cut_watches: AtomicBool,
     /// Maximum number of items of a page; zero for the table's own.
     page_items: AtomicUsize,
+    /// Number of watches of single VMs.
+    look_ups: AtomicUsize,
+    /// Whether watches of single VMs are refused.
+    refuse_look_ups: AtomicBool,
     /// Answer to stale reads of the VMs, in place of the current one.
     stale_vms: Mutex<Option<Page>>,
     /// Revisions of the store over time.
@@ -104,6 +108,18 @@
         Ok(())
     }
 
+    /// Counts watches of single VMs, and fails if they are refused.
+    fn check_look_up(&self, watch: &Watch) -> kv::Result<()> {
+        if !watch.prefix.starts_with(VM_PREFIX) || watch.prefix == VM_PREFIX {
+            return Ok(());
+        }
+        self.faults.look_ups.fetch_add(1, Ordering::Relaxed);
+        if self.faults.refuse_look_ups.load(Ordering::Relaxed) {
+            return Err(kv::Error::Refused { reason: "too many calls".to_owned() });
+        }
+        Ok(())
+    }
+
     /// Leaves what doesn't fit into a page to the next one.
     fn limit_page(&self, mut page: Page) -> Page {
         let limit = self.faults.page_items.load(Ordering::Relaxed);
@@ -176,6 +192,7 @@
 
     async fn watch(&self, watch: &Watch) -> kv::Result<Changes> {
         tokio::time::sleep(self.latency).await;
+        self.check_look_up(watch)?;
         let until = Instant::now() + watch.wait;
         loop {
             self.check_up()?;
@@ -588,6 +605,16 @@
         self.store.faults.cut_watches.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses watches of single VMs from now on.
+    pub fn refuse_look_ups(&self) {
+        self.store.faults.refuse_look_ups.store(true, Ordering::Relaxed);
+    }
+
+    /// Number of watches of single VMs.
+    pub fn look_ups(&self) -> usize {
+        self.store.faults.look_ups.load(Ordering::Relaxed)
+    }
+
     /// Limits the pages of a range to this many items.
     pub fn limit_pages(&self, items: usize) {
         self.store.faults.page_items.store(items, Ordering::Relaxed);
