Back off from an owner that denies a job which the store has

A call for a job that the store has, and whose shard's owner says that it doesn't, was repeated every 80 ms until its deadline. Each repetition called the owner and made a full-price read of the store.

Cause: a denial was retried after the same delay as a missing owner. Change: the delay doubles with each denial, up to half a second, for submitted jobs too. It is shortened at the end, so that a last attempt is made before the deadline, and the answer is still that the outcome is unknown.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -46,6 +46,9 @@
 /// Delay before a call is retried, possibly at the shard's new owner.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(80);
 
+/// Longest delay before a call is retried whose job the store has and the owner denies.
+const MAX_DENIAL_DELAY: Duration = Duration::from_millis(500);
+
 /// Timeout of one attempt at the owner. A commit takes 5 to 30 ms, and up to 400 ms while the store
 /// is slow.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1400);
@@ -119,6 +122,7 @@
             return impossible_answer(&error);
         }
         let deadline = self.clock.now() + budget;
+        let mut denial_delay = OWNER_RETRY_DELAY;
         let mut refusals = Refusals::default();
         let mut last = not_run("no shard has an owner just now", RETRY_AFTER_NO_OWNER);
         loop {
@@ -159,7 +163,7 @@
                             return refusals.or_unknown(Answer::NotRun { reason, retry_after });
                         }
                         JobLocation::Shard(_) => {
-                            if !self.wait_to_retry(deadline).await {
+                            if !self.wait_after_denial(&mut denial_delay, deadline).await {
                                 let reason = "the job may have been accepted before".to_owned();
                                 return Answer::Unknown { reason };
                             }
@@ -211,6 +215,7 @@
     /// Makes a call that concerns a job submitted before.
     async fn call_existing(&self, id: JobId, call: Call, budget: Duration) -> Answer {
         let deadline = self.clock.now() + budget;
+        let mut denial_delay = OWNER_RETRY_DELAY;
         loop {
             let shard = match self.locate(id, deadline).await {
                 JobLocation::Shard(shard) => shard,
@@ -229,7 +234,7 @@
                         // Either a finished job is being deleted, or the daemon asked has lost the
                         // shard without knowing it, and the next owner has accepted the job.
                         JobLocation::Shard(_) => {
-                            if !self.wait_to_retry(deadline).await {
+                            if !self.wait_after_denial(&mut denial_delay, deadline).await {
                                 let reason = "the shard's owner doesn't know the job".to_owned();
                                 return Answer::Unknown { reason };
                             }
@@ -355,10 +360,24 @@
 
     /// Waits before a retry; returns `false` if no time is left for one.
     async fn wait_to_retry(&self, deadline: Duration) -> bool {
-        if self.time_left(deadline) <= 2 * OWNER_RETRY_DELAY {
+        self.wait(OWNER_RETRY_DELAY, deadline).await
+    }
+
+    /// Same, after an owner denied a job that the store has, and doubles the delay for the next time:
+    /// each such retry costs a read of the store.
+    async fn wait_after_denial(&self, delay: &mut Duration, deadline: Duration) -> bool {
+        let denial_delay = *delay;
+        *delay = MAX_DENIAL_DELAY.min(2 * denial_delay);
+        self.wait(denial_delay, deadline).await
+    }
+
+    /// Waits before a retry, for less than `delay` if the retry would be late.
+    async fn wait(&self, delay: Duration, deadline: Duration) -> bool {
+        let left = self.time_left(deadline);
+        if left <= 2 * OWNER_RETRY_DELAY {
             return false;
         }
-        tokio::time::sleep(OWNER_RETRY_DELAY).await;
+        tokio::time::sleep(delay.min(left.saturating_sub(OWNER_RETRY_DELAY))).await;
         true
     }
 }
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -286,6 +286,25 @@
     assert_eq!(answered(client.cancel(JOB, TEST_TIMEOUT)).await, Answer::NotHere);
 }
 
+/// Calls that an owner has received which still denies `left` of at most `usize::MAX` calls.
+fn calls_received(left: &AtomicUsize) -> usize {
+    usize::MAX - left.load(Ordering::Relaxed)
+}
+
+// Guards against a store that is read many times for one call: the job is in the store, and the owner
+// keeps saying that it isn't here. Each call to the owner is followed by a read.
+#[actix::test]
+async fn a_call_for_a_job_that_its_owner_denies_backs_off() {
+    let owner = FakeOwner::new(Answer::Accepted);
+    owner.denials.store(usize::MAX, Ordering::Relaxed);
+    let denials = owner.denials.clone();
+    let client = client(Some(JobLocation::Shard(SHARD.to_owned())), Some(serve(owner)));
+    let answer = answered(client.show(JOB, Duration::from_secs(2))).await;
+    assert!(matches!(answer, Answer::Unknown { .. }), "{answer:?}");
+    let calls = calls_received(&denials);
+    assert!(calls <= 8, "{calls} calls");
+}
+
 /// Submits a job to a shard whose owner has just fallen silent, and another whose owner gives this
 /// answer.
 async fn submit_beside_silent_owner(answer: Answer) -> Answer {
