Say when a shard is taken back and how long an offer is kept

Callers see no change. The comment on the entry of an offer said that it is kept until a daemon accepts the shard; it stays until this daemon next claims the shard, and its fencing token is checked when it is read. The take-back didn't say that a stopping daemon does it too, nor why that is bounded.

--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -167,6 +167,10 @@
     }
 
     /// Takes a shard back that no daemon has accepted, if this daemon can still serve it.
+    ///
+    /// A daemon that stops does so too, as callers could not be served meanwhile. It offers the
+    /// shard again only after [`PASS_OVER_PERIOD`] or to another daemon, and keeps it no longer than
+    /// until it exits.
     fn end_offer(&mut self, shard: &str, offer: &Offer) {
         let take_back = self.store == StoreReachability::Reached && !self.is_exiting;
         let next = if take_back { "this daemon takes it back" } else { "any daemon may claim it" };
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -85,7 +85,7 @@
     pub(super) fn complete_hand_over(&mut self, shard: &str, cx: &mut Context<Self>) {
         let Some(hosted) = self.hosted.get(shard) else { return };
         let (fence, lapses) = (hosted.shard.fence(), hosted.shard.unresponsive_vms());
-        // Kept until a daemon accepts the shard, which may be this one.
+        // Kept until this daemon next claims the shard. Whoever reads it checks the fencing token.
         let offer = ShardOffer { fence, at: self.now().steady, lapses };
         self.offers.insert(shard.to_owned(), offer);
         self.remove_hosted(shard);
