--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -92,7 +92,7 @@
         shard: String,
         fence: u64,
         /// Daemon that the shard was offered to.
-        heir: DaemonId,
+        candidate: DaemonId,
         outcome: OfferOutcome,
     },
     /// Another daemon hands a shard over to this one.
@@ -344,8 +344,8 @@
                 self.forget_owned(&shard, reason);
             }
             Event::Released { shard, fence } => self.handle_released(&shard, fence),
-            Event::OfferEnded { shard, fence, heir, outcome } => {
-                self.handle_offer_outcome(&shard, fence, &heir, outcome);
+            Event::OfferEnded { shard, fence, candidate, outcome } => {
+                self.handle_offer_outcome(&shard, fence, &candidate, outcome);
             }
             Event::Offered { from, released } => self.handle_offer(&from, &released),
             Event::Store(reach) => self.handle_store_reach(reach),
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -41,7 +41,7 @@
     pub(super) last_probe: Duration,
     pub(super) next_hello: Duration,
     /// Until when no shard is handed over to it, because it didn't accept the last offer.
-    pub(super) passed_over_until: Duration,
+    pub(super) skipped_until: Duration,
 }
 
 impl MemberState {
@@ -60,7 +60,7 @@
         self.shards.clear();
         self.told = None;
         self.refused_at = None;
-        self.passed_over_until = Duration::ZERO;
+        self.skipped_until = Duration::ZERO;
     }
 
     /// Whether a probe is due; marks it as sent.
@@ -147,7 +147,7 @@
             refused_at: None,
             last_probe: self.now,
             next_hello: self.now,
-            passed_over_until: Duration::ZERO,
+            skipped_until: Duration::ZERO,
         };
         self.members.insert(name, known);
         self.log_member(id, "known", Duration::ZERO);
--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -20,7 +20,7 @@
 const OFFER_PERIOD: Duration = Duration::from_secs(2);
 
 /// How long a daemon that didn't accept an offer gets no other one.
-pub(super) const PASS_OVER_PERIOD: Duration = Duration::from_secs(2);
+pub(super) const SKIP_PERIOD: Duration = Duration::from_secs(2);
 
 /// A shard that this daemon has given up and that no daemon has accepted yet.
 #[derive(Clone, Debug)]
@@ -39,15 +39,15 @@
         Self { fence, started: now, sent: now, tried: Vec::new() }
     }
 
-    fn awaits(&self, fence: u64, heir: &DaemonId) -> bool {
-        self.fence == fence && self.tried.last() == Some(heir)
+    fn awaits(&self, fence: u64, candidate: &DaemonId) -> bool {
+        self.fence == fence && self.tried.last() == Some(candidate)
     }
 }
 
 impl Ownership {
     /// Offers a shard that was dropped to another daemon.
     pub(super) fn handle_released(&mut self, shard: &str, fence: u64) {
-        let heir = match self.held.shift_remove(shard) {
+        let candidate = match self.held.shift_remove(shard) {
             Some(HoldState::HandingOver { to }) => Some(to),
             Some(HoldState::Claiming | HoldState::Owned) | None => None,
         };
@@ -59,9 +59,10 @@
             return;
         }
         let offer = Offer::new(fence, self.now);
-        let heir = heir.and_then(|heir| self.heir_if_eligible(shard, &heir, &offer));
-        match heir {
-            Some(heir) => self.send_offer(shard, heir, offer),
+        let candidate =
+            candidate.and_then(|candidate| self.candidate_if_eligible(shard, &candidate, &offer));
+        match candidate {
+            Some(candidate) => self.send_offer(shard, candidate, offer),
             None => self.offer_to_next(shard, offer),
         }
     }
@@ -70,24 +71,25 @@
         &mut self,
         shard: &str,
         fence: u64,
-        heir: &DaemonId,
+        candidate: &DaemonId,
         outcome: OfferOutcome,
     ) {
-        let Some(offer) = self.offers.get(shard).filter(|offer| offer.awaits(fence, heir)) else {
+        let Some(offer) = self.offers.get(shard).filter(|offer| offer.awaits(fence, candidate))
+        else {
             return;
         };
         let (offer, took) = (offer.clone(), self.now.saturating_sub(offer.sent));
         self.offers.shift_remove(shard);
-        self.log_offer_outcome(shard, fence, heir, outcome, took);
+        self.log_offer_outcome(shard, fence, candidate, outcome, took);
         match outcome {
             OfferOutcome::Answered(OfferAnswer::Accepted) => return,
             OfferOutcome::Answered(OfferAnswer::Declined(reason)) => {
-                self.record_decline(heir, reason);
+                self.record_decline(candidate, reason);
             }
-            OfferOutcome::Refused => self.handle_refused(heir, offer.sent),
+            OfferOutcome::Refused => self.handle_refused(candidate, offer.sent),
             OfferOutcome::NoAnswer => {}
         }
-        self.pass_over(heir);
+        self.skip(candidate);
         if outcome == OfferOutcome::Answered(OfferAnswer::Declined(DeclineReason::LaterOwner)) {
             self.actions.push(Action::ReadHeads);
         } else if self.fence(shard).0 <= fence {
@@ -148,28 +150,28 @@
     }
 
     fn offer_to_next(&mut self, shard: &str, offer: Offer) {
-        match self.next_heir(shard, &offer) {
-            Some(heir) => self.send_offer(shard, heir, offer),
+        match self.next_candidate(shard, &offer) {
+            Some(candidate) => self.send_offer(shard, candidate, offer),
             None => self.end_offer(shard, &offer),
         }
     }
 
-    fn send_offer(&mut self, shard: &str, heir: Member, mut offer: Offer) {
+    fn send_offer(&mut self, shard: &str, candidate: Member, mut offer: Offer) {
         let (shard, fence) = (shard.to_owned(), offer.fence);
         offer.sent = self.now;
-        offer.tried.push(heir.id.clone());
+        offer.tried.push(candidate.id.clone());
         self.offers.insert(shard.clone(), offer);
         let earlier_active = self.earlier_active_until(&shard).saturating_sub(self.now);
         let released = ReleasedShard { name: shard.clone(), fence, earlier_active };
-        let note = Note::ShardOffered { shard, fence, heir: heir.id.clone() };
+        let note = Note::ShardOffered { shard, fence, candidate: candidate.id.clone() };
         self.actions.push(Action::Note(note));
-        self.actions.push(Action::Offer { released, to: heir });
+        self.actions.push(Action::Offer { released, to: candidate });
     }
 
     /// Takes a shard back that no daemon has accepted, if this daemon can still serve it.
     ///
     /// A daemon that stops does so too, as callers could not be served meanwhile. It offers the
-    /// shard again only after [`PASS_OVER_PERIOD`] or to another daemon, and keeps it no longer than
+    /// shard again only after [`SKIP_PERIOD`] or to another daemon, and keeps it no longer than
     /// until it exits.
     fn end_offer(&mut self, shard: &str, offer: &Offer) {
         let take_back = self.store == StoreReachability::Reached && !self.is_exiting;
@@ -188,7 +190,7 @@
     }
 
     /// The best daemon that a shard has not been offered to yet, unless this one is better placed.
-    fn next_heir(&self, shard: &str, offer: &Offer) -> Option<Member> {
+    fn next_candidate(&self, shard: &str, offer: &Offer) -> Option<Member> {
         if self.now.saturating_sub(offer.started) >= OFFER_PERIOD {
             return None;
         }
@@ -198,7 +200,7 @@
             .then(|| self.rank(shard, domain, &self.me, self.held.len()));
         let eligible = |known: &&MemberState| {
             let rank = self.rank(shard, domain, &known.member, known.shards.len());
-            self.is_eligible_heir(shard, known, offer) && mine.is_none_or(|mine| rank < mine)
+            self.is_eligible_candidate(shard, known, offer) && mine.is_none_or(|mine| rank < mine)
         };
         self.best_candidate(shard, domain, eligible)
     }
@@ -208,22 +210,28 @@
         self.shards.get(shard).and_then(|view| view.released).unwrap_or(Duration::ZERO)
     }
 
-    fn heir_if_eligible(&self, shard: &str, heir: &DaemonId, offer: &Offer) -> Option<Member> {
+    fn candidate_if_eligible(
+        &self,
+        shard: &str,
+        candidate: &DaemonId,
+        offer: &Offer,
+    ) -> Option<Member> {
         let mut members = self.members.values();
-        let known = members.find(|known| known.member.id == *heir)?;
-        self.is_eligible_heir(shard, known, offer).then(|| known.member.clone())
+        let known = members.find(|known| known.member.id == *candidate)?;
+        self.is_eligible_candidate(shard, known, offer).then(|| known.member.clone())
     }
 
     /// Whether a shard may be offered to a daemon. Only a daemon that stops offers it to other
     /// failure domains, from where its VMs may be out of reach.
-    fn is_eligible_heir(&self, shard: &str, known: &MemberState, offer: &Offer) -> bool {
+    fn is_eligible_candidate(&self, shard: &str, known: &MemberState, offer: &Offer) -> bool {
         let draining = self.me.stage == MemberStage::Draining;
         let is_home = self.shards.get(shard).is_some_and(|v| v.domain == known.member.domain);
         self.can_take(known) && !offer.tried.contains(&known.member.id) && (draining || is_home)
     }
 
-    fn record_decline(&mut self, heir: &DaemonId, reason: DeclineReason) {
-        let Some(known) = self.members.values_mut().find(|known| known.member.id == *heir) else {
+    fn record_decline(&mut self, candidate: &DaemonId, reason: DeclineReason) {
+        let Some(known) = self.members.values_mut().find(|known| known.member.id == *candidate)
+        else {
             return;
         };
         if reason == DeclineReason::Draining {
@@ -231,11 +239,11 @@
         }
     }
 
-    fn pass_over(&mut self, heir: &DaemonId) {
-        let until = self.now + PASS_OVER_PERIOD;
+    fn skip(&mut self, candidate: &DaemonId) {
+        let until = self.now + SKIP_PERIOD;
         let mut members = self.members.values_mut();
-        if let Some(known) = members.find(|known| known.member.id == *heir) {
-            known.passed_over_until = until;
+        if let Some(known) = members.find(|known| known.member.id == *candidate) {
+            known.skipped_until = until;
         }
     }
 
@@ -243,7 +251,7 @@
         &mut self,
         shard: &str,
         fence: u64,
-        heir: &DaemonId,
+        candidate: &DaemonId,
         outcome: OfferOutcome,
         took: Duration,
     ) {
@@ -253,8 +261,8 @@
             OfferOutcome::Refused => ("refused", "the connection was refused"),
             OfferOutcome::NoAnswer => ("unanswered", "no answer came in time"),
         };
-        let (shard, heir, took_ms) = (shard.to_owned(), heir.clone(), Millis(took));
-        let note = Note::ShardOfferEnded { shard, fence, heir, outcome, reason, took_ms };
+        let (shard, candidate, took_ms) = (shard.to_owned(), candidate.clone(), Millis(took));
+        let note = Note::ShardOfferEnded { shard, fence, candidate, outcome, reason, took_ms };
         self.actions.push(Action::Note(note));
     }
 }
--- a/src/cluster/ownership/sharing.rs
+++ b/src/cluster/ownership/sharing.rs
@@ -129,7 +129,7 @@
         self.is_alive(known)
             && known.member.stage == MemberStage::Serving
             && known.store == StoreReachability::Reached
-            && self.now >= known.passed_over_until
+            && self.now >= known.skipped_until
     }
 
     pub(super) fn best_candidate(
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -102,13 +102,13 @@
         let (shard, fence) = (released.name.clone(), released.fence);
         let offer = self.offers.get(&shard).filter(|offer| offer.fence == Fence(fence));
         let lapses = offer.map(|offer| offer.aged(now)).unwrap_or_default();
-        let (from, heir) = (self.ownership.me().id.clone(), to.id.clone());
+        let (from, candidate) = (self.ownership.me().id.clone(), to.id.clone());
         let offer = OfferShard { to, from, released, lapses };
         let outcome = actors.links.send(offer);
         cx.spawn(outcome.into_actor(self).map(move |outcome, this, cx| {
             this.begin_handler(cx);
             let outcome = outcome.unwrap_or(OfferOutcome::NoAnswer);
-            let ended = cluster::Event::OfferEnded { shard, fence, heir, outcome };
+            let ended = cluster::Event::OfferEnded { shard, fence, candidate, outcome };
             this.step_ownership(ended, cx);
         }));
     }
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -102,17 +102,17 @@
 /// The owner of the shard, the daemon that it will offer the shard to, and the next best one.
 struct Trio {
     owner: Node,
-    heir: Member,
+    candidate: Member,
     next: Node,
     clock: Arc<ManualClock>,
 }
 
 impl Trio {
-    /// Starts the owner and the next best daemon beside an heir at this listener's address.
-    async fn start(heir: &TcpListener) -> Self {
+    /// Starts the owner and the next best daemon beside a candidate at this listener's address.
+    async fn start(candidate: &TcpListener) -> Self {
         let clock = Arc::new(ManualClock::new());
         let (at_owner, at_next) = (listener(), listener());
-        let heir = member("heir", 110, heir);
+        let candidate = member("candidate", 110, candidate);
         let members = [member("owner", 100, &at_owner), member("next", 105, &at_next)];
         let [owner, next] = members.clone();
         let owner = Node::start(owner, at_owner, clock.clone()).await;
@@ -121,10 +121,10 @@
             node.read_store(&members[0]).await;
         }
         owner.own().await;
-        for from in [&heir, &members[1]] {
+        for from in [&candidate, &members[1]] {
             owner.hear(from, Vec::new()).await;
         }
-        Self { owner, heir, next, clock }
+        Self { owner, candidate, next, clock }
     }
 }
 
@@ -132,26 +132,26 @@
 // offered to had just begun to stop itself, and the offer was sent once.
 #[actix::test]
 async fn a_shard_offered_to_a_daemon_that_stops_too_goes_to_the_next_one() {
-    let at_heir = listener();
-    let trio = Trio::start(&at_heir).await;
-    let heir = Node::start(trio.heir.clone(), at_heir, trio.clock.clone()).await;
-    heir.read_store(&trio.heir).await;
-    heir.control.send(Drain).await.expect("a control");
+    let at_candidate = listener();
+    let trio = Trio::start(&at_candidate).await;
+    let candidate = Node::start(trio.candidate.clone(), at_candidate, trio.clock.clone()).await;
+    candidate.read_store(&trio.candidate).await;
+    candidate.control.send(Drain).await.expect("a control");
     trio.owner.control.send(Drain).await.expect("a control");
     assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
-    assert_eq!(heir.claims(), [], "it stops");
-    let declined = "heir=heir@1 outcome=declined reason=\"the daemon stops\"";
+    assert_eq!(candidate.claims(), [], "it stops");
+    let declined = "candidate=candidate@1 outcome=declined reason=\"the daemon stops\"";
     assert!(trio.owner.lines.wait_for(declined, 1).await, "{}", trio.owner.lines.text());
-    let accepted = "heir=next@1 outcome=accepted";
+    let accepted = "candidate=next@1 outcome=accepted";
     assert!(trio.owner.lines.wait_for(accepted, 1).await, "{}", trio.owner.lines.text());
 }
 
 // The same, where the process of that daemon has ended and its port refuses connections.
 #[actix::test]
 async fn a_shard_offered_to_a_daemon_that_has_ended_goes_to_the_next_one() {
-    let at_heir = listener();
-    let trio = Trio::start(&at_heir).await;
-    drop(at_heir);
+    let at_candidate = listener();
+    let trio = Trio::start(&at_candidate).await;
+    drop(at_candidate);
     trio.owner.control.send(Drain).await.expect("a control");
     assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
 }
@@ -160,23 +160,23 @@
 // its claim would fail.
 #[actix::test]
 async fn a_shard_offered_to_a_daemon_that_just_restarted_goes_to_the_next_one() {
-    let at_heir = listener();
-    let trio = Trio::start(&at_heir).await;
-    let later = Member { id: DaemonId::new("heir@2"), ..trio.heir.clone() };
-    let heir = Node::start(later, at_heir, trio.clock.clone()).await;
+    let at_candidate = listener();
+    let trio = Trio::start(&at_candidate).await;
+    let later = Member { id: DaemonId::new("candidate@2"), ..trio.candidate.clone() };
+    let candidate = Node::start(later, at_candidate, trio.clock.clone()).await;
     trio.owner.control.send(Drain).await.expect("a control");
     assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
-    assert_eq!(heir.claims(), [], "it doesn't know the shard");
+    assert_eq!(candidate.claims(), [], "it doesn't know the shard");
 }
 
 // The same, where the daemon is frozen: its port accepts connections and no call is answered.
 #[actix::test]
 async fn a_shard_offered_to_a_daemon_that_is_frozen_goes_to_the_next_one() {
-    let at_heir = listener();
-    let trio = Trio::start(&at_heir).await;
+    let at_candidate = listener();
+    let trio = Trio::start(&at_candidate).await;
     trio.owner.control.send(Drain).await.expect("a control");
     assert_eq!(trio.next.wait_for_claim().await, [PreviousOwner::Ended]);
-    drop(at_heir);
+    drop(at_candidate);
 }
 
 // Guards against a shard without an owner for seconds: a claim succeeds as the daemon is about to
@@ -209,9 +209,9 @@
 // the claim was on its way, and didn't wait for it.
 #[actix::test]
 async fn a_planned_stop_waits_for_a_claim_on_its_way() {
-    let at_heir = listener();
-    let heir = member("heir", 110, &at_heir);
-    let node = Node::start(heir, at_heir, Arc::new(ManualClock::new())).await;
+    let at_candidate = listener();
+    let candidate = member("candidate", 110, &at_candidate);
+    let node = Node::start(candidate, at_candidate, Arc::new(ManualClock::new())).await;
     let owner = member("owner", 100, &listener());
     node.read_store(&owner).await;
     assert!(!node.has_shards().await);
@@ -235,7 +235,7 @@
     let node = Node::start(owner.clone(), at_owner, Arc::new(ManualClock::new())).await;
     node.read_store(&owner).await;
     node.own().await;
-    node.hear(&member("heir", 110, &frozen), Vec::new()).await;
+    node.hear(&member("candidate", 110, &frozen), Vec::new()).await;
     node.control.send(Drain).await.expect("a control");
     assert!(node.lines.wait_for("shard-offered", 1).await, "{}", node.lines.text());
     assert!(node.has_shards().await);
--- a/src/jobs/links/tests.rs
+++ b/src/jobs/links/tests.rs
@@ -63,9 +63,9 @@
 
 /// A daemon that accepts every offer.
 #[derive(Clone)]
-struct Heir;
+struct Candidate;
 
-impl JobsRpc for Heir {
+impl JobsRpc for Candidate {
     async fn hello(self, _: CallContext, _: Hello) -> Option<Hello> {
         None
     }
@@ -97,7 +97,7 @@
     let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
     let (stream, _) = listener.accept().await.expect("a connection");
     let transport = tarpc::serde_transport::Transport::from((stream, Bincode::default()));
-    let requests = BaseChannel::with_defaults(transport).execute(Heir.serve());
+    let requests = BaseChannel::with_defaults(transport).execute(Candidate.serve());
     requests.for_each(|answer| answer).await;
 }
 
--- a/src/note.rs
+++ b/src/note.rs
@@ -156,9 +156,9 @@
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
     /// A shard that this daemon has given up is offered to another one.
-    Urgent ShardOffered = "shard-offered" { shard: String, fence: u64, heir: DaemonId, }
+    Urgent ShardOffered = "shard-offered" { shard: String, fence: u64, candidate: DaemonId, }
     /// What became of an offer of a shard: accepted, declined, refused (the connection) or unanswered.
-    Urgent ShardOfferEnded = "shard-offer-ended" { shard: String, fence: u64, heir: DaemonId, outcome: StaticText, reason: StaticText, took_ms: Millis, }
+    Urgent ShardOfferEnded = "shard-offer-ended" { shard: String, fence: u64, candidate: DaemonId, outcome: StaticText, reason: StaticText, took_ms: Millis, }
     /// None of the daemons that a shard was offered to took it; `next` tells whether this daemon takes it back or leaves it to whoever hears of it.
     Urgent ShardNotTaken = "shard-not-taken" { shard: String, fence: u64, offers: usize, took_ms: Millis, next: StaticText, }
     /// The new owner of a shard starts from what an earlier owner had learned, as read from the store or as last reported.
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -193,9 +193,9 @@
     }
 
     /// A daemon that a shard was offered to answers, or it is found that it doesn't.
-    fn end_offer(&mut self, shard: &str, fence: u64, heir: &Member, outcome: OfferOutcome) {
-        let (shard, heir) = (shard.to_owned(), heir.id.clone());
-        self.step(Event::OfferEnded { shard, fence, heir, outcome });
+    fn end_offer(&mut self, shard: &str, fence: u64, candidate: &Member, outcome: OfferOutcome) {
+        let (shard, candidate) = (shard.to_owned(), candidate.id.clone());
+        self.step(Event::OfferEnded { shard, fence, candidate, outcome });
     }
 
     /// Reads from the store that a daemon claimed the shard.
--- a/tests/ownership/released.rs
+++ b/tests/ownership/released.rs
@@ -194,15 +194,15 @@
 // of its end is lost as the shard is handed over twice in turn.
 #[test]
 fn an_offer_passes_on_how_long_an_earlier_owner_may_be_active() {
-    let mut heir = Harness::new(member("heir", STRONG), 1);
+    let mut candidate = Harness::new(member("candidate", STRONG), 1);
     let (from, offered) = (member("owner", STRONG).id, released(SHARD, 9, ms(5000)));
-    heir.step(Event::Offered { from, released: offered });
-    assert_eq!(heir.previous, [PreviousOwner::Ended], "the offer tells of each VM");
-    heir.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
-    heir.run_for(ms(1000));
-    heir.step(Event::ReleaseAll);
-    heir.release(SHARD, 10);
-    assert_eq!(heir.released(), [released(SHARD, 10, ms(4000))]);
+    candidate.step(Event::Offered { from, released: offered });
+    assert_eq!(candidate.previous, [PreviousOwner::Ended], "the offer tells of each VM");
+    candidate.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    candidate.run_for(ms(1000));
+    candidate.step(Event::ReleaseAll);
+    candidate.release(SHARD, 10);
+    assert_eq!(candidate.released(), [released(SHARD, 10, ms(4000))]);
 }
 
 // Guards against waiting for an owner that is known to have ended by now.
@@ -248,16 +248,16 @@
 // it up: nobody took it, and the others hear of it.
 #[test]
 fn an_owner_without_the_store_says_that_nobody_took_its_shard() {
-    let heir = member("heir", STRONG);
+    let candidate = member("candidate", STRONG);
     let mut owner = Harness::new(member("owner", WEAK), 1);
-    owner.set_peer(heir.clone(), vec![report("kacyiru.7", 3)]);
+    owner.set_peer(candidate.clone(), vec![report("kacyiru.7", 3)]);
     owner.own_shard(SHARD, 9);
     owner.run_for(ms(1000));
     owner.how = HandOver::Immediate;
     owner.step(Event::Store(StoreReachability::Away));
     owner.run_for(ms(800));
     owner.release(SHARD, 9);
-    owner.end_offer(SHARD, 9, &heir, OfferOutcome::NoAnswer);
+    owner.end_offer(SHARD, 9, &candidate, OfferOutcome::NoAnswer);
     assert_eq!(owner.claims, []);
     assert_eq!(owner.released(), [released(SHARD, 9, Duration::ZERO)]);
     owner.step(Event::Store(StoreReachability::Reached));
--- a/tests/ownership/wave.rs
+++ b/tests/ownership/wave.rs
@@ -231,7 +231,7 @@
     }
 
     fn deliver_offer(&mut self, id: &DaemonId, released: ReleasedShard, to: &Member) {
-        let (shard, fence, heir) = (released.name.clone(), released.fence, to.id.clone());
+        let (shard, fence, candidate) = (released.name.clone(), released.fence, to.id.clone());
         // Whichever process listens at the address gets the offer.
         let outcome = match self.running.get(&to.name) {
             None => OfferOutcome::Refused,
@@ -242,7 +242,7 @@
                 OfferOutcome::Answered(answer)
             }
         };
-        let ended = Event::OfferEnded { shard, fence, heir, outcome };
+        let ended = Event::OfferEnded { shard, fence, candidate, outcome };
         self.later(NETWORK_DELAY, id, Later::Event(ended));
     }
 
