--- a/src/departures.rs
+++ b/src/departures.rs
@@ -5,10 +5,9 @@
 //! left if it announced that it leaves, its notice is over, and its last announcement was removed
 //! sooner than its silence alone would explain.
 //!
-//! All times are bounds from [`RevisionTimes`], so it doesn't matter when or by which call an
-//! announcement was read. A VM stays until the latest of the earliest ends of its notice that its
-//! announcements tell. If the age of none of them is known, the last one's isn't either, and nothing
-//! is proved.
+//! Times come from [`RevisionTimes`], by the revision of an announcement. They hold whenever and by
+//! whatever call the announcement was read. Each announcement gives an earliest end of the notice;
+//! the latest of these counts. Nothing is proved if the age of the last announcement is unknown.
 
 #[cfg(test)]
 mod tests;
--- a/src/revisions.rs
+++ b/src/revisions.rs
@@ -34,7 +34,8 @@
 impl RevisionTimes {
     /// Records an answer that reports the store's revision as of some time after the request.
     ///
-    /// A sample too many is dropped, and so is one that was overtaken by another.
+    /// Samples that follow the last one too closely are dropped, and so are answers that were
+    /// overtaken by a later one.
     pub fn record(&mut self, asked: Duration, answered: Duration, rev: Rev) {
         if let Some(last) = self.samples.back() {
             let is_later = asked >= last.asked && rev >= last.rev;
--- a/src/shard/drain.rs
+++ b/src/shard/drain.rs
@@ -55,7 +55,8 @@
         leaving.map(|vm| vm.id.clone()).collect()
     }
 
-    /// Runs on a silent VM go on: its list would have to tell that they have ended.
+    /// Runs on a VM that doesn't answer are left running: their end could not be learned, and the
+    /// task would be down until the VM has left.
     fn runs_to_stop(&self, id: &VmId) -> Vec<RunKey> {
         let now = self.now.steady;
         let Some(vm) = self.vms.get(id).filter(|vm| vm.is_responsive(now)) else {
