--- a/tests/shards/watchers.rs
+++ b/tests/shards/watchers.rs
@@ -15,7 +15,7 @@
 use waxwingstall::ids::VmId;
 use waxwingstall::kv::Rev;
 use waxwingstall::revisions::RevisionTimes;
-use waxwingstall::vm::{Departure, VmEntry};
+use waxwingstall::vm::{AnnouncedAfter, Departure, VmEntry};
 
 /// Number of daemons.
 const DAEMONS: usize = 6;
@@ -319,17 +319,20 @@
         let Daemon { leaving, vms, times, .. } = &mut self.daemons[number];
         let (key, rev) = (entry.id.registered().to_owned(), entry.announced);
         let known = vms.get(&key).filter(|known| known.announced == rev);
+        let known = known.and_then(|known| known.announced_after);
         entry.announced_after = known
-            .and_then(|known| known.announced_after)
-            .or_else(|| times.written_after(rev))
-            .or_else(|| Some(asked.saturating_sub(interval)));
+            .filter(|known| matches!(known, AnnouncedAfter::Bound(_)))
+            .or_else(|| times.written_after(rev).map(AnnouncedAfter::Bound))
+            .or(known)
+            .or_else(|| Some(AnnouncedAfter::Estimate(asked.saturating_sub(interval))));
         leaving.record(&key, rev, &entry, times);
         vms.insert(key, entry);
     }
 
     fn removal(&self, now: Duration, rev: Rev) -> Removal {
         let announce_interval = self.announce_interval;
-        Removal { now, rev, reachable_since: Some(Duration::ZERO), announce_interval }
+        let reachable_since = Some(Duration::ZERO);
+        Removal { now, rev, removed_by: rev, reachable_since, announce_interval }
     }
 
     /// Looks up VMs that a list lacks, unless their departures are proved.
