Accept a notice that no clock can hold

Another writer's entry may hold any number. The sums saturate now; such a VM counts as one that leaves late, and its departure is never proved by its notice.

--- a/src/departures.rs
+++ b/src/departures.rs
@@ -168,7 +168,7 @@
         // The notice of another instance under the same key is not that of this one.
         let known = self.vms.shift_remove(key).filter(|known| known.vm == entry.id);
         let mut written_after = times.written_after(rev);
-        let mut notice_ends = written_after.map(|at| at + left);
+        let mut notice_ends = written_after.map(|at| at.saturating_add(left));
         if let Some(known) = known {
             notice_ends = notice_ends.max(known.notice_ends);
             if known.rev == rev {
--- a/src/departures/tests.rs
+++ b/src/departures/tests.rs
@@ -214,3 +214,12 @@
     let vm = VmId::with_start("a", 2);
     assert_eq!(finding.departure(), Some(Departure { vm, at: now }));
 }
+
+// Guards against daemons that end since a VM announces a notice longer than any clock can hold.
+#[test]
+fn a_vm_whose_notice_has_no_end_counts_as_alive() {
+    let mut vms = Vms::default();
+    let left = Some(Duration::MAX);
+    vms.announce(Rev(10), &entry(VmState::Leaving { left }), ms(10_000));
+    assert_eq!(vms.remove(removal(ms(10_400))), Some(Proof::NoticeNotOver));
+}
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -100,13 +100,15 @@
     fn read(entry: &VmEntry, now: Duration) -> Option<Self> {
         let VmState::Leaving { left } = entry.state else { return None };
         let end = match (entry.announced_after, left) {
-            (Some(AnnouncedAfter::Bound(after)), Some(left)) => NoticeEnd::NotBefore(after + left),
+            (Some(AnnouncedAfter::Bound(after)), Some(left)) => {
+                NoticeEnd::NotBefore(after.saturating_add(left))
+            }
             (after, left) => {
                 let after = match after {
                     Some(AnnouncedAfter::Bound(after) | AnnouncedAfter::Estimate(after)) => after,
                     None => now,
                 };
-                NoticeEnd::Assumed(after + left.unwrap_or(DEFAULT_NOTICE))
+                NoticeEnd::Assumed(after.saturating_add(left.unwrap_or(DEFAULT_NOTICE)))
             }
         };
         Some(Self { since: now, end })
@@ -459,7 +461,7 @@
 
     /// How long the next poll lets the VM keep its tasks running; `keep` is the longest time.
     pub fn max_extension(&self, keep: Duration, now: Duration) -> Duration {
-        let until_gone = |leaving: Leaving| leaving.time_left(now) + LEAVING_KEEP;
+        let until_gone = |leaving: Leaving| leaving.time_left(now).saturating_add(LEAVING_KEEP);
         self.leaving.map_or(keep, |leaving| keep.min(until_gone(leaving)))
     }
 
--- a/tests/shards/leaving.rs
+++ b/tests/shards/leaving.rs
@@ -333,3 +333,13 @@
     assert_eq!(sim.runs_on(0), 1, "the lease has expired long before the VM leaves");
     check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
 }
+
+// Guards against daemons that end since a VM announces a notice longer than any clock can hold.
+#[test]
+fn a_notice_without_end_is_accepted() {
+    let (mut sim, job, there) = simulation_with_task(NoFaults);
+    sim.leave_vm(there, Duration::MAX);
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!(sim.runs_on(1 - there), 1, "the task has moved");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SMALL);
+}
