--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -92,7 +92,7 @@
         shard: String,
         fence: u64,
         /// Daemon that the shard was offered to.
-        heir: DaemonId,
+        candidate: DaemonId,
         outcome: OfferOutcome,
     },
     /// Another daemon hands a shard over to this one.
@@ -166,6 +166,8 @@
     since: Duration,
     /// Number of the newest hello in which the owner has listed the shard.
     listed: Option<u64>,
+    /// Until when an owner before this one may still extend leases, if the owner has told it.
+    earlier_active_until: Option<Duration>,
     /// Set once this ownership is known to have ended: until when an owner before it may still
     /// extend leases.
     released: Option<Duration>,
@@ -342,14 +344,15 @@
                 self.forget_owned(&shard, reason);
             }
             Event::Released { shard, fence } => self.handle_released(&shard, fence),
-            Event::OfferEnded { shard, fence, heir, outcome } => {
-                self.handle_offer_outcome(&shard, fence, &heir, outcome);
+            Event::OfferEnded { shard, fence, candidate, outcome } => {
+                self.handle_offer_outcome(&shard, fence, &candidate, outcome);
             }
             Event::Offered { from, released } => self.handle_offer(&from, &released),
             Event::Store(reach) => self.handle_store_reach(reach),
             Event::Drain => self.me.stage = MemberStage::Draining,
             Event::ReleaseAll => self.is_exiting = true,
         }
+        self.report_ended_predecessors();
         self.release_unheld();
         if self.is_exiting {
             self.release_all();
@@ -391,6 +394,7 @@
             view.fence = fence;
             view.since = now;
             view.listed = None;
+            view.earlier_active_until = None;
             view.orphan = None;
         }
     }
@@ -404,6 +408,7 @@
                 fence: 0,
                 since,
                 listed: None,
+                earlier_active_until: None,
                 released: None,
                 basis: ClaimBasis::EndedBy(Duration::ZERO),
                 orphan: None,
@@ -418,7 +423,6 @@
         self.offers_while_claiming.shift_remove(shard);
         let me = self.me.id.clone();
         self.record_owner(shard, me, fence);
-        self.report_ended_predecessors();
     }
 
     fn handle_claim_failed(&mut self, shard: &str, head: Option<Head>, reason: String) {
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -85,7 +85,7 @@
     pub(super) fn complete_hand_over(&mut self, shard: &str, cx: &mut Context<Self>) {
         let Some(hosted) = self.hosted.get(shard) else { return };
         let (fence, lapses) = (hosted.shard.fence(), hosted.shard.unresponsive_vms());
-        // Kept until a daemon accepts the shard, which may be this one.
+        // Kept until this daemon next claims the shard. Whoever reads it checks the fencing token.
         let offer = ShardOffer { fence, at: self.now().steady, lapses };
         self.offers.insert(shard.to_owned(), offer);
         self.remove_hosted(shard);
@@ -102,13 +102,13 @@
         let (shard, fence) = (released.name.clone(), released.fence);
         let offer = self.offers.get(&shard).filter(|offer| offer.fence == Fence(fence));
         let lapses = offer.map(|offer| offer.aged(now)).unwrap_or_default();
-        let (from, heir) = (self.ownership.me().id.clone(), to.id.clone());
+        let (from, candidate) = (self.ownership.me().id.clone(), to.id.clone());
         let offer = OfferShard { to, from, released, lapses };
         let outcome = actors.links.send(offer);
         cx.spawn(outcome.into_actor(self).map(move |outcome, this, cx| {
             this.begin_handler(cx);
             let outcome = outcome.unwrap_or(OfferOutcome::NoAnswer);
-            let ended = cluster::Event::OfferEnded { shard, fence, heir, outcome };
+            let ended = cluster::Event::OfferEnded { shard, fence, candidate, outcome };
             this.step_ownership(ended, cx);
         }));
     }
--- a/tests/ownership/released.rs
+++ b/tests/ownership/released.rs
@@ -1,9 +1,9 @@
 //! Shards that their owners say to have given up.
 
-use super::{Harness, STRONG, WEAK, hello, member, ms, process, released, report};
+use super::{Harness, STRONG, TICK, WEAK, hello, member, ms, process, released, report};
 use std::time::Duration;
 use waxwingstall::cluster::{
-    Event, HandOver, Hello, Member, OfferOutcome, ReleasedShard, StoreReachability,
+    Event, HandOver, Hello, Member, OfferOutcome, ReleasedShard, ShardReport, StoreReachability,
 };
 use waxwingstall::note::Note;
 use waxwingstall::shard::PreviousOwner;
@@ -194,15 +194,15 @@
 // of its end is lost as the shard is handed over twice in turn.
 #[test]
 fn an_offer_passes_on_how_long_an_earlier_owner_may_be_active() {
-    let mut heir = Harness::new(member("heir", STRONG), 1);
+    let mut candidate = Harness::new(member("candidate", STRONG), 1);
     let (from, offered) = (member("owner", STRONG).id, released(SHARD, 9, ms(5000)));
-    heir.step(Event::Offered { from, released: offered });
-    assert_eq!(heir.previous, [PreviousOwner::Ended], "the offer tells of each VM");
-    heir.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
-    heir.run_for(ms(1000));
-    heir.step(Event::ReleaseAll);
-    heir.release(SHARD, 10);
-    assert_eq!(heir.released(), [released(SHARD, 10, ms(4000))]);
+    candidate.step(Event::Offered { from, released: offered });
+    assert_eq!(candidate.previous, [PreviousOwner::Ended], "the offer tells of each VM");
+    candidate.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    candidate.run_for(ms(1000));
+    candidate.step(Event::ReleaseAll);
+    candidate.release(SHARD, 10);
+    assert_eq!(candidate.released(), [released(SHARD, 10, ms(4000))]);
 }
 
 // Guards against waiting for an owner that is known to have ended by now.
@@ -248,19 +248,111 @@
 // it up: nobody took it, and the others hear of it.
 #[test]
 fn an_owner_without_the_store_says_that_nobody_took_its_shard() {
-    let heir = member("heir", STRONG);
+    let candidate = member("candidate", STRONG);
     let mut owner = Harness::new(member("owner", WEAK), 1);
-    owner.set_peer(heir.clone(), vec![report("kacyiru.7", 3)]);
+    owner.set_peer(candidate.clone(), vec![report("kacyiru.7", 3)]);
     owner.own_shard(SHARD, 9);
     owner.run_for(ms(1000));
     owner.how = HandOver::Immediate;
     owner.step(Event::Store(StoreReachability::Away));
     owner.run_for(ms(800));
     owner.release(SHARD, 9);
-    owner.end_offer(SHARD, 9, &heir, OfferOutcome::NoAnswer);
+    owner.end_offer(SHARD, 9, &candidate, OfferOutcome::NoAnswer);
     assert_eq!(owner.claims, []);
     assert_eq!(owner.released(), [released(SHARD, 9, Duration::ZERO)]);
     owner.step(Event::Store(StoreReachability::Reached));
     owner.run_for(2 * KNOWN_RELEASE);
     assert_eq!(owner.previous, [PreviousOwner::Ended], "it reaches the store again");
 }
+
+/// A report of an owner that tells how long one before it may be active.
+fn report_telling(earlier_active: Duration) -> ShardReport {
+    ShardReport { earlier_active, ..report(SHARD, 9) }
+}
+
+/// Times that owners tell of the owner before, and what the next claim says if that is all that is
+/// known.
+const TOLD: [(Option<Duration>, PreviousOwner); 4] = [
+    (None, PreviousOwner::MaybeActive),
+    (Some(EARLIER_ACTIVE), PreviousOwner::MaybeActive),
+    (Some(ms(300)), PreviousOwner::Ended),
+    (Some(Duration::ZERO), PreviousOwner::Ended),
+];
+
+// Guards against tasks that run twice: an owner that was cut off is replaced by a daemon that is
+// restarted soon afterwards, and may extend leases for longer than that one was the owner.
+#[test]
+fn an_owner_before_the_one_that_was_restarted_may_be_active() {
+    for (told, previous) in TOLD {
+        let (mut harness, claimant) = daemon_beside_claimant();
+        let reports = told.map(report_telling).into_iter().collect();
+        harness.set_peer(claimant.clone(), reports);
+        harness.run_for(ms(1000));
+        harness.others.clear();
+        harness.hear_answer(hello(process(&claimant, 2), Vec::new()), harness.now);
+        harness.run_for(KNOWN_RELEASE);
+        assert_eq!(harness.previous, [previous], "{told:?}");
+    }
+}
+
+// The same with a daemon that lists the shard no longer.
+#[test]
+fn an_owner_before_the_one_that_lists_the_shard_no_longer_may_be_active() {
+    for (told, previous) in TOLD.into_iter().skip(1) {
+        let (mut harness, claimant) = daemon_beside_claimant();
+        let reports = told.map(report_telling).into_iter().collect();
+        harness.set_peer(claimant.clone(), reports);
+        harness.run_for(ms(400));
+        harness.set_peer(claimant, Vec::new());
+        harness.run_for(ms(1300));
+        assert_eq!(harness.previous, [previous], "{told:?}");
+    }
+}
+
+// The same with a daemon that is found to have ended after its shard was claimed.
+#[test]
+fn leases_are_not_shortened_while_an_owner_before_the_last_may_be_active() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    harness.hear(hello(claimant.clone(), vec![report_telling(ms(5000))]));
+    let asked = harness.now;
+    harness.refuse(&claimant, asked);
+    assert_eq!(harness.previous, [PreviousOwner::MaybeActive]);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    harness.hear_answer(hello(process(&claimant, 2), Vec::new()), asked);
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), ms(5000));
+    harness.run_for(ms(5000));
+    assert!(harness.predecessors_ended.is_empty(), "the earlier owner may be active");
+    harness.run_for(2 * TICK);
+    assert_eq!(harness.predecessors_ended, [SHARD], "once");
+}
+
+// The same with a daemon that has told nothing.
+#[test]
+fn an_owner_before_one_that_was_never_heard_may_be_active() {
+    let (mut harness, claimant) = daemon_beside_claimant();
+    let (since, asked) = (harness.now - ms(100), harness.now);
+    harness.refuse(&claimant, asked);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    harness.hear_answer(hello(process(&claimant, 2), Vec::new()), asked);
+    let left = since + EARLIER_ACTIVE - harness.now;
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), left);
+    harness.run_for(left);
+    assert!(harness.predecessors_ended.is_empty(), "the earlier owner may be active");
+    harness.run_for(2 * TICK);
+    assert_eq!(harness.predecessors_ended, [SHARD]);
+}
+
+// Guards against tasks that wait in vain after an owner's restart, or that run twice: an owner tells
+// in its hellos how long an owner before it may be active.
+#[test]
+fn an_owner_tells_how_long_an_earlier_owner_may_be_active() {
+    let (mut harness, owner) = super::daemon_beside_owner();
+    let asked = harness.now;
+    harness.refuse(&owner, asked);
+    harness.step(Event::Claimed { shard: SHARD.to_owned(), fence: 10 });
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), EARLIER_ACTIVE);
+    harness.run_for(ms(1000));
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), EARLIER_ACTIVE - ms(1000));
+    harness.hear_answer(hello(process(&owner, 2), Vec::new()), asked);
+    assert_eq!(harness.ownership.earlier_active(SHARD, harness.now), Duration::ZERO);
+}
--- a/tests/ownership/wave.rs
+++ b/tests/ownership/wave.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use waxwingstall::cluster::{
     Action, Event, Head, Hello, Member, MemberStage, OfferAnswer, OfferOutcome, Ownership,
-    ReleasedShard, StoreReachability,
+    ReleasedShard, ShardReport, StoreReachability,
 };
 use waxwingstall::ids::DaemonId;
 use waxwingstall::shard::PreviousOwner;
@@ -178,7 +178,11 @@
         let now = self.now;
         let process = self.process(id)?;
         process.hellos += 1;
-        let shards = process.hosted.iter().map(|(shard, fence)| super::report(shard, *fence));
+        let ownership = &process.ownership;
+        let shards = process.hosted.iter().map(|(shard, fence)| ShardReport {
+            earlier_active: ownership.earlier_active(shard, now),
+            ..super::report(shard, *fence)
+        });
         let mut hello = super::hello(process.ownership.me().clone(), shards.collect());
         hello.number = process.hellos;
         hello.released = process.ownership.released_shards(now);
@@ -227,7 +231,7 @@
     }
 
     fn deliver_offer(&mut self, id: &DaemonId, released: ReleasedShard, to: &Member) {
-        let (shard, fence, heir) = (released.name.clone(), released.fence, to.id.clone());
+        let (shard, fence, candidate) = (released.name.clone(), released.fence, to.id.clone());
         // Whichever process listens at the address gets the offer.
         let outcome = match self.running.get(&to.name) {
             None => OfferOutcome::Refused,
@@ -238,7 +242,7 @@
                 OfferOutcome::Answered(answer)
             }
         };
-        let ended = Event::OfferEnded { shard, fence, heir, outcome };
+        let ended = Event::OfferEnded { shard, fence, candidate, outcome };
         self.later(NETWORK_DELAY, id, Later::Event(ended));
     }
 
