--- a/tests/followers/departures.rs
+++ b/tests/followers/departures.rs
@@ -286,9 +286,8 @@
     }
 }
 
-// Guards against the same for a VM whose announcement vanishes and that announces itself again. The
-// end of the notice is known as well as the time of the announcement, which a daemon without shards
-// knows to within a second.
+// Guards against the same for a VM whose announcement vanishes well before the end of its notice and
+// that announces itself again.
 #[test]
 fn a_vm_whose_announcement_vanishes_during_its_notice_counts_as_alive() {
     let first = NOTICE_START;
--- a/tests/ownership/wave.rs
+++ b/tests/ownership/wave.rs
@@ -333,9 +333,8 @@
     }
 }
 
-// Guards against shards without an owner for seconds while daemons are stopped in turn: those that
-// they are handed to stop as well, have ended or have just started, or claim them as they are told to
-// stop.
+// Guards against shards without an owner for seconds while daemons are stopped in turn, since those
+// that they are handed to stop as well.
 #[test]
 fn no_shard_is_unowned_for_long_while_daemons_are_stopped_in_turn() {
     for seed in 0..SEEDS {
