--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -23,6 +23,8 @@
 const DAEMONS_PER_ZONE: usize = 2;
 const HOST: &str = "cellars.example";
 const PREFIX: &str = "/checks/";
+/// Queue whose steps may run only where the advice service says.
+const ADVISED_PREFIX: &str = "/watches/";
 const ATTEMPTS: usize = 3;
 const CONTACT: Duration = Duration::from_millis(3000);
 const FINISH: Duration = Duration::from_secs(14);
@@ -62,6 +64,7 @@
                 "runner-lost" => runner_lost(&case, trouble),
                 "runner-grey" => runner_grey(&case, trouble),
                 "runner-drains" => runner_drains(&case, trouble),
+                "watcher-lost" => watcher_lost(&case, trouble),
                 _ => Err(format!("no case {name}")),
             };
             let (code, line) = match result {
@@ -108,7 +111,11 @@
     let listener = listen()?;
     let store = listener.local_addr().map_err(|e| e.to_string())?.to_string();
     let served = world.clone();
-    http::serve(listener, never, move |request| served.store(&request));
+    http::serve(listener, never.clone(), move |request| served.store(&request));
+    let listener = listen()?;
+    let advice = listener.local_addr().map_err(|e| e.to_string())?.to_string();
+    let served = world.clone();
+    http::serve(listener, never, move |request| served.advise(&request));
     let ticking = world.clone();
     std::thread::spawn(move || {
         loop {
@@ -123,7 +130,7 @@
     for zone in ZONES {
         for number in 1..=DAEMONS_PER_ZONE {
             let name = format!("front-{zone}-{number}");
-            case.start_daemon(&name, zone, &store)?;
+            case.start_daemon(&name, zone, &store, &advice)?;
         }
     }
     case.wait_until_ready()?;
@@ -131,18 +138,29 @@
 }
 
 fn configuration() -> Json {
-    let route = obj(vec![
-        ("name", text("r-checks")),
-        ("host", text(HOST)),
-        ("prefix", text(PREFIX)),
-        ("type", text("non_idempotent")),
-        ("timeout_ms", num(3000)),
-        ("target_latency_ms", num(1000)),
-        ("priority", num(0)),
-        ("service", text("cellar-keeper")),
-        ("attempts", num(ATTEMPTS as u64)),
-        ("stretch", Json::Num(2.0)),
+    let route = |name: &str, prefix: &str, advice: Option<Json>| {
+        let mut fields = vec![
+            ("name", text(name)),
+            ("host", text(HOST)),
+            ("prefix", text(prefix)),
+            ("type", text("non_idempotent")),
+            ("timeout_ms", num(3000)),
+            ("target_latency_ms", num(1000)),
+            ("priority", num(0)),
+            ("service", text("cellar-keeper")),
+            ("attempts", num(ATTEMPTS as u64)),
+            ("stretch", Json::Num(2.0)),
+        ];
+        fields.extend(advice.map(|advice| ("advice", advice)));
+        obj(fields)
+    };
+    let advice = obj(vec![
+        ("decide_ms", num(world::DECIDE_MS)),
+        ("per_item_ms", num(world::PER_ITEM_MS)),
+        ("valid_ms", num(world::VALID_MS)),
     ]);
+    let routes =
+        vec![route("r-checks", PREFIX, None), route("r-watches", ADVISED_PREFIX, Some(advice))];
     let service = obj(vec![
         ("name", text("cellar-keeper")),
         ("health_path", text("/health")),
@@ -160,7 +178,7 @@
     ]);
     obj(vec![
         ("version", num(7)),
-        ("routes", Json::Arr(vec![route])),
+        ("routes", Json::Arr(routes)),
         ("services", Json::Arr(vec![service])),
         ("limits", limits),
     ])
@@ -168,7 +186,13 @@
 
 impl Case {
     /// Starts a daemon with the command of the deploy file, and its template filled in.
-    fn start_daemon(&mut self, name: &str, zone: &str, store: &str) -> Result<(), String> {
+    fn start_daemon(
+        &mut self,
+        name: &str,
+        zone: &str,
+        store: &str,
+        advice: &str,
+    ) -> Result<(), String> {
         let fail = |e: std::io::Error| e.to_string();
         let template = std::fs::read_to_string("deploy/settings.toml").map_err(fail)?;
         let (front, ready) = (free_ports().map_err(fail)?, free_ports().map_err(fail)?);
@@ -178,7 +202,7 @@
             ("zone|json", format!("\"{zone}\"")),
             ("ip|json", "\"127.0.0.1\"".to_owned()),
             ("port_range|json", format!("[{ports}, {}]", ports + 1)),
-            ("advice", String::new()),
+            ("advice", advice.to_owned()),
             ("cloud.address", store.to_owned()),
             ("limits.cores", "1".to_owned()),
             ("limits.cpu_share", "0.25".to_owned()),
@@ -253,7 +277,7 @@
     }
 
     /// Hands a job in, as the pages have a requester do it.
-    fn submit(&self, id: &str, step: StepDef) -> Result<(), String> {
+    fn submit(&self, id: &str, step: StepDef, per_runner: u64) -> Result<(), String> {
         let spec = format!("check of batch {id}");
         let mut fields = vec![
             ("count", num(step.count as u64)),
@@ -267,11 +291,17 @@
         if step.checkpoint {
             fields.push(("checkpoint", Json::Bool(true)));
         }
+        if step.lasts {
+            fields.push(("long_running", Json::Bool(true)));
+        }
+        if per_runner > 0 {
+            fields.push(("anti_affinity", num(per_runner)));
+        }
         let steps = Json::Arr(vec![obj(fields)]);
         let body = obj(vec![("spec", text(&spec)), ("steps", steps)]);
+        let path = path(id, step.advised);
         let job = JobDef { spec, steps: vec![step] };
         self.platform().jobs.insert(id.to_owned(), job);
-        let path = format!("{PREFIX}{id}");
         for front in self.fronts.iter().cycle().take(5) {
             let answer =
                 http::call(*front, "POST", &path, HOST, Some(&body), Duration::from_secs(3));
@@ -288,7 +318,8 @@
 
     /// The job's state as a requester gets it; empty without an answer that tells it.
     fn state(&self, id: &str, round: usize) -> String {
-        let path = format!("{PREFIX}{id}");
+        let advised = self.platform().jobs.get(id).is_some_and(|job| job.steps[0].advised);
+        let path = path(id, advised);
         let front = self.fronts[round % self.fronts.len()];
         let answer = http::call(front, "GET", &path, HOST, None, Duration::from_secs(3));
         let state = match &answer {
@@ -327,6 +358,10 @@
     }
 }
 
+fn path(id: &str, advised: bool) -> String {
+    format!("{}{id}", if advised { ADVISED_PREFIX } else { PREFIX })
+}
+
 /// Fills in a section of the template, or drops it if there is no value.
 fn fill_section(template: &str, name: &str, value: Option<String>) -> String {
     let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
@@ -339,8 +374,16 @@
 /// LOST: a gang's runner is lost for good, and the gang is never started again.
 fn runner_lost(case: &Case, trouble: bool) -> Result<Option<String>, String> {
     let (id, count, cpu) = ("5c0e7a21d94b36f8", 14, 4000);
-    let step = StepDef { count, cpu, work_ms: 5000.0, gang: true, checkpoint: false };
-    case.submit(id, step)?;
+    let step = StepDef {
+        count,
+        cpu,
+        work_ms: 5000.0,
+        gang: true,
+        checkpoint: false,
+        lasts: false,
+        advised: false,
+    };
+    case.submit(id, step, 0)?;
     case.wait_for_work(count, Duration::from_secs(1))?;
     if trouble {
         let index = case.busiest();
@@ -384,8 +427,16 @@
 /// LOST: a gang that has failed once is shown as failed, though its queue has three attempts.
 fn runner_grey(case: &Case, trouble: bool) -> Result<Option<String>, String> {
     let (id, count) = ("81d3c0a95be2704f", 16);
-    let step = StepDef { count, cpu: 1600, work_ms: 4000.0, gang: true, checkpoint: false };
-    case.submit(id, step)?;
+    let step = StepDef {
+        count,
+        cpu: 1600,
+        work_ms: 4000.0,
+        gang: true,
+        checkpoint: false,
+        lasts: false,
+        advised: false,
+    };
+    case.submit(id, step, 0)?;
     case.wait_for_work(count, Duration::from_secs(1))?;
     if trouble {
         let index = case.busiest();
@@ -419,8 +470,16 @@
 /// GANG: after a runner has left as planned, a gang's members get values that differ, and end alone.
 fn runner_drains(case: &Case, trouble: bool) -> Result<Option<String>, String> {
     let (id, count) = ("c27f40b8e1965a3d", 8);
-    let step = StepDef { count, cpu: 1600, work_ms: 5000.0, gang: true, checkpoint: true };
-    case.submit(id, step)?;
+    let step = StepDef {
+        count,
+        cpu: 1600,
+        work_ms: 5000.0,
+        gang: true,
+        checkpoint: true,
+        lasts: false,
+        advised: false,
+    };
+    case.submit(id, step, 0)?;
     case.wait_for_work(count, Duration::from_millis(2700))?;
     let notice = Duration::from_millis(2000);
     if trouble {
@@ -454,3 +513,57 @@
         )
     }))
 }
+
+/// LOST: a task that lasts, on a queue with advice and at most one of its step on a runner, isn't
+/// started again after its runner was lost for good.
+fn watcher_lost(case: &Case, trouble: bool) -> Result<Option<String>, String> {
+    let (id, count, cpu) = ("e0a7359b42c8d61f", 3, 3200);
+    let step = StepDef {
+        count,
+        cpu,
+        work_ms: 500.0,
+        gang: false,
+        checkpoint: false,
+        lasts: true,
+        advised: true,
+    };
+    case.submit(id, step, 1)?;
+    case.wait_for_work(count, Duration::from_secs(2))?;
+    let busiest = case.busiest();
+    let zone = case.platform().runners[busiest].zone.clone();
+    if trouble {
+        case.platform().crash(busiest);
+    }
+    let troubled = Instant::now();
+    let mut away_since: Option<Instant> = None;
+    for round in 0.. {
+        if round % 10 == 0 {
+            case.state(id, round / 10);
+        }
+        let after = troubled.elapsed();
+        let (running, elsewhere) = {
+            let platform = case.platform();
+            let up = || platform.runners.iter().filter(|runner| runner.up);
+            let running: usize = up().map(|runner| runner.running.len()).sum();
+            let free = up().filter(|r| r.running.is_empty() && platform.may_run_advised(&r.id));
+            (running, free.count())
+        };
+        // 6 s after its last run, and 4 s after the last disruption, for 3 s.
+        let waits = after >= Duration::from_secs(7) && running < count && elsewhere >= 2;
+        away_since = if waits { away_since.or(Some(Instant::now())) } else { None };
+        let away = away_since.map_or(Duration::ZERO, |at| at.elapsed());
+        if after >= Duration::from_secs(30) {
+            return Ok((away >= Duration::from_secs(3)).then(|| {
+                format!(
+                    "LOST: {:.1} s after the last disruption, {running} of {count} tasks that last \
+                     run, and have for {:.1} s; {elsewhere} runners that the advice service allows \
+                     run nothing (first runs in {zone})",
+                    after.as_secs_f64(),
+                    away.as_secs_f64()
+                )
+            }));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    Ok(None)
+}
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -17,6 +17,12 @@
 pub const HEARTBEAT_MS: u64 = 1100;
 /// A stop takes some time, at most `stop_timeout_ms` (900).
 const STOP_TAKES: Duration = Duration::from_millis(200);
+/// Tasks that last are at work after a short startup.
+const STARTUP_MS: f64 = 500.0;
+/// Times of the advice service, and how long its tickets are valid.
+pub const DECIDE_MS: u64 = 100;
+pub const PER_ITEM_MS: u64 = 5;
+pub const VALID_MS: u64 = 3000;
 /// An unhealthy runner fails what it has begun to work on after this time.
 const GREY_FAILS_AFTER: Duration = Duration::from_millis(100);
 
@@ -41,6 +47,10 @@
     pub work_ms: f64,
     pub gang: bool,
     pub checkpoint: bool,
+    /// Whether the tasks last until their job is cancelled.
+    pub lasts: bool,
+    /// Whether starts need a ticket of the advice service.
+    pub advised: bool,
 }
 
 /// A job that a requester has sent.
@@ -128,6 +138,8 @@
     began: Instant,
     last_tick: Instant,
     record: File,
+    /// Until when a ticket is valid.
+    tickets: HashMap<String, Instant>,
     items: BTreeMap<String, Item>,
     history: Vec<(u64, String, Option<Item>)>,
     revision: u64,
@@ -152,6 +164,7 @@
             began: now,
             last_tick: now,
             record,
+            tickets: HashMap::new(),
             items: BTreeMap::new(),
             history: Vec::new(),
             revision: 100,
@@ -254,6 +267,27 @@
         }
     }
 
+    /// Answers a call to the advice service, which lets no step run on each zone's last runner.
+    pub fn advise(&self, request: &Request) -> Answer {
+        let (step, workers) = (request.body.get("step").str(), request.body.get("workers").arr());
+        let time = Duration::from_millis(DECIDE_MS + PER_ITEM_MS * workers.len() as u64);
+        std::thread::sleep(time);
+        let mut platform = self.platform.lock().expect("lock");
+        let now = Instant::now();
+        let mut good = Vec::new();
+        for worker in workers {
+            if !platform.may_run_advised(worker.str()) {
+                continue;
+            }
+            let ticket = format!("{step} {} {}", worker.str(), platform.tickets.len());
+            let until = now + Duration::from_millis(VALID_MS);
+            platform.tickets.insert(ticket.clone(), until);
+            good.push(Json::Arr(vec![worker.clone(), text(&ticket)]));
+        }
+        platform.note(&format!("advice: {step} may run on {} of {}", good.len(), workers.len()));
+        Some((200, obj(vec![("good", Json::Arr(good)), ("valid_ms", num(VALID_MS))])))
+    }
+
     /// Answers a call to a runner.
     pub fn runner(&self, index: usize, request: &Request) -> Answer {
         let mut platform = self.platform.lock().expect("lock");
@@ -406,7 +440,7 @@
     fn lists(&self, index: usize, now: Instant) -> Json {
         let runner = &self.runners[index];
         let running = runner.running.iter().map(|run| {
-            let percent = run.progress * 100.0 / self.work_ms(run);
+            let percent = (run.progress * 100.0 / self.work_ms(run)).min(100.0);
             Json::Arr(vec![
                 text(&run.task),
                 num(run.run),
@@ -435,8 +469,14 @@
         self.jobs.get(task.split('.').next()?)?.steps.get(step)
     }
 
+    /// The work of a run, or the startup of one that lasts.
     fn work_ms(&self, run: &Run) -> f64 {
-        self.step(&run.task, run.step).map_or(1.0, |step| step.work_ms)
+        let work = |step: &StepDef| if step.lasts { STARTUP_MS } else { step.work_ms };
+        self.step(&run.task, run.step).map_or(1.0, work)
+    }
+
+    fn lasts(&self, run: &Run) -> bool {
+        self.step(&run.task, run.step).is_some_and(|step| step.lasts)
     }
 
     fn start(&mut self, index: usize, body: &Json, now: Instant) -> (u16, Json) {
@@ -464,6 +504,14 @@
             return (400, obj(vec![]));
         }
         let step: usize = parts.get(2).and_then(|n| n.parse().ok()).unwrap_or(0);
+        if self.step(&task, step).is_some_and(|step| step.advised) {
+            let ticket = body.get("ticket").str();
+            let of_step = format!("{}.{}.{step} {}", parts[0], parts[1], self.runners[index].id);
+            let is_valid = self.tickets.get(ticket).is_some_and(|until| now < *until);
+            if !is_valid || !ticket.starts_with(&of_step) {
+                return self.runners[index].refused("ticket", now);
+            }
+        }
         let progress = u64::from_str_radix(checkpointed.get(..8).unwrap_or("0"), 16).unwrap_or(0);
         let group = format!("{}.{}.{} run {run}", parts[0], parts[1], parts[2]);
         let gang = self.step(&task, step).is_some_and(|step| step.gang);
@@ -586,7 +634,8 @@
             run.stopping.is_some_and(|at| now >= at).then_some("stopped")
         });
         changed |= self.end_all(now, |this, _, run| {
-            (run.progress >= this.work_ms(run) && run.stopping.is_none()).then_some("done")
+            let is_over = run.progress >= this.work_ms(run) && !this.lasts(run);
+            (is_over && run.stopping.is_none()).then_some("done")
         });
         let timeout = Duration::from_millis(GANG_TIMEOUT_MS);
         changed |= self.end_all(now, |this, _, run| {
@@ -645,6 +694,14 @@
         !over.is_empty()
     }
 
+    /// Whether the advice service lets a step run on a runner: on all but one of each zone.
+    pub fn may_run_advised(&self, id: &str) -> bool {
+        let runner = self.runners.iter().find(|runner| runner.id == id);
+        let zone = runner.map(|runner| runner.zone.as_str()).unwrap_or_default();
+        let last = self.runners.iter().rev().find(|runner| runner.zone == zone);
+        runner.is_some() && last.is_some_and(|last| last.id != id)
+    }
+
     /// A runner announces that it leaves after `notice`.
     pub fn drain(&mut self, index: usize, notice: Duration) {
         let now = Instant::now();
