--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -104,8 +104,10 @@
         let address = listener.local_addr().map_err(|e| e.to_string())?.to_string();
         let rack = format!("r{}-1", number / RUNNERS_PER_ZONE + 1);
         let served = world.clone();
-        served.platform.lock().expect("lock").add_runner(number, zone, &rack, &address, RUNNER_CPU);
-        http::serve(listener, never.clone(), move |request| served.runner(number, &request));
+        let mut platform = served.platform.lock().expect("lock");
+        let ended = platform.add_runner(number, zone, &rack, &address, RUNNER_CPU);
+        drop(platform);
+        http::serve(listener, ended, move |request| served.runner(number, &request));
     }
     world.platform.lock().expect("lock").put("op/config", &configuration());
     let listener = listen()?;
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -6,7 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs::File;
 use std::io::Write;
-use std::sync::{Condvar, Mutex};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 /// Bounds as in the site file.
@@ -92,6 +93,8 @@
     pub address: String,
     pub cpu: u64,
     pub up: bool,
+    /// Set once it has ended: its port then refuses connections.
+    pub ended_flag: Arc<AtomicBool>,
     pub draining: Option<Instant>,
     pub grey_until: Option<Instant>,
     pub running: Vec<Run>,
@@ -348,6 +351,11 @@
 }
 
 impl Runner {
+    fn stop_serving(&mut self) {
+        self.up = false;
+        self.ended_flag.store(true, Ordering::Relaxed);
+    }
+
     fn refused(&self, reason: &str, now: Instant) -> (u16, Json) {
         (409, obj(vec![("clock_ms", num(self.clock_ms(now))), ("reason", text(reason))]))
     }
@@ -670,7 +678,7 @@
             }
         }
         for index in gone {
-            self.runners[index].up = false;
+            self.runners[index].stop_serving();
             let runs: Vec<String> =
                 self.runners[index].running.iter().map(|run| run.group.clone()).collect();
             self.broken_groups.extend(runs);
@@ -716,7 +724,7 @@
     /// A runner is lost for good, with everything on it.
     pub fn crash(&mut self, index: usize) {
         let runner = &mut self.runners[index];
-        runner.up = false;
+        runner.stop_serving();
         let groups: Vec<String> = runner.running.iter().map(|run| run.group.clone()).collect();
         let id = runner.id.clone();
         self.broken_groups.extend(groups);
@@ -731,8 +739,17 @@
         self.note(&format!("TROUBLE: {id} fails all that it runs, for {} ms", time.as_millis()));
     }
 
-    pub fn add_runner(&mut self, number: usize, zone: &str, rack: &str, address: &str, cpu: u64) {
+    /// Adds a runner, and returns the flag that is set when it has ended.
+    pub fn add_runner(
+        &mut self,
+        number: usize,
+        zone: &str,
+        rack: &str,
+        address: &str,
+        cpu: u64,
+    ) -> Arc<AtomicBool> {
         let now = Instant::now();
+        let ended_flag = Arc::new(AtomicBool::new(false));
         self.runners.push(Runner {
             id: format!("i-{:010x}", 0x7f3a_91c2_u64 * 31 + number as u64 * 7919),
             zone: zone.to_owned(),
@@ -740,6 +757,7 @@
             address: address.to_owned(),
             cpu,
             up: true,
+            ended_flag: ended_flag.clone(),
             draining: None,
             grey_until: None,
             running: Vec::new(),
@@ -752,6 +770,7 @@
             beat: None,
             seq: 0,
         });
+        ended_flag
     }
 }
 
