Keep the conditions on a task's VM in one place

Change: `shard::eligibility` has the conditions, with a table of tests. Those that agreed already use it. The log line `lasting-waits` now also goes by the service of a VM.

--- a/src/jobs/choice.rs
+++ b/src/jobs/choice.rs
@@ -251,13 +251,8 @@
     /// Whether a VM has room for a task of each step with reserved tasks.
     fn fits(&self, summary: &Summary) -> bool {
         let reserved = self.job.steps.iter().filter(|step| step.share == Share::Reserved);
-        let mut steps = reserved.map(|step| {
-            summary.rooms.iter().any(|room| {
-                room.service == self.job.service
-                    && step.size.fits_in(&room.free)
-                    && step.label.as_ref().is_none_or(|label| room.labels.contains(label))
-            })
-        });
+        let mut steps = reserved
+            .map(|step| summary.rooms.iter().any(|room| room.takes(step, &self.job.service)));
         steps.all(|fits| fits)
     }
 
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -14,6 +14,7 @@
 mod copies;
 mod crash;
 mod drain;
+mod eligibility;
 mod evacuate;
 pub mod event;
 mod finish;
--- a/src/shard/admission.rs
+++ b/src/shard/admission.rs
@@ -195,11 +195,7 @@
 
     /// Whether a task of a step fits on a VM of another shard now.
     fn fits_in(&self, step: &Step, other: &Summary) -> bool {
-        other.rooms.iter().any(|room| {
-            room.service == self.job.service
-                && step.reserved_resources().fits_in(&room.free)
-                && step.label.as_ref().is_none_or(|label| room.labels.contains(label))
-        })
+        other.rooms.iter().any(|room| room.takes(step, &self.job.service))
     }
 
     /// Whether a task of each step fits on a VM of another shard now.
--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -355,17 +355,14 @@
         let image = job.image(task);
         let rack = self.vms.get(&slow.vm).map(|vm| vm.entry.rack.clone());
         let permits = self.permits_of(task);
+        let requirements = job.requirements(task)?;
         let fits = |room: &VmCapacity| {
-            room.service == job.job.service
+            room.may_run(&requirements)
                 && known.runs.iter().all(|placed| placed.vm != room.vm)
                 && known.failed_on.as_ref() != Some(&room.vm)
                 && room.speed >= 1.0
                 && room.probation == Probation::No
                 && room.crash_suspects == 0
-                && !room.held_for_long_running
-                && !room.is_reserved
-                && room.takes(step, task.step_ref())
-                && self.has_label(&room.vm, step)
                 && permits.is_none_or(|p| p.valid_permit(&room.vm, now).is_some())
         };
         let cost = |room: &VmCapacity| {
--- /dev/null
+++ b/src/shard/eligibility.rs
@@ -0,0 +1,66 @@
+//! Conditions that a VM must meet to run a task, whatever the scheduler prefers.
+//!
+//! Placing, lending, moving and draining all go by these conditions: a VM that has free resources
+//! but may not run a task is no room for it. Permits are checked separately, since a missing one can
+//! be requested.
+
+#[cfg(test)]
+mod tests;
+
+use super::event::FreeRoom;
+use super::job_run::JobRun;
+use super::room::VmCapacity;
+use crate::ids::ServiceName;
+use crate::job::{Label, Life, Step, StepRef, TaskRef};
+
+/// What a task requires of its VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Requirements<'a> {
+    pub service: &'a ServiceName,
+    pub step: &'a Step,
+    /// Identifies the step, whose tasks a VM may limit.
+    pub key: StepRef,
+}
+
+/// Returns whether a VM is of a kind that may run the tasks of a step of a service's job.
+fn is_suitable(
+    step: &Step,
+    service: &ServiceName,
+    vm_service: &ServiceName,
+    vm_labels: &[Label],
+) -> bool {
+    service == vm_service && step.label.as_ref().is_none_or(|label| vm_labels.contains(label))
+}
+
+impl JobRun {
+    /// Returns what a task requires of its VM.
+    pub fn requirements(&self, task: TaskRef) -> Option<Requirements<'_>> {
+        let step = self.step(task)?;
+        Some(Requirements { service: &self.job.service, step, key: task.step_ref() })
+    }
+}
+
+impl VmCapacity {
+    /// Returns whether the VM is of a kind that may run a task, however full it is.
+    pub fn suits(&self, task: &Requirements<'_>) -> bool {
+        is_suitable(task.step, task.service, &self.service, &self.labels)
+    }
+
+    /// Returns whether the VM may run one more task now, if it gets a permit there.
+    pub fn may_run(&self, task: &Requirements<'_>) -> bool {
+        let is_held = self.held_for_long_running && task.step.life == Life::Finite;
+        !is_held && !self.is_reserved && self.suits(task) && self.takes(task.step, task.key)
+    }
+}
+
+impl FreeRoom {
+    /// Returns whether the VM is of a kind that may run a step's tasks, however full it is.
+    pub fn suits(&self, step: &Step, service: &ServiceName) -> bool {
+        is_suitable(step, service, &self.service, &self.labels)
+    }
+
+    /// Returns whether the VM has room for a task of a step.
+    pub fn takes(&self, step: &Step, service: &ServiceName) -> bool {
+        step.reserved_resources().fits_in(&self.free) && self.suits(step, service)
+    }
+}
--- a/src/shard/evacuate.rs
+++ b/src/shard/evacuate.rs
@@ -8,7 +8,7 @@
 //! wait for as long as the order stands.
 
 use super::Shard;
-use super::event::{FreeRoom, Summary};
+use super::event::Summary;
 use super::vm_run::Vm;
 use crate::evacuation::Evacuations;
 use crate::ids::{DomainId, ServiceName};
@@ -85,11 +85,7 @@
 /// Estimated wait for a task's start in another shard, comparable between shards only; `None` if no
 /// VM there may run it.
 pub(super) fn expected_wait(summary: &Summary, step: &Step, service: &ServiceName) -> Option<f64> {
-    let suits = |room: &FreeRoom| {
-        room.service == *service
-            && step.label.as_ref().is_none_or(|label| room.labels.contains(label))
-    };
-    if !summary.rooms.iter().any(suits) {
+    if !summary.rooms.iter().any(|room| room.suits(step, service)) {
         return None;
     }
     let ratio = |work: u64, capacity: u64| work as f64 / (capacity as f64).max(1.0);
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -2,7 +2,7 @@
 
 use super::super::Shard;
 use super::super::evacuate::expected_wait;
-use super::super::event::{FreeRoom, Summary};
+use super::super::event::Summary;
 use super::super::job_run::{JobRun, Lent, LoanStatus};
 use crate::ids::ServiceName;
 use crate::job::{Image, JobId, Life, Share, Step, TaskRef};
@@ -157,13 +157,8 @@
 
 /// Estimated number of a shard's VMs with room for a task of a step.
 fn fitting_rooms(summary: &Summary, step: &Step, service: &ServiceName) -> f64 {
-    let need = step.reserved_resources();
-    let fits = |room: &&FreeRoom| {
-        need.fits_in(&room.free)
-            && room.service == *service
-            && step.label.as_ref().is_none_or(|label| room.labels.contains(label))
-    };
-    summary.rooms.iter().filter(fits).count() as f64 * USABLE_FRACTION
+    let fitting = summary.rooms.iter().filter(|room| room.takes(step, service));
+    fitting.count() as f64 * USABLE_FRACTION
 }
 
 /// Estimated milli-cores that leftover tasks of an image would get in a shard; zero if it is less
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use super::Shard;
+use super::eligibility::Requirements;
 use super::interference::ImageIx;
 use super::job_run::{Effect, PlacedRun};
 use super::order::Candidate;
@@ -266,15 +267,11 @@
         let suspect = self.is_suspect(task);
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
         let time = self.expected_run_time(task);
-        let fits = |(_, room): &(usize, &VmCapacity)| {
-            let held = room.held_for_long_running && step.life == Life::Finite;
-            !held && !room.is_reserved && room.service == shape.service && room.takes(step, key)
-        };
+        let requirements = Requirements { service: &shape.service, step, key };
         rooms
             .iter()
             .enumerate()
-            .filter(fits)
-            .filter(|(_, room)| self.has_label(&room.vm, step))
+            .filter(|(_, room)| room.may_run(&requirements))
             .filter(|(_, room)| permits.is_none_or(|p| p.valid_permit(&room.vm, now).is_some()))
             .filter_map(|(index, room)| {
                 let cost = self.cost(room, step, shape.image, time, need)?;
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -10,7 +10,7 @@
 use super::relief::STOP_ALL_AFTER;
 use super::vm_run::{RunKey, Vm};
 use crate::ids::{RackId, ServiceName, VmId};
-use crate::job::{Life, Share, Step, StepRef};
+use crate::job::{Label, Life, Share, Step, StepRef};
 use crate::units::Resources;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,7 @@
     pub addr: Arc<str>,
     pub rack: RackId,
     pub service: ServiceName,
+    pub labels: Vec<Label>,
     pub free: Resources,
     /// Processors available to leftover work, in millicores.
     pub leftover: f64,
@@ -235,6 +236,7 @@
         let (rack, service) = (vm.entry.rack.clone(), vm.entry.service.clone());
         let room = Self::empty(id, addr, rack, service, vm.entry.size);
         Some(Self {
+            labels: vm.entry.labels.clone(),
             free: vm.free(),
             leftover: (room.leftover - used).max(0.0),
             leftover_demand,
@@ -258,6 +260,7 @@
             addr,
             rack,
             service,
+            labels: Vec::new(),
             free: size,
             leftover: cores,
             leftover_demand: 0.0,
--- a/src/shard/waiting.rs
+++ b/src/shard/waiting.rs
@@ -85,11 +85,11 @@
         let least = tally.least_mib.unwrap_or(u32::MAX);
         tally.least_mib = Some(least.min(step.size.memory_mib.0));
         tally.max_milli_cores = tally.max_milli_cores.max(step.size.milli_cores.0);
-        let here = |room: &VmCapacity| {
-            !room.is_reserved && room.takes(step, task.step_ref()) && self.has_label(&room.vm, step)
-        };
+        let requirements = self.jobs.get(&task.job).and_then(|job| job.requirements(task));
+        let here = |room: &VmCapacity| requirements.as_ref().is_some_and(|task| room.may_run(task));
         let later = |room: &VmCapacity| {
-            room.fits_without_finite(step, task.step_ref()) && self.has_label(&room.vm, step)
+            requirements.as_ref().is_some_and(|task| room.suits(task))
+                && room.fits_without_finite(step, task.step_ref())
         };
         if rooms.iter().any(here) {
             tally.fit_here += 1;
