Lend tasks for which only unsuitable VMs are left in their shard

What callers saw: a task of a queue with permits never ran again after its VM was lost, beside VMs in other shards that may run it.

Hypotheses: (1) the test before lending counts VMs that may not run the task; (2) the task is lent and returned without end; (3) requests for permits keep the task waiting. The logs tell them apart: there is no `tasks-lent` (2), and permits are granted on all VMs that are asked about (3), while the task without permits is lent.

Cause: a task with permits was lent only if the service had denied it all VMs with enough free processors and memory. VMs at the step's limit, without its label, of another service, quarantined, drained for upkeep, reserved or too slow for leftover work counted too. They are granted, or never asked about, and so never denied.

Change: a task waits for a permit only if it would be placed on some VM that has not been denied; placing itself answers that, so that there is one list of conditions.

Why this works: a VM keeps a task from being lent exactly if its permit is the only thing missing.

--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -4,6 +4,7 @@
 use super::super::evacuate::expected_wait;
 use super::super::event::Summary;
 use super::super::job_run::{JobRun, Lent, LoanStatus};
+use super::super::room::VmCapacity;
 use crate::ids::ServiceName;
 use crate::job::{Image, JobId, Life, Share, Step, TaskRef};
 use crate::note::Note;
@@ -35,8 +36,12 @@
         others.any(|other| fitting_rooms(&other.summary, step, &job.job.service) > 0.0)
     }
 
-    /// Lends waiting tasks that do not fit in this shard to shards with room.
-    pub(in crate::shard) fn lend_waiting_tasks(&mut self, waiting: &[TaskRef]) {
+    /// Lends waiting tasks that do not fit in `rooms`, this shard's room, to shards with room.
+    pub(in crate::shard) fn lend_waiting_tasks(
+        &mut self,
+        waiting: &[TaskRef],
+        rooms: &[VmCapacity],
+    ) {
         let now = self.now.steady;
         if self.loans.other_shards.is_empty() {
             return;
@@ -51,7 +56,7 @@
                 continue;
             }
             for task in group {
-                if let Some(to) = self.borrower_for(*task) {
+                if let Some(to) = self.borrower_for(*task, rooms) {
                     self.lend(*task, &to, &mut lent);
                 }
             }
@@ -109,7 +114,7 @@
 
     /// Returns a shard with room for a task that has waited long enough, or any that can run it if
     /// this shard's failure domain is evacuated.
-    fn borrower_for(&mut self, task: TaskRef) -> Option<Arc<str>> {
+    fn borrower_for(&mut self, task: TaskRef, rooms: &[VmCapacity]) -> Option<Arc<str>> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task)?.clone();
         // A borrowed task is not lent again.
@@ -129,7 +134,7 @@
         if self.now.steady.saturating_sub(since) < delay {
             return None;
         }
-        if self.needs_permits(job) && !self.is_denied_by_fitting_vms(task, &step) {
+        if self.waits_for_permit(task, rooms) {
             return None;
         }
         let service = job.job.service.clone();
--- a/src/shard/permits.rs
+++ b/src/shard/permits.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// What is required of a step's permit for a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitRequirement {
+    /// The permit is at hand.
+    Valid,
+    /// The service has not denied it.
+    NotDenied,
+}
+
 /// How many VMs a request has to cover.
 struct VmSelection {
     tasks: usize,
@@ -118,6 +127,14 @@
         }
     }
 
+    /// Returns whether the step has a permit for a VM, or may still get one.
+    pub fn meets(&self, requirement: PermitRequirement, vm: &VmId, now: Duration) -> bool {
+        match requirement {
+            PermitRequirement::Valid => self.valid_permit(vm, now).is_some(),
+            PermitRequirement::NotDenied => !self.is_denied(vm),
+        }
+    }
+
     fn is_denied(&self, vm: &VmId) -> bool {
         matches!(self.verdicts.get(vm), Some(Verdict::Denied))
     }
@@ -139,25 +156,6 @@
         Some(&job.step_run(task)?.permits)
     }
 
-    /// Returns whether a job's steps need permits.
-    pub(super) fn needs_permits(&self, job: &JobRun) -> bool {
-        self.queue(job).is_some_and(|queue| queue.permits.is_some())
-    }
-
-    /// Returns whether every VM with enough free resources for a step is denied to it.
-    ///
-    /// Also true if the step needs no permits.
-    pub(super) fn is_denied_by_fitting_vms(&self, task: TaskRef, step: &Step) -> bool {
-        let Some(permits) = self.permits_of(task) else { return true };
-        let now = self.now.steady;
-        let mut fitting = self
-            .vms
-            .values()
-            .filter(|vm| !self.evacuation.includes(vm))
-            .filter(|vm| vm.takes_work(now) && step.reserved_resources().fits_in(&vm.free()));
-        fitting.all(|vm| permits.is_denied(&vm.id))
-    }
-
     /// Requests permits for the most urgent steps with tasks that fit on no permitted VM.
     pub(super) fn request_missing_permits(
         &mut self,
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -8,6 +8,7 @@
 use super::interference::ImageIx;
 use super::job_run::{Effect, PlacedRun};
 use super::order::Candidate;
+use super::permits::PermitRequirement;
 use super::room::{Probation, VmCapacity};
 use super::vm_run::{Run, RunKey};
 use crate::ids::{ServiceName, VmId};
@@ -184,7 +185,7 @@
         let tasks = candidates.iter().flat_map(|candidate| &candidate.tasks);
         let max_offers = if self.is_evacuated() { usize::MAX } else { MAX_LOAN_OFFERS };
         let left: Vec<TaskRef> = tasks.filter(waits).take(max_offers).copied().collect();
-        self.lend_waiting_tasks(&left);
+        self.lend_waiting_tasks(&left, &pass.rooms);
         self.plan_moves(&left, &pass);
     }
 
@@ -206,7 +207,9 @@
                 if need == Need::Normal && pass.is_unplaceable(&shape) {
                     break;
                 }
-                let Some(choice) = self.choose(*task, step, need, &shape, &pass.rooms) else {
+                let permit = PermitRequirement::Valid;
+                let choice = self.choose(*task, step, need, &shape, &pass.rooms, permit);
+                let Some(choice) = choice else {
                     hold_vm_for(*task, step, &shape, &mut pass.rooms);
                     pass.unplaceable.push(shape.clone());
                     break;
@@ -230,9 +233,9 @@
         let mut trial_rooms = pass.rooms.clone();
         let mut choices = Vec::new();
         for task in group {
-            let Some(choice) = self.choose(*task, step, Need::Normal, shape, &trial_rooms) else {
-                return;
-            };
+            let (need, permit) = (Need::Normal, PermitRequirement::Valid);
+            let choice = self.choose(*task, step, need, shape, &trial_rooms, permit);
+            let Some(choice) = choice else { return };
             trial_rooms[choice].take(step, self.image(*task), task.step_ref(), &self.interference);
             trial_rooms[choice].crash_suspects += usize::from(self.is_suspect(*task));
             choices.push(choice);
@@ -253,6 +256,17 @@
         }
     }
 
+    /// Returns whether a waiting task only waits for the permit of a VM in `rooms`.
+    pub(super) fn waits_for_permit(&self, task: TaskRef, rooms: &[VmCapacity]) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let Some(step) = job.step(task).filter(|_| self.permits_of(task).is_some()) else {
+            return false;
+        };
+        let shape = Shape::of(&job.job, step, job.image(task));
+        let need = self.need(task.job, task);
+        self.choose(task, step, need, &shape, rooms, PermitRequirement::NotDenied).is_some()
+    }
+
     /// Selects the cheapest VM for a task, by index into `rooms`.
     fn choose(
         &self,
@@ -261,6 +275,7 @@
         need: Need,
         shape: &Shape,
         rooms: &[VmCapacity],
+        permit: PermitRequirement,
     ) -> Option<usize> {
         let (key, now) = (task.step_ref(), self.now.steady);
         let permits = self.permits_of(task);
@@ -272,7 +287,7 @@
             .iter()
             .enumerate()
             .filter(|(_, room)| room.may_run(&requirements))
-            .filter(|(_, room)| permits.is_none_or(|p| p.valid_permit(&room.vm, now).is_some()))
+            .filter(|(_, room)| permits.is_none_or(|p| p.meets(permit, &room.vm, now)))
             .filter_map(|(index, room)| {
                 let cost = self.cost(room, step, shape.image, time, need)?;
                 let cost = cost + penalty(room, key, step, failed_on.as_ref());
--- a/tests/shards/permits.rs
+++ b/tests/shards/permits.rs
@@ -6,7 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
-use waxwingstall::job::{Job, JobId, JobState};
+use waxwingstall::job::{Job, JobId, JobState, Label};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
 use waxwingstall_standin::permits::PermitTable;
@@ -14,6 +14,15 @@
 const SIZE: Resources = Resources::new(8000, 8000, 0);
 const VALID: Duration = Duration::from_secs(3);
 
+/// Time after the loss of a VM by which its owner knows that the VM's tasks have ended.
+const LEASE_EXPIRY: Duration = Duration::from_millis(8500);
+
+/// Longest time that a task may then wait although VMs that may run it are free.
+const WAIT_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time that a VM is down that is lost for good.
+const FOR_GOOD: Duration = Duration::from_secs(3600);
+
 fn seconds(n: u64) -> Duration {
     Duration::from_secs(n)
 }
@@ -103,3 +112,45 @@
     }
     check(&mut sim, &known(&jobs), SIZE);
 }
+
+/// Two shards with three VMs each, all of them permitted; those of `kacyiru` come first.
+fn two_shards() -> Simulation<NoFaults> {
+    Simulation::new(NoFaults, &["kacyiru", "remera"], 3, SIZE)
+        .with_permits(PermitTable::new(100, VALID))
+}
+
+/// Loses the VM of one of `job`'s lasting tasks for good, and returns how many tasks then run.
+fn running_after_loss(sim: &mut Simulation<NoFaults>, job: &Job) -> usize {
+    sim.submit("kacyiru", job.clone());
+    sim.run_for(seconds(2));
+    assert_eq!(sim.runs_on(0), 1, "a task runs on the VM to be lost");
+    sim.crash_vm(0, FOR_GOOD);
+    sim.run_for(LEASE_EXPIRY + WAIT_LIMIT);
+    check(sim, &known(std::slice::from_ref(job)), SIZE);
+    (1..6).map(|vm| sim.runs_on(vm)).sum()
+}
+
+// Guards against a lasting task that never runs again since the VMs left in its shard are at the
+// step's limit: they have the processors, and are never denied.
+#[test]
+fn a_task_is_lent_if_all_permitted_vms_are_at_its_limit() {
+    let mut sim = two_shards();
+    let mut job = job_with_steps(1, 1, 3, work(0, 2));
+    job.steps[0].per_vm = 1;
+    assert_eq!(running_after_loss(&mut sim, &job), 3);
+}
+
+// Guards against a lasting task that never runs again since the VMs left in its shard lack the label
+// that it requires: nobody asks for permits on them, so that they are never denied.
+#[test]
+fn a_task_is_lent_if_no_other_vm_of_its_shard_has_its_label() {
+    let mut sim = two_shards();
+    let label = Label::new("gpu");
+    for vm in [0, 3] {
+        sim.vms[vm].entry.labels.push(label.clone());
+    }
+    sim.run_for(seconds(1));
+    let mut job = job_with_steps(1, 1, 1, work(0, 2));
+    job.steps[0].label = Some(label);
+    assert_eq!(running_after_loss(&mut sim, &job), 1);
+}
