Lend a returned task to another shard than the one that returned it

What callers saw: a task with permits never ran, though a shard had room that it may use. It went round between its own shard and one or two others whose VMs are denied to it, a loan every 1.6 s.

Cause: the borrower is the shard with the most VMs of a suitable size, by its summary. The summary tells neither permits nor how many tasks of a step a VM runs, and nobody remembered who had returned the task. The borrower also held it for 1.5 s although it was denied all VMs.

Evidence: `a_task_is_lent_on_until_a_shard_may_run_it` failed before. Its log shows `tasks-lent` to the same two of four shards for 30 s, with `permitted=0` at both, and none to the permitted one.

Change: a step remembers which shards returned its tasks unstarted. These are tried after all others, the longest ago first; with permits, only after a backoff that doubles from 1.5 to 12 s. A borrowed task that is denied all suitable VMs is returned at once. The same order holds for tasks of an evacuated failure domain.

Why this works: each shard with room is tried once before any is tried twice, and a denied one costs one request in place of 1.5 s.

--- a/src/shard/eligibility.rs
+++ b/src/shard/eligibility.rs
@@ -10,6 +10,7 @@
 use super::event::FreeRoom;
 use super::job_run::JobRun;
 use super::room::VmCapacity;
+use super::vm_run::Vm;
 use crate::ids::ServiceName;
 use crate::job::{Label, Life, Step, StepRef, TaskRef};
 
@@ -40,6 +41,13 @@
     }
 }
 
+impl Vm {
+    /// Returns whether the VM is of a kind that may run a task, however full it is.
+    pub fn suits(&self, task: &Requirements<'_>) -> bool {
+        is_suitable(task.step, task.service, &self.entry.service, &self.entry.labels)
+    }
+}
+
 impl VmCapacity {
     /// Returns whether the VM is of a kind that may run a task, however full it is.
     pub fn suits(&self, task: &Requirements<'_>) -> bool {
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -8,6 +8,7 @@
 use crate::job::{Checkpoint, Job, JobId, JobState, Life, RunNumber, Step, TaskRef};
 use crate::shard::event::Answer;
 use crate::shard::interference::ImageIx;
+use crate::shard::loan::Declines;
 use crate::shard::own_load::OwnLoad;
 use crate::shard::permits::StepPermits;
 use std::sync::Arc;
@@ -87,6 +88,8 @@
     pub proven: bool,
     /// Run times of its tasks that succeeded in this shard.
     pub run_times: MeasuredTimes,
+    /// Shards that returned its tasks.
+    pub declines: Declines,
 }
 
 /// Mean of measured times.
@@ -330,6 +333,7 @@
             permits: StepPermits::default(),
             proven: false,
             run_times: MeasuredTimes::default(),
+            declines: Declines::default(),
         });
         self.open_occurrences
             .push(Occurrence { number: self.started_occurrences, steps: steps.collect() });
@@ -388,6 +392,7 @@
             permits: StepPermits::default(),
             proven: false,
             run_times: MeasuredTimes::default(),
+            declines: Declines::default(),
         });
         Self { number: occurrence.number, steps: steps.collect() }
     }
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -13,6 +13,9 @@
 //! fencing token.
 
 mod borrower;
+mod declines;
+
+pub use declines::Declines;
 
 use super::Shard;
 use super::event::{Action, OtherShard};
@@ -254,25 +257,28 @@
         }
     }
 
-    /// Returns tasks that found no room in this shard for a while: another shard may have room.
+    /// Returns tasks that found no room in this shard for a while, and at once those that may run on
+    /// none of its VMs: another shard may have room.
     fn return_stuck_tasks(&mut self, id: JobId) {
         let now = self.now.steady;
         let timeout = if self.is_evacuated() { Duration::ZERO } else { RETURN_TIMEOUT };
+        let Some(job) = self.jobs.get(&id) else { return };
+        let is_stuck = |(task, known): &(TaskRef, &Task)| {
+            let away = known.not_running_since.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+            known.is_waiting() && (away >= timeout || self.is_denied_on_all_vms(*task))
+        };
+        let stuck: Vec<TaskRef> =
+            job.tasks_with_refs().filter(is_stuck).map(|(task, _)| task).collect();
+        if stuck.is_empty() {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let tasks =
-            job.open_occurrences.iter_mut().flat_map(|o| &mut o.steps).flat_map(|s| &mut s.tasks);
-        let stuck = tasks.filter(|task| {
-            let away = task.not_running_since.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-            task.is_waiting() && away >= timeout
-        });
-        let mut changed = false;
         for task in stuck {
-            task.phase = TaskPhase::GivenBack;
-            changed = true;
-        }
-        if changed {
-            self.log.mark_changed(id);
+            if let Some(known) = job.task_mut(task) {
+                known.phase = TaskPhase::GivenBack;
+            }
         }
+        self.log.mark_changed(id);
     }
 
     pub(super) fn handle_loan_message(&mut self, from: &Arc<str>, msg: LoanMsg) {
@@ -345,6 +351,7 @@
     fn handle_return(&mut self, from: &Arc<str>, id: JobId, tasks: Vec<ReturnedTask>) {
         let mut settled = Vec::new();
         let mut failed = false;
+        let mut declined: Vec<TaskRef> = Vec::new();
         let durable = self.log.is_durable(id);
         let known = self.jobs.contains_key(&id);
         for back in tasks {
@@ -371,13 +378,15 @@
             match back.result {
                 LoanOutcome::Succeeded => task.phase = TaskPhase::Succeeded,
                 LoanOutcome::Failed => failed = true,
-                LoanOutcome::GivenBack => {}
+                LoanOutcome::GivenBack if began => {}
+                LoanOutcome::GivenBack => declined.push(back.task),
             }
             if began {
                 self.mark_started(id);
             }
             self.log.mark_changed(id);
         }
+        self.record_declines(from, &declined);
         if failed && self.jobs.get(&id).is_some_and(|job| !job.is_final()) {
             self.fail_job(id);
         }
@@ -388,6 +397,17 @@
         }
     }
 
+    /// Records that a shard has returned tasks that it did not start.
+    fn record_declines(&mut self, from: &Arc<str>, tasks: &[TaskRef]) {
+        let now = self.now.steady;
+        for task in tasks {
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(step) = job.and_then(|job| job.step_run_mut(*task)) {
+                step.declines.record(from, now);
+            }
+        }
+    }
+
     fn handle_settled(&mut self, id: JobId, tasks: &[LoanId]) {
         let now = self.now.steady;
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_borrowed()) else { return };
@@ -503,6 +523,7 @@
         permits: super::permits::StepPermits::default(),
         proven: false,
         run_times: MeasuredTimes::default(),
+        declines: Declines::default(),
     });
     Occurrence { number, steps: steps.collect() }
 }
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -2,7 +2,7 @@
 
 use super::super::Shard;
 use super::super::evacuate::expected_wait;
-use super::super::event::Summary;
+use super::super::event::{OtherShard, Summary};
 use super::super::job_run::{JobRun, Lent, LoanStatus};
 use super::super::room::VmCapacity;
 use crate::ids::ServiceName;
@@ -10,6 +10,7 @@
 use crate::note::Note;
 use crate::units::Resources;
 use indexmap::IndexMap;
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,15 +99,20 @@
             return None;
         }
         let (step, service) = (step.clone(), job.job.service.clone());
-        self.redirect(&step, &service, members.len())
+        self.redirect(members[0], &step, &service, members.len())
     }
 
     /// Returns the shard where a step's tasks are expected to start soonest.
-    fn redirect(&mut self, step: &Step, service: &ServiceName, tasks: usize) -> Option<Arc<str>> {
-        let waits = self.loans.other_shards.values().filter_map(|other| {
-            Some((other.name.clone(), expected_wait(&other.summary, step, service)?))
-        });
-        let (name, _) = waits.min_by(|a, b| a.1.total_cmp(&b.1))?;
+    fn redirect(
+        &mut self,
+        task: TaskRef,
+        step: &Step,
+        service: &ServiceName,
+        tasks: usize,
+    ) -> Option<Arc<str>> {
+        let name = self.best_borrower(task, |summary| {
+            expected_wait(summary, step, service).map(|wait| -wait)
+        })?;
         let summary = Arc::make_mut(&mut self.loans.other_shards.get_mut(&name)?.summary);
         add_lent_work(summary, step, tasks as u64);
         Some(name)
@@ -139,20 +145,41 @@
         }
         let service = job.job.service.clone();
         let image = image_name(job, &step);
-        let fits = |summary: &Summary| match step.share {
-            Share::Reserved => fitting_rooms(summary, &step, &service),
-            Share::Leftover => leftover_milli_cores(summary, &step, &image),
-        };
-        let other_shards = self.loans.other_shards.values();
-        let best = other_shards.map(|other| (&other.name, fits(&other.summary)));
-        let best = best.filter(|(_, room)| *room > 0.0).max_by(|a, b| a.1.total_cmp(&b.1));
-        let Some(name) = best.map(|(name, _)| name.clone()) else {
-            return if is_evacuated { self.redirect(&step, &service, 1) } else { None };
+        let best = self.best_borrower(task, |summary| {
+            let room = match step.share {
+                Share::Reserved => fitting_rooms(summary, &step, &service),
+                Share::Leftover => leftover_milli_cores(summary, &step, &image),
+            };
+            (room > 0.0).then_some(room)
+        });
+        let Some(name) = best else {
+            return if is_evacuated { self.redirect(task, &step, &service, 1) } else { None };
         };
         let summary = Arc::make_mut(&mut self.loans.other_shards.get_mut(&name)?.summary);
         subtract_lent(summary, &step, &image);
         Some(name)
     }
+
+    /// Returns the shard with the highest score, preferring those that have not returned tasks of the
+    /// step; `None` excludes a shard.
+    fn best_borrower(
+        &self,
+        task: TaskRef,
+        score: impl Fn(&Summary) -> Option<f64>,
+    ) -> Option<Arc<str>> {
+        let now = self.now.steady;
+        let declines = &self.jobs.get(&task.job)?.step_run(task)?.declines;
+        let needs_permits = self.permits_of(task).is_some();
+        let may_accept =
+            |other: &&OtherShard| !needs_permits || !declines.is_backing_off(&other.name, now);
+        let others = self.loans.other_shards.values().filter(may_accept);
+        let scores = others.filter_map(|other| {
+            let declined = Reverse(declines.last(&other.name, now));
+            Some((&other.name, declined, score(&other.summary)?))
+        });
+        let best = scores.max_by(|a, b| a.1.cmp(&b.1).then(a.2.total_cmp(&b.2)));
+        best.map(|(name, ..)| name.clone())
+    }
 }
 
 /// Image of a step's tasks, by the name used in summaries; defaults to the queue's name.
--- a/src/shard/permits.rs
+++ b/src/shard/permits.rs
@@ -156,6 +156,16 @@
         Some(&job.step_run(task)?.permits)
     }
 
+    /// Returns whether a task needs permits and has been denied all VMs of a kind that may run it.
+    pub(super) fn is_denied_on_all_vms(&self, task: TaskRef) -> bool {
+        let Some(permits) = self.permits_of(task) else { return false };
+        let Some(task) = self.jobs.get(&task.job).and_then(|job| job.requirements(task)) else {
+            return false;
+        };
+        let mut suitable = self.vms.values().filter(|vm| vm.leaving.is_none() && vm.suits(&task));
+        suitable.clone().next().is_some() && suitable.all(|vm| permits.is_denied(&vm.id))
+    }
+
     /// Requests permits for the most urgent steps with tasks that fit on no permitted VM.
     pub(super) fn request_missing_permits(
         &mut self,
@@ -283,6 +293,8 @@
         let now = self.now.steady;
         self.permit_requests.in_flight = self.permit_requests.in_flight.saturating_sub(1);
         self.request_schedule();
+        // A borrowed task that is denied here is returned.
+        self.loans.send_soon(now);
         let queue = self.jobs.get(&step.job).map(|job| job.job.queue.clone());
         let Some(run) = self.step_run_mut(step) else { return };
         let resp = match result {
--- a/standin/src/permits.rs
+++ b/standin/src/permits.rs
@@ -14,6 +14,8 @@
     /// Share of VMs that are permitted, of 100.
     percent: u64,
     validity: Duration,
+    /// VMs on which no step is permitted.
+    pub denied: Vec<VmId>,
     /// Questions answered: the step, and the VMs that each named.
     pub asked: Vec<(StepRef, Vec<VmId>)>,
     /// Starts that were refused for want of a permit.
@@ -23,7 +25,7 @@
 impl PermitTable {
     /// A service that permits a step on so many in a hundred VMs, for some time.
     pub fn new(percent: u64, validity: Duration) -> Self {
-        Self { percent, validity, asked: Vec::new(), refused: 0 }
+        Self { percent, validity, denied: Vec::new(), asked: Vec::new(), refused: 0 }
     }
 
     /// Answers a question.
@@ -48,7 +50,8 @@
     }
 
     fn permits(&self, step: StepRef, vm: &VmId) -> bool {
-        xxh3_64(format!("{step}@{vm}").as_bytes()) % 100 < self.percent
+        let is_chosen = xxh3_64(format!("{step}@{vm}").as_bytes()) % 100 < self.percent;
+        is_chosen && !self.denied.contains(vm)
     }
 
     fn permit(&self, now: Duration, step: StepRef, vm: &VmId) -> Permit {
--- a/tests/shards/permits.rs
+++ b/tests/shards/permits.rs
@@ -6,6 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
+use waxwingstall::ids::VmId;
 use waxwingstall::job::{Job, JobId, JobState, Label};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
@@ -154,3 +155,25 @@
     job.steps[0].label = Some(label);
     assert_eq!(running_after_loss(&mut sim, &job), 1);
 }
+
+/// Five shards with two VMs each. Only the first one's are permitted.
+fn one_permitted_shard() -> Simulation<NoFaults> {
+    let shards = ["gasabo", "gitega", "kacyiru", "nyamirambo", "remera"];
+    let mut sim =
+        Simulation::new(NoFaults, &shards, 2, SIZE).with_permits(PermitTable::new(100, VALID));
+    let denied = sim.vms[2..].iter().map(|vm| VmId::new(vm.entry.id.registered())).collect();
+    sim.permits.as_mut().expect("the simulation has permits").denied = denied;
+    sim
+}
+
+// Guards against a task that is lent again and again to the shards that have returned it: they have
+// as many free VMs as the one that may run it.
+#[test]
+fn a_task_is_lent_on_until_a_shard_may_run_it() {
+    let mut sim = one_permitted_shard();
+    let job = job_with_steps(1, 1, 2, work(0, 2));
+    sim.submit("remera", job.clone());
+    sim.run_for(WAIT_LIMIT);
+    assert_eq!(sim.runs_on(0) + sim.runs_on(1), 2);
+    check(&mut sim, &known(&[job]), SIZE);
+}
