Request no permits on VMs at the step's limit

What callers saw: permits for other steps came later than they could. A task that waits because all VMs are at its step's limit asked for new permits on them each time the old ones expired, and the service handles one request at a time.

Cause: the VMs for a request were counted by free resources and the limit itself, not by the tasks of the step that a VM already runs, nor by whether it is kept for another task.

Change: the count uses the conditions for a task's VM, and subtracts the tasks that run there.

Why this works: a request is sent only if one of its VMs can take one more task.

--- a/src/shard/eligibility.rs
+++ b/src/shard/eligibility.rs
@@ -56,8 +56,25 @@
 
     /// Returns whether the VM may run one more task now, if it gets a permit there.
     pub fn may_run(&self, task: &Requirements<'_>) -> bool {
+        self.suits(task) && self.is_open_to(task) && self.takes(task.step, task.key)
+    }
+
+    /// Returns how many more tasks of a step the VM may run now, if it gets permits there.
+    pub fn fitting(&self, task: &Requirements<'_>) -> usize {
+        if !self.suits(task) || !self.is_open_to(task) {
+            return 0;
+        }
+        let fitting = self.free.times(&task.step.reserved_resources());
+        match task.step.per_vm {
+            0 => fitting,
+            limit => fitting.min((limit as usize).saturating_sub(self.count(task.key))),
+        }
+    }
+
+    /// Returns whether the VM's free room isn't kept for other tasks.
+    fn is_open_to(&self, task: &Requirements<'_>) -> bool {
         let is_held = self.held_for_long_running && task.step.life == Life::Finite;
-        !is_held && !self.is_reserved && self.suits(task) && self.takes(task.step, task.key)
+        !is_held && !self.is_reserved
     }
 }
 
--- a/src/shard/eligibility/tests.rs
+++ b/src/shard/eligibility/tests.rs
@@ -32,6 +32,7 @@
 fn verdicts(vm: &VmCapacity, step: &Step) -> (bool, bool) {
     let service = ServiceName::new("shop");
     let task = Requirements { service: &service, step, key: KEY };
+    assert_eq!(vm.may_run(&task), vm.fitting(&task) > 0);
     (vm.suits(&task), vm.may_run(&task))
 }
 
@@ -89,3 +90,18 @@
     assert_eq!(verdicts(room(SIZE, "hdd"), &shop), (false, false));
     assert_eq!(verdicts(room(SIZE, "ssd"), &desk), (false, false));
 }
+
+// Guards against requests for permits on VMs that are counted for more tasks than they may run.
+#[test]
+fn the_limit_counts_tasks_that_run_already() {
+    const SMALL: Resources = Resources::new(1000, 1000, 0);
+    let fitting = |limit, running| {
+        let mut vm = vm();
+        (0..running).for_each(|_| run(&mut vm, KEY, SMALL));
+        let (service, step) = (ServiceName::new("shop"), Step { per_vm: limit, ..step() });
+        vm.fitting(&Requirements { service: &service, step: &step, key: KEY })
+    };
+    assert_eq!(fitting(0, 1), 3, "no limit");
+    assert_eq!(fitting(3, 1), 2);
+    assert_eq!(fitting(2, 3), 0);
+}
--- a/src/shard/permits.rs
+++ b/src/shard/permits.rs
@@ -8,12 +8,13 @@
 //! start that has no valid permit.
 
 use super::Shard;
+use super::eligibility::Requirements;
 use super::event::Action;
 use super::job_run::JobRun;
 use super::order::Candidate;
 use super::room::VmCapacity;
 use crate::ids::VmId;
-use crate::job::{QueueName, Step, StepRef, TaskRef};
+use crate::job::{QueueName, StepRef, TaskRef};
 use crate::note::{Millis, Note};
 use crate::permit::{Error, MAX_VMS_PER_REQUEST, Permit, PermitReq, PermitResp, Result};
 use crate::queues::PermitTimes;
@@ -214,7 +215,9 @@
     fn request_permits(&mut self, group: &[TaskRef], times: PermitTimes, rooms: &[VmCapacity]) {
         let now = self.now.steady;
         let Some(job) = self.jobs.get(&group[0].job) else { return };
-        let (Some(step), Some(run)) = (job.step(group[0]), job.step_run(group[0])) else { return };
+        let (Some(task), Some(run)) = (job.requirements(group[0]), job.step_run(group[0])) else {
+            return;
+        };
         let is_waiting = |task: &&TaskRef| job.task(**task).is_some_and(|task| task.is_waiting());
         let waiting = group.iter().filter(is_waiting).count();
         if waiting == 0 || !run.permits.may_be_requested(now) {
@@ -226,7 +229,7 @@
             / EXTRA_TIME_DIVISOR as usize;
         let min_vms = extra.clamp(MIN_VMS_PER_REQUEST, MAX_VMS_PER_REQUEST);
         let wanted = VmSelection { tasks: waiting, grant_rate, min_vms };
-        let vms = self.select_vms(step, &run.permits, &wanted, rooms, &job.job.service);
+        let vms = self.select_vms(&task, &run.permits, &wanted, rooms);
         if vms.is_empty() {
             return;
         }
@@ -245,21 +248,19 @@
     /// all waiting tasks.
     fn select_vms(
         &self,
-        step: &Step,
+        task: &Requirements<'_>,
         permits: &StepPermits,
         wanted: &VmSelection,
         rooms: &[VmCapacity],
-        service: &crate::ids::ServiceName,
     ) -> Vec<VmId> {
         let now = self.now.steady;
-        let fits = |room: &&VmCapacity| {
-            room.service == *service
-                && self.has_label(&room.vm, step)
+        let lacks_permit = |room: &&VmCapacity| {
+            room.suits(task)
                 && !permits.is_denied(&room.vm)
                 && permits.valid_permit(&room.vm, now).is_none()
         };
         let mut open: Vec<(usize, &VmCapacity)> =
-            rooms.iter().filter(fits).map(|room| (room.fitting(step), room)).collect();
+            rooms.iter().filter(lacks_permit).map(|room| (room.fitting(task), room)).collect();
         // VMs with room that were permitted before come first: a request renews their permits.
         open.sort_by_key(|(fitting, room)| {
             (
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -307,13 +307,6 @@
         self.finite_capacity
     }
 
-    /// Returns how many tasks of a step fit.
-    pub fn fitting(&self, step: &Step) -> usize {
-        let need = step.reserved_resources();
-        let fits = self.free.times(&need);
-        if step.per_vm == 0 { fits } else { fits.min(step.per_vm as usize) }
-    }
-
     /// Counts the tasks of a step on the VM.
     pub fn count(&self, key: StepRef) -> usize {
         self.steps.iter().filter(|step| **step == key).count()
--- a/tests/shards/permits.rs
+++ b/tests/shards/permits.rs
@@ -177,3 +177,19 @@
     assert_eq!(sim.runs_on(0) + sim.runs_on(1), 2);
     check(&mut sim, &known(&[job]), SIZE);
 }
+
+// Guards against requests that can't help, each of which delays those of other steps: the fourth
+// task waits since all VMs are at the step's limit.
+#[test]
+fn no_permits_are_requested_on_vms_at_the_steps_limit() {
+    let mut sim = sim(NoFaults, 100, 3);
+    let mut job = job_with_steps(1, 1, 4, work(0, 2));
+    job.steps[0].per_vm = 1;
+    sim.submit("kacyiru", job.clone());
+    sim.run_for(seconds(2));
+    assert_eq!((0..3).map(|vm| sim.runs_on(vm)).sum::<usize>(), 3);
+    let asked = table(&sim).asked.len();
+    sim.run_for(seconds(20));
+    assert_eq!(table(&sim).asked.len(), asked);
+    check(&mut sim, &known(&[job]), SIZE);
+}
