Lend leftover work of which no interference was measured

What callers saw: leftover work whose shard had lost its VMs never ran again, if no task with a latency target had run beside such work.

Cause: leftover work is lent by the room that other shards report for its image. They report only images that they have seen beside a serving task, and an image without a report counted as one without room. Choosing a shard for a job and admission already count all leftover capacity for it.

Evidence: `leftover_work_is_lent_although_its_interference_is_unknown` failed before: neither task ran, 11.5 s after the loss.

Change: for such an image, the room is the leftover capacity less what the shard's own leftover work needs to end within a second.

Why this works: an idle shard then has room for the work whatever was measured, and a busy one still has none.

--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -28,6 +28,9 @@
 /// half a second old, and other shards lend to it too.
 const USABLE_FRACTION: f64 = 0.6;
 
+/// Time in which a shard with capacity to spare would end its leftover work.
+const CLEARING_TIME: Duration = Duration::from_millis(1000);
+
 impl Shard {
     /// Returns whether another shard has a VM with room for a task of the step, by its last
     /// summary.
@@ -197,11 +200,19 @@
 /// than one task needs.
 fn leftover_milli_cores(summary: &Summary, step: &Step, image: &Image) -> f64 {
     let harmless = summary.harmless_free.iter().find(|(known, _)| known == image);
-    let free = harmless.map_or(0.0, |(_, free)| *free as f64) * USABLE_FRACTION;
+    let free = harmless.map_or_else(|| unclaimed_leftover(summary), |(_, free)| *free as f64);
+    let free = free * USABLE_FRACTION;
     let need = f64::from(step.size.milli_cores.0);
     if free >= need { free } else { 0.0 }
 }
 
+/// Estimated milli-cores that leftover work of an image never seen beside a serving task would get:
+/// what a shard's own leftover work doesn't need to end within [`CLEARING_TIME`].
+fn unclaimed_leftover(summary: &Summary) -> f64 {
+    let needed = summary.leftover_work as f64 / CLEARING_TIME.as_millis() as f64;
+    summary.leftover as f64 - needed
+}
+
 /// Subtracts a task that was just lent from a shard's summary.
 fn subtract_lent(summary: &mut Summary, step: &Step, image: &Image) {
     let need = step.reserved_resources();
@@ -213,9 +224,10 @@
             }
         }
         Share::Leftover => {
-            let known = summary.harmless_free.iter_mut().find(|(known, _)| known == image);
-            if let Some((_, free)) = known {
-                *free = free.saturating_sub(u64::from(step.size.milli_cores.0) * 2);
+            let taken = u64::from(step.size.milli_cores.0) * 2;
+            match summary.harmless_free.iter_mut().find(|(known, _)| known == image) {
+                Some((_, free)) => *free = free.saturating_sub(taken),
+                None => summary.leftover_work += taken * CLEARING_TIME.as_millis() as u64,
             }
         }
     }
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -6,6 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
+use waxwingstall::job::Share;
 use waxwingstall::units::Resources;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
@@ -63,3 +64,24 @@
     sim.run_for(seconds(10));
     check(&mut sim, &IndexMap::from([(full.id, full), (lent.id, lent)]), SIZE);
 }
+
+/// Time after the loss of a VM by which its owner knows that the VM's tasks have ended.
+const LEASE_EXPIRY: Duration = Duration::from_millis(8500);
+
+/// Longest time that a task may wait although VMs that may run it are free.
+const WAIT_LIMIT: Duration = Duration::from_secs(3);
+
+// Guards against leftover work that never runs again after the VMs of its shard were lost: nothing is
+// known of how it disturbs serving tasks, as there are none.
+#[test]
+fn leftover_work_is_lent_although_its_interference_is_unknown() {
+    let mut sim = Simulation::new(NoFaults, &["kacyiru", "remera"], 1, SIZE);
+    let mut job = job_with_steps(1, 1, 2, work(60_000, 2));
+    job.steps[0].share = Share::Leftover;
+    sim.submit("kacyiru", job.clone());
+    sim.run_for(seconds(2));
+    sim.crash_vm(0, seconds(3600));
+    sim.run_for(LEASE_EXPIRY + WAIT_LIMIT);
+    assert_eq!(sim.runs_on(1), 2);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
