Count another shard's room for a loan only where the task may run

What callers saw: leftover work that requires a label was lent to shards without a VM that has it, and came back after 1.5 s each time. Tasks that fit on a single VM of another shard were lent there together, and all but one came back likewise.

Cause: the room for leftover work knew neither label nor service, and a loan was subtracted from the first VM with as many free resources, whatever its label or service, so that the VM in question still counted as free.

Evidence: `leftover_work_is_lent_to_a_shard_with_its_label` and `one_vm_is_not_lent_to_twice_in_a_pass` failed before: not running after 3 s, and two loans in place of one.

Change: both go by the conditions for a task's VM.

Why this works: a shard without a suitable VM is no candidate, and what was lent is taken from the VMs that the loan counted on.

--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -151,7 +151,7 @@
         let best = self.best_borrower(task, |summary| {
             let room = match step.share {
                 Share::Reserved => fitting_rooms(summary, &step, &service),
-                Share::Leftover => leftover_milli_cores(summary, &step, &image),
+                Share::Leftover => leftover_milli_cores(summary, &step, &service, &image),
             };
             (room > 0.0).then_some(room)
         });
@@ -159,7 +159,7 @@
             return if is_evacuated { self.redirect(task, &step, &service, 1) } else { None };
         };
         let summary = Arc::make_mut(&mut self.loans.other_shards.get_mut(&name)?.summary);
-        subtract_lent(summary, &step, &image);
+        subtract_lent(summary, &step, &service, &image);
         Some(name)
     }
 
@@ -198,7 +198,15 @@
 
 /// Estimated milli-cores that leftover tasks of an image would get in a shard; zero if it is less
 /// than one task needs.
-fn leftover_milli_cores(summary: &Summary, step: &Step, image: &Image) -> f64 {
+fn leftover_milli_cores(
+    summary: &Summary,
+    step: &Step,
+    service: &ServiceName,
+    image: &Image,
+) -> f64 {
+    if !summary.rooms.iter().any(|room| room.takes(step, service)) {
+        return 0.0;
+    }
     let harmless = summary.harmless_free.iter().find(|(known, _)| known == image);
     let free = harmless.map_or_else(|| unclaimed_leftover(summary), |(_, free)| *free as f64);
     let free = free * USABLE_FRACTION;
@@ -214,11 +222,10 @@
 }
 
 /// Subtracts a task that was just lent from a shard's summary.
-fn subtract_lent(summary: &mut Summary, step: &Step, image: &Image) {
-    let need = step.reserved_resources();
+fn subtract_lent(summary: &mut Summary, step: &Step, service: &ServiceName, image: &Image) {
     match step.share {
         Share::Reserved => {
-            let room = summary.rooms.iter_mut().find(|room| need.fits_in(&room.free));
+            let room = summary.rooms.iter_mut().find(|room| room.takes(step, service));
             if let Some(room) = room {
                 room.free = Resources::ZERO;
             }
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -6,7 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
-use waxwingstall::job::Share;
+use waxwingstall::job::{Job, Label, Share};
 use waxwingstall::units::Resources;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
@@ -71,6 +71,48 @@
 /// Longest time that a task may wait although VMs that may run it are free.
 const WAIT_LIMIT: Duration = Duration::from_secs(3);
 
+/// A task that requires a label which only the second VM of the first shard has.
+fn labelled_task(sim: &mut Simulation<NoFaults>, id: u64, share: Share) -> Job {
+    let label = Label::new("ssd");
+    if sim.vms[1].entry.labels.is_empty() {
+        sim.vms[1].entry.labels.push(label.clone());
+        sim.run_for(seconds(1));
+    }
+    let mut job = job_with_steps(id, 1, 1, work(60_000, 2));
+    job.steps[0].label = Some(label);
+    job.steps[0].share = share;
+    job
+}
+
+// Guards against leftover work that is never lent, or to shards whose VMs lack its label only.
+#[test]
+fn leftover_work_is_lent_to_a_shard_with_its_label() {
+    let mut sim = Simulation::new(NoFaults, &["gasabo", "kacyiru", "remera"], 2, SIZE);
+    let job = labelled_task(&mut sim, 1, Share::Leftover);
+    sim.submit("kacyiru", job.clone());
+    sim.run_for(WAIT_LIMIT);
+    assert_eq!(sim.runs_on(1), 1);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
+
+// Guards against tasks that are lent together for one VM: each loan counted as taking the room of
+// any VM with as much.
+#[test]
+fn one_vm_is_not_lent_to_twice_in_a_pass() {
+    let mut sim = Simulation::new(NoFaults, &["gasabo", "kacyiru", "remera"], 2, SIZE);
+    let mut jobs = Vec::new();
+    for id in 1..=6 {
+        let mut job = labelled_task(&mut sim, id, Share::Reserved);
+        job.steps[0].size = Resources::new(8000, 8000, 0);
+        jobs.push(job);
+    }
+    for job in &jobs {
+        sim.submit("kacyiru", job.clone());
+    }
+    sim.run_for(Duration::from_millis(300));
+    assert_eq!(sim.loans, 1);
+}
+
 // Guards against leftover work that never runs again after the VMs of its shard were lost: nothing is
 // known of how it disturbs serving tasks, as there are none.
 #[test]
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -168,6 +168,8 @@
     pub states: IndexMap<Arc<str>, Note>,
     /// Log lines about runs on VMs that leave or have left.
     pub left_runs: Vec<Note>,
+    /// Number of tasks lent.
+    pub loans: usize,
     owners: Vec<Owner>,
     /// The daemon that claimed each shard last.
     daemons_of_shards: IndexMap<Arc<str>, usize>,
@@ -252,6 +254,7 @@
             watchers: None,
             states: IndexMap::new(),
             left_runs: Vec::new(),
+            loans: 0,
             owners: Vec::new(),
             daemons_of_shards: IndexMap::new(),
             next_owner: 0,
@@ -1100,6 +1103,7 @@
                     Note::ShardState { .. } => {
                         self.states.insert(name.clone(), note);
                     }
+                    Note::TasksLent { tasks, .. } => self.loans += tasks,
                     Note::RunStays { .. } | Note::RunLeftBehind { .. } => self.left_runs.push(note),
                     _ => {}
                 }
