Keep a task on a draining VM while only unsuitable VMs have room

What callers saw: a lasting task whose VM was drained for upkeep was stopped at once and waited, up to 1.2 s earlier than it had to.

Cause: such a task stays until another VM of its shard has room for it, for 1.2 s at most. VMs at the step's limit, denied ones, quarantined ones and reserved ones counted as room.

Change: the question goes to placing itself, as it does before lending.

Why this works: what counts as room is what the task would be placed on.

--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -143,7 +143,8 @@
         if self.now.steady.saturating_sub(since) < delay {
             return None;
         }
-        if self.waits_for_permit(task, rooms) {
+        if self.permits_of(task).is_some() && self.may_be_placed(task, rooms) {
+            // It only waits for a permit.
             return None;
         }
         let service = job.job.service.clone();
--- a/src/shard/moving.rs
+++ b/src/shard/moving.rs
@@ -42,14 +42,13 @@
             };
             let Some(step) = job.step(key.task).cloned() else { continue };
             let image = self.image(key.task);
-            let service = job.job.service.clone();
             let percent = self.vms.get(&vm).and_then(|vm| Some(vm.runs.get(&key)?.percent));
             let time = remaining(self.expected_run_time(key.task), percent.unwrap_or(0));
+            let Some(requirements) = job.requirements(key.task) else { continue };
             let is_better = |room: &&mut VmCapacity| {
                 room.vm != vm
-                    && room.service == service
+                    && room.suits(&requirements)
                     && room.takes(&step, key.task.step_ref())
-                    && self.has_label(&room.vm, &step)
                     && self.speed(room, &step, image, time) >= MIN_LEFTOVER_SPEED
             };
             let Some(room) = pass.rooms.iter_mut().find(is_better) else { continue };
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -256,12 +256,11 @@
         }
     }
 
-    /// Returns whether a waiting task only waits for the permit of a VM in `rooms`.
-    pub(super) fn waits_for_permit(&self, task: TaskRef, rooms: &[VmCapacity]) -> bool {
+    /// Returns whether a task could be placed on a VM in `rooms`, with a permit if it needs one and
+    /// hasn't been denied it.
+    pub(super) fn may_be_placed(&self, task: TaskRef, rooms: &[VmCapacity]) -> bool {
         let Some(job) = self.jobs.get(&task.job) else { return false };
-        let Some(step) = job.step(task).filter(|_| self.permits_of(task).is_some()) else {
-            return false;
-        };
+        let Some(step) = job.step(task) else { return false };
         let shape = Shape::of(&job.job, step, job.image(task));
         let need = self.need(task.job, task);
         self.choose(task, step, need, &shape, rooms, PermitRequirement::NotDenied).is_some()
@@ -374,11 +373,6 @@
         if time.is_zero() { Duration::MAX } else { time }
     }
 
-    pub(super) fn has_label(&self, vm: &VmId, step: &Step) -> bool {
-        let Some(label) = &step.label else { return true };
-        self.vms.get(vm).is_some_and(|vm| vm.entry.labels.contains(label))
-    }
-
     /// Binds a task to a VM. It is started once the binding is durable.
     pub(super) fn bind(&mut self, task: TaskRef, step: &Step, room: &mut VmCapacity) {
         let now = self.now.steady;
--- a/src/shard/vacate.rs
+++ b/src/shard/vacate.rs
@@ -8,6 +8,7 @@
 use super::Shard;
 use super::event::DrainOrder;
 use super::job_run::{JobRun, StepRun, Task};
+use super::room::VmCapacity;
 use super::vm_run::{Run, RunKey, Vm};
 use crate::ids::VmId;
 use crate::job::{Life, Resume, Step, TaskRef};
@@ -132,7 +133,7 @@
             }
             (Life::Lasting, _)
                 if now.saturating_sub(since) < MAX_ROOM_WAIT
-                    && !self.fits_elsewhere_now(job, step) =>
+                    && !self.fits_elsewhere_now(key.task) =>
             {
                 Some("no other VM has room for it")
             }
@@ -171,17 +172,10 @@
         })
     }
 
-    /// Returns whether a VM of this shard has room for a task of a step right now.
-    fn fits_elsewhere_now(&self, job: &JobRun, step: &Step) -> bool {
-        let now = self.now.steady;
-        self.vms.values().any(|vm| {
-            vm.entry.service == job.job.service
-                && vm.takes_work(now)
-                && !self.upkeep_drain.is_draining(&vm.id)
-                && !self.evacuation.includes(vm)
-                && step.reserved_resources().fits_in(&vm.free())
-                && self.has_label(&vm.id, step)
-        })
+    /// Returns whether a VM of this shard may run a task right now.
+    fn fits_elsewhere_now(&self, task: TaskRef) -> bool {
+        let rooms: Vec<VmCapacity> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        self.may_be_placed(task, &rooms)
     }
 }
 
--- a/tests/shards/vacate.rs
+++ b/tests/shards/vacate.rs
@@ -85,3 +85,20 @@
     assert_eq!(sim.show(SHARD, resumable.id), Some(Answer::Shown(JobState::Running)));
     assert_eq!(sim.show(SHARD, JobId(3)), Some(Answer::Shown(JobState::Queued)));
 }
+
+// Guards against a lasting task that is stopped for the sake of room which it may not take: the other
+// VM is at the step's limit.
+#[test]
+fn a_lasting_task_stays_while_other_vms_are_at_its_limit() {
+    let mut sim = sim(2);
+    let mut job = job_with_steps(1, 1, 2, work(0, 2));
+    job.steps[0].per_vm = 1;
+    sim.submit(SHARD, job.clone());
+    sim.run_for(seconds(2));
+    sim.drain_vm(SHARD, 0, Duration::ZERO);
+    sim.run_for(seconds(1));
+    assert_eq!((sim.runs_on(0), sim.runs_on(1)), (1, 1));
+    sim.run_for(seconds(3));
+    assert_eq!(sim.runs_on(0), 0, "the VM is drained in the end");
+    check(&mut sim, &known(&[job]), SIZE);
+}
