Let an owner without a recent proof of ownership keep nothing running

Hypotheses: (1) the replaced owner extends leases for longer than its successor counts on; (2) the successor counts from too early; (3) a loan or an end is lost over the cut. The simulation tells them apart: with one VM, one task and neither loans nor ends it breaks all the same, and the run of the successor begins when (2) would have it.

Cause: a successor counts on the replaced owner to extend leases for 12 s at most after the claim, and nothing made that owner stop. It went on for as long as its VMs answered, since behind a partition nothing tells it that it was replaced.

Evidence: `a_partitioned_owner_stops_before_its_successor_counts_on_it` failed before, with the task running on both sides.

Change: each durable commit proves that the shard was owned when the commit was sent, and so does the claim. An owner whose last proof is 11.5 s old extends no lease and starts nothing until the next proof. An owner with runs and nothing to commit renews the proof after 3 s.

Why this works: the claim of a successor is later than the last proof, so that the owner stops at least 0.5 s before the successor counts on it, on clocks that are not compared but run at about the same rate. A lease is an absolute time on the VM's clock, set when a poll is decided, so that late polls extend nothing.

--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -58,6 +58,7 @@
     let before = present.as_ref().map(|(_, head)| head);
     let head = Head::claim(me.clone(), before);
     let condition = present.as_ref().map_or(Rev::ABSENT, |(rev, _)| *rev);
+    let claimed_at = store.now();
     let rev = write_claim(store, &keys, &head, condition).await?;
     let writer = ShardWriter { key: keys.head(), rev, fence: Fence(rev.0), head };
     let state = async {
@@ -84,6 +85,7 @@
     let recovered = Recovered {
         shard: shard.to_owned(),
         fence: writer.fence,
+        claimed_at,
         seq: writer.head.seq,
         previous,
         predecessor: predecessor.map(|head| Fence(head.fence)),
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -150,6 +150,7 @@
         seq: 0,
         previous: PreviousOwner::Ended,
         predecessor: None,
+        claimed_at: Duration::ZERO,
         unresponsive_vms: Vec::new(),
         silent: Vec::new(),
         reported_lapses: Vec::new(),
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -111,6 +111,11 @@
         Self { store, reach: Rc::default(), times: Rc::default(), clock }
     }
 
+    /// The time on the daemon's monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
     /// Makes a call and records its result.
     pub async fn call<'a, T, F>(&'a self, call: impl FnOnce(&'a S) -> F) -> Result<T>
     where
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -34,6 +34,7 @@
 mod own_load;
 mod permits;
 mod place;
+mod proof;
 mod recover;
 mod relief;
 mod room;
@@ -96,6 +97,8 @@
     /// Latest time until which VMs that this owner hasn't reached may keep running tasks started by
     /// earlier owners.
     inherited_runs_until: Duration,
+    /// Time at which the shard is known to have been owned.
+    owned_at: Duration,
     stage: Stage,
     now: Now,
     last_schedule: Duration,
@@ -241,9 +244,10 @@
         self.queues.version > 0
     }
 
-    /// Returns whether the VM list and the evacuation orders are recent enough to start tasks by.
+    /// Returns whether the VM list, the evacuation orders and the proof of ownership are recent
+    /// enough to start tasks by.
     fn may_start(&self) -> bool {
-        self.has_recent_vm_list() && self.has_recent_evacuations()
+        self.has_recent_vm_list() && self.has_recent_evacuations() && self.has_ownership_proof()
     }
 
     /// Returns a job's queue as currently configured; `None` if the queue was removed while the job
@@ -258,6 +262,7 @@
 
     fn commit(&mut self) {
         let now = self.now.steady;
+        self.log.renews_ownership = self.needs_ownership_proof();
         if self.log.due().is_some_and(|due| now >= due)
             && let Some(record) = self.due_learned_record()
         {
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -201,6 +201,9 @@
 
     pub(super) fn handle_commit_result(&mut self, seq: u64, result: CommitResult) {
         let Some(commit) = self.log.complete(seq) else { return };
+        if !matches!(result, CommitResult::Superseded(_)) {
+            self.record_ownership_proof(commit.since);
+        }
         match result {
             CommitResult::Durable => {
                 self.actions.extend(commit.actions);
--- a/src/shard/learned/tests.rs
+++ b/src/shard/learned/tests.rs
@@ -110,6 +110,7 @@
         jobs: Vec::new(),
         progress: Vec::new(),
         predecessor: None,
+        claimed_at: Duration::ZERO,
         unresponsive_vms: Vec::new(),
         silent: Vec::new(),
         reported_lapses: Vec::new(),
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -86,6 +86,8 @@
     /// Actions to take once the next commit is durable.
     after_next_commit: Vec<Action>,
     pub silence: silence::SilenceRecord,
+    /// Whether a commit is due although nothing has changed, to prove the ownership of the shard.
+    pub renews_ownership: bool,
     /// Learned state to write with the next commit.
     learned_record: Option<Bytes>,
     last_seq: u64,
@@ -126,6 +128,7 @@
             in_flight: None,
             after_next_commit: Vec::new(),
             silence,
+            renews_ownership: false,
             learned_record: None,
             last_seq: seq,
             next_at: Duration::ZERO,
@@ -190,7 +193,8 @@
         let empty = self.changed.is_empty()
             && self.expired.is_empty()
             && self.after_next_commit.is_empty()
-            && !self.silence.needs_write();
+            && !self.silence.needs_write()
+            && !self.renews_ownership;
         (idle && !empty).then_some(self.next_at)
     }
 
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -26,13 +26,15 @@
     /// Polls the VMs that are due.
     pub(super) fn poll_due_vms(&mut self) {
         let (now, keep, fence) = (self.now.steady, self.settings.max_keep, self.fence);
+        let is_owner = self.has_ownership_proof();
         for vm in self.vms.values_mut() {
             if vm.contact.poll == PollState::InFlight || now < vm.contact.next_poll {
                 continue;
             }
             // A silence recorded in the store must be withdrawn before the VM's work is extended,
             // since the next owner relies on that record.
-            let extends = vm.may_extend_runs(now) && self.log.silence.may_extend_lease(&vm.id);
+            let extends =
+                is_owner && vm.may_extend_runs(now) && self.log.silence.may_extend_lease(&vm.id);
             let keep = vm.max_extension(keep, now);
             let keep_until = extends.then(|| vm.clock_now(now)).flatten();
             if keep_until.is_some() {
--- /dev/null
+++ b/src/shard/proof.rs
@@ -0,0 +1,38 @@
+//! Proof that this owner still owns the shard.
+//!
+//! Pattern: lease with a bound known to both sides. An owner that is partitioned from the store isn't
+//! told that it was replaced, and its successor can't reach the VMs on the owner's side to fence it
+//! off. So each durable commit counts as a proof that the shard was owned when the commit was sent,
+//! and an owner without a recent proof extends no lease and starts nothing. The successor has claimed
+//! the shard after the last proof and counts on [`MAX_STALE_OWNER_EXTENSION`].
+
+use super::Shard;
+use super::settings::MAX_STALE_OWNER_EXTENSION;
+use std::time::Duration;
+
+/// Age of the last proof from which an owner with runs commits, also without changes.
+const RENEWAL_AGE: Duration = Duration::from_secs(3);
+
+/// Time by which an owner stops before its successor counts on it, for the rates of their clocks.
+const CLOCK_MARGIN: Duration = Duration::from_millis(500);
+
+impl Shard {
+    /// Records that the shard was owned at `at` or later.
+    pub(super) fn record_ownership_proof(&mut self, at: Duration) {
+        self.owned_at = self.owned_at.max(at);
+    }
+
+    /// Returns whether no successor can count on this owner's having stopped.
+    pub(super) fn has_ownership_proof(&self) -> bool {
+        self.ownership_proof_age() < MAX_STALE_OWNER_EXTENSION - CLOCK_MARGIN
+    }
+
+    /// Returns whether the next commit is due for the sake of a proof.
+    pub(super) fn needs_ownership_proof(&self) -> bool {
+        self.ownership_proof_age() >= RENEWAL_AGE && self.vms.values().any(|vm| !vm.runs.is_empty())
+    }
+
+    fn ownership_proof_age(&self) -> Duration {
+        self.now.steady.saturating_sub(self.owned_at)
+    }
+}
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -28,6 +28,8 @@
     pub shard: String,
     /// Fencing token of this owner.
     pub fence: Fence,
+    /// When the claim was sent, on the daemon's monotonic clock.
+    pub claimed_at: Duration,
     /// Number of the last commit.
     pub seq: u64,
     pub previous: PreviousOwner,
@@ -105,6 +107,7 @@
             vm_list: super::fleet::VmListSource::Inherited { since: now.steady },
             evacuation: super::evacuate::EvacuationOrders::default(),
             inherited_runs_until: now.steady + settings.inherited_lease(stale_owner_extension),
+            owned_at: recovered.claimed_at,
             stage: super::Stage::Serving,
             now,
             last_schedule: Duration::ZERO,
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -158,3 +158,18 @@
 fn an_owner_before_the_last_may_still_extend_a_vm_whose_next_owner_is_killed() {
     replace_beside_a_partitioned_owner(seconds(6), |sim| sim.replace_owner("kacyiru"));
 }
+
+// Guards against tasks that run twice behind a long partition: nothing tells the partitioned owner,
+// which goes on reaching its VM, that it was replaced.
+#[test]
+fn a_partitioned_owner_stops_before_its_successor_counts_on_it() {
+    let mut sim = Simulation::new(NoFaults, &["kacyiru"], 2, SIZE);
+    let job = job_with_steps(1, 1, 1, work(0, 2));
+    sim.submit("kacyiru", job.clone());
+    sim.run_for(seconds(20));
+    let there = usize::from(sim.runs_on(0) == 0);
+    sim.partition_owner("kacyiru", there);
+    sim.run_for(seconds(60));
+    assert_eq!((sim.runs_on(there), sim.runs_on(1 - there)), (0, 1));
+    check(&mut sim, &known(&job), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -548,8 +548,8 @@
         }
     }
 
-    /// Partitions the shard's owner with one VM from the other owners and VMs, and lets another
-    /// owner take over.
+    /// Partitions the shard's owner with one VM from the store and the other owners and VMs, and lets
+    /// another owner take over.
     pub fn partition_owner(&mut self, shard: &str, index: usize) {
         let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
         let number = owner.expect("the shard has an owner").number;
@@ -779,6 +779,7 @@
             seq: head.seq,
             previous,
             predecessor: before.map(|before| Fence(before.fence)),
+            claimed_at: self.now,
             unresponsive_vms: lapses,
             silent: self
                 .kv
@@ -1239,6 +1240,9 @@
     }
 
     fn commit(&mut self, number: u64, seq: u64, txn: Txn) {
+        if self.partition.as_ref().is_some_and(|(owner, _)| *owner == number) {
+            return;
+        }
         if self.now < self.store_down_until {
             let wait = self.store_down_until - self.now + NETWORK_DELAY;
             self.schedule(wait, Delivery::Owner { number, event: Event::Tick });
