Lend a gang that no longer fits its shard

Cause: a gang was lent only while its failure domain was evacuated. In addition, at most 64 waiting tasks are offered to other shards in a pass, so that a larger gang was never offered whole.

Evidence: `a_gang_that_no_longer_fits_its_shard_is_lent` and `a_gang_is_offered_to_other_shards_as_a_whole` failed before: none of 14 and none of 80 members ran.

The last gang offered in a pass is offered whole.

Why this works: the borrower places a gang that was lent whole as its own, and returns it whole if the room is gone.

A gang that is larger than any shard still waits.

--- a/src/shard/eligibility.rs
+++ b/src/shard/eligibility.rs
@@ -88,4 +88,13 @@
     pub fn takes(&self, step: &Step, service: &ServiceName) -> bool {
         step.reserved_resources().fits_in(&self.free) && self.suits(step, service)
     }
+
+    /// Returns how many tasks of a step the VM has room for, if none of the step's run there.
+    pub fn fitting(&self, step: &Step, service: &ServiceName) -> usize {
+        if !self.suits(step, service) {
+            return 0;
+        }
+        let fitting = self.free.times(&step.reserved_resources());
+        if step.per_vm == 0 { fitting } else { fitting.min(step.per_vm as usize) }
+    }
 }
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -4,6 +4,7 @@
 use super::super::evacuate::expected_wait;
 use super::super::event::{OtherShard, Summary};
 use super::super::job_run::{JobRun, Lent, LoanStatus};
+use super::super::permits::PermitRequirement;
 use super::super::room::VmCapacity;
 use crate::ids::ServiceName;
 use crate::job::{Image, JobId, Life, Share, Step, TaskRef};
@@ -54,7 +55,7 @@
         for group in waiting.chunk_by(|a, b| a.step_ref() == b.step_ref()) {
             // All members of a gang run in one shard, so they are lent together or not at all.
             if self.is_gang(group[0]) {
-                if let Some(to) = self.borrower_for_gang(group) {
+                if let Some(to) = self.borrower_for_gang(group, rooms) {
                     group.iter().for_each(|task| self.lend(*task, &to, &mut lent));
                 }
                 continue;
@@ -73,7 +74,8 @@
         }
     }
 
-    fn is_gang(&self, task: TaskRef) -> bool {
+    /// Returns whether a task runs only together with the others of its step.
+    pub(in crate::shard) fn is_gang(&self, task: TaskRef) -> bool {
         let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
         step.is_some_and(|step| step.grouping.is_gang())
     }
@@ -94,15 +96,50 @@
         *lent.entry((task.job, to.clone())).or_default() += 1;
     }
 
-    /// Returns a shard for all members of a gang, if this shard's failure domain is evacuated.
-    fn borrower_for_gang(&mut self, members: &[TaskRef]) -> Option<Arc<str>> {
-        let job = self.jobs.get(&members[0].job)?;
-        let step = job.step(members[0])?;
-        if job.is_borrowed() || members.len() != step.tasks as usize || !self.is_evacuated() {
+    /// Returns a shard with room for all members of a gang that has waited long enough, or any that
+    /// can run them if this shard's failure domain is evacuated.
+    fn borrower_for_gang(&mut self, members: &[TaskRef], rooms: &[VmCapacity]) -> Option<Arc<str>> {
+        let (first, count) = (members[0], members.len());
+        let job = self.jobs.get(&first.job)?;
+        let step = job.step(first)?;
+        let is_evacuated = self.is_evacuated();
+        let delay = if is_evacuated { Duration::ZERO } else { LONG_RUNNING_LEND_DELAY };
+        if job.is_borrowed() || count != step.tasks as usize || self.waited(first)? < delay {
+            return None;
+        }
+        if self.permits_of(first).is_some() && self.may_fit_together(first, count, rooms) {
+            // It only waits for permits.
             return None;
         }
         let (step, service) = (step.clone(), job.job.service.clone());
-        self.redirect(members[0], &step, &service, members.len())
+        let best = self.best_borrower(first, |summary| {
+            let fitting = summary.rooms.iter().map(|room| room.fitting(&step, &service));
+            Some(fitting.sum::<usize>()).filter(|fitting| *fitting >= count).map(|n| n as f64)
+        });
+        let Some(name) = best else {
+            return if is_evacuated { self.redirect(first, &step, &service, count) } else { None };
+        };
+        let summary = Arc::make_mut(&mut self.loans.other_shards.get_mut(&name)?.summary);
+        subtract_lent_gang(summary, &step, &service, count);
+        Some(name)
+    }
+
+    /// Returns whether as many tasks of a step as `count` fit on VMs that it isn't denied.
+    fn may_fit_together(&self, task: TaskRef, count: usize, rooms: &[VmCapacity]) -> bool {
+        let Some(permits) = self.permits_of(task) else { return false };
+        let Some(task) = self.jobs.get(&task.job).and_then(|job| job.requirements(task)) else {
+            return false;
+        };
+        let (requirement, now) = (PermitRequirement::NotDenied, self.now.steady);
+        let open = rooms.iter().filter(|room| permits.meets(requirement, &room.vm, now));
+        open.map(|room| room.fitting(&task)).sum::<usize>() >= count
+    }
+
+    /// Returns how long a waiting task could have run; `None` if its step isn't ready.
+    fn waited(&self, task: TaskRef) -> Option<Duration> {
+        let job = self.jobs.get(&task.job)?;
+        let since = job.task(task)?.not_running_since.max(job.step_run(task)?.ready)?;
+        Some(self.now.steady.saturating_sub(since))
     }
 
     /// Returns the shard where a step's tasks are expected to start soonest.
@@ -138,9 +175,7 @@
             (Share::Reserved, Life::Lasting) => LONG_RUNNING_LEND_DELAY,
             (Share::Reserved, Life::Finite) => LEND_DELAY,
         };
-        let known = job.task(task)?;
-        let since = known.not_running_since.max(job.step_run(task)?.ready)?;
-        if self.now.steady.saturating_sub(since) < delay {
+        if self.waited(task)? < delay {
             return None;
         }
         if self.permits_of(task).is_some() && self.may_be_placed(task, rooms) {
@@ -241,6 +276,18 @@
     }
 }
 
+/// Subtracts a gang that was just lent from a shard's summary.
+fn subtract_lent_gang(summary: &mut Summary, step: &Step, service: &ServiceName, tasks: usize) {
+    let mut left = tasks;
+    for room in &mut summary.rooms {
+        let here = room.fitting(step, service).min(left);
+        for _ in 0..here {
+            room.free = room.free.saturating_sub(&step.reserved_resources());
+        }
+        left -= here;
+    }
+}
+
 /// Adds tasks that were just lent to a shard's backlog.
 fn add_lent_work(summary: &mut Summary, step: &Step, tasks: u64) {
     let milli_cores = tasks * u64::from(step.size.milli_cores.0);
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -184,11 +184,26 @@
         };
         let tasks = candidates.iter().flat_map(|candidate| &candidate.tasks);
         let max_offers = if self.is_evacuated() { usize::MAX } else { MAX_LOAN_OFFERS };
-        let left: Vec<TaskRef> = tasks.filter(waits).take(max_offers).copied().collect();
+        let left = self.first_tasks(tasks.filter(waits).copied(), max_offers);
         self.lend_waiting_tasks(&left, &pass.rooms);
         self.plan_moves(&left, &pass);
     }
 
+    /// Returns the first `count` tasks, and all of the last one's gang, which can only be lent as a
+    /// whole.
+    fn first_tasks(&self, tasks: impl Iterator<Item = TaskRef>, count: usize) -> Vec<TaskRef> {
+        let mut first: Vec<TaskRef> = Vec::new();
+        for task in tasks {
+            let in_last_gang =
+                |last: &TaskRef| last.step_ref() == task.step_ref() && self.is_gang(task);
+            if first.len() >= count && !first.last().is_some_and(in_last_gang) {
+                break;
+            }
+            first.push(task);
+        }
+        first
+    }
+
     fn place_job(&mut self, candidate: &Candidate, pass: &mut SchedulePass) {
         let Some(job) = self.jobs.get(&candidate.id) else { return };
         let spec = job.job.clone();
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -8,6 +8,7 @@
 mod elsewhere;
 mod evacuation;
 mod faults;
+mod gangs;
 mod hold;
 mod instances;
 mod invariants;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -610,7 +610,7 @@
     }
 
     /// Ends the remaining members of a group.
-    fn end_group(&mut self, step: StepRef) {
+    pub fn end_group(&mut self, step: StepRef) {
         if self.groups.contains(&step.job) {
             let now = self.now;
             self.vms.iter_mut().for_each(|vm| vm.table.end_group(now, step));
