Count the failed ends of a gang's run once

Cause: the failed ends of all members were added up as attempts of the gang, and members on one VM fail together.

Evidence: `failed_ends_of_one_run_count_once` and its twin over a takeover failed before: failed after the first of three attempts.

Change: the members' counts are aligned as a gang starts, and the first failed end of a run raises one of them. The gang's count is the highest.

Why this works: a run is counted exactly if the members' counts differ, and they are part of the stored progress, so that a next owner knows it too.

--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -136,11 +136,13 @@
             // Another run of the task has ended it.
             return;
         }
-        known.failed += 1;
         let earlier = known.failed_on.replace(vm.clone());
-        let own = known.failed;
-        let whole = job.step_run(task).map_or(0, super::job_run::StepRun::failed);
-        let failed = if step.grouping.is_gang() { whole } else { own };
+        let failed = if step.grouping.is_gang() {
+            job.step_run_mut(task).map_or(0, |run| run.count_gang_failure(task.index))
+        } else {
+            known.failed += 1;
+            known.failed
+        };
         let (run, vm_id) = (key.run, vm.clone());
         self.note(Note::TaskFailed { task, run, vm: vm_id, failed, attempts, ran_ms });
         self.record_failure(vm, earlier.as_ref(), task);
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -429,9 +429,31 @@
         self.tasks.iter().all(|task| task.phase == TaskPhase::Succeeded)
     }
 
-    /// Total number of failed runs of all tasks.
-    pub fn failed(&self) -> u32 {
-        self.tasks.iter().map(|task| task.failed).sum()
+    /// Counts the failure of a gang's member and returns the number of failed runs of the gang.
+    ///
+    /// All members have the same count as a run starts. The first failure raises that of one member,
+    /// which shows that the run is counted, also to the next owner.
+    pub fn count_gang_failure(&mut self, index: u32) -> u32 {
+        let failed = self.gang_failures();
+        let is_counted = self.tasks.iter().any(|task| task.failed < failed);
+        if is_counted {
+            return failed;
+        }
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.failed += 1;
+        }
+        self.gang_failures()
+    }
+
+    /// Number of failed runs of a gang.
+    pub fn gang_failures(&self) -> u32 {
+        self.tasks.iter().map(|task| task.failed).max().unwrap_or(0)
+    }
+
+    /// Brings the members of a gang to the same number of failed runs before they start together.
+    pub fn align_gang_failures(&mut self) {
+        let failed = self.gang_failures();
+        self.tasks.iter_mut().for_each(|task| task.failed = failed);
     }
 }
 
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -260,6 +260,10 @@
             Some(Self::next_run(job, *task))
         });
         let Some(run) = run.max() else { return };
+        let job = self.jobs.get_mut(&group[0].job);
+        if let Some(step_run) = job.and_then(|job| job.step_run_mut(group[0])) {
+            step_run.align_gang_failures();
+        }
         for (task, choice) in group.iter().zip(choices) {
             if let Some(job) = self.jobs.get_mut(&task.job)
                 && let Some(task) = job.task_mut(*task)
--- a/tests/shards/gangs.rs
+++ b/tests/shards/gangs.rs
@@ -79,3 +79,39 @@
     let there: usize = (10..20).map(|vm| sim.runs_on(vm)).sum();
     assert_eq!(there, 80);
 }
+
+// Guards against a gang that is shown as failed after its first failed run: each failed end of a
+// member counted as an attempt of the gang.
+#[test]
+fn failed_ends_of_one_run_count_once() {
+    let job = gang(8, Work { fails: 2, ..work(1000, 2) });
+    let mut sim = two_shards(&job);
+    sim.run_for(seconds(15));
+    assert_eq!(sim.show("kacyiru", job.id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &by_id(&job), SIZE);
+}
+
+// Guards against a gang that is started again after its last attempt.
+#[test]
+fn a_gang_fails_after_its_last_attempt() {
+    let job = gang(8, Work { fails: 3, ..work(1000, 2) });
+    let mut sim = two_shards(&job);
+    sim.run_for(seconds(15));
+    assert_eq!(sim.show("kacyiru", job.id), Some(Answer::Shown(JobState::Failed)));
+    check(&mut sim, &by_id(&job), SIZE);
+}
+
+// Guards against failed ends that count twice since another owner reads the rest of them.
+#[test]
+fn failed_ends_of_one_run_count_once_over_a_takeover() {
+    for replace_ms in (1000..1100).step_by(10) {
+        let job = gang(8, Work { fails: 2, ..work(1000, 2) });
+        let mut sim = two_shards(&job);
+        sim.run_for(Duration::from_millis(replace_ms));
+        sim.replace_owner("kacyiru");
+        sim.run_for(seconds(30));
+        let shown = sim.show("kacyiru", job.id);
+        assert_eq!(shown, Some(Answer::Shown(JobState::Done)), "replaced at {replace_ms} ms");
+        check(&mut sim, &by_id(&job), SIZE);
+    }
+}
