Start all members of a gang from one checkpoint

Its members were started with values that differ, waited for each other and ended alone, again and again.

Cause: each member was started from the checkpoint that it had reported itself. One that was stopped saves more than those that end with it.

Change: before a gang starts, or goes to another shard or back, all members get the checkpoint with the most progress: that of the latest run, made at a stop if there is one, else first reported at the highest percentage.

Why this works: the platform takes any member's value for the whole gang, and the choice is part of the commit that binds the members. A new owner doesn't know the progress and chooses one value for all.

--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -2,7 +2,7 @@
 
 use super::Shard;
 use super::copies::{CopyEnd, allows_copies, is_exhausted};
-use super::job_run::{Effect, JobRun, is_long_running};
+use super::job_run::{CheckpointRank, Effect, JobRun, is_long_running};
 use super::vm_run::{PendingStart, Run, RunKey, Stage};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
@@ -29,6 +29,7 @@
             let copy_end = self.copy_end(&end);
             self.account_for_copy(&end.vm, end.key, run, copy_end);
         }
+        let percent = run.as_ref().map_or(0, |run| run.percent);
         let run_time = run.as_ref().and_then(|run| self.whole_run_time(end.key, run));
         let ran = run.and_then(|run| run.running_since);
         let ran_ms =
@@ -51,9 +52,8 @@
             if known.runs.is_empty() {
                 known.not_running_since.get_or_insert(now);
             }
-            if end.checkpoint.is_some() {
-                known.checkpoint = end.checkpoint;
-            }
+            let at_stop = end.outcome == EndKind::Stopped;
+            known.save_checkpoint(end.checkpoint, CheckpointRank { run, at_stop, percent });
         }
         job.effects.push(Effect::Forget { vm: end.vm.clone(), number: end.number });
         self.log.mark_changed(task.job);
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -119,6 +119,7 @@
     pub last_run: RunNumber,
     pub failed: u32,
     pub checkpoint: Option<Checkpoint>,
+    pub checkpoint_rank: CheckpointRank,
     /// Runs that may have started and are not known to have ended.
     pub runs: Vec<PlacedRun>,
     /// VM of the last failed run; the next run avoids it if possible.
@@ -133,6 +134,18 @@
     pub crashes: Crashes,
 }
 
+/// Order of the checkpoints of a gang's members by their progress, as far as it is known.
+///
+/// A run resumes from the best checkpoint of the run before. Within a run all members progress
+/// together, and a checkpoint made at a stop is the last one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CheckpointRank {
+    pub run: RunNumber,
+    pub at_stop: bool,
+    /// Progress of the run when it first reported the checkpoint.
+    pub percent: u8,
+}
+
 /// A task that another shard runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lent {
@@ -455,6 +468,16 @@
         let failed = self.gang_failures();
         self.tasks.iter_mut().for_each(|task| task.failed = failed);
     }
+
+    /// Gives all members of a gang the checkpoint with the most progress, which is valid for each.
+    pub fn align_gang_checkpoints(&mut self) {
+        let saved = self.tasks.iter().filter(|task| task.checkpoint.is_some());
+        let Some(best) = saved.max_by_key(|task| task.checkpoint_rank) else { return };
+        let (checkpoint, rank) = (best.checkpoint.clone(), best.checkpoint_rank);
+        for task in &mut self.tasks {
+            task.save_checkpoint(checkpoint.clone(), rank);
+        }
+    }
 }
 
 impl Task {
@@ -472,6 +495,7 @@
             last_run: progress.last_run,
             failed: progress.failed,
             checkpoint: progress.checkpoint.clone(),
+            checkpoint_rank: CheckpointRank::default(),
             runs: progress.bound.iter().filter_map(placed).collect(),
             failed_on: None,
             not_running_since: None,
@@ -505,6 +529,14 @@
         }
     }
 
+    /// Replaces the checkpoint, unless there is no new one.
+    pub fn save_checkpoint(&mut self, checkpoint: Option<Checkpoint>, rank: CheckpointRank) {
+        if checkpoint.is_some() && checkpoint != self.checkpoint {
+            self.checkpoint = checkpoint;
+            self.checkpoint_rank = rank;
+        }
+    }
+
     /// Whether the task is waiting to be placed on a VM.
     pub fn is_waiting(&self) -> bool {
         self.phase == TaskPhase::Open && self.runs.is_empty() && self.lent.is_none()
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -20,7 +20,8 @@
 use super::Shard;
 use super::event::{Action, OtherShard};
 use super::job_run::{
-    JobRun, LoanStatus, MeasuredTimes, Occurrence, RecordState, Started, StepRun, Task,
+    CheckpointRank, JobRun, LoanStatus, MeasuredTimes, Occurrence, RecordState, Started, StepRun,
+    Task,
 };
 use super::vm_run::RunKey;
 use crate::job::progress::{Crashes, TaskPhase};
@@ -272,6 +273,9 @@
         if stuck.is_empty() {
             return;
         }
+        for task in &stuck {
+            self.align_checkpoints(*task);
+        }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         for task in stuck {
             if let Some(known) = job.task_mut(task) {
@@ -281,6 +285,16 @@
         self.log.mark_changed(id);
     }
 
+    /// Gives all members of a task's gang one checkpoint before they go to another shard, which
+    /// doesn't know how much progress each has.
+    fn align_checkpoints(&mut self, task: TaskRef) {
+        if self.is_gang(task)
+            && let Some(step) = self.jobs.get_mut(&task.job).and_then(|job| job.step_run_mut(task))
+        {
+            step.align_gang_checkpoints();
+        }
+    }
+
     pub(super) fn handle_loan_message(&mut self, from: &Arc<str>, msg: LoanMsg) {
         match msg {
             LoanMsg::Lend { job, loan, tasks } => self.handle_lend(from, &job, loan, tasks),
@@ -371,9 +385,8 @@
             task.last_run = task.last_run.max(back.last_run);
             task.failed = task.failed.max(back.failed);
             task.not_running_since.get_or_insert(self.now.steady);
-            if back.checkpoint.is_some() {
-                task.checkpoint = back.checkpoint;
-            }
+            let rank = CheckpointRank { run: back.last_run, ..CheckpointRank::default() };
+            task.save_checkpoint(back.checkpoint, rank);
             task.crashes = task.crashes.max(back.crashes);
             match back.result {
                 LoanOutcome::Succeeded => task.phase = TaskPhase::Succeeded,
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -56,6 +56,7 @@
             // All members of a gang run in one shard, so they are lent together or not at all.
             if self.is_gang(group[0]) {
                 if let Some(to) = self.borrower_for_gang(group, rooms) {
+                    self.align_checkpoints(group[0]);
                     group.iter().for_each(|task| self.lend(*task, &to, &mut lent));
                 }
                 continue;
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -4,6 +4,7 @@
 use super::event::Action;
 use super::finish::RunEnd;
 use super::interference::LeftoverNeighbour;
+use super::job_run::CheckpointRank;
 use super::own_load::OwnLoad;
 use super::settings::{POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY};
 use super::vm_run::{PendingStart, PollState, Responsiveness, Run, RunKey, Stage, Succession, Vm};
@@ -207,9 +208,8 @@
         let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
         let over = job.is_final();
         let Some(task) = job.task_mut(row.task) else { return };
-        if row.checkpoint.is_some() {
-            task.checkpoint.clone_from(&row.checkpoint);
-        }
+        let rank = CheckpointRank { run: row.run, at_stop: false, percent: row.percent };
+        task.save_checkpoint(row.checkpoint.clone(), rank);
         if row.percent == 100 {
             task.not_running_since = None;
         }
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -263,6 +263,7 @@
         let job = self.jobs.get_mut(&group[0].job);
         if let Some(step_run) = job.and_then(|job| job.step_run_mut(group[0])) {
             step_run.align_gang_failures();
+            step_run.align_gang_checkpoints();
         }
         for (task, choice) in group.iter().zip(choices) {
             if let Some(job) = self.jobs.get_mut(&task.job)
--- a/tests/shards/gangs.rs
+++ b/tests/shards/gangs.rs
@@ -6,7 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
-use waxwingstall::job::{Grouping, Job, JobId, JobState, StepRef};
+use waxwingstall::job::{Checkpoint, Grouping, Job, JobId, JobState, RunNumber, StepRef};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::Work;
@@ -115,3 +115,66 @@
         check(&mut sim, &by_id(&job), SIZE);
     }
 }
+
+/// Checkpoints that the members' starts carried, by run.
+fn resumed_from(sim: &Simulation<NoFaults>, run: u32) -> Vec<Option<Checkpoint>> {
+    let of_run = sim.starts.iter().filter(|start| start.run == RunNumber(run));
+    of_run.map(|start| start.resume.clone()).collect()
+}
+
+/// A gang of which one VM's members are stopped, since the VM leaves, and the others end with them.
+fn gang_stopped_on_leaving_vm(tasks: u32) -> (Simulation<NoFaults>, Job) {
+    let job = gang(tasks, work(6000, 2));
+    let mut sim = two_shards(&job);
+    sim.run_for(Duration::from_millis(2700));
+    sim.depart_vm(0, seconds(2));
+    let members = sim.runs_on(0);
+    assert!((1..tasks as usize).contains(&members), "{members} members run on the VM that leaves");
+    while sim.runs_on(0) > 0 {
+        sim.run_for(Duration::from_millis(20));
+    }
+    sim.end_group(StepRef { job: job.id, occurrence: 0, step: 0 });
+    (sim, job)
+}
+
+/// Checks that all members were started from the checkpoint of those that were stopped: it has more
+/// progress than the periodic ones, which come every 2 s.
+fn assert_resumed_together(sim: &mut Simulation<NoFaults>, job: &Job) {
+    let resumed = resumed_from(sim, 2);
+    assert_eq!(resumed.len(), job.steps[0].tasks as usize);
+    let millis: u64 = resumed[0].as_ref().expect("a checkpoint").as_str().parse().expect("millis");
+    assert!(millis > 2000, "resumed from {millis} ms");
+    assert!(resumed.iter().all(|checkpoint| *checkpoint == resumed[0]), "{resumed:?}");
+    assert_eq!(sim.show("kacyiru", job.id), Some(Answer::Shown(JobState::Done)));
+    check(sim, &by_id(job), SIZE);
+}
+
+// Guards against members that are started with checkpoints that differ, so that they never work
+// together.
+#[test]
+fn members_resume_from_the_checkpoint_with_the_most_progress() {
+    let (mut sim, job) = gang_stopped_on_leaving_vm(8);
+    sim.run_for(seconds(10));
+    assert_resumed_together(&mut sim, &job);
+}
+
+// Guards against the same once the gang is lent, as its own shard has no room for it any more.
+#[test]
+fn members_of_a_lent_gang_resume_from_one_checkpoint() {
+    let (mut sim, job) = gang_stopped_on_leaving_vm(14);
+    sim.run_for(seconds(10));
+    assert_eq!(sim.loans, 14);
+    assert_resumed_together(&mut sim, &job);
+}
+
+// Guards against checkpoints that differ after a takeover, which knows nothing of their progress.
+#[test]
+fn members_resume_from_one_checkpoint_after_a_takeover() {
+    let (mut sim, job) = gang_stopped_on_leaving_vm(8);
+    sim.replace_owner("kacyiru");
+    sim.run_for(seconds(12));
+    let resumed = resumed_from(&sim, 2);
+    assert!(resumed.iter().all(|checkpoint| *checkpoint == resumed[0]), "{resumed:?}");
+    assert_eq!(sim.show("kacyiru", job.id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &by_id(&job), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -26,7 +26,7 @@
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{
-    AnnouncedAfter, Departure, Error as VmError, Fence, PollReq, VmAddr, VmEntry, VmState,
+    AnnouncedAfter, Departure, Error as VmError, Fence, PollReq, StartReq, VmAddr, VmEntry, VmState,
 };
 use waxwingstall_standin::permits::PermitTable;
 use waxwingstall_standin::runs::{RunSettings, RunTable};
@@ -168,6 +168,8 @@
     pub states: IndexMap<Arc<str>, Note>,
     /// Log lines about runs on VMs that leave or have left.
     pub left_runs: Vec<Note>,
+    /// Start commands that a VM carried out.
+    pub starts: Vec<StartReq>,
     /// Number of tasks lent.
     pub loans: usize,
     owners: Vec<Owner>,
@@ -254,6 +256,7 @@
             watchers: None,
             states: IndexMap::new(),
             left_runs: Vec::new(),
+            starts: Vec::new(),
             loans: 0,
             owners: Vec::new(),
             daemons_of_shards: IndexMap::new(),
@@ -1232,7 +1235,11 @@
                 }
                 Ok(VmResponse::Polled(answer))
             }
-            Action::Start { req, .. } => vm.table.start(now, req).map(VmResponse::Clock),
+            Action::Start { req, .. } => {
+                let clock = vm.table.start(now, req)?;
+                self.starts.push(req.clone());
+                Ok(VmResponse::Clock(clock))
+            }
             Action::Stop { req, .. } => vm.table.stop(now, req).map(VmResponse::Clock),
             Action::Pace { req, .. } => vm.table.set_pace(now, req).map(VmResponse::Clock),
             _ => Err(VmError::Malformed { status: 400 }),
