Tell other shards of the room on VMs on probation

What callers saw: a task that requires a label never ran, since the VMs with the label, in other shards, were on probation after failed runs.

Cause: a summary left out VMs on probation. Probation ends with a success, and only the VMs' own shard could place a task there; it had none for them.

Change: summaries list these VMs too. Placing uses them after all others, one task at a time, as before.

Why this works: a lent task can be the one that ends the probation.

--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -5,7 +5,7 @@
 use super::event::{AdmissionMode, Summary};
 use super::job_run::{Started, Task};
 use super::place::{MAX_LONG_RUNNING_SHARE, PREFERRED_LONG_RUNNING_SHARE};
-use super::room::{Probation, VmCapacity};
+use super::room::VmCapacity;
 use crate::job::QueueName;
 use crate::job::progress::TaskPhase;
 use crate::job::{Life, Share};
@@ -22,14 +22,14 @@
             summary.capacity += u64::from(vm.entry.size.milli_cores.0);
             summary.free += u64::from(room.free.milli_cores.0);
             summary.leftover += room.leftover.max(0.0) as u64;
-            if room.probation == Probation::No {
-                summary.rooms.push(FreeRoom {
-                    free: room.free,
-                    rack: room.rack.clone(),
-                    labels: vm.entry.labels.clone(),
-                    service: vm.entry.service.clone(),
-                });
-            }
+            // This includes VMs on probation: a success ends it, and this shard may have no task that
+            // may run there.
+            summary.rooms.push(FreeRoom {
+                free: room.free,
+                rack: room.rack.clone(),
+                labels: vm.entry.labels.clone(),
+                service: vm.entry.service.clone(),
+            });
             rooms.push(room);
         }
         for (number, image) in self.interference.leftover_images() {
