Return a lent gang as a whole

What callers saw: the job of a lent gang stayed `running` for good. A part of the gang had been returned to its shard, and neither shard could start its part; or the part that stayed succeeded, and the returned one waited.

Cause: borrowed tasks are returned one by one after 1.5 s without room, and members of a gang end at different times. A success that came with a returned task counted for that task alone, though one end stands for all.

Change: a gang is returned once all its members have waited, and a returned success counts for the whole gang.

Why this works: at any time, all open members are in one shard.

Also new: `promises_hold_behind_long_partitions`, with partitions of up to 45 s.

--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -108,11 +108,7 @@
             return;
         }
         if step.grouping.is_gang() {
-            // The success of one member is the success of the group.
-            if let Some(run) = job.step_run_mut(task) {
-                run.tasks.iter_mut().for_each(|task| task.phase = TaskPhase::Succeeded);
-            }
-            return;
+            return self.record_gang_success(task);
         }
         if let Some(run) = job.step_run_mut(task) {
             run.proven = true;
@@ -126,6 +122,15 @@
         }
     }
 
+    /// Records the success of a gang's member, which is that of the whole gang.
+    pub(super) fn record_gang_success(&mut self, task: TaskRef) {
+        if self.is_gang(task)
+            && let Some(run) = self.jobs.get_mut(&task.job).and_then(|job| job.step_run_mut(task))
+        {
+            run.tasks.iter_mut().for_each(|task| task.phase = TaskPhase::Succeeded);
+        }
+    }
+
     fn task_failed(&mut self, vm: &VmId, key: RunKey, ran_ms: Millis) {
         let task = key.task;
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -264,9 +264,18 @@
         let now = self.now.steady;
         let timeout = if self.is_evacuated() { Duration::ZERO } else { RETURN_TIMEOUT };
         let Some(job) = self.jobs.get(&id) else { return };
-        let is_stuck = |(task, known): &(TaskRef, &Task)| {
+        let has_waited = |known: &Task| {
             let away = known.not_running_since.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-            known.is_waiting() && (away >= timeout || self.is_denied_on_all_vms(*task))
+            known.is_waiting() && away >= timeout
+        };
+        let is_stuck = |(task, known): &(TaskRef, &Task)| {
+            let denied = self.is_denied_on_all_vms(*task);
+            let is_ready = |known: &Task| has_waited(known) || (denied && known.is_waiting());
+            if !self.is_gang(*task) {
+                return is_ready(known);
+            }
+            // A gang is returned whole: neither shard could start a part of it.
+            job.step_run(*task).is_some_and(|step| step.tasks.iter().all(is_ready))
         };
         let stuck: Vec<TaskRef> =
             job.tasks_with_refs().filter(is_stuck).map(|(task, _)| task).collect();
@@ -365,7 +374,7 @@
     fn handle_return(&mut self, from: &Arc<str>, id: JobId, tasks: Vec<ReturnedTask>) {
         let mut settled = Vec::new();
         let mut failed = false;
-        let mut declined: Vec<TaskRef> = Vec::new();
+        let (mut declined, mut succeeded) = (Vec::new(), Vec::new());
         let durable = self.log.is_durable(id);
         let known = self.jobs.contains_key(&id);
         for back in tasks {
@@ -389,7 +398,10 @@
             task.save_checkpoint(back.checkpoint, rank);
             task.crashes = task.crashes.max(back.crashes);
             match back.result {
-                LoanOutcome::Succeeded => task.phase = TaskPhase::Succeeded,
+                LoanOutcome::Succeeded => {
+                    task.phase = TaskPhase::Succeeded;
+                    succeeded.push(back.task);
+                }
                 LoanOutcome::Failed => failed = true,
                 LoanOutcome::GivenBack if began => {}
                 LoanOutcome::GivenBack => declined.push(back.task),
@@ -400,6 +412,7 @@
             self.log.mark_changed(id);
         }
         self.record_declines(from, &declined);
+        succeeded.into_iter().for_each(|task| self.record_gang_success(task));
         if failed && self.jobs.get(&id).is_some_and(|job| !job.is_final()) {
             self.fail_job(id);
         }
--- /dev/null
+++ b/tests/shards/constraints.rs
@@ -0,0 +1,148 @@
+//! Random jobs whose steps restrict where and how their tasks run, while anything may fail.
+//!
+//! Set `SHARD_SEEDS=0..1000` to run other seeds than the default ones.
+
+use crate::faults::RandomFaults;
+use crate::invariants::check;
+use crate::jobs::random;
+use crate::random::seeds;
+use crate::world::{Simulation, Start};
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+use waxwingstall::ids::{Ticket, VmId};
+use waxwingstall::job::{Checkpoint, Grouping, Job, JobId, JobState, Label, Life, Share, StepRef};
+use waxwingstall::shard::Answer;
+use waxwingstall::units::Resources;
+use waxwingstall_standin::permits::PermitTable;
+
+const SIZE: Resources = Resources::new(12_000, 12_000, 0);
+const SHARDS: [&str; 3] = ["gasabo", "kacyiru", "remera"];
+const VMS: usize = 3;
+const LABEL: &str = "ssd";
+
+/// VMs that have the label.
+const LABELLED: [usize; 2] = [1, 5];
+
+/// Time with faults.
+const FAULT_PERIOD: Duration = Duration::from_secs(20);
+
+/// Time for the system to settle after the faults.
+const SETTLE_TIME: Duration = Duration::from_secs(45);
+
+const PERMIT_VALID: Duration = Duration::from_secs(3);
+
+/// Most VM crashes of a simulation; a task is given up once five VMs have crashed under it.
+const MAX_CRASHES: usize = 4;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// A random job, two thirds of them with restrictions that the VMs can meet.
+fn constrained(id: u64, rng: &mut SmallRng) -> Job {
+    let mut job = random(id, rng);
+    let kind = rng.random_range(0..6);
+    // Failed runs put the few VMs with the label into quarantine for longer than this runs.
+    let is_sound = job.payload.contains("fails=0");
+    let (limit, leftover) = (rng.random_range(1..3), rng.random_bool(0.3));
+    let last = job.steps.len() - 1;
+    for (number, step) in job.steps.iter_mut().enumerate() {
+        match kind {
+            0 if is_sound => step.label = Some(Label::new(LABEL)),
+            1 => step.per_vm = limit,
+            2 if is_sound => {
+                step.label = Some(Label::new(LABEL));
+                step.per_vm = 2;
+            }
+            3 if step.life == Life::Finite && number == last => step.grouping = Grouping::Together,
+            _ if leftover && step.life == Life::Finite => step.share = Share::Leftover,
+            _ => {}
+        }
+    }
+    job
+}
+
+/// Checks that each start was allowed where it was carried out.
+fn check_starts(seed: u64, starts: &[Start], jobs: &IndexMap<JobId, Job>) {
+    let mut checkpoints: IndexMap<(StepRef, u32), Option<Checkpoint>> = IndexMap::new();
+    for Start { labels, of_step, req } in starts {
+        let step = &jobs[&req.task.job].steps[usize::from(req.task.step)];
+        let task = req.task;
+        assert!(step.label.iter().all(|label| labels.contains(label)), "seed {seed}: {task}");
+        assert!(step.per_vm == 0 || *of_step <= step.per_vm as usize, "seed {seed}: {task}");
+        if step.grouping.is_gang() {
+            let key = (task.step_ref(), req.run.0);
+            let first = checkpoints.entry(key).or_insert_with(|| req.resume.clone());
+            assert_eq!(*first, req.resume, "seed {seed}: {task} run {:?}", req.run);
+        }
+    }
+}
+
+fn simulate(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let until = Duration::from_secs(5) + FAULT_PERIOD;
+    let faults = RandomFaults::new(seed, rng.random_range(0..100), until);
+    let mut sim = Simulation::new(faults, &SHARDS, VMS, SIZE);
+    for vm in LABELLED {
+        sim.vms[vm].entry.labels.push(Label::new(LABEL));
+    }
+    if seed.is_multiple_of(3) {
+        let mut table = PermitTable::new(100, PERMIT_VALID);
+        // Each shard keeps a permitted VM, and those with the label are permitted.
+        let denied = [0, 3, 7].into_iter().filter(|_| rng.random_bool(0.6));
+        table.denied = denied.map(|vm| VmId::new(sim.vms[vm].entry.id.registered())).collect();
+        sim = sim.with_permits(table);
+    }
+    let mut jobs: IndexMap<JobId, Job> = IndexMap::new();
+    let mut tickets: IndexMap<Ticket, (JobId, &str)> = IndexMap::new();
+    while sim.now < until {
+        sim.run_for(ms(rng.random_range(20..600)));
+        let (shard, vm) = (SHARDS[rng.random_range(0..3)], rng.random_range(0..3 * VMS));
+        let time = rng.random_range(300..5000);
+        match rng.random_range(0..100) {
+            0..60 if jobs.len() < 30 => {
+                let job = constrained(jobs.len() as u64 + 1, &mut rng);
+                tickets.insert(sim.submit(shard, job.clone()), (job.id, shard));
+                jobs.insert(job.id, job);
+            }
+            60..65 => sim.replace_owner(shard),
+            65..69 => sim.pause_owner(shard, ms(time)),
+            69..76 if sim.crashes < MAX_CRASHES => sim.crash_vm(vm, ms(time)),
+            76..82 => sim.disconnect_vm(vm, ms(2 * time)),
+            82..85 => sim.stop_store(ms(time)),
+            85..88 => sim.evacuate(shard),
+            88..94 => sim.withdraw_evacuation(shard),
+            _ => {}
+        }
+    }
+    SHARDS.iter().for_each(|shard| sim.withdraw_evacuation(shard));
+    sim.run_for(SETTLE_TIME);
+    check(&mut sim, &jobs, SIZE);
+    check_starts(seed, &sim.starts, &jobs);
+    let accepted = |(ticket, _): &(&Ticket, &(JobId, &str))| {
+        sim.answers.get(*ticket) == Some(&Answer::Accepted)
+    };
+    let accepted: Vec<(JobId, &str)> =
+        tickets.iter().filter(accepted).map(|(_, job)| *job).collect();
+    for (id, shard) in accepted {
+        let lasts = jobs[&id].steps[0].life == Life::Lasting;
+        let expected = if lasts { JobState::Running } else { JobState::Done };
+        let shown = sim.show(shard, id);
+        assert_eq!(shown, Some(Answer::Shown(expected)), "seed {seed}: job {id}");
+        let running = sim.running_tasks(id);
+        let tasks = if lasts { jobs[&id].steps[0].tasks as usize } else { 0 };
+        assert_eq!(running, tasks, "seed {seed}: job {id}");
+    }
+}
+
+// Guards against tasks that start where they may not run, gangs whose members start from different
+// checkpoints, and tasks that wait for good beside VMs that may run them.
+#[test]
+fn restricted_tasks_run_where_they_may_and_end() {
+    for seed in seeds(0..60) {
+        println!("seed {seed}");
+        simulate(seed);
+    }
+}
--- a/tests/shards/gangs.rs
+++ b/tests/shards/gangs.rs
@@ -118,8 +118,8 @@
 
 /// Checkpoints that the members' starts carried, by run.
 fn resumed_from(sim: &Simulation<NoFaults>, run: u32) -> Vec<Option<Checkpoint>> {
-    let of_run = sim.starts.iter().filter(|start| start.run == RunNumber(run));
-    of_run.map(|start| start.resume.clone()).collect()
+    let of_run = sim.starts.iter().filter(|start| start.req.run == RunNumber(run));
+    of_run.map(|start| start.req.resume.clone()).collect()
 }
 
 /// A gang of which one VM's members are stopped, since the VM leaves, and the others end with them.
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod announcements;
+mod constraints;
 mod copies;
 mod crashes;
 mod duplicates;
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -430,3 +430,44 @@
         simulate_hand_overs_in_outages(seed).verify();
     }
 }
+
+/// Owners are partitioned with one of their VMs for up to 45 s and replaced meanwhile, VMs
+/// crash, and calls fail.
+fn simulate_partitions(seed: u64) -> RandomRun {
+    let mut run = RandomRun::new(seed, 60);
+    let until = run.sim.now + Duration::from_secs(60);
+    let mut heals_at = Duration::ZERO;
+    while run.sim.now < until {
+        let pause = run.millis(20..1500);
+        run.sim.run_for(pause);
+        let shard = run.rng.random_range(0..2);
+        let vm = shard * VMS + run.rng.random_range(0..VMS);
+        if run.sim.is_partitioned() && run.sim.now >= heals_at {
+            run.sim.heal_partition();
+        }
+        match run.rng.random_range(0..100) {
+            0..40 if run.jobs.len() < 40 => run.submit(),
+            40..50 if !run.sim.is_partitioned() => {
+                heals_at = run.sim.now + run.millis(500..45_000);
+                run.sim.partition_owner(SHARDS[shard], vm);
+            }
+            50..53 if run.sim.crashes < MAX_CRASHES => run.crash_vm(),
+            53..57 => run.disconnect_vm(),
+            57..60 => run.stop_store(),
+            60..64 => run.sim.hand_over(SHARDS[shard]),
+            _ => {}
+        }
+    }
+    run.sim.heal_partition();
+    run
+}
+
+// The same while owners are partitioned from the store and the other owners for up to 45 s,
+// and go on reaching one of their VMs.
+#[test]
+fn promises_hold_behind_long_partitions() {
+    for seed in seeds(0..30) {
+        println!("seed {seed}");
+        simulate_partitions(seed).verify();
+    }
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -14,7 +14,7 @@
 use waxwingstall::evacuation::Evacuations;
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, Ticket, VmId};
 use waxwingstall::job::progress::{BoundVm, Progress, decode, encode};
-use waxwingstall::job::{Job, JobId, QueueName, RunNumber, StepRef, TaskRef};
+use waxwingstall::job::{Job, JobId, Label, QueueName, RunNumber, StepRef, TaskRef};
 use waxwingstall::kv::{Condition, Error, HasMore, Put, Rev, Txn};
 use waxwingstall::note::Note;
 use waxwingstall::permit::{self, PermitReq, PermitResp};
@@ -103,6 +103,16 @@
     WithStart,
 }
 
+/// A start command that a VM carried out.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Labels of the VM.
+    pub labels: Vec<Label>,
+    /// Number of tasks of the step on the VM, including this one.
+    pub of_step: usize,
+    pub req: StartReq,
+}
+
 /// An order to evacuate a failure domain.
 #[derive(Clone, Debug)]
 pub struct EvacuationOrder {
@@ -168,8 +178,8 @@
     pub states: IndexMap<Arc<str>, Note>,
     /// Log lines about runs on VMs that leave or have left.
     pub left_runs: Vec<Note>,
-    /// Start commands that a VM carried out.
-    pub starts: Vec<StartReq>,
+    /// Start commands that VMs carried out.
+    pub starts: Vec<Start>,
     /// Number of tasks lent.
     pub loans: usize,
     owners: Vec<Owner>,
@@ -204,6 +214,8 @@
     published_lapses_lost_from: Duration,
     /// The VM that only this owner reaches, which reaches no other one.
     partition: Option<(u64, Arc<str>)>,
+    /// Commit of the partitioned owner that the store hasn't received.
+    partitioned_commit: Option<(u64, Txn)>,
     traced: bool,
 }
 
@@ -276,6 +288,7 @@
             published_lapses: IndexMap::new(),
             published_lapses_lost_from: Duration::MAX,
             partition: None,
+            partitioned_commit: None,
             queues: Arc::new(queues()),
             max_keep,
             identity,
@@ -560,6 +573,19 @@
         self.claim(shard, PreviousOwner::MaybeActive);
     }
 
+    /// Whether an owner is partitioned.
+    pub fn is_partitioned(&self) -> bool {
+        self.partition.is_some()
+    }
+
+    /// Ends the partition.
+    pub fn heal_partition(&mut self) {
+        let commit = self.partitioned_commit.take();
+        if let (Some((number, _)), Some((seq, txn))) = (self.partition.take(), commit) {
+            self.commit(number, seq, txn);
+        }
+    }
+
     /// Ends the partitioned owner; its VM stays out of reach.
     pub fn end_partitioned_owner(&mut self) {
         if let Some((number, _)) = self.partition {
@@ -591,6 +617,14 @@
         self.vms[index].table.runs(now).len()
     }
 
+    /// Number of a job's tasks that run.
+    pub fn running_tasks(&mut self, job: JobId) -> usize {
+        let now = self.now;
+        let runs = self.vms.iter_mut().filter(|vm| vm.down_until.is_none());
+        let runs = runs.flat_map(|vm| vm.table.runs(now));
+        runs.filter(|(task, ..)| task.job == job).count()
+    }
+
     /// Crashes a VM, which restarts without tasks after `down`.
     pub fn crash_vm(&mut self, index: usize, down: Duration) {
         let now = self.now;
@@ -1237,7 +1271,11 @@
             }
             Action::Start { req, .. } => {
                 let clock = vm.table.start(now, req)?;
-                self.starts.push(req.clone());
+                let step = req.task.step_ref();
+                let beside = vm.table.runs(now);
+                let of_step = beside.iter().filter(|(task, ..)| task.step_ref() == step).count();
+                let (labels, req) = (vm.entry.labels.clone(), req.clone());
+                self.starts.push(Start { labels, of_step, req });
                 Ok(VmResponse::Clock(clock))
             }
             Action::Stop { req, .. } => vm.table.stop(now, req).map(VmResponse::Clock),
@@ -1248,6 +1286,8 @@
 
     fn commit(&mut self, number: u64, seq: u64, txn: Txn) {
         if self.partition.as_ref().is_some_and(|(owner, _)| *owner == number) {
+            // The sender repeats it until it is answered.
+            self.partitioned_commit = Some((seq, txn));
             return;
         }
         if self.now < self.store_down_until {
