--- a/src/shard.rs
+++ b/src/shard.rs
@@ -97,7 +97,7 @@
     /// Latest time until which VMs that this owner hasn't reached may keep running tasks started by
     /// earlier owners.
     inherited_runs_until: Duration,
-    /// Time at which the shard is known to have been owned.
+    /// Latest time at which this owner is known to have owned the shard.
     owned_at: Duration,
     stage: Stage,
     now: Now,
--- a/src/shard/proof.rs
+++ b/src/shard/proof.rs
@@ -22,12 +22,12 @@
         self.owned_at = self.owned_at.max(at);
     }
 
-    /// Returns whether no successor can count on this owner's having stopped.
+    /// Returns whether a successor, if there is one, still allows for this owner's extending leases.
     pub(super) fn has_ownership_proof(&self) -> bool {
         self.ownership_proof_age() < MAX_STALE_OWNER_EXTENSION - CLOCK_MARGIN
     }
 
-    /// Returns whether the next commit is due for the sake of a proof.
+    /// Returns whether a commit is due to renew the proof.
     pub(super) fn needs_ownership_proof(&self) -> bool {
         let has_runs = || self.vms.values().any(|vm| !vm.runs.is_empty());
         let has_open_jobs = || self.jobs.values().any(|job| !job.is_final());
--- a/tests/shards/gangs.rs
+++ b/tests/shards/gangs.rs
@@ -74,7 +74,7 @@
     let full = Job { id: JobId(2), ..gang(10, work(60_000, 4)) };
     sim.submit("kacyiru", full);
     sim.run_for(seconds(1));
-    sim.submit("kacyiru", job.clone());
+    sim.submit("kacyiru", job);
     sim.run_for(WAIT_LIMIT);
     let there: usize = (10..20).map(|vm| sim.runs_on(vm)).sum();
     assert_eq!(there, 80);
