Log which message lent a task that a borrower accepts

Three causes were possible, and the log couldn't tell them apart: a message from the time of the cuts that arrives late; a fresh message of an owner whose record still says that the task is lent; or the borrower's own record.

Messages that lend tasks now carry the fencing token of their sender and a number; tasks-borrowed logs both, and shard-state the number of messages sent so far, which bounds the time at which any of them was sent to 2 s.

Not broken by this change: decisions don't read the number yet.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -307,6 +307,7 @@
             copies: self.copy_counts.started,
             copies_won: self.copy_counts.won,
             wasted_core_s: self.copy_counts.wasted_core_ms / 1000,
+            lends: self.loans.lends(),
         }));
         self.report_waiting();
         self.report_evacuation();
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -26,6 +26,7 @@
 use super::vm_run::RunKey;
 use crate::job::progress::{Crashes, TaskPhase};
 use crate::job::{Checkpoint, Job, JobId, RunNumber, TaskRef};
+use crate::note::Note;
 use crate::vm::Fence;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -49,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LoanMsg {
     /// Asks the borrower to run these tasks.
-    Lend { job: Arc<Job>, loan: u64, tasks: Vec<LentTask> },
+    Lend { job: Arc<Job>, loan: u64, order: LendOrder, tasks: Vec<LentTask> },
     /// Confirms that the tasks are durable at the borrower, and tells whether a task of the job has
     /// started.
     Taken { job: JobId, loan: u64, tasks: Vec<TaskRef>, begun: JobStart },
@@ -61,6 +62,14 @@
     Recall { job: JobId, tasks: Vec<LoanId> },
 }
 
+/// Order of the [`LoanMsg::Lend`] messages of a shard: by its owner's fencing token, then as the owner
+/// composed them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LendOrder {
+    pub fence: Fence,
+    pub number: u64,
+}
+
 /// Whether a task of a job has started at the borrower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStart {
@@ -118,6 +127,8 @@
     borrowed: IndexSet<JobId>,
     /// Loans that have ended, with the time.
     ended: IndexMap<LoanId, Duration>,
+    /// Number of `Lend` messages that this owner has composed.
+    lends: u64,
     next_send: Duration,
 }
 
@@ -146,6 +157,11 @@
         self.next_send = self.next_send.min(now);
     }
 
+    /// Number of `Lend` messages that this owner has composed.
+    pub fn lends(&self) -> u64 {
+        self.lends
+    }
+
     fn fence_of(&self, shard: &str) -> Option<Fence> {
         self.other_shards.get(shard).map(|other| other.fence)
     }
@@ -219,16 +235,22 @@
         let spec = job.job.clone();
         for ((to, loan), tasks) in msgs {
             self.mark_sent(id, &tasks, now);
+            let order = self.next_lend_order();
             // Sent only after a commit: an owner that was paused and replaced could otherwise lend
             // a task that was returned long ago to a borrower that has forgotten the loan, and the
             // task would run a second time.
-            self.send_after_commit(&to, LoanMsg::Lend { job: spec.clone(), loan, tasks });
+            self.send_after_commit(&to, LoanMsg::Lend { job: spec.clone(), loan, order, tasks });
         }
         for (to, tasks) in recalls {
             self.send_message(&to, LoanMsg::Recall { job: id, tasks });
         }
     }
 
+    fn next_lend_order(&mut self) -> LendOrder {
+        self.loans.lends += 1;
+        LendOrder { fence: self.fence, number: self.loans.lends }
+    }
+
     /// Marks loans as sent, so that they are not sent again before an answer can arrive.
     fn mark_sent(&mut self, id: JobId, tasks: &[LentTask], now: Duration) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -306,7 +328,9 @@
 
     pub(super) fn handle_loan_message(&mut self, from: &Arc<str>, msg: LoanMsg) {
         match msg {
-            LoanMsg::Lend { job, loan, tasks } => self.handle_lend(from, &job, loan, tasks),
+            LoanMsg::Lend { job, loan, order, tasks } => {
+                self.handle_lend(from, &job, loan, order, tasks);
+            }
             LoanMsg::Taken { job, loan, tasks, begun } => {
                 self.handle_taken(job, loan, &tasks, begun);
             }
@@ -316,7 +340,14 @@
         }
     }
 
-    fn handle_lend(&mut self, from: &Arc<str>, spec: &Arc<Job>, loan: u64, tasks: Vec<LentTask>) {
+    fn handle_lend(
+        &mut self,
+        from: &Arc<str>,
+        spec: &Arc<Job>,
+        loan: u64,
+        order: LendOrder,
+        tasks: Vec<LentTask>,
+    ) {
         let (id, now) = (spec.id, self.now.steady);
         let wanted =
             |task: &LentTask| !self.loans.ended.contains_key(&LoanId { task: task.task, loan });
@@ -337,14 +368,22 @@
             return;
         }
         self.loans.borrowed.insert(id);
-        let mut changed = false;
+        let mut added = 0;
         let mut names: Vec<TaskRef> = tasks.iter().map(|lent| lent.task).collect();
         for lent in tasks {
-            changed |= add_borrowed_task(job, lent, loan, now);
+            added += usize::from(add_borrowed_task(job, lent, loan, now));
         }
         names.retain(|name| job.task(*name).is_some_and(|task| task.loan == loan));
-        if changed {
+        if added > 0 {
             job.advance(now);
+            self.note(Note::TasksBorrowed {
+                job: id,
+                from: from.to_string(),
+                tasks: added,
+                loan,
+                fence: order.fence.0,
+                lend: order.number,
+            });
             self.request_schedule();
             self.log.mark_changed(id);
         } else if self.log.is_durable(id) && !names.is_empty() {
