Drop messages that lend tasks whose loans have ended

Cause: a borrower remembered ended loans for 30 s, as no message was expected to be delayed by more than 1.4 s. What is sent into a partition that drops packets is delivered when the connection's retries get through, some 50 s later. By then the loan was forgotten and the message was taken for a new loan.

Change: messages that lend are ordered by the sender's fencing token and number. Settled and Recall, one of which ends every loan, tell up to which number they are void, and the borrower keeps the highest number of each lender in place of the ended loans. It works whatever the delay: a loan's messages are numbered lower than the message that ends it; a borrower's next owner doesn't know the number, but messages are addressed to one owner; a loan that is still open is sent again with a higher number 250 ms later. Recall names the last message about its own loans, since later ones may still wait for the commit before they are sent. Memory: one number for each other shard.

Dropped messages are logged (loan-dropped) and counted (shard-state, loans_dropped).

Result: a_loan_that_has_ended_is_not_taken_again_however_late_its_message_arrives failed before (the task starts again after 40 s) and passes.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -308,6 +308,7 @@
             copies_won: self.copy_counts.won,
             wasted_core_s: self.copy_counts.wasted_core_ms / 1000,
             lends: self.loans.lends(),
+            loans_dropped: self.loans.dropped(),
         }));
         self.report_waiting();
         self.report_evacuation();
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -152,6 +152,8 @@
     pub to: Arc<str>,
     pub loan: u64,
     pub status: LoanStatus,
+    /// Number of this owner's last message that lent the task; zero before the first.
+    pub last_lend: u64,
 }
 
 /// Last known state of a loan at the borrowing shard.
@@ -488,7 +490,7 @@
         };
         let lent = |lent: LentTo| {
             let to = Arc::from(whole.shards.get(usize::from(lent.shard))?.as_str());
-            Some(Lent { to, loan: lent.loan, status: LoanStatus::Unsent })
+            Some(Lent { to, loan: lent.loan, status: LoanStatus::Unsent, last_lend: 0 })
         };
         let mut task = Self {
             phase: progress.state,
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -8,8 +8,10 @@
 //!
 //! At any time at most one shard may start a task, even if messages are lost, delayed or duplicated
 //! or an owner is replaced, because each side repeats what it has committed until the other
-//! answers. A returned loan is recognized by its number and not accepted again. The owner that
-//! remembers the number may have been replaced, so each message is addressed to one owner by its
+//! answers. What is sent into a partition may arrive minutes later, so no message is trusted for
+//! having arrived. Messages that lend tasks are numbered, and each message that ends a loan tells up
+//! to which number they are void: a loan that is still open is sent again under a higher one. Only
+//! the owner that it was told to knows the number, so each message is addressed to one owner by its
 //! fencing token.
 
 mod borrower;
@@ -43,9 +45,6 @@
 /// Time that a borrowed task may wait for room before it is returned.
 const RETURN_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// How long an ended loan is remembered; messages are delayed by at most 1.4 s.
-const ENDED_LOAN_RETENTION: Duration = Duration::from_secs(30);
-
 /// Messages between shard owners about loans.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LoanMsg {
@@ -56,10 +55,10 @@
     Taken { job: JobId, loan: u64, tasks: Vec<TaskRef>, begun: JobStart },
     /// Returns tasks to the lender with their outcome.
     Return { job: JobId, tasks: Vec<ReturnedTask> },
-    /// Confirms that the outcome is durable at the lender.
-    Settled { job: JobId, tasks: Vec<LoanId> },
-    /// Cancels the loans.
-    Recall { job: JobId, tasks: Vec<LoanId> },
+    /// Confirms that the outcome is durable at the lender. Messages up to `void` no longer lend.
+    Settled { job: JobId, tasks: Vec<LoanId>, void: LendOrder },
+    /// Cancels the loans. Messages up to `void` no longer lend.
+    Recall { job: JobId, tasks: Vec<LoanId>, void: LendOrder },
 }
 
 /// Order of the [`LoanMsg::Lend`] messages of a shard: by its owner's fencing token, then as the owner
@@ -125,10 +124,12 @@
     lending: IndexSet<JobId>,
     /// Jobs of other shards with tasks borrowed by this shard.
     borrowed: IndexSet<JobId>,
-    /// Loans that have ended, with the time.
-    ended: IndexMap<LoanId, Duration>,
     /// Number of `Lend` messages that this owner has composed.
     lends: u64,
+    /// Newest `Lend` message of each lender that is void.
+    void: IndexMap<Arc<str>, LendOrder>,
+    /// Number of messages that were dropped.
+    dropped: u64,
     next_send: Duration,
 }
 
@@ -166,14 +167,18 @@
         self.other_shards.get(shard).map(|other| other.fence)
     }
 
-    fn record_ended(&mut self, loan: LoanId, now: Duration) {
-        self.ended.insert(loan, now);
-        while let Some((_, at)) = self.ended.first() {
-            if now.saturating_sub(*at) < ENDED_LOAN_RETENTION {
-                return;
-            }
-            self.ended.shift_remove_index(0);
-        }
+    /// Number of messages about loans that were dropped because they were void.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    fn is_void(&self, lender: &str, order: LendOrder) -> bool {
+        self.void.get(lender).is_some_and(|newest| order <= *newest)
+    }
+
+    fn void_up_to(&mut self, lender: &Arc<str>, order: LendOrder) {
+        let newest = self.void.entry(lender.clone()).or_default();
+        *newest = order.max(*newest);
     }
 }
 
@@ -215,12 +220,13 @@
             return;
         }
         let mut msgs: IndexMap<(Arc<str>, u64), Vec<LentTask>> = IndexMap::new();
-        let mut recalls: IndexMap<Arc<str>, Vec<LoanId>> = IndexMap::new();
+        let mut recalls: IndexMap<Arc<str>, (Vec<LoanId>, u64)> = IndexMap::new();
         for (task, known) in job.tasks_with_refs() {
             let Some(lent) = &known.lent else { continue };
             if job.is_final() {
-                let loaned = LoanId { task, loan: lent.loan };
-                recalls.entry(lent.to.clone()).or_default().push(loaned);
+                let (loans, last_lend) = recalls.entry(lent.to.clone()).or_default();
+                loans.push(LoanId { task, loan: lent.loan });
+                *last_lend = lent.last_lend.max(*last_lend);
             } else if lent.status.needs_sending(now) {
                 let key = (lent.to.clone(), lent.loan);
                 msgs.entry(key).or_default().push(LentTask {
@@ -234,29 +240,34 @@
         }
         let spec = job.job.clone();
         for ((to, loan), tasks) in msgs {
-            self.mark_sent(id, &tasks, now);
-            let order = self.next_lend_order();
+            self.loans.lends += 1;
+            let order = self.last_lend_order();
+            self.mark_sent(id, &tasks, order.number);
             // Sent only after a commit: an owner that was paused and replaced could otherwise lend
             // a task that was returned long ago to a borrower that has forgotten the loan, and the
             // task would run a second time.
             self.send_after_commit(&to, LoanMsg::Lend { job: spec.clone(), loan, order, tasks });
         }
-        for (to, tasks) in recalls {
-            self.send_message(&to, LoanMsg::Recall { job: id, tasks });
+        for (to, (tasks, number)) in recalls {
+            // A later message may lend tasks of other jobs and still wait for its commit.
+            let void = LendOrder { fence: self.fence, number };
+            self.send_message(&to, LoanMsg::Recall { job: id, tasks, void });
         }
     }
 
-    fn next_lend_order(&mut self) -> LendOrder {
-        self.loans.lends += 1;
+    /// Order of the last `Lend` message that this owner has composed.
+    fn last_lend_order(&self) -> LendOrder {
         LendOrder { fence: self.fence, number: self.loans.lends }
     }
 
     /// Marks loans as sent, so that they are not sent again before an answer can arrive.
-    fn mark_sent(&mut self, id: JobId, tasks: &[LentTask], now: Duration) {
+    fn mark_sent(&mut self, id: JobId, tasks: &[LentTask], lend: u64) {
+        let resend_at = self.now.steady + MESSAGE_INTERVAL;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         for sent in tasks {
             if let Some(lent) = job.task_mut(sent.task).and_then(|task| task.lent.as_mut()) {
-                lent.status = LoanStatus::Sent { resend_at: now + MESSAGE_INTERVAL };
+                lent.status = LoanStatus::Sent { resend_at };
+                lent.last_lend = lend;
             }
         }
     }
@@ -335,8 +346,14 @@
                 self.handle_taken(job, loan, &tasks, begun);
             }
             LoanMsg::Return { job, tasks } => self.handle_return(from, job, tasks),
-            LoanMsg::Settled { job, tasks } => self.handle_settled(job, &tasks),
-            LoanMsg::Recall { job, tasks } => self.handle_recall(from, job, &tasks),
+            LoanMsg::Settled { job, tasks, void } => {
+                self.loans.void_up_to(from, void);
+                self.handle_settled(job, &tasks);
+            }
+            LoanMsg::Recall { job, tasks, void } => {
+                self.loans.void_up_to(from, void);
+                self.handle_recall(from, job, &tasks);
+            }
         }
     }
 
@@ -349,10 +366,19 @@
         tasks: Vec<LentTask>,
     ) {
         let (id, now) = (spec.id, self.now.steady);
-        let wanted =
-            |task: &LentTask| !self.loans.ended.contains_key(&LoanId { task: task.task, loan });
-        let tasks: Vec<LentTask> = tasks.into_iter().filter(wanted).collect();
-        if tasks.is_empty() || self.stage != super::Stage::Serving {
+        if self.loans.is_void(from, order) {
+            self.loans.dropped += 1;
+            self.note(Note::LoanDropped {
+                job: id,
+                from: from.to_string(),
+                tasks: tasks.len(),
+                loan,
+                fence: order.fence.0,
+                lend: order.number,
+            });
+            return;
+        }
+        if self.stage != super::Stage::Serving {
             return;
         }
         let images = self.images_of(spec);
@@ -457,7 +483,7 @@
         }
         self.advance(id);
         if !settled.is_empty() {
-            let msg = LoanMsg::Settled { job: id, tasks: settled };
+            let msg = LoanMsg::Settled { job: id, tasks: settled, void: self.last_lend_order() };
             self.send_after_commit(from, msg);
         }
     }
@@ -474,13 +500,11 @@
     }
 
     fn handle_settled(&mut self, id: JobId, tasks: &[LoanId]) {
-        let now = self.now.steady;
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_borrowed()) else { return };
         for loaned in tasks {
             let Some(task) = job.task_mut(loaned.task) else { continue };
             if task.loan == loaned.loan && task.runs.is_empty() && task.phase != TaskPhase::Open {
                 task.phase = TaskPhase::Elsewhere;
-                self.loans.record_ended(*loaned, now);
             }
         }
         if job.tasks().all(|task| task.phase == TaskPhase::Elsewhere) {
@@ -491,15 +515,12 @@
     }
 
     fn handle_recall(&mut self, from: &Arc<str>, id: JobId, tasks: &[LoanId]) {
-        let now = self.now.steady;
         let mut unknown = Vec::new();
         for loaned in tasks {
             let job = self.jobs.get_mut(&id).filter(|job| job.is_borrowed());
             let task = job.and_then(|job| job.task_mut(loaned.task));
             let ours = task.filter(|t| t.loan == loaned.loan && t.phase != TaskPhase::Elsewhere);
             let Some(task) = ours else {
-                // The loan message may still be in transit and is to be ignored when it arrives.
-                self.loans.record_ended(*loaned, now);
                 unknown.push(unknown_loan_return(*loaned));
                 continue;
             };
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -1,12 +1,14 @@
 //! Tasks lent to another shard.
 
-use crate::faults::NoFaults;
+use crate::faults::{Faults, NoFaults, Outcome};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
 use crate::world::Simulation;
 use indexmap::IndexMap;
+use std::ops::Range;
 use std::time::Duration;
 use waxwingstall::job::{Job, Label, Share};
+use waxwingstall::shard::Action;
 use waxwingstall::units::Resources;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
@@ -127,3 +129,41 @@
     assert_eq!(sim.runs_on(1), 2);
     check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
 }
+
+/// Delays the messages that are sent in a period of time; they arrive after newer ones.
+struct LateMessages {
+    sent: Range<Duration>,
+    delay: Duration,
+}
+
+impl Faults for LateMessages {
+    fn command_outcome(&mut self, _: Duration, _: &Action) -> Outcome {
+        Outcome::Delivered
+    }
+
+    fn message_outcome(&mut self, now: Duration) -> Outcome {
+        if self.sent.contains(&now) { Outcome::Late(self.delay) } else { Outcome::Delivered }
+    }
+}
+
+// Guards against a task that runs again because a message that lent it arrives after it was returned.
+#[test]
+fn a_loan_that_has_ended_is_not_taken_again_however_late_its_message_arrives() {
+    for delay in [3, 40, 600] {
+        let faults = LateMessages { sent: Duration::ZERO..Duration::ZERO, delay: seconds(delay) };
+        let mut sim = Simulation::new(faults, &["kacyiru", "remera"], 1, SIZE);
+        let full = job_with_steps(1, 1, 4, work(1_000_000, 2));
+        let lent = job_with_steps(2, 1, 1, work(100, 2));
+        let later = job_with_steps(3, 1, 1, work(100, 2));
+        sim.submit("kacyiru", full.clone());
+        sim.run_for(seconds(1));
+        sim.faults.sent = sim.now..sim.now + Duration::from_millis(300);
+        sim.submit("kacyiru", lent.clone());
+        sim.run_for(seconds(delay - 1));
+        sim.submit("kacyiru", later.clone());
+        sim.run_for(seconds(4));
+        assert_eq!(sim.loans, 2);
+        let jobs = [full, lent, later].map(|job| (job.id, job));
+        check(&mut sim, &IndexMap::from(jobs), SIZE);
+    }
+}
