Keep a settled loan dropped although an earlier commit is answered later

What callers saw: nothing at once. A shard kept a record of a loan that both sides had done with, in the store and in memory, for as long as it had owners, and proved its ownership every 3 s for it.

Cause: each commit sets the state of a job's record as it was when the commit was built. A loan that was settled while such a commit was in flight was marked as dropped, and the answer to the earlier commit set it back to kept; the next commit wrote the record instead of deleting it. Repeated confirmations heal it, except for a task of which another copy was still running when the first one succeeded: its loan is returned until that copy has ended, and not after.

Change: a dropped record stays dropped, and records that earlier owners left behind are deleted at takeover.

--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -285,7 +285,10 @@
         };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let before = job.durable.replace(state);
-        let was = std::mem::replace(&mut job.record, record);
+        let was = job.record;
+        if was != RecordState::Dropped {
+            job.record = record;
+        }
         let queue = job.job.queue.clone();
         let (waited, tasks) = (now.saturating_sub(job.since), task_count(&job.job));
         if job.is_borrowed() {
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -188,6 +188,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         if job.is_borrowed() {
             self.loans.borrowed.insert(id);
+            self.drop_settled_job(id);
         } else if job.has_lent_tasks() {
             self.loans.lending.insert(id);
         }
@@ -507,11 +508,18 @@
                 task.phase = TaskPhase::Elsewhere;
             }
         }
+        self.log.mark_changed(id);
+        self.drop_settled_job(id);
+    }
+
+    /// Drops a borrowed job once all its loans are settled.
+    fn drop_settled_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.tasks().all(|task| task.phase == TaskPhase::Elsewhere) {
             job.record = RecordState::Dropped;
             self.loans.borrowed.shift_remove(&id);
+            self.log.mark_changed(id);
         }
-        self.log.mark_changed(id);
     }
 
     fn handle_recall(&mut self, from: &Arc<str>, id: JobId, tasks: &[LoanId]) {
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -6,10 +6,18 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
-use waxwingstall::job::{Job, Label, Share};
-use waxwingstall::shard::Action;
+use waxwingstall::job::progress::{OccurrenceProgress, Progress, TaskPhase, TaskProgress};
+use waxwingstall::job::{Job, JobState, Label, Share, TaskRef};
+use waxwingstall::kv::Txn;
+use waxwingstall::shard::learned::{Inherited, StoredRecord};
+use waxwingstall::shard::loan::{LendOrder, LoanId, LoanMsg};
+use waxwingstall::shard::{
+    Action, CommitResult, Event, Now, PreviousOwner, Recovered, Settings, Shard,
+};
 use waxwingstall::units::Resources;
+use waxwingstall::vm::Fence;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
 
@@ -167,3 +175,79 @@
         check(&mut sim, &IndexMap::from(jobs), SIZE);
     }
 }
+
+/// An owner that has just taken over a shard with a borrowed job, whose tasks are all in one phase.
+fn owner_of_borrowed_job(job: &Job, state: TaskPhase) -> Shard {
+    let task = TaskProgress { state, loan: LOAN, ..TaskProgress::default() };
+    let tasks = vec![task; job.steps[0].tasks as usize];
+    let progress = Progress {
+        state: JobState::Running,
+        lender: Some("kacyiru".to_owned()),
+        vms: Vec::new(),
+        shards: Vec::new(),
+        started_occurrences: 0,
+        open_occurrences: vec![OccurrenceProgress { number: 0, steps: vec![tasks] }],
+        crashes: Vec::new(),
+    };
+    let recovered = Recovered {
+        shard: "remera".to_owned(),
+        fence: BORROWER,
+        claimed_at: Duration::ZERO,
+        seq: 0,
+        previous: PreviousOwner::Ended,
+        jobs: vec![Arc::new(job.clone())],
+        progress: vec![(job.id, progress)],
+        predecessor: None,
+        unresponsive_vms: Vec::new(),
+        silent: Vec::new(),
+        reported_lapses: Vec::new(),
+        learned: Inherited { record: StoredRecord::Absent, report: None },
+    };
+    Shard::new(recovered, Settings::default(), Arc::default(), Vec::new(), Now::default())
+}
+
+const BORROWER: Fence = Fence(7);
+const LOAN: u64 = 5;
+
+fn settled(job: &Job, index: u32) -> Event {
+    let task = TaskRef { job: job.id, occurrence: 0, step: 0, index };
+    let tasks = vec![LoanId { task, loan: LOAN }];
+    let msg = LoanMsg::Settled { job: job.id, tasks, void: LendOrder::default() };
+    Event::Message { from: Arc::from("kacyiru"), to: BORROWER, msg }
+}
+
+/// The commit among the actions.
+fn commit(actions: Vec<Action>) -> Option<(u64, Txn)> {
+    actions.into_iter().find_map(|action| match action {
+        Action::Commit { seq, txn } => Some((seq, txn)),
+        _ => None,
+    })
+}
+
+// Guards against records of loans that stay for good: a loan that was settled while an earlier commit of
+// its job was in flight counted as open again once that commit was answered.
+#[test]
+fn a_loan_that_is_settled_during_a_commit_leaves_no_record() {
+    let job = job_with_steps(2, 1, 2, work(100, 2));
+    let mut shard = owner_of_borrowed_job(&job, TaskPhase::Succeeded);
+    let at = |millis| Now { steady: Duration::from_millis(millis), ..Now::default() };
+    let (seq, _) = commit(shard.step(at(100), settled(&job, 0))).expect("a commit");
+    assert_eq!(commit(shard.step(at(101), settled(&job, 1))), None);
+    let durable = Event::Committed { seq, result: CommitResult::Durable };
+    let next = commit(shard.step(at(102), durable));
+    let (seq, txn) = next.or_else(|| commit(shard.step(at(200), Event::Tick))).expect("a commit");
+    assert_eq!(txn.puts, Vec::new());
+    assert!(txn.deletes.iter().any(|key| key.ends_with(&job.id.to_string())));
+    shard.step(at(201), Event::Committed { seq, result: CommitResult::Durable });
+    assert_eq!(shard.open_job_and_run_counts(), (0, 0));
+}
+
+// Guards against records of settled loans that an earlier owner has left behind.
+#[test]
+fn a_settled_loan_is_deleted_at_takeover() {
+    let job = job_with_steps(2, 1, 2, work(100, 2));
+    let mut shard = owner_of_borrowed_job(&job, TaskPhase::Elsewhere);
+    let now = Now { steady: Duration::from_millis(100), ..Now::default() };
+    let (_, txn) = commit(shard.step(now, Event::Tick)).expect("a commit");
+    assert!(txn.deletes.iter().any(|key| key.ends_with(&job.id.to_string())));
+}
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -221,6 +221,8 @@
                 (false, false) => JobState::Done,
             };
             assert_eq!(state, expected, "seed {seed}: job {id}");
+            let is_borrowed = self.sim.is_borrowed(id);
+            assert!(long_running || !is_borrowed, "seed {seed}: job {id} leaves a loan behind");
         }
     }
 }
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -607,6 +607,16 @@
         bound.into_iter().filter_map(index).collect()
     }
 
+    /// Whether the store holds a record of tasks of a job that a shard has borrowed.
+    pub fn is_borrowed(&mut self, job: JobId) -> bool {
+        let names = self.shard_names();
+        names.iter().any(|name| {
+            let records = self.read_all(&Keys::new(name).all_progress());
+            let mut records = records.iter().filter(|(key, _)| key.ends_with(&job.to_string()));
+            records.any(|(_, value)| Progress::decode(value).expect("progress").lender.is_some())
+        })
+    }
+
     fn shard_names(&self) -> IndexSet<Arc<str>> {
         self.owners.iter().map(|owner| owner.name.clone()).collect()
     }
