Simulate messages between owners that arrive late and repeatedly

Owners are now also partitioned from each other for up to 7 s at a time, again and again for a minute. What is sent meanwhile arrives when a connection that repeats it at doubling intervals gets through, up to a minute later, and one message in ten arrives a second time.

--- a/tests/shards/duplicates.rs
+++ b/tests/shards/duplicates.rs
@@ -2,10 +2,10 @@
 
 use crate::faults::{Faults, NoFaults, Outcome};
 use crate::jobs::{job_with_steps, work};
-use crate::world::{Simulation, VmNode};
+use crate::world::{SHOW_FOR, Simulation, VmNode};
 use std::time::Duration;
 use waxwingstall::job::Job;
-use waxwingstall::shard::{Action, Keys, Settings};
+use waxwingstall::shard::{Action, Keys};
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::Seen;
 
@@ -69,7 +69,7 @@
     let (expiring, elsewhere) = (job_with_steps(1, 1, 1, work(300, 1)), lasting(2));
     sim.submit(shards[0], expiring.clone());
     sim.submit(shards[1], elsewhere.clone());
-    sim.run_for(Settings::default().show_for);
+    sim.run_for(SHOW_FOR);
     assert!(sim.kv.get(&Keys::id(expiring.id)).is_some(), "its state is still shown");
     let until = sim.now + Duration::from_secs(10);
     while sim.now < until {
--- a/tests/shards/faults.rs
+++ b/tests/shards/faults.rs
@@ -2,6 +2,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::ops::Range;
 use std::time::Duration;
 use waxwingstall::shard::Action;
 
@@ -29,6 +30,11 @@
 
     /// Outcome of a message between shards, or of a permit request.
     fn message_outcome(&mut self, now: Duration) -> Outcome;
+
+    /// Time after which a message between shards is delivered once more.
+    fn repeat_after(&mut self, _: Duration) -> Option<Duration> {
+        None
+    }
 }
 
 /// No faults.
@@ -50,12 +56,44 @@
     until: Duration,
     /// Fraction of commands and messages with a fault, in thousandths.
     permille: u32,
+    /// Periods in which messages between shards are dropped until their connection repeats them.
+    cuts: Vec<Range<Duration>>,
 }
 
+/// First interval after which a connection repeats what was dropped; it doubles each time.
+const FIRST_REPEAT: Duration = Duration::from_millis(200);
+
 impl RandomFaults {
     /// Injects faults at a rate of `permille` until `until`.
     pub fn new(seed: u64, permille: u32, until: Duration) -> Self {
-        Self { rng: SmallRng::seed_from_u64(seed), until, permille }
+        Self { rng: SmallRng::seed_from_u64(seed), until, permille, cuts: Vec::new() }
+    }
+
+    /// Injects faults until another time.
+    pub fn until(self, until: Duration) -> Self {
+        Self { until, ..self }
+    }
+
+    /// Adds partitions of up to 7 s with gaps of 0.1 to 2 s until no more faults are injected.
+    pub fn with_cuts(mut self) -> Self {
+        let mut start = Duration::ZERO;
+        while start < self.until {
+            let end = start + Duration::from_millis(self.rng.random_range(500..7000));
+            self.cuts.push(start..end.min(self.until));
+            start = end + Duration::from_millis(self.rng.random_range(100..2000));
+        }
+        self
+    }
+
+    /// Returns how long a message that is sent now is held up by partitions.
+    fn hold_up(&self, now: Duration) -> Option<Duration> {
+        let is_cut = |at: Duration| self.cuts.iter().any(|cut| cut.contains(&at));
+        let (mut arrival, mut interval) = (now, FIRST_REPEAT);
+        while is_cut(arrival) {
+            arrival += interval;
+            interval *= 2;
+        }
+        (arrival > now).then_some(arrival - now)
     }
 
     fn draw_outcome(&mut self, now: Duration) -> Outcome {
@@ -76,6 +114,13 @@
     }
 
     fn message_outcome(&mut self, now: Duration) -> Outcome {
-        self.draw_outcome(now)
+        match self.hold_up(now) {
+            Some(delay) => Outcome::Late(delay),
+            None => self.draw_outcome(now),
+        }
+    }
+    fn repeat_after(&mut self, now: Duration) -> Option<Duration> {
+        let repeats = !self.cuts.is_empty() && now < self.until && self.rng.random_bool(0.1);
+        repeats.then(|| Duration::from_millis(self.rng.random_range(50..60_000)))
     }
 }
--- a/tests/shards/random.rs
+++ b/tests/shards/random.rs
@@ -473,3 +473,48 @@
         simulate_partitions(seed).verify();
     }
 }
+
+/// Time with partitions between the owners.
+const CUT_PERIOD: Duration = Duration::from_secs(60);
+
+/// Time by which every message has arrived: a connection that repeats it at doubling intervals
+/// does so for the last time when it has tried for as long again as the partitions lasted.
+const ALL_ARRIVED: Duration = Duration::from_secs(121);
+
+/// Owners are partitioned from each other again and again, but not from the store and their VMs, and
+/// are replaced, handed over and paused meanwhile, with every other seed. Messages arrive late and repeatedly. Work goes on until all messages have arrived.
+fn simulate_held_up_messages(seed: u64) -> RandomRun {
+    let mut run = RandomRun::with_simulation(seed, 60, |faults| {
+        Simulation::new(faults.until(CUT_PERIOD).with_cuts(), &SHARDS, VMS, SIZE)
+    });
+    while run.sim.now < ALL_ARRIVED {
+        let pause = run.millis(20..1500);
+        run.sim.run_for(pause);
+        let shard = run.shard();
+        match run.rng.random_range(0..100) {
+            0..70 if run.jobs.len() < 80 => run.submit(),
+            70..76 if !run.jobs.is_empty() => run.cancel(),
+            76..78 if run.sim.crashes < MAX_CRASHES => run.crash_vm(),
+            78..81 => run.disconnect_vm(),
+            81..83 => run.stop_store(),
+            83..86 => run.sim.evacuate(shard),
+            86..91 => run.sim.withdraw_evacuation(shard),
+            // Messages for an owner that was replaced are ignored.
+            91..94 if seed.is_multiple_of(2) => run.sim.replace_owner(shard),
+            94..97 if seed.is_multiple_of(2) => run.sim.hand_over(shard),
+            97..100 if seed.is_multiple_of(2) => run.pause_owner(),
+            _ => {}
+        }
+    }
+    SHARDS.iter().for_each(|shard| run.sim.withdraw_evacuation(shard));
+    run
+}
+
+// The same while messages between owners arrive up to a minute late, after newer ones, and repeatedly.
+#[test]
+fn promises_hold_however_late_messages_arrive() {
+    for seed in seeds(0..60) {
+        println!("seed {seed}");
+        simulate_held_up_messages(seed).verify();
+    }
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -1130,6 +1130,10 @@
                     println!("{:?} {name}#{number} tells {to} {fence:?} {msg:?}", self.now);
                 }
                 let event = Event::Message { from: name.clone(), to: fence, msg };
+                if let Some(delay) = self.faults.repeat_after(self.now) {
+                    let (shard, event) = (to.clone(), event.clone());
+                    self.schedule(delay, Delivery::Shard { shard, event });
+                }
                 match self.faults.message_outcome(self.now) {
                     Outcome::Lost
                     | Outcome::AnswerLost
@@ -1452,8 +1456,11 @@
     queues
 }
 
+/// How long ended jobs are shown; no simulation of random faults takes longer.
+pub const SHOW_FOR: Duration = Duration::from_secs(300);
+
 fn settings(max_keep: Duration) -> Settings {
-    Settings { max_keep, ..Settings::default() }
+    Settings { max_keep, show_for: SHOW_FOR, ..Settings::default() }
 }
 
 /// Offset of a VM's clock before its first restart.
