Accept no job whose caller has stopped waiting

What callers saw: a job that was submitted before or during a partition, and whose caller had been answered 'unknown' or served by another shard's refusal since, started up to 47 s later, with nobody waiting for it and room taken from others.

Cause: a submission that is forwarded to a shard's owner carried no time limit. What is sent into a partition arrives when the connection's retries get through, and was accepted as if it had just been sent.

Change: hellos tell the sender's monotonic clock. A forwarded submission says until when its caller waits, on the owner's clock as far as it is known, with 1 s more since a hello may be that old; the prompter reading replaces one that was held up, as long as the owner is the same. The owner refuses a submission past that time as not run, which is true, and logs it (job-expired). Cancellations and look-ups are carried out whenever they arrive: neither starts anything. Calls between a daemon's own actors have the same limit, for a daemon that stood still.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -82,6 +82,8 @@
     /// Increases with each hello that the process composes. One may be sent several times, and
     /// later ones may overtake it.
     pub number: u64,
+    /// The sender's monotonic clock as it composed the hello.
+    pub clock: Duration,
     pub store: StoreReachability,
     /// Version of the configuration in force at the sender.
     pub config: u64,
--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -43,6 +43,10 @@
 /// Maximum age of a shard summary whose counts of queued jobs are reported.
 const MAX_COUNT_AGE: Duration = Duration::from_millis(1900);
 
+/// How far another daemon's clock may be ahead of what is known of it: hellos tell the time at which
+/// they were composed, which can be this long before they are sent.
+const MAX_CLOCK_LAG: Duration = Duration::from_secs(1);
+
 /// Delay before a call is retried, possibly at the shard's new owner.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(80);
 
@@ -285,18 +289,25 @@
     }
 
     async fn attempt(&self, shard: &str, call: Call, deadline: Duration) -> Attempt {
-        let owner = self.view.borrow().shards.get(shard).and_then(|s| s.owner.clone());
+        let known = self.view.borrow().shards.get(shard).cloned();
+        let (owner, clock) = known.map_or((None, None), |shard| (shard.owner, shard.clock));
         let left = self.time_left(deadline);
         if left.is_zero() {
             // Nothing was sent, so the caller can be told that the call did not run.
             return Attempt::NotRun;
         }
         let timeout = left.min(ATTEMPT_TIMEOUT);
+        let now = self.clock.now();
         match owner {
             None => Attempt::NotRun,
-            Some(Owner::Local) => self.attempt_locally(shard, call, timeout).await,
+            Some(Owner::Local) => {
+                let (shard, valid_until) = (shard.to_owned(), Some(now + left));
+                self.attempt_locally(HandleCall { shard, call, valid_until }, timeout).await
+            }
             Some(Owner::Remote(to)) => {
-                let msg = ForwardCall { to, shard: shard.to_owned(), call, timeout };
+                let valid_until = clock.map(|clock| clock.at(now) + left + MAX_CLOCK_LAG);
+                let shard_name = shard.to_owned();
+                let msg = ForwardCall { to, shard: shard_name, call, valid_until, timeout };
                 tokio::select! {
                     sent = self.links.send(msg) => match sent {
                         Ok(Ok(Reply::Answer(answer))) => Attempt::Answered(answer),
@@ -324,8 +335,7 @@
         }
     }
 
-    async fn attempt_locally(&self, shard: &str, call: Call, timeout: Duration) -> Attempt {
-        let msg = HandleCall { shard: shard.to_owned(), call };
+    async fn attempt_locally(&self, msg: HandleCall, timeout: Duration) -> Attempt {
         match tokio::time::timeout(timeout, self.control.send(msg)).await {
             Ok(Ok(Reply::Answer(answer))) => Attempt::Answered(answer),
             Ok(Ok(Reply::NotOwner)) => Attempt::NotRun,
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -1,4 +1,6 @@
-use super::{Answer, Call, JobClient, RETRY_AFTER_EVACUATION, RETRY_AFTER_OUTAGE, Reply};
+use super::{
+    Answer, Call, JobClient, MAX_CLOCK_LAG, RETRY_AFTER_EVACUATION, RETRY_AFTER_OUTAGE, Reply,
+};
 use crate::clock::{Clock, SystemClock};
 use crate::cluster::{
     DeclineReason, Hello, Member, MemberStage, OfferAnswer, ReleasedShard, StoreReachability,
@@ -8,7 +10,7 @@
 use crate::jobs::control::Control;
 use crate::jobs::links::{JobsRpc, PeerLinks};
 use crate::jobs::records::{FindJob, JobLocation};
-use crate::jobs::view::{JobDirectory, Owner, ShardView, View};
+use crate::jobs::view::{JobDirectory, Owner, RemoteClock, ShardView, View};
 use crate::journal::Journal;
 use crate::kv::Rev;
 use crate::note::Weight;
@@ -76,7 +78,14 @@
 fn shard(addr: SocketAddr, store: StoreReachability) -> ShardView {
     let owner = Some(Owner::Remote(member("two", addr)));
     let summary = Arc::new(Summary { vms: 1, ..Summary::default() });
-    ShardView { owner, store, summary, summary_at: SystemClock.now(), is_evacuated: false }
+    ShardView {
+        owner,
+        store,
+        summary,
+        summary_at: SystemClock.now(),
+        clock: None,
+        is_evacuated: false,
+    }
 }
 
 /// Client on a daemon that owns none of these shards.
@@ -167,13 +176,15 @@
 #[derive(Clone)]
 struct FakeOwner {
     submitted: Answer,
+    /// When the caller of the last submitted job stops waiting.
+    valid_until: Arc<Mutex<Option<Duration>>>,
     /// Number of calls to existing jobs that it answers as if it had no such job.
     denials: Arc<AtomicUsize>,
 }
 
 impl FakeOwner {
     fn new(submitted: Answer) -> Self {
-        Self { submitted, denials: Arc::default() }
+        Self { submitted, valid_until: Arc::default(), denials: Arc::default() }
     }
 
     fn existing(&self, answer: Answer) -> Answer {
@@ -190,9 +201,18 @@
         None
     }
 
-    async fn call(self, _: CallContext, _: String, call: Call) -> Reply {
+    async fn call(
+        self,
+        _: CallContext,
+        _: String,
+        call: Call,
+        valid_until: Option<Duration>,
+    ) -> Reply {
         Reply::Answer(match call {
-            Call::Submit(..) => self.submitted,
+            Call::Submit(..) => {
+                *self.valid_until.lock().expect("no test panics with it") = valid_until;
+                self.submitted
+            }
             Call::Cancel(_) => self.existing(Answer::Cancelling),
             Call::Show(_) => self.existing(Answer::Shown(JobState::Done)),
         })
@@ -247,6 +267,24 @@
     assert_eq!(answer, Answer::Shown(JobState::Done));
 }
 
+// Guards against jobs that are accepted after their callers have given up: the owner must learn when that
+// is, on its own clock.
+#[actix::test]
+async fn a_shards_owner_is_told_how_long_the_caller_waits() {
+    let owner = FakeOwner::new(Answer::Accepted);
+    let addr = serve(owner.clone());
+    let ahead = Duration::from_secs(5000);
+    let now = SystemClock.now();
+    let clock = Some(RemoteClock::new(now, now + ahead));
+    let shard = ShardView { clock, ..shard(addr, StoreReachability::Reached) };
+    let client = client_of(None, vec![(SHARD, shard)]);
+    assert_eq!(answered(client.submit(job(), TEST_TIMEOUT)).await, Answer::Accepted);
+    let valid_until = owner.valid_until.lock().expect("no test panics with it").expect("a time");
+    let earliest = now + ahead + TEST_TIMEOUT;
+    assert!(valid_until >= earliest, "{valid_until:?} for {earliest:?}");
+    assert!(valid_until <= SystemClock.now() + ahead + TEST_TIMEOUT + MAX_CLOCK_LAG);
+}
+
 /// Address of a shard owner that gives this answer to every job.
 fn owner_that_answers(answer: Answer) -> SocketAddr {
     serve(FakeOwner::new(answer))
--- a/src/jobs/choice/tests.rs
+++ b/src/jobs/choice/tests.rs
@@ -53,6 +53,7 @@
         store,
         summary: Arc::new(summary),
         summary_at: NOW - silent,
+        clock: None,
         is_evacuated: false,
     }
 }
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -8,8 +8,8 @@
 use crate::ids::{DaemonId, Ticket};
 use crate::jobs::calls::{Call, Reply};
 use crate::jobs::follow::operators::LoadedConfig;
-use crate::jobs::view::ShardView;
-use crate::note::Note;
+use crate::jobs::view::{RemoteClock, ShardView};
+use crate::note::{Millis, Note};
 use crate::shard::learned::ShardLearned;
 use crate::shard::loan::LoanMsg;
 use crate::shard::{Answer, CommitResult, Event, FleetListStatus, Recovered, VmLapse};
@@ -20,6 +20,9 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// Why a submission that was held up on the way isn't accepted.
+const EXPIRED: &str = "the caller no longer waits for an answer";
+
 /// Connects the control actor to the others.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -195,7 +198,8 @@
             let summary = Arc::new(report.summary.clone());
             let store = hello.store;
             let (owner, is_evacuated) = (None, false);
-            let view = ShardView { owner, store, summary, summary_at: now, is_evacuated };
+            let clock = Some(self.clock_of_owner(&report.name, order, hello.clock));
+            let view = ShardView { owner, store, summary, summary_at: now, clock, is_evacuated };
             self.remote_shards.insert(report.name.clone(), RemoteShard { order, view });
             let lapses = TimedLapses { at: now, lapses: report.lapses.clone() };
             self.reported_lapses.insert(report.name.clone(), lapses);
@@ -208,6 +212,13 @@
 }
 
 impl Control {
+    /// Clock of a shard's owner, by the reading in its hello and earlier ones of the same owner.
+    fn clock_of_owner(&self, shard: &str, order: ReportOrder, reading: Duration) -> RemoteClock {
+        let heard = RemoteClock::new(self.last_wake, reading);
+        let known = self.remote_shards.get(shard).filter(|known| known.order.fence == order.fence);
+        known.and_then(|known| known.view.clock).map_or(heard, |known| known.closer(heard))
+    }
+
     /// Whether no newer report on a shard is known; a hello may be held up on the way.
     fn is_newest_report(&self, shard: &str, order: ReportOrder) -> bool {
         order.fence >= self.ownership.fence(shard).0
@@ -239,13 +250,24 @@
 pub struct HandleCall {
     pub shard: String,
     pub call: Call,
+    /// When the caller stops waiting, on this daemon's monotonic clock; `None` if it isn't known.
+    pub valid_until: Option<Duration>,
 }
 
 impl Handler<HandleCall> for Control {
     type Result = ResponseFuture<Reply>;
 
     fn handle(&mut self, msg: HandleCall, cx: &mut Self::Context) -> Self::Result {
-        self.begin_handler(cx);
+        let now = self.begin_handler(cx).steady;
+        let late = msg.valid_until.map_or(Duration::ZERO, |until| now.saturating_sub(until));
+        if let Call::Submit(job, _) = &msg.call
+            && !late.is_zero()
+        {
+            self.journal.write(Note::JobExpired { job: job.id, late_ms: Millis(late) });
+            let (reason, retry_after) = (EXPIRED.to_owned(), Duration::ZERO);
+            let answer = Answer::NotRun { reason, retry_after };
+            return Box::pin(std::future::ready(Reply::Answer(answer)));
+        }
         if !self.hosted.contains_key(&msg.shard) {
             return Box::pin(std::future::ready(Reply::NotOwner));
         }
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -76,7 +76,8 @@
                 Some(hosted) => {
                     let (summary, summary_at) = (hosted.summary.clone(), hosted.summary_at);
                     let (owner, store) = (Some(Owner::Local), self.store_reach);
-                    ShardView { owner, store, summary, summary_at, is_evacuated }
+                    let clock = None;
+                    ShardView { owner, store, summary, summary_at, clock, is_evacuated }
                 }
                 None => ShardView { is_evacuated, ..self.remote_view(&name) },
             };
@@ -110,6 +111,7 @@
             store: known.map_or(StoreReachability::Away, |view| view.store),
             summary: known.map(|view| view.summary.clone()).unwrap_or_default(),
             summary_at: known.map_or(Duration::ZERO, |view| view.summary_at),
+            clock: known.and_then(|view| view.clock),
             is_evacuated: false,
         }
     }
@@ -163,6 +165,7 @@
         let hello = Hello {
             from: self.ownership.me().clone(),
             number: self.last_hello,
+            clock: now,
             store: self.store_reach,
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
             shards: self.shard_reports(),
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -18,7 +18,7 @@
 use crate::jobs::records::{
     ClaimShard, CommitShard, ConfirmOwnership, OwnershipStatus, ReadHeads, RemoveShard,
 };
-use crate::jobs::view::View;
+use crate::jobs::view::{RemoteClock, View};
 use crate::journal::Journal;
 use crate::kv::Rev;
 use crate::note::Weight;
@@ -27,7 +27,8 @@
 use crate::shard::interference::{Estimate, Pair, PairEstimate};
 use crate::shard::learned::{Inherited, Learned, StoredRecord};
 use crate::shard::{
-    PreviousOwner, Recovered, ReportedLapse, Settings, SilenceMark, SilentVm, Summary, VmLapse,
+    AdmissionMode, Answer, PreviousOwner, Recovered, ReportedLapse, Settings, SilenceMark,
+    SilentVm, Summary, VmLapse,
 };
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
@@ -170,13 +171,53 @@
     control.send(claimed()).await.expect("a control");
     clock.advance(2 * OWN_PAUSE_THRESHOLD);
     for call in [Call::Show(JobId(1)), Call::Cancel(JobId(1))] {
-        let asked = control.send(HandleCall { shard: SHARD.to_owned(), call });
+        let asked = control.send(HandleCall { shard: SHARD.to_owned(), call, valid_until: None });
         let reply = tokio::time::timeout(TEST_TIMEOUT, asked).await.expect("an answer");
         assert_eq!(reply.expect("a control"), Reply::NotOwner);
     }
     assert!(clock.now() >= OWN_PAUSE_THRESHOLD);
 }
 
+// Guards against a job that starts although its caller has long been answered: it was submitted over a
+// connection that a partition held up.
+#[actix::test]
+async fn a_job_is_not_accepted_once_its_caller_has_stopped_waiting() {
+    let clock = Arc::new(ManualClock::new());
+    let control = control(clock.clone());
+    control.send(claimed()).await.expect("a control");
+    clock.advance(Duration::from_millis(100));
+    let job = Box::new(job_without_steps());
+    let (shard, call) = (SHARD.to_owned(), Call::Submit(job, AdmissionMode::Always));
+    let valid_until = Some(Duration::from_millis(99));
+    let reply = control.send(HandleCall { shard, call, valid_until });
+    let reply = tokio::time::timeout(TEST_TIMEOUT, reply).await.expect("an answer");
+    let reply = reply.expect("a control");
+    assert!(matches!(reply, Reply::Answer(Answer::NotRun { .. })), "{reply:?}");
+}
+
+// Guards against a waiting caller's job that is dropped since a hello that was held up tells an old time.
+#[test]
+fn a_clock_reading_that_was_held_up_replaces_no_better_one() {
+    let second = Duration::from_secs;
+    let prompt = RemoteClock::new(second(100), second(1000));
+    let late = RemoteClock::new(second(150), second(1001));
+    for clock in [prompt.closer(late), late.closer(prompt)] {
+        assert_eq!(clock.at(second(160)), second(1060));
+    }
+}
+
+fn job_without_steps() -> Job {
+    Job {
+        id: JobId(2),
+        queue: QueueName::new("builds"),
+        service: ServiceName::new("shop"),
+        payload: Arc::from(""),
+        steps: Vec::new(),
+        repeat: Repeat::Once,
+        accepted: Duration::ZERO,
+    }
+}
+
 /// Collects log output for the test.
 #[derive(Clone, Default)]
 struct LogBuffer(Arc<Mutex<Vec<u8>>>);
@@ -265,7 +306,7 @@
     };
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
     let (store, shards) = (StoreReachability::Reached, vec![report]);
-    Hello { from, number: 1, store, config: 1, shards, released: Vec::new() }
+    Hello { from, number: 1, clock: Duration::ZERO, store, config: 1, shards, released: Vec::new() }
 }
 
 // A daemon loses a shard and claims it again. Guards against it forgetting what it reported about
@@ -279,7 +320,10 @@
     control.send(claimed_with_silent_vm()).await.expect("a control");
     assert!(lines.wait_for("vm-lapse-told", 1).await, "the earlier owner reported the VM");
     clock.advance(2 * OWN_PAUSE_THRESHOLD);
-    control.send(HandleCall { shard: SHARD.to_owned(), call: Call::Show(JobId(1)) }).await.ok();
+    control
+        .send(HandleCall { shard: SHARD.to_owned(), call: Call::Show(JobId(1)), valid_until: None })
+        .await
+        .ok();
     assert!(
         !control.send(HasShards).await.expect("a control"),
         "the shard is dropped after the store reports another owner"
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -62,7 +62,15 @@
 
     async fn hear(&self, from: &Member, shards: Vec<ShardReport>) {
         let (from, store) = (from.clone(), StoreReachability::Reached);
-        let hello = Hello { from, number: 1, store, config: 1, shards, released: Vec::new() };
+        let hello = Hello {
+            from,
+            number: 1,
+            clock: Duration::ZERO,
+            store,
+            config: 1,
+            shards,
+            released: Vec::new(),
+        };
         self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     }
 
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -54,8 +54,9 @@
     /// Exchanges the state of both daemons.
     async fn hello(hello: Hello) -> Option<Hello>;
 
-    /// Runs a caller's request at the owner of a shard.
-    async fn call(shard: String, call: Call) -> Reply;
+    /// Runs a caller's request at the owner of a shard. A job is accepted until `valid_until` on the
+    /// owner's monotonic clock, if that is known.
+    async fn call(shard: String, call: Call, valid_until: Option<Duration>) -> Reply;
 
     /// Sends a message about lent tasks to the owner of a shard.
     async fn tell(shard: String, from: String, fence: Fence, msg: LoanMsg);
@@ -168,9 +169,16 @@
         self.links.send(GetHello(detail)).await.ok().flatten()
     }
 
-    async fn call(self, _: CallContext, shard: String, call: Call) -> Reply {
+    async fn call(
+        self,
+        _: CallContext,
+        shard: String,
+        call: Call,
+        valid_until: Option<Duration>,
+    ) -> Reply {
         // A control actor that has ended owns no shards.
-        self.control.send(HandleCall { shard, call }).await.unwrap_or(Reply::NotOwner)
+        let msg = HandleCall { shard, call, valid_until };
+        self.control.send(msg).await.unwrap_or(Reply::NotOwner)
     }
 
     async fn tell(self, _: CallContext, shard: String, from: String, fence: Fence, msg: LoanMsg) {
@@ -335,6 +343,8 @@
     pub to: Member,
     pub shard: String,
     pub call: Call,
+    /// When the caller stops waiting, on the clock of the daemon called.
+    pub valid_until: Option<Duration>,
     pub timeout: Duration,
 }
 
@@ -343,7 +353,7 @@
 
     fn handle(&mut self, msg: ForwardCall, _: &mut Self::Context) -> Self::Result {
         let peer = self.peer(&msg.to.addr);
-        Box::pin(async move { peer.call(msg.shard, msg.call, msg.timeout).await })
+        Box::pin(async move { peer.call(msg).await })
     }
 }
 
@@ -390,8 +400,12 @@
         self.request(HELLO_TIMEOUT, send).await
     }
 
-    async fn call(&self, shard: String, call: Call, timeout: Duration) -> Result<Reply> {
-        self.request(timeout, |client, cx| async move { client.call(cx, shard, call).await }).await
+    async fn call(&self, msg: ForwardCall) -> Result<Reply> {
+        let ForwardCall { shard, call, valid_until, timeout, .. } = msg;
+        let send = |client: JobsRpcClient, cx| async move {
+            client.call(cx, shard, call, valid_until).await
+        };
+        self.request(timeout, send).await
     }
 
     async fn request_permits(&self, req: PermitReq) -> Result<permit::Result<PermitResp>> {
--- a/src/jobs/links/tests.rs
+++ b/src/jobs/links/tests.rs
@@ -1,4 +1,4 @@
-use super::{Error, JobsRpc, OfferShard, PeerClient};
+use super::{Error, ForwardCall, JobsRpc, OfferShard, PeerClient};
 use crate::cluster::{Hello, Member, MemberStage, OfferAnswer, ReleasedShard};
 use crate::ids::{DaemonId, DomainId};
 use crate::job::JobId;
@@ -21,8 +21,20 @@
 /// Longer than the test takes.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-fn show() -> Call {
-    Call::Show(JobId(0xa1))
+fn member(addr: String) -> Member {
+    Member {
+        id: DaemonId::new("two@2"),
+        name: "two".to_owned(),
+        domain: DomainId::new("kacyiru"),
+        addr,
+        stage: MemberStage::Serving,
+        milli_cores: 100,
+    }
+}
+
+fn show_call(peer: &PeerClient, timeout: Duration) -> ForwardCall {
+    let (to, shard) = (member(peer.addr.to_string()), SHARD.to_owned());
+    ForwardCall { to, shard, call: Call::Show(JobId(0xa1)), valid_until: None, timeout }
 }
 
 /// Accepts the pending connections of a listener; they stay open until dropped.
@@ -41,7 +53,7 @@
     let peer = PeerClient::new(&listener.local_addr().expect("an address").to_string());
     let call = |timeout| {
         let peer = peer.clone();
-        async move { peer.call(SHARD.to_owned(), show(), timeout).await }
+        async move { peer.call(show_call(&peer, timeout)).await }
     };
     let late = actix::spawn(call(LATE_TIMEOUT));
     while peer.client.borrow().is_none() {
@@ -70,7 +82,7 @@
         None
     }
 
-    async fn call(self, _: CallContext, _: String, _: Call) -> Reply {
+    async fn call(self, _: CallContext, _: String, _: Call, _: Option<Duration>) -> Reply {
         Reply::NotOwner
     }
 
@@ -110,14 +122,7 @@
     let peer = PeerClient::new(&addr);
     peer.client().await.expect("a connection");
     actix::spawn(serve_second_connection(listener));
-    let to = Member {
-        id: DaemonId::new("two@2"),
-        name: "two".to_owned(),
-        domain: DomainId::new("kacyiru"),
-        addr,
-        stage: MemberStage::Serving,
-        milli_cores: 100,
-    };
+    let to = member(addr);
     let (name, from) = (SHARD.to_owned(), DaemonId::new("one@1"));
     let released = ReleasedShard { name, fence: 7, earlier_active: Duration::ZERO };
     let offer = OfferShard { to, from, released, lapses: Vec::new() };
--- a/src/jobs/view.rs
+++ b/src/jobs/view.rs
@@ -51,10 +51,38 @@
     pub summary: Arc<Summary>,
     /// When the summary was created.
     pub summary_at: Duration,
+    /// Clock of an owner in another daemon, if it has told it.
+    pub clock: Option<RemoteClock>,
     /// Whether the shard's failure domain is evacuated.
     pub is_evacuated: bool,
 }
 
+/// What is known of another daemon's monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RemoteClock {
+    /// When the reading arrived, on this daemon's clock.
+    heard_at: Duration,
+    reading: Duration,
+}
+
+impl RemoteClock {
+    /// Creates it from a reading that has just arrived.
+    pub fn new(heard_at: Duration, reading: Duration) -> Self {
+        Self { heard_at, reading }
+    }
+
+    /// Returns the earliest time that the other clock may show at `now` of this daemon's clock.
+    pub fn at(&self, now: Duration) -> Duration {
+        self.reading + now.saturating_sub(self.heard_at)
+    }
+
+    /// Returns whichever of two readings was less delayed.
+    pub fn closer(self, other: Self) -> Self {
+        let now = self.heard_at.max(other.heard_at);
+        if other.at(now) >= self.at(now) { other } else { self }
+    }
+}
+
 /// The owner of a shard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Owner {
--- a/src/note.rs
+++ b/src/note.rs
@@ -171,6 +171,8 @@
     Telling JobAccepted = "job-accepted" { job: JobId, queue: QueueName, tasks: u32, waited_ms: Millis, seq: u64, }
     /// A job was rejected by this shard, where none of its tasks run. `early_ms` is the time in which it could have been done at the earliest and `useful_ms` the time for which its result is of use; both are 0 if that wasn't the reason.
     Telling JobRefused = "job-refused" { job: JobId, queue: QueueName, reason: String, retry_ms: Millis, early_ms: Millis, useful_ms: Millis, }
+    /// A submission was dropped because it arrived after its caller had stopped waiting.
+    Telling JobExpired = "job-expired" { job: JobId, late_ms: Millis, }
     /// It is unknown whether a job was accepted.
     Urgent JobUnsure = "job-unsure" { job: JobId, reason: String, }
     /// A job has reached its final state.
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -50,7 +50,8 @@
 
 fn hello(from: Member, shards: Vec<ShardReport>) -> Hello {
     let store = StoreReachability::Reached;
-    Hello { from, number: 0, store, config: 1, shards, released: Vec::new() }
+    let clock = Duration::ZERO;
+    Hello { from, number: 0, clock, store, config: 1, shards, released: Vec::new() }
 }
 
 fn report(shard: &str, fence: u64) -> ShardReport {
