Log void messages about loans, and owners without a proof of ownership

ownership-unproved and ownership-proved tell when an owner loses its proof and has one again. loan-message-dropped replaces loan-dropped and tells why a message of any kind isn't acted on; shard-state counts them (void_messages).

--- a/src/note.rs
+++ b/src/note.rs
@@ -165,6 +165,10 @@
     Telling LearnedRestored = "learned-restored" { shard: String, source: StaticText, queues: usize, pairs: usize, age_ms: Millis, }
     /// The record of what a shard has learned can't be used; learning starts again.
     Urgent LearnedUnreadable = "learned-unreadable" { shard: String, reason: String, }
+    /// An owner has no recent proof of its ownership, so that it keeps no runs and starts none; its last proof is `age_ms` old.
+    Urgent OwnershipUnproved = "ownership-unproved" { shard: String, fence: u64, age_ms: Millis, runs: usize, }
+    /// An owner without a recent proof of its ownership has got one.
+    Urgent OwnershipProved = "ownership-proved" { shard: String, fence: u64, unproved_ms: Millis, }
     /// A claim of a shard failed.
     Urgent ShardClaimFailed = "shard-claim-failed" { shard: String, reason: String, }
     /// A job was accepted and is durable.
@@ -183,8 +187,8 @@
     Telling TasksLent = "tasks-lent" { job: JobId, to: String, tasks: usize, }
     /// Tasks of another shard's job were accepted from it; `fence` is the token of the owner that sent the loan, and `lend` the number of its message.
     Telling TasksBorrowed = "tasks-borrowed" { job: JobId, from: String, tasks: usize, loan: u64, fence: u64, lend: u64, }
-    /// A message that lends tasks was dropped: it arrived after the lender had told that it no longer lends by this message.
-    Telling LoanDropped = "loan-dropped" { job: JobId, from: String, tasks: usize, loan: u64, fence: u64, lend: u64, }
+    /// A message about loans was dropped as void. `fence` and `lend` are the token of its sender and its number if it lends tasks, and 0 otherwise.
+    Telling LoanMessageDropped = "loan-message-dropped" { kind: StaticText, job: JobId, from: String, reason: StaticText, fence: u64, lend: u64, }
     /// Smaller lasting tasks are moved to make room for a larger one on a VM.
     Telling RoomPlanned = "room-planned" { task: TaskRef, vm: VmId, milli_cores: u32, waited_ms: Millis, moved: usize, moved_milli_cores: u32, }
     /// The external permit service answered on which VMs a step may run.
@@ -267,8 +271,8 @@
     Telling VacateWaits = "vacate-waits" { vm: VmId, task: TaskRef, reason: StaticText, }
     /// A job that is due has not been able to start its waiting tasks.
     Telling JobStalled = "job-stalled" { job: JobId, waiting: usize, running: usize, stalled_ms: Millis, reason: StaticText, }
-    /// Periodic summary of a shard; `lends` is the number of messages by which this owner has lent tasks, and `loans_dropped` that of others' which came too late.
-    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Millis, vms_age_ms: Millis, slow_vms: usize, copies: u64, copies_won: u64, wasted_core_s: u64, lends: u64, loans_dropped: u64, }
+    /// Periodic summary of a shard; `lends` is the number of messages by which this owner has lent tasks, and `void_messages` that of messages about loans that it has dropped.
+    Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Millis, vms_age_ms: Millis, slow_vms: usize, copies: u64, copies_won: u64, wasted_core_s: u64, lends: u64, void_messages: u64, }
     /// Lasting tasks wait for room; the line counts those that would fit on a VM in this shard, in another shard, or later.
     Telling LastingWaits = "lasting-waits" { shard: String, tasks: usize, oldest_ms: Millis, fit_here: usize, fit_elsewhere: usize, fit_later: usize, least_milli_cores: u32, most_milli_cores: u32, least_mib: u32, largest_free_milli_cores: u32, largest_free_mib: u32, largest_leftover_mib: u32, closed_vms: usize, closed_free_milli_cores: u32, }
     /// Number of lines of one event that were dropped since the last report.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -99,6 +99,8 @@
     inherited_runs_until: Duration,
     /// Latest time at which this owner is known to have owned the shard.
     owned_at: Duration,
+    /// Since when there has been no recent proof of the ownership; `None` while there is one.
+    unproved_since: Option<Duration>,
     stage: Stage,
     now: Now,
     last_schedule: Duration,
@@ -184,10 +186,11 @@
             Event::Evacuations { evacuations, at } => self.set_evacuations(evacuations, at),
             Event::PermitConcurrency(max_requests) => self.set_max_permit_requests(max_requests),
             Event::Message { from, to, msg } => {
-                // The message is for another owner, which may have answered it and settled the
-                // matter since.
                 if to == self.fence {
                     self.handle_loan_message(&from, msg);
+                } else {
+                    // That owner may have answered it and settled the matter since.
+                    self.drop_loan_message(&from, &msg, "it is for another owner");
                 }
             }
             Event::PreviousOwnerEnded => self.shorten_inherited_leases(),
@@ -206,6 +209,7 @@
         }
         self.start_due_occurrences();
         self.remove_expired_runs();
+        self.report_ownership_proof();
         self.report_runs_on_leaving_vms();
         if self.maintains_runs() {
             self.stop_runs_on_leaving_vms();
@@ -308,7 +312,7 @@
             copies_won: self.copy_counts.won,
             wasted_core_s: self.copy_counts.wasted_core_ms / 1000,
             lends: self.loans.lends(),
-            loans_dropped: self.loans.dropped(),
+            void_messages: self.loans.void_messages(),
         }));
         self.report_waiting();
         self.report_evacuation();
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -28,7 +28,7 @@
 use super::vm_run::RunKey;
 use crate::job::progress::{Crashes, TaskPhase};
 use crate::job::{Checkpoint, Job, JobId, RunNumber, TaskRef};
-use crate::note::Note;
+use crate::note::{Note, StaticText};
 use crate::vm::Fence;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -61,6 +61,30 @@
     Recall { job: JobId, tasks: Vec<LoanId>, void: LendOrder },
 }
 
+impl LoanMsg {
+    /// Returns the job that the message is about.
+    pub fn job(&self) -> JobId {
+        match self {
+            Self::Lend { job, .. } => job.id,
+            Self::Taken { job, .. }
+            | Self::Return { job, .. }
+            | Self::Settled { job, .. }
+            | Self::Recall { job, .. } => *job,
+        }
+    }
+
+    /// Returns the name of the kind of message, as logged.
+    pub fn kind(&self) -> StaticText {
+        match self {
+            Self::Lend { .. } => "lend",
+            Self::Taken { .. } => "taken",
+            Self::Return { .. } => "return",
+            Self::Settled { .. } => "settled",
+            Self::Recall { .. } => "recall",
+        }
+    }
+}
+
 /// Order of the [`LoanMsg::Lend`] messages of a shard: by its owner's fencing token, then as the owner
 /// composed them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -128,8 +152,8 @@
     lends: u64,
     /// Newest `Lend` message of each lender that is void.
     void: IndexMap<Arc<str>, LendOrder>,
-    /// Number of messages that were dropped.
-    dropped: u64,
+    /// Number of messages that were dropped as void.
+    void_messages: u64,
     next_send: Duration,
 }
 
@@ -167,9 +191,9 @@
         self.other_shards.get(shard).map(|other| other.fence)
     }
 
-    /// Number of messages about loans that were dropped because they were void.
-    pub fn dropped(&self) -> u64 {
-        self.dropped
+    /// Number of messages that were dropped as void.
+    pub fn void_messages(&self) -> u64 {
+        self.void_messages
     }
 
     fn is_void(&self, lender: &str, order: LendOrder) -> bool {
@@ -340,6 +364,9 @@
 
     pub(super) fn handle_loan_message(&mut self, from: &Arc<str>, msg: LoanMsg) {
         match msg {
+            LoanMsg::Lend { order, .. } if self.loans.is_void(from, order) => {
+                self.drop_loan_message(from, &msg, "its loan has ended");
+            }
             LoanMsg::Lend { job, loan, order, tasks } => {
                 self.handle_lend(from, &job, loan, order, tasks);
             }
@@ -358,6 +385,23 @@
         }
     }
 
+    /// Logs and counts a message that is not acted on.
+    pub(super) fn drop_loan_message(&mut self, from: &str, msg: &LoanMsg, reason: StaticText) {
+        self.loans.void_messages += 1;
+        let order = match msg {
+            LoanMsg::Lend { order, .. } => *order,
+            _ => LendOrder::default(),
+        };
+        self.note(Note::LoanMessageDropped {
+            kind: msg.kind(),
+            job: msg.job(),
+            from: from.to_owned(),
+            reason,
+            fence: order.fence.0,
+            lend: order.number,
+        });
+    }
+
     fn handle_lend(
         &mut self,
         from: &Arc<str>,
@@ -367,18 +411,6 @@
         tasks: Vec<LentTask>,
     ) {
         let (id, now) = (spec.id, self.now.steady);
-        if self.loans.is_void(from, order) {
-            self.loans.dropped += 1;
-            self.note(Note::LoanDropped {
-                job: id,
-                from: from.to_string(),
-                tasks: tasks.len(),
-                loan,
-                fence: order.fence.0,
-                lend: order.number,
-            });
-            return;
-        }
         if self.stage != super::Stage::Serving {
             return;
         }
--- a/src/shard/proof.rs
+++ b/src/shard/proof.rs
@@ -8,6 +8,7 @@
 
 use super::Shard;
 use super::settings::MAX_STALE_OWNER_EXTENSION;
+use crate::note::{Millis, Note};
 use std::time::Duration;
 
 /// Age of the last proof from which an owner with work commits, also without changes.
@@ -34,6 +35,26 @@
         self.ownership_proof_age() >= RENEWAL_AGE && (has_runs() || has_open_jobs())
     }
 
+    /// Logs when the proof is no longer recent, and when it is again.
+    pub(super) fn report_ownership_proof(&mut self) {
+        let now = self.now.steady;
+        let (shard, fence) = (self.name.clone(), self.fence.0);
+        match (self.has_ownership_proof(), self.unproved_since) {
+            (false, None) => {
+                self.unproved_since = Some(now);
+                let age_ms = Millis(self.ownership_proof_age());
+                let runs = self.vms.values().map(|vm| vm.runs.len()).sum();
+                self.note(Note::OwnershipUnproved { shard, fence, age_ms, runs });
+            }
+            (true, Some(since)) => {
+                self.unproved_since = None;
+                let unproved_ms = Millis(now.saturating_sub(since));
+                self.note(Note::OwnershipProved { shard, fence, unproved_ms });
+            }
+            (true, None) | (false, Some(_)) => {}
+        }
+    }
+
     fn ownership_proof_age(&self) -> Duration {
         self.now.steady.saturating_sub(self.owned_at)
     }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -108,6 +108,7 @@
             evacuation: super::evacuate::EvacuationOrders::default(),
             inherited_runs_until: now.steady + settings.inherited_lease(stale_owner_extension),
             owned_at: recovered.claimed_at,
+            unproved_since: None,
             stage: super::Stage::Serving,
             now,
             last_schedule: Duration::ZERO,
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -177,7 +177,7 @@
 }
 
 /// An owner that has just taken over a shard with a borrowed job, whose tasks are all in one phase.
-fn owner_of_borrowed_job(job: &Job, state: TaskPhase) -> Shard {
+pub fn owner_of_borrowed_job(job: &Job, state: TaskPhase) -> Shard {
     let task = TaskProgress { state, loan: LOAN, ..TaskProgress::default() };
     let tasks = vec![task; job.steps[0].tasks as usize];
     let progress = Progress {
@@ -217,7 +217,7 @@
 }
 
 /// The commit among the actions.
-fn commit(actions: Vec<Action>) -> Option<(u64, Txn)> {
+pub fn commit(actions: Vec<Action>) -> Option<(u64, Txn)> {
     actions.into_iter().find_map(|action| match action {
         Action::Commit { seq, txn } => Some((seq, txn)),
         _ => None,
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -22,6 +22,7 @@
 mod notices;
 mod order;
 mod permits;
+mod proof;
 mod random;
 mod resize;
 mod silence;
