--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Why a submission that was held up on the way isn't accepted.
+/// Why a submission that was held up on the way was dropped.
 const EXPIRED: &str = "the caller no longer waits for an answer";
 
 /// Connects the control actor to the others.
@@ -264,8 +264,8 @@
             && !late.is_zero()
         {
             self.journal.write(Note::JobExpired { job: job.id, late_ms: Millis(late) });
-            let (reason, retry_after) = (EXPIRED.to_owned(), Duration::ZERO);
-            let answer = Answer::NotRun { reason, retry_after };
+            // An earlier call may have been accepted, so that "not run" could be wrong.
+            let answer = Answer::Unknown { reason: EXPIRED.to_owned() };
             return Box::pin(std::future::ready(Reply::Answer(answer)));
         }
         if !self.hosted.contains_key(&msg.shard) {
