--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -52,6 +52,8 @@
 const MAX_KEEP: Duration = Duration::from_secs(6);
 /// Time that a VM is down after a task crashed it.
 const CRASH_DOWNTIME: Duration = Duration::from_secs(3);
+/// Longer than any test runs.
+const FOREVER: Duration = Duration::from_secs(86_400);
 /// Response times and permit lifetime of the permit service.
 const PERMIT_TIMES: PermitTimes = PermitTimes {
     base_time: Duration::from_millis(20),
@@ -94,6 +96,15 @@
     Same,
 }
 
+/// How the address of a lost VM answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LostPort {
+    /// It refuses connections.
+    Refusing,
+    /// Calls time out.
+    Silent,
+}
+
 /// What the ids of VMs tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Identity {
@@ -648,6 +659,12 @@
         self.crashes += 1;
     }
 
+    /// Ends a VM for good, with its tasks and without a notice that anybody reads.
+    pub fn lose_vm(&mut self, index: usize, port: LostPort) {
+        self.crash_vm(index, FOREVER);
+        self.vms[index].refuses = port == LostPort::Refusing;
+    }
+
     /// Crashes a VM, which restarts without tasks under the same registered id after `down`.
     pub fn restart_vm(&mut self, index: usize, down: Duration) {
         if self.vms[index].down_until.is_none() {
