Count a VM's lease from the last call that may have arrived

Callers saw a lasting task stay down for up to 1.7 s longer than the lease of its VM, which had left behind a network cut: its `task-gone` came 10.9 s after the last refused poll or start instead of after the last answered one.

The owner recorded the extension as a poll or start was sent, and kept it when the connection was refused. A VM is polled with an extension for 1.6 s after its last answer, and starts were sent to it even later.

The lease now consists of a settled end and the ends set by calls in flight. A call counts while it is in flight. If nothing was sent, its end is dropped; with any other result it is folded into the settled one, since a call without an answer may be carried out late. Results are counted for each kind of call, so that one that is never reported leaves its end in place. Hand-overs, published lapses, instances and expiry read the end with the calls in flight.

`task-gone` tells what set the deadline: an answered call, an unanswered one, an earlier owner, or orders for an earlier instance.

Evidence: the three tests of refused polls (a plain wait, after a hand-over, after a frozen owner) fail without the change, as the task isn't running one lease and 0.2 s after its VM was lost. The tests with unanswered and late polls before refused ones guard against dropping too much.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -25,6 +25,7 @@
 pub mod interference;
 mod job_run;
 pub mod learned;
+mod lease;
 pub mod loan;
 mod log;
 mod look;
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -166,7 +166,7 @@
         let proof = "another start time in its answer";
         let lease = self.settings.inherited_lease(Duration::ZERO);
         let Some(vm) = self.vms.get(id) else { return };
-        let (addr, entry, ended_by) = (vm.entry.addr.clone(), vm.entry.clone(), vm.runs_ended_by);
+        let (addr, entry, ended_by) = (vm.entry.addr.clone(), vm.entry.clone(), vm.runs_ended_by());
         let passed: Vec<RunKey> = vm
             .runs
             .iter()
@@ -183,7 +183,7 @@
         // Orders for the ended instance arrive by the end of its last lease, and the successor then
         // keeps its runs for as long as it does by any order: their deadlines were set by another
         // clock.
-        next.expect_late_orders(ended_by.min(now + lease) + lease);
+        next.lease.expect_late_orders(ended_by.min(now + lease) + lease);
         next.contact.next_poll = next.contact.next_poll.min(now);
         let late_starts = self.vms.get_mut(id).map(|vm| std::mem::take(&mut vm.late_starts));
         passed.iter().for_each(|key| self.pass_run(id, successor, *key));
--- a/src/shard/hand_over.rs
+++ b/src/shard/hand_over.rs
@@ -6,8 +6,9 @@
 //! that have ended to the next owner, since each of them would need another commit. A VM repeats
 //! them until their consequences are durable.
 
+use super::lease::Delivery;
 use super::settings::{COMMIT_STALL_TIMEOUT, UNCOMMITTED_POLL_DELAY};
-use super::vm_run::{PollState, Responsiveness, Vm};
+use super::vm_run::{Responsiveness, Vm};
 use super::{Shard, Stage};
 use crate::ids::VmId;
 use crate::vm::PollResp;
@@ -34,7 +35,7 @@
     ) -> bool {
         let now = self.now.steady;
         let Some(vm) = self.vms.get_mut(id).filter(|vm| is_in_contact(vm)) else { return false };
-        vm.contact.poll = PollState::Idle;
+        vm.end_poll(Delivery::Answered);
         vm.record_answer(sent);
         vm.read_clock(resp.clock, now);
         vm.contact.next_poll = now + UNCOMMITTED_POLL_DELAY;
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -5,6 +5,7 @@
 use super::finish::RunEnd;
 use super::interference::LeftoverNeighbour;
 use super::job_run::CheckpointRank;
+use super::lease::{Delivery, Extension};
 use super::own_load::OwnLoad;
 use super::settings::{POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY};
 use super::vm_run::{PendingStart, PollState, Responsiveness, Run, RunKey, Stage, Succession, Vm};
@@ -39,7 +40,7 @@
             let keep = vm.max_extension(keep, now);
             let keep_until = extends.then(|| vm.clock_now(now)).flatten();
             if keep_until.is_some() {
-                vm.record_extension(now, keep);
+                vm.record_extension(Extension::Poll, now, keep);
             }
             let keep_until = keep_until.map(|clock| VmTime(clock.0 + keep));
             let (ack_up_to, wait) = (vm.send_ack(), vm.poll_wait());
@@ -58,7 +59,7 @@
         let now = self.now.steady;
         let inherited = now + self.settings.inherited_lease(Duration::ZERO);
         let Some(vm) = self.vms.get_mut(id) else { return };
-        vm.contact.poll = PollState::Idle;
+        vm.end_poll(Delivery::of(&result));
         match result {
             Ok(resp) => {
                 let before = vm.contact.last_successful_poll;
@@ -67,7 +68,7 @@
                 vm.record_answer(sent);
                 if before.is_none() {
                     // From now on the VM rejects earlier owners.
-                    vm.shorten_lease(inherited);
+                    vm.lease.shorten(inherited);
                 }
                 vm.read_clock(resp.clock, now);
                 let was =
@@ -305,7 +306,7 @@
         let now = self.now.steady;
         let lapsed = |vm: &Vm| {
             !vm.runs.is_empty()
-                && now >= vm.runs_ended_by
+                && now >= vm.runs_ended_by()
                 && (!vm.is_responsive(now) || !vm.may_extend_runs(now))
         };
         let ids: Vec<VmId> =
@@ -315,8 +316,8 @@
             let Some(vm) = self.vms.get(&id) else { continue };
             let is_over = |key: &RunKey| !vm.may_be_kept_by_successor(*key, lease, now);
             let keys: Vec<RunKey> = vm.runs.keys().copied().filter(is_over).collect();
+            let proof = vm.lease.source().proof();
             for key in keys {
-                let proof = "the VM's deadline for keeping its runs has passed";
                 self.remove_vanished_run(&id, key, proof);
             }
         }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,6 +2,7 @@
 
 use super::Shard;
 use super::event::Action;
+use super::lease::{Delivery, Extension};
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
 use super::vm_run::{PendingStart, RunKey, Stage};
 use crate::ids::VmId;
@@ -75,19 +76,16 @@
         if !self.log.silence.may_extend_lease(id) {
             return;
         }
+        let Some(job) = self.jobs.get(&key.task.job) else { return };
         let Some(vm) = self.vms.get_mut(id) else { return };
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
-        vm.record_extension(now, keep);
-        if !vm.runs.contains_key(&key) {
-            return;
-        }
-        // The run may be released before the start is answered.
-        vm.expect_late_start(key, now, now + keep);
         let Some(run) = vm.runs.get_mut(&key) else { return };
         run.sends += 1;
         run.sent_at.get_or_insert(now);
         run.stage = Stage::Starting { next_send: None };
-        let Some(job) = self.jobs.get(&key.task.job) else { return };
+        vm.record_extension(Extension::Start(key), now, keep);
+        // The run may be released before the start is answered.
+        vm.expect_late_start(key, now, now + keep);
         let resume = job.task(key.task).and_then(|task| task.checkpoint.clone());
         let req = StartReq {
             fence: self.fence,
@@ -111,6 +109,7 @@
         let now = self.now.steady;
         let key = RunKey { task, run };
         let Some(vm) = self.vms.get_mut(id) else { return };
+        vm.lease.settle(Extension::Start(key), Delivery::of(result));
         if matches!(result, Err(vm::Error::NoAnswer { .. })) {
             vm.expect_late_start(key, now, now + self.settings.max_keep);
         }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -137,7 +137,7 @@
         self.inherited_runs_until = self.inherited_runs_until.min(until);
         let unanswered = |vm: &&mut Vm| vm.contact.last_successful_poll.is_none();
         for vm in self.vms.values_mut().filter(unanswered) {
-            vm.shorten_lease(until);
+            vm.lease.shorten(until);
         }
     }
 
@@ -150,7 +150,7 @@
         let now = self.now.steady;
         let silent = self.vms.values().filter(|vm| !vm.runs.is_empty() && !vm.is_responsive(now));
         let lapse =
-            |vm: &Vm| VmLapse { vm: vm.id.clone(), left: vm.runs_ended_by.saturating_sub(now) };
+            |vm: &Vm| VmLapse { vm: vm.id.clone(), left: vm.runs_ended_by().saturating_sub(now) };
         silent.map(lapse).collect()
     }
 
@@ -162,7 +162,7 @@
         let now = self.now.steady;
         for lapse in lapses {
             if let Some(vm) = self.vms.get_mut(&lapse.vm) {
-                vm.runs_ended_by = now + lapse.left;
+                vm.lease.set_inherited(now + lapse.left);
             }
         }
     }
@@ -180,7 +180,7 @@
         let now = self.now.steady;
         for lapse in lapses {
             let Some(vm) = self.vms.get_mut(&lapse.vm) else { continue };
-            vm.runs_ended_by = vm.runs_ended_by.min(now + lapse.left);
+            vm.lease.shorten(now + lapse.left);
             let (runs, left_ms) = (vm.runs.len(), Millis(lapse.left));
             self.note(Note::VmLapseTold { vm: lapse.vm, left_ms, runs });
         }
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -131,7 +131,7 @@
     pub fn reported_lapses(&self, now: Duration) -> Vec<ReportedLapse> {
         let reported = |vm: &Vm| {
             let mark = self.log.silence.mark(&vm.id)?;
-            let left = vm.runs_ended_by.saturating_sub(now);
+            let left = vm.runs_ended_by().saturating_sub(now);
             Some(ReportedLapse { lapse: VmLapse { vm: vm.id.clone(), left }, mark })
         };
         self.vms.values().filter_map(reported).collect()
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -2,6 +2,7 @@
 
 use super::copies::{Restarts, Role};
 use super::interference::TailState;
+use super::lease::{Delivery, Extension, Lease};
 use super::settings::{
     BUSY_POLL_WAIT, CLOCK_DRIFT, DEFAULT_NOTICE, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP,
     POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY,
@@ -42,13 +43,11 @@
     pub runs: IndexMap<RunKey, Run>,
     pub ended_runs: EndedRuns,
     pub contact: Contact,
-    /// Time by which every run on the VM is certain to have ended, unless it is extended.
-    pub runs_ended_by: Duration,
+    /// Lease of all runs on the VM.
+    pub lease: Lease,
     /// Runs whose start was not answered, and until when the next instance under the same registered
     /// id may still carry it out. The run may have ended or been stopped here since.
     pub late_starts: IndexMap<RunKey, Duration>,
-    /// Time until which orders for an earlier instance may keep runs on this one.
-    pub late_orders_end: Duration,
     pub health: super::health::Health,
     pub speed: VmSpeed,
 }
@@ -277,9 +276,8 @@
                 failing_since: None,
                 responsiveness: Responsiveness::Responsive,
             },
-            runs_ended_by,
+            lease: Lease::inherited(runs_ended_by),
             late_starts: IndexMap::new(),
-            late_orders_end: Duration::ZERO,
             health: super::health::Health::default(),
             speed: VmSpeed::default(),
         }
@@ -327,6 +325,12 @@
         self.contact.next_poll = self.contact.next_poll.min(now);
     }
 
+    /// Records that a poll has ended.
+    pub fn end_poll(&mut self, delivery: Delivery) {
+        self.contact.poll = PollState::Idle;
+        self.lease.settle(Extension::Poll, delivery);
+    }
+
     /// Records that the VM answered a poll sent at `sent`.
     pub fn record_answer(&mut self, sent: Duration) {
         self.contact.last_successful_poll = Some(sent);
@@ -353,10 +357,16 @@
         self.clock = Some(ClockReading { clock, at: now });
     }
 
-    /// Records that the VM may keep all of its tasks running for `keep` from now on.
-    pub fn record_extension(&mut self, now: Duration, keep: Duration) {
+    /// Records that a call is being sent by which the VM may keep all of its tasks running for
+    /// `keep` from now on.
+    pub fn record_extension(&mut self, call: Extension, now: Duration, keep: Duration) {
         let drift = keep.mul_f64(CLOCK_DRIFT);
-        self.runs_ended_by = self.runs_ended_by.max(now + keep + drift + EXPIRY_MARGIN);
+        self.lease.send(call, now + keep + drift + EXPIRY_MARGIN);
+    }
+
+    /// Time by which every run on the VM is certain to have ended, unless its lease is extended.
+    pub fn runs_ended_by(&self) -> Duration {
+        self.lease.end()
     }
 
     /// Records that the next instance may carry out the start of a run until `end`.
@@ -379,18 +389,6 @@
         self.late_starts.get(&key).is_some_and(|end| now < *end + lease)
     }
 
-    /// Lowers the time by which every run has ended to `until`, as far as orders for an earlier
-    /// instance allow.
-    pub fn shorten_lease(&mut self, until: Duration) {
-        self.runs_ended_by = self.runs_ended_by.min(until).max(self.late_orders_end);
-    }
-
-    /// Records that orders for an earlier instance may keep runs on this one until `end`.
-    pub fn expect_late_orders(&mut self, end: Duration) {
-        self.late_orders_end = self.late_orders_end.max(end);
-        self.runs_ended_by = self.runs_ended_by.max(end);
-    }
-
     /// How long a run is known to have been running: from the response that first reported it to
     /// the last successful poll.
     pub fn running_time(&self, key: RunKey) -> Duration {
--- a/tests/shards/faults.rs
+++ b/tests/shards/faults.rs
@@ -11,6 +11,8 @@
 pub enum Outcome {
     Delivered,
     Lost,
+    /// The connection is refused. Only commands are.
+    Refused,
     /// It takes effect, but the response is lost.
     AnswerLost,
     /// It is answered and has no effect.
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -15,6 +15,7 @@
 mod invariants;
 mod jobs;
 mod learned;
+mod leases;
 mod leaving;
 mod limits;
 mod lists;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -1153,6 +1153,7 @@
                 }
                 match self.faults.message_outcome(self.now) {
                     Outcome::Lost
+                    | Outcome::Refused
                     | Outcome::AnswerLost
                     | Outcome::Ignored
                     | Outcome::Unreported
@@ -1201,6 +1202,7 @@
                 Ok(ask_permits(table, sent, req))
             }
             Outcome::Lost
+            | Outcome::Refused
             | Outcome::AnswerLost
             | Outcome::Ignored
             | Outcome::Unreported
@@ -1235,6 +1237,7 @@
                 Err(unanswered())
             }
             Outcome::Lost => Err(unanswered()),
+            Outcome::Refused => Err(VmError::NotSent { reason: "refused".to_owned() }),
             Outcome::Unreported => return,
             Outcome::Ignored => self.execute(number, &empty_poll(&action)).map(|answer| {
                 let VmResponse::Polled(poll) = answer else { unreachable!("a poll was sent") };
