Count no bound from starts that were not sent

A start that ends with a refused connection can't be carried out by anybody. Several bounds counted it all the same:

- On VMs that tell when they started, a run was waited for until the time at which the next instance could carry out the last start, and a lease more.
Only the first start was exempt: after several refused ones the bound stayed.
- A run whose starts were all refused counted as perhaps sent: it was stopped instead of dropped, and passed to the next instance of its VM.
- It also counted as a late start against the VM once that answered polls, and was not dropped for another attempt after a crash.

Each start is now counted while it is in flight. One that was not sent leaves what was known before, one without an answer extends the bound from its own end only, and an answered one leaves the bounds of earlier starts. A run that is being stopped and turns out never to have been sent is dropped.

The random tests of refused calls guard against bounds that are dropped too early.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -24,6 +24,7 @@
 mod intake;
 pub mod interference;
 mod job_run;
+mod late_starts;
 pub mod learned;
 mod lease;
 pub mod loan;
--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -427,12 +427,7 @@
         for placed in known.runs.clone() {
             let key = RunKey { task, run: placed.run };
             let run = self.vms.get(&placed.vm).and_then(|vm| vm.runs.get(&key));
-            let is_unsent = |run: &Run| match run.stage {
-                Stage::Binding => true,
-                Stage::Starting { .. } => run.sends == 0,
-                Stage::Running | Stage::Stopping { .. } | Stage::Recovered => false,
-            };
-            if run.is_some_and(is_unsent) {
+            if run.is_some_and(|run| !run.may_have_been_sent()) {
                 self.drop_run(&placed.vm, key);
             }
         }
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -185,7 +185,8 @@
         // clock.
         next.lease.expect_late_orders(ended_by.min(now + lease) + lease);
         next.contact.next_poll = next.contact.next_poll.min(now);
-        let late_starts = self.vms.get_mut(id).map(|vm| std::mem::take(&mut vm.late_starts));
+        let late_starts: Option<Vec<(RunKey, Duration)>> =
+            self.vms.get(id).map(|vm| vm.late_starts.ends().collect());
         passed.iter().for_each(|key| self.pass_run(id, successor, *key));
         self.bar_late_starts(successor, late_starts.unwrap_or_default());
         self.forget_vm(id, proof);
@@ -210,11 +211,11 @@
 
     /// Stops the runs that a VM may start by an order for an earlier instance, although they have
     /// ended or been stopped there.
-    fn bar_late_starts(&mut self, id: &VmId, late_starts: IndexMap<RunKey, Duration>) {
+    fn bar_late_starts(&mut self, id: &VmId, late_starts: Vec<(RunKey, Duration)>) {
         let now = self.now.steady;
         for (key, end) in late_starts.into_iter().filter(|(_, end)| now < *end) {
             let Some(vm) = self.vms.get_mut(id) else { return };
-            vm.late_starts.insert(key, end);
+            vm.late_starts.expect(key, end);
             if !vm.runs.contains_key(&key) {
                 self.stop_unbound_run(id, key, "its VM may still carry out an earlier start");
             }
--- a/src/shard/lease.rs
+++ b/src/shard/lease.rs
@@ -152,26 +152,31 @@
 ///
 /// There is rarely more than one: the result of an earlier call may never be reported.
 #[derive(Clone, Copy, Debug, Default)]
-struct OpenCalls {
+pub struct OpenCalls {
     end: Duration,
     calls: u32,
 }
 
 impl OpenCalls {
     /// Adds a call.
-    fn add(&mut self, end: Duration) {
+    pub fn add(&mut self, end: Duration) {
         self.end = self.end.max(end);
         self.calls += 1;
     }
 
     /// Removes a call that has ended, and returns the time that it set at the latest.
-    fn remove(&mut self) -> Duration {
+    pub fn remove(&mut self) -> Duration {
         self.calls = self.calls.saturating_sub(1);
         self.end
     }
 
+    /// Latest time that the calls set.
+    pub fn end(&self) -> Duration {
+        self.end
+    }
+
     /// Whether no call is in flight.
-    fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.calls == 0
     }
 }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,7 +2,7 @@
 
 use super::Shard;
 use super::event::Action;
-use super::lease::{Delivery, Extension};
+use super::lease::Delivery;
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
 use super::vm_run::{PendingStart, RunKey, Stage};
 use crate::ids::VmId;
@@ -80,12 +80,8 @@
         let Some(vm) = self.vms.get_mut(id) else { return };
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
         let Some(run) = vm.runs.get_mut(&key) else { return };
-        run.sends += 1;
-        run.sent_at.get_or_insert(now);
-        run.stage = Stage::Starting { next_send: None };
-        vm.record_extension(Extension::Start(key), now, keep);
-        // The run may be released before the start is answered.
-        vm.expect_late_start(key, now, now + keep);
+        run.record_start(now);
+        vm.record_start(key, now, keep);
         let resume = job.task(key.task).and_then(|task| task.checkpoint.clone());
         let req = StartReq {
             fence: self.fence,
@@ -109,15 +105,9 @@
         let now = self.now.steady;
         let key = RunKey { task, run };
         let Some(vm) = self.vms.get_mut(id) else { return };
-        vm.lease.settle(Extension::Start(key), Delivery::of(result));
-        if matches!(result, Err(vm::Error::NoAnswer { .. })) {
-            vm.expect_late_start(key, now, now + self.settings.max_keep);
-        }
+        vm.end_start(key, Delivery::of(result), now, self.settings.max_keep);
         let Some(known) = vm.runs.get_mut(&key) else { return };
         let sends = known.sends;
-        if sends == 1 && !matches!(result, Err(vm::Error::NoAnswer { .. })) {
-            vm.late_starts.shift_remove(&key);
-        }
         let starting = matches!(known.stage, Stage::Starting { .. });
         let listed = known.running_since.is_some();
         if let Err(e) = result {
@@ -154,6 +144,7 @@
                 vm.contact.next_poll = now;
                 self.retry_start(id, key, "the VM's clock differs from the last reading");
             }
+            Err(vm::Error::NotSent { .. }) if known.is_stopped_unsent() => self.drop_run(id, key),
             Err(vm::Error::NotSent { .. }) => self.retry_start(id, key, "the VM is unreachable"),
             Err(vm::Error::NoAnswer { .. }) => {
                 known.pending_start = PendingStart::Yes;
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -2,6 +2,7 @@
 
 use super::copies::{Restarts, Role};
 use super::interference::TailState;
+use super::late_starts::LateStarts;
 use super::lease::{Delivery, Extension, Lease};
 use super::settings::{
     BUSY_POLL_WAIT, CLOCK_DRIFT, DEFAULT_NOTICE, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP,
@@ -45,9 +46,8 @@
     pub contact: Contact,
     /// Lease of all runs on the VM.
     pub lease: Lease,
-    /// Runs whose start was not answered, and until when the next instance under the same registered
-    /// id may still carry it out. The run may have ended or been stopped here since.
-    pub late_starts: IndexMap<RunKey, Duration>,
+    /// Starts that the next instance under the same registered id may still carry out.
+    pub late_starts: LateStarts,
     pub health: super::health::Health,
     pub speed: VmSpeed,
 }
@@ -150,9 +150,11 @@
     pub since: Duration,
     /// When the VM first reported the run as running.
     pub running_since: Option<Duration>,
-    /// Number of start commands sent.
+    /// Number of start commands sent or attempted.
     pub sends: u32,
-    /// When the first start command was sent.
+    /// How many of them were not sent after all.
+    unsent: u32,
+    /// When the first start command that may have arrived was sent.
     pub sent_at: Option<Duration>,
     /// Whether a start command may still take effect.
     pub pending_start: PendingStart,
@@ -277,7 +279,7 @@
                 responsiveness: Responsiveness::Responsive,
             },
             lease: Lease::inherited(runs_ended_by),
-            late_starts: IndexMap::new(),
+            late_starts: LateStarts::default(),
             health: super::health::Health::default(),
             speed: VmSpeed::default(),
         }
@@ -369,24 +371,40 @@
         self.lease.end()
     }
 
-    /// Records that the next instance may carry out the start of a run until `end`.
-    pub fn expect_late_start(&mut self, key: RunKey, now: Duration, end: Duration) {
+    /// Records that a start of a run is being sent, by which the VM may keep all of its tasks running
+    /// for `keep` from now on, and which the next instance may carry out until then.
+    pub fn record_start(&mut self, key: RunKey, now: Duration, keep: Duration) {
+        self.record_extension(Extension::Start(key), now, keep);
         if self.id.started().is_some() {
             let runs = &self.runs;
-            self.late_starts.retain(|key, end| *end > now || runs.contains_key(key));
-            self.late_starts.insert(key, end);
+            self.late_starts.forget_past(now, |key| runs.contains_key(key));
+            self.late_starts.send(key, now + keep);
+        }
+    }
+
+    /// Records that a start of a run has ended. If it got no answer, the next instance may carry it
+    /// out for another `keep`.
+    pub fn end_start(&mut self, key: RunKey, delivery: Delivery, now: Duration, keep: Duration) {
+        self.lease.settle(Extension::Start(key), delivery);
+        if self.id.started().is_some() {
+            self.late_starts.settle(key, delivery, now + keep);
+        }
+        if delivery == Delivery::NotSent
+            && let Some(run) = self.runs.get_mut(&key)
+        {
+            run.record_unsent_start();
         }
     }
 
     /// Whether the next instance may still carry out a start sent to this one.
     pub fn expects_late_starts(&self, now: Duration) -> bool {
-        self.late_starts.values().any(|end| now < *end)
+        self.late_starts.ends().any(|(_, end)| now < end)
     }
 
     /// Whether a run may be kept by the next instance although the lease of this one has passed: the
     /// next instance keeps a run for up to `lease` from the time at which it carries out the start.
     pub fn may_be_kept_by_successor(&self, key: RunKey, lease: Duration, now: Duration) -> bool {
-        self.late_starts.get(&key).is_some_and(|end| now < *end + lease)
+        self.late_starts.end(key).is_some_and(|end| now < end + lease)
     }
 
     /// How long a run is known to have been running: from the response that first reported it to
@@ -499,6 +517,7 @@
             since: now,
             running_since: None,
             sends: 0,
+            unsent: 0,
             sent_at: None,
             pending_start: PendingStart::No,
             percent: 0,
@@ -529,11 +548,31 @@
     pub fn may_have_been_sent(&self) -> bool {
         match self.stage {
             Stage::Binding => false,
-            Stage::Starting { .. } => self.sends > 0,
+            Stage::Starting { .. } => self.sends > self.unsent,
             Stage::Running | Stage::Stopping { .. } | Stage::Recovered => true,
         }
     }
 
+    /// Records that a start command is being sent.
+    pub fn record_start(&mut self, now: Duration) {
+        self.sends += 1;
+        self.sent_at.get_or_insert(now);
+        self.stage = Stage::Starting { next_send: None };
+    }
+
+    /// Records that a start command was not sent after all.
+    fn record_unsent_start(&mut self) {
+        if self.unsent < self.sends {
+            self.unsent += 1;
+            self.sent_at = self.sent_at.filter(|_| self.unsent < self.sends);
+        }
+    }
+
+    /// Whether the run is to be stopped although no start command for it was sent.
+    pub fn is_stopped_unsent(&self) -> bool {
+        self.is_stopping() && self.sends > 0 && self.sends == self.unsent
+    }
+
     /// Whether the run is being stopped.
     pub fn is_stopping(&self) -> bool {
         matches!(self.stage, Stage::Stopping { .. })
