Send no start to a VM that does not answer

Callers saw a lasting task stay down for up to half a second longer: a task had been bound to its silent VM while the store was away, and its start was sent four times, 0.3 s and more after the VM had been found silent. On a VM whose port drops calls, such a start may extend the lease of all runs, so the wait began anew. The task itself waited too: on a VM recorded as silent its start was held until the lease had passed, although none had been sent.

A start is now held while the VM has given no recent answer, the condition on which tasks are placed there. If the VM is silent and no start may have been sent, the task is placed elsewhere at once.

Evidence: without the change, the two new tests fail.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -4,7 +4,7 @@
 use super::event::Action;
 use super::lease::Delivery;
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
-use super::vm_run::{PendingStart, RunKey, Stage};
+use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage};
 use crate::ids::VmId;
 use crate::job::{RunNumber, TaskRef};
 use crate::note::Note;
@@ -67,6 +67,9 @@
         if vm.is_overcommitted() {
             return self.abandon_start(id, key, "the VM no longer has room for the task");
         }
+        if !vm.is_responsive(now) {
+            return self.hold_start(id, key);
+        }
         let permit = match self.permits_of(key.task).map(|permits| permits.valid_permit(id, now)) {
             None => None,
             Some(Some(permit)) => Some(permit.clone()),
@@ -95,6 +98,16 @@
         self.actions.push(Action::Start { vm: addr, req });
     }
 
+    /// Sends no start to a VM without recent answers, as it would extend the lease of all runs there.
+    /// If the VM is silent and none was sent before, the task can be placed elsewhere at once.
+    fn hold_start(&mut self, id: &VmId, key: RunKey) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let may_have_been_sent = vm.runs.get(&key).is_some_and(Run::may_have_been_sent);
+        if vm.contact.responsiveness != Responsiveness::Responsive && !may_have_been_sent {
+            self.abandon_start(id, key, "the VM does not answer");
+        }
+    }
+
     pub(super) fn handle_start_response(
         &mut self,
         id: &VmId,
--- a/tests/shards/leases.rs
+++ b/tests/shards/leases.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use waxwingstall::ids::Ticket;
-use waxwingstall::job::{Job, JobId};
+use waxwingstall::job::{Job, JobId, JobState};
 use waxwingstall::shard::settings::{BUSY_POLL_WAIT, CLOCK_DRIFT, EXPIRY_MARGIN, SILENCE_TIMEOUT};
 use waxwingstall::shard::{Action, Answer};
 use waxwingstall::units::Resources;
@@ -167,6 +167,75 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
+/// No faults; records when starts were sent to a VM.
+#[derive(Default)]
+struct StartRecorder {
+    starts: Vec<(Duration, Arc<str>)>,
+}
+
+impl Faults for StartRecorder {
+    fn command_outcome(&mut self, now: Duration, action: &Action) -> Outcome {
+        if let Action::Start { vm, .. } = action {
+            self.starts.push((now, vm.addr.clone()));
+        }
+        Outcome::Delivered
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
+/// Loses the VM of a long-running task while the binding of another task to it waits for the store,
+/// which is back after `outage`.
+fn lose_vm_before_start(
+    port: LostPort,
+    outage: Duration,
+) -> (Simulation<StartRecorder>, [Job; 2], usize) {
+    for wait in 0..10 {
+        let (mut sim, job, there) = simulation_with_task(StartRecorder::default());
+        let later = job_with_steps(2, 1, 2, work(1000, 5));
+        sim.submit(SHARD, later.clone());
+        sim.run_for(millis(20 * wait));
+        sim.stop_store(outage);
+        sim.run_for(millis(20));
+        if sim.bound_vms(later.id).contains(&there) && sim.runs_on(there) == 1 {
+            sim.lose_vm(there, port);
+            return (sim, [job, later], there);
+        }
+    }
+    panic!("no binding waits for the store");
+}
+
+// Guards against starts that are sent to a VM which no longer answers polls: each of them may extend
+// the lease of the runs on it, and the started task could run elsewhere at once.
+#[test]
+fn no_start_is_sent_to_a_silent_vm() {
+    let outages = [millis(1500), millis(2500), millis(4000)];
+    let cases = outages.map(|outage| [(LostPort::Refusing, outage), (LostPort::Silent, outage)]);
+    for case @ (port, outage) in cases.into_iter().flatten() {
+        let (mut sim, jobs, there) = lose_vm_before_start(port, outage);
+        let (addr, lost) = (sim.vms[there].entry.addr.clone(), sim.now);
+        sim.run_for(SILENCE_TIMEOUT + BUSY_POLL_WAIT + lease() + RESTART_TIME);
+        assert_eq!(sim.running_tasks(jobs[0].id), 1, "{case:?}: a start has extended the lease");
+        let is_late = |(at, to): &&(Duration, Arc<str>)| *to == addr && *at > lost;
+        let late = sim.faults.starts.iter().filter(is_late).count();
+        assert_eq!(late, 0, "{case:?}: starts are sent to a silent VM");
+        check(&mut sim, &jobs.into_iter().map(|job| (job.id, job)).collect(), SIZE);
+    }
+}
+
+// Guards against a task that waits for the lease of a silent VM to which no start was sent.
+#[test]
+fn a_task_bound_to_a_silent_vm_is_placed_elsewhere_at_once() {
+    for outage in [millis(1500), millis(2500), millis(4000)] {
+        let (mut sim, jobs, _) = lose_vm_before_start(LostPort::Silent, outage);
+        sim.run_for(outage + 2 * seconds(1) + seconds(1));
+        let shown = sim.show(SHARD, jobs[1].id);
+        assert_eq!(shown, Some(Answer::Shown(JobState::Done)), "{outage:?}");
+    }
+}
+
 /// Random faults; some commands are refused besides.
 struct RefusingFaults {
     rng: SmallRng,
