--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,8 +2,9 @@
 
 use super::Shard;
 use super::event::Action;
+use super::lease::Delivery;
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
-use super::vm_run::{PendingStart, RunKey, Stage};
+use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage};
 use crate::ids::VmId;
 use crate::job::{RunNumber, TaskRef};
 use crate::note::Note;
@@ -66,6 +67,9 @@
         if vm.is_overcommitted() {
             return self.abandon_start(id, key, "the VM no longer has room for the task");
         }
+        if !vm.is_responsive(now) {
+            return self.hold_start(id, key);
+        }
         let permit = match self.permits_of(key.task).map(|permits| permits.valid_permit(id, now)) {
             None => None,
             Some(Some(permit)) => Some(permit.clone()),
@@ -75,19 +79,12 @@
         if !self.log.silence.may_extend_lease(id) {
             return;
         }
+        let Some(job) = self.jobs.get(&key.task.job) else { return };
         let Some(vm) = self.vms.get_mut(id) else { return };
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
-        vm.record_extension(now, keep);
-        if !vm.runs.contains_key(&key) {
-            return;
-        }
-        // The run may be released before the start is answered.
-        vm.expect_late_start(key, now, now + keep);
         let Some(run) = vm.runs.get_mut(&key) else { return };
-        run.sends += 1;
-        run.sent_at.get_or_insert(now);
-        run.stage = Stage::Starting { next_send: None };
-        let Some(job) = self.jobs.get(&key.task.job) else { return };
+        run.record_start(now);
+        vm.record_start(key, now, keep);
         let resume = job.task(key.task).and_then(|task| task.checkpoint.clone());
         let req = StartReq {
             fence: self.fence,
@@ -101,6 +98,16 @@
         self.actions.push(Action::Start { vm: addr, req });
     }
 
+    /// Sends no start to a VM without recent answers, as it would extend the lease of all runs there.
+    /// If the VM is silent and none was sent before, the task can be placed elsewhere at once.
+    fn hold_start(&mut self, id: &VmId, key: RunKey) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let may_have_been_sent = vm.runs.get(&key).is_some_and(Run::may_have_been_sent);
+        if vm.contact.responsiveness != Responsiveness::Responsive && !may_have_been_sent {
+            self.abandon_start(id, key, "the VM does not answer");
+        }
+    }
+
     pub(super) fn handle_start_response(
         &mut self,
         id: &VmId,
@@ -111,14 +118,9 @@
         let now = self.now.steady;
         let key = RunKey { task, run };
         let Some(vm) = self.vms.get_mut(id) else { return };
-        if matches!(result, Err(vm::Error::NoAnswer { .. })) {
-            vm.expect_late_start(key, now, now + self.settings.max_keep);
-        }
+        vm.end_start(key, Delivery::of(result), now, self.settings.max_keep);
         let Some(known) = vm.runs.get_mut(&key) else { return };
         let sends = known.sends;
-        if sends == 1 && !matches!(result, Err(vm::Error::NoAnswer { .. })) {
-            vm.late_starts.shift_remove(&key);
-        }
         let starting = matches!(known.stage, Stage::Starting { .. });
         let listed = known.running_since.is_some();
         if let Err(e) = result {
@@ -155,6 +157,7 @@
                 vm.contact.next_poll = now;
                 self.retry_start(id, key, "the VM's clock differs from the last reading");
             }
+            Err(vm::Error::NotSent { .. }) if known.is_stopped_unsent() => self.drop_run(id, key),
             Err(vm::Error::NotSent { .. }) => self.retry_start(id, key, "the VM is unreachable"),
             Err(vm::Error::NoAnswer { .. }) => {
                 known.pending_start = PendingStart::Yes;
