Store how long recorded silent VMs may still keep their work

What callers saw: a long-running task of a VM that had gone stayed down for a lease more, or for a lease and 12 s, if its owner was killed or frozen some seconds after the VM fell silent and no other daemon had heard the owner's last hellos, as when all daemons are killed at once.

Cause: the store's record of silent VMs held no time. How long a VM may still keep its runs was told by hellos alone; without them the next owner counts a whole lease from its claim, and 12 s more if the previous owner may be active.

These four failed before and pass now: a_task_of_a_recorded_vm_restarts_in_time_after_its_owner_is_killed, the same after its owner freezes, a_record_that_waited_for_the_store_is_written_again and the_time_left_survives_a_second_owner_that_never_reached_the_vm.

Fix: each entry tells how much time was left when its commit was built. A claim is conditional on a revision of the head that was read before it was sent, so the entry is older than the claim, and the time counts from there. The record is written again each second while work may be left, and at once if a time grows or an earlier release stored none; a commit that waited for the store is old when it becomes durable and is written again too. The argument stands at the module's head. A reported time counts as before, the shorter one of the two holds, and `vm-lapse-told` names its source.

The times follow the entries in the record, where earlier releases ignore them, as records of progress do with crashes.

--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -194,7 +194,7 @@
 }
 
 fn decode_silent_vms(item: &Item) -> Result<Vec<SilentVm>> {
-    decode(&item.value).map_err(|e| decode_error(item, &e.to_string()))
+    SilentVm::decode_all(&item.value).map_err(|e| decode_error(item, &e.to_string()))
 }
 
 fn decode_progress(item: &Item) -> Result<(JobId, Progress)> {
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -286,7 +286,7 @@
         crashes: Vec::new(),
     };
     let StoreEvent::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
-    recovered.silent = vec![SilentVm { vm: VmId::new(VM), mark: SilenceMark(3) }];
+    recovered.silent = vec![SilentVm { vm: VmId::new(VM), mark: SilenceMark(3), left: None }];
     recovered.progress = vec![(job.id, progress)];
     recovered.jobs = vec![Arc::new(job)];
     StoreEvent::Claimed(recovered)
--- a/src/note.rs
+++ b/src/note.rs
@@ -221,8 +221,8 @@
     Urgent VmSilent = "vm-silent" { vm: VmId, silent_ms: Millis, runs: usize, reason: String, }
     /// A VM answers again.
     Urgent VmHeard = "vm-heard" { vm: VmId, silent_ms: Millis, runs: usize, }
-    /// A previous owner reported how long tasks on an unresponsive VM may keep running.
-    Urgent VmLapseTold = "vm-lapse-told" { vm: VmId, left_ms: Millis, runs: usize, }
+    /// How long tasks on an unresponsive VM may keep running is known from a previous owner, by its hello or by the store.
+    Urgent VmLapseTold = "vm-lapse-told" { vm: VmId, left_ms: Millis, source: StaticText, runs: usize, }
     /// A VM is about to leave.
     Telling VmLeaving = "vm-leaving" { vm: VmId, runs: usize, left_ms: Millis, }
     /// The announcement of a leaving VM was removed: whether that proves that the VM has left, or why not. `silent_ms` is the longest time that the VM can have been silent by then (0: unknown), and must be below `max_silent_ms`; `notice_left_ms` is what was left of its notice, and `reachable_ms` how long the store has been reachable.
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -218,7 +218,8 @@
         };
         let room = MAX_TXN_ENTRIES - RESERVED_ENTRIES - MAX_JOB_ENTRIES;
         if self.silence.needs_write() {
-            txn.puts.push(put(self.keys.silence(), encode(&self.silence.start_write())));
+            let silent = self.silence.start_write(now);
+            txn.puts.push(put(self.keys.silence(), silence::SilentVm::encode_all(&silent)));
         }
         if let Some(value) = commit.learned_record.clone() {
             txn.puts.push(Put { key: self.keys.learned(), value, lease: None });
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -13,7 +13,6 @@
 use crate::job::progress::Progress;
 use crate::job::{Job, JobId, TaskRef};
 use crate::kv::Rev;
-use crate::note::{Millis, Note};
 use crate::queues::Queues;
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
@@ -84,6 +83,7 @@
             PreviousOwner::MaybeActive => MAX_STALE_OWNER_EXTENSION,
         };
         let keys = Keys::new(&recovered.shard);
+        let silence = SilenceRecord::new(recovered.silent, recovered.claimed_at);
         let mut shard = Self {
             name: recovered.shard,
             fence: recovered.fence,
@@ -93,7 +93,7 @@
             closed: IndexMap::new(),
             vms: IndexMap::new(),
             ended_vms: IndexMap::new(),
-            log: Log::new(keys, recovered.seq, SilenceRecord::new(recovered.silent)),
+            log: Log::new(keys, recovered.seq, silence),
             loans: super::loan::Loans::default(),
             admission: super::admission::Admission::default(),
             permit_requests: super::permits::PermitRequests::default(),
@@ -125,8 +125,9 @@
         let progress: IndexMap<JobId, Progress> = recovered.progress.into_iter().collect();
         shard.recover_jobs(recovered.jobs, &progress);
         shard.update_successions();
+        shard.apply_stored_lapses();
         shard.apply_offered_lapses(&recovered.unresponsive_vms);
-        shard.apply_reported_lapses(recovered.reported_lapses);
+        shard.apply_reported_lapses(&recovered.reported_lapses);
         shard
     }
 
@@ -167,25 +168,6 @@
         }
     }
 
-    /// Applies the reported remaining times of VMs that are still recorded as silent in the store,
-    /// since nobody has extended their leases.
-    ///
-    /// Without this, a task on a VM that died before its owner did was delayed for twice the time.
-    fn apply_reported_lapses(&mut self, reported_lapses: Vec<ReportedLapse>) {
-        let silence = &self.log.silence;
-        let holds =
-            |reported: &ReportedLapse| silence.mark(&reported.lapse.vm) == Some(reported.mark);
-        let lapses: Vec<VmLapse> =
-            reported_lapses.into_iter().filter(holds).map(|reported| reported.lapse).collect();
-        let now = self.now.steady;
-        for lapse in lapses {
-            let Some(vm) = self.vms.get_mut(&lapse.vm) else { continue };
-            vm.runs_ended_by = vm.runs_ended_by.min(now + lapse.left);
-            let (runs, left_ms) = (vm.runs.len(), Millis(lapse.left));
-            self.note(Note::VmLapseTold { vm: lapse.vm, left_ms, runs });
-        }
-    }
-
     /// Numbers of jobs and runs that are not known to have ended.
     pub fn open_job_and_run_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.vms.values().map(|vm| vm.runs.len()).sum())
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -3,17 +3,34 @@
 //! Work on a VM that does not answer is certain to have ended some time after its lease was last
 //! extended. Only the owner knows that time; its successor would have to assume that the lease was
 //! extended until the takeover or even later. An owner therefore records in the store that it does
-//! not extend a VM, and tells the other daemons how much time is left. The record is durably
-//! removed before the VM's lease is extended again, so the reported times are valid for as long as
-//! the record is in the store, however late they are read.
+//! not extend a VM, and how much time is left; it also tells the other daemons how much is left.
+//! The record is durably removed before the VM's lease is extended again, so the times are valid for
+//! as long as the record is in the store, however late they are read.
+//!
+//! The time in the record bounds the end of the VM's runs from any later claim on:
+//!
+//! - It is taken as the commit is built, after the last call that extends the lease. It covers that
+//!   call and all earlier ones, also if they are executed late, since a call carries the end of the
+//!   lease on the VM's clock. No other call is sent while the VM is in a commit or in the record.
+//! - A claim is conditional on the revision of the shard's head that was read before it was sent, and
+//!   each commit changes that revision. So all commits of earlier owners that ever take effect were
+//!   built before the claim was sent. Their times are counted from then, which is only later.
+//! - An owner that was replaced without knowing can't remove a VM from the record any more. It goes
+//!   on not extending it.
+//! - An owner that inherits the record counts with its times, and writes what is left of them. Where
+//!   an owner before the last may still extend the lease, these times cover it.
+//!
+//! The record is written again while work may be left, since its times are as old as it is.
 
 #[cfg(test)]
 mod tests;
 
 use super::Shard;
 use super::recover::VmLapse;
-use super::vm_run::{Responsiveness, Vm};
+use super::vm_run::{Responsiveness, RunKey, Vm};
 use crate::ids::VmId;
+use crate::job::progress::{Result, decode, decode_prefix, encode};
+use crate::note::{Millis, Note, StaticText};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -23,16 +40,48 @@
 /// recorded pause costs two commits.
 const RECORD_SILENCE_AFTER: Duration = Duration::from_secs(3);
 
+/// Age from which the record is written again.
+const MAX_RECORD_AGE: Duration = Duration::from_secs(1);
+
 /// Number of the commit that first recorded a silent period; distinguishes it from earlier periods
 /// of the same VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SilenceMark(pub u64);
 
 /// Stored entry of a VM whose lease is not extended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SilentVm {
     pub vm: VmId,
     pub mark: SilenceMark,
+    /// How much longer runs could last there when the record was written; earlier releases don't
+    /// store it.
+    pub left: Option<Duration>,
+}
+
+/// The part of an entry that earlier releases store as well.
+#[derive(Debug, Serialize, Deserialize)]
+struct MarkedVm {
+    vm: VmId,
+    mark: SilenceMark,
+}
+
+impl SilentVm {
+    /// Encodes the stored record. The times follow the entries, where earlier releases ignore them.
+    pub fn encode_all(silent: &[Self]) -> Vec<u8> {
+        let marked = |silent: &Self| MarkedVm { vm: silent.vm.clone(), mark: silent.mark };
+        let mut bytes = encode(&silent.iter().map(marked).collect::<Vec<_>>());
+        bytes.extend(encode(&silent.iter().map(|silent| silent.left).collect::<Vec<_>>()));
+        bytes
+    }
+
+    /// Decodes the stored record, also one written by an earlier release.
+    pub fn decode_all(bytes: &[u8]) -> Result<Vec<Self>> {
+        let (marked, rest): (Vec<MarkedVm>, &[u8]) = decode_prefix(bytes)?;
+        let left: Vec<Option<Duration>> = if rest.is_empty() { Vec::new() } else { decode(rest)? };
+        let left = left.into_iter().chain(std::iter::repeat(None));
+        let silent = |(MarkedVm { vm, mark }, left)| Self { vm, mark, left };
+        Ok(marked.into_iter().zip(left).map(silent).collect())
+    }
 }
 
 /// How long a VM that is recorded as silent may keep its work running.
@@ -49,41 +98,95 @@
     }
 }
 
+/// A VM that is to be in the record, and the time by which its runs have ended.
+#[derive(Clone, Debug)]
+struct SilentUntil {
+    vm: VmId,
+    runs_end: Duration,
+}
+
+/// Entry of a VM in the record.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    mark: SilenceMark,
+    /// Time by which the VM's runs have ended; `None` if the stored entry doesn't tell.
+    runs_end: Option<Duration>,
+}
+
+impl Entry {
+    /// Returns whether the stored entry `durable` still holds for this one.
+    fn is_covered_by(self, durable: Self) -> bool {
+        let covers = |end| self.runs_end.is_some_and(|needed| needed <= end);
+        self.mark == durable.mark && durable.runs_end.is_some_and(covers)
+    }
+}
+
+/// One version of the record.
+#[derive(Clone, Debug, Default)]
+struct Version {
+    entries: IndexMap<VmId, Entry>,
+    /// When its times were taken.
+    at: Duration,
+}
+
+/// Whether the durable record has become too old.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Age {
+    #[default]
+    Recent,
+    Outdated,
+}
+
 /// The record of silent VMs: wanted, in flight to the store, and durable.
 #[derive(Debug, Default)]
 pub struct SilenceRecord {
-    wanted: IndexMap<VmId, SilenceMark>,
-    sent: Option<IndexMap<VmId, SilenceMark>>,
-    durable: IndexMap<VmId, SilenceMark>,
+    wanted: IndexMap<VmId, Entry>,
+    sent: Option<Version>,
+    durable: Version,
+    age: Age,
 }
 
 impl SilenceRecord {
-    /// Creates the record from its stored rows.
-    pub fn new(rows: Vec<SilentVm>) -> Self {
-        let durable: IndexMap<VmId, SilenceMark> =
-            rows.into_iter().map(|row| (row.vm, row.mark)).collect();
-        Self { wanted: durable.clone(), sent: None, durable }
+    /// Creates the record from its stored entries, read by a claim that was sent at `claimed_at`.
+    pub fn new(silent: Vec<SilentVm>, claimed_at: Duration) -> Self {
+        let entry = |SilentVm { vm, mark, left }| {
+            (vm, Entry { mark, runs_end: left.map(|left| claimed_at + left) })
+        };
+        let entries: IndexMap<VmId, Entry> = silent.into_iter().map(entry).collect();
+        let wanted = entries.clone();
+        Self { wanted, durable: Version { entries, at: claimed_at }, ..Self::default() }
     }
 
     /// Returns whether the record needs to be written and no write is in flight.
     pub fn needs_write(&self) -> bool {
-        self.sent.is_none() && self.wanted != self.durable
+        let durable = &self.durable.entries;
+        let is_durable = |(vm, entry): (&VmId, &Entry)| {
+            durable.get(vm).is_some_and(|durable| entry.is_covered_by(*durable))
+        };
+        let changed = self.wanted.len() != durable.len() || !self.wanted.iter().all(is_durable);
+        self.sent.is_none() && (changed || self.age == Age::Outdated)
     }
 
-    /// Returns the rows to write and marks them as in flight.
-    pub fn start_write(&mut self) -> Vec<SilentVm> {
-        self.sent = Some(self.wanted.clone());
-        self.wanted.iter().map(|(vm, mark)| SilentVm { vm: vm.clone(), mark: *mark }).collect()
+    /// Returns the entries to write at `now` and marks them as in flight.
+    pub fn start_write(&mut self, now: Duration) -> Vec<SilentVm> {
+        self.sent = Some(Version { entries: self.wanted.clone(), at: now });
+        let silent = |(vm, entry): (&VmId, &Entry)| SilentVm {
+            vm: vm.clone(),
+            mark: entry.mark,
+            left: entry.runs_end.map(|end| end.saturating_sub(now)),
+        };
+        self.wanted.iter().map(silent).collect()
     }
 
-    /// Marks the rows in flight as durable.
+    /// Marks the entries in flight as durable.
     pub fn write_done(&mut self) {
         if let Some(sent) = self.sent.take() {
             self.durable = sent;
+            self.age = Age::Recent;
         }
     }
 
-    /// Discards the rows in flight, which were not written.
+    /// Discards the entries in flight, which were not written.
     pub fn write_failed(&mut self) {
         self.sent = None;
     }
@@ -91,24 +194,29 @@
     /// Returns whether a VM's lease may be extended: the VM is neither in the durable record nor in
     /// one that is being written.
     pub fn may_extend_lease(&self, vm: &VmId) -> bool {
-        let sent = self.sent.as_ref().is_some_and(|sent| sent.contains_key(vm));
-        !sent && !self.durable.contains_key(vm)
+        let sent = self.sent.as_ref().is_some_and(|sent| sent.entries.contains_key(vm));
+        !sent && !self.durable.entries.contains_key(vm)
     }
 
     /// Returns the mark of a VM that is durably recorded as silent.
     pub fn mark(&self, vm: &VmId) -> Option<SilenceMark> {
-        self.durable.get(vm).copied()
+        self.durable.entries.get(vm).map(|entry| entry.mark)
     }
 
-    fn update_wanted(&mut self, silent: &[VmId], mark: SilenceMark) {
-        self.wanted.retain(|vm, _| silent.contains(vm));
-        for vm in silent {
-            // A VM that is in the record keeps its mark. While a write is in flight, the record is
-            // what is being written: once a VM is durably removed, its lease may be extended.
-            let record = self.sent.as_ref().unwrap_or(&self.durable);
-            let mark = record.get(vm).copied().unwrap_or(mark);
-            self.wanted.entry(vm.clone()).or_insert(mark);
-        }
+    fn update_wanted(&mut self, silent: Vec<SilentUntil>, mark: SilenceMark, now: Duration) {
+        // A VM that is in the record keeps its mark. While a write is in flight, the record is what
+        // is being written: once a VM is durably removed, its lease may be extended.
+        let record = &self.sent.as_ref().unwrap_or(&self.durable).entries;
+        let entry = |SilentUntil { vm, runs_end }| {
+            let wanted = self.wanted.get(&vm).map(|entry| entry.mark);
+            let recorded = record.get(&vm).map(|entry| entry.mark);
+            let mark = wanted.or(recorded).unwrap_or(mark);
+            (vm, Entry { mark, runs_end: Some(runs_end) })
+        };
+        self.wanted = silent.into_iter().map(entry).collect();
+        let has_work = || self.wanted.values().any(|entry| entry.runs_end > Some(now));
+        let is_old = now.saturating_sub(self.durable.at) >= MAX_RECORD_AGE;
+        self.age = if is_old && has_work() { Age::Outdated } else { Age::Recent };
     }
 }
 
@@ -122,20 +230,69 @@
             !vm.runs.is_empty()
                 && (is_silent_for_long(vm, now) || recorded(vm) && has_not_answered(vm))
         };
-        let silent: Vec<VmId> = self.vms.values().filter(silent).map(|vm| vm.id.clone()).collect();
+        let until = |vm: &Vm| SilentUntil { vm: vm.id.clone(), runs_end: self.end_of_runs(vm) };
+        let silent: Vec<SilentUntil> = self.vms.values().filter(silent).map(until).collect();
         let mark = SilenceMark(self.log.next_seq());
-        self.log.silence.update_wanted(&silent, mark);
+        self.log.silence.update_wanted(silent, mark, now);
+    }
+
+    /// Returns the time by which every run on a VM has ended unless it is extended, including runs
+    /// whose start the next instance under the same registered id may still carry out.
+    fn end_of_runs(&self, vm: &Vm) -> Duration {
+        let lease = self.settings.inherited_lease(Duration::ZERO);
+        let of_run = |key: &RunKey| vm.late_starts.get(key).map(|end| *end + lease);
+        let late = vm.runs.keys().filter_map(of_run).max().unwrap_or_default();
+        vm.runs_ended_by.max(late)
     }
 
     /// Returns the remaining time of each VM that is durably recorded as silent, as of `now`.
     pub fn reported_lapses(&self, now: Duration) -> Vec<ReportedLapse> {
         let reported = |vm: &Vm| {
             let mark = self.log.silence.mark(&vm.id)?;
-            let left = vm.runs_ended_by.saturating_sub(now);
+            let left = self.end_of_runs(vm).saturating_sub(now);
             Some(ReportedLapse { lapse: VmLapse { vm: vm.id.clone(), left }, mark })
         };
         self.vms.values().filter_map(reported).collect()
     }
+
+    /// Applies the remaining times that the record of silent VMs holds. They replace the inherited
+    /// one also where they are longer: an owner before the last may still extend the VMs' leases.
+    pub(super) fn apply_stored_lapses(&mut self) {
+        for (id, entry) in &self.log.silence.durable.entries {
+            if let Some((vm, end)) = self.vms.get_mut(id).zip(entry.runs_end) {
+                vm.runs_ended_by = end;
+            }
+        }
+    }
+
+    /// Applies the reported remaining times of VMs that are still recorded as silent in the store,
+    /// since nobody has extended their leases.
+    ///
+    /// Without this, a task on a VM that died before its owner did was delayed for twice the time.
+    pub(super) fn apply_reported_lapses(&mut self, reported: &[ReportedLapse]) {
+        let now = self.now.steady;
+        for (id, entry) in self.log.silence.durable.entries.clone() {
+            let of_entry =
+                |known: &&ReportedLapse| known.lapse.vm == id && known.mark == entry.mark;
+            let reported = reported.iter().find(of_entry).map(|known| now + known.lapse.left);
+            let Some(source) = lapse_source(reported, entry.runs_end) else { continue };
+            let Some(vm) = self.vms.get_mut(&id) else { continue };
+            vm.runs_ended_by = vm.runs_ended_by.min(reported.unwrap_or(Duration::MAX));
+            let left_ms = Millis(vm.runs_ended_by.saturating_sub(now));
+            let runs = vm.runs.len();
+            self.note(Note::VmLapseTold { vm: id, left_ms, source, runs });
+        }
+    }
+}
+
+/// Returns where the shorter of a reported and a stored time comes from; `None` if there is neither.
+fn lapse_source(reported: Option<Duration>, stored: Option<Duration>) -> Option<StaticText> {
+    match (reported, stored) {
+        (None, None) => None,
+        (Some(reported), Some(stored)) if stored < reported => Some("store"),
+        (Some(_), _) => Some("hello"),
+        (None, Some(_)) => Some("store"),
+    }
 }
 
 fn is_silent_for_long(vm: &Vm, now: Duration) -> bool {
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -3,7 +3,7 @@
 use crate::faults::NoFaults;
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
-use crate::world::Simulation;
+use crate::world::{LostPort, Simulation};
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, JobState};
@@ -175,6 +175,118 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
+const PORTS: [LostPort; 2] = [LostPort::Refusing, LostPort::Silent];
+
+/// Longest time by which the record of a silence in the store may exceed what its owner knows.
+const RECORD_AGE: Duration = Duration::from_millis(1300);
+
+/// Time from the loss of a task's VM until the task runs on the other one, while nothing that owners
+/// publish arrives.
+fn time_to_restart(port: LostPort, disturb: impl FnOnce(&mut Simulation<NoFaults>)) -> Duration {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.lose_published_lapses();
+    let took = time_to_restart_of(&mut sim, there, port, disturb);
+    check(&mut sim, &known(&job), SIZE);
+    took
+}
+
+/// Loses the VM of the only task, and returns the time until the task runs on the other one.
+fn time_to_restart_of(
+    sim: &mut Simulation<NoFaults>,
+    there: usize,
+    port: LostPort,
+    disturb: impl FnOnce(&mut Simulation<NoFaults>),
+) -> Duration {
+    let from = sim.now;
+    sim.lose_vm(there, port);
+    disturb(sim);
+    while sim.runs_on(1 - there) == 0 {
+        assert!(sim.now < from + seconds(60), "the task starts nowhere");
+        sim.run_for(Duration::from_millis(20));
+    }
+    sim.now - from
+}
+
+fn time_to_restart_undisturbed(port: LostPort) -> Duration {
+    time_to_restart(port, |_| ())
+}
+
+fn check_restart_time(port: LostPort, took: Duration, changes: u32) {
+    let most = time_to_restart_undisturbed(port) + changes * RECORD_AGE;
+    assert!(took <= most, "{port:?}: the task restarts after {took:?}, not {most:?}");
+}
+
+// Guards against a next owner that counts a whole lease from its claim, although the silence was
+// recorded before and the owner has ended.
+#[test]
+fn a_task_of_a_recorded_vm_restarts_in_time_after_its_owner_is_killed() {
+    for port in PORTS {
+        let took = time_to_restart(port, |sim| {
+            sim.run_for(seconds(5));
+            sim.replace_owner("kacyiru");
+        });
+        check_restart_time(port, took, 1);
+    }
+}
+
+// The same with an owner that freezes, and may be active for all that the next one knows.
+#[test]
+fn a_task_of_a_recorded_vm_restarts_in_time_after_its_owner_freezes() {
+    for port in PORTS {
+        let took = time_to_restart(port, |sim| {
+            sim.run_for(seconds(5));
+            sim.pause_owner("kacyiru", seconds(60));
+        });
+        check_restart_time(port, took, 1);
+    }
+}
+
+// Guards against a record that keeps the time at which it was first sent to a store that was away.
+#[test]
+fn a_record_that_waited_for_the_store_is_written_again() {
+    for port in PORTS {
+        let took = time_to_restart(port, |sim| {
+            sim.run_for(seconds(1));
+            sim.stop_store(seconds(4));
+            sim.run_for(Duration::from_millis(4400));
+            sim.replace_owner("kacyiru");
+        });
+        check_restart_time(port, took, 1);
+    }
+}
+
+// Guards against a chain of owners that each wait anew: the second one has never reached the VM, and
+// freezes as well.
+#[test]
+fn the_time_left_survives_a_second_owner_that_never_reached_the_vm() {
+    for port in PORTS {
+        let took = time_to_restart(port, |sim| {
+            sim.run_for(Duration::from_millis(3500));
+            for _ in 0..2 {
+                sim.pause_owner("kacyiru", seconds(60));
+                sim.run_for(Duration::from_millis(1500));
+            }
+        });
+        check_restart_time(port, took, 2);
+    }
+}
+
+// A VM whose port refused for a moment is extended again, and then both it and its owner are cut off.
+// Guards against a next owner that goes by the withdrawn record, and starts the task twice.
+#[test]
+fn a_withdrawn_time_counts_no_more() {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.refuse_calls(there, seconds(4));
+    sim.run_for(seconds(7));
+    sim.disconnect_vm(there, seconds(60));
+    sim.pause_owner("kacyiru", seconds(60));
+    sim.run_for(seconds(5));
+    assert_eq!((sim.runs_on(there), sim.runs_on(1 - there)), (1, 0));
+    sim.run_for(seconds(20));
+    assert_eq!((sim.runs_on(there), sim.runs_on(1 - there)), (0, 1));
+    check(&mut sim, &known(&job), SIZE);
+}
+
 // Guards against an owner that starts nothing any more: its proof of ownership has expired while no
 // VM was there, and with no run and no change it made no commit to renew it.
 #[test]
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -22,7 +22,8 @@
 use waxwingstall::shard::learned::{Inherited, Learned, StoredRecord};
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
-    OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, VmLapse, WriteOutcome,
+    OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, SilentVm, VmLapse,
+    WriteOutcome,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{
@@ -78,6 +79,8 @@
     next_announcement: Duration,
     /// Whether its port refuses connections while it is down.
     refuses: bool,
+    /// Its port refuses connections until then, but its tasks keep running.
+    refuses_until: Duration,
     /// Each size and since when it applies; a new size is announced one interval later.
     pub sizes: Vec<(Duration, Resources)>,
     restarts: u32,
@@ -698,6 +701,11 @@
         self.vms[index].unreachable_until = self.now + time;
     }
 
+    /// Makes a VM's port refuse connections for a while; its tasks keep running.
+    pub fn refuse_calls(&mut self, index: usize, time: Duration) {
+        self.vms[index].refuses_until = self.now + time;
+    }
+
     /// Makes a VM announce that it leaves after `left`.
     pub fn leave_vm(&mut self, index: usize, left: Duration) {
         self.vms[index].entry.state = VmState::Leaving { left: Some(left) };
@@ -787,6 +795,7 @@
             notice_end: None,
             next_announcement: Duration::ZERO,
             refuses: false,
+            refuses_until: Duration::ZERO,
             sizes: vec![(Duration::ZERO, size)],
             restarts: 0,
             listed_ends: 0,
@@ -848,7 +857,7 @@
             silent: self
                 .kv
                 .get(&keys.silence())
-                .map_or(Vec::new(), |item| decode(&item.value).expect("silent VMs")),
+                .map_or(Vec::new(), |item| SilentVm::decode_all(&item.value).expect("silent VMs")),
             reported_lapses: self.published_lapses_of(name),
             learned: self.inherited_learned(name),
             jobs: jobs.iter().map(|(_, v)| Arc::new(decode::<Job>(v).expect("a job"))).collect(),
@@ -1270,7 +1279,7 @@
         let Some(vm) = self.vms.iter_mut().find(|vm| vm.entry.addr == addr.addr) else {
             return Err(VmError::NotSent { reason: "no such address".to_owned() });
         };
-        if vm.refuses || vm.table.is_crashing(now) {
+        if vm.refuses || now < vm.refuses_until || vm.table.is_crashing(now) {
             return Err(VmError::NotSent { reason: "refused".to_owned() });
         }
         if vm.unreachable_until > now || vm.down_until.is_some() {
