Record refused and outage-spanning silences of VMs early

What callers saw: a long-running task of a VM that refuses connections, or that fell silent while the store was away, stayed down for a lease and up to 12 s more, if its owner was killed or frozen within 3 s of the silence.

Cause: a silence was recorded in the store after 3 s only, whatever it looked like. The next owner knew nothing of a shorter one.

Fix: a VM whose port refuses connections is recorded as soon as it counts as silent, as is one whose silence began before a commit got its answer from a store that had been away. Other silences wait for 3 s as before, since each recorded pause costs two commits. A VM that answers again is extended once the record is durably withdrawn: a_vm_whose_port_refuses_for_a_moment_keeps_its_work.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -155,6 +155,7 @@
             Event::Fleet { vms, list_status, at } => self.update_vm_list(vms, list_status, at),
             Event::Departed(departures) => self.remove_departed_vms(&departures),
             Event::Polled { vm, sent, result } => {
+                self.note_refusal(&vm, &result);
                 let noted = self.is_hand_over_stalled()
                     && result.as_ref().is_ok_and(|resp| self.note_poll_response(&vm, sent, resp));
                 if !noted {
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -27,17 +27,20 @@
 
 use super::Shard;
 use super::recover::VmLapse;
+use super::settings::{COMMIT_STALL_TIMEOUT, SILENCE_TIMEOUT};
 use super::vm_run::{Responsiveness, RunKey, Vm};
 use crate::ids::VmId;
 use crate::job::progress::{Result, decode, decode_prefix, encode};
 use crate::note::{Millis, Note, StaticText};
+use crate::vm;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Time without an answer after which a VM is recorded. It is several seconds shorter than the time
 /// that work is kept running, which the next owner saves, and longer than most pauses, since each
-/// recorded pause costs two commits.
+/// recorded pause costs two commits. A VM that refuses connections is rarely pausing, and is recorded
+/// as soon as it counts as silent.
 const RECORD_SILENCE_AFTER: Duration = Duration::from_secs(3);
 
 /// Age from which the record is written again.
@@ -144,6 +147,8 @@
     sent: Option<Version>,
     durable: Version,
     age: Age,
+    /// When a commit last waited for the store.
+    stalled_at: Option<Duration>,
 }
 
 impl SilenceRecord {
@@ -203,6 +208,16 @@
         self.durable.entries.get(vm).map(|entry| entry.mark)
     }
 
+    /// Returns whether a VM's silence is to be recorded: it is long, the VM refuses connections, or
+    /// the silence began before a commit had its answer from a store that was away.
+    fn is_due(&self, vm: &Vm, now: Duration) -> bool {
+        let Responsiveness::SilentSince(since) = vm.contact.responsiveness else { return false };
+        let silence = now.saturating_sub(since);
+        let from_outage = self.stalled_at.is_some_and(|at| since <= at);
+        silence >= RECORD_SILENCE_AFTER
+            || silence >= SILENCE_TIMEOUT && (vm.contact.refuses || from_outage)
+    }
+
     fn update_wanted(&mut self, silent: Vec<SilentUntil>, mark: SilenceMark, now: Duration) {
         // A VM that is in the record keeps its mark. While a write is in flight, the record is what
         // is being written: once a VM is durably removed, its lease may be extended.
@@ -221,14 +236,23 @@
 }
 
 impl Shard {
+    /// Records whether a VM refuses connections.
+    pub(super) fn note_refusal(&mut self, id: &VmId, result: &vm::Result<vm::PollResp>) {
+        if let Some(vm) = self.vms.get_mut(id) {
+            vm.contact.refuses = matches!(result, Err(vm::Error::NotSent { .. }));
+        }
+    }
+
     /// Updates the record of silent VMs for the next commit.
     pub(super) fn update_silence_record(&mut self) {
         let now = self.now.steady;
+        if self.log.age(now) > COMMIT_STALL_TIMEOUT {
+            self.log.silence.stalled_at = Some(now);
+        }
         let record = &self.log.silence;
         let recorded = |vm: &Vm| record.wanted.contains_key(&vm.id);
         let silent = |vm: &&Vm| {
-            !vm.runs.is_empty()
-                && (is_silent_for_long(vm, now) || recorded(vm) && has_not_answered(vm))
+            !vm.runs.is_empty() && (record.is_due(vm, now) || recorded(vm) && has_not_answered(vm))
         };
         let until = |vm: &Vm| SilentUntil { vm: vm.id.clone(), runs_end: self.end_of_runs(vm) };
         let silent: Vec<SilentUntil> = self.vms.values().filter(silent).map(until).collect();
@@ -295,13 +319,6 @@
     }
 }
 
-fn is_silent_for_long(vm: &Vm, now: Duration) -> bool {
-    match vm.contact.responsiveness {
-        Responsiveness::SilentSince(since) => now.saturating_sub(since) >= RECORD_SILENCE_AFTER,
-        Responsiveness::Responsive => false,
-    }
-}
-
 /// Returns whether a VM is silent or has never answered this owner.
 fn has_not_answered(vm: &Vm) -> bool {
     vm.contact.responsiveness != Responsiveness::Responsive
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -236,6 +236,8 @@
     pub failures: u32,
     /// When the first of these failures was detected.
     pub failing_since: Option<Duration>,
+    /// Whether the last poll failed because the VM refused the connection.
+    pub refuses: bool,
     pub responsiveness: Responsiveness,
 }
 
@@ -275,6 +277,7 @@
                 last_successful_poll: None,
                 failures: 0,
                 failing_since: None,
+                refuses: false,
                 responsiveness: Responsiveness::Responsive,
             },
             runs_ended_by,
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -7,8 +7,8 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, JobState};
-use waxwingstall::shard::Answer;
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
+use waxwingstall::shard::{Answer, Keys, SilentVm};
 use waxwingstall::units::Resources;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
@@ -216,6 +216,30 @@
     assert!(took <= most, "{port:?}: the task restarts after {took:?}, not {most:?}");
 }
 
+// Guards against a long-running task that stays down for a lease and 12 s: its owner froze within a
+// second of noticing that its VM refused connections, and what the owner published was lost.
+#[test]
+fn a_task_of_a_refusing_vm_restarts_in_time_if_its_owner_soon_freezes() {
+    let took = time_to_restart(LostPort::Refusing, |sim| {
+        sim.run_for(Duration::from_millis(2300));
+        sim.pause_owner("kacyiru", seconds(60));
+    });
+    check_restart_time(LostPort::Refusing, took, 1);
+}
+
+// Guards against a record that waits for the next change or renewal of the ownership.
+#[test]
+fn a_refusing_vm_is_recorded_by_a_commit_of_its_own() {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.lose_vm(there, LostPort::Refusing);
+    sim.run_for(Duration::from_millis(1500));
+    let record = sim.kv.get(&Keys::new("kacyiru").silence()).expect("a record");
+    let silent = SilentVm::decode_all(&record.value).expect("silent VMs");
+    let vms: Vec<_> = silent.iter().map(|silent| silent.vm.clone()).collect();
+    assert_eq!(vms, [sim.vms[there].entry.id.clone()]);
+    check(&mut sim, &known(&job), SIZE);
+}
+
 // Guards against a next owner that counts a whole lease from its claim, although the silence was
 // recorded before and the owner has ended.
 #[test]
@@ -241,6 +265,24 @@
     }
 }
 
+// Guards against a silence that began during an outage of the store and isn't recorded once the store
+// is back: the owner freezes before the silence has lasted for 3 s.
+#[test]
+fn a_silence_from_an_outage_of_the_store_is_recorded_once_the_store_is_back() {
+    for port in PORTS {
+        let (mut sim, job, there) = simulation_with_task();
+        sim.lose_published_lapses();
+        sim.stop_store(Duration::from_millis(3500));
+        sim.run_for(Duration::from_millis(1200));
+        let took = time_to_restart_of(&mut sim, there, port, |sim| {
+            sim.run_for(Duration::from_millis(2700));
+            sim.pause_owner("kacyiru", seconds(60));
+        });
+        check_restart_time(port, took, 1);
+        check(&mut sim, &known(&job), SIZE);
+    }
+}
+
 // Guards against a record that keeps the time at which it was first sent to a store that was away.
 #[test]
 fn a_record_that_waited_for_the_store_is_written_again() {
@@ -271,6 +313,18 @@
     }
 }
 
+// Guards against work that lapses on a sound VM: its port refused connections for a moment, which is
+// recorded, and the record must be withdrawn before the VM's lease is extended again.
+#[test]
+fn a_vm_whose_port_refuses_for_a_moment_keeps_its_work() {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.refuse_calls(there, Duration::from_millis(2500));
+    sim.run_for(seconds(20));
+    assert_eq!((sim.runs_on(there), sim.runs_on(1 - there)), (1, 0));
+    assert_eq!(sim.starts.len(), 1, "the task was started again");
+    check(&mut sim, &known(&job), SIZE);
+}
+
 // A VM whose port refused for a moment is extended again, and then both it and its owner are cut off.
 // Guards against a next owner that goes by the withdrawn record, and starts the task twice.
 #[test]
@@ -287,6 +341,23 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
+// The same with an owner that is replaced while the VM answers it and the record's withdrawal waits
+// for the store. Guards against an owner that extends a VM by a withdrawal that isn't durable.
+#[test]
+fn a_vm_is_not_extended_while_its_record_is_being_withdrawn() {
+    for held in [2600, 2800, 3000, 4000] {
+        let (mut sim, job, there) = simulation_with_task();
+        sim.refuse_calls(there, Duration::from_millis(2500));
+        sim.run_for(Duration::from_millis(2400));
+        sim.partition_owner("kacyiru", there);
+        sim.run_for(Duration::from_millis(held));
+        sim.replace_owner("kacyiru");
+        sim.run_for(seconds(30));
+        assert_eq!(sim.runs_on(there) + sim.runs_on(1 - there), 1);
+        check(&mut sim, &known(&job), SIZE);
+    }
+}
+
 // Guards against an owner that starts nothing any more: its proof of ownership has expired while no
 // VM was there, and with no run and no change it made no commit to renew it.
 #[test]
