Record VMs that a new owner has never reached

What callers saw: a long-running task of a VM that had gone before its shard changed owners waited anew at each further change. In the other direction a task ran twice: the last owner had replaced one that was partitioned with the VM, was killed, and its successor knew nothing of the partitioned one.

Cause: only a VM that had answered its owner and then stopped counted as silent, so what an owner had inherited about a VM that it never reached was lost with it.

Fix: a VM that has not answered since the takeover is recorded after the same time as another one, counted from the takeover. An owner that is killed before it has written the record still leaves nothing, so the partitioned owner stays a hazard for the first 3 s.

--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -211,7 +211,7 @@
     /// Returns whether a VM's silence is to be recorded: it is long, the VM refuses connections, or
     /// the silence began before a commit had its answer from a store that was away.
     fn is_due(&self, vm: &Vm, now: Duration) -> bool {
-        let Responsiveness::SilentSince(since) = vm.contact.responsiveness else { return false };
+        let Some(since) = silent_since(vm) else { return false };
         let silence = now.saturating_sub(since);
         let from_outage = self.stalled_at.is_some_and(|at| since <= at);
         silence >= RECORD_SILENCE_AFTER
@@ -319,6 +319,15 @@
     }
 }
 
+/// Since when a VM has not answered, or since when it is known if it has never answered this owner.
+fn silent_since(vm: &Vm) -> Option<Duration> {
+    let never_answered = vm.contact.last_successful_poll.is_none() && vm.contact.failures > 0;
+    match vm.contact.responsiveness {
+        Responsiveness::SilentSince(since) => Some(since),
+        Responsiveness::Responsive => never_answered.then_some(vm.known_since),
+    }
+}
+
 /// Returns whether a VM is silent or has never answered this owner.
 fn has_not_answered(vm: &Vm) -> bool {
     vm.contact.responsiveness != Responsiveness::Responsive
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -155,7 +155,6 @@
 
 // The same with a successor that is killed: what it knew of the partitioned owner is lost.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn an_owner_before_the_last_may_still_extend_a_vm_whose_next_owner_is_killed() {
     replace_beside_a_partitioned_owner(seconds(6), |sim| sim.replace_owner("kacyiru"));
 }
@@ -313,6 +312,25 @@
     }
 }
 
+// Guards against a next owner that counts anew on the one before the last, since the last one hadn't
+// reached the VM and recorded nothing of it.
+#[test]
+fn a_vm_that_its_owner_never_reached_is_recorded() {
+    let freeze = |sim: &mut Simulation<NoFaults>| {
+        sim.run_for(Duration::from_millis(500));
+        sim.pause_owner("kacyiru", seconds(60));
+    };
+    for port in PORTS {
+        let took = time_to_restart(port, |sim| {
+            freeze(sim);
+            sim.run_for(seconds(4));
+            sim.pause_owner("kacyiru", seconds(60));
+        });
+        let most = time_to_restart(port, freeze) + RECORD_AGE;
+        assert!(took <= most, "{port:?}: the task restarts after {took:?}, not {most:?}");
+    }
+}
+
 // Guards against work that lapses on a sound VM: its port refused connections for a moment, which is
 // recorded, and the record must be withdrawn before the VM's lease is extended again.
 #[test]
