Count an earlier owner if an offer's times don't apply

What callers could see: a task that runs twice.

Cause: a claim that is decided by an offer counts a lease only, as the offer tells for each VM that doesn't answer how long an owner before may extend it. What it tells is dropped if the claim replaces another ownership than the offered one, such as an own claim whose answer was lost, and the claim still counted a lease only.

Without the times of an offer the time for which an earlier owner may be active, as found by the claim, now counts for every VM.

Evidence: the new unit test is of the new function; the case itself isn't simulated.

--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -189,9 +189,8 @@
         let offer = self.offers.shift_remove(&recovered.shard);
         // Valid only if the offered ownership was the last one: another one in between, also one of
         // the offering daemon, may have extended the time for which the VMs keep their work running.
-        if let Some(offer) = offer.filter(|offer| recovered.predecessor == Some(offer.fence)) {
-            recovered.unresponsive_vms = offer.aged(now.steady);
-        }
+        let offer = offer.filter(|offer| recovered.predecessor == Some(offer.fence));
+        recovered.set_offer(offer.map(|offer| offer.aged(now.steady)));
         if let Some(reported) = self.reported_lapses.shift_remove(&recovered.shard) {
             recovered.reported_lapses = reported.aged(now.steady);
         }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -52,6 +52,18 @@
     pub learned: Inherited,
 }
 
+impl Recovered {
+    /// Sets what the previous owner told of VMs that don't answer as it handed the shard over. If
+    /// that isn't known, an owner before it counts for each VM.
+    pub fn set_offer(&mut self, lapses: Option<Vec<VmLapse>>) {
+        match lapses {
+            Some(lapses) => self.unresponsive_vms = lapses,
+            None if !self.earlier_active.is_zero() => self.previous = PreviousOwner::MaybeActive,
+            None => {}
+        }
+    }
+}
+
 /// A VM that does not answer, and how long it may still keep its work running.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmLapse {
@@ -285,3 +297,6 @@
     vm.listing = Listing::Unknown;
     vm
 }
+
+#[cfg(test)]
+mod tests;
