Simulate random silences of VMs across changes of owners

VMs refuse connections, are cut off or crash while owners are killed, frozen or hand over and the store is away, with hellos lost from some time on.

--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -1,10 +1,13 @@
 //! Tasks on unresponsive VMs while the shard's owner is replaced.
 
-use crate::faults::NoFaults;
+use crate::faults::{NoFaults, RandomFaults};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
+use crate::random::seeds;
 use crate::world::{LostPort, Simulation};
 use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, JobState};
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
@@ -389,3 +392,42 @@
     assert_eq!(sim.show("kacyiru", job.id), Some(Answer::Shown(JobState::Done)));
     check(&mut sim, &known(&job), SIZE);
 }
+
+/// VMs fall silent, refuse connections for a while or are lost, while owners are replaced, the store
+/// is away and commands are late or lost. Nothing that owners publish arrives after a while.
+fn simulate_silences(seed: u64) -> (Simulation<RandomFaults>, Job) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let until = seconds(30);
+    let faults = RandomFaults::new(seed, rng.random_range(0..80), until);
+    let mut sim = Simulation::new(faults, &["kacyiru"], 3, SIZE);
+    let job = job_with_steps(1, 1, 4, work(0, 2));
+    sim.submit("kacyiru", job.clone());
+    let mut millis = |range| Duration::from_millis(rng.random_range(range));
+    sim.run_for(millis(500..4000));
+    while sim.now < until {
+        let vm = usize::from(millis(0..2).as_millis() == 0);
+        match millis(0..9).as_millis() {
+            0 | 1 => sim.refuse_calls(vm, millis(200..7000)),
+            2 => sim.disconnect_vm(vm, millis(200..7000)),
+            3 => sim.crash_vm(vm, millis(200..9000)),
+            4 => sim.stop_store(millis(200..4000)),
+            5 => sim.pause_owner("kacyiru", millis(200..9000)),
+            6 => sim.replace_owner("kacyiru"),
+            7 => sim.hand_over("kacyiru"),
+            _ => sim.lose_published_lapses(),
+        }
+        sim.run_for(millis(20..2500));
+    }
+    sim.run_for(seconds(45));
+    (sim, job)
+}
+
+#[test]
+fn promises_hold_while_silent_vms_change_owners() {
+    for seed in seeds(0..60) {
+        println!("seed {seed}");
+        let (mut sim, job) = simulate_silences(seed);
+        assert_eq!(sim.running_tasks(job.id), 4);
+        check(&mut sim, &known(&job), SIZE);
+    }
+}
