Tell how long starts may be carried out late with a VM's lapse

The next owner waited for the published lapse, which covers the lease only, and started the task elsewhere; 1.2 s before, the start had arrived at the next instance of the VM.

The owner itself waits for the time until which the start may be carried out and a lease more. The lapses that it publishes or hands over now include this time, for VMs that tell when they started and have a run with an unanswered start. The hole is older, but refused polls, which no longer extend the lease, used to hide it.

An owner that is killed before the silence is recorded still leaves the next one without this knowledge.

--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -149,8 +149,9 @@
     pub fn unresponsive_vms(&self) -> Vec<VmLapse> {
         let now = self.now.steady;
         let silent = self.vms.values().filter(|vm| !vm.runs.is_empty() && !vm.is_responsive(now));
-        let lapse =
-            |vm: &Vm| VmLapse { vm: vm.id.clone(), left: vm.runs_ended_by().saturating_sub(now) };
+        let lease = self.settings.inherited_lease(Duration::ZERO);
+        let left = |vm: &Vm| vm.all_runs_ended_by(lease).saturating_sub(now);
+        let lapse = |vm: &Vm| VmLapse { vm: vm.id.clone(), left: left(vm) };
         silent.map(lapse).collect()
     }
 
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -129,9 +129,10 @@
 
     /// Returns the remaining time of each VM that is durably recorded as silent, as of `now`.
     pub fn reported_lapses(&self, now: Duration) -> Vec<ReportedLapse> {
+        let lease = self.settings.inherited_lease(Duration::ZERO);
         let reported = |vm: &Vm| {
             let mark = self.log.silence.mark(&vm.id)?;
-            let left = vm.runs_ended_by().saturating_sub(now);
+            let left = vm.all_runs_ended_by(lease).saturating_sub(now);
             Some(ReportedLapse { lapse: VmLapse { vm: vm.id.clone(), left }, mark })
         };
         self.vms.values().filter_map(reported).collect()
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -371,6 +371,13 @@
         self.lease.end()
     }
 
+    /// Same, with the time for which the next instance may keep runs whose start it carries out late:
+    /// up to `lease` from then on.
+    pub fn all_runs_ended_by(&self, lease: Duration) -> Duration {
+        let late = self.runs.keys().filter_map(|key| self.late_starts.end(*key));
+        late.map(|end| end + lease).fold(self.runs_ended_by(), Duration::max)
+    }
+
     /// Records that a start of a run is being sent, by which the VM may keep all of its tasks running
     /// for `keep` from now on, and which the next instance may carry out until then.
     pub fn record_start(&mut self, key: RunKey, now: Duration, keep: Duration) {
--- a/tests/shards/leases.rs
+++ b/tests/shards/leases.rs
@@ -334,3 +334,10 @@
         refuse_at_random(seed, seed.is_multiple_of(2));
     }
 }
+
+// Guards against a task that runs twice: its start arrives late at the next instance of its VM, and
+// the owner that knows of the start is killed after it has published the lapse of the VM's lease.
+#[test]
+fn a_published_lapse_covers_starts_that_the_next_instance_may_carry_out() {
+    refuse_at_random(1276, true);
+}
