--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -28,7 +28,7 @@
 use super::Shard;
 use super::recover::VmLapse;
 use super::settings::{COMMIT_STALL_TIMEOUT, SILENCE_TIMEOUT};
-use super::vm_run::{Responsiveness, RunKey, Vm};
+use super::vm_run::{Responsiveness, Vm};
 use crate::ids::VmId;
 use crate::job::progress::{Result, decode, decode_prefix, encode};
 use crate::note::{Millis, Note, StaticText};
@@ -254,26 +254,20 @@
         let silent = |vm: &&Vm| {
             !vm.runs.is_empty() && (record.is_due(vm, now) || recorded(vm) && has_not_answered(vm))
         };
-        let until = |vm: &Vm| SilentUntil { vm: vm.id.clone(), runs_end: self.end_of_runs(vm) };
+        let lease = self.settings.inherited_lease(Duration::ZERO);
+        let until =
+            |vm: &Vm| SilentUntil { vm: vm.id.clone(), runs_end: vm.all_runs_ended_by(lease) };
         let silent: Vec<SilentUntil> = self.vms.values().filter(silent).map(until).collect();
         let mark = SilenceMark(self.log.next_seq());
         self.log.silence.update_wanted(silent, mark, now);
     }
 
-    /// Returns the time by which every run on a VM has ended unless it is extended, including runs
-    /// whose start the next instance under the same registered id may still carry out.
-    fn end_of_runs(&self, vm: &Vm) -> Duration {
-        let lease = self.settings.inherited_lease(Duration::ZERO);
-        let of_run = |key: &RunKey| vm.late_starts.end(*key).map(|end| end + lease);
-        let late = vm.runs.keys().filter_map(of_run).max().unwrap_or_default();
-        vm.runs_ended_by().max(late)
-    }
-
     /// Returns the remaining time of each VM that is durably recorded as silent, as of `now`.
     pub fn reported_lapses(&self, now: Duration) -> Vec<ReportedLapse> {
+        let lease = self.settings.inherited_lease(Duration::ZERO);
         let reported = |vm: &Vm| {
             let mark = self.log.silence.mark(&vm.id)?;
-            let left = self.end_of_runs(vm).saturating_sub(now);
+            let left = vm.all_runs_ended_by(lease).saturating_sub(now);
             Some(ReportedLapse { lapse: VmLapse { vm: vm.id.clone(), left }, mark })
         };
         self.vms.values().filter_map(reported).collect()
