Keep what the last owner told of a VM when that owner's end is proved

The stored and offered times of a silent VM allow for starts that its next instance under the same id carries out late, up to two leases. A proof that the previous owner has ended, or an offer, cut them down to one lease.

The time that the last owner told is now a lower bound of the VM's deadline until the VM answers its new owner. A time that a hello tells can only lower it. The flag of VMs that refuse connections is named after what it holds: no connection came about, which includes addresses that drop packets.

Evidence: the new unit test, which can't be compiled on the code before; the interleaving isn't simulated.

--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -2,9 +2,9 @@
 //!
 //! An owner that was replaced without knowing it extends leases for as long as it has a recent proof
 //! of its ownership, which is less than [`MAX_STALE_OWNER_EXTENSION`] from the claim that replaced
-//! it (see `docs/design/ownership-proof.md`). The head tells how much of that time is left, so that an owner that takes over after all
-//! daemons have ended needn't allow for the whole of it again. No earlier owner is counted out too
-//! soon:
+//! it (see `docs/design/ownership-proof.md`). The head tells how much of that time is left, so that an
+//! owner that takes over after all daemons have ended needn't allow for the whole of it again. No
+//! earlier owner is counted out too soon:
 //!
 //! - The time runs from the moment at which the writer computed it. A reader counts it from a later
 //!   moment, after the store has answered. No clocks are compared, and a write that is repeated or
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -159,7 +159,7 @@
             Event::Fleet { vms, list_status, at } => self.update_vm_list(vms, list_status, at),
             Event::Departed(departures) => self.remove_departed_vms(&departures),
             Event::Polled { vm, sent, result } => {
-                self.note_refusal(&vm, &result);
+                self.note_connection(&vm, &result);
                 let noted = self.is_hand_over_stalled()
                     && result.as_ref().is_ok_and(|resp| self.note_poll_response(&vm, sent, resp));
                 if !noted {
--- a/src/shard/lease.rs
+++ b/src/shard/lease.rs
@@ -81,6 +81,8 @@
     open_calls: IndexMap<Extension, OpenCalls>,
     /// Time until which orders for an earlier instance may keep runs on the VM.
     late_orders_end: Duration,
+    /// The end that the last owner told, which may allow for starts that are carried out late.
+    told_end: Duration,
 }
 
 impl Lease {
@@ -91,6 +93,7 @@
             source: LeaseSource::EarlierOwner,
             open_calls: IndexMap::new(),
             late_orders_end: Duration::ZERO,
+            told_end: Duration::ZERO,
         }
     }
 
@@ -124,17 +127,35 @@
     }
 
     /// Replaces the end that earlier owners may have set by the one that the last of them told.
-    pub fn set_inherited(&mut self, end: Duration) {
-        self.end = end;
+    pub fn set_told(&mut self, end: Duration) {
+        (self.end, self.told_end) = (end, end);
     }
 
-    /// Lowers the end to `end`, as far as orders for an earlier instance allow. Calls in flight
-    /// count on.
+    /// Returns whether the end is one that the last owner told.
+    pub fn is_told(&self) -> bool {
+        !self.told_end.is_zero()
+    }
+
+    /// Lowers the end that the last owner told, or replaces the inherited one if it told none.
+    pub fn limit_told(&mut self, end: Duration) {
+        let told = if self.is_told() { end.min(self.told_end) } else { end };
+        self.set_told(told);
+    }
+
+    /// Lowers the end to `end`, as far as orders for an earlier instance and what the last owner told
+    /// allow. Calls in flight count on.
     pub fn shorten(&mut self, end: Duration) {
-        self.end = self.end.min(end);
+        self.end = self.end.min(end).max(self.told_end);
         self.raise(self.late_orders_end, LeaseSource::EarlierInstance);
     }
 
+    /// Lowers the end to `end` once the VM has answered its new owner: it carries out no order of an
+    /// earlier one any more.
+    pub fn exclude_earlier_owners(&mut self, end: Duration) {
+        self.told_end = Duration::ZERO;
+        self.shorten(end);
+    }
+
     /// Records that orders for an earlier instance may keep runs until `end`.
     pub fn expect_late_orders(&mut self, end: Duration) {
         self.late_orders_end = self.late_orders_end.max(end);
--- a/src/shard/lease/tests.rs
+++ b/src/shard/lease/tests.rs
@@ -69,3 +69,18 @@
     lease.settle(Extension::Poll, Delivery::Answered);
     assert_eq!((lease.end(), lease.source()), (seconds(12), LeaseSource::EarlierInstance));
 }
+
+// Guards against a task that runs twice: what the last owner told allows for starts that are carried
+// out late, and its end as a process changes nothing in that.
+#[test]
+fn an_end_that_the_last_owner_told_is_kept_until_the_vm_answers() {
+    let mut lease = Lease::inherited(seconds(11));
+    lease.set_told(seconds(20));
+    lease.shorten(seconds(11));
+    assert_eq!(lease.end(), seconds(20));
+    lease.limit_told(seconds(15));
+    lease.shorten(seconds(11));
+    assert_eq!(lease.end(), seconds(15), "a shorter time that was told holds");
+    lease.exclude_earlier_owners(seconds(11));
+    assert_eq!(lease.end(), seconds(11));
+}
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -68,7 +68,7 @@
                 vm.record_answer(sent);
                 if before.is_none() {
                     // From now on the VM rejects earlier owners.
-                    vm.lease.shorten(inherited);
+                    vm.lease.exclude_earlier_owners(inherited);
                 }
                 vm.read_clock(resp.clock, now);
                 let was =
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -192,7 +192,7 @@
         let now = self.now.steady;
         for lapse in lapses {
             if let Some(vm) = self.vms.get_mut(&lapse.vm) {
-                vm.lease.set_inherited(now + lapse.left);
+                vm.lease.set_told(now + lapse.left);
             }
         }
     }
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -39,7 +39,7 @@
 
 /// Time without an answer after which a VM is recorded. It is several seconds shorter than the time
 /// that work is kept running, which the next owner saves, and longer than most pauses, since each
-/// recorded pause costs two commits. A VM that refuses connections is rarely pausing, and is recorded
+/// recorded pause costs two commits. A VM that accepts no connection is rarely pausing, and is recorded
 /// as soon as it counts as silent.
 const RECORD_SILENCE_AFTER: Duration = Duration::from_secs(3);
 
@@ -208,14 +208,14 @@
         self.durable.entries.get(vm).map(|entry| entry.mark)
     }
 
-    /// Returns whether a VM's silence is to be recorded: it is long, the VM refuses connections, or
+    /// Returns whether a VM's silence is to be recorded: it is long, the VM accepts no connection, or
     /// the silence began before a commit had its answer from a store that was away.
     fn is_due(&self, vm: &Vm, now: Duration) -> bool {
         let Some(since) = silent_since(vm) else { return false };
         let silence = now.saturating_sub(since);
         let from_outage = self.stalled_at.is_some_and(|at| since <= at);
         silence >= RECORD_SILENCE_AFTER
-            || silence >= SILENCE_TIMEOUT && (vm.contact.refuses || from_outage)
+            || silence >= SILENCE_TIMEOUT && (vm.contact.unconnected || from_outage)
     }
 
     fn update_wanted(&mut self, silent: Vec<SilentUntil>, mark: SilenceMark, now: Duration) {
@@ -236,10 +236,10 @@
 }
 
 impl Shard {
-    /// Records whether a VM refuses connections.
-    pub(super) fn note_refusal(&mut self, id: &VmId, result: &vm::Result<vm::PollResp>) {
+    /// Records whether a poll ended without a connection to its VM.
+    pub(super) fn note_connection(&mut self, id: &VmId, result: &vm::Result<vm::PollResp>) {
         if let Some(vm) = self.vms.get_mut(id) {
-            vm.contact.refuses = matches!(result, Err(vm::Error::NotSent { .. }));
+            vm.contact.unconnected = matches!(result, Err(vm::Error::NotSent { .. }));
         }
     }
 
@@ -278,15 +278,13 @@
     pub(super) fn apply_stored_lapses(&mut self) {
         for (id, entry) in &self.log.silence.durable.entries {
             if let Some((vm, end)) = self.vms.get_mut(id).zip(entry.runs_end) {
-                vm.lease.set_inherited(end);
+                vm.lease.set_told(end);
             }
         }
     }
 
     /// Applies the reported remaining times of VMs that are still recorded as silent in the store,
     /// since nobody has extended their leases.
-    ///
-    /// Without this, a task on a VM that died before its owner did was delayed for twice the time.
     pub(super) fn apply_reported_lapses(&mut self, reported: &[ReportedLapse]) {
         let now = self.now.steady;
         for (id, entry) in self.log.silence.durable.entries.clone() {
@@ -295,7 +293,9 @@
             let reported = reported.iter().find(of_entry).map(|known| now + known.lapse.left);
             let Some(source) = lapse_source(reported, entry.runs_end) else { continue };
             let Some(vm) = self.vms.get_mut(&id) else { continue };
-            vm.lease.shorten(reported.unwrap_or(Duration::MAX));
+            if let Some(end) = reported {
+                vm.lease.limit_told(end);
+            }
             let left_ms = Millis(vm.runs_ended_by().saturating_sub(now));
             let runs = vm.runs.len();
             self.note(Note::VmLapseTold { vm: id, left_ms, source, runs });
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -237,8 +237,8 @@
     pub failures: u32,
     /// When the first of these failures was detected.
     pub failing_since: Option<Duration>,
-    /// Whether the last poll failed because the VM refused the connection.
-    pub refuses: bool,
+    /// Whether the last poll ended without a connection to the VM.
+    pub unconnected: bool,
     pub responsiveness: Responsiveness,
 }
 
@@ -278,7 +278,7 @@
                 last_successful_poll: None,
                 failures: 0,
                 failing_since: None,
-                refuses: false,
+                unconnected: false,
                 responsiveness: Responsiveness::Responsive,
             },
             lease: Lease::inherited(runs_ended_by),
