Record VMs that a new owner doesn't reach as early as refusing ones

A VM that has never answered its owner is now recorded after 1.2 s, and one that the previous owner has told of as soon as a poll has failed.

--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -208,14 +208,18 @@
         self.durable.entries.get(vm).map(|entry| entry.mark)
     }
 
-    /// Returns whether a VM's silence is to be recorded: it is long, the VM accepts no connection, or
-    /// the silence began before a commit had its answer from a store that was away.
+    /// Returns whether a VM's silence is to be recorded: it is long, the last owner has told of it, the
+    /// VM accepts no connection or has never answered this owner, or the silence began before a commit
+    /// had its answer from a store that was away.
     fn is_due(&self, vm: &Vm, now: Duration) -> bool {
         let Some(since) = silent_since(vm) else { return false };
         let silence = now.saturating_sub(since);
         let from_outage = self.stalled_at.is_some_and(|at| since <= at);
+        let is_likely_lasting =
+            vm.contact.unconnected || vm.contact.last_successful_poll.is_none() || from_outage;
         silence >= RECORD_SILENCE_AFTER
-            || silence >= SILENCE_TIMEOUT && (vm.contact.unconnected || from_outage)
+            || vm.lease.is_told()
+            || silence >= SILENCE_TIMEOUT && is_likely_lasting
     }
 
     fn update_wanted(&mut self, silent: Vec<SilentUntil>, mark: SilenceMark, now: Duration) {
