Simulate VMs that leave for good behind cuts while owners change

Callers saw a lasting task without a run for 12 to 27 s after its VM had left behind a cut. No simulation drew such departures together with changes of owners.

New tests in tests/shards/cuts.rs draw cuts of 4 to 7 s, one or two in a row, VMs that leave within them after a notice that nobody reads, at an address that refuses or is silent, VMs that are only cut off for 2 to 15 s, lists without the VMs for up to 2 s after a cut, and owners that are stopped, killed (both at once, without what they had published) or paused 0 to 5 s after a departure, and a second time.

The next run of a lost task must begin within 6 s of the time from which it may run elsewhere. That is the latest of - the end of the lease as the VM knew it, and 2 % of it from its last extension, - the end of a cut, and the claim of the next owner, - a lease after the end of an owner that had no time to record the silence: 1.7 s to notice it and 0.3 s to record it with the store there, - a lease and 12 s after the claim that replaced an owner that was only paused before it could record the silence, since that one may still extend the lease, - a lease after a start that went unanswered to a VM just before or after its loss.

The second test has the owners with the store and without the VMs, the third tells owners nothing about those before the last one, as after a restart of all daemons.

--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -153,6 +153,16 @@
     },
 }
 
+/// A lease of everything on a VM that has ended, as the VM knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedLease {
+    /// When it passed, or when the VM died before that.
+    pub at: Duration,
+    /// When the last call that extended it was received.
+    pub extended: Duration,
+    pub keep_until: Duration,
+}
+
 #[derive(Debug)]
 struct Running {
     run: RunNumber,
@@ -176,6 +186,8 @@
     settings: RunSettings,
     fence: Fence,
     keep_until: Duration,
+    /// When a call last extended that time.
+    extended: Duration,
     lapsed: bool,
     running: IndexMap<TaskRef, Running>,
     /// Highest run of each task that ended or was stopped here.
@@ -186,6 +198,7 @@
     speed: u8,
     slow_runs: Option<SlowRuns>,
     pub seen: Vec<Seen>,
+    pub ended_leases: Vec<EndedLease>,
 }
 
 impl RunTable {
@@ -196,6 +209,7 @@
             settings,
             fence: Fence(0),
             keep_until: Duration::ZERO,
+            extended: Duration::ZERO,
             lapsed: true,
             running: IndexMap::new(),
             barred: IndexMap::new(),
@@ -204,6 +218,7 @@
             speed: 100,
             slow_runs: None,
             seen: Vec::new(),
+            ended_leases: Vec::new(),
         }
     }
 
@@ -357,6 +372,9 @@
                 self.seen.push(Seen::Ended { at: now, task, run, outcome });
             }
         }
+        if !self.lapsed {
+            self.end_lease(now);
+        }
     }
 
     fn clock(&self, now: Duration) -> VmTime {
@@ -374,7 +392,11 @@
     fn keep(&mut self, now: Duration, until: VmTime) {
         let until = until.0.saturating_sub(self.settings.clock_offset);
         let most = now + self.settings.max_keep;
-        self.keep_until = self.keep_until.max(until.min(most));
+        let until = until.min(most);
+        if until > self.keep_until {
+            self.keep_until = until;
+            self.extended = now;
+        }
         self.lapsed = self.keep_until <= now;
     }
 
@@ -395,9 +417,15 @@
         if !self.lapsed && self.keep_until <= now {
             self.lapsed = true;
             self.seen.push(Seen::Lapsed { at: self.keep_until });
+            self.end_lease(self.keep_until);
         }
     }
 
+    fn end_lease(&mut self, at: Duration) {
+        let (extended, keep_until) = (self.extended, self.keep_until);
+        self.ended_leases.push(EndedLease { at, extended, keep_until });
+    }
+
     fn end(&mut self, task: TaskRef, at: Duration, outcome: EndKind) {
         let Some(running) = self.running.shift_remove(&task) else { return };
         self.ends += 1;
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -5,6 +5,7 @@
 mod constraints;
 mod copies;
 mod crashes;
+mod cuts;
 mod duplicates;
 mod elsewhere;
 mod evacuation;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -20,6 +20,7 @@
 use waxwingstall::permit::{self, PermitReq, PermitResp};
 use waxwingstall::queues::{PermitTimes, Queue, Queues};
 use waxwingstall::shard::learned::{Inherited, Learned, StoredRecord};
+use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
     OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, VmLapse, WriteOutcome,
@@ -70,6 +71,8 @@
     pub shard: Arc<str>,
     /// Unreachable until then, but still running.
     pub unreachable_until: Duration,
+    /// How its address answers meanwhile.
+    cut_port: LostPort,
     pub down_until: Option<Duration>,
     /// When it leaves for good, with everything on it.
     departs_at: Option<Duration>,
@@ -96,7 +99,7 @@
     Same,
 }
 
-/// How the address of a lost VM answers.
+/// How the address of a VM that is lost or cut off answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LostPort {
     /// It refuses connections.
@@ -105,6 +108,27 @@
     Silent,
 }
 
+/// How the ownership of a shard ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerEnd {
+    /// The owner is killed.
+    Killed,
+    /// All daemons are killed, with all that they had told each other.
+    AllKilled(EarlierOwners),
+    /// It hands the shard over.
+    HandedOver,
+    /// It is paused for a while.
+    Paused(Duration),
+}
+
+/// What the next owner knows of the owners before the last one, which has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierOwners {
+    Ended,
+    /// They may still extend leases; it learns later that they don't.
+    Unknown,
+}
+
 /// What the ids of VMs tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Identity {
@@ -124,6 +148,14 @@
     pub req: StartReq,
 }
 
+/// A start command that the VM may have carried out, or may carry out later.
+#[derive(Clone, Debug)]
+pub struct UnansweredStart {
+    pub sent: Duration,
+    pub task: TaskRef,
+    pub vm: VmId,
+}
+
 /// An order to evacuate a failure domain.
 #[derive(Clone, Debug)]
 pub struct EvacuationOrder {
@@ -153,8 +185,10 @@
     Owner { number: u64, event: Event },
     /// An event for whichever owner the shard has at delivery.
     Shard { shard: Arc<str>, event: Event },
-    /// A takeover of a shard without an owner.
-    Claim { shard: Arc<str> },
+    /// A takeover of a shard, with what its owner told at a time as it handed the shard over.
+    Claim { shard: Arc<str>, end: OwnerEnd, lapses: Vec<VmLapse>, told: Duration },
+    /// A commit that was sent while the store was cut off.
+    Commit { number: u64, seq: u64, txn: Txn },
     /// A delayed command to a VM.
     Vm { number: u64, action: Action },
 }
@@ -176,6 +210,8 @@
     pub answers: IndexMap<Ticket, Answer>,
     /// The store accepts no commits until then.
     pub store_down_until: Duration,
+    /// Whether commits that are sent until then wait for the store.
+    commits_cut_off: bool,
     pub announcements: Announcements,
     /// VMs that have left, in order.
     departures: Vec<Departure>,
@@ -215,6 +251,8 @@
     pub unread_ends: Vec<VmId>,
     /// Start commands that a VM carried out late.
     pub late_starts: Vec<(TaskRef, RunNumber)>,
+    /// Start commands that were sent and not answered.
+    pub unanswered_starts: Vec<UnansweredStart>,
     queues: Arc<Queues>,
     /// Longest time for which a VM keeps its tasks running without another poll.
     max_keep: Duration,
@@ -272,6 +310,7 @@
             groups: Vec::new(),
             answers: IndexMap::new(),
             store_down_until: Duration::ZERO,
+            commits_cut_off: false,
             announcements: Announcements::default(),
             departures: Vec::new(),
             departures_told: None,
@@ -296,6 +335,7 @@
             evacuations_unread_until: Duration::ZERO,
             unread_ends: Vec::new(),
             late_starts: Vec::new(),
+            unanswered_starts: Vec::new(),
             published_lapses: IndexMap::new(),
             published_lapses_lost_from: Duration::MAX,
             partition: None,
@@ -519,8 +559,27 @@
     /// Kills the shard's owner, and lets another one take over after a while, during which more may
     /// happen.
     pub fn replace_owner_after(&mut self, shard: &str, time: Duration) {
-        self.end_owners(shard);
-        self.schedule(time, Delivery::Claim { shard: Arc::from(shard) });
+        self.end_ownership(shard, OwnerEnd::Killed, time);
+    }
+
+    /// Ends the ownership of a shard, and lets another owner take over after a while, during which
+    /// more may happen.
+    pub fn end_ownership(&mut self, shard: &str, end: OwnerEnd, time: Duration) {
+        let mut lapses = Vec::new();
+        match end {
+            OwnerEnd::Killed | OwnerEnd::AllKilled(_) => self.end_owners(shard),
+            OwnerEnd::HandedOver => {
+                let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
+                lapses = owner.expect("the shard has an owner").shard.unresponsive_vms();
+                self.end_owners(shard);
+            }
+            OwnerEnd::Paused(pause) => self.stall_owner(shard, pause),
+        }
+        if matches!(end, OwnerEnd::AllKilled(_)) {
+            self.published_lapses.clear();
+        }
+        let (shard, told) = (Arc::from(shard), self.now);
+        self.schedule(time, Delivery::Claim { shard, end, lapses, told });
     }
 
     /// Kills the shard's owner, and lets another one take over.
@@ -695,7 +754,13 @@
 
     /// Makes a VM unreachable for a while; its tasks keep running.
     pub fn disconnect_vm(&mut self, index: usize, time: Duration) {
+        self.cut_vm(index, time, LostPort::Silent);
+    }
+
+    /// Cuts a VM off for a while; its tasks keep running.
+    pub fn cut_vm(&mut self, index: usize, time: Duration, port: LostPort) {
         self.vms[index].unreachable_until = self.now + time;
+        self.vms[index].cut_port = port;
     }
 
     /// Makes a VM announce that it leaves after `left`.
@@ -762,6 +827,12 @@
         self.store_down_until = self.now + time;
     }
 
+    /// Makes the store receive commits that are sent while it is unavailable only once it is back,
+    /// and only if their sender is still there.
+    pub fn cut_off_commits(&mut self) {
+        self.commits_cut_off = true;
+    }
+
     fn add_vm(&mut self, shard: &str, number: usize, size: Resources) {
         let addr = format!("{shard}:{number}");
         let id = self.vm_id(&format!("{addr}/0"));
@@ -782,6 +853,7 @@
             entry,
             shard: Arc::from(shard),
             unreachable_until: Duration::ZERO,
+            cut_port: LostPort::Silent,
             down_until: None,
             departs_at: None,
             notice_end: None,
@@ -1095,7 +1167,20 @@
                     self.step(number, event);
                 }
             }
-            Delivery::Claim { shard } => self.claim(&shard, PreviousOwner::Ended),
+            Delivery::Claim { shard, end, lapses, told } => {
+                let passed = self.now - told;
+                let lapses = lapses.into_iter().map(|lapse| lapse.aged(passed)).collect();
+                let is_unknown = end == OwnerEnd::AllKilled(EarlierOwners::Unknown);
+                let may_be_active = is_unknown || matches!(end, OwnerEnd::Paused(_));
+                let previous =
+                    if may_be_active { PreviousOwner::MaybeActive } else { PreviousOwner::Ended };
+                self.claim_with(&shard, previous, lapses);
+                if is_unknown {
+                    let (number, event) = (self.next_owner, Event::PreviousOwnerEnded);
+                    self.schedule(MAX_STALE_OWNER_EXTENSION, Delivery::Owner { number, event });
+                }
+            }
+            Delivery::Commit { number, seq, txn } => self.commit(number, seq, txn),
             Delivery::Vm { number, mut action } => {
                 if let Action::Poll { vm, req } = &mut action
                     && !self.vms.iter().any(|node| node.entry.id == vm.id)
@@ -1251,6 +1336,10 @@
                 node.listed_ends = node.listed_ends.max(listed);
             }
         }
+        if let (Action::Start { vm, req }, Err(VmError::NoAnswer { .. })) = (&action, &result) {
+            let (task, vm) = (req.task, vm.id.clone());
+            self.unanswered_starts.push(UnansweredStart { sent, task, vm });
+        }
         let after = match &result {
             Err(VmError::NoAnswer { .. }) => call_timeout(&action),
             Err(VmError::NotSent { .. }) => delay,
@@ -1273,6 +1362,9 @@
         if vm.refuses || vm.table.is_crashing(now) {
             return Err(VmError::NotSent { reason: "refused".to_owned() });
         }
+        if vm.unreachable_until > now && vm.cut_port == LostPort::Refusing {
+            return Err(VmError::NotSent { reason: "refused by the cut".to_owned() });
+        }
         if vm.unreachable_until > now || vm.down_until.is_some() {
             return Err(VmError::NoAnswer { reason: "cut".to_owned() });
         }
@@ -1321,6 +1413,11 @@
             self.partitioned_commit = Some((seq, txn));
             return;
         }
+        if self.commits_cut_off && self.now < self.store_down_until {
+            let wait = self.store_down_until - self.now + NETWORK_DELAY;
+            self.schedule(wait, Delivery::Commit { number, seq, txn });
+            return;
+        }
         if self.now < self.store_down_until {
             let wait = self.store_down_until - self.now + NETWORK_DELAY;
             self.schedule(wait, Delivery::Owner { number, event: Event::Tick });
