Correct three bounds of the simulated cuts that no owner can meet

- After all daemons were killed, the remaining time of a recorded lease was counted on while nobody was there to measure it.
The next owner has no clock in common with the last one.

All other bounds stay as they were.

--- a/tests/shards/cuts.rs
+++ b/tests/shards/cuts.rs
@@ -406,12 +406,24 @@
                 vm: number,
                 at,
                 lease: vm.table.ended_leases.iter().find(|lease| lease.at == at).copied(),
-                silent_since: self.silent_since(number, at),
+                silent_since: self.silent_from_end(number, at),
             }));
         }
         lost
     }
 
+    /// Since when a VM is silent on which a run has ended at a time, if no owner has heard it since.
+    fn silent_from_end(&self, vm: usize, end: Duration) -> Option<Duration> {
+        let ownerless = self
+            .replacements
+            .iter()
+            .filter(|it| it.shard == vm / VMS && it.at <= end + HEARD && end < it.claimed);
+        let heard = ownerless.map(|it| it.claimed).max().unwrap_or(end) + HEARD;
+        let later = self.silent.iter().filter(|(silent, _)| *silent == vm);
+        let later = later.map(|(_, time)| time.start).filter(|start| (end..heard).contains(start));
+        self.silent_since(vm, end).or(later.min())
+    }
+
     /// Since when a VM is silent at a time, if it is.
     fn silent_since(&self, vm: usize, at: Duration) -> Option<Duration> {
         let silent = |at: Duration| {
@@ -450,12 +462,20 @@
     /// the store is cut off or its shard has no owner. An owner that ended before it could record
     /// that the VM is silent may have extended the lease until then. One that isn't known to have
     /// ended may do so for as long as it may go on by itself, also if others have followed. A start that a VM has not answered as
-    /// it left may have been carried out there.
+    /// it left may have been carried out there. After all daemons were killed, what was left as the
+    /// deadline was recorded counts from the claim.
     fn ready(&self, lost: &LostRun) -> Duration {
         let drift = lost.lease.map_or(Duration::ZERO, |lease| {
             (lease.keep_until - lease.extended).mul_f64(CLOCK_DRIFT)
         });
-        let mut ready = lost.lease.map_or(lost.at, |lease| lease.keep_until) + drift;
+        let mut deadline = lost.lease.map_or(lost.at, |lease| lease.keep_until) + drift;
+        if let Some(since) = lost.silent_since
+            && self.was_silent_until(lost.vm, since)
+        {
+            // The owner may have sent the first calls that extend the lease again.
+            deadline = deadline.max(since + NOTICED + self.longest_lease());
+        }
+        let mut ready = deadline;
         let mut noticed = lost.silent_since.map(|since| since + NOTICED);
         for event in self.events_after(lost) {
             if event.at() > ready + MAX_DOWNTIME {
@@ -463,26 +483,47 @@
             }
             match event {
                 Event::Cut(cut) => ready = ready.max(cut.time.end),
-                Event::Unanswered(sent) => ready = ready.max(sent + self.longest_lease()),
+                Event::Unanswered(sent) => deadline = deadline.max(sent + self.longest_lease()),
                 Event::Replaced(it) => {
                     ready = ready.max(it.claimed);
-                    if it.shard != lost.vm / VMS {
-                        continue;
-                    }
-                    let Some(noticed) = &mut noticed else { continue };
-                    let is_told = it.end == OwnerEnd::HandedOver && it.at >= *noticed;
-                    if is_told {
-                        *noticed = (*noticed).max(it.claimed);
-                    } else if it.at < self.recorded(*noticed) {
-                        ready = ready.max(self.active_until(&it) + self.longest_lease());
-                        *noticed = it.claimed + NOTICED;
+                    if let (Some(noticed), true) = (&mut noticed, it.shard == lost.vm / VMS) {
+                        deadline = deadline.max(self.inherited_deadline(&it, deadline, noticed));
                     }
                 }
             }
+            ready = ready.max(deadline);
         }
         ready
     }
 
+    /// Until when a VM's lease may last that an owner knew to end at `deadline`, as far as the next
+    /// owner can know, and since when that one knows.
+    fn inherited_deadline(
+        &self,
+        it: &Replacement,
+        deadline: Duration,
+        noticed: &mut Duration,
+    ) -> Duration {
+        if it.end == OwnerEnd::HandedOver && it.at >= *noticed {
+            *noticed = (*noticed).max(it.claimed);
+            deadline
+        } else if it.at < self.recorded(*noticed) {
+            *noticed = it.claimed + NOTICED;
+            self.active_until(it) + self.longest_lease()
+        } else if matches!(it.end, OwnerEnd::AllKilled(_)) {
+            // Nobody has measured the time between the last record and the claim.
+            it.claimed + deadline.saturating_sub(self.last_recorded(it.at))
+        } else {
+            deadline
+        }
+    }
+
+    /// Whether an earlier silence of a VM ended just before a time.
+    fn was_silent_until(&self, vm: usize, at: Duration) -> bool {
+        let mut silent = self.silent.iter().filter(|(silent, _)| *silent == vm);
+        silent.any(|(_, time)| time.end <= at && at < time.end + HEARD)
+    }
+
     /// What may keep a task from running after its run was lost, in order.
     fn events_after(&self, lost: &LostRun) -> Vec<Event> {
         let since = lost.silent_since.unwrap_or(lost.at);
@@ -526,6 +567,15 @@
         }
     }
 
+    /// When an owner that ends at a time could last record something.
+    fn last_recorded(&self, end: Duration) -> Duration {
+        let unrecorded = |cut: &&Cut| {
+            cut.shard.is_none() && cut.time.start <= end && end < cut.time.end + RECORDED
+        };
+        let cut = self.cuts.iter().find(unrecorded);
+        cut.map_or(end, |cut| cut.time.start)
+    }
+
     /// When an owner has recorded what it knows from a time on.
     fn recorded(&self, known: Duration) -> Duration {
         let mut recorded = known + RECORDED;
