--- a/tests/shards/cuts.rs
+++ b/tests/shards/cuts.rs
@@ -634,9 +634,8 @@
     assert!(failed.is_empty(), "tasks waited for over {MAX_DOWNTIME:?}: seeds {failed:?}");
 }
 
-// Guards against long-running tasks that wait for longer than the lease of their VM, which has left
-// while the store was cut off, since an owner counted on calls that were not delivered, or didn't
-// know what the one before it knew.
+// Guards against long-running tasks that wait for longer than the lease that their VM, which has left
+// while the store was cut off, was really given.
 #[test]
 fn no_lasting_task_waits_for_longer_than_the_lease_of_a_vm_that_left_behind_a_cut() {
     let setup = Setup { owners: OwnerPlace::WithVms, earlier_owners: EarlierOwners::Ended };
--- a/tests/shards/takeover.rs
+++ b/tests/shards/takeover.rs
@@ -229,9 +229,8 @@
     check(&mut sim, &known(&[job]), SIZE);
 }
 
-// Guards against a task that stays down for 12 s more than its VM's lease. All daemons were killed
-// soon after the VM had left, and the new owner allowed for an owner before the last one, although
-// the last one had owned the shard for 40 s.
+// Guards against a task that waits for an owner before the last one, of which there is none, after
+// all daemons were killed.
 #[test]
 fn a_task_of_a_lost_vm_waits_for_one_lease_after_all_daemons_were_killed() {
     for port in [LostPort::Refusing, LostPort::Silent] {
