Look other daemons up by name, share reports, and tick less without shards

Each daemon looked at each other daemon's id, as text, for each shard on each hello; each hello was copied whole for each receiver; and daemons without shards woke 50 times a second. Members are found by their name, the reports of a hello and their summaries are shared, and a daemon without shards ticks every 100 ms, as often as it publishes.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -6,6 +6,7 @@
 use crate::shard::learned::Learned;
 use crate::shard::{ReportedLapse, Summary};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A daemon in the cluster.
@@ -88,7 +89,7 @@
     /// Version of the configuration in force at the sender.
     pub config: u64,
     /// Shards owned by the sender.
-    pub shards: Vec<ShardReport>,
+    pub shards: Arc<[ShardReport]>,
     /// Shards that the sender was the last known owner of, and owns no longer.
     pub released: Vec<ReleasedShard>,
 }
@@ -97,12 +98,12 @@
     /// A shorter hello for receivers that own no shard. It omits the free room of VMs, which is the
     /// largest part of a hello and is needed only to lend tasks.
     pub fn without_free_room(&self) -> Self {
-        let mut shortened = self.clone();
-        for report in &mut shortened.shards {
-            report.summary.rooms.clear();
-            report.summary.harmless_free.clear();
-        }
-        shortened
+        let shorten = |report: &ShardReport| {
+            let (rooms, harmless_free) = (Vec::new(), Vec::new());
+            let summary = Summary { rooms, harmless_free, ..(*report.summary).clone() };
+            ShardReport { summary: Arc::new(summary), ..report.clone() }
+        };
+        Self { shards: self.shards.iter().map(shorten).collect(), ..self.clone() }
     }
 }
 
@@ -123,7 +124,7 @@
     pub fence: u64,
     /// How long an owner before this one may still extend leases; zero if none does.
     pub earlier_active: Duration,
-    pub summary: Summary,
+    pub summary: Arc<Summary>,
     /// Recently accepted jobs.
     pub accepted: Vec<JobId>,
     /// What the shard has learned itself; empty if this hello doesn't include it.
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -266,8 +266,8 @@
         if *owner == self.me.id {
             return view.released.is_none().then(|| self.me.clone());
         }
-        let known = self.members.values().find(|known| known.member.id == *owner)?;
-        self.is_alive(known).then(|| known.member.clone())
+        let known = self.members.get(owner.name()?)?;
+        (known.member.id == *owner && self.is_alive(known)).then(|| known.member.clone())
     }
 
     /// Last known fencing token of a shard's owner.
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -194,12 +194,12 @@
             known.store_since = now;
         }
         known.config = hello.config;
-        known.shards = hello.shards.into_iter().map(|report| report.name).collect();
+        known.shards = hello.shards.iter().map(|report| report.name.clone()).collect();
     }
 
     fn record_reports(&mut self, hello: &Hello) {
         self.record_released_reports(hello);
-        for report in &hello.shards {
+        for report in hello.shards.iter() {
             self.record_owner(&report.name, hello.from.id.clone(), report.fence);
             let until = self.now.saturating_add(report.earlier_active);
             let view = self.shards.get_mut(&report.name);
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -3,7 +3,7 @@
 use super::members::MemberState;
 use super::{Action, ClaimBasis, HoldState, Ownership, ShardView};
 use crate::cluster::head::ExpectedOwner;
-use crate::cluster::member::{Member, MemberStage, StoreReachability};
+use crate::cluster::member::{MemberStage, StoreReachability};
 use crate::ids::{DaemonId, DomainId};
 use crate::note::{Millis, Note, StaticText};
 use crate::shard::PreviousOwner;
@@ -168,8 +168,7 @@
     now: Duration,
     probes: &mut Vec<String>,
 ) -> Option<Cause> {
-    let same_name = members.values().find(|known| is_same_daemon(&known.member, owner));
-    let Some(known) = same_name else {
+    let Some(known) = owner.name().and_then(|name| members.get(name)) else {
         let silent = now.saturating_sub(view.since);
         let cause = Cause { silent, grace: Duration::ZERO, ..unowned("its owner is gone") };
         return (silent >= OWNER_TIMEOUT).then_some(cause);
@@ -226,7 +225,3 @@
     let basis = ClaimBasis::MaybeActive;
     Cause { previous, basis, reason, silent, grace: PROPAGATION_DELAY }
 }
-
-fn is_same_daemon(member: &Member, owner: &DaemonId) -> bool {
-    owner.as_str().rsplit_once('@').is_some_and(|(name, _)| name == member.name)
-}
--- a/src/cluster/ownership/predecessors.rs
+++ b/src/cluster/ownership/predecessors.rs
@@ -25,8 +25,7 @@
     /// Whether a hello is from a process that has replaced this one: a daemon runs one process at a
     /// time, and this one was asked after the predecessor had claimed the shard.
     fn is_replaced_by(&self, hello: &Hello, asked: Duration) -> bool {
-        let owner = self.owner.as_str().rsplit_once('@');
-        owner.is_some_and(|(name, _)| name == hello.from.name)
+        self.owner.name() == Some(hello.from.name.as_str())
             && hello.from.id != self.owner
             && asked >= self.known_since
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -111,9 +111,16 @@
 name!(/// One change of the configuration, named by the one who asks for it.
     ChangeId);
 
-/// Separates the registered id of a VM from its start time in a [`VmId`].
+/// Separates a name or registered id from a start time in a [`DaemonId`] or [`VmId`].
 const START_SEPARATOR: char = '@';
 
+impl DaemonId {
+    /// The daemon's name, which restarts keep; `None` if the id has no start time.
+    pub fn name(&self) -> Option<&str> {
+        self.0.rsplit_once(START_SEPARATOR).map(|(name, _)| name)
+    }
+}
+
 impl VmId {
     /// The instance of the VM `registered` that started at `started`, in Unix milliseconds.
     pub fn with_start(registered: &str, started: u64) -> Self {
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -51,10 +51,12 @@
 use tokio::sync::{oneshot, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Interval of timer events. VM calls that wait for one are late by half of it on average.
+/// Interval of timer events while this daemon owns shards. VM calls that wait for one are late by
+/// half of it on average.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval at which the view of the shards and their owners is published.
+/// Interval at which the view of the shards and their owners is published, and of timer events while
+/// this daemon owns no shard.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Interval at which upkeep waves are advanced.
@@ -186,6 +188,7 @@
     last_hello: u64,
     next_publish: Duration,
     next_neighbours: Duration,
+    next_tick: Option<SpawnHandle>,
 }
 
 impl Control {
@@ -235,6 +238,7 @@
             last_hello: 0,
             next_publish: now,
             next_neighbours: now,
+            next_tick: None,
             clock,
         }
     }
@@ -360,6 +364,19 @@
         actors.links.do_send(SendLoanMessage { to: owner, shard, from, fence, msg });
     }
 
+    /// Schedules the next timer event, in place of the one that is already scheduled.
+    fn schedule_tick(&mut self, cx: &mut Context<Self>) {
+        let interval = if self.hosted.is_empty() { PUBLISH_INTERVAL } else { TICK_INTERVAL };
+        if let Some(handle) = self.next_tick.take() {
+            cx.cancel_future(handle);
+        }
+        self.next_tick = Some(cx.run_later(interval, |this, cx| {
+            this.next_tick = None;
+            this.tick(cx);
+            this.schedule_tick(cx);
+        }));
+    }
+
     fn tick(&mut self, cx: &mut Context<Self>) {
         let now = self.begin_handler(cx);
         let names: Vec<String> = self.hosted.keys().cloned().collect();
@@ -425,7 +442,7 @@
 
     fn started(&mut self, cx: &mut Self::Context) {
         cx.set_mailbox_capacity(RING_CAPACITY);
-        cx.run_interval(TICK_INTERVAL, Self::tick);
+        self.schedule_tick(cx);
     }
 }
 
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -188,15 +188,14 @@
         let now = self.begin_handler(cx).steady;
         let HelloReceived { hello, asked } = msg;
         let mut learned = Vec::new();
-        for report in &hello.shards {
+        for report in hello.shards.iter() {
             let shared: Arc<str> = Arc::from(report.name.as_str());
             report.accepted.iter().for_each(|job| self.add_to_directory(*job, &shared));
             let order = ReportOrder { fence: report.fence, hello: hello.number };
             if !self.is_newest_report(&report.name, order) {
                 continue;
             }
-            let summary = Arc::new(report.summary.clone());
-            let store = hello.store;
+            let (summary, store) = (report.summary.clone(), hello.store);
             let (owner, is_evacuated) = (None, false);
             let clock = Some(self.clock_of_owner(&report.name, order, hello.clock));
             let view = ShardView { owner, store, summary, summary_at: now, clock, is_evacuated };
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -27,6 +27,9 @@
 impl Control {
     /// Informs each local shard about the other shards.
     pub(super) fn report_neighbours(&mut self, cx: &mut Context<Self>) {
+        if self.hosted.is_empty() {
+            return;
+        }
         let now = self.clock.now();
         let mut known: Vec<OtherShard> = Vec::new();
         let evacuated = self.evacuated_shards();
@@ -177,7 +180,7 @@
         }
     }
 
-    pub(super) fn shard_reports(&mut self) -> Vec<ShardReport> {
+    pub(super) fn shard_reports(&mut self) -> Arc<[ShardReport]> {
         let now = self.clock.now();
         let ownership = &self.ownership;
         let report = |(name, hosted): (&String, &mut HostedShard)| {
@@ -196,7 +199,7 @@
                 name: name.clone(),
                 fence: hosted.shard.fence().0,
                 earlier_active: ownership.earlier_active(name, now),
-                summary: (*hosted.summary).clone(),
+                summary: hosted.summary.clone(),
                 accepted: hosted.accepted.iter().map(|(_, job)| *job).collect(),
                 learned: if learned_due { hosted.shard.learned() } else { Learned::default() },
                 lapses: hosted.shard.reported_lapses(now),
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -241,6 +241,7 @@
             summary_at: now.steady,
         };
         self.hosted.insert(name.clone(), hosted);
+        self.schedule_tick(cx);
         if let Some((evacuations, at)) = self.evacuations.clone() {
             self.step_shard(&name, Event::Evacuations { evacuations, at }, cx);
         }
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -28,7 +28,7 @@
 use crate::shard::learned::{Inherited, Learned, StoredRecord};
 use crate::shard::{
     AdmissionMode, Answer, PreviousOwner, Recovered, ReportedLapse, Settings, SilenceMark,
-    SilentVm, Summary, VmLapse,
+    SilentVm, VmLapse,
 };
 use crate::units::Resources;
 use crate::vm::{Fence, VmEntry, VmState};
@@ -301,16 +301,22 @@
         name: SHARD.to_owned(),
         fence: 5,
         earlier_active: Duration::ZERO,
-        summary: Summary::default(),
+        summary: Arc::default(),
         accepted: Vec::new(),
         learned: Learned::default(),
         lapses: vec![ReportedLapse { lapse, mark: SilenceMark(3) }],
     };
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
-    let (store, shards) = (StoreReachability::Reached, vec![report]);
+    let store = StoreReachability::Reached;
+    let shards = Arc::new([report]);
     Hello { from, number: 1, clock: Duration::ZERO, store, config: 1, shards, released: Vec::new() }
 }
 
+/// The only shard that a hello reports.
+fn reported(hello: &mut Hello) -> &mut ShardReport {
+    &mut Arc::get_mut(&mut hello.shards).expect("the only copy")[0]
+}
+
 // A daemon loses a shard and claims it again. Guards against it forgetting what it reported about
 // silent VMs, which would leave the work of a dead VM stalled.
 #[actix::test]
@@ -415,10 +421,10 @@
 #[actix::test]
 async fn a_late_hello_replaces_no_newer_report() {
     let (newest, mut late) = (Hello { number: 9, ..hello() }, hello());
-    late.shards[0].lapses.clear();
-    let mut former = late.clone();
-    former.number = 50;
-    former.shards[0].fence = 4;
+    reported(&mut late).lapses.clear();
+    let mut former = Hello { number: 50, ..hello() };
+    reported(&mut former).lapses.clear();
+    reported(&mut former).fence = 4;
     for late in [late, former] {
         let lines = LogBuffer::default();
         let control = logging_control(Arc::new(ManualClock::new()), lines.clone());
@@ -442,7 +448,7 @@
     let lines = LogBuffer::default();
     let control = logging_control(Arc::new(ManualClock::new()), lines.clone());
     let mut hello = hello();
-    hello.shards[0].learned = report;
+    reported(&mut hello).learned = report;
     control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     let StoreEvent::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
     recovered.learned.record = record;
@@ -490,7 +496,7 @@
     let clock = Arc::new(ManualClock::new());
     let control = control(clock.clone());
     let mut hello = hello();
-    hello.shards[0].learned = learned();
+    reported(&mut hello).learned = learned();
     control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     assert_eq!(control.send(KeptReports).await.expect("a control"), [SHARD]);
     control.send(claimed()).await.expect("a control");
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -68,7 +68,7 @@
             clock: Duration::ZERO,
             store,
             config: 1,
-            shards,
+            shards: shards.into(),
             released: Vec::new(),
         };
         self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -5,6 +5,7 @@
 mod wave;
 
 use indexmap::IndexMap;
+use std::sync::Arc;
 use std::time::Duration;
 use waxwingstall::cluster::{
     Action, Event, ExpectedOwner, HandOver, Head, Hello, Member, MemberStage, OfferOutcome,
@@ -13,9 +14,9 @@
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, VmId};
 use waxwingstall::kv::Rev;
 use waxwingstall::note::Note;
+use waxwingstall::shard::PreviousOwner;
 use waxwingstall::shard::learned::Learned;
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
-use waxwingstall::shard::{PreviousOwner, Summary};
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{VmEntry, VmState};
 
@@ -52,7 +53,7 @@
 fn hello(from: Member, shards: Vec<ShardReport>) -> Hello {
     let store = StoreReachability::Reached;
     let clock = Duration::ZERO;
-    Hello { from, number: 0, clock, store, config: 1, shards, released: Vec::new() }
+    Hello { from, number: 0, clock, store, config: 1, shards: shards.into(), released: Vec::new() }
 }
 
 fn report(shard: &str, fence: u64) -> ShardReport {
@@ -60,7 +61,7 @@
         name: shard.to_owned(),
         fence,
         earlier_active: Duration::ZERO,
-        summary: Summary::default(),
+        summary: Arc::default(),
         accepted: Vec::new(),
         learned: Learned::default(),
         lapses: Vec::new(),
