--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -353,6 +353,11 @@
         self.running.iter().map(|(task, r)| (*task, r.run, r.work.size)).collect()
     }
 
+    /// Speed of a task's run in percent, as set by commands; `None` if it doesn't run.
+    pub fn pace(&self, task: TaskRef) -> Option<u8> {
+        self.running.get(&task).map(|running| running.pace)
+    }
+
     /// Whether something that runs there crashes it by now.
     pub fn is_crashing(&mut self, now: Duration) -> bool {
         self.pass(now);
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -5,6 +5,7 @@
 
 use crate::announcements::Announcements;
 use crate::faults::{Faults, Outcome};
+use crate::tails::TailModel;
 use crate::watchers::{Reading, Watchers};
 use indexmap::{IndexMap, IndexSet};
 use std::collections::BTreeMap;
@@ -204,6 +205,16 @@
     Vm { number: u64, action: Action },
 }
 
+/// A poll that a VM has received and not answered yet.
+struct HeldPoll {
+    number: u64,
+    action: Action,
+    sent: Duration,
+    until: Duration,
+    /// Time that the response takes.
+    delay: Duration,
+}
+
 /// The whole simulated system.
 pub struct Simulation<F> {
     pub now: Duration,
@@ -267,6 +278,10 @@
     queues: Arc<Queues>,
     /// Longest time for which a VM keeps its tasks running without another poll.
     max_keep: Duration,
+    /// Set if VMs measure the tails of serving tasks. They delay responses to polls as requested
+    /// then.
+    pub tails: Option<TailModel>,
+    held_polls: Vec<HeldPoll>,
     identity: Identity,
     /// Latest deadlines of silent VMs published by the owners, and when.
     published_lapses: IndexMap<Arc<str>, (Duration, Vec<ReportedLapse>)>,
@@ -353,6 +368,8 @@
             partitioned_commit: None,
             queues: Arc::new(queues()),
             max_keep,
+            tails: None,
+            held_polls: Vec::new(),
             identity,
             traced: std::env::var_os("SHARD_TRACE").is_some(),
         };
@@ -1057,6 +1074,8 @@
         self.announce_sizes();
         self.announce_vms();
         self.read_announcements();
+        self.observe_tails();
+        self.answer_held_polls();
         if self.now >= self.next_fleet {
             self.next_fleet = self.now + FLEET_INTERVAL;
             self.send_fleet();
@@ -1068,6 +1087,32 @@
         }
     }
 
+    fn observe_tails(&mut self) {
+        let Some(tails) = &mut self.tails else { return };
+        tails.advance(self.now);
+        for vm in self.vms.iter_mut().filter(|vm| vm.down_until.is_none()) {
+            tails.observe(self.now, &vm.entry, &mut vm.table);
+        }
+    }
+
+    /// Answers the polls that have waited for long enough, or on whose VM a run has ended.
+    fn answer_held_polls(&mut self) {
+        for held in std::mem::take(&mut self.held_polls) {
+            let addr = addr_of(&held.action);
+            let Action::Poll { req, .. } = &held.action else { unreachable!("a poll is held") };
+            let now = self.now;
+            let vm = self.vms.iter_mut().find(|vm| vm.entry.addr == addr.addr);
+            let has_news = vm.is_some_and(|vm| vm.table.has_news(now, req.ack_up_to));
+            if now < held.until && !has_news {
+                self.held_polls.push(held);
+                continue;
+            }
+            let result = self.execute(held.number, &held.action);
+            let event = response_event(held.action, held.sent, result);
+            self.schedule(held.delay, Delivery::Owner { number: held.number, event });
+        }
+    }
+
     fn remove_departing_vms(&mut self) {
         let now = self.now;
         let departing =
@@ -1344,6 +1389,17 @@
     fn send_command(&mut self, number: u64, action: Action) {
         let outcome = self.faults.command_outcome(self.now, &action);
         let sent = self.now;
+        let held_for = match (&action, &outcome) {
+            (_, _) if self.tails.is_none() => None,
+            (Action::Poll { .. }, Outcome::Delivered) => Some(2 * NETWORK_DELAY),
+            (Action::Poll { .. }, Outcome::Slow(time)) if *time < CALL_TIMEOUT => Some(*time),
+            _ => None,
+        };
+        if let (Action::Poll { req, .. }, Some(delay)) = (&action, held_for) {
+            let until = sent + req.wait;
+            self.held_polls.push(HeldPoll { number, action, sent, until, delay });
+            return;
+        }
         let unanswered = || VmError::NoAnswer { reason: "lost".to_owned() };
         let mut delay = 2 * NETWORK_DELAY;
         let result = match outcome {
@@ -1425,7 +1481,10 @@
                 if vm.table.has_end(now, vm.listed_ends, req.ack_up_to) {
                     self.unread_ends.push(vm.entry.id.clone());
                 }
-                let answer = vm.table.poll(now, req)?;
+                let mut answer = vm.table.poll(now, req)?;
+                if let Some(tails) = &mut self.tails {
+                    tails.measure(now, &mut answer.running);
+                }
                 if vm.entry.id != addr.id {
                     return Err(VmError::InstanceChanged { successor: Some(vm.entry.id.clone()) });
                 }
