Look for orphaned shards, expired runs and idle lists less often

Hellos that confirm what is known and answers of VMs leave to the next tick what is due by time, an owner filters its VMs without making text, and a daemon without shards reads a list of over 400 VMs in proportion less often.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -252,13 +252,33 @@
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Action> {
         self.now = now;
         self.ignore_own_pause();
+        let is_routine = self.is_routine(&event);
         self.handle(event);
-        self.find_orphans();
-        self.claim_orphans();
-        self.rebalance();
+        if !is_routine {
+            self.find_orphans();
+            self.claim_orphans();
+            self.rebalance();
+        }
         std::mem::take(&mut self.actions)
     }
 
+    /// Whether an event is a hello that only confirms what is known. Such hellos arrive hundreds of
+    /// times a second in a large cluster; what is due because time has passed waits for the next tick.
+    fn is_routine(&self, event: &Event) -> bool {
+        let Event::Hello { hello, .. } = event else { return false };
+        let owner_of = |shard: &str| self.shards.get(shard).and_then(|view| view.owner.as_ref());
+        let is_known = |known: &MemberState| {
+            known.member == hello.from
+                && known.store == hello.store
+                && known.refused_at.is_none()
+                && known.shards.len() == hello.shards.len()
+        };
+        hello.released.is_empty()
+            && self.predecessors.is_empty()
+            && self.members.get(&hello.from.name).is_some_and(is_known)
+            && hello.shards.iter().all(|report| owner_of(&report.name) == Some(&hello.from.id))
+    }
+
     /// The owner of a shard, if it is known and alive.
     pub fn owner(&self, shard: &str) -> Option<Member> {
         let view = self.shards.get(shard)?;
--- a/src/cluster/plan.rs
+++ b/src/cluster/plan.rs
@@ -49,6 +49,21 @@
         Some(shard_name(domain, planned.shard))
     }
 
+    /// The VMs of a shard.
+    pub fn vms_of<'a>(
+        &'a self,
+        shard: &'a str,
+        vms: &'a [VmEntry],
+    ) -> impl Iterator<Item = &'a VmEntry> {
+        let named = shard.rsplit_once('.').and_then(|(domain, n)| Some((domain, n.parse().ok()?)));
+        let (domain, number): (&str, Option<u32>) =
+            named.map_or(("", None), |(domain, number)| (domain, Some(number)));
+        vms.iter().filter(move |vm| {
+            let planned = || Some(self.domains.get(&vm.domain)?.racks.get(&vm.rack)?.shard);
+            vm.domain.as_str() == domain && number.is_some() && planned() == number
+        })
+    }
+
     /// All shards with their failure domains.
     pub fn shards(&self) -> Vec<(String, DomainId)> {
         let mut shards = Vec::new();
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -180,8 +180,7 @@
 
     /// VMs that the plan assigns to a shard.
     pub(super) fn shard_vms(&self, shard: &str) -> Vec<VmEntry> {
-        let in_shard = |vm: &&VmEntry| self.plan.shard_of(vm).as_deref() == Some(shard);
-        self.fleet.iter().filter(in_shard).cloned().collect()
+        self.plan.vms_of(shard, &self.fleet).cloned().collect()
     }
 
     pub(super) fn start_shard(&mut self, mut recovered: Recovered, cx: &mut Context<Self>) {
--- a/src/jobs/follow/fleet.rs
+++ b/src/jobs/follow/fleet.rs
@@ -29,8 +29,12 @@
 /// returns on every change would be called some thirty times a second.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Interval between reads of the list on a daemon that owns no shard.
+/// Interval between reads of a short list on a daemon that owns no shard, and of the longest lists.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_secs(3);
+const MAX_IDLE_POLL_INTERVAL: Duration = Duration::from_secs(12);
+
+/// Length up to which a list counts as short.
+const SHORT_LIST: usize = 400;
 
 /// Timeout of a watch. Changes from the preceding interval are returned immediately.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1);
@@ -67,7 +71,7 @@
         fleet.look_up_missing(ctx);
         ctx.publish_departures(fleet);
         fleet.update_plan(ctx);
-        match wait_for_next_read(ctx).await {
+        match wait_for_next_read(ctx, idle_poll_interval(fleet.vms.len())).await {
             NextRead::Changes => {
                 if fleet.catch_up(ctx).await? == ReadProgress::Behind {
                     fleet.read(ctx, Freshness::Latest).await?;
@@ -87,7 +91,10 @@
 }
 
 /// Waits until the next read is due; returns immediately when a shard has been claimed.
-async fn wait_for_next_read<P: Platform>(ctx: &FollowContext<P>) -> NextRead {
+async fn wait_for_next_read<P: Platform>(
+    ctx: &FollowContext<P>,
+    idle_interval: Duration,
+) -> NextRead {
     let mut waited = Duration::ZERO;
     loop {
         let claimed = tokio::time::timeout(POLL_INTERVAL, ctx.ownership.claimed.notified()).await;
@@ -97,7 +104,7 @@
             (false, true) if waited == POLL_INTERVAL => return NextRead::Changes,
             // After a longer pause the changes are larger than the list.
             (false, true) => return NextRead::FullList(Freshness::Latest),
-            (false, false) if waited >= IDLE_POLL_INTERVAL => {
+            (false, false) if waited >= idle_interval => {
                 return NextRead::FullList(Freshness::Stale);
             }
             (false, false) => {}
@@ -105,6 +112,13 @@
     }
 }
 
+/// Interval between reads of a list of this length on a daemon that owns no shard. All daemons
+/// together decode no more entries a second than with a short list.
+fn idle_poll_interval(vms: usize) -> Duration {
+    let factor = u32::try_from(vms.div_ceil(SHORT_LIST)).unwrap_or(u32::MAX).max(1);
+    IDLE_POLL_INTERVAL.saturating_mul(factor).min(MAX_IDLE_POLL_INTERVAL)
+}
+
 /// The announced VMs.
 #[derive(Debug, Default)]
 struct Fleet {
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -137,8 +137,9 @@
     /// Processes an event and returns the resulting actions.
     pub fn step(&mut self, now: Now, event: Event) -> Vec<Action> {
         self.now = now;
+        let is_answer = event.is_answer();
         self.handle(event);
-        self.run_due_work();
+        self.run_due_work(is_answer);
         std::mem::take(&mut self.actions)
     }
 
@@ -207,18 +208,23 @@
     }
 
     /// Does the work that may be due after any event, because time has passed or the state has
-    /// changed.
-    fn run_due_work(&mut self) {
+    /// changed. After answers of VMs, of which there are hundreds a second, what is due because time
+    /// has passed waits for the next tick.
+    fn run_due_work(&mut self, is_answer: bool) {
         if self.stage == Stage::HandedOver {
             return;
         }
-        self.start_due_occurrences();
-        self.remove_expired_runs();
-        self.report_ownership_proof();
-        self.report_runs_on_leaving_vms();
+        if !is_answer {
+            self.start_due_occurrences();
+            self.remove_expired_runs();
+            self.report_ownership_proof();
+            self.report_runs_on_leaving_vms();
+        }
         if self.maintains_runs() {
-            self.stop_runs_on_leaving_vms();
-            self.stop_runs_on_draining_vms();
+            if !is_answer {
+                self.stop_runs_on_leaving_vms();
+                self.stop_runs_on_draining_vms();
+            }
             if self.stage == Stage::Serving {
                 if self.may_start() && self.has_queues() {
                     self.schedule();
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -75,6 +75,14 @@
 }
 
 impl Event {
+    /// Whether this is a VM's answer to a call.
+    pub fn is_answer(&self) -> bool {
+        matches!(
+            self,
+            Self::Polled { .. } | Self::Started { .. } | Self::Stopped { .. } | Self::Paced { .. }
+        )
+    }
+
     /// Identifies the caller that waits for a reply to this event.
     pub fn ticket(&self) -> Option<Ticket> {
         match self {
