Place work less often beside a backlog

While the last pass left work without room the next one comes 30 ms after it, and only waiting tasks are asked about.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -108,6 +108,8 @@
     stage: Stage,
     now: Now,
     last_schedule: Duration,
+    /// Whether the last scheduling pass left work without room.
+    has_backlog: bool,
     next_schedule: Duration,
     next_report: Duration,
     next_drain_report: Duration,
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -234,7 +234,7 @@
             known.is_waiting() && away >= timeout
         };
         let is_stuck = |(task, known): &(TaskRef, &Task)| {
-            let denied = self.is_denied_on_all_vms(*task);
+            let denied = known.is_waiting() && self.is_denied_on_all_vms(*task);
             let is_ready = |known: &Task| has_waited(known) || (denied && known.is_waiting());
             if !self.is_gang(*task) {
                 return is_ready(known);
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -7,7 +7,7 @@
 use super::eligibility::Requirements;
 use super::interference::ImageIx;
 use super::job_run::{Effect, PlacedRun};
-use super::order::Candidate;
+use super::order::{Candidate, waiting};
 use super::permits::PermitRequirement;
 use super::room::{Probation, VmCapacity};
 use super::vm_run::{Run, RunKey};
@@ -20,6 +20,10 @@
 /// Minimum time between two scheduling passes, so that a burst of responses triggers a single pass.
 const SCHEDULE_GAP: Duration = Duration::from_millis(10);
 
+/// Minimum time between two scheduling passes while work waits for which no VM has room. A pass costs
+/// the more the more work waits, and an owner without CPU to spare reacts late to its VMs.
+const BACKLOG_SCHEDULE_GAP: Duration = Duration::from_millis(30);
+
 /// Maximum time between two scheduling passes: loads change and VM quarantines end without an
 /// event.
 const SCHEDULE_EVERY: Duration = Duration::from_millis(100);
@@ -150,7 +154,8 @@
 impl Shard {
     /// Schedules an early pass because a waiting task may now be able to start.
     pub(super) fn request_schedule(&mut self) {
-        self.next_schedule = self.next_schedule.min(self.last_schedule + SCHEDULE_GAP);
+        let gap = if self.has_backlog { BACKLOG_SCHEDULE_GAP } else { SCHEDULE_GAP };
+        self.next_schedule = self.next_schedule.min(self.last_schedule + gap);
     }
 
     /// Runs a scheduling pass if one is due, binding tasks that can start to VMs with room.
@@ -162,8 +167,10 @@
         self.last_schedule = now;
         self.next_schedule = now + SCHEDULE_EVERY;
         self.release_reservations();
+        self.has_backlog = false;
         let (slowed, slow) = (self.slowed(), self.slow_runs());
-        if self.candidates().is_empty() && slowed.is_empty() && slow.is_empty() {
+        let has_waiting = self.jobs.values().any(|job| !job.is_final() && !waiting(job).is_empty());
+        if !has_waiting && slowed.is_empty() && slow.is_empty() {
             return;
         }
         let mut rooms: Vec<VmCapacity> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
@@ -175,6 +182,7 @@
         for candidate in &candidates {
             self.place_job(candidate, &mut pass);
         }
+        self.has_backlog = !pass.unplaceable.is_empty();
         self.move_slowed(slowed, &mut pass);
         self.relieve_slow_runs(slow, &mut pass);
         self.request_missing_permits(&candidates, &pass.rooms);
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -139,6 +139,7 @@
             stage: super::Stage::Serving,
             now,
             last_schedule: Duration::ZERO,
+            has_backlog: false,
             next_schedule: now.steady,
             next_report: now.steady,
             next_drain_report: now.steady,
