Place nothing beside a task far over its target, and raise paces step by step

Beside tasks at up to twenty times their target new work was bound, up to 14 runs at once: the harm of one more neighbour vanishes once the task is surely over its target. And what was stopped ran at full speed again within 0.6 s, before any tail could show the effect. Nothing is placed beside a task whose last tail is at twice its target, and a pace rises only once a tail has been measured with the last one.

--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -133,6 +133,8 @@
     /// The last time over the target that tails beside leftover work have ended, and when.
     closed: Option<(OverTime, Duration)>,
     low: LowTails,
+    /// Whether the last tail was far over the target.
+    is_far: bool,
 }
 
 /// Time for which a serving task may have been over its target.
@@ -194,6 +196,9 @@
 const UNDER_AGAIN: UnderEvidence =
     UnderEvidence { single_share: 0.6, row_share: 0.8, row_length: 3 };
 
+/// Multiple of the target from which a tail is far over it.
+const FAR_OVER: u32 = 2;
+
 /// Time after the end of a time over the target, shown by tails beside leftover work, in which a tail
 /// over the target continues it.
 const REOPEN_TIME: Duration = Duration::from_millis(1000);
@@ -441,6 +446,7 @@
             self.last_reading = Some(now);
         }
         let is_under = self.shows_below_target(tail, target, company, is_new);
+        self.is_far = tail >= target * FAR_OVER;
         let mut ended = None;
         if is_under {
             ended = self.over.take();
@@ -465,6 +471,11 @@
         self.over.map_or(Duration::ZERO, |over| over.length(now))
     }
 
+    /// Returns whether the last tail was far over the target.
+    pub fn is_far_over(&self) -> bool {
+        self.over.is_some() && self.is_far
+    }
+
     /// Returns whether the task may have been over its target for at least `time`.
     pub fn is_over_for(&self, time: Duration, now: Duration) -> bool {
         self.over.is_some() && self.time_over(now) >= time
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -163,6 +163,14 @@
         images.map(|image| self.interference.number(image)).collect()
     }
 
+    /// Whether no tail has been measured yet with a run's present pace.
+    fn is_pace_settling(&self, id: &crate::ids::VmId, key: &RunKey) -> bool {
+        let run = self.vms.get(id).and_then(|vm| vm.runs.get(key));
+        let paced_at = run.and_then(|run| run.paced_at);
+        let settled = self.settings.pace_delay + MEASUREMENT_WINDOW;
+        paced_at.is_some_and(|at| self.now.steady.saturating_sub(at) < settled)
+    }
+
     fn send_pace(
         &mut self,
         id: &crate::ids::VmId,
@@ -177,6 +185,10 @@
         } else {
             target_pace
         };
+        let settles = known && percent > before && self.is_pace_settling(id, &neighbour.key);
+        if settles {
+            return;
+        }
         let small = known && percent.abs_diff(before) < MIN_PACE_CHANGE;
         let reaches_end = percent != before && (percent == 100 || percent == 0);
         if small && !reaches_end {
@@ -187,6 +199,7 @@
         let addr = vm.addr();
         let Some(run) = vm.runs.get_mut(&neighbour.key) else { return };
         run.pace = percent;
+        run.paced_at = Some(now);
         run.slowed = (percent <= SLOW_PACE).then(|| run.slowed.unwrap_or(now));
         let RunKey { task, run } = neighbour.key;
         let req = PaceReq { fence: self.fence, task, run, percent };
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -169,7 +169,10 @@
         room.speed = vm.speed.share(now);
         room.drains_soon = self.upkeep_drain.is_drain_scheduled(&vm.id);
         let max_over = StopTimes::new(self.settings.harm, vm.contact.poll_gap).heavy;
-        room.is_overloaded = vm.runs.values().any(|run| run.serving.is_over_for(max_over, now));
+        room.is_overloaded = vm
+            .runs
+            .values()
+            .any(|run| run.serving.is_over_for(max_over, now) || run.serving.is_far_over());
         let mut long_running_share = 0.0;
         let mut beside = Vec::new();
         for (key, run) in &vm.runs {
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -167,6 +167,8 @@
     pub measurement: u32,
     /// Speed limit in percent.
     pub pace: u8,
+    /// When the speed limit was last changed.
+    pub paced_at: Option<Duration>,
     /// Since when the speed limit has been low.
     pub slowed: Option<Duration>,
     /// Tail latency measurements, for a task with a tail latency target.
@@ -558,6 +560,7 @@
             progress: Progress::default(),
             measurement: 0,
             pace: 100,
+            paced_at: None,
             slowed: None,
             serving: TailState::default(),
             role: Role::default(),
