Build the bench of shards with its tails, and say what the new conditions do

The bench shares the simulated world with the tests, and its build failed in the linter without the new module. Comments and two names of the changes before say what they do now.

--- a/benches/shards/main.rs
+++ b/benches/shards/main.rs
@@ -15,6 +15,8 @@
 #[path = "../../tests/shards/jobs.rs"]
 mod jobs;
 #[allow(dead_code)] // the tests use the rest
+#[path = "../../tests/shards/tails.rs"]
+mod tails;
 #[path = "../../tests/shards/watchers.rs"]
 mod watchers;
 #[allow(dead_code)] // the tests use the rest
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -505,8 +505,8 @@
             self.low = LowTails::default();
             return false;
         }
-        if self.low.count == 0 && !is_new || self.low.count > 0 && !is_new && tail == self.low.last
-        {
+        let is_repeated = !is_new && (self.low.count == 0 || tail == self.low.last);
+        if is_repeated {
             return false;
         }
         self.low = LowTails { count: self.low.count.saturating_add(1), last: tail };
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -219,7 +219,7 @@
         if read < MIN_REPORTED_OVER {
             return;
         }
-        let left = match company {
+        let reason = match company {
             Company::Alone => "no leftover work ran beside it",
             Company::BesideLeftover => "it is below its target beside leftover work",
         };
@@ -230,7 +230,7 @@
             read_ms: Millis(read),
             peak_ms: Millis(over.peak),
             target_ms: Millis(target),
-            ended: left,
+            ended: reason,
         });
     }
 
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -355,7 +355,7 @@
     /// Computes the cost of leftover work, which prefers the VM where it runs fastest without
     /// slowing down serving tasks.
     ///
-    /// Nothing is started next to a task that has been over its target for long. New work runs at
+    /// Nothing is started next to a task that is far over its target, or over it for long. New work runs at
     /// full speed until the VM is polled again, so successive starts kept such a task over its
     /// target while all its earlier neighbours were stopped for it.
     fn leftover_cost(
--- a/src/shard/relief.rs
+++ b/src/shard/relief.rs
@@ -185,8 +185,7 @@
         } else {
             target_pace
         };
-        let settles = known && percent > before && self.is_pace_settling(id, &neighbour.key);
-        if settles {
+        if known && percent > before && self.is_pace_settling(id, &neighbour.key) {
             return;
         }
         let small = known && percent.abs_diff(before) < MIN_PACE_CHANGE;
--- a/src/shard/relief/tests.rs
+++ b/src/shard/relief/tests.rs
@@ -94,7 +94,7 @@
     assert_eq!(target_paces(&neighbours), vec![1.0; 12]);
 }
 
-// The same task has been over its target for more than two seconds: all neighbours must be stopped
+// The same task has been over its target for long: all neighbours must be stopped
 // whatever the cost.
 #[test]
 fn all_neighbours_stop_for_a_task_over_its_target_for_long() {
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -40,7 +40,7 @@
     pub is_crowded: bool,
     /// Whether the VM is reserved for a single task that is to be placed on it.
     pub is_reserved: bool,
-    /// Whether a serving task on the VM has been over its target for long.
+    /// Whether a serving task on the VM is far over its target, or has been over it for long.
     pub is_overloaded: bool,
     /// Number of tasks on the VM that are suspected of crashing their VM.
     pub crash_suspects: usize,
