--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -1,5 +1,8 @@
 //! Polling of VMs for running and ended tasks, and handling of VMs that don't respond.
 
+#[cfg(test)]
+mod tests;
+
 use super::Shard;
 use super::event::Action;
 use super::finish::RunEnd;
