End leases a fixed time after the owner's last proof of ownership

Cause: an owner without a proof extended leases in full until its last proof was 11.5 s old, and the last of these leases lasted for another max_keep. A successor that can't show that the owner has ended waited for the sum.

Change: a lease that an owner gives by a poll or a start ends at the latest 11.5 s after its last proof, or a whole lease less 0.5 s where that is longer. A successor counts on an owner that extends leases in full for 12 s less max_keep; the rest of its formula stays. Owners write that time into the shard's head behind the time of earlier owners, where earlier releases ignore it. A head without it is one of an earlier release, whose owner counts for 12 s. If the replaced owner may be active, the longer of its time and of the time that its head tells counts: an owner before it may be of an earlier release. Orders that the next instance of a VM may carry out late count with the whole lease as before, since the deadline doesn't apply there. A task is started only if its lease would last for 1 s.

--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -1,10 +1,10 @@
 //! The head of a shard: its owner, its last commit, and how long owners before this one may act.
 //!
-//! An owner that was replaced without knowing it extends leases for as long as it has a recent proof
-//! of its ownership, which is less than [`MAX_STALE_OWNER_EXTENSION`] from the claim that replaced
-//! it (see `docs/design/ownership-proof.md`). The head tells how much of that time is left, so that an
-//! owner that takes over after all daemons have ended needn't allow for the whole of it again. No
-//! earlier owner is counted out too soon:
+//! An owner that was replaced without knowing it extends leases in full for a fixed time after its
+//! last proof of ownership, which is earlier than the claim that replaced it (see
+//! `docs/design/ownership-proof.md`). The head tells that time, and how much of it is left for owners
+//! before this one, so that an owner that takes over after all daemons have ended needn't allow for
+//! the whole of it again. No earlier owner is counted out too soon:
 //!
 //! - The time runs from the moment at which the writer computed it. A reader counts it from a later
 //!   moment, after the store has answered. No clocks are compared, and a write that is repeated or
@@ -13,17 +13,17 @@
 //! - A claim replaces the head that it was computed from, or fails. The owner in that head is the
 //!   only one that the head doesn't speak of. If that owner has ended, the time in the head holds
 //!   for all earlier owners, and so does the time that the owner told itself. If it may be active,
-//!   all earlier owners stop within the full time from the claim: those before it were replaced
-//!   earlier.
+//!   the longer of its own time, from the claim, and the time in the head holds: an owner before it
+//!   may be of an earlier release, whose time is longer.
 //! - An owner writes the time that is left of what its claim found. It shortens it only once the
 //!   previous owner is shown to have ended, and no earlier one is active.
 //! - A commit of a replaced owner fails, however late it arrives. Those that took effect before the
 //!   claim were true when they were computed, and a time that has passed doesn't come back.
 //! - An owner that hands the shard over, also to itself, has ended. What it tells of each VM that
 //!   doesn't answer covers the owners before it, but the time in the head runs on regardless.
-//! - The first owner of a shard has none before it. Heads of earlier releases tell nothing, and an
-//!   earlier release that claims a shard drops the time; an owner before the last then counts for
-//!   the full time, unless the last one has told less.
+//! - The first owner of a shard has none before it. Heads of earlier releases don't tell the owner's
+//!   time, which is [`MAX_STALE_OWNER_EXTENSION`] for those, and the oldest tell nothing; an owner
+//!   before the last then counts for that time, unless the last one has told less.
 
 use crate::ids::DaemonId;
 use crate::job::progress::{self, Result};
@@ -47,6 +47,10 @@
     /// heads of earlier releases.
     #[serde(skip)]
     pub earlier_active: Option<Duration>,
+    /// How long this owner extends leases in full after its last proof of ownership; `None` in heads
+    /// of earlier releases, and not stored without the time of earlier owners.
+    #[serde(skip)]
+    pub stale_extension: Option<Duration>,
 }
 
 /// Last commit of a previous owner.
@@ -65,6 +69,7 @@
             seq: current.map_or(0, |head| head.seq) + 1,
             before: current.map(|head| PreviousCommit { owner: head.owner.clone(), seq: head.seq }),
             earlier_active: None,
+            stale_extension: None,
         }
     }
 
@@ -73,27 +78,46 @@
         Self { earlier_active: Some(left), ..self }
     }
 
+    /// The same head, telling how long its owner extends leases in full after its last proof.
+    pub fn with_stale_extension(self, stale: Duration) -> Self {
+        Self { stale_extension: Some(stale), ..self }
+    }
+
     /// The head after the owner's commit `seq`, while an earlier owner may extend leases for
     /// `earlier_active`.
     pub fn commit(&self, fence: u64, seq: u64, earlier_active: Duration) -> Self {
         Self { fence, seq, ..self.clone() }.with_earlier_active(earlier_active)
     }
 
-    /// Encodes the head; earlier releases ignore the time of earlier owners at its end.
+    /// Encodes the head; earlier releases ignore the times at its end that they don't know.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = progress::encode(self);
-        if let Some(left) = &self.earlier_active {
-            bytes.extend(progress::encode(left));
-        }
+        let known = [self.earlier_active, self.stale_extension].into_iter().map_while(|time| time);
+        known.for_each(|time| bytes.extend(progress::encode(&time)));
         bytes
     }
 
     /// Decodes a head, including one written by an earlier release.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let (head, rest): (Self, &[u8]) = progress::decode_prefix(bytes)?;
-        let earlier_active = if rest.is_empty() { None } else { Some(progress::decode(rest)?) };
-        Ok(Self { earlier_active, ..head })
+        let (earlier_active, rest) = decode_time(rest)?;
+        let (stale_extension, _) = decode_time(rest)?;
+        Ok(Self { earlier_active, stale_extension, ..head })
+    }
+
+    /// How long its owner may extend leases in full after its last proof of ownership.
+    fn stale_extension(&self) -> Duration {
+        self.stale_extension.unwrap_or(MAX_STALE_OWNER_EXTENSION)
+    }
+}
+
+/// Decodes a time that follows the head, if there is one.
+fn decode_time(bytes: &[u8]) -> Result<(Option<Duration>, &[u8])> {
+    if bytes.is_empty() {
+        return Ok((None, bytes));
     }
+    let (time, rest) = progress::decode_prefix(bytes)?;
+    Ok((Some(time), rest))
 }
 
 /// The owner that a claim is meant to replace, as far as the claimant knows.
@@ -117,7 +141,9 @@
     pub fn earlier_active(self, head: Option<&Head>) -> Duration {
         match (head, self.earlier_active) {
             (None, _) => Duration::ZERO,
-            (Some(_), None) => MAX_STALE_OWNER_EXTENSION,
+            (Some(head), None) => head
+                .earlier_active
+                .map_or(MAX_STALE_OWNER_EXTENSION, |told| told.max(head.stale_extension())),
             (Some(head), Some(left)) => head.earlier_active.map_or(left, |known| known.min(left)),
         }
     }
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -51,13 +51,15 @@
 /// Maximum number of attempts to write a claim when the store fails or does not answer.
 const MAX_CLAIM_ATTEMPTS: u32 = 4;
 
-/// Claims a shard and reads its state from the store.
+/// Claims a shard and reads its state from the store. The new owner will extend leases in full for
+/// `stale_extension` after its last proof of ownership.
 pub async fn claim<S: KvStore>(
     store: &MonitoredStore<S>,
     me: &DaemonId,
     shard: &str,
     previous: PreviousOwner,
     replaces: ExpectedOwner,
+    stale_extension: Duration,
 ) -> Result<(ShardWriter, Recovered)> {
     let keys = Keys::new(shard);
     let present = read_head(store, shard).await?;
@@ -67,7 +69,9 @@
     }
     let before = present.as_ref().map(|(_, head)| head);
     let earlier_active = replaces.earlier_active(before);
-    let head = Head::claim(me.clone(), before).with_earlier_active(earlier_active);
+    let head = Head::claim(me.clone(), before)
+        .with_earlier_active(earlier_active)
+        .with_stale_extension(stale_extension);
     let condition = present.as_ref().map_or(Rev::ABSENT, |(rev, _)| *rev);
     let claimed_at = store.now();
     let rev = write_claim(store, &keys, &head, condition).await?;
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -91,10 +91,11 @@
             let lease_ttl =
                 MIN_REGISTRATION_TTL.max(Duration::from_millis(settings.store.min_lease_ms));
             let announce_interval = Duration::from_millis(settings.store.announce_ms);
+            let stale = settings.shard_settings().stale_owner_extension();
             let (me, platform) = (me.clone(), platform.clone());
             let (control, clock) = (control.clone().recipient(), clock.clone());
             Records::start_in_arbiter(&arbiters[1].handle(), move |_| {
-                Records::new(me, platform, lease_ttl, announce_interval, control, clock)
+                Records::new(me, platform, lease_ttl, announce_interval, stale, control, clock)
             })
         };
         let machines = {
--- a/src/jobs/records.rs
+++ b/src/jobs/records.rs
@@ -196,16 +196,19 @@
     ownership: Rc<OwnershipSignal>,
     lease_ttl: Duration,
     announce_interval: Duration,
+    stale_extension: Duration,
 }
 
 impl<P: Platform> Records<P> {
-    /// Creates the actor. VMs announce themselves every `announce_interval`. Must be called on the
+    /// Creates the actor. VMs announce themselves every `announce_interval`, and owners extend leases
+    /// in full for `stale_extension` after their last proof of ownership. Must be called on the
     /// actor's thread.
     pub fn new(
         me: Member,
         platform: P,
         lease_ttl: Duration,
         announce_interval: Duration,
+        stale_extension: Duration,
         control: Recipient<StoreEvent>,
         clock: Arc<dyn Clock>,
     ) -> Self {
@@ -221,6 +224,7 @@
             ownership: Rc::default(),
             lease_ttl,
             announce_interval,
+            stale_extension,
         }
     }
 
@@ -288,7 +292,9 @@
         self.claims += 1;
         self.update_ownership();
         let (shard, previous, replaces) = (msg.shard.clone(), msg.previous, msg.replaces);
-        let claimed = async move { claim::claim(&store, &me, &shard, previous, replaces).await };
+        let stale = self.stale_extension;
+        let claimed =
+            async move { claim::claim(&store, &me, &shard, previous, replaces, stale).await };
         cx.spawn(claimed.into_actor(self).map(move |claimed, this, _| {
             this.claims -= 1;
             match claimed {
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -56,6 +56,7 @@
 pub use intake::{RETRY_AFTER_EVACUATION, RETRY_AFTER_OUTAGE};
 pub use log::Keys;
 pub use recover::{PreviousOwner, Recovered, VmLapse};
+use settings::MIN_START_LEASE;
 pub use settings::Settings;
 pub use silence::{ReportedLapse, SilenceMark, SilentVm};
 
@@ -264,7 +265,9 @@
     /// Returns whether the VM list, the evacuation orders and the proof of ownership are recent
     /// enough to start tasks by.
     fn may_start(&self) -> bool {
-        self.has_recent_vm_list() && self.has_recent_evacuations() && self.has_ownership_proof()
+        self.has_recent_vm_list()
+            && self.has_recent_evacuations()
+            && self.longest_lease() >= MIN_START_LEASE
     }
 
     /// Returns a job's queue as currently configured; `None` if the queue was removed while the job
--- a/src/shard/fleet.rs
+++ b/src/shard/fleet.rs
@@ -166,7 +166,8 @@
         let proof = "another start time in its answer";
         let lease = self.settings.inherited_lease(Duration::ZERO);
         let Some(vm) = self.vms.get(id) else { return };
-        let (addr, entry, ended_by) = (vm.entry.addr.clone(), vm.entry.clone(), vm.runs_ended_by());
+        let (addr, entry, ended_by) =
+            (vm.entry.addr.clone(), vm.entry.clone(), vm.late_orders_arrived_by());
         let passed: Vec<RunKey> = vm
             .runs
             .iter()
--- a/src/shard/lease.rs
+++ b/src/shard/lease.rs
@@ -41,6 +41,40 @@
     Start(RunKey),
 }
 
+/// How long a call lets its VM keep its runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTime {
+    time: Duration,
+    whole: Duration,
+}
+
+impl LeaseTime {
+    /// A lease of `whole`, cut short to `longest`.
+    pub fn new(whole: Duration, longest: Duration) -> Self {
+        Self { time: whole.min(longest), whole }
+    }
+
+    /// The time from when the call is sent.
+    pub fn time(self) -> Duration {
+        self.time
+    }
+
+    /// The same without the cut.
+    pub fn whole(self) -> Duration {
+        self.whole
+    }
+
+    /// Whether nothing is left of it.
+    pub fn is_zero(self) -> bool {
+        self.time.is_zero()
+    }
+
+    /// Whether it was cut short.
+    pub fn is_cut(self) -> bool {
+        self.time < self.whole
+    }
+}
+
 /// What set the end of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseSource {
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -8,7 +8,7 @@
 use super::finish::RunEnd;
 use super::interference::{Company, LeftoverNeighbour, OverTime};
 use super::job_run::CheckpointRank;
-use super::lease::{Delivery, Extension};
+use super::lease::{Delivery, Extension, LeaseTime};
 use super::own_load::OwnLoad;
 use super::relief::MEASUREMENT_WINDOW;
 use super::settings::{POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY};
@@ -37,22 +37,22 @@
 impl Shard {
     /// Polls the VMs that are due.
     pub(super) fn poll_due_vms(&mut self) {
-        let (now, keep, fence) = (self.now.steady, self.settings.max_keep, self.fence);
-        let is_owner = self.has_ownership_proof();
+        let (now, fence) = (self.now.steady, self.fence);
+        let (max_keep, longest) = (self.settings.max_keep, self.longest_lease());
         for vm in self.vms.values_mut() {
             if vm.contact.poll == PollState::InFlight || now < vm.contact.next_poll {
                 continue;
             }
             // A silence recorded in the store must be withdrawn before the VM's work is extended,
             // since the next owner relies on that record.
-            let extends =
-                is_owner && vm.may_extend_runs(now) && self.log.silence.may_extend_lease(&vm.id);
-            let keep = vm.max_extension(keep, now);
+            let extends = vm.may_extend_runs(now) && self.log.silence.may_extend_lease(&vm.id);
+            let lease = LeaseTime::new(vm.max_extension(max_keep, now), longest);
+            let extends = extends && !lease.is_zero();
             let keep_until = extends.then(|| vm.clock_now(now)).flatten();
             if keep_until.is_some() {
-                vm.record_extension(Extension::Poll, now, keep);
+                vm.record_extension(Extension::Poll, now, lease);
             }
-            let keep_until = keep_until.map(|clock| VmTime(clock.0 + keep));
+            let keep_until = keep_until.map(|clock| VmTime(clock.0 + lease.time()));
             let (ack_up_to, wait) = (vm.send_ack(), vm.poll_wait());
             vm.contact.poll = PollState::InFlight;
             let req = PollReq { fence, ack_up_to, keep_until, wait };
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,7 +2,7 @@
 
 use super::Shard;
 use super::event::Action;
-use super::lease::Delivery;
+use super::lease::{Delivery, LeaseTime};
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
 use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage};
 use crate::ids::VmId;
@@ -54,7 +54,8 @@
 
     /// Sends a start, after rechecking the conditions that may have changed since it was decided.
     fn send_start(&mut self, id: &VmId, key: RunKey) {
-        let (now, keep) = (self.now.steady, self.settings.max_keep);
+        let now = self.now.steady;
+        let lease = LeaseTime::new(self.settings.max_keep, self.longest_lease());
         let wanted = self.jobs.get(&key.task.job).is_some_and(|job| !job.is_final());
         let Some(vm) = self.vms.get_mut(id) else { return };
         if !wanted || vm.leaving.is_some() {
@@ -84,14 +85,14 @@
         let (addr, Some(clock)) = (vm.addr(), vm.clock_now(now)) else { return };
         let Some(run) = vm.runs.get_mut(&key) else { return };
         run.record_start(now);
-        vm.record_start(key, now, keep);
+        vm.record_start(key, now, lease);
         let resume = job.task(key.task).and_then(|task| task.checkpoint.clone());
         let req = StartReq {
             fence: self.fence,
             task: key.task,
             run: key.run,
             payload: job.job.payload.clone(),
-            keep_until: VmTime(clock.0 + keep),
+            keep_until: VmTime(clock.0 + lease.time()),
             resume,
             permit,
         };
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -35,8 +35,13 @@
 }
 
 impl Settings {
+    /// How long an owner extends leases in full after its last proof of ownership.
+    pub fn stale_owner_extension(&self) -> Duration {
+        MAX_LEASE_AFTER_PROOF.saturating_sub(self.max_keep)
+    }
+
     /// Longest time after a takeover for which VMs may keep running tasks of earlier owners, one of
-    /// which may extend leases for `stale` without knowing that it was replaced.
+    /// which may extend leases in full for `stale` without knowing that it was replaced.
     pub fn inherited_lease(&self, stale: Duration) -> Duration {
         self.max_keep + self.max_keep.mul_f64(CLOCK_DRIFT) + stale + EXPIRY_MARGIN
     }
@@ -100,13 +105,20 @@
 /// the last extension.
 pub const EXPIRY_MARGIN: Duration = Duration::from_millis(700);
 
-/// How long an owner that has unknowingly lost the shard may continue to extend tasks; equals the
-/// longest store outage that running tasks survive.
+/// Time after an owner's last proof of ownership by which the leases that it gives end, unless a
+/// whole lease is longer; equals the longest store outage that running tasks survive.
+pub const MAX_LEASE_AFTER_PROOF: Duration = Duration::from_secs(12);
+
+/// How long an owner of an earlier release extends leases in full after its last proof of ownership.
+/// No owner does so for longer.
 pub const MAX_STALE_OWNER_EXTENSION: Duration = Duration::from_secs(12);
 
 /// Delay before an unanswered start command is sent again.
 pub const START_RETRY: Duration = Duration::from_millis(60);
 
+/// Shortest lease for which a task is started; it covers the delivery and the next poll.
+pub const MIN_START_LEASE: Duration = Duration::from_secs(1);
+
 /// Maximum number of times a start command is sent before another VM is tried.
 pub const MAX_START_ATTEMPTS: u32 = 4;
 
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -3,7 +3,7 @@
 use super::copies::{Restarts, Role};
 use super::interference::TailState;
 use super::late_starts::LateStarts;
-use super::lease::{Delivery, Extension, Lease};
+use super::lease::{Delivery, Extension, Lease, LeaseTime};
 use super::settings::{
     BUSY_POLL_WAIT, CLOCK_DRIFT, DEFAULT_NOTICE, EXPIRY_MARGIN, IDLE_POLL_WAIT, LEAVING_KEEP,
     POLL_RETRY_DELAY, SILENCE_TIMEOUT, UNCOMMITTED_POLL_DELAY,
@@ -46,6 +46,8 @@
     pub contact: Contact,
     /// Lease of all runs on the VM.
     pub lease: Lease,
+    /// When the leases that were cut short would have ended otherwise.
+    cut_leases_end: Duration,
     /// Starts that the next instance under the same registered id may still carry out.
     pub late_starts: LateStarts,
     pub health: super::health::Health,
@@ -306,6 +308,7 @@
                 responsiveness: Responsiveness::Responsive,
             },
             lease: Lease::inherited(runs_ended_by),
+            cut_leases_end: Duration::ZERO,
             late_starts: LateStarts::default(),
             health: super::health::Health::default(),
             speed: VmSpeed::default(),
@@ -389,10 +392,19 @@
     }
 
     /// Records that a call is being sent by which the VM may keep all of its tasks running for
-    /// `keep` from now on.
-    pub fn record_extension(&mut self, call: Extension, now: Duration, keep: Duration) {
-        let drift = keep.mul_f64(CLOCK_DRIFT);
-        self.lease.send(call, now + keep + drift + EXPIRY_MARGIN);
+    /// `lease` from now on.
+    pub fn record_extension(&mut self, call: Extension, now: Duration, lease: LeaseTime) {
+        let end = |keep: Duration| now + keep + keep.mul_f64(CLOCK_DRIFT) + EXPIRY_MARGIN;
+        self.lease.send(call, end(lease.time()));
+        if lease.is_cut() {
+            self.cut_leases_end = end(lease.whole());
+        }
+    }
+
+    /// Time by which orders for this instance have arrived at the next one under the same registered
+    /// id. Its deadlines don't apply there, so that a lease that was cut short counts in full.
+    pub fn late_orders_arrived_by(&self) -> Duration {
+        self.runs_ended_by().max(self.cut_leases_end)
     }
 
     /// Time by which every run on the VM is certain to have ended, unless its lease is extended.
@@ -408,13 +420,13 @@
     }
 
     /// Records that a start of a run is being sent, by which the VM may keep all of its tasks running
-    /// for `keep` from now on, and which the next instance may carry out until then.
-    pub fn record_start(&mut self, key: RunKey, now: Duration, keep: Duration) {
-        self.record_extension(Extension::Start(key), now, keep);
+    /// for `lease` from now on, and which the next instance may carry out for a whole lease.
+    pub fn record_start(&mut self, key: RunKey, now: Duration, lease: LeaseTime) {
+        self.record_extension(Extension::Start(key), now, lease);
         if self.id.started().is_some() {
             let runs = &self.runs;
             self.late_starts.forget_past(now, |key| runs.contains_key(key));
-            self.late_starts.send(key, now + keep);
+            self.late_starts.send(key, now + lease.whole());
         }
     }
 
