Date a replaced owner's last proof by the head that the claim replaces

Cause: what a successor counts on began with the claim, though the last proof of the owner that it replaces is no later than the last write of the head, and the time of earlier owners in the head runs from there too.

Change: a claim counts these times from the first call of its daemon that showed the head's revision or a later one, or from the claim if none did. A commit that was refused as a job exists proved the ownership without writing the head; it is no proof any more. Owners of earlier releases still take it for one, so that their own 12 s go on counting from the claim. The remaining time is zero at least: a lease from the claim stays the least.

The tests of proof, silence, takeover, leases, instances and partitions pass.

--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -7,14 +7,17 @@
 //! the whole of it again. No earlier owner is counted out too soon:
 //!
 //! - The time runs from the moment at which the writer computed it. A reader counts it from a later
-//!   moment, after the store has answered. No clocks are compared, and a write that is repeated or
+//!   moment, by which the head had been written: the first of its own calls to the store that showed
+//!   the head's revision or a later one, or the claim. No clocks are compared, and a write that is repeated or
 //!   delayed only makes the time longer. The rates of the clocks that measure one part of the time
 //!   after the other differ by less than the margin by which an owner stops early.
 //! - A claim replaces the head that it was computed from, or fails. The owner in that head is the
 //!   only one that the head doesn't speak of. If that owner has ended, the time in the head holds
 //!   for all earlier owners, and so does the time that the owner told itself. If it may be active,
-//!   the longer of its own time, from the claim, and the time in the head holds: an owner before it
-//!   may be of an earlier release, whose time is longer.
+//!   the longer of its own time and the time in the head holds: an owner before it may be of an
+//!   earlier release, whose time is longer. An owner's last proof is a write of its head, so that its
+//!   own time also runs from before the head was written. Owners of earlier releases take refused
+//!   commits for proofs as well; theirs counts from the claim.
 //! - An owner writes the time that is left of what its claim found. It shortens it only once the
 //!   previous owner is shown to have ended, and no earlier one is active.
 //! - A commit of a replaced owner fails, however late it arrives. Those that took effect before the
@@ -105,9 +108,16 @@
         Ok(Self { earlier_active, stale_extension, ..head })
     }
 
-    /// How long its owner may extend leases in full after its last proof of ownership.
-    fn stale_extension(&self) -> Duration {
-        self.stale_extension.unwrap_or(MAX_STALE_OWNER_EXTENSION)
+    /// How long owners before this one may still extend leases, `age` after this was written; `None`
+    /// if the head doesn't tell.
+    pub fn earlier_active_after(&self, age: Duration) -> Option<Duration> {
+        self.earlier_active.map(|left| left.saturating_sub(age))
+    }
+
+    /// How long its owner may still extend leases in full, `age` after this was written.
+    fn stale_extension_after(&self, age: Duration) -> Duration {
+        // The last proof of an owner of an earlier release may be later than its head.
+        self.stale_extension.map_or(MAX_STALE_OWNER_EXTENSION, |stale| stale.saturating_sub(age))
     }
 }
 
@@ -137,14 +147,15 @@
         head.fence <= self.fence
     }
 
-    /// How long any owner before a claim that replaces `head` may still extend leases.
-    pub fn earlier_active(self, head: Option<&Head>) -> Duration {
-        match (head, self.earlier_active) {
-            (None, _) => Duration::ZERO,
-            (Some(head), None) => head
-                .earlier_active
-                .map_or(MAX_STALE_OWNER_EXTENSION, |told| told.max(head.stale_extension())),
-            (Some(head), Some(left)) => head.earlier_active.map_or(left, |known| known.min(left)),
+    /// How long any owner before a claim that replaces `head` may still extend leases. The head was
+    /// written at least `age` ago.
+    pub fn earlier_active(self, head: Option<&Head>, age: Duration) -> Duration {
+        let Some(head) = head else { return Duration::ZERO };
+        match (self.earlier_active, head.earlier_active_after(age)) {
+            (None, None) => MAX_STALE_OWNER_EXTENSION,
+            (None, Some(told)) => told.max(head.stale_extension_after(age)),
+            (Some(left), None) => left,
+            (Some(left), Some(told)) => left.min(told),
         }
     }
 }
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -68,12 +68,13 @@
         check_expected_owner(me, head, replaces)?;
     }
     let before = present.as_ref().map(|(_, head)| head);
-    let earlier_active = replaces.earlier_active(before);
+    let claimed_at = store.now();
+    let age = present.as_ref().map_or(Duration::ZERO, |(rev, _)| age(store, *rev, claimed_at));
+    let earlier_active = replaces.earlier_active(before, age);
     let head = Head::claim(me.clone(), before)
         .with_earlier_active(earlier_active)
         .with_stale_extension(stale_extension);
     let condition = present.as_ref().map_or(Rev::ABSENT, |(rev, _)| *rev);
-    let claimed_at = store.now();
     let rev = write_claim(store, &keys, &head, condition).await?;
     let writer = ShardWriter { key: keys.head(), rev, fence: Fence(rev.0), head };
     let state = async {
@@ -104,7 +105,7 @@
         seq: writer.head.seq,
         previous: previous.with_earlier_active(earlier_active),
         earlier_active,
-        before_previous: predecessor.as_ref().and_then(|head| head.earlier_active),
+        before_previous: predecessor.as_ref().and_then(|head| head.earlier_active_after(age)),
         predecessor: predecessor.map(|head| Fence(head.fence)),
         unresponsive_vms: Vec::new(),
         silent: silent.as_ref().map(decode_silent_vms).transpose()?.unwrap_or_default(),
@@ -116,6 +117,11 @@
     Ok((writer, recovered))
 }
 
+/// Time at `now` for which a revision has been in the store, as far as this daemon's calls tell.
+fn age<S: KvStore>(store: &MonitoredStore<S>, rev: Rev, now: Duration) -> Duration {
+    store.times().written_before(rev).map_or(Duration::ZERO, |at| now.saturating_sub(at))
+}
+
 /// Reads the record of what the shard has learned. A failure doesn't fail the claim: the shard can
 /// do without.
 async fn read_learned<S: KvStore>(store: &MonitoredStore<S>, keys: &Keys) -> StoredRecord {
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -201,7 +201,8 @@
 
     pub(super) fn handle_commit_result(&mut self, seq: u64, result: CommitResult) {
         let Some(commit) = self.log.complete(seq) else { return };
-        if !matches!(result, CommitResult::Superseded(_)) {
+        // A proof is no later than the head in the store, by which the next owner dates it.
+        if result == CommitResult::Durable {
             self.record_ownership_proof(commit.since);
         }
         match result {
--- a/tests/shards/proof.rs
+++ b/tests/shards/proof.rs
@@ -45,3 +45,16 @@
     };
     assert_eq!(*unproved_ms, Millis(Duration::from_secs(12)));
 }
+
+// Guards against tasks that run twice: the next owner takes the time at which the head was written for
+// the last proof, and a refused commit doesn't write it.
+#[test]
+fn a_refused_commit_is_no_proof_of_ownership() {
+    let job = job_with_steps(2, 1, 2, work(100, 2));
+    let mut shard = owner_of_borrowed_job(&job, TaskPhase::Succeeded);
+    let (seq, _) = commit(shard.step(at(5), Event::Tick)).expect("a commit that renews the proof");
+    let refused = CommitResult::JobExists(Vec::new());
+    shard.step(at(10), Event::Committed { seq, result: refused });
+    let lost = shard.step(at(13), Event::Tick);
+    assert!(matches!(notes(&lost)[..], [Note::OwnershipUnproved { .. }]), "{lost:?}");
+}
