--- a/tests/followers/claims.rs
+++ b/tests/followers/claims.rs
@@ -1,6 +1,6 @@
 //! What a claim finds of earlier owners in the head that it replaces.
 
-use super::harness::Harness;
+use super::harness::{Harness, STALE_EXTENSION};
 use bytes::Bytes;
 use std::time::Duration;
 use waxwingstall::cluster::{ExpectedOwner, Head};
@@ -8,7 +8,7 @@
 use waxwingstall::job::progress::encode;
 use waxwingstall::jobs::claim::{self, CommitRequest, ShardWriter};
 use waxwingstall::jobs::records::MonitoredStore;
-use waxwingstall::kv::{KvStore, Put, Txn};
+use waxwingstall::kv::{Freshness, KvStore, Put, Txn};
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{CommitResult, Keys, PreviousOwner, Recovered};
 
@@ -35,12 +35,22 @@
     }
 
     async fn claim(&mut self, replaced: Replaced) -> (ShardWriter, Recovered) {
+        let store = self.store();
+        self.claim_from(&store, replaced).await
+    }
+
+    /// Claims the shard for a daemon that has made these calls to the store.
+    async fn claim_from(
+        &mut self,
+        store: &MonitoredStore<impl KvStore>,
+        replaced: Replaced,
+    ) -> (ShardWriter, Recovered) {
         self.count += 1;
         let me = DaemonId::new(&format!("daemon{}@1", self.count));
         let earlier_active = (replaced == Replaced::Ended).then_some(MAX_STALE_OWNER_EXTENSION);
         let expected = ExpectedOwner { fence: u64::MAX, earlier_active };
-        let store = self.store();
-        let claimed = claim::claim(&store, &me, SHARD, PreviousOwner::MaybeActive, expected).await;
+        let previous = PreviousOwner::MaybeActive;
+        let claimed = claim::claim(store, &me, SHARD, previous, expected, STALE_EXTENSION).await;
         claimed.expect("nobody else claims the shard")
     }
 
@@ -49,10 +59,18 @@
         writer.commit(&self.store(), request).await
     }
 
-    /// Writes a head as an earlier release does.
+    /// Writes a head as the first release does.
     async fn write_untold_head(&self) {
-        let head = Head { fence: 1, ..Head::claim(DaemonId::new("old@1"), None) };
-        let value = Bytes::from(encode(&head));
+        self.write_head(encode(&old_head())).await;
+    }
+
+    /// Writes a head as the second release does, which tells of earlier owners only.
+    async fn write_head_without_own_time(&self) {
+        self.write_head(old_head().with_earlier_active(Duration::ZERO).encode()).await;
+    }
+
+    async fn write_head(&self, head: Vec<u8>) {
+        let value = Bytes::from(head);
         let put = Put { key: Keys::new(SHARD).head(), value, lease: None };
         let txn = Txn { puts: vec![put], ..Txn::default() };
         self.harness.store.commit(&txn).await.expect("the store is up");
@@ -63,6 +81,10 @@
     }
 }
 
+fn old_head() -> Head {
+    Head { fence: 1, ..Head::claim(DaemonId::new("old@1"), None) }
+}
+
 fn found(recovered: &Recovered) -> (PreviousOwner, Duration, Option<Duration>) {
     (recovered.previous, recovered.earlier_active, recovered.before_previous)
 }
@@ -94,11 +116,11 @@
     claims.claim(Replaced::Ended).await;
     let (_, second) = claims.claim(Replaced::MaybeActive).await;
     let active = |left, told| (PreviousOwner::MaybeActive, left, told);
-    let full = MAX_STALE_OWNER_EXTENSION;
+    let full = STALE_EXTENSION;
     assert_eq!(found(&second), active(full, Some(Duration::ZERO)));
     let (mut writer, third) = claims.claim(Replaced::Ended).await;
     assert_eq!(found(&third), active(full, Some(full)));
-    let left = Duration::from_millis(4321);
+    let left = Duration::from_millis(1234);
     assert_eq!(claims.commit(&mut writer, left).await, CommitResult::Durable);
     let (_, fourth) = claims.claim(Replaced::Ended).await;
     assert_eq!(found(&fourth), active(left, Some(left)));
@@ -116,7 +138,7 @@
     let late = claims.commit(&mut replaced, Duration::ZERO).await;
     assert!(matches!(late, CommitResult::Superseded(_)), "{late:?}");
     let (_, third) = claims.claim(Replaced::Ended).await;
-    assert_eq!(third.earlier_active, MAX_STALE_OWNER_EXTENSION);
+    assert_eq!(third.earlier_active, STALE_EXTENSION);
 }
 
 // Guards against tasks that run twice during a rolling upgrade: a head of an earlier release tells
@@ -130,3 +152,40 @@
     let full = MAX_STALE_OWNER_EXTENSION;
     assert_eq!(found(&next), (PreviousOwner::MaybeActive, full, None));
 }
+
+// The same with an owner of a release that extends leases in full for longer, and with one that has
+// replaced it.
+#[actix::test]
+async fn an_owner_of_an_earlier_release_counts_for_its_own_time() {
+    let mut claims = Claims::new();
+    claims.write_head_without_own_time().await;
+    let (_, next) = claims.claim(Replaced::MaybeActive).await;
+    let full = MAX_STALE_OWNER_EXTENSION;
+    assert_eq!(found(&next), (PreviousOwner::MaybeActive, full, Some(Duration::ZERO)));
+    let (_, after) = claims.claim(Replaced::MaybeActive).await;
+    assert_eq!(found(&after), (PreviousOwner::MaybeActive, full, Some(full)));
+}
+
+// Guards against tasks that wait for the time between an owner's last commit and the claim again.
+#[actix::test]
+async fn a_claim_counts_from_the_first_call_that_shows_the_replaced_head() {
+    let mut claims = Claims::new();
+    claims.claim(Replaced::Ended).await;
+    claims.claim(Replaced::MaybeActive).await;
+    let (store, waited) = (claims.store(), Duration::from_millis(1500));
+    store.range(Keys::HEADS, None, Freshness::Latest).await.expect("the store is up");
+    tokio::time::sleep(waited).await;
+    let (_, third) = claims.claim_from(&store, Replaced::MaybeActive).await;
+    let left = STALE_EXTENSION - waited;
+    assert!(third.earlier_active <= left, "{:?}", third.earlier_active);
+    assert!(third.earlier_active + Duration::from_millis(100) > left, "{:?}", third.earlier_active);
+    assert_eq!(third.before_previous, Some(third.earlier_active));
+    // Nothing shows when the third claim was written.
+    let (_, fourth) = claims.claim(Replaced::MaybeActive).await;
+    assert_eq!(fourth.earlier_active, STALE_EXTENSION);
+    tokio::time::sleep(waited).await;
+    store.range(Keys::HEADS, None, Freshness::Latest).await.expect("the store is up");
+    tokio::time::sleep(2 * waited).await;
+    let (_, fifth) = claims.claim_from(&store, Replaced::MaybeActive).await;
+    assert_eq!((fifth.previous, fifth.earlier_active), (PreviousOwner::Ended, Duration::ZERO));
+}
