Place nothing on a VM that refuses connections until it answers

Cause: a start that was refused was sent four times, and the task was then bound to the same VM again, as it counted as responsive for up to 1.2 s.

Change: after a call that was not sent, nothing is placed or started on the VM until it has answered a later poll, which is due at once. If nothing was sent of a run, its task is placed elsewhere at once; a member of a gang waits until a poll was refused as well. A VM that answers polls and refuses starts is tried at most once in 150 ms. Such a VM counts in the shard's capacity and not in its free room. A VM that left the last poll without an answer is used last; copies, moves and restarts avoid it.

--- a/src/shard/compact.rs
+++ b/src/shard/compact.rs
@@ -192,6 +192,7 @@
             room.service == *service
                 && room.probation == Probation::No
                 && !room.drains_soon
+                && !room.is_unanswered
                 && room.crash_suspects == 0
                 && !self.reservations.is_reserved(&room.vm)
         };
--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -362,6 +362,7 @@
                 && known.failed_on.as_ref() != Some(&room.vm)
                 && room.speed >= 1.0
                 && room.probation == Probation::No
+                && !room.is_unanswered
                 && room.crash_suspects == 0
                 && permits.is_none_or(|p| p.valid_permit(&room.vm, now).is_some())
         };
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -75,7 +75,7 @@
             Ok(resp) => {
                 let before = vm.contact.last_successful_poll;
                 let succession = vm.succession;
-                let challenged = vm.challenged.is_some();
+                let awaited = vm.awaits_answer();
                 let is_recovery = vm.contact.failures > 0;
                 vm.record_answer(sent, now);
                 if before.is_none() {
@@ -87,7 +87,7 @@
                     std::mem::replace(&mut vm.contact.responsiveness, Responsiveness::Responsive);
                 let met = before.is_none()
                     || was != Responsiveness::Responsive
-                    || (challenged && vm.challenged.is_none());
+                    || (awaited && !vm.awaits_answer());
                 if let Responsiveness::SilentSince(since) = was {
                     let (runs, silent_ms) = (vm.runs.len(), Millis(now.saturating_sub(since)));
                     self.note(Note::VmHeard { vm: id.clone(), silent_ms, runs });
--- a/src/shard/moving.rs
+++ b/src/shard/moving.rs
@@ -47,6 +47,7 @@
             let Some(requirements) = job.requirements(key.task) else { continue };
             let is_better = |room: &&mut VmCapacity| {
                 room.vm != vm
+                    && !room.is_unanswered
                     && room.suits(&requirements)
                     && room.takes(&step, key.task.step_ref())
                     && self.speed(room, &step, image, time) >= MIN_LEFTOVER_SPEED
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -4,7 +4,7 @@
 use super::event::Action;
 use super::lease::Delivery;
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
-use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage};
+use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage, Vm};
 use crate::ids::VmId;
 use crate::job::{RunNumber, TaskRef};
 use crate::note::Note;
@@ -67,7 +67,7 @@
         if vm.is_overcommitted() {
             return self.abandon_start(id, key, "the VM no longer has room for the task");
         }
-        if !vm.is_responsive(now) || vm.contact.failures > 0 {
+        if !vm.is_answering(now) {
             return self.hold_start(id, key);
         }
         let permit = match self.permits_of(key.task).map(|permits| permits.valid_permit(id, now)) {
@@ -99,16 +99,25 @@
     }
 
     /// Sends no start to a VM that didn't answer the last poll, as it would extend the lease of all
-    /// runs there.
-    /// If the VM is silent and none was sent before, the task can be placed elsewhere at once.
+    /// runs there. If the VM is silent or refuses connections, and none was sent before, the task can
+    /// be placed elsewhere at once.
     fn hold_start(&mut self, id: &VmId, key: RunKey) {
         let Some(vm) = self.vms.get(id) else { return };
         let may_have_been_sent = vm.runs.get(&key).is_some_and(Run::may_have_been_sent);
-        if vm.contact.responsiveness != Responsiveness::Responsive && !may_have_been_sent {
+        let is_silent = vm.contact.responsiveness != Responsiveness::Responsive;
+        if !may_have_been_sent && (is_silent || self.is_refused(vm, key)) {
             self.abandon_start(id, key, "the VM does not answer");
         }
     }
 
+    /// Whether a VM refuses the start of a run, which is to be placed elsewhere.
+    ///
+    /// The others of a gang would run in vain until all of it can be placed again, so that its starts
+    /// wait until the VM has refused a poll as well.
+    fn is_refused(&self, vm: &Vm, key: RunKey) -> bool {
+        vm.contact.refused.is_some() && (vm.contact.unconnected || !self.is_gang(key.task))
+    }
+
     pub(super) fn handle_start_response(
         &mut self,
         id: &VmId,
@@ -158,8 +167,7 @@
                 vm.contact.next_poll = now;
                 self.retry_start(id, key, "the VM's clock differs from the last reading");
             }
-            Err(vm::Error::NotSent { .. }) if known.is_stopped_unsent() => self.drop_run(id, key),
-            Err(vm::Error::NotSent { .. }) => self.retry_start(id, key, "the VM is unreachable"),
+            Err(vm::Error::NotSent { .. }) => self.handle_unsent_start(id, key),
             Err(vm::Error::NoAnswer { .. }) => {
                 known.pending_start = PendingStart::Yes;
                 self.retry_start(id, key, "the VM did not answer");
@@ -181,6 +189,23 @@
         }
     }
 
+    /// Handles a start that was not sent. Unless an earlier one may have been, the task is placed
+    /// elsewhere.
+    fn handle_unsent_start(&mut self, id: &VmId, key: RunKey) {
+        let now = self.now.steady;
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        vm.record_refused_start(now);
+        let Some(run) = vm.runs.get(&key) else { return };
+        if run.is_stopped_unsent() {
+            return self.drop_run(id, key);
+        }
+        let is_starting = matches!(run.stage, Stage::Starting { .. });
+        if is_starting && !run.may_have_been_sent() && !self.is_gang(key.task) {
+            return self.abandon_start(id, key, "the VM is unreachable");
+        }
+        self.retry_start(id, key, "the VM is unreachable");
+    }
+
     fn retry_start(&mut self, id: &VmId, key: RunKey, reason: &'static str) {
         let now = self.now.steady;
         let Some(run) = self.vms.get_mut(id).and_then(|vm| vm.runs.get_mut(&key)) else { return };
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -74,6 +74,9 @@
 const SUSPECT_PAIR_COST: f64 = 5e4;
 const PROBATION_COST: f64 = 1e5;
 
+/// Cost of a VM that left the last poll without an answer: starts there wait for the next one.
+const UNANSWERED_COST: f64 = 2e4;
+
 /// Cost of a VM that stands still; a slow one costs the share of its speed that is lost. It exceeds
 /// the free cores of any VM.
 const SLOW_VM_COST: f64 = 500.0;
@@ -173,7 +176,8 @@
         if !has_waiting && slowed.is_empty() && slow.is_empty() {
             return;
         }
-        let mut rooms: Vec<VmCapacity> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let rooms = self.vms.values().filter_map(|vm| self.room(vm));
+        let mut rooms: Vec<VmCapacity> = rooms.filter(|room| !room.is_refusing).collect();
         let is_crowded = self.long_running_fraction(&rooms) > CROWDED_SHARE;
         rooms.iter_mut().for_each(|room| room.is_crowded = is_crowded);
         let mut pass = SchedulePass { rooms, unplaceable: Vec::new() };
@@ -452,6 +456,9 @@
     if failed_on == Some(&room.vm) {
         cost += PREVIOUS_FAILURE_COST;
     }
+    if room.is_unanswered {
+        cost += UNANSWERED_COST;
+    }
     if room.probation == Probation::Yes {
         cost += PROBATION_COST;
     }
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -46,6 +46,10 @@
     pub crash_suspects: usize,
     /// Whether the VM must be drained soon.
     pub drains_soon: bool,
+    /// Whether the VM left the last poll without an answer.
+    pub is_unanswered: bool,
+    /// Whether the VM has refused a call since its last answer.
+    pub is_refusing: bool,
     /// Estimated share of the VM's usual speed, from 0 to 1.
     pub speed: f64,
     /// Serving tasks on the VM.
@@ -244,6 +248,8 @@
             leftover: (room.leftover - used).max(0.0),
             leftover_demand,
             probation,
+            is_unanswered: vm.contact.failures > 0,
+            is_refusing: vm.contact.refused.is_some(),
             steps: vm.runs.keys().map(|key: &RunKey| key.task.step_ref()).collect(),
             ..room
         })
@@ -274,6 +280,8 @@
             is_overloaded: false,
             crash_suspects: 0,
             drains_soon: false,
+            is_unanswered: false,
+            is_refusing: false,
             speed: 1.0,
             served: Vec::new(),
             long_running_share: 0.0,
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -243,7 +243,8 @@
     /// Records whether a poll ended without a connection to its VM.
     pub(super) fn note_connection(&mut self, id: &VmId, result: &vm::Result<vm::PollResp>) {
         if let Some(vm) = self.vms.get_mut(id) {
-            vm.contact.unconnected = matches!(result, Err(vm::Error::NotSent { .. }));
+            let is_connected = !matches!(result, Err(vm::Error::NotSent { .. }));
+            vm.record_connection(is_connected, self.now.steady);
         }
     }
 
--- a/src/shard/summary.rs
+++ b/src/shard/summary.rs
@@ -20,8 +20,12 @@
             let Some(room) = self.room(vm) else { continue };
             summary.vms += 1;
             summary.capacity += u64::from(vm.entry.size.milli_cores.0);
-            summary.free += u64::from(room.free.milli_cores.0);
             summary.leftover += room.leftover.max(0.0) as u64;
+            if room.is_refusing {
+                rooms.push(room);
+                continue;
+            }
+            summary.free += u64::from(room.free.milli_cores.0);
             // This includes VMs on probation: a success ends it, and this shard may have no task that
             // may run there.
             summary.rooms.push(FreeRoom {
@@ -39,6 +43,7 @@
                 .sum();
             let free = rooms
                 .iter()
+                .filter(|room| !room.is_refusing)
                 .map(|room| room.free_harmless_milli_cores(number, &self.interference))
                 .sum();
             summary.harmless.push((image.clone(), all));
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -251,6 +251,11 @@
     pub failing_since: Option<Duration>,
     /// Whether the last poll ended without a connection to the VM.
     pub unconnected: bool,
+    /// Set after a call that was not sent: nothing is started on the VM until it has answered a poll
+    /// that was sent at this time or later.
+    pub refused: Option<Duration>,
+    /// When a start was last not sent.
+    start_refused_at: Option<Duration>,
     pub responsiveness: Responsiveness,
 }
 
@@ -309,6 +314,8 @@
                 failures: 0,
                 failing_since: None,
                 unconnected: false,
+                refused: None,
+                start_refused_at: None,
                 responsiveness: Responsiveness::Responsive,
             },
             lease: Lease::inherited(runs_ended_by),
@@ -376,6 +383,30 @@
         self.ended_runs.acked = self.ended_runs.acked.max(self.ended_runs.sent);
         self.contact.failing_since = None;
         self.challenged = self.challenged.filter(|at| sent < *at);
+        self.contact.refused = self.contact.refused.filter(|from| sent < *from);
+    }
+
+    /// Records whether a poll that has ended was sent.
+    pub fn record_connection(&mut self, is_connected: bool, now: Duration) {
+        self.contact.unconnected = !is_connected;
+        if !is_connected {
+            self.contact.refused = Some(now);
+        }
+    }
+
+    /// Records that a start was not sent, and polls the VM. A VM that goes on answering polls is
+    /// given pauses, so that tasks aren't bound to it in a loop.
+    pub fn record_refused_start(&mut self, now: Duration) {
+        let before = self.contact.start_refused_at.replace(now);
+        if self.contact.refused.is_some() {
+            return;
+        }
+        let is_repeated = before.is_some_and(|at| now.saturating_sub(at) < SILENCE_TIMEOUT);
+        let from = if is_repeated { now + POLL_RETRY_DELAY } else { now };
+        self.contact.refused = Some(from);
+        if self.contact.failures == 0 {
+            self.contact.next_poll = from;
+        }
     }
 
     /// The id and address to call the VM with.
@@ -501,6 +532,16 @@
                 .is_some_and(|at| now.saturating_sub(at) < 2 * SILENCE_TIMEOUT)
     }
 
+    /// Whether the VM answered the last poll, and no call was refused since.
+    pub fn is_answering(&self, now: Duration) -> bool {
+        self.is_responsive(now) && self.contact.failures == 0 && self.contact.refused.is_none()
+    }
+
+    /// Whether nothing is started on the VM until it has answered a later poll.
+    pub fn awaits_answer(&self) -> bool {
+        self.challenged.is_some() || self.contact.refused.is_some()
+    }
+
     /// Whether new tasks may be placed on the VM.
     pub fn takes_work(&self, now: Duration) -> bool {
         self.listing == Listing::Listed
@@ -537,7 +578,7 @@
     /// How long the VM may delay its response to the next poll to wait for a run to end.
     pub fn poll_wait(&self) -> Duration {
         if self.contact.failures > 0
-            || self.challenged.is_some()
+            || self.awaits_answer()
             || self.contact.last_successful_poll.is_none()
             || self.ended_runs.has_unforgotten()
         {
@@ -555,7 +596,7 @@
         } else {
             Duration::ZERO
         };
-        self.contact.next_poll = now + pause;
+        self.contact.next_poll = self.contact.refused.unwrap_or_default().max(now + pause);
     }
 }
 
