Record a VM after two refused polls, not once it counts as silent

Cause: a VM that accepts no connection was recorded in the store 1.2 s after its last answer. An owner that ended or froze before took the end of the VM's lease with it, and the next one counted a lease, or 12 s and a lease, from its claim. A hand-over listed only VMs that counted as silent.

Change: two polls in a row without a connection, 150 ms apart, record the VM; such records are 200 ms apart at least, so that a cut that refuses many VMs costs few commits. A recorded VM stays in the record until it answers. A hand-over also lists VMs that left the last poll or start unanswered. Hellos tell of all recorded VMs, as before.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -115,7 +115,7 @@
     /// The others of a gang would run in vain until all of it can be placed again, so that its starts
     /// wait until the VM has refused a poll as well.
     fn is_refused(&self, vm: &Vm, key: RunKey) -> bool {
-        vm.contact.refused.is_some() && (vm.contact.unconnected || !self.is_gang(key.task))
+        vm.contact.refused.is_some() && (vm.contact.refused_polls > 0 || !self.is_gang(key.task))
     }
 
     pub(super) fn handle_start_response(
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -178,7 +178,7 @@
     /// row, tasks of a dead VM were delayed by half a minute.
     pub fn unresponsive_vms(&self) -> Vec<VmLapse> {
         let now = self.now.steady;
-        let silent = self.vms.values().filter(|vm| !vm.runs.is_empty() && !vm.is_responsive(now));
+        let silent = self.vms.values().filter(|vm| !vm.runs.is_empty() && !vm.is_answering(now));
         let lease = self.settings.inherited_lease(Duration::ZERO);
         let left = |vm: &Vm| vm.all_runs_ended_by(lease).saturating_sub(now);
         let lapse = |vm: &Vm| VmLapse { vm: vm.id.clone(), left: left(vm) };
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -39,10 +39,16 @@
 
 /// Time without an answer after which a VM is recorded. It is several seconds shorter than the time
 /// that work is kept running, which the next owner saves, and longer than most pauses, since each
-/// recorded pause costs two commits. A VM that accepts no connection is rarely pausing, and is recorded
-/// as soon as it counts as silent.
+/// recorded pause costs two commits.
 const RECORD_SILENCE_AFTER: Duration = Duration::from_secs(3);
 
+/// Consecutive polls without a connection after which a VM is recorded: it is rarely pausing.
+const MIN_REFUSED_POLLS: u32 = 2;
+
+/// Minimum time between two records for VMs that don't count as silent yet, so that many VMs that
+/// refuse connections at once are recorded by few commits.
+const REFUSALS_RECORD_GAP: Duration = Duration::from_millis(200);
+
 /// Age from which the record is written again.
 const MAX_RECORD_AGE: Duration = Duration::from_secs(1);
 
@@ -212,11 +218,22 @@
     /// VM accepts no connection or has never answered this owner, or the silence began before a commit
     /// had its answer from a store that was away.
     fn is_due(&self, vm: &Vm, now: Duration) -> bool {
+        self.is_refusal_due(vm, now) || self.is_silence_due(vm, now)
+    }
+
+    fn is_refusal_due(&self, vm: &Vm, now: Duration) -> bool {
+        let recorded_at = self.sent.as_ref().unwrap_or(&self.durable).at;
+        vm.contact.refused_polls >= MIN_REFUSED_POLLS
+            && now.saturating_sub(recorded_at) >= REFUSALS_RECORD_GAP
+    }
+
+    fn is_silence_due(&self, vm: &Vm, now: Duration) -> bool {
         let Some(since) = silent_since(vm) else { return false };
         let silence = now.saturating_sub(since);
         let from_outage = self.stalled_at.is_some_and(|at| since <= at);
-        let is_likely_lasting =
-            vm.contact.unconnected || vm.contact.last_successful_poll.is_none() || from_outage;
+        let is_likely_lasting = vm.contact.refused_polls > 0
+            || vm.contact.last_successful_poll.is_none()
+            || from_outage;
         silence >= RECORD_SILENCE_AFTER
             || vm.lease.is_told()
             || silence >= SILENCE_TIMEOUT && is_likely_lasting
@@ -327,8 +344,10 @@
     }
 }
 
-/// Returns whether a VM is silent or has never answered this owner.
+/// Returns whether a VM is silent, left the last poll without an answer or has never answered this
+/// owner.
 fn has_not_answered(vm: &Vm) -> bool {
     vm.contact.responsiveness != Responsiveness::Responsive
+        || vm.contact.failures > 0
         || vm.contact.last_successful_poll.is_none()
 }
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -249,8 +249,8 @@
     pub failures: u32,
     /// When the first of these failures was detected.
     pub failing_since: Option<Duration>,
-    /// Whether the last poll ended without a connection to the VM.
-    pub unconnected: bool,
+    /// Consecutive polls that ended without a connection to the VM.
+    pub refused_polls: u32,
     /// Set after a call that was not sent: nothing is started on the VM until it has answered a poll
     /// that was sent at this time or later.
     pub refused: Option<Duration>,
@@ -313,7 +313,7 @@
                 poll_gap: BUSY_POLL_WAIT,
                 failures: 0,
                 failing_since: None,
-                unconnected: false,
+                refused_polls: 0,
                 refused: None,
                 start_refused_at: None,
                 responsiveness: Responsiveness::Responsive,
@@ -388,8 +388,10 @@
 
     /// Records whether a poll that has ended was sent.
     pub fn record_connection(&mut self, is_connected: bool, now: Duration) {
-        self.contact.unconnected = !is_connected;
-        if !is_connected {
+        if is_connected {
+            self.contact.refused_polls = 0;
+        } else {
+            self.contact.refused_polls += 1;
             self.contact.refused = Some(now);
         }
     }
--- a/tests/shards/silence.rs
+++ b/tests/shards/silence.rs
@@ -9,10 +9,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
+use waxwingstall::ids::VmId;
 use waxwingstall::job::{Job, JobId, JobState};
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{Answer, Keys, SilentVm};
 use waxwingstall::units::Resources;
+use waxwingstall_standin::runs::Work;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
 
@@ -403,6 +405,77 @@
     check(&mut sim, &known(&job), SIZE);
 }
 
+// Guards against a record that is written only once a VM counts as silent: the owner freezes before
+// that, and the next one waits for it and for a lease.
+#[test]
+fn a_task_of_a_refusing_vm_restarts_in_time_if_its_owner_freezes_within_a_second() {
+    for frozen_after in [850, 1000, 1150] {
+        let took = time_to_restart(LostPort::Refusing, |sim| {
+            sim.run_for(Duration::from_millis(frozen_after));
+            sim.pause_owner("kacyiru", seconds(60));
+        });
+        check_restart_time(LostPort::Refusing, took, 1);
+    }
+}
+
+// Guards against an owner that hands a shard over, and doesn't tell of a VM that doesn't count as
+// silent yet.
+#[test]
+fn a_vm_that_left_a_poll_unanswered_is_handed_over_with_its_time() {
+    for port in PORTS {
+        let took = time_to_restart(port, |sim| {
+            sim.run_for(Duration::from_millis(1000));
+            sim.hand_over("kacyiru");
+        });
+        check_restart_time(port, took, 0);
+    }
+}
+
+/// Reads the VMs that are recorded as silent.
+fn recorded_vms(sim: &mut Simulation<NoFaults>) -> Vec<VmId> {
+    let record = sim.kv.get(&Keys::new("kacyiru").silence());
+    let silent = record.map(|item| SilentVm::decode_all(&item.value).expect("silent VMs"));
+    silent.unwrap_or_default().into_iter().map(|silent| silent.vm).collect()
+}
+
+// Guards against a commit for each of many VMs whose connections a cut refuses, and against work that
+// lapses as the cut ends.
+#[test]
+fn vms_that_refuse_connections_together_are_recorded_by_few_commits() {
+    let mut sim = Simulation::new(NoFaults, &["kacyiru"], 20, SIZE);
+    let job = job_with_steps(1, 1, 20, Work { size: SIZE, ..work(0, 8) });
+    sim.submit("kacyiru", job.clone());
+    sim.run_for(seconds(3));
+    assert_eq!(sim.running_tasks(job.id), 20);
+    let before = sim.kv.revision();
+    for index in 0..20 {
+        sim.refuse_calls(index, Duration::from_millis(1100));
+    }
+    sim.run_for(Duration::from_millis(1100));
+    let commits = sim.kv.revision().0 - before.0;
+    assert_eq!(recorded_vms(&mut sim).len(), 20);
+    assert!(commits <= 6, "{commits} commits");
+    sim.run_for(seconds(20));
+    assert_eq!(recorded_vms(&mut sim), []);
+    assert_eq!((sim.starts.len(), sim.running_tasks(job.id)), (20, 20));
+    check(&mut sim, &known(&job), SIZE);
+}
+
+// Guards against a record that costs two commits for a single refused connection.
+#[test]
+fn a_vm_that_refuses_one_connection_is_not_recorded() {
+    let (mut sim, job, there) = simulation_with_task();
+    sim.run_for(seconds(1));
+    for _ in 0..10 {
+        sim.refuse_calls(there, Duration::from_millis(150));
+        for _ in 0..40 {
+            sim.run_for(Duration::from_millis(20));
+            assert_eq!(recorded_vms(&mut sim), []);
+        }
+    }
+    check(&mut sim, &known(&job), SIZE);
+}
+
 /// VMs fall silent, refuse connections for a while or are lost, while owners are replaced, the store
 /// is away and commands are late or lost. Nothing that owners publish arrives after a while.
 fn simulate_silences(seed: u64) -> (Simulation<RandomFaults>, Job) {
