--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -239,6 +239,10 @@
     pub next_poll: Duration,
     /// When the last successful poll was sent.
     pub last_successful_poll: Option<Duration>,
+    /// Whether the last poll extends the lease.
+    pub poll_extends: bool,
+    /// Whether the last answered poll extended the lease.
+    answer_extends: bool,
     /// When the last poll was answered.
     answered_at: Option<Duration>,
     /// Recent longest time between two answers while tasks ran on the VM.
@@ -247,8 +251,13 @@
     pub failures: u32,
     /// When the first of these failures was detected.
     pub failing_since: Option<Duration>,
-    /// Whether the last poll ended without a connection to the VM.
-    pub unconnected: bool,
+    /// Consecutive polls that ended without a connection to the VM.
+    pub refused_polls: u32,
+    /// Set after a call that was not sent: nothing is started on the VM until it has answered a poll
+    /// that was sent at this time or later.
+    pub refused: Option<Duration>,
+    /// When a start was last not sent.
+    start_refused_at: Option<Duration>,
     pub responsiveness: Responsiveness,
 }
 
@@ -300,11 +309,15 @@
                 poll: PollState::Idle,
                 next_poll: now,
                 last_successful_poll: None,
+                poll_extends: false,
+                answer_extends: false,
                 answered_at: None,
                 poll_gap: BUSY_POLL_WAIT,
                 failures: 0,
                 failing_since: None,
-                unconnected: false,
+                refused_polls: 0,
+                refused: None,
+                start_refused_at: None,
                 responsiveness: Responsiveness::Responsive,
             },
             lease: Lease::inherited(runs_ended_by),
@@ -368,10 +381,37 @@
     pub fn record_answer(&mut self, sent: Duration, now: Duration) {
         self.contact.record_gap(now, !self.runs.is_empty());
         self.contact.last_successful_poll = Some(sent);
+        self.contact.answer_extends = self.contact.poll_extends;
         self.contact.failures = 0;
         self.ended_runs.acked = self.ended_runs.acked.max(self.ended_runs.sent);
         self.contact.failing_since = None;
         self.challenged = self.challenged.filter(|at| sent < *at);
+        self.contact.refused = self.contact.refused.filter(|from| sent < *from);
+    }
+
+    /// Records whether a poll that has ended was sent.
+    pub fn record_connection(&mut self, is_connected: bool, now: Duration) {
+        if is_connected {
+            self.contact.refused_polls = 0;
+        } else {
+            self.contact.refused_polls += 1;
+            self.contact.refused = Some(now);
+        }
+    }
+
+    /// Records that a start was not sent, and polls the VM. A VM that goes on answering polls is
+    /// given pauses, so that tasks aren't bound to it in a loop.
+    pub fn record_refused_start(&mut self, now: Duration) {
+        let before = self.contact.start_refused_at.replace(now);
+        if self.contact.refused.is_some() {
+            return;
+        }
+        let is_repeated = before.is_some_and(|at| now.saturating_sub(at) < SILENCE_TIMEOUT);
+        let from = if is_repeated { now + POLL_RETRY_DELAY } else { now };
+        self.contact.refused = Some(from);
+        if self.contact.failures == 0 {
+            self.contact.next_poll = from;
+        }
     }
 
     /// The id and address to call the VM with.
@@ -506,6 +546,16 @@
                 .is_some_and(|at| now.saturating_sub(at) < 2 * SILENCE_TIMEOUT)
     }
 
+    /// Whether the VM answered the last poll, and no call was refused since.
+    pub fn is_answering(&self, now: Duration) -> bool {
+        self.is_responsive(now) && self.contact.failures == 0 && self.contact.refused.is_none()
+    }
+
+    /// Whether nothing is started on the VM until it has answered a later poll.
+    pub fn awaits_answer(&self) -> bool {
+        self.challenged.is_some() || self.contact.refused.is_some()
+    }
+
     /// Whether new tasks may be placed on the VM.
     pub fn takes_work(&self, now: Duration) -> bool {
         self.listing == Listing::Listed
@@ -516,7 +566,17 @@
     }
 
     /// Whether the next poll extends the deadline of the VM's tasks.
+    ///
+    /// After a failed poll, another extension is likely to be in vain, and the tasks of a VM that has
+    /// died would wait for it. It is tried nevertheless if the last answer extended nothing.
     pub fn may_extend_runs(&self, now: Duration) -> bool {
+        let is_likely_in_vain = self.contact.failures > 0 && self.contact.answer_extends;
+        self.has_recent_answer(now) && !is_likely_in_vain
+    }
+
+    /// Whether the VM has answered so recently that its tasks are kept running, or hasn't been
+    /// polled yet.
+    pub fn has_recent_answer(&self, now: Duration) -> bool {
         match self.contact.last_successful_poll {
             Some(at) => now.saturating_sub(at) < SILENCE_TIMEOUT + BUSY_POLL_WAIT,
             None => self.contact.failures == 0,
@@ -532,7 +592,7 @@
     /// How long the VM may delay its response to the next poll to wait for a run to end.
     pub fn poll_wait(&self) -> Duration {
         if self.contact.failures > 0
-            || self.challenged.is_some()
+            || self.awaits_answer()
             || self.contact.last_successful_poll.is_none()
             || self.ended_runs.has_unforgotten()
         {
@@ -550,7 +610,7 @@
         } else {
             Duration::ZERO
         };
-        self.contact.next_poll = now + pause;
+        self.contact.next_poll = self.contact.refused.unwrap_or_default().max(now + pause);
     }
 }
 
