Log what a new owner's wait for earlier owners counts from

Cause: no line told when the previous owner of a shard was shown to have ended, how long leases of earlier owners may last at a takeover, or for how long a VM had not been heard when its runs were given up. Change: a line previous-owner-ended (shard, fence, owner, proof, how long before); leases_ms in shard-owned; silent_ms in task-gone. Result: tests/ownership the_end_of_a_previous_owner_is_logged; it can't be compiled on the code before, which has no such line.

--- a/src/cluster/ownership/predecessors.rs
+++ b/src/cluster/ownership/predecessors.rs
@@ -8,6 +8,7 @@
 use super::{Action, HoldState, Ownership};
 use crate::cluster::member::Hello;
 use crate::ids::DaemonId;
+use crate::note::{Millis, Note};
 use std::time::Duration;
 
 /// The owner that a claim of this daemon replaces, which may still be active.
@@ -18,7 +19,8 @@
     known_since: Duration,
     /// Until when an owner before it may still extend leases.
     earlier_active_until: Duration,
-    has_ended: bool,
+    /// When a process that has replaced it was first heard.
+    ended: Option<Duration>,
 }
 
 impl Predecessor {
@@ -46,16 +48,18 @@
         }
         let Some(owner) = view.owner.clone().filter(|owner| *owner != self.me.id) else { return };
         let (known_since, earlier_active_until) = (view.since, view.earlier_active_until());
-        let has_ended = false;
-        let predecessor = Predecessor { owner, known_since, earlier_active_until, has_ended };
+        let predecessor = Predecessor { owner, known_since, earlier_active_until, ended: None };
         self.predecessors.insert(shard.to_owned(), predecessor);
     }
 
     /// Notes which predecessors are shown to have ended by a hello that answers one sent at
     /// `asked`.
     pub(super) fn check_predecessors(&mut self, hello: &Hello, asked: Duration) {
+        let now = self.now;
         for predecessor in self.predecessors.values_mut() {
-            predecessor.has_ended |= predecessor.is_replaced_by(hello, asked);
+            if predecessor.is_replaced_by(hello, asked) {
+                predecessor.ended.get_or_insert(now);
+            }
         }
     }
 
@@ -65,15 +69,22 @@
         let now = self.now;
         let (held, actions, shards) = (&self.held, &mut self.actions, &mut self.shards);
         self.predecessors.retain(|shard, predecessor| {
-            if !predecessor.has_ended || held.get(shard) != Some(&HoldState::Owned) {
+            let Some(ended) = predecessor.ended else { return true };
+            let Some(view) = shards.get_mut(shard) else { return true };
+            if held.get(shard) != Some(&HoldState::Owned) {
                 return true;
             }
             let until = predecessor.earlier_active_until;
-            if let Some(view) = shards.get_mut(shard) {
-                view.basis = view.basis.ended_by(until);
-            }
+            view.basis = view.basis.ended_by(until);
             let all_ended = now >= until;
             if all_ended {
+                actions.push(Action::Note(Note::PreviousOwnerEnded {
+                    shard: shard.clone(),
+                    fence: view.fence,
+                    owner: predecessor.owner.clone(),
+                    proof: "another process of its daemon answers",
+                    ended_ms: Millis(now.saturating_sub(ended)),
+                }));
                 actions.push(Action::PredecessorEnded { shard: shard.clone() });
             }
             !all_ended
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -228,6 +228,7 @@
             took_ms: Millis(Duration::ZERO),
             earlier_active_ms,
             head_told_ms,
+            leases_ms: Millis(shard.inherited_leases_left(now.steady)),
         });
         let summary = Arc::new(shard.summary());
         let hosted = HostedShard {
--- a/src/note.rs
+++ b/src/note.rs
@@ -164,8 +164,10 @@
     Urgent MemberChanged = "member-changed" { member: DaemonId, state: StaticText, silent_ms: Millis, }
     /// This daemon claims a shard.
     Urgent ShardClaiming = "shard-claiming" { shard: String, owner: String, reason: StaticText, silent_ms: Millis, }
-    /// This daemon has become the owner of a shard. An owner before it may extend leases for `earlier_active_ms` more, and by the head that it replaced an owner before that head's for `head_told_ms`.
-    Urgent ShardOwned = "shard-owned" { shard: String, fence: u64, jobs: usize, runs: usize, took_ms: Millis, earlier_active_ms: Millis, head_told_ms: KnownMillis, }
+    /// This daemon has become the owner of a shard. An owner before it may extend leases for `earlier_active_ms` more, and by the head that it replaced an owner before that head's for `head_told_ms`. Leases of earlier owners may last for `leases_ms` more on VMs that don't answer.
+    Urgent ShardOwned = "shard-owned" { shard: String, fence: u64, jobs: usize, runs: usize, took_ms: Millis, earlier_active_ms: Millis, head_told_ms: KnownMillis, leases_ms: Millis, }
+    /// A previous owner of a shard owned here is shown to have ended `ended_ms` ago or earlier; `proof` tells by what.
+    Urgent PreviousOwnerEnded = "previous-owner-ended" { shard: String, fence: u64, owner: DaemonId, proof: StaticText, ended_ms: Millis, }
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
     /// A shard that this daemon has given up is offered to another one.
@@ -224,8 +226,8 @@
     Telling TaskFailed = "task-failed" { task: TaskRef, run: RunNumber, vm: VmId, failed: u32, attempts: u32, ran_ms: Millis, }
     /// The scheduler stops a run.
     Telling TaskStopping = "task-stopping" { task: TaskRef, run: RunNumber, vm: VmId, reason: StaticText, }
-    /// A run is known to have ended, but not how.
-    Telling TaskGone = "task-gone" { task: TaskRef, run: RunNumber, vm: VmId, worked_ms: Millis, proof: StaticText, }
+    /// A run is known to have ended, but not how. This owner has heard its VM `silent_ms` ago, or not since it knows the VM for so long.
+    Telling TaskGone = "task-gone" { task: TaskRef, run: RunNumber, vm: VmId, worked_ms: Millis, silent_ms: Millis, proof: StaticText, }
     /// A task's speed limit was changed.
     Routine TaskPaced = "task-paced" { task: TaskRef, run: RunNumber, vm: VmId, percent: u8, victim: TaskRef, tail_ms: u32, target_ms: u32, }
     /// A serving task is below its tail target again after `read_ms` between the first tail over it and the last, and may have been over it for `over_ms`: since a tail was last below it, or since before the takeover. `peak_ms` is its highest tail; `ended` tells whether its neighbours still worked.
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -3,7 +3,7 @@
 use super::Shard;
 use super::copies::{CopyEnd, allows_copies, is_exhausted};
 use super::job_run::{CheckpointRank, Effect, JobRun, is_long_running};
-use super::vm_run::{PendingStart, Run, RunKey, Stage};
+use super::vm_run::{PendingStart, Run, RunKey, Stage, Vm};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
 use crate::job::{Checkpoint, JobId, JobState, RunNumber, TaskRef};
@@ -289,8 +289,12 @@
     /// Removes a run that is certain to have ended on its VM, although the end was never reported.
     pub(super) fn remove_vanished_run(&mut self, vm: &VmId, key: RunKey, proof: StaticText) {
         let RunKey { task, run } = key;
-        let worked_ms = Millis(self.vms.get(vm).map_or(Duration::ZERO, |vm| vm.running_time(key)));
-        self.note(Note::TaskGone { task, run, vm: vm.clone(), worked_ms, proof });
+        let now = self.now.steady;
+        let known = self.vms.get(vm);
+        let worked_ms = Millis(known.map_or(Duration::ZERO, |vm| vm.running_time(key)));
+        let heard = known.map_or(now, Vm::last_heard);
+        let silent_ms = Millis(now.saturating_sub(heard));
+        self.note(Note::TaskGone { task, run, vm: vm.clone(), worked_ms, silent_ms, proof });
         self.drop_run(vm, key);
     }
 
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// How long leases of earlier owners may last on VMs that have not answered this one.
+    pub fn inherited_leases_left(&self, now: Duration) -> Duration {
+        self.inherited_runs_until.saturating_sub(now)
+    }
+
     /// Numbers of jobs and runs that are not known to have ended.
     pub fn open_job_and_run_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.vms.values().map(|vm| vm.runs.len()).sum())
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the claims and hand-overs of shards.
 
+mod ended;
 mod offers;
 mod released;
 mod wave;
