Keep an owner's own calls apart from the leases that it inherits

Cause: a VM's lease held one end for earlier owners and for this owner's ended calls. A call that may have arrived left no trace while the inherited end was later, so that lowering the inherited end to a time before that call would lose it, and the task could run twice. No code lowers it that far yet. Change: the inherited end and the end that this owner's calls and orders for an earlier instance set are two times.

--- a/src/shard/lease.rs
+++ b/src/shard/lease.rs
@@ -75,36 +75,47 @@
 /// Lease of the runs on a VM, as far as the owner knows.
 #[derive(Clone, Debug)]
 pub struct Lease {
-    /// Latest end that earlier owners and ended calls may have set.
+    /// Latest end that earlier owners may have set.
+    inherited_end: Duration,
+    /// The end that the last owner told, which may allow for starts that are carried out late.
+    told_end: Duration,
+    /// Latest end that ended calls of this owner and orders for an earlier instance may have set.
     end: Duration,
     source: LeaseSource,
     open_calls: IndexMap<Extension, OpenCalls>,
-    /// Time until which orders for an earlier instance may keep runs on the VM.
-    late_orders_end: Duration,
-    /// The end that the last owner told, which may allow for starts that are carried out late.
-    told_end: Duration,
 }
 
 impl Lease {
     /// Creates a lease that earlier owners may have extended until `end`.
     pub fn inherited(end: Duration) -> Self {
         Self {
-            end,
+            inherited_end: end,
+            told_end: Duration::ZERO,
+            end: Duration::ZERO,
             source: LeaseSource::EarlierOwner,
             open_calls: IndexMap::new(),
-            late_orders_end: Duration::ZERO,
-            told_end: Duration::ZERO,
         }
     }
 
     /// Time by which every run is certain to have ended, unless the lease is extended.
     pub fn end(&self) -> Duration {
-        self.open_calls.values().map(|open| open.end).fold(self.end, Duration::max)
+        self.open_calls.values().map(|open| open.end).fold(self.settled_end(), Duration::max)
     }
 
     /// What set the end.
     pub fn source(&self) -> LeaseSource {
-        if self.end() > self.end { LeaseSource::UnansweredCall } else { self.source }
+        if self.end() > self.settled_end() {
+            LeaseSource::UnansweredCall
+        } else if self.end > self.inherited_end {
+            self.source
+        } else {
+            LeaseSource::EarlierOwner
+        }
+    }
+
+    /// The end without the calls in flight.
+    fn settled_end(&self) -> Duration {
+        self.inherited_end.max(self.end)
     }
 
     /// Records that a call is being sent that extends the lease to `end`.
@@ -128,7 +139,7 @@
 
     /// Replaces the end that earlier owners may have set by the one that the last of them told.
     pub fn set_told(&mut self, end: Duration) {
-        (self.end, self.told_end) = (end, end);
+        (self.inherited_end, self.told_end) = (end, end);
     }
 
     /// Returns whether the end is one that the last owner told.
@@ -142,11 +153,10 @@
         self.set_told(told);
     }
 
-    /// Lowers the end to `end`, as far as orders for an earlier instance and what the last owner told
-    /// allow. Calls in flight count on.
+    /// Lowers the end that earlier owners may have set to `end`, as far as what the last owner told
+    /// allows. This owner's calls and orders for an earlier instance count on.
     pub fn shorten(&mut self, end: Duration) {
-        self.end = self.end.min(end).max(self.told_end);
-        self.raise(self.late_orders_end, LeaseSource::EarlierInstance);
+        self.inherited_end = self.inherited_end.min(end).max(self.told_end);
     }
 
     /// Lowers the end to `end` once the VM has answered its new owner: it carries out no order of an
@@ -158,7 +168,6 @@
 
     /// Records that orders for an earlier instance may keep runs until `end`.
     pub fn expect_late_orders(&mut self, end: Duration) {
-        self.late_orders_end = self.late_orders_end.max(end);
         self.raise(end, LeaseSource::EarlierInstance);
     }
 
--- a/src/shard/lease/tests.rs
+++ b/src/shard/lease/tests.rs
@@ -57,6 +57,20 @@
     assert!(lease.end() >= seconds(8));
 }
 
+// Guards against a task that runs twice: once the previous owner is shown to have ended early, a call
+// of this owner that may have arrived since counts no more.
+#[test]
+fn a_call_counts_on_once_earlier_owners_are_known_to_have_ended_before_it() {
+    let mut lease = Lease::inherited(seconds(30));
+    lease.send(Extension::Poll, seconds(14));
+    lease.settle(Extension::Poll, Delivery::Unanswered);
+    assert_eq!((lease.end(), lease.source()), (seconds(30), LeaseSource::EarlierOwner));
+    lease.shorten(seconds(5));
+    assert_eq!((lease.end(), lease.source()), (seconds(14), LeaseSource::UnansweredCall));
+    lease.set_told(seconds(6));
+    assert_eq!(lease.end(), seconds(14));
+}
+
 // Guards against an answered call that hides how long orders for an earlier instance may count.
 #[test]
 fn orders_for_an_earlier_instance_count_on() {
