Let an owner that has lost its shard tell when its leases end

Cause: an owner that stood still or was cut off, goes on and finds that it was replaced told nobody. Change: whoever drops a shard keeps when the leases end that it and those before it have extended, and tells it in its hellos as remaining times. The owner that has replaced just this ownership takes them, before or after its claim, for VMs that have not answered it. PreviousOwnerEnded carries its times.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -12,8 +12,8 @@
 
 pub use head::{ExpectedOwner, Head};
 pub use member::{
-    DeclineReason, Hello, Member, MemberStage, OfferAnswer, ReleasedShard, ShardReport,
-    StoreReachability,
+    DeclineReason, EndedOwnership, Hello, Member, MemberStage, OfferAnswer, ReleasedShard,
+    ShardReport, StoreReachability,
 };
 pub use ownership::{Action, Event, HandOver, OfferOutcome, Ownership};
 pub use plan::Plan;
--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -4,7 +4,7 @@
 use crate::job::JobId;
 use crate::note::StaticText;
 use crate::shard::learned::Learned;
-use crate::shard::{ReportedLapse, Summary};
+use crate::shard::{RemainingLeases, ReportedLapse, Summary};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +92,8 @@
     pub shards: Arc<[ShardReport]>,
     /// Shards that the sender was the last known owner of, and owns no longer.
     pub released: Vec<ReleasedShard>,
+    /// Ownerships of the sender that have ended lately, also of shards with a newer owner.
+    pub ended: Vec<EndedOwnership>,
 }
 
 impl Hello {
@@ -117,6 +119,26 @@
     pub earlier_active: Duration,
 }
 
+/// An ownership of a shard that has ended, with what its successor needn't wait for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedOwnership {
+    pub name: String,
+    /// Fencing token of the ownership.
+    pub fence: u64,
+    /// How long an owner before that one may still extend leases; zero if none does.
+    pub earlier_active: Duration,
+    /// Leases that it and the owners before it have extended.
+    pub leases: RemainingLeases,
+}
+
+impl EndedOwnership {
+    /// Returns the ownership as seen after `passed`.
+    pub fn aged(&self, passed: Duration) -> Self {
+        let earlier_active = self.earlier_active.saturating_sub(passed);
+        Self { earlier_active, leases: self.leases.aged(passed), ..self.clone() }
+    }
+}
+
 /// State of a shard as reported by its owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShardReport {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -86,6 +86,11 @@
         shard: String,
         reason: StaticText,
     },
+    /// No owner before this daemon extends leases of a shard owned here after `active_until`.
+    EarlierOwnersEnded {
+        shard: String,
+        active_until: Duration,
+    },
     /// A shard was dropped to be handed over; its VMs get no more calls from this daemon.
     Released {
         shard: String,
@@ -371,6 +376,9 @@
                 self.held.shift_remove(&shard);
                 self.forget_owned(&shard, reason);
             }
+            Event::EarlierOwnersEnded { shard, active_until } => {
+                self.end_earlier_owners(&shard, active_until);
+            }
             Event::Released { shard, fence } => self.handle_released(&shard, fence),
             Event::OfferEnded { shard, fence, candidate, outcome } => {
                 self.handle_offer_outcome(&shard, fence, &candidate, outcome);
--- a/src/cluster/ownership/predecessors.rs
+++ b/src/cluster/ownership/predecessors.rs
@@ -63,6 +63,17 @@
         }
     }
 
+    /// Records that no owner before this daemon extends leases of a shard owned here after `until`.
+    pub(super) fn end_earlier_owners(&mut self, shard: &str, until: Duration) {
+        if self.held.get(shard).is_none_or(|holding| *holding == HoldState::Claiming) {
+            return;
+        }
+        if let Some(view) = self.shards.get_mut(shard) {
+            view.basis = view.basis.ended_by(until);
+        }
+        self.predecessors.shift_remove(shard);
+    }
+
     /// Tells the shards that are owned by now about predecessors that have ended, once no owner
     /// before them is active either.
     pub(super) fn report_ended_predecessors(&mut self) {
--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -3,6 +3,7 @@
 //! Its handlers never block. After a pause of the process, such as a suspension of the machine, it
 //! confirms in the store that it still owns its shards before it makes any further call to a VM.
 
+mod ended;
 mod messages;
 mod publish;
 mod shards;
@@ -43,6 +44,7 @@
 use crate::upkeep::{self};
 use crate::vm::{Departure, Fence, VmEntry};
 use actix::prelude::*;
+use ended::EndedOwnerships;
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 use std::pin::Pin;
@@ -86,6 +88,8 @@
 struct HostedShard {
     shard: Shard,
     name: Arc<str>,
+    /// Fencing token of the previous owner.
+    predecessor: Option<Fence>,
     /// Events deferred until ownership is confirmed; `None` while no confirmation is pending.
     deferred: Option<Vec<Event>>,
     /// Recently accepted jobs, with the time of acceptance.
@@ -175,6 +179,8 @@
     permit_requests: IndexMap<String, u32>,
     offers: IndexMap<String, ShardOffer>,
     reported_lapses: IndexMap<String, TimedLapses>,
+    /// Last ownership of each shard that is known to have ended.
+    ended: EndedOwnerships,
     tickets: IndexMap<Ticket, oneshot::Sender<Reply>>,
     next_ticket: u64,
     view: watch::Sender<Arc<View>>,
@@ -228,6 +234,7 @@
             permit_requests: IndexMap::new(),
             offers: IndexMap::new(),
             reported_lapses: IndexMap::new(),
+            ended: EndedOwnerships::default(),
             tickets: IndexMap::new(),
             next_ticket: 0,
             view,
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -186,7 +186,10 @@
 
     fn handle(&mut self, msg: HelloReceived, cx: &mut Self::Context) {
         let now = self.begin_handler(cx).steady;
-        let HelloReceived { hello, asked } = msg;
+        let HelloReceived { mut hello, asked } = msg;
+        for ended in std::mem::take(&mut hello.ended) {
+            self.record_ended_ownership(&hello.from.id, ended, cx);
+        }
         let mut learned = Vec::new();
         for report in hello.shards.iter() {
             let shared: Arc<str> = Arc::from(report.name.as_str());
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -173,6 +173,7 @@
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
             shards: self.shard_reports(),
             released: self.ownership.released_shards(now),
+            ended: self.ended.to_tell(&self.ownership.me().id, now, self.told_period()),
         };
         let (owners, others) = to.into_iter().partition(|to| self.ownership.is_owner(&to.name));
         if let Some(actors) = &self.actors {
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -1,5 +1,6 @@
 //! Life cycle of the shards owned by this daemon, and the events passed to them.
 
+use super::ended::ended_ownership;
 use super::publish::LEARNED_INTERVAL;
 use super::{Control, HostedShard, ShardOffer, TimedLapses, TimedLearned};
 use crate::cluster::{self, HandOver, Member, OfferOutcome, ReleasedShard, StoreReachability};
@@ -14,7 +15,7 @@
 use crate::note::{KnownMillis, Millis, Note};
 use crate::shard::learned::{HeardReport, ShardLearned};
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
-use crate::shard::{Action, Event, FleetListStatus, Recovered, Shard};
+use crate::shard::{Action, Event, FleetListStatus, PreviousOwnerEnd, Recovered, Shard};
 use crate::vm::{Departure, Fence, VmEntry};
 use actix::prelude::*;
 use std::sync::{Arc, PoisonError};
@@ -119,6 +120,9 @@
         self.remove_hosted(shard);
         let dropped = cluster::Event::NoLongerOwned { shard: shard.to_owned(), reason };
         self.step_ownership(dropped, cx);
+        // The shard's next owner may be waiting for leases that this one has extended.
+        self.ownership.schedule_hello_to_all();
+        self.send_hellos();
     }
 
     fn remove_hosted(&mut self, shard: &str) {
@@ -127,6 +131,7 @@
         let now = self.now().steady;
         let lapses = TimedLapses { at: now, lapses: hosted.shard.reported_lapses(now) };
         self.reported_lapses.insert(shard.to_owned(), lapses);
+        self.ended.record(self.ownership.me().id.clone(), now, ended_ownership(&hosted.shard, now));
         for event in hosted.deferred.take().into_iter().flatten() {
             // A deferred call had no effect; its caller still waits and can be sent to the owner.
             if let Some(ticket) = event.ticket() {
@@ -156,7 +161,8 @@
                 },
                 cluster::Action::Offer { released, to } => self.offer_shard(released, to, cx),
                 cluster::Action::PredecessorEnded { shard } => {
-                    self.step_shard(&shard, Event::PreviousOwnerEnded, cx);
+                    let end = PreviousOwnerEnd::new(now);
+                    self.step_shard(&shard, Event::PreviousOwnerEnded(end), cx);
                 }
                 other => self.execute_ownership_action(other),
             }
@@ -199,6 +205,7 @@
             recovered.learned.report = Some(HeardReport { learned, age });
         }
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
+        let predecessor = recovered.predecessor;
         let claimed = cluster::Event::Claimed {
             shard: name.clone(),
             fence: fence.0,
@@ -234,6 +241,7 @@
         let hosted = HostedShard {
             shard,
             name: shared,
+            predecessor,
             deferred: None,
             accepted: accepted_jobs.into_iter().map(|job| (now.steady, job)).collect(),
             next_learned_at: now.steady + LEARNED_INTERVAL,
@@ -254,6 +262,7 @@
         let heard = Arc::new(heard.collect());
         self.step_shard(&name, Event::Learned(heard), cx);
         self.step_ownership(claimed, cx);
+        self.apply_previous_owner_end(&name, cx);
         self.step_shard(&name, Event::Tick, cx);
         self.ownership.schedule_hello_to_all();
         self.publish(now.steady);
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,3 +1,4 @@
+mod ended;
 mod offers;
 
 use super::{
@@ -309,7 +310,16 @@
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
     let store = StoreReachability::Reached;
     let shards = Arc::new([report]);
-    Hello { from, number: 1, clock: Duration::ZERO, store, config: 1, shards, released: Vec::new() }
+    Hello {
+        from,
+        number: 1,
+        clock: Duration::ZERO,
+        store,
+        config: 1,
+        shards,
+        released: Vec::new(),
+        ended: Vec::new(),
+    }
 }
 
 /// The only shard that a hello reports.
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -17,20 +17,30 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-const SHARD: &str = "kacyiru.0";
-const FENCE: u64 = 7;
+pub(super) const SHARD: &str = "kacyiru.0";
+pub(super) const FENCE: u64 = 7;
 
 /// A daemon that serves other daemons' calls; its store and its VMs are stand-ins.
-struct Node {
-    control: Addr<Control>,
+pub(super) struct Node {
+    pub(super) control: Addr<Control>,
     claims: Arc<Mutex<Vec<ClaimShard>>>,
-    lines: LogBuffer,
+    pub(super) lines: LogBuffer,
 }
 
 impl Node {
     async fn start(me: Member, listener: TcpListener, clock: Arc<ManualClock>) -> Self {
+        Self::start_with(me, listener, clock, OwnershipStatus::Owned).await
+    }
+
+    /// Starts a daemon that is told `ownership` by the store when it asks for its shards.
+    pub(super) async fn start_with(
+        me: Member,
+        listener: TcpListener,
+        clock: Arc<ManualClock>,
+        ownership: OwnershipStatus,
+    ) -> Self {
         let (claims, lines) = (Arc::default(), LogBuffer::default());
-        let others = FakeActors { ownership: OwnershipStatus::Owned, claims };
+        let others = FakeActors { ownership, claims };
         let claims = others.claims.clone();
         let (control, links, permits) = start_control(me, clock, lines.clone(), others);
         let served = links::serve(listener, links, control.clone(), permits).await;
@@ -38,12 +48,12 @@
         Self { control, claims, lines }
     }
 
-    async fn store(&self, event: StoreEvent) {
+    pub(super) async fn store(&self, event: StoreEvent) {
         self.control.send(event).await.expect("a control");
     }
 
     /// Lets the daemon reach the store and read the plan and the owner of the shard from it.
-    async fn read_store(&self, owner: &Member) {
+    pub(super) async fn read_store(&self, owner: &Member) {
         let (reach, silent) = (StoreReachability::Reached, Duration::ZERO);
         self.store(StoreEvent::Reach { reach, silent, reason: String::new() }).await;
         let plan = Plan::default().extended(&[vm_in_rack("r1")]).expect("its rack is new");
@@ -60,7 +70,7 @@
         self.store(StoreEvent::Claimed(recovered)).await;
     }
 
-    async fn hear(&self, from: &Member, shards: Vec<ShardReport>) {
+    pub(super) async fn hear(&self, from: &Member, shards: Vec<ShardReport>) {
         let (from, store) = (from.clone(), StoreReachability::Reached);
         let hello = Hello {
             from,
@@ -70,6 +80,7 @@
             config: 1,
             shards: shards.into(),
             released: Vec::new(),
+            ended: Vec::new(),
         };
         self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     }
@@ -96,12 +107,12 @@
     }
 }
 
-fn listener() -> TcpListener {
+pub(super) fn listener() -> TcpListener {
     TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port")
 }
 
 /// A daemon with that address; of two the one with more CPU is offered a shard first.
-fn member(name: &str, milli_cores: u32, listener: &TcpListener) -> Member {
+pub(super) fn member(name: &str, milli_cores: u32, listener: &TcpListener) -> Member {
     let addr = listener.local_addr().expect("an address").to_string();
     let (id, name) = (DaemonId::new(&format!("{name}@1")), name.to_owned());
     Member { id, name, addr, milli_cores, ..me() }
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod drain;
 mod eligibility;
+mod ended;
 mod evacuate;
 pub mod event;
 mod finish;
@@ -49,6 +50,7 @@
 mod vm_speed;
 mod waiting;
 
+pub use ended::{PreviousOwnerEnd, RemainingLeases, ToldLeases};
 pub use event::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Now,
     OtherShard, Summary, WriteOutcome,
@@ -201,7 +203,7 @@
                     self.drop_loan_message(&from, &msg, "it is for another owner");
                 }
             }
-            Event::PreviousOwnerEnded => self.shorten_inherited_leases(),
+            Event::PreviousOwnerEnded(end) => self.end_previous_owner(&end),
             Event::HandOver => {
                 self.stage = Stage::HandingOver;
                 self.record_clock.write_soon();
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -7,6 +7,7 @@
 use crate::note::{Note, StaticText};
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::queues::Queues;
+use crate::shard::PreviousOwnerEnd;
 use crate::shard::learned::ShardLearned;
 use crate::shard::loan::LoanMsg;
 use crate::units::Resources;
@@ -69,7 +70,7 @@
     /// A message about a loan from another shard's owner.
     Message { from: Arc<str>, to: Fence, msg: LoanMsg },
     /// The previous owner, which might have been active at the takeover, has ended.
-    PreviousOwnerEnded,
+    PreviousOwnerEnded(PreviousOwnerEnd),
     /// Planned shutdown of the owner: start nothing new, and wait for the pending commit.
     HandOver,
 }
--- a/src/shard/late_starts.rs
+++ b/src/shard/late_starts.rs
@@ -63,6 +63,11 @@
         self.starts.get(&key).map(LateStart::end)
     }
 
+    /// Whether the result of a start is outstanding.
+    pub fn has_open(&self) -> bool {
+        self.starts.values().any(|start| !start.open.is_empty())
+    }
+
     /// Runs with the time until which their start may be carried out.
     pub fn ends(&self) -> impl Iterator<Item = (RunKey, Duration)> + '_ {
         self.starts.iter().map(|(key, start)| (*key, start.end()))
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -159,18 +159,6 @@
         shard
     }
 
-    /// Shortens the time for which VMs may keep runs of the earlier owners, none of which extends
-    /// leases any more.
-    pub(super) fn shorten_inherited_leases(&mut self) {
-        self.earlier_active_until = self.earlier_active_until.min(self.now.steady);
-        let until = self.now.steady + self.settings.inherited_lease(Duration::ZERO);
-        self.inherited_runs_until = self.inherited_runs_until.min(until);
-        let unanswered = |vm: &&mut Vm| vm.contact.last_successful_poll.is_none();
-        for vm in self.vms.values_mut().filter(unanswered) {
-            vm.lease.shorten(until);
-        }
-    }
-
     /// Returns the VMs that do not answer, for the owner that the shard is handed to.
     ///
     /// The new owner cannot know when the leases of these VMs were last extended, and would wait
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -54,7 +54,16 @@
 fn hello(from: Member, shards: Vec<ShardReport>) -> Hello {
     let store = StoreReachability::Reached;
     let clock = Duration::ZERO;
-    Hello { from, number: 0, clock, store, config: 1, shards: shards.into(), released: Vec::new() }
+    Hello {
+        from,
+        number: 0,
+        clock,
+        store,
+        config: 1,
+        shards: shards.into(),
+        released: Vec::new(),
+        ended: Vec::new(),
+    }
 }
 
 fn report(shard: &str, fence: u64) -> ShardReport {
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -24,8 +24,8 @@
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
-    OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, SilentVm, VmLapse,
-    WriteOutcome,
+    OtherShard, PreviousOwner, PreviousOwnerEnd, Recovered, ReportedLapse, Settings, Shard,
+    SilentVm, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{
@@ -658,7 +658,8 @@
 
     /// Tells the shard's owner that the previous one has ended.
     pub fn tell_previous_owner_ended(&mut self, shard: &str) {
-        self.call(shard, Event::PreviousOwnerEnded);
+        let end = PreviousOwnerEnd::new(self.now);
+        self.call(shard, Event::PreviousOwnerEnded(end));
     }
 
     /// Stops the shard's owner for a while, without another one taking over.
