Count a previous owner's leases from the start of its next process

Cause: a new owner counted the leases of one that was shown to have ended from its own claim, or from when the proof came, though the process that replaced that owner had started earlier. Change: hellos carry the sender's uptime, which bounds the start of its process on the receiver's clock. A claim with a proof and a later proof carry that time, under the same condition as before: the process answered a hello that was sent after the owner was known as such. Time that the replaced head tells of earlier owners counts from the end of its owner.

--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -85,6 +85,8 @@
     pub number: u64,
     /// The sender's monotonic clock as it composed the hello.
     pub clock: Duration,
+    /// How long the sending process has run as it sent the hello.
+    pub uptime: Duration,
     pub store: StoreReachability,
     /// Version of the configuration in force at the sender.
     pub config: u64,
@@ -96,7 +98,21 @@
     pub ended: Vec<EndedOwnership>,
 }
 
+/// Lowest rate of a daemon's clock by that of another one.
+const MIN_CLOCK_RATE: f64 = 0.96;
+
 impl Hello {
+    /// Latest time at which the sending process has started, if the hello was received at `now`.
+    pub fn sender_started_by(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.uptime.mul_f64(MIN_CLOCK_RATE))
+    }
+
+    /// The same hello as it is sent when the sender's clock shows `now`.
+    pub fn sent_at(&self, now: Duration) -> Self {
+        let uptime = self.uptime + now.saturating_sub(self.clock);
+        Self { uptime, ..self.clone() }
+    }
+
     /// A shorter hello for receivers that own no shard. It omits the free room of VMs, which is the
     /// largest part of a hello and is needed only to lend tasks.
     pub fn without_free_room(&self) -> Self {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -130,6 +130,8 @@
     /// The previous owner of a shard owned here has ended.
     PredecessorEnded {
         shard: String,
+        /// Latest time at which it or an owner before it may have extended a lease.
+        extended_until: Duration,
     },
     /// Sends a hello to a daemon at once to check whether it answers.
     Probe(Member),
@@ -183,6 +185,8 @@
     released: Option<Duration>,
     /// What this daemon's last claim of the shard relies on.
     basis: ClaimBasis,
+    /// End of the owner that this claim replaces, if it was shown before the claim.
+    replaced: Option<ReplacedOwner>,
     /// Set while the shard has no live owner.
     orphan: Option<Orphan>,
 }
@@ -196,6 +200,16 @@
     EndedBy(Duration),
 }
 
+/// An owner that had ended when this daemon claimed its shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReplacedOwner {
+    fence: u64,
+    /// Latest time at which it has ended.
+    ended_by: Duration,
+    /// Latest time at which it or an owner before it may extend leases.
+    extended_until: Duration,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum HoldState {
     Claiming,
@@ -305,6 +319,11 @@
         self.shards.keys().cloned().collect()
     }
 
+    /// How long this process has run.
+    pub fn uptime(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started)
+    }
+
     /// This daemon.
     pub fn me(&self) -> &Member {
         &self.me
@@ -447,6 +466,7 @@
                 earlier_active_until: None,
                 released: None,
                 basis: ClaimBasis::EndedBy(Duration::ZERO),
+                replaced: None,
                 orphan: None,
             };
             self.shards.entry(name).or_insert(view);
@@ -484,7 +504,7 @@
             // A newer owner may be known already.
             if view.owner.as_ref() == Some(&self.me.id) {
                 view.owner = None;
-                view.released = Some(view.basis.earlier_active_until(now));
+                view.released = Some(view.basis.earlier_active_until(now).max(now));
                 view.since = now;
             }
             view.orphan = None;
--- a/src/cluster/ownership/members.rs
+++ b/src/cluster/ownership/members.rs
@@ -28,6 +28,8 @@
     pub(super) answered: Option<Duration>,
     /// When this process of the daemon was first heard of.
     pub(super) joined: Duration,
+    /// Latest time at which this process has started.
+    pub(super) started_by: Duration,
     pub(super) store: StoreReachability,
     /// When `store` last changed.
     pub(super) store_since: Duration,
@@ -57,6 +59,7 @@
         self.last_heard = now;
         self.answered = None;
         self.joined = now;
+        self.started_by = now;
         self.shards.clear();
         self.told = None;
         self.refused_at = None;
@@ -139,6 +142,7 @@
             earlier_heard: self.now,
             answered: None,
             joined: self.now,
+            started_by: self.now,
             store: StoreReachability::Away,
             store_since: self.now,
             shards: Vec::new(),
@@ -173,6 +177,7 @@
             }
             known.replace_process(hello.from.clone(), now);
         }
+        known.started_by = known.started_by.min(hello.sender_started_by(now));
         if known.refused_at.is_some_and(|refused| asked.is_none_or(|asked| asked < refused)) {
             self.probe_process(&name, hello.from);
             return;
--- a/src/cluster/ownership/offers.rs
+++ b/src/cluster/ownership/offers.rs
@@ -275,6 +275,7 @@
     fn offered(reason: StaticText, earlier_active_until: Duration) -> Self {
         let (silent, grace) = (Duration::ZERO, Duration::ZERO);
         let basis = ClaimBasis::EndedBy(earlier_active_until);
-        Self { previous: PreviousOwner::Ended, basis, reason, silent, grace }
+        let (previous, ended_by) = (PreviousOwner::Ended, None);
+        Self { previous, basis, ended_by, reason, silent, grace }
     }
 }
--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -1,7 +1,7 @@
 //! Detection of shards without a live owner, and the order in which daemons claim them.
 
 use super::members::MemberState;
-use super::{Action, ClaimBasis, HoldState, Ownership, ShardView};
+use super::{Action, ClaimBasis, HoldState, Ownership, ReplacedOwner, ShardView};
 use crate::cluster::head::ExpectedOwner;
 use crate::cluster::member::{MemberStage, StoreReachability};
 use crate::ids::{DaemonId, DomainId};
@@ -55,6 +55,8 @@
 pub(super) struct Cause {
     pub(super) previous: PreviousOwner,
     pub(super) basis: ClaimBasis,
+    /// Latest time at which the last owner has ended, if it is shown that it has.
+    pub(super) ended_by: Option<Duration>,
     pub(super) reason: StaticText,
     /// Time since the owner was last heard from.
     pub(super) silent: Duration,
@@ -128,11 +130,14 @@
             reason: cause.reason,
             silent_ms: Millis(cause.silent),
         }));
-        let Cause { previous, basis, .. } = cause;
+        let Cause { previous, basis, ended_by, .. } = cause;
         if previous == PreviousOwner::MaybeActive {
             self.remember_predecessor(shard);
         }
         if let Some(view) = self.shards.get_mut(shard) {
+            let extended_until = basis.earlier_active_until(self.now);
+            let replaced = |ended_by| ReplacedOwner { fence: view.fence, ended_by, extended_until };
+            view.replaced = ended_by.map(replaced);
             view.basis = basis;
         }
         let earlier_active = match basis {
@@ -185,7 +190,7 @@
         // shard has replaced it; otherwise it may be an earlier one, and the owner's first hello is
         // still on its way.
         if known.answered.is_some_and(|asked| asked >= view.since) {
-            let ended = view.ended_cause("its owner was restarted", now);
+            let ended = view.ended_cause("its owner was restarted", known.started_by, now);
             return Some(Cause { silent, grace: Duration::ZERO, ..ended });
         }
         probes.push(known.member.name.clone());
@@ -209,7 +214,9 @@
         return None;
     }
     match view.listed {
-        Some(listed) if newest > listed => Some(view.ended_cause("its owner released it", now)),
+        Some(listed) if newest > listed => {
+            Some(view.ended_cause("its owner released it", told_at, now))
+        }
         Some(_) => None,
         // Hellos from before the daemon became the owner don't count, and it lists the shard only
         // after loading it from the store, which may take longer while the store is slow.
@@ -223,5 +230,5 @@
 pub(super) fn unowned(reason: StaticText) -> Cause {
     let (previous, silent) = (PreviousOwner::MaybeActive, Duration::ZERO);
     let basis = ClaimBasis::MaybeActive;
-    Cause { previous, basis, reason, silent, grace: PROPAGATION_DELAY }
+    Cause { previous, basis, ended_by: None, reason, silent, grace: PROPAGATION_DELAY }
 }
--- a/src/cluster/ownership/predecessors.rs
+++ b/src/cluster/ownership/predecessors.rs
@@ -19,8 +19,8 @@
     known_since: Duration,
     /// Until when an owner before it may still extend leases.
     earlier_active_until: Duration,
-    /// When a process that has replaced it was first heard.
-    ended: Option<Duration>,
+    /// Latest time at which it has ended: the start of a process that has replaced it.
+    ended_by: Option<Duration>,
 }
 
 impl Predecessor {
@@ -48,17 +48,18 @@
         }
         let Some(owner) = view.owner.clone().filter(|owner| *owner != self.me.id) else { return };
         let (known_since, earlier_active_until) = (view.since, view.earlier_active_until());
-        let predecessor = Predecessor { owner, known_since, earlier_active_until, ended: None };
+        let predecessor = Predecessor { owner, known_since, earlier_active_until, ended_by: None };
         self.predecessors.insert(shard.to_owned(), predecessor);
     }
 
     /// Notes which predecessors are shown to have ended by a hello that answers one sent at
     /// `asked`.
     pub(super) fn check_predecessors(&mut self, hello: &Hello, asked: Duration) {
-        let now = self.now;
+        let started_by = hello.sender_started_by(self.now);
         for predecessor in self.predecessors.values_mut() {
             if predecessor.is_replaced_by(hello, asked) {
-                predecessor.ended.get_or_insert(now);
+                let known = predecessor.ended_by.unwrap_or(Duration::MAX);
+                predecessor.ended_by = Some(known.min(started_by));
             }
         }
     }
@@ -80,12 +81,12 @@
         let now = self.now;
         let (held, actions, shards) = (&self.held, &mut self.actions, &mut self.shards);
         self.predecessors.retain(|shard, predecessor| {
-            let Some(ended) = predecessor.ended else { return true };
+            let Some(ended_by) = predecessor.ended_by else { return true };
             let Some(view) = shards.get_mut(shard) else { return true };
             if held.get(shard) != Some(&HoldState::Owned) {
                 return true;
             }
-            let until = predecessor.earlier_active_until;
+            let until = predecessor.earlier_active_until.max(ended_by);
             view.basis = view.basis.ended_by(until);
             let all_ended = now >= until;
             if all_ended {
@@ -94,9 +95,10 @@
                     fence: view.fence,
                     owner: predecessor.owner.clone(),
                     proof: "another process of its daemon answers",
-                    ended_ms: Millis(now.saturating_sub(ended)),
+                    ended_ms: Millis(now.saturating_sub(ended_by)),
                 }));
-                actions.push(Action::PredecessorEnded { shard: shard.clone() });
+                let (shard, extended_until) = (shard.clone(), until);
+                actions.push(Action::PredecessorEnded { shard, extended_until });
             }
             !all_ended
         });
--- a/src/cluster/ownership/released.rs
+++ b/src/cluster/ownership/released.rs
@@ -11,12 +11,13 @@
 //! be.
 
 use super::orphans::{Cause, unowned};
-use super::{ClaimBasis, Ownership, ShardView};
+use super::{ClaimBasis, Ownership, ReplacedOwner, ShardView};
 use crate::cluster::member::{Hello, ReleasedShard};
 use crate::ids::DaemonId;
 use crate::note::{Note, StaticText};
 use crate::shard::PreviousOwner;
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
+use crate::vm::Fence;
 use std::time::Duration;
 
 impl ClaimBasis {
@@ -49,12 +50,18 @@
 
     /// Why the shard has no owner, if its last one is known to have released it.
     pub(super) fn released_cause(&self, reason: StaticText, now: Duration) -> Option<Cause> {
-        Some(Cause::ended(reason, self.released?, now))
+        let released = self.released?;
+        Some(Cause::ended(reason, released, released, now))
     }
 
-    /// Why the shard has no owner, if its last one is shown to have ended.
-    pub(super) fn ended_cause(&self, reason: StaticText, now: Duration) -> Cause {
-        Cause::ended(reason, self.earlier_active_until(), now)
+    /// Why the shard has no owner, if its last one is shown to have ended by `ended_by`.
+    pub(super) fn ended_cause(
+        &self,
+        reason: StaticText,
+        ended_by: Duration,
+        now: Duration,
+    ) -> Cause {
+        Cause::ended(reason, ended_by, self.earlier_active_until(), now)
     }
 
     /// Until when an owner before the last one may still extend leases.
@@ -65,14 +72,19 @@
 
 impl Cause {
     /// Cause for a shard whose owner has ended, though an owner before it may be active.
-    fn ended(reason: StaticText, earlier_active_until: Duration, now: Duration) -> Self {
+    fn ended(
+        reason: StaticText,
+        ended_by: Duration,
+        earlier_active_until: Duration,
+        now: Duration,
+    ) -> Self {
         let previous = if now < earlier_active_until {
             PreviousOwner::MaybeActive
         } else {
             PreviousOwner::Ended
         };
-        let basis = ClaimBasis::EndedBy(earlier_active_until);
-        Self { previous, basis, ..unowned(reason) }
+        let basis = ClaimBasis::EndedBy(earlier_active_until.max(ended_by));
+        Self { previous, basis, ended_by: Some(ended_by), ..unowned(reason) }
     }
 }
 
@@ -95,6 +107,22 @@
         basis.earlier_active_until(now).saturating_sub(now)
     }
 
+    /// Latest time at which an owner may extend leases whose shard this daemon has claimed; `None` if
+    /// the claim didn't rely on a proof that the previous one had ended. The claim has replaced a head
+    /// with the token `predecessor`, by which owners before that one may extend leases for `head_told`
+    /// from when it was written: before its owner ended.
+    pub fn extended_until(
+        &self,
+        shard: &str,
+        predecessor: Option<Fence>,
+        head_told: Option<Duration>,
+    ) -> Option<Duration> {
+        let ReplacedOwner { fence, ended_by, extended_until } = self.shards.get(shard)?.replaced?;
+        let told = head_told.filter(|_| predecessor == Some(Fence(fence)));
+        let by_head = told.map(|left| ended_by.saturating_add(left));
+        Some(by_head.map_or(extended_until, |until| until.min(extended_until)))
+    }
+
     /// Records what a claim has found of the owners before this daemon.
     pub(super) fn record_earlier_owners(
         &mut self,
@@ -128,7 +156,7 @@
     /// Records that this daemon's own ownership has ended, and tells the others soon.
     pub(super) fn release_own(&mut self, shard: &str, fence: u64) {
         let Some(view) = self.shards.get_mut(shard) else { return };
-        let until = view.basis.earlier_active_until(self.now);
+        let until = view.basis.earlier_active_until(self.now).max(self.now);
         view.set_released(fence, until);
         self.schedule_hello_to_all();
     }
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -169,6 +169,7 @@
             from: self.ownership.me().clone(),
             number: self.last_hello,
             clock: now,
+            uptime: self.ownership.uptime(now),
             store: self.store_reach,
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
             shards: self.shard_reports(),
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -160,8 +160,8 @@
                     HandOver::Immediate => self.complete_hand_over(&shard, cx),
                 },
                 cluster::Action::Offer { released, to } => self.offer_shard(released, to, cx),
-                cluster::Action::PredecessorEnded { shard } => {
-                    let end = PreviousOwnerEnd::new(now);
+                cluster::Action::PredecessorEnded { shard, extended_until } => {
+                    let end = PreviousOwnerEnd::new(extended_until);
                     self.step_shard(&shard, Event::PreviousOwnerEnded(end), cx);
                 }
                 other => self.execute_ownership_action(other),
@@ -205,7 +205,8 @@
             recovered.learned.report = Some(HeardReport { learned, age });
         }
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
-        let predecessor = recovered.predecessor;
+        let (predecessor, head_told) = (recovered.predecessor, recovered.before_previous);
+        recovered.extended_until = self.ownership.extended_until(&name, predecessor, head_told);
         let claimed = cluster::Event::Claimed {
             shard: name.clone(),
             fence: fence.0,
--- a/src/jobs/control/tests/ended.rs
+++ b/src/jobs/control/tests/ended.rs
@@ -7,11 +7,11 @@
 };
 use crate::clock::{Clock, ManualClock};
 use crate::cluster::ownership::OWN_PAUSE_THRESHOLD;
-use crate::cluster::{EndedOwnership, Hello};
-use crate::ids::VmId;
+use crate::cluster::{EndedOwnership, Hello, Member};
+use crate::ids::{DaemonId, VmId};
 use crate::jobs::records::OwnershipStatus;
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
-use crate::shard::{PreviousOwner, RemainingLeases, VmLapse};
+use crate::shard::{PreviousOwner, RemainingLeases, Settings, VmLapse};
 use crate::vm::Fence;
 use std::sync::Arc;
 use std::time::Duration;
@@ -141,3 +141,35 @@
     let ended = "previous-owner-ended shard=kacyiru.0 fence=9 owner=owner@1";
     assert!(successor.lines.wait_for(ended, 1).await, "{}", successor.lines.text());
 }
+
+// Guards against a wait that counts from the claim: the previous owner had ended before its next
+// process started, and the head that it left tells of no owner before it.
+#[actix::test]
+async fn a_claim_counts_leases_from_the_end_of_the_previous_owner() {
+    let clock = Arc::new(ManualClock::new());
+    clock.advance(seconds(20));
+    let (at_owner, at_next) = (listener(), listener());
+    let (owner, next) = (member("owner", 100, &at_owner), member("next", 105, &at_next));
+    let node = Node::start_with(next, at_next, clock.clone(), OwnershipStatus::Owned).await;
+    node.read_store(&owner).await;
+    let from = Member { id: DaemonId::new("owner@2"), ..owner };
+    let restarted = Hello { from, uptime: seconds(1), shards: Arc::new([]), ..hello() };
+    let started_by = clock.now() - Duration::from_millis(960);
+    let answer = HelloReceived { hello: restarted, asked: Some(clock.now()) };
+    node.control.send(answer).await.expect("a control");
+    for _ in 0..8 {
+        actix::clock::sleep(Duration::from_millis(40)).await;
+        clock.advance(Duration::from_millis(150));
+    }
+    assert_eq!(node.wait_for_claim().await.len(), 1, "{}", node.lines.text());
+    let StoreEvent::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
+    recovered.shard = PLANNED_SHARD.to_owned();
+    recovered.fence = Fence(FENCE + 2);
+    recovered.predecessor = Some(Fence(FENCE));
+    recovered.before_previous = Some(Duration::ZERO);
+    node.store(StoreEvent::Claimed(recovered)).await;
+    let lease = Settings::default().inherited_lease(Duration::ZERO);
+    let left = (started_by + lease - clock.now()).as_millis();
+    let owned = format!("leases_ms={left}");
+    assert!(node.lines.wait_for(&owned, 1).await, "{owned}: {}", node.lines.text());
+}
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -76,6 +76,7 @@
             from,
             number: 1,
             clock: Duration::ZERO,
+            uptime: Duration::ZERO,
             store,
             config: 1,
             shards: shards.into(),
@@ -95,7 +96,7 @@
     }
 
     /// Waits for the first claim, while the clock of the daemons stands.
-    async fn wait_for_claim(&self) -> Vec<PreviousOwner> {
+    pub(super) async fn wait_for_claim(&self) -> Vec<PreviousOwner> {
         let waited = async {
             while self.claims().is_empty() {
                 actix::clock::sleep(Duration::from_millis(5)).await;
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -239,7 +239,7 @@
     type Result = ();
 
     fn handle(&mut self, msg: ProbeMember, _: &mut Self::Context) {
-        if let Some(hello) = self.own_hello.as_ref().map(|own| own.full.clone()) {
+        if let Some(hello) = self.own_hello.as_ref().map(|own| own.full.sent_at(self.clock.now())) {
             self.send_hello(&msg.0, hello);
         }
     }
@@ -261,10 +261,11 @@
 
     fn handle(&mut self, msg: GetHello, _: &mut Self::Context) -> Self::Result {
         let own_hello = self.own_hello.as_ref()?;
-        Some(match msg.0 {
-            Detail::Full => own_hello.full.clone(),
-            Detail::Brief => own_hello.brief.clone(),
-        })
+        let hello = match msg.0 {
+            Detail::Full => &own_hello.full,
+            Detail::Brief => &own_hello.brief,
+        };
+        Some(hello.sent_at(self.clock.now()))
     }
 }
 
--- a/src/shard/ended/tests.rs
+++ b/src/shard/ended/tests.rs
@@ -24,6 +24,7 @@
         previous: PreviousOwner::MaybeActive,
         earlier_active: MAX_STALE_OWNER_EXTENSION,
         before_previous: None,
+        extended_until: None,
         jobs: Vec::new(),
         progress: Vec::new(),
         predecessor: Some(Fence(1)),
--- a/src/shard/learned/tests.rs
+++ b/src/shard/learned/tests.rs
@@ -109,6 +109,7 @@
         previous: PreviousOwner::Ended,
         earlier_active: Duration::ZERO,
         before_previous: None,
+        extended_until: None,
         jobs: Vec::new(),
         progress: Vec::new(),
         predecessor: None,
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -2,6 +2,7 @@
 //! report.
 
 use super::copies::Role;
+use super::ended::earliest_end;
 use super::job_run::{JobRun, PlacedRun};
 use super::learned::{Inherited, RecordClock};
 use super::log::{Keys, Log};
@@ -37,6 +38,9 @@
     /// How long owners before the previous one may still extend leases, as told by the head that the
     /// claim replaced.
     pub before_previous: Option<Duration>,
+    /// Latest time at which an earlier owner may extend a lease, on the daemon's monotonic clock, if
+    /// that is known better than by `previous` and `earlier_active`.
+    pub extended_until: Option<Duration>,
     pub jobs: Vec<Arc<Job>>,
     pub progress: Vec<(JobId, Progress)>,
     /// Fencing token of the previous owner.
@@ -108,6 +112,11 @@
             PreviousOwner::Ended => Duration::ZERO,
             PreviousOwner::MaybeActive => recovered.earlier_active,
         };
+        let inherited_runs_until = now.steady + settings.inherited_lease(stale_owner_extension);
+        let lease = settings.inherited_lease(Duration::ZERO);
+        let proved = recovered.extended_until.map(|until| until + lease);
+        let proved = proved.map(|until| until.max(earliest_end(now.steady)));
+        let inherited_runs_until = inherited_runs_until.min(proved.unwrap_or(Duration::MAX));
         let keys = Keys::new(&recovered.shard);
         let silence = SilenceRecord::new(recovered.silent, recovered.claimed_at);
         let mut shard = Self {
@@ -132,7 +141,7 @@
             record_clock: RecordClock::new(now.steady),
             vm_list: super::fleet::VmListSource::Inherited { since: now.steady },
             evacuation: super::evacuate::EvacuationOrders::default(),
-            inherited_runs_until: now.steady + settings.inherited_lease(stale_owner_extension),
+            inherited_runs_until,
             earlier_active_until: now.steady + recovered.earlier_active,
             owned_at: recovered.claimed_at,
             unproved_since: None,
--- a/src/shard/recover/tests.rs
+++ b/src/shard/recover/tests.rs
@@ -14,6 +14,7 @@
         previous: PreviousOwner::Ended,
         earlier_active,
         before_previous: None,
+        extended_until: None,
         jobs: Vec::new(),
         progress: Vec::new(),
         predecessor: Some(Fence(1)),
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -58,6 +58,7 @@
         from,
         number: 0,
         clock,
+        uptime: Duration::ZERO,
         store,
         config: 1,
         shards: shards.into(),
@@ -127,6 +128,8 @@
     heads_read: usize,
     /// Shards whose previous owner was found to have ended after the claim.
     predecessors_ended: Vec<String>,
+    /// Latest time at which these or earlier ones may have extended a lease.
+    extended_until: Vec<Duration>,
 }
 
 impl Harness {
@@ -146,6 +149,7 @@
             notes: Vec::new(),
             heads_read: 0,
             predecessors_ended: Vec::new(),
+            extended_until: Vec::new(),
         };
         harness.step(Event::Store(StoreReachability::Reached));
         harness.step(Event::Plan(plan(shards)));
@@ -165,7 +169,10 @@
                     assert_eq!(how, self.how);
                     self.handed_over.push((shard, to.name));
                 }
-                Action::PredecessorEnded { shard } => self.predecessors_ended.push(shard),
+                Action::PredecessorEnded { shard, extended_until } => {
+                    self.predecessors_ended.push(shard);
+                    self.extended_until.push(extended_until);
+                }
                 Action::Offer { released, to } => self.offered.push((released.name, to.id)),
                 Action::Note(note) => self.notes.push(note),
                 Action::ReadHeads => self.heads_read += 1,
--- a/tests/ownership/wave.rs
+++ b/tests/ownership/wave.rs
@@ -185,6 +185,7 @@
         });
         let mut hello = super::hello(process.ownership.me().clone(), shards.collect());
         hello.number = process.hellos;
+        hello.uptime = process.ownership.uptime(now);
         hello.released = process.ownership.released_shards(now);
         Some(hello)
     }
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -197,6 +197,7 @@
         previous: PreviousOwner::Ended,
         earlier_active: Duration::ZERO,
         before_previous: None,
+        extended_until: None,
         jobs: vec![Arc::new(job.clone())],
         progress: vec![(job.id, progress)],
         predecessor: None,
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -967,6 +967,7 @@
             previous: previous.with_earlier_active(earlier_active),
             earlier_active,
             before_previous: before.as_ref().and_then(|head| head.earlier_active),
+            extended_until: None,
             predecessor: before.map(|before| Fence(before.fence)),
             claimed_at: self.now,
             unresponsive_vms: lapses,
