Claim the shards of this daemon's earlier process as those of one that ended

Cause: a daemon isn't among the members that it knows, so that its own earlier process counted as gone: its shard was claimed after 1.6 s, and 12 s and a lease were counted from then. Change: the start of this process proves the end of the earlier one. Result: an_owner_that_is_an_earlier_process_of_this_daemon_has_ended fails on the code before (no claim after 0.9 s), passes now.

--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -82,6 +82,10 @@
                 Some(_) if view.released.is_some() => {
                     view.released_cause("its owner released it", now)
                 }
+                Some(owner) if owner.name() == Some(self.me.name.as_str()) => {
+                    // A daemon runs one process at a time, so that this one has replaced it.
+                    Some(view.restarted_cause(self.started, now))
+                }
                 Some(owner) => orphan_cause(owner, name, view, &self.members, now, &mut probes),
             };
             // The cause is updated each time: an unresponsive owner may be found to have ended.
@@ -190,8 +194,7 @@
         // shard has replaced it; otherwise it may be an earlier one, and the owner's first hello is
         // still on its way.
         if known.answered.is_some_and(|asked| asked >= view.since) {
-            let ended = view.ended_cause("its owner was restarted", known.started_by, now);
-            return Some(Cause { silent, grace: Duration::ZERO, ..ended });
+            return Some(Cause { silent, ..view.restarted_cause(known.started_by, now) });
         }
         probes.push(known.member.name.clone());
         if silent < OWNER_TIMEOUT {
--- a/src/cluster/ownership/released.rs
+++ b/src/cluster/ownership/released.rs
@@ -64,6 +64,13 @@
         Cause::ended(reason, ended_by, self.earlier_active_until(), now)
     }
 
+    /// Why the shard has no owner, if another process of its daemon runs that has started by
+    /// `started_by`. No other owner can become known meanwhile that the claim has to wait for.
+    pub(super) fn restarted_cause(&self, started_by: Duration, now: Duration) -> Cause {
+        let ended = self.ended_cause("its owner was restarted", started_by, now);
+        Cause { grace: Duration::ZERO, ..ended }
+    }
+
     /// Until when an owner before the last one may still extend leases.
     pub(super) fn earlier_active_until(&self) -> Duration {
         self.earlier_active_until.unwrap_or(self.since + MAX_STALE_OWNER_EXTENSION)
--- a/tests/ownership/ended.rs
+++ b/tests/ownership/ended.rs
@@ -122,3 +122,17 @@
     harness.run_for(ms(700));
     assert_eq!(harness.claim_finds(12), Some(started_by));
 }
+
+// Guards against a shard that waits for a daemon that is this one: its owner is an earlier process of
+// the same daemon, which had ended before this process started.
+#[test]
+fn an_owner_that_is_an_earlier_process_of_this_daemon_has_ended() {
+    let me = member("strong", STRONG);
+    let mut harness = Harness::new(process(&me, 2), 1);
+    let started = harness.now;
+    harness.read_claim(SHARD, &me, 9);
+    harness.run_for(ms(900));
+    assert_eq!(harness.claims.len(), 1, "as soon as the daemon has learned of the others");
+    assert!(harness.replaces[0].earlier_active.is_some(), "it has ended");
+    assert_eq!(harness.claim_finds(9), Some(started));
+}
