--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -110,7 +110,7 @@
 
     /// How long owners before this one may still extend leases, `age` after this was written; `None`
     /// if the head doesn't tell.
-    pub fn earlier_active_after(&self, age: Duration) -> Option<Duration> {
+    fn earlier_active_after(&self, age: Duration) -> Option<Duration> {
         self.earlier_active.map(|left| left.saturating_sub(age))
     }
 
--- a/src/cluster/member.rs
+++ b/src/cluster/member.rs
@@ -4,7 +4,7 @@
 use crate::job::JobId;
 use crate::note::StaticText;
 use crate::shard::learned::Learned;
-use crate::shard::{ReportedLapse, Summary};
+use crate::shard::{RemainingLeases, ReportedLapse, Summary};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,6 +85,8 @@
     pub number: u64,
     /// The sender's monotonic clock as it composed the hello.
     pub clock: Duration,
+    /// How long the sending process has run as it sent the hello.
+    pub uptime: Duration,
     pub store: StoreReachability,
     /// Version of the configuration in force at the sender.
     pub config: u64,
@@ -92,9 +94,25 @@
     pub shards: Arc<[ShardReport]>,
     /// Shards that the sender was the last known owner of, and owns no longer.
     pub released: Vec<ReleasedShard>,
+    /// Ownerships of the sender that have ended lately, also of shards with a newer owner.
+    pub ended: Vec<EndedOwnership>,
 }
 
+/// Lowest rate of a daemon's clock by that of another one.
+const MIN_CLOCK_RATE: f64 = 0.96;
+
 impl Hello {
+    /// Latest time at which the sending process has started, if the hello was received at `now`.
+    pub fn sender_started_by(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.uptime.mul_f64(MIN_CLOCK_RATE))
+    }
+
+    /// The same hello as it is sent when the sender's clock shows `now`.
+    pub fn sent_at(&self, now: Duration) -> Self {
+        let uptime = self.uptime + now.saturating_sub(self.clock);
+        Self { uptime, ..self.clone() }
+    }
+
     /// A shorter hello for receivers that own no shard. It omits the free room of VMs, which is the
     /// largest part of a hello and is needed only to lend tasks.
     pub fn without_free_room(&self) -> Self {
@@ -117,6 +135,26 @@
     pub earlier_active: Duration,
 }
 
+/// An ownership of a shard that has ended, with what its successor needn't wait for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedOwnership {
+    pub name: String,
+    /// Fencing token of the ownership.
+    pub fence: u64,
+    /// How long an owner before that one may still extend leases; zero if none does.
+    pub earlier_active: Duration,
+    /// Leases that it and the owners before it have extended.
+    pub leases: RemainingLeases,
+}
+
+impl EndedOwnership {
+    /// Returns the ownership as seen after `passed`.
+    pub fn aged(&self, passed: Duration) -> Self {
+        let earlier_active = self.earlier_active.saturating_sub(passed);
+        Self { earlier_active, leases: self.leases.aged(passed), ..self.clone() }
+    }
+}
+
 /// State of a shard as reported by its owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShardReport {
--- a/src/jobs/control/publish.rs
+++ b/src/jobs/control/publish.rs
@@ -169,10 +169,12 @@
             from: self.ownership.me().clone(),
             number: self.last_hello,
             clock: now,
+            uptime: self.ownership.uptime(now),
             store: self.store_reach,
             config: self.queues.as_ref().map_or(0, |queues| queues.version),
             shards: self.shard_reports(),
             released: self.ownership.released_shards(now),
+            ended: self.ended.to_tell(&self.ownership.me().id, now, self.told_period()),
         };
         let (owners, others) = to.into_iter().partition(|to| self.ownership.is_owner(&to.name));
         if let Some(actors) = &self.actors {
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,3 +1,4 @@
+mod ended;
 mod offers;
 
 use super::{
@@ -152,6 +153,7 @@
         previous: PreviousOwner::Ended,
         earlier_active: Duration::ZERO,
         before_previous: None,
+        extended_until: None,
         predecessor: None,
         claimed_at: Duration::ZERO,
         unresponsive_vms: Vec::new(),
@@ -309,7 +311,17 @@
     let from = Member { id: DaemonId::new("two@1"), name: "two".to_owned(), ..me() };
     let store = StoreReachability::Reached;
     let shards = Arc::new([report]);
-    Hello { from, number: 1, clock: Duration::ZERO, store, config: 1, shards, released: Vec::new() }
+    Hello {
+        from,
+        number: 1,
+        clock: Duration::ZERO,
+        uptime: Duration::ZERO,
+        store,
+        config: 1,
+        shards,
+        released: Vec::new(),
+        ended: Vec::new(),
+    }
 }
 
 /// The only shard that a hello reports.
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -2,6 +2,7 @@
 //! report.
 
 use super::copies::Role;
+use super::ended::earliest_end;
 use super::job_run::{JobRun, PlacedRun};
 use super::learned::{Inherited, RecordClock};
 use super::log::{Keys, Log};
@@ -37,6 +38,9 @@
     /// How long owners before the previous one may still extend leases, as told by the head that the
     /// claim replaced.
     pub before_previous: Option<Duration>,
+    /// Latest time at which an earlier owner may extend a lease, on the daemon's monotonic clock, if
+    /// that is known better than by `previous` and `earlier_active`.
+    pub extended_until: Option<Duration>,
     pub jobs: Vec<Arc<Job>>,
     pub progress: Vec<(JobId, Progress)>,
     /// Fencing token of the previous owner.
@@ -108,6 +112,11 @@
             PreviousOwner::Ended => Duration::ZERO,
             PreviousOwner::MaybeActive => recovered.earlier_active,
         };
+        let inherited_runs_until = now.steady + settings.inherited_lease(stale_owner_extension);
+        let lease = settings.inherited_lease(Duration::ZERO);
+        let proved = recovered.extended_until.map(|until| until + lease);
+        let proved = proved.map(|until| until.max(earliest_end(now.steady)));
+        let inherited_runs_until = inherited_runs_until.min(proved.unwrap_or(Duration::MAX));
         let keys = Keys::new(&recovered.shard);
         let silence = SilenceRecord::new(recovered.silent, recovered.claimed_at);
         let mut shard = Self {
@@ -132,7 +141,7 @@
             record_clock: RecordClock::new(now.steady),
             vm_list: super::fleet::VmListSource::Inherited { since: now.steady },
             evacuation: super::evacuate::EvacuationOrders::default(),
-            inherited_runs_until: now.steady + settings.inherited_lease(stale_owner_extension),
+            inherited_runs_until,
             earlier_active_until: now.steady + recovered.earlier_active,
             owned_at: recovered.claimed_at,
             unproved_since: None,
@@ -159,18 +168,6 @@
         shard
     }
 
-    /// Shortens the time for which VMs may keep runs of the earlier owners, none of which extends
-    /// leases any more.
-    pub(super) fn shorten_inherited_leases(&mut self) {
-        self.earlier_active_until = self.earlier_active_until.min(self.now.steady);
-        let until = self.now.steady + self.settings.inherited_lease(Duration::ZERO);
-        self.inherited_runs_until = self.inherited_runs_until.min(until);
-        let unanswered = |vm: &&mut Vm| vm.contact.last_successful_poll.is_none();
-        for vm in self.vms.values_mut().filter(unanswered) {
-            vm.lease.shorten(until);
-        }
-    }
-
     /// Returns the VMs that do not answer, for the owner that the shard is handed to.
     ///
     /// The new owner cannot know when the leases of these VMs were last extended, and would wait
@@ -198,6 +195,11 @@
         }
     }
 
+    /// How long leases of earlier owners may last on VMs that have not answered this one.
+    pub fn inherited_leases_left(&self, now: Duration) -> Duration {
+        self.inherited_runs_until.saturating_sub(now)
+    }
+
     /// Numbers of jobs and runs that are not known to have ended.
     pub fn open_job_and_run_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.vms.values().map(|vm| vm.runs.len()).sum())
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -24,8 +24,8 @@
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
-    OtherShard, PreviousOwner, Recovered, ReportedLapse, Settings, Shard, SilentVm, VmLapse,
-    WriteOutcome,
+    OtherShard, PreviousOwner, PreviousOwnerEnd, Recovered, ReportedLapse, Settings, Shard,
+    SilentVm, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{
@@ -661,7 +661,8 @@
 
     /// Tells the shard's owner that the previous one has ended.
     pub fn tell_previous_owner_ended(&mut self, shard: &str) {
-        self.call(shard, Event::PreviousOwnerEnded);
+        let end = PreviousOwnerEnd::new(self.now);
+        self.call(shard, Event::PreviousOwnerEnded(end));
     }
 
     /// Stops the shard's owner for a while, without another one taking over.
@@ -965,7 +966,8 @@
             seq: head.seq,
             previous: previous.with_earlier_active(earlier_active),
             earlier_active,
-            before_previous: before.as_ref().and_then(|head| head.earlier_active_after(age)),
+            before_previous: before.as_ref().and_then(|head| head.earlier_active),
+            extended_until: None,
             predecessor: before.map(|before| Fence(before.fence)),
             claimed_at: self.now,
             unresponsive_vms: lapses,
