Count a lease from when the replaced head was written, also if that is before the claim

Cause: a claim counted the last proof of the owner that it replaces from when that owner's head was written, and a lease from the claim at least. An owner that stood still for 3 s can have extended its last lease a second before the claim. Change: the latest time at which the owner of the replaced head, or one before it, may have extended a lease goes into Recovered::extended_until, where the proof of an end goes as well; the earlier one holds. Result: a_claim_counts_from_the_first_call_that_shows_the_replaced_head asks for it, and can't have passed before (extended_until was None). What the head tells of earlier owners stays as told in before_previous, since a proof counts it from the end of the head's owner: the check of an aged time there is replaced by one of the told time and one of extended_until.

--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -119,6 +119,14 @@
         // The last proof of an owner of an earlier release may be later than its head.
         self.stale_extension.map_or(MAX_STALE_OWNER_EXTENSION, |stale| stale.saturating_sub(age))
     }
+
+    /// Latest time at which its owner or one before it may extend a lease in full, if it was written
+    /// by `written_by` and is replaced at `claimed_at`. It may have passed by then.
+    pub fn extended_until(&self, written_by: Duration, claimed_at: Duration) -> Duration {
+        let untold = claimed_at + MAX_STALE_OWNER_EXTENSION;
+        let earlier = self.earlier_active.map_or(untold, |left| written_by + left);
+        self.stale_extension.map_or(untold, |stale| written_by + stale).max(earlier)
+    }
 }
 
 /// Decodes a time that follows the head, if there is one.
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -106,7 +106,7 @@
         previous: previous.with_earlier_active(earlier_active),
         earlier_active,
         before_previous: predecessor.as_ref().and_then(|head| head.earlier_active),
-        extended_until: None,
+        extended_until: before.map(|head| head.extended_until(claimed_at - age, claimed_at)),
         predecessor: predecessor.map(|head| Fence(head.fence)),
         unresponsive_vms: Vec::new(),
         silent: silent.as_ref().map(decode_silent_vms).transpose()?.unwrap_or_default(),
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -206,7 +206,8 @@
         }
         let (name, fence) = (recovered.shard.clone(), recovered.fence);
         let (predecessor, head_told) = (recovered.predecessor, recovered.before_previous);
-        recovered.extended_until = self.ownership.extended_until(&name, predecessor, head_told);
+        let proved = self.ownership.extended_until(&name, predecessor, head_told);
+        recovered.extended_until = proved.into_iter().chain(recovered.extended_until).min();
         let claimed = cluster::Event::Claimed {
             shard: name.clone(),
             fence: fence.0,
