--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -27,6 +27,7 @@
 mod permits;
 mod proof;
 mod random;
+mod replaced;
 mod resize;
 mod silence;
 mod state;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -25,7 +25,7 @@
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
     OtherShard, PreviousOwner, PreviousOwnerEnd, Recovered, ReportedLapse, Settings, Shard,
-    SilentVm, VmLapse, WriteOutcome,
+    SilentVm, ToldLeases, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{
@@ -662,6 +662,25 @@
         self.call(shard, Event::PreviousOwnerEnded(end));
     }
 
+    /// The owner before the last finds that it has lost the shard, drops it, and tells the last one
+    /// when its leases end, which hears of it `delay` later. Returns false if it has ended before.
+    pub fn drop_replaced_owner(&mut self, shard: &str, delay: Duration) -> bool {
+        let last = self.owners.iter().rev().find(|owner| &*owner.name == shard);
+        let before = last.and_then(|owner| owner.head.before.as_ref());
+        let replaced = self.owners.iter().find(|owner| {
+            &*owner.name == shard && before.is_some_and(|before| before.owner == owner.head.owner)
+        });
+        let Some(replaced) = replaced else { return false };
+        let (at, number) = (self.now + delay, replaced.number);
+        let leases = replaced.shard.remaining_leases(self.now);
+        let active_until = at + replaced.shard.earlier_active(self.now);
+        self.owners.retain(|owner| owner.number != number);
+        let end = PreviousOwnerEnd::new(active_until).with_leases(ToldLeases { at, leases });
+        let (shard, event) = (Arc::from(shard), Event::PreviousOwnerEnded(end));
+        self.schedule(delay, Delivery::Shard { shard, event });
+        true
+    }
+
     /// Stops the shard's owner for a while, without another one taking over.
     pub fn stall_owner(&mut self, shard: &str, time: Duration) {
         let until = self.now + time;
