--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -28,6 +28,7 @@
 mod proof;
 mod random;
 mod refusals;
+mod replaced;
 mod resize;
 mod silence;
 mod state;
