Simulate VMs that die for good beside owners that pause, are killed or cut off

Cause: no simulated VM died for good without a notice while its owner stood still, was killed beside others or was cut off; tests/shards/cuts.rs draws departures within cuts only, and allows 12 s and a lease from a claim. Change: tests/shards/deaths.rs draws such deaths, with a model of what daemons tell each other of ended owners, and requires a run within max_keep and 1.5 s of the death, or of what an owner can prove at the earliest.

--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod crashes;
 mod cuts;
+mod deaths;
 mod duplicates;
 mod elsewhere;
 mod evacuation;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -169,6 +169,23 @@
     pub until: Option<Duration>,
 }
 
+/// What a claimant knows of the owner that it replaces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PreviousEnd {
+    Proved,
+    Unproved,
+}
+
+/// What the daemon of a former owner tells of its end.
+#[derive(Clone, Debug)]
+pub struct ProvedEnd {
+    /// By when it had ended.
+    pub at: Duration,
+    /// How long VMs that didn't answer it could keep their runs from then on; `None` if its process
+    /// has ended with what it knew.
+    pub lapses: Option<Vec<VmLapse>>,
+}
+
 /// The owner that a claim replaces, as the claimant knows it.
 enum Replaced {
     /// It has handed the shard over, and tells how long VMs that don't answer may keep their runs.
@@ -186,6 +203,8 @@
     rev: Rev,
     /// Paused until then.
     paused_until: Duration,
+    /// Cut off from the store and from other owners until then.
+    cut_until: Duration,
     /// Whether it lost the shard without having learned of it.
     unaware: bool,
     /// The daemon that it runs on, if daemons read the announcements themselves.
@@ -252,6 +271,10 @@
     /// Number of tasks lent.
     pub loans: usize,
     owners: Vec<Owner>,
+    /// What each owner knew as it learned that it had lost its shard.
+    ended_owners: IndexMap<u64, ProvedEnd>,
+    /// When the last durable commit of each owner took effect, or its claim.
+    proofs: IndexMap<u64, Duration>,
     /// The daemon that claimed each shard last.
     daemons_of_shards: IndexMap<Arc<str>, usize>,
     next_owner: u64,
@@ -347,6 +370,8 @@
             starts: Vec::new(),
             loans: 0,
             owners: Vec::new(),
+            ended_owners: IndexMap::new(),
+            proofs: IndexMap::new(),
             daemons_of_shards: IndexMap::new(),
             next_owner: 0,
             deliveries: BTreeMap::new(),
@@ -661,6 +686,81 @@
         self.call(shard, Event::PreviousOwnerEnded);
     }
 
+    /// Number of the shard's last owner.
+    pub fn owner_number(&self, shard: &str) -> Option<u64> {
+        let owner = self.owners.iter().rev().find(|owner| &*owner.name == shard);
+        owner.map(|owner| owner.number)
+    }
+
+    /// Lets a new owner claim a shard, and returns its number. Earlier owners that have not ended
+    /// stay.
+    pub fn claim_shard(&mut self, shard: &str, previous: PreviousEnd) -> u64 {
+        let replaced = match previous {
+            PreviousEnd::Proved => Replaced::Ended,
+            PreviousEnd::Unproved => Replaced::MaybeActive,
+        };
+        self.claim(shard, replaced);
+        self.next_owner
+    }
+
+    /// Tells the shard's owner that all owners before it have ended, and how.
+    pub fn tell_earlier_owners_ended(&mut self, shard: &str, ends: &[ProvedEnd]) {
+        if self.traced {
+            for ProvedEnd { at, lapses } in ends {
+                println!("{:?} {shard} is told of an end by {at:?}: {lapses:?}", self.now);
+            }
+        }
+        self.tell_previous_owner_ended(shard);
+    }
+
+    /// Stops an owner until a time.
+    pub fn pause_owner_until(&mut self, number: u64, until: Duration) {
+        if let Some(owner) = self.owners.iter_mut().find(|owner| owner.number == number) {
+            owner.paused_until = owner.paused_until.max(until);
+        }
+    }
+
+    /// Cuts an owner off from the store and from the other owners until a time; it reaches all VMs.
+    pub fn cut_off_owner_until(&mut self, number: u64, until: Duration) {
+        if let Some(owner) = self.owners.iter_mut().find(|owner| owner.number == number) {
+            owner.cut_until = owner.cut_until.max(until);
+        }
+    }
+
+    /// Kills an owner.
+    pub fn kill_owner(&mut self, number: u64) {
+        self.remove_owner(number);
+    }
+
+    /// Makes an owner learn that it has lost its shard, if it hasn't yet.
+    pub fn give_up_ownership(&mut self, number: u64) {
+        if let Some(owner) = self.owners.iter().find(|owner| owner.number == number) {
+            let lapses = Some(owner.shard.unresponsive_vms());
+            self.ended_owners.insert(number, ProvedEnd { at: self.now, lapses });
+        }
+        self.remove_owner(number);
+    }
+
+    /// What an owner knew as it learned that it had lost its shard.
+    pub fn ended_owner(&self, number: u64) -> Option<&ProvedEnd> {
+        self.ended_owners.get(&number)
+    }
+
+    /// When the last durable commit of an owner took effect, or its claim.
+    pub fn last_proof(&self, number: u64) -> Duration {
+        self.proofs[&number]
+    }
+
+    /// Loses the deadlines of silent VMs that daemons have told each other, as all have ended.
+    pub fn forget_published_lapses(&mut self) {
+        self.published_lapses.clear();
+    }
+
+    fn is_owner_cut_off(&self, number: u64) -> bool {
+        let owner = self.owners.iter().find(|owner| owner.number == number);
+        owner.is_some_and(|owner| self.now < owner.cut_until)
+    }
+
     /// Stops the shard's owner for a while, without another one taking over.
     pub fn stall_owner(&mut self, shard: &str, time: Duration) {
         let until = self.now + time;
@@ -996,9 +1096,11 @@
             head,
             rev,
             paused_until: Duration::ZERO,
+            cut_until: Duration::ZERO,
             unaware: false,
             daemon,
         });
+        self.proofs.insert(self.next_owner, self.now);
         let (evacuations, at) = self.read_evacuations.clone();
         self.step(self.next_owner, Event::Evacuations { evacuations, at });
         self.step(self.next_owner, Event::Departed(self.departures.clone()));
@@ -1044,7 +1146,7 @@
             return;
         }
         for owner in &self.owners {
-            if self.now >= owner.paused_until && !owner.unaware {
+            if self.now >= owner.paused_until.max(owner.cut_until) && !owner.unaware {
                 let reported = owner.shard.reported_lapses(self.now);
                 self.published_lapses.insert(owner.name.clone(), (self.now, reported));
             }
@@ -1209,8 +1311,9 @@
         let back = self.now.saturating_sub(self.store_back) < Duration::from_secs(3);
         let list_status =
             if back { FleetListStatus::Recovering } else { FleetListStatus::Complete };
+        let connected = self.owners.iter().filter(|owner| self.now >= owner.cut_until);
         let owners: Vec<(u64, Arc<str>)> =
-            self.owners.iter().map(|owner| (owner.number, owner.name.clone())).collect();
+            connected.map(|owner| (owner.number, owner.name.clone())).collect();
         let new = self.departures[self.departures_told.unwrap_or(0)..].to_vec();
         self.departures_told = self.departures_told.map(|_| self.departures.len());
         for (number, name) in owners {
@@ -1227,7 +1330,10 @@
     }
 
     fn other_shards(&self, name: &str) -> Vec<OtherShard> {
-        let others = self.owners.iter().filter(|owner| &*owner.name != name && !owner.unaware);
+        let others = self
+            .owners
+            .iter()
+            .filter(|owner| &*owner.name != name && !owner.unaware && self.now >= owner.cut_until);
         others
             .map(|owner| OtherShard {
                 name: owner.name.clone(),
@@ -1243,6 +1349,7 @@
             Delivery::Shard { shard, event } => {
                 // The last owner is the one known to others.
                 let owner = self.owners.iter().rev().find(|owner| owner.name == shard);
+                let owner = owner.filter(|owner| self.now >= owner.cut_until);
                 if let Some(number) = owner.map(|owner| owner.number) {
                     self.step(number, event);
                 }
@@ -1308,6 +1415,7 @@
             Action::Reply { ticket, answer } => {
                 self.answers.insert(ticket, answer);
             }
+            Action::SendLoanMessage { .. } if self.is_owner_cut_off(number) => {}
             Action::SendLoanMessage { to, fence, msg } => {
                 if self.traced {
                     println!("{:?} {name}#{number} tells {to} {fence:?} {msg:?}", self.now);
@@ -1332,7 +1440,7 @@
                     }
                 }
             }
-            Action::Fenced => self.remove_owner(number),
+            Action::Fenced => self.give_up_ownership(number),
             Action::Note(note) => {
                 self.trace(number, name, &note);
                 match note {
@@ -1511,6 +1619,13 @@
             self.partitioned_commit = Some((seq, earlier_active, txn));
             return;
         }
+        let cut_until = self.owners.iter().find(|owner| owner.number == number);
+        let cut_until = cut_until.map_or(Duration::ZERO, |owner| owner.cut_until);
+        if self.now < cut_until {
+            let wait = cut_until - self.now + NETWORK_DELAY;
+            self.schedule(wait, Delivery::Commit { number, seq, earlier_active, txn });
+            return;
+        }
         if self.commits_cut_off && self.now < self.store_down_until {
             let wait = self.store_down_until - self.now + NETWORK_DELAY;
             self.schedule(wait, Delivery::Commit { number, seq, earlier_active, txn });
@@ -1535,6 +1650,7 @@
             Ok(rev) => {
                 owner.head = head;
                 owner.rev = rev;
+                self.proofs.insert(number, self.now);
                 CommitResult::Durable
             }
             Err(Error::Conflict { items }) => {
