Take no later end from what the previous owner told, and play its times in the simulations

Cause: found by review. An owner that drops its shard with a start in flight tells 22 s for the whole VM, for the case that its next instance carries the start out late; its successor replaced a shorter bound of its own by that. A daemon took any other process of its name for an earlier one. Each hello with an end that was sooner by a microsecond was applied and logged again. A vacated task counted room on a VM that refuses connections. Change: a told end only shortens; the start time in the id tells which process is earlier; an end must be sooner by 100 ms to replace a known one; vacating leaves out VMs that refuse. The shards' simulation dates heads as a claim does, tells the leases of owners that lost their shard, and starts of processes. No new test of its own for the review's findings.

--- a/src/cluster/ownership/orphans.rs
+++ b/src/cluster/ownership/orphans.rs
@@ -82,8 +82,8 @@
                 Some(_) if view.released.is_some() => {
                     view.released_cause("its owner released it", now)
                 }
-                Some(owner) if owner.name() == Some(self.me.name.as_str()) => {
-                    // A daemon runs one process at a time, so that this one has replaced it.
+                // A daemon runs one process at a time, so that this one has replaced the earlier one.
+                Some(owner) if owner.is_earlier_process_of(&self.me.id) => {
                     Some(view.restarted_cause(self.started, now))
                 }
                 Some(owner) => orphan_cause(owner, name, view, &self.members, now, &mut probes),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -119,6 +119,17 @@
     pub fn name(&self) -> Option<&str> {
         self.0.rsplit_once(START_SEPARATOR).map(|(name, _)| name)
     }
+
+    /// Whether this is a process of the same daemon as `other` that started earlier, by the wall clock.
+    pub fn is_earlier_process_of(&self, other: &Self) -> bool {
+        let (own, other) =
+            (self.0.rsplit_once(START_SEPARATOR), other.0.rsplit_once(START_SEPARATOR));
+        let Some(((name, started), (other_name, other_started))) = own.zip(other) else {
+            return false;
+        };
+        let started = started.parse::<u64>().ok().zip(other_started.parse::<u64>().ok());
+        name == other_name && started.is_some_and(|(own, other)| own < other)
+    }
 }
 
 impl VmId {
--- a/src/jobs/control/ended.rs
+++ b/src/jobs/control/ended.rs
@@ -16,6 +16,9 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
+/// How much sooner the leases end by what replaces an earlier report of the same ownership.
+const MIN_IMPROVEMENT: Duration = Duration::from_millis(100);
+
 /// An ownership that has ended, and when that was told.
 #[derive(Clone, Debug)]
 struct KnownEnd {
@@ -29,10 +32,12 @@
         self.at + self.ended.leases.left
     }
 
-    /// Whether this replaces what is known of the same shard.
+    /// Whether this replaces what is known of the same shard. Each hello repeats it, and the rates of
+    /// the clocks differ.
     fn replaces(&self, known: &Self) -> bool {
         let newer = self.ended.fence > known.ended.fence;
-        newer || self.ended.fence == known.ended.fence && self.leases_end() < known.leases_end()
+        let sooner = self.leases_end() + MIN_IMPROVEMENT <= known.leases_end();
+        newer || self.ended.fence == known.ended.fence && sooner
     }
 }
 
--- a/src/shard/ended.rs
+++ b/src/shard/ended.rs
@@ -120,7 +120,7 @@
                 Some(told.at + lapse.left)
             });
             match vm_end {
-                Some(vm_end) => vm.lease.limit_told(vm_end.max(at_least)),
+                Some(vm_end) => vm.lease.limit(vm_end.max(at_least)),
                 None => vm.lease.shorten(until.max(at_least)),
             }
         }
--- a/src/shard/lease.rs
+++ b/src/shard/lease.rs
@@ -187,6 +187,15 @@
         self.set_told(told);
     }
 
+    /// Lowers the end that earlier owners may have set to `end`, which the last of them has told as it
+    /// lost the shard.
+    pub fn limit(&mut self, end: Duration) {
+        self.inherited_end = self.inherited_end.min(end);
+        if self.is_told() {
+            self.told_end = self.inherited_end;
+        }
+    }
+
     /// Lowers the end that earlier owners may have set to `end`, as far as what the last owner told
     /// allows. This owner's calls and orders for an earlier instance count on.
     pub fn shorten(&mut self, end: Duration) {
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -106,7 +106,8 @@
 pub const EXPIRY_MARGIN: Duration = Duration::from_millis(700);
 
 /// Time after an owner's last proof of ownership by which the leases that it gives end, unless a
-/// whole lease is longer; equals the longest store outage that running tasks survive.
+/// whole lease is longer. Running tasks survive an outage of the store of about that time, less the
+/// age of the proof as it begins.
 pub const MAX_LEASE_AFTER_PROOF: Duration = Duration::from_secs(12);
 
 /// How long an owner of an earlier release extends leases in full after its last proof of ownership.
--- a/src/shard/vacate.rs
+++ b/src/shard/vacate.rs
@@ -174,7 +174,8 @@
 
     /// Returns whether a VM of this shard may run a task right now.
     fn fits_elsewhere_now(&self, task: TaskRef) -> bool {
-        let rooms: Vec<VmCapacity> = self.vms.values().filter_map(|vm| self.room(vm)).collect();
+        let rooms = self.vms.values().filter_map(|vm| self.room(vm));
+        let rooms: Vec<VmCapacity> = rooms.filter(|room| !room.is_refusing).collect();
         self.may_be_placed(task, &rooms)
     }
 }
--- a/tests/followers/claims.rs
+++ b/tests/followers/claims.rs
@@ -181,7 +181,8 @@
     assert!(third.earlier_active + Duration::from_millis(100) > left, "{:?}", third.earlier_active);
     // What the head tells stays as told, to be counted from the end of its owner.
     assert_eq!(third.before_previous, Some(STALE_EXTENSION));
-    assert!(third.extended_until <= Some(third.claimed_at + left), "{:?}", third.extended_until);
+    let extended_until = third.extended_until.expect("a replaced head");
+    assert!(extended_until <= third.claimed_at + left, "{extended_until:?}");
     // Nothing shows when the third claim was written.
     let (_, fourth) = claims.claim(Replaced::MaybeActive).await;
     assert_eq!(fourth.earlier_active, STALE_EXTENSION);
@@ -192,5 +193,6 @@
     assert_eq!((fifth.previous, fifth.earlier_active), (PreviousOwner::Ended, Duration::ZERO));
     // A lease counts from before the claim.
     let passed = 2 * waited - STALE_EXTENSION;
-    assert!(fifth.extended_until <= Some(fifth.claimed_at - passed), "{:?}", fifth.extended_until);
+    let extended_until = fifth.extended_until.expect("a replaced head");
+    assert!(extended_until <= fifth.claimed_at - passed, "{extended_until:?}");
 }
--- a/tests/shards/deaths.rs
+++ b/tests/shards/deaths.rs
@@ -445,7 +445,7 @@
             return None;
         }
         let proved = if daemon.process > it.process {
-            ProvedEnd { at: daemon.started, lapses: None }
+            ProvedEnd { number: it.number, at: daemon.started, leases: None }
         } else {
             match &it.end {
                 Some(OwnershipEnd::Learned(end)) => end.clone(),
@@ -537,12 +537,10 @@
             told: Vec::new(),
         });
         self.collect_proofs(owner);
+        let number = self.ownerships[replaced].number;
         let it = &mut self.ownerships[owner];
-        let previous = if it.unproved.contains(&replaced) {
-            PreviousEnd::Unproved
-        } else {
-            PreviousEnd::Proved
-        };
+        let proved = it.told.iter().find(|end| end.number == number);
+        let previous = proved.map_or(PreviousEnd::Unproved, |end| PreviousEnd::Proved(end.at));
         it.number = self.sim.claim_shard(SHARDS[shard], previous);
         if it.unproved.is_empty() {
             self.sim.tell_earlier_owners_ended(SHARDS[shard], &it.told);
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -24,8 +24,8 @@
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{
     Action, AdmissionMode, Answer, CommitResult, DrainOrder, Event, FleetListStatus, Keys, Now,
-    OtherShard, PreviousOwner, PreviousOwnerEnd, Recovered, ReportedLapse, Settings, Shard,
-    SilentVm, ToldLeases, VmLapse, WriteOutcome,
+    OtherShard, PreviousOwner, PreviousOwnerEnd, Recovered, RemainingLeases, ReportedLapse,
+    Settings, Shard, SilentVm, ToldLeases, VmLapse, WriteOutcome,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::{
@@ -172,18 +172,21 @@
 /// What a claimant knows of the owner that it replaces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PreviousEnd {
-    Proved,
+    /// It had ended by then.
+    Proved(Duration),
     Unproved,
 }
 
 /// What the daemon of a former owner tells of its end.
 #[derive(Clone, Debug)]
 pub struct ProvedEnd {
+    /// Number of the owner.
+    pub number: u64,
     /// By when it had ended.
     pub at: Duration,
-    /// How long VMs that didn't answer it could keep their runs from then on; `None` if its process
-    /// has ended with what it knew.
-    pub lapses: Option<Vec<VmLapse>>,
+    /// How long the leases last from then on that it and the owners before it have extended; `None` if
+    /// its process has ended with what it knew.
+    pub leases: Option<RemainingLeases>,
 }
 
 /// The owner that a claim replaces, as the claimant knows it.
@@ -191,6 +194,8 @@
     /// It has handed the shard over, and tells how long VMs that don't answer may keep their runs.
     HandedOver(Vec<VmLapse>),
     Ended,
+    /// It had ended by then.
+    EndedBy(Duration),
     MaybeActive,
 }
 
@@ -719,7 +724,7 @@
     /// stay.
     pub fn claim_shard(&mut self, shard: &str, previous: PreviousEnd) -> u64 {
         let replaced = match previous {
-            PreviousEnd::Proved => Replaced::Ended,
+            PreviousEnd::Proved(at) => Replaced::EndedBy(at),
             PreviousEnd::Unproved => Replaced::MaybeActive,
         };
         self.claim(shard, replaced);
@@ -729,11 +734,17 @@
     /// Tells the shard's owner that all owners before it have ended, and how.
     pub fn tell_earlier_owners_ended(&mut self, shard: &str, ends: &[ProvedEnd]) {
         if self.traced {
-            for ProvedEnd { at, lapses } in ends {
-                println!("{:?} {shard} is told of an end by {at:?}: {lapses:?}", self.now);
-            }
+            ends.iter()
+                .for_each(|end| println!("{:?} {shard} is told of an end: {end:?}", self.now));
         }
-        self.tell_previous_owner_ended(shard);
+        let Some(previous) = ends.iter().max_by_key(|end| end.number) else { return };
+        let extended_until = ends.iter().map(|end| end.at).fold(Duration::ZERO, Duration::max);
+        let end = PreviousOwnerEnd::new(extended_until);
+        let end = match &previous.leases {
+            Some(leases) => end.with_leases(ToldLeases { at: previous.at, leases: leases.clone() }),
+            None => end,
+        };
+        self.call(shard, Event::PreviousOwnerEnded(end));
     }
 
     /// Stops an owner until a time.
@@ -758,8 +769,8 @@
     /// Makes an owner learn that it has lost its shard, if it hasn't yet.
     pub fn give_up_ownership(&mut self, number: u64) {
         if let Some(owner) = self.owners.iter().find(|owner| owner.number == number) {
-            let lapses = Some(owner.shard.unresponsive_vms());
-            self.ended_owners.insert(number, ProvedEnd { at: self.now, lapses });
+            let leases = Some(owner.shard.remaining_leases(self.now));
+            self.ended_owners.insert(number, ProvedEnd { number, at: self.now, leases });
         }
         self.remove_owner(number);
     }
@@ -1061,17 +1072,28 @@
         let id = DaemonId::new(&format!("daemon@{}", self.next_owner));
         // Nobody tells the claimant of owners before the last one.
         let told = match &replaced {
-            Replaced::HandedOver(_) | Replaced::Ended => Some(MAX_STALE_OWNER_EXTENSION),
+            Replaced::HandedOver(_) | Replaced::Ended | Replaced::EndedBy(_) => {
+                Some(MAX_STALE_OWNER_EXTENSION)
+            }
             Replaced::MaybeActive => None,
         };
+        let ended_by = match &replaced {
+            Replaced::EndedBy(at) => Some(*at),
+            Replaced::HandedOver(_) | Replaced::Ended | Replaced::MaybeActive => None,
+        };
         let replaces = ExpectedOwner { earlier_active: told, ..ExpectedOwner::default() };
         let written = self.heads_written.insert(name.to_owned(), self.now);
         let age = written.map_or(Duration::ZERO, |at| self.now - at);
         let earlier_active = replaces.earlier_active(before.as_ref(), age);
         let (previous, lapses) = match replaced {
             Replaced::HandedOver(lapses) => (PreviousOwner::Ended, lapses),
-            Replaced::Ended | Replaced::MaybeActive => (PreviousOwner::MaybeActive, Vec::new()),
+            Replaced::Ended | Replaced::EndedBy(_) | Replaced::MaybeActive => {
+                (PreviousOwner::MaybeActive, Vec::new())
+            }
         };
+        let by_head = before.as_ref().map(|head| head.extended_until(self.now - age, self.now));
+        let head_told = before.as_ref().and_then(|head| head.earlier_active);
+        let proved = ended_by.zip(head_told).map(|(at, left)| at + left);
         let head = Head::claim(id, before.as_ref())
             .with_earlier_active(earlier_active)
             .with_stale_extension(settings(self.max_keep).stale_owner_extension());
@@ -1085,8 +1107,8 @@
             seq: head.seq,
             previous: previous.with_earlier_active(earlier_active),
             earlier_active,
-            before_previous: before.as_ref().and_then(|head| head.earlier_active),
-            extended_until: None,
+            before_previous: head_told,
+            extended_until: by_head.into_iter().chain(proved).min(),
             predecessor: before.map(|before| Fence(before.fence)),
             claimed_at: self.now,
             unresponsive_vms: lapses,
