Date what the store holds by the end of its writer, and refresh the record of silent VMs with each commit

Cause: the remaining times in the record of silent VMs counted from the claim, so that the time between the record's last write and the claim was added to each. Change: the times count from the earliest moment by which all earlier owners are known to have built what the store holds: the last write of the replaced head, the end of its owner, or the claim. Commits that are due anyway include the record if it is 0.1 s old. No run that a record names is given up before its VM could be asked.

--- a/src/cluster/ownership/released.rs
+++ b/src/cluster/ownership/released.rs
@@ -130,6 +130,17 @@
         Some(by_head.map_or(extended_until, |until| until.min(extended_until)))
     }
 
+    /// Latest time at which the owner with the token `predecessor` has ended, whose shard this daemon
+    /// has claimed; `None` if the claim didn't rely on a proof of that.
+    pub fn replaced_owner_ended_by(
+        &self,
+        shard: &str,
+        predecessor: Option<Fence>,
+    ) -> Option<Duration> {
+        let replaced = self.shards.get(shard)?.replaced?;
+        (predecessor == Some(Fence(replaced.fence))).then_some(replaced.ended_by)
+    }
+
     /// Records what a claim has found of the owners before this daemon.
     pub(super) fn record_earlier_owners(
         &mut self,
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -102,6 +102,7 @@
         shard: shard.to_owned(),
         fence: writer.fence,
         claimed_at,
+        written_by: claimed_at - age,
         seq: writer.head.seq,
         previous: previous.with_earlier_active(earlier_active),
         earlier_active,
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -208,6 +208,8 @@
         let (predecessor, head_told) = (recovered.predecessor, recovered.before_previous);
         let proved = self.ownership.extended_until(&name, predecessor, head_told);
         recovered.extended_until = proved.into_iter().chain(recovered.extended_until).min();
+        let ended_by = self.ownership.replaced_owner_ended_by(&name, predecessor);
+        recovered.written_by = recovered.written_by.min(ended_by.unwrap_or(Duration::MAX));
         let claimed = cluster::Event::Claimed {
             shard: name.clone(),
             fence: fence.0,
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -156,6 +156,7 @@
         extended_until: None,
         predecessor: None,
         claimed_at: Duration::ZERO,
+        written_by: Duration::ZERO,
         unresponsive_vms: Vec::new(),
         silent: Vec::new(),
         reported_lapses: Vec::new(),
--- a/src/shard/ended/tests.rs
+++ b/src/shard/ended/tests.rs
@@ -20,6 +20,7 @@
         shard: "kacyiru.0".to_owned(),
         fence: Fence(2),
         claimed_at: now,
+        written_by: now,
         seq: 0,
         previous: PreviousOwner::MaybeActive,
         earlier_active: MAX_STALE_OWNER_EXTENSION,
--- a/src/shard/learned/tests.rs
+++ b/src/shard/learned/tests.rs
@@ -114,6 +114,7 @@
         progress: Vec::new(),
         predecessor: None,
         claimed_at: Duration::ZERO,
+        written_by: Duration::ZERO,
         unresponsive_vms: Vec::new(),
         silent: Vec::new(),
         reported_lapses: Vec::new(),
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -217,7 +217,7 @@
             learned_record: self.learned_record.take(),
         };
         let room = MAX_TXN_ENTRIES - RESERVED_ENTRIES - MAX_JOB_ENTRIES;
-        if self.silence.needs_write() {
+        if self.silence.needs_write() || self.silence.is_refreshed(now) {
             let silent = self.silence.start_write(now);
             txn.puts.push(put(self.keys.silence(), silence::SilentVm::encode_all(&silent)));
         }
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -30,6 +30,8 @@
     pub fence: Fence,
     /// When the claim was sent, on the daemon's monotonic clock.
     pub claimed_at: Duration,
+    /// Latest time at which earlier owners built what the store holds, by the same clock.
+    pub written_by: Duration,
     /// Number of the last commit.
     pub seq: u64,
     pub previous: PreviousOwner,
@@ -118,7 +120,7 @@
         let proved = proved.map(|until| until.max(earliest_end(now.steady)));
         let inherited_runs_until = inherited_runs_until.min(proved.unwrap_or(Duration::MAX));
         let keys = Keys::new(&recovered.shard);
-        let silence = SilenceRecord::new(recovered.silent, recovered.claimed_at);
+        let silence = SilenceRecord::new(recovered.silent, recovered.written_by);
         let mut shard = Self {
             name: recovered.shard,
             fence: recovered.fence,
--- a/src/shard/recover/tests.rs
+++ b/src/shard/recover/tests.rs
@@ -10,6 +10,7 @@
         shard: "kacyiru.0".to_owned(),
         fence: Fence(2),
         claimed_at: Duration::ZERO,
+        written_by: Duration::ZERO,
         seq: 0,
         previous: PreviousOwner::Ended,
         earlier_active,
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -14,18 +14,21 @@
 //!   lease on the VM's clock. No other call is sent while the VM is in a commit or in the record.
 //! - A claim is conditional on the revision of the shard's head that was read before it was sent, and
 //!   each commit changes that revision. So all commits of earlier owners that ever take effect were
-//!   built before the claim was sent. Their times are counted from then, which is only later.
+//!   built before the head was last written, and before the owner in it ended. Their times are counted
+//!   from the earlier of these two, as far as they are known, or from the claim, which is only later.
 //! - An owner that was replaced without knowing can't remove a VM from the record any more. It goes
 //!   on not extending it.
 //! - An owner that inherits the record counts with its times, and writes what is left of them. Where
 //!   an owner before the last may still extend the lease, these times cover it.
 //!
-//! The record is written again while work may be left, since its times are as old as it is.
+//! The record is written again while work may be left, since its times are as old as it is: with each
+//! commit, and at intervals without any.
 
 #[cfg(test)]
 mod tests;
 
 use super::Shard;
+use super::ended::earliest_end;
 use super::recover::VmLapse;
 use super::settings::{COMMIT_STALL_TIMEOUT, SILENCE_TIMEOUT};
 use super::vm_run::{Responsiveness, Vm};
@@ -52,6 +55,9 @@
 /// Age from which the record is written again.
 const MAX_RECORD_AGE: Duration = Duration::from_secs(1);
 
+/// Age from which commits that are due anyway include the record.
+const REFRESH_AGE: Duration = Duration::from_millis(100);
+
 /// Number of the commit that first recorded a silent period; distinguishes it from earlier periods
 /// of the same VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -158,14 +164,20 @@
 }
 
 impl SilenceRecord {
-    /// Creates the record from its stored entries, read by a claim that was sent at `claimed_at`.
-    pub fn new(silent: Vec<SilentVm>, claimed_at: Duration) -> Self {
+    /// Creates the record from its stored entries, whose times were taken by `written_by`.
+    pub fn new(silent: Vec<SilentVm>, written_by: Duration) -> Self {
         let entry = |SilentVm { vm, mark, left }| {
-            (vm, Entry { mark, runs_end: left.map(|left| claimed_at + left) })
+            (vm, Entry { mark, runs_end: left.map(|left| written_by + left) })
         };
         let entries: IndexMap<VmId, Entry> = silent.into_iter().map(entry).collect();
         let wanted = entries.clone();
-        Self { wanted, durable: Version { entries, at: claimed_at }, ..Self::default() }
+        Self { wanted, durable: Version { entries, at: written_by }, ..Self::default() }
+    }
+
+    /// Returns whether a commit that is due anyway includes the record.
+    pub fn is_refreshed(&self, now: Duration) -> bool {
+        let age = now.saturating_sub(self.durable.at);
+        self.sent.is_none() && !self.wanted.is_empty() && age >= REFRESH_AGE
     }
 
     /// Returns whether the record needs to be written and no write is in flight.
@@ -300,7 +312,7 @@
     pub(super) fn apply_stored_lapses(&mut self) {
         for (id, entry) in &self.log.silence.durable.entries {
             if let Some((vm, end)) = self.vms.get_mut(id).zip(entry.runs_end) {
-                vm.lease.set_told(end);
+                vm.lease.set_told(end.max(earliest_end(vm.known_since)));
             }
         }
     }
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -193,6 +193,7 @@
         shard: "remera".to_owned(),
         fence: BORROWER,
         claimed_at: Duration::ZERO,
+        written_by: Duration::ZERO,
         seq: 0,
         previous: PreviousOwner::Ended,
         earlier_active: Duration::ZERO,
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -1111,6 +1111,7 @@
             extended_until: by_head.into_iter().chain(proved).min(),
             predecessor: before.map(|before| Fence(before.fence)),
             claimed_at: self.now,
+            written_by: self.now - age,
             unresponsive_vms: lapses,
             silent: self
                 .kv
