Let leases outlast a cut of 12 s, and prove ownership each second

Cause: a lease ends 11.5 s after its owner's last proof, which is up to 3 s old as a cut begins, so that work ended 8.5 to 11.5 s into a cut or an outage; cuts of up to 12 s are to cost nothing of it. Change: 13.5 s (MAX_LEASE_AFTER_PROOF 14 s), and an owner with work and nothing to commit renews its proof each second. A successor without a proof of the end waits 14 s, 2 % and 0.7 s from the last write of the head.

--- a/src/shard/proof.rs
+++ b/src/shard/proof.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Age of the last proof from which an owner with work commits, also without changes.
-const RENEWAL_AGE: Duration = Duration::from_secs(3);
+const RENEWAL_AGE: Duration = Duration::from_secs(1);
 
 /// Time by which leases end before the successor counts on it, for the rates of the owners' clocks.
 const CLOCK_MARGIN: Duration = Duration::from_millis(500);
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -108,7 +108,7 @@
 /// Time after an owner's last proof of ownership by which the leases that it gives end, unless a
 /// whole lease is longer. Running tasks survive an outage of the store of about that time, less the
 /// age of the proof as it begins.
-pub const MAX_LEASE_AFTER_PROOF: Duration = Duration::from_secs(12);
+pub const MAX_LEASE_AFTER_PROOF: Duration = Duration::from_secs(14);
 
 /// How long an owner of an earlier release extends leases in full after its last proof of ownership.
 /// No owner does so for longer.
--- a/tests/shards/deaths.rs
+++ b/tests/shards/deaths.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, TaskRef};
 use waxwingstall::shard::settings::{
-    CLOCK_DRIFT, EXPIRY_MARGIN, MAX_STALE_OWNER_EXTENSION, START_RETRY,
+    CLOCK_DRIFT, EXPIRY_MARGIN, MAX_LEASE_AFTER_PROOF, START_RETRY,
 };
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::Seen;
@@ -701,7 +701,7 @@
     /// They end within a fixed time of its last proof. Daemons know of the proof by its hellos, or have
     /// found the head unchanged since; others only know that it was before the claim.
     fn leases_over(&self, owner: usize) -> Duration {
-        let longest = MAX_STALE_OWNER_EXTENSION.mul_f64(1.0 + CLOCK_DRIFT) + EXPIRY_MARGIN;
+        let longest = MAX_LEASE_AFTER_PROOF.mul_f64(1.0 + CLOCK_DRIFT) + EXPIRY_MARGIN;
         let it = &self.ownerships[owner];
         let (proved, claimed) =
             (self.sim.last_proof(it.number), it.replaced_at.expect("it was replaced"));
