--- a/tests/shards/proof.rs
+++ b/tests/shards/proof.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use waxwingstall::job::progress::TaskPhase;
 use waxwingstall::note::{Millis, Note};
+use waxwingstall::shard::settings::MAX_LEASE_AFTER_PROOF;
 use waxwingstall::shard::{Action, CommitResult, Event, Now};
 
 fn at(secs: u64) -> Now {
@@ -55,6 +56,6 @@
     let (seq, _) = commit(shard.step(at(5), Event::Tick)).expect("a commit that renews the proof");
     let refused = CommitResult::JobExists(Vec::new());
     shard.step(at(10), Event::Committed { seq, result: refused });
-    let lost = shard.step(at(13), Event::Tick);
+    let lost = shard.step(at(MAX_LEASE_AFTER_PROOF.as_secs()), Event::Tick);
     assert!(matches!(notes(&lost)[..], [Note::OwnershipUnproved { .. }]), "{lost:?}");
 }
