--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -86,7 +86,7 @@
 /// State of the previous owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PreviousOwner {
-    /// It and those before it keep no work running any more, or it has handed the shard over and
+    /// It and those before it extend no leases in full any more, or it has handed the shard over and
     /// told of the VMs that don't answer.
     Ended,
     /// It or one before it may not have noticed that it lost the shard, and may still extend its VMs'
