Show that one failing lasting job takes the runners of a kind out of service

One of 20 lasting jobs always fails; 3 to 6 of 30 ordinary jobs have never run a task 17 s after the traffic's end, on runners with half of their room free.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -16,6 +16,8 @@
         "held" => held(dir, trouble),
         "gang" => gang(dir, trouble),
         "offers" => offers(dir, trouble),
+        "failing" => failing(dir, trouble),
+        "failing-all" => failing_all(dir, trouble),
         "route" => route(dir, trouble),
         "avail" => avail(dir, trouble),
         "soak" => crate::soak::soak(dir, trouble),
@@ -291,3 +293,109 @@
     let ended = world.events.iter().any(|e| e.kind == "stop" || e.kind == "upkeep");
     ended.then_some(!bad.iter().any(|bad| bad.starts_with("AVAIL")))
 }
+
+/// LOST: a job whose lasting tasks always fail keeps all others from the runners of its kind.
+fn failing(dir: &Path, trouble: bool) -> Option<bool> {
+    let mut rig = Rig::new(dir, &["z1", "z2"]);
+    for zone in ["z1", "z2"] {
+        add_runners(&mut rig, zone, 6);
+        rig.add_runner(&format!("m-{zone}-b"), zone, &format!("b:r-{zone}-0"), "shop", 32_000);
+        (1..=2).for_each(|number| rig.add_daemon(zone, number));
+    }
+    rig.configure(3, &[queue("checks", 4), queue("watches", 3)], &["shop"]);
+    if !rig.wait_ready() {
+        return None;
+    }
+    sleep(2000);
+    for number in 0..20 {
+        let fails = if trouble && number == 10 { 1_000_000 } else { 0 };
+        let job = json!({ "spec": format!("ms=200 fails={fails}"), "steps": [
+            { "count": 6, "cpu": 250, "mem_mb": 200, "est_ms": 500, "long_running": true, "image": "watch",
+              "constraints": "b" }] });
+        if !rig.submit("/watches/", &format!("00000000000001{number:02x}"), &job) {
+            return None;
+        }
+    }
+    sleep(8000);
+    let mut jobs = Vec::new();
+    for number in 0..30 {
+        let id = format!("00000000000002{number:02x}");
+        let job = json!({ "spec": "ms=800", "steps": [
+            { "count": 2, "cpu": 1000, "mem_mb": 500, "est_ms": 800, "constraints": "b" }] });
+        if rig.submit("/checks/", &id, &job) {
+            jobs.push(id);
+        }
+        sleep(300);
+    }
+    if jobs.is_empty() {
+        return None;
+    }
+    Some(check_lost(&mut rig, "/checks/", &jobs, 2, 1000))
+}
+
+/// The same with runners of one kind: LOST in mid-job, at calm times of the day.
+fn failing_all(dir: &Path, trouble: bool) -> Option<bool> {
+    let mut rig = Rig::new(dir, &["z1", "z2"]);
+    for zone in ["z1", "z2"] {
+        add_runners(&mut rig, zone, 6);
+        (1..=2).for_each(|number| rig.add_daemon(zone, number));
+    }
+    rig.configure(3, &[queue("checks", 4), queue("watches", 3)], &["shop"]);
+    if !rig.wait_ready() {
+        return None;
+    }
+    sleep(2000);
+    for number in 0..20 {
+        let fails = if trouble && number == 10 { 1_000_000 } else { 0 };
+        let job = json!({ "spec": format!("ms=200 fails={fails}"), "steps": [
+            { "count": 12, "cpu": 500, "mem_mb": 500, "est_ms": 500, "long_running": true, "image": "watch" }] });
+        if !rig.submit("/watches/", &format!("00000000000001{number:02x}"), &job) {
+            return None;
+        }
+    }
+    // Longer than `contact_ms` and the 4 s of the rule.
+    sleep(8000);
+    let (mut jobs, until) = (Vec::new(), rig.now() + 55_000);
+    while rig.now() < until && jobs.len() < 40 {
+        let id = format!("00000000000002{:02x}", jobs.len());
+        let step = |after: &[u64]| json!({ "count": 2, "cpu": 1000, "mem_mb": 500, "est_ms": 300, "after": after });
+        let job = json!({ "spec": "ms=300", "steps": [step(&[]), step(&[0]), step(&[1]), step(&[2]), step(&[3])] });
+        if rig.submit("/checks/", &id, &job) {
+            jobs.push((id, rig.now()));
+        }
+        sleep(1000);
+    }
+    sleep(10_000);
+    let world = rig.world.lock().unwrap();
+    let mut times = Vec::new();
+    for (id, accepted) in &jobs {
+        times.push(longest_without_run(&world, id, *accepted, 10));
+    }
+    println!("longest times without a run of {} jobs, in ms: {times:?}", jobs.len());
+    Some(times.iter().all(|time| *time < IDLE_MS))
+}
+
+/// Longest time in which a job had nothing running from its acceptance to the end of its `tasks`.
+fn longest_without_run(world: &World, id: &str, accepted: u64, tasks: u64) -> u64 {
+    let (mut running, mut idle_from, mut longest, mut done) = (0, accepted, 0, 0);
+    for event in world.events.iter().filter(|event| event.task.starts_with(id)) {
+        match event.kind {
+            "start" => {
+                if running == 0 {
+                    longest = longest.max(event.at.saturating_sub(idle_from));
+                }
+                running += 1;
+            }
+            "end" | "lost" => {
+                running -= 1;
+                idle_from = event.at;
+                done += u64::from(event.detail.starts_with("done"));
+            }
+            _ => {}
+        }
+    }
+    if done < tasks && running == 0 {
+        longest = longest.max(world.now().saturating_sub(idle_from));
+    }
+    longest
+}
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -542,7 +542,7 @@
         let state = Run {
             run,
             started: now,
-            work: if is_long { 0 } else { get("ms").unwrap_or(1000) },
+            work: if is_long && !fails { 0 } else { get("ms").unwrap_or(1000) },
             done: resumed.unwrap_or(0),
             ready: now + if resumed.is_some() { RESTORE_MS } else { 0 },
             at: now,
