Hold only VMs that a waiting lasting task may run on, and bound the wait behind a hold

Cause: `hold_vm_for` kept finite work off the VM with the most free processors by size, service and limit per VM alone. Each waiting step held one more VM in each pass, also VMs without its label, denied to it by the permit service, or reserved for another task. Such a hold never comes true.

Hypotheses: (1) holds on VMs that the task may never run on: confirmed, six jobs stay `queued` while `lasting-waits` shows `fit_later=0` beside idle VMs. (2) A hold on a VM that the task may run on, but that a long finite task keeps from coming true: confirmed by a test of its own, the same effect. (3) Finite jobs that other shards hold up after lending: follows from (1) there.

Change: `may_run_without_finite` in `eligibility.rs` is the one answer for holds and for the report of waiting tasks; holds leave out VMs that the task is denied. A hold that has stood for 2 s without a break is overdue: jobs without a run for 1.5 s may then start one task there, after all other VMs. A lasting task that needs a whole VM still gets it beside a constant load of short work (a_lasting_task_gets_a_whole_vm_beside_short_work).

Tests that failed before: lasting_tasks_hold_no_vms_without_their_label, lasting_tasks_hold_no_vms_that_they_are_denied, a_hold_that_does_not_come_true_keeps_no_job_from_starting.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -97,6 +97,8 @@
     crash_log: crash::CrashLog,
     copy_counts: copies::CopyCounts,
     reservations: compact::Reservations,
+    /// VMs that are held for long-running tasks, and since when.
+    holds: IndexMap<VmId, Duration>,
     vm_list: fleet::VmListSource,
     evacuation: evacuate::EvacuationOrders,
     /// Latest time until which VMs that this owner hasn't reached may keep running tasks started by
--- a/src/shard/eligibility.rs
+++ b/src/shard/eligibility.rs
@@ -9,7 +9,7 @@
 
 use super::event::FreeRoom;
 use super::job_run::JobRun;
-use super::room::VmCapacity;
+use super::room::{Hold, VmCapacity};
 use super::vm_run::Vm;
 use crate::ids::ServiceName;
 use crate::job::{Label, Life, Step, StepRef, TaskRef};
@@ -54,6 +54,12 @@
         is_suitable(task.step, task.service, &self.service, &self.labels)
     }
 
+    /// Returns whether the VM may run one more task once all finite tasks on it have ended, if it gets
+    /// a permit there.
+    pub fn may_run_without_finite(&self, task: &Requirements<'_>) -> bool {
+        self.suits(task) && !self.is_reserved && self.fits_without_finite(task.step, task.key)
+    }
+
     /// Returns whether the VM may run one more task now, if it gets a permit there.
     pub fn may_run(&self, task: &Requirements<'_>) -> bool {
         self.suits(task) && self.is_open_to(task) && self.takes(task.step, task.key)
@@ -73,9 +79,16 @@
 
     /// Returns whether the VM's free room isn't kept for other tasks.
     fn is_open_to(&self, task: &Requirements<'_>) -> bool {
-        let is_held = self.held_for_long_running && task.step.life == Life::Finite;
+        let is_held = self.hold != Hold::None && task.step.life == Life::Finite;
         !is_held && !self.is_reserved
     }
+
+    /// Returns whether the VM may run one more task now of a job that has stalled: an overdue hold
+    /// doesn't keep it from starting.
+    pub fn may_run_stalled(&self, task: &Requirements<'_>) -> bool {
+        let is_held = self.hold == Hold::Held && task.step.life == Life::Finite;
+        self.suits(task) && !is_held && !self.is_reserved && self.takes(task.step, task.key)
+    }
 }
 
 impl FreeRoom {
--- a/src/shard/eligibility/tests.rs
+++ b/src/shard/eligibility/tests.rs
@@ -3,7 +3,7 @@
 use crate::job::{JobId, Label, Life, Step, StepRef};
 use crate::shard::event::FreeRoom;
 use crate::shard::interference::{ImageIx, InterferenceModel};
-use crate::shard::room::VmCapacity;
+use crate::shard::room::{Hold, VmCapacity};
 use crate::units::Resources;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,7 +47,7 @@
     const SMALL: Resources = Resources::new(1000, 1000, 0);
     const LARGE: Resources = Resources::new(13_000, 1000, 0);
     type Change = fn(&mut VmCapacity);
-    let cases: [(&str, Change, (bool, bool)); 8] = [
+    let cases: [(&str, Change, (bool, bool)); 9] = [
         ("empty", |_| {}, (true, true)),
         ("another service", |vm| vm.service = ServiceName::new("desk"), (false, false)),
         ("no label", |vm| vm.labels.truncate(1), (false, false)),
@@ -55,7 +55,8 @@
         ("task of another step", |vm| run(vm, OTHER_KEY, SMALL), (true, true)),
         ("full", |vm| run(vm, OTHER_KEY, LARGE), (true, false)),
         ("reserved", |vm| vm.is_reserved = true, (true, false)),
-        ("held for a long-running task", |vm| vm.held_for_long_running = true, (true, false)),
+        ("held for a long-running task", |vm| vm.hold = Hold::Held, (true, false)),
+        ("held for too long", |vm| vm.hold = Hold::Overdue, (true, false)),
     ];
     for (name, change, expected) in cases {
         let mut vm = vm();
@@ -68,11 +69,49 @@
 #[test]
 fn a_held_vm_takes_long_running_tasks() {
     let mut vm = vm();
-    vm.held_for_long_running = true;
+    vm.hold = Hold::Held;
     let step = Step { life: Life::Lasting, ..step() };
     assert_eq!(verdicts(&vm, &step), (true, true));
 }
 
+// Guards against stalled jobs that wait for as long as a hold doesn't come true, and against holds
+// that never do as every stalled job starts there.
+#[test]
+fn stalled_jobs_start_on_a_vm_whose_hold_is_overdue() {
+    let (service, step) = (ServiceName::new("shop"), step());
+    let task = Requirements { service: &service, step: &step, key: KEY };
+    for (hold, expected) in [(Hold::None, true), (Hold::Held, false), (Hold::Overdue, true)] {
+        let mut room = vm();
+        room.hold = hold;
+        assert_eq!(room.may_run_stalled(&task), expected, "{hold:?}");
+    }
+    let mut reserved = vm();
+    reserved.is_reserved = true;
+    assert!(!reserved.may_run_stalled(&task));
+}
+
+// Guards against VMs that are held for a long-running task that may never run there.
+#[test]
+fn room_after_finite_tasks_must_suit_the_step() {
+    const SMALL: Resources = Resources::new(1000, 1000, 0);
+    const LARGE: Resources = Resources::new(13_000, 1000, 0);
+    type Change = fn(&mut VmCapacity);
+    let cases: [(&str, Change, bool); 6] = [
+        ("empty", |_| {}, true),
+        ("full of finite tasks", |vm| run(vm, OTHER_KEY, LARGE), true),
+        ("another service", |vm| vm.service = ServiceName::new("desk"), false),
+        ("no label", |vm| vm.labels.truncate(1), false),
+        ("at the limit", |vm| run(vm, KEY, SMALL), false),
+        ("reserved", |vm| vm.is_reserved = true, false),
+    ];
+    for (name, change, expected) in cases {
+        let (mut vm, service, step) = (vm(), ServiceName::new("shop"), step());
+        change(&mut vm);
+        let task = Requirements { service: &service, step: &step, key: KEY };
+        assert_eq!(vm.may_run_without_finite(&task), expected, "{name}");
+    }
+}
+
 // Guards against tasks that are lent to a shard for VMs that may not run them.
 #[test]
 fn room_in_another_shard_must_suit_the_step() {
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -9,7 +9,7 @@
 use super::job_run::{Effect, PlacedRun};
 use super::order::{Candidate, waiting};
 use super::permits::PermitRequirement;
-use super::room::{Probation, VmCapacity};
+use super::room::{Hold, Probation, VmCapacity};
 use super::vm_run::{Run, RunKey};
 use crate::ids::{ServiceName, VmId};
 use crate::job::{Job, JobId, Life, Share, Step, StepRef, TaskRef};
@@ -77,6 +77,9 @@
 /// Cost of a VM that left the last poll without an answer: starts there wait for the next one.
 const UNANSWERED_COST: f64 = 2e4;
 
+/// Cost of a VM that is held for a long-running task, once the hold is overdue.
+const OVERDUE_HOLD_COST: f64 = 3e4;
+
 /// Cost of a VM that stands still; a slow one costs the share of its speed that is lost. It exceeds
 /// the free cores of any VM.
 const SLOW_VM_COST: f64 = 500.0;
@@ -94,6 +97,10 @@
     Stalled,
 }
 
+/// Time after which a hold is overdue: jobs that have stalled may then start on the held VM. Within
+/// it, short tasks end and make room for the long-running task that the VM is held for.
+const MAX_HOLD: Duration = Duration::from_secs(2);
+
 /// Maximum number of waiting tasks offered to other shards in one pass.
 const MAX_LOAN_OFFERS: usize = 64;
 
@@ -174,6 +181,7 @@
         let (slowed, slow) = (self.slowed(), self.slow_runs());
         let has_waiting = self.jobs.values().any(|job| !job.is_final() && !waiting(job).is_empty());
         if !has_waiting && slowed.is_empty() && slow.is_empty() {
+            self.holds.clear();
             return;
         }
         let rooms = self.vms.values().filter_map(|vm| self.room(vm));
@@ -187,6 +195,7 @@
             self.place_job(candidate, &mut pass);
         }
         self.has_backlog = !pass.unplaceable.is_empty();
+        self.record_holds(&pass.rooms);
         self.move_slowed(slowed, &mut pass);
         self.relieve_slow_runs(slow, &mut pass);
         self.request_missing_permits(&candidates, &pass.rooms);
@@ -216,6 +225,41 @@
         first
     }
 
+    /// Holds the VM where a long-running task can fit soonest, so that finite tasks aren't placed
+    /// there. The task needs more room at once than a short one and would otherwise wait for as long as
+    /// short tasks arrive.
+    ///
+    /// A VM where the task may never run, or whose memory is permanently taken, is not held: the hold
+    /// would never come true.
+    fn hold_vm_for(&self, task: TaskRef, rooms: &mut [VmCapacity]) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let Some(requirements) = job.requirements(task) else { return };
+        let step = requirements.step;
+        if step.life != Life::Lasting || step.share != Share::Reserved {
+            return;
+        }
+        let (permits, now) = (self.permits_of(task), self.now.steady);
+        let may_fit = |room: &&mut VmCapacity| {
+            room.hold == Hold::None
+                && room.may_run_without_finite(&requirements)
+                && permits.is_none_or(|p| p.meets(PermitRequirement::NotDenied, &room.vm, now))
+        };
+        let best = rooms.iter_mut().filter(may_fit).max_by_key(|room| room.free.milli_cores);
+        if let Some(room) = best {
+            let since = self.holds.get(&room.vm).copied().unwrap_or(now);
+            let is_overdue = now.saturating_sub(since) >= MAX_HOLD;
+            room.hold = if is_overdue { Hold::Overdue } else { Hold::Held };
+        }
+    }
+
+    /// Records since when each VM has been held without a break.
+    fn record_holds(&mut self, rooms: &[VmCapacity]) {
+        let now = self.now.steady;
+        let held = rooms.iter().filter(|room| room.hold != Hold::None);
+        let since = |vm: &VmId| self.holds.get(vm).copied().unwrap_or(now);
+        self.holds = held.map(|room| (room.vm.clone(), since(&room.vm))).collect();
+    }
+
     fn place_job(&mut self, candidate: &Candidate, pass: &mut SchedulePass) {
         let Some(job) = self.jobs.get(&candidate.id) else { return };
         let spec = job.job.clone();
@@ -237,7 +281,7 @@
                 let permit = PermitRequirement::Valid;
                 let choice = self.choose(*task, step, need, &shape, &pass.rooms, permit);
                 let Some(choice) = choice else {
-                    hold_vm_for(*task, step, &shape, &mut pass.rooms);
+                    self.hold_vm_for(*task, &mut pass.rooms);
                     pass.unplaceable.push(shape.clone());
                     break;
                 };
@@ -317,7 +361,10 @@
         rooms
             .iter()
             .enumerate()
-            .filter(|(_, room)| room.may_run(&requirements))
+            .filter(|(_, room)| match need {
+                Need::Normal => room.may_run(&requirements),
+                Need::Stalled => room.may_run_stalled(&requirements),
+            })
             .filter(|(_, room)| permits.is_none_or(|p| p.meets(permit, &room.vm, now)))
             .filter_map(|(index, room)| {
                 let cost = self.cost(room, step, shape.image, time, need)?;
@@ -462,6 +509,9 @@
     if room.probation == Probation::Yes {
         cost += PROBATION_COST;
     }
+    if room.hold == Hold::Overdue && step.life == Life::Finite {
+        cost += OVERDUE_HOLD_COST;
+    }
     if step.rack.as_ref().is_some_and(|rack| *rack != room.rack) {
         cost += REMOTE_DATA_COST;
     }
@@ -503,24 +553,3 @@
     let drains_soon = if room.drains_soon { DRAINS_SOON_COST } else { 0.0 };
     drains_soon + room.share_left_with(step) + SAME_STEP_COST * mixed
 }
-
-/// Holds the VM where a long-running task can fit soonest, so that finite tasks aren't placed
-/// there. The task needs more room at once than a short one and would otherwise wait for as long as
-/// short tasks arrive.
-///
-/// Memory is checked as well: a VM whose memory was permanently taken used to be held for its free
-/// processors, and the task never fit.
-fn hold_vm_for(task: TaskRef, step: &Step, shape: &Shape, rooms: &mut [VmCapacity]) {
-    if step.life != Life::Lasting || step.share != Share::Reserved {
-        return;
-    }
-    let fits = |room: &&mut VmCapacity| {
-        room.fits_without_finite(step, task.step_ref())
-            && !room.held_for_long_running
-            && room.service == shape.service
-    };
-    let best = rooms.iter_mut().filter(fits).max_by_key(|room| room.free.milli_cores);
-    if let Some(room) = best {
-        room.held_for_long_running = true;
-    }
-}
--- a/src/shard/recover.rs
+++ b/src/shard/recover.rs
@@ -138,6 +138,7 @@
             crash_log: super::crash::CrashLog::default(),
             copy_counts: super::copies::CopyCounts::default(),
             reservations: super::compact::Reservations::default(),
+            holds: IndexMap::new(),
             interference: super::interference::InterferenceModel::default(),
             run_times: super::run_times::RunTimes::default(),
             record_clock: RecordClock::new(now.steady),
--- a/src/shard/room.rs
+++ b/src/shard/room.rs
@@ -34,8 +34,7 @@
     /// Processors that the leftover work on the VM demands, in millicores.
     pub leftover_demand: f64,
     pub probation: Probation,
-    /// Whether the VM is held for a waiting long-running task.
-    pub held_for_long_running: bool,
+    pub hold: Hold,
     /// Whether the shard's long-running tasks are crowded.
     pub is_crowded: bool,
     /// Whether the VM is reserved for a single task that is to be placed on it.
@@ -147,6 +146,15 @@
     Yes,
 }
 
+/// Whether finite tasks are kept off a VM to make room for a waiting long-running task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    None,
+    Held,
+    /// The finite tasks on the VM have not made room in time. Jobs that have stalled may start there.
+    Overdue,
+}
+
 /// Assumed own load of a serving task that has reported nothing yet: near the top of its usual
 /// range.
 const DEFAULT_EXPECTED_LOAD: f64 = 0.6;
@@ -274,7 +282,7 @@
             leftover: cores,
             leftover_demand: 0.0,
             probation: Probation::No,
-            held_for_long_running: false,
+            hold: Hold::None,
             is_crowded: false,
             is_reserved: false,
             is_overloaded: false,
--- a/src/shard/waiting.rs
+++ b/src/shard/waiting.rs
@@ -88,8 +88,7 @@
         let requirements = self.jobs.get(&task.job).and_then(|job| job.requirements(task));
         let here = |room: &VmCapacity| requirements.as_ref().is_some_and(|task| room.may_run(task));
         let later = |room: &VmCapacity| {
-            requirements.as_ref().is_some_and(|task| room.suits(task))
-                && room.fits_without_finite(step, task.step_ref())
+            requirements.as_ref().is_some_and(|task| room.may_run_without_finite(task))
         };
         if rooms.iter().any(here) {
             tally.fit_here += 1;
--- a/standin/src/permits.rs
+++ b/standin/src/permits.rs
@@ -16,6 +16,8 @@
     validity: Duration,
     /// VMs on which no step is permitted.
     pub denied: Vec<VmId>,
+    /// Steps that are permitted on no VM.
+    pub denied_steps: Vec<StepRef>,
     /// Questions answered: the step, and the VMs that each named.
     pub asked: Vec<(StepRef, Vec<VmId>)>,
     /// Starts that were refused for want of a permit.
@@ -25,7 +27,8 @@
 impl PermitTable {
     /// A service that permits a step on so many in a hundred VMs, for some time.
     pub fn new(percent: u64, validity: Duration) -> Self {
-        Self { percent, validity, denied: Vec::new(), asked: Vec::new(), refused: 0 }
+        let (denied, denied_steps, asked) = Default::default();
+        Self { percent, validity, denied, denied_steps, asked, refused: 0 }
     }
 
     /// Answers a question.
@@ -51,7 +54,7 @@
 
     fn permits(&self, step: StepRef, vm: &VmId) -> bool {
         let is_chosen = xxh3_64(format!("{step}@{vm}").as_bytes()) % 100 < self.percent;
-        is_chosen && !self.denied.contains(vm)
+        is_chosen && !self.denied.contains(vm) && !self.denied_steps.contains(&step)
     }
 
     fn permit(&self, now: Duration, step: StepRef, vm: &VmId) -> Permit {
--- a/tests/shards/hold.rs
+++ b/tests/shards/hold.rs
@@ -6,9 +6,10 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
-use waxwingstall::job::{Job, JobId, JobState};
+use waxwingstall::job::{Job, JobId, JobState, Label, StepRef};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
+use waxwingstall_standin::permits::PermitTable;
 use waxwingstall_standin::runs::Work;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
@@ -81,3 +82,72 @@
     assert!(busy.is_running(waiting.id), "the task still waits");
     check(&mut busy.sim, &busy.all, SIZE);
 }
+
+/// Time in which short work is done on idle VMs.
+const SHORT_WORK_TIME: Duration = Duration::from_secs(2);
+
+/// Longest time that a job may have nothing running beside room for it.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+
+fn known(jobs: &[Job]) -> IndexMap<JobId, Job> {
+    jobs.iter().map(|job| (job.id, job.clone())).collect()
+}
+
+/// Asserts that a short job is done on idle VMs while these lasting jobs wait.
+fn assert_short_work_ends_beside(mut sim: Simulation<NoFaults>, mut jobs: Vec<Job>) {
+    sim.run_for(Duration::from_secs(1));
+    for job in &jobs {
+        sim.submit(SHARD, job.clone());
+    }
+    sim.run_for(Duration::from_secs(2));
+    let short = job_with_steps(100, 1, 2, work(500, 2));
+    sim.submit(SHARD, short.clone());
+    sim.run_for(SHORT_WORK_TIME);
+    for job in &jobs {
+        assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Queued)));
+    }
+    assert_eq!(sim.show(SHARD, short.id), Some(Answer::Shown(JobState::Done)));
+    jobs.push(short);
+    check(&mut sim, &known(&jobs), SIZE);
+}
+
+// Guards against short work that waits for VMs which are held for lasting tasks of another label.
+#[test]
+fn lasting_tasks_hold_no_vms_without_their_label() {
+    let sim = Simulation::new(NoFaults, &[SHARD], 3, SIZE);
+    let label = Some(Label::new("ssd"));
+    let mut jobs: Vec<Job> = (1..=4).map(|id| long_running(id, 1, 500)).collect();
+    jobs.iter_mut().for_each(|job| job.steps[0].label = label.clone());
+    assert_short_work_ends_beside(sim, jobs);
+}
+
+// Guards against short work that waits for VMs which are held for lasting tasks that may not run
+// there by the permit service.
+#[test]
+fn lasting_tasks_hold_no_vms_that_they_are_denied() {
+    let table = PermitTable::new(100, Duration::from_secs(3));
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 3, SIZE).with_permits(table);
+    let jobs: Vec<Job> = (1..=4).map(|id| long_running(id, 1, 500)).collect();
+    let steps = jobs.iter().map(|job| StepRef { job: job.id, occurrence: 0, step: 0 });
+    sim.permits.as_mut().expect("it has permits").denied_steps = steps.collect();
+    assert_short_work_ends_beside(sim, jobs);
+}
+
+// Guards against jobs that never start beside a lasting task for which their VM is held, as the task
+// waits for another one that runs for long.
+#[test]
+fn a_hold_that_does_not_come_true_keeps_no_job_from_starting() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 1, SIZE);
+    let jobs = [
+        job_with_steps(1, 1, 1, work(60_000, 1)),
+        long_running(2, 8, 4000),
+        job_with_steps(3, 1, 1, work(500, 1)),
+    ];
+    for job in &jobs {
+        sim.submit(SHARD, job.clone());
+        sim.run_for(Duration::from_millis(100));
+    }
+    sim.run_for(MAX_IDLE_TIME);
+    assert_eq!(sim.show(SHARD, jobs[2].id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &known(&jobs), SIZE);
+}
