Let tasks that no shard can run keep no others from being lent

Cause: each pass offered the first 64 waiting tasks by priority to other shards. 288 tasks that no shard can run filled them in every pass.

Hypotheses: (1) the prefix: confirmed, no `tasks-lent` after the loss, and the test fails for as long as the tasks before need a missing label. (2) Labels are only one way to fill it: confirmed by a second test, 200 jobs of 200 sizes that fit on no VM just now.

Change (`src/shard/loan/offers.rs`): a pass is limited in offers made in vain and in tasks lent, not in tasks looked at. Tasks that require as much as one that no shard has room for count once. If there are still more steps than offers, those offered in vain longest ago go first, which holds for any cause. Within the limit the order is as before. Tasks that haven't waited long enough, wait for a permit only, or are borrowed use up no offer.

Tests that failed before: tasks_without_a_suitable_vm_keep_no_others_from_being_lent, jobs_that_are_offered_in_vain_take_turns. The simulated world has a second queue of lower priority for it.

--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -90,6 +90,8 @@
     pub run_times: MeasuredTimes,
     /// Shards that returned its tasks.
     pub declines: Declines,
+    /// When its tasks were last offered to other shards in vain.
+    pub offered_in_vain: Option<Duration>,
 }
 
 /// Mean of measured times.
@@ -341,15 +343,8 @@
 
     /// Begins the next occurrence.
     pub fn begin_occurrence(&mut self) {
-        let steps = self.job.steps.iter().map(|step| StepRun {
-            tasks: (0..step.tasks).map(|_| Task::default()).collect(),
-            ready: None,
-            load: None,
-            permits: StepPermits::default(),
-            proven: false,
-            run_times: MeasuredTimes::default(),
-            declines: Declines::default(),
-        });
+        let tasks = |step: &Step| (0..step.tasks).map(|_| Task::default()).collect();
+        let steps = self.job.steps.iter().map(|step| StepRun::new(tasks(step), None));
         self.open_occurrences
             .push(Occurrence { number: self.started_occurrences, steps: steps.collect() });
         self.started_occurrences += 1;
@@ -400,15 +395,10 @@
 
 impl Occurrence {
     fn recovered(occurrence: &OccurrenceProgress, whole: &Progress, now: Duration) -> Self {
-        let steps = occurrence.steps.iter().map(|tasks| StepRun {
-            tasks: tasks.iter().map(|t| Task::recovered(t, whole, now)).collect(),
-            ready: None,
-            load: None,
-            permits: StepPermits::default(),
-            proven: false,
-            run_times: MeasuredTimes::default(),
-            declines: Declines::default(),
-        });
+        let tasks = |tasks: &Vec<TaskProgress>| {
+            tasks.iter().map(|task| Task::recovered(task, whole, now)).collect()
+        };
+        let steps = occurrence.steps.iter().map(|step| StepRun::new(tasks(step), None));
         Self { number: occurrence.number, steps: steps.collect() }
     }
 
@@ -439,6 +429,20 @@
 }
 
 impl StepRun {
+    /// Creates a step whose predecessors had succeeded at `ready`.
+    pub fn new(tasks: Vec<Task>, ready: Option<Duration>) -> Self {
+        Self {
+            tasks,
+            ready,
+            load: None,
+            permits: StepPermits::default(),
+            proven: false,
+            run_times: MeasuredTimes::default(),
+            declines: Declines::default(),
+            offered_in_vain: None,
+        }
+    }
+
     /// Whether every task has succeeded.
     pub fn succeeded(&self) -> bool {
         self.tasks.iter().all(|task| task.phase == TaskPhase::Succeeded)
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -17,6 +17,7 @@
 mod borrower;
 mod declines;
 mod message;
+mod offers;
 
 pub use declines::Declines;
 pub use message::{JobStart, LendOrder, LentTask, LoanId, LoanMsg, LoanOutcome, ReturnedTask};
@@ -24,12 +25,11 @@
 use super::Shard;
 use super::event::{Action, OtherShard};
 use super::job_run::{
-    CheckpointRank, JobRun, LoanStatus, MeasuredTimes, Occurrence, RecordState, Started, StepRun,
-    Task,
+    CheckpointRank, JobRun, LoanStatus, Occurrence, RecordState, Started, StepRun, Task,
 };
 use super::vm_run::RunKey;
 use crate::job::progress::{Crashes, TaskPhase};
-use crate::job::{Job, JobId, RunNumber, TaskRef};
+use crate::job::{Job, JobId, RunNumber, Step, TaskRef};
 use crate::note::{Note, StaticText};
 use crate::vm::Fence;
 use indexmap::{IndexMap, IndexSet};
@@ -549,15 +549,8 @@
 /// Creates an occurrence whose tasks are all in the lending shard.
 fn placeholder_occurrence(job: &Job, number: u32, now: Duration) -> Occurrence {
     let elsewhere = || Task { phase: TaskPhase::Elsewhere, ..Task::default() };
-    let steps = job.steps.iter().map(|step| StepRun {
-        tasks: (0..step.tasks).map(|_| elsewhere()).collect(),
-        ready: Some(now),
-        load: None,
-        permits: super::permits::StepPermits::default(),
-        proven: false,
-        run_times: MeasuredTimes::default(),
-        declines: Declines::default(),
-    });
+    let tasks = |step: &Step| (0..step.tasks).map(|_| elsewhere()).collect();
+    let steps = job.steps.iter().map(|step| StepRun::new(tasks(step), Some(now)));
     Occurrence { number, steps: steps.collect() }
 }
 
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -6,6 +6,7 @@
 use super::super::job_run::{JobRun, Lent, LoanStatus};
 use super::super::permits::PermitRequirement;
 use super::super::room::VmCapacity;
+use super::offers::Offers;
 use crate::ids::ServiceName;
 use crate::job::{Image, JobId, Life, Share, Step, TaskRef};
 use crate::note::Note;
@@ -32,6 +33,15 @@
 /// Time in which a shard with capacity to spare would end its leftover work.
 const CLEARING_TIME: Duration = Duration::from_millis(1000);
 
+/// Outcome of offering the waiting tasks of a step to other shards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// Those that were due are lent, or wait for something else than room.
+    Lent,
+    /// No other shard has room for one of them.
+    InVain,
+}
+
 impl Shard {
     /// Returns whether another shard has a VM with room for a task of the step, by its last
     /// summary.
@@ -51,20 +61,30 @@
         if self.loans.other_shards.is_empty() {
             return;
         }
+        let mut offers = if self.is_evacuated() { Offers::unlimited() } else { Offers::limited() };
+        let groups = waiting.chunk_by(|a, b| a.step_ref() == b.step_ref());
+        let mut groups: Vec<&[TaskRef]> =
+            groups.filter(|group| self.is_lending_due(group)).collect();
+        if offers.may_exceed(groups.len()) {
+            groups.sort_by_key(|group| {
+                let job = self.jobs.get(&group[0].job);
+                job.and_then(|job| job.step_run(group[0])?.offered_in_vain)
+            });
+        }
         let mut lent: IndexMap<(JobId, Arc<str>), usize> = IndexMap::new();
-        for group in waiting.chunk_by(|a, b| a.step_ref() == b.step_ref()) {
-            // All members of a gang run in one shard, so they are lent together or not at all.
-            if self.is_gang(group[0]) {
-                if let Some(to) = self.borrower_for_gang(group, rooms) {
-                    self.align_checkpoints(group[0]);
-                    group.iter().for_each(|task| self.lend(*task, &to, &mut lent));
-                }
-                continue;
+        for group in groups {
+            if offers.is_used_up() {
+                break;
             }
-            for task in group {
-                if let Some(to) = self.borrower_for(*task, rooms) {
-                    self.lend(*task, &to, &mut lent);
-                }
+            let outcome = if self.is_gang(group[0]) {
+                self.offer_gang(group, rooms, &mut offers, &mut lent)
+            } else {
+                self.offer_tasks(group, rooms, &mut offers, &mut lent)
+            };
+            if let (Outcome::InVain, Some(job)) = (outcome, self.jobs.get_mut(&group[0].job))
+                && let Some(step) = job.step_run_mut(group[0])
+            {
+                step.offered_in_vain = Some(now);
             }
         }
         if !lent.is_empty() {
@@ -97,17 +117,101 @@
         *lent.entry((task.job, to.clone())).or_default() += 1;
     }
 
-    /// Returns a shard with room for all members of a gang that has waited long enough, or any that
-    /// can run them if this shard's failure domain is evacuated.
+    /// Returns how long a step's tasks wait for room in this shard before they are lent.
+    fn lending_delay(&self, step: &Step) -> Duration {
+        match (step.share, step.life) {
+            _ if self.is_evacuated() => Duration::ZERO,
+            _ if step.grouping.is_gang() => LONG_RUNNING_LEND_DELAY,
+            (Share::Leftover, _) => LEFTOVER_LEND_DELAY,
+            _ if step.grouping.prefers_one_rack() => LONG_RUNNING_LEND_DELAY,
+            (Share::Reserved, Life::Lasting) => LONG_RUNNING_LEND_DELAY,
+            (Share::Reserved, Life::Finite) => LEND_DELAY,
+        }
+    }
+
+    /// Returns whether a waiting task could have run for this long.
+    fn has_waited(&self, task: TaskRef, delay: Duration) -> bool {
+        self.waited(task).is_some_and(|waited| waited >= delay)
+    }
+
+    /// Returns whether any of a step's waiting tasks may be lent now. Borrowed tasks are not lent
+    /// again.
+    fn is_lending_due(&self, group: &[TaskRef]) -> bool {
+        let job = self.jobs.get(&group[0].job).filter(|job| !job.is_borrowed());
+        let Some(step) = job.and_then(|job| job.step(group[0])) else { return false };
+        let delay = self.lending_delay(step);
+        if step.grouping.is_gang() {
+            return group.len() == step.tasks as usize && self.has_waited(group[0], delay);
+        }
+        group.iter().any(|task| self.has_waited(*task, delay))
+    }
+
+    /// Lends the waiting tasks of a step, as far as other shards have room.
+    fn offer_tasks(
+        &mut self,
+        group: &[TaskRef],
+        rooms: &[VmCapacity],
+        offers: &mut Offers,
+        lent: &mut IndexMap<(JobId, Arc<str>), usize>,
+    ) -> Outcome {
+        let Some(job) = self.jobs.get(&group[0].job) else { return Outcome::Lent };
+        let Some(step) = job.step(group[0]).cloned() else { return Outcome::Lent };
+        let (service, image) = (job.job.service.clone(), image_name(job, &step));
+        let needs_permits = self.permits_of(group[0]).is_some();
+        if needs_permits && self.may_be_placed(group[0], rooms) {
+            // It only waits for a permit.
+            return Outcome::Lent;
+        }
+        let delay = self.lending_delay(&step);
+        for task in group {
+            if !self.has_waited(*task, delay) {
+                continue;
+            }
+            if offers.is_used_up() {
+                break;
+            }
+            if offers.is_unmet(&step, &service, &image) {
+                return Outcome::InVain;
+            }
+            let Some(to) = self.borrower_for(*task, &step, &service, &image) else {
+                offers.count_vain();
+                // Steps that need permits pass over shards that have returned their tasks.
+                if !needs_permits && !self.is_evacuated() {
+                    offers.add_unmet(&step, &service, &image);
+                }
+                return Outcome::InVain;
+            };
+            self.lend(*task, &to, lent);
+            offers.count_accepted(1);
+        }
+        Outcome::Lent
+    }
+
+    /// Lends a gang as a whole, as all its members run in one shard.
+    fn offer_gang(
+        &mut self,
+        members: &[TaskRef],
+        rooms: &[VmCapacity],
+        offers: &mut Offers,
+        lent: &mut IndexMap<(JobId, Arc<str>), usize>,
+    ) -> Outcome {
+        let Some(to) = self.borrower_for_gang(members, rooms) else {
+            offers.count_vain();
+            return Outcome::InVain;
+        };
+        self.align_checkpoints(members[0]);
+        members.iter().for_each(|task| self.lend(*task, &to, lent));
+        offers.count_accepted(members.len());
+        Outcome::Lent
+    }
+
+    /// Returns a shard with room for all members of a gang, or any that can run them if this shard's
+    /// failure domain is evacuated.
     fn borrower_for_gang(&mut self, members: &[TaskRef], rooms: &[VmCapacity]) -> Option<Arc<str>> {
         let (first, count) = (members[0], members.len());
         let job = self.jobs.get(&first.job)?;
         let step = job.step(first)?;
         let is_evacuated = self.is_evacuated();
-        let delay = if is_evacuated { Duration::ZERO } else { LONG_RUNNING_LEND_DELAY };
-        if job.is_borrowed() || count != step.tasks as usize || self.waited(first)? < delay {
-            return None;
-        }
         if self.permits_of(first).is_some() && self.may_fit_together(first, count, rooms) {
             // It only waits for permits.
             return None;
@@ -159,44 +263,27 @@
         Some(name)
     }
 
-    /// Returns a shard with room for a task that has waited long enough, or any that can run it if
-    /// this shard's failure domain is evacuated.
-    fn borrower_for(&mut self, task: TaskRef, rooms: &[VmCapacity]) -> Option<Arc<str>> {
-        let job = self.jobs.get(&task.job)?;
-        let step = job.step(task)?.clone();
-        // A borrowed task is not lent again.
-        if job.is_borrowed() {
-            return None;
-        }
-        let is_evacuated = self.is_evacuated();
-        let delay = match (step.share, step.life) {
-            _ if is_evacuated => Duration::ZERO,
-            (Share::Leftover, _) => LEFTOVER_LEND_DELAY,
-            _ if step.grouping.prefers_one_rack() => LONG_RUNNING_LEND_DELAY,
-            (Share::Reserved, Life::Lasting) => LONG_RUNNING_LEND_DELAY,
-            (Share::Reserved, Life::Finite) => LEND_DELAY,
-        };
-        if self.waited(task)? < delay {
-            return None;
-        }
-        if self.permits_of(task).is_some() && self.may_be_placed(task, rooms) {
-            // It only waits for a permit.
-            return None;
-        }
-        let service = job.job.service.clone();
-        let image = image_name(job, &step);
+    /// Returns a shard with room for a task, or any that can run it if this shard's failure domain is
+    /// evacuated.
+    fn borrower_for(
+        &mut self,
+        task: TaskRef,
+        step: &Step,
+        service: &ServiceName,
+        image: &Image,
+    ) -> Option<Arc<str>> {
         let best = self.best_borrower(task, |summary| {
             let room = match step.share {
-                Share::Reserved => fitting_rooms(summary, &step, &service),
-                Share::Leftover => leftover_milli_cores(summary, &step, &service, &image),
+                Share::Reserved => fitting_rooms(summary, step, service),
+                Share::Leftover => leftover_milli_cores(summary, step, service, image),
             };
             (room > 0.0).then_some(room)
         });
         let Some(name) = best else {
-            return if is_evacuated { self.redirect(task, &step, &service, 1) } else { None };
+            return if self.is_evacuated() { self.redirect(task, step, service, 1) } else { None };
         };
         let summary = Arc::make_mut(&mut self.loans.other_shards.get_mut(&name)?.summary);
-        subtract_lent(summary, &step, &service, &image);
+        subtract_lent(summary, step, service, image);
         Some(name)
     }
 
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -101,9 +101,6 @@
 /// it, short tasks end and make room for the long-running task that the VM is held for.
 const MAX_HOLD: Duration = Duration::from_secs(2);
 
-/// Maximum number of waiting tasks offered to other shards in one pass.
-const MAX_LOAN_OFFERS: usize = 64;
-
 /// State of one scheduling pass.
 pub(super) struct SchedulePass {
     pub rooms: Vec<VmCapacity>,
@@ -204,27 +201,11 @@
             task.is_some_and(super::job_run::Task::is_waiting)
         };
         let tasks = candidates.iter().flat_map(|candidate| &candidate.tasks);
-        let max_offers = if self.is_evacuated() { usize::MAX } else { MAX_LOAN_OFFERS };
-        let left = self.first_tasks(tasks.filter(waits).copied(), max_offers);
+        let left: Vec<TaskRef> = tasks.filter(waits).copied().collect();
         self.lend_waiting_tasks(&left, &pass.rooms);
         self.plan_moves(&left, &pass);
     }
 
-    /// Returns the first `count` tasks, and all of the last one's gang, which can only be lent as a
-    /// whole.
-    fn first_tasks(&self, tasks: impl Iterator<Item = TaskRef>, count: usize) -> Vec<TaskRef> {
-        let mut first: Vec<TaskRef> = Vec::new();
-        for task in tasks {
-            let in_last_gang =
-                |last: &TaskRef| last.step_ref() == task.step_ref() && self.is_gang(task);
-            if first.len() >= count && !first.last().is_some_and(in_last_gang) {
-                break;
-            }
-            first.push(task);
-        }
-        first
-    }
-
     /// Holds the VM where a long-running task can fit soonest, so that finite tasks aren't placed
     /// there. The task needs more room at once than a short one and would otherwise wait for as long as
     /// short tasks arrive.
--- a/tests/shards/loans.rs
+++ b/tests/shards/loans.rs
@@ -3,18 +3,18 @@
 use crate::faults::{Faults, NoFaults, Outcome};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
-use crate::world::Simulation;
+use crate::world::{LOW_QUEUE, Simulation};
 use indexmap::IndexMap;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use waxwingstall::job::progress::{OccurrenceProgress, Progress, TaskPhase, TaskProgress};
-use waxwingstall::job::{Job, JobState, Label, Share, TaskRef};
+use waxwingstall::job::{Job, JobId, JobState, Label, QueueName, Share, TaskRef};
 use waxwingstall::kv::Txn;
 use waxwingstall::shard::learned::{Inherited, StoredRecord};
 use waxwingstall::shard::loan::{LendOrder, LoanId, LoanMsg};
 use waxwingstall::shard::{
-    Action, CommitResult, Event, Now, PreviousOwner, Recovered, Settings, Shard,
+    Action, Answer, CommitResult, Event, Now, PreviousOwner, Recovered, Settings, Shard,
 };
 use waxwingstall::units::Resources;
 use waxwingstall::vm::Fence;
@@ -255,3 +255,62 @@
     let (_, txn) = commit(shard.step(now, Event::Tick)).expect("a commit");
     assert!(txn.deletes.iter().any(|key| key.ends_with(&job.id.to_string())));
 }
+
+/// Time within which a task runs in another shard that has room for it.
+const LEND_TIME: Duration = Duration::from_secs(3);
+
+const ELSEWHERE: &str = "ssd";
+
+/// Two shards with two VMs each; one of the second has a label that none of the first has.
+fn labelled_elsewhere() -> Simulation<NoFaults> {
+    let mut sim = Simulation::new(NoFaults, &["kacyiru", "remera"], 2, SIZE);
+    sim.vms[2].entry.labels.push(Label::new(ELSEWHERE));
+    sim.run_for(seconds(1));
+    sim
+}
+
+/// Asserts that a job that only the other shard can run is done beside these jobs, which wait.
+fn assert_lent_beside(mut sim: Simulation<NoFaults>, waiting: Vec<Job>) {
+    let mut jobs: IndexMap<JobId, Job> = IndexMap::new();
+    for job in waiting {
+        sim.submit("kacyiru", job.clone());
+        jobs.insert(job.id, job);
+    }
+    sim.run_for(seconds(2));
+    let mut last = job_with_steps(1000, 1, 2, work(500, 1));
+    last.queue = QueueName::new(LOW_QUEUE);
+    last.steps[0].label = Some(Label::new(ELSEWHERE));
+    sim.submit("kacyiru", last.clone());
+    sim.run_for(LEND_TIME);
+    assert_eq!(sim.show("kacyiru", last.id), Some(Answer::Shown(JobState::Done)));
+    jobs.insert(last.id, last);
+    check(&mut sim, &jobs, SIZE);
+}
+
+// Guards against jobs that never run as the tasks before them, which no shard can run, are offered to
+// other shards in each pass and use up the offers.
+#[test]
+fn tasks_without_a_suitable_vm_keep_no_others_from_being_lent() {
+    let mut job = job_with_steps(1, 1, 100, work(500, 1));
+    job.steps[0].label = Some(Label::new("gone"));
+    assert_lent_beside(labelled_elsewhere(), vec![job]);
+}
+
+// Guards against the same if the tasks have nothing in common but that no VM has room for them.
+#[test]
+fn jobs_that_are_offered_in_vain_take_turns() {
+    let mut sim = labelled_elsewhere();
+    let full: Vec<Job> = (1..=4).map(|id| job_with_steps(id, 1, 1, work(60_000, 5))).collect();
+    for job in &full {
+        sim.submit("kacyiru", job.clone());
+    }
+    sim.run_for(seconds(2));
+    assert!((0..4).all(|vm| sim.runs_on(vm) == 1), "each VM runs one");
+    let large = |id: u64| {
+        let mut job = job_with_steps(id, 1, 1, work(500, 8));
+        let size = u32::try_from(id).expect("it is small");
+        job.steps[0].size = Resources::new(7000 - size, 4000 + size, 0);
+        job
+    };
+    assert_lent_beside(sim, full.into_iter().chain((100..300).map(large)).collect());
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -35,8 +35,9 @@
 use waxwingstall_standin::runs::{RunSettings, RunTable};
 use waxwingstall_standin::txns::TxnTable;
 
-/// The only queue and the only service.
+/// The usual queue, one of lower priority, and the only service.
 pub const QUEUE: &str = "builds";
+pub const LOW_QUEUE: &str = "plans";
 pub const SERVICE: &str = "shop";
 
 /// One-way network delay.
@@ -1811,22 +1812,25 @@
     }
 }
 
-fn queues() -> Queues {
-    let queue = Queue {
-        name: QueueName::new(QUEUE),
+fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: QueueName::new(name),
         host: "builds.example".to_owned(),
-        prefix: "/builds/".to_owned(),
+        prefix: format!("/{name}/"),
         service: ServiceName::new(SERVICE),
-        priority: 0,
+        priority,
         attempts: 3,
         target_stretch: 2.0,
         target_latency: Duration::from_secs(1),
         timeout: Duration::from_secs(3),
         permits: None,
-    };
-    let mut queues = Queues { version: 1, ..Queues::default() };
-    queues.queues.insert(queue.name.clone(), queue);
-    queues
+    }
+}
+
+fn queues() -> Queues {
+    let queues = [queue(QUEUE, 0), queue(LOW_QUEUE, 2)];
+    let queues = queues.map(|queue| (queue.name.clone(), queue)).into_iter().collect();
+    Queues { version: 1, queues, ..Queues::default() }
 }
 
 /// How long ended jobs are shown; no simulation of random faults takes longer.
