Seek room by moves for all waiting tasks in turn

Callers would see a lasting task that waits for good although moving a smaller one makes room for it.

Cause: each check sought moves for the first eight tasks that need room, of the first 64 that wait. Those for which nothing can move are the same each time.

Change: all waiting tasks are considered, and a check goes on behind the last task of the one before if there are more than eight.

Test that failed with the first eight of each check: room_is_made_for_a_task_behind_others_for_which_nothing_can_move.

--- a/src/shard/compact.rs
+++ b/src/shard/compact.rs
@@ -43,6 +43,8 @@
 pub struct Reservations {
     vms: Vec<ReservedVm>,
     next_check: Duration,
+    /// Task for which a move was sought last.
+    last_checked: Option<TaskRef>,
 }
 
 /// A VM that is reserved for a task.
@@ -65,6 +67,14 @@
         self.vms.iter().any(|reserved| reserved.task == task)
     }
 
+    /// Leaves the tasks of the next check: those after the last one checked, so that tasks for which
+    /// nothing can move don't keep others from being checked.
+    fn skip_checked(&self, tasks: &mut Vec<TaskRef>) {
+        let last = tasks.iter().position(|task| Some(*task) == self.last_checked);
+        tasks.rotate_left(last.map_or(0, |last| last + 1));
+        tasks.truncate(MAX_TASKS_PER_CHECK);
+    }
+
     fn moves(&self) -> usize {
         self.vms.iter().filter(|reserved| reserved.from.is_none()).count()
     }
@@ -133,25 +143,28 @@
             return;
         }
         self.reservations.next_check = now + CHECK_INTERVAL;
-        let candidates: Vec<(TaskRef, Step)> = waiting
-            .iter()
-            .filter_map(|task| Some((*task, self.step_needing_room(*task)?)))
-            .collect();
-        for (task, step) in candidates.into_iter().take(MAX_TASKS_PER_CHECK) {
+        let mut candidates: Vec<TaskRef> = waiting.to_vec();
+        candidates.retain(|task| self.step_needing_room(*task).is_some());
+        if candidates.len() > MAX_TASKS_PER_CHECK {
+            self.reservations.skip_checked(&mut candidates);
+        }
+        for task in candidates {
+            let Some(step) = self.step_needing_room(task).cloned() else { continue };
             if self.reservations.moves() < MAX_CONCURRENT_MOVES {
                 self.plan_moves_for(task, &step, pass);
+                self.reservations.last_checked = Some(task);
             }
         }
     }
 
     /// Returns the step of a task that has waited long enough for others to move.
-    fn step_needing_room(&self, task: TaskRef) -> Option<Step> {
+    fn step_needing_room(&self, task: TaskRef) -> Option<&Step> {
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task).filter(|step| can_run_anywhere(step))?;
         let known = job.task(task).filter(|task| task.is_waiting())?;
         let waited = self.now.steady.saturating_sub(known.not_running_since?);
         let needs = waited >= MOVE_DELAY && !self.reservations.has_task(task);
-        (needs && self.permits_of(task).is_none()).then(|| step.clone())
+        (needs && self.permits_of(task).is_none()).then_some(step)
     }
 
     fn plan_moves_for(&mut self, task: TaskRef, step: &Step, pass: &SchedulePass) {
--- a/tests/shards/hold.rs
+++ b/tests/shards/hold.rs
@@ -151,3 +151,49 @@
     assert_eq!(sim.show(SHARD, jobs[2].id), Some(Answer::Shown(JobState::Done)));
     check(&mut sim, &known(&jobs), SIZE);
 }
+
+/// A lasting job whose task may only run on the VM with this label.
+fn pinned(id: u64, cores: u32, memory_mib: u32, label: &str) -> Job {
+    let mut job = long_running(id, cores, memory_mib);
+    job.steps[0].label = Some(Label::new(label));
+    job
+}
+
+// Guards against a lasting task for which no smaller one moves, as room is sought in vain for others
+// before it in each check.
+#[test]
+fn room_is_made_for_a_task_behind_others_for_which_nothing_can_move() {
+    const SIZE: Resources = Resources::new(8000, 50_000, 0);
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 4, SIZE);
+    for (vm, label) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        sim.vms[vm].entry.labels.push(Label::new(label));
+    }
+    sim.run_for(Duration::from_secs(1));
+    let mut jobs = vec![
+        pinned(1, 4, 46_000, "a"),
+        pinned(2, 5, 47_000, "b"),
+        pinned(3, 1, 49_000, "c"),
+        pinned(4, 1, 50_000, "d"),
+        pinned(5, 3, 3000, "b"),
+        long_running(6, 2, 2000),
+    ];
+    for job in &jobs {
+        sim.submit(SHARD, job.clone());
+        sim.run_for(Duration::from_millis(500));
+    }
+    assert_eq!(sim.runs_on(0), 2, "the task that may move runs on the first VM");
+    [3, 4].into_iter().for_each(|job| _ = sim.cancel(SHARD, jobs[job].id));
+    sim.run_for(Duration::from_secs(1));
+    let mut last: Vec<Job> = (10..22).map(|id| long_running(id, 0, 3100)).collect();
+    last.push(long_running(30, 4, 4000));
+    for job in &last {
+        sim.submit(SHARD, job.clone());
+    }
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.runs_on(3), last.len());
+    sim.leave_vm(3, Duration::from_secs(2));
+    sim.run_for(Duration::from_secs(6));
+    assert_eq!(sim.running_tasks(JobId(30)), 1, "the task still waits");
+    jobs.extend(last);
+    check(&mut sim, &known(&jobs), SIZE);
+}
