Let failures of one job say nothing about a VM until others of its tasks work elsewhere

Five or six of 30 ordinary jobs never run on the two sound VMs of their label, and without labels accepted jobs stand still for up to 5.8 s, again and again.

Cause: two failures within 5 s and half of a VM's results put it in quarantine. Lasting tasks never succeed, so that one failing job supplies most results of a VM; it is started again at once, and first on a VM on probation. A failure that is disregarded later, as its task failed elsewhere too, left the quarantine.

(2) Quarantines outlast their causes: confirmed by reading, and by a unit test. (3) A VM stays on probation as lasting work never counts as a success: confirmed by reading.

Change: a failure is strong evidence against a VM if others of the step work: a success, or for lasting tasks 1.5 s at work on another VM. Without it, the failures of a job count once, and the job avoids a VM that has failed two of its tasks for 1.5 s; once the job works elsewhere, they count in full. A task that has failed on another VM too, or three times in a row, is no evidence, and quarantines end whose causes are refuted. A lasting task that works for 1.5 s counts as a success of its VM. Lasting tasks that fail again wait 0.5 s, then twice as long each time up to 4 s, until they have worked for 10 s; the count is the stored one, which goes along with owners and loans.

`task-failed` tells the wait, `vm-health` a quarantine that is ended.

--- a/src/note.rs
+++ b/src/note.rs
@@ -222,8 +222,8 @@
     Telling CopyEnded = "copy-ended" { task: TaskRef, run: RunNumber, vm: VmId, role: StaticText, outcome: StaticText, core_ms: u64, }
     /// A run ended.
     Routine TaskEnded = "task-ended" { task: TaskRef, run: RunNumber, vm: VmId, how: StaticText, ran_ms: Millis, }
-    /// A run failed.
-    Telling TaskFailed = "task-failed" { task: TaskRef, run: RunNumber, vm: VmId, failed: u32, attempts: u32, ran_ms: Millis, }
+    /// A run failed. A long-running task waits for `wait_ms` until it is started again.
+    Telling TaskFailed = "task-failed" { task: TaskRef, run: RunNumber, vm: VmId, failed: u32, attempts: u32, ran_ms: Millis, wait_ms: Millis, }
     /// The scheduler stops a run.
     Telling TaskStopping = "task-stopping" { task: TaskRef, run: RunNumber, vm: VmId, reason: StaticText, }
     /// A run is known to have ended, but not how. This owner has heard its VM `silent_ms` ago, or not since it knows the VM for so long.
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -2,15 +2,33 @@
 
 use super::Shard;
 use super::copies::{CopyEnd, allows_copies, is_exhausted};
-use super::job_run::{CheckpointRank, Effect, JobRun, is_long_running};
+use super::health::{Consequence, Evidence};
+use super::job_run::{CheckpointRank, Effect, JobRun, Task, is_long_running};
 use super::vm_run::{PendingStart, Run, RunKey, Stage, Vm};
 use crate::ids::VmId;
 use crate::job::progress::TaskPhase;
-use crate::job::{Checkpoint, JobId, JobState, RunNumber, TaskRef};
+use crate::job::{Checkpoint, JobId, JobState, RunNumber, Step, TaskRef};
 use crate::note::{Millis, Note, StaticText};
 use crate::vm::EndKind;
 use std::time::Duration;
 
+/// Time after its start from which a long-running task counts as working. On a faulty VM it fails
+/// sooner.
+const PROVING_TIME: Duration = Duration::from_millis(1500);
+
+/// Working time after which the failures of a long-running task are forgotten.
+const FAILURES_RESET_AFTER: Duration = Duration::from_secs(10);
+
+/// Failures in a row of a task that may be the fault of the only VM that it can run on.
+const MAX_FAILURES_OF_VM: u32 = 2;
+
+/// Delay before a long-running task is restarted after its second failure in a row; each further one
+/// doubles it.
+const MIN_RESTART_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest such delay, as a multiple of the first one.
+const MAX_DELAY_FACTOR: u32 = 8;
+
 /// The end of a run as reported by a VM.
 pub(super) struct RunEnd {
     pub vm: VmId,
@@ -97,11 +115,12 @@
         self.run_times.learn(&queue, estimate, run_time);
     }
 
-    fn task_succeeded(&mut self, vm: &VmId, task: TaskRef) {
+    fn task_succeeded(&mut self, vm_id: &VmId, task: TaskRef) {
         let now = self.now.steady;
-        if let Some(vm) = self.vms.get_mut(vm) {
+        if let Some(vm) = self.vms.get_mut(vm_id) {
             vm.health.succeeded(task, now);
         }
+        self.confirm_failures(vm_id, task);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(step) = job.step(task).cloned() else { return };
         if is_long_running(&step) {
@@ -141,7 +160,7 @@
             // Another run of the task has ended it.
             return;
         }
-        let earlier = known.failed_on.replace(vm.clone());
+        let earlier = known.failed_on.replace(vm.clone()).filter(|earlier| earlier != vm);
         let failed = if step.grouping.is_gang() {
             job.step_run_mut(task).map_or(0, |run| run.count_gang_failure(task.index))
         } else {
@@ -149,8 +168,13 @@
             known.failed
         };
         let (run, vm_id) = (key.run, vm.clone());
-        self.note(Note::TaskFailed { task, run, vm: vm_id, failed, attempts, ran_ms });
-        self.record_failure(vm, earlier.as_ref(), task);
+        let wait_ms = Millis(self.delay_restart(task, &step, failed));
+        self.note(Note::TaskFailed { task, run, vm: vm_id, failed, attempts, ran_ms, wait_ms });
+        let evidence = self.evidence_of_failure(vm, earlier.as_ref(), task);
+        if let Some(earlier) = earlier {
+            self.disregard_failure(&earlier, task);
+        }
+        self.record_failure(vm, task, evidence);
         let others = if step.grouping.is_gang() { 0 } else { self.runs_of(task) };
         if is_exhausted(failed, attempts, others) && !is_long_running(&step) {
             self.fail_task(task);
@@ -177,24 +201,115 @@
         }
     }
 
-    /// Counts a failure against the health of a VM. If the task failed on another VM before, the
-    /// task is the likely cause, and that failure no longer counts against the other VM.
-    pub(super) fn record_failure(&mut self, vm: &VmId, earlier: Option<&VmId>, task: TaskRef) {
-        let now = self.now.steady;
-        if let Some(other) = earlier.filter(|other| *other != vm)
-            && let Some(other) = self.vms.get_mut(other)
-        {
-            other.health.disregard_failure(task);
+    /// Delays the restart of a long-running task that has failed several times without having worked
+    /// for long in between. Returns the delay.
+    fn delay_restart(&mut self, task: TaskRef, step: &Step, failed: u32) -> Duration {
+        if !is_long_running(step) || failed < 2 {
+            return Duration::ZERO;
+        }
+        let delay = MIN_RESTART_DELAY * 2_u32.saturating_pow(failed - 2).min(MAX_DELAY_FACTOR);
+        let until = self.now.steady + delay;
+        if let Some(known) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
+            known.restart_at = until;
+        }
+        delay
+    }
+
+    /// Returns what the failure of a task on a VM tells about the VM. `earlier` is another VM where
+    /// the run before has failed.
+    fn evidence_of_failure(&self, vm: &VmId, earlier: Option<&VmId>, task: TaskRef) -> Evidence {
+        let Some(job) = self.jobs.get(&task.job) else { return Evidence::Weak };
+        let (Some(step), Some(known)) = (job.step_run(task), job.task(task)) else {
+            return Evidence::Weak;
+        };
+        let works_elsewhere = |(index, other): (usize, &Task)| {
+            let other_task = TaskRef { index: u32::try_from(index).unwrap_or(u32::MAX), ..task };
+            other.runs.iter().filter(|placed| placed.vm != *vm).any(|placed| {
+                let key = RunKey { task: other_task, run: placed.run };
+                self.vms.get(&placed.vm).is_some_and(|vm| vm.running_time(key) >= PROVING_TIME)
+            })
+        };
+        let is_long_running = job.step(task).is_some_and(is_long_running);
+        let others = step.tasks.iter().enumerate();
+        let has_worked = step.run_times.mean().is_some()
+            || (is_long_running && others.clone().any(works_elsewhere));
+        if has_worked {
+            Evidence::Strong
+        } else if earlier.is_some() || known.failed > MAX_FAILURES_OF_VM {
+            Evidence::None
+        } else {
+            Evidence::Weak
         }
+    }
+
+    /// Counts a failure against the health of a VM.
+    pub(super) fn record_failure(&mut self, vm: &VmId, task: TaskRef, evidence: Evidence) {
+        let now = self.now.steady;
         let Some(known) = self.vms.get_mut(vm) else { return };
-        if !known.health.failed(task, now) {
-            return;
+        match known.health.failed(task, evidence, now) {
+            Consequence::None => {}
+            Consequence::Avoid { until } => {
+                let job = self.jobs.get_mut(&task.job);
+                if let Some(step) = job.and_then(|job| job.step_run_mut(task)) {
+                    step.avoid(vm, until, now);
+                }
+            }
+            Consequence::Quarantine => self.note_health(vm, "sick"),
         }
-        let (failed, of) = known.health.recent(now);
+    }
+
+    /// Disregards the failure of a task on a VM, as it has failed on another one since.
+    fn disregard_failure(&mut self, vm: &VmId, task: TaskRef) {
+        let known = self.vms.get_mut(vm);
+        if known.is_some_and(|known| known.health.disregard_failure(task)) {
+            self.note_health(vm, "cleared");
+        }
+    }
+
+    fn note_health(&mut self, vm: &VmId, health: StaticText) {
+        let Some(known) = self.vms.get(vm) else { return };
+        let (failed, of) = known.health.recent(self.now.steady);
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let (failed, of) = (count(failed), count(of));
-        let (vm, rate_percent) = (vm.clone(), 0);
-        self.note(Note::VmHealth { vm, health: "sick", failed, of, rate_percent });
+        self.note(Note::VmHealth { vm: vm.clone(), health, failed, of, rate_percent: 0 });
+    }
+
+    /// Takes note of a long-running task that has worked since its start: it proves that its VM is
+    /// sound, and that its failures before had passing causes.
+    pub(super) fn note_long_running_work(&mut self, vm: &VmId, key: RunKey, worked: Duration) {
+        let now = self.now.steady;
+        let Some(job) = self.jobs.get_mut(&key.task.job) else { return };
+        if worked < PROVING_TIME || !job.step(key.task).is_some_and(is_long_running) {
+            return;
+        }
+        if worked >= FAILURES_RESET_AFTER
+            && let Some(known) = job.task_mut(key.task).filter(|known| known.failed > 0)
+        {
+            known.failed = 0;
+            self.log.mark_changed(key.task.job);
+        }
+        let Some(known) = self.vms.get_mut(vm) else { return };
+        let Some(run) = known.runs.get_mut(&key).filter(|run| !run.has_proved_vm) else { return };
+        run.has_proved_vm = true;
+        // A run of an earlier owner may have been at work long before the VM became faulty.
+        if run.sends > 0 {
+            known.health.succeeded(key.task, now);
+            self.confirm_failures(vm, key.task);
+        }
+    }
+
+    /// Counts the failures of a step on the VMs that it avoids, since it works on another one.
+    fn confirm_failures(&mut self, working_on: &VmId, task: TaskRef) {
+        let job = self.jobs.get_mut(&task.job);
+        let Some(step) = job.and_then(|job| job.step_run_mut(task)) else { return };
+        for vm in step.take_avoided(working_on) {
+            let now = self.now.steady;
+            let known = self.vms.get_mut(&vm);
+            let consequence = known.map(|known| known.health.confirm_failures(task.job, now));
+            if consequence == Some(Consequence::Quarantine) {
+                self.note_health(&vm, "sick");
+            }
+        }
     }
 
     /// Fails a task for good, and with it the job, in the shard that accepted it.
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -92,6 +92,8 @@
     pub declines: Declines,
     /// When its tasks were last offered to other shards in vain.
     pub offered_in_vain: Option<Duration>,
+    /// VMs that get none of its tasks, and until when.
+    avoided: Vec<(VmId, Duration)>,
 }
 
 /// Mean of measured times.
@@ -128,6 +130,8 @@
     pub failed_on: Option<VmId>,
     /// When the task last ended or stopped running.
     pub not_running_since: Option<Duration>,
+    /// The task isn't started again before.
+    pub restart_at: Duration,
     /// Set while another shard runs the task in place of this one.
     pub lent: Option<Lent>,
     /// Number of the loan by which this shard borrows the task.
@@ -440,9 +444,27 @@
             run_times: MeasuredTimes::default(),
             declines: Declines::default(),
             offered_in_vain: None,
+            avoided: Vec::new(),
         }
     }
 
+    /// Keeps the step's tasks off a VM for a while.
+    pub fn avoid(&mut self, vm: &VmId, until: Duration, now: Duration) {
+        self.avoided.retain(|(known, until)| known != vm && now < *until);
+        self.avoided.push((vm.clone(), until));
+    }
+
+    /// Takes the VMs that were avoided, other than one where the step's tasks work.
+    pub fn take_avoided(&mut self, working_on: &VmId) -> Vec<VmId> {
+        let avoided = std::mem::take(&mut self.avoided).into_iter().map(|(vm, _)| vm);
+        avoided.filter(|vm| vm != working_on).collect()
+    }
+
+    /// Whether the step's tasks are kept off a VM.
+    pub fn avoids(&self, vm: &VmId, now: Duration) -> bool {
+        self.avoided.iter().any(|(avoided, until)| avoided == vm && now < *until)
+    }
+
     /// Whether every task has succeeded.
     pub fn succeeded(&self) -> bool {
         self.tasks.iter().all(|task| task.phase == TaskPhase::Succeeded)
@@ -505,6 +527,7 @@
             runs: progress.bound.iter().filter_map(placed).collect(),
             failed_on: None,
             not_running_since: None,
+            restart_at: Duration::ZERO,
             lent: progress.lent.and_then(lent),
             loan: progress.loan,
             crashes: Crashes::default(),
@@ -548,6 +571,11 @@
         self.phase == TaskPhase::Open && self.runs.is_empty() && self.lent.is_none()
     }
 
+    /// Since when the task could have run, if it has run before.
+    pub fn waiting_since(&self) -> Option<Duration> {
+        self.not_running_since.map(|at| at.max(self.restart_at))
+    }
+
     /// Records that a run has passed from a VM instance to its successor.
     pub fn pass_run(&mut self, from: &VmId, run: RunNumber, to: (&VmId, &Arc<str>)) {
         let placed = self.runs.iter_mut().find(|placed| placed.run == run && placed.vm == *from);
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -230,7 +230,7 @@
         let timeout = if self.is_evacuated() { Duration::ZERO } else { RETURN_TIMEOUT };
         let Some(job) = self.jobs.get(&id) else { return };
         let has_waited = |known: &Task| {
-            let away = known.not_running_since.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+            let away = known.waiting_since().map_or(Duration::ZERO, |at| now.saturating_sub(at));
             known.is_waiting() && away >= timeout
         };
         let is_stuck = |(task, known): &(TaskRef, &Task)| {
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -243,7 +243,7 @@
     /// Returns how long a waiting task could have run; `None` if its step isn't ready.
     fn waited(&self, task: TaskRef) -> Option<Duration> {
         let job = self.jobs.get(&task.job)?;
-        let since = job.task(task)?.not_running_since.max(job.step_run(task)?.ready)?;
+        let since = job.task(task)?.waiting_since().max(job.step_run(task)?.ready)?;
         Some(self.now.steady.saturating_sub(since))
     }
 
--- a/src/shard/look.rs
+++ b/src/shard/look.rs
@@ -262,6 +262,7 @@
         self.mark_started(row.task.job);
         self.read_progress(id, key);
         self.reset_crash_counts(key, worked);
+        self.note_long_running_work(id, key, worked);
         let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
         let over = job.is_final();
         let Some(task) = job.task_mut(row.task) else { return };
--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -95,7 +95,10 @@
         held
     }
 
-    fn candidate(&self, job: &JobRun, tasks: Vec<TaskRef>) -> Option<Candidate> {
+    fn candidate(&self, job: &JobRun, mut tasks: Vec<TaskRef>) -> Option<Candidate> {
+        let may_start =
+            |task: &TaskRef| job.task(*task).is_some_and(|task| task.restart_at <= self.now.steady);
+        tasks.retain(may_start);
         if tasks.is_empty() {
             return None;
         }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,6 +2,7 @@
 
 use super::Shard;
 use super::event::Action;
+use super::health::Evidence;
 use super::lease::{Delivery, LeaseTime};
 use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
 use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage, Vm};
@@ -174,7 +175,7 @@
                 self.retry_start(id, key, "the VM did not answer");
             }
             Err(vm::Error::Unavailable { .. }) => {
-                self.record_failure(id, None, task);
+                self.record_failure(id, task, Evidence::Strong);
                 self.abandon_start(id, key, "the VM refused the start");
             }
             Err(vm::Error::NoPermit) => {
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -336,7 +336,9 @@
         let (key, now) = (task.step_ref(), self.now.steady);
         let permits = self.permits_of(task);
         let suspect = self.is_suspect(task);
-        let failed_on = self.jobs.get(&task.job).and_then(|job| job.task(task)?.failed_on.clone());
+        let job = self.jobs.get(&task.job);
+        let failed_on = job.and_then(|job| job.task(task)?.failed_on.clone());
+        let step_run = job.and_then(|job| job.step_run(task));
         let time = self.expected_run_time(task);
         let requirements = Requirements { service: &shape.service, step, key };
         rooms
@@ -346,6 +348,7 @@
                 Need::Normal => room.may_run(&requirements),
                 Need::Stalled => room.may_run_stalled(&requirements),
             })
+            .filter(|(_, room)| step_run.is_none_or(|step| !step.avoids(&room.vm, now)))
             .filter(|(_, room)| permits.is_none_or(|p| p.meets(permit, &room.vm, now)))
             .filter_map(|(index, room)| {
                 let cost = self.cost(room, step, shape.image, time, need)?;
--- a/src/shard/vm_run.rs
+++ b/src/shard/vm_run.rs
@@ -177,6 +177,8 @@
     pub serving: TailState,
     pub role: Role,
     pub restarts: Restarts,
+    /// Whether the run has counted as a sign that its VM is sound.
+    pub has_proved_vm: bool,
 }
 
 /// Whether an unacknowledged start command may still take effect.
@@ -637,6 +639,7 @@
             serving: TailState::default(),
             role: Role::default(),
             restarts: Restarts::default(),
+            has_proved_vm: false,
         }
     }
 
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -125,6 +125,9 @@
     }
 }
 
+/// Work after which a run fails on a VM that fails all that it starts.
+const FAULTY_RUN_TIME: Duration = Duration::from_millis(100);
+
 /// Something that happened on a VM, as a test's witness.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -177,6 +180,8 @@
     speed: u8,
     stop_at: Option<Duration>,
     fails: bool,
+    /// Whether its VM makes it fail.
+    is_faulty: bool,
 }
 
 /// What runs on one life of a VM.
@@ -197,6 +202,8 @@
     /// Speed of the VM in percent.
     speed: u8,
     slow_runs: Option<SlowRuns>,
+    /// Whether runs that start now fail, whatever they do.
+    is_faulty: bool,
     pub seen: Vec<Seen>,
     pub ended_leases: Vec<EndedLease>,
 }
@@ -217,6 +224,7 @@
             ends: 0,
             speed: 100,
             slow_runs: None,
+            is_faulty: false,
             seen: Vec::new(),
             ended_leases: Vec::new(),
         }
@@ -252,6 +260,7 @@
                 speed: self.slow_runs.as_ref().map_or(100, |slow| slow.speed(&self.id, req)),
                 stop_at: None,
                 fails: req.run.0 <= work.fails,
+                is_faulty: self.is_faulty,
             },
         );
         let (task, run, payload) = (req.task, req.run, req.payload.to_string());
@@ -297,6 +306,11 @@
         self.slow_runs = Some(slow_runs);
     }
 
+    /// Makes the runs that start from now on fail soon, or no longer.
+    pub fn set_faulty(&mut self, is_faulty: bool) {
+        self.is_faulty = is_faulty;
+    }
+
     /// Keeps everything running, forgets what may be forgotten, and tells the news.
     pub fn poll(&mut self, now: Duration, req: &PollReq) -> Result<PollResp> {
         self.pass(now);
@@ -462,6 +476,10 @@
             let outcome = if self.fails { EndKind::Failed } else { EndKind::Succeeded };
             ends.push((self.at.saturating_add(left), outcome));
         }
+        if self.is_faulty {
+            let left = FAULTY_RUN_TIME.saturating_sub(self.done);
+            ends.push((self.at.saturating_add(left), EndKind::Failed));
+        }
         ends.extend(self.stop_at.map(|at| (at, EndKind::Stopped)));
         ends.push((keep_until.max(self.at), EndKind::Lapsed));
         ends.into_iter().filter(|(at, _)| *at <= now).min_by_key(|(at, _)| *at)
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod gangs;
 mod harm;
+mod health;
 mod hold;
 mod instances;
 mod invariants;
