Keep the terms that a job was accepted under with the job

With permits, no start is accepted any more: over 24,000 are refused in 15 s and the jobs never end.

Cause: attempts, priority, target and the need for permits were looked up in the configuration in force, at eight places, each with a default of its own if the queue is gone: no limit of attempts, none at all for copies, no permits.

Hypotheses: (1) attempts without limit: confirmed. (2) Other terms are lost the same way: confirmed for permits and copies by tests that failed. (3) A new owner or a borrower doesn't know them either: confirmed, nothing but the service is stored with the job.

Decision: a job keeps its terms.

Change: `Terms` is a part of the queue, and of the job from its acceptance on, so that it is stored, handed over and lent with it. `Shard::terms` is the only answer. A stored job of the release before has no terms: it goes by its queue as configured, and without one has a single attempt. Its record is read by its length.

The simulated world changes its queues, and stamps jobs as the daemon does.

--- a/src/job.rs
+++ b/src/job.rs
@@ -6,8 +6,11 @@
 
 pub mod check;
 pub mod progress;
+#[cfg(test)]
+mod tests;
 
 use crate::ids::{CheckpointId, RackId, ServiceName};
+use crate::queues::Terms;
 use crate::units::Resources;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -98,6 +101,25 @@
     pub repeat: Repeat,
     /// Wall-clock time of acceptance, since the Unix epoch.
     pub accepted: Duration,
+    /// Terms of the queue on acceptance; `None` if an earlier release accepted the job.
+    pub terms: Option<Terms>,
+}
+
+impl Job {
+    /// Encodes the job as stored.
+    pub fn encode(&self) -> Vec<u8> {
+        progress::encode(self)
+    }
+
+    /// Decodes a stored job, including one of an earlier release, which ends before the terms.
+    pub fn decode(bytes: &[u8]) -> progress::Result<Self> {
+        const NO_TERMS: &[u8] = &[0];
+        let with_terms = progress::decode(bytes);
+        with_terms.or_else(|e| match progress::decode(&[bytes, NO_TERMS].concat()) {
+            Ok(job @ Self { terms: None, .. }) => Ok(job),
+            _ => Err(e),
+        })
+    }
 }
 
 /// How often a job's steps run.
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -122,6 +122,7 @@
         steps: Vec::new(),
         repeat: Repeat::Once,
         accepted: Duration::ZERO,
+        terms: None,
     }
 }
 
--- a/src/jobs/choice/tests.rs
+++ b/src/jobs/choice/tests.rs
@@ -22,6 +22,7 @@
         steps: vec![step],
         repeat: Repeat::Once,
         accepted: Duration::ZERO,
+        terms: None,
     }
 }
 
--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -4,7 +4,7 @@
 use super::records::{MonitoredStore, retry_delay};
 use crate::cluster::{ExpectedOwner, Head};
 use crate::ids::DaemonId;
-use crate::job::progress::{Progress, decode};
+use crate::job::progress::Progress;
 use crate::job::{Job, JobId};
 use crate::kv::{Condition, Error, Freshness, Item, KvStore, Put, Rev, Txn};
 use crate::shard::learned::{Inherited, StoredRecord};
@@ -215,7 +215,7 @@
 }
 
 fn decode_job(item: &Item) -> Result<Arc<Job>> {
-    decode::<Job>(&item.value).map(Arc::new).map_err(|e| decode_error(item, &e.to_string()))
+    Job::decode(&item.value).map(Arc::new).map_err(|e| decode_error(item, &e.to_string()))
 }
 
 fn decode_silent_vms(item: &Item) -> Result<Vec<SilentVm>> {
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -220,6 +220,7 @@
         steps: Vec::new(),
         repeat: Repeat::Once,
         accepted: Duration::ZERO,
+        terms: None,
     }
 }
 
@@ -277,6 +278,7 @@
         steps: vec![step],
         repeat: Repeat::Once,
         accepted: Duration::ZERO,
+        terms: None,
     };
     let run = RunNumber(1);
     let bound = vec![Binding { vm: 0, run }];
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -3,6 +3,7 @@
 use crate::ids::ServiceName;
 use crate::job::QueueName;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// All queues and services of one configuration version.
@@ -25,7 +26,18 @@
     pub prefix: String,
     /// Service whose VMs run the jobs.
     pub service: ServiceName,
-    /// Priority; 0 is the highest. A queue of higher priority may preempt others' tasks.
+    /// Time limit of a call.
+    pub timeout: Duration,
+    pub terms: Terms,
+}
+
+/// Terms under which a queue accepts jobs.
+///
+/// A job keeps those that it was accepted under, whatever becomes of its queue: a new configuration
+/// applies to the jobs that are accepted after it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Priority; 0 is the highest. A job of higher priority may preempt others' tasks.
     pub priority: u32,
     /// Number of failed runs of a task after which the job fails.
     pub attempts: u32,
@@ -33,14 +45,24 @@
     pub target_stretch: f64,
     /// Constant added to the target.
     pub target_latency: Duration,
-    /// Time limit of a call.
-    pub timeout: Duration,
     /// Present if steps may run only on VMs permitted by an external service.
     pub permits: Option<PermitTimes>,
 }
 
+impl Terms {
+    /// Terms of a job that was accepted by an earlier release, which stored none, and whose queue is
+    /// not configured any more.
+    pub const UNKNOWN: Self = Self {
+        priority: u32::MAX,
+        attempts: 1,
+        target_stretch: 2.0,
+        target_latency: Duration::ZERO,
+        permits: None,
+    };
+}
+
 /// Timing of the permit service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitTimes {
     /// Base timeout of a request.
     pub base_time: Duration,
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -63,9 +63,9 @@
 pub use silence::{ReportedLapse, SilenceMark, SilentVm};
 
 use crate::ids::VmId;
-use crate::job::{JobId, JobState, Life, Share};
+use crate::job::{Job, JobId, JobState, Life, Share};
 use crate::note::Note;
-use crate::queues::{Queue, Queues};
+use crate::queues::{Queues, Terms};
 use crate::vm::Fence;
 use indexmap::IndexMap;
 use job_run::JobRun;
@@ -260,8 +260,7 @@
     /// Returns whether the queue configuration has been read.
     ///
     /// An owner that starts during a store outage may get the shard before it has read the queues.
-    /// A queue's attempt limit isn't known either then, and a task that had used up its attempts
-    /// was started again.
+    /// The terms of jobs that an earlier release accepted aren't known then.
     fn has_queues(&self) -> bool {
         self.queues.version > 0
     }
@@ -274,10 +273,11 @@
             && self.longest_lease() >= MIN_START_LEASE
     }
 
-    /// Returns a job's queue as currently configured; `None` if the queue was removed while the job
-    /// was open.
-    fn queue(&self, job: &JobRun) -> Option<&Queue> {
-        self.queues.queues.get(&job.job.queue)
+    /// Returns the terms that a job was accepted under. Those of a job that an earlier release
+    /// accepted are the current ones of its queue.
+    fn terms(&self, job: &Job) -> Terms {
+        let queue = || Some(self.queues.queues.get(&job.queue)?.terms);
+        job.terms.or_else(queue).unwrap_or(Terms::UNKNOWN)
     }
 
     fn note(&mut self, note: Note) {
--- a/src/shard/admission/decision.rs
+++ b/src/shard/admission/decision.rs
@@ -7,6 +7,7 @@
 };
 use crate::job::progress::TaskPhase;
 use crate::job::{Job, Life, Share, Step};
+use crate::queues::Terms;
 use crate::shard::event::OtherShard;
 use crate::shard::job_run::{JobRun, StepRun, Task};
 use crate::shard::order::{Outlook, USEFUL_DURATION_FACTOR};
@@ -79,12 +80,12 @@
 impl Shard {
     /// Decides whether to accept a finite job.
     pub(in crate::shard) fn decide(&mut self, job: &Job, mode: AdmissionMode) -> Decision {
-        let Some(queue) = self.queues.queues.get(&job.queue) else { return Decision::Accept };
         if !is_decided(job) || !self.run_times.is_learned(&job.queue) {
             return Decision::Accept;
         }
-        let priority = queue.priority;
-        let target = Target { stretch: queue.target_stretch, latency: queue.target_latency };
+        let Terms { priority, target_stretch: stretch, target_latency: latency, .. } =
+            self.terms(job);
+        let target = Target { stretch, latency };
         self.refresh_snapshot();
         let demand = Demand::new(job, &self.run_times);
         let target = demand.target(target);
@@ -180,19 +181,19 @@
         ready: u32,
         open: f64,
     ) -> WaitingStep {
-        let queue = self.queue(job);
+        let terms = self.terms(&job.job);
         // Tasks that may not run on every VM leave room to others while they wait, and run times
         // that aren't learned may be far off.
         let is_bound = step.label.is_some()
             || step.per_vm > 0
             || step.grouping.is_gang()
-            || queue.is_none_or(|queue| queue.permits.is_some())
+            || terms.permits.is_some()
             || !self.run_times.is_learned(&job.job.queue);
         let time = self.run_times.expect(&job.job.queue, step.estimate);
         WaitingStep {
             queue: job.job.queue.clone(),
             service: job.job.service.clone(),
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            priority: terms.priority,
             share: step.share,
             size: step.size,
             outlook,
--- a/src/shard/admission/tests.rs
+++ b/src/shard/admission/tests.rs
@@ -144,6 +144,7 @@
                     steps: (0..stream.steps).map(step).collect(),
                     repeat: Repeat::Once,
                     accepted: Duration::ZERO,
+                    terms: None,
                 };
                 jobs.push(Known {
                     job,
--- a/src/shard/copies.rs
+++ b/src/shard/copies.rs
@@ -249,7 +249,7 @@
         if step.life != Life::Finite || step.grouping.is_gang() || self.is_suspect(task) {
             return None;
         }
-        let attempts = self.queue(job).map_or(0, |queue| queue.attempts);
+        let attempts = self.terms(&job.job).attempts;
         let may_copy = allows_copies(step) && may_add_run(known.failed, known.runs.len(), attempts);
         // The expected time takes a look-up for each run of the step, so it is computed last.
         let may_restart = matches!(outlook, Outlook::Left(_)) && vm.speed.is_slow(now);
--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -152,9 +152,10 @@
 
     fn task_failed(&mut self, vm: &VmId, key: RunKey, ran_ms: Millis) {
         let task = key.task;
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(step) = job.step(task).cloned() else { return };
-        let attempts = self.queues.queues.get(&job.job.queue).map_or(u32::MAX, |q| q.attempts);
+        let attempts = self.terms(&job.job).attempts;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(known) = job.task_mut(task) else { return };
         if known.phase != TaskPhase::Open {
             // Another run of the task has ended it.
@@ -191,7 +192,7 @@
     /// has ended as well.
     fn fail_exhausted_task(&mut self, task: TaskRef) {
         let Some(job) = self.jobs.get(&task.job).filter(|job| !job.is_final()) else { return };
-        let attempts = self.queue(job).map_or(u32::MAX, |queue| queue.attempts);
+        let attempts = self.terms(&job.job).attempts;
         let Some(known) = job.task(task).filter(|known| known.phase == TaskPhase::Open) else {
             return;
         };
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -7,7 +7,6 @@
 use super::job_run::{Effect, JobRun, RecordState};
 use super::settings::COMMIT_GAP;
 use super::silence;
-use crate::job::progress::encode;
 use crate::job::{JobId, JobState};
 use crate::kv::{Condition, MAX_TXN_ENTRIES, Put, Rev, Txn};
 use bytes::Bytes;
@@ -288,7 +287,7 @@
                 txn.puts.push(put(Keys::id(id), self.keys.shard.clone().into_bytes()));
             }
             if !job.is_final() {
-                txn.puts.push(put(self.keys.job(id), encode(job.job.as_ref())));
+                txn.puts.push(put(self.keys.job(id), job.job.encode()));
             }
             record = RecordState::Kept;
         }
--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -11,6 +11,7 @@
 use super::job_run::{JobRun, Occurrence, StepRun};
 use crate::job::progress::TaskPhase;
 use crate::job::{Job, JobId, Life, QueueName, TaskRef};
+use crate::queues::Terms;
 use fair::Turn;
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -107,7 +108,7 @@
         Some(Candidate {
             id: job.id(),
             tasks,
-            priority: self.queue(job).map_or(u32::MAX, |queue| queue.priority),
+            priority: self.terms(&job.job).priority,
             urgency: urgency(job),
             outlook: self.outlook(job),
             queue: job.job.queue.clone(),
@@ -127,12 +128,11 @@
 
     /// Returns the time after a job's acceptance by which it should be finished.
     pub(super) fn target_duration(&self, job: &JobRun) -> Duration {
-        let (stretch, latency) =
-            self.queue(job).map_or((2.0, Duration::ZERO), |q| (q.target_stretch, q.target_latency));
+        let Terms { target_stretch, target_latency, .. } = self.terms(&job.job);
         let measured = job.open_occurrences.last();
         let steps = 0..job.job.steps.len();
         let times = steps.map(|n| self.step_time(job, n, measured.and_then(|o| o.steps.get(n))));
-        critical_path(&job.job, times).mul_f64(stretch.max(0.0)) + latency
+        critical_path(&job.job, times).mul_f64(target_stretch.max(0.0)) + target_latency
     }
 
     /// Returns the length of the critical path of the steps that haven't succeeded yet.
--- a/src/shard/permits.rs
+++ b/src/shard/permits.rs
@@ -153,7 +153,7 @@
     /// Returns the permits of a task's step, or `None` if it needs none.
     pub(super) fn permits_of(&self, task: TaskRef) -> Option<&StepPermits> {
         let job = self.jobs.get(&task.job)?;
-        self.queue(job)?.permits?;
+        self.terms(&job.job).permits?;
         Some(&job.step_run(task)?.permits)
     }
 
@@ -174,7 +174,8 @@
         rooms: &[VmCapacity],
     ) {
         for candidate in candidates {
-            let Some(times) = self.jobs.get(&candidate.id).and_then(|job| self.queue(job)?.permits)
+            let Some(times) =
+                self.jobs.get(&candidate.id).and_then(|job| self.terms(&job.job).permits)
             else {
                 continue;
             };
@@ -194,7 +195,7 @@
             .jobs
             .values()
             .filter(|job| !job.is_final())
-            .filter_map(|job| Some((job, self.queue(job)?.permits?)))
+            .filter_map(|job| Some((job, self.terms(&job.job).permits?)))
             .flat_map(|(job, times)| {
                 upcoming_steps(job, times).into_iter().map(move |s| (s, times))
             })
--- a/tests/shards/jobs.rs
+++ b/tests/shards/jobs.rs
@@ -26,6 +26,7 @@
         steps: (0..steps).map(step).collect(),
         repeat: Repeat::Once,
         accepted: Duration::ZERO,
+        terms: None,
     }
 }
 
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -37,6 +37,7 @@
 mod stops;
 mod tails;
 mod takeover;
+mod terms;
 mod vacate;
 mod watchers;
 mod world;
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -19,7 +19,7 @@
 use waxwingstall::kv::{Condition, Error, HasMore, Put, Rev, Txn};
 use waxwingstall::note::Note;
 use waxwingstall::permit::{self, PermitReq, PermitResp};
-use waxwingstall::queues::{PermitTimes, Queue, Queues};
+use waxwingstall::queues::{PermitTimes, Queue, Queues, Terms};
 use waxwingstall::shard::learned::{Inherited, Learned, StoredRecord};
 use waxwingstall::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use waxwingstall::shard::{
@@ -416,20 +416,27 @@
         sim
     }
 
-    /// Makes the queue's steps require permits.
+    /// Makes the queues' steps require permits.
     pub fn with_permits(mut self, table: PermitTable) -> Self {
+        self.change_queues(|queues| {
+            for queue in queues.queues.values_mut() {
+                queue.terms.permits = Some(PERMIT_TIMES);
+            }
+        });
+        self.permits = Some(table);
+        self
+    }
+
+    /// Puts another configuration of the queues in force.
+    pub fn change_queues(&mut self, change: impl FnOnce(&mut Queues)) {
         let mut queues = (*self.queues).clone();
         queues.version += 1;
-        for queue in queues.queues.values_mut() {
-            queue.permits = Some(PERMIT_TIMES);
-        }
+        change(&mut queues);
         self.queues = Arc::new(queues);
-        self.permits = Some(table);
         let numbers: Vec<u64> = self.owners.iter().map(|owner| owner.number).collect();
         for number in numbers {
             self.step(number, Event::Queues(self.queues.clone()));
         }
-        self
     }
 
     /// Makes each daemon learn from the announcements that it reads itself which VMs there are and
@@ -455,7 +462,8 @@
     /// Submits a job under an admission mode.
     pub fn submit_with(&mut self, shard: &str, job: Job, mode: AdmissionMode) -> Ticket {
         let ticket = self.ticket();
-        let job = Arc::new(Job { accepted: EPOCH + self.now, ..job });
+        let terms = self.queues.queues.get(&job.queue).map(|queue| queue.terms);
+        let job = Arc::new(Job { accepted: EPOCH + self.now, terms, ..job });
         let event = Event::Submit { ticket, job, mode };
         self.call(shard, event);
         ticket
@@ -1818,12 +1826,14 @@
         host: "builds.example".to_owned(),
         prefix: format!("/{name}/"),
         service: ServiceName::new(SERVICE),
-        priority,
-        attempts: 3,
-        target_stretch: 2.0,
-        target_latency: Duration::from_secs(1),
         timeout: Duration::from_secs(3),
-        permits: None,
+        terms: Terms {
+            priority,
+            attempts: 3,
+            target_stretch: 2.0,
+            target_latency: Duration::from_secs(1),
+            permits: None,
+        },
     }
 }
 
