Space out starts of a task that VMs refuse again and again

Callers would see a job that never ends, and VMs 1,600 refused starts a second: a start that a VM refuses was bound and sent again at once, for as long as the reason lasts.

Change: from the second refusal in a row on a task waits 0.1 s, then twice as long each time up to 3.2 s; a start that is accepted ends that. The new line starts-refused tells the reason and the wait.

--- a/src/note.rs
+++ b/src/note.rs
@@ -216,6 +216,8 @@
     Routine TaskStarted = "task-started" { task: TaskRef, run: RunNumber, vm: VmId, sends: u32, }
     /// An attempt to start a run failed.
     Telling StartFailed = "start-failed" { task: TaskRef, run: RunNumber, vm: VmId, sends: u32, reason: String, }
+    /// VMs have refused several starts of a task in a row; the next one waits.
+    Telling StartsRefused = "starts-refused" { task: TaskRef, refused: u32, wait_ms: Millis, reason: StaticText, }
     /// A slow run got a speculative copy: what was slow, the time that the copy is expected to save, and how long it should take.
     Telling TaskCopied = "task-copied" { task: TaskRef, run: RunNumber, vm: VmId, slow_run: RunNumber, slow_vm: VmId, reason: StaticText, gain_ms: Millis, new_run_ms: Millis, }
     /// A run of a task that had several runs at a time ended: whether it won, and the core-milliseconds that it took.
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -132,6 +132,8 @@
     pub not_running_since: Option<Duration>,
     /// The task isn't started again before.
     pub restart_at: Duration,
+    /// Starts in a row that VMs have refused.
+    pub refused_starts: u32,
     /// Set while another shard runs the task in place of this one.
     pub lent: Option<Lent>,
     /// Number of the loan by which this shard borrows the task.
@@ -528,6 +530,7 @@
             failed_on: None,
             not_running_since: None,
             restart_at: Duration::ZERO,
+            refused_starts: 0,
             lent: progress.lent.and_then(lent),
             loan: progress.loan,
             crashes: Crashes::default(),
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -8,8 +8,16 @@
 use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage, Vm};
 use crate::ids::VmId;
 use crate::job::{RunNumber, TaskRef};
-use crate::note::Note;
+use crate::note::{Millis, Note, StaticText};
 use crate::vm::{self, RunReq, StartReq, VmTime};
+use std::time::Duration;
+
+/// Delay before a task is started again after the second refusal in a row; each further one doubles
+/// it.
+const MIN_REFUSAL_DELAY: Duration = Duration::from_millis(100);
+
+/// Longest such delay, as a multiple of the first one.
+const MAX_REFUSAL_FACTOR: u32 = 32;
 
 impl Shard {
     /// Allows the start to be sent once the binding is durable.
@@ -151,6 +159,10 @@
                     self.note_timely_start(id, key, *clock);
                 }
                 self.mark_started(task.job);
+                let known = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
+                if let Some(known) = known {
+                    known.refused_starts = 0;
+                }
                 self.note(Note::TaskStarted { task, run, vm: id.clone(), sends });
             }
             Err(vm::Error::Fenced) => self.handle_fenced(id),
@@ -183,14 +195,33 @@
                 if let Some(step) = step {
                     step.permits.mark_expired(id);
                 }
+                self.delay_refused(task, "the VM rejected the permit");
                 self.abandon_start(id, key, "the VM rejected the permit");
             }
             Err(vm::Error::NoRoom | vm::Error::Malformed { .. }) => {
+                self.delay_refused(task, "the VM refused the start");
                 self.abandon_start(id, key, "the VM refused the start");
             }
         }
     }
 
+    /// Delays the next start of a task if VMs have refused several in a row: the reason may be the same
+    /// everywhere.
+    fn delay_refused(&mut self, task: TaskRef, reason: StaticText) {
+        let now = self.now.steady;
+        let job = self.jobs.get_mut(&task.job);
+        let Some(known) = job.and_then(|job| job.task_mut(task)) else { return };
+        known.refused_starts = known.refused_starts.saturating_add(1);
+        let refused = known.refused_starts;
+        if refused < 2 {
+            return;
+        }
+        let factor = 2_u32.saturating_pow(refused - 2).min(MAX_REFUSAL_FACTOR);
+        let delay = MIN_REFUSAL_DELAY * factor;
+        known.restart_at = now + delay;
+        self.note(Note::StartsRefused { task, refused, wait_ms: Millis(delay), reason });
+    }
+
     /// Handles a start that was not sent. Unless an earlier one may have been, the task is placed
     /// elsewhere.
     fn handle_unsent_start(&mut self, id: &VmId, key: RunKey) {
--- a/tests/shards/terms.rs
+++ b/tests/shards/terms.rs
@@ -21,6 +21,9 @@
 /// Failed runs that a task may have by the queue's terms.
 const ATTEMPTS: usize = 3;
 
+/// Starts without a permit that a VM may refuse in ten seconds.
+const MAX_REFUSED: u32 = 12;
+
 fn seconds(n: u64) -> Duration {
     Duration::from_secs(n)
 }
@@ -143,3 +146,20 @@
     assert_eq!(sim.permits.as_ref().expect("it has permits").refused, 0);
     check(&mut sim, &jobs.iter().map(|job| (job.id, job.clone())).collect(), SIZE);
 }
+
+// Guards against a start that is refused each time and sent again at once.
+#[test]
+fn starts_that_are_refused_again_and_again_have_a_backoff() {
+    let mut sim = sim();
+    sim.run_for(seconds(1));
+    sim.permits = Some(PermitTable::new(100, VALID));
+    let job = job_with_steps(1, 1, 1, work(400, 1));
+    sim.submit(HOME, job.clone());
+    sim.run_for(seconds(10));
+    let refused = sim.permits.as_ref().expect("it has permits").refused;
+    assert!((2..=MAX_REFUSED).contains(&refused), "{refused} starts were refused");
+    sim.permits = None;
+    sim.run_for(seconds(5));
+    assert_eq!(sim.show(HOME, job.id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &known(&[&job]), SIZE);
+}
