Refuse submissions soon, and with the reason, while no VM accepts work

Cause: with all VMs in quarantine no shard is a candidate. The call then asked again until its time limit, and gave the answer that it had started with.

Change: if owners accept jobs and none has a VM that accepts work, a submission waits for 0.5 s, in which a new owner hears from its VMs, and is refused as not run with that reason and a Retry-After of 1.5 s. Without an owner it waits as before.

Test that failed before (no answer within 20 s): a_job_is_refused_soon_with_the_reason_while_no_vm_accepts_work.

--- a/src/jobs/calls.rs
+++ b/src/jobs/calls.rs
@@ -60,6 +60,13 @@
 /// Retry hint when no shard has an owner; it takes up to 2 s until one has.
 const RETRY_AFTER_NO_OWNER: Duration = Duration::from_millis(1000);
 
+/// Longest time that a submission waits for a VM that accepts work. A new owner has heard from its VMs
+/// by then; VMs that are out of service stay so for seconds.
+const MAX_VM_WAIT: Duration = Duration::from_millis(500);
+
+/// Retry hint when owners have no VM that accepts work.
+const RETRY_AFTER_NO_VM: Duration = Duration::from_millis(1500);
+
 /// Retry hint for a job that requires a label no VM has; a new VM takes seconds to appear.
 const RETRY_AFTER_NO_LABEL: Duration = Duration::from_secs(10);
 
@@ -128,7 +135,8 @@
         let deadline = self.clock.now() + budget;
         let mut denial_delay = OWNER_RETRY_DELAY;
         let mut refusals = Refusals::default();
-        let mut last = not_run("no shard has an owner just now", RETRY_AFTER_NO_OWNER);
+        let vm_deadline = deadline.min(self.clock.now() + MAX_VM_WAIT);
+        let mut last = None;
         loop {
             let cached = self.cached_shard(job.id).map(|shard| (shard, AdmissionMode::Always));
             let is_cached = cached.is_some();
@@ -140,10 +148,15 @@
                 return refusals.or_unknown(impossible_answer(&error));
             }
             let Some((shard, mode)) = cached.or_else(|| self.choose(&job, &refusals)) else {
-                if refusals.is_conditional() && self.wait_to_retry(deadline).await {
+                let (refusal, until) = if self.view().lacks_vms() {
+                    (not_run("no VM accepts work just now", RETRY_AFTER_NO_VM), vm_deadline)
+                } else {
+                    (not_run("no shard has an owner just now", RETRY_AFTER_NO_OWNER), deadline)
+                };
+                if refusals.is_conditional() && self.wait_to_retry(until).await {
                     continue;
                 }
-                return refusals.or_unknown(last);
+                return refusals.or_unknown(last.unwrap_or(refusal));
             };
             match self.attempt(&shard, Call::Submit(Box::new(job.clone()), mode), deadline).await {
                 Attempt::Answered(Answer::Accepted) => {
@@ -152,10 +165,10 @@
                 }
                 Attempt::Answered(Answer::AcceptedElsewhere) => return Answer::Accepted,
                 Attempt::Answered(answer @ Answer::NotRun { .. }) => {
-                    last = answer;
+                    last = Some(answer.clone());
                     // The shard that already has the job is retried; no other shard is tried.
                     if is_cached && !self.wait_to_retry(deadline).await {
-                        return refusals.or_unknown(last);
+                        return refusals.or_unknown(answer);
                     }
                     refusals.add(shard, mode);
                 }
@@ -184,7 +197,9 @@
                 Attempt::Uncertain(reason) => return Answer::Unknown { reason },
                 Attempt::NotRun => {
                     if !self.wait_to_retry(deadline).await {
-                        return refusals.or_unknown(last);
+                        let refusal =
+                            not_run("the job's shard has no owner just now", RETRY_AFTER_NO_OWNER);
+                        return refusals.or_unknown(last.unwrap_or(refusal));
                     }
                 }
             }
--- a/src/jobs/calls/tests.rs
+++ b/src/jobs/calls/tests.rs
@@ -160,6 +160,22 @@
     assert!(matches!(answer, Answer::NotRun { .. }), "{answer:?}");
 }
 
+// Guards against submissions that wait for their whole time limit while no VM accepts work, and are then
+// told that no shard has an owner.
+#[actix::test]
+async fn a_job_is_refused_soon_with_the_reason_while_no_vm_accepts_work() {
+    let (_listener, addr) = unserved_listener();
+    let without_vms = ShardView {
+        summary: Arc::new(Summary::default()),
+        summary_at: SystemClock.now() + 100 * TEST_TIMEOUT,
+        ..shard(addr, StoreReachability::Reached)
+    };
+    let client = client_of(Some(JobLocation::NotFound), vec![(SHARD, without_vms)]);
+    let answer = answered(client.submit(job(), 10 * TEST_TIMEOUT)).await;
+    let Answer::NotRun { reason, .. } = answer else { panic!("{answer:?}") };
+    assert!(reason.contains("VM"), "{reason}");
+}
+
 // A call with a long budget waits for a job's shard to become known when a planned shutdown begins.
 // Guards against the call being cut off without an answer when the daemon exits.
 #[actix::test]
--- a/src/jobs/view.rs
+++ b/src/jobs/view.rs
@@ -32,6 +32,12 @@
         let mut owned = self.shards.values().filter(|shard| shard.owner.is_some()).peekable();
         owned.peek().is_some() && owned.all(|shard| shard.store == StoreReachability::Away)
     }
+
+    /// Whether shards have owners that accept jobs, none of which has a VM that accepts work.
+    pub fn lacks_vms(&self) -> bool {
+        let mut accepting = self.shards.values().filter(|shard| shard.accepts_jobs()).peekable();
+        accepting.peek().is_some() && accepting.all(|shard| shard.summary.vms == 0)
+    }
 }
 
 impl ShardView {
