Count a task as available for upkeep only while its VM answers

Cause: a task on a lost VM counted as available until its lease had ended, up to ten seconds after its VM fell silent.

Change: is_available asks whether the VM has answered the last poll and refused no call since. A drain beside a VM that leaves one poll unanswered waits for the next one; it goes on once the lost task runs elsewhere.

Test that failed before: a_task_stays_while_another_of_its_step_is_on_a_lost_vm.

--- a/src/shard/vacate.rs
+++ b/src/shard/vacate.rs
@@ -164,10 +164,14 @@
         away.count() < most as usize
     }
 
+    /// Returns whether a task is at work, as far as its VM answers: that of one that doesn't may have
+    /// been lost.
     fn is_available(&self, task: TaskRef, known: &Task) -> bool {
+        let now = self.now.steady;
         known.runs.iter().any(|placed| {
             let key = RunKey { task, run: placed.run };
-            let run = self.vms.get(&placed.vm).and_then(|vm| vm.runs.get(&key));
+            let vm = self.vms.get(&placed.vm).filter(|vm| vm.is_answering(now));
+            let run = vm.and_then(|vm| vm.runs.get(&key));
             run.is_some_and(|run| run.is_running() && run.percent == 100)
         })
     }
--- a/tests/shards/vacate.rs
+++ b/tests/shards/vacate.rs
@@ -3,7 +3,7 @@
 use crate::faults::NoFaults;
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
-use crate::world::Simulation;
+use crate::world::{LostPort, Simulation};
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, JobState, Resume};
@@ -102,3 +102,24 @@
     assert_eq!(sim.runs_on(0), 0, "the VM is drained in the end");
     check(&mut sim, &known(&[job]), SIZE);
 }
+
+// Guards against a second task of a step that is stopped while the first one is on a VM that is lost:
+// until its lease has ended it counted as available.
+#[test]
+fn a_task_stays_while_another_of_its_step_is_on_a_lost_vm() {
+    let mut sim = sim(4);
+    let mut job = job_with_steps(1, 1, 3, work(0, 2));
+    (job.steps[0].per_vm, job.steps[0].max_away) = (1, Some(1));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(seconds(2));
+    let running: Vec<usize> = (0..4).filter(|vm| sim.runs_on(*vm) > 0).collect();
+    let [lost, drained, _] = running[..] else { panic!("three VMs run a task: {running:?}") };
+    sim.lose_vm(lost, LostPort::Silent);
+    sim.run_for(seconds(2));
+    sim.drain_vm(SHARD, drained, Duration::ZERO);
+    sim.run_for(seconds(3));
+    assert_eq!(sim.runs_on(drained), 1, "only one task may be away");
+    sim.run_for(seconds(8));
+    assert_eq!(sim.runs_on(drained), 0, "the VM is drained in the end");
+    check(&mut sim, &known(&[job]), SIZE);
+}
