Count a step as working by its stored successes

A failure counted in full against a VM only if this owner had measured a first run of the step that succeeded. After a change of owner, and where tasks succeed in later runs or other shards, the job was taken for one that never worked.

Change: a task of the step that has succeeded, which is stored, is the evidence.

Test: a_new_owner_knows_that_a_job_works_elsewhere. It passes with and without the change: the first success after the takeover makes up for it in time; the change saves that wait.

--- a/src/shard/finish.rs
+++ b/src/shard/finish.rs
@@ -223,18 +223,20 @@
         let (Some(step), Some(known)) = (job.step_run(task), job.task(task)) else {
             return Evidence::Weak;
         };
-        let works_elsewhere = |(index, other): (usize, &Task)| {
+        let is_long_running = job.step(task).is_some_and(is_long_running);
+        let works_elsewhere = |index: usize, other: &Task| {
             let other_task = TaskRef { index: u32::try_from(index).unwrap_or(u32::MAX), ..task };
-            other.runs.iter().filter(|placed| placed.vm != *vm).any(|placed| {
-                let key = RunKey { task: other_task, run: placed.run };
-                self.vms.get(&placed.vm).is_some_and(|vm| vm.running_time(key) >= PROVING_TIME)
-            })
+            let mut elsewhere = other.runs.iter().filter(|placed| placed.vm != *vm);
+            is_long_running
+                && elsewhere.any(|placed| {
+                    let key = RunKey { task: other_task, run: placed.run };
+                    self.vms.get(&placed.vm).is_some_and(|vm| vm.running_time(key) >= PROVING_TIME)
+                })
         };
-        let is_long_running = job.step(task).is_some_and(is_long_running);
-        let others = step.tasks.iter().enumerate();
-        let has_worked = step.run_times.mean().is_some()
-            || (is_long_running && others.clone().any(works_elsewhere));
-        if has_worked {
+        let has_worked = |(index, other): (usize, &Task)| {
+            other.phase == TaskPhase::Succeeded || works_elsewhere(index, other)
+        };
+        if step.tasks.iter().enumerate().any(has_worked) {
             Evidence::Strong
         } else if earlier.is_some() || known.failed > MAX_FAILURES_OF_VM {
             Evidence::None
--- a/tests/shards/health.rs
+++ b/tests/shards/health.rs
@@ -183,3 +183,19 @@
     assert!(failed <= RUNS_OF_ONE_JOB_ON_FAULTY_VM, "{failed} runs started on the faulty VM");
     shard.check();
 }
+
+// Guards against the same after a change of owner: what the step's tasks have done before is stored.
+#[test]
+fn a_new_owner_knows_that_a_job_works_elsewhere() {
+    let mut shard = LoadedShard::new(4);
+    shard.submit(job_with_steps(1, 1, 400, work(500, 2)));
+    shard.sim.run_for(Duration::from_secs(2));
+    shard.sim.replace_owner(SHARD);
+    shard.sim.run_for(Duration::from_millis(100));
+    let before = shard.starts_on(0);
+    shard.sim.vms[0].table.set_faulty(true);
+    shard.sim.run_for(Duration::from_secs(4));
+    let failed = shard.starts_on(0) - before;
+    assert!(failed <= RUNS_OF_ONE_JOB_ON_FAULTY_VM, "{failed} runs started on the faulty VM");
+    shard.check();
+}
