Send gangs to shards with room for all their tasks

Callers would see a gang that waits in a shard with room for one of its tasks, beside one that could start it.

Cause: the choice of a shard asked for room for one task of each step.

Change: for a step whose tasks run together it counts how many the VMs have room for, as lending does.

Test that failed with one task in its place: a_gang_is_sent_where_all_its_tasks_fit.

--- a/src/jobs/choice.rs
+++ b/src/jobs/choice.rs
@@ -9,7 +9,7 @@
 mod tests;
 
 use super::view::{ShardView, View};
-use crate::job::{Image, Job, Life, Share};
+use crate::job::{Image, Job, Life, Share, Step};
 use crate::shard::{AdmissionMode, Answer, Summary};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -248,12 +248,18 @@
         if self.fits(summary) { wait } else { wait + self.reserved_time }
     }
 
-    /// Whether a VM has room for a task of each step with reserved tasks.
+    /// Whether VMs have room for a task of each step with reserved tasks, and for all tasks of a gang.
     fn fits(&self, summary: &Summary) -> bool {
-        let reserved = self.job.steps.iter().filter(|step| step.share == Share::Reserved);
-        let mut steps = reserved
-            .map(|step| summary.rooms.iter().any(|room| room.takes(step, &self.job.service)));
-        steps.all(|fits| fits)
+        let service = &self.job.service;
+        let fits = |step: &Step| {
+            if !step.grouping.is_gang() {
+                return summary.rooms.iter().any(|room| room.takes(step, service));
+            }
+            let fitting = summary.rooms.iter().map(|room| room.fitting(step, service));
+            fitting.sum::<usize>() >= step.tasks as usize
+        };
+        let reserved = |step: &&Step| step.share == Share::Reserved;
+        self.job.steps.iter().filter(reserved).all(fits)
     }
 
     /// Capacity available to the job's leftover work, in thousandths of a core.
--- a/src/jobs/choice/tests.rs
+++ b/src/jobs/choice/tests.rs
@@ -1,7 +1,7 @@
 use super::{Demand, Refusals, UnreportedLoad, UnreportedLoads};
 use crate::cluster::{Member, MemberStage, StoreReachability};
 use crate::ids::{DaemonId, DomainId, RackId, ServiceName};
-use crate::job::{Job, JobId, Life, QueueName, Repeat, Share, Step};
+use crate::job::{Grouping, Job, JobId, Life, QueueName, Repeat, Share, Step};
 use crate::jobs::view::{Owner, ShardView, View};
 use crate::shard::event::FreeRoom;
 use crate::shard::{AdmissionMode, Summary};
@@ -60,12 +60,44 @@
 }
 
 fn chosen(shards: Vec<(&str, ShardView)>) -> Option<String> {
+    chosen_for(&build(), shards)
+}
+
+fn chosen_for(job: &Job, shards: Vec<(&str, ShardView)>) -> Option<String> {
     let mut view = View::default();
     view.shards.extend(shards.into_iter().map(|(name, shard)| (name.to_owned(), shard)));
-    let choice = UnreportedLoads::default().choose(&view, NOW, &build(), &Refusals::default());
+    let choice = UnreportedLoads::default().choose(&view, NOW, job, &Refusals::default());
     choice.map(|(shard, _)| shard)
 }
 
+/// A shard whose VMs have these free cores.
+fn shard_with_rooms(free_cores: &[u32]) -> ShardView {
+    let room = |cores: &u32| FreeRoom {
+        free: Resources::new(cores * 1000, 64_000, 0),
+        rack: RackId::new("r0"),
+        labels: Vec::new(),
+        service: ServiceName::new("shop"),
+    };
+    let free = free_cores.iter().map(|cores| u64::from(cores * 1000)).sum();
+    let rooms = free_cores.iter().map(room).collect();
+    let mut view = shard(0, HELLO_INTERVAL, StoreReachability::Reached);
+    let summary = Summary { free, rooms, ..(*view.summary).clone() };
+    view.summary = Arc::new(summary);
+    view
+}
+
+// Guards against a gang that is sent to a shard with room for one of its tasks, where it waits.
+#[test]
+fn a_gang_is_sent_where_all_its_tasks_fit() {
+    let step = Step::new(4, Resources::new(20_000, 1000, 0), Duration::from_secs(8));
+    let gang = job(Step { grouping: Grouping::Together, ..step });
+    let shards = || {
+        let few = shard_with_rooms(&[32, 32, 32, 16, 16, 16, 16]);
+        vec![("gikondo/0", few), (SHARD, shard_with_rooms(&[20, 20, 20, 20]))]
+    };
+    assert_eq!(chosen_for(&gang, shards()).as_deref(), Some(SHARD));
+}
+
 // No shard has room for another lasting job. After the shard with the most room has refused, trying
 // hundreds of others in turn would use up the call's budget.
 #[test]
