Measure what a shard costs while ten thousand tasks wait that no VM can run

1,020 VMs in 34 shards, 500 jobs of 20 tasks in one of them, each job of another size and with a label that no VM has.

--- a/benches/shards/main.rs
+++ b/benches/shards/main.rs
@@ -1,4 +1,5 @@
-//! CPU time that a shard costs its owner, at the load of the grown sites.
+//! CPU time that shards cost their owners, at the load of the grown sites, and while many tasks wait
+//! that no VM can run.
 //!
 //! One shard of 30 VMs with long-running tasks on most of their processors, short jobs that must
 //! start at once, and wide jobs that take what is left over, in twice the amount that fits. The
@@ -29,7 +30,7 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use waxwingstall::clock::{Clock, SystemClock};
-use waxwingstall::job::{Image, Job, Life, Share};
+use waxwingstall::job::{Image, Job, Label, Life, Share};
 use waxwingstall::units::Resources;
 use world::Simulation;
 
@@ -69,7 +70,50 @@
     job
 }
 
+/// Shards of [`VMS`] VMs each, and tasks that wait in the first one for a VM of a missing kind.
+const CROWDED_SHARDS: [&str; 34] = {
+    const NAMES: &str = "abcdefghijklmnopqrstuvwxyz01234567";
+    let mut names = [""; 34];
+    let mut n = 0;
+    while n < names.len() {
+        names[n] = NAMES.split_at(n).1.split_at(1).0;
+        n += 1;
+    }
+    names
+};
+const WAITING_JOBS: u64 = 500;
+const TASKS_PER_WAITING_JOB: u32 = 20;
+const CROWDED_TIME: Duration = Duration::from_secs(3);
+
+/// Returns the CPU time of a second of simulated time, with so many waiting jobs.
+fn crowded(waiting_jobs: u64) -> Duration {
+    let mut sim = Simulation::new(NoFaults, &CROWDED_SHARDS, VMS, SIZE);
+    sim.run_for(Duration::from_secs(2));
+    for id in 0..waiting_jobs {
+        let mut job = job_with_steps(id + 1, 1, TASKS_PER_WAITING_JOB, work(800, 4));
+        job.steps[0].label = Some(Label::new("missing"));
+        job.steps[0].size.milli_cores.0 += u32::try_from(id).unwrap_or_default();
+        sim.submit(CROWDED_SHARDS[0], job);
+    }
+    sim.run_for(Duration::from_secs(1));
+    let began = SystemClock.now();
+    sim.run_for(CROWDED_TIME);
+    (SystemClock.now() - began).div_f64(CROWDED_TIME.as_secs_f64())
+}
+
 fn main() {
+    at_usual_load();
+    let (idle, waiting) = (crowded(0), crowded(WAITING_JOBS));
+    println!(
+        "{} VMs, {} waiting tasks: {:.2} ms of processor a second, {:.2} ms without them",
+        CROWDED_SHARDS.len() * VMS,
+        WAITING_JOBS * u64::from(TASKS_PER_WAITING_JOB),
+        waiting.as_secs_f64() * 1000.0,
+        idle.as_secs_f64() * 1000.0,
+    );
+}
+
+fn at_usual_load() {
     let mut rng = SmallRng::seed_from_u64(1);
     let mut sim = Simulation::new(NoFaults, &[SHARD], VMS, SIZE);
     let mut next = 1;
