--- a/benches/shards/main.rs
+++ b/benches/shards/main.rs
@@ -70,30 +70,23 @@
     job
 }
 
-/// Shards of [`VMS`] VMs each, and tasks that wait in the first one for a VM of a missing kind.
-const CROWDED_SHARDS: [&str; 34] = {
-    const NAMES: &str = "abcdefghijklmnopqrstuvwxyz01234567";
-    let mut names = [""; 34];
-    let mut n = 0;
-    while n < names.len() {
-        names[n] = NAMES.split_at(n).1.split_at(1).0;
-        n += 1;
-    }
-    names
-};
+/// Number of shards of [`VMS`] VMs each; tasks wait in the first one for a VM of a missing kind.
+const CROWDED_SHARDS: usize = 34;
 const WAITING_JOBS: u64 = 500;
 const TASKS_PER_WAITING_JOB: u32 = 20;
 const CROWDED_TIME: Duration = Duration::from_secs(3);
 
 /// Returns the CPU time of a second of simulated time, with so many waiting jobs.
 fn crowded(waiting_jobs: u64) -> Duration {
-    let mut sim = Simulation::new(NoFaults, &CROWDED_SHARDS, VMS, SIZE);
+    let names: Vec<String> = (0..CROWDED_SHARDS).map(|number| format!("shard-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut sim = Simulation::new(NoFaults, &names, VMS, SIZE);
     sim.run_for(Duration::from_secs(2));
     for id in 0..waiting_jobs {
         let mut job = job_with_steps(id + 1, 1, TASKS_PER_WAITING_JOB, work(800, 4));
         job.steps[0].label = Some(Label::new("missing"));
         job.steps[0].size.milli_cores.0 += u32::try_from(id).unwrap_or_default();
-        sim.submit(CROWDED_SHARDS[0], job);
+        sim.submit(names[0], job);
     }
     sim.run_for(Duration::from_secs(1));
     let began = SystemClock.now();
@@ -106,7 +99,7 @@
     let (idle, waiting) = (crowded(0), crowded(WAITING_JOBS));
     println!(
         "{} VMs, {} waiting tasks: {:.2} ms of processor a second, {:.2} ms without them",
-        CROWDED_SHARDS.len() * VMS,
+        CROWDED_SHARDS * VMS,
         WAITING_JOBS * u64::from(TASKS_PER_WAITING_JOB),
         waiting.as_secs_f64() * 1000.0,
         idle.as_secs_f64() * 1000.0,
--- a/tests/shards/hold.rs
+++ b/tests/shards/hold.rs
@@ -182,7 +182,9 @@
         sim.run_for(Duration::from_millis(500));
     }
     assert_eq!(sim.runs_on(0), 2, "the task that may move runs on the first VM");
-    [3, 4].into_iter().for_each(|job| _ = sim.cancel(SHARD, jobs[job].id));
+    for job in &jobs[3..5] {
+        sim.cancel(SHARD, job.id);
+    }
     sim.run_for(Duration::from_secs(1));
     let mut last: Vec<Job> = (10..22).map(|id| long_running(id, 0, 3100)).collect();
     last.push(long_running(30, 4, 4000));
