Space out starts that a VM answers as unavailable

Callers would see a VM that is asked 50 times a second to start the same task. Found by reading this change again: since the failures of one task count once against a VM, so that the only VM of a task is no longer quarantined for refusing it, and the backoff of refused starts left this answer out.

Change: it goes by the same backoff as other refusals.

Test that failed before (499 starts refused in 10 s): a_vm_that_refuses_all_starts_is_asked_again_with_a_backoff.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -188,6 +188,7 @@
             }
             Err(vm::Error::Unavailable { .. }) => {
                 self.record_failure(id, task, Evidence::Strong);
+                self.delay_refused(task, "the VM refused the start");
                 self.abandon_start(id, key, "the VM refused the start");
             }
             Err(vm::Error::NoPermit) => {
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -204,6 +204,10 @@
     slow_runs: Option<SlowRuns>,
     /// Whether runs that start now fail, whatever they do.
     is_faulty: bool,
+    /// Whether it refuses to start anything.
+    is_unavailable: bool,
+    /// Starts that it refused for that reason.
+    pub unavailable_starts: usize,
     pub seen: Vec<Seen>,
     pub ended_leases: Vec<EndedLease>,
 }
@@ -225,6 +229,8 @@
             speed: 100,
             slow_runs: None,
             is_faulty: false,
+            is_unavailable: false,
+            unavailable_starts: 0,
             seen: Vec::new(),
             ended_leases: Vec::new(),
         }
@@ -234,6 +240,10 @@
     pub fn start(&mut self, now: Duration, req: &StartReq) -> Result<VmTime> {
         self.pass(now);
         self.check(req.fence)?;
+        if self.is_unavailable {
+            self.unavailable_starts += 1;
+            return Err(Error::Unavailable { status: 503 });
+        }
         self.keep(now, req.keep_until);
         let known = self.running.get(&req.task);
         if known.is_some_and(|running| running.run == req.run) {
@@ -311,6 +321,11 @@
         self.is_faulty = is_faulty;
     }
 
+    /// Makes the VM refuse to start anything, or no longer.
+    pub fn set_unavailable(&mut self, is_unavailable: bool) {
+        self.is_unavailable = is_unavailable;
+    }
+
     /// Keeps everything running, forgets what may be forgotten, and tells the news.
     pub fn poll(&mut self, now: Duration, req: &PollReq) -> Result<PollResp> {
         self.pass(now);
--- a/tests/shards/health.rs
+++ b/tests/shards/health.rs
@@ -20,6 +20,9 @@
 /// Longest time that a lasting task may have no run beside room for it.
 const MAX_AWAY_TIME: Duration = Duration::from_secs(6);
 
+/// Starts of one task that VMs may refuse in ten seconds.
+const MAX_REFUSED_STARTS: usize = 12;
+
 /// Runs that start on a faulty VM in these tests if two failures take it out of service.
 const RUNS_ON_FAULTY_VM: usize = 17;
 const RUNS_OF_ONE_JOB_ON_FAULTY_VM: usize = 32;
@@ -153,6 +156,21 @@
     shard.check();
 }
 
+// Guards against starts of one task that the only VM refuses each time, and that are sent again at once.
+#[test]
+fn a_vm_that_refuses_all_starts_is_asked_again_with_a_backoff() {
+    let mut shard = LoadedShard::new(1);
+    shard.sim.vms[0].table.set_unavailable(true);
+    shard.submit(job_with_steps(1, 1, 1, work(500, 1)));
+    shard.sim.run_for(Duration::from_secs(10));
+    let refused = shard.sim.vms[0].table.unavailable_starts;
+    assert!((2..=MAX_REFUSED_STARTS).contains(&refused), "{refused} starts were refused");
+    shard.sim.vms[0].table.set_unavailable(false);
+    shard.sim.run_for(Duration::from_secs(5));
+    assert_eq!(shard.sim.show(SHARD, JobId(1)), Some(Answer::Shown(JobState::Done)));
+    shard.check();
+}
+
 // Guards against a VM that fails all that it starts and goes on to get work.
 #[test]
 fn a_vm_that_fails_all_its_runs_gets_no_more_work() {
