Count bodies that callers send against the memory of the machine

Callers saw a daemon that ended: it ran out of memory while clients sent many bodies of legal size and stopped just short of their end.

Cause: the path of jobs had a limit for one body and none for all of them, no time for a whole body, and nothing told the daemon what memory it has: 2,500 connections times 256 KiB. The request path of waxwingd counted its bodies, and the other one didn't use that. Bodies were read before their queue was looked up.

Change: `machine.memory_mb` and `machine.max_fds` are settings, of which the callers' port gets a share (inbound/limits.rs). One accounting (memory.rs, inbound/body.rs) replaces HeldBytes and serves both paths. A body is reserved by the capacity of its buffer; its first 8 KiB are free, so that large bodies of others don't keep small ones out. What the budget doesn't allow is refused as not run, with a Retry-After, on waxwingd's path too, which sent none. A request that is refused by its head is answered before its body is read; paths are cut before they are logged.

--- /dev/null
+++ b/src/inbound/limits.rs
@@ -0,0 +1,53 @@
+//! Shares of the machine's memory and file descriptors for the clients of each port.
+//!
+//! The rest is for the daemon's own state and for the connections that it opens.
+
+/// Memory that a connection takes besides what is counted against the budget of its port: buffers
+/// of the server, a small body, and received bytes that the kernel holds.
+pub const CONNECTION_BYTES: usize = 64 << 10;
+
+/// Part of a message that counts as part of its connection, in bytes. Keeps small requests
+/// independent of what others' large ones hold.
+pub const SMALL_MESSAGE_BYTES: usize = 8 << 10;
+
+/// Memory and file descriptors that the machine has for the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// In MiB.
+    pub memory_mb: u64,
+    pub max_fds: usize,
+}
+
+/// What the clients of one port may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PortLimits {
+    /// Maximum number of connections.
+    pub connections: usize,
+    /// Maximum size of the messages held at once, in bytes, except for their first
+    /// [`SMALL_MESSAGE_BYTES`].
+    pub held_bytes: usize,
+}
+
+impl PortLimits {
+    /// Largest amount of memory that the clients can make the process hold, in bytes.
+    pub fn max_bytes(&self) -> usize {
+        self.connections * CONNECTION_BYTES + self.held_bytes
+    }
+}
+
+impl MachineLimits {
+    fn memory_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20)
+    }
+
+    fn port(&self, connections: usize, memory: usize, held_bytes: usize) -> PortLimits {
+        let connections = connections.min(memory / CONNECTION_BYTES).max(1);
+        PortLimits { connections, held_bytes }
+    }
+
+    /// Limits of the port for callers.
+    pub fn callers(&self) -> PortLimits {
+        let memory = self.memory_bytes();
+        self.port(self.max_fds * 5 / 8, memory / 4, memory / 16 * 3)
+    }
+}
--- /dev/null
+++ b/src/inbound/tests.rs
@@ -0,0 +1,2 @@
+mod body;
+mod limits;
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -1,6 +1,10 @@
 //! Settings of the job daemon.
 
+#[cfg(test)]
+mod tests;
+
 use crate::ids::DomainId;
+use crate::inbound::MachineLimits;
 use crate::shard;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -8,6 +12,10 @@
 
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Smallest memory in MiB, and smallest number of file descriptors, that a daemon can run with.
+const MIN_MEMORY_MB: u64 = 32;
+const MIN_FDS: u64 = 128;
+
 /// Invalid settings.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -31,7 +39,7 @@
     pub ip: std::net::IpAddr,
     /// First and last port for traffic between daemons.
     pub ports: [u16; 2],
-    pub machine: CpuLimits,
+    pub machine: Machine,
     pub listen: Listen,
     pub store: Store,
     pub bounds: Bounds,
@@ -45,17 +53,35 @@
     pub log: Log,
 }
 
-/// CPU available to the daemon on its VM.
+/// What the daemon may use of its VM.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-// The error names the settings key `machine`, not this type.
-#[serde(deny_unknown_fields, expecting = "struct Machine")]
-pub struct CpuLimits {
+#[serde(deny_unknown_fields)]
+pub struct Machine {
     pub cores: f64,
     /// Fraction of the cores that the daemon may use.
     pub core_share: f64,
+    /// Memory in MiB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Number of file descriptors.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: usize,
+}
+
+fn default_memory_mb() -> u64 {
+    256
+}
+
+fn default_max_fds() -> usize {
+    4096
 }
 
-impl CpuLimits {
+impl Machine {
+    /// Memory and file descriptors, which clients get a share of.
+    pub fn limits(&self) -> MachineLimits {
+        MachineLimits { memory_mb: self.memory_mb, max_fds: self.max_fds }
+    }
+
     /// CPU capacity, in thousandths of a core.
     pub fn milli_cores(&self) -> u32 {
         (self.cores * self.core_share * 1000.0).round() as u32
@@ -193,6 +219,15 @@
                 return Err(Error::Range { key, value, expected: "from 0 to 1000000" });
             }
         }
+        let machine = [
+            ("machine.memory_mb", self.machine.memory_mb, MIN_MEMORY_MB, "of 32 or more"),
+            ("machine.max_fds", self.machine.max_fds as u64, MIN_FDS, "of 128 or more"),
+        ];
+        for (key, value, min, expected) in machine {
+            if value < min {
+                return Err(Error::Range { key, value: value.to_string(), expected });
+            }
+        }
         if self.bounds.max_keep_ms < 1000 {
             let value = self.bounds.max_keep_ms.to_string();
             return Err(Error::Range {
--- a/src/request.rs
+++ b/src/request.rs
@@ -24,7 +24,6 @@
 mod answer;
 mod arrival;
 mod attempt;
-mod body;
 mod conn;
 mod deliver;
 pub mod dispatch;
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -2,11 +2,12 @@
 
 use crate::clock::Clock;
 use crate::ids::RequestId;
+use crate::inbound::body;
+use crate::memory::MemoryBudget;
 use crate::model::{Config, Idempotency};
 use crate::request::admission::Rejection;
 use crate::request::answer::{Answer, AnswerBody, Truncated};
 use crate::request::arrival::{self, Arrival};
-use crate::request::body::{self, HeldBytes};
 use crate::request::endpoint::EndpointInfo;
 use crate::request::fleet::{Fleet, Shares};
 use crate::request::hop::{Peer, PeerFront};
@@ -47,7 +48,7 @@
     pub journal: RefCell<Journal>,
     pub retry_budget: RefCell<RetryBudget>,
     pub draining: Cell<bool>,
-    held: Rc<HeldBytes>,
+    bodies: MemoryBudget,
     in_flight: Cell<usize>,
     refusals: RefCell<IndexMap<Reason, u64>>,
 }
@@ -80,6 +81,7 @@
     /// Creates a dispatcher without configuration, endpoints or other daemons.
     pub fn new(settings: DispatcherSettings, clock: Arc<dyn Clock>) -> Self {
         let journal = Journal::new(settings.limits.explained);
+        let bodies = MemoryBudget::new(settings.limits.held_bytes);
         let fleet = Rc::new(Fleet::new(settings.clone(), clock));
         Self(Rc::new(Inner {
             settings,
@@ -88,7 +90,7 @@
             journal: RefCell::new(journal),
             retry_budget: RefCell::default(),
             draining: Cell::new(false),
-            held: Rc::default(),
+            bodies,
             in_flight: Cell::new(0),
             refusals: RefCell::default(),
         }))
@@ -179,7 +181,7 @@
         RequestStatus {
             draining: inner.draining.get(),
             in_flight: inner.in_flight.get(),
-            held_bytes: inner.held.get(),
+            held_bytes: inner.bodies.held(),
             queued: inner.fleet.waiting(),
             refusals: inner.refusals.borrow().clone(),
             endpoints: inner.fleet.endpoint_status(),
@@ -229,7 +231,8 @@
         let now = self.fleet.now();
         let arrival = Arrival::read(req, id.clone(), &cfg, now)?;
         self.journal.borrow_mut().open(id, &arrival.class, now);
-        let body = body::read_whole(payload, &self.held, &self.settings.limits).await?;
+        let limits = self.settings.limits.body_limits();
+        let body = body::read(payload, &self.bodies, limits).await?;
         if self.draining.get() {
             return Err(Refusal::not_run(Reason::Draining).with_retry_after(RETRY_AFTER));
         }
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -5,6 +5,7 @@
 //! outcome is `unknown`.
 
 use crate::ids::RequestId;
+use crate::inbound::body;
 use crate::request::headers;
 use actix_web::http::StatusCode;
 use actix_web::http::header;
@@ -13,6 +14,9 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Retry hint while too many bytes are being received.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
+
 /// Outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -234,6 +238,19 @@
     }
 }
 
+impl From<body::Error> for Refusal {
+    fn from(e: body::Error) -> Self {
+        match e {
+            body::Error::Broken => Self::not_run(Reason::BodyBroken),
+            body::Error::TooLarge(_) => Self::not_run(Reason::BodyTooLarge),
+            body::Error::TooSlow(_) => Self::not_run(Reason::BodyTooSlow),
+            body::Error::NoMemory => {
+                Self::not_run(Reason::QueueFull).with_retry_after(RETRY_AFTER_NO_MEMORY)
+            }
+        }
+    }
+}
+
 /// Adds the headers that state the outcome.
 pub(super) fn add_outcome_headers(
     resp: &mut HttpResponseBuilder,
--- a/src/request/settings.rs
+++ b/src/request/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the request path of a daemon.
 
 use crate::ids::{DaemonId, DomainId};
+use crate::inbound::body::BodyLimits;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -44,6 +45,13 @@
     }
 }
 
+impl Limits {
+    /// Limits on one request body.
+    pub fn body_limits(&self) -> BodyLimits {
+        BodyLimits { bytes: self.body_bytes, free_bytes: 0, time: self.body_time }
+    }
+}
+
 impl DispatcherSettings {
     /// Creates settings with the default limits for daemon `me` in `domain`.
     pub fn new(me: DaemonId, domain: DomainId) -> Self {
