Let callers' connections take one request at a time and a share of the machine

Callers saw a daemon that ended for its memory, and were kept out of one whose connections were all taken by clients that send nothing.

Cause: the HTTP server decodes all that it has read, up to 128 KiB, into requests of several KiB each before the first one is answered; keeps a small object for each chunk; and has no order in which connections that do nothing give way. 2,500 connections were taken whatever the machine had.

Change: inbound::Stream stands between socket and server. It finds where a request ends (inbound/framing.rs), passes no byte of the next one on before the answer is sent, and 4 KiB at most before the server has a turn. inbound::Table knows what each connection does. If a share is used up, it closes refused requests that still arrive, stalled ones, slow ones, and for connections unused and idle ones, in this order; requests that have arrived whole are never cut off. What stalls for 15 s is closed in any case. `connections-closed` tells of it. The kernel's receive buffer of a connection is 16 KiB, as unread bytes count too; the number of connections follows memory and descriptors.

Why it works: what a connection can hold no longer depends on what its client sends, and the number of connections times that, plus the budget of bodies, is under the share.

--- a/src/inbound/body.rs
+++ b/src/inbound/body.rs
@@ -3,11 +3,13 @@
 //! A request holds no slot while its body is received, so that slow senders don't take capacity from
 //! other callers.
 
+use super::table::Conn;
 use crate::memory::{MemoryBudget, Reservation};
-use actix_web::rt;
 use actix_web::web::Payload;
+use actix_web::{HttpRequest, rt};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Result of reading a body.
@@ -44,15 +46,22 @@
     _held: Reservation,
 }
 
-/// Reads a whole body.
-pub async fn read(payload: Payload, budget: &MemoryBudget, limits: BodyLimits) -> Result<Body> {
-    rt::time::timeout(limits.time, read_limited(payload, budget, limits))
+/// Reads a whole body. If the budget is used up, stalled connections give way first.
+pub async fn read(
+    req: &HttpRequest,
+    payload: Payload,
+    budget: &MemoryBudget,
+    limits: BodyLimits,
+) -> Result<Body> {
+    let conn = req.conn_data::<Rc<Conn>>().cloned();
+    rt::time::timeout(limits.time, read_limited(payload, conn.as_deref(), budget, limits))
         .await
         .unwrap_or(Err(Error::TooSlow(limits.time)))
 }
 
 async fn read_limited(
     mut payload: Payload,
+    conn: Option<&Conn>,
     budget: &MemoryBudget,
     limits: BodyLimits,
 ) -> Result<Body> {
@@ -67,12 +76,21 @@
         if len > buf.capacity() {
             let max = if len <= limits.free_bytes { limits.free_bytes } else { limits.bytes };
             let capacity = len.next_power_of_two().min(max);
-            if !held.try_resize(capacity.saturating_sub(limits.free_bytes)) {
-                return Err(Error::NoMemory);
-            }
+            reserve(&mut held, capacity.saturating_sub(limits.free_bytes), conn).await?;
             buf.reserve(capacity - buf.len());
         }
         buf.extend_from_slice(&chunk);
     }
     Ok(Body { bytes: buf.freeze(), _held: held })
 }
+
+async fn reserve(held: &mut Reservation, bytes: usize, conn: Option<&Conn>) -> Result<()> {
+    while !held.try_resize(bytes) {
+        if !conn.is_some_and(Conn::make_room) {
+            return Err(Error::NoMemory);
+        }
+        // The closed connection releases its body when its task runs.
+        tokio::task::yield_now().await;
+    }
+    Ok(())
+}
--- a/src/inbound/tests.rs
+++ b/src/inbound/tests.rs
@@ -1,2 +1,5 @@
 mod body;
+mod framing;
 mod limits;
+mod stream;
+mod table;
--- a/src/inbound/tests/body.rs
+++ b/src/inbound/tests/body.rs
@@ -2,22 +2,23 @@
 
 use crate::inbound::body::{self, Body, BodyLimits, Error};
 use crate::memory::MemoryBudget;
-use actix_web::FromRequest;
 use actix_web::test::TestRequest;
 use actix_web::web::Payload;
+use actix_web::{FromRequest, HttpRequest};
 use std::time::Duration;
 
 const LIMITS: BodyLimits =
     BodyLimits { bytes: 1000, free_bytes: 100, time: Duration::from_secs(5) };
 
-async fn payload(bytes: usize) -> Payload {
+async fn request(bytes: usize) -> (HttpRequest, Payload) {
     let (req, mut payload) = TestRequest::post().set_payload(vec![b'x'; bytes]).to_http_parts();
     let payload = Payload::from_request(&req, &mut payload).await;
-    payload.expect("a payload")
+    (req, payload.expect("a payload"))
 }
 
 async fn read(bytes: usize, budget: &MemoryBudget) -> body::Result<Body> {
-    body::read(payload(bytes).await, budget, LIMITS).await
+    let (req, payload) = request(bytes).await;
+    body::read(&req, payload, budget, LIMITS).await
 }
 
 // Guards against bodies that are each within the limit, and too much in sum.
--- a/src/inbound/tests/limits.rs
+++ b/src/inbound/tests/limits.rs
@@ -5,8 +5,8 @@
 /// Largest body that callers may send, in bytes.
 const MAX_BODY_BYTES: usize = 262_144;
 
-fn ports(machine: MachineLimits) -> [PortLimits; 1] {
-    [machine.callers()]
+fn ports(machine: MachineLimits) -> [PortLimits; 3] {
+    [machine.callers(), machine.readiness(), machine.peers()]
 }
 
 // Guards against limits that are each right, and too much in sum.
--- a/src/note.rs
+++ b/src/note.rs
@@ -300,6 +300,8 @@
     Routine CallAnswered = "call-answered" { job: JobId, call: StaticText, outcome: StaticText, status: u16, took_ms: Millis, }
     /// A caller's call was refused before it was matched to a job.
     Telling CallRefused = "call-refused" { path: String, reason: String, status: u16, version: u64, }
+    /// Connections of a port were closed since the last such line: requests that were refused before they were complete, ones that stalled or took long, and idle ones whose place was needed. `open` are left.
+    Telling ConnectionsClosed = "connections-closed" { port: StaticText, refused: u64, stalled: u64, slow: u64, idle: u64, open: u64, }
 }
 
 /// The name of a job state, as logged.
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -232,7 +232,7 @@
         let arrival = Arrival::read(req, id.clone(), &cfg, now)?;
         self.journal.borrow_mut().open(id, &arrival.class, now);
         let limits = self.settings.limits.body_limits();
-        let body = body::read(payload, &self.bodies, limits).await?;
+        let body = body::read(req, payload, &self.bodies, limits).await?;
         if self.draining.get() {
             return Err(Refusal::not_run(Reason::Draining).with_retry_after(RETRY_AFTER));
         }
