Limit what connections to the port for other daemons hold

Operators would see a daemon that ends for its memory, while clients connect to the port for other daemons and send most of a message.

Cause: a message may have 4 MiB, and nothing limited the connections or what all of them hold.

Change: connections to this port are in a table too, and what is received of incomplete messages counts against 1/16 of the memory, except for the first 8 KiB of each, so that hellos don't depend on it. A stalled message gives way to one that needs its memory. The smallest machine that the settings accept has 64 MiB, as the largest message has to fit.

--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -7,6 +7,7 @@
 use crate::clock::ManualClock;
 use crate::cluster::{Head, Hello, Member, Plan, ReleasedShard, ShardReport, StoreReachability};
 use crate::ids::DaemonId;
+use crate::inbound::{MachineLimits, Port};
 use crate::jobs::control::{Control, Drain, HandleOffer, ReleaseShards};
 use crate::jobs::links;
 use crate::jobs::records::{ClaimShard, OwnershipStatus};
@@ -42,8 +43,10 @@
         let (claims, lines) = (Arc::default(), LogBuffer::default());
         let others = FakeActors { ownership, claims };
         let claims = others.claims.clone();
-        let (control, links, permits) = start_control(me, clock, lines.clone(), others);
-        let served = links::serve(listener, links, control.clone(), permits).await;
+        let (control, links, permits) = start_control(me, clock.clone(), lines.clone(), others);
+        let limits = MachineLimits { memory_mb: 256, max_fds: 4096 }.peers();
+        let port = Port::new(limits, clock);
+        let served = links::serve(listener, port, links, control.clone(), permits).await;
         served.expect("a listening socket");
         Self { control, claims, lines }
     }
--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::cluster::{Member, MemberStage};
 use crate::ids::DaemonId;
+use crate::inbound::Port;
 use crate::journal::Journal;
 use crate::note::Note;
 use crate::ring::Ring;
@@ -111,7 +112,10 @@
             })
         };
         let permits = external_calls.clone().recipient();
-        let links = start_links(&arbiters[3], listener, &control, permits, clock.clone()).await?;
+        let port = Port::new(settings.machine.limits().peers(), clock.clone());
+        let port = port.with_journal("peers", journal.clone());
+        let links =
+            start_links(&arbiters[3], listener, port, &control, permits, clock.clone()).await?;
         control.do_send(Connect(ActorHandles {
             upkeep: machines.recipient(),
             permits: external_calls.clone().recipient(),
@@ -198,6 +202,7 @@
 async fn start_links(
     arbiter: &Arbiter,
     listener: TcpListener,
+    port: Port,
     control: &Addr<Control>,
     permits: Recipient<RequestPermits>,
     clock: Arc<dyn Clock>,
@@ -209,7 +214,7 @@
     let (tx, rx) = oneshot::channel();
     let (served, control) = (links.clone(), control.clone());
     arbiter.spawn(async move {
-        let served = links::serve(listener, served, control, permits).await;
+        let served = links::serve(listener, port, served, control, permits).await;
         // `start_links` is waiting for this result, so the receiver exists.
         let _ = tx.send(served);
     });
--- a/src/jobs/links.rs
+++ b/src/jobs/links.rs
@@ -16,6 +16,8 @@
 use crate::clock::Clock;
 use crate::cluster::{DeclineReason, Hello, Member, OfferAnswer, OfferOutcome, ReleasedShard};
 use crate::ids::DaemonId;
+use crate::inbound::{Frames, Port, Stream, Table};
+use crate::memory::MemoryBudget;
 use crate::permit::{self, PermitReq, PermitResp};
 use crate::ring::RING_CAPACITY;
 use crate::shard::VmLapse;
@@ -33,14 +35,19 @@
 use std::time::Duration;
 use tarpc::client::RpcError;
 use tarpc::context::Context as CallContext;
+use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio::time::Instant;
 
 /// Maximum size of a message between daemons, in bytes. A job is bounded by the limits on request
 /// bodies.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Delay after a connection could not be accepted, as when no file descriptor is left.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Connect timeout. Answers within a site take 1 to 3 ms, and a daemon slowed down fivefold still
 /// connects in this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -129,21 +136,31 @@
     }
 }
 
-/// Serves other daemons' calls on the current thread until it ends.
+/// Serves other daemons' calls on the current thread until it ends, within the limits of `port`.
 pub async fn serve(
     listener: TcpListener,
+    port: Port,
     links: Addr<PeerLinks>,
     control: Addr<Control>,
     permits: Recipient<RequestPermits>,
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    let mut listener = tarpc::serde_transport::tcp::listen_on(listener, Bincode::default).await?;
-    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let budget = MemoryBudget::new(port.limits().held_bytes);
+    let table = Table::new(port);
+    actix::spawn(table.clone().check_regularly());
     actix::spawn(async move {
-        while let Some(incoming) = listener.next().await {
-            // The peer reconnects if its connection broke while it was accepted.
-            let Ok(transport) = incoming else { continue };
+        loop {
+            // The peer reconnects if its connection breaks here.
+            let Ok((io, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            let Some(conn) = table.add() else { continue };
+            let io = Stream::new(io, Frames::default(), conn, &budget);
+            let codec =
+                LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+            let transport = serde_transport::new(Framed::new(io, codec), Bincode::default());
             let (links, control) = (links.clone(), control.clone());
             let server = Server { links, control, permits: permits.clone() };
             let requests = BaseChannel::with_defaults(transport).execute(server.serve());
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -13,7 +13,7 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Smallest memory in MiB, and smallest number of file descriptors, that a daemon can run with.
-const MIN_MEMORY_MB: u64 = 32;
+const MIN_MEMORY_MB: u64 = 64;
 const MIN_FDS: u64 = 128;
 
 /// Invalid settings.
@@ -220,7 +220,7 @@
             }
         }
         let machine = [
-            ("machine.memory_mb", self.machine.memory_mb, MIN_MEMORY_MB, "of 32 or more"),
+            ("machine.memory_mb", self.machine.memory_mb, MIN_MEMORY_MB, "of 64 or more"),
             ("machine.max_fds", self.machine.max_fds as u64, MIN_FDS, "of 128 or more"),
         ];
         for (key, value, min, expected) in machine {
--- a/src/jobs/settings/tests.rs
+++ b/src/jobs/settings/tests.rs
@@ -50,10 +50,10 @@
 #[test]
 fn a_machine_that_is_too_small_is_an_error() {
     for (machine, wrong) in
-        [("memory_mb = 31", "machine.memory_mb"), ("max_fds = 127", "machine.max_fds")]
+        [("memory_mb = 63", "machine.memory_mb"), ("max_fds = 127", "machine.max_fds")]
     {
         let error = parse(machine).expect_err("too small");
         assert!(matches!(error, Error::Range { key, .. } if key == wrong), "{error}");
     }
-    parse("memory_mb = 32\nmax_fds = 128").expect("valid settings");
+    parse("memory_mb = 64\nmax_fds = 128").expect("valid settings");
 }
