Send the starts and stops of a wide job a few at a time

Callers would see owners of shards that end for want of file descriptors, after jobs of many small tasks that are each within the limits.

Cause: all starts of a commit were sent at once, each on a connection of its own: up to 5,351 descriptors with jobs of 10,000 tasks. Each answer then caused a pass over all runs.

Change: a shard has at most 1/32 of the descriptors in unanswered starts, and as many in stops (shard/commands.rs). What is left is sent as answers come, starts by priority and those of narrow jobs first, stops by the time since when they are due. While more is due than may be sent, there are 5 ms between two passes. A command whose result is never reported counts for 1 s. The callers' share of the descriptors is half instead of 5/8, to leave room for these connections.

--- a/src/inbound/limits.rs
+++ b/src/inbound/limits.rs
@@ -1,7 +1,7 @@
 //! Shares of the machine's memory and file descriptors for the clients of each port.
 //!
-//! The shares of all ports add up to two thirds of the memory and four fifths of the descriptors. The
-//! rest is for the daemon's own state and for the connections that it opens.
+//! The shares of all ports add up to two thirds of the memory and of the descriptors. The rest is for
+//! the daemon's own state and for the connections that it opens.
 
 /// Memory that a connection takes besides what is counted against the budget of its port: buffers
 /// of the server, a small body, and received bytes that the kernel holds.
@@ -57,7 +57,7 @@
     /// Limits of the port for callers.
     pub fn callers(&self) -> PortLimits {
         let memory = self.memory_bytes();
-        self.port(self.max_fds * 5 / 8, memory / 4, memory / 16 * 3)
+        self.port(self.max_fds / 2, memory / 4, memory / 16 * 3)
     }
 
     /// Limits of the port for the readiness check and operators, whose requests have no bodies.
@@ -70,4 +70,10 @@
         let memory = self.memory_bytes();
         self.port(self.max_fds / 8, memory / 8, memory / 16)
     }
+
+    /// Maximum number of starts, and likewise of stops, that a shard has sent and VMs haven't
+    /// answered. Each takes a connection to a VM.
+    pub fn shard_commands(&self) -> usize {
+        self.max_fds / 32
+    }
 }
--- a/src/inbound/tests/limits.rs
+++ b/src/inbound/tests/limits.rs
@@ -14,7 +14,7 @@
 
 // Guards against limits that are each right, and too much in sum.
 #[test]
-fn all_ports_together_leave_a_quarter_of_the_memory_and_a_fifth_of_the_descriptors() {
+fn all_ports_together_leave_a_quarter_of_the_memory_and_a_third_of_the_descriptors() {
     for memory_mb in [64, 160, 260, 512, 4096] {
         for max_fds in [128, 400, 1024, 4100, 8192] {
             let ports = ports(MachineLimits { memory_mb, max_fds });
@@ -22,7 +22,7 @@
             let conns: usize = ports.iter().map(|port| port.connections).sum();
             let memory = (memory_mb as usize) << 20;
             assert!(bytes * 4 <= memory * 3, "{bytes} bytes of {memory_mb} MiB");
-            assert!(conns * 5 <= max_fds * 4, "{conns} connections of {max_fds} descriptors");
+            assert!(conns * 3 <= max_fds * 2, "{conns} connections of {max_fds} descriptors");
         }
     }
 }
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -194,6 +194,7 @@
             evacuation_in_force: ms(bounds
                 .evacuation_in_force_ms
                 .unwrap_or(bounds.config_in_force_ms)),
+            max_commands: self.machine.limits().shard_commands(),
         }
     }
 
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -10,6 +10,7 @@
 //! hash iteration order.
 
 mod admission;
+mod commands;
 mod compact;
 mod copies;
 mod crash;
@@ -97,6 +98,9 @@
     crash_log: crash::CrashLog,
     copy_counts: copies::CopyCounts,
     reservations: compact::Reservations,
+    open_starts: commands::OpenCommands,
+    open_stops: commands::OpenCommands,
+    next_commands: Duration,
     /// VMs that are held for long-running tasks, and since when.
     holds: IndexMap<VmId, Duration>,
     vm_list: fleet::VmListSource,
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -4,7 +4,7 @@
 use super::event::Action;
 use super::health::Evidence;
 use super::lease::{Delivery, LeaseTime};
-use super::settings::{MAX_START_ATTEMPTS, START_RETRY, STOP_RESULT_TIMEOUT, STOP_RETRY};
+use super::settings::{COMMAND_RESULT_TIMEOUT, MAX_START_ATTEMPTS, START_RETRY, STOP_RETRY};
 use super::vm_run::{PendingStart, Responsiveness, Run, RunKey, Stage, Vm};
 use crate::ids::VmId;
 use crate::job::{RunNumber, TaskRef};
@@ -19,6 +19,10 @@
 /// Longest such delay, as a multiple of the first one.
 const MAX_REFUSAL_FACTOR: u32 = 32;
 
+/// Minimum time between two passes over all commands while more are due than may be sent: each answer
+/// makes room for one only.
+const COMMAND_GAP: Duration = Duration::from_millis(5);
+
 impl Shard {
     /// Allows the start to be sent once the binding is durable.
     pub(super) fn mark_start_due(&mut self, task: TaskRef, run: RunNumber, vm: &VmId) {
@@ -31,36 +35,80 @@
         }
     }
 
-    /// Sends the start and stop commands that are due. Starts are held back while the list of
-    /// leaving VMs or the evacuation orders are out of date: they may have been decided long
-    /// before, for example when the store was unavailable while their bindings were being
-    /// committed.
+    /// Sends the start and stop commands that are due, as many as may be unanswered at a time. Starts
+    /// are held back while the list of leaving VMs or the evacuation orders are out of date: they may
+    /// have been decided long before, for example when the store was unavailable while their bindings
+    /// were being committed.
     pub(super) fn send_due_commands(&mut self) {
         let now = self.now.steady;
+        if now < self.next_commands {
+            return;
+        }
         let may_start = self.may_start();
-        let mut starts = Vec::new();
-        for vm in self.vms.values_mut() {
-            let addr = vm.addr();
-            for (key, run) in &mut vm.runs {
-                match &mut run.stage {
-                    Stage::Starting { next_send: Some(at) } if may_start && *at <= now => {
-                        starts.push((vm.id.clone(), *key));
+        let (mut starts, mut stops) = (Vec::new(), Vec::new());
+        for vm in self.vms.values() {
+            for (key, run) in &vm.runs {
+                match run.stage {
+                    Stage::Starting { next_send: Some(at) } if may_start && at <= now => {
+                        starts.push((at, vm.id.clone(), *key));
                     }
-                    Stage::Stopping { next_send: send @ Some(_), .. } if *send <= Some(now) => {
-                        *send = Some(now + STOP_RESULT_TIMEOUT);
-                        let RunKey { task, run } = *key;
-                        let req = RunReq { fence: self.fence, task, run };
-                        self.actions.push(Action::Stop { vm: addr.clone(), req });
+                    Stage::Stopping { next_send: Some(at), .. } if at <= now => {
+                        stops.push((at, vm.id.clone(), *key));
                     }
                     _ => {}
                 }
             }
         }
-        for (vm, key) in starts {
+        let max = self.settings.max_commands;
+        self.open_starts.forget_overdue(now);
+        self.open_stops.forget_overdue(now);
+        let are_stops_crowded = self.open_stops.len() + stops.len() > max;
+        let are_starts_crowded = self.open_starts.len() + starts.len() > max;
+        if are_stops_crowded || are_starts_crowded {
+            self.next_commands = now + COMMAND_GAP;
+        }
+        if are_stops_crowded {
+            stops.sort_by_key(|(at, ..)| *at);
+        }
+        for (_, vm, key) in stops {
+            if self.open_stops.len() >= max {
+                break;
+            }
+            self.send_stop(&vm, key);
+        }
+        if are_starts_crowded {
+            starts.sort_by_cached_key(|(at, _, key)| (self.start_order(*key), *at));
+        }
+        for (_, vm, key) in starts {
+            if self.open_starts.len() >= max {
+                break;
+            }
             self.send_start(&vm, key);
         }
     }
 
+    /// The order of starts that can't all be sent now: by priority, then jobs of few tasks, which a wide
+    /// one would delay.
+    fn start_order(&self, key: RunKey) -> (u32, u64) {
+        let Some(job) = self.jobs.get(&key.task.job) else { return (u32::MAX, 0) };
+        let tasks = job.job.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        (self.terms(&job.job).priority, tasks)
+    }
+
+    fn send_stop(&mut self, id: &VmId, key: RunKey) {
+        let now = self.now.steady;
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let addr = vm.addr();
+        let Some(run) = vm.runs.get_mut(&key) else { return };
+        if let Stage::Stopping { next_send, .. } = &mut run.stage {
+            *next_send = Some(now + COMMAND_RESULT_TIMEOUT);
+            let RunKey { task, run } = key;
+            let req = RunReq { fence: self.fence, task, run };
+            self.open_stops.add(key, now);
+            self.actions.push(Action::Stop { vm: addr, req });
+        }
+    }
+
     /// Sends a start, after rechecking the conditions that may have changed since it was decided.
     fn send_start(&mut self, id: &VmId, key: RunKey) {
         let now = self.now.steady;
@@ -105,6 +153,7 @@
             resume,
             permit,
         };
+        self.open_starts.add(key, now);
         self.actions.push(Action::Start { vm: addr, req });
     }
 
@@ -137,6 +186,7 @@
     ) {
         let now = self.now.steady;
         let key = RunKey { task, run };
+        self.open_starts.remove(key);
         let Some(vm) = self.vms.get_mut(id) else { return };
         vm.end_start(key, Delivery::of(result), now, self.settings.max_keep);
         let Some(known) = vm.runs.get_mut(&key) else { return };
@@ -261,6 +311,7 @@
     ) {
         let now = self.now.steady;
         let key = RunKey { task, run };
+        self.open_stops.remove(key);
         let Some(vm) = self.vms.get_mut(id) else { return };
         let Some(known) = vm.runs.get_mut(&key) else { return };
         match result {
--- a/src/shard/settings.rs
+++ b/src/shard/settings.rs
@@ -32,6 +32,9 @@
     /// Time from the acknowledgement of an evacuation order until nothing more is started in its
     /// failure domain.
     pub evacuation_in_force: Duration,
+    /// Maximum number of start commands that are unanswered at a time, and likewise of stop commands.
+    /// Each takes a connection.
+    pub max_commands: usize,
 }
 
 impl Settings {
@@ -61,6 +64,7 @@
             harm: Duration::from_secs(4),
             pace_delay: Duration::from_millis(100),
             evacuation_in_force: Duration::from_secs(5),
+            max_commands: 128,
         }
     }
 }
@@ -126,6 +130,6 @@
 /// Delay before an unanswered stop command is sent again.
 pub const STOP_RETRY: Duration = Duration::from_millis(120);
 
-/// Time after which a stop command is sent again if not even its failure was reported. It is longer
-/// than the timeout of a call.
-pub const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time after which a command counts as ended if not even its failure was reported; a stop is sent
+/// again then. It is longer than the timeout of a call.
+pub const COMMAND_RESULT_TIMEOUT: Duration = Duration::from_millis(1000);
--- a/tests/shards/limits.rs
+++ b/tests/shards/limits.rs
@@ -1,14 +1,15 @@
 //! Limits on the capacity that long-running tasks may take.
 
-use crate::faults::NoFaults;
+use crate::faults::{Faults, NoFaults, Outcome};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
 use waxwingstall::job::{Job, JobId, JobState};
-use waxwingstall::shard::Answer;
+use waxwingstall::shard::{Action, Answer};
 use waxwingstall::units::Resources;
+use waxwingstall_standin::runs::Work;
 
 const SIZE: Resources = Resources::new(8000, 8000, 0);
 const SHARD: &str = "kacyiru";
@@ -82,3 +83,67 @@
     assert_eq!(sim.runs_on(0), 4);
     check(&mut sim, &known(&[&only]), SIZE);
 }
+
+/// Start commands, and likewise stop commands, that may be unanswered at a time.
+const MAX_COMMANDS: usize = 128;
+
+/// A job of many tasks that all fit on one VM.
+fn wide(id: u64, time: Duration) -> Job {
+    let work = Work { time, size: Resources::new(2, 2, 0), ..Work::default() };
+    job_with_steps(id, 1, 2000, work)
+}
+
+// Guards against a wide job whose starts take all file descriptors of the daemon.
+#[test]
+fn the_starts_of_a_wide_job_are_sent_a_few_at_a_time() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 1, SIZE);
+    let job = wide(1, Duration::from_millis(300));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(Duration::from_secs(4));
+    assert_eq!(sim.most_commands, MAX_COMMANDS);
+    assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)));
+    check(&mut sim, &known(&[&job]), SIZE);
+}
+
+// Guards against the same for the stops of a cancelled job, and stops that are left out.
+#[test]
+fn the_stops_of_a_wide_job_are_sent_a_few_at_a_time() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 1, SIZE);
+    let job = wide(1, Duration::from_secs(60));
+    sim.submit(SHARD, job.clone());
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!(sim.running_tasks(job.id), 2000);
+    sim.cancel(SHARD, job.id);
+    sim.run_for(Duration::from_secs(2));
+    assert!(sim.most_commands <= 2 * MAX_COMMANDS, "{} commands", sim.most_commands);
+    assert_eq!(sim.running_tasks(job.id), 0);
+    check(&mut sim, &known(&[&job]), SIZE);
+}
+
+// Guards against a wide job whose starts delay those of all others.
+#[test]
+fn a_narrow_job_starts_before_the_rest_of_a_wide_one() {
+    let mut sim = Simulation::new(SlowStarts, &[SHARD], 1, SIZE);
+    let (wide, narrow) = (wide(1, Duration::from_secs(60)), job_with_steps(2, 1, 1, work(100, 1)));
+    sim.submit(SHARD, wide.clone());
+    sim.run_for(Duration::from_secs(1));
+    sim.submit(SHARD, narrow.clone());
+    sim.run_for(Duration::from_secs(1));
+    assert!(sim.running_tasks(wide.id) < 2000, "the wide job waits still");
+    assert_eq!(sim.show(SHARD, narrow.id), Some(Answer::Shown(JobState::Done)));
+}
+
+/// VMs that take their time to answer starts.
+struct SlowStarts;
+
+impl Faults for SlowStarts {
+    fn command_outcome(&mut self, _: Duration, action: &Action) -> Outcome {
+        match action {
+            Action::Start { .. } => Outcome::Slow(Duration::from_millis(200)),
+            _ => Outcome::Delivered,
+        }
+    }
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -302,6 +302,10 @@
     pub unread_ends: Vec<VmId>,
     /// Start commands that a VM carried out late.
     pub late_starts: Vec<(TaskRef, RunNumber)>,
+    /// When the results of the start and stop commands that are under way arrive.
+    command_ends: Vec<Duration>,
+    /// The largest number of start and stop commands that were under way at a time.
+    pub most_commands: usize,
     /// Start commands that were sent and not answered.
     pub unanswered_starts: Vec<UnansweredStart>,
     queues: Arc<Queues>,
@@ -394,6 +398,8 @@
             evacuations_unread_until: Duration::ZERO,
             unread_ends: Vec::new(),
             late_starts: Vec::new(),
+            command_ends: Vec::new(),
+            most_commands: 0,
             unanswered_starts: Vec::new(),
             published_lapses: IndexMap::new(),
             published_lapses_lost_from: Duration::MAX,
@@ -1601,10 +1607,21 @@
             Err(VmError::NotSent { .. }) => delay,
             _ => delay + poll_wait(&action),
         };
+        self.count_command(&action, sent + after);
         let event = response_event(action, sent, result);
         self.schedule(after, Delivery::Owner { number, event });
     }
 
+    /// Counts a command that takes a connection until its result arrives.
+    fn count_command(&mut self, action: &Action, end: Duration) {
+        if matches!(action, Action::Start { .. } | Action::Stop { .. }) {
+            let now = self.now;
+            self.command_ends.retain(|end| *end > now);
+            self.command_ends.push(end);
+            self.most_commands = self.most_commands.max(self.command_ends.len());
+        }
+    }
+
     fn execute(&mut self, number: u64, action: &Action) -> Result<VmResponse, VmError> {
         let now = self.now;
         let addr = addr_of(action);
