Give no place for good to a request whose body never seems to begin

Callers would be kept out of a daemon, for a minute at a time, by requests whose headers the framing and the server read differently: the framing takes them for complete and the server waits for a body.

Cause: only the start of a header is looked at, so that `Transfer-Encoding` behind many spaces was missed, and complete requests never give way.

Change: such headers are refused with 400, any transfer encoding counts as chunks, and a connection whose body is being read counts as receiving whatever the framing says.

Evidence: the two new cases of a_request_that_can_not_end_well_is_an_error, and a_request_whose_body_is_awaited_gives_way, whose set_reading is new.

--- a/src/inbound/body.rs
+++ b/src/inbound/body.rs
@@ -53,10 +53,12 @@
     budget: &MemoryBudget,
     limits: BodyLimits,
 ) -> Result<Body> {
-    let conn = req.conn_data::<Rc<Conn>>().cloned();
-    rt::time::timeout(limits.time, read_limited(payload, conn.as_deref(), budget, limits))
-        .await
-        .unwrap_or(Err(Error::TooSlow(limits.time)))
+    let conn = req.conn_data::<Rc<Conn>>().map(Rc::as_ref);
+    let set_reading = |is_reading| conn.iter().for_each(|conn| conn.set_reading(is_reading));
+    set_reading(true);
+    let body = rt::time::timeout(limits.time, read_limited(payload, conn, budget, limits)).await;
+    set_reading(false);
+    body.unwrap_or(Err(Error::TooSlow(limits.time)))
 }
 
 async fn read_limited(
--- a/src/inbound/framing.rs
+++ b/src/inbound/framing.rs
@@ -115,7 +115,14 @@
             },
             // Chunks go before a length.
             Part::Headers if self.body == Body::Chunked => {}
-            Part::Headers => self.body = header_body(line)?.unwrap_or(self.body),
+            Part::Headers => {
+                let is_cut = self.line_len > MAX_LINE_START;
+                match header_body(line)? {
+                    Some(_) if is_cut => return Err(invalid("a header of the body is too long")),
+                    Some(body) => self.body = body,
+                    None => {}
+                }
+            }
             Part::ChunkSize if line.is_empty() => {}
             Part::ChunkSize => match chunk_size(line)? {
                 0 => self.part = Part::Trailers,
@@ -183,7 +190,7 @@
     }
 }
 
-/// What a header says about the body.
+/// What a header says about the body; `None` if it is another header.
 fn header_body(line: &[u8]) -> Result<Option<Body>> {
     let Some(colon) = line.iter().position(|byte| *byte == b':') else { return Ok(None) };
     let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
@@ -192,9 +199,8 @@
         let bytes = text.parse().map_err(|_| invalid("a length that isn't a number"))?;
         return Ok(Some(Body::Sized(bytes)));
     }
-    let is_chunked = name.eq_ignore_ascii_case(b"transfer-encoding")
-        && value.to_ascii_lowercase().ends_with(b"chunked");
-    Ok(is_chunked.then_some(Body::Chunked))
+    // The server refuses any other encoding.
+    Ok(name.eq_ignore_ascii_case(b"transfer-encoding").then_some(Body::Chunked))
 }
 
 fn chunk_size(line: &[u8]) -> Result<u64> {
--- a/src/inbound/http.rs
+++ b/src/inbound/http.rs
@@ -31,7 +31,7 @@
 pub type Result<T> = std::result::Result<T, io::Error>;
 
 /// Maximum number of connections waiting to be accepted.
-const BACKLOG: u32 = 1024;
+const BACKLOG: u32 = 256;
 
 /// Time for which the rest of a request is read after it was refused, so that its client sees the
 /// answer instead of a reset connection.
@@ -81,6 +81,7 @@
         .max_concurrent_connections(port.limits().connections)
         .shutdown_timeout(settings.shutdown_timeout.as_secs())
         .disable_signals();
+    // Lets open requests end and idle connections close on a graceful stop, as in actix-web's server.
     let stopping = builder.graceful_shutdown_signal();
     let server = builder.listen("http", listener, move || {
         let table = Table::new(port.clone());
--- a/src/inbound/table.rs
+++ b/src/inbound/table.rs
@@ -73,6 +73,8 @@
     is_answered: Cell<bool>,
     /// Whether the client doesn't read what is sent.
     is_blocked: Cell<bool>,
+    /// Whether the server waits for more of a body, whatever the stage says.
+    is_reading: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -157,6 +159,7 @@
             is_evicted: Cell::new(false),
             is_answered: Cell::new(false),
             is_blocked: Cell::new(false),
+            is_reading: Cell::new(false),
             waker: RefCell::default(),
         });
         self.0.conns.borrow_mut().insert(id, conn.clone());
@@ -256,10 +259,24 @@
         self.wake();
     }
 
+    /// Records whether the server waits for more of a body.
+    pub(super) fn set_reading(&self, is_reading: bool) {
+        self.is_reading.set(is_reading);
+    }
+
     pub(super) fn is_evicted(&self) -> bool {
         self.is_evicted.get()
     }
 
+    /// Whether a message has begun whose rest is awaited.
+    fn is_receiving(&self) -> bool {
+        match self.stage() {
+            Stage::Idle => false,
+            Stage::Receiving => true,
+            Stage::Serving => self.is_reading.get(),
+        }
+    }
+
     /// Whether the current request has been answered; asked once.
     pub(super) fn take_answered(&self) -> bool {
         self.is_answered.take()
@@ -330,22 +347,16 @@
         if self.is_evicted() {
             return None;
         }
+        let is_still = now.saturating_sub(self.active.get()) >= STALL_TIME;
+        let is_long = now.saturating_sub(self.since.get()) >= SLOW_TIME;
         match self.stage() {
-            _ if self.is_blocked() && now.saturating_sub(self.active.get()) >= STALL_TIME => {
-                Some(Rank::Stalled)
-            }
+            _ if self.is_blocked() => is_still.then_some(Rank::Stalled),
             Stage::Receiving if self.is_answered.get() => Some(Rank::Refused),
-            Stage::Serving => None,
-            Stage::Idle if self.is_blocked() => None,
+            _ if self.is_receiving() && is_still => Some(Rank::Stalled),
+            _ if self.is_receiving() => is_long.then_some(Rank::Slow),
             Stage::Idle if self.has_served.get() => Some(Rank::Idle),
             Stage::Idle => Some(Rank::Unused),
-            Stage::Receiving if now.saturating_sub(self.active.get()) >= STALL_TIME => {
-                Some(Rank::Stalled)
-            }
-            Stage::Receiving if now.saturating_sub(self.since.get()) >= SLOW_TIME => {
-                Some(Rank::Slow)
-            }
-            Stage::Receiving => None,
+            Stage::Receiving | Stage::Serving => None,
         }
     }
 
@@ -359,7 +370,7 @@
 
     fn is_overdue(&self, now: Duration) -> bool {
         !self.is_evicted()
-            && (self.stage() == Stage::Receiving || self.is_blocked())
+            && (self.is_receiving() || self.is_blocked())
             && now.saturating_sub(self.active.get()) >= STALL_LIMIT
     }
 }
--- a/src/inbound/tests/framing.rs
+++ b/src/inbound/tests/framing.rs
@@ -67,6 +67,8 @@
         "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n".to_owned(),
         "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n".to_owned(),
         "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n".to_owned(),
+        format!("POST / HTTP/1.1\r\nTransfer-Encoding: {}chunked\r\n\r\n", " ".repeat(60)),
+        format!("POST / HTTP/1.1\r\nContent-Length: {}5\r\n\r\n", "0".repeat(60)),
         format!("{chunked}xyz\r\n"),
         format!("{chunked}1;{long}"),
         format!("{chunked}0\r\n{}", "A: b\r\n".repeat(1000)),
--- a/src/inbound/tests/table.rs
+++ b/src/inbound/tests/table.rs
@@ -102,6 +102,17 @@
     assert_eq!(evicted(&conns), [false, true]);
 }
 
+// Guards against a request that seems to be complete while its server waits for the rest for good.
+#[test]
+fn a_request_whose_body_is_awaited_gives_way() {
+    let clients = Clients::new();
+    let conn = clients.add(1, Stage::Serving).remove(0);
+    conn.set_reading(true);
+    clients.clock.advance(Duration::from_secs(2));
+    assert!(clients.add(1, Stage::Receiving)[0].make_room());
+    assert!(conn.is_evicted());
+}
+
 // Guards against a slow link that is cut off although nobody needs its place.
 #[test]
 fn in_calm_only_connections_without_any_progress_are_closed() {
