--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 standin=target/review-3/release/review-standin-3
 [ -x "$standin" ] && [ -x target/deploy/waxwing-platform ] || { echo "build first" >&2; exit 2; }
-exec "$standin" upkeep review/13
+exec "$standin" silent review/13
