Log tasks that a trial run of another one holds back

One line every 2 s for each shard now names the task that has waited longest, the one whose trial it waits for, and where that one is.

--- a/src/note.rs
+++ b/src/note.rs
@@ -294,6 +294,8 @@
     Telling ShardState = "shard-state" { shard: String, fence: u64, vms: usize, jobs: usize, running: usize, waiting: usize, free_cores: u64, lasting_cores: u64, lasting_waiting: usize, short_waiting: usize, commit_age_ms: Millis, vms_age_ms: Millis, slow_vms: usize, copies: u64, copies_won: u64, wasted_core_s: u64, lends: u64, void_messages: u64, }
     /// Lasting tasks wait for room; the line counts those that would fit on a VM in this shard, in another shard, or later.
     Telling LastingWaits = "lasting-waits" { shard: String, tasks: usize, oldest_ms: Millis, fit_here: usize, fit_elsewhere: usize, fit_later: usize, least_milli_cores: u32, most_milli_cores: u32, least_mib: u32, largest_free_milli_cores: u32, largest_free_mib: u32, largest_leftover_mib: u32, closed_vms: usize, closed_free_milli_cores: u32, }
+    /// Tasks whose VM crashed wait until a trial run of another such task has worked for a while; the line names the task that has waited longest, and where the trial is.
+    Telling TasksHeldBack = "tasks-held-back" { shard: String, tasks: usize, oldest_ms: Millis, task: TaskRef, behind: TaskRef, trial: StaticText, }
     /// Number of lines of one event that were dropped since the last report.
     Urgent LinesDropped = "lines-dropped" { dropped: u64, event_kind: StaticText, }
     /// A caller's call was answered.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -340,6 +340,7 @@
             void_messages: self.loans.void_messages(),
         }));
         self.report_waiting();
+        self.report_held_back();
         self.report_evacuation();
     }
 }
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -159,12 +159,19 @@
     /// Returns whether a waiting task is held back by a trial run: of several tasks that may crash
     /// their VMs, one is started first, and the others once it has worked for a while.
     pub(super) fn is_held_back(&self, index: usize) -> bool {
+        self.trial_before(index).is_some()
+    }
+
+    /// Returns the index of the task whose trial run a waiting task is held back by.
+    pub(super) fn trial_before(&self, index: usize) -> Option<usize> {
         let suspect = |task: &Task| task.phase == TaskPhase::Open && task.crashes.sudden > 0;
         if self.proven || !self.tasks.get(index).is_some_and(suspect) {
-            return false;
+            return None;
         }
         let mut suspects = self.tasks.iter().enumerate().filter(|(_, task)| suspect(task));
-        suspects.any(|(other, task)| other != index && (!task.is_waiting() || other < index))
+        let trial = suspects
+            .find(|(other, task)| *other != index && (!task.is_waiting() || *other < index));
+        trial.map(|(other, _)| other)
     }
 }
 
--- a/src/shard/waiting.rs
+++ b/src/shard/waiting.rs
@@ -1,12 +1,13 @@
-//! Log reports of tasks that wait for room, and whether there is room in this shard, elsewhere or
-//! nowhere.
+//! Log reports of tasks that wait: for room, and whether there is room in this shard, elsewhere or
+//! nowhere, or for the trial run of another task.
 
 use super::Shard;
+use super::job_run::{JobRun, Task};
 use super::order::waiting;
 use super::room::VmCapacity;
 use super::vm_run::Vm;
 use crate::job::{Life, Share, Step, TaskRef};
-use crate::note::{Millis, Note};
+use crate::note::{Millis, Note, StaticText};
 use crate::units::Resources;
 use std::time::Duration;
 
@@ -55,6 +56,24 @@
         });
     }
 
+    /// Logs the tasks that a trial run holds back.
+    pub(super) fn report_held_back(&mut self) {
+        let open = self.jobs.values().filter(|job| !job.is_final());
+        let held: Vec<HeldBack> = open.flat_map(held_back).collect();
+        let waited = |held: &HeldBack| {
+            held.since.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at))
+        };
+        let Some(oldest) = held.iter().max_by_key(|held| waited(held)) else { return };
+        self.note(Note::TasksHeldBack {
+            shard: self.name.clone(),
+            tasks: held.len(),
+            oldest_ms: Millis(waited(oldest)),
+            task: oldest.task,
+            behind: oldest.behind,
+            trial: oldest.trial,
+        });
+    }
+
     fn tally_long_running(&self, rooms: &[VmCapacity]) -> Tally {
         let mut tally = Tally::default();
         for job in self.jobs.values().filter(|job| !job.is_final()) {
@@ -100,6 +119,43 @@
     }
 }
 
+/// A waiting task that a trial run of another one holds back.
+struct HeldBack {
+    task: TaskRef,
+    since: Option<Duration>,
+    behind: TaskRef,
+    /// Where the trial run is.
+    trial: StaticText,
+}
+
+/// Returns the waiting tasks of a job that a trial run holds back.
+fn held_back(job: &JobRun) -> Vec<HeldBack> {
+    let mut held = Vec::new();
+    for occurrence in &job.open_occurrences {
+        for (number, step) in occurrence.steps.iter().enumerate() {
+            let waiting = step.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
+            held.extend(waiting.filter_map(|(index, task)| {
+                let trial = step.trial_before(index)?;
+                Some(HeldBack {
+                    task: job.task_ref(occurrence.number, number, index),
+                    since: task.waiting_since(),
+                    behind: job.task_ref(occurrence.number, number, trial),
+                    trial: trial_stage(step.tasks.get(trial)?),
+                })
+            }));
+        }
+    }
+    held
+}
+
+fn trial_stage(task: &Task) -> StaticText {
+    match (&task.lent, task.is_waiting()) {
+        (Some(_), _) => "lent",
+        (None, true) => "waiting",
+        (None, false) => "placed",
+    }
+}
+
 /// Returns the resources reserved by leftover work on a VM.
 fn leftover_on(vm: &Vm) -> Resources {
     let runs = vm.runs.values().filter(|run| run.share == Share::Leftover);
