Bound the time for which a trial run holds other tasks back

Nothing bounded that wait, whatever became of the trial: it may be lent to a shard whose owner is gone, on a VM that doesn't answer, or refused again and again with a backoff.

A trial now holds the others back for 4 s at most, by when either a crash of its VM or its work is known. Of the waiting ones the task whose last trial began first is next, and one in its restart delay holds nobody back, so that a task which can't start no longer keeps the others waiting.

Evidence: both tests failed before (0 of 1 and 0 of 2 tasks run), and pass now: a_trial_that_is_not_heard_of_holds_other_tasks_back_for_a_while_only, a_trial_that_is_refused_holds_no_other_task_back.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -306,7 +306,7 @@
     fn count_reserved_waiting(&self, life: Life) -> usize {
         let open = self.jobs.values().filter(|job| !job.is_final());
         let steps = open.flat_map(|job| {
-            let tasks = order::waiting(job);
+            let tasks = order::waiting(job, self.now.steady);
             tasks.into_iter().filter_map(|task| job.step(task))
         });
         steps.filter(|step| step.life == life && step.share == Share::Reserved).count()
--- a/src/shard/admission/decision.rs
+++ b/src/shard/admission/decision.rs
@@ -163,7 +163,7 @@
             let outlook = self.outlook(job);
             for occurrence in &job.open_occurrences {
                 for (step, run) in job.job.steps.iter().zip(&occurrence.steps) {
-                    let (ready, open) = (ready_tasks(run), open_tasks(run));
+                    let (ready, open) = (ready_tasks(run, self.now.steady), open_tasks(run));
                     if step.life == Life::Finite && open > 0.0 {
                         backlog.steps.push(self.waiting_step(job, step, outlook, ready, open));
                     }
@@ -258,11 +258,11 @@
     }
 }
 
-fn ready_tasks(run: &StepRun) -> u32 {
+fn ready_tasks(run: &StepRun, now: Duration) -> u32 {
     if run.ready.is_none() {
         return 0;
     }
-    let free = |(index, task): &(usize, &Task)| task.is_waiting() && !run.is_held_back(*index);
+    let free = |(index, task): &(usize, &Task)| task.is_waiting() && !run.is_held_back(*index, now);
     u32::try_from(run.tasks.iter().enumerate().filter(free).count()).unwrap_or(u32::MAX)
 }
 
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -41,6 +41,10 @@
 /// causes.
 const TOTAL_RESET_AFTER: Duration = Duration::from_secs(10);
 
+/// Longest time for which a trial run holds back the others of its step. A crash of its VM is known
+/// by then, and so is that it works.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// How long a crash is remembered to judge later ones.
 const CRASH_RETENTION: Duration = Duration::from_secs(30);
 
@@ -158,20 +162,26 @@
 impl StepRun {
     /// Returns whether a waiting task is held back by a trial run: of several tasks that may crash
     /// their VMs, one is started first, and the others once it has worked for a while.
-    pub(super) fn is_held_back(&self, index: usize) -> bool {
-        self.trial_before(index).is_some()
+    pub(super) fn is_held_back(&self, index: usize, now: Duration) -> bool {
+        self.trial_before(index, now).is_some()
     }
 
     /// Returns the index of the task whose trial run a waiting task is held back by.
-    pub(super) fn trial_before(&self, index: usize) -> Option<usize> {
-        let suspect = |task: &Task| task.phase == TaskPhase::Open && task.crashes.sudden > 0;
-        if self.proven || !self.tasks.get(index).is_some_and(suspect) {
-            return None;
-        }
-        let mut suspects = self.tasks.iter().enumerate().filter(|(_, task)| suspect(task));
-        let trial = suspects
-            .find(|(other, task)| *other != index && (!task.is_waiting() || *other < index));
-        trial.map(|(other, _)| other)
+    ///
+    /// The one whose last trial began first is tried next, so that one which can't start doesn't
+    /// keep the others waiting.
+    pub(super) fn trial_before(&self, index: usize, now: Duration) -> Option<usize> {
+        let is_suspect = |task: &Task| task.phase == TaskPhase::Open && task.crashes.sudden > 0;
+        let waiting = self.tasks.get(index).filter(|task| !self.proven && is_suspect(task))?;
+        let holds_back = |(other, task): &(usize, &Task)| {
+            if !task.is_waiting() {
+                return now.saturating_sub(task.tried_at) < TRIAL_TIMEOUT;
+            }
+            task.restart_at <= now && (task.tried_at, *other) < (waiting.tried_at, index)
+        };
+        let others = self.tasks.iter().enumerate().filter(|(other, _)| *other != index);
+        let mut suspects = others.filter(|(_, task)| is_suspect(task));
+        suspects.find(holds_back).map(|(other, _)| other)
     }
 }
 
--- a/src/shard/evacuate.rs
+++ b/src/shard/evacuate.rs
@@ -70,7 +70,9 @@
         let (mut tasks, mut lent, mut oldest) = (0, 0, Duration::ZERO);
         for job in open {
             lent += job.tasks().filter(|task| task.lent.is_some()).count();
-            for task in super::order::waiting(job).into_iter().filter_map(|task| job.task(task)) {
+            for task in
+                super::order::waiting(job, now).into_iter().filter_map(|task| job.task(task))
+            {
                 let since = task.not_running_since.unwrap_or(job.since);
                 oldest = oldest.max(now.saturating_sub(since));
                 tasks += 1;
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -132,6 +132,8 @@
     pub not_running_since: Option<Duration>,
     /// The task isn't started again before.
     pub restart_at: Duration,
+    /// When the task was last bound to a VM or lent.
+    pub tried_at: Duration,
     /// Starts in a row that VMs have refused.
     pub refused_starts: u32,
     /// Set while another shard runs the task in place of this one.
@@ -530,6 +532,7 @@
             failed_on: None,
             not_running_since: None,
             restart_at: Duration::ZERO,
+            tried_at: Duration::ZERO,
             refused_starts: 0,
             lent: progress.lent.and_then(lent),
             loan: progress.loan,
@@ -537,6 +540,9 @@
         };
         // Without a waiting time, a waiting borrowed task would never be returned to its lender.
         task.not_running_since = task.is_waiting().then_some(now);
+        if !task.is_waiting() {
+            task.tried_at = now;
+        }
         task
     }
 
--- a/src/shard/loan/borrower.rs
+++ b/src/shard/loan/borrower.rs
@@ -112,6 +112,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(known) = job.task_mut(task) else { return };
         known.lent = Some(Lent { to: to.clone(), loan, status: LoanStatus::Unsent, last_lend: 0 });
+        known.tried_at = self.now.steady;
         self.log.mark_changed(task.job);
         self.loans.lending.insert(task.job);
         *lent.entry((task.job, to.clone())).or_default() += 1;
--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -54,7 +54,7 @@
     pub(super) fn candidates(&self) -> Vec<Candidate> {
         let open = self.jobs.values().filter(|job| !job.is_final());
         let mut candidates: Vec<Candidate> =
-            open.filter_map(|job| self.candidate(job, waiting(job))).collect();
+            open.filter_map(|job| self.candidate(job, waiting(job, self.now.steady))).collect();
         candidates.sort_by(|a, b| {
             a.priority
                 .cmp(&b.priority)
@@ -177,7 +177,7 @@
 }
 
 /// Returns the tasks that can start.
-pub(super) fn waiting(job: &JobRun) -> Vec<TaskRef> {
+pub(super) fn waiting(job: &JobRun, now: Duration) -> Vec<TaskRef> {
     let mut waiting = Vec::new();
     for occurrence in &job.open_occurrences {
         for (number, step) in occurrence.steps.iter().enumerate() {
@@ -185,7 +185,7 @@
                 continue;
             }
             let is_gang = job.job.steps.get(number).is_some_and(|step| step.grouping.is_gang());
-            let free = |index: &usize| is_gang || !step.is_held_back(*index);
+            let free = |index: &usize| is_gang || !step.is_held_back(*index, now);
             let tasks = step.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
             let free = tasks.map(|(index, _)| index).filter(free);
             waiting.extend(free.map(|index| job.task_ref(occurrence.number, number, index)));
--- a/src/shard/place.rs
+++ b/src/shard/place.rs
@@ -176,7 +176,8 @@
         self.release_reservations();
         self.has_backlog = false;
         let (slowed, slow) = (self.slowed(), self.slow_runs());
-        let has_waiting = self.jobs.values().any(|job| !job.is_final() && !waiting(job).is_empty());
+        let has_waiting =
+            self.jobs.values().any(|job| !job.is_final() && !waiting(job, now).is_empty());
         if !has_waiting && slowed.is_empty() && slow.is_empty() {
             self.holds.clear();
             return;
@@ -447,6 +448,7 @@
         let ready = job.step_run(task).and_then(|step| step.ready).unwrap_or(now);
         let Some(known) = job.task_mut(task) else { return };
         known.last_run = run;
+        known.tried_at = now;
         known.runs.push(PlacedRun { vm: vm_id.clone(), addr: room.addr.clone(), run });
         job.effects.push(Effect::Start { task, run, vm: vm_id.clone() });
         self.log.mark_changed(task.job);
--- a/src/shard/waiting.rs
+++ b/src/shard/waiting.rs
@@ -59,7 +59,7 @@
     /// Logs the tasks that a trial run holds back.
     pub(super) fn report_held_back(&mut self) {
         let open = self.jobs.values().filter(|job| !job.is_final());
-        let held: Vec<HeldBack> = open.flat_map(held_back).collect();
+        let held: Vec<HeldBack> = open.flat_map(|job| held_back(job, self.now.steady)).collect();
         let waited = |held: &HeldBack| {
             held.since.map_or(Duration::ZERO, |at| self.now.steady.saturating_sub(at))
         };
@@ -77,7 +77,7 @@
     fn tally_long_running(&self, rooms: &[VmCapacity]) -> Tally {
         let mut tally = Tally::default();
         for job in self.jobs.values().filter(|job| !job.is_final()) {
-            for task in waiting(job) {
+            for task in waiting(job, self.now.steady) {
                 let Some(step) = job.step(task) else { continue };
                 if step.life == Life::Lasting && step.share == Share::Reserved {
                     let since = job.task(task).and_then(|task| task.not_running_since);
@@ -129,13 +129,13 @@
 }
 
 /// Returns the waiting tasks of a job that a trial run holds back.
-fn held_back(job: &JobRun) -> Vec<HeldBack> {
+fn held_back(job: &JobRun, now: Duration) -> Vec<HeldBack> {
     let mut held = Vec::new();
     for occurrence in &job.open_occurrences {
         for (number, step) in occurrence.steps.iter().enumerate() {
             let waiting = step.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
             held.extend(waiting.filter_map(|(index, task)| {
-                let trial = step.trial_before(index)?;
+                let trial = step.trial_before(index, now)?;
                 Some(HeldBack {
                     task: job.task_ref(occurrence.number, number, index),
                     since: task.waiting_since(),
--- a/tests/shards/faults.rs
+++ b/tests/shards/faults.rs
@@ -17,6 +17,8 @@
     AnswerLost,
     /// It is answered and has no effect.
     Ignored,
+    /// The VM answers that it has no room. Only starts are.
+    NoRoom,
     /// It has no effect, and the sender is told nothing, not even that it failed.
     Unreported,
     /// The sender gets no response, and it takes effect after this delay.
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -38,6 +38,7 @@
 mod tails;
 mod takeover;
 mod terms;
+mod trials;
 mod vacate;
 mod watchers;
 mod world;
--- /dev/null
+++ b/tests/shards/trials.rs
@@ -0,0 +1,93 @@
+//! Trial runs of tasks whose VM crashed right after they had started.
+
+use crate::faults::{Faults, NoFaults, Outcome};
+use crate::invariants::check;
+use crate::jobs::{job_with_steps, work};
+use crate::world::{OwnerEnd, Simulation};
+use indexmap::IndexMap;
+use std::time::Duration;
+use waxwingstall::job::{Job, Label};
+use waxwingstall::shard::Action;
+use waxwingstall::units::Resources;
+
+const HOME: &str = "kacyiru";
+const SIZE: Resources = Resources::new(8000, 8000, 0);
+
+/// Size of a VM that takes no task of these tests.
+const TOO_SMALL: Resources = Resources::new(500, 500, 0);
+
+/// Time that a crashed VM is down.
+const DOWN: Duration = Duration::from_secs(3);
+
+/// Longest time for which a lasting task may have no run while there is room for it.
+const IDLE_LIMIT: Duration = Duration::from_secs(9);
+
+fn millis(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// Starts a job's lasting tasks on the home shard's only VM, and crashes it before any poll has
+/// reported them. The VM's next instance has no room for them.
+fn crash_at_the_start<F: Faults>(sim: &mut Simulation<F>, job: &Job) {
+    sim.submit(HOME, job.clone());
+    while sim.runs_on(0) < job.steps[0].tasks as usize {
+        sim.run_for(millis(20));
+    }
+    sim.crash_vm(0, DOWN);
+    sim.resize_vm(0, TOO_SMALL);
+}
+
+// Guards against lasting tasks that wait for a trial run of which nothing is heard.
+#[test]
+fn a_trial_that_is_not_heard_of_holds_other_tasks_back_for_a_while_only() {
+    let mut sim = Simulation::new(NoFaults, &[HOME, "remera", "gasabo"], 1, SIZE);
+    let job = job_with_steps(1, 1, 2, work(0, 2));
+    crash_at_the_start(&mut sim, &job);
+    while sim.loans == 0 {
+        sim.run_for(millis(20));
+    }
+    let borrower = if sim.lent_to(job.id) == ["remera"] { "remera" } else { "gasabo" };
+    sim.end_ownership(borrower, OwnerEnd::Killed, seconds(60));
+    sim.run_for(seconds(6));
+    assert_eq!(sim.running_tasks(job.id), 1, "the other task is started");
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
+
+/// Answers restarts of the first task of each step that there is no room.
+struct FirstTaskRefused;
+
+impl Faults for FirstTaskRefused {
+    fn command_outcome(&mut self, _: Duration, action: &Action) -> Outcome {
+        match action {
+            Action::Start { req, .. } if req.task.index == 0 && req.run.0 > 1 => Outcome::NoRoom,
+            _ => Outcome::Delivered,
+        }
+    }
+
+    fn message_outcome(&mut self, _: Duration) -> Outcome {
+        Outcome::Delivered
+    }
+}
+
+// Guards against tasks that wait for a trial run whose start is refused again and again.
+#[test]
+fn a_trial_that_is_refused_holds_no_other_task_back() {
+    let mut sim = Simulation::new(FirstTaskRefused, &[HOME], 2, SIZE);
+    let mut job = job_with_steps(1, 1, 3, work(0, 2));
+    let label = Label::new("ssd");
+    sim.vms[0].entry.labels.push(label.clone());
+    sim.run_for(seconds(1));
+    job.steps[0].label = Some(label);
+    sim.submit(HOME, job.clone());
+    while sim.runs_on(0) < 3 {
+        sim.run_for(millis(20));
+    }
+    sim.crash_vm(0, DOWN);
+    sim.run_for(IDLE_LIMIT);
+    assert_eq!(sim.running_tasks(job.id), 2);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -856,6 +856,25 @@
         bound.into_iter().filter_map(index).collect()
     }
 
+    /// Shards that a job's tasks are lent to, as recorded in the store.
+    pub fn lent_to(&mut self, job: JobId) -> Vec<String> {
+        let names = self.shard_names();
+        let mut to = Vec::new();
+        for name in names {
+            to.extend(
+                self.progress_of(&name, job).into_iter().flat_map(|progress| progress.shards),
+            );
+        }
+        to
+    }
+
+    /// A shard's record of a job in the store.
+    fn progress_of(&mut self, shard: &str, job: JobId) -> Option<Progress> {
+        let records = self.read_all(&Keys::new(shard).all_progress());
+        let record = records.iter().find(|(key, _)| key.ends_with(&job.to_string()));
+        record.map(|(_, value)| Progress::decode(value).expect("progress"))
+    }
+
     /// Whether the store holds a record of tasks of a job that a shard has borrowed.
     pub fn is_borrowed(&mut self, job: JobId) -> bool {
         let names = self.shard_names();
@@ -1487,6 +1506,7 @@
                 match self.faults.message_outcome(self.now) {
                     Outcome::Lost
                     | Outcome::Refused
+                    | Outcome::NoRoom
                     | Outcome::AnswerLost
                     | Outcome::Ignored
                     | Outcome::Unreported
@@ -1536,6 +1556,7 @@
             }
             Outcome::Lost
             | Outcome::Refused
+            | Outcome::NoRoom
             | Outcome::AnswerLost
             | Outcome::Ignored
             | Outcome::Unreported
@@ -1582,6 +1603,7 @@
             }
             Outcome::Lost => Err(unanswered()),
             Outcome::Refused => Err(VmError::NotSent { reason: "refused".to_owned() }),
+            Outcome::NoRoom => Err(VmError::NoRoom),
             Outcome::Unreported => return,
             Outcome::Ignored => self.execute(number, &empty_poll(&action)).map(|answer| {
                 let VmResponse::Polled(poll) = answer else { unreachable!("a poll was sent") };
