Let a borrower tell the lender of a task that it no longer counts as crashing VMs

A task that may have crashed its VM holds back the others of its step until it has worked for 1.5 s. That is seen by the shard that runs it, but the one that accepted the job decides on the others, by a copy that was refreshed only when the task came back, which a lasting task never does. Confirmations of loans now carry the crash counts, and a loan is confirmed every 0.25 s while its task counts as suspect.

--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -20,7 +20,9 @@
 mod offers;
 
 pub use declines::Declines;
-pub use message::{JobStart, LendOrder, LentTask, LoanId, LoanMsg, LoanOutcome, ReturnedTask};
+pub use message::{
+    JobStart, LendOrder, LentTask, LoanId, LoanMsg, LoanOutcome, ReturnedTask, TakenTask,
+};
 
 use super::Shard;
 use super::event::{Action, OtherShard};
@@ -335,11 +337,15 @@
         }
         self.loans.borrowed.insert(id);
         let mut added = 0;
-        let mut names: Vec<TaskRef> = tasks.iter().map(|lent| lent.task).collect();
+        let names: Vec<TaskRef> = tasks.iter().map(|lent| lent.task).collect();
         for lent in tasks {
             added += usize::from(add_borrowed_task(job, lent, loan, now));
         }
-        names.retain(|name| job.task(*name).is_some_and(|task| task.loan == loan));
+        let taken = names.into_iter().filter_map(|task| {
+            let known = job.task(task).filter(|known| known.loan == loan)?;
+            Some(TakenTask { task, crashes: known.crashes })
+        });
+        let taken: Vec<TakenTask> = taken.collect();
         if added > 0 {
             job.advance(now);
             self.note(Note::TasksBorrowed {
@@ -352,30 +358,48 @@
             });
             self.request_schedule();
             self.log.mark_changed(id);
-        } else if self.log.is_durable(id) && !names.is_empty() {
+        } else if self.log.is_durable(id) && !taken.is_empty() {
             let begun = if job.started == Started::Yes { JobStart::Yes } else { JobStart::No };
-            let msg = LoanMsg::Taken { job: id, loan, tasks: names, begun };
+            let msg = LoanMsg::Taken { job: id, loan, tasks: taken, begun };
             self.send_message(from, msg);
         }
     }
 
-    fn handle_taken(&mut self, id: JobId, loan: u64, tasks: &[TaskRef], begun: JobStart) {
-        let status = match begun {
-            JobStart::No => LoanStatus::Taken { resend_at: self.now.steady + TAKEN_LOAN_INTERVAL },
-            JobStart::Yes => LoanStatus::JobStarted,
-        };
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        for task in tasks {
-            let lent = job.task_mut(*task).and_then(|task| task.lent.as_mut());
-            if let Some(lent) = lent.filter(|lent| lent.loan == loan) {
-                lent.status = status;
-            }
+    fn handle_taken(&mut self, id: JobId, loan: u64, tasks: &[TakenTask], begun: JobStart) {
+        let now = self.now.steady;
+        for taken in tasks {
+            let known = self.jobs.get_mut(&id).and_then(|job| job.task_mut(taken.task));
+            let lent = known.and_then(|task| task.lent.as_mut());
+            let Some(lent) = lent.filter(|lent| lent.loan == loan) else { continue };
+            lent.status = match begun {
+                // Others of the step may be waiting for its trial run.
+                _ if taken.crashes.sudden > 0 => {
+                    LoanStatus::Taken { resend_at: now + MESSAGE_INTERVAL }
+                }
+                JobStart::No => LoanStatus::Taken { resend_at: now + TAKEN_LOAN_INTERVAL },
+                JobStart::Yes => LoanStatus::JobStarted,
+            };
+            self.adopt_crashes(taken.task, taken.crashes);
         }
         if begun == JobStart::Yes {
             self.mark_started(id);
         }
     }
 
+    /// Takes over the crash counts of a lent task from its borrower, which alone sees its runs.
+    fn adopt_crashes(&mut self, task: TaskRef, crashes: Crashes) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(known) = job.task_mut(task).filter(|known| known.crashes != crashes) else {
+            return;
+        };
+        let before = std::mem::replace(&mut known.crashes, crashes);
+        if let Some(step) = job.step_run_mut(task).filter(|_| crashes.sudden != before.sudden) {
+            step.proven = crashes.sudden < before.sudden;
+        }
+        self.log.mark_changed(task.job);
+        self.request_schedule();
+    }
+
     fn handle_return(&mut self, from: &Arc<str>, id: JobId, tasks: Vec<ReturnedTask>) {
         let mut settled = Vec::new();
         let mut failed = false;
--- a/src/shard/loan/message.rs
+++ b/src/shard/loan/message.rs
@@ -14,7 +14,7 @@
     Lend { job: Arc<Job>, loan: u64, order: LendOrder, tasks: Vec<LentTask> },
     /// Confirms that the tasks are durable at the borrower, and tells whether a task of the job has
     /// started.
-    Taken { job: JobId, loan: u64, tasks: Vec<TaskRef>, begun: JobStart },
+    Taken { job: JobId, loan: u64, tasks: Vec<TakenTask>, begun: JobStart },
     /// Returns tasks to the lender with their outcome.
     Return { job: JobId, tasks: Vec<ReturnedTask> },
     /// Confirms that the outcome is durable at the lender. Messages up to `void` no longer lend.
@@ -79,6 +79,13 @@
     pub crashes: Crashes,
 }
 
+/// State of a task that the borrower runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenTask {
+    pub task: TaskRef,
+    pub crashes: Crashes,
+}
+
 /// State of a task that is sent back to the lender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReturnedTask {
--- a/tests/shards/trials.rs
+++ b/tests/shards/trials.rs
@@ -19,6 +19,9 @@
 /// Time that a crashed VM is down.
 const DOWN: Duration = Duration::from_secs(3);
 
+/// Time after which a crash is known: the VM is back, and has been listed again.
+const NOTICE: Duration = Duration::from_millis(3800);
+
 /// Longest time for which a lasting task may have no run while there is room for it.
 const IDLE_LIMIT: Duration = Duration::from_secs(9);
 
@@ -41,6 +44,19 @@
     sim.resize_vm(0, TOO_SMALL);
 }
 
+// Guards against a lasting task that waits for good for a trial run that works in another shard.
+#[test]
+fn a_lasting_task_runs_again_although_the_trial_of_another_is_lent() {
+    let mut sim = Simulation::new(NoFaults, &[HOME, "remera"], 1, SIZE);
+    let job = job_with_steps(1, 1, 3, work(0, 2));
+    crash_at_the_start(&mut sim, &job);
+    sim.run_for(NOTICE + millis(1500));
+    assert_eq!(sim.running_tasks(job.id), 1, "one suspect is tried first");
+    sim.run_for(IDLE_LIMIT - NOTICE - millis(1500));
+    assert_eq!(sim.running_tasks(job.id), 3);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
+
 // Guards against lasting tasks that wait for a trial run of which nothing is heard.
 #[test]
 fn a_trial_that_is_not_heard_of_holds_other_tasks_back_for_a_while_only() {
