Take the counts of a returned task from its borrower

A lent task comes back with its numbers of crashes and failed runs. The lender kept the greater of these and its own, from before the loan, so that what the borrower had forgiven after the task had worked for a while counted again: the next failure of a lasting task was followed by a longer delay, and a fifth crash in all failed its job, though hours of work lay between them.

The borrower alone sees the runs of a lent task, so its counts replace the lender's. A borrower that doesn't know the loan answers with a run number below the lender's, and changes nothing.

Evidence: both tests fail before (crashes 1 in place of none, failed runs 4 in place of 0) and pass now: a_returned_task_has_the_crash_counts_of_its_borrower, a_returned_task_has_failed_as_often_as_its_borrower_counts. All of tests/shards pass.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -61,13 +61,6 @@
     pub sudden: u8,
 }
 
-impl Crashes {
-    /// The maximum of each count.
-    pub fn max(self, other: Self) -> Self {
-        Self { all: self.all.max(other.all), sudden: self.sudden.max(other.sudden) }
-    }
-}
-
 impl CrashRow {
     /// Creates the row of a task.
     pub fn new(task: TaskRef, crashes: Crashes) -> Self {
--- a/src/shard/loan.rs
+++ b/src/shard/loan.rs
@@ -420,12 +420,15 @@
             };
             task.lent = None;
             let began = back.last_run > task.last_run;
+            // A borrower that doesn't know the loan tells no counts.
+            let knows_loan = back.last_run >= task.last_run;
             task.last_run = task.last_run.max(back.last_run);
-            task.failed = task.failed.max(back.failed);
+            if knows_loan {
+                task.failed = back.failed;
+            }
             task.not_running_since.get_or_insert(self.now.steady);
             let rank = CheckpointRank { run: back.last_run, ..CheckpointRank::default() };
             task.save_checkpoint(back.checkpoint, rank);
-            task.crashes = task.crashes.max(back.crashes);
             match back.result {
                 LoanOutcome::Succeeded => {
                     task.phase = TaskPhase::Succeeded;
@@ -435,6 +438,9 @@
                 LoanOutcome::GivenBack if began => {}
                 LoanOutcome::GivenBack => declined.push(back.task),
             }
+            if knows_loan {
+                self.adopt_crashes(back.task, back.crashes);
+            }
             if began {
                 self.mark_started(id);
             }
--- a/tests/shards/trials.rs
+++ b/tests/shards/trials.rs
@@ -6,6 +6,7 @@
 use crate::world::{OwnerEnd, Simulation};
 use indexmap::IndexMap;
 use std::time::Duration;
+use waxwingstall::job::progress::Crashes;
 use waxwingstall::job::{Job, Label};
 use waxwingstall::shard::Action;
 use waxwingstall::units::Resources;
@@ -107,3 +108,42 @@
     assert_eq!(sim.running_tasks(job.id), 2);
     check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
 }
+
+// Guards against crashes that count again at the lender after the borrower has forgiven them.
+#[test]
+fn a_returned_task_has_the_crash_counts_of_its_borrower() {
+    let mut sim = Simulation::new(NoFaults, &[HOME, "remera"], 1, SIZE);
+    let job = job_with_steps(1, 1, 1, work(0, 2));
+    crash_at_the_start(&mut sim, &job);
+    sim.run_for(NOTICE);
+    assert_eq!(sim.crash_counts(HOME, job.id), [Crashes { all: 1, sudden: 1 }]);
+    sim.run_for(seconds(12));
+    assert_eq!(sim.running_tasks(job.id), 1, "the task is lent");
+    sim.resize_vm(0, SIZE);
+    sim.leave_vm(1, seconds(60));
+    sim.run_for(seconds(8));
+    assert_eq!(sim.runs_on(0), 1, "the task has been returned");
+    assert_eq!(sim.crash_counts(HOME, job.id), []);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
+
+// Guards against failures that count again at the lender after the task has worked at the borrower.
+#[test]
+fn a_returned_task_has_failed_as_often_as_its_borrower_counts() {
+    let mut sim = Simulation::new(NoFaults, &[HOME, "remera"], 1, SIZE);
+    let job = job_with_steps(1, 1, 1, work(0, 2));
+    sim.vms[0].table.set_faulty(true);
+    sim.submit(HOME, job.clone());
+    sim.run_for(seconds(1));
+    assert!(sim.failed_runs(HOME, job.id) > 1, "the task has failed");
+    sim.resize_vm(0, TOO_SMALL);
+    sim.run_for(seconds(15));
+    assert_eq!(sim.runs_on(1), 1, "the task is lent");
+    sim.vms[0].table.set_faulty(false);
+    sim.resize_vm(0, SIZE);
+    sim.leave_vm(1, seconds(60));
+    sim.run_for(seconds(8));
+    assert_eq!(sim.runs_on(0), 1, "the task has been returned");
+    assert_eq!(sim.failed_runs(HOME, job.id), 0);
+    check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -14,7 +14,7 @@
 use waxwingstall::cluster::{ExpectedOwner, Head};
 use waxwingstall::evacuation::Evacuations;
 use waxwingstall::ids::{DaemonId, DomainId, RackId, ServiceName, Ticket, VmId};
-use waxwingstall::job::progress::{BoundVm, Progress, decode};
+use waxwingstall::job::progress::{BoundVm, Crashes, Progress, decode};
 use waxwingstall::job::{Job, JobId, Label, QueueName, RunNumber, StepRef, TaskRef};
 use waxwingstall::kv::{Condition, Error, HasMore, Put, Rev, Txn};
 use waxwingstall::note::Note;
@@ -868,6 +868,21 @@
         to
     }
 
+    /// Crash counts of the tasks of a job that have any, as a shard has recorded them in the store.
+    pub fn crash_counts(&mut self, shard: &str, job: JobId) -> Vec<Crashes> {
+        let progress = self.progress_of(shard, job);
+        let rows = progress.into_iter().flat_map(|progress| progress.crashes);
+        rows.map(|row| row.crashes).collect()
+    }
+
+    /// Number of failed runs of a job's tasks, as a shard has recorded it in the store.
+    pub fn failed_runs(&mut self, shard: &str, job: JobId) -> u32 {
+        let progress = self.progress_of(shard, job);
+        let occurrences = progress.into_iter().flat_map(|progress| progress.open_occurrences);
+        let tasks = occurrences.flat_map(|occurrence| occurrence.steps).flatten();
+        tasks.map(|task| task.failed).sum()
+    }
+
     /// A shard's record of a job in the store.
     fn progress_of(&mut self, shard: &str, job: JobId) -> Option<Progress> {
         let records = self.read_all(&Keys::new(shard).all_progress());
