Simulate crashes of VMs right after lasting tasks have started there

Two to four lasting tasks start, their VM crashes within 0.2 s, and in most seeds has no room for them once it is back; then an owner is replaced, or killed for a while, or another VM crashes. 14 s later all tasks must run.

--- a/tests/shards/trials.rs
+++ b/tests/shards/trials.rs
@@ -1,10 +1,15 @@
 //! Trial runs of tasks whose VM crashed right after they had started.
+//!
+//! Set `SHARD_SEEDS=0..1000` to run other seeds than the default ones.
 
 use crate::faults::{Faults, NoFaults, Outcome};
 use crate::invariants::check;
 use crate::jobs::{job_with_steps, work};
+use crate::random::seeds;
 use crate::world::{OwnerEnd, Simulation};
 use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use waxwingstall::job::progress::Crashes;
 use waxwingstall::job::{Job, Label};
@@ -26,6 +31,9 @@
 /// Longest time for which a lasting task may have no run while there is room for it.
 const IDLE_LIMIT: Duration = Duration::from_secs(9);
 
+/// Time after the last disruption by which every lasting task has a run again.
+const SETTLE_TIME: Duration = Duration::from_secs(14);
+
 fn millis(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -147,3 +155,38 @@
     assert_eq!(sim.failed_runs(HOME, job.id), 0);
     check(&mut sim, &IndexMap::from([(job.id, job)]), SIZE);
 }
+
+// Guards against lasting tasks that wait for a trial that is lent, whose owner or whose VM is lost.
+#[test]
+fn lasting_tasks_run_again_after_a_crash_at_their_start() {
+    for seed in seeds(0..60) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let shards = [HOME, "remera", "gasabo"];
+        let mut sim = Simulation::new(NoFaults, &shards, 2, SIZE);
+        let job = job_with_steps(1, 1, rng.random_range(2..=4), work(0, 2));
+        let others = job_with_steps(2, 1, rng.random_range(2..=4), work(60_000, 2));
+        sim.submit(HOME, job.clone());
+        sim.submit(HOME, others.clone());
+        while sim.running_tasks(job.id) < job.steps[0].tasks as usize {
+            sim.run_for(millis(20));
+        }
+        sim.run_for(millis(rng.random_range(0..200)));
+        let there = sim.bound_vms(job.id)[0];
+        sim.crash_vm(there, millis(rng.random_range(300..4500)));
+        if rng.random_bool(0.7) {
+            sim.resize_vm(there, TOO_SMALL);
+        }
+        sim.run_for(millis(rng.random_range(0..7000)));
+        let shard = shards[rng.random_range(0..3)];
+        match rng.random_range(0..4) {
+            0 => sim.replace_owner(shard),
+            1 => sim.end_ownership(shard, OwnerEnd::Killed, millis(rng.random_range(100..3000))),
+            2 => sim.crash_vm(rng.random_range(0..6), millis(rng.random_range(300..4500))),
+            _ => {}
+        }
+        sim.run_for(SETTLE_TIME);
+        let running = sim.running_tasks(job.id);
+        assert_eq!(running, job.steps[0].tasks as usize, "seed {seed}");
+        check(&mut sim, &IndexMap::from([(job.id, job), (others.id, others)]), SIZE);
+    }
+}
