Shorten times from outside, so that computing with them can't fail

A time too large for `Duration` counted as none elsewhere: a VM that has 1e300 ms left counted as leaving at once, and an upkeep wave as due.

Times of callers, operators, VMs and the store are shortened to 1,000 years as they come in, and products with a factor from outside go through `duration::scaled`. A job is shortened as a shard takes it, so that records of earlier releases and jobs that other shards lend are covered too.

--- a/src/cluster/head.rs
+++ b/src/cluster/head.rs
@@ -28,6 +28,7 @@
 //!   time, which is [`MAX_STALE_OWNER_EXTENSION`] for those, and the oldest tell nothing; an owner
 //!   before the last then counts for that time, unless the last one has told less.
 
+use crate::duration;
 use crate::ids::DaemonId;
 use crate::job::progress::{self, Result};
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
@@ -135,7 +136,7 @@
         return Ok((None, bytes));
     }
     let (time, rest) = progress::decode_prefix(bytes)?;
-    Ok((Some(time), rest))
+    Ok((Some(duration::bounded(time)), rest))
 }
 
 /// The owner that a claim is meant to replace, as far as the claimant knows.
--- a/src/job.rs
+++ b/src/job.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::duration;
 use crate::ids::{CheckpointId, RackId, ServiceName};
 use crate::queues::Terms;
 use crate::units::Resources;
@@ -106,6 +107,23 @@
 }
 
 impl Job {
+    /// The job with its times shortened to [`duration::MAX_OUTSIDE`]. A caller may name any time, and
+    /// earlier releases have stored it as it was.
+    pub fn bounded(mut self: Arc<Self>) -> Arc<Self> {
+        let is_bounded = |time: &Duration| *time == duration::bounded(*time);
+        let mut times = self.steps.iter().flat_map(|step| [Some(step.estimate), step.tail_target]);
+        if times.all(|time| time.as_ref().is_none_or(is_bounded)) && self.repeat.is_bounded() {
+            return self;
+        }
+        let job = Arc::make_mut(&mut self);
+        for step in &mut job.steps {
+            step.estimate = duration::bounded(step.estimate);
+            step.tail_target = step.tail_target.map(duration::bounded);
+        }
+        job.repeat = job.repeat.bounded();
+        self
+    }
+
     /// Encodes the job as stored.
     pub fn encode(&self) -> Vec<u8> {
         progress::encode(self)
@@ -145,6 +163,20 @@
         }
     }
 
+    fn is_bounded(&self) -> bool {
+        *self == self.bounded()
+    }
+
+    fn bounded(self) -> Self {
+        match self {
+            Self::Once => self,
+            Self::Timed { first, interval, times } => {
+                let (first, interval) = (duration::bounded(first), duration::bounded(interval));
+                Self::Timed { first, interval, times }
+            }
+        }
+    }
+
     /// Wall-clock time at which an occurrence is due, or `None` if it is due at once.
     pub fn due(&self, occurrence: u32) -> Option<Duration> {
         match self {
--- a/src/jobs/settings.rs
+++ b/src/jobs/settings.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::duration;
 use crate::ids::DomainId;
 use crate::inbound::MachineLimits;
 use crate::shard;
@@ -185,9 +186,9 @@
             stop_timeout: ms(bounds.stop_timeout_ms),
             group_timeout: ms(bounds.group_timeout_ms),
             remote_factor: bounds.remote_factor,
-            checkpoint_every: Duration::from_secs_f64(bounds.checkpoint_s),
+            checkpoint_every: duration::from_secs(bounds.checkpoint_s),
             restore: ms(bounds.restore_ms),
-            show_for: Duration::from_secs_f64(bounds.show_for_s),
+            show_for: duration::from_secs(bounds.show_for_s),
             notice: ms(bounds.notice_ms),
             harm: ms(bounds.harm_ms),
             pace_delay: ms(bounds.pace_ms),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod core;
 pub mod daemon;
 pub mod departures;
+pub mod duration;
 pub mod evacuation;
 pub mod front;
 pub mod ids;
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -1,5 +1,6 @@
 //! Queues and services as configured by operators.
 
+use crate::duration;
 use crate::ids::ServiceName;
 use crate::job::QueueName;
 use indexmap::IndexMap;
@@ -59,6 +60,12 @@
         target_latency: Duration::ZERO,
         permits: None,
     };
+
+    /// The terms with their times shortened to [`duration::MAX_OUTSIDE`].
+    pub fn bounded(self) -> Self {
+        let target_latency = duration::bounded(self.target_latency);
+        Self { target_latency, permits: self.permits.map(PermitTimes::bounded), ..self }
+    }
 }
 
 /// Timing of the permit service.
@@ -72,6 +79,16 @@
     pub validity: Duration,
 }
 
+impl PermitTimes {
+    fn bounded(self) -> Self {
+        Self {
+            base_time: duration::bounded(self.base_time),
+            time_per_vm: duration::bounded(self.time_per_vm),
+            validity: duration::bounded(self.validity),
+        }
+    }
+}
+
 /// A service: a pool of VMs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -281,7 +281,7 @@
     /// accepted are the current ones of its queue.
     fn terms(&self, job: &Job) -> Terms {
         let queue = || Some(self.queues.queues.get(&job.queue)?.terms);
-        job.terms.or_else(queue).unwrap_or(Terms::UNKNOWN)
+        job.terms.or_else(queue).unwrap_or(Terms::UNKNOWN).bounded()
     }
 
     fn note(&mut self, note: Note) {
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -65,7 +65,7 @@
 
 impl Shard {
     pub(super) fn submit(&mut self, ticket: Ticket, job: Arc<Job>, mode: AdmissionMode) {
-        let id = job.id;
+        let (id, job) = (job.id, job.bounded());
         if self.closed.contains_key(&id) {
             return self.reply(ticket, Answer::Accepted);
         }
--- a/src/shard/job_run.rs
+++ b/src/shard/job_run.rs
@@ -204,7 +204,7 @@
     /// Creates the state of a newly submitted job.
     pub fn new(job: Arc<Job>, images: Vec<ImageIx>, now: Duration) -> Self {
         Self {
-            job,
+            job: job.bounded(),
             images,
             lender: None,
             state: JobState::Queued,
--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -9,6 +9,7 @@
 
 use super::Shard;
 use super::job_run::{JobRun, Occurrence, StepRun};
+use crate::duration;
 use crate::job::progress::TaskPhase;
 use crate::job::{Job, JobId, Life, QueueName, TaskRef};
 use crate::queues::Terms;
@@ -132,7 +133,7 @@
         let measured = job.open_occurrences.last();
         let steps = 0..job.job.steps.len();
         let times = steps.map(|n| self.step_time(job, n, measured.and_then(|o| o.steps.get(n))));
-        critical_path(&job.job, times).mul_f64(target_stretch.max(0.0)) + target_latency
+        duration::scaled(critical_path(&job.job, times), target_stretch) + target_latency
     }
 
     /// Returns the length of the critical path of the steps that haven't succeeded yet.
--- a/src/shard/silence.rs
+++ b/src/shard/silence.rs
@@ -32,6 +32,7 @@
 use super::recover::VmLapse;
 use super::settings::{COMMIT_STALL_TIMEOUT, SILENCE_TIMEOUT};
 use super::vm_run::{Responsiveness, Vm};
+use crate::duration;
 use crate::ids::VmId;
 use crate::job::progress::{Result, decode, decode_prefix, encode};
 use crate::note::{Millis, Note, StaticText};
@@ -93,7 +94,8 @@
     pub fn decode_all(bytes: &[u8]) -> Result<Vec<Self>> {
         let (marked, rest): (Vec<MarkedVm>, &[u8]) = decode_prefix(bytes)?;
         let left: Vec<Option<Duration>> = if rest.is_empty() { Vec::new() } else { decode(rest)? };
-        let left = left.into_iter().chain(std::iter::repeat(None));
+        let left = left.into_iter().map(|left| left.map(duration::bounded));
+        let left = left.chain(std::iter::repeat(None));
         let silent = |(MarkedVm { vm, mark }, left)| Self { vm, mark, left };
         Ok(marked.into_iter().zip(left).map(silent).collect())
     }
--- a/src/shard/vm_speed.rs
+++ b/src/shard/vm_speed.rs
@@ -16,6 +16,7 @@
 use super::Shard;
 use super::job_run::JobRun;
 use super::vm_run::{Run, RunKey};
+use crate::duration;
 use crate::ids::VmId;
 use crate::job::{Life, Share, Step, TaskRef};
 use crate::note::Note;
@@ -188,7 +189,7 @@
 pub fn compared_time(mut rates: Vec<f64>) -> Option<Duration> {
     rates.sort_by(f64::total_cmp);
     let median = rates.get(rates.len() / 2).filter(|rate| **rate > 0.0)?;
-    Duration::try_from_secs_f64(100.0 / median).ok()
+    Some(duration::from_secs(100.0 / median))
 }
 
 /// Recent evidence on the speed of a VM.
--- a/tests/shards/main.rs
+++ b/tests/shards/main.rs
@@ -10,6 +10,7 @@
 mod duplicates;
 mod elsewhere;
 mod evacuation;
+mod extremes;
 mod faults;
 mod gangs;
 mod harm;
