End the process when a thread that the daemon needs panics

The actor for other daemons went on answering hellos with the last one composed, so that nobody claimed the shards. In the same way a panic may end the reader of the VM list, the writer of a shard's commits, one call to a VM whose next poll then never comes, or the port for other daemons.

A panic on a thread of the daemon's actors, or on the main thread, now ends the process with one line, daemon-failed. Its connections break, so that others take the shards over as after a kill, and the platform starts it again. Panics on the threads that serve callers end the caller's connection, as before. Code whose failure its caller handles runs in panics::contain.

--- a/src/jobs/daemon.rs
+++ b/src/jobs/daemon.rs
@@ -17,6 +17,7 @@
 use crate::inbound::Port;
 use crate::journal::Journal;
 use crate::note::Note;
+use crate::panics;
 use crate::ring::Ring;
 use actix::prelude::*;
 use actix_web::web;
@@ -71,6 +72,9 @@
         let (publish, view) = watch::channel(Arc::new(View::default()));
         let directory: Arc<Mutex<JobDirectory>> = Arc::default();
         let arbiters: Vec<Arbiter> = (0..4).map(|_| Arbiter::new()).collect();
+        for arbiter in &arbiters {
+            arbiter.spawn_fn(panics::mark_vital);
+        }
 
         let control = {
             let (me, clock, journal) = (me.clone(), clock.clone(), journal.clone());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metrics;
 pub mod model;
 pub mod note;
+pub mod panics;
 pub mod peer;
 pub mod peers;
 pub mod permit;
--- a/src/note.rs
+++ b/src/note.rs
@@ -134,6 +134,8 @@
     Urgent DaemonStarted = "daemon-started" { daemon: DaemonId, domain: DomainId, front: String, peer: String, release: StaticText, }
     /// The daemon has begun a planned stop.
     Urgent DaemonStopping = "daemon-stopping" { daemon: DaemonId, shards: usize, }
+    /// A vital thread has panicked; the process ends.
+    Urgent DaemonFailed = "daemon-failed" { thread: String, place: String, reason: String, }
     /// The daemon has ended.
     Urgent DaemonStopped = "daemon-stopped" { daemon: DaemonId, open_calls: usize, }
     /// The settings were reloaded.
