End only the ownership of a shard whose code panics, and refuse what it panics on

A shard's code runs in panics::contain. If it panics, the ownership ends like that of an owner that is killed, with a line shard-failed that names the stage; the daemon and its other shards go on, and the shard is claimed again from the store. What the failed owner knew beyond the store is told to nobody, as it may be inconsistent. A submission that was being decided on is answered 400: it wasn't accepted, and is not to come again. Other calls under way are answered as unknown. A shard that panics as it is read from the store is given up in the same way.

Evidence: a_shard_whose_code_panics_is_claimed_again fails without panics::contain in HostedShard::step, with "Mailbox has closed". a_submission_that_a_shard_panics_on_is_refused_for_good shows the answers; the code before has no path that it could be run on.

--- a/src/jobs/control.rs
+++ b/src/jobs/control.rs
@@ -4,6 +4,7 @@
 //! confirms in the store that it still owns its shards before it makes any further call to a VM.
 
 mod ended;
+mod failure;
 mod messages;
 mod publish;
 mod shards;
@@ -100,6 +101,12 @@
     summary_at: Duration,
 }
 
+/// A caller's request to a shard, which its owner hasn't answered yet.
+struct PendingCall {
+    shard: String,
+    tx: oneshot::Sender<Reply>,
+}
+
 /// Another daemon's offer to hand a shard over to this one, or this daemon's own one.
 struct ShardOffer {
     /// Fencing token of the ownership that ended with the offer.
@@ -181,7 +188,7 @@
     reported_lapses: IndexMap<String, TimedLapses>,
     /// Last ownership of each shard that is known to have ended.
     ended: EndedOwnerships,
-    tickets: IndexMap<Ticket, oneshot::Sender<Reply>>,
+    tickets: IndexMap<Ticket, PendingCall>,
     next_ticket: u64,
     view: watch::Sender<Arc<View>>,
     directory: Arc<Mutex<JobDirectory>>,
@@ -276,7 +283,10 @@
             }
             return;
         }
-        let actions = hosted.shard.step(now, event);
+        let actions = match hosted.step(now, event) {
+            Ok(actions) => actions,
+            Err(failure) => return self.end_failed_shard(name, &failure, cx),
+        };
         let (shard, fence) = (hosted.name.clone(), hosted.shard.fence());
         for action in actions {
             self.execute(&shard, fence, action, cx);
--- a/src/jobs/control/messages.rs
+++ b/src/jobs/control/messages.rs
@@ -1,6 +1,8 @@
 //! Messages handled by the control actor.
 
-use super::{ActorHandles, Control, RemoteShard, ReportOrder, ShardOffer, TimedLapses};
+use super::{
+    ActorHandles, Control, PendingCall, RemoteShard, ReportOrder, ShardOffer, TimedLapses,
+};
 use crate::cluster::{
     self, Head, Hello, Member, OfferAnswer, Plan, ReleasedShard, StoreReachability,
 };
@@ -276,7 +278,7 @@
         let (tx, rx) = oneshot::channel();
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        self.tickets.insert(ticket, tx);
+        self.tickets.insert(ticket, PendingCall { shard: msg.shard.clone(), tx });
         let event = match msg.call {
             Call::Submit(job, mode) => Event::Submit { ticket, job: Arc::from(job), mode },
             Call::Cancel(job) => Event::Cancel { ticket, job },
--- a/src/jobs/control/shards.rs
+++ b/src/jobs/control/shards.rs
@@ -11,8 +11,9 @@
 use crate::jobs::confirmed::ConfirmationStatus;
 use crate::jobs::follow::operators::LoadedConfig;
 use crate::jobs::links::{OfferShard, ProbeMember};
-use crate::jobs::records::{ClaimShard, ConfirmOwnership, OwnershipStatus, ReadHeads, RemoveShard};
+use crate::jobs::records::{ClaimShard, ConfirmOwnership, OwnershipStatus, ReadHeads};
 use crate::note::{KnownMillis, Millis, Note};
+use crate::panics;
 use crate::shard::learned::{HeardReport, ShardLearned};
 use crate::shard::settings::MAX_STALE_OWNER_EXTENSION;
 use crate::shard::{Action, Event, FleetListStatus, PreviousOwnerEnd, Recovered, Shard};
@@ -75,9 +76,9 @@
     }
 
     pub(super) fn reply(&mut self, ticket: Ticket, reply: Reply) {
-        if let Some(tx) = self.tickets.swap_remove(&ticket) {
+        if let Some(call) = self.tickets.swap_remove(&ticket) {
             // The send fails only if the caller no longer waits.
-            let _ = tx.send(reply);
+            let _ = call.tx.send(reply);
         }
     }
 
@@ -143,9 +144,7 @@
                 self.reply(ticket, Reply::Answer(answer));
             }
         }
-        if let Some(actors) = &self.actors {
-            actors.removals.do_send(RemoveShard { shard: shard.to_owned() });
-        }
+        self.remove_writer(shard);
     }
 
     /// Passes an event to the ownership state machine and executes the resulting actions.
@@ -221,13 +220,13 @@
         let jobs = recovered.jobs.len();
         let accepted = recovered.progress.iter().filter(|(_, p)| p.lender.is_none());
         let accepted_jobs: Vec<JobId> = accepted.map(|(id, _)| *id).collect();
-        let shard = Shard::new(
-            recovered,
-            self.settings,
-            self.queues.clone().unwrap_or_default(),
-            self.shard_vms(&name),
-            now,
-        );
+        let (queues, vms) = (self.queues.clone().unwrap_or_default(), self.shard_vms(&name));
+        let settings = self.settings;
+        let shard = panics::contain(|| Shard::new(recovered, settings, queues, vms, now));
+        let shard = match shard {
+            Ok(shard) => shard,
+            Err(panic) => return self.fail_recovery(name, fence.0, panic, cx),
+        };
         let shared: Arc<str> = Arc::from(name.as_str());
         accepted_jobs.iter().for_each(|id| self.add_to_directory(*id, &shared));
         let (_, runs) = shard.open_job_and_run_counts();
--- a/src/jobs/control/tests.rs
+++ b/src/jobs/control/tests.rs
@@ -1,4 +1,5 @@
 mod ended;
+mod failure;
 mod offers;
 
 use super::{
--- a/src/jobs/control/tests/offers.rs
+++ b/src/jobs/control/tests/offers.rs
@@ -66,7 +66,7 @@
     }
 
     /// Makes the daemon the owner of the shard.
-    async fn own(&self) {
+    pub(super) async fn own(&self) {
         let StoreEvent::Claimed(mut recovered) = claimed() else { unreachable!("a claim") };
         recovered.shard = SHARD.to_owned();
         recovered.fence = Fence(FENCE);
@@ -89,11 +89,11 @@
         self.control.send(HelloReceived { hello, asked: None }).await.expect("a control");
     }
 
-    async fn has_shards(&self) -> bool {
+    pub(super) async fn has_shards(&self) -> bool {
         self.control.send(HasShards).await.expect("a control")
     }
 
-    fn claims(&self) -> Vec<PreviousOwner> {
+    pub(super) fn claims(&self) -> Vec<PreviousOwner> {
         let claims = self.claims.lock().expect("no test panics with it");
         claims.iter().map(|claim| claim.previous).collect()
     }
--- a/src/note.rs
+++ b/src/note.rs
@@ -170,6 +170,8 @@
     Urgent ShardOwned = "shard-owned" { shard: String, fence: u64, jobs: usize, runs: usize, took_ms: Millis, earlier_active_ms: Millis, head_told_ms: KnownMillis, leases_ms: Millis, }
     /// A previous owner of a shard owned here is shown to have ended `ended_ms` ago or earlier; `proof` tells by what.
     Urgent PreviousOwnerEnded = "previous-owner-ended" { shard: String, fence: u64, owner: DaemonId, proof: StaticText, ended_ms: Millis, }
+    /// The code of a shard owned here has panicked; the ownership ends.
+    Urgent ShardFailed = "shard-failed" { shard: String, fence: u64, stage: StaticText, reason: String, }
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
     /// A shard that this daemon has given up is offered to another one.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -147,9 +147,19 @@
 impl Shard {
     /// Processes an event and returns the resulting actions.
     pub fn step(&mut self, now: Now, event: Event) -> Vec<Action> {
-        self.now = now;
         let is_answer = event.is_answer();
+        self.apply(now, event);
+        self.finish_step(is_answer)
+    }
+
+    /// Processes an event; [`Self::finish_step`] is to follow.
+    pub fn apply(&mut self, now: Now, event: Event) {
+        self.now = now;
         self.handle(event);
+    }
+
+    /// Does the work that may be due after an event, and returns the resulting actions.
+    pub fn finish_step(&mut self, is_answer: bool) -> Vec<Action> {
         self.run_due_work(is_answer);
         std::mem::take(&mut self.actions)
     }
