Keep a record that the store won't take from holding up the others of its shard

A refusal of the store was taken for a passing one, whatever it was for. The shard's changes go out together, so that the same commit with the record that is too large was sent again for ever, and no other job's record got through.

After a lasting one the shard sends the records of the commit one by one. The one that is refused alone is set aside: a job that was just submitted is refused with 400, one that was accepted starts nothing new, and its record is tried again at growing intervals of at most 64 s, as it shrinks when tasks end. A commit has at most 1 MiB.

--- a/src/jobs/claim.rs
+++ b/src/jobs/claim.rs
@@ -164,6 +164,7 @@
         match store.commit(&txn).await {
             Ok(rev) => return Ok(rev),
             Err(Error::Conflict { items }) => return resolve_claim_conflict(&items, head),
+            Err(e @ Error::Rejected { .. }) => return Err(e.into()),
             Err(e) if attempts < MAX_CLAIM_ATTEMPTS => tokio::time::sleep(retry_delay(&e)).await,
             Err(e) => return Err(e.into()),
         }
@@ -274,6 +275,8 @@
                         ConflictOutcome::Result(result) => result,
                     };
                 }
+                // An earlier attempt, which was the same, had no effect either.
+                Err(Error::Rejected { reason }) => return CommitResult::Rejected { reason },
                 Err(e) => {
                     if matches!(e, Error::NoAnswer { .. }) {
                         earlier = EarlierAttempts::Unanswered;
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -37,9 +37,12 @@
     /// The answer exceeds the requested size or the client's limit.
     #[error("{reason}; ask for less, split the value, or raise the limit on answers")]
     TooLarge { reason: String },
-    /// The call had no effect and never will.
+    /// The call had no effect and never will; the store may take it later.
     #[error("the store refused the call ({reason}); try again in a moment")]
     Refused { reason: String },
+    /// The call had no effect and never will, and the store won't take it as it is.
+    #[error("the store does not take the call as it is ({reason}); change its contents")]
+    Rejected { reason: String },
     /// The call may have taken effect, or may still do so.
     #[error("the store did not answer ({reason}); read back what became of the call")]
     NoAnswer { reason: String },
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -41,6 +41,7 @@
 mod place;
 mod proof;
 mod recover;
+mod rejection;
 mod relief;
 mod room;
 mod run_times;
@@ -302,6 +303,7 @@
     fn commit(&mut self) {
         let now = self.now.steady;
         self.log.renews_ownership = self.needs_ownership_proof();
+        self.log.retry_rejected(&self.jobs, now);
         if self.log.due().is_some_and(|due| now >= due)
             && let Some(record) = self.due_learned_record()
         {
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -144,6 +144,10 @@
     Superseded(WriteOutcome),
     /// These jobs already exist, in this shard or another; nothing was written.
     JobExists(Vec<JobId>),
+    /// The store doesn't take the commit as it is; nothing was written.
+    Rejected {
+        reason: String,
+    },
 }
 
 /// Whether a write was applied.
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -209,6 +209,7 @@
             CommitResult::Durable => {
                 self.actions.extend(commit.actions);
                 self.log.silence.write_done();
+                self.log.note_taken(&commit.parts);
                 self.loans.send_soon(self.now.steady);
                 for part in commit.parts {
                     self.handle_job_committed(part.id, part.state, part.record, seq);
@@ -219,6 +220,7 @@
                 self.log.requeue(commit, &mut self.jobs);
                 known.into_iter().for_each(|id| self.drop_duplicate(id));
             }
+            CommitResult::Rejected { reason } => self.handle_rejected_commit(commit, &reason),
             CommitResult::Superseded(outcome) => {
                 // The commit may not have been applied, so its effects must not be reported as
                 // durable.
@@ -267,11 +269,16 @@
 
     /// Drops a submitted job that already exists in another shard, so that it is not run twice.
     fn drop_duplicate(&mut self, id: JobId) {
+        self.drop_unstored(id, &Answer::AcceptedElsewhere);
+    }
+
+    /// Drops a job that this shard has not stored, and answers its callers.
+    pub(super) fn drop_unstored(&mut self, id: JobId, answer: &Answer) {
         self.log.remove(id);
         let Some(job) = self.jobs.shift_remove(&id) else { return };
         for effect in job.effects {
             if let Effect::Reply { ticket, .. } = effect {
-                self.reply(ticket, Answer::AcceptedElsewhere);
+                self.reply(ticket, answer.clone());
             }
         }
         for vm in self.vms.values_mut() {
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -21,6 +21,18 @@
 /// progress.
 const MAX_JOB_ENTRIES: usize = 4;
 
+/// Size of the values in a commit from which no further job is added, in bytes.
+const MAX_COMMIT_BYTES: usize = 1 << 20;
+
+/// Delay of the next commit after the store has rejected one.
+const REJECTION_DELAY: Duration = Duration::from_millis(80);
+
+/// Time until a rejected record is compared with the present one; each further rejection doubles it.
+const MIN_REJECTED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest such time.
+const MAX_REJECTED_INTERVAL: Duration = Duration::from_secs(64);
+
 /// Store keys of one shard.
 #[derive(Clone, Debug)]
 pub struct Keys {
@@ -89,10 +101,34 @@
     pub renews_ownership: bool,
     /// Learned state to write with the next commit.
     learned_record: Option<Bytes>,
+    /// Jobs whose record the store has rejected; they change nothing in the store until it is smaller.
+    rejected: IndexMap<JobId, RejectedRecord>,
+    /// Number of the next commits that write one record each, to find the one that is rejected.
+    single_commits: usize,
     last_seq: u64,
     next_at: Duration,
 }
 
+/// A job's record that the store has rejected.
+#[derive(Clone, Copy, Debug)]
+struct RejectedRecord {
+    bytes: usize,
+    stage: RejectionStage,
+    /// Time until the record is next compared with the present one, after another rejection.
+    interval: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RejectionStage {
+    Waiting {
+        next_check: Duration,
+    },
+    /// The record has become smaller, and is in the next commit or in flight.
+    Retrying,
+    /// The store has taken a smaller record.
+    Taken,
+}
+
 /// A commit that is not answered yet.
 #[derive(Debug)]
 pub struct InFlight {
@@ -104,6 +140,8 @@
     /// Jobs whose final state it deletes.
     expired: Vec<JobId>,
     learned_record: Option<Bytes>,
+    /// Whether it writes the record of one job, or none, and nothing else beside the head.
+    is_single: bool,
 }
 
 /// The part of a commit that concerns one job.
@@ -115,6 +153,8 @@
     /// State of the job record in the store after the commit.
     pub record: RecordState,
     pub effects: Vec<Effect>,
+    /// Size of the job's progress record.
+    pub bytes: usize,
 }
 
 impl Log {
@@ -129,6 +169,8 @@
             silence,
             renews_ownership: false,
             learned_record: None,
+            rejected: IndexMap::new(),
+            single_commits: 0,
             last_seq: seq,
             next_at: Duration::ZERO,
         }
@@ -136,7 +178,9 @@
 
     /// Marks a job as changed.
     pub fn mark_changed(&mut self, id: JobId) {
-        self.changed.insert(id);
+        if !self.is_waiting_rejected(id) {
+            self.changed.insert(id);
+        }
     }
 
     /// Delays an action until the next commit has proved that the shard is still owned.
@@ -157,11 +201,22 @@
     /// Removes a job from the next commit.
     pub fn remove(&mut self, id: JobId) {
         self.changed.shift_remove(&id);
+        self.rejected.shift_remove(&id);
     }
 
-    /// Returns whether a job waits for the next commit.
+    /// Returns whether a job waits for the next commit, or for one that the store takes.
     pub fn is_pending(&self, id: JobId) -> bool {
-        self.changed.contains(&id)
+        self.changed.contains(&id) || self.is_waiting_rejected(id)
+    }
+
+    /// Returns whether the store has rejected a job's record, and has taken no smaller one since.
+    pub fn is_rejected(&self, id: JobId) -> bool {
+        self.rejected.get(&id).is_some_and(|r| r.stage != RejectionStage::Taken)
+    }
+
+    fn is_waiting_rejected(&self, id: JobId) -> bool {
+        let stage = self.rejected.get(&id).map(|rejected| rejected.stage);
+        matches!(stage, Some(RejectionStage::Waiting { .. }))
     }
 
     /// Returns whether all changes of a job are durable.
@@ -175,7 +230,7 @@
         self.last_seq + 1
     }
 
-    /// Returns whether all job changes are durable.
+    /// Returns whether all job changes are durable that the store takes.
     pub fn all_durable(&self) -> bool {
         self.changed.is_empty() && self.in_flight.is_none()
     }
@@ -213,20 +268,41 @@
             parts: Vec::new(),
             actions: std::mem::take(&mut self.after_next_commit),
             expired: Vec::new(),
-            learned_record: self.learned_record.take(),
+            learned_record: None,
+            is_single: self.single_commits > 0,
         };
+        if commit.is_single {
+            self.single_commits -= 1;
+            self.add_single_record(jobs, &mut txn, &mut commit);
+        } else {
+            self.add_records(jobs, &mut txn, &mut commit);
+        }
+        self.last_seq = commit.seq;
+        self.next_at = now + COMMIT_GAP;
+        let seq = commit.seq;
+        self.in_flight = Some(commit);
+        Some((seq, txn))
+    }
+
+    fn add_records(
+        &mut self,
+        jobs: &mut IndexMap<JobId, JobRun>,
+        txn: &mut Txn,
+        commit: &mut InFlight,
+    ) {
         let room = MAX_TXN_ENTRIES - RESERVED_ENTRIES - MAX_JOB_ENTRIES;
-        if self.silence.needs_write() || self.silence.is_refreshed(now) {
-            let silent = self.silence.start_write(now);
-            txn.puts.push(put(self.keys.silence(), silence::SilentVm::encode_all(&silent)));
+        if self.silence.needs_write() || self.silence.is_refreshed(commit.since) {
+            self.add_silence(txn, commit);
         }
+        commit.learned_record = self.learned_record.take();
         if let Some(value) = commit.learned_record.clone() {
             txn.puts.push(Put { key: self.keys.learned(), value, lease: None });
         }
-        while txn.entries() <= room {
+        let mut bytes = 0;
+        while txn.entries() <= room && bytes < MAX_COMMIT_BYTES {
             let Some(id) = self.changed.shift_remove_index(0) else { break };
             if let Some(job) = jobs.get_mut(&id) {
-                self.add_job(job, &mut txn, &mut commit);
+                bytes += self.add_job(job, txn, commit);
             }
         }
         while txn.entries() <= room {
@@ -235,11 +311,28 @@
             txn.deletes.push(Keys::id(id));
             commit.expired.push(id);
         }
-        self.last_seq = commit.seq;
-        self.next_at = now + COMMIT_GAP;
-        let seq = commit.seq;
-        self.in_flight = Some(commit);
-        Some((seq, txn))
+    }
+
+    fn add_single_record(
+        &mut self,
+        jobs: &mut IndexMap<JobId, JobRun>,
+        txn: &mut Txn,
+        commit: &mut InFlight,
+    ) {
+        if self.silence.needs_write() {
+            return self.add_silence(txn, commit);
+        }
+        while let Some(id) = self.changed.shift_remove_index(0) {
+            if let Some(job) = jobs.get_mut(&id) {
+                self.add_job(job, txn, commit);
+                return;
+            }
+        }
+    }
+
+    fn add_silence(&mut self, txn: &mut Txn, commit: &InFlight) {
+        let silent = self.silence.start_write(commit.since);
+        txn.puts.push(put(self.keys.silence(), silence::SilentVm::encode_all(&silent)));
     }
 
     /// Takes the commit in flight once its answer has arrived; `None` if `seq` is another commit.
@@ -271,15 +364,82 @@
         }
     }
 
-    fn add_job(&self, job: &mut JobRun, txn: &mut Txn, commit: &mut InFlight) {
+    /// Queues what is in a commit that the store has rejected. Returns the job whose record is to
+    /// blame, once that is known: its record is not sent again until it is smaller.
+    pub fn requeue_rejected(
+        &mut self,
+        mut commit: InFlight,
+        jobs: &mut IndexMap<JobId, JobRun>,
+        now: Duration,
+    ) -> Option<(JobId, usize)> {
+        // What the shard has learned is written again later; it may be what was rejected.
+        commit.learned_record = None;
+        let rejected = match &commit.parts[..] {
+            [part] if commit.is_single => Some((part.id, part.bytes)),
+            _ => None,
+        };
+        if !commit.is_single {
+            self.single_commits = commit.parts.len() + 1;
+        }
+        self.requeue(commit, jobs);
+        self.next_at = now + REJECTION_DELAY;
+        if let Some((id, bytes)) = rejected {
+            self.changed.shift_remove(&id);
+            let before = self.rejected.get(&id).map(|rejected| rejected.interval);
+            let interval = before.unwrap_or(MIN_REJECTED_INTERVAL);
+            let record = RejectedRecord {
+                bytes,
+                stage: RejectionStage::Waiting { next_check: now + interval },
+                interval: (interval * 2).min(MAX_REJECTED_INTERVAL),
+            };
+            self.rejected.insert(id, record);
+        }
+        rejected
+    }
+
+    /// Queues the jobs whose records have become smaller since the store has rejected them.
+    pub fn retry_rejected(&mut self, jobs: &IndexMap<JobId, JobRun>, now: Duration) {
+        for (id, rejected) in &mut self.rejected {
+            let RejectionStage::Waiting { next_check } = rejected.stage else { continue };
+            if now < next_check {
+                continue;
+            }
+            let is_smaller = |job: &JobRun| job.progress().encode().len() < rejected.bytes;
+            if jobs.get(id).is_none_or(is_smaller) {
+                rejected.stage = RejectionStage::Retrying;
+                self.changed.insert(*id);
+            } else {
+                let next_check = now + rejected.interval;
+                rejected.stage = RejectionStage::Waiting { next_check };
+            }
+        }
+    }
+
+    /// Notes that the store has taken the records of jobs.
+    pub fn note_taken(&mut self, parts: &[CommitPart]) {
+        if self.rejected.is_empty() {
+            return;
+        }
+        for part in parts {
+            if let Some(rejected) = self.rejected.get_mut(&part.id) {
+                rejected.stage = RejectionStage::Taken;
+            }
+            if part.record == RecordState::Closed {
+                self.rejected.shift_remove(&part.id);
+            }
+        }
+    }
+
+    /// Adds a job to a commit; returns the size of its progress record.
+    fn add_job(&self, job: &mut JobRun, txn: &mut Txn, commit: &mut InFlight) -> usize {
         let id = job.id();
         let mut record = job.record;
         if record == RecordState::Dropped {
             txn.deletes.push(self.keys.job(id));
             txn.deletes.push(self.keys.progress(id));
             let effects = std::mem::take(&mut job.effects);
-            commit.parts.push(CommitPart { id, state: job.state, record, effects });
-            return;
+            commit.parts.push(CommitPart { id, state: job.state, record, effects, bytes: 0 });
+            return 0;
         }
         if record == RecordState::New {
             if !job.is_borrowed() {
@@ -299,9 +459,12 @@
             record = RecordState::Closed;
             job.open_occurrences.clear();
         }
-        txn.puts.push(put(self.keys.progress(id), job.progress().encode()));
+        let progress = job.progress().encode();
+        let bytes = progress.len();
+        txn.puts.push(put(self.keys.progress(id), progress));
         let effects = std::mem::take(&mut job.effects);
-        commit.parts.push(CommitPart { id, state: job.state, record, effects });
+        commit.parts.push(CommitPart { id, state: job.state, record, effects, bytes });
+        bytes
     }
 }
 
--- a/standin/src/txns.rs
+++ b/standin/src/txns.rs
@@ -136,7 +136,7 @@
         if txn.puts.iter().any(|put| put.value.len() > self.max_value_bytes) {
             self.rejected += 1;
             let reason = "a value is too large".to_owned();
-            return Err(Error::Refused { reason });
+            return Err(Error::Rejected { reason });
         }
         let present = |key: &str| self.items.get(key).map_or(Rev::ABSENT, |stored| stored.rev);
         if txn.conditions.iter().any(|condition| present(&condition.key) != condition.rev) {
--- a/tests/shards/schedules.rs
+++ b/tests/shards/schedules.rs
@@ -6,7 +6,7 @@
 use crate::world::Simulation;
 use indexmap::IndexMap;
 use std::time::Duration;
-use waxwingstall::job::{Job, JobState, Label, Repeat};
+use waxwingstall::job::{Job, JobId, JobState, Label, Repeat};
 use waxwingstall::shard::Answer;
 use waxwingstall::units::Resources;
 use waxwingstall_standin::runs::Work;
@@ -80,3 +80,52 @@
     let started = sim.starts.iter().filter(|start| start.req.task.step == 0).count();
     assert_eq!(started, 600, "first steps");
 }
+
+// Guards against a commit that the store won't take and that is sent again for ever, while all other jobs
+// of the shard wait for theirs.
+#[test]
+fn a_job_too_large_to_be_stored_is_refused_and_holds_up_no_other() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 4, SIZE);
+    sim.kv.max_value_bytes = 2000;
+    let others: Vec<Job> = (2..8).map(|id| job_with_steps(id, 2, 2, work(800, 1))).collect();
+    sim.submit(SHARD, others[0].clone());
+    let ticket = sim.submit(SHARD, overdue(1, 1000, 1, 500));
+    others[1..].iter().for_each(|job| {
+        sim.submit(SHARD, job.clone());
+    });
+    sim.run_for(seconds(6));
+    let answer = sim.answers.get(&ticket);
+    assert!(matches!(answer, Some(Answer::Impossible { .. })), "{answer:?}");
+    assert_eq!(sim.show(SHARD, JobId(1)), Some(Answer::NotHere));
+    for job in &others {
+        assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)), "{}", job.id);
+    }
+    assert!(sim.kv.rejected < 10, "{} commits were rejected", sim.kv.rejected);
+}
+
+// Guards against an accepted job whose record outgrows what the store takes, and that holds up the others
+// of its shard and the room that its tasks were to have.
+#[test]
+fn a_record_that_outgrows_the_store_holds_up_no_other_job() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 4, SIZE);
+    sim.kv.max_value_bytes = 2000;
+    let large = overdue(1, 200, 1, 500);
+    sim.submit(SHARD, large.clone());
+    sim.run_for(millis(10));
+    sim.kv.max_value_bytes = 1000;
+    let others: Vec<Job> = (2..8).map(|id| job_with_steps(id, 2, 2, work(800, 2))).collect();
+    others.iter().for_each(|job| {
+        sim.submit(SHARD, job.clone());
+    });
+    sim.run_for(seconds(6));
+    for job in &others {
+        assert_eq!(sim.show(SHARD, job.id), Some(Answer::Shown(JobState::Done)), "{}", job.id);
+    }
+    let rejected = sim.kv.rejected;
+    sim.run_for(seconds(10));
+    assert_eq!(sim.kv.rejected, rejected, "commits are rejected again and again");
+    sim.kv.max_value_bytes = VALUE_BYTES;
+    sim.replace_owner(SHARD);
+    sim.run_for(seconds(20));
+    assert_eq!(sim.show(SHARD, large.id), Some(Answer::Shown(JobState::Done)));
+}
--- a/tests/shards/world.rs
+++ b/tests/shards/world.rs
@@ -1771,6 +1771,7 @@
                     CommitResult::Superseded(WriteOutcome::No)
                 }
             }
+            Err(Error::Rejected { reason }) => CommitResult::Rejected { reason },
             Err(e) => panic!("the store refused a commit: {e}"),
         };
         let lost = matches!(result, CommitResult::Superseded(_));
