--- a/src/shard.rs
+++ b/src/shard.rs
@@ -41,6 +41,7 @@
 mod place;
 mod proof;
 mod recover;
+mod rejected;
 mod rejection;
 mod relief;
 mod room;
--- a/src/shard/intake.rs
+++ b/src/shard/intake.rs
@@ -209,7 +209,7 @@
             CommitResult::Durable => {
                 self.actions.extend(commit.actions);
                 self.log.silence.write_done();
-                self.log.note_taken(&commit.parts);
+                self.log.rejected.note_taken(&commit.parts);
                 self.loans.send_soon(self.now.steady);
                 for part in commit.parts {
                     self.handle_job_committed(part.id, part.state, part.record, seq);
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -5,6 +5,7 @@
 
 use super::event::Action;
 use super::job_run::{Effect, JobRun, RecordState};
+use super::rejected::RejectedRecords;
 use super::settings::COMMIT_GAP;
 use super::silence;
 use crate::job::{JobId, JobState};
@@ -27,12 +28,6 @@
 /// Delay of the next commit after the store has rejected one.
 const REJECTION_DELAY: Duration = Duration::from_millis(80);
 
-/// Time until a rejected record is compared with the present one; each further rejection doubles it.
-const MIN_REJECTED_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Longest such time.
-const MAX_REJECTED_INTERVAL: Duration = Duration::from_secs(64);
-
 /// Store keys of one shard.
 #[derive(Clone, Debug)]
 pub struct Keys {
@@ -101,34 +96,14 @@
     pub renews_ownership: bool,
     /// Learned state to write with the next commit.
     learned_record: Option<Bytes>,
-    /// Jobs whose record the store has rejected; they change nothing in the store until it is smaller.
-    rejected: IndexMap<JobId, RejectedRecord>,
+    /// Jobs that change nothing in the store until their records are smaller.
+    pub rejected: RejectedRecords,
     /// Number of the next commits that write one record each, to find the one that is rejected.
     single_commits: usize,
     last_seq: u64,
     next_at: Duration,
 }
 
-/// A job's record that the store has rejected.
-#[derive(Clone, Copy, Debug)]
-struct RejectedRecord {
-    bytes: usize,
-    stage: RejectionStage,
-    /// Time until the record is next compared with the present one, after another rejection.
-    interval: Duration,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RejectionStage {
-    Waiting {
-        next_check: Duration,
-    },
-    /// The record has become smaller, and is in the next commit or in flight.
-    Retrying,
-    /// The store has taken a smaller record.
-    Taken,
-}
-
 /// A commit that is not answered yet.
 #[derive(Debug)]
 pub struct InFlight {
@@ -169,7 +144,7 @@
             silence,
             renews_ownership: false,
             learned_record: None,
-            rejected: IndexMap::new(),
+            rejected: RejectedRecords::default(),
             single_commits: 0,
             last_seq: seq,
             next_at: Duration::ZERO,
@@ -178,7 +153,7 @@
 
     /// Marks a job as changed.
     pub fn mark_changed(&mut self, id: JobId) {
-        if !self.is_waiting_rejected(id) {
+        if !self.rejected.is_waiting(id) {
             self.changed.insert(id);
         }
     }
@@ -201,22 +176,12 @@
     /// Removes a job from the next commit.
     pub fn remove(&mut self, id: JobId) {
         self.changed.shift_remove(&id);
-        self.rejected.shift_remove(&id);
+        self.rejected.remove(id);
     }
 
     /// Returns whether a job waits for the next commit, or for one that the store takes.
     pub fn is_pending(&self, id: JobId) -> bool {
-        self.changed.contains(&id) || self.is_waiting_rejected(id)
-    }
-
-    /// Returns whether the store has rejected a job's record, and has taken no smaller one since.
-    pub fn is_rejected(&self, id: JobId) -> bool {
-        self.rejected.get(&id).is_some_and(|r| r.stage != RejectionStage::Taken)
-    }
-
-    fn is_waiting_rejected(&self, id: JobId) -> bool {
-        let stage = self.rejected.get(&id).map(|rejected| rejected.stage);
-        matches!(stage, Some(RejectionStage::Waiting { .. }))
+        self.changed.contains(&id) || self.rejected.is_waiting(id)
     }
 
     /// Returns whether all changes of a job are durable.
@@ -385,49 +350,14 @@
         self.next_at = now + REJECTION_DELAY;
         if let Some((id, bytes)) = rejected {
             self.changed.shift_remove(&id);
-            let before = self.rejected.get(&id).map(|rejected| rejected.interval);
-            let interval = before.unwrap_or(MIN_REJECTED_INTERVAL);
-            let record = RejectedRecord {
-                bytes,
-                stage: RejectionStage::Waiting { next_check: now + interval },
-                interval: (interval * 2).min(MAX_REJECTED_INTERVAL),
-            };
-            self.rejected.insert(id, record);
+            self.rejected.insert(id, bytes, now);
         }
         rejected
     }
 
     /// Queues the jobs whose records have become smaller since the store has rejected them.
     pub fn retry_rejected(&mut self, jobs: &IndexMap<JobId, JobRun>, now: Duration) {
-        for (id, rejected) in &mut self.rejected {
-            let RejectionStage::Waiting { next_check } = rejected.stage else { continue };
-            if now < next_check {
-                continue;
-            }
-            let is_smaller = |job: &JobRun| job.progress().encode().len() < rejected.bytes;
-            if jobs.get(id).is_none_or(is_smaller) {
-                rejected.stage = RejectionStage::Retrying;
-                self.changed.insert(*id);
-            } else {
-                let next_check = now + rejected.interval;
-                rejected.stage = RejectionStage::Waiting { next_check };
-            }
-        }
-    }
-
-    /// Notes that the store has taken the records of jobs.
-    pub fn note_taken(&mut self, parts: &[CommitPart]) {
-        if self.rejected.is_empty() {
-            return;
-        }
-        for part in parts {
-            if let Some(rejected) = self.rejected.get_mut(&part.id) {
-                rejected.stage = RejectionStage::Taken;
-            }
-            if part.record == RecordState::Closed {
-                self.rejected.shift_remove(&part.id);
-            }
-        }
+        self.changed.extend(self.rejected.start_retries(jobs, now));
     }
 
     /// Adds a job to a commit; returns the size of its progress record.
--- a/src/shard/order.rs
+++ b/src/shard/order.rs
@@ -54,7 +54,7 @@
     /// Returns the jobs with tasks that can start, most urgent first.
     pub(super) fn candidates(&self) -> Vec<Candidate> {
         let open = self.jobs.values().filter(|job| !job.is_final());
-        let open = open.filter(|job| !self.log.is_rejected(job.id()));
+        let open = open.filter(|job| !self.log.rejected.contains(job.id()));
         let mut candidates: Vec<Candidate> =
             open.filter_map(|job| self.candidate(job, waiting(job, self.now.steady))).collect();
         candidates.sort_by(|a, b| {
