Send a rejected record again after 64 s, although it isn't smaller

A job whose record the store had rejected waited until the record was smaller. If none of its tasks runs, it never is: an accepted job stayed queued for good although the store took larger records by then, or had rejected it for something else, until the shard got another owner.

The record is now also sent again as it is, 64 s after each rejection. Jobs that a shard no longer has are forgotten there as well once their deletion is durable.

--- a/src/note.rs
+++ b/src/note.rs
@@ -172,7 +172,7 @@
     Urgent PreviousOwnerEnded = "previous-owner-ended" { shard: String, fence: u64, owner: DaemonId, proof: StaticText, ended_ms: Millis, }
     /// The code of a shard owned here has panicked; the ownership ends.
     Urgent ShardFailed = "shard-failed" { shard: String, fence: u64, stage: StaticText, reason: String, }
-    /// The store rejects the record of a job, which is refused if it is new, and otherwise makes no progress until its record is smaller.
+    /// The store rejects the record of a job, which is refused if it is new, and otherwise makes no progress until the store takes it.
     Urgent RecordRejected = "record-rejected" { job: JobId, bytes: usize, outcome: StaticText, reason: String, }
     /// This daemon no longer owns a shard.
     Urgent ShardLost = "shard-lost" { shard: String, fence: u64, reason: StaticText, }
--- a/src/shard/log.rs
+++ b/src/shard/log.rs
@@ -96,7 +96,7 @@
     pub renews_ownership: bool,
     /// Learned state to write with the next commit.
     learned_record: Option<Bytes>,
-    /// Jobs that change nothing in the store until their records are smaller.
+    /// Jobs that change nothing in the store until it takes their records.
     pub rejected: RejectedRecords,
     /// Number of the next commits that write one record each, to find the one that is rejected.
     single_commits: usize,
@@ -330,7 +330,7 @@
     }
 
     /// Queues what is in a commit that the store has rejected. Returns the job whose record is to
-    /// blame, once that is known: its record is not sent again until it is smaller.
+    /// blame, once that is known.
     pub fn requeue_rejected(
         &mut self,
         mut commit: InFlight,
@@ -355,7 +355,7 @@
         rejected
     }
 
-    /// Queues the jobs whose records have become smaller since the store has rejected them.
+    /// Queues the jobs whose rejected records are to be sent again.
     pub fn retry_rejected(&mut self, jobs: &IndexMap<JobId, JobRun>, now: Duration) {
         self.changed.extend(self.rejected.start_retries(jobs, now));
     }
--- a/src/shard/rejected.rs
+++ b/src/shard/rejected.rs
@@ -1,7 +1,8 @@
 //! Records of jobs that the store has rejected.
 //!
-//! A rejected record isn't sent again as it is. It is compared with the present one at growing
-//! intervals, as each comparison encodes the whole record.
+//! A rejected record is sent again once it is smaller. It is compared with the present one at growing
+//! intervals, as each comparison encodes the whole record. It is also sent as it is from time to time,
+//! since the store may have rejected it for something else, or may take larger records by then.
 
 use super::job_run::{JobRun, RecordState};
 use super::log::CommitPart;
@@ -15,6 +16,9 @@
 /// Longest such time.
 const MAX_INTERVAL: Duration = Duration::from_secs(64);
 
+/// Time from which a rejected record is sent again although it isn't smaller.
+const RESEND_DELAY: Duration = MAX_INTERVAL;
+
 /// Jobs whose records the store has rejected.
 #[derive(Debug, Default)]
 pub struct RejectedRecords {
@@ -25,6 +29,8 @@
 struct RejectedRecord {
     bytes: usize,
     stage: Stage,
+    /// From when on the record is sent again as it is.
+    resend_at: Duration,
     /// Time until the record is next compared with the present one, after another rejection.
     interval: Duration,
 }
@@ -34,9 +40,9 @@
     Waiting {
         next_check: Duration,
     },
-    /// The record has become smaller, and is in the next commit or in flight.
+    /// The record is in the next commit or in flight.
     Retrying,
-    /// The store has taken a smaller record.
+    /// The store has taken the record.
     Taken,
 }
 
@@ -46,7 +52,8 @@
         let interval = self.by_job.get(&id).map_or(MIN_INTERVAL, |rejected| rejected.interval);
         let stage = Stage::Waiting { next_check: now + interval };
         let interval = (interval * 2).min(MAX_INTERVAL);
-        self.by_job.insert(id, RejectedRecord { bytes, stage, interval });
+        let resend_at = now + RESEND_DELAY;
+        self.by_job.insert(id, RejectedRecord { bytes, stage, resend_at, interval });
     }
 
     /// Forgets a job.
@@ -65,7 +72,7 @@
         matches!(stage, Some(Stage::Waiting { .. }))
     }
 
-    /// Returns the jobs whose records are to be sent again, as they have become smaller.
+    /// Returns the jobs whose records are to be sent again.
     pub fn start_retries(&mut self, jobs: &IndexMap<JobId, JobRun>, now: Duration) -> Vec<JobId> {
         let mut retried = Vec::new();
         for (id, rejected) in &mut self.by_job {
@@ -74,7 +81,7 @@
                 continue;
             }
             let is_smaller = |job: &JobRun| job.progress().encode().len() < rejected.bytes;
-            if jobs.get(id).is_none_or(is_smaller) {
+            if now >= rejected.resend_at || jobs.get(id).is_none_or(is_smaller) {
                 rejected.stage = Stage::Retrying;
                 retried.push(*id);
             } else {
@@ -93,7 +100,7 @@
             if let Some(rejected) = self.by_job.get_mut(&part.id) {
                 rejected.stage = Stage::Taken;
             }
-            if part.record == RecordState::Closed {
+            if matches!(part.record, RecordState::Closed | RecordState::Dropped) {
                 self.by_job.shift_remove(&part.id);
             }
         }
--- a/src/shard/rejection.rs
+++ b/src/shard/rejection.rs
@@ -1,8 +1,8 @@
 //! Commits that the store won't take, however often they are sent.
 //!
 //! A record in them is larger than the store's limit on a value. The jobs of such a commit are written
-//! one by one, which shows the one to blame. It alone waits, until its record is smaller, or is refused
-//! if it is new; the other jobs of the shard go on.
+//! one by one, which shows the one to blame. It alone waits, until the store takes its record, or is
+//! refused if it is new; the other jobs of the shard go on.
 
 use super::Shard;
 use super::event::Answer;
--- a/tests/shards/schedules.rs
+++ b/tests/shards/schedules.rs
@@ -129,3 +129,20 @@
     sim.run_for(seconds(20));
     assert_eq!(sim.show(SHARD, large.id), Some(Answer::Shown(JobState::Done)));
 }
+
+// Guards against an accepted job that never goes on although the store would take its record by now.
+#[test]
+fn a_rejected_record_is_sent_again_after_a_while_although_it_is_no_smaller() {
+    let mut sim = Simulation::new(NoFaults, &[SHARD], 4, SIZE);
+    sim.kv.max_value_bytes = 2000;
+    let large = overdue(1, 200, 1, 500);
+    sim.submit(SHARD, large.clone());
+    sim.run_for(millis(10));
+    sim.kv.max_value_bytes = 100;
+    sim.run_for(seconds(5));
+    let rejected = sim.kv.rejected;
+    assert!(rejected > 0, "the record is too large");
+    sim.kv.max_value_bytes = VALUE_BYTES;
+    sim.run_for(seconds(75));
+    assert_eq!(sim.show(SHARD, large.id), Some(Answer::Shown(JobState::Done)));
+}
